--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= authority
+
+.PHONY: setup test lint types features model model-deep demo bench clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml requirements.lock requirements-model.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --require-hashes -r requirements-model.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: setup
+	$(BIN)/mypy
+
+features: setup
+	$(BIN)/python features/run.py
+
+test: lint types features
+
+clean:
+	rm -rf $(VENV) build dist .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/features/run.py
@@ -0,0 +1,59 @@
+"""Run the behave suite and print the verdict as one line."""
+
+import sys
+from pathlib import Path
+
+from behave.configuration import Configuration
+from behave.model import Status
+from behave.runner import Runner
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
+
+
+def read_known_red():
+    """Read the scenario names listed in KNOWN-RED.txt.
+
+    Returns
+    -------
+    set of str
+        Names of the scenarios whose failure is recorded and does not fail the run.
+    """
+    if not KNOWN_RED_FILE.exists():
+        return set()
+    lines = KNOWN_RED_FILE.read_text(encoding="utf-8").splitlines()
+    prefix = "scenario: "
+    return {line.removeprefix(prefix).strip() for line in lines if line.startswith(prefix)}
+
+
+def collect_scenarios(runner):
+    """Return every scenario that the runner selected, in order."""
+    scenarios = []
+    for feature in runner.features:
+        scenarios.extend(feature.walk_scenarios())
+    return [s for s in scenarios if s.status not in (Status.untested, Status.skipped)]
+
+
+def main(arguments):
+    """Run behave with the given arguments and return the exit status."""
+    sys.path.insert(0, str(ROOT))
+    defaults = ["--no-capture", "--no-logcapture", "--format", "progress", "--no-timings"]
+    config = Configuration([*defaults, *(arguments or [str(ROOT / "features")])])
+    runner = Runner(config)
+    runner.run()
+    known_red = read_known_red()
+    scenarios = collect_scenarios(runner)
+    failed = [s for s in scenarios if s.status != Status.passed]
+    unexpected = [s for s in failed if s.name not in known_red]
+    for scenario in failed:
+        label = "known red" if scenario.name in known_red else "FAILED"
+        print(f"{label}: {scenario.name} ({scenario.location})")
+    passed = len(scenarios) - len(failed)
+    print(f"{passed} passed, {len(unexpected)} failed")
+    if unexpected or not passed:
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/src/lavenderhook/_internal/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports over HTTP, and the HTTP front ends."""
--- /dev/null
+++ b/src/lavenderhook/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/src/lavenderhook/_internal/core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decision core: events in, effects out."""
--- /dev/null
+++ b/src/lavenderhook/_internal/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, logging and the runtime."""
--- /dev/null
+++ b/src/lavenderhook/_internal/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Abstract base classes between the core and the outside world."""
--- /dev/null
+++ b/src/lavenderhook/errors.py
@@ -0,0 +1,1 @@
+"""Typed failures of lavenderhook."""
