Add the core's contract: events, effects, records, membership, configuration

Components contribute handler tables to the one reducer, so each can be written and tested by itself.

--- /dev/null
+++ b/src/lavenderhook/_internal/core/digest.py
@@ -0,0 +1,16 @@
+"""Fields of the heartbeat digest that components contribute."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from .state import InstanceState
+
+
+def collect_digest_fields(state: InstanceState) -> dict[str, Any]:
+    """Return the digest's fields that depend on configuration, routing and placement."""
+    return {
+        "ready": state.configuration.is_ready(),
+        "configuration_version": state.configuration.version,
+    }
--- /dev/null
+++ b/src/lavenderhook/_internal/core/membership.py
@@ -0,0 +1,300 @@
+"""Which entry instances exist and whether they can be used.
+
+Two sources are kept apart. Heartbeats tell quickly whether a peer answers; they steer routing and
+takeover, which are safe when the view is wrong. The platform's list tells, late, that an
+incarnation is gone and can never act again; only it may free what an incarnation holds.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from .effects import CloseListeners, Effect, ListPlatform, LogDecision, SendHeartbeat
+from .events import (
+    HeartbeatReceived,
+    PeerUnreachable,
+    PlatformListed,
+    ShutdownRequested,
+    TimerFired,
+)
+from .identifiers import IncarnationId, MemberState
+from .messages import Digest
+from .records import InstanceView, WorkerView
+
+if TYPE_CHECKING:
+    from .state import InstanceState
+
+HEARTBEAT_TIMER = "heartbeat"
+PLATFORM_TIMER = "platform-list"
+# Suspicions by this many members, the own one included, turn a silent peer into a failed one, so
+# that a single cut link does not.
+SUSPICIONS_TO_FAIL = 2
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """A peer as this instance sees it."""
+
+    digest: Digest
+    heard_at: float
+    suspected_by: set[IncarnationId] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class MembershipState:
+    """The membership view.
+
+    Parameters
+    ----------
+    seeds : tuple of str
+        Addresses of peers from the settings, used until heartbeats are answered.
+    gone : dict of IncarnationId to float
+        Incarnations that the platform listed once and no longer lists, with the time at which
+        that was first seen.
+    """
+
+    seeds: tuple[str, ...] = ()
+    members: dict[IncarnationId, Member] = dataclasses.field(default_factory=dict)
+    known_addresses: dict[IncarnationId, str] = dataclasses.field(default_factory=dict)
+    listed: dict[IncarnationId, InstanceView] = dataclasses.field(default_factory=dict)
+    ever_listed: set[IncarnationId] = dataclasses.field(default_factory=set)
+    gone: dict[IncarnationId, float] = dataclasses.field(default_factory=dict)
+    workers: dict[str, WorkerView] = dataclasses.field(default_factory=dict)
+    listed_at: float | None = None
+    sequence: int = 0
+
+
+def get_member_state(state: InstanceState, incarnation: IncarnationId) -> MemberState:
+    """Return the state of a member, worst source first.
+
+    Parameters
+    ----------
+    state : InstanceState
+        The instance's state.
+    incarnation : IncarnationId
+        The member.
+
+    Returns
+    -------
+    MemberState
+        GONE only by the platform's list.
+    """
+    view = state.membership
+    if incarnation in view.gone:
+        return MemberState.GONE
+    if incarnation == state.incarnation:
+        return MemberState.ALIVE if state.shutting_down_since is None else MemberState.LEAVING
+    member = view.members.get(incarnation)
+    if member is None:
+        return MemberState.FAILED
+    silence = state.now - member.heard_at
+    if silence > state.parameters.takeover_after and _is_failure_confirmed(state, member):
+        return MemberState.FAILED
+    if silence > state.parameters.suspect_after:
+        return MemberState.SUSPECT
+    if member.digest.state is MemberState.LEAVING or _is_listed_leaving(state, incarnation):
+        return MemberState.LEAVING
+    return MemberState.ALIVE
+
+
+def _is_listed_leaving(state: InstanceState, incarnation: IncarnationId) -> bool:
+    view = state.membership.listed.get(incarnation)
+    return view is not None and view.leaving
+
+
+def _is_failure_confirmed(state: InstanceState, member: Member) -> bool:
+    others = [m for m in list_live_members(state) if m != member.digest.incarnation]
+    if not others:
+        return True
+    suspicions = len(member.suspected_by & set(others)) + 1
+    return suspicions >= SUSPICIONS_TO_FAIL
+
+
+def list_live_members(state: InstanceState) -> list[IncarnationId]:
+    """Return the peers heard from within `suspect_after` seconds, in a stable order."""
+    limit = state.now - state.parameters.suspect_after
+    members = state.membership.members
+    return sorted(
+        incarnation
+        for incarnation, member in members.items()
+        if member.heard_at >= limit and incarnation not in state.membership.gone
+    )
+
+
+def list_usable_peers(state: InstanceState) -> list[Digest]:
+    """Return the digests of peers that are alive and ready, in a stable order."""
+    return [
+        state.membership.members[incarnation].digest
+        for incarnation in list_live_members(state)
+        if state.membership.members[incarnation].digest.ready
+        and get_member_state(state, incarnation) is MemberState.ALIVE
+    ]
+
+
+def get_peer_address(state: InstanceState, incarnation: IncarnationId) -> str | None:
+    """Return the address of a member, or None if it is not known."""
+    member = state.membership.members.get(incarnation)
+    if member is not None:
+        return member.digest.address
+    listed = state.membership.listed.get(incarnation)
+    if listed is not None:
+        return listed.address
+    return state.membership.known_addresses.get(incarnation)
+
+
+def build_digest(state: InstanceState) -> Digest:
+    """Return the digest of this instance for the next heartbeat."""
+    from .digest import collect_digest_fields
+
+    view = state.membership
+    view.sequence += 1
+    leaving = state.shutting_down_since is not None
+    silent = tuple(
+        sorted(
+            incarnation
+            for incarnation, member in view.members.items()
+            if state.now - member.heard_at > state.parameters.suspect_after
+            and incarnation not in view.gone
+        )
+    )
+    return Digest(
+        name=state.name,
+        incarnation=state.incarnation,
+        address=state.address,
+        availability_zone=state.availability_zone,
+        sequence=view.sequence,
+        state=MemberState.LEAVING if leaving else MemberState.ALIVE,
+        suspected=silent,
+        **collect_digest_fields(state),
+    )
+
+
+def handle_timer(state: InstanceState, event: TimerFired) -> list[Effect]:
+    """Send heartbeats and read the platform's list when due."""
+    if event.name == HEARTBEAT_TIMER:
+        return [_send_heartbeat(state)]
+    if event.name == PLATFORM_TIMER:
+        return [ListPlatform()]
+    return []
+
+
+def _send_heartbeat(state: InstanceState) -> SendHeartbeat:
+    addresses = _collect_addresses(state)
+    if len(addresses) > state.parameters.full_mesh_limit:
+        addresses = sorted(state.generator.sample(addresses, state.parameters.gossip_fanout))
+    members = {
+        incarnation: state.membership.members[incarnation].digest.address
+        for incarnation in list_live_members(state)[: state.parameters.full_mesh_limit]
+    }
+    return SendHeartbeat(addresses=tuple(addresses), digest=build_digest(state), members=members)
+
+
+def _collect_addresses(state: InstanceState) -> list[str]:
+    view = state.membership
+    addresses = set(view.seeds)
+    addresses.update(member.digest.address for member in view.members.values())
+    addresses.update(instance.address for instance in view.listed.values())
+    addresses.update(view.known_addresses.values())
+    addresses.discard(state.address)
+    return sorted(addresses)
+
+
+def handle_heartbeat(state: InstanceState, event: HeartbeatReceived) -> list[Effect]:
+    """Take in a peer's digest unless a newer one was seen."""
+    digest = event.digest
+    view = state.membership
+    if digest.incarnation == state.incarnation or digest.incarnation in view.gone:
+        return []
+    member = view.members.get(digest.incarnation)
+    if member is not None and member.digest.sequence >= digest.sequence:
+        return []
+    if member is None:
+        view.members[digest.incarnation] = Member(digest=digest, heard_at=event.now)
+    else:
+        member.digest = digest
+        member.heard_at = event.now
+        member.suspected_by.clear()
+    for incarnation, address in event.members.items():
+        if incarnation not in view.members and incarnation != state.incarnation:
+            view.known_addresses[incarnation] = address
+    view.known_addresses.pop(digest.incarnation, None)
+    _note_suspicions(state, digest)
+    _forget_former_incarnations(state, digest)
+    if member is None:
+        fields: dict[str, object] = {"member": digest.incarnation, "address": digest.address}
+        return [LogDecision(decision="member-joined", fields=fields)]
+    return []
+
+
+def _note_suspicions(state: InstanceState, digest: Digest) -> None:
+    for incarnation, member in state.membership.members.items():
+        if incarnation in digest.suspected:
+            member.suspected_by.add(digest.incarnation)
+        else:
+            member.suspected_by.discard(digest.incarnation)
+
+
+def _forget_former_incarnations(state: InstanceState, digest: Digest) -> None:
+    """Drop silent incarnations at the same address, so that they are not sent heartbeats."""
+    members = state.membership.members
+    limit = state.now - state.parameters.takeover_after
+    former = [
+        incarnation
+        for incarnation, member in members.items()
+        if member.digest.address == digest.address
+        and incarnation != digest.incarnation
+        and member.heard_at < limit
+    ]
+    for incarnation in former:
+        del members[incarnation]
+
+
+def handle_unreachable(state: InstanceState, event: PeerUnreachable) -> list[Effect]:
+    """Forget addresses that only hearsay names."""
+    known = state.membership.known_addresses
+    for incarnation in [i for i, address in known.items() if address == event.address]:
+        del known[incarnation]
+    return []
+
+
+def handle_platform_list(state: InstanceState, event: PlatformListed) -> list[Effect]:
+    """Take in the platform's list and note the incarnations that are gone."""
+    view = state.membership
+    view.listed = {instance.incarnation: instance for instance in event.instances}
+    view.workers = {worker.worker_id: worker for worker in event.workers}
+    view.listed_at = event.now
+    view.ever_listed.update(view.listed)
+    effects: list[Effect] = []
+    for incarnation in sorted(view.ever_listed - set(view.listed) - set(view.gone)):
+        if incarnation == state.incarnation:
+            continue
+        view.gone[incarnation] = event.now
+        view.members.pop(incarnation, None)
+        view.known_addresses.pop(incarnation, None)
+        effects.append(LogDecision(decision="member-gone", fields={"member": incarnation}))
+    return effects
+
+
+def handle_shutdown(state: InstanceState, event: ShutdownRequested) -> list[Effect]:
+    """Start a graceful shutdown."""
+    if state.shutting_down_since is None:
+        state.shutting_down_since = event.now
+    return []
+
+
+def close_listeners_if_due(state: InstanceState) -> list[Effect]:
+    """Return the effect that ends the grace period of a shutdown once it has passed."""
+    since = state.shutting_down_since
+    if since is None or state.now - since < state.parameters.drain_grace:
+        return []
+    return [CloseListeners()]
+
+
+HANDLERS = {
+    TimerFired: handle_timer,
+    HeartbeatReceived: handle_heartbeat,
+    PeerUnreachable: handle_unreachable,
+    PlatformListed: handle_platform_list,
+    ShutdownRequested: handle_shutdown,
+}
--- /dev/null
+++ b/src/lavenderhook/_internal/core/reducer.py
@@ -0,0 +1,59 @@
+"""The one reducer over all events.
+
+`reduce` is the only function that changes an instance's state. It mutates a state object that it
+alone owns: at 340,000 tasks, copying a persistent state would dominate the decision time, and
+nothing else reads the state. Every component contributes a table from event type to handler; the
+order of the tables is the order in which components see an event.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any, TypeAlias
+
+from .effects import Effect
+from .events import Event
+from .state import InstanceState
+
+Handler: TypeAlias = Callable[..., list[Effect]]
+# Keys are event types; the metaclass of msgspec structures hides them from the type checker.
+HandlerTable: TypeAlias = Mapping[Any, Handler]
+
+
+def _merge(tables: tuple[HandlerTable, ...]) -> dict[Any, tuple[Handler, ...]]:
+    merged: dict[Any, tuple[Handler, ...]] = {}
+    for table in tables:
+        for event_type, handler in table.items():
+            merged[event_type] = (*merged.get(event_type, ()), handler)
+    return merged
+
+
+def _collect_tables() -> tuple[HandlerTable, ...]:
+    from . import configuration, membership
+
+    return (membership.HANDLERS, configuration.HANDLERS)
+
+
+_HANDLERS = _merge(_collect_tables())
+
+
+def reduce(state: InstanceState, event: Event) -> tuple[Effect, ...]:
+    """Apply an event to the state of an instance.
+
+    Parameters
+    ----------
+    state : InstanceState
+        Changed in place.
+    event : Event
+        What happened.
+
+    Returns
+    -------
+    tuple of Effect
+        What the adapters must do, in order.
+    """
+    state.now = max(state.now, event.now)
+    effects: list[Effect] = []
+    for handler in _HANDLERS.get(type(event), ()):
+        effects.extend(handler(state, event))
+    return tuple(effects)
--- /dev/null
+++ b/src/lavenderhook/_internal/core/state.py
@@ -0,0 +1,67 @@
+"""The state of one entry instance, and the parameters of its decisions."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import msgspec
+
+from .configuration import ConfigurationState
+from .identifiers import AvailabilityZone, IncarnationId, InstanceName
+from .membership import MembershipState
+
+
+class CoreParameters(msgspec.Struct, frozen=True, kw_only=True):
+    """Tunable values of the core; the settings file of the daemon fills them.
+
+    All durations are in seconds.
+    """
+
+    heartbeat_interval: float = 0.2
+    suspect_after: float = 1.0
+    takeover_after: float = 1.5
+    platform_poll_interval: float = 1.0
+    configuration_poll_interval: float = 1.0
+    full_mesh_limit: int = 16
+    gossip_fanout: int = 5
+    shards: int = 1
+    commit_interval: float = 0.02
+    max_batch_records: int = 2000
+    start_window: float = 5.0
+    lease_duration: float = 15.0
+    renew_interval: float = 4.0
+    max_clock_skew: float = 0.5
+    worker_poll_interval: float = 1.0
+    max_attempts: int = 3
+    max_ejected_share: float = 0.3
+    quarantine: float = 30.0
+    grant_report_interval: float = 0.5
+    max_request_seconds: float = 30.0
+    max_queue: int = 1024
+    lower_class_share: float = 0.125
+    retry_budget: float = 0.1
+    drain_grace: float = 2.0
+    snapshot_every: int = 200
+
+
+@dataclasses.dataclass(slots=True)
+class InstanceState:
+    """Everything that an entry instance knows.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Seeded by the runtime; the core's only source of randomness.
+    """
+
+    name: InstanceName
+    incarnation: IncarnationId
+    availability_zone: AvailabilityZone
+    address: str
+    parameters: CoreParameters
+    generator: random.Random
+    now: float = 0.0
+    shutting_down_since: float | None = None
+    membership: MembershipState = dataclasses.field(default_factory=MembershipState)
+    configuration: ConfigurationState = dataclasses.field(default_factory=ConfigurationState)
