--- a/src/lavenderhook/_internal/core/reducer.py
+++ b/src/lavenderhook/_internal/core/reducer.py
@@ -28,7 +28,7 @@
     return merged
 
 
-def _collect_tables() -> tuple[HandlerTable, ...]:
+def _collect_tables() -> tuple[Any, ...]:
     from . import configuration, membership
 
     return (membership.HANDLERS, configuration.HANDLERS)
