Add stand-ins for the platform's stores, instance list and workers

Each stand-in has its own port, so that each can be cut or slowed separately, and a shared ledger records over-commit, overlapping attempts and executions.

--- /dev/null
+++ b/standins/ledger.py
@@ -0,0 +1,114 @@
+"""Record of what really happened on the platform, for tests to check invariants against."""
+
+import time
+from collections import Counter, defaultdict
+
+
+class Ledger:
+    """Events seen by all stand-ins of one platform.
+
+    Times are wall-clock seconds.
+    """
+
+    def __init__(self):
+        self.clear()
+
+    def clear(self):
+        """Forget past events; attempts that are running stay known."""
+        self.overcommit = []
+        self.overlaps = []
+        self.executions = []
+        self.counts = Counter()
+        self.table_commits = []
+        self.done = Counter()
+        self.attempts = getattr(self, "attempts", {})
+        self.attempts = {
+            attempt: entry for attempt, entry in self.attempts.items() if entry["end"] is None
+        }
+        self.running = getattr(self, "running", defaultdict(dict))
+
+    def record_start(self, attempt, task, job, worker):
+        """Record that an attempt began to run; notes an overlap with other attempts."""
+        now = time.time()
+        self.counts["starts"] += 1
+        self.attempts[attempt] = {
+            "attempt": attempt,
+            "task": task,
+            "job": job,
+            "worker": worker,
+            "start": now,
+            "end": None,
+            "state": "running",
+        }
+        others = self.running[task]
+        if others:
+            self.overlaps.append(
+                {
+                    "task": task,
+                    "attempt": attempt,
+                    "worker": worker,
+                    "with": dict(others),
+                    "at": now,
+                }
+            )
+        others[attempt] = worker
+
+    def record_end(self, attempt, state, reason):
+        """Record that an attempt stopped running."""
+        entry = self.attempts[attempt]
+        entry.update(end=time.time(), state=state, reason=reason)
+        self.counts[state] += 1
+        if state == "done":
+            self.done[entry["task"]] += 1
+        others = self.running[entry["task"]]
+        others.pop(attempt, None)
+        if not others:
+            del self.running[entry["task"]]
+
+    def record_refusal(self, reason):
+        """Count a start that a worker refused."""
+        self.counts["refused"] += 1
+        self.counts[f"refused:{reason}"] += 1
+
+    def record_overcommit(self, worker, resource, used, capacity, attempts):
+        """Record that more of a resource is in use than exists."""
+        self.overcommit.append(
+            {
+                "worker": worker,
+                "resource": resource,
+                "used": used,
+                "capacity": capacity,
+                "attempts": attempts,
+                "at": time.time(),
+            }
+        )
+
+    def describe(self, sections=()):
+        """Return the ledger as JSON values.
+
+        Parameters
+        ----------
+        sections : iterable of str
+            Names of the parts wanted; empty for all.
+        """
+        by_request = defaultdict(list)
+        for execution in self.executions:
+            by_request[f"{execution['caller']}/{execution['request']}"].append(execution)
+        parts = {
+            "overcommit": self.overcommit,
+            "overlaps": self.overlaps,
+            "attempts": list(self.attempts.values()),
+            "running": {task: dict(others) for task, others in self.running.items()},
+            "executions": by_request,
+            "repeated_non_idempotent": [
+                key
+                for key, entries in by_request.items()
+                if sum(not entry["idempotent"] for entry in entries) > 1
+            ],
+            "done": dict(self.done),
+            "done_twice": [task for task, times in self.done.items() if times > 1],
+            "counts": dict(self.counts),
+            "table_commits": self.table_commits,
+        }
+        wanted = set(sections) or set(parts)
+        return {name: part for name, part in parts.items() if name in wanted}
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,138 @@
+"""All stand-ins of one platform in one process."""
+
+import uuid
+
+from .control import Control
+from .directory import Directory
+from .faults import FaultKind
+from .ledger import Ledger
+from .shapes import settings_for
+from .stores import Objects, Table
+from .web import Listener
+from .workers import Worker
+
+
+class Platform:
+    """Table service, object store, instance list and workers, each on its own port.
+
+    Everything runs on the gevent hub of the thread that calls `start`; a caller in the same thread
+    uses cooperative input and output.
+
+    Parameters
+    ----------
+    settings : PlatformSettings or None
+        None for the Authority's deployment.
+    """
+
+    def __init__(self, settings=None):
+        self.settings = settings or settings_for("authority")
+        self.ledger = Ledger()
+        self.directory = Directory(self.settings.list_lag_seconds)
+        self.table = Table(self.settings.table, self.ledger)
+        self.objects = Objects()
+        self.services = {
+            "table": self.table,
+            "objects": self.objects,
+            "instances": self.directory,
+        }
+        self.workers = {}
+        self.control = Control(self)
+        self.listeners = {}
+
+    def start(self):
+        """Bind every listener and return the addresses."""
+        for name, service in self.services.items():
+            self._listen(name, self._route(name, service))
+        self._listen("control", self.control.respond)
+        for _ in range(self.settings.workers.count):
+            self.add_worker(visible_now=True)
+        return self.describe_addresses()
+
+    def stop(self):
+        """End all tasks and close every listener."""
+        for worker in self.workers.values():
+            worker.close("platform_stopped")
+        for service in self.services.values():
+            service.faults.clear()
+        for listener in self.listeners.values():
+            listener.close_all()
+
+    def _listen(self, name, respond):
+        self.listeners[name] = Listener(respond)
+        self.listeners[name].start()
+
+    def _route(self, name, service):
+        control = self.control.bind(name)
+
+        def respond(request):
+            if request.path.startswith("/control/"):
+                return control(request)
+            return service.respond(request)
+
+        return respond
+
+    def add_worker(self, id="", zone="", rack="", visible_now=False):  # noqa: A002
+        """Add a worker; what is not given follows the shape of the deployment."""
+        shape = self.settings.workers
+        number = len(self.workers)
+        rack_number = number // shape.per_rack
+        id = id or f"w-{number + 1:02d}"  # noqa: A001
+        has_accelerators = shape.accelerator_every and number % shape.accelerator_every == 0
+        zone = zone or shape.zones[rack_number % len(shape.zones)]
+        entry = {
+            "id": id,
+            "incarnation": f"{id}-{uuid.uuid4().hex[:8]}",
+            "role": "worker",
+            "state": "live",
+            "address": "",
+            "zone": zone,
+            "rack": rack or f"rack-{rack_number + 1}",
+            "capacity": {
+                "processors": shape.processors,
+                "memory_mb": shape.memory_mb,
+                "accelerators": shape.accelerators if has_accelerators else 0,
+            },
+            "labels": {"accelerator": "true" if has_accelerators else "false"},
+        }
+        worker = Worker(entry, self.ledger, self.directory, shape, self.control.bind(id))
+        worker.open()
+        self.workers[id] = worker
+        self.directory.register(entry, visible_now)
+        return worker
+
+    def inject(self, target, body):
+        """Add a fault to a stand-in and return the fault's id."""
+        fault = target.faults.add(body)
+        if fault.kind is FaultKind.LEAVING and fault.options.get("signal", "both") != "upstream":
+            self.directory.mark(target.id, "leaving")
+        if fault.kind is FaultKind.GONE:
+            # The list may show a worker as gone only once it can run nothing any more.
+            target.close()
+            self.directory.remove(target.id)
+        return fault.id
+
+    def clear_faults(self, target, fault_id=None):
+        """End one fault of a stand-in, or all of them; a gone worker stays gone."""
+        for fault in list(target.faults.faults.values()):
+            if fault_id not in (None, fault.id):
+                continue
+            target.faults.end(fault)
+            if fault.kind is FaultKind.LEAVING and target.id in self.directory.current:
+                self.directory.mark(target.id, "live")
+
+    def describe_addresses(self):
+        """Return the addresses of all stand-ins."""
+        addresses = {name: listener.location for name, listener in self.listeners.items()}
+        workers = {id: worker.listener.location for id, worker in self.workers.items()}
+        return {"deployment": self.settings.deployment, **addresses, "workers": workers}
+
+    def describe_ledger(self, sections=()):
+        """Return the ledger together with the counters of the stores."""
+        described = self.ledger.describe(sections)
+        stores = {
+            "table": self.table.describe(),
+            "objects": self.objects.describe(),
+            "instances": {"reads": self.directory.reads},
+        }
+        described.update({k: v for k, v in stores.items() if not sections or k in sections})
+        return described
--- /dev/null
+++ b/standins/upstreams.py
@@ -0,0 +1,176 @@
+"""Upstream of a service task: serves requests and records every execution."""
+
+import hashlib
+import time
+
+import gevent
+
+from .errors import BadRequestError, DropConnectionError
+from .faults import FaultKind
+from .web import Response
+
+PREFIX = "/upstream/"
+SLOTS = 8
+CONNECTIONS = 64
+REFUSED_HEADERS = {"lavenderhook-leaving": "1", "lavenderhook-not-run": "1"}
+
+
+class Upstream:
+    """Upstream that a worker serves for one service task.
+
+    More requests or connections than it has are served all the same and recorded.
+
+    Parameters
+    ----------
+    worker : Worker
+    task : Task
+    """
+
+    def __init__(self, worker, task):
+        service = task.command["service"]
+        self.worker = worker
+        self.task = task
+        self.name = service.get("name", "")
+        self.slots = int(service.get("slots", SLOTS))
+        self.connections = int(service.get("connections", CONNECTIONS))
+        self.address = f"{worker.listener.location}{PREFIX}{task.attempt}"
+        self.in_use = 0
+        self.open_connections = set()
+
+    def serve(self, request):
+        """Serve one request."""
+        self._join(request.connection)
+        leaving = self.worker.leaving
+        if leaving and leaving.options.get("signal", "both") != "list":
+            self.worker.ledger.counts["refused_while_leaving"] += 1
+            return self._build(503, request, b"leaving\n", REFUSED_HEADERS)
+        body = request.read_body()
+        entry = self._record(request, body)
+        self.in_use += 1
+        try:
+            self._note_excess("slots", self.in_use, self.slots)
+            return self._execute(request, body, entry)
+        finally:
+            self.in_use -= 1
+            entry["end"] = time.time()
+
+    def close(self):
+        """Cut every connection of the upstream, as the end of its process would."""
+        for connection in list(self.open_connections):
+            connection.abort()
+
+    def _join(self, connection):
+        if connection in self.open_connections:
+            return
+        self.open_connections.add(connection)
+        connection.on_close.append(self.open_connections.discard)
+        self._note_excess("connections", len(self.open_connections), self.connections)
+
+    def _note_excess(self, resource, used, limit):
+        if used > limit:
+            attempts = [self.task.attempt]
+            self.worker.ledger.record_overcommit(self.worker.id, resource, used, limit, attempts)
+
+    def _record(self, request, body):
+        headers = request.headers
+        entry = {
+            "request": headers.get("lavenderhook-request-id", ""),
+            "caller": headers.get("lavenderhook-caller", ""),
+            "idempotent": headers.get("lavenderhook-idempotent", "true") != "false",
+            "instance": request.client,
+            "service": self.name,
+            "worker": self.worker.id,
+            "attempt": self.task.attempt,
+            "start": time.time(),
+            "end": None,
+            "sha256": hashlib.sha256(body).hexdigest(),
+            "bytes": len(body),
+            "status": None,
+        }
+        self.worker.ledger.executions.append(entry)
+        self.worker.ledger.counts["executions"] += 1
+        return entry
+
+    def _execute(self, request, body, entry):
+        client = request.client
+        find = self.worker.faults.find
+        seconds = read_number(request, "x-service-ms", 0) / 1000
+        slow = find(FaultKind.SLOW_SERVICE, "service", client)
+        if slow:
+            seconds += float(slow.options.get("ms", 100)) / 1000
+        gevent.sleep(seconds)
+        if self.task.state != "running":
+            entry["status"] = "interrupted"
+            raise DropConnectionError
+        failed = find(FaultKind.ERROR, "service", client)
+        if failed:
+            entry["status"] = int(failed.options.get("status", 500))
+            return self._build(entry["status"], request, b"failed by a fault\n")
+        entry["status"] = 200
+        content = self._compose(request, body)
+        if find(FaultKind.TRUNCATE, "service", client):
+            return self._truncate(request, content)
+        if "x-response-chunks" in request.headers:
+            return self._stream(request, content)
+        headers = {}
+        if find(FaultKind.WRONG_ID, "service", client):
+            headers["lavenderhook-request-id"] = "another-request"
+        return self._build(200, request, content, headers)
+
+    def _compose(self, request, body):
+        request_id = request.headers.get("lavenderhook-request-id", "")
+        filler = b"." * read_number(request, "x-response-bytes", 0)
+        return f"{request_id} {self.worker.id}\n".encode() + body + filler
+
+    def _build(self, status, request, body, headers=None):
+        return Response(
+            status,
+            body,
+            {
+                "lavenderhook-request-id": request.headers.get("lavenderhook-request-id", ""),
+                "lavenderhook-worker": self.worker.id,
+                "Content-Type": "application/octet-stream",
+                **(headers or {}),
+            },
+        )
+
+    def _truncate(self, request, content):
+        half = max(1, len(content) // 2)
+
+        def send():
+            yield content[:half]
+            raise DropConnectionError
+
+        return self._build(200, request, send(), {"Content-Length": str(len(content))})
+
+    def _stream(self, request, content):
+        pieces = max(1, read_number(request, "x-response-chunks", 1))
+        pause = read_number(request, "x-chunk-ms", 0) / 1000
+        size = max(1, -(-len(content) // pieces))
+
+        def send():
+            for low in range(0, len(content), size):
+                gevent.sleep(pause)
+                yield content[low : low + size]
+
+        return self._build(200, request, send())
+
+
+def read_number(request, name, default):
+    """Return a header as a number of at least 0.
+
+    Raises
+    ------
+    BadRequestError
+        If it is no such number.
+    """
+    text = request.headers.get(name)
+    if text is None:
+        return default
+    try:
+        number = int(text) if text.isdigit() else float(text)
+    except ValueError:
+        raise BadRequestError(name, f"{text!r} is not a number") from None
+    if number < 0:
+        raise BadRequestError(name, "is negative")
+    return number
