Make the stand-ins refuse malformed faults and batches, and hold slots for streams

A misspelt option, operation or kind of fault used to be accepted and never applied, so a test could pass without its fault. Such a control request now gets 400. A malformed entry in a batch used to fail after earlier entries had started; the batch is now checked before anything runs. A streamed response held its slot only until its first byte, so slot excess went unseen; the slot is now held until the last byte. A request that a freeze held back is dropped, not run, if the worker is gone when the freeze ends.

Excess connections are counted after 50 ms, because a new connection may be accepted before the close of an older one has been read.

--- a/standins/control.py
+++ b/standins/control.py
@@ -1,7 +1,7 @@
 """Control endpoint: faults, instance registrations, settings and the ledger."""
 
 from .errors import UnknownTargetError
-from .web import reply_json
+from .web import read_float, reply_json
 
 ROOT = "/control/v1/"
 
@@ -60,9 +60,9 @@
         names = own_target or [*self.platform.services, *self.platform.workers]
         for target in self._targets(request.query.get("target", names)):
             if not rest:
-                self.platform.clear_faults(target)
+                target.faults.clear()
             elif rest in target.faults.faults:
-                self.platform.clear_faults(target, rest)
+                target.faults.end(target.faults.faults[rest])
         return {}
 
     def _get_ledger(self, request, rest, own_target):
@@ -91,18 +91,19 @@
         return {}
 
     def _post_lag(self, request, rest, own_target):
-        self.platform.directory.lag_seconds = float(request.read_json()["seconds"])
+        self.platform.directory.lag_seconds = read_float(request.read_json(), "seconds")
         return {}
 
     def _post_rates(self, request, rest, own_target):
         body = request.read_json()
         table = self.platform.table
         table.set_rates(
-            float(body.get("writes_per_second", table.writes.rate)),
-            float(body.get("reads_per_second", table.reads.rate)),
+            read_float({"writes_per_second": table.writes.rate, **body}, "writes_per_second"),
+            read_float({"reads_per_second": table.reads.rate, **body}, "reads_per_second"),
         )
         return {}
 
     def _post_workers(self, request, rest, own_target):
-        worker = self.platform.add_worker(**request.read_json())
-        return worker.entry
+        body = request.read_json()
+        given = {name: body[name] for name in ("id", "zone", "rack") if name in body}
+        return self.platform.add_worker(**given).entry
--- a/standins/directory.py
+++ b/standins/directory.py
@@ -35,7 +35,7 @@
         self.visible = {}
         self.changes = deque()
         self.reads = 0
-        self.faults = FaultSet()
+        self.faults = FaultSet(("list",))
         self.gate = Gate(self.faults, lambda: reply_json({"error": "unavailable"}, 503))
 
     def register(self, body, visible_now=False):
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -35,6 +35,31 @@
     WRONG_ID = "wrong_id"
 
 
+TIMES = frozenset({"ms", "jitter_ms"})
+OPTIONS = {
+    FaultKind.SLOW: TIMES,
+    FaultKind.SLOW_SERVICE: TIMES,
+    FaultKind.DELAY: TIMES,
+    FaultKind.DOWN: frozenset({"mode"}),
+    FaultKind.UNREACHABLE: frozenset({"mode"}),
+    FaultKind.CUT: frozenset({"mode"}),
+    FaultKind.SKEW: frozenset({"seconds"}),
+    FaultKind.LEAVING: frozenset({"signal"}),
+    FaultKind.ERROR: frozenset({"status"}),
+}
+REQUEST_KINDS = frozenset(
+    {
+        FaultKind.SLOW,
+        FaultKind.DELAY,
+        FaultKind.DOWN,
+        FaultKind.LOSE_ANSWER,
+        FaultKind.UNREACHABLE,
+        FaultKind.CUT,
+        FaultKind.FREEZE,
+    }
+)
+
+
 @dataclass
 class Fault:
     """One active fault.
@@ -68,7 +93,7 @@
     Raises
     ------
     BadRequestError
-        If the kind is not known.
+        If the kind or an option is not known.
     """
     options = dict(body)
     try:
@@ -80,7 +105,7 @@
     clients = frozenset(options.pop("clients", ()))
     if kind is FaultKind.CUT and not clients:
         raise BadRequestError("clients", "a cut names the clients that are cut off")
-    return Fault(
+    fault = Fault(
         id=str(options.pop("id", f"fault-{number}")),
         kind=kind,
         operations=frozenset(options.pop("operations", ())),
@@ -90,12 +115,29 @@
         ends_at=None if seconds is None else time.monotonic() + float(seconds),
         options=options,
     )
+    unknown = set(options) - OPTIONS.get(kind, frozenset())
+    if unknown:
+        raise BadRequestError("options", f"{kind.value} has no {sorted(unknown)}")
+    return fault
 
 
 class FaultSet:
-    """The active faults of one stand-in."""
+    """The active faults of one stand-in.
 
-    def __init__(self):
+    Parameters
+    ----------
+    operations : iterable of str
+        Operations of the stand-in; a fault on any other is refused, since it would never apply.
+    kinds : frozenset of FaultKind
+        Kinds that the stand-in has.
+    on_end : callable or None
+        Called with each fault that ended.
+    """
+
+    def __init__(self, operations, kinds=REQUEST_KINDS, on_end=None):
+        self.operations = frozenset(operations)
+        self.kinds = kinds
+        self.on_end = on_end
         self.faults = {}
         self.numbers = count(1)
         self.random = random.Random(SEED)
@@ -103,6 +145,10 @@
     def add(self, body):
         """Add the fault that a control request describes and return it."""
         fault = read_fault(body, next(self.numbers))
+        if fault.kind not in self.kinds:
+            raise BadRequestError("kind", f"this stand-in has no fault {fault.kind.value!r}")
+        if fault.operations - self.operations:
+            raise BadRequestError("operations", f"is not among {sorted(self.operations)}")
         self.faults[fault.id] = fault
         if fault.ends_at is not None:
             gevent.spawn_later(fault.ends_at - time.monotonic(), self.end, fault)
@@ -110,9 +156,12 @@
 
     def end(self, fault):
         """End a fault and release every request that it holds."""
-        if self.faults.get(fault.id) is fault:
-            del self.faults[fault.id]
+        if self.faults.get(fault.id) is not fault:
+            return
+        del self.faults[fault.id]
         fault.ended.set()
+        if self.on_end is not None:
+            self.on_end(fault)
 
     def clear(self):
         """End every fault."""
@@ -144,6 +193,11 @@
         if fault.remaining <= 0:
             self.end(fault)
 
+    def draw_seconds(self, fault):
+        """Return the option ``ms`` of a fault in seconds, plus a draw from ``jitter_ms``."""
+        jitter = float(fault.options.get("jitter_ms", 0))
+        return (float(fault.options.get("ms", 100)) + self.random.random() * jitter) / 1000
+
     def describe(self):
         """Return the active faults as JSON values."""
         return [
@@ -187,7 +241,7 @@
         self._wait_for_thaw(operation, client)
         slow = self.faults.find(FaultKind.SLOW, operation, client)
         if slow:
-            gevent.sleep(read_seconds(slow))
+            gevent.sleep(self.faults.draw_seconds(slow))
         down = self.faults.find(FaultKind.DOWN, operation, client)
         if down:
             if down.options.get("mode") == "close":
@@ -196,12 +250,16 @@
         lose = self.faults.find(FaultKind.LOSE_ANSWER, operation, client)
         delay = self.faults.find(FaultKind.DELAY, operation, client)
         response = handle(request)
-        if delay:
-            gevent.sleep(read_seconds(delay))
-        self._wait_for_thaw(operation, client)
-        self._hold_if_unreachable(operation, client)
-        if lose:
-            raise DropConnectionError
+        try:
+            if delay:
+                gevent.sleep(self.faults.draw_seconds(delay))
+            self._wait_for_thaw(operation, client)
+            self._hold_if_unreachable(operation, client)
+            if lose:
+                raise DropConnectionError
+        except DropConnectionError:
+            response.close()
+            raise
         return response
 
     def _wait_for_thaw(self, operation, client):
@@ -216,10 +274,3 @@
         if fault.options.get("mode", "hang") == "hang":
             fault.ended.wait()
         raise DropConnectionError
-
-
-def read_seconds(fault):
-    """Return the option ``ms`` of a fault in seconds, plus a draw from ``jitter_ms``."""
-    jitter = float(fault.options.get("jitter_ms", 0))
-    drawn = random.random() * jitter if jitter else 0.0
-    return (float(fault.options.get("ms", 100)) + drawn) / 1000
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -8,9 +8,17 @@
     """Events seen by all stand-ins of one platform.
 
     Times are wall-clock seconds.
+
+    Parameters
+    ----------
+    record_executions : bool
+        Whether single executions are kept; they are counted in any case.
     """
 
-    def __init__(self):
+    def __init__(self, record_executions=True):
+        self.record_executions = record_executions
+        self.attempts = {}
+        self.running = defaultdict(dict)
         self.clear()
 
     def clear(self):
@@ -21,11 +29,9 @@
         self.counts = Counter()
         self.table_commits = []
         self.done = Counter()
-        self.attempts = getattr(self, "attempts", {})
         self.attempts = {
             attempt: entry for attempt, entry in self.attempts.items() if entry["end"] is None
         }
-        self.running = getattr(self, "running", defaultdict(dict))
 
     def record_start(self, attempt, task, job, worker):
         """Record that an attempt began to run; notes an overlap with other attempts."""
@@ -65,6 +71,12 @@
         if not others:
             del self.running[entry["task"]]
 
+    def record_execution(self, entry):
+        """Record that an upstream ran a request; the entry is completed when it ends."""
+        self.counts["executions"] += 1
+        if self.record_executions:
+            self.executions.append(entry)
+
     def record_refusal(self, reason):
         """Count a start that a worker refused."""
         self.counts["refused"] += 1
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,7 +4,7 @@
 
 from .control import Control
 from .directory import Directory
-from .faults import FaultKind
+from .errors import BadRequestError
 from .ledger import Ledger
 from .shapes import settings_for
 from .stores import Objects, Table
@@ -26,7 +26,7 @@
 
     def __init__(self, settings=None):
         self.settings = settings or settings_for("authority")
-        self.ledger = Ledger()
+        self.ledger = Ledger(self.settings.record_executions)
         self.directory = Directory(self.settings.list_lag_seconds)
         self.table = Table(self.settings.table, self.ledger)
         self.objects = Objects()
@@ -77,6 +77,8 @@
         number = len(self.workers)
         rack_number = number // shape.per_rack
         id = id or f"w-{number + 1:02d}"  # noqa: A001
+        if id in self.workers:
+            raise BadRequestError("id", f"worker {id!r} is already there")
         has_accelerators = shape.accelerator_every and number % shape.accelerator_every == 0
         zone = zone or shape.zones[rack_number % len(shape.zones)]
         entry = {
@@ -102,23 +104,9 @@
 
     def inject(self, target, body):
         """Add a fault to a stand-in and return the fault's id."""
-        fault = target.faults.add(body)
-        if fault.kind is FaultKind.LEAVING and fault.options.get("signal", "both") != "upstream":
-            self.directory.mark(target.id, "leaving")
-        if fault.kind is FaultKind.GONE:
-            # The list may show a worker as gone only once it can run nothing any more.
-            target.close()
-            self.directory.remove(target.id)
-        return fault.id
-
-    def clear_faults(self, target, fault_id=None):
-        """End one fault of a stand-in, or all of them; a gone worker stays gone."""
-        for fault in list(target.faults.faults.values()):
-            if fault_id not in (None, fault.id):
-                continue
-            target.faults.end(fault)
-            if fault.kind is FaultKind.LEAVING and target.id in self.directory.current:
-                self.directory.mark(target.id, "live")
+        if isinstance(target, Worker):
+            return target.inject(body)
+        return target.faults.add(body).id
 
     def describe_addresses(self):
         """Return the addresses of all stand-ins."""
--- a/standins/shapes.py
+++ b/standins/shapes.py
@@ -40,6 +40,7 @@
 
     deployment: str = "authority"
     list_lag_seconds: float = 1.0
+    record_executions: bool = True  # about 1 KB each; only counted when false
     table: TableSettings = field(default_factory=TableSettings)
     workers: WorkerSettings = field(default_factory=WorkerSettings)
 
--- a/standins/stores.py
+++ b/standins/stores.py
@@ -45,8 +45,10 @@
 class Store:
     """Common part of the stores: faults, latency and counters."""
 
+    operations = ()
+
     def __init__(self, latency_ms=0.0):
-        self.faults = FaultSet()
+        self.faults = FaultSet(self.operations)
         self.gate = Gate(self.faults, self.refuse)
         self.latency_seconds = latency_ms / 1000
         self.counters = Counter()
@@ -99,6 +101,8 @@
     ledger : Ledger
     """
 
+    operations = ("commit", "read_row", "read_range")
+
     def __init__(self, settings, ledger):
         super().__init__(settings.latency_ms)
         self.settings = settings
@@ -263,6 +267,8 @@
 class Objects(Store):
     """Object store; a write replaces the whole object at once."""
 
+    operations = ("put", "get", "delete")
+
     def __init__(self, latency_ms=0.0):
         super().__init__(latency_ms)
         self.objects = {}
--- a/standins/tasks.py
+++ b/standins/tasks.py
@@ -6,6 +6,7 @@
 from gevent.event import Event
 
 from .errors import BadRequestError
+from .web import read_float
 
 RESOURCES = ("processors", "memory_mb", "accelerators")
 
@@ -166,15 +167,18 @@
     BadRequestError
         If a part is missing or malformed.
     """
-    for name in ("attempt", "task", "job", "lease_until", "command"):
-        if body.get(name) in (None, ""):
-            raise BadRequestError(name, "is missing")
+    for name in ("task", "job"):
+        if not isinstance(body.get(name), str) or not body[name]:
+            raise BadRequestError(name, "is not a non-empty string")
+    for name in ("resources", "command"):
+        if not isinstance(body.get(name), dict):
+            raise BadRequestError(name, "is not an object")
     return Task(
         attempt=body["attempt"],
         task=body["task"],
         job=body["job"],
         kind=body.get("kind", "batch"),
-        resources=read_resources(body.get("resources", {})),
-        lease_until=float(body["lease_until"]),
+        resources=read_resources(body["resources"]),
+        lease_until=read_float(body, "lease_until"),
         command=body["command"],
     )
--- a/standins/upstreams.py
+++ b/standins/upstreams.py
@@ -12,6 +12,8 @@
 PREFIX = "/upstream/"
 SLOTS = 8
 CONNECTIONS = 64
+# A new connection may be accepted before the close of an older one has been read.
+CLOSE_GRACE_SECONDS = 0.05
 REFUSED_HEADERS = {"lavenderhook-leaving": "1", "lavenderhook-not-run": "1"}
 
 
@@ -47,12 +49,21 @@
         body = request.read_body()
         entry = self._record(request, body)
         self.in_use += 1
+        self._note_excess("slots", self.in_use, self.slots)
         try:
-            self._note_excess("slots", self.in_use, self.slots)
-            return self._execute(request, body, entry)
-        finally:
-            self.in_use -= 1
+            response = self._execute(request, body, entry)
+        except BaseException:
+            self._finish(entry)
+            raise
+        if isinstance(response.body, bytes):
+            self._finish(entry)
+        return response
+
+    def _finish(self, entry):
+        """Free the slot of an execution, once."""
+        if entry["end"] is None:
             entry["end"] = time.time()
+            self.in_use -= 1
 
     def close(self):
         """Cut every connection of the upstream, as the end of its process would."""
@@ -64,6 +75,10 @@
             return
         self.open_connections.add(connection)
         connection.on_close.append(self.open_connections.discard)
+        if len(self.open_connections) > self.connections:
+            gevent.spawn_later(CLOSE_GRACE_SECONDS, self._note_connections)
+
+    def _note_connections(self):
         self._note_excess("connections", len(self.open_connections), self.connections)
 
     def _note_excess(self, resource, used, limit):
@@ -87,8 +102,7 @@
             "bytes": len(body),
             "status": None,
         }
-        self.worker.ledger.executions.append(entry)
-        self.worker.ledger.counts["executions"] += 1
+        self.worker.ledger.record_execution(entry)
         return entry
 
     def _execute(self, request, body, entry):
@@ -97,7 +111,7 @@
         seconds = read_number(request, "x-service-ms", 0) / 1000
         slow = find(FaultKind.SLOW_SERVICE, "service", client)
         if slow:
-            seconds += float(slow.options.get("ms", 100)) / 1000
+            seconds += self.worker.faults.draw_seconds(slow)
         gevent.sleep(seconds)
         if self.task.state != "running":
             entry["status"] = "interrupted"
@@ -109,9 +123,9 @@
         entry["status"] = 200
         content = self._compose(request, body)
         if find(FaultKind.TRUNCATE, "service", client):
-            return self._truncate(request, content)
+            return self._truncate(request, content, entry)
         if "x-response-chunks" in request.headers:
-            return self._stream(request, content)
+            return self._stream(request, content, entry)
         headers = {}
         if find(FaultKind.WRONG_ID, "service", client):
             headers["lavenderhook-request-id"] = "another-request"
@@ -134,16 +148,17 @@
             },
         )
 
-    def _truncate(self, request, content):
+    def _truncate(self, request, content, entry):
         half = max(1, len(content) // 2)
 
         def send():
             yield content[:half]
             raise DropConnectionError
 
-        return self._build(200, request, send(), {"Content-Length": str(len(content))})
+        body = Body(send(), lambda: self._finish(entry))
+        return self._build(200, request, body, {"Content-Length": str(len(content))})
 
-    def _stream(self, request, content):
+    def _stream(self, request, content, entry):
         pieces = max(1, read_number(request, "x-response-chunks", 1))
         pause = read_number(request, "x-chunk-ms", 0) / 1000
         size = max(1, -(-len(content) // pieces))
@@ -153,7 +168,25 @@
                 gevent.sleep(pause)
                 yield content[low : low + size]
 
-        return self._build(200, request, send())
+        return self._build(200, request, Body(send(), lambda: self._finish(entry)))
+
+
+class Body:
+    """Streamed body that frees its slot when it is finished, dropped or never begun."""
+
+    def __init__(self, pieces, finish):
+        self.pieces = pieces
+        self.finish = finish
+
+    def __iter__(self):
+        try:
+            yield from self.pieces
+        finally:
+            self.finish()
+
+    def close(self):
+        """Free the slot."""
+        self.finish()
 
 
 def read_number(request, name, default):
--- a/standins/web.py
+++ b/standins/web.py
@@ -73,6 +73,26 @@
     body: bytes | Iterable = b""
     headers: dict = field(default_factory=dict)
 
+    def close(self):
+        """Release what the body holds when the response is not sent."""
+        close = getattr(self.body, "close", None)
+        if close is not None:
+            close()
+
+
+def read_float(values, name):
+    """Return a value as a number.
+
+    Raises
+    ------
+    BadRequestError
+        If it is missing or not a number.
+    """
+    value = values.get(name)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise BadRequestError(name, f"{value!r} is not a number")
+    return float(value)
+
 
 def reply_json(value, status=200, headers=None):
     """Return a response that carries a JSON value."""
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -6,10 +6,12 @@
 
 from .errors import BadRequestError, DropConnectionError
 from .faults import FaultKind, FaultSet, Gate
-from .tasks import RESOURCES, read_resources, read_task
+from .tasks import RESOURCES, read_task
 from .upstreams import PREFIX, Upstream
-from .web import Listener, reply_json
+from .web import Listener, read_float, reply_json
 
+ACTIONS = ("start", "renew", "stop", "checkpoint", "throttle", "forget")
+OPERATIONS = (*ACTIONS, "list", "upstream", "service")
 FAILED_START_EXIT_CODE = 1
 FAILED_TASK_SECONDS = 0.05  # a task on a worker that fails everything runs this long
 
@@ -37,21 +39,13 @@
         self.directory = directory
         self.settings = settings
         self.control = control
-        self.faults = FaultSet()
+        self.faults = FaultSet(OPERATIONS, frozenset(FaultKind), self._restore)
         self.gate = Gate(self.faults, lambda: reply_json({"error": "unavailable"}, 503))
         self.tasks = {}
         self.refused = {}
         self.stopped = set()
         self.is_gone = False
         self.listener = Listener(self.respond)
-        self.actions = {
-            "start": self.start,
-            "renew": self.renew,
-            "stop": self.stop,
-            "checkpoint": self.checkpoint,
-            "throttle": self.throttle,
-            "forget": self.forget,
-        }
 
     def open(self):
         """Start listening and return the address."""
@@ -67,6 +61,22 @@
         self.faults.clear()
         self.listener.close_all()
 
+    def inject(self, body):
+        """Add the fault that a control request describes and return its id."""
+        fault = self.faults.add(body)
+        if fault.kind is FaultKind.LEAVING and fault.options.get("signal") != "upstream":
+            self.directory.mark(self.id, "leaving")
+        if fault.kind is FaultKind.GONE:
+            # The list may show a worker as gone only once it can run nothing any more.
+            self.close()
+            self.directory.remove(self.id)
+        return fault.id
+
+    def _restore(self, fault):
+        """Show the worker as live again after its `FaultKind.LEAVING` fault ended."""
+        if fault.kind is FaultKind.LEAVING and not self.is_gone:
+            self.directory.mark(self.id, "live")
+
     @property
     def leaving(self):
         """Return the active `FaultKind.LEAVING` fault, or None."""
@@ -81,33 +91,46 @@
         """Answer one request to this worker's listener."""
         if request.path.startswith("/control/"):
             return self.control(request)
-        if self.is_gone:
-            raise DropConnectionError
-        self._delay_between_zones(request.client)
+        operation, run = self._find_operation(request)
+        if run is None:
+            return reply_json({"error": "no such path"}, 404)
+        between_zones = self._is_between_zones(request.client)
+        if between_zones:
+            gevent.sleep(2 * self.settings.one_way_zone_delay_ms / 1000)
+        response = self.gate.pass_request(request, operation, lambda _: self._run_if_present(run))
+        if between_zones:
+            self._count_between_zones(request, response)
+        return response
+
+    def _find_operation(self, request):
+        """Return the name of the operation and a function that runs it, or (None, None)."""
         if request.path.startswith(PREFIX):
-            return self.gate.pass_request(request, "upstream", self._serve_upstream)
+            return "upstream", lambda: self._serve_upstream(request)
         if request.path == "/v1/tasks" and request.method == "GET":
-            return self.gate.pass_request(request, "list", self._list)
+            return "list", self._list
         action = request.path.removeprefix("/v1/tasks:")
-        if request.method != "POST" or action not in self.actions:
-            return reply_json({"error": "no such path"}, 404)
-        body = request.read_json()
-        entries = body.get("tasks")
-        if not isinstance(entries, list):
-            raise BadRequestError("tasks", "is not a list")
-        run = self.actions[action]
-        return self.gate.pass_request(
-            request, action, lambda _: reply_json({"tasks": [run(entry) for entry in entries]})
-        )
+        if request.method != "POST" or action not in ACTIONS:
+            return None, None
+        entries = read_entries(request, action)
+        run = getattr(self, action)
+        return action, lambda: reply_json({"tasks": [run(entry) for entry in entries]})
+
+    def _run_if_present(self, run):
+        # A request that a freeze held back must not run on a worker that is gone by now.
+        if self.is_gone:
+            raise DropConnectionError
+        return run()
 
-    def _delay_between_zones(self, client):
-        delay = self.settings.one_way_zone_delay_ms
-        if not delay or not client:
-            return
-        zone = self.directory.find_zone(client)
-        if zone and zone != self.entry["zone"]:
-            self.ledger.counts["requests_between_zones"] += 1
-            gevent.sleep(2 * delay / 1000)
+    def _is_between_zones(self, client):
+        zone = self.directory.find_zone(client) if client else None
+        return bool(zone) and zone != self.entry["zone"]
+
+    def _count_between_zones(self, request, response):
+        counts = self.ledger.counts
+        counts["requests_between_zones"] += 1
+        counts["body_bytes_between_zones"] += int(request.environ.get("CONTENT_LENGTH") or 0)
+        if isinstance(response.body, bytes):
+            counts["body_bytes_between_zones"] += len(response.body)
 
     def _serve_upstream(self, request):
         attempt, _, _ = request.path.removeprefix(PREFIX).partition("/")
@@ -117,7 +140,7 @@
             return reply_json({"error": "no such upstream"}, 503, headers)
         return task.upstream.serve(request)
 
-    def _list(self, request):
+    def _list(self):
         lag = self.settings.usage_lag_seconds
         return reply_json(
             {
@@ -127,9 +150,8 @@
             }
         )
 
-    def start(self, body):
+    def start(self, task):
         """Start a task; the first answer for an attempt id stands."""
-        task = read_task(body)
         attempt = task.attempt
         if attempt in self.tasks:
             return self._answer_start(self.tasks[attempt])
@@ -214,20 +236,16 @@
             task.upstream.close()
 
     def _find(self, body):
-        attempt = body.get("attempt")
-        if not attempt:
-            raise BadRequestError("attempt", "is missing")
+        attempt = body["attempt"]
         return attempt, self.tasks.get(attempt)
 
     def renew(self, body):
         """Extend the lease of a running task."""
         attempt, task = self._find(body)
-        if "lease_until" not in body:
-            raise BadRequestError("lease_until", "is missing")
         if task is None:
             return {"attempt": attempt, "state": "unknown"}
         if task.state == "running":
-            task.renew(float(body["lease_until"]))
+            task.renew(body["lease_until"])
         return {"attempt": attempt, "state": task.state, "lease_until": task.lease_until}
 
     def stop(self, body):
@@ -255,9 +273,8 @@
         attempt, task = self._find(body)
         if task is None:
             return {"attempt": attempt, "state": "unknown"}
-        limit = read_resources({"processors": body.get("processors", 0)})["processors"]
         if task.state == "running":
-            task.throttle(limit)
+            task.throttle(body["processors"])
         return self._report(task)
 
     def forget(self, body):
@@ -276,3 +293,24 @@
         if task.exit_code is not None:
             report["exit_code"] = task.exit_code
         return report
+
+
+def read_entries(request, action):
+    """Return the checked entries of a batch, so that a malformed batch has no effect at all.
+
+    Raises
+    ------
+    BadRequestError
+        If the batch or an entry is malformed.
+    """
+    entries = request.read_json().get("tasks")
+    if not isinstance(entries, list) or not all(isinstance(entry, dict) for entry in entries):
+        raise BadRequestError("tasks", "is not a list of objects")
+    for entry in entries:
+        if not isinstance(entry.get("attempt"), str) or not entry["attempt"]:
+            raise BadRequestError("attempt", "is not a non-empty string")
+        if action == "renew":
+            read_float(entry, "lease_until")
+        if action == "throttle" and read_float(entry, "processors") < 0:
+            raise BadRequestError("processors", "is negative")
+    return [read_task(entry) for entry in entries] if action == "start" else entries
