--- a/standins/tasks.py
+++ b/standins/tasks.py
@@ -51,7 +51,7 @@
 
     def __post_init__(self):
         """Read the declared and actual run time from the command."""
-        self.is_service = bool(self.command.get("service"))
+        self.is_service = self.command.get("service") is not None
         declared = self.command.get("run_seconds")
         self.run_seconds = self.command.get("actual_run_seconds", declared)
         if not self.is_service and self.run_seconds is None:
