Count a slot from a request's arrival and log requests to leaving upstreams

A request whose body was still arriving held no slot, so a caller that exceeded its grant with slow uploads went unseen. Requests received after an upstream began to leave are now recorded with the time since then, to measure how long new work keeps arriving. The requests of the slot scenario are now 20 ms apart: sent at the same instant, they overlapped even when a streamed response freed its slot at its first byte, so the scenario could not fail. A scenario covers the entry point.

The access log line was formatted although none is written; it is now skipped.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -125,6 +125,18 @@
     Then instance "e-1" is not in the list
     And within 0.6 s instance "e-1" is in the list
 
+  Scenario: A request holds its slot while its body is still arriving
+    Given an upstream with 1 slots on "w-01"
+    When a request with an unfinished body is open
+    And a request is sent to the upstream
+    Then the ledger lists 1 of "overcommit"
+    And the ledger counts 1 of "executions"
+
+  Scenario: The entry point prints every address and ends on SIGTERM
+    When the stand-ins of "ajala" run as a process
+    Then the process printed the addresses of 24 workers and 4 other listeners
+    And the process ends with 0 on SIGTERM
+
   Scenario: A fault that could never apply is refused
     When the fault "lose_answer" is put on "table" for "comit"
     Then the control endpoint answers 400
--- a/features/steps/platform_standins.py
+++ b/features/steps/platform_standins.py
@@ -2,8 +2,12 @@
 
 import base64
 import json
+import signal
 import statistics
+import subprocess
+import sys
 import time
+from pathlib import Path
 from urllib.parse import parse_qsl
 
 import gevent
@@ -13,7 +17,10 @@
 
 from standins import Platform, settings_for
 
+ROOT = Path(__file__).resolve().parents[2]
 NO_ANSWER_SECONDS = 1.0
+PROCESS_END_SECONDS = 10
+STAGGER_SECONDS = 0.02  # apart, so that no request only overlaps the first instant of another
 TIMING_SLACK_SECONDS = 0.15  # scheduling delay on a busy machine
 
 
@@ -225,12 +232,25 @@
 @when('{number:d} requests run at once with headers "{headers}"')
 def step_send_many(context, number, headers):
     parsed = dict(parse_qsl(headers))
-    sent = [gevent.spawn(send_to_upstream, context, parsed) for _ in range(number)]
+    sent = [
+        gevent.spawn_later(STAGGER_SECONDS * index, send_to_upstream, context, parsed)
+        for index in range(number)
+    ]
     answers = [greenlet.get() for greenlet in sent]
     expected = f"r-1 {context.worker}\na body".encode()
     assert all(a and a[0] == 200 and a[2] == expected for a in answers), answers
 
 
+@when("a request with an unfinished body is open")
+def step_unfinished(context):
+    host, port = context.location.split(":")
+    connection = socket.create_connection((host, int(port)))
+    context.add_cleanup(connection.close)
+    head = f"POST {context.path} HTTP/1.1\r\nHost: {host}\r\nContent-Length: 10\r\n\r\nhalf"
+    connection.sendall(head.encode())
+    gevent.sleep(STAGGER_SECONDS)
+
+
 @then('the upstream answers {status:d} with "{first}" and "{second}"')
 def step_upstream_refused(context, status, first, second):
     answered, headers, _ = context.answer
@@ -238,6 +258,29 @@
     assert headers[first] == headers[second] == "1", headers
 
 
+@when('the stand-ins of "{deployment}" run as a process')
+def step_process(context, deployment):
+    command = [sys.executable, "-m", "standins", "--deployment", deployment]
+    context.process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True, cwd=ROOT)
+    context.add_cleanup(context.process.stdout.close)
+    context.add_cleanup(context.process.kill)
+    context.printed = json.loads(context.process.stdout.readline())
+
+
+@then("the process printed the addresses of {workers:d} workers and {others:d} other listeners")
+def step_printed(context, workers, others):
+    printed = dict(context.printed)
+    assert printed.pop("deployment") == "ajala"
+    assert len(printed.pop("workers")) == workers
+    assert len(printed) == others, printed
+
+
+@then("the process ends with {status:d} on SIGTERM")
+def step_process_ends(context, status):
+    context.process.send_signal(signal.SIGTERM)
+    assert context.process.wait(PROCESS_END_SECONDS) == status
+
+
 @given('client "{client}" is cut off from "{worker}"')
 def step_cut(context, client, worker):
     control(context, "faults", kind="cut", target=worker, clients=[client])
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -74,6 +74,8 @@
         Number of requests that it still applies to; None for no limit.
     ends_at : float or None
         Monotonic time in seconds at which it ends.
+    began_at : float
+        Wall-clock time in seconds at which it began.
     """
 
     id: str
@@ -84,6 +86,7 @@
     remaining: int | None
     ends_at: float | None
     options: dict
+    began_at: float = field(default_factory=time.time)
     ended: Event = field(default_factory=Event)
 
 
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -25,6 +25,7 @@
         """Forget past events; attempts that are running stay known."""
         self.overcommit = []
         self.overlaps = []
+        self.while_leaving = []
         self.executions = []
         self.counts = Counter()
         self.table_commits = []
@@ -77,6 +78,18 @@
         if self.record_executions:
             self.executions.append(entry)
 
+    def record_while_leaving(self, worker, request, began_at):
+        """Record that an upstream received a request after it began to leave."""
+        self.counts["requests_while_leaving"] += 1
+        self.while_leaving.append(
+            {
+                "worker": worker,
+                "request": request.headers.get("lavenderhook-request-id", ""),
+                "instance": request.client,
+                "seconds_after": time.time() - began_at,
+            }
+        )
+
     def record_refusal(self, reason):
         """Count a start that a worker refused."""
         self.counts["refused"] += 1
@@ -109,6 +122,7 @@
         parts = {
             "overcommit": self.overcommit,
             "overlaps": self.overlaps,
+            "while_leaving": self.while_leaving,
             "attempts": list(self.attempts.values()),
             "running": {task: dict(others) for task, others in self.running.items()},
             "executions": by_request,
--- a/standins/upstreams.py
+++ b/standins/upstreams.py
@@ -43,28 +43,24 @@
         """Serve one request."""
         self._join(request.connection)
         leaving = self.worker.leaving
-        if leaving and leaving.options.get("signal", "both") != "list":
-            self.worker.ledger.counts["refused_while_leaving"] += 1
+        if leaving:
+            self.worker.ledger.record_while_leaving(self.worker.id, request, leaving.began_at)
+        if leaving and leaving.options.get("signal") != "list":
             return self._build(503, request, b"leaving\n", REFUSED_HEADERS)
-        body = request.read_body()
-        entry = self._record(request, body)
-        self.in_use += 1
-        self._note_excess("slots", self.in_use, self.slots)
+        seconds = read_number(request, "x-service-ms", 0) / 1000
+        # A request holds its slot from its arrival, also while its body is still on the way.
+        slot = Slot(self)
         try:
-            response = self._execute(request, body, entry)
+            body = request.read_body()
+            slot.entry = self._record(request, body)
+            response = self._execute(request, body, seconds, slot)
         except BaseException:
-            self._finish(entry)
+            slot.release()
             raise
         if isinstance(response.body, bytes):
-            self._finish(entry)
+            slot.release()
         return response
 
-    def _finish(self, entry):
-        """Free the slot of an execution, once."""
-        if entry["end"] is None:
-            entry["end"] = time.time()
-            self.in_use -= 1
-
     def close(self):
         """Cut every connection of the upstream, as the end of its process would."""
         for connection in list(self.open_connections):
@@ -81,6 +77,10 @@
     def _note_connections(self):
         self._note_excess("connections", len(self.open_connections), self.connections)
 
+    def note_slots(self):
+        """Record it if more slots are in use than there are."""
+        self._note_excess("slots", self.in_use, self.slots)
+
     def _note_excess(self, resource, used, limit):
         if used > limit:
             attempts = [self.task.attempt]
@@ -105,10 +105,10 @@
         self.worker.ledger.record_execution(entry)
         return entry
 
-    def _execute(self, request, body, entry):
+    def _execute(self, request, body, seconds, slot):
         client = request.client
         find = self.worker.faults.find
-        seconds = read_number(request, "x-service-ms", 0) / 1000
+        entry = slot.entry
         slow = find(FaultKind.SLOW_SERVICE, "service", client)
         if slow:
             seconds += self.worker.faults.draw_seconds(slow)
@@ -123,9 +123,9 @@
         entry["status"] = 200
         content = self._compose(request, body)
         if find(FaultKind.TRUNCATE, "service", client):
-            return self._truncate(request, content, entry)
+            return self._truncate(request, content, slot)
         if "x-response-chunks" in request.headers:
-            return self._stream(request, content, entry)
+            return self._stream(request, content, slot)
         headers = {}
         if find(FaultKind.WRONG_ID, "service", client):
             headers["lavenderhook-request-id"] = "another-request"
@@ -148,17 +148,16 @@
             },
         )
 
-    def _truncate(self, request, content, entry):
+    def _truncate(self, request, content, slot):
         half = max(1, len(content) // 2)
 
         def send():
             yield content[:half]
             raise DropConnectionError
 
-        body = Body(send(), lambda: self._finish(entry))
-        return self._build(200, request, body, {"Content-Length": str(len(content))})
+        return self._build(200, request, Body(send(), slot), {"Content-Length": str(len(content))})
 
-    def _stream(self, request, content, entry):
+    def _stream(self, request, content, slot):
         pieces = max(1, read_number(request, "x-response-chunks", 1))
         pause = read_number(request, "x-chunk-ms", 0) / 1000
         size = max(1, -(-len(content) // pieces))
@@ -168,25 +167,51 @@
                 gevent.sleep(pause)
                 yield content[low : low + size]
 
-        return self._build(200, request, Body(send(), lambda: self._finish(entry)))
+        return self._build(200, request, Body(send(), slot))
+
+
+class Slot:
+    """Slot in use by one request; released once.
+
+    Attributes
+    ----------
+    entry : dict or None
+        Execution in the ledger, once the request has arrived in full.
+    """
+
+    def __init__(self, upstream):
+        self.upstream = upstream
+        self.entry = None
+        self.is_held = True
+        upstream.in_use += 1
+        upstream.note_slots()
+
+    def release(self):
+        """Free the slot and complete the execution; later calls change nothing."""
+        if not self.is_held:
+            return
+        self.is_held = False
+        self.upstream.in_use -= 1
+        if self.entry is not None:
+            self.entry["end"] = time.time()
 
 
 class Body:
     """Streamed body that frees its slot when it is finished, dropped or never begun."""
 
-    def __init__(self, pieces, finish):
+    def __init__(self, pieces, slot):
         self.pieces = pieces
-        self.finish = finish
+        self.slot = slot
 
     def __iter__(self):
         try:
             yield from self.pieces
         finally:
-            self.finish()
+            self.slot.release()
 
     def close(self):
         """Free the slot."""
-        self.finish()
+        self.slot.release()
 
 
 def read_number(request, name, default):
--- a/standins/web.py
+++ b/standins/web.py
@@ -128,6 +128,9 @@
         environ["standins.connection"] = self
         return environ
 
+    def log_request(self):
+        """Write no access log; the base class formats the line even without one."""
+
     def abort(self):
         """Close the connection at once, in both directions."""
         self.close_connection = True
