--- /dev/null
+++ b/standins/ledger.py
@@ -0,0 +1,140 @@
+"""Record of what really happened on the platform, for tests to check invariants against."""
+
+import time
+from collections import Counter, defaultdict
+
+
+class Ledger:
+    """Events seen by all stand-ins of one platform.
+
+    Times are wall-clock seconds.
+
+    Parameters
+    ----------
+    record_executions : bool
+        Whether single executions are kept; they are counted in any case.
+    """
+
+    def __init__(self, record_executions=True):
+        self.record_executions = record_executions
+        self.attempts = {}
+        self.running = defaultdict(dict)
+        self.clear()
+
+    def clear(self):
+        """Forget past events; attempts that are running stay known."""
+        self.overcommit = []
+        self.overlaps = []
+        self.while_leaving = []
+        self.executions = []
+        self.counts = Counter()
+        self.table_commits = []
+        self.done = Counter()
+        self.attempts = {
+            attempt: entry for attempt, entry in self.attempts.items() if entry["end"] is None
+        }
+
+    def record_start(self, attempt, task, job, worker):
+        """Record that an attempt began to run; notes an overlap with other attempts."""
+        now = time.time()
+        self.counts["starts"] += 1
+        self.attempts[attempt] = {
+            "attempt": attempt,
+            "task": task,
+            "job": job,
+            "worker": worker,
+            "start": now,
+            "end": None,
+            "state": "running",
+        }
+        others = self.running[task]
+        if others:
+            self.overlaps.append(
+                {
+                    "task": task,
+                    "attempt": attempt,
+                    "worker": worker,
+                    "with": dict(others),
+                    "at": now,
+                }
+            )
+        others[attempt] = worker
+
+    def record_end(self, attempt, state, reason):
+        """Record that an attempt stopped running."""
+        entry = self.attempts[attempt]
+        entry.update(end=time.time(), state=state, reason=reason)
+        self.counts[state] += 1
+        if state == "done":
+            self.done[entry["task"]] += 1
+        others = self.running[entry["task"]]
+        others.pop(attempt, None)
+        if not others:
+            del self.running[entry["task"]]
+
+    def record_execution(self, entry):
+        """Record that an upstream ran a request; the entry is completed when it ends."""
+        self.counts["executions"] += 1
+        if self.record_executions:
+            self.executions.append(entry)
+
+    def record_while_leaving(self, worker, request, began_at):
+        """Record that an upstream received a request after it began to leave."""
+        self.counts["requests_while_leaving"] += 1
+        self.while_leaving.append(
+            {
+                "worker": worker,
+                "request": request.headers.get("lavenderhook-request-id", ""),
+                "instance": request.client,
+                "seconds_after": time.time() - began_at,
+            }
+        )
+
+    def record_refusal(self, reason):
+        """Count a start that a worker refused."""
+        self.counts["refused"] += 1
+        self.counts[f"refused:{reason}"] += 1
+
+    def record_overcommit(self, worker, resource, used, capacity, attempts):
+        """Record that more of a resource is in use than exists."""
+        self.overcommit.append(
+            {
+                "worker": worker,
+                "resource": resource,
+                "used": used,
+                "capacity": capacity,
+                "attempts": attempts,
+                "at": time.time(),
+            }
+        )
+
+    def describe(self, sections=()):
+        """Return the ledger as JSON values.
+
+        Parameters
+        ----------
+        sections : iterable of str
+            Names of the parts wanted; empty for all.
+        """
+        by_request = defaultdict(list)
+        for execution in self.executions:
+            by_request[f"{execution['caller']}/{execution['request']}"].append(execution)
+        parts = {
+            "overcommit": self.overcommit,
+            "overlaps": self.overlaps,
+            "while_leaving": self.while_leaving,
+            "attempts": list(self.attempts.values()),
+            "running": {task: dict(others) for task, others in self.running.items()},
+            "executions": by_request,
+            "repeated_non_idempotent": [
+                key
+                for key, entries in by_request.items()
+                if sum(not entry["idempotent"] for entry in entries) > 1
+            ],
+            "done": dict(self.done),
+            "done_twice": [task for task, times in self.done.items() if times > 1],
+            "counts": dict(self.counts),
+            "table_commits": self.table_commits,
+        }
+        wanted = set(sections) or set(parts)
+        return {name: part for name, part in parts.items() if name in wanted}
