--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions and of the running system."""
--- /dev/null
+++ b/src/lavenderhook/_internal/core/health.py
@@ -0,0 +1,110 @@
+"""Ejection of workers that fail what they start.
+
+A worker that fails every start at once looks idle and would attract all work. It is ejected when
+starts of several different jobs failed in a row, since one bad job must not eject good workers.
+At most a configured share of the workers is ejected at a time, and a worker returns by slow
+start: a few starts at first, more with each success.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from .identifiers import JobId, WorkerId
+
+FAILED_JOBS_TO_EJECT = 3
+FIRST_EJECTION_SECONDS = 10.0
+LONGEST_EJECTION_SECONDS = 600.0
+SLOW_START_LIMIT = 16
+
+
+@dataclasses.dataclass(slots=True)
+class _Health:
+    failed_jobs: set[JobId] = dataclasses.field(default_factory=set)
+    ejected_until: float | None = None
+    ejections: int = 0
+    allowance: int | None = None
+    outstanding: int = 0
+
+
+class WorkerHealth:
+    """Outcomes of starts by worker.
+
+    Parameters
+    ----------
+    max_ejected_share : float
+        Largest share of the workers that may be ejected at a time.
+    """
+
+    def __init__(self, max_ejected_share: float) -> None:
+        self._max_ejected_share = max_ejected_share
+        self._health: dict[WorkerId, _Health] = {}
+
+    def report(self, worker_id: WorkerId, job_id: JobId, succeeded: bool, now: float) -> None:
+        """Take in the outcome of a start."""
+        if succeeded and worker_id not in self._health:
+            return
+        health = self._health.setdefault(worker_id, _Health())
+        health.outstanding = max(0, health.outstanding - 1)
+        if succeeded:
+            self._note_success(worker_id, health)
+            return
+        health.failed_jobs.add(job_id)
+        probing = health.allowance is not None
+        if health.ejected_until is None and (
+            probing or len(health.failed_jobs) >= FAILED_JOBS_TO_EJECT
+        ):
+            self._eject(health, now)
+
+    def _note_success(self, worker_id: WorkerId, health: _Health) -> None:
+        health.failed_jobs.clear()
+        if health.allowance is None:
+            if health.ejected_until is None:
+                del self._health[worker_id]
+            return
+        health.allowance *= 2
+        if health.allowance >= SLOW_START_LIMIT:
+            del self._health[worker_id]
+
+    def _eject(self, health: _Health, now: float) -> None:
+        duration = FIRST_EJECTION_SECONDS * 2**health.ejections
+        health.ejected_until = now + min(duration, LONGEST_EJECTION_SECONDS)
+        health.ejections += 1
+        health.allowance = None
+
+    def note_start(self, worker_id: WorkerId) -> None:
+        """Count a start against the slow-start allowance of a returning worker."""
+        health = self._health.get(worker_id)
+        if health is not None and health.allowance is not None:
+            health.outstanding += 1
+
+    def find_limits(self, now: float, workers: int) -> dict[WorkerId, int]:
+        """Return how many further starts each restricted worker may get; 0 while ejected.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        workers : int
+            Number of workers, to which the largest ejected share refers.
+        """
+        limits: dict[WorkerId, int] = {}
+        ejected: list[tuple[float, WorkerId]] = []
+        for worker_id, health in self._health.items():
+            if health.ejected_until is not None and health.ejected_until <= now:
+                health.ejected_until = None
+                health.allowance = 1
+                health.outstanding = 0
+            if health.ejected_until is not None:
+                ejected.append((health.ejected_until, worker_id))
+            elif health.allowance is not None:
+                limits[worker_id] = max(0, health.allowance - health.outstanding)
+        allowed = int(workers * self._max_ejected_share)
+        for _, worker_id in sorted(ejected, reverse=True)[:allowed]:
+            limits[worker_id] = 0
+        return limits
+
+    def is_ejected(self, worker_id: WorkerId) -> bool:
+        """Return whether a worker is ejected (even if the largest share keeps it in use)."""
+        health = self._health.get(worker_id)
+        return health is not None and health.ejected_until is not None
--- /dev/null
+++ b/src/lavenderhook/_internal/core/pending.py
@@ -0,0 +1,131 @@
+"""The queue of pending tasks of a shard.
+
+Tasks of one job have the same size, so they are queued as one entry. Jobs whose tasks are alike
+(same team, class, size and eligible workers) share a line, in order of arrival: once one of them
+cannot be placed, the others in the line need not be tried.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+from collections import OrderedDict
+from typing import NamedTuple
+
+from .identifiers import JobId, PriorityClass, TaskId, TeamName, WorkloadKind
+from .labels import LabelSelector
+from .resources import Resources
+from .scheduler import PendingTask
+
+
+class LineKey(NamedTuple):
+    """What the jobs of a line have in common."""
+
+    priority: PriorityClass
+    team: TeamName
+    kind: WorkloadKind
+    resources: Resources
+    eligible: tuple[LabelSelector, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class PendingJob:
+    """The pending tasks of a job that may be placed now."""
+
+    job_id: JobId
+    queued_at: float
+    tasks: OrderedDict[TaskId, PendingTask] = dataclasses.field(default_factory=OrderedDict)
+
+    def get_example(self) -> PendingTask:
+        """Return the first task; all have the same size."""
+        return next(iter(self.tasks.values()))
+
+    def is_complete(self) -> bool:
+        """Return whether every member of a gang is here; always true for other kinds."""
+        return len(self.tasks) >= self.get_example().gang_size
+
+
+def make_line_key(task: PendingTask) -> LineKey:
+    """Return the key of the line in which a task waits."""
+    return LineKey(task.policy.priority, task.team, task.kind, task.resources, task.eligible)
+
+
+class PendingQueue:
+    """All pending tasks."""
+
+    def __init__(self) -> None:
+        self._tasks: dict[TaskId, PendingTask] = {}
+        self._delayed: list[tuple[float, TaskId]] = []
+        self._lines: dict[LineKey, OrderedDict[JobId, PendingJob]] = {}
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def get(self, task_id: TaskId) -> PendingTask | None:
+        """Return a pending task, or None."""
+        return self._tasks.get(task_id)
+
+    def add(self, task: PendingTask, now: float) -> None:
+        """Add a task, replacing an earlier entry for it."""
+        self.remove(task.task_id)
+        self._tasks[task.task_id] = task
+        if task.not_before > now:
+            heapq.heappush(self._delayed, (task.not_before, task.task_id))
+        else:
+            self._enqueue(task)
+
+    def _enqueue(self, task: PendingTask) -> None:
+        line = self._lines.setdefault(make_line_key(task), OrderedDict())
+        job = line.get(task.job_id)
+        if job is None:
+            job = line[task.job_id] = PendingJob(task.job_id, task.queued_at)
+        job.tasks[task.task_id] = task
+
+    def remove(self, task_id: TaskId) -> PendingTask | None:
+        """Remove a task if it is pending."""
+        task = self._tasks.pop(task_id, None)
+        if task is None:
+            return None
+        key = make_line_key(task)
+        line = self._lines.get(key)
+        job = line.get(task.job_id) if line is not None else None
+        if line is None or job is None:
+            return task
+        job.tasks.pop(task_id, None)
+        if not job.tasks:
+            del line[task.job_id]
+        if not line:
+            del self._lines[key]
+        return task
+
+    def release_delayed(self, now: float) -> bool:
+        """Move tasks whose back-off has passed into their lines; return whether any was."""
+        moved = False
+        while self._delayed and self._delayed[0][0] <= now:
+            not_before, task_id = heapq.heappop(self._delayed)
+            task = self._tasks.get(task_id)
+            if task is not None and task.not_before == not_before:
+                self._enqueue(task)
+                moved = True
+        return moved
+
+    def list_lines(self, priority: PriorityClass) -> list[LineKey]:
+        """Return the keys of a class's lines, the longest waiting first job first."""
+        keys = [key for key in self._lines if key.priority is priority]
+        return sorted(keys, key=lambda key: self.peek(key).queued_at)
+
+    def peek(self, key: LineKey) -> PendingJob:
+        """Return the first job of a line."""
+        return next(iter(self._lines[key].values()))
+
+    def has_line(self, key: LineKey) -> bool:
+        """Return whether a line has jobs."""
+        return key in self._lines
+
+    def list_jobs(self, key: LineKey) -> list[PendingJob]:
+        """Return the jobs of a line in order."""
+        return list(self._lines[key].values())
+
+    def has_class(self, priority: PriorityClass) -> bool:
+        """Return whether a class has lines."""
+        return any(key.priority is priority for key in self._lines)
--- /dev/null
+++ b/src/lavenderhook/_internal/core/policies.py
@@ -0,0 +1,253 @@
+"""Placement policies: which of the workers that fit get the tasks of a job."""
+
+from __future__ import annotations
+
+import abc
+import random
+from collections.abc import Mapping
+
+import numpy as np
+
+from .declarations import PlacementMode
+from .identifiers import WorkerId
+from .index import Amounts, Mask, Positions, WorkerIndex
+
+# A worker with free accelerators is worth this many whole workers to a task that needs none, so
+# that work without accelerators fills the other workers first.
+_ACCELERATOR_PENALTY = 4.0
+
+
+class PlacementPolicy(abc.ABC):
+    """Chooses workers for tasks of equal size."""
+
+    name: str
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        index: WorkerIndex,
+        demand: Amounts,
+        candidates: Mask,
+        count: int,
+        held: Mapping[WorkerId, int],
+        generator: random.Random,
+    ) -> list[int]:
+        """Choose positions for up to `count` tasks.
+
+        Parameters
+        ----------
+        index : WorkerIndex
+            Not changed.
+        demand : ndarray of int64, shape (3,)
+            Amount of each task.
+        candidates : ndarray of bool, shape (workers,)
+            Workers that may be used.
+        count : int
+            Number of tasks, at least 1.
+        held : mapping of WorkerId to int
+            Tasks of the same job that each worker has already.
+        generator : random.Random
+            Source of randomness.
+
+        Returns
+        -------
+        list of int
+            A position for each task that can be placed; shorter than `count` if not all fit.
+        """
+
+
+def _find_fitting(index: WorkerIndex, demand: Amounts, candidates: Mask) -> Positions:
+    fits = (index.free >= demand).all(axis=1)
+    found: Positions = np.flatnonzero(fits & candidates)
+    return found
+
+
+def _compute_free_share(
+    index: WorkerIndex, positions: Positions, demand: Amounts
+) -> np.ndarray[tuple[int], np.dtype[np.float64]]:
+    """Return the sum of free shares over the dimensions, shape (positions,)."""
+    capacity = np.maximum(index.capacity[positions], 1)
+    shares = index.free[positions] / capacity
+    score = shares[:, 0] + shares[:, 1]
+    if demand[2] == 0:
+        score += _ACCELERATOR_PENALTY * (index.free[positions, 2] > 0)
+    else:
+        score += shares[:, 2]
+    result: np.ndarray[tuple[int], np.dtype[np.float64]] = score
+    return result
+
+
+class PackPolicy(PlacementPolicy):
+    """Best fit: fills the fullest worker on which a task fits."""
+
+    name = "pack"
+
+    def choose(
+        self,
+        index: WorkerIndex,
+        demand: Amounts,
+        candidates: Mask,
+        count: int,
+        held: Mapping[WorkerId, int],
+        generator: random.Random,
+    ) -> list[int]:
+        """Choose positions for up to `count` tasks."""
+        positions = _find_fitting(index, demand, candidates)
+        if not len(positions):
+            return []
+        score = _compute_free_share(index, positions, demand)
+        if count == 1:
+            return [int(positions[score.argmin()])]
+        room = index.count_fitting(demand, index.free[positions])
+        chosen: list[int] = []
+        for n in np.argsort(score, kind="stable"):
+            chosen.extend([int(positions[n])] * min(int(room[n]), count - len(chosen)))
+            if len(chosen) == count:
+                break
+        return chosen
+
+
+class SpreadPolicy(PlacementPolicy):
+    """Puts the tasks of a job on as many availability zones, racks and workers as there are."""
+
+    name = "spread"
+
+    def choose(
+        self,
+        index: WorkerIndex,
+        demand: Amounts,
+        candidates: Mask,
+        count: int,
+        held: Mapping[WorkerId, int],
+        generator: random.Random,
+    ) -> list[int]:
+        """Choose positions for up to `count` tasks."""
+        positions = _find_fitting(index, demand, candidates)
+        if not len(positions):
+            return []
+        by_worker = np.zeros(len(index), dtype=np.int64)
+        for worker_id, tasks in held.items():
+            position = index.get_position(worker_id)
+            if position is not None:
+                by_worker[position] = tasks
+        by_rack = np.bincount(index.rack, weights=by_worker, minlength=index.racks)
+        by_zone = np.bincount(index.zone, weights=by_worker, minlength=index.zones)
+        room = index.count_fitting(demand, index.free[positions])
+        fullness = 1.0 - _compute_free_share(index, positions, demand) / 16.0
+        chosen: list[int] = []
+        while len(chosen) < count:
+            # Lexicographic order in one number: no count reaches the next factor.
+            score = (
+                by_zone[index.zone[positions]] * 1e10
+                + by_rack[index.rack[positions]] * 1e5
+                + by_worker[positions]
+                + fullness
+            )
+            score[room <= 0] = np.inf
+            best = int(score.argmin())
+            if room[best] <= 0:
+                break
+            position = int(positions[best])
+            chosen.append(position)
+            room[best] -= 1
+            by_worker[position] += 1
+            by_rack[index.rack[position]] += 1
+            by_zone[index.zone[position]] += 1
+        return chosen
+
+
+class GangPolicy(PackPolicy):
+    """Puts a gang on few workers, emptiest first, so that its tasks are close together."""
+
+    name = "gang"
+
+    def choose(
+        self,
+        index: WorkerIndex,
+        demand: Amounts,
+        candidates: Mask,
+        count: int,
+        held: Mapping[WorkerId, int],
+        generator: random.Random,
+    ) -> list[int]:
+        """Choose positions for all `count` tasks, or none."""
+        positions = _find_fitting(index, demand, candidates)
+        room = index.count_fitting(demand, index.free[positions])
+        if int(room.sum()) < count:
+            return []
+        # Within one availability zone if one can hold the whole gang: its tasks talk to each
+        # other, and links between zones cost more.
+        by_zone = np.bincount(index.zone[positions], weights=room, minlength=index.zones)
+        holding = np.flatnonzero(by_zone >= count)
+        if len(holding):
+            zone = holding[by_zone[holding].argmin()]
+            inside = index.zone[positions] == zone
+            positions, room = positions[inside], room[inside]
+        chosen: list[int] = []
+        for n in np.argsort(-room, kind="stable"):
+            chosen.extend([int(positions[n])] * min(int(room[n]), count - len(chosen)))
+            if len(chosen) == count:
+                break
+        return chosen
+
+
+class RandomPolicy(PlacementPolicy):
+    """A random worker among those that fit; a baseline."""
+
+    name = "random"
+
+    def choose(
+        self,
+        index: WorkerIndex,
+        demand: Amounts,
+        candidates: Mask,
+        count: int,
+        held: Mapping[WorkerId, int],
+        generator: random.Random,
+    ) -> list[int]:
+        """Choose positions for up to `count` tasks."""
+        positions = _find_fitting(index, demand, candidates)
+        room = index.count_fitting(demand, index.free[positions])
+        left = {int(p): int(r) for p, r in zip(positions, room, strict=True)}
+        chosen: list[int] = []
+        while left and len(chosen) < count:
+            position = generator.choice(tuple(left))
+            chosen.append(position)
+            left[position] -= 1
+            if not left[position]:
+                del left[position]
+        return chosen
+
+
+class FirstFitPolicy(PlacementPolicy):
+    """The first workers by id that fit; a baseline."""
+
+    name = "first-fit"
+
+    def choose(
+        self,
+        index: WorkerIndex,
+        demand: Amounts,
+        candidates: Mask,
+        count: int,
+        held: Mapping[WorkerId, int],
+        generator: random.Random,
+    ) -> list[int]:
+        """Choose positions for up to `count` tasks."""
+        positions = _find_fitting(index, demand, candidates)
+        room = index.count_fitting(demand, index.free[positions])
+        chosen: list[int] = []
+        for position, fitting in zip(positions, room, strict=True):
+            chosen.extend([int(position)] * min(int(fitting), count - len(chosen)))
+            if len(chosen) == count:
+                break
+        return chosen
+
+
+POLICIES: Mapping[PlacementMode, PlacementPolicy] = {
+    PlacementMode.PACK: PackPolicy(),
+    PlacementMode.SPREAD: SpreadPolicy(),
+    PlacementMode.GANG: GangPolicy(),
+    PlacementMode.RANDOM: RandomPolicy(),
+    PlacementMode.FIRST_FIT: FirstFitPolicy(),
+}
--- /dev/null
+++ b/src/lavenderhook/_internal/core/quotas.py
@@ -0,0 +1,66 @@
+"""Shares and quotas of teams.
+
+Teams are served in the order of their weighted dominant share, as dominant resource fairness
+asks, and a team at its `max_share` waits.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .declarations import Quota
+from .identifiers import TeamName
+from .resources import ZERO, Resources
+
+
+class ShareLedger:
+    """What each team holds, compared with the total of the shard."""
+
+    def __init__(self) -> None:
+        self._held: dict[TeamName, Resources] = {}
+        self._quotas: dict[TeamName, Quota] = {}
+        self._total = ZERO
+
+    def replace_quotas(self, quotas: Iterable[Quota]) -> None:
+        """Replace all quotas; teams without one have the whole cell and weight 1."""
+        self._quotas = {quota.team: quota for quota in quotas}
+
+    def set_total(self, total: Resources) -> None:
+        """Set the capacity to which shares refer."""
+        self._total = total
+
+    def add(self, team: TeamName, resources: Resources) -> None:
+        """Charge a team."""
+        self._held[team] = self._held.get(team, ZERO) + resources
+
+    def subtract(self, team: TeamName, resources: Resources) -> None:
+        """Give a team back what its task held."""
+        self._held[team] = self._held.get(team, ZERO) - resources
+
+    def get_share(self, team: TeamName) -> float:
+        """Return the dominant share of a team, 0 to 1."""
+        return self._held.get(team, ZERO).compute_share(self._total)
+
+    def get_weighted_share(self, team: TeamName) -> float:
+        """Return the dominant share divided by the team's weight."""
+        quota = self._quotas.get(team)
+        return self.get_share(team) / (quota.weight if quota else 1.0)
+
+    def count_allowed(self, team: TeamName, resources: Resources, count: int) -> int:
+        """Return how many of `count` tasks the quota of a team still allows."""
+        quota = self._quotas.get(team)
+        if quota is None or quota.max_share >= 1.0:
+            return count
+        share = resources.compute_share(self._total)
+        if share <= 0.0:
+            return count
+        room = quota.max_share - self.get_share(team)
+        return max(0, min(count, int(room / share + 1e-9)))
+
+    def can_ever_hold(self, team: TeamName, resources: Resources, count: int) -> bool:
+        """Return whether `count` tasks at a time are within the team's quota."""
+        quota = self._quotas.get(team)
+        if quota is None:
+            return True
+        needed = resources.compute_share(self._total) * count
+        return quota.max_share > 0.0 and needed <= quota.max_share + 1e-9
--- a/src/lavenderhook/_internal/core/scheduler.py
+++ b/src/lavenderhook/_internal/core/scheduler.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from .declarations import PlacementMode, Policy
+from .declarations import PlacementMode, Policy, Quota
 from .identifiers import JobId, TaskId, TeamName, WorkerId, WorkloadKind
 from .labels import LabelSelector
 from .records import WorkerView
@@ -82,6 +82,10 @@
     def update_workers(self, workers: Iterable[SchedulableWorker]) -> None:
         """Replace the set of workers; reservations on workers that stay are kept."""
 
+    def update_quotas(self, quotas: Iterable[Quota]) -> None:
+        """Replace the teams' quotas; a scheduler without quotas ignores them."""
+        return
+
     @abc.abstractmethod
     def add_pending(self, task: PendingTask) -> None:
         """Queue a task; replaces an earlier entry for the same task."""
