Add the model checks, with the specification of task attempts

The specification is explored exhaustively by minicheck, and each rule is taken out once to see that the invariants notice.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,12 @@
 features: setup
 	$(BIN)/python features/run.py
 
+model: setup
+	$(BIN)/python -m model
+
+model-deep: setup
+	$(BIN)/python -m model --deep
+
 test: lint types features
 
 clean:
--- /dev/null
+++ b/model/specifications/__init__.py
@@ -0,0 +1,1 @@
+"""The specifications, one module each."""
--- /dev/null
+++ b/model/specifications/tasks.py
@@ -0,0 +1,485 @@
+"""Task attempts: placement, start, lease, stop, death and takeover (docs/design.md 3.2).
+
+The table's epoch is the index of the owning instance, so instance e owns the shard in epoch e and
+any later instance may take over at any time. Former owners keep acting until they are gone, which
+covers pauses of any length. Starts, stops and reports are never taken out of the network: delivery
+may be late, repeated or never. A renewal is delivered at once or lost: it carries an absolute time,
+so a late delivery extends the lease no further. Time is a global clock in ticks; a worker's clock
+may lag by `SKEW`. An attempt that can never run again is kept in one canonical form.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from ..engine import Mutant, MutantKind, Predicate, Specification, Step, replace_item
+
+LEASE = 2  # ticks a renewal lasts
+START_WINDOW = 1  # ticks from the decision to the `lease_until` of the start
+SKEW = 1  # ticks a worker's clock may lag
+NEVER = -1
+
+
+class Attempt(NamedTuple):
+    """One attempt of a task: table record, owner's knowledge, messages and worker state."""
+
+    task: int
+    worker: int
+    placer: int  # epoch that committed the placement
+    dead_by: int = NEVER  # epoch that recorded the death
+    confirmed_running: bool = False  # the table records that the worker runs it
+    start_until: int = 0
+    granted: int = 0  # last lease granted by the present owner
+    start_sent: bool = False
+    stop_sent: bool = False
+    ended_seen: bool = False  # the worker's confirmation of the end is in the network
+    process: str = "unknown"  # unknown, running or ended, on the worker
+    lease_until: int = 0  # on the worker
+    ever_ran: bool = False
+
+
+class TasksState(NamedTuple):
+    """State of one shard, its owners and workers."""
+
+    now: int
+    epoch: int
+    gone_since: tuple  # per instance: tick at which the list shows it gone, or NEVER
+    attempts: tuple
+    workers_gone: tuple
+    restarts: int
+    cancelled: tuple  # per task: "", "stopping" or "not run" as told to the caller
+
+
+@dataclass(frozen=True)
+class TasksBounds:
+    """Bounds of the search."""
+
+    tasks: int
+    workers: int
+    instances: int
+    attempts: int
+    horizon: int
+    crashes: int
+    worker_deaths: int
+    restarts: int = 0
+    cancels: bool = False
+
+
+class Tasks(Specification):
+    """Task attempts of one shard."""
+
+    name = "tasks"
+    covers = "placement commit, start, lease, renewal, stop, dead attempts, takeover, cancel"
+    mutants = (
+        Mutant(
+            "version check",
+            "one_running_attempt",
+            "a stale owner's placement or death record is accepted",
+            "takeover",
+        ),
+        Mutant(
+            "commit before start",
+            "one_running_attempt",
+            "a start is sent before its placement is known to be committed",
+            "takeover",
+        ),
+        Mutant(
+            "skew in (c)",
+            "one_running_attempt",
+            "an attempt counts as dead at lease_until without max_clock_skew",
+            "takeover",
+        ),
+        Mutant(
+            "whole life in (c)",
+            "one_running_attempt",
+            "a new owner applies (c) to an adopted attempt by its own renewals alone",
+            "takeover",
+        ),
+        Mutant(
+            "worker lease expiry",
+            "one_running_attempt",
+            "a worker keeps a task running past its lease",
+            "takeover",
+        ),
+        Mutant(
+            "worker refuses expired start",
+            "one_running_attempt",
+            "a worker starts an attempt whose lease has expired",
+            "takeover",
+        ),
+        Mutant(
+            "remembered stop",
+            "one_running_attempt",
+            "a worker forgets the stop of an attempt that it has not started",
+            "takeover",
+        ),
+        Mutant(
+            "stop before requeue",
+            "one_running_attempt",
+            "a new owner takes 'not running' for dead, without a confirmed stop",
+            "takeover",
+        ),
+        Mutant(
+            "gone, not unreachable",
+            "one_running_attempt",
+            "an unreachable worker is treated as gone",
+            "takeover",
+        ),
+        Mutant(
+            "reservation until death",
+            "within_capacity",
+            "resources are free once the stop is sent",
+            "capacity",
+        ),
+        Mutant(
+            "reservation from decision",
+            "within_capacity",
+            "resources are reserved only once the task runs",
+            "capacity",
+        ),
+        Mutant(
+            "not run only if unplaced",
+            "not_run_is_true",
+            "a cancelled task that is placed but not confirmed running is told 'not run'",
+            "capacity",
+        ),
+        Mutant(
+            "skew after gone owner",
+            "one_running_attempt",
+            "a new owner applies (c) once the former owner is gone for a lease, without skew",
+            "takeover",
+            MutantKind.LITERAL,
+        ),
+        Mutant(
+            "all former owners gone",
+            "one_running_attempt",
+            "a new owner applies (c) once the last former owner is gone, an earlier one paused",
+            "succession",
+            MutantKind.LITERAL,
+        ),
+        Mutant(
+            "worker incarnation in start",
+            "one_running_attempt",
+            "a confirmed end frees the task, and a resent start reaches the worker that has "
+            "restarted and forgotten the attempt",
+            "forgetful worker",
+            MutantKind.LITERAL,
+        ),
+    )
+
+    @classmethod
+    def list_configurations(cls, deep: bool) -> dict[str, Any]:
+        """Return the bounds by label."""
+        if deep:
+            return {
+                "takeover": TasksBounds(1, 2, 2, 2, 7, 1, 1),
+                "succession": TasksBounds(1, 2, 3, 2, 6, 2, 0),
+                "forgetful worker": TasksBounds(1, 2, 2, 2, 5, 1, 0, restarts=2),
+                "capacity": TasksBounds(2, 1, 2, 3, 5, 1, 0, cancels=True),
+            }
+        return {
+            "takeover": TasksBounds(1, 2, 2, 2, 5, 1, 1),
+            "succession": TasksBounds(1, 2, 3, 2, 4, 1, 0),
+            "forgetful worker": TasksBounds(1, 2, 2, 2, 4, 0, 0, restarts=1),
+            "capacity": TasksBounds(2, 1, 2, 2, 3, 0, 0, cancels=True),
+        }
+
+    def build_initial(self) -> TasksState:
+        """Return the state with every task pending and instance 0 as the owner."""
+        b = self.bounds
+        return TasksState(
+            now=0,
+            epoch=0,
+            gone_since=(NEVER,) * b.instances,
+            attempts=(),
+            workers_gone=(False,) * b.workers,
+            restarts=0,
+            cancelled=("",) * b.tasks,
+        )
+
+    def list_successors(self, state: TasksState) -> list[Step]:
+        """Return the steps of the clock, the owners, the network and the workers."""
+        steps: list[Step] = []
+        if state.now < self.bounds.horizon:
+            steps.append(("tick()", self._tick(state)))
+        steps.extend(self._list_faults(state))
+        for instance in range(state.epoch + 1):
+            if state.gone_since[instance] == NEVER:
+                steps.extend(self._list_owner_steps(state, instance))
+        for index in range(len(state.attempts)):
+            for label, attempt in self._list_worker_steps(state, state.attempts[index]):
+                steps.append((f"{label}(attempt={index})", _set_attempt(state, index, attempt)))
+        return steps
+
+    def _tick(self, state: TasksState) -> TasksState:
+        now = state.now + 1
+        attempts = tuple(self._expire(attempt, now) for attempt in state.attempts)
+        return state._replace(now=now, attempts=attempts)
+
+    def _expire(self, attempt: Attempt, now: int) -> Attempt:
+        if attempt.process == "running" and self.enforces("worker lease expiry"):
+            return _end(attempt) if now > attempt.lease_until + SKEW else attempt
+        if attempt.process == "unknown" and self.enforces("worker refuses expired start"):
+            return _end(attempt) if now > attempt.start_until + SKEW else attempt
+        return attempt
+
+    def _list_faults(self, state: TasksState) -> Iterator[Step]:
+        b = self.bounds
+        if state.epoch + 1 < b.instances:
+            attempts = tuple(a._replace(granted=0) for a in state.attempts)
+            taken = state._replace(epoch=state.epoch + 1, attempts=attempts)
+            yield f"take_over(instance={taken.epoch})", taken
+        crashed = sum(since != NEVER for since in state.gone_since)
+        for instance in range(state.epoch + 1):
+            if crashed < b.crashes and state.gone_since[instance] == NEVER:
+                since = replace_item(state.gone_since, instance, state.now)
+                yield f"crash(instance={instance})", state._replace(gone_since=since)
+        for worker in range(b.workers):
+            if state.workers_gone[worker]:
+                continue
+            if sum(state.workers_gone) < b.worker_deaths:
+                gone = replace_item(state.workers_gone, worker, True)
+                attempts = _end_processes(state.attempts, worker)
+                lost = state._replace(workers_gone=gone, attempts=attempts)
+                yield f"lose_worker(worker={worker})", lost
+            if state.restarts < b.restarts:
+                attempts = self._restart(state.attempts, worker)
+                restarted = state._replace(restarts=state.restarts + 1, attempts=attempts)
+                yield f"restart_worker(worker={worker})", restarted
+
+    def _restart(self, attempts: tuple, worker: int) -> tuple:
+        """Kill the tasks of a worker that forgets every attempt it has seen."""
+        if self.enforces("worker incarnation in start"):
+            return _end_processes(attempts, worker)
+        return tuple(
+            a._replace(process="unknown", lease_until=0, start_sent=True)
+            if a.worker == worker and a.process != "unknown"
+            else a
+            for a in attempts
+        )
+
+    def _list_owner_steps(self, state: TasksState, instance: int) -> Iterator[Step]:
+        current = instance == state.epoch
+        if current or not self.enforces("version check"):
+            yield from self._list_placements(state, instance)
+            yield from self._list_cancels(state, instance)
+        if not current and not self.enforces("commit before start"):
+            yield from self._list_early_starts(state, instance)
+        for index, attempt in enumerate(state.attempts):
+            if not _is_believed_live(attempt, instance):
+                continue
+            where = f"(instance={instance}, attempt={index})"
+            over = attempt.process == "ended"
+            if attempt.placer == instance and not attempt.start_sent and not over:
+                sent = attempt._replace(start_sent=True)
+                yield f"send_start{where}", _set_attempt(state, index, sent)
+            until = state.now + LEASE
+            granted = until if current else attempt.granted
+            if current and attempt.granted < until and not over:
+                lost = attempt._replace(granted=granted)
+                yield f"renew_lost{where}", _set_attempt(state, index, lost)
+            if attempt.process == "running" and attempt.lease_until < until:
+                renewed = attempt._replace(lease_until=until, granted=granted)
+                yield f"renew{where}", _set_attempt(state, index, renewed)
+            if not current:
+                if not self.enforces("version check") and self._is_dead(state, instance, attempt):
+                    dead = _bury(attempt, instance)
+                    yield f"record_death{where}", _set_attempt(state, index, dead)
+                continue
+            if not attempt.stop_sent and not over:
+                stopping = attempt._replace(stop_sent=True)
+                yield f"send_stop{where}", _set_attempt(state, index, stopping)
+            watched = self.bounds.cancels and attempt.process == "running"
+            if watched and not attempt.confirmed_running:
+                running = attempt._replace(confirmed_running=True)
+                yield f"record_running{where}", _set_attempt(state, index, running)
+            if self._is_dead(state, instance, attempt):
+                dead = _bury(attempt, instance)
+                yield f"record_death{where}", _set_attempt(state, index, dead)
+
+    def _list_placements(self, state: TasksState, instance: int) -> Iterator[Step]:
+        b = self.bounds
+        if len(state.attempts) >= b.attempts:
+            return
+        for task in range(b.tasks):
+            mine = [a for a in state.attempts if a.task == task]
+            if state.cancelled[task] or any(_is_believed_live(a, instance) for a in mine):
+                continue
+            for worker in range(b.workers):
+                # The workers are alike, so the first attempt goes to worker 0.
+                if not state.attempts and worker:
+                    continue
+                if state.workers_gone[worker] or not self._has_room(state, worker, instance):
+                    continue
+                until = state.now + START_WINDOW
+                attempt = Attempt(task, worker, instance, start_until=until, granted=until)
+                placed = state._replace(attempts=(*state.attempts, attempt))
+                yield f"place(instance={instance}, task={task}, worker={worker})", placed
+
+    def _list_early_starts(self, state: TasksState, instance: int) -> Iterator[Step]:
+        """Yield starts of a stale owner whose commits are bound to fail."""
+        if len(state.attempts) >= self.bounds.attempts:
+            return
+        for task in range(self.bounds.tasks):
+            mine = [a for a in state.attempts if a.task == task]
+            if any(_is_believed_live(a, instance) for a in mine):
+                continue
+            until = state.now + START_WINDOW
+            # The record never enters the table, so it holds nothing there: dead from the start.
+            attempt = Attempt(
+                task, 0, instance, dead_by=state.epoch, start_until=until, start_sent=True
+            )
+            sent = state._replace(attempts=(*state.attempts, attempt))
+            yield f"send_uncommitted_start(instance={instance}, task={task})", sent
+
+    def _has_room(self, state: TasksState, worker: int, instance: int) -> bool:
+        """Tell whether a worker of capacity 1 has nothing reserved."""
+        for attempt in state.attempts:
+            if attempt.worker != worker or not _is_believed_live(attempt, instance):
+                continue
+            if attempt.stop_sent and not self.enforces("reservation until death"):
+                continue
+            if not attempt.confirmed_running and not self.enforces("reservation from decision"):
+                continue
+            return False
+        return True
+
+    def _list_cancels(self, state: TasksState, instance: int) -> Iterator[Step]:
+        if not self.bounds.cancels:
+            return
+        for task in range(self.bounds.tasks):
+            if state.cancelled[task]:
+                continue
+            mine = [a for a in state.attempts if a.task == task and a.placer <= instance]
+            if not self.enforces("not run only if unplaced"):
+                mine = [a for a in mine if a.confirmed_running]
+            answer = "stopping" if mine else "not run"
+            cancelled = replace_item(state.cancelled, task, answer)
+            label = f"cancel(instance={instance}, task={task}, answer={answer})"
+            yield label, state._replace(cancelled=cancelled)
+
+    def _is_dead(self, state: TasksState, owner: int, attempt: Attempt) -> bool:
+        """Tell whether the owner may record the attempt as dead."""
+        # (b) The platform shows the worker gone.
+        if state.workers_gone[attempt.worker]:
+            return True
+        if not self.enforces("gone, not unreachable"):
+            return True
+        # (a) The worker confirmed the end. A start may still arrive until its lease expires.
+        if attempt.ended_seen:
+            adopted = attempt.placer != owner and not attempt.confirmed_running
+            if not adopted or state.now > attempt.start_until + SKEW:
+                return True
+        if not self.enforces("stop before requeue") and attempt.process == "unknown":
+            return True
+        # (c) Every lease that anyone granted has expired.
+        skew = SKEW if self.enforces("skew in (c)") else 0
+        if state.now <= attempt.granted + skew:
+            return False
+        if attempt.placer == owner or not self.enforces("whole life in (c)"):
+            return True
+        former = range(attempt.placer, owner)
+        if not self.enforces("all former owners gone"):
+            former = range(owner - 1, owner)
+        slack = SKEW if self.enforces("skew after gone owner") else 0
+        return all(
+            state.gone_since[f] != NEVER and state.now > state.gone_since[f] + LEASE + slack
+            for f in former
+        )
+
+    def _list_worker_steps(
+        self, state: TasksState, attempt: Attempt
+    ) -> Iterator[tuple[str, Attempt]]:
+        if state.workers_gone[attempt.worker]:
+            return
+        if attempt.process == "unknown" and attempt.start_sent:
+            in_time = state.now <= attempt.start_until + SKEW
+            if in_time or not self.enforces("worker refuses expired start"):
+                until = attempt.start_until if in_time else state.now
+                ran = self.bounds.cancels
+                yield (
+                    "deliver_start",
+                    attempt._replace(process="running", lease_until=until, ever_ran=ran),
+                )
+        if attempt.process == "running":
+            yield "end_by_itself", _end(attempt)
+        if attempt.process != "ended" and attempt.stop_sent:
+            if attempt.process == "running" or self.enforces("remembered stop"):
+                yield "deliver_stop", _end(attempt)._replace(ended_seen=True)
+            elif not attempt.ended_seen:
+                yield "deliver_stop", attempt._replace(ended_seen=True)
+        # A record of a dead attempt needs no further report.
+        if attempt.process == "ended" and not attempt.ended_seen and attempt.dead_by == NEVER:
+            yield "report_end", attempt._replace(ended_seen=True)
+
+    def list_invariants(self) -> dict[str, Predicate]:
+        """Return the invariants G1, G2 and G4."""
+        workers = range(self.bounds.workers)
+
+        def runs_once(d: Any) -> bool:
+            running = [a.task for a in d["attempts"] if a.process == "running"]
+            return len(running) == len(set(running))
+
+        def fits(d: Any) -> bool:
+            for worker in workers:
+                here = [a for a in d["attempts"] if a.worker == worker]
+                reserved = sum(a.dead_by == NEVER for a in here)
+                running = sum(a.process == "running" for a in here)
+                if reserved > 1 or running > 1:
+                    return False
+            return True
+
+        def is_truthful(d: Any) -> bool:
+            return not any(
+                a.ever_ran and d["cancelled"][a.task] == "not run" for a in d["attempts"]
+            )
+
+        return {
+            "one_running_attempt": runs_once,
+            "within_capacity": fits,
+            "not_run_is_true": is_truthful,
+        }
+
+    def list_witnesses(self) -> dict[str, Predicate]:
+        """Return states that show the protocol makes progress."""
+
+        def second_runs(d: Any) -> bool:
+            return len(d["attempts"]) > 1 and d["attempts"][1].process == "running"
+
+        return {"a second attempt runs": second_runs}
+
+
+def _is_believed_live(attempt: Attempt, instance: int) -> bool:
+    """Tell whether an instance, perhaps a former owner, takes the attempt for live.
+
+    A former owner knows neither attempts placed nor deaths recorded after its epoch.
+    """
+    return attempt.placer <= instance and (attempt.dead_by == NEVER or attempt.dead_by > instance)
+
+
+def _set_attempt(state: TasksState, index: int, attempt: Attempt) -> TasksState:
+    return state._replace(attempts=replace_item(state.attempts, index, attempt))
+
+
+def _end(attempt: Attempt) -> Attempt:
+    """Return an attempt that the worker never runs again, without what no longer matters."""
+    ended = attempt._replace(process="ended", lease_until=0, start_sent=True, stop_sent=True)
+    return ended if attempt.dead_by == NEVER else _bury(ended, attempt.dead_by)
+
+
+def _bury(attempt: Attempt, epoch: int) -> Attempt:
+    """Record the death of an attempt; one that has ended keeps only its place in the table."""
+    if attempt.process != "ended":
+        return attempt._replace(dead_by=epoch, granted=0)
+    return Attempt(
+        attempt.task,
+        attempt.worker,
+        attempt.placer,
+        dead_by=epoch,
+        process="ended",
+        ever_ran=attempt.ever_ran,
+    )
+
+
+def _end_processes(attempts: tuple, worker: int) -> tuple:
+    return tuple(_end(a) if a.worker == worker and a.process != "ended" else a for a in attempts)
