--- a/features/model.feature
+++ b/features/model.feature
@@ -15,3 +15,4 @@
     Examples:
       | specification |
       | tasks         |
+      | claims        |
--- a/model/registry.py
+++ b/model/registry.py
@@ -8,9 +8,10 @@
     encode_refutation,
     iterate_refutations,
 )
+from .specifications.claims import Claims
 from .specifications.tasks import Tasks
 
-SPECIFICATIONS: tuple[type[Specification], ...] = (Tasks,)
+SPECIFICATIONS: tuple[type[Specification], ...] = (Tasks, Claims)
 TRACE_DIRECTORY = Path(__file__).resolve().parent / "traces"
 
 
