Add the request plane: slots, queues, claims, retries, ejection

The daemon needs routing decisions as effects. A request is dispatched only on a granted slot, forwarded at most once when no own slot is free, and queued by class and deadline otherwise.

--- /dev/null
+++ b/src/lavenderhook/_internal/core/queues.py
@@ -0,0 +1,172 @@
+"""Bounded queues of waiting requests: by class, then by deadline."""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Callable, Iterator
+from typing import Generic, Protocol, TypeVar
+
+from .identifiers import PriorityClass
+from .labels import Labels
+
+LabelKey = tuple[tuple[str, str], ...]
+
+
+class Waiting(Protocol):
+    """What a queue needs to know of an entry."""
+
+    @property
+    def sequence(self) -> int:
+        """Order of arrival, unique."""
+
+    @property
+    def deadline(self) -> float:
+        """Absolute time in seconds."""
+
+    @property
+    def priority(self) -> PriorityClass:
+        """Class of the queue."""
+
+    @property
+    def label_key(self) -> LabelKey:
+        """The required labels in a fixed order."""
+
+    @property
+    def labels(self) -> Labels:
+        """The required labels."""
+
+
+Entry = TypeVar("Entry", bound=Waiting)
+
+
+class ClassQueue(Generic[Entry]):
+    """Waiting requests of one class, with one sorted list for each set of required labels.
+
+    Lists are in descending order of deadline, so that the earliest is popped from the end.
+    Requests with different labels wait apart; one that no free upstream matches does not hold up
+    the others.
+    """
+
+    __slots__ = ("size", "_lists")
+
+    def __init__(self) -> None:
+        self.size = 0
+        self._lists: dict[LabelKey, list[tuple[float, int, Entry]]] = {}
+
+    def push(self, entry: Entry) -> None:
+        """Add a request."""
+        listed = self._lists.setdefault(entry.label_key, [])
+        bisect.insort(listed, (-entry.deadline, -entry.sequence, entry))
+        self.size += 1
+
+    def remove(self, entry: Entry) -> bool:
+        """Take out a request; return whether it was waiting here."""
+        listed = self._lists.get(entry.label_key, [])
+        index = bisect.bisect_left(listed, (-entry.deadline, -entry.sequence))
+        if index >= len(listed) or listed[index][2] is not entry:
+            return False
+        del listed[index]
+        self._note_removed(entry.label_key, listed)
+        return True
+
+    def _note_removed(self, key: LabelKey, listed: list[tuple[float, int, Entry]]) -> None:
+        self.size -= 1
+        if not listed:
+            del self._lists[key]
+
+    def count_before(self, deadline: float) -> int:
+        """Return how many wait with an earlier deadline."""
+        return sum(
+            len(listed) - bisect.bisect_right(listed, (-deadline,))
+            for listed in self._lists.values()
+        )
+
+    def pop_first(self, can_start: Callable[[Labels], bool]) -> Entry | None:
+        """Take the request with the earliest deadline among those that `can_start`."""
+        best: tuple[float, int, Entry] | None = None
+        for listed in self._lists.values():
+            head = listed[-1]
+            if (best is None or head[:2] > best[:2]) and can_start(head[2].labels):
+                best = head
+        if best is None:
+            return None
+        listed = self._lists[best[2].label_key]
+        listed.pop()
+        self._note_removed(best[2].label_key, listed)
+        return best[2]
+
+    def pop_due(self, limit: float) -> Iterator[Entry]:
+        """Take every request whose deadline is at or before `limit`."""
+        for key in list(self._lists):
+            listed = self._lists[key]
+            while listed and -listed[-1][0] <= limit:
+                entry = listed.pop()[2]
+                self._note_removed(key, listed)
+                yield entry
+
+
+class ServiceQueue(Generic[Entry]):
+    """The queues of one service.
+
+    Parameters
+    ----------
+    lower_share : float
+        Share of the starts that is kept for the lower classes while a higher one waits.
+    """
+
+    __slots__ = ("classes", "_lower_share", "_credit")
+
+    def __init__(self, lower_share: float) -> None:
+        # The order of the enumeration is the order of precedence.
+        self.classes: dict[PriorityClass, ClassQueue[Entry]] = {
+            priority: ClassQueue() for priority in PriorityClass
+        }
+        self._lower_share = lower_share
+        self._credit = dict.fromkeys(PriorityClass, 0.0)
+
+    def __len__(self) -> int:
+        return sum(queue.size for queue in self.classes.values())
+
+    def push(self, entry: Entry) -> None:
+        """Add a request to its class."""
+        self.classes[entry.priority].push(entry)
+
+    def remove(self, entry: Entry) -> bool:
+        """Take out a request; return whether it was waiting."""
+        return self.classes[entry.priority].remove(entry)
+
+    def count_ahead(self, priority: PriorityClass, deadline: float) -> int:
+        """Return how many waiting requests go before one of this class and deadline."""
+        ahead = 0
+        for other, queue in self.classes.items():
+            if other is priority:
+                return ahead + queue.count_before(deadline)
+            ahead += queue.size
+        return ahead
+
+    def pop_next(self, can_start: Callable[[Labels], bool]) -> Entry | None:
+        """Take the request that starts next, or None if none can."""
+        for priority in self._order_classes():
+            entry = self.classes[priority].pop_first(can_start)
+            if entry is not None:
+                return entry
+        return None
+
+    def _order_classes(self) -> list[PriorityClass]:
+        waiting = [priority for priority, queue in self.classes.items() if queue.size]
+        for index, priority in enumerate(waiting[:-1]):
+            self._credit[priority] += self._lower_share
+            if self._credit[priority] < 1.0:
+                return waiting[index:] + waiting[:index]
+            self._credit[priority] -= 1.0
+        return waiting[-1:] + waiting[:-1]
+
+    def pop_due(self, limit: float) -> Iterator[Entry]:
+        """Take every request whose deadline is at or before `limit`."""
+        for queue in self.classes.values():
+            if queue.size:
+                yield from queue.pop_due(limit)
+
+    def pop_all(self) -> Iterator[Entry]:
+        """Take every request, highest class and earliest deadline first."""
+        return self.pop_due(float("inf"))
--- a/src/lavenderhook/_internal/core/reducer.py
+++ b/src/lavenderhook/_internal/core/reducer.py
@@ -29,9 +29,27 @@
 
 
 def _collect_tables() -> tuple[Any, ...]:
-    from . import configuration, membership
-
-    return (membership.HANDLERS, configuration.HANDLERS)
+    from . import configuration, membership, requests, routing, shutdown
+
+    return (
+        membership.HANDLERS,
+        configuration.HANDLERS,
+        routing.HANDLERS,
+        requests.HANDLERS,
+        shutdown.HANDLERS,
+    )
+
+
+def collect_timers() -> dict[str, str]:
+    """Return every timer name with the attribute of `CoreParameters` that holds its interval."""
+    from . import configuration, membership, routing, shutdown
+
+    return {
+        **membership.TIMERS,
+        **configuration.TIMERS,
+        **routing.TIMERS,
+        **shutdown.TIMERS,
+    }
 
 
 _HANDLERS = _merge(_collect_tables())
--- /dev/null
+++ b/src/lavenderhook/_internal/core/routing.py
@@ -0,0 +1,1228 @@
+"""Routing of requests to upstreams and peers.
+
+A request waits in a queue until this instance has a free slot on a matching upstream or a peer
+reports a free slot. Nothing here waits for the store, except that a non-idempotent request is
+routed only after its claim. Every outstanding request occupies one granted slot until the
+upstream has answered or closed the connection, or `quarantine` has passed.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import heapq
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from . import requests
+from .declarations import DEFAULT_POLICIES, Policy
+from .effects import (
+    AnswerCaller,
+    Completed,
+    DispatchToUpstream,
+    Effect,
+    ForwardToPeer,
+    LogDecision,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    SendGrantReport,
+    Unknown,
+    UnknownReason,
+)
+from .ejection import EjectionState
+from .events import (
+    ClaimResolved,
+    ClaimState,
+    ConfigurationCommitted,
+    ConfigurationReceived,
+    GrantUpdateReceived,
+    HeartbeatReceived,
+    PeerAnswered,
+    PeerFailed,
+    PeerOutcome,
+    PlatformListed,
+    RequestAbandoned,
+    RequestArrived,
+    RequestHead,
+    Ticket,
+    TimerFired,
+    UpstreamAnswered,
+    UpstreamFailed,
+    UpstreamReleased,
+)
+from .identifiers import (
+    ConfigurationVersion,
+    IncarnationId,
+    MemberState,
+    PriorityClass,
+    ShardId,
+    UpstreamId,
+    WorkerId,
+    WorkloadKind,
+)
+from .labels import Labels
+from .membership import get_member_state, get_peer_address
+from .messages import Digest, GrantReport, GrantUpdate
+from .queues import LabelKey, ServiceQueue
+from .records import UpstreamView
+from .retries import compute_backoff
+from .slots import SlotPool, Upstream
+
+if TYPE_CHECKING:
+    from .state import InstanceState
+
+REQUEST_TIMER = "requests"
+GRANT_REPORT_TIMER = "grant-report"
+TIMERS = {REQUEST_TIMER: "request_check_interval", GRANT_REPORT_TIMER: "grant_report_interval"}
+
+# Tries of one request, refusals without effect included; bounds the work that one request causes.
+MAX_TRIES = 4
+# Weight of a new response time in the mean of a service.
+MEAN_WEIGHT = 0.05
+# The quick time follows the tenth percentile: it rises by a small step when a response took
+# longer and falls by a ninth of that step when it was quicker, relative to its own value.
+QUICK_RISE = 1.01
+QUICK_FALL = 0.91
+# A known leaving upstream is told to peers for this long. Receivers tell it on for as long, and
+# remember it longer, so that it does not circulate for ever.
+LEAVING_GOSSIP_SECONDS = 10.0
+LEAVING_MEMORY_SECONDS = 600.0
+# A timeout counts against an upstream only if it had this multiple of the service's mean time, so
+# that callers with hopeless deadlines cannot eject healthy upstreams.
+TIMEOUT_FAILURE_FACTOR = 3.0
+FIRST_ERROR_STATUS = 500
+# Queued requests that may not be forwarded and are looked past at a time; bounds the cost when
+# most of the queue was forwarded before.
+MAX_PASSED = 16
+DEMAND_WEIGHT = 0.5
+
+
+class Phase(enum.Enum):
+    """Where a request is."""
+
+    CLAIMING = "claiming"
+    WAITING = "waiting"
+    BACKING_OFF = "backing-off"
+    DISPATCHED = "dispatched"
+    FORWARDED = "forwarded"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Request:
+    """A request between its arrival and its answer.
+
+    Parameters
+    ----------
+    tries : int
+        Dispatches and forwards so far.
+    was_forwarded : bool
+        Whether a peer got it from us; it is then not forwarded again.
+    may_have_run : UnknownReason or None
+        Set once an upstream may have run it; it can then no longer end as not run.
+    """
+
+    head: RequestHead
+    sequence: int
+    label_key: LabelKey
+    phase: Phase = Phase.WAITING
+    tries: int = 0
+    was_forwarded: bool = False
+    may_have_run: UnknownReason | None = None
+    is_abandoned: bool = False
+    upstream: Upstream | None = None
+    peer: IncarnationId | None = None
+    started_at: float = 0.0
+    tried: tuple[UpstreamId, ...] = ()
+
+    @property
+    def deadline(self) -> float:
+        """Absolute time in seconds."""
+        return self.head.deadline
+
+    @property
+    def priority(self) -> PriorityClass:
+        """Class of the queue in which it waits."""
+        return self.head.priority
+
+    @property
+    def labels(self) -> Labels:
+        """Labels that the upstream must carry."""
+        return self.head.labels
+
+
+@dataclasses.dataclass(slots=True)
+class Service:
+    """What this instance knows of a service.
+
+    Parameters
+    ----------
+    peers : dict of IncarnationId to int
+        Slots assumed free at peers: of the last digest, less what was forwarded since.
+    mean_seconds, quick_seconds : float
+        Mean and tenth percentile of the response time; 0 before the first response.
+    forwarded_in, forwarded_out : int
+        Requests here that peers forwarded, and own ones that are at peers.
+    """
+
+    name: str
+    queue: ServiceQueue[Request]
+    slots: SlotPool = dataclasses.field(default_factory=SlotPool)
+    peers: dict[IncarnationId, int] = dataclasses.field(default_factory=dict)
+    policy: Policy = DEFAULT_POLICIES[WorkloadKind.SERVICE]
+    policy_version: ConfigurationVersion = ConfigurationVersion(-1)
+    mean_seconds: float = 0.0
+    quick_seconds: float = 0.0
+    forwarded_in: int = 0
+    forwarded_out: int = 0
+    demand: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class ShardGrants:
+    """The last grant update of a shard."""
+
+    version: tuple[int, int]
+    owner: IncarnationId
+    upstreams: set[UpstreamId] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class RoutingState:
+    """The request plane of one instance.
+
+    Parameters
+    ----------
+    retained : dict of (UpstreamId, Ticket) to (float, Upstream)
+        Slots that stay in use after a timeout, oldest first, with the time of the timeout.
+    leaving : dict of UpstreamId to float
+        Upstreams known to leave, with the time at which that became known here.
+    leaving_workers : set of WorkerId
+        Workers that leave, are gone or are drained.
+    """
+
+    services: dict[str, Service] = dataclasses.field(default_factory=dict)
+    upstreams: dict[UpstreamId, Upstream] = dataclasses.field(default_factory=dict)
+    requests: dict[Ticket, Request] = dataclasses.field(default_factory=dict)
+    shards: dict[ShardId, ShardGrants] = dataclasses.field(default_factory=dict)
+    retained: dict[tuple[UpstreamId, Ticket], tuple[float, Upstream]] = dataclasses.field(
+        default_factory=dict
+    )
+    backing_off: list[tuple[float, int, Request]] = dataclasses.field(default_factory=list)
+    claiming: list[tuple[float, int, Request]] = dataclasses.field(default_factory=list)
+    leaving: dict[UpstreamId, float] = dataclasses.field(default_factory=dict)
+    leaving_workers: set[WorkerId] = dataclasses.field(default_factory=set)
+    listed_workers: set[WorkerId] = dataclasses.field(default_factory=set)
+    sequence: int = 0
+
+
+# Arrival
+
+
+def handle_arrival(state: InstanceState, event: RequestArrived) -> list[Effect]:
+    """Admit a request, claim it if it is not idempotent, and route it."""
+    head = event.head
+    routing = state.routing
+    if head.ticket in routing.requests:
+        return []
+    routing.sequence += 1
+    label_key = tuple(sorted(head.labels.items())) if head.labels else ()
+    request = Request(head=head, sequence=routing.sequence, label_key=label_key)
+    routing.requests[head.ticket] = request
+    service = find_service(state, head.service)
+    if service is None:
+        reason = NotRunReason.NO_SERVICE if _is_configured(state) else NotRunReason.NOT_READY
+        return _refuse(state, request, reason)
+    if head.forwarded_by is None:
+        state.retries.get_budget(service.name).deposit(service.policy.retry_budget)
+    else:
+        service.forwarded_in += 1
+    refusal = _check_admission(state, service, request)
+    if refusal is not None:
+        return _refuse(state, request, refusal)
+    if requests.needs_claim(head):
+        request.phase = Phase.CLAIMING
+        heapq.heappush(routing.claiming, (head.deadline, request.sequence, request))
+        return [requests.begin_claim(state, head)]
+    return _route(state, service, request)
+
+
+def _is_configured(state: InstanceState) -> bool:
+    return state.configuration.is_ready()
+
+
+def find_service(state: InstanceState, name: str) -> Service | None:
+    """Return a service with its policy in force, or None if no such workload is declared."""
+    service = state.routing.services.get(name)
+    version = state.configuration.version
+    if service is not None and service.policy_version == version:
+        return service
+    workload = state.configuration.get_workload(name)
+    if workload is None or workload.type is not WorkloadKind.SERVICE:
+        return None
+    if service is None:
+        service = _create_service(state, name)
+    labels = {"name": name, **workload.labels}
+    service.policy = state.configuration.find_policy(WorkloadKind.SERVICE, labels)
+    service.policy_version = version
+    return service
+
+
+def _create_service(state: InstanceState, name: str) -> Service:
+    queue: ServiceQueue[Request] = ServiceQueue(state.parameters.lower_class_share)
+    service = state.routing.services[name] = Service(name=name, queue=queue)
+    return service
+
+
+def _check_admission(
+    state: InstanceState, service: Service, request: Request
+) -> NotRunReason | None:
+    if request.deadline <= state.now:
+        return NotRunReason.DEADLINE
+    waiting = service.queue.classes[request.priority].size
+    if not waiting:
+        return None
+    if waiting >= service.policy.max_queue:
+        return NotRunReason.QUEUE_FULL
+    latest_start = request.deadline - service.quick_seconds
+    if state.now + _estimate_wait(service, request) > latest_start:
+        return NotRunReason.DEADLINE
+    return None
+
+
+def _estimate_wait(service: Service, request: Request) -> float:
+    """Return the expected time in seconds until the request starts, 0 if it is not known."""
+    slots = service.slots
+    if slots.free_slots or not slots.capacity:
+        return 0.0
+    ahead = service.queue.count_ahead(request.priority, request.deadline)
+    return (ahead + 1) * service.mean_seconds / slots.capacity
+
+
+# Choice of a destination
+
+
+def _route(state: InstanceState, service: Service, request: Request) -> list[Effect]:
+    """Dispatch, forward or queue a request."""
+    if _has_closed(state):
+        return _route_at_shutdown(state, service, request)
+    effects = _try_start(state, service, request)
+    if effects is not None:
+        return effects
+    if request.head.forwarded_by is not None and not service.slots.could_serve(request.labels):
+        return _refuse(state, request, NotRunReason.NO_UPSTREAM)
+    request.phase = Phase.WAITING
+    service.queue.push(request)
+    return [_log(request, "queued", "no-free-slot", {"queued": len(service.queue)})]
+
+
+def _try_start(state: InstanceState, service: Service, request: Request) -> list[Effect] | None:
+    slots = service.slots
+    if slots.free_slots:
+        upstream = slots.choose(state.generator, request.labels, request.tried)
+        if upstream is not None:
+            return _dispatch(state, service, request, upstream)
+    if service.peers and _may_forward(request):
+        peer = _choose_peer(state, service)
+        if peer is not None:
+            return _forward(state, service, request, peer, "no-free-slot")
+    return None
+
+
+def _may_forward(request: Request) -> bool:
+    return request.head.forwarded_by is None and not request.was_forwarded
+
+
+def _dispatch(
+    state: InstanceState, service: Service, request: Request, upstream: Upstream
+) -> list[Effect]:
+    service.slots.take(upstream)
+    request.phase = Phase.DISPATCHED
+    request.upstream = upstream
+    request.started_at = state.now
+    request.tries += 1
+    head = request.head
+    view = upstream.view
+    fields: dict[str, object] = {
+        "upstream": view.upstream_id,
+        "zone": view.availability_zone,
+        "try": request.tries,
+    }
+    reason = "own-zone" if upstream.is_local else "other-zone"
+    return [
+        _log(request, "dispatched", reason, fields),
+        DispatchToUpstream(
+            ticket=head.ticket,
+            request_id=head.request_id,
+            upstream_id=view.upstream_id,
+            address=view.address,
+            deadline=head.deadline,
+        ),
+    ]
+
+
+def _forward(
+    state: InstanceState, service: Service, request: Request, peer: Digest, reason: str
+) -> list[Effect]:
+    _use_peer_slot(service, peer.incarnation)
+    service.forwarded_out += 1
+    request.phase = Phase.FORWARDED
+    request.peer = peer.incarnation
+    request.was_forwarded = True
+    request.started_at = state.now
+    request.tries += 1
+    head = request.head
+    fields: dict[str, object] = {"peer": peer.incarnation, "zone": peer.availability_zone}
+    return [
+        _log(request, "forwarded", reason, fields),
+        ForwardToPeer(
+            ticket=head.ticket,
+            peer=peer.incarnation,
+            address=peer.address,
+            deadline=head.deadline,
+        ),
+    ]
+
+
+def _use_peer_slot(service: Service, peer: IncarnationId) -> None:
+    free = service.peers.get(peer, 0) - 1
+    if free > 0:
+        service.peers[peer] = free
+    else:
+        service.peers.pop(peer, None)
+
+
+def _choose_peer(state: InstanceState, service: Service) -> Digest | None:
+    """Return a usable peer with a free slot: own zone first, more free slots of two sampled."""
+    _drop_unusable_peers(state, service)
+    members = state.membership.members
+    own: list[IncarnationId] = []
+    other: list[IncarnationId] = []
+    for incarnation in service.peers:
+        digest = members[incarnation].digest
+        is_own = digest.availability_zone == state.availability_zone
+        (own if is_own else other).append(incarnation)
+    candidates = own or other
+    if not candidates:
+        return None
+    draw = state.generator.random
+    first = candidates[int(draw() * len(candidates))]
+    second = candidates[int(draw() * len(candidates))]
+    chosen = second if service.peers[second] > service.peers[first] else first
+    return members[chosen].digest
+
+
+def _drop_unusable_peers(state: InstanceState, service: Service) -> None:
+    unusable = [
+        incarnation
+        for incarnation in service.peers
+        if incarnation not in state.membership.members
+        or get_member_state(state, incarnation) is not MemberState.ALIVE
+    ]
+    for incarnation in unusable:
+        del service.peers[incarnation]
+
+
+def _start_waiting(state: InstanceState, service: Service) -> list[Effect]:
+    """Start queued requests while there are free slots here or at peers."""
+    effects: list[Effect] = []
+    queue = service.queue
+    while len(queue) and service.slots.free_slots:
+        request = queue.pop_next(service.slots.has_free)
+        if request is None:
+            break
+        effects += _start_on_own_slot(state, service, request)
+    while service.peers and len(queue):
+        peer = _choose_peer(state, service)
+        if peer is None:
+            break
+        request = _pop_forwardable(service)
+        if request is None:
+            break
+        effects += _forward(state, service, request, peer, "queued")
+    return effects
+
+
+def _start_on_own_slot(state: InstanceState, service: Service, request: Request) -> list[Effect]:
+    if request.deadline - service.quick_seconds <= state.now:
+        return _shed(state, service, request)
+    generator = state.generator
+    upstream = service.slots.choose(generator, request.labels, request.tried)
+    if upstream is None:
+        # Every other upstream is busy; waiting longer would cost more than the same one again.
+        upstream = service.slots.choose(generator, request.labels)
+    assert upstream is not None, "a free slot was seen before the request was taken"
+    return _dispatch(state, service, request, upstream)
+
+
+def _pop_forwardable(service: Service) -> Request | None:
+    passed: list[Request] = []
+    found: Request | None = None
+    while found is None and len(passed) < MAX_PASSED:
+        request = service.queue.pop_next(lambda labels: True)
+        if request is None:
+            break
+        if _may_forward(request):
+            found = request
+        else:
+            passed.append(request)
+    for request in passed:
+        service.queue.push(request)
+    return found
+
+
+def _shed(state: InstanceState, service: Service, request: Request) -> list[Effect]:
+    # A shed request gives no response time, so one slow period must not refuse work for ever.
+    service.quick_seconds *= QUICK_FALL
+    reason = NotRunReason.DEADLINE if service.slots.capacity else NotRunReason.NO_UPSTREAM
+    return _refuse(state, request, reason)
+
+
+# Answers
+
+
+def _refuse(state: InstanceState, request: Request, reason: NotRunReason) -> list[Effect]:
+    return _finish(state, request, NotRun(reason=reason))
+
+
+def _finish(state: InstanceState, request: Request, outcome: Outcome) -> list[Effect]:
+    """Answer a request, once, and settle its claim.
+
+    A request that an upstream may have run never ends as not run.
+    """
+    head = request.head
+    if isinstance(outcome, NotRun) and request.may_have_run is not None:
+        outcome = Unknown(reason=request.may_have_run)
+    del state.routing.requests[head.ticket]
+    service = state.routing.services.get(head.service)
+    if service is not None and head.forwarded_by is not None:
+        service.forwarded_in -= 1
+    reason = outcome.reason.value if isinstance(outcome, NotRun | Unknown) else ""
+    effects: list[Effect] = [_log(request, type(outcome).__name__.lower(), reason, {})]
+    effects += requests.settle_claim(state, head, outcome)
+    effects.append(AnswerCaller(ticket=head.ticket, outcome=outcome))
+    return effects
+
+
+def _log(request: Request, action: str, reason: str, fields: dict[str, object]) -> LogDecision:
+    head = request.head
+    return LogDecision(
+        decision="route",
+        fields={
+            "action": action,
+            "reason": reason,
+            "ticket": head.ticket,
+            "request": head.request_id,
+            "service": head.service,
+            **fields,
+        },
+    )
+
+
+def handle_claim(state: InstanceState, event: ClaimResolved) -> list[Effect]:
+    """Route a request whose claim is ours; answer or release otherwise."""
+    head = requests.resolve_claim(state, event.ticket, event.state)
+    if head is None:
+        return []
+    request = state.routing.requests.get(event.ticket)
+    if request is None:
+        # The caller was answered meanwhile; the claim must not block the same id.
+        return requests.settle_claim(state, head, NotRun(reason=NotRunReason.ABANDONED))
+    if event.state is not ClaimState.CLAIMED:
+        return _finish(state, request, requests.get_refusal(event.state))
+    if request.deadline <= state.now:
+        return _refuse(state, request, NotRunReason.DEADLINE)
+    service = find_service(state, head.service)
+    if service is None:
+        return _refuse(state, request, NotRunReason.NO_SERVICE)
+    return _route(state, service, request)
+
+
+def handle_abandoned(state: InstanceState, event: RequestAbandoned) -> list[Effect]:
+    """Drop a request whose caller went away, unless it may be running."""
+    request = state.routing.requests.get(event.ticket)
+    if request is None:
+        return []
+    request.is_abandoned = True
+    if request.phase in (Phase.DISPATCHED, Phase.FORWARDED):
+        return []
+    if request.phase is Phase.WAITING:
+        state.routing.services[request.head.service].queue.remove(request)
+    return _refuse(state, request, NotRunReason.ABANDONED)
+
+
+# Upstreams
+
+
+def handle_answer(state: InstanceState, event: UpstreamAnswered) -> list[Effect]:
+    """Free the slot and give the caller the upstream's response, or try again."""
+    effects = _mark_leaving(state, (event.upstream_id,)) if event.leaving else []
+    request = _take_dispatched(state, event.ticket, event.upstream_id)
+    if request is None:
+        return effects + _free_retained(state, event.upstream_id, event.ticket)
+    upstream = request.upstream
+    assert upstream is not None
+    service = state.routing.services[request.head.service]
+    _note_seconds(service, state.now - request.started_at)
+    if event.status >= FIRST_ERROR_STATUS and not event.not_run and not event.leaving:
+        effects += _note_failure(state, service, upstream)
+    elif not event.not_run:
+        state.ejection.note_success(event.upstream_id)
+    service.slots.release(upstream)
+    effects += _settle_answer(state, service, request, event)
+    return effects + _after_release(state, service, upstream)
+
+
+def _settle_answer(
+    state: InstanceState, service: Service, request: Request, event: UpstreamAnswered
+) -> list[Effect]:
+    if event.not_run:
+        free = event.leaving
+        return _retry_or_finish(
+            state, service, request, NotRun(reason=NotRunReason.REFUSED_BY_UPSTREAM), free
+        )
+    if event.status >= FIRST_ERROR_STATUS and request.head.idempotent:
+        completed = Completed(upstream_id=event.upstream_id)
+        request.may_have_run = UnknownReason.TIMEOUT
+        return _retry_or_finish(state, service, request, completed)
+    return _finish(state, request, Completed(upstream_id=event.upstream_id))
+
+
+def handle_failure(state: InstanceState, event: UpstreamFailed) -> list[Effect]:
+    """Handle an exchange without a response; a slot that timed out stays in use."""
+    request = _take_dispatched(state, event.ticket, event.upstream_id)
+    if request is None:
+        return []
+    upstream = request.upstream
+    assert upstream is not None
+    service = state.routing.services[request.head.service]
+    seconds = state.now - request.started_at
+    effects: list[Effect] = []
+    if not event.timed_out or seconds > TIMEOUT_FAILURE_FACTOR * service.mean_seconds:
+        effects += _note_failure(state, service, upstream)
+    if event.sent and event.timed_out:
+        key = (event.upstream_id, event.ticket)
+        state.routing.retained[key] = (state.now, upstream)
+    else:
+        service.slots.release(upstream)
+    if not event.sent:
+        outcome: Outcome = NotRun(reason=NotRunReason.NOT_SENT)
+    else:
+        request.may_have_run = _get_unknown_reason(event)
+        outcome = Unknown(reason=request.may_have_run)
+    effects += _retry_or_finish(state, service, request, outcome)
+    return effects + _after_release(state, service, upstream)
+
+
+def _get_unknown_reason(event: UpstreamFailed) -> UnknownReason:
+    if event.timed_out:
+        return UnknownReason.TIMEOUT
+    if event.failure == UnknownReason.TRUNCATED.value:
+        return UnknownReason.TRUNCATED
+    return UnknownReason.CONNECTION_LOST
+
+
+def handle_released(state: InstanceState, event: UpstreamReleased) -> list[Effect]:
+    """Free a slot that stayed in use after a timeout."""
+    return _free_retained(state, event.upstream_id, event.ticket)
+
+
+def _free_retained(state: InstanceState, upstream_id: UpstreamId, ticket: Ticket) -> list[Effect]:
+    entry = state.routing.retained.pop((upstream_id, ticket), None)
+    if entry is None:
+        return []
+    upstream = entry[1]
+    service = state.routing.services[upstream.view.service]
+    service.slots.release(upstream)
+    return _after_release(state, service, upstream)
+
+
+def _take_dispatched(
+    state: InstanceState, ticket: Ticket, upstream_id: UpstreamId
+) -> Request | None:
+    request = state.routing.requests.get(ticket)
+    if request is None or request.phase is not Phase.DISPATCHED:
+        return None
+    upstream = request.upstream
+    if upstream is None or upstream.view.upstream_id != upstream_id:
+        return None
+    request.tried = (*request.tried, upstream_id)
+    return request
+
+
+def _after_release(state: InstanceState, service: Service, upstream: Upstream) -> list[Effect]:
+    if not upstream.granted and not upstream.in_use:
+        _forget_upstream(state, service, upstream)
+    if len(service.queue):
+        return _start_waiting(state, service)
+    return []
+
+
+def _forget_upstream(state: InstanceState, service: Service, upstream: Upstream) -> None:
+    upstream_id = upstream.view.upstream_id
+    service.slots.remove(upstream)
+    state.ejection.forget(upstream_id)
+    if state.routing.upstreams.get(upstream_id) is upstream:
+        del state.routing.upstreams[upstream_id]
+
+
+def _note_seconds(service: Service, seconds: float) -> None:
+    if service.mean_seconds == 0.0:
+        service.mean_seconds = seconds
+        service.quick_seconds = seconds
+        return
+    service.mean_seconds += MEAN_WEIGHT * (seconds - service.mean_seconds)
+    if seconds > service.quick_seconds:
+        service.quick_seconds = min(seconds, service.quick_seconds * QUICK_RISE)
+    else:
+        service.quick_seconds = max(seconds, service.quick_seconds * QUICK_FALL)
+
+
+def _note_failure(state: InstanceState, service: Service, upstream: Upstream) -> list[Effect]:
+    upstream_id = upstream.view.upstream_id
+    ejected = state.ejection.note_failure(
+        upstream_id,
+        service.name,
+        len(service.slots.upstreams),
+        state.parameters.max_ejected_share,
+        state.now,
+    )
+    if not ejected:
+        return []
+    _apply_limit(state, upstream)
+    fields: dict[str, object] = {"upstream": upstream_id, "service": service.name}
+    return [LogDecision(decision="upstream-ejected", fields=fields)]
+
+
+def _retry_or_finish(
+    state: InstanceState,
+    service: Service,
+    request: Request,
+    outcome: Outcome,
+    is_free: bool = False,
+) -> list[Effect]:
+    """Try a request again if that is allowed; otherwise give it this outcome.
+
+    Parameters
+    ----------
+    is_free : bool
+        Whether the try does not count against the retry budget: an upstream that leaves refuses
+        work in an orderly way, which must not cost callers their requests.
+    """
+    if not _may_retry(state, service, request, outcome):
+        return _finish(state, request, outcome)
+    if is_free:
+        return _route(state, service, request)
+    delay = compute_backoff(state.generator, request.tries)
+    if state.now + delay + service.quick_seconds >= request.deadline:
+        return _finish(state, request, outcome)
+    if not state.retries.get_budget(service.name).withdraw():
+        return _finish(state, request, outcome)
+    request.phase = Phase.BACKING_OFF
+    request.upstream = None
+    entry = (state.now + delay, request.sequence, request)
+    heapq.heappush(state.routing.backing_off, entry)
+    return [_log(request, "retried", type(outcome).__name__.lower(), {"delay": delay})]
+
+
+def _may_retry(state: InstanceState, service: Service, request: Request, outcome: Outcome) -> bool:
+    if request.is_abandoned or request.head.forwarded_by is not None:
+        return False
+    if request.tries >= MAX_TRIES or request.deadline <= state.now:
+        return False
+    return request.head.idempotent or isinstance(outcome, NotRun)
+
+
+# Peers
+
+
+def handle_peer_answer(state: InstanceState, event: PeerAnswered) -> list[Effect]:
+    """Pass on a peer's outcome, or route the request here if the peer did not run it."""
+    taken = _take_forwarded(state, event.ticket, event.peer)
+    if taken is None:
+        return []
+    service, request = taken
+    if event.free_slots:
+        service.peers[event.peer] = event.free_slots
+    else:
+        service.peers.pop(event.peer, None)
+    effects = _settle_peer_answer(state, service, request, event)
+    if len(service.queue) and service.peers:
+        effects += _start_waiting(state, service)
+    return effects
+
+
+def _settle_peer_answer(
+    state: InstanceState, service: Service, request: Request, event: PeerAnswered
+) -> list[Effect]:
+    if event.outcome is PeerOutcome.COMPLETED:
+        if event.status >= FIRST_ERROR_STATUS and request.head.idempotent:
+            request.may_have_run = UnknownReason.TIMEOUT
+            return _retry_or_finish(state, service, request, Completed())
+        return _finish(state, request, Completed())
+    if event.outcome is PeerOutcome.UNKNOWN:
+        request.may_have_run = _parse_unknown(event.reason)
+        outcome = Unknown(reason=request.may_have_run)
+        return _retry_or_finish(state, service, request, outcome)
+    return _route_refused(state, service, request, _parse_not_run(event.reason))
+
+
+def _route_refused(
+    state: InstanceState, service: Service, request: Request, reason: NotRunReason
+) -> list[Effect]:
+    if request.is_abandoned or request.deadline <= state.now or request.tries >= MAX_TRIES:
+        return _refuse(state, request, reason)
+    return _route(state, service, request)
+
+
+def _parse_unknown(reason: str) -> UnknownReason:
+    try:
+        return UnknownReason(reason)
+    except ValueError:
+        return UnknownReason.PEER_LOST
+
+
+def _parse_not_run(reason: str) -> NotRunReason:
+    try:
+        return NotRunReason(reason)
+    except ValueError:
+        return NotRunReason.NO_UPSTREAM
+
+
+def handle_peer_failure(state: InstanceState, event: PeerFailed) -> list[Effect]:
+    """Route the request elsewhere if the peer cannot have got it."""
+    taken = _take_forwarded(state, event.ticket, event.peer)
+    if taken is None:
+        return []
+    service, request = taken
+    service.peers.pop(event.peer, None)
+    if not event.sent:
+        request.was_forwarded = False
+        return _route_refused(state, service, request, NotRunReason.NOT_SENT)
+    request.may_have_run = UnknownReason.PEER_LOST
+    return _retry_or_finish(state, service, request, Unknown(reason=UnknownReason.PEER_LOST))
+
+
+def _take_forwarded(
+    state: InstanceState, ticket: Ticket, peer: IncarnationId
+) -> tuple[Service, Request] | None:
+    request = state.routing.requests.get(ticket)
+    if request is None or request.phase is not Phase.FORWARDED or request.peer != peer:
+        return None
+    service = state.routing.services[request.head.service]
+    service.forwarded_out -= 1
+    request.peer = None
+    return service, request
+
+
+def handle_heartbeat(state: InstanceState, event: HeartbeatReceived) -> list[Effect]:
+    """Take in a peer's free slots and the upstreams that it knows to leave."""
+    digest = event.digest
+    member = state.membership.members.get(digest.incarnation)
+    if member is None or member.digest is not digest:
+        return []
+    effects = _mark_leaving(state, digest.leaving_upstreams)
+    is_usable = digest.ready and digest.state is MemberState.ALIVE
+    for name in digest.free_slots:
+        if name not in state.routing.services:
+            find_service(state, name)
+    for service in state.routing.services.values():
+        free = digest.free_slots.get(service.name, 0) if is_usable else 0
+        if not free:
+            service.peers.pop(digest.incarnation, None)
+            continue
+        service.peers[digest.incarnation] = free
+        if len(service.queue):
+            effects += _start_waiting(state, service)
+    return effects
+
+
+# Leaving upstreams
+
+
+def _mark_leaving(state: InstanceState, upstream_ids: Iterable[UpstreamId]) -> list[Effect]:
+    effects: list[Effect] = []
+    routing = state.routing
+    for upstream_id in upstream_ids:
+        if upstream_id in routing.leaving:
+            continue
+        routing.leaving[upstream_id] = state.now
+        upstream = routing.upstreams.get(upstream_id)
+        if upstream is not None:
+            _apply_limit(state, upstream)
+        fields: dict[str, object] = {"upstream": upstream_id}
+        effects.append(LogDecision(decision="upstream-leaving", fields=fields))
+    return effects
+
+
+def handle_platform_list(state: InstanceState, event: PlatformListed) -> list[Effect]:
+    """Stop using the upstreams on workers that the platform shows leaving or gone."""
+    state.routing.listed_workers |= {worker.worker_id for worker in event.workers}
+    return _refresh_leaving_workers(state)
+
+
+def handle_configuration(
+    state: InstanceState, event: ConfigurationCommitted | ConfigurationReceived
+) -> list[Effect]:
+    """Stop using the upstreams on workers that operators drain."""
+    changes = event.changes if isinstance(event, ConfigurationReceived) else (event.change,)
+    return _refresh_leaving_workers(state) if changes else []
+
+
+def _refresh_leaving_workers(state: InstanceState) -> list[Effect]:
+    routing = state.routing
+    views = state.membership.workers
+    leaving = {
+        view.worker_id
+        for view in views.values()
+        if view.leaving or state.configuration.is_draining(view)
+    }
+    leaving |= {worker_id for worker_id in routing.listed_workers if worker_id not in views}
+    changed = leaving ^ routing.leaving_workers
+    routing.leaving_workers = leaving
+    effects: list[Effect] = []
+    if not changed:
+        return effects
+    for upstream in list(routing.upstreams.values()):
+        if upstream.view.worker_id in changed:
+            _apply_limit(state, upstream)
+    for worker_id in sorted(changed & leaving):
+        fields: dict[str, object] = {"worker": worker_id}
+        effects.append(LogDecision(decision="worker-leaving", fields=fields))
+    for service in routing.services.values():
+        effects += _start_waiting(state, service)
+    return effects
+
+
+def _apply_limit(state: InstanceState, upstream: Upstream) -> None:
+    """Compute anew how many slots of an upstream new work may use."""
+    service = state.routing.services[upstream.view.service]
+    service.slots.set_limit(upstream, _compute_limit(state, upstream))
+
+
+def _compute_limit(state: InstanceState, upstream: Upstream) -> int:
+    view = upstream.view
+    routing = state.routing
+    if _has_closed(state) or view.leaving or view.upstream_id in routing.leaving:
+        return 0
+    if view.worker_id in routing.leaving_workers:
+        return 0
+    limit = upstream.granted
+    if upstream.requested is not None:
+        limit = min(limit, upstream.requested)
+    return state.ejection.cap_limit(view.upstream_id, limit, state.now)
+
+
+# Grants
+
+
+def handle_grant_update(state: InstanceState, event: GrantUpdateReceived) -> list[Effect]:
+    """Take in the grants of a shard; older updates and ones for others are ignored."""
+    update = event.update
+    routing = state.routing
+    if update.holder != state.incarnation:
+        return []
+    known = routing.shards.get(update.shard)
+    if known is not None and update.version < known.version:
+        return []
+    if known is not None and update.version == known.version:
+        _lower_limits(state, update)
+    else:
+        _replace_grants(state, update, known)
+    effects: list[Effect] = []
+    for service in routing.services.values():
+        if len(service.queue):
+            effects += _start_waiting(state, service)
+    if update.requested_limits:
+        # The owner waits for this promise before it gives the slots to another instance.
+        effects += _report_shard(state, update.shard)
+    return effects
+
+
+def _lower_limits(state: InstanceState, update: GrantUpdate) -> None:
+    for upstream_id, limit in update.requested_limits.items():
+        upstream = state.routing.upstreams.get(upstream_id)
+        if upstream is None or upstream.shard != update.shard:
+            continue
+        former = upstream.granted if upstream.requested is None else upstream.requested
+        upstream.requested = min(former, limit)
+        _apply_limit(state, upstream)
+
+
+def _replace_grants(state: InstanceState, update: GrantUpdate, known: ShardGrants | None) -> None:
+    views = [view for view in update.upstreams if view.slots > 0]
+    ids = {view.upstream_id for view in views}
+    for upstream_id in (known.upstreams if known is not None else set()) - ids:
+        _drop_grant(state, upstream_id)
+    for view in views:
+        _set_grant(state, update, view)
+    state.routing.shards[update.shard] = ShardGrants(
+        version=update.version, owner=update.owner, upstreams=ids
+    )
+
+
+def _drop_grant(state: InstanceState, upstream_id: UpstreamId) -> None:
+    upstream = state.routing.upstreams.get(upstream_id)
+    if upstream is None:
+        return
+    service = state.routing.services[upstream.view.service]
+    upstream.granted = 0
+    service.slots.set_limit(upstream, 0)
+    if not upstream.in_use:
+        _forget_upstream(state, service, upstream)
+
+
+def _set_grant(state: InstanceState, update: GrantUpdate, view: UpstreamView) -> None:
+    routing = state.routing
+    upstream = routing.upstreams.get(view.upstream_id)
+    if upstream is None:
+        is_local = view.availability_zone == state.availability_zone
+        upstream = Upstream(view=view, shard=update.shard, granted=view.slots, is_local=is_local)
+        routing.upstreams[view.upstream_id] = upstream
+        service = routing.services.get(view.service) or _create_service(state, view.service)
+        service.slots.add(upstream)
+    upstream.view = view
+    upstream.granted = view.slots
+    upstream.requested = update.requested_limits.get(view.upstream_id)
+    _apply_limit(state, upstream)
+
+
+def report_limits(state: InstanceState) -> list[Effect]:
+    """Report limits and demand to the owner of each shard that is known."""
+    shards = set(state.routing.shards)
+    for member in state.membership.members.values():
+        shards.update(member.digest.shards)
+    effects: list[Effect] = []
+    for shard in sorted(shards):
+        effects += _report_shard(state, shard)
+    return effects
+
+
+def _report_shard(state: InstanceState, shard: ShardId) -> list[Effect]:
+    grants = state.routing.shards.get(shard)
+    owner = _find_owner(state, shard, grants)
+    address = state.address if owner == state.incarnation else None
+    if owner is not None and address is None:
+        address = get_peer_address(state, owner)
+    if address is None:
+        return []
+    report = GrantReport(
+        shard=shard,
+        version=grants.version if grants is not None else (0, 0),
+        holder=state.incarnation,
+        limits=_collect_promises(state, grants),
+        demand={
+            service.name: round(service.demand, 2)
+            for service in state.routing.services.values()
+            if service.demand >= 0.01
+        },
+    )
+    return [SendGrantReport(address=address, report=report)]
+
+
+def _find_owner(
+    state: InstanceState, shard: ShardId, grants: ShardGrants | None
+) -> IncarnationId | None:
+    """Return the owner with the highest epoch that heartbeats or a grant update named."""
+    epoch, owner = (grants.version[0], grants.owner) if grants is not None else (-1, None)
+    for incarnation, member in state.membership.members.items():
+        claimed = member.digest.shards.get(shard, -1)
+        if claimed > epoch:
+            epoch, owner = claimed, incarnation
+    return owner
+
+
+def _collect_promises(state: InstanceState, grants: ShardGrants | None) -> dict[UpstreamId, int]:
+    """Return the promised limits that are lower than the grants, to keep reports short."""
+    promises: dict[UpstreamId, int] = {}
+    closed = _has_closed(state)
+    for upstream_id in sorted(grants.upstreams) if grants is not None else ():
+        upstream = state.routing.upstreams[upstream_id]
+        promise = upstream.in_use if closed else upstream.get_promise()
+        if promise < upstream.granted:
+            promises[upstream_id] = promise
+    return promises
+
+
+def _update_demand(state: InstanceState) -> None:
+    for service in state.routing.services.values():
+        own = service.slots.in_use + len(service.queue)
+        current = max(0, own + service.forwarded_out - service.forwarded_in)
+        service.demand += DEMAND_WEIGHT * (current - service.demand)
+
+
+# Timers and shutdown
+
+
+def handle_timer(state: InstanceState, event: TimerFired) -> list[Effect]:
+    """Shed, retry and release what is due; report to the shard owners."""
+    if event.name == GRANT_REPORT_TIMER:
+        _update_demand(state)
+        return report_limits(state)
+    if event.name != REQUEST_TIMER:
+        return []
+    effects = _shed_due(state)
+    effects += _shed_claiming(state)
+    effects += _resume_backed_off(state)
+    effects += _release_quarantined(state)
+    effects += _refresh_ejected(state)
+    _forget_old_leaving(state)
+    return effects
+
+
+def _shed_due(state: InstanceState) -> list[Effect]:
+    effects: list[Effect] = []
+    for service in state.routing.services.values():
+        if not len(service.queue):
+            continue
+        for request in list(service.queue.pop_due(state.now + service.quick_seconds)):
+            effects += _shed(state, service, request)
+        effects += _start_waiting(state, service)
+    return effects
+
+
+def _shed_claiming(state: InstanceState) -> list[Effect]:
+    """Answer requests whose claim takes too long; the claim is released when it resolves."""
+    effects: list[Effect] = []
+    claiming = state.routing.claiming
+    while claiming and claiming[0][0] <= state.now:
+        request = heapq.heappop(claiming)[2]
+        is_current = state.routing.requests.get(request.head.ticket) is request
+        if is_current and request.phase is Phase.CLAIMING:
+            effects += _refuse(state, request, NotRunReason.STORE_UNAVAILABLE)
+    return effects
+
+
+def _resume_backed_off(state: InstanceState) -> list[Effect]:
+    effects: list[Effect] = []
+    waiting = state.routing.backing_off
+    while waiting and waiting[0][0] <= state.now:
+        request = heapq.heappop(waiting)[2]
+        if state.routing.requests.get(request.head.ticket) is not request:
+            continue
+        service = state.routing.services[request.head.service]
+        effects += _route(state, service, request)
+    return effects
+
+
+def _release_quarantined(state: InstanceState) -> list[Effect]:
+    effects: list[Effect] = []
+    retained = state.routing.retained
+    limit = state.now - state.parameters.quarantine
+    while retained:
+        key, (since, _) = next(iter(retained.items()))
+        if since > limit:
+            break
+        effects += _free_retained(state, *key)
+    return effects
+
+
+def _refresh_ejected(state: InstanceState) -> list[Effect]:
+    ejection: EjectionState = state.ejection
+    if not ejection.upstreams:
+        return []
+    effects: list[Effect] = []
+    for upstream_id in ejection.collect_changes(state.now):
+        upstream = state.routing.upstreams.get(upstream_id)
+        if upstream is None:
+            continue
+        _apply_limit(state, upstream)
+        service = state.routing.services[upstream.view.service]
+        if len(service.queue):
+            effects += _start_waiting(state, service)
+    return effects
+
+
+def _forget_old_leaving(state: InstanceState) -> None:
+    leaving = state.routing.leaving
+    limit = state.now - LEAVING_MEMORY_SECONDS
+    while leaving:
+        upstream_id = next(iter(leaving))
+        if leaving[upstream_id] > limit or upstream_id in state.routing.upstreams:
+            break
+        del leaving[upstream_id]
+
+
+def _has_closed(state: InstanceState) -> bool:
+    """Return whether the grace period of a shutdown is over, so that no new work starts."""
+    return state.shutdown.listeners_closed
+
+
+def drain_queues(state: InstanceState) -> list[Effect]:
+    """Forward or answer everything that waits, and give up all limits."""
+    effects: list[Effect] = []
+    for upstream in state.routing.upstreams.values():
+        _apply_limit(state, upstream)
+    for service in state.routing.services.values():
+        for request in list(service.queue.pop_all()):
+            effects += _route_at_shutdown(state, service, request)
+    return effects + report_limits(state)
+
+
+def _route_at_shutdown(state: InstanceState, service: Service, request: Request) -> list[Effect]:
+    if _may_forward(request):
+        peer = _choose_peer(state, service) or _choose_any_peer(state)
+        if peer is not None:
+            return _forward(state, service, request, peer, "shutting-down")
+    return _refuse(state, request, NotRunReason.SHUTTING_DOWN)
+
+
+def _choose_any_peer(state: InstanceState) -> Digest | None:
+    """Return a peer whose queue may take the request, own zone first."""
+    own: list[Digest] = []
+    other: list[Digest] = []
+    for incarnation, member in sorted(state.membership.members.items()):
+        digest = member.digest
+        if not digest.ready or get_member_state(state, incarnation) is not MemberState.ALIVE:
+            continue
+        is_own = digest.availability_zone == state.availability_zone
+        (own if is_own else other).append(digest)
+    candidates = own or other
+    return state.generator.choice(candidates) if candidates else None
+
+
+def is_drained(state: InstanceState) -> bool:
+    """Return whether nothing is in flight: no request, claim or slot that is still in use."""
+    routing = state.routing
+    return not routing.requests and not routing.retained and not state.claims.pending
+
+
+def collect_routing_fields(state: InstanceState) -> dict[str, object]:
+    """Return the digest's fields on slots, queues and leaving upstreams."""
+    routing = state.routing
+    limit = state.now - LEAVING_GOSSIP_SECONDS
+    queued = {
+        service.name: len(service.queue)
+        for service in routing.services.values()
+        if len(service.queue)
+    }
+    free_slots = {
+        service.name: service.slots.free_slots
+        for service in routing.services.values()
+        if service.slots.free_slots and service.name not in queued
+    }
+    return {
+        "free_slots": {} if state.shutting_down_since is not None else free_slots,
+        "queued": queued,
+        "leaving_upstreams": tuple(
+            sorted(upstream_id for upstream_id, since in routing.leaving.items() if since > limit)
+        ),
+    }
+
+
+HANDLERS = {
+    RequestArrived: handle_arrival,
+    RequestAbandoned: handle_abandoned,
+    ClaimResolved: handle_claim,
+    UpstreamAnswered: handle_answer,
+    UpstreamFailed: handle_failure,
+    UpstreamReleased: handle_released,
+    PeerAnswered: handle_peer_answer,
+    PeerFailed: handle_peer_failure,
+    HeartbeatReceived: handle_heartbeat,
+    PlatformListed: handle_platform_list,
+    ConfigurationCommitted: handle_configuration,
+    ConfigurationReceived: handle_configuration,
+    GrantUpdateReceived: handle_grant_update,
+    TimerFired: handle_timer,
+}
--- a/src/lavenderhook/_internal/core/state.py
+++ b/src/lavenderhook/_internal/core/state.py
@@ -8,8 +8,13 @@
 import msgspec
 
 from .configuration import ConfigurationState
+from .ejection import EjectionState
 from .identifiers import AvailabilityZone, IncarnationId, InstanceName
 from .membership import MembershipState
+from .requests import ClaimsState
+from .retries import RetryState
+from .routing import RoutingState
+from .shutdown import ShutdownState
 
 
 class CoreParameters(msgspec.Struct, frozen=True, kw_only=True):
@@ -40,6 +45,8 @@
     max_request_seconds: float = 30.0
     max_queue: int = 1024
     lower_class_share: float = 0.125
+    request_check_interval: float = 0.02
+    shutdown_check_interval: float = 0.1
     retry_budget: float = 0.1
     drain_grace: float = 2.0
     snapshot_every: int = 200
@@ -65,3 +72,8 @@
     shutting_down_since: float | None = None
     membership: MembershipState = dataclasses.field(default_factory=MembershipState)
     configuration: ConfigurationState = dataclasses.field(default_factory=ConfigurationState)
+    routing: RoutingState = dataclasses.field(default_factory=RoutingState)
+    claims: ClaimsState = dataclasses.field(default_factory=ClaimsState)
+    retries: RetryState = dataclasses.field(default_factory=RetryState)
+    ejection: EjectionState = dataclasses.field(default_factory=EjectionState)
+    shutdown: ShutdownState = dataclasses.field(default_factory=ShutdownState)
