Add the division of upstream slots among entry instances

Grants never expire, so a slot may move only after its holder promised a lower limit, or after the holder is gone and quarantined. A promise counts only on the version of the last update sent to its holder: with any older version accepted, a later update could raise the limit while the slots are given to another holder.

--- /dev/null
+++ b/src/lavenderhook/_internal/core/grants.py
@@ -0,0 +1,542 @@
+"""Division of upstream slots among entry instances, on the shard owner's side.
+
+Planning is a pure function of the committed grants, the members and what holders promised. Slots
+that nobody holds are granted at once. Slots in use elsewhere move in three steps: the owner asks
+the holder for a lower limit, the holder promises it, and only then the owner commits the change.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import math
+from collections.abc import Collection, Iterable, Mapping
+
+import msgspec
+
+from .identifiers import AvailabilityZone, IncarnationId, MemberState, ShardId, UpstreamId
+from .messages import GrantReport, GrantUpdate
+from .records import GrantsChanged, UpstreamView
+
+Grants = Mapping[UpstreamId, Mapping[IncarnationId, int]]
+Limits = Mapping[IncarnationId, Mapping[UpstreamId, int]]
+Version = tuple[int, int]
+Shares = dict[IncarnationId, float]
+Slots = dict[IncarnationId, int]
+
+# Slots wished for per request in progress, so that a holder at steady load has some to spare.
+HEADROOM = 1.25
+# Differences below this share of a holder's target are left alone; moving them back and forth
+# with every small change of demand costs commits and idles the slots on their way.
+MOVE_TOLERANCE = 0.1
+MOVE_INTERVAL_SECONDS = 1.0
+
+
+class GrantMember(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry instance as the owner sees it.
+
+    Parameters
+    ----------
+    state : MemberState
+        ALIVE and SUSPECT members are given slots. Only GONE members lose theirs without a
+        promise.
+    gone_since : float
+        When the platform's list first showed it gone; read only if it is GONE.
+    """
+
+    availability_zone: AvailabilityZone
+    state: MemberState
+    gone_since: float = math.inf
+
+
+class GrantInputs(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that a plan depends on.
+
+    Parameters
+    ----------
+    upstreams : tuple of UpstreamView
+        Upstreams of the shard, with all their slots.
+    grants : mapping
+        Committed slots by upstream and holder.
+    promises : mapping
+        Limits that holders promised, by holder and upstream, where lower than the grant.
+    demand : mapping
+        Requests in progress by holder and service.
+    frozen : collection of UpstreamId
+        Upstreams with a change that is not committed yet; they are not changed again.
+    """
+
+    upstreams: tuple[UpstreamView, ...]
+    grants: Grants
+    members: Mapping[IncarnationId, GrantMember]
+    promises: Limits = {}
+    demand: Mapping[IncarnationId, Mapping[str, float]] = {}
+    now: float
+    quarantine: float
+    frozen: Collection[UpstreamId] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class _Zone:
+    """The usable upstreams of one service in one zone, and who should hold how much of them."""
+
+    service: str
+    upstreams: list[UpstreamView] = dataclasses.field(default_factory=list)
+    residents: list[IncarnationId] = dataclasses.field(default_factory=list)
+    capacity: int = 0
+    floor: int = 0
+    shares: Shares = dataclasses.field(default_factory=dict)
+    targets: Slots = dataclasses.field(default_factory=dict)
+
+    def add(self, incarnation: IncarnationId, share: float) -> None:
+        self.shares[incarnation] = self.shares.get(incarnation, 0.0) + share
+
+
+# Planning
+
+
+def plan_grants(inputs: GrantInputs) -> tuple[GrantsChanged, ...]:
+    """Return the changes that can be committed now.
+
+    Returns
+    -------
+    tuple of GrantsChanged
+        One for each upstream whose grants change, or for which a promise was given, so that the
+        holder gets an update of a later version than its promise.
+    """
+    zones = _collect_zones(inputs)
+    changes: list[GrantsChanged] = []
+    for zone in zones:
+        changes += _assign_free_slots(inputs, zone)
+    return tuple(changes)
+
+
+def list_candidates(inputs: GrantInputs) -> list[IncarnationId]:
+    """Return the members that are given slots, in a stable order."""
+    usable = (MemberState.ALIVE, MemberState.SUSPECT)
+    return sorted(i for i, member in inputs.members.items() if member.state in usable)
+
+
+def _collect_zones(inputs: GrantInputs) -> list[_Zone]:
+    services: dict[str, dict[AvailabilityZone, _Zone]] = {}
+    for view in inputs.upstreams:
+        if view.leaving:
+            continue
+        zones = services.setdefault(view.service, {})
+        zone = zones.get(view.availability_zone)
+        if zone is None:
+            zone = zones[view.availability_zone] = _Zone(service=view.service)
+        zone.upstreams.append(view)
+        zone.capacity += view.slots
+    candidates = list_candidates(inputs)
+    result: list[_Zone] = []
+    for service in sorted(services):
+        _compute_shares(inputs, services[service], candidates)
+        result += [services[service][name] for name in sorted(services[service])]
+    return result
+
+
+def _compute_shares(
+    inputs: GrantInputs, zones: dict[AvailabilityZone, _Zone], candidates: list[IncarnationId]
+) -> None:
+    """Divide the slots of a service: residents of a zone first, spare ones to who lacks slots."""
+    if not candidates:
+        return
+    total = sum(zone.capacity for zone in zones.values())
+    service = next(iter(zones.values())).service
+    wishes: Shares = {}
+    for incarnation in candidates:
+        zone = zones.get(inputs.members[incarnation].availability_zone)
+        demand = inputs.demand.get(incarnation, {}).get(service, 0.0)
+        wishes[incarnation] = max(1.0, demand * HEADROOM)
+        if zone is not None:
+            zone.residents.append(incarnation)
+        else:
+            # Nothing in its own zone: without a floor it would have to forward everything.
+            wishes[incarnation] = max(wishes[incarnation], total / len(candidates))
+    spare: dict[AvailabilityZone, float] = {}
+    lacking = dict(wishes)
+    for name, zone in zones.items():
+        spare[name] = _share_among_residents(zone, wishes, lacking)
+    _lend(zones, spare, lacking, has_residents=False)
+    _lend(zones, spare, lacking, has_residents=True)
+    for name, zone in zones.items():
+        _share_rest(zone, spare[name], wishes, candidates)
+        zone.targets = _round_shares(zone.shares, zone.capacity)
+
+
+def _share_among_residents(zone: _Zone, wishes: Shares, lacking: Shares) -> float:
+    """Give residents their floor and wish; return the capacity that is left."""
+    if not zone.residents:
+        return float(zone.capacity)
+    count = len(zone.residents)
+    zone.floor = sum(1 for view in zone.upstreams if view.slots >= count)
+    rest = zone.capacity - zone.floor * count
+    wanted = {i: max(0.0, wishes[i] - zone.floor) for i in zone.residents}
+    scale = min(1.0, rest / max(sum(wanted.values()), 1e-9))
+    for incarnation in zone.residents:
+        share = zone.floor + wanted[incarnation] * scale
+        zone.add(incarnation, share)
+        lacking[incarnation] = max(0.0, wishes[incarnation] - share)
+    return max(0.0, zone.capacity - sum(zone.shares.values()))
+
+
+def _lend(
+    zones: dict[AvailabilityZone, _Zone],
+    spare: dict[AvailabilityZone, float],
+    lacking: Shares,
+    has_residents: bool,
+) -> None:
+    lenders = [
+        name
+        for name, zone in zones.items()
+        if bool(zone.residents) is has_residents and spare[name] > 0.0
+    ]
+    offered = sum(spare[name] for name in lenders)
+    needed = sum(lacking.values())
+    if offered <= 0.0 or needed <= 0.0:
+        return
+    used = min(1.0, needed / offered)
+    met = min(1.0, offered / needed)
+    for name in lenders:
+        lent = spare[name] * used
+        for incarnation, lack in lacking.items():
+            if lack > 0.0:
+                zones[name].add(incarnation, lent * lack / needed)
+        spare[name] -= lent
+    for incarnation in lacking:
+        lacking[incarnation] *= 1.0 - met
+
+
+def _share_rest(zone: _Zone, rest: float, wishes: Shares, candidates: list[IncarnationId]) -> None:
+    receivers = zone.residents or candidates
+    weight = sum(wishes[i] for i in receivers)
+    for incarnation in receivers:
+        zone.add(incarnation, rest * wishes[incarnation] / weight)
+
+
+def _round_shares(shares: Shares, total: int) -> Slots:
+    """Round shares to whole slots that sum up to `total`, by largest remainder."""
+    rounded = {incarnation: int(share + 1e-9) for incarnation, share in shares.items()}
+    order = sorted(shares, key=lambda i: (rounded[i] - shares[i], i))
+    missing = total - sum(rounded.values())
+    for incarnation in order[: max(0, missing)]:
+        rounded[incarnation] += 1
+    return rounded
+
+
+def _get_kept(inputs: GrantInputs, upstream_id: UpstreamId) -> Slots:
+    """Return what each holder certainly may still use of an upstream."""
+    kept: Slots = {}
+    for holder, granted in inputs.grants.get(upstream_id, {}).items():
+        if _is_over(inputs, holder):
+            continue
+        promise = inputs.promises.get(holder, {}).get(upstream_id, granted)
+        amount = min(granted, promise)
+        if amount > 0:
+            kept[holder] = amount
+    return kept
+
+
+def _is_over(inputs: GrantInputs, holder: IncarnationId) -> bool:
+    """Return whether a holder and all its requests have certainly ended."""
+    member = inputs.members.get(holder)
+    if member is None or member.state is not MemberState.GONE:
+        return False
+    return inputs.now >= member.gone_since + inputs.quarantine
+
+
+def _assign_free_slots(inputs: GrantInputs, zone: _Zone) -> list[GrantsChanged]:
+    kept = {view.upstream_id: _get_kept(inputs, view.upstream_id) for view in zone.upstreams}
+    held = _sum_held(kept.values())
+    heap = [(held.get(i, 0) - target, i) for i, target in zone.targets.items() if target > 0]
+    heapq.heapify(heap)
+    changes: list[GrantsChanged] = []
+    for view in zone.upstreams:
+        slots = kept[view.upstream_id]
+        if view.upstream_id in inputs.frozen:
+            continue
+        free = view.slots - sum(slots.values())
+        if free > 0 and heap:
+            _fill(zone, view, slots, free, heap)
+        former = inputs.grants.get(view.upstream_id, {})
+        if slots != former or _has_promise(inputs, view.upstream_id, former):
+            change = GrantsChanged(at=inputs.now, upstream_id=view.upstream_id, slots=slots)
+            changes.append(change)
+    return changes
+
+
+def _sum_held(grants: Iterable[Mapping[IncarnationId, int]]) -> Slots:
+    held: Slots = {}
+    for slots in grants:
+        for holder, count in slots.items():
+            held[holder] = held.get(holder, 0) + count
+    return held
+
+
+def _has_promise(
+    inputs: GrantInputs, upstream_id: UpstreamId, former: Mapping[IncarnationId, int]
+) -> bool:
+    return any(
+        inputs.promises.get(holder, {}).get(upstream_id, granted) < granted
+        for holder, granted in former.items()
+    )
+
+
+def _fill(
+    zone: _Zone,
+    view: UpstreamView,
+    slots: Slots,
+    free: int,
+    heap: list[tuple[int, IncarnationId]],
+) -> None:
+    """Grant the free slots of one upstream: one to each resident, then by what they lack."""
+    if view.slots >= len(zone.residents):
+        for incarnation in [i for i in zone.residents if i not in slots][:free]:
+            _grant_to(incarnation, slots, heap)
+            free -= 1
+    for _ in range(free):
+        balance, incarnation = heap[0]
+        heapq.heapreplace(heap, (balance + 1, incarnation))
+        slots[incarnation] = slots.get(incarnation, 0) + 1
+
+
+def _grant_to(
+    incarnation: IncarnationId, slots: Slots, heap: list[tuple[int, IncarnationId]]
+) -> None:
+    slots[incarnation] = slots.get(incarnation, 0) + 1
+    for index, (balance, holder) in enumerate(heap):
+        if holder == incarnation:
+            heap[index] = (balance + 1, incarnation)
+            heapq.heapify(heap)
+            return
+
+
+# Moving
+
+
+def plan_moves(inputs: GrantInputs) -> dict[IncarnationId, dict[UpstreamId, int]]:
+    """Return the lower limits to ask holders for, so that others get what they lack.
+
+    Returns
+    -------
+    dict of IncarnationId to dict of UpstreamId to int
+        Requested limits by holder; empty if the grants are close enough to the targets.
+    """
+    requested: dict[IncarnationId, dict[UpstreamId, int]] = {}
+    candidates = set(list_candidates(inputs))
+    for zone in _collect_zones(inputs):
+        kept = {view.upstream_id: _get_kept(inputs, view.upstream_id) for view in zone.upstreams}
+        held = _sum_held(kept.values())
+        excess = _collect_excess(zone, held, candidates)
+        lacking = _count_lacking(zone, held)
+        for holder, amount in excess:
+            count = min(amount, lacking)
+            lacking -= count
+            _lower(zone, kept, holder, count, requested)
+    return requested
+
+
+def _get_tolerance(target: int) -> int:
+    return int(target * MOVE_TOLERANCE)
+
+
+def _collect_excess(
+    zone: _Zone, held: Slots, candidates: Collection[IncarnationId]
+) -> list[tuple[IncarnationId, int]]:
+    """Return the holders with more than their target, the largest excess first."""
+    excess = []
+    for holder in sorted(held):
+        target = zone.targets.get(holder, 0)
+        amount = held[holder] - target
+        # Others cannot answer, or give everything back by themselves.
+        if holder in candidates and amount > _get_tolerance(target):
+            excess.append((holder, amount))
+    return sorted(excess, key=lambda entry: (-entry[1], entry[0]))
+
+
+def _count_lacking(zone: _Zone, held: Slots) -> int:
+    """Return how many slots the holders well below their target lack."""
+    lacking = 0
+    for holder, target in zone.targets.items():
+        amount = target - held.get(holder, 0)
+        if amount > _get_tolerance(target):
+            lacking += amount
+    return lacking
+
+
+def _lower(
+    zone: _Zone,
+    kept: Mapping[UpstreamId, Slots],
+    holder: IncarnationId,
+    count: int,
+    requested: dict[IncarnationId, dict[UpstreamId, int]],
+) -> None:
+    """Request `count` slots from a holder, from the upstreams where it holds the most."""
+    keeps_one = holder in zone.residents
+    heap: list[tuple[int, UpstreamId]] = []
+    for view in zone.upstreams:
+        slots = kept[view.upstream_id].get(holder, 0)
+        least = 1 if keeps_one and view.slots >= len(zone.residents) else 0
+        if slots > least:
+            heap.append((least - slots, view.upstream_id))
+    heapq.heapify(heap)
+    for _ in range(count):
+        if not heap:
+            return
+        surplus, upstream_id = heapq.heappop(heap)
+        limits = requested.setdefault(holder, {})
+        limits[upstream_id] = limits.get(upstream_id, kept[upstream_id][holder]) - 1
+        if surplus + 1 < 0:
+            heapq.heappush(heap, (surplus + 1, upstream_id))
+
+
+# Updates
+
+
+def build_updates(
+    inputs: GrantInputs,
+    shard: ShardId,
+    version: Version,
+    owner: IncarnationId,
+    requested: Limits,
+    holders: Collection[IncarnationId],
+) -> tuple[GrantUpdate, ...]:
+    """Return the grants of these holders as messages.
+
+    A promise that is not committed yet is repeated as a requested limit. Without that, an update
+    of a later version would let the holder use again what is being given to another one.
+
+    Parameters
+    ----------
+    version : tuple of int
+        Epoch and log number of the committed grants.
+    requested : mapping
+        Limits asked for, by holder and upstream.
+    holders : collection of IncarnationId
+        Receivers, with or without grants.
+
+    Returns
+    -------
+    tuple of GrantUpdate
+        In the order of the holders' ids.
+    """
+    held: dict[IncarnationId, list[UpstreamView]] = {holder: [] for holder in holders}
+    for view in inputs.upstreams:
+        for holder, slots in inputs.grants.get(view.upstream_id, {}).items():
+            if holder in held and slots > 0:
+                held[holder].append(_limit_view(view, slots))
+    return tuple(
+        GrantUpdate(
+            shard=shard,
+            version=version,
+            owner=owner,
+            holder=holder,
+            upstreams=tuple(held[holder]),
+            requested_limits=_merge_limits(
+                requested.get(holder, {}), inputs.promises.get(holder, {})
+            ),
+        )
+        for holder in sorted(held)
+    )
+
+
+def _limit_view(view: UpstreamView, slots: int) -> UpstreamView:
+    connections = view.connections * slots // max(view.slots, 1)
+    return msgspec.structs.replace(view, slots=slots, connections=connections)
+
+
+def _merge_limits(
+    first: Mapping[UpstreamId, int], second: Mapping[UpstreamId, int]
+) -> dict[UpstreamId, int]:
+    merged = dict(first)
+    for upstream_id, limit in second.items():
+        merged[upstream_id] = min(limit, merged.get(upstream_id, limit))
+    return merged
+
+
+@dataclasses.dataclass(slots=True)
+class GrantBook:
+    """What the owner of one shard remembers about its holders, for the time of its ownership.
+
+    Use: call `note_report` for every report, `plan` whenever inputs changed, `note_committed`
+    for every committed `GrantsChanged`, and send what `build_due` returns in the same step as a
+    commit. Drop the book when ownership ends.
+
+    Parameters
+    ----------
+    sent : dict of IncarnationId to Version
+        Version of the last update built for each holder. A promise counts only if it was made
+        on that version: a later update may have raised the limit again.
+    pending : set of UpstreamId
+        Upstreams with a planned change that is not committed yet.
+    due : set of IncarnationId
+        Holders that need an update.
+    """
+
+    promises: dict[IncarnationId, dict[UpstreamId, int]] = dataclasses.field(default_factory=dict)
+    demand: dict[IncarnationId, dict[str, float]] = dataclasses.field(default_factory=dict)
+    sent: dict[IncarnationId, Version] = dataclasses.field(default_factory=dict)
+    requested: dict[IncarnationId, dict[UpstreamId, int]] = dataclasses.field(default_factory=dict)
+    pending: set[UpstreamId] = dataclasses.field(default_factory=set)
+    due: set[IncarnationId] = dataclasses.field(default_factory=set)
+    moved_at: float = -math.inf
+
+    def note_report(self, report: GrantReport) -> None:
+        """Take in a holder's demand, and its promises if they were made on our last update."""
+        holder = report.holder
+        self.demand[holder] = report.demand
+        if self.sent.get(holder) != report.version:
+            self.due.add(holder)
+            return
+        promises = self.promises.setdefault(holder, {})
+        for upstream_id, limit in report.limits.items():
+            # An older report on the same version can only show a higher limit.
+            promises[upstream_id] = min(limit, promises.get(upstream_id, limit))
+
+    def plan(self, inputs: GrantInputs) -> tuple[GrantsChanged, ...]:
+        """Return the changes to commit; their upstreams are left alone until the commit."""
+        changes = plan_grants(self.complete_inputs(inputs))
+        self.pending.update(change.upstream_id for change in changes)
+        return changes
+
+    def complete_inputs(self, inputs: GrantInputs) -> GrantInputs:
+        """Return `inputs` with this book's promises, demand and pending upstreams."""
+        return msgspec.structs.replace(
+            inputs, promises=self.promises, demand=self.demand, frozen=self.pending
+        )
+
+    def note_committed(self, change: GrantsChanged, former: Mapping[IncarnationId, int]) -> None:
+        """Note that a change took effect; `former` are the grants before it."""
+        self.pending.discard(change.upstream_id)
+        for limits in (*self.promises.values(), *self.requested.values()):
+            limits.pop(change.upstream_id, None)
+        self.due.update(former)
+        self.due.update(change.slots)
+
+    def request_moves(self, inputs: GrantInputs) -> bool:
+        """Ask holders for lower limits, at most once a second; return whether any is asked."""
+        if inputs.now - self.moved_at < MOVE_INTERVAL_SECONDS:
+            return False
+        self.moved_at = inputs.now
+        requested = plan_moves(self.complete_inputs(inputs))
+        for limits in requested.values():
+            for upstream_id in self.pending.intersection(limits):
+                del limits[upstream_id]
+        self.requested = {holder: limits for holder, limits in requested.items() if limits}
+        self.due.update(self.requested)
+        return bool(self.requested)
+
+    def build_due(
+        self, inputs: GrantInputs, shard: ShardId, version: Version, owner: IncarnationId
+    ) -> tuple[GrantUpdate, ...]:
+        """Return the updates that are due; `inputs` holds the grants committed at `version`."""
+        usable = {i for i, m in inputs.members.items() if m.state is not MemberState.GONE}
+        holders = self.due & usable
+        self.due.clear()
+        updates = build_updates(
+            self.complete_inputs(inputs), shard, version, owner, self.requested, holders
+        )
+        for update in updates:
+            self.sent[update.holder] = update.version
+        return updates
