--- /dev/null
+++ b/features/steps/routing.py
@@ -0,0 +1,376 @@
+"""Steps that drive the request plane of one instance through the reducer.
+
+Events and effects are written one a line; see `EVENTS` and `describe` for the words.
+"""
+
+import random
+import shlex
+
+from behave import given, then, when
+
+from lavenderhook._internal.core import effects as fx
+from lavenderhook._internal.core import events as ev
+from lavenderhook._internal.core.declarations import Policy, Selector, SelectorTarget, Workload
+from lavenderhook._internal.core.identifiers import MemberState, PriorityClass, WorkloadKind
+from lavenderhook._internal.core.messages import Digest, GrantUpdate
+from lavenderhook._internal.core.records import UpstreamView, WorkerView
+from lavenderhook._internal.core.reducer import reduce
+from lavenderhook._internal.core.resources import Resources
+from lavenderhook._internal.core.state import CoreParameters, InstanceState
+
+OWNER = "owner"
+
+
+def make_state(incarnation="a", zone="z1", seed=1, **parameters):
+    """Return an instance that serves the service desk with small queues."""
+    state = InstanceState(
+        name=incarnation,
+        incarnation=incarnation,
+        availability_zone=zone,
+        address=f"{incarnation}:1",
+        parameters=CoreParameters(**parameters),
+        generator=random.Random(seed),
+    )
+    puts = (
+        Workload(name="desk", type=WorkloadKind.SERVICE, resources=Resources()),
+        Policy(name="small", max_queue=16),
+        Selector(name="all", target=SelectorTarget.POLICY, policy="small"),
+    )
+    change = ev.ConfigurationChange(version=1, change_id="c", author="o", at=0.0, puts=puts)
+    received = ev.ConfigurationReceived(
+        now=0.0, changes=(change,), complete=True, from_table=True, head=1
+    )
+    reduce(state, received)
+    return state
+
+
+def make_head(ticket, now=0.0, **options):
+    """Return the head of a request; `deadline` is relative to `now`."""
+    return ev.RequestHead(
+        ticket=ticket,
+        request_id=options.get("id", f"r{ticket}"),
+        caller="caller",
+        service=options.get("service", "desk"),
+        labels={"tier": options["tier"]} if "tier" in options else {},
+        idempotent=options.get("idempotent", "true") == "true",
+        deadline=now + float(options.get("deadline", 5)),
+        priority=PriorityClass(options.get("class", "normal")),
+        forwarded_by=options.get("from"),
+    )
+
+
+def make_upstream(upstream_id, slots, zone="z1", tier=None, leaving=False):
+    """Return a view of an upstream on the worker of the same number."""
+    return UpstreamView(
+        upstream_id=upstream_id,
+        service="desk",
+        labels={"tier": tier} if tier else {},
+        address=f"{upstream_id}:1",
+        worker_id=upstream_id.replace("u", "w"),
+        availability_zone=zone,
+        slots=slots,
+        connections=8 * slots,
+        leaving=leaving,
+    )
+
+
+class Driver:
+    """One instance, its clock and its effects since the last check."""
+
+    def __init__(self):
+        self.state = make_state()
+        self.now = 1.0
+        self.effects = []
+        self.version = 1
+        self.sequence = 0
+
+    def see(self, line):
+        """Run one line of a script."""
+        word, *rest = shlex.split(line)
+        options = dict(part.split("=", 1) for part in rest if "=" in part)
+        plain = [part for part in rest if "=" not in part]
+        event = EVENTS[word](self, plain, options)
+        if event is not None:
+            self.effects += reduce(self.state, event)
+
+    def build_digest(self, plain, options):
+        """Return a peer's heartbeat."""
+        self.sequence += 1
+        free = int(options.get("free", 0))
+        leaving = options["leaving"].split(",") if "leaving" in options else ()
+        digest = Digest(
+            name=plain[0],
+            incarnation=plain[0],
+            address=f"{plain[0]}:1",
+            availability_zone=options.get("zone", "z1"),
+            sequence=self.sequence,
+            state=MemberState(options.get("state", "alive")),
+            ready=True,
+            configuration_version=1,
+            free_slots={"desk": free} if free else {},
+            leaving_upstreams=tuple(leaving),
+        )
+        return ev.HeartbeatReceived(now=self.now, digest=digest)
+
+    def build_grants(self, plain, options):
+        """Return a grant update: ``u1:slots[:zone[:tier]]`` for each upstream."""
+        self.version = int(options.pop("version", self.version + 1))
+        views = []
+        for entry in plain:
+            upstream_id, slots, *place = entry.split(":")
+            views.append(make_upstream(upstream_id, int(slots), *place))
+        update = GrantUpdate(
+            shard=0,
+            version=(1, self.version),
+            owner=OWNER,
+            holder="a",
+            upstreams=tuple(views),
+            requested_limits={key: int(value) for key, value in options.items()},
+        )
+        return ev.GrantUpdateReceived(now=self.now, update=update)
+
+    def wait(self, seconds):
+        """Let time pass with the timers that fire in it."""
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.now = min(end, self.now + 0.02)
+            for name in ("requests", "shutdown"):
+                self.effects += reduce(self.state, ev.TimerFired(now=self.now, name=name))
+
+
+def build_answer(driver, plain, options):
+    """Return an upstream's response."""
+    return ev.UpstreamAnswered(
+        now=driver.now,
+        ticket=int(plain[0]),
+        upstream_id=plain[1],
+        status=int(options.get("status", 200)),
+        not_run="not-run" in plain,
+        leaving="leaving" in plain,
+    )
+
+
+def build_failure(driver, plain, options):
+    """Return a failed exchange with an upstream."""
+    return ev.UpstreamFailed(
+        now=driver.now,
+        ticket=int(plain[0]),
+        upstream_id=plain[1],
+        sent="unsent" not in plain,
+        timed_out="timeout" in plain,
+        failure=options.get("failure", "reset"),
+    )
+
+
+def build_peer_answer(driver, plain, options):
+    """Return a peer's outcome for a forwarded request."""
+    return ev.PeerAnswered(
+        now=driver.now,
+        ticket=int(plain[0]),
+        peer=plain[1],
+        outcome=ev.PeerOutcome(plain[2]),
+        status=200,
+        reason=options.get("reason", ""),
+        free_slots=int(options.get("free", 0)),
+    )
+
+
+def build_platform_list(driver, plain, options):
+    """Return the platform's list of workers; ``w1:leaving`` marks one as leaving."""
+    workers = tuple(
+        WorkerView(
+            worker_id=entry.split(":")[0],
+            address="",
+            availability_zone="z1",
+            rack="r",
+            capacity=Resources(),
+            leaving=entry.endswith(":leaving"),
+        )
+        for entry in plain
+    )
+    return ev.PlatformListed(now=driver.now, instances=(), workers=workers)
+
+
+EVENTS = {
+    "arrive": lambda d, p, o: ev.RequestArrived(now=d.now, head=make_head(int(p[0]), d.now, **o)),
+    "abandon": lambda d, p, o: ev.RequestAbandoned(now=d.now, ticket=int(p[0])),
+    "claim": lambda d, p, o: ev.ClaimResolved(
+        now=d.now, ticket=int(p[0]), state=ev.ClaimState(p[1])
+    ),
+    "answer": build_answer,
+    "fail": build_failure,
+    "released": lambda d, p, o: ev.UpstreamReleased(now=d.now, ticket=int(p[0]), upstream_id=p[1]),
+    "peer-answer": build_peer_answer,
+    "peer-fail": lambda d, p, o: ev.PeerFailed(
+        now=d.now, ticket=int(p[0]), peer=p[1], sent="unsent" not in p, failure="reset"
+    ),
+    "heartbeat": Driver.build_digest,
+    "grants": Driver.build_grants,
+    "workers": build_platform_list,
+    "shutdown": lambda d, p, o: ev.ShutdownRequested(now=d.now),
+    "timer": lambda d, p, o: ev.TimerFired(now=d.now, name=p[0]),
+    "wait": lambda d, p, o: d.wait(float(p[0])),
+}
+
+
+def describe(effect):
+    """Return an effect as a line, or None for logs, metrics and membership."""
+    if isinstance(effect, fx.DispatchToUpstream):
+        return f"dispatch {effect.ticket} {effect.upstream_id}"
+    if isinstance(effect, fx.ForwardToPeer):
+        return f"forward {effect.ticket} {effect.peer}"
+    if isinstance(effect, fx.ClaimRequest):
+        return f"claim {effect.ticket}"
+    if isinstance(effect, fx.RecordOutcome):
+        return f"record {effect.ticket} {describe_outcome(effect.outcome)}"
+    if isinstance(effect, fx.ReleaseClaim):
+        return f"release {effect.request_id}"
+    if isinstance(effect, fx.AnswerCaller):
+        return f"answer {effect.ticket} {describe_outcome(effect.outcome)}"
+    if isinstance(effect, fx.SendGrantReport):
+        limits = [f"{key}={value}" for key, value in effect.report.limits.items()]
+        return " ".join(["report", *limits])
+    if isinstance(effect, fx.CloseListeners | fx.StopProcess):
+        return type(effect).__name__
+    return None
+
+
+def describe_outcome(outcome):
+    """Return an outcome with its reason."""
+    reason = getattr(outcome, "reason", None)
+    return type(outcome).__name__ + (f" {reason.value}" if reason else "")
+
+
+def read_lines(context):
+    """Return the lines of the step's text."""
+    return [line.strip() for line in context.text.splitlines() if line.strip()]
+
+
+@given('an instance that holds "{grants}"')
+def step_instance(context, grants):
+    context.driver = Driver()
+    # A member that owns the shard, so that reports have an address; it has no free slot.
+    context.driver.see(f"heartbeat {OWNER} zone=z9")
+    context.driver.see(f"grants {grants}")
+
+
+@when("it sees")
+def step_see(context):
+    context.driver.effects = []
+    for line in read_lines(context):
+        context.driver.see(line)
+
+
+@then("it does")
+def step_check(context):
+    seen = [line for line in map(describe, context.driver.effects) if line]
+    expected = read_lines(context)
+    assert seen == expected, "\n".join(["expected", *expected, "but saw", *seen])
+
+
+@then('it does "{expected}" and nothing else')
+def step_check_one(context, expected):
+    seen = [line for line in map(describe, context.driver.effects) if line]
+    assert seen == [expected], f"expected {expected!r} but saw {seen}"
+
+
+@then("it does nothing")
+def step_check_nothing(context):
+    seen = [line for line in map(describe, context.driver.effects) if line]
+    assert not seen, f"expected nothing but saw {seen}"
+
+
+@then("each request has one routing log line with a reason for each decision")
+def step_check_logs(context):
+    logs = [e for e in context.driver.effects if isinstance(e, fx.LogDecision)]
+    assert logs, "no decision was logged"
+    routed = [log.fields for log in logs if log.decision == "route"]
+    for kind, action in ((fx.DispatchToUpstream, "dispatched"), (fx.ForwardToPeer, "forwarded")):
+        expected = [e.ticket for e in context.driver.effects if isinstance(e, kind)]
+        found = [fields["ticket"] for fields in routed if fields["action"] == action]
+        assert found == expected, (action, found, expected)
+    assert all("reason" in fields for fields in routed)
+
+
+@then('its digest shows "{free:d}" free slots and leaving "{leaving}"')
+def step_check_digest(context, free, leaving):
+    from lavenderhook._internal.core.membership import build_digest
+
+    digest = build_digest(context.driver.state)
+    assert digest.free_slots.get("desk", 0) == free, digest
+    assert ",".join(digest.leaving_upstreams) == leaving.replace("none", ""), digest
+
+
+@when("{count:d} more requests arrive")
+def step_more(context, count):
+    context.driver.effects = []
+    for ticket in range(1, count + 1):
+        context.driver.see(f"arrive {ticket}")
+
+
+@when("{count:d} idempotent requests arrive and every exchange gets status 500")
+def step_all_fail(context, count):
+    driver = context.driver
+    driver.effects = []
+    context.count = count
+    for ticket in range(1, count + 1):
+        driver.see(f"arrive {ticket}")
+    answered = 0
+    while answered < len(driver.effects):
+        effect = driver.effects[answered]
+        answered += 1
+        if isinstance(effect, fx.DispatchToUpstream):
+            driver.see(f"answer {effect.ticket} {effect.upstream_id} status=500")
+        if answered == len(driver.effects):
+            driver.wait(0.3)
+
+
+@then("there are at most {limit:d} retries and every request is answered")
+def step_check_retries(context, limit):
+    effects = context.driver.effects
+    dispatches = sum(isinstance(e, fx.DispatchToUpstream) for e in effects)
+    answers = [e.ticket for e in effects if isinstance(e, fx.AnswerCaller)]
+    assert 0 < dispatches - context.count <= limit, dispatches
+    assert sorted(answers) == list(range(1, context.count + 1)), answers
+
+
+@then("request {ticket:d} is dispatched once, recorded and answered as unknown")
+def step_check_once(context, ticket):
+    lines = [line for line in map(describe, context.driver.effects) if line]
+    dispatched = [line for line in lines if line.startswith(f"dispatch {ticket} ")]
+    assert len(dispatched) == 1, lines
+    assert f"record {ticket} Unknown connection-lost" in lines, lines
+    assert f"answer {ticket} Unknown connection-lost" in lines, lines
+
+
+@when('"{upstream_id}" fails {count:d} requests of peers')
+def step_fail_requests(context, upstream_id, count):
+    driver = context.driver
+    failed = 0
+    ticket = 1000
+    while failed < count:
+        ticket += 1
+        driver.see(f"arrive {ticket} from=b")
+        dispatch = [e for e in driver.effects if isinstance(e, fx.DispatchToUpstream)][-1]
+        if dispatch.upstream_id == upstream_id:
+            driver.see(f"fail {ticket} {upstream_id}")
+            failed += 1
+        else:
+            driver.see(f"answer {ticket} {dispatch.upstream_id}")
+
+
+@then('new requests of peers use "{expected}" only')
+def step_check_used(context, expected):
+    driver = context.driver
+    driver.effects = []
+    for ticket in range(2001, 2013):
+        driver.see(f"arrive {ticket} from=b")
+    used = [e for e in driver.effects if isinstance(e, fx.DispatchToUpstream)]
+    assert {e.upstream_id for e in used} == set(expected.split(",")), used
+    for effect in used:
+        driver.see(f"answer {effect.ticket} {effect.upstream_id}")
+
+
+@then('"{upstream_id}" may serve {count:d} request at a time')
+def step_check_limit(context, upstream_id, count):
+    assert context.driver.state.routing.upstreams[upstream_id].limit == count
