--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Test doubles shared by the steps."""
--- /dev/null
+++ b/features/support/cluster.py
@@ -0,0 +1,578 @@
+"""A cell in virtual time: entry instances around `reduce`, one table, workers that obey leases.
+
+Every call to the outside takes effect at a later event of the same queue, so that the steps can
+pause instances, lose answers and hold back calls at any point. The doubles check the invariants
+themselves: after each change of a worker, no task runs twice and no worker is over-committed.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+import msgspec
+
+from lavenderhook._internal.core import effects as fx
+from lavenderhook._internal.core import events as ev
+from lavenderhook._internal.core.identifiers import WorkloadKind
+from lavenderhook._internal.core.records import (
+    AnyRecord,
+    AttemptReport,
+    InstanceView,
+    JobSpec,
+    ShardSnapshot,
+    WorkerView,
+)
+from lavenderhook._internal.core.reducer import reduce
+from lavenderhook._internal.core.resources import ZERO, Resources
+from lavenderhook._internal.core.shard import ShardState
+from lavenderhook._internal.core.state import CoreParameters, InstanceState
+
+LATENCY = 0.005
+RETRY_INTERVAL = 0.5
+TIMERS = {
+    "heartbeat": "heartbeat_interval",
+    "platform-list": "platform_poll_interval",
+    "placement": "commit_interval",
+    "leases": "worker_poll_interval",
+    "recovery": "worker_poll_interval",
+}
+
+
+class InvariantError(AssertionError):
+    """An invariant of the cell was broken."""
+
+
+class Table:
+    """The shard's rows; commits are idempotent by transaction id as the adapter's are."""
+
+    def __init__(self):
+        self.version = 0
+        self.head = None
+        self.rows = {}
+        self.snapshots = {}
+        self.committed = []
+        self.down = False
+        self.lose_answers = 0
+
+    def commit(self, effect):
+        """Apply a transaction; returns the version, or None on a conflict."""
+        if self.head is not None and self.head.transaction_id == effect.transaction_id:
+            return self.version
+        if effect.expected_version != self.version:
+            return None
+        assert self.head is None or effect.head.next_log == self.head.next_log + 1
+        self.version += 1
+        self.head = effect.head
+        encoded = msgspec.msgpack.encode(effect.records)
+        self.rows[effect.head.next_log - 1] = encoded
+        self.committed.extend(effect.records)
+        for number in effect.delete_logs:
+            self.rows.pop(number, None)
+        return self.version
+
+    def read(self):
+        """Return the fields of a `ShardLoaded`."""
+        if self.head is None:
+            return {"head": None, "version": 0, "snapshot": None, "batches": ()}
+        covered = self.head.snapshot_log
+        snapshot = None
+        if covered:
+            snapshot = msgspec.msgpack.decode(self.snapshots[covered], type=ShardSnapshot)
+        decoder = msgspec.msgpack.Decoder(tuple[AnyRecord, ...])
+        numbers = sorted(n for n in self.rows if n > covered)
+        batches = tuple(decoder.decode(self.rows[n]) for n in numbers)
+        return {
+            "head": self.head,
+            "version": self.version,
+            "snapshot": snapshot,
+            "batches": batches,
+        }
+
+
+@dataclasses.dataclass
+class RunningTask:
+    """An attempt on a worker."""
+
+    task_id: str
+    resources: Resources
+    lease_until: float
+    ends_at: float
+    state: str = "running"
+    reason: str = ""
+
+
+class Worker:
+    """A worker that starts whatever it is given, honours leases and remembers stops."""
+
+    def __init__(self, cluster, view):
+        self.cluster = cluster
+        self.view = view
+        self.attempts = {}
+        self.stopped = set()
+        self.reachable = True
+        self.failing = False
+        self.starts = 0
+
+    def start(self, starts):
+        """Start attempts, idempotently by id."""
+        return [self._start(start) for start in starts]
+
+    def _start(self, start):
+        attempt_id = start.attempt_id
+        if attempt_id in self.attempts:
+            return self._report(attempt_id)
+        if attempt_id in self.stopped:
+            return AttemptReport(attempt_id=attempt_id, state="refused", reason="stopped")
+        if self.cluster.now >= start.lease_until:
+            return AttemptReport(attempt_id=attempt_id, state="refused", reason="lease-expired")
+        self.starts += 1
+        run_seconds = float(start.command["run_seconds"])
+        ends_at = self.cluster.now + run_seconds if start.kind != "service" else float("inf")
+        task = RunningTask(start.task_id, start.resources, start.lease_until, ends_at)
+        if self.failing:
+            task.state = "failed"
+        self.attempts[attempt_id] = task
+        self.cluster.check_invariants()
+        return self._report(attempt_id)
+
+    def _report(self, attempt_id):
+        task = self.attempts[attempt_id]
+        address = f"{self.view.worker_id}:{attempt_id}" if task.state == "running" else ""
+        return AttemptReport(
+            attempt_id=attempt_id, state=task.state, reason=task.reason, address=address
+        )
+
+    def renew(self, attempts, lease_until):
+        """Extend leases; returns (renewed, unknown)."""
+        known = [a for a in attempts if self.is_running(a)]
+        for attempt in known:
+            task = self.attempts[attempt]
+            task.lease_until = max(task.lease_until, lease_until)
+        return known, [a for a in attempts if a not in known]
+
+    def is_running(self, attempt_id):
+        """Return whether an attempt runs here."""
+        task = self.attempts.get(attempt_id)
+        return task is not None and task.state == "running"
+
+    def stop(self, attempts):
+        """Stop attempts and refuse their later starts."""
+        reports = []
+        for attempt_id in attempts:
+            self.stopped.add(attempt_id)
+            if self.is_running(attempt_id):
+                self.attempts[attempt_id].state = "stopped"
+            if attempt_id in self.attempts:
+                reports.append(self._report(attempt_id))
+            else:
+                reports.append(AttemptReport(attempt_id=attempt_id, state="stopped"))
+        return reports
+
+    def forget(self, attempts):
+        """Drop ended attempts."""
+        for attempt_id in attempts:
+            if attempt_id in self.attempts and not self.is_running(attempt_id):
+                del self.attempts[attempt_id]
+
+    def list_attempts(self):
+        """Return a report of every attempt."""
+        return [self._report(attempt_id) for attempt_id in self.attempts]
+
+    def advance(self, now):
+        """End tasks whose run time or lease is over."""
+        for task in self.attempts.values():
+            if task.state != "running":
+                continue
+            if now >= task.lease_until:
+                task.state, task.reason = "stopped", "lease-expired"
+            elif now >= task.ends_at:
+                task.state = "done"
+
+
+class Node:
+    """An entry instance around the reducer."""
+
+    def __init__(self, cluster, name, generation=1, parameters=None):
+        self.cluster = cluster
+        self.name = name
+        self.paused = False
+        self.dead = False
+        self.connected = True
+        self.inbox = []
+        self.held = []
+        self.hold = ()
+        self.state = InstanceState(
+            name=name,
+            incarnation=f"{name}-{generation}",
+            availability_zone="zone-a",
+            address=f"{name}:1",
+            parameters=parameters or CoreParameters(),
+            generator=random.Random(7),
+        )
+        self.state.configuration.source_known = True
+
+    def deliver(self, event_type, **fields):
+        """Hand an event to the reducer, now or when the pause ends."""
+        if self.dead:
+            return
+        if self.paused:
+            self.inbox.append((event_type, fields))
+            return
+        event = event_type(now=self.cluster.now, **fields)
+        for effect in reduce(self.state, event):
+            if isinstance(effect, self.hold):
+                self.held.append(effect)
+            else:
+                self.cluster.carry_out(self, effect)
+
+    def resume(self):
+        """Deliver what arrived during the pause."""
+        self.paused = False
+        inbox, self.inbox = self.inbox, []
+        for event_type, fields in inbox:
+            self.deliver(event_type, **fields)
+
+    def release(self):
+        """Carry out the effects that were held back, as a process does after a pause."""
+        self.hold = ()
+        held, self.held = self.held, []
+        for effect in held:
+            self.cluster.carry_out(self, effect)
+
+    def get_ownership(self):
+        """Return the instance's view of shard 0."""
+        return self.state.placement.get(0)
+
+
+class Cluster:
+    """The cell."""
+
+    def __init__(self, **parameters):
+        self.now = 1000.0
+        self.queue = []
+        self.order = itertools.count()
+        self.tickets = itertools.count(1)
+        self.table = Table()
+        self.nodes = {}
+        self.workers = {}
+        self.gone_workers = {}
+        self.listed_nodes = {}
+        self.answers = {}
+        self.log = []
+        self.parameters = CoreParameters(**parameters)
+
+    # Time
+
+    def schedule(self, delay, call):
+        """Call something after `delay` seconds."""
+        heapq.heappush(self.queue, (self.now + delay, next(self.order), call))
+
+    def run(self, seconds):
+        """Advance the time."""
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, call = heapq.heappop(self.queue)
+            self._advance_workers()
+            call()
+        self.now = end
+        self._advance_workers()
+
+    def run_until(self, condition, seconds=60.0):
+        """Advance the time until a condition holds; fails after `seconds`."""
+        end = self.now + seconds
+        while not condition():
+            if self.now >= end:
+                raise AssertionError("the condition did not become true in time")
+            self.run(0.05)
+
+    def _advance_workers(self):
+        for worker in self.workers.values():
+            worker.advance(self.now)
+
+    # Set-up
+
+    def add_worker(self, name, processors=4000, memory_mb=8192, rack="rack-1", **labels):
+        """Add a worker to the platform."""
+        view = WorkerView(
+            worker_id=name,
+            address=f"{name}:1",
+            availability_zone="zone-a",
+            rack=rack,
+            capacity=Resources(processors, memory_mb),
+            labels=labels,
+        )
+        self.workers[name] = Worker(self, view)
+        return self.workers[name]
+
+    def remove_worker(self, name):
+        """Remove a worker: it stops existing, and the platform's list shows it gone."""
+        del self.workers[name]
+
+    def add_node(self, name, generation=1):
+        """Start an entry instance."""
+        node = Node(self, name, generation, self.parameters)
+        self.nodes[name] = node
+        self.listed_nodes[name] = node
+        for offset, (timer, attribute) in enumerate(TIMERS.items()):
+            interval = getattr(self.parameters, attribute)
+            self.schedule(0.001 * (offset + 1), lambda t=timer, i=interval: self._tick(node, t, i))
+        return node
+
+    def _tick(self, node, timer, interval):
+        if node.dead:
+            return
+        if not node.paused:
+            node.deliver(ev.TimerFired, name=timer)
+        self.schedule(interval, lambda: self._tick(node, timer, interval))
+
+    def kill(self, name, *, listed=False):
+        """End a process; `listed` keeps it on the platform's list."""
+        self.nodes[name].dead = True
+        if not listed:
+            del self.listed_nodes[name]
+
+    def find_owner(self):
+        """Return the node that the head row names and that knows it, or None."""
+        for node in self.nodes.values():
+            head = self.table.head
+            owns = head is not None and head.owner == node.state.incarnation
+            if owns and not node.dead and node.get_ownership().is_owned():
+                return node
+        return None
+
+    def fold(self):
+        """Return the state that the committed records make."""
+        state = ShardState(0)
+        state.apply_all(self.table.committed)
+        return state
+
+    # Operations
+
+    def submit(self, node, job_id, **fields):
+        """Submit a job and return the ticket."""
+        ticket = next(self.tickets)
+        values = {
+            "kind": WorkloadKind.BATCH,
+            "name": "proofs",
+            "caller": "engraver",
+            "team": "printing",
+            "labels": {},
+            "resources": Resources(1000, 512),
+            "count": 1,
+            "run_seconds": 30.0,
+            **fields,
+        }
+        node.deliver(ev.JobSubmitted, ticket=ticket, job=JobSpec(job_id=job_id, **values))
+        return ticket
+
+    def cancel(self, node, job_id, team="printing"):
+        """Cancel a job and return the ticket."""
+        ticket = next(self.tickets)
+        node.deliver(
+            ev.JobCancelRequested, ticket=ticket, job_id=job_id, caller="engraver", team=team
+        )
+        return ticket
+
+    def query(self, node, kind, key="", team=None):
+        """Ask for a view and return its answer."""
+        ticket = next(self.tickets)
+        node.deliver(
+            ev.QueryReceived,
+            ticket=ticket,
+            kind=ev.QueryKind(kind),
+            key=key,
+            caller="engraver",
+            team=team,
+        )
+        return self.answers[ticket]
+
+    # Effects
+
+    def carry_out(self, node, effect):
+        """Carry out an effect as the adapters do."""
+        handler = _EFFECTS.get(type(effect))
+        if handler is not None:
+            handler(self, node, effect)
+        elif hasattr(effect, "ticket"):
+            self.answers[effect.ticket] = effect
+        elif isinstance(effect, fx.LogDecision):
+            self.log.append((self.now, node.name, effect.decision, effect.fields))
+
+    def _send_heartbeat(self, node, effect):
+        for peer in self.nodes.values():
+            reachable = peer is not node and peer.connected and node.connected
+            if peer.state.address in effect.addresses and reachable:
+                self.schedule(LATENCY, lambda p=peer: self._beat(p, effect))
+
+    def _beat(self, peer, effect):
+        if not peer.paused:
+            peer.deliver(ev.HeartbeatReceived, digest=effect.digest, members=effect.members)
+
+    def _list_platform(self, node, effect):
+        instances = tuple(
+            InstanceView(
+                name=n.name,
+                incarnation=n.state.incarnation,
+                address=n.state.address,
+                availability_zone="zone-a",
+            )
+            for n in self.listed_nodes.values()
+        )
+        workers = tuple(worker.view for worker in self.workers.values())
+        node.deliver(ev.PlatformListed, instances=instances, workers=workers)
+
+    def _load_shard(self, node, effect):
+        def answer():
+            if self.table.down:
+                node.deliver(ev.ShardLoadFailed, shard=effect.shard)
+            else:
+                node.deliver(ev.ShardLoaded, shard=effect.shard, **self.table.read())
+
+        self.schedule(LATENCY, answer)
+
+    def _commit_shard(self, node, effect):
+        self.schedule(LATENCY, lambda: self._try_commit(node, effect))
+
+    def _try_commit(self, node, effect):
+        if node.dead:
+            return
+        fields = {"shard": effect.shard, "transaction_id": effect.transaction_id}
+        if self.table.down or node.paused:
+            node.deliver(ev.CommitDelayed, **fields)
+            self.schedule(RETRY_INTERVAL, lambda: self._try_commit(node, effect))
+            return
+        version = self.table.commit(effect)
+        if version is not None and self.table.lose_answers > 0:
+            self.table.lose_answers -= 1
+            node.deliver(ev.CommitDelayed, **fields)
+            self.schedule(RETRY_INTERVAL, lambda: self._try_commit(node, effect))
+        elif version is None:
+            node.deliver(ev.CommitConflicted, **fields)
+        else:
+            node.deliver(ev.CommitSucceeded, version=version, **fields)
+
+    def _store_snapshot(self, node, effect):
+        snapshot = effect.snapshot
+        self.table.snapshots[snapshot.log_number] = msgspec.msgpack.encode(snapshot)
+        node.deliver(ev.SnapshotStored, shard=snapshot.shard, log_number=snapshot.log_number)
+
+    def _call_worker(self, node, effect, operation, attempts, call):
+        """Call a worker and deliver its answer; an unreachable one fails after a while."""
+
+        def answer():
+            worker = self.workers.get(effect.worker_id)
+            if worker is None or not worker.reachable:
+                self.schedule(
+                    0.5,
+                    lambda: node.deliver(
+                        ev.WorkerUnreachable,
+                        worker_id=effect.worker_id,
+                        attempts=attempts,
+                        operation=operation,
+                    ),
+                )
+            else:
+                call(worker)
+
+        self.schedule(LATENCY, answer)
+
+    def _report(self, node, effect, reports, *, complete, requested_at):
+        node.deliver(
+            ev.AttemptsReported,
+            worker_id=effect.worker_id,
+            reports=tuple(reports),
+            complete=complete,
+            requested_at=requested_at,
+        )
+
+    def _start_tasks(self, node, effect):
+        sent_at = self.now
+        ids = tuple(start.attempt_id for start in effect.starts)
+
+        def call(worker):
+            reports = worker.start(effect.starts)
+            self._report(node, effect, reports, complete=False, requested_at=sent_at)
+
+        self._call_worker(node, effect, "start", ids, call)
+
+    def _stop_tasks(self, node, effect):
+        sent_at = self.now
+
+        def call(worker):
+            reports = worker.stop(effect.attempts)
+            self._report(node, effect, reports, complete=False, requested_at=sent_at)
+
+        self._call_worker(node, effect, "stop", effect.attempts, call)
+
+    def _poll_worker(self, node, effect):
+        sent_at = self.now
+
+        def call(worker):
+            reports = worker.list_attempts()
+            self._report(node, effect, reports, complete=True, requested_at=sent_at)
+
+        self._call_worker(node, effect, "poll", (), call)
+
+    def _renew_leases(self, node, effect):
+        def call(worker):
+            renewed, unknown = worker.renew(effect.attempts, effect.lease_until)
+            node.deliver(
+                ev.LeasesRenewed,
+                worker_id=effect.worker_id,
+                attempts=tuple(renewed),
+                unknown=tuple(unknown),
+            )
+
+        self._call_worker(node, effect, "renew", effect.attempts, call)
+
+    def _forget_tasks(self, node, effect):
+        self._call_worker(
+            node, effect, "forget", effect.attempts, lambda w: w.forget(effect.attempts)
+        )
+
+    # Invariants
+
+    def list_running(self):
+        """Return (worker, attempt id, task) of everything that runs."""
+        return [
+            (worker, attempt_id, task)
+            for worker in self.workers.values()
+            for attempt_id, task in worker.attempts.items()
+            if task.state == "running"
+        ]
+
+    def count_running(self, job_id):
+        """Return how many tasks of a job run."""
+        prefix = f"{job_id}."
+        return sum(1 for _, _, task in self.list_running() if task.task_id.startswith(prefix))
+
+    def check_invariants(self):
+        """Check G1 and G2 on the workers themselves."""
+        seen = {}
+        for worker, attempt_id, task in self.list_running():
+            if task.task_id in seen:
+                raise InvariantError(
+                    f"task {task.task_id} runs as {seen[task.task_id]} and {attempt_id}"
+                )
+            seen[task.task_id] = attempt_id
+            del worker
+        for worker in self.workers.values():
+            running = [t.resources for t in worker.attempts.values() if t.state == "running"]
+            used = sum(running, start=ZERO)
+            if not used.fits(worker.view.capacity):
+                raise InvariantError(f"{worker.view.worker_id} runs {used}")
+
+
+_EFFECTS = {
+    fx.SendHeartbeat: Cluster._send_heartbeat,
+    fx.ListPlatform: Cluster._list_platform,
+    fx.LoadShard: Cluster._load_shard,
+    fx.CommitShard: Cluster._commit_shard,
+    fx.StoreSnapshot: Cluster._store_snapshot,
+    fx.StartTasks: Cluster._start_tasks,
+    fx.StopTasks: Cluster._stop_tasks,
+    fx.PollWorker: Cluster._poll_worker,
+    fx.RenewLeases: Cluster._renew_leases,
+    fx.ForgetTasks: Cluster._forget_tasks,
+}
--- /dev/null
+++ b/src/lavenderhook/_internal/core/attempts.py
@@ -0,0 +1,519 @@
+"""Attempts on workers: starts, leases, stops, reports, and when an attempt is dead.
+
+An attempt is dead, and its resources are free, only if (a) its worker confirmed that it ended,
+(b) the platform shows the worker gone, or (c) every lease that anybody granted has provably
+lapsed. Nothing else frees resources.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from .effects import (
+    Effect,
+    ForgetTasks,
+    LogDecision,
+    PollWorker,
+    RenewLeases,
+    StartTasks,
+    StopTasks,
+    TaskStart,
+    ThrottleTasks,
+)
+from .events import AttemptsReported, LeasesRenewed, TimerFired, WorkerUnreachable
+from .identifiers import AttemptId, TaskState, WorkerId, WorkloadKind
+from .ownership import AttemptControl, Ownership, WorkerControl, append_records, get_plan
+from .records import (
+    AttemptEnded,
+    AttemptReport,
+    AttemptStarted,
+    AttemptStopping,
+    WorkerView,
+)
+from .shard import START_NOT_SENT, Attempt, find_worker_shard
+
+if TYPE_CHECKING:
+    from .state import InstanceState
+
+LEASE_TIMER = "leases"
+TIMERS: dict[str, str] = {LEASE_TIMER: "worker_poll_interval"}
+
+# Reason with which a worker reports that it stopped or refused an attempt for its lease.
+LEASE_EXPIRED = "lease-expired"
+# A start that would arrive with less time left than this is not sent.
+MIN_START_TIME = 0.2  # seconds
+# A running attempt with less lease left than this is renewed without waiting for the timer.
+URGENT_RENEWAL = 2.0  # seconds
+
+End = tuple[TaskState, str, bool]
+
+
+def get_worker_control(ownership: Ownership, worker_id: WorkerId) -> WorkerControl:
+    """Return what is known about the reachability of a worker."""
+    return ownership.workers.setdefault(worker_id, WorkerControl())
+
+
+def find_ownership(state: InstanceState, worker_id: WorkerId) -> Ownership | None:
+    """Return the owned shard to which a worker belongs, or None."""
+    view = state.membership.workers.get(worker_id)
+    for ownership in state.placement.list_owned():
+        if worker_id in ownership.get_state().attempts_by_worker:
+            return ownership
+        if view is not None:
+            shard = find_worker_shard(view, state.parameters.shards)
+            if shard == ownership.shard:
+                return ownership
+    return None
+
+
+def _group_by_worker(
+    state: InstanceState, attempts: Iterable[Attempt]
+) -> list[tuple[WorkerView, list[Attempt]]]:
+    """Return the attempts by worker; those on workers that are not listed are left out."""
+    grouped: dict[WorkerId, list[Attempt]] = {}
+    for attempt in attempts:
+        grouped.setdefault(attempt.worker_id, []).append(attempt)
+    workers = state.membership.workers
+    return [(workers[w], found) for w, found in grouped.items() if w in workers]
+
+
+def _get_ids(attempts: Iterable[Attempt]) -> tuple[AttemptId, ...]:
+    return tuple(attempt.attempt_id for attempt in attempts)
+
+
+# Starts
+
+
+def complete_placed(
+    state: InstanceState, ownership: Ownership, placed: Iterable[AttemptId]
+) -> list[Effect]:
+    """Start the attempts whose placement was just committed.
+
+    A placement that was overtaken by a cancellation, or whose start window passed while the store
+    was slow, is ended without a start.
+    """
+    starting: list[Attempt] = []
+    for attempt_id in placed:
+        attempt = ownership.get_state().attempts.get(attempt_id)
+        if attempt is None:
+            continue
+        has_time = state.now < attempt.lease_until - MIN_START_TIME
+        if attempt.state is TaskState.PLACED and has_time:
+            starting.append(attempt)
+            continue
+        ended = TaskState.PENDING if attempt.requeue else TaskState.CANCELLED
+        end_attempt(state, ownership, attempt, (ended, START_NOT_SENT, False), urgent=True)
+    return send_starts(state, ownership, starting)
+
+
+def send_starts(
+    state: InstanceState, ownership: Ownership, attempts: Iterable[Attempt]
+) -> list[Effect]:
+    """Send the starts of placed attempts, one call per worker."""
+    effects: list[Effect] = []
+    for worker, found in _group_by_worker(state, attempts):
+        starts = []
+        for attempt in found:
+            control = ownership.controls[attempt.attempt_id]
+            control.starts_sent += 1
+            control.start_sent_at = state.now
+            starts.append(_build_start(ownership, attempt))
+        effects.append(
+            StartTasks(worker_id=worker.worker_id, address=worker.address, starts=tuple(starts))
+        )
+    return effects
+
+
+def _build_start(ownership: Ownership, attempt: Attempt) -> TaskStart:
+    spec = ownership.get_state().jobs[attempt.job_id].spec
+    command: dict[str, object] = {
+        "name": spec.name,
+        "run_seconds": spec.run_seconds,
+        "slots": attempt.slots,
+        "connections": attempt.connections,
+        "parameters": dict(spec.parameters),
+    }
+    return TaskStart(
+        attempt_id=attempt.attempt_id,
+        task_id=attempt.task_id,
+        job_id=attempt.job_id,
+        kind=spec.kind.value,
+        resources=attempt.resources,
+        lease_until=attempt.lease_until,
+        command=command,
+    )
+
+
+# Leases
+
+
+def handle_timer(state: InstanceState, event: TimerFired) -> list[Effect]:
+    """Renew leases that are due and poll the workers that have attempts."""
+    if event.name != LEASE_TIMER:
+        return []
+    effects: list[Effect] = []
+    for ownership in state.placement.list_owned():
+        for worker_id in ownership.get_state().attempts_by_worker:
+            worker = state.membership.workers.get(worker_id)
+            if worker is None:
+                continue
+            if get_worker_control(ownership, worker_id).renew_due <= state.now:
+                effects.extend(renew_leases(state, ownership, worker))
+            effects.append(PollWorker(worker_id=worker_id, address=worker.address))
+    return effects
+
+
+def renew_leases(state: InstanceState, ownership: Ownership, worker: WorkerView) -> list[Effect]:
+    """Renew the leases of all attempts on a worker that run and are to go on.
+
+    An attempt whose stop is decided but not committed is still renewed: in a store outage the
+    decision may never take effect.
+    """
+    control = get_worker_control(ownership, worker.worker_id)
+    control.renew_due = state.now + state.parameters.renew_interval
+    lease_until = state.now + state.parameters.lease_duration
+    renewed: list[AttemptId] = []
+    for attempt_id in ownership.get_state().attempts_by_worker.get(worker.worker_id, {}):
+        attempt_control = ownership.controls[attempt_id]
+        if attempt_control.confirmed_at is None or attempt_control.stop_committed:
+            continue
+        if attempt_control.end is not None:
+            continue
+        attempt_control.granted_until = max(attempt_control.granted_until, lease_until)
+        renewed.append(attempt_id)
+    if not renewed:
+        return []
+    return [
+        RenewLeases(
+            worker_id=worker.worker_id,
+            address=worker.address,
+            attempts=tuple(renewed),
+            lease_until=lease_until,
+        )
+    ]
+
+
+def handle_renewed(state: InstanceState, event: LeasesRenewed) -> list[Effect]:
+    """Take in which attempts a worker still runs; what it does not know is stopped for good."""
+    ownership = find_ownership(state, event.worker_id)
+    if ownership is None:
+        return []
+    get_worker_control(ownership, event.worker_id).unreachable_since = None
+    for attempt_id in event.attempts:
+        _note_proven(state, ownership, attempt_id)
+    for attempt_id in event.unknown:
+        attempt = ownership.get_state().attempts.get(attempt_id)
+        if attempt is not None and attempt.state is TaskState.RUNNING:
+            request_stop(state, ownership, attempt, requeue=True)
+    return []
+
+
+def _note_proven(state: InstanceState, ownership: Ownership, attempt_id: AttemptId) -> None:
+    """Report a start as a success once the attempt has outlived its first lease.
+
+    A worker on which everything fails right after the start would otherwise look healthy.
+    """
+    control = ownership.controls.get(attempt_id)
+    if control is None or control.proven:
+        return
+    control.proven = True
+    attempt = ownership.get_state().attempts[attempt_id]
+    ownership.get_scheduler().report_start(attempt.worker_id, attempt.job_id, True, state.now)
+
+
+# Stops
+
+
+def request_stop(
+    state: InstanceState, ownership: Ownership, attempt: Attempt, *, requeue: bool
+) -> None:
+    """Decide that an attempt must stop; the stop is sent once that is committed."""
+    record = AttemptStopping(at=state.now, attempt_id=attempt.attempt_id, requeue=requeue)
+    append_records(state, ownership, [record])
+
+
+def send_stops(
+    state: InstanceState, ownership: Ownership, stopping: Iterable[AttemptId]
+) -> list[Effect]:
+    """Send the stops of attempts whose stop is committed, one call per worker."""
+    effects: list[Effect] = []
+    attempts = ownership.get_state().attempts
+    found = [attempts[a] for a in stopping if a in attempts]
+    for attempt in found:
+        control = ownership.controls[attempt.attempt_id]
+        control.stop_committed = True
+        control.stop_sent_at = state.now
+    for worker, on_worker in _group_by_worker(state, found):
+        for checkpoint in (False, True):
+            chosen = [a for a in on_worker if _is_checkpointed(ownership, a) is checkpoint]
+            if chosen:
+                stop = StopTasks(
+                    worker_id=worker.worker_id,
+                    address=worker.address,
+                    attempts=_get_ids(chosen),
+                    checkpoint=checkpoint,
+                )
+                effects.append(stop)
+    return effects
+
+
+def _is_checkpointed(ownership: Ownership, attempt: Attempt) -> bool:
+    spec = ownership.get_state().jobs[attempt.job_id].spec
+    return attempt.requeue and spec.kind is not WorkloadKind.SERVICE
+
+
+def forget_ended(
+    state: InstanceState, ownership: Ownership, ended: Iterable[Attempt]
+) -> list[Effect]:
+    """Let the workers drop attempts whose end is committed."""
+    effects: list[Effect] = []
+    for worker, found in _group_by_worker(state, ended):
+        ids = _get_ids(found)
+        effects.append(
+            ForgetTasks(worker_id=worker.worker_id, address=worker.address, attempts=ids)
+        )
+    for attempt in ended:
+        ownership.recording.discard(attempt.attempt_id)
+    return effects
+
+
+# Reports
+
+
+def handle_reports(state: InstanceState, event: AttemptsReported) -> list[Effect]:
+    """Take in what a worker says about its attempts."""
+    ownership = find_ownership(state, event.worker_id)
+    if ownership is None:
+        return []
+    get_worker_control(ownership, event.worker_id).unreachable_since = None
+    effects: list[Effect] = []
+    unknown: list[AttemptReport] = []
+    for report in event.reports:
+        attempt = ownership.get_state().attempts.get(report.attempt_id)
+        if attempt is None or attempt.worker_id != event.worker_id:
+            unknown.append(report)
+        elif report.state == "running":
+            effects.extend(_take_running(state, ownership, attempt, report))
+        else:
+            _take_end(state, ownership, attempt, report)
+    effects.extend(_settle_unknown(state, ownership, event.worker_id, unknown))
+    if event.complete:
+        _take_missing(state, ownership, event)
+    return effects
+
+
+def _take_running(
+    state: InstanceState, ownership: Ownership, attempt: Attempt, report: AttemptReport
+) -> list[Effect]:
+    control = ownership.controls[attempt.attempt_id]
+    effects: list[Effect] = []
+    if attempt.state is TaskState.PLACED:
+        control.confirmed_at = state.now
+        record = AttemptStarted(at=state.now, attempt_id=attempt.attempt_id, address=report.address)
+        append_records(state, ownership, [record], urgent=False)
+        get_worker_control(ownership, attempt.worker_id).renew_due = state.now
+    worker = state.membership.workers.get(attempt.worker_id)
+    if worker is None or attempt.state is not TaskState.RUNNING:
+        return effects
+    if control.granted_until - state.now < URGENT_RENEWAL:
+        effects.extend(renew_leases(state, ownership, worker))
+    effects.extend(_check_usage(state, ownership, attempt, report, worker))
+    return effects
+
+
+def _check_usage(
+    state: InstanceState,
+    ownership: Ownership,
+    attempt: Attempt,
+    report: AttemptReport,
+    worker: WorkerView,
+) -> list[Effect]:
+    """Hold a task to its declaration: processors are throttled, memory leads to a stop."""
+    used = report.used
+    control = ownership.controls[attempt.attempt_id]
+    if used is None:
+        return []
+    if used.memory_mb > attempt.resources.memory_mb and not control.over_memory:
+        control.over_memory = True
+        request_stop(state, ownership, attempt, requeue=True)
+        return [_log_attempt("task-over-memory", attempt, str(used.memory_mb))]
+    if used.processors > attempt.resources.processors and not control.throttled:
+        control.throttled = True
+        ids = (attempt.attempt_id,)
+        return [
+            ThrottleTasks(worker_id=worker.worker_id, address=worker.address, attempts=ids),
+            _log_attempt("task-throttled", attempt, str(used.processors)),
+        ]
+    return []
+
+
+def _log_attempt(decision: str, attempt: Attempt, detail: str) -> LogDecision:
+    fields: dict[str, object] = {
+        "attempt": attempt.attempt_id,
+        "worker": attempt.worker_id,
+        "detail": detail,
+    }
+    return LogDecision(decision=decision, fields=fields)
+
+
+def _take_end(
+    state: InstanceState, ownership: Ownership, attempt: Attempt, report: AttemptReport
+) -> None:
+    control = ownership.controls[attempt.attempt_id]
+    if report.state == "refused" and control.confirmed_at is not None:
+        return  # the answer to a repeated start; the first one was carried out
+    if report.state == "refused" and report.reason != LEASE_EXPIRED and control.starts_sent > 1:
+        # An earlier start may still arrive and be accepted; only a remembered stop rules it out.
+        if attempt.state is not TaskState.STOPPING:
+            request_stop(state, ownership, attempt, requeue=True)
+        return
+    end = _judge_end(state, ownership, attempt, report)
+    if _may_late_start_arrive(state, attempt, control, report):
+        control.end = end
+        ownership.transitional.add(attempt.attempt_id)
+        return
+    _report_outcome(state, ownership, attempt, report)
+    end_attempt(state, ownership, attempt, end)
+
+
+def _may_late_start_arrive(
+    state: InstanceState, attempt: Attempt, control: AttemptControl, report: AttemptReport
+) -> bool:
+    """Return whether a former owner's start may reach the worker after this report.
+
+    The worker refuses it, since it remembers the stop; should it have forgotten, it refuses it
+    once the lease in the start has passed.
+    """
+    if control.own or report.state in ("done", "failed"):
+        return False
+    return state.now <= attempt.lease_until + state.parameters.max_clock_skew
+
+
+def _judge_end(
+    state: InstanceState, ownership: Ownership, attempt: Attempt, report: AttemptReport
+) -> End:
+    """Return the state of the task after an attempt's end, its reason, and if it is a failure."""
+    job = ownership.get_state().jobs[attempt.job_id]
+    is_service = job.spec.kind is WorkloadKind.SERVICE
+    reason = report.reason or report.state
+    if report.state == "done" and not is_service:
+        return TaskState.DONE, reason, False
+    if attempt.state is TaskState.STOPPING:
+        over_memory = ownership.controls[attempt.attempt_id].over_memory
+        if not attempt.requeue:
+            return TaskState.CANCELLED, reason, False
+        if not over_memory:
+            return TaskState.PENDING, reason, False
+        reason = "memory-exceeded"
+    if report.reason == LEASE_EXPIRED:
+        return TaskState.PENDING, reason, False
+    failures = ownership.get_state().tasks[attempt.task_id].failures + 1
+    plan = get_plan(state, ownership, job)
+    if failures >= plan.policy.max_attempts and not is_service:
+        return TaskState.FAILED, reason, True
+    return TaskState.PENDING, reason, True
+
+
+def _report_outcome(
+    state: InstanceState, ownership: Ownership, attempt: Attempt, report: AttemptReport
+) -> None:
+    """Tell the scheduler what the attempt says about its worker."""
+    if report.reason == LEASE_EXPIRED or attempt.state is TaskState.STOPPING:
+        return
+    succeeded = report.state == "done"
+    ownership.get_scheduler().report_start(attempt.worker_id, attempt.job_id, succeeded, state.now)
+
+
+def end_attempt(
+    state: InstanceState,
+    ownership: Ownership,
+    attempt: Attempt,
+    end: End,
+    *,
+    urgent: bool = False,
+) -> None:
+    """Record the end of an attempt that is provably dead."""
+    ended, reason, count_as_failure = end
+    record = AttemptEnded(
+        at=state.now,
+        attempt_id=attempt.attempt_id,
+        state=ended,
+        reason=reason,
+        count_as_failure=count_as_failure,
+    )
+    append_records(state, ownership, [record], urgent=urgent)
+
+
+def _settle_unknown(
+    state: InstanceState,
+    ownership: Ownership,
+    worker_id: WorkerId,
+    reports: list[AttemptReport],
+) -> list[Effect]:
+    """Stop or forget attempts that have ended for this shard.
+
+    Attempts of a later epoch belong to an owner of which this instance does not know yet, and are
+    left alone, like those whose end is not committed.
+    """
+    worker = state.membership.workers.get(worker_id)
+    if worker is None:
+        return []
+    epoch = ownership.get_state().epoch
+    known = [
+        r
+        for r in reports
+        if r.attempt_id not in ownership.recording and _parse_epoch(r.attempt_id) <= epoch
+    ]
+    running = tuple(r.attempt_id for r in known if r.state == "running")
+    ended = tuple(r.attempt_id for r in known if r.state in ("done", "failed"))
+    effects: list[Effect] = []
+    if running:
+        effects.append(StopTasks(worker_id=worker_id, address=worker.address, attempts=running))
+    if ended:
+        effects.append(ForgetTasks(worker_id=worker_id, address=worker.address, attempts=ended))
+    return effects
+
+
+def _parse_epoch(attempt_id: AttemptId) -> float:
+    """Return the epoch in an attempt id; ids of another form belong to nobody we know."""
+    parts = attempt_id.rsplit(".", 2)
+    if len(parts) != 3 or not parts[1].isdecimal():
+        return float("inf")
+    return int(parts[1])
+
+
+def _take_missing(state: InstanceState, ownership: Ownership, event: AttemptsReported) -> None:
+    """Stop the attempts that a worker should know and does not.
+
+    The stop makes the worker refuse a start that is still on its way; only its confirmation ends
+    the attempt.
+    """
+    reported = {report.attempt_id for report in event.reports}
+    on_worker = ownership.get_state().attempts_by_worker.get(event.worker_id, {})
+    for attempt in [a for a in on_worker.values() if a.attempt_id not in reported]:
+        control = ownership.controls[attempt.attempt_id]
+        if attempt.state is TaskState.RUNNING:
+            seen = control.confirmed_at is not None and control.confirmed_at < event.requested_at
+            if seen:
+                request_stop(state, ownership, attempt, requeue=True)
+        elif attempt.state is TaskState.PLACED and not control.own:
+            request_stop(state, ownership, attempt, requeue=True)
+
+
+def handle_unreachable(state: InstanceState, event: WorkerUnreachable) -> list[Effect]:
+    """Note since when a worker does not answer."""
+    ownership = find_ownership(state, event.worker_id)
+    if ownership is not None:
+        control = get_worker_control(ownership, event.worker_id)
+        if control.unreachable_since is None:
+            control.unreachable_since = state.now
+    return []
+
+
+HANDLERS = {
+    TimerFired: handle_timer,
+    AttemptsReported: handle_reports,
+    LeasesRenewed: handle_renewed,
+    WorkerUnreachable: handle_unreachable,
+}
--- a/src/lavenderhook/_internal/core/digest.py
+++ b/src/lavenderhook/_internal/core/digest.py
@@ -13,4 +13,5 @@
     return {
         "ready": state.configuration.is_ready(),
         "configuration_version": state.configuration.version,
+        "shards": state.placement.collect_epochs(),
     }
--- /dev/null
+++ b/src/lavenderhook/_internal/core/ownership.py
@@ -0,0 +1,372 @@
+"""What an instance keeps for each shard beside the shard's own state.
+
+A decision is applied to the state and reserved in the scheduler at once, and waits in a group for
+the next commit. Everything that the decision causes outside (starts, stops, answers) is kept with
+its group and happens only after the commit has succeeded. A conflict drops the whole ownership.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .declarations import Policy
+from .effects import Effect
+from .identifiers import (
+    AttemptId,
+    IncarnationId,
+    JobId,
+    ShardId,
+    TaskState,
+    TransactionId,
+    WorkerId,
+    WorkloadKind,
+)
+from .labels import LabelSelector
+from .records import AnyRecord, ShardHead, ShardSnapshot, WorkerView
+from .scheduler import PendingTask, SchedulableWorker, Scheduler
+from .shard import ENDED_STATES, Attempt, Job, ShardState, Task, Transition
+
+if TYPE_CHECKING:
+    from .state import InstanceState
+
+
+class OwnershipPhase(enum.Enum):
+    """What an instance does about a shard."""
+
+    IDLE = "idle"
+    LOADING = "loading"
+    TAKING = "taking"
+    OWNED = "owned"
+    RELEASING = "releasing"
+
+
+@dataclasses.dataclass(slots=True)
+class Group:
+    """Records that must be committed together, and what follows their commit.
+
+    Parameters
+    ----------
+    urgent : bool
+        Whether somebody waits for the commit; other groups may wait for company.
+    appended_at : float
+        Time in seconds.
+    size : int
+        Encoded size of the records in bytes.
+    answers : list of Effect
+        Answers to callers.
+    placed, stopping : list of AttemptId
+        Attempts that are to be started and stopped.
+    ended : list of Attempt
+        Attempts that their workers may forget.
+    jobs : list of JobId
+        Jobs that this group accepts or cancels.
+    """
+
+    records: tuple[AnyRecord, ...]
+    urgent: bool
+    appended_at: float
+    size: int
+    answers: list[Effect] = dataclasses.field(default_factory=list)
+    placed: list[AttemptId] = dataclasses.field(default_factory=list)
+    stopping: list[AttemptId] = dataclasses.field(default_factory=list)
+    ended: list[Attempt] = dataclasses.field(default_factory=list)
+    jobs: list[JobId] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Batch:
+    """The transaction in flight."""
+
+    transaction_id: TransactionId
+    head: ShardHead
+    groups: list[Group]
+    snapshot: ShardSnapshot | None = None
+    delayed: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptControl:
+    """What this owner knows and did about a live attempt.
+
+    Parameters
+    ----------
+    own : bool
+        Whether this owner placed it in this epoch, so that it knows every lease granted.
+    granted_until : float
+        Latest lease that this owner granted or the record names, in seconds.
+    stop_committed : bool
+        Whether the decision to stop is durable, so that stops may be sent.
+    end : tuple of (TaskState, str, bool) or None
+        An end that the worker confirmed but that may not be recorded yet.
+    drain_since : float or None
+        When its upstream was marked leaving.
+    """
+
+    own: bool
+    granted_until: float
+    starts_sent: int = 0
+    start_sent_at: float = 0.0
+    confirmed_at: float | None = None
+    proven: bool = False
+    throttled: bool = False
+    over_memory: bool = False
+    stop_committed: bool = False
+    stop_sent_at: float = 0.0
+    end: tuple[TaskState, str, bool] | None = None
+    drain_since: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerControl:
+    """What this owner knows about the reachability of a worker."""
+
+    unreachable_since: float | None = None
+    renew_due: float = 0.0
+    polled_at: float = 0.0
+
+
+class JobPlan(msgspec.Struct, frozen=True):
+    """What the configuration says about a job's placement."""
+
+    policy: Policy
+    eligible: tuple[LabelSelector, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Ownership:
+    """One shard as seen by this instance.
+
+    Parameters
+    ----------
+    version : int
+        Row version of the head.
+    open_jobs : dict of JobId to Group
+        Groups that accept or cancel a job and are not committed.
+    transitional : set of AttemptId
+        Attempts that are placed or stopping, or whose end is confirmed but not yet recorded.
+    recording : set of AttemptId
+        Attempts whose end is decided but not committed; their workers must not forget them.
+    views : dict of WorkerId to WorkerView
+        Last listed view of each worker.
+    uncovered_rows : list of int
+        Log rows that a snapshot covers and that are not deleted yet.
+    """
+
+    shard: ShardId
+    phase: OwnershipPhase = OwnershipPhase.IDLE
+    known_owner: IncarnationId | None = None
+    unowned_since: float | None = None
+    patience: float = 0.0
+    retry_at: float = 0.0
+    deferrals: int = 0
+    load_failed: bool = False
+    taken_at: float = 0.0
+    version: int = 0
+    head: ShardHead | None = None
+    state: ShardState | None = None
+    scheduler: Scheduler | None = None
+    pending: collections.deque[Group] = dataclasses.field(default_factory=collections.deque)
+    in_flight: Batch | None = None
+    open_jobs: dict[JobId, Group] = dataclasses.field(default_factory=dict)
+    controls: dict[AttemptId, AttemptControl] = dataclasses.field(default_factory=dict)
+    workers: dict[WorkerId, WorkerControl] = dataclasses.field(default_factory=dict)
+    plans: dict[JobId, JobPlan] = dataclasses.field(default_factory=dict)
+    transitional: set[AttemptId] = dataclasses.field(default_factory=set)
+    recording: set[AttemptId] = dataclasses.field(default_factory=set)
+    views: dict[WorkerId, WorkerView] = dataclasses.field(default_factory=dict)
+    schedulable: tuple[SchedulableWorker, ...] = ()
+    capacity_checked: bool = False
+    undecided: bool = True
+    decided_at: float = 0.0
+    serial: int = 0
+    snapshot_requested: int = 0
+    snapshot_requested_at: float = 0.0
+    snapshot_ready: int = 0
+    uncovered_rows: list[int] = dataclasses.field(default_factory=list)
+
+    def is_owned(self) -> bool:
+        """Return whether this instance decides for the shard."""
+        return self.phase is OwnershipPhase.OWNED
+
+    def get_state(self) -> ShardState:
+        """Return the state of the owned shard."""
+        assert self.state is not None
+        return self.state
+
+    def get_scheduler(self) -> Scheduler:
+        """Return the scheduler of the owned shard."""
+        assert self.scheduler is not None
+        return self.scheduler
+
+    def is_store_delayed(self) -> bool:
+        """Return whether the transaction in flight waits for the store."""
+        return self.in_flight is not None and self.in_flight.delayed
+
+    def count_pending_records(self) -> int:
+        """Return how many records wait for a commit."""
+        return sum(len(group.records) for group in self.pending)
+
+
+@dataclasses.dataclass(slots=True)
+class PlacementState:
+    """The shards as seen by this instance."""
+
+    ownerships: dict[ShardId, Ownership] = dataclasses.field(default_factory=dict)
+
+    def get(self, shard: ShardId) -> Ownership:
+        """Return the ownership entry of a shard."""
+        if shard not in self.ownerships:
+            self.ownerships[shard] = Ownership(shard)
+        return self.ownerships[shard]
+
+    def list_owned(self) -> list[Ownership]:
+        """Return the shards for which this instance decides."""
+        return [o for o in self.ownerships.values() if o.is_owned()]
+
+    def collect_epochs(self) -> dict[ShardId, int]:
+        """Return the epochs of the owned shards, for the digest."""
+        return {o.shard: o.get_state().epoch for o in self.list_owned()}
+
+
+def append_records(
+    state: InstanceState,
+    ownership: Ownership,
+    records: Sequence[AnyRecord],
+    *,
+    urgent: bool = True,
+) -> Group:
+    """Apply decisions tentatively and queue them as one group for the next commit.
+
+    Parameters
+    ----------
+    state : InstanceState
+        The instance's state.
+    ownership : Ownership
+        An owned shard.
+    records : sequence of records
+        Committed together or not at all.
+    urgent : bool
+        Whether the next commit must not wait for more records.
+
+    Returns
+    -------
+    Group
+        To which answers can be added.
+    """
+    size = sum(len(msgspec.msgpack.encode(record)) for record in records)
+    group = Group(records=tuple(records), urgent=urgent, appended_at=state.now, size=size)
+    for record in records:
+        for transition in ownership.get_state().apply(record):
+            _follow(state, ownership, group, transition)
+    ownership.pending.append(group)
+    return group
+
+
+def _follow(
+    state: InstanceState, ownership: Ownership, group: Group, transition: Transition
+) -> None:
+    """Keep the scheduler, the controls and the group in step with a change of a task."""
+    task, attempt = transition.task, transition.attempt
+    current = transition.current
+    if attempt is not None:
+        ownership.transitional.discard(attempt.attempt_id)
+    if current is TaskState.PLACED and attempt is not None:
+        ownership.controls[attempt.attempt_id] = AttemptControl(
+            own=True, granted_until=attempt.lease_until
+        )
+        ownership.transitional.add(attempt.attempt_id)
+        group.placed.append(attempt.attempt_id)
+    elif current is TaskState.STOPPING and attempt is not None:
+        ownership.transitional.add(attempt.attempt_id)
+        group.stopping.append(attempt.attempt_id)
+    elif current is TaskState.PENDING or current in ENDED_STATES:
+        if attempt is not None:
+            _release(ownership, group, attempt)
+        elif current is not TaskState.PENDING:
+            ownership.get_scheduler().remove_pending(task.task_id)
+        if current is TaskState.PENDING and task.state is TaskState.PENDING:
+            queue_task(state, ownership, task)
+        if current is TaskState.DONE:
+            requeue_gang(state, ownership, task)
+
+
+def _release(ownership: Ownership, group: Group, attempt: Attempt) -> None:
+    job = ownership.get_state().jobs[attempt.job_id]
+    ownership.controls.pop(attempt.attempt_id, None)
+    ownership.get_scheduler().release(
+        attempt.worker_id, attempt.resources, job.spec.team, attempt.job_id
+    )
+    group.ended.append(attempt)
+    ownership.recording.add(attempt.attempt_id)
+    ownership.undecided = True
+
+
+def requeue_gang(state: InstanceState, ownership: Ownership, ended: Task) -> None:
+    """Queue the waiting members of a gang again, since their number has changed."""
+    job = ownership.get_state().jobs[ended.job_id]
+    if job.spec.kind is not WorkloadKind.GANG:
+        return
+    for task in job.tasks.values():
+        if task.state is TaskState.PENDING:
+            queue_task(state, ownership, task)
+
+
+def queue_task(state: InstanceState, ownership: Ownership, task: Task) -> None:
+    """Hand a pending task to the scheduler."""
+    job = ownership.get_state().jobs[task.job_id]
+    plan = get_plan(state, ownership, job)
+    ownership.get_scheduler().add_pending(build_pending_task(state, job, task, plan))
+    ownership.undecided = True
+
+
+def get_plan(state: InstanceState, ownership: Ownership, job: Job) -> JobPlan:
+    """Return what the configuration in force says about a job's placement."""
+    plan = ownership.plans.get(job.spec.job_id)
+    if plan is None:
+        plan = build_plan(state, job.spec.kind, job.spec.labels)
+        ownership.plans[job.spec.job_id] = plan
+    return plan
+
+
+def build_plan(state: InstanceState, kind: WorkloadKind, labels: dict[str, str]) -> JobPlan:
+    """Look up the policy and the placement selectors for work with these labels."""
+    selectors = state.configuration.find_placement_selectors(labels)
+    return JobPlan(
+        policy=state.configuration.find_policy(kind, labels),
+        eligible=tuple(selector.workers for selector in selectors),
+    )
+
+
+def build_pending_task(state: InstanceState, job: Job, task: Task, plan: JobPlan) -> PendingTask:
+    """Return a task as the scheduler sees it."""
+    spec = job.spec
+    not_before = 0.0
+    if task.failures:
+        not_before = task.failed_at + compute_backoff(state, task.failures)
+    return PendingTask(
+        task_id=task.task_id,
+        job_id=spec.job_id,
+        kind=spec.kind,
+        team=spec.team,
+        resources=spec.resources,
+        policy=plan.policy,
+        eligible=plan.eligible,
+        gang_size=job.open_tasks if spec.kind is WorkloadKind.GANG else 0,
+        run_seconds=spec.run_seconds,
+        queued_at=task.queued_at,
+        not_before=not_before,
+        avoid=task.avoid,
+    )
+
+
+def compute_backoff(state: InstanceState, failures: int) -> float:
+    """Return the pause in seconds before a task that failed is placed again."""
+    parameters = state.parameters
+    pause = parameters.task_backoff * 2.0 ** min(failures - 1, 20)
+    return min(pause, parameters.max_task_backoff)
--- /dev/null
+++ b/src/lavenderhook/_internal/core/placement.py
@@ -0,0 +1,628 @@
+"""The shard owner: ownership, submissions, cancellations and the group commit.
+
+Ownership only avoids conflicts; safety comes from the version check of every commit. Taking a
+shard over is therefore always allowed, and losing it is noticed at the next commit at the latest.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from ...errors import (
+    ImpossibleJobError,
+    InvalidArgumentError,
+    LavenderhookError,
+    NotReadyError,
+    OutcomeUnknownError,
+    StoreUnavailableError,
+    UnknownNameError,
+)
+from .attempts import complete_placed, forget_ended, send_stops
+from .commits import commit_pending, commit_takeover, confirm_batch, is_commit_due
+from .effects import (
+    AnswerCancellation,
+    AnswerSubmission,
+    CountMetric,
+    Effect,
+    ForwardOperation,
+    LoadShard,
+    LogDecision,
+    RefuseCall,
+    StoreSnapshot,
+)
+from .events import (
+    CommitConflicted,
+    CommitDelayed,
+    CommitSucceeded,
+    ConfigurationCommitted,
+    ConfigurationReceived,
+    HeartbeatReceived,
+    JobCancelRequested,
+    JobSubmitted,
+    PlatformListed,
+    ShardLoaded,
+    ShardLoadFailed,
+    SnapshotStored,
+    Ticket,
+    TimerFired,
+)
+from .identifiers import (
+    AttemptId,
+    CallerName,
+    IncarnationId,
+    JobId,
+    MemberState,
+    ShardId,
+    TaskId,
+    WorkerId,
+    WorkloadKind,
+)
+from .membership import (
+    get_member_state,
+    get_peer_address,
+    list_usable_peers,
+)
+from .ownership import (
+    Batch,
+    Ownership,
+    OwnershipPhase,
+    append_records,
+    build_pending_task,
+    build_plan,
+)
+from .records import GrantsChanged, JobAccepted, JobCancelled, JobSpec, TaskPlaced
+from .recovery import adopt_shard, refresh_plans, refresh_workers
+from .scheduler import PendingTask
+from .services import list_draining, list_upstreams
+from .shard import Job, ShardState, Task, find_job_shard
+from .submission import check_same_submission, resolve_submission
+
+if TYPE_CHECKING:
+    from .state import InstanceState
+
+PLACEMENT_TIMER = "placement"
+GRANT_TIMER = "grants"
+TIMERS: dict[str, str] = {
+    PLACEMENT_TIMER: "commit_interval",
+    GRANT_TIMER: "grant_report_interval",
+}
+
+OPERATORS = CallerName("operators")
+NOBODY = IncarnationId("")
+# Tasks that cannot be placed are tried again this often even if nothing changed, for back-off.
+IDLE_DECISION_INTERVAL = 0.25  # seconds
+LOAD_RETRY_INTERVAL = 0.5  # seconds
+
+
+def handle_timer(state: InstanceState, event: TimerFired) -> list[Effect]:
+    """Advance every shard: take over, decide, commit, hand over; plan the grants when due."""
+    effects: list[Effect] = []
+    if event.name == GRANT_TIMER:
+        for ownership in state.placement.list_owned():
+            effects.extend(plan_owned_grants(state, ownership))
+    if event.name != PLACEMENT_TIMER:
+        return effects
+    for number in range(state.parameters.shards):
+        ownership = state.placement.get(ShardId(number))
+        if ownership.phase is OwnershipPhase.IDLE:
+            effects.extend(_take_over_if_due(state, ownership))
+        elif ownership.is_owned():
+            effects.extend(_advance(state, ownership))
+        effects.extend(_expire_answers(state, ownership))
+    return effects
+
+
+# Ownership
+
+
+def find_owner(state: InstanceState, shard: ShardId) -> IncarnationId | None:
+    """Return the peer that claims a shard in its heartbeats with the highest epoch, or None."""
+    best: tuple[int, IncarnationId] | None = None
+    for incarnation, member in state.membership.members.items():
+        epoch = member.digest.shards.get(shard)
+        if epoch is None or not _is_responsive(state, incarnation):
+            continue
+        if best is None or (epoch, incarnation) > best:
+            best = (epoch, incarnation)
+    return best[1] if best is not None else None
+
+
+def _is_responsive(state: InstanceState, incarnation: IncarnationId) -> bool:
+    return get_member_state(state, incarnation) not in (MemberState.FAILED, MemberState.GONE)
+
+
+def _take_over_if_due(state: InstanceState, ownership: Ownership) -> list[Effect]:
+    owner = find_owner(state, ownership.shard)
+    if owner is not None:
+        ownership.known_owner = owner
+        ownership.unowned_since = None
+        ownership.deferrals = 0
+        return []
+    if ownership.unowned_since is None:
+        ownership.unowned_since = state.now
+        # Without a known owner, the heartbeats of one may still be on their way.
+        known = ownership.known_owner is not None
+        ownership.patience = 0.0 if known else state.parameters.takeover_after
+        ownership.known_owner = None
+    if state.shutting_down_since is not None or not state.configuration.is_ready():
+        return []
+    rank = _compute_rank(state, ownership.shard)
+    due = ownership.unowned_since + ownership.patience + rank * state.parameters.takeover_after
+    if state.now < max(due, ownership.retry_at):
+        return []
+    ownership.phase = OwnershipPhase.LOADING
+    return [LoadShard(shard=ownership.shard)]
+
+
+def _compute_rank(state: InstanceState, shard: ShardId) -> int:
+    """Return this instance's place among the candidates, by rendezvous hash."""
+    candidates = [digest.incarnation for digest in list_usable_peers(state)]
+    candidates.append(state.incarnation)
+    candidates.sort(key=lambda c: xxhash.xxh64_intdigest(f"{shard}:{c}".encode()), reverse=True)
+    return candidates.index(state.incarnation)
+
+
+def handle_loaded(state: InstanceState, event: ShardLoaded) -> list[Effect]:
+    """Take the shard over on top of what was read, unless its owner turns out to be alive."""
+    ownership = state.placement.get(event.shard)
+    if ownership.phase is not OwnershipPhase.LOADING:
+        return []
+    ownership.load_failed = False
+    if state.shutting_down_since is not None or _should_defer(state, ownership, event):
+        ownership.phase = OwnershipPhase.IDLE
+        ownership.retry_at = state.now + state.parameters.takeover_after
+        return []
+    if not _is_complete(event):
+        return _retry_load(state, ownership)
+    shard_state = ShardState(event.shard)
+    if event.snapshot is not None:
+        shard_state.apply_all(event.snapshot.records)
+    for batch in event.batches:
+        shard_state.apply_all(batch)
+    ownership.state = shard_state
+    ownership.version = event.version
+    ownership.head = event.head
+    ownership.phase = OwnershipPhase.TAKING
+    return commit_takeover(state, ownership, event.head)
+
+
+def _should_defer(state: InstanceState, ownership: Ownership, event: ShardLoaded) -> bool:
+    """Return whether to leave the shard to another instance for now.
+
+    The head may name an instance that has just taken over and whose first heartbeat as the owner
+    is on its way; it is given one chance.
+    """
+    if find_owner(state, event.shard) is not None:
+        return True
+    if event.head is None or event.head.owner in (NOBODY, state.incarnation):
+        return False
+    if ownership.deferrals > 0 or not _is_responsive(state, event.head.owner):
+        return False
+    ownership.deferrals += 1
+    ownership.known_owner = event.head.owner
+    return True
+
+
+def _is_complete(event: ShardLoaded) -> bool:
+    """Return whether the rows fit the head; they are read one by one while others may commit."""
+    if event.head is None:
+        return not event.batches
+    covered = event.snapshot.log_number if event.snapshot is not None else 0
+    if covered != event.head.snapshot_log:
+        return False
+    return len(event.batches) == event.head.next_log - 1 - covered
+
+
+def handle_load_failed(state: InstanceState, event: ShardLoadFailed) -> list[Effect]:
+    """Try again later."""
+    ownership = state.placement.get(event.shard)
+    if ownership.phase is OwnershipPhase.LOADING:
+        _retry_load(state, ownership)
+        ownership.load_failed = True
+    return []
+
+
+def _retry_load(state: InstanceState, ownership: Ownership) -> list[Effect]:
+    ownership.phase = OwnershipPhase.IDLE
+    ownership.retry_at = state.now + LOAD_RETRY_INTERVAL
+    return []
+
+
+def drop_shard(state: InstanceState, ownership: Ownership) -> list[Effect]:
+    """Forget everything about a shard that another instance owns, and refuse what waits.
+
+    A transaction whose answer was lost may have taken effect below the new owner's, so the
+    callers that wait for it are told that the result is open.
+    """
+    effects: list[Effect] = []
+    unknown = OutcomeUnknownError("another instance took the shard over; ask for the job again")
+    for group in ownership.in_flight.groups if ownership.in_flight is not None else ():
+        effects.extend(_refuse(answer, unknown) for answer in group.answers)
+    unchanged = NotReadyError("another instance took the shard over; nothing was changed")
+    for group in ownership.pending:
+        effects.extend(_refuse(answer, unchanged) for answer in group.answers)
+    fresh = Ownership(ownership.shard, serial=ownership.serial, patience=ownership.patience)
+    state.placement.ownerships[ownership.shard] = fresh
+    return effects
+
+
+def _refuse(answer: Effect, error: LavenderhookError) -> RefuseCall:
+    assert isinstance(answer, AnswerSubmission | AnswerCancellation)
+    return RefuseCall(ticket=answer.ticket, error=error)
+
+
+def handle_heartbeat(state: InstanceState, event: HeartbeatReceived) -> list[Effect]:
+    """Give up a shard that a peer owns at a higher epoch.
+
+    With a transaction in flight its result decides, since it is not yet known what took effect.
+    """
+    effects: list[Effect] = []
+    for ownership in state.placement.list_owned():
+        epoch = event.digest.shards.get(ownership.shard, 0)
+        if epoch > ownership.get_state().epoch and ownership.in_flight is None:
+            effects.extend(drop_shard(state, ownership))
+            effects.append(_log_lost(ownership))
+    return effects
+
+
+def _log_lost(ownership: Ownership) -> LogDecision:
+    return LogDecision(decision="shard-lost", fields={"shard": ownership.shard})
+
+
+# Commits
+
+
+def _advance(state: InstanceState, ownership: Ownership) -> list[Effect]:
+    if ownership.in_flight is not None:
+        return []
+    if _is_hand_over_due(state) and not ownership.pending:
+        ownership.phase = OwnershipPhase.RELEASING
+        return commit_pending(state, ownership, NOBODY)
+    effects: list[Effect] = []
+    if state.shutting_down_since is None:
+        effects.extend(_decide(state, ownership))
+    if is_commit_due(state, ownership):
+        effects.extend(commit_pending(state, ownership, state.incarnation))
+    return effects
+
+
+def _is_hand_over_due(state: InstanceState) -> bool:
+    since = state.shutting_down_since
+    return since is not None and state.now - since >= state.parameters.drain_grace
+
+
+def has_released_shards(state: InstanceState) -> bool:
+    """Return whether this instance holds no shard, so that it may exit."""
+    held = (OwnershipPhase.TAKING, OwnershipPhase.OWNED, OwnershipPhase.RELEASING)
+    return all(o.phase not in held for o in state.placement.ownerships.values())
+
+
+def _decide(state: InstanceState, ownership: Ownership) -> list[Effect]:
+    """Place pending tasks; decisions are made just before a commit, when they are freshest."""
+    idle = state.now - ownership.decided_at >= IDLE_DECISION_INTERVAL
+    limit = state.parameters.max_batch_records - ownership.count_pending_records()
+    if limit <= 0 or not (ownership.undecided or idle) or state.membership.listed_at is None:
+        return []
+    ownership.undecided = False
+    ownership.decided_at = state.now
+    effects: list[Effect] = []
+    for decision in ownership.get_scheduler().decide(state.now, limit):
+        records = [
+            _build_placement(state, ownership, ownership.get_state().tasks[task_id], worker_id)
+            for task_id, worker_id in decision.placements
+        ]
+        append_records(state, ownership, records)
+        fields: dict[str, object] = {
+            "placements": {r.attempt_id: r.worker_id for r in records},
+            "policy": decision.policy,
+            "reason": decision.reason,
+        }
+        effects.append(LogDecision(decision="task-placed", fields=fields))
+        ownership.undecided = True
+    return effects
+
+
+def _build_placement(
+    state: InstanceState, ownership: Ownership, task: Task, worker_id: WorkerId
+) -> TaskPlaced:
+    ownership.serial += 1
+    epoch = ownership.get_state().epoch
+    return TaskPlaced(
+        at=state.now,
+        job_id=task.job_id,
+        task_id=task.task_id,
+        attempt_id=AttemptId(f"{task.task_id}.{epoch}.{ownership.serial}"),
+        worker_id=worker_id,
+        lease_until=state.now + state.parameters.start_window,
+    )
+
+
+def plan_owned_grants(state: InstanceState, ownership: Ownership) -> list[Effect]:
+    """Divide the slots of the shard's upstreams and queue the changes for the next commit.
+
+    This is the one place where the owner changes grants. A division never exceeds what holders
+    reported as their limits, which is the planner's concern.
+    """
+    upstreams = list_upstreams(
+        ownership.get_state(), state.membership.workers, list_draining(ownership)
+    )
+    records: list[GrantsChanged] = []
+    if records and not ownership.is_store_delayed():
+        append_records(state, ownership, records, urgent=False)
+    return [CountMetric(name="lavenderhook_upstreams", value=float(len(upstreams)))]
+
+
+def handle_succeeded(state: InstanceState, event: CommitSucceeded) -> list[Effect]:
+    """Carry out what a batch decided, now that it is durable."""
+    ownership = state.placement.get(event.shard)
+    batch = _get_batch(ownership, event.transaction_id)
+    if batch is None:
+        return []
+    confirm_batch(ownership, batch, event.version)
+    if ownership.phase is OwnershipPhase.TAKING:
+        return _finish_takeover(state, ownership, batch)
+    if ownership.phase is OwnershipPhase.RELEASING:
+        fields: dict[str, object] = {"shard": ownership.shard}
+        effects = drop_shard(state, ownership)
+        return [*effects, LogDecision(decision="shard-handed-over", fields=fields)]
+    return _carry_out(state, ownership, batch)
+
+
+def _get_batch(ownership: Ownership, transaction_id: str) -> Batch | None:
+    batch = ownership.in_flight
+    return batch if batch is not None and batch.transaction_id == transaction_id else None
+
+
+def _finish_takeover(state: InstanceState, ownership: Ownership, batch: Batch) -> list[Effect]:
+    for group in batch.groups:
+        ownership.get_state().apply_all(group.records)
+    ownership.phase = OwnershipPhase.OWNED
+    ownership.taken_at = state.now
+    ownership.known_owner = state.incarnation
+    ownership.load_failed = False
+    fields: dict[str, object] = {"shard": ownership.shard, "epoch": batch.head.epoch}
+    return [
+        LogDecision(decision="shard-taken", fields=fields),
+        *adopt_shard(state, ownership),
+    ]
+
+
+def _carry_out(state: InstanceState, ownership: Ownership, batch: Batch) -> list[Effect]:
+    effects: list[Effect] = []
+    for group in batch.groups:
+        effects.extend(group.answers)
+    placed = [attempt for group in batch.groups for attempt in group.placed]
+    effects.extend(complete_placed(state, ownership, placed))
+    stopping = [attempt for group in batch.groups for attempt in group.stopping]
+    effects.extend(send_stops(state, ownership, stopping))
+    ended = [attempt for group in batch.groups for attempt in group.ended]
+    effects.extend(forget_ended(state, ownership, ended))
+    if batch.snapshot is not None:
+        effects.append(StoreSnapshot(snapshot=batch.snapshot))
+    return effects
+
+
+def handle_conflicted(state: InstanceState, event: CommitConflicted) -> list[Effect]:
+    """Drop the shard and read it again: another instance has committed."""
+    ownership = state.placement.get(event.shard)
+    if _get_batch(ownership, event.transaction_id) is None:
+        return []
+    effects = drop_shard(state, ownership)
+    effects.append(_log_lost(ownership))
+    fresh = state.placement.get(event.shard)
+    if state.shutting_down_since is None:
+        fresh.phase = OwnershipPhase.LOADING
+        effects.append(LoadShard(shard=event.shard))
+    return effects
+
+
+def handle_delayed(state: InstanceState, event: CommitDelayed) -> list[Effect]:
+    """Note that the store does not answer; nothing new is accepted until it does."""
+    ownership = state.placement.get(event.shard)
+    batch = _get_batch(ownership, event.transaction_id)
+    if batch is not None:
+        batch.delayed = True
+    return []
+
+
+def handle_snapshot_stored(state: InstanceState, event: SnapshotStored) -> list[Effect]:
+    """Let the next commit name the snapshot and delete the rows that it covers."""
+    ownership = state.placement.get(event.shard)
+    if ownership.is_owned() and event.log_number == ownership.snapshot_requested:
+        ownership.snapshot_ready = event.log_number
+    return []
+
+
+def _expire_answers(state: InstanceState, ownership: Ownership) -> list[Effect]:
+    """Tell callers that waited too long that the result of their operation is open."""
+    limit = state.now - state.parameters.operation_timeout
+    groups = list(ownership.in_flight.groups) if ownership.in_flight is not None else []
+    if ownership.pending and ownership.pending[0].appended_at < limit:
+        groups.extend(ownership.pending)
+    effects: list[Effect] = []
+    for group in groups:
+        if group.appended_at >= limit:
+            continue
+        for answer in group.answers:
+            error = OutcomeUnknownError("the store has not confirmed the operation yet")
+            effects.append(_refuse(answer, error))
+        group.answers.clear()
+    return effects
+
+
+# Operations
+
+
+def find_shard_for(
+    state: InstanceState, shard: ShardId, ticket: Ticket, *, forwarded: bool
+) -> Ownership | list[Effect]:
+    """Return the owned shard, or what to do with an operation on a shard owned elsewhere."""
+    ownership = state.placement.get(shard)
+    if ownership.is_owned():
+        return ownership
+    owner = find_owner(state, shard)
+    address = get_peer_address(state, owner) if owner is not None else None
+    if owner is not None and address is not None and not forwarded:
+        return [ForwardOperation(ticket=ticket, peer=owner, address=address)]
+    error: LavenderhookError = NotReadyError(f"shard {shard} has no known owner")
+    if ownership.load_failed or ownership.is_store_delayed():
+        error = StoreUnavailableError(f"shard {shard} has no owner and cannot be read")
+    return [RefuseCall(ticket=ticket, error=error)]
+
+
+def handle_submission(state: InstanceState, event: JobSubmitted) -> list[Effect]:
+    """Accept a job, or tell that it was accepted before; the answer follows the commit."""
+    shard = find_job_shard(event.job.job_id, state.parameters.shards)
+    found = find_shard_for(state, shard, event.ticket, forwarded=event.forwarded)
+    if isinstance(found, list):
+        return found
+    try:
+        return _submit(state, found, event)
+    except LavenderhookError as error:
+        fields: dict[str, object] = {"job": event.job.job_id, "error": error.code}
+        return [
+            LogDecision(decision="job-refused", fields=fields),
+            RefuseCall(ticket=event.ticket, error=error),
+        ]
+
+
+def _submit(state: InstanceState, ownership: Ownership, event: JobSubmitted) -> list[Effect]:
+    existing = ownership.get_state().jobs.get(event.job.job_id)
+    if existing is not None:
+        check_same_submission(existing.spec, event.job)
+        answer = AnswerSubmission(ticket=event.ticket, job_id=event.job.job_id, repeated=True)
+        return _answer_after(ownership, event.job.job_id, answer)
+    if state.membership.listed_at is None:
+        raise NotReadyError("the platform's list of workers is not known yet")
+    if ownership.is_store_delayed():
+        raise StoreUnavailableError("the store does not confirm commits; nothing was changed")
+    spec = resolve_submission(state, event.job)
+    _refuse_impossible(state, ownership, spec)
+    group = append_records(state, ownership, [JobAccepted(at=state.now, job=spec)])
+    group.jobs.append(spec.job_id)
+    ownership.open_jobs[spec.job_id] = group
+    answer = AnswerSubmission(ticket=event.ticket, job_id=spec.job_id, repeated=False)
+    group.answers.append(answer)
+    return []
+
+
+def _answer_after(ownership: Ownership, job_id: JobId, answer: Effect) -> list[Effect]:
+    """Answer now, or with the commit that the job's last operation still waits for."""
+    group = ownership.open_jobs.get(job_id)
+    if group is None:
+        return [answer]
+    group.answers.append(answer)
+    return []
+
+
+def _refuse_impossible(state: InstanceState, ownership: Ownership, spec: JobSpec) -> None:
+    gang = spec.kind is WorkloadKind.GANG
+    if gang and spec.count > state.parameters.max_batch_records:
+        raise ImpossibleJobError(
+            f"a gang may have at most {state.parameters.max_batch_records} tasks"
+        )
+    obstacle = ownership.get_scheduler().find_obstacle(_build_probe(state, spec))
+    if obstacle is not None:
+        raise ImpossibleJobError(f"{obstacle.code}: {obstacle.detail}")
+
+
+def _build_probe(state: InstanceState, spec: JobSpec) -> list[PendingTask]:
+    """Return the tasks that must fit together: all of a gang, one of a batch."""
+    job = Job(spec=spec, accepted_at=state.now, open_tasks=spec.count)
+    plan = build_plan(state, spec.kind, spec.labels)
+    count = spec.count if spec.kind is WorkloadKind.GANG else 1
+    ids = [TaskId(f"{spec.job_id}.{index}") for index in range(count)]
+    tasks = [Task(task_id, spec.job_id, index, state.now) for index, task_id in enumerate(ids)]
+    return [build_pending_task(state, job, task, plan) for task in tasks]
+
+
+def handle_cancellation(state: InstanceState, event: JobCancelRequested) -> list[Effect]:
+    """Cancel a job; the answer follows the commit."""
+    shard = find_job_shard(event.job_id, state.parameters.shards)
+    found = find_shard_for(state, shard, event.ticket, forwarded=event.forwarded)
+    if isinstance(found, list):
+        return found
+    try:
+        return _cancel(state, found, event)
+    except LavenderhookError as error:
+        return [RefuseCall(ticket=event.ticket, error=error)]
+
+
+def _cancel(state: InstanceState, ownership: Ownership, event: JobCancelRequested) -> list[Effect]:
+    job = ownership.get_state().jobs.get(event.job_id)
+    is_operator = event.caller == OPERATORS
+    if job is None or not (is_operator or job.spec.team == event.team):
+        raise UnknownNameError("job", event.job_id)
+    if job.spec.kind is WorkloadKind.SERVICE:
+        raise InvalidArgumentError("job_id", event.job_id, "a job that is not a declared service")
+    answer = _count_cancelled(ownership, event, job)
+    if job.cancelled or job.ended_at is not None:
+        return _answer_after(ownership, event.job_id, answer)
+    group = append_records(state, ownership, [JobCancelled(at=state.now, job_id=event.job_id)])
+    group.jobs.append(event.job_id)
+    group.answers.append(answer)
+    ownership.open_jobs[event.job_id] = group
+    return [LogDecision(decision="job-cancelled", fields={"job": event.job_id})]
+
+
+def _count_cancelled(
+    ownership: Ownership, event: JobCancelRequested, job: Job
+) -> AnswerCancellation:
+    """Count a job's tasks by what the cancellation does to them.
+
+    Only tasks for which no start was ever sent count as not run. An attempt whose placement is
+    not committed has had no start, and gets none once the task is cancelled.
+    """
+    not_run = 0
+    stopping = 0
+    for task in job.tasks.values():
+        unsent = 0
+        if task.attempt_id is not None:
+            control = ownership.controls[task.attempt_id]
+            unsent = int(control.own and control.starts_sent == 0)
+        if task.starts == unsent:
+            not_run += 1
+        elif task.attempt_id is not None and not unsent:
+            stopping += 1
+    return AnswerCancellation(
+        ticket=event.ticket,
+        job_id=event.job_id,
+        not_run=not_run,
+        stopping=stopping,
+        ended=len(job.tasks) - not_run - stopping,
+    )
+
+
+def handle_platform_list(state: InstanceState, event: PlatformListed) -> list[Effect]:
+    """Update the workers of the owned shards."""
+    for ownership in state.placement.list_owned():
+        refresh_workers(state, ownership)
+    return []
+
+
+def handle_configuration(
+    state: InstanceState, event: ConfigurationReceived | ConfigurationCommitted
+) -> list[Effect]:
+    """Put changed labels, selectors and policies in force for what waits."""
+    for ownership in state.placement.list_owned():
+        refresh_plans(state, ownership)
+    return []
+
+
+HANDLERS = {
+    TimerFired: handle_timer,
+    HeartbeatReceived: handle_heartbeat,
+    PlatformListed: handle_platform_list,
+    ConfigurationReceived: handle_configuration,
+    ConfigurationCommitted: handle_configuration,
+    ShardLoaded: handle_loaded,
+    ShardLoadFailed: handle_load_failed,
+    CommitSucceeded: handle_succeeded,
+    CommitConflicted: handle_conflicted,
+    CommitDelayed: handle_delayed,
+    SnapshotStored: handle_snapshot_stored,
+    JobSubmitted: handle_submission,
+    JobCancelRequested: handle_cancellation,
+}
--- a/src/lavenderhook/_internal/core/records.py
+++ b/src/lavenderhook/_internal/core/records.py
@@ -125,6 +125,58 @@
     incarnation: IncarnationId
 
 
+class OwnerChanged(Record, frozen=True, tag=True, kw_only=True):
+    """An instance took the shard over at `epoch`.
+
+    A later owner must know every owner that may have renewed a lease, not only the last one that
+    the head row names.
+    """
+
+    owner: IncarnationId
+    epoch: int
+
+
+class JobRestored(Record, frozen=True, tag=True, kw_only=True):
+    """A job in a snapshot, without its tasks; `at` is when it was accepted."""
+
+    job: JobSpec
+    next_index: int
+    cancelled: bool = False
+    ended_at: float | None = None
+
+
+class TaskRestored(Record, frozen=True, tag=True, kw_only=True):
+    """A task in a snapshot, with its live attempt if it has one; `at` is when it was queued."""
+
+    job_id: JobId
+    task_id: TaskId
+    index: int
+    state: TaskState
+    failures: int = 0
+    starts: int = 0
+    avoid: tuple[WorkerId, ...] = ()
+    failed_at: float = 0.0
+    reason: str = ""
+    attempt: AttemptRestored | None = None
+
+
+class AttemptRestored(msgspec.Struct, frozen=True, kw_only=True):
+    """The live attempt of a task in a snapshot."""
+
+    attempt_id: AttemptId
+    worker_id: WorkerId
+    resources: Resources
+    lease_until: float
+    placed_at: float
+    changed_at: float
+    epoch: int
+    address: str = ""
+    requeue: bool = True
+    outdated: bool = False
+    slots: int = 0
+    connections: int = 0
+
+
 AnyRecord: TypeAlias = (
     JobAccepted
     | JobResized
@@ -135,6 +187,9 @@
     | AttemptEnded
     | GrantsChanged
     | IncarnationRetired
+    | OwnerChanged
+    | JobRestored
+    | TaskRestored
 )
 
 
--- /dev/null
+++ b/src/lavenderhook/_internal/core/recovery.py
@@ -0,0 +1,392 @@
+"""Takeover and reconciliation: what an owner does with attempts in doubtful states.
+
+The reconciler looks at every transitional state at each interval, so that no lost answer, dead
+worker or missed event leaves an attempt, or the resources it holds, behind for ever.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .attempts import (
+    MIN_START_TIME,
+    End,
+    end_attempt,
+    get_worker_control,
+    renew_leases,
+    request_stop,
+    send_starts,
+    send_stops,
+)
+from .effects import Effect, LogDecision, PollWorker
+from .events import TimerFired
+from .identifiers import (
+    AttemptId,
+    AvailabilityZone,
+    IncarnationId,
+    RackId,
+    TaskState,
+    WorkerId,
+    WorkloadKind,
+)
+from .ownership import (
+    AttemptControl,
+    Ownership,
+    append_records,
+    build_plan,
+    queue_task,
+)
+from .records import IncarnationRetired, WorkerView
+from .resources import ZERO
+from .scheduler import ScanScheduler, SchedulableWorker, Scheduler
+from .services import reconcile_services
+from .shard import Attempt, find_worker_shard
+
+if TYPE_CHECKING:
+    from .state import InstanceState
+
+RECOVERY_TIMER = "recovery"
+TIMERS: dict[str, str] = {RECOVERY_TIMER: "worker_poll_interval"}
+
+# Order in which attempts are stopped on a worker that has become too small.
+_PREEMPTION_ORDER = {WorkloadKind.BATCH: 0, WorkloadKind.GANG: 1, WorkloadKind.SERVICE: 2}
+
+
+def build_scheduler(state: InstanceState) -> Scheduler:
+    """Return an empty scheduler for a shard."""
+    return ScanScheduler(state.generator)
+
+
+# Takeover
+
+
+def adopt_shard(state: InstanceState, ownership: Ownership) -> list[Effect]:
+    """Rebuild the scheduler and take charge of the attempts that the log names.
+
+    Running attempts are renewed at once, since nobody knows how much of their lease is left.
+    Placed ones are asked for at their workers.
+    """
+    shard_state = ownership.get_state()
+    ownership.scheduler = build_scheduler(state)
+    ownership.views.clear()
+    ownership.schedulable = ()
+    refresh_workers(state, ownership)
+    for attempt in shard_state.attempts.values():
+        _adopt_attempt(state, ownership, attempt)
+    waiting = [t for t in shard_state.tasks.values() if t.state is TaskState.PENDING]
+    for task in sorted(waiting, key=lambda task: task.queued_at):
+        queue_task(state, ownership, task)
+    _schedule_row_deletion(state, ownership)
+    stopping = [a.attempt_id for a in shard_state.attempts.values() if _is_stopping(a)]
+    effects: list[Effect] = []
+    for worker_id in shard_state.attempts_by_worker:
+        worker = state.membership.workers.get(worker_id)
+        if worker is not None:
+            effects.extend(renew_leases(state, ownership, worker))
+            effects.append(PollWorker(worker_id=worker_id, address=worker.address))
+    effects.extend(send_stops(state, ownership, stopping))
+    return effects
+
+
+def _is_stopping(attempt: Attempt) -> bool:
+    return attempt.state is TaskState.STOPPING
+
+
+def _adopt_attempt(state: InstanceState, ownership: Ownership, attempt: Attempt) -> None:
+    running = attempt.state is TaskState.RUNNING
+    ownership.controls[attempt.attempt_id] = AttemptControl(
+        own=False,
+        granted_until=attempt.lease_until,
+        starts_sent=1,
+        confirmed_at=state.now if running else None,
+        stop_committed=_is_stopping(attempt),
+    )
+    if not running:
+        ownership.transitional.add(attempt.attempt_id)
+    job = ownership.get_state().jobs[attempt.job_id]
+    ownership.get_scheduler().reserve(
+        attempt.worker_id, attempt.resources, job.spec.team, attempt.job_id
+    )
+
+
+def _schedule_row_deletion(state: InstanceState, ownership: Ownership) -> None:
+    """Delete again the rows that the former owner may have left under the snapshot."""
+    head = ownership.head
+    if head is None or head.snapshot_log == 0:
+        return
+    first = max(1, head.snapshot_log - 2 * state.parameters.snapshot_every)
+    ownership.uncovered_rows = list(range(first, head.snapshot_log + 1))
+
+
+# Workers and configuration
+
+
+def refresh_workers(state: InstanceState, ownership: Ownership) -> None:
+    """Give the scheduler the workers of the shard if they or their labels changed.
+
+    A worker that is not listed any more stays known, closed for new work, as long as attempts on
+    it are not provably dead; otherwise its reservations would be lost if it were listed again.
+    """
+    listed = {
+        worker.worker_id: worker
+        for worker in state.membership.workers.values()
+        if find_worker_shard(worker, state.parameters.shards) == ownership.shard
+    }
+    occupied = ownership.get_state().attempts_by_worker
+    ownership.views = {w: v for w, v in ownership.views.items() if w in occupied}
+    ownership.views.update(listed)
+    workers = [_describe_worker(state, view) for view in listed.values()]
+    for worker_id in occupied:
+        if worker_id not in listed:
+            view = ownership.views.get(worker_id) or _build_placeholder(worker_id)
+            workers.append(SchedulableWorker(view=view, labels={}, draining=True))
+    schedulable = tuple(workers)
+    if schedulable == ownership.schedulable:
+        return
+    ownership.schedulable = schedulable
+    ownership.get_scheduler().update_workers(schedulable)
+    ownership.undecided = True
+    ownership.capacity_checked = False
+
+
+def _describe_worker(state: InstanceState, view: WorkerView) -> SchedulableWorker:
+    configuration = state.configuration
+    return SchedulableWorker(
+        view=view,
+        labels=configuration.label_worker(view),
+        draining=view.leaving or configuration.is_draining(view),
+    )
+
+
+def _build_placeholder(worker_id: WorkerId) -> WorkerView:
+    return WorkerView(
+        worker_id=worker_id,
+        address="",
+        availability_zone=AvailabilityZone(""),
+        rack=RackId(""),
+        capacity=ZERO,
+        leaving=True,
+    )
+
+
+def refresh_plans(state: InstanceState, ownership: Ownership) -> None:
+    """Apply a changed configuration to the workers and to the jobs that wait."""
+    refresh_workers(state, ownership)
+    for job_id, job in ownership.get_state().jobs.items():
+        if job.ended_at is not None:
+            continue
+        plan = build_plan(state, job.spec.kind, job.spec.labels)
+        if ownership.plans.get(job_id) == plan:
+            continue
+        ownership.plans[job_id] = plan
+        for task in job.tasks.values():
+            if task.state is TaskState.PENDING:
+                queue_task(state, ownership, task)
+
+
+# Reconciliation
+
+
+def handle_timer(state: InstanceState, event: TimerFired) -> list[Effect]:
+    """Move every attempt in a transitional state on."""
+    if event.name != RECOVERY_TIMER:
+        return []
+    effects: list[Effect] = []
+    for ownership in state.placement.list_owned():
+        _retire_incarnations(state, ownership)
+        effects.extend(_reconcile_workers(state, ownership))
+        effects.extend(_reconcile_attempts(state, ownership))
+        _preempt_surplus(state, ownership)
+        effects.extend(reconcile_services(state, ownership))
+    return effects
+
+
+def _reconcile_workers(state: InstanceState, ownership: Ownership) -> list[Effect]:
+    effects: list[Effect] = []
+    for worker_id, on_worker in list(ownership.get_state().attempts_by_worker.items()):
+        gone = [a for a in on_worker.values() if _is_worker_gone(state, a)]
+        for attempt in gone:
+            # Ending a gang member changes the others, but never removes them.
+            end_attempt(state, ownership, attempt, _requeue(attempt, "worker-gone"))
+        if gone:
+            fields: dict[str, object] = {"worker": worker_id, "attempts": len(gone)}
+            effects.append(LogDecision(decision="worker-gone", fields=fields))
+        elif _is_worker_unreachable(state, ownership, worker_id):
+            _stop_unreachable(state, ownership, worker_id)
+    return effects
+
+
+def _requeue(attempt: Attempt, reason: str) -> End:
+    """Return the end of an attempt that died without its own fault."""
+    ended = TaskState.PENDING if attempt.requeue else TaskState.CANCELLED
+    return ended, reason, False
+
+
+def _is_worker_gone(state: InstanceState, attempt: Attempt) -> bool:
+    """Return whether the platform shows an attempt's worker gone.
+
+    A list that is older than the attempt may lack a worker that is new, not gone.
+    """
+    view = state.membership
+    if view.listed_at is None or attempt.worker_id in view.workers:
+        return False
+    margin = state.parameters.platform_list_lag + state.parameters.max_clock_skew
+    return view.listed_at - margin > attempt.placed_at
+
+
+def _is_worker_unreachable(state: InstanceState, ownership: Ownership, worker_id: WorkerId) -> bool:
+    since = get_worker_control(ownership, worker_id).unreachable_since
+    return since is not None and state.now - since > state.parameters.worker_unreachable_after
+
+
+def _stop_unreachable(state: InstanceState, ownership: Ownership, worker_id: WorkerId) -> None:
+    """Stop renewing on a worker that does not answer, so that its leases lapse.
+
+    In a store outage nothing else can start the tasks, so they are renewed on.
+    """
+    if ownership.is_store_delayed():
+        return
+    for attempt in list(ownership.get_state().attempts_by_worker[worker_id].values()):
+        own = ownership.controls[attempt.attempt_id].own
+        placed_elsewhere = attempt.state is TaskState.PLACED and not own
+        if attempt.state is TaskState.RUNNING or placed_elsewhere:
+            request_stop(state, ownership, attempt, requeue=True)
+
+
+def _reconcile_attempts(state: InstanceState, ownership: Ownership) -> list[Effect]:
+    restarts: list[Attempt] = []
+    stops: list[AttemptId] = []
+    for attempt_id in list(ownership.transitional):
+        attempt = ownership.get_state().attempts.get(attempt_id)
+        if attempt is None:
+            ownership.transitional.discard(attempt_id)
+            continue
+        control = ownership.controls[attempt_id]
+        if control.end is not None:
+            _end_held(state, ownership, attempt, control)
+        elif attempt.state is TaskState.PLACED and control.own:
+            if _reconcile_placed(state, ownership, attempt, control):
+                restarts.append(attempt)
+        elif attempt.state is TaskState.STOPPING and control.stop_committed:
+            if is_lease_over(state, ownership, attempt):
+                end_attempt(state, ownership, attempt, _requeue(attempt, "lease-lapsed"))
+            elif state.now - control.stop_sent_at >= state.parameters.worker_poll_interval:
+                stops.append(attempt_id)
+    return [
+        *send_starts(state, ownership, restarts),
+        *send_stops(state, ownership, stops),
+    ]
+
+
+def _end_held(
+    state: InstanceState, ownership: Ownership, attempt: Attempt, control: AttemptControl
+) -> None:
+    """Record an end that waited for the lease of a former owner's start."""
+    assert control.end is not None
+    if state.now > attempt.lease_until + state.parameters.max_clock_skew:
+        ended, reason, failure = control.end
+        if attempt.state is TaskState.STOPPING and not attempt.requeue:
+            ended = TaskState.CANCELLED
+        end_attempt(state, ownership, attempt, (ended, reason, failure))
+
+
+def _reconcile_placed(
+    state: InstanceState, ownership: Ownership, attempt: Attempt, control: AttemptControl
+) -> bool:
+    """End a placement that was never confirmed; return whether to send its start again."""
+    if control.starts_sent == 0:
+        return False
+    if is_lease_over(state, ownership, attempt):
+        ownership.get_scheduler().report_start(attempt.worker_id, attempt.job_id, False, state.now)
+        end_attempt(state, ownership, attempt, _requeue(attempt, "start-not-confirmed"))
+        return False
+    overdue = state.now - control.start_sent_at >= state.parameters.worker_poll_interval
+    return overdue and state.now < attempt.lease_until - MIN_START_TIME
+
+
+def is_lease_over(state: InstanceState, ownership: Ownership, attempt: Attempt) -> bool:
+    """Return whether every lease that anybody granted to an attempt has lapsed.
+
+    Only for attempts that this owner does not renew. For an attempt of an earlier epoch, the
+    former owners must have been gone for longer than a lease, since any of them may have renewed
+    it until then.
+    """
+    control = ownership.controls[attempt.attempt_id]
+    bound = control.granted_until
+    if not control.own:
+        for owner in ownership.get_state().list_former_owners(attempt):
+            gone_at = _find_end_of_owner(state, ownership, owner.owner)
+            if gone_at is None:
+                return False
+            bound = max(bound, gone_at + state.parameters.lease_duration)
+    return state.now > bound + state.parameters.max_clock_skew
+
+
+def _find_end_of_owner(
+    state: InstanceState, ownership: Ownership, incarnation: IncarnationId
+) -> float | None:
+    if incarnation == state.incarnation:
+        return ownership.taken_at
+    return ownership.get_state().retired.get(incarnation)
+
+
+def _retire_incarnations(state: InstanceState, ownership: Ownership) -> None:
+    """Record former owners and holders of grants that the platform shows gone."""
+    shard_state = ownership.get_state()
+    concerned = {owner.owner for owner in shard_state.owners.values()}
+    for slots in shard_state.grants.values():
+        concerned.update(slots)
+    for incarnation in sorted(concerned - set(shard_state.retired)):
+        at = _find_gone_time(state, ownership, incarnation)
+        if at is not None:
+            record = IncarnationRetired(at=at, incarnation=incarnation)
+            append_records(state, ownership, [record], urgent=False)
+
+
+def _find_gone_time(
+    state: InstanceState, ownership: Ownership, incarnation: IncarnationId
+) -> float | None:
+    """Return when an incarnation was first seen gone, or None if it may still act.
+
+    An incarnation that this instance never saw listed counts as gone only if the list was read
+    well after the takeover, names this instance, and the incarnation sends no heartbeats.
+    """
+    view = state.membership
+    if incarnation == state.incarnation or incarnation in view.listed:
+        return None
+    if incarnation in view.gone:
+        return view.gone[incarnation]
+    if view.listed_at is None or state.incarnation not in view.listed:
+        return None
+    margin = state.parameters.platform_list_lag + state.parameters.max_clock_skew
+    if incarnation in view.members or view.listed_at - margin <= ownership.taken_at:
+        return None
+    return view.listed_at
+
+
+def _preempt_surplus(state: InstanceState, ownership: Ownership) -> None:
+    """Stop attempts on workers that have become smaller than what is reserved on them."""
+    if ownership.capacity_checked:
+        return
+    ownership.capacity_checked = True
+    shard_state = ownership.get_state()
+    for worker_id, on_worker in list(shard_state.attempts_by_worker.items()):
+        worker = state.membership.workers.get(worker_id)
+        if worker is None:
+            continue
+        kept = [a for a in on_worker.values() if a.state is not TaskState.STOPPING]
+        kept.sort(key=lambda a: _rank_for_preemption(ownership, a))
+        reserved = sum((a.resources for a in kept), start=ZERO)
+        for attempt in kept:
+            if reserved.fits(worker.capacity):
+                break
+            request_stop(state, ownership, attempt, requeue=True)
+            reserved = reserved - attempt.resources
+
+
+def _rank_for_preemption(ownership: Ownership, attempt: Attempt) -> tuple[int, float]:
+    kind = ownership.get_state().jobs[attempt.job_id].spec.kind
+    return _PREEMPTION_ORDER[kind], -attempt.placed_at
+
+
+HANDLERS = {TimerFired: handle_timer}
--- a/src/lavenderhook/_internal/core/reducer.py
+++ b/src/lavenderhook/_internal/core/reducer.py
@@ -29,9 +29,16 @@
 
 
 def _collect_tables() -> tuple[Any, ...]:
-    from . import configuration, membership
-
-    return (membership.HANDLERS, configuration.HANDLERS)
+    from . import attempts, configuration, membership, placement, queries, recovery
+
+    return (
+        membership.HANDLERS,
+        configuration.HANDLERS,
+        placement.HANDLERS,
+        attempts.HANDLERS,
+        recovery.HANDLERS,
+        queries.HANDLERS,
+    )
 
 
 _HANDLERS = _merge(_collect_tables())
--- /dev/null
+++ b/src/lavenderhook/_internal/core/services.py
@@ -0,0 +1,236 @@
+"""Declared services: their jobs follow the configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Container, Mapping
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .attempts import request_stop
+from .declarations import Workload
+from .effects import Effect, LogDecision
+from .identifiers import AttemptId, CallerName, JobId, TaskState, UpstreamId, WorkloadKind
+from .ownership import Ownership, append_records, get_plan
+from .records import JobAccepted, JobCancelled, JobResized, JobSpec, UpstreamView, WorkerView
+from .shard import Attempt, Job, ShardState, find_job_shard
+from .submission import SERVICE_PREFIX
+
+if TYPE_CHECKING:
+    from .state import InstanceState
+
+SERVICE_CALLER = CallerName("operators")
+# An upstream that is leaving gets at least this long, so that every holder learns of it.
+MIN_DRAIN_TIME = 1.0  # seconds
+# At most this share of a service's tasks is replaced at a time.
+MAX_SURGE_SHARE = 0.25
+
+
+def list_upstreams(
+    shard_state: ShardState,
+    workers: Mapping[str, WorkerView],
+    draining: Container[AttemptId],
+) -> list[UpstreamView]:
+    """Return the upstreams of the services of a shard, with all their slots.
+
+    Parameters
+    ----------
+    shard_state : ShardState
+        State of an owned shard.
+    workers : mapping of str to WorkerView
+        Workers as listed by the platform.
+    draining : container of AttemptId
+        Attempts whose upstreams are to be left.
+    """
+    upstreams = []
+    for job in shard_state.jobs.values():
+        if job.spec.kind is not WorkloadKind.SERVICE:
+            continue
+        for task in job.tasks.values():
+            attempt = shard_state.attempts.get(task.attempt_id) if task.attempt_id else None
+            if attempt is None or not attempt.address:
+                continue
+            worker = workers.get(attempt.worker_id)
+            if worker is not None:
+                upstreams.append(_build_upstream(job, attempt, worker, draining))
+    return upstreams
+
+
+def _build_upstream(
+    job: Job, attempt: Attempt, worker: WorkerView, draining: Container[AttemptId]
+) -> UpstreamView:
+    stopping = attempt.state is TaskState.STOPPING
+    return UpstreamView(
+        upstream_id=UpstreamId(attempt.attempt_id),
+        service=job.spec.name,
+        labels=job.spec.labels,
+        address=attempt.address,
+        worker_id=attempt.worker_id,
+        availability_zone=worker.availability_zone,
+        slots=attempt.slots,
+        connections=attempt.connections,
+        leaving=stopping or worker.leaving or attempt.attempt_id in draining,
+    )
+
+
+def list_draining(ownership: Ownership) -> set[AttemptId]:
+    """Return the attempts whose upstreams are being left."""
+    return {a for a, control in ownership.controls.items() if control.drain_since is not None}
+
+
+def build_service_spec(workload: Workload, count: int) -> JobSpec:
+    """Return the job of a declared service."""
+    return JobSpec(
+        job_id=JobId(SERVICE_PREFIX + workload.name),
+        kind=WorkloadKind.SERVICE,
+        name=workload.name,
+        caller=SERVICE_CALLER,
+        team=workload.team,
+        labels=dict(workload.labels),
+        resources=workload.resources,
+        count=count,
+        run_seconds=workload.run_seconds,
+        slots=workload.slots,
+        connections=workload.connections,
+        idempotent=workload.idempotent,
+        parameters=dict(workload.parameters),
+    )
+
+
+def reconcile_services(state: InstanceState, ownership: Ownership) -> list[Effect]:
+    """Bring the jobs of services in line with the configuration."""
+    if not state.configuration.is_ready() or ownership.is_store_delayed():
+        return []
+    declared: set[JobId] = set()
+    effects: list[Effect] = []
+    for workload in state.configuration.list_workloads():
+        if workload.type is not WorkloadKind.SERVICE:
+            continue
+        spec = build_service_spec(workload, workload.count)
+        if find_job_shard(spec.job_id, state.parameters.shards) != ownership.shard:
+            continue
+        declared.add(spec.job_id)
+        effects.extend(_reconcile_service(state, ownership, spec))
+    for job_id, job in list(ownership.get_state().jobs.items()):
+        if job.spec.kind is WorkloadKind.SERVICE and job_id not in declared:
+            _remove_service(state, ownership, job)
+    _stop_drained(state, ownership)
+    return effects
+
+
+def _reconcile_service(state: InstanceState, ownership: Ownership, spec: JobSpec) -> list[Effect]:
+    job = ownership.get_state().jobs.get(spec.job_id)
+    if job is None or job.ended_at is not None:
+        append_records(state, ownership, [JobAccepted(at=state.now, job=spec)])
+        return [LogDecision(decision="service-created", fields={"service": spec.name})]
+    if job.cancelled:
+        return []  # declared again while its former tasks are still stopping
+    _resize(state, ownership, job, spec)
+    _drain_replaced(state, ownership, job, spec.count)
+    return []
+
+
+def _resize(state: InstanceState, ownership: Ownership, job: Job, spec: JobSpec) -> None:
+    """Put a changed specification in force, with room for replacements.
+
+    The changed fields come first, so that it is known which tasks are outdated.
+    """
+    in_force = msgspec.structs.replace(job.spec, count=spec.count)
+    if in_force != spec:
+        changed = msgspec.structs.replace(spec, count=max(spec.count, job.spec.count))
+        append_records(state, ownership, [JobResized(at=state.now, job=changed)])
+    replaced = [a for a in _list_live(ownership, job) if _is_replaced(state, ownership, job, a)]
+    surge = min(len(replaced), max(1, int(spec.count * MAX_SURGE_SHARE)))
+    active = [t for t in job.tasks.values() if ownership.get_state().is_active(t)]
+    wanted = msgspec.structs.replace(spec, count=spec.count + surge)
+    surplus = len(active) > wanted.count and any(t.state is TaskState.PENDING for t in active)
+    if job.spec != wanted or len(active) < wanted.count or surplus:
+        append_records(state, ownership, [JobResized(at=state.now, job=wanted)])
+
+
+def _list_live(ownership: Ownership, job: Job) -> list[Attempt]:
+    """Return the attempts of a job that are placed or running, oldest task first."""
+    attempts = ownership.get_state().attempts
+    live = (TaskState.PLACED, TaskState.RUNNING)
+    return [
+        attempts[task.attempt_id]
+        for task in sorted(job.tasks.values(), key=lambda task: task.index)
+        if task.attempt_id is not None and task.state in live
+    ]
+
+
+def _is_replaced(state: InstanceState, ownership: Ownership, job: Job, attempt: Attempt) -> bool:
+    """Return whether a task must move: outdated, draining, or on a worker it may not use."""
+    if attempt.outdated:
+        return True
+    worker = state.membership.workers.get(attempt.worker_id)
+    if worker is None:
+        return False  # the reconciler decides what happens to it
+    configuration = state.configuration
+    if worker.leaving or configuration.is_draining(worker):
+        return True
+    labels = configuration.label_worker(worker)
+    plan = get_plan(state, ownership, job)
+    return not all(selector.matches(labels) for selector in plan.eligible)
+
+
+def _drain_replaced(state: InstanceState, ownership: Ownership, job: Job, count: int) -> None:
+    """Start to leave as many upstreams as run beyond the declared count.
+
+    If replacements find no room for `service_roll_patience`, one task is stopped first.
+    """
+    live = _list_live(ownership, job)
+    controls = ownership.controls
+    serving = [
+        a
+        for a in live
+        if a.state is TaskState.RUNNING and controls[a.attempt_id].drain_since is None
+    ]
+    serving.sort(key=lambda a: not _is_replaced(state, ownership, job, a))
+    replaced = [a for a in serving if _is_replaced(state, ownership, job, a)]
+    others = [a for a in reversed(serving) if a not in replaced]
+    surplus = len(serving) - count
+    if surplus <= 0 and replaced and _is_stuck(state, ownership, job, len(live)):
+        surplus = 1
+    for attempt in [*replaced, *others][: max(surplus, 0)]:
+        controls[attempt.attempt_id].drain_since = state.now
+
+
+def _is_stuck(state: InstanceState, ownership: Ownership, job: Job, live: int) -> bool:
+    """Return whether replacements wait too long and nothing is being drained already."""
+    limit = state.now - state.parameters.service_roll_patience
+    waiting = [t for t in job.tasks.values() if t.state is TaskState.PENDING]
+    draining = any(
+        task.attempt_id is not None and ownership.controls[task.attempt_id].drain_since is not None
+        for task in job.tasks.values()
+    )
+    return not draining and any(task.queued_at < limit for task in waiting)
+
+
+def _remove_service(state: InstanceState, ownership: Ownership, job: Job) -> None:
+    """Drain the tasks of a service that is not declared any more, then end its job."""
+    if job.ended_at is not None or job.cancelled:
+        return
+    if job.spec.count > 0:
+        emptied = msgspec.structs.replace(job.spec, count=0)
+        append_records(state, ownership, [JobResized(at=state.now, job=emptied)])
+    _drain_replaced(state, ownership, job, 0)
+    if job.open_tasks == 0:
+        record = JobCancelled(at=state.now, job_id=job.spec.job_id)
+        append_records(state, ownership, [record])
+
+
+def _stop_drained(state: InstanceState, ownership: Ownership) -> None:
+    """Stop the tasks whose upstreams were left long enough for their requests to finish."""
+    shard_state = ownership.get_state()
+    for attempt_id in list_draining(ownership):
+        control = ownership.controls[attempt_id]
+        attempt = shard_state.attempts[attempt_id]
+        if attempt.state is not TaskState.RUNNING or control.drain_since is None:
+            continue
+        elapsed = state.now - control.drain_since
+        unused = UpstreamId(attempt_id) not in shard_state.grants
+        if elapsed < MIN_DRAIN_TIME:
+            continue
+        if unused or elapsed >= state.parameters.max_request_seconds:
+            request_stop(state, ownership, attempt, requeue=False)
--- a/src/lavenderhook/_internal/core/state.py
+++ b/src/lavenderhook/_internal/core/state.py
@@ -10,6 +10,7 @@
 from .configuration import ConfigurationState
 from .identifiers import AvailabilityZone, IncarnationId, InstanceName
 from .membership import MembershipState
+from .ownership import PlacementState
 
 
 class CoreParameters(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,6 +44,14 @@
     retry_budget: float = 0.1
     drain_grace: float = 2.0
     snapshot_every: int = 200
+    lazy_commit_interval: float = 0.25
+    platform_list_lag: float = 3.0
+    worker_unreachable_after: float = 6.0
+    operation_timeout: float = 30.0
+    ended_job_retention: float = 3600.0
+    task_backoff: float = 1.0
+    max_task_backoff: float = 60.0
+    service_roll_patience: float = 30.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,3 +74,4 @@
     shutting_down_since: float | None = None
     membership: MembershipState = dataclasses.field(default_factory=MembershipState)
     configuration: ConfigurationState = dataclasses.field(default_factory=ConfigurationState)
+    placement: PlacementState = dataclasses.field(default_factory=PlacementState)
