--- a/src/lavenderhook/_internal/core/digest.py
+++ b/src/lavenderhook/_internal/core/digest.py
@@ -16,4 +16,5 @@
         **collect_routing_fields(state),
         "ready": state.configuration.is_ready(),
         "configuration_version": state.configuration.version,
+        "shards": state.placement.collect_epochs(),
     }
--- a/src/lavenderhook/_internal/core/reducer.py
+++ b/src/lavenderhook/_internal/core/reducer.py
@@ -29,27 +29,40 @@
 
 
 def _collect_tables() -> tuple[Any, ...]:
-    from . import configuration, membership, requests, routing, shutdown
+    from . import (
+        attempts,
+        configuration,
+        membership,
+        placement,
+        queries,
+        recovery,
+        requests,
+        routing,
+        shutdown,
+    )
 
     return (
         membership.HANDLERS,
         configuration.HANDLERS,
         routing.HANDLERS,
         requests.HANDLERS,
+        placement.HANDLERS,
+        attempts.HANDLERS,
+        recovery.HANDLERS,
+        queries.HANDLERS,
         shutdown.HANDLERS,
     )
 
 
 def collect_timers() -> dict[str, str]:
     """Return every timer name with the attribute of `CoreParameters` that holds its interval."""
-    from . import configuration, membership, routing, shutdown
-
-    return {
-        **membership.TIMERS,
-        **configuration.TIMERS,
-        **routing.TIMERS,
-        **shutdown.TIMERS,
-    }
+    from . import attempts, configuration, membership, placement, recovery, routing, shutdown
+
+    modules = (membership, configuration, routing, placement, attempts, recovery, shutdown)
+    timers: dict[str, str] = {}
+    for module in modules:
+        timers.update(getattr(module, "TIMERS", {}))
+    return timers
 
 
 _HANDLERS = _merge(_collect_tables())
--- a/src/lavenderhook/_internal/core/state.py
+++ b/src/lavenderhook/_internal/core/state.py
@@ -11,6 +11,7 @@
 from .ejection import EjectionState
 from .identifiers import AvailabilityZone, IncarnationId, InstanceName
 from .membership import MembershipState
+from .ownership import PlacementState
 from .requests import ClaimsState
 from .retries import RetryState
 from .routing import RoutingState
@@ -50,6 +51,14 @@
     retry_budget: float = 0.1
     drain_grace: float = 2.0
     snapshot_every: int = 200
+    lazy_commit_interval: float = 0.25
+    platform_list_lag: float = 3.0
+    worker_unreachable_after: float = 6.0
+    operation_timeout: float = 30.0
+    ended_job_retention: float = 3600.0
+    task_backoff: float = 1.0
+    max_task_backoff: float = 60.0
+    service_roll_patience: float = 30.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,3 +86,4 @@
     retries: RetryState = dataclasses.field(default_factory=RetryState)
     ejection: EjectionState = dataclasses.field(default_factory=EjectionState)
     shutdown: ShutdownState = dataclasses.field(default_factory=ShutdownState)
+    placement: PlacementState = dataclasses.field(default_factory=PlacementState)
