--- /dev/null
+++ b/src/lavenderhook/_internal/adapters/claims.py
@@ -0,0 +1,390 @@
+"""Durable claims of non-idempotent requests, written in groups.
+
+A claim is a table row that must not exist before. All claims and outcomes of an instance share
+transactions, so that a request costs a fraction of a write. Every doubtful result is resolved by
+reading the row: its claim id tells whose it is.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+import uuid
+from collections.abc import Callable
+from urllib.parse import quote
+
+import gevent
+import gevent.event
+import msgspec
+
+from ...errors import LavenderhookError, ProtocolError, StoreUnavailableError, TransportError
+from ..core.effects import ClaimRequest, Completed, NotRun, RecordOutcome, ReleaseClaim, Unknown
+from ..core.events import ClaimResolved, ClaimState, Event, OutcomeRecorded
+from ..core.identifiers import IncarnationId
+from ..ports.platform import Row, TableStore
+from ..ports.time import Clock
+from .calls import CallTable, StoredOutcome
+from .commits import Backoff
+
+GROUP_ROWS = 50
+GROUP_SECONDS = 0.01  # longest wait for a group to fill; part of the latency of every claim
+GROUP_BYTES = 700_000  # a transaction may hold 1 MB
+GROUPS_IN_FLIGHT = 8
+UNAVAILABLE_AFTER = 1.0  # seconds of certain refusals until the claim is given up
+OUTCOME_TIMEOUT = 30.0  # seconds until an outcome that cannot be written is given up
+LONGEST_BACKOFF = 0.25  # seconds
+MAX_VERSIONS = 100_000  # row versions kept for outcomes that are still to be written
+
+
+class ClaimRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Contents of the row of a claimed request."""
+
+    claim_id: str
+    content: bytes
+    holder: IncarnationId
+    at: float
+    outcome: StoredOutcome | None = None
+
+
+def format_claim_key(caller: str, request_id: str) -> str:
+    """Return the key of the row of a request."""
+    return f"request/{quote(caller, safe='')}/{quote(request_id, safe='')}"
+
+
+def decode_claim(row: Row) -> ClaimRow:
+    """Return the contents of a claim row."""
+    return msgspec.msgpack.decode(row.value, type=ClaimRow)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Claim:
+    effect: ClaimRequest
+    key: str
+    row: ClaimRow
+    value: bytes
+    resolved: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Record:
+    effect: RecordOutcome
+    key: str
+    row: ClaimRow
+    value: bytes
+
+
+class Grouper:
+    """Collects items and hands them over in groups.
+
+    A group is handed over when it is full or `GROUP_SECONDS` after its first item; while all
+    groups in flight are busy, items keep collecting.
+
+    Parameters
+    ----------
+    flush : callable
+        Writes a list of items; runs in its own greenlet.
+    """
+
+    def __init__(self, flush: Callable[[list], None]) -> None:
+        self._flush = flush
+        self._items: list = []
+        self._filled = gevent.event.Event()
+        self._in_flight = 0
+        self._free = gevent.event.Event()
+        self._greenlet: gevent.Greenlet | None = None
+
+    def add(self, item: _Claim | _Record) -> None:
+        """Add an item; does not block."""
+        self._items.append(item)
+        if len(self._items) >= GROUP_ROWS:
+            self._filled.set()
+        if self._greenlet is None:
+            self._greenlet = gevent.spawn(self._collect)
+
+    def _collect(self) -> None:
+        while self._items:
+            self._filled.wait(GROUP_SECONDS)
+            while self._in_flight >= GROUPS_IN_FLIGHT:
+                self._free.clear()
+                self._free.wait()
+            group = self._take()
+            self._filled.clear()
+            self._in_flight += 1
+            gevent.spawn(self._run, group)
+        self._greenlet = None
+
+    def _take(self) -> list:
+        size = 0
+        count = 0
+        keys: set[str] = set()
+        for item in self._items[:GROUP_ROWS]:
+            size += len(item.value)
+            if item.key in keys or (count and size > GROUP_BYTES):
+                break
+            keys.add(item.key)
+            count += 1
+        group = self._items[:count]
+        del self._items[:count]
+        return group
+
+    def _run(self, group: list) -> None:
+        try:
+            self._flush(group)
+        finally:
+            self._in_flight -= 1
+            self._free.set()
+
+
+class ClaimStore:
+    """Executor of the effects on claims.
+
+    Parameters
+    ----------
+    table : TableStore
+    clock : Clock
+    calls : CallTable
+        Holds the content of each request and, for a recorded one, takes its stored outcome.
+    holder : IncarnationId
+    emit : callable
+        Takes the resulting events.
+    largest_answer : int
+        Bytes up to which a response body is kept in the row.
+    """
+
+    def __init__(
+        self,
+        table: TableStore,
+        clock: Clock,
+        calls: CallTable,
+        holder: IncarnationId,
+        emit: Callable[[Event], None],
+        largest_answer: int,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._calls = calls
+        self._holder = holder
+        self._emit = emit
+        self._largest_answer = largest_answer
+        self._claims = Grouper(self._write_claims)
+        self._records = Grouper(self._write_records)
+        self._rows: dict[str, tuple[ClaimRow, int]] = {}
+
+    # Claims
+
+    def claim(self, effect: ClaimRequest) -> None:
+        """Add a claim to the next group; does not block."""
+        call = self._calls.get(effect.ticket)
+        if call is None:
+            return
+        row = ClaimRow(
+            claim_id=effect.claim_id,
+            content=call.compute_digest(),
+            holder=self._holder,
+            at=self._clock.read(),
+        )
+        key = format_claim_key(effect.caller, effect.request_id)
+        claim = _Claim(effect, key, row, msgspec.msgpack.encode(row))
+        remaining = max(effect.deadline - self._clock.read(), 0.0)
+        gevent.spawn_later(remaining, self._expire, claim)
+        self._claims.add(claim)
+
+    def _expire(self, claim: _Claim) -> None:
+        self._resolve(claim, ClaimState.UNAVAILABLE)
+
+    def _resolve(self, claim: _Claim, state: ClaimState) -> None:
+        if claim.resolved:
+            if state is ClaimState.CLAIMED:
+                # The claim took effect after it was given up; nothing was dispatched for it.
+                gevent.spawn(self._release_row, claim.key, claim.row.claim_id)
+            return
+        claim.resolved = True
+        event = ClaimResolved(now=self._clock.read(), ticket=claim.effect.ticket, state=state)
+        self._emit(event)
+
+    def _write_claims(self, group: list[_Claim]) -> None:
+        started = time.monotonic()
+        uncertain = False
+        backoff = Backoff(longest=LONGEST_BACKOFF)
+        while group := self._keep_open(group, uncertain):
+            # Each attempt is a transaction of its own: whether an earlier one took effect is read
+            # from the rows, so the group may shrink between attempts.
+            checks = {claim.key: 0 for claim in group}
+            puts = {claim.key: claim.value for claim in group}
+            try:
+                result = self._table.commit(f"claims-{uuid.uuid4().hex}", checks, puts)
+                if isinstance(result, int):
+                    self._note_claimed(group, result)
+                    return
+                group = self._settle_conflicts(group, set(result.versions))
+                continue
+            except StoreUnavailableError:
+                if not uncertain and time.monotonic() - started >= UNAVAILABLE_AFTER:
+                    self._give_up(group)
+                    return
+            except ProtocolError:
+                self._give_up(group)
+                return
+            except TransportError:
+                uncertain = True
+            backoff.wait()
+
+    def _keep_open(self, group: list[_Claim], uncertain: bool) -> list[_Claim]:
+        """Drop claims that were given up, and delete their rows if they may exist."""
+        kept = [claim for claim in group if not claim.resolved]
+        if uncertain:
+            for claim in group:
+                if claim.resolved:
+                    gevent.spawn(self._release_row, claim.key, claim.row.claim_id)
+        return kept
+
+    def _give_up(self, group: list[_Claim]) -> None:
+        for claim in group:
+            self._resolve(claim, ClaimState.UNAVAILABLE)
+
+    def _note_claimed(self, group: list[_Claim], version: int) -> None:
+        for claim in group:
+            self._remember(claim.row, version)
+            self._resolve(claim, ClaimState.CLAIMED)
+
+    def _settle_conflicts(self, group: list[_Claim], keys: set[str]) -> list[_Claim]:
+        """Resolve the claims whose rows exist, and return the others."""
+        rest: list[_Claim] = []
+        for claim in group:
+            if claim.key not in keys or not self._settle(claim):
+                rest.append(claim)
+        return rest
+
+    def _settle(self, claim: _Claim) -> bool:
+        row = self._table.read(claim.key)
+        if row.version == 0:
+            return False
+        found = decode_claim(row)
+        if found.claim_id == claim.row.claim_id:
+            self._remember(found, row.version)
+            self._resolve(claim, ClaimState.CLAIMED)
+        elif found.content != claim.row.content:
+            self._resolve(claim, ClaimState.DIFFERENT)
+        elif found.outcome is None:
+            self._resolve(claim, ClaimState.IN_PROGRESS)
+        else:
+            call = self._calls.get(claim.effect.ticket)
+            if call is not None:
+                call.stored = found.outcome
+            self._resolve(claim, ClaimState.RECORDED)
+        return True
+
+    def _remember(self, row: ClaimRow, version: int) -> None:
+        self._rows[row.claim_id] = (row, version)
+        while len(self._rows) > MAX_VERSIONS:
+            del self._rows[next(iter(self._rows))]
+
+    # Outcomes
+
+    def record(self, effect: RecordOutcome) -> None:
+        """Add an outcome to the next group; does not block."""
+        outcome = self._build_outcome(effect)
+        known = self._rows.get(effect.claim_id)
+        if outcome is None or known is None:
+            self._report_record(effect, False)
+            return
+        row = msgspec.structs.replace(known[0], outcome=outcome)
+        key = format_claim_key(effect.caller, effect.request_id)
+        self._records.add(_Record(effect, key, row, msgspec.msgpack.encode(row)))
+
+    def _build_outcome(self, effect: RecordOutcome) -> StoredOutcome | None:
+        outcome = effect.outcome
+        if isinstance(outcome, NotRun):
+            return StoredOutcome(kind="not-run", reason=outcome.reason.value)
+        if isinstance(outcome, Unknown):
+            return StoredOutcome(kind="unknown", reason=outcome.reason.value)
+        call = self._calls.get(effect.ticket)
+        if not isinstance(outcome, Completed) or call is None or call.response is None:
+            return None
+        response = call.response
+        if len(response.body) > self._largest_answer:
+            return StoredOutcome(kind="completed", status=response.status, kept=False)
+        return StoredOutcome(
+            kind="completed",
+            status=response.status,
+            headers=response.headers,
+            body=response.body,
+        )
+
+    def _report_record(self, effect: RecordOutcome, durable: bool) -> None:
+        self._rows.pop(effect.claim_id, None)
+        event = OutcomeRecorded(now=self._clock.read(), ticket=effect.ticket, durable=durable)
+        self._emit(event)
+
+    def _write_records(self, group: list[_Record]) -> None:
+        ends_at = time.monotonic() + OUTCOME_TIMEOUT
+        backoff = Backoff(longest=LONGEST_BACKOFF)
+        while group and time.monotonic() < ends_at:
+            checks = {record.key: self._rows[record.row.claim_id][1] for record in group}
+            puts = {record.key: record.value for record in group}
+            try:
+                result = self._table.commit(f"outcomes-{uuid.uuid4().hex}", checks, puts)
+                if isinstance(result, int):
+                    for record in group:
+                        self._report_record(record.effect, True)
+                    return
+                group = [r for r in group if not self._settle_record(r, set(result.versions))]
+                continue
+            except ProtocolError:
+                break
+            except (StoreUnavailableError, TransportError):
+                backoff.wait()
+        for record in group:
+            self._report_record(record.effect, False)
+
+    def _settle_record(self, record: _Record, keys: set[str]) -> bool:
+        """Return whether the record needs no further attempt."""
+        if record.key not in keys:
+            return False
+        row = self._table.read(record.key)
+        found = decode_claim(row) if row.version else None
+        if found is None or found.claim_id != record.row.claim_id:
+            self._report_record(record.effect, False)
+            return True
+        if found.outcome is not None:
+            self._report_record(record.effect, True)
+            return True
+        self._rows[found.claim_id] = (found, row.version)
+        return False
+
+    # Release and queries
+
+    def release(self, effect: ReleaseClaim) -> None:
+        """Delete a claim whose request was certainly never dispatched."""
+        self._release_row(format_claim_key(effect.caller, effect.request_id), effect.claim_id)
+
+    def _release_row(self, key: str, claim_id: str) -> None:
+        backoff = Backoff(longest=LONGEST_BACKOFF)
+        ends_at = time.monotonic() + OUTCOME_TIMEOUT
+        while time.monotonic() < ends_at:
+            try:
+                row = self._table.read(key)
+                if row.version == 0 or not _is_open_claim(row, claim_id):
+                    return
+                transaction_id = f"release-{uuid.uuid4().hex}"
+                result = self._table.commit(transaction_id, {key: row.version}, {}, [key])
+                if isinstance(result, int):
+                    return
+            except LavenderhookError:
+                backoff.wait()
+
+    def find(self, caller: str, request_id: str) -> ClaimRow | None:
+        """Return the row of a request, or None if it was never claimed.
+
+        Raises
+        ------
+        StoreUnavailableError, TransportError
+            If the table cannot be read.
+        """
+        row = self._table.read(format_claim_key(caller, request_id))
+        return decode_claim(row) if row.version else None
+
+
+def _is_open_claim(row: Row, claim_id: str) -> bool:
+    found = decode_claim(row)
+    return found.claim_id == claim_id and found.outcome is None
--- /dev/null
+++ b/src/lavenderhook/_internal/adapters/table.py
@@ -0,0 +1,145 @@
+"""Client of the platform's transactional table service."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Iterable, Mapping, Sequence
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from ...errors import ProtocolError, StoreUnavailableError, TransportError
+from ..ports.platform import Row, TableStore, TransactionConflict
+from .transport import HttpAnswer, HttpClient
+
+JSON_HEADERS = (("Content-Type", "application/json"),)
+# Statuses with which a service says that it did nothing.
+REFUSALS = frozenset({429, 503})
+
+
+class _Revision(msgspec.Struct):
+    revision: int
+
+
+class _WireRow(msgspec.Struct):
+    key: str
+    version: int
+    value: str = ""
+
+
+class _Conflicts(msgspec.Struct):
+    conflicts: list[_WireRow]
+
+
+class _Rows(msgspec.Struct):
+    rows: list[_WireRow]
+
+
+_Shape = TypeVar("_Shape")
+
+
+def _decode_row(row: _WireRow) -> Row:
+    return Row(row.key, row.version, base64.b64decode(row.value))
+
+
+class HttpTableStore(TableStore):
+    """The table service over HTTP.
+
+    Parameters
+    ----------
+    client : HttpClient
+    address : str
+        ``host:port`` of the service.
+    """
+
+    def __init__(self, client: HttpClient, address: str) -> None:
+        self._client = client
+        self._address = address
+
+    def commit(
+        self,
+        transaction_id: str,
+        checks: Mapping[str, int],
+        puts: Mapping[str, bytes],
+        deletes: Iterable[str] = (),
+    ) -> int | TransactionConflict:
+        """Apply all writes if every checked row has the given version.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the write certainly did not take effect.
+        TransportError
+            If the response was lost.
+        ProtocolError
+            If the service refused the transaction as malformed or too large.
+        """
+        body = msgspec.json.encode(
+            {
+                "id": transaction_id,
+                "checks": [{"key": key, "version": version} for key, version in checks.items()],
+                "puts": [
+                    {"key": key, "value": base64.b64encode(value).decode()}
+                    for key, value in puts.items()
+                ],
+                "deletes": list(deletes),
+            }
+        )
+        answer = self._call("POST", "/v1/transactions", body)
+        if answer.status == 409:
+            conflicts = _decode(answer, _Conflicts).conflicts
+            return TransactionConflict({row.key: row.version for row in conflicts})
+        require_success(answer)
+        return _decode(answer, _Revision).revision
+
+    def read(self, key: str) -> Row:
+        """Return a row, consistently with all commits that were answered before."""
+        answer = self._call("GET", "/v1/rows/" + quote(key))
+        if answer.status == 404:
+            return Row(key, 0)
+        require_success(answer)
+        return _decode_row(_decode(answer, _WireRow))
+
+    def scan(self, prefix: str, after: str = "", limit: int = 500) -> Sequence[Row]:
+        """Return rows in key order whose keys start with `prefix` and are above `after`."""
+        query = f"prefix={quote(prefix, safe='')}&limit={limit}&after={quote(after, safe='')}"
+        answer = self._call("GET", "/v1/rows?" + query)
+        require_success(answer)
+        return [_decode_row(row) for row in _decode(answer, _Rows).rows]
+
+    def _call(self, method: str, path: str, body: bytes = b"") -> HttpAnswer:
+        try:
+            return self._client.call(self._address, method, path, body, JSON_HEADERS)
+        except TransportError as error:
+            if error.sent:
+                raise
+            raise StoreUnavailableError(f"the table cannot be reached: {error}") from error
+
+
+def _decode(answer: HttpAnswer, shape: type[_Shape]) -> _Shape:
+    try:
+        return msgspec.json.decode(answer.body, type=shape)
+    except msgspec.DecodeError as error:
+        # The write may have taken effect, whatever the answer looks like.
+        raise TransportError(f"malformed answer: {error}", sent=True) from error
+
+
+def require_success(answer: HttpAnswer) -> None:
+    """Raise the failure that a store's answer reports.
+
+    Raises
+    ------
+    StoreUnavailableError
+        If the store did nothing.
+    TransportError
+        If it failed on the way.
+    ProtocolError
+        If it refused the call as malformed.
+    """
+    if answer.status in REFUSALS:
+        raise StoreUnavailableError(f"the store answered {answer.status}")
+    if answer.status >= 500:
+        raise TransportError(f"the store answered {answer.status}", sent=True)
+    if answer.status >= 400:
+        raise ProtocolError(f"the store answered {answer.status}: {answer.body[:200]!r}")
--- /dev/null
+++ b/src/lavenderhook/_internal/adapters/transport.py
@@ -0,0 +1,358 @@
+"""HTTP client connections with exact knowledge of what was sent and received.
+
+The response parser is geventhttpclient's. Its pooled client is not used, because it sends a
+request again by itself after a broken connection and reports no difference between a request that
+never left and one that may have run.
+"""
+
+from __future__ import annotations
+
+import socket as sockets
+import time
+from collections.abc import Callable, Iterable
+
+import gevent.lock
+import gevent.socket
+import msgspec
+from geventhttpclient.response import HTTPParseError, HTTPProtocolViolationError, HTTPResponse
+
+from ...errors import LavenderhookError, TransportError, TruncatedAnswerError
+
+READ_BLOCK = 65536  # bytes
+CONNECT_TIMEOUT = 1.0  # seconds; a retransmitted SYN takes 1 s, so a lost one counts as a failure
+FIRST_FINAL_STATUS = 200
+Headers = Iterable[tuple[str, str]]
+CountTraffic = Callable[[str, str, int, int], None]
+
+
+class ExchangeTimeoutError(LavenderhookError):
+    """The response was not complete at the deadline; the exchange may be read on."""
+
+    code = "exchange-timeout"
+    http_status = 504
+
+
+class HttpAnswer(msgspec.Struct, frozen=True):
+    """A complete response; header names are in lower case."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def get_header(self, name: str) -> str | None:
+        """Return the first value of a header, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class _SingleResponse(HTTPResponse):
+    """Parser that refuses a second response on the same exchange.
+
+    The base class starts over when bytes follow a complete response, which would mix the headers
+    and bodies of two responses.
+    """
+
+    finished = False
+
+    def _on_message_begin(self) -> None:
+        if self.finished:
+            raise HTTPProtocolViolationError("bytes follow a complete response")
+        super()._on_message_begin()
+
+    def _on_message_complete(self) -> None:
+        super()._on_message_complete()
+        self.finished = self.get_code() >= FIRST_FINAL_STATUS
+
+
+def split_address(address: str) -> tuple[str, int, str]:
+    """Split ``host:port/path`` into host, port and path (without its final slash)."""
+    location, slash, path = address.partition("/")
+    host, _, port = location.rpartition(":")
+    return host, int(port), (slash + path).rstrip("/")
+
+
+def build_request(method: str, target: str, host: str, headers: Headers, body: bytes) -> bytes:
+    """Return the bytes of a request, in one piece so that one segment carries a small one."""
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    if body or method not in ("GET", "HEAD", "DELETE"):
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+class Connection:
+    """One connection that carries one exchange at a time.
+
+    Attributes
+    ----------
+    sent_bytes, received_bytes : int
+        Bytes of the present exchange.
+    reusable : bool
+        Whether the last exchange ended cleanly and the connection may carry another.
+    """
+
+    def __init__(self, address: str, timeout: float) -> None:
+        host, port, _ = split_address(address)
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.reusable = False
+        self._parser: _SingleResponse | None = None
+        self._socket = gevent.socket.socket(sockets.AF_INET, sockets.SOCK_STREAM)
+        try:
+            # Without it, the last part of a request waits for a delayed acknowledgement (40 ms).
+            self._socket.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+            self._socket.settimeout(max(timeout, 0.001))
+            self._socket.connect((host, port))
+        except OSError as error:
+            self._socket.close()
+            raise TransportError(f"connecting to {host}:{port}: {error}", sent=False) from error
+
+    def is_fresh(self) -> bool:
+        """Return whether an idle connection is open and holds no stray bytes."""
+        try:
+            self._socket._sock.recv(1, sockets.MSG_PEEK | sockets.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def is_nodelay(self) -> bool:
+        """Return whether small segments are sent at once."""
+        return bool(self._socket.getsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY))
+
+    def send(self, method: str, data: bytes, deadline: float) -> None:
+        """Send a request.
+
+        Parameters
+        ----------
+        method : str
+            Method of the request.
+        data : bytes
+            The whole request.
+        deadline : float
+            Monotonic time in seconds.
+
+        Raises
+        ------
+        TransportError
+            ``sent`` is False only if the system accepted no byte.
+        ExchangeTimeoutError
+            If only a part was taken by the deadline.
+        """
+        self.reusable = False
+        self.sent_bytes = self.received_bytes = 0
+        self._parser = _SingleResponse(method)
+        view = memoryview(data)
+        try:
+            while self.sent_bytes < len(data):
+                self._socket.settimeout(max(deadline - time.monotonic(), 0.001))
+                self.sent_bytes += self._socket.send(view[self.sent_bytes :])
+        except TimeoutError as error:
+            if self.sent_bytes > 0:
+                raise ExchangeTimeoutError("the request was not taken by the deadline") from error
+            raise TransportError("the request could not be sent in time", sent=False) from error
+        except OSError as error:
+            raise TransportError(f"sending: {error}", sent=self.sent_bytes > 0) from error
+
+    def receive(self, deadline: float) -> HttpAnswer:
+        """Read the response; may be called again after an `ExchangeTimeoutError`.
+
+        Raises
+        ------
+        ExchangeTimeoutError
+            If the response is not complete at the deadline (monotonic time in seconds).
+        TruncatedAnswerError
+            If the body ended before its declared length. A body without a declared length cannot
+            be known to be complete and counts as truncated.
+        TransportError
+            If the connection failed or the response is malformed.
+        """
+        parser = self._parser
+        assert parser is not None, "send comes first"
+        try:
+            while not parser.finished:
+                remaining = deadline - time.monotonic()
+                if remaining <= 0:
+                    raise ExchangeTimeoutError("no complete response at the deadline")
+                self._socket.settimeout(remaining)
+                data = self._socket.recv(READ_BLOCK)
+                if not data:
+                    raise self._describe_end(parser)
+                self.received_bytes += len(data)
+                parser.feed(data)
+        except TimeoutError:
+            raise ExchangeTimeoutError("no complete response at the deadline") from None
+        except OSError as error:
+            raise TransportError(f"receiving: {error}", sent=True) from error
+        except (HTTPParseError, ValueError) as error:
+            raise TransportError(f"malformed response: {error}", sent=True) from error
+        return self._finish(parser)
+
+    def _describe_end(self, parser: _SingleResponse) -> TransportError:
+        if not parser.headers_complete:
+            return TransportError("connection closed before the response", sent=True)
+        return TruncatedAnswerError(parser.content_length, len(parser._body_buffer))
+
+    def _finish(self, parser: _SingleResponse) -> HttpAnswer:
+        body = bytes(parser._body_buffer)
+        length = parser.content_length
+        if length is not None and parser.method != "HEAD" and length != len(body):
+            raise TruncatedAnswerError(length, len(body))
+        self.reusable = not parser.should_close()
+        headers = tuple(_flatten(parser.headers))
+        return HttpAnswer(parser.get_code(), headers, body)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.reusable = False
+        self._socket.close()
+
+
+def _flatten(headers: Iterable[tuple[str, object]]) -> Iterable[tuple[str, str]]:
+    for name, value in headers:
+        values = value if isinstance(value, list) else [value]
+        for item in values:
+            yield name.lower(), str(item)
+
+
+class ConnectionPool:
+    """Connections to one address, at most `size` at a time.
+
+    A connection goes back to the pool only after a clean exchange; every other one is closed.
+    """
+
+    def __init__(self, address: str, size: int) -> None:
+        self.address = address
+        self._places = gevent.lock.BoundedSemaphore(size)
+        self._idle: list[Connection] = []
+        self.opened = 0
+
+    def acquire(self, deadline: float) -> Connection:
+        """Return an idle connection that is certainly open, or a new one.
+
+        Raises
+        ------
+        TransportError
+            With ``sent=False`` if no connection is free at the deadline or none can be opened.
+        """
+        remaining = max(deadline - time.monotonic(), 0.0)
+        if not self._places.acquire(timeout=remaining):
+            raise TransportError(f"no free connection to {self.address}", sent=False)
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_fresh():
+                return connection
+            connection.close()
+        try:
+            connection = Connection(self.address, min(remaining, CONNECT_TIMEOUT))
+        except BaseException:
+            self._places.release()
+            raise
+        self.opened += 1
+        return connection
+
+    def release(self, connection: Connection) -> None:
+        """Take a connection back; it is kept only if its last exchange was clean."""
+        if connection.reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        self._places.release()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+
+class HttpClient:
+    """Calls to many addresses over pooled connections.
+
+    Parameters
+    ----------
+    kind : str
+        Label of the traffic counters, such as ``table`` or ``peer``.
+    headers : iterable of (str, str)
+        Sent with every request.
+    size : int
+        Connections to each address.
+    timeout : float
+        Time limit of a call in seconds.
+    count : callable or None
+        Called with (kind, address, bytes sent, bytes received) after each call.
+    """
+
+    def __init__(
+        self,
+        kind: str,
+        *,
+        headers: Headers = (),
+        size: int = 8,
+        timeout: float = 2.0,
+        count: CountTraffic | None = None,
+    ) -> None:
+        self.kind = kind
+        self.timeout = timeout
+        self._headers = tuple(headers)
+        self._size = size
+        self._count = count
+        self._pools: dict[str, ConnectionPool] = {}
+
+    def get_pool(self, address: str) -> ConnectionPool:
+        """Return the pool of an address (without its path)."""
+        location = address.partition("/")[0]
+        pool = self._pools.get(location)
+        if pool is None:
+            pool = self._pools[location] = ConnectionPool(location, self._size)
+        return pool
+
+    def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Headers = (),
+        timeout: float | None = None,
+    ) -> HttpAnswer:
+        """Carry out one exchange.
+
+        Raises
+        ------
+        TransportError
+            ``sent`` tells whether the request may have reached the other side; a timeout after
+            the request was sent counts as sent.
+        """
+        deadline = time.monotonic() + (self.timeout if timeout is None else timeout)
+        pool = self.get_pool(address)
+        target = split_address(address)[2] + path
+        data = build_request(method, target, pool.address, (*self._headers, *headers), body)
+        connection = pool.acquire(deadline)
+        try:
+            connection.send(method, data, deadline)
+            return connection.receive(deadline)
+        except ExchangeTimeoutError as error:
+            raise TransportError(str(error), sent=True) from error
+        finally:
+            self.count(pool.address, connection)
+            pool.release(connection)
+
+    def count(self, location: str, connection: Connection) -> None:
+        """Count the bytes of a connection's last exchange."""
+        if self._count is not None:
+            self._count(self.kind, location, connection.sent_bytes, connection.received_bytes)
+
+    def drop(self, address: str) -> None:
+        """Close the idle connections to an address that is no longer used."""
+        pool = self._pools.pop(address.partition("/")[0], None)
+        if pool is not None:
+            pool.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for pool in self._pools.values():
+            pool.close()
+        self._pools.clear()
--- /dev/null
+++ b/src/lavenderhook/_internal/violations.py
@@ -0,0 +1,112 @@
+"""Readable descriptions of msgspec's validation failures."""
+
+from __future__ import annotations
+
+import functools
+import re
+from collections.abc import Iterator
+from typing import Any, TypeVar, cast
+
+import msgspec
+
+from ..errors import InvalidArgumentError
+
+_MESSAGE = re.compile(r"^(?P<problem>.*?)(?: - at `(?P<path>[^`]*)`)?$", re.DOTALL)
+_FIELD = re.compile(r"field `(?P<name>[^`]+)`")
+_Shape = TypeVar("_Shape")
+
+
+def describe_violation(message: str) -> tuple[str, str]:
+    """Split a message of msgspec into the path of the argument and what is allowed."""
+    match = _MESSAGE.match(message)
+    assert match is not None
+    parts = [(match["path"] or "").removeprefix("$").lstrip(".")]
+    problem = match["problem"]
+    field = _FIELD.search(problem)
+    if field is None:
+        allowed = problem.removeprefix("Expected ").replace("`", "")
+    else:
+        parts.append(field["name"])
+        is_missing = "missing" in problem
+        allowed = "a value, since it is required" if is_missing else "only keys that exist"
+    return ".".join(part for part in parts if part), allowed
+
+
+@functools.cache
+def list_choices(shape: Any) -> dict[str, tuple[str, ...]]:
+    """Return the values that the enumerated fields and tags below a type allow, by field name."""
+    choices: dict[str, tuple[str, ...]] = {}
+    for name, values in _walk(msgspec.inspect.type_info(shape), set()):
+        choices[name] = tuple(sorted({*choices.get(name, ()), *values}))
+    return choices
+
+
+def _walk(info: Any, seen: set[type]) -> Iterator[tuple[str, tuple[str, ...]]]:
+    if isinstance(info, msgspec.inspect.UnionType):
+        for member in info.types:
+            yield from _walk(member, seen)
+    elif isinstance(info, msgspec.inspect.StructType) and info.cls not in seen:
+        seen.add(info.cls)
+        if info.tag_field is not None:
+            yield info.tag_field, (str(info.tag),)
+        for field in info.fields:
+            if isinstance(field.type, msgspec.inspect.EnumType):
+                yield field.encode_name, tuple(str(entry.value) for entry in field.type.cls)
+            yield from _walk(field.type, seen)
+    elif isinstance(info, msgspec.inspect.VarTupleType | msgspec.inspect.ListType):
+        yield from _walk(info.item_type, seen)
+    elif isinstance(info, msgspec.inspect.DictType):
+        yield from _walk(info.value_type, seen)
+
+
+def convert(values: Any, shape: type[_Shape], root: str) -> _Shape:
+    """Check plain data against a type.
+
+    Parameters
+    ----------
+    values : object
+        Plain data.
+    shape : type
+    root : str
+        Name of the whole, for failures that concern no single field.
+
+    Raises
+    ------
+    InvalidArgumentError
+        Naming the argument that is not valid.
+    """
+    try:
+        return msgspec.convert(values, shape)
+    except msgspec.ValidationError as error:
+        path, allowed = describe_violation(str(error))
+        choices = list_choices(cast(Any, shape)).get(path.rpartition(".")[2])
+        if choices is not None and allowed.startswith("Invalid"):
+            allowed = "one of " + ", ".join(choices)
+        raise InvalidArgumentError(path or root, find_value(values, path), allowed) from error
+
+
+def find_value(values: Any, path: str) -> object:
+    """Return the value at a path such as ``puts[0].name``, or None."""
+    for part in re.findall(r"[^.\[\]]+", path):
+        if isinstance(values, list) and part.isdigit() and int(part) < len(values):
+            values = values[int(part)]
+        elif isinstance(values, dict) and part in values:
+            values = values[part]
+        else:
+            return None
+    return values
+
+
+def decode_json(body: bytes, shape: type[_Shape]) -> _Shape:
+    """Decode and check a JSON body.
+
+    Raises
+    ------
+    InvalidArgumentError
+        Naming the argument that is not valid.
+    """
+    try:
+        values = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise InvalidArgumentError("body", body[:80], f"JSON ({error})") from error
+    return convert(values, shape, "body")
