--- /dev/null
+++ b/src/lavenderhook/_internal/adapters/credentials.py
@@ -0,0 +1,113 @@
+"""Credentials of callers, operators and peers."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Mapping
+from typing import TypeVar
+
+import msgspec
+
+from ...errors import PermissionDeniedError, UnauthenticatedError
+from ..core.identifiers import CallerName, TeamName
+from .frontend import Incoming
+
+CALLER_HEADER = "lavenderhook-caller"
+DEFAULT_TEAM = TeamName("default")
+ANONYMOUS = CallerName("anonymous")
+_SCHEME = "bearer "
+_Entry = TypeVar("_Entry")
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """A caller and the team whose quota it uses."""
+
+    caller: CallerName
+    team: TeamName
+
+
+def _read_token(incoming: Incoming) -> str:
+    value = incoming.headers.get("authorization", "")
+    if not value.lower().startswith(_SCHEME):
+        raise UnauthenticatedError("a bearer credential is required")
+    return value[len(_SCHEME) :].strip()
+
+
+class Credentials:
+    """Checks the credentials that the settings declare.
+
+    Parameters
+    ----------
+    callers : mapping of str to Identity
+        Identities by token; without any, a caller is whom it says it is.
+    operators : mapping of str to str
+        Names by token.
+    peer : str
+        Credential that peers share; empty for none.
+    """
+
+    def __init__(
+        self, callers: Mapping[str, Identity], operators: Mapping[str, str], peer: str
+    ) -> None:
+        self._callers = {token.encode(): identity for token, identity in callers.items()}
+        self._operators = {token.encode(): name for token, name in operators.items()}
+        self._peer = peer.encode()
+
+    @property
+    def hides_authorization(self) -> bool:
+        """Return whether the authorization header is ours and must not reach upstreams."""
+        return bool(self._callers)
+
+    def identify_caller(self, incoming: Incoming) -> Identity:
+        """Return who calls.
+
+        Raises
+        ------
+        UnauthenticatedError
+            If callers are declared and the credential is none of theirs.
+        PermissionDeniedError
+            If the call names another caller than its credential.
+        """
+        claimed = incoming.headers.get(CALLER_HEADER, "")
+        if not self._callers:
+            return Identity(CallerName(claimed) if claimed else ANONYMOUS, DEFAULT_TEAM)
+        identity = _find(self._callers, _read_token(incoming))
+        if identity is None:
+            raise UnauthenticatedError("the credential is not known")
+        if claimed and claimed != identity.caller:
+            raise PermissionDeniedError(f"the credential does not belong to {claimed!r}")
+        return identity
+
+    def identify_operator(self, incoming: Incoming) -> str:
+        """Return the name of the operator who calls.
+
+        Raises
+        ------
+        UnauthenticatedError
+            If the credential is no operator's.
+        """
+        name = _find(self._operators, _read_token(incoming))
+        if name is None:
+            raise UnauthenticatedError("the credential is not known")
+        return name
+
+    def require_peer(self, incoming: Incoming) -> None:
+        """Check that a peer calls.
+
+        Raises
+        ------
+        UnauthenticatedError
+            If peers share a credential and this is not it.
+        """
+        if self._peer and not hmac.compare_digest(_read_token(incoming).encode(), self._peer):
+            raise UnauthenticatedError("the credential is not the peers'")
+
+
+def _find(table: Mapping[bytes, _Entry], token: str) -> _Entry | None:
+    """Return the entry of a token; every entry is compared, in constant time."""
+    given = token.encode()
+    found = None
+    for known, entry in table.items():
+        if hmac.compare_digest(known, given):
+            found = entry
+    return found
--- /dev/null
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -0,0 +1,407 @@
+"""HTTP listener for callers, operators, peers, health checks and metrics."""
+
+from __future__ import annotations
+
+import re
+import socket as sockets
+from collections.abc import Callable, Iterable, Mapping
+from http import HTTPStatus
+from typing import Any
+
+import gevent
+import gevent.pool
+import msgspec
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+
+from ...errors import (
+    LavenderhookError,
+    PayloadTooLargeError,
+    ProtocolError,
+    RequestTimeoutError,
+)
+
+BACKLOG = 1024
+SMALL_BODY = 65536  # bytes up to which headers and body are sent in one piece
+READ_BLOCK = 65536  # bytes
+LINGER_SECONDS = 1.0
+LINGER_BYTES = 1024 * 1024
+VERSIONS = frozenset({"HTTP/1.0", "HTTP/1.1"})
+# Headers whose repetition would change the meaning of a request.
+SINGLE_FIELDS = frozenset(
+    {"authorization", "content-length", "host", "lavenderhook-request-id", "transfer-encoding"}
+)
+STATUS_LINES = {status.value: f"{status.value} {status.phrase}" for status in HTTPStatus}
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*\Z")
+JSON_TYPE = "application/json"
+
+Environ = dict[str, Any]
+
+
+class Reply(msgspec.Struct, frozen=True, kw_only=True):
+    """What a route answers."""
+
+    status: int = 200
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+def reply_json(value: object, status: int = 200, headers: Iterable[tuple[str, str]] = ()) -> Reply:
+    """Return a reply that carries a JSON value."""
+    body = msgspec.json.encode(value, enc_hook=str)
+    return Reply(status=status, headers=(("Content-Type", JSON_TYPE), *headers), body=body)
+
+
+def reply_error(error: LavenderhookError, headers: Iterable[tuple[str, str]] = ()) -> Reply:
+    """Return the reply that reports a failure."""
+    return reply_json(error.to_fields(), error.http_status, headers)
+
+
+class Incoming:
+    """One request as routes see it.
+
+    Attributes
+    ----------
+    method, path, query : str
+    headers : mapping of str to str
+        Header names in lower case.
+    """
+
+    __slots__ = ("_environ", "_limits", "headers", "method", "path", "query")
+
+    def __init__(self, environ: Environ, limits: ListenerLimits) -> None:
+        self._environ = environ
+        self._limits = limits
+        self.method: str = environ["REQUEST_METHOD"]
+        # The raw path is kept, so that an upstream receives it exactly as the caller sent it.
+        self.path, _, self.query = environ["lavenderhook.target"].partition("?")
+        self.headers: Mapping[str, str] = environ["lavenderhook.headers"]
+
+    def read_body(self) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        PayloadTooLargeError, RequestTimeoutError
+            If the sender exceeds a limit.
+        ProtocolError
+            If the body ends before its Content-Length.
+        """
+        expected: int | None = self._environ["lavenderhook.length"]
+        if expected is None and "transfer-encoding" not in self.headers:
+            return b""
+        limit = self._limits.body_bytes
+        if expected is not None and expected > limit:
+            self._close_after()
+            raise PayloadTooLargeError(f"the body has {expected} bytes, the limit is {limit}")
+        try:
+            with gevent.Timeout(self._limits.read_seconds, RequestTimeoutError("body too slow")):
+                body = self._read_all(limit)
+        except (LavenderhookError, OSError) as error:
+            self._close_after()
+            if isinstance(error, LavenderhookError):
+                raise
+            raise ProtocolError(f"the body cannot be read: {error}") from error
+        if expected is not None and len(body) != expected:
+            self._close_after()
+            raise ProtocolError(f"the body has {len(body)} of {expected} bytes")
+        return body
+
+    def _read_all(self, limit: int) -> bytes:
+        stream = self._environ["wsgi.input"]
+        blocks: list[bytes] = []
+        size = 0
+        while block := stream.read(READ_BLOCK):
+            size += len(block)
+            if size > limit:
+                raise PayloadTooLargeError(f"the body exceeds the limit of {limit} bytes")
+            blocks.append(block)
+        return blocks[0] if len(blocks) == 1 else b"".join(blocks)
+
+    def _close_after(self) -> None:
+        """Close the connection after the reply, as the rest of the body is not read."""
+        self._environ["lavenderhook.handler"].abandon_input()
+
+    def is_abandoned(self) -> bool:
+        """Return whether the sender has closed its connection."""
+        return self._environ["lavenderhook.handler"].is_peer_closed()
+
+
+class ListenerLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds on what a sender may use; durations are in seconds."""
+
+    body_bytes: int
+    header_bytes: int
+    line_bytes: int
+    read_seconds: float
+    idle_seconds: float
+    connections: int
+
+
+Route = Callable[[Incoming], Reply]
+
+
+class Handler(WSGIHandler):
+    """Handler of one accepted connection.
+
+    The head of a request is parsed here instead of by the base class, whose parser accepts folded
+    and duplicate headers, has no time limit and takes several times as long.
+    """
+
+    server: Listener
+
+    def __init__(self, sock: Any, address: Any, server: Listener, rfile: Any = None) -> None:
+        # Without it, the last part of a response waits for a delayed acknowledgement (40 ms).
+        sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+        super().__init__(sock, address, server, rfile)
+        self._fields: dict[str, str] = {}
+        self._input_abandoned = False
+
+    def handle(self) -> None:
+        """Serve the connection; a broken one ends silently."""
+        self.server.handlers.add(self)
+        try:
+            super().handle()
+        except OSError:
+            pass
+        finally:
+            self.server.handlers.discard(self)
+
+    def handle_one_request(self) -> Any:
+        """Read a request within the time and size limits and answer it."""
+        limits = self.server.limits
+        try:
+            with gevent.Timeout(limits.idle_seconds):
+                if not self.rfile.peek(1):
+                    return None
+        except (OSError, ValueError, gevent.Timeout):
+            return None
+        late = RequestTimeoutError("the request head was not complete in time")
+        self._head_timeout = gevent.Timeout(limits.read_seconds, late)
+        self._head_timeout.start()
+        try:
+            result = super().handle_one_request()
+        except LavenderhookError as error:
+            result = self._handle_client_error(error)
+        finally:
+            self._head_timeout.close()
+        if self._input_abandoned or isinstance(result, tuple):
+            return self._end(result)
+        return result
+
+    def read_requestline(self) -> str:
+        """Return the request line.
+
+        Raises
+        ------
+        PayloadTooLargeError
+            If it exceeds the limit.
+        """
+        limit = self.server.limits.line_bytes
+        line = self.rfile.readline(limit + 1)
+        if len(line) > limit:
+            raise PayloadTooLargeError(f"the request line exceeds {limit} bytes")
+        return line.decode("latin-1")
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Parse the head of a request.
+
+        Raises
+        ------
+        ProtocolError, PayloadTooLargeError
+            If it is malformed or too large.
+        """
+        self.requestline = raw_requestline.rstrip("\r\n")
+        words = self.requestline.split(" ")
+        if len(words) != 3 or words[2] not in VERSIONS or not words[1].startswith("/"):
+            raise ProtocolError("malformed request line")
+        self.command, self.path, self.request_version = words
+        self._fields = self._read_fields()
+        self.content_length = self._read_length()
+        connection = self._fields.get("connection", "").lower()
+        if self.request_version == "HTTP/1.0":
+            self.close_connection = connection != "keep-alive"
+        else:
+            self.close_connection = connection == "close"
+        self._head_timeout.close()
+        return True
+
+    def _read_fields(self) -> dict[str, str]:
+        limits = self.server.limits
+        fields: dict[str, str] = {}
+        size = 0
+        while True:
+            line = self.rfile.readline(limits.line_bytes + 1)
+            size += len(line)
+            if len(line) > limits.line_bytes or size > limits.header_bytes:
+                raise PayloadTooLargeError(f"the headers exceed {limits.header_bytes} bytes")
+            if line in (b"\r\n", b"\n"):
+                return fields
+            if not line.endswith(b"\n"):
+                raise ProtocolError("the headers end early")
+            name, colon, value = line.decode("latin-1").rstrip("\r\n").partition(":")
+            if not colon or not _TOKEN.match(name) or not _VALUE.match(value):
+                raise ProtocolError(f"malformed header {name[:80]!r}")
+            name = name.lower()
+            if name in fields and name in SINGLE_FIELDS:
+                raise ProtocolError(f"header {name!r} is given twice")
+            value = value.strip(" \t")
+            fields[name] = f"{fields[name]}, {value}" if name in fields else value
+
+    def _read_length(self) -> int | None:
+        coding = self._fields.get("transfer-encoding")
+        text = self._fields.get("content-length")
+        if coding is not None and (text is not None or coding.lower() != "chunked"):
+            # Two ways to find the end of the body would let one request hide another.
+            raise ProtocolError("the length of the body is ambiguous")
+        if text is None:
+            return None
+        if not text.isdecimal() or not text.isascii():
+            raise ProtocolError("malformed Content-Length")
+        return int(text)
+
+    def get_environ(self) -> Environ:
+        """Return the environment of the request."""
+        sends_continue = self._fields.get("expect", "").lower() == "100-continue"
+        self.wsgi_input = Input(
+            self.rfile,
+            self.content_length,
+            socket=self.socket if sends_continue else None,
+            chunked_input="transfer-encoding" in self._fields,
+        )
+        return {
+            "REQUEST_METHOD": self.command,
+            "wsgi.input": self.wsgi_input,
+            "lavenderhook.handler": self,
+            "lavenderhook.headers": self._fields,
+            "lavenderhook.target": self.path,
+            "lavenderhook.length": self.content_length,
+        }
+
+    def _write_with_headers(self, data: bytes) -> None:
+        if len(data) > SMALL_BODY or self.response_use_chunked:
+            super()._write_with_headers(data)
+            return
+        self.headers_sent = True
+        self.finalize_headers()
+        lines = [b"HTTP/1.1 " + self.status]
+        lines.extend(name + b": " + value for name, value in self.response_headers)
+        # One segment instead of two.
+        self._sendall(b"\r\n".join(lines) + b"\r\n\r\n" + data)
+
+    def abandon_input(self) -> None:
+        """Leave the rest of the request's body unread and close the connection afterwards."""
+        self.close_connection = True
+        self._input_abandoned = True
+        self.wsgi_input = Input(self.rfile, 0)
+
+    def is_peer_closed(self) -> bool:
+        """Return whether the other side has closed the connection."""
+        try:
+            flags = sockets.MSG_PEEK | sockets.MSG_DONTWAIT
+            return not self.socket._sock.recv(1, flags)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def _end(self, result: Any) -> None:
+        """Send a last response and read on for a moment.
+
+        Closing a socket with unread bytes resets the connection, and the other side could lose
+        the response.
+        """
+        if isinstance(result, tuple):
+            self.socket.sendall(result[1])
+        self.socket.shutdown(sockets.SHUT_WR)
+        remaining = LINGER_BYTES
+        with gevent.Timeout(LINGER_SECONDS, False):
+            while remaining > 0 and (data := self.socket.recv(READ_BLOCK)):
+                remaining -= len(data)
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        error = ex if isinstance(ex, LavenderhookError) else ProtocolError(str(ex))
+        self.server.note_refusal(error)
+        reply = reply_error(error)
+        head = (
+            f"HTTP/1.1 {reply.status} {HTTPStatus(reply.status).phrase}\r\n"
+            f"Content-Type: {JSON_TYPE}\r\nContent-Length: {len(reply.body)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        return str(reply.status), head.encode() + reply.body
+
+
+class Listener(WSGIServer):
+    """The listener of the process.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+    limits : ListenerLimits
+    route : callable
+        Answers a request; may raise any `LavenderhookError`.
+    report : callable
+        Takes (what, error) of failures that routes did not expect.
+    """
+
+    handler_class = Handler
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        limits: ListenerLimits,
+        route: Route,
+        report: Callable[[str, BaseException], None],
+    ) -> None:
+        # A given server name saves a resolver look-up.
+        super().__init__(
+            address,
+            self._run,
+            backlog=BACKLOG,
+            log=None,
+            spawn=gevent.pool.Pool(limits.connections),
+            environ={"SERVER_NAME": address[0]},
+        )
+        self.limits = limits
+        self.handlers: set[Handler] = set()
+        self.is_draining = False
+        self.refusals: dict[str, int] = {}
+        self._route = route
+        self._report = report
+
+    @property
+    def location(self) -> str:
+        """Return ``ip:port`` of the listener."""
+        return f"{self.server_host}:{self.server_port}"
+
+    def note_refusal(self, error: LavenderhookError) -> None:
+        """Count a request that was refused before it reached a route."""
+        self.refusals[error.code] = self.refusals.get(error.code, 0) + 1
+
+    def drain(self) -> None:
+        """Accept no new connections; callers' open ones are closed after their next response.
+
+        Connections of peers stay open, since grants and heartbeats are exchanged over them until
+        the process stops.
+        """
+        self.is_draining = True
+        self.close()
+
+    def _run(self, environ: Environ, start_response: Callable[..., Any]) -> list[bytes]:
+        incoming = Incoming(environ, self.limits)
+        try:
+            reply = self._route(incoming)
+        except LavenderhookError as error:
+            reply = reply_error(error)
+        except Exception as error:  # a faulty route must not end the connection silently
+            self._report(f"answering {incoming.path}", error)
+            reply = reply_error(LavenderhookError("the request could not be processed"))
+        headers = list(reply.headers)
+        handler = environ["lavenderhook.handler"]
+        closes = handler._input_abandoned or (
+            self.is_draining and not incoming.path.startswith("/peer/")
+        )
+        if closes:
+            headers.append(("Connection", "close"))
+        start_response(STATUS_LINES.get(reply.status, f"{reply.status} Status"), headers)
+        return [reply.body]
--- /dev/null
+++ b/src/lavenderhook/_internal/adapters/peer_routes.py
@@ -0,0 +1,224 @@
+"""Routes for messages from peers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from ...errors import UnknownNameError
+from ..core.digest import collect_digest_fields
+from ..core.effects import AnswerCaller, Completed, NotRun, Outcome, Unknown, UnknownReason
+from ..core.events import (
+    ConfigurationReceived,
+    GrantReportReceived,
+    GrantUpdateReceived,
+    HeartbeatReceived,
+    JobCancelRequested,
+    JobSubmitted,
+    PeerOutcome,
+    QueryReceived,
+    RequestArrived,
+    RequestHead,
+)
+from ..core.membership import build_digest, list_live_members
+from ..core.messages import GrantReport, GrantUpdate, HeartbeatReply
+from .calls import CallTable, Operation
+from .credentials import Credentials
+from .frontend import Incoming, Reply
+from .peers import (
+    PREFIX,
+    PULL_CHANGES,
+    ConfigurationPull,
+    ConfigurationPush,
+    ConfigurationState,
+    ForwardedAnswer,
+    ForwardedCancellation,
+    ForwardedHead,
+    ForwardedSubmission,
+    Heartbeat,
+    PeerCalls,
+    PeerMessage,
+    decode_message,
+    decode_operation,
+    encode_framed,
+    split_framed,
+)
+from .routes import Core, run_operation, wait_for_answer
+
+MESSAGE_TYPE = "application/msgpack"
+
+
+def _reply(message: msgspec.Struct) -> Reply:
+    headers = (("Content-Type", MESSAGE_TYPE),)
+    return Reply(headers=headers, body=msgspec.msgpack.encode(message))
+
+
+class PeerRoutes:
+    """Answers calls below ``/peer/v1/``.
+
+    Parameters
+    ----------
+    core : Core
+    calls : CallTable
+    credentials : Credentials
+    peers : PeerCalls
+        Tells which peers get heartbeats from here anyway.
+    """
+
+    def __init__(
+        self, core: Core, calls: CallTable, credentials: Credentials, peers: PeerCalls
+    ) -> None:
+        self._core = core
+        self._calls = calls
+        self._credentials = credentials
+        self._peers = peers
+        self._handlers: dict[str, Callable[[bytes, Incoming], Reply]] = {
+            "heartbeat": self._take_heartbeat,
+            "grant-report": self._take_report,
+            "grant-update": self._take_update,
+            "configuration-push": self._take_push,
+            "configuration-pull": self._answer_pull,
+            "request": self._serve_request,
+            "operation": self._run_operation,
+        }
+
+    def serve(self, incoming: Incoming) -> Reply:
+        """Answer a peer's call."""
+        self._credentials.require_peer(incoming)
+        kind = incoming.path.removeprefix(PREFIX)
+        handler = self._handlers.get(kind)
+        if handler is None or incoming.method != "POST":
+            raise UnknownNameError("peer message", kind)
+        return handler(incoming.read_body(), incoming)
+
+    def _take_heartbeat(self, content: bytes, incoming: Incoming) -> Reply:
+        message = decode_message(content, Heartbeat)
+        event = HeartbeatReceived(
+            now=self._core.now(), digest=message.digest, members=message.members
+        )
+        self._core.apply(event)
+        if message.digest.address in self._peers.addresses:
+            # That peer gets this instance's heartbeats; a reply would repeat them.
+            return Reply(status=204)
+        state = self._core.state
+        digest = self._peers.last_digest or build_digest(state)
+        members = {
+            incarnation: state.membership.members[incarnation].digest.address
+            for incarnation in list_live_members(state)[: state.parameters.full_mesh_limit]
+        }
+        return _reply(HeartbeatReply(digest=digest, members=members))
+
+    def _take_report(self, content: bytes, incoming: Incoming) -> Reply:
+        report = decode_message(content, GrantReport)
+        self._core.apply(GrantReportReceived(now=self._core.now(), report=report))
+        return Reply(status=204)
+
+    def _take_update(self, content: bytes, incoming: Incoming) -> Reply:
+        update = decode_message(content, GrantUpdate)
+        self._core.apply(GrantUpdateReceived(now=self._core.now(), update=update))
+        return Reply(status=204)
+
+    def _take_push(self, content: bytes, incoming: Incoming) -> Reply:
+        change = decode_message(content, ConfigurationPush).change
+        event = ConfigurationReceived(
+            now=self._core.now(),
+            changes=(change,),
+            complete=False,
+            from_table=False,
+            head=change.version,
+        )
+        self._core.apply(event)
+        return _reply(ConfigurationState(version=self._core.state.configuration.version))
+
+    def _answer_pull(self, content: bytes, incoming: Incoming) -> Reply:
+        after = decode_message(content, ConfigurationPull).after
+        configuration = self._core.state.configuration
+        changes = tuple(configuration.history[after : after + PULL_CHANGES])
+        return _reply(ConfigurationState(version=configuration.version, changes=changes))
+
+    def _serve_request(self, content: bytes, incoming: Incoming) -> Reply:
+        encoded, body = split_framed(content)
+        head = decode_message(encoded, ForwardedHead)
+        request = head.request
+        call = self._calls.open(
+            method=head.method, target=head.target, headers=head.headers, body=body
+        )
+        call.forwarded = True
+        now = self._core.now()
+        arrived = RequestHead(
+            ticket=call.ticket,
+            request_id=request.request_id,
+            caller=request.caller,
+            service=request.service,
+            labels=request.labels,
+            idempotent=request.idempotent,
+            deadline=now + request.remaining_seconds,
+            priority=request.priority,
+            forwarded_by=request.sender,
+        )
+        call.request = arrived
+        try:
+            self._core.apply(RequestArrived(now=now, head=arrived))
+            answer = wait_for_answer(self._core, call, arrived.deadline, incoming.is_abandoned)
+        finally:
+            self._calls.close(call)
+        outcome: Outcome = Unknown(reason=UnknownReason.TIMEOUT)
+        if isinstance(answer, AnswerCaller):
+            outcome = answer.outcome
+        free_slots = self._count_free_slots(request.service)
+        if isinstance(outcome, Completed) and call.response is not None:
+            response = call.response
+            reply: PeerMessage = ForwardedAnswer(
+                outcome=PeerOutcome.COMPLETED,
+                status=response.status,
+                headers=response.headers,
+                free_slots=free_slots,
+            )
+            return _reply_framed(reply, response.body)
+        if isinstance(outcome, NotRun):
+            reply = ForwardedAnswer(
+                outcome=PeerOutcome.NOT_RUN, reason=outcome.reason.value, free_slots=free_slots
+            )
+            return _reply_framed(reply)
+        reason = outcome.reason.value if isinstance(outcome, Unknown) else ""
+        reply = ForwardedAnswer(outcome=PeerOutcome.UNKNOWN, reason=reason, free_slots=free_slots)
+        return _reply_framed(reply)
+
+    def _count_free_slots(self, service: str) -> int:
+        free = collect_digest_fields(self._core.state).get("free_slots", {})
+        return free.get(service, 0)
+
+    def _run_operation(self, content: bytes, incoming: Incoming) -> Reply:
+        message = decode_operation(content)
+        call = self._calls.open()
+        event: Operation
+        now = self._core.now()
+        if isinstance(message, ForwardedSubmission):
+            event = JobSubmitted(now=now, ticket=call.ticket, job=message.job, forwarded=True)
+        elif isinstance(message, ForwardedCancellation):
+            event = JobCancelRequested(
+                now=now,
+                ticket=call.ticket,
+                job_id=message.job_id,
+                caller=message.caller,
+                team=message.team,
+                forwarded=True,
+            )
+        else:
+            event = QueryReceived(
+                now=now,
+                ticket=call.ticket,
+                kind=message.kind,
+                key=message.key,
+                caller=message.caller,
+                team=message.team,
+                forwarded=True,
+            )
+        call.operation = event
+        return run_operation(self._core, self._calls, call, event)
+
+
+def _reply_framed(message: PeerMessage, body: bytes = b"") -> Reply:
+    headers = (("Content-Type", MESSAGE_TYPE),)
+    return Reply(headers=headers, body=encode_framed(message, body))
--- /dev/null
+++ b/src/lavenderhook/_internal/adapters/peers.py
@@ -0,0 +1,444 @@
+"""Messages between entry instances: HTTP with MessagePack bodies.
+
+gRPC was measured and not used: in one process that is client and server at once under gevent its
+calls stall (bench/peers.py).
+"""
+
+from __future__ import annotations
+
+import struct
+import time
+from collections.abc import Callable
+from typing import TypeAlias, TypeVar
+
+import gevent
+import msgspec
+
+from ...errors import (
+    LavenderhookError,
+    OutcomeUnknownError,
+    PeerUnavailableError,
+    ProtocolError,
+    TransportError,
+)
+from ..core.effects import (
+    ForwardOperation,
+    ForwardToPeer,
+    PullConfiguration,
+    PushConfiguration,
+    RefuseCall,
+    SendGrantReport,
+    SendGrantUpdate,
+    SendHeartbeat,
+)
+from ..core.events import (
+    ConfigurationChange,
+    ConfigurationPushFinished,
+    ConfigurationReceived,
+    Event,
+    HeartbeatReceived,
+    JobCancelRequested,
+    JobSubmitted,
+    PeerAnswered,
+    PeerFailed,
+    PeerOutcome,
+    PeerUnreachable,
+    QueryKind,
+    QueryReceived,
+    RequestHead,
+)
+from ..core.identifiers import (
+    CallerName,
+    ConfigurationVersion,
+    IncarnationId,
+    JobId,
+    TeamName,
+)
+from ..core.messages import Digest, ForwardedRequest, HeartbeatReply
+from ..core.records import JobSpec
+from ..ports.time import Clock
+from .calls import CallTable, PendingCall, RelayedAnswer
+from .transport import ExchangeTimeoutError, HttpAnswer, HttpClient, build_request
+
+PREFIX = "/peer/v1/"
+PUSH_TIMEOUT = 0.5  # seconds; bounds the time until an operator is told
+HEARTBEAT_TIMEOUT = 0.5  # seconds; a later heartbeat replaces a lost one
+OPERATION_TIMEOUT = 10.0  # seconds
+FORWARD_MARGIN = 0.5  # seconds that a peer's answer may take after the request's deadline
+PULL_CHANGES = 500  # changes in one answer to a pull
+_Shape = TypeVar("_Shape")
+_LENGTH = struct.Struct(">I")
+
+
+class PeerMessage(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Base of the messages that only adapters exchange."""
+
+
+class Heartbeat(PeerMessage, frozen=True, kw_only=True, tag=True):
+    """A digest and the addresses that the sender knows."""
+
+    digest: Digest
+    members: dict[IncarnationId, str] = {}
+
+
+class ConfigurationPush(PeerMessage, frozen=True, kw_only=True, tag=True):
+    """A committed change."""
+
+    change: ConfigurationChange
+
+
+class ConfigurationPull(PeerMessage, frozen=True, kw_only=True, tag=True):
+    """Asks for the changes after a version."""
+
+    after: ConfigurationVersion
+
+
+class ConfigurationState(PeerMessage, frozen=True, kw_only=True, tag=True):
+    """Changes and the version that the sender has in force."""
+
+    version: ConfigurationVersion
+    changes: tuple[ConfigurationChange, ...] = ()
+
+
+class ForwardedHead(PeerMessage, frozen=True, kw_only=True, tag=True):
+    """A forwarded request without its body, which follows in the same message."""
+
+    request: ForwardedRequest
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+
+
+class ForwardedAnswer(PeerMessage, frozen=True, kw_only=True, tag=True):
+    """Outcome of a forwarded request; the body of a completed one follows."""
+
+    outcome: PeerOutcome
+    reason: str = ""
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    free_slots: int = 0
+
+
+class ForwardedSubmission(PeerMessage, frozen=True, kw_only=True, tag=True):
+    """A job for the owner of a shard."""
+
+    job: JobSpec
+
+
+class ForwardedCancellation(PeerMessage, frozen=True, kw_only=True, tag=True):
+    """A cancellation for the owner of a shard."""
+
+    job_id: JobId
+    caller: CallerName
+    team: TeamName
+
+
+class ForwardedQuery(PeerMessage, frozen=True, kw_only=True, tag=True):
+    """A query for the owner of a shard."""
+
+    kind: QueryKind
+    key: str
+    caller: CallerName
+    team: TeamName | None
+
+
+AnyOperation: TypeAlias = ForwardedSubmission | ForwardedCancellation | ForwardedQuery
+_OPERATION_DECODER: msgspec.msgpack.Decoder[AnyOperation] = msgspec.msgpack.Decoder(AnyOperation)
+
+
+def encode_framed(head: PeerMessage, body: bytes) -> bytes:
+    """Encode a message and the body that follows it."""
+    encoded = msgspec.msgpack.encode(head)
+    return _LENGTH.pack(len(encoded)) + encoded + body
+
+
+def split_framed(content: bytes) -> tuple[bytes, bytes]:
+    """Split a framed message into its encoded head and the body.
+
+    Raises
+    ------
+    ProtocolError
+        If it is shorter than it says.
+    """
+    if len(content) < _LENGTH.size:
+        raise ProtocolError("a framed message is too short")
+    (length,) = _LENGTH.unpack_from(content)
+    end = _LENGTH.size + length
+    if len(content) < end:
+        raise ProtocolError("a framed message is too short")
+    return content[_LENGTH.size : end], content[end:]
+
+
+def build_operation(call: PendingCall) -> AnyOperation:
+    """Return the message that repeats a call's operation on another instance."""
+    event = call.operation
+    if isinstance(event, JobSubmitted):
+        return ForwardedSubmission(job=event.job)
+    if isinstance(event, JobCancelRequested):
+        return ForwardedCancellation(job_id=event.job_id, caller=event.caller, team=event.team)
+    if isinstance(event, QueryReceived):
+        return ForwardedQuery(kind=event.kind, key=event.key, caller=event.caller, team=event.team)
+    raise ProtocolError("the call carries no operation")
+
+
+class PeerCalls:
+    """Executor of the effects on peers.
+
+    Parameters
+    ----------
+    client : HttpClient
+    clock : Clock
+    calls : CallTable
+        Holds the calls that are forwarded and takes their answers.
+    emit : callable
+        Queues an event.
+    apply : callable
+        Reduces an event in the calling greenlet.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        clock: Clock,
+        calls: CallTable,
+        emit: Callable[[Event], None],
+        apply: Callable[[Event], None],
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._calls = calls
+        self._emit = emit
+        self._apply = apply
+        self._busy: set[tuple[str, str]] = set()
+        self.last_digest: Digest | None = None
+        self.addresses: frozenset[str] = frozenset()
+
+    # Heartbeats
+
+    def send_heartbeats(self, effect: SendHeartbeat) -> None:
+        """Send a digest to peers in parallel; does not block."""
+        self.last_digest = effect.digest
+        self.addresses = frozenset(effect.addresses)
+        message = Heartbeat(digest=effect.digest, members=effect.members)
+        content = msgspec.msgpack.encode(message)
+        for address in effect.addresses:
+            # While a heartbeat to a silent peer is under way, another one would tell nothing.
+            if ("heartbeat", address) not in self._busy:
+                self._busy.add(("heartbeat", address))
+                gevent.spawn(self._send_heartbeat, address, content)
+
+    def _send_heartbeat(self, address: str, content: bytes) -> None:
+        try:
+            answer = self._post(address, "heartbeat", content, HEARTBEAT_TIMEOUT)
+            if answer.body:
+                reply = msgspec.msgpack.decode(answer.body, type=HeartbeatReply)
+                self._emit(
+                    HeartbeatReceived(
+                        now=self._clock.read(), digest=reply.digest, members=reply.members
+                    )
+                )
+        except (LavenderhookError, msgspec.DecodeError):
+            self._emit(PeerUnreachable(now=self._clock.read(), address=address))
+        finally:
+            self._busy.discard(("heartbeat", address))
+
+    # Grants
+
+    def send_report(self, effect: SendGrantReport) -> None:
+        """Send a grant report; the next one replaces a lost one."""
+        self._post_quietly(effect.address, "grant-report", msgspec.msgpack.encode(effect.report))
+
+    def send_update(self, effect: SendGrantUpdate) -> None:
+        """Send a holder its grants; the owner repeats a lost one."""
+        self._post_quietly(effect.address, "grant-update", msgspec.msgpack.encode(effect.update))
+
+    def _post_quietly(self, address: str, kind: str, content: bytes) -> None:
+        try:
+            self._post(address, kind, content, HEARTBEAT_TIMEOUT)
+        except LavenderhookError:
+            self._emit(PeerUnreachable(now=self._clock.read(), address=address))
+
+    # Configuration
+
+    def push(self, effect: PushConfiguration) -> None:
+        """Send a change to peers in parallel and report how many have it in force."""
+        content = msgspec.msgpack.encode(ConfigurationPush(change=effect.change))
+        pushes = [
+            gevent.spawn(self._push_one, address, content, effect.change.version)
+            for address in effect.addresses
+        ]
+        gevent.joinall(pushes, timeout=PUSH_TIMEOUT)
+        reached = sum(1 for push in pushes if push.value)
+        event = ConfigurationPushFinished(
+            now=self._clock.read(),
+            ticket=effect.ticket,
+            version=effect.change.version,
+            reached=reached,
+        )
+        self._emit(event)
+
+    def _push_one(self, address: str, content: bytes, version: ConfigurationVersion) -> bool:
+        try:
+            answer = self._post(address, "configuration-push", content, PUSH_TIMEOUT)
+            return decode_message(answer.body, ConfigurationState).version >= version
+        except LavenderhookError:
+            return False
+
+    def pull(self, effect: PullConfiguration) -> None:
+        """Ask a peer for changes, unless a pull from it is under way."""
+        key = ("pull", effect.address)
+        if key in self._busy:
+            return
+        self._busy.add(key)
+        try:
+            content = msgspec.msgpack.encode(ConfigurationPull(after=effect.after))
+            answer = self._post(effect.address, "configuration-pull", content, None)
+            state = decode_message(answer.body, ConfigurationState)
+        except LavenderhookError:
+            return
+        finally:
+            self._busy.discard(key)
+        event = ConfigurationReceived(
+            now=self._clock.read(),
+            changes=state.changes,
+            complete=effect.after == 0,
+            from_table=False,
+            head=state.version,
+        )
+        self._emit(event)
+
+    # Forwarding
+
+    def forward_request(self, effect: ForwardToPeer) -> None:
+        """Forward a request and report how the exchange ends."""
+        call = self._calls.get(effect.ticket)
+        if call is None or not isinstance(call.request, RequestHead):
+            self._fail(effect, TransportError("the call has ended", sent=False))
+            return
+        remaining = effect.deadline - self._clock.read()
+        content = encode_framed(self._build_head(call, call.request, remaining), call.body)
+        deadline = time.monotonic() + remaining + FORWARD_MARGIN
+        try:
+            answer = self._exchange(effect.address, content, deadline)
+            encoded, body = split_framed(answer.body)
+            head = decode_message(encoded, ForwardedAnswer)
+        except LavenderhookError as error:
+            self._fail(effect, error)
+            return
+        if head.outcome is PeerOutcome.COMPLETED:
+            call.response = HttpAnswer(head.status, head.headers, body)
+        event = PeerAnswered(
+            now=self._clock.read(),
+            ticket=effect.ticket,
+            peer=effect.peer,
+            outcome=head.outcome,
+            status=head.status,
+            reason=head.reason,
+            free_slots=head.free_slots,
+        )
+        self._apply(event)
+
+    def _build_head(
+        self, call: PendingCall, request: RequestHead, remaining: float
+    ) -> ForwardedHead:
+        sender = self.last_digest.incarnation if self.last_digest else IncarnationId("")
+        forwarded = ForwardedRequest(
+            request_id=request.request_id,
+            caller=request.caller,
+            service=request.service,
+            labels=request.labels,
+            idempotent=request.idempotent,
+            remaining_seconds=remaining,
+            priority=request.priority,
+            sender=sender,
+        )
+        return ForwardedHead(
+            request=forwarded, method=call.method, target=call.target, headers=call.headers
+        )
+
+    def _exchange(self, address: str, content: bytes, deadline: float) -> HttpAnswer:
+        pool = self._client.get_pool(address)
+        data = build_request("POST", PREFIX + "request", pool.address, (), content)
+        connection = pool.acquire(deadline)
+        try:
+            connection.send("POST", data, deadline)
+            answer = connection.receive(deadline)
+        except ExchangeTimeoutError as error:
+            raise TransportError(str(error), sent=True) from error
+        finally:
+            self._client.count(pool.address, connection)
+            pool.release(connection)
+        _require_success(answer)
+        return answer
+
+    def _fail(self, effect: ForwardToPeer, error: LavenderhookError) -> None:
+        event = PeerFailed(
+            now=self._clock.read(),
+            ticket=effect.ticket,
+            peer=effect.peer,
+            sent=error.sent if isinstance(error, TransportError) else True,
+            failure=error.code,
+        )
+        self._apply(event)
+
+    def forward_operation(self, effect: ForwardOperation) -> None:
+        """Pass a pending call to the owner of a shard and relay its answer."""
+        call = self._calls.get(effect.ticket)
+        if call is None:
+            return
+        try:
+            content = msgspec.msgpack.encode(build_operation(call))
+            answer = self._client.call(
+                effect.address, "POST", PREFIX + "operation", content, (), OPERATION_TIMEOUT
+            )
+        except TransportError as error:
+            call.resolve(RefuseCall(ticket=effect.ticket, error=_describe_lost(call, error)))
+            return
+        except LavenderhookError as error:
+            call.resolve(RefuseCall(ticket=effect.ticket, error=error))
+            return
+        call.resolve(RelayedAnswer(status=answer.status, body=answer.body))
+
+    def _post(self, address: str, kind: str, content: bytes, timeout: float | None) -> HttpAnswer:
+        answer = self._client.call(address, "POST", PREFIX + kind, content, (), timeout)
+        _require_success(answer)
+        return answer
+
+
+def _describe_lost(call: PendingCall, error: TransportError) -> LavenderhookError:
+    if error.sent and not isinstance(call.operation, QueryReceived):
+        return OutcomeUnknownError("the owner's answer was lost; send the call again")
+    return PeerUnavailableError("the owner of the shard cannot be reached")
+
+
+def _require_success(answer: HttpAnswer) -> None:
+    if answer.status >= 300:
+        raise ProtocolError(f"the peer answered {answer.status}: {answer.body[:200]!r}")
+
+
+def decode_operation(content: bytes) -> AnyOperation:
+    """Decode a forwarded operation.
+
+    Raises
+    ------
+    ProtocolError
+        If it is malformed.
+    """
+    try:
+        return _OPERATION_DECODER.decode(content)
+    except msgspec.DecodeError as error:
+        raise ProtocolError(f"malformed message: {error}") from error
+
+
+def decode_message(content: bytes, shape: type[_Shape]) -> _Shape:
+    """Decode a message of a type.
+
+    Raises
+    ------
+    ProtocolError
+        If it is malformed.
+    """
+    try:
+        return msgspec.msgpack.decode(content, type=shape)
+    except msgspec.DecodeError as error:
+        raise ProtocolError(f"malformed message: {error}") from error
--- a/src/lavenderhook/_internal/core/configuration.py
+++ b/src/lavenderhook/_internal/core/configuration.py
@@ -67,6 +67,7 @@
     from .state import InstanceState
 
 CONFIGURATION_TIMER = "configuration"
+TIMERS = {CONFIGURATION_TIMER: "configuration_poll_interval"}
 ZERO_VERSION = ConfigurationVersion(0)
 
 
--- /dev/null
+++ b/src/lavenderhook/_internal/daemon/main.py
@@ -0,0 +1,351 @@
+"""Start and stop of the daemon."""
+
+from __future__ import annotations
+
+import argparse
+import random
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Sequence
+
+import gevent
+import gevent.event
+import msgspec
+
+from ...errors import LavenderhookError, SettingsError
+from ..adapters.calls import CallTable
+from ..adapters.claims import ClaimStore
+from ..adapters.commits import ShardLog
+from ..adapters.configuration import ConfigurationStore
+from ..adapters.credentials import Credentials, Identity
+from ..adapters.directory import HttpInstanceDirectory
+from ..adapters.frontend import Listener, ListenerLimits
+from ..adapters.metrics import Metrics
+from ..adapters.objects import HttpObjectStore
+from ..adapters.peer_routes import PeerRoutes
+from ..adapters.peers import PeerCalls
+from ..adapters.routes import CallerRoutes, HealthRoutes, OperatorRoutes, Router
+from ..adapters.table import HttpTableStore
+from ..adapters.time import GeventTimers, SystemClock
+from ..adapters.transport import HttpClient
+from ..adapters.upstreams import UpstreamExchanges
+from ..adapters.workers import HttpWorkerClient, WorkerCalls
+from ..core import effects
+from ..core.effects import CloseListeners, ListPlatform, StopProcess
+from ..core.events import Event, PlatformListed, ShutdownRequested
+from ..core.identifiers import AvailabilityZone, CallerName, IncarnationId, InstanceName, TeamName
+from ..core.reducer import reduce
+from ..core.state import InstanceState
+from .logs import DecisionLog, discard_default_sink
+from .runtime import Lane, Reduce, Runtime
+from .settings import Settings, load_settings
+
+NONCE_BYTES = 6
+# Limits of greenlets that carry out blocking effects, by lane.
+REQUEST_GREENLETS = 4096
+STORE_GREENLETS = 128
+WORKER_GREENLETS = 256
+PEER_GREENLETS = 256
+WORKER_CONNECTIONS = 8
+PEER_CONNECTIONS = 64
+STORE_CONNECTIONS = 32
+LAST_ANSWERS_SECONDS = 2.0  # for responses that are still being written when the process stops
+
+
+class Daemon:
+    """One entry instance: state, runtime, adapters and listener.
+
+    Parameters
+    ----------
+    settings : Settings
+    reduce_event : callable
+        The reducer; tests replace it.
+    """
+
+    def __init__(self, settings: Settings, reduce_event: Reduce = reduce) -> None:
+        self.settings = settings
+        name = settings.instance.name
+        self.incarnation = IncarnationId(f"{name}-{secrets.token_hex(NONCE_BYTES)}")
+        self.stopped = gevent.event.Event()
+        self.clock = SystemClock()
+        self.calls = CallTable()
+        self.log = DecisionLog(settings.logging, self.incarnation)
+        self._timers = GeventTimers()
+        state = InstanceState(
+            name=InstanceName(name),
+            incarnation=self.incarnation,
+            availability_zone=AvailabilityZone(settings.instance.availability_zone),
+            address=settings.instance.advertise,
+            parameters=settings.core,
+            generator=random.Random(self.incarnation),
+        )
+        state.membership.seeds = settings.peers.seeds
+        self.runtime = Runtime(state, self.clock, reduce_event)
+        self.runtime.report = self.log.report
+        self._build_clients()
+        self._build_adapters()
+        self._build_listener()
+        self._register()
+        self._watch()
+
+    def _build_clients(self) -> None:
+        settings = self.settings
+        own = (("lavenderhook-instance", settings.instance.name),)
+        platform = (*own, *_authorize(settings.platform.credential))
+        timeout = settings.platform.timeout_seconds
+        self.metrics = Metrics(
+            lambda address: self.directory.zones.get(address, ""),
+            settings.instance.availability_zone,
+        )
+
+        def build(kind: str, headers: tuple[tuple[str, str], ...], size: int) -> HttpClient:
+            count = self.metrics.count_traffic
+            return HttpClient(kind, headers=headers, size=size, timeout=timeout, count=count)
+
+        self._table_client = build("table", platform, STORE_CONNECTIONS)
+        self._object_client = build("objects", platform, STORE_CONNECTIONS)
+        self._list_client = build("instances", platform, 1)
+        self._worker_client = build("worker", platform, WORKER_CONNECTIONS)
+        self._upstream_client = build("upstream", (), settings.limits.connections_per_upstream)
+        peer_headers = _authorize(settings.peers.credential)
+        self._peer_client = build("peer", peer_headers, PEER_CONNECTIONS)
+        self.directory = HttpInstanceDirectory(self._list_client, settings.platform.instances)
+
+    def _build_adapters(self) -> None:
+        runtime, clock, calls = self.runtime, self.clock, self.calls
+        settings = self.settings
+        table = HttpTableStore(self._table_client, settings.platform.table)
+        objects = HttpObjectStore(self._object_client, settings.platform.objects)
+        self.shard_log = ShardLog(table, objects, clock, runtime.emit)
+        self.configuration = ConfigurationStore(table, clock, runtime.emit)
+        self.claims = ClaimStore(
+            table,
+            clock,
+            calls,
+            self.incarnation,
+            runtime.emit,
+            settings.limits.stored_answer_bytes,
+        )
+        self.workers = WorkerCalls(HttpWorkerClient(self._worker_client), clock, runtime.emit)
+        self.upstreams = UpstreamExchanges(
+            self._upstream_client,
+            clock,
+            calls,
+            runtime.apply,
+            runtime.state.parameters.quarantine,
+            (("lavenderhook-instance", settings.instance.name),),
+        )
+        self.peers = PeerCalls(self._peer_client, clock, calls, runtime.emit, runtime.apply)
+
+    def _build_listener(self) -> None:
+        settings = self.settings
+        limits = settings.limits
+        credentials = Credentials(
+            {
+                caller.token: Identity(CallerName(name), TeamName(caller.team))
+                for name, caller in settings.callers.items()
+            },
+            {token: name for name, token in settings.operators.items()},
+            settings.peers.credential,
+        )
+        callers = CallerRoutes(
+            self.runtime,
+            self.calls,
+            self.claims,
+            credentials,
+            limits.default_deadline_seconds,
+            limits.longest_deadline_seconds,
+        )
+        router = Router(
+            callers,
+            OperatorRoutes(self.runtime, self.calls, credentials),
+            PeerRoutes(self.runtime, self.calls, credentials, self.peers).serve,
+            HealthRoutes(self.runtime, self.metrics),
+        )
+        host, _, port = settings.instance.listen.rpartition(":")
+        bounds = ListenerLimits(
+            body_bytes=limits.body_bytes,
+            header_bytes=limits.header_bytes,
+            line_bytes=limits.line_bytes,
+            read_seconds=limits.read_seconds,
+            idle_seconds=limits.idle_seconds,
+            connections=limits.connections,
+        )
+        self.listener = Listener((host, int(port)), bounds, router.route, self.log.report)
+
+    def _register(self) -> None:
+        runtime = self.runtime
+        resolve = self.calls.resolve
+        for answer in (
+            effects.AnswerCaller,
+            effects.AnswerCancellation,
+            effects.AnswerConfiguration,
+            effects.AnswerSubmission,
+            effects.AnswerView,
+            effects.RefuseCall,
+        ):
+            runtime.register(answer, lambda effect: resolve(effect.ticket, effect))
+        runtime.register(effects.LogDecision, self.log.execute)
+        runtime.register(effects.CountMetric, self.metrics.execute)
+        runtime.register(effects.SendHeartbeat, self.peers.send_heartbeats)
+        runtime.register(effects.ClaimRequest, self.claims.claim)
+        runtime.register(effects.RecordOutcome, self.claims.record)
+        runtime.register(CloseListeners, lambda effect: self._close_listener())
+        runtime.register(StopProcess, lambda effect: self.stopped.set())
+        self._register_blocking()
+
+    def _register_blocking(self) -> None:
+        requests = Lane("requests", REQUEST_GREENLETS)
+        store = Lane("store", STORE_GREENLETS)
+        listing = Lane("listing", 1)
+        workers = Lane("workers", WORKER_GREENLETS)
+        peers = Lane("peers", PEER_GREENLETS)
+        for effect_type, lane, execute in (
+            (effects.DispatchToUpstream, requests, self.upstreams.dispatch),
+            (effects.ForwardToPeer, requests, self.peers.forward_request),
+            (effects.ForwardOperation, requests, self.peers.forward_operation),
+            (effects.CommitShard, store, self.shard_log.commit),
+            (effects.LoadShard, store, self.shard_log.load),
+            (effects.StoreSnapshot, store, self.shard_log.store_snapshot),
+            (effects.CommitConfiguration, store, self.configuration.commit),
+            (effects.LoadConfiguration, store, self.configuration.load),
+            (effects.ReleaseClaim, store, self.claims.release),
+            (ListPlatform, listing, self._list_platform),
+            (effects.StartTasks, workers, self.workers.start),
+            (effects.RenewLeases, workers, self.workers.renew),
+            (effects.StopTasks, workers, self.workers.stop),
+            (effects.ThrottleTasks, workers, self.workers.throttle),
+            (effects.ForgetTasks, workers, self.workers.forget),
+            (effects.PollWorker, workers, self.workers.poll),
+            (effects.PushConfiguration, peers, self.peers.push),
+            (effects.PullConfiguration, peers, self.peers.pull),
+            (effects.SendGrantReport, peers, self.peers.send_report),
+            (effects.SendGrantUpdate, peers, self.peers.send_update),
+        ):
+            self.runtime.register_blocking(effect_type, lane, execute)
+
+    def _watch(self) -> None:
+        runtime, watch = self.runtime, self.metrics.watch
+        watch("queued_events", runtime.count_queued)
+        watch("pending_calls", self.calls.__len__)
+        watch("open_connections", lambda: len(self.listener.handlers))
+        watch("dropped_log_lines", lambda: self.log.writer.dropped)
+        watch("ready", lambda: float(runtime.state.configuration.is_ready()))
+        watch("configuration_version", lambda: runtime.state.configuration.version)
+        for lane in runtime.lanes.values():
+            watch("running_effects", lane.count_running, lane=lane.name)
+            watch("waiting_effects", lane.count_waiting, lane=lane.name)
+        runtime.observe = self._observe
+
+    def _observe(self, event: Event, seconds: float) -> None:
+        self.metrics.observe("reduce_seconds", seconds, event=type(event).__name__)
+
+    def _list_platform(self, effect: ListPlatform) -> None:
+        try:
+            instances, workers = self.directory.list_instances()
+        except LavenderhookError as error:
+            self.metrics.add("platform_list_failures_total", error=error.code)
+            return
+        self.runtime.emit(
+            PlatformListed(now=self.runtime.now(), instances=instances, workers=workers)
+        )
+
+    def start(self) -> None:
+        """Listen, then start timers and the event loop."""
+        self.log.writer.start()
+        self.listener.start()
+        state = self.runtime.state
+        if not state.address:
+            state.address = self.listener.location
+        self.runtime.start(self._timers)
+        self.log.note("listening", address=self.listener.location, advertised=state.address)
+
+    def describe(self) -> dict[str, str]:
+        """Return identity and addresses for whoever started the process."""
+        return {
+            "name": self.settings.instance.name,
+            "incarnation": self.incarnation,
+            "address": self.listener.location,
+            "advertised": self.runtime.state.address,
+        }
+
+    def request_shutdown(self) -> None:
+        """Start the graceful shutdown; a second call changes nothing."""
+        if self.runtime.state.shutting_down_since is not None:
+            return
+        self.runtime.emit(ShutdownRequested(now=self.runtime.now()))
+        # Bounds a shutdown whose last steps cannot be carried out, such as a hand-over while the
+        # store is down.
+        gevent.spawn_later(self.settings.limits.shutdown_seconds, self._force_stop)
+
+    def _force_stop(self) -> None:
+        if not self.stopped.is_set():
+            self.log.note("shutdown-forced", pending=len(self.calls))
+            self.stopped.set()
+
+    def _close_listener(self) -> None:
+        if not self.listener.is_draining:
+            self.log.note("listener-closed", pending=len(self.calls))
+            self.listener.drain()
+
+    def stop(self) -> None:
+        """End everything once the last responses are written."""
+        ends_at = time.monotonic() + LAST_ANSWERS_SECONDS
+        while len(self.calls) and time.monotonic() < ends_at:
+            gevent.sleep(0.01)
+        self._timers.stop()
+        self.runtime.stop()
+        self.listener.stop(timeout=0.1)
+        for client in (
+            self._table_client,
+            self._object_client,
+            self._list_client,
+            self._worker_client,
+            self._upstream_client,
+            self._peer_client,
+        ):
+            client.close()
+        self.log.note("stopped")
+        self.log.stop()
+
+
+def _authorize(credential: str) -> tuple[tuple[str, str], ...]:
+    return (("Authorization", f"Bearer {credential}"),) if credential else ()
+
+
+def run(arguments: Sequence[str] | None = None) -> int:
+    """Run the daemon until it is stopped.
+
+    Parameters
+    ----------
+    arguments : sequence of str or None
+        Command-line arguments; None for those of the process.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    parser = argparse.ArgumentParser(prog="lavenderhookd", description=__doc__)
+    parser.add_argument("--config", required=True, metavar="FILE.toml", help="settings file")
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    options = parser.parse_args(arguments)
+    try:
+        settings = load_settings(options.config)
+    except SettingsError as error:
+        print(msgspec.json.encode(error.to_fields()).decode(), file=sys.stderr)
+        return error.exit_code
+    if options.check:
+        print(f"{options.config}: valid")
+        return 0
+    discard_default_sink()
+    daemon = Daemon(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, daemon.request_shutdown)
+    daemon.start()
+    print(msgspec.json.encode(daemon.describe()).decode(), flush=True)
+    daemon.stopped.wait()
+    daemon.stop()
+    return 0
--- /dev/null
+++ b/src/lavenderhook/_internal/daemon/runtime.py
@@ -0,0 +1,200 @@
+"""The event loop: events in, one reducer, effects out."""
+
+from __future__ import annotations
+
+import collections
+import importlib
+import pkgutil
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import gevent.event
+import gevent.queue
+
+from ...errors import LavenderhookError
+from .. import core
+from ..core.effects import Effect, RefuseCall
+from ..core.events import Event, TimerFired
+from ..core.reducer import reduce
+from ..core.state import InstanceState
+from ..ports.time import Clock, Timers
+
+Execute = Callable[[Any], None]
+Reduce = Callable[[InstanceState, Event], tuple[Effect, ...]]
+
+
+class EffectFailedError(LavenderhookError):
+    """Carrying out an effect failed in a way that its adapter did not expect."""
+
+    code = "effect-failed"
+
+
+class Lane:
+    """Greenlets that carry out blocking effects, at most `limit` at a time.
+
+    Effects above the limit wait in order; adding one never blocks. Separate lanes keep a slow
+    store from holding up requests.
+    """
+
+    def __init__(self, name: str, limit: int) -> None:
+        self.name = name
+        self.limit = limit
+        self.running = 0
+        self.waiting: collections.deque[tuple[Execute, Effect]] = collections.deque()
+        self.report: Callable[[Effect, BaseException], None] = lambda effect, error: None
+
+    def add(self, execute: Execute, effect: Effect) -> None:
+        """Carry out an effect as soon as a greenlet is free."""
+        if self.running >= self.limit:
+            self.waiting.append((execute, effect))
+            return
+        self.running += 1
+        gevent.spawn(self._run, execute, effect)
+
+    def count_running(self) -> int:
+        """Return the number of effects that are being carried out."""
+        return self.running
+
+    def count_waiting(self) -> int:
+        """Return the number of effects that wait for a greenlet."""
+        return len(self.waiting)
+
+    def _run(self, execute: Execute, effect: Effect) -> None:
+        try:
+            while True:
+                try:
+                    execute(effect)
+                except Exception as error:  # an adapter's fault must not end the lane
+                    self.report(effect, error)
+                if not self.waiting:
+                    return
+                execute, effect = self.waiting.popleft()
+        finally:
+            self.running -= 1
+
+
+class Runtime:
+    """Runs the reducer and hands its effects to the registered executors.
+
+    Events are queued and reduced by one greenlet. A greenlet that already runs, such as the one
+    that read a request, may call `apply` instead and saves two switches: greenlets are switched
+    only at input or output, and neither the reducer nor an immediate executor does any, so no two
+    calls of the reducer can overlap.
+
+    Parameters
+    ----------
+    state : InstanceState
+    clock : Clock
+    reduce_event : callable
+        The reducer; tests replace it.
+    """
+
+    def __init__(self, state: InstanceState, clock: Clock, reduce_event: Reduce = reduce) -> None:
+        self.state = state
+        self.clock = clock
+        self.observe: Callable[[Event, float], None] = lambda event, seconds: None
+        self.report: Callable[[str, BaseException], None] = lambda what, error: None
+        self.lanes: dict[str, Lane] = {}
+        self._reduce = reduce_event
+        self._executors: dict[type, Execute] = {}
+        self._queue: gevent.queue.SimpleQueue = gevent.queue.SimpleQueue()
+        self._is_reducing = False
+        self._greenlet: gevent.Greenlet | None = None
+
+    def now(self) -> float:
+        """Return the time in seconds that events carry."""
+        return self.clock.read()
+
+    def register(self, effect_type: Any, execute: Execute) -> None:
+        """Carry out effects of a type in place; `execute` must not block."""
+        self._executors[effect_type] = execute
+
+    def register_blocking(self, effect_type: Any, lane: Lane, execute: Execute) -> None:
+        """Carry out effects of a type in a greenlet of a lane."""
+        lane.report = self._report_effect
+        self.lanes[lane.name] = lane
+        self._executors[effect_type] = lambda effect: lane.add(execute, effect)
+
+    def emit(self, event: Event) -> None:
+        """Queue an event."""
+        self._queue.put(event)
+
+    def count_queued(self) -> int:
+        """Return the number of events that wait for the reducer."""
+        return self._queue.qsize()
+
+    def apply(self, event: Event) -> None:
+        """Reduce an event now, or queue it if called by an executor."""
+        if self._is_reducing:
+            self._queue.put(event)
+            return
+        self._is_reducing = True
+        started = time.perf_counter()
+        try:
+            effects = self._reduce(self.state, event)
+            self.observe(event, time.perf_counter() - started)
+            for effect in effects:
+                self._execute(effect)
+        except Exception as error:  # one faulty event must not end the service of all others
+            self.report(f"reducing {type(event).__name__}", error)
+            self._refuse(event)
+        finally:
+            self._is_reducing = False
+
+    def _execute(self, effect: Effect) -> None:
+        execute = self._executors.get(type(effect))
+        if execute is None:
+            missing = EffectFailedError("no adapter is registered")
+            self.report(f"carrying out {type(effect).__name__}", missing)
+            return
+        try:
+            execute(effect)
+        except Exception as error:  # the remaining effects of the event must still happen
+            self._report_effect(effect, error)
+
+    def _refuse(self, event: Event) -> None:
+        ticket = getattr(event, "ticket", None) or getattr(
+            getattr(event, "head", None), "ticket", None
+        )
+        if ticket is not None:
+            failure = LavenderhookError("the event could not be processed")
+            self._execute(RefuseCall(ticket=ticket, error=failure))
+
+    def _report_effect(self, effect: Effect, error: BaseException) -> None:
+        self.report(f"carrying out {type(effect).__name__}", error)
+
+    def start(self, timers: Timers) -> None:
+        """Start to reduce queued events and subscribe the core's timers."""
+        self._greenlet = gevent.spawn(self._run)
+        for name, attribute in sorted(collect_timers().items()):
+            interval = getattr(self.state.parameters, attribute)
+            timers.subscribe(name, interval, self._fire)
+
+    def stop(self) -> None:
+        """Stop to reduce queued events."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def _fire(self, name: str) -> None:
+        self.emit(TimerFired(now=self.now(), name=name))
+
+    def _run(self) -> None:
+        while True:
+            self.apply(self._queue.get())
+
+
+def collect_timers() -> dict[str, str]:
+    """Return the timers that the core's modules export as ``TIMERS``.
+
+    Returns
+    -------
+    dict of str to str
+        Attribute of `CoreParameters` with the interval, by timer name.
+    """
+    timers: dict[str, str] = {}
+    for found in pkgutil.iter_modules(core.__path__):
+        module = importlib.import_module(f"{core.__name__}.{found.name}")
+        timers.update(getattr(module, "TIMERS", {}))
+    return timers
