--- a/src/lavenderhook/_internal/core/ownership.py
+++ b/src/lavenderhook/_internal/core/ownership.py
@@ -17,6 +17,7 @@
 
 from .declarations import Policy
 from .effects import Effect
+from .grants import GrantBook
 from .identifiers import (
     AttemptId,
     IncarnationId,
@@ -24,11 +25,12 @@
     ShardId,
     TaskState,
     TransactionId,
+    UpstreamId,
     WorkerId,
     WorkloadKind,
 )
 from .labels import LabelSelector
-from .records import AnyRecord, ShardHead, ShardSnapshot, WorkerView
+from .records import AnyRecord, ShardHead, ShardSnapshot, UpstreamView, WorkerView
 from .scheduler import PendingTask, SchedulableWorker, Scheduler
 from .shard import ENDED_STATES, Attempt, Job, ShardState, Task, Transition
 
@@ -156,6 +158,12 @@
         Last listed view of each worker.
     uncovered_rows : list of int
         Log rows that a snapshot covers and that are not deleted yet.
+    book : GrantBook
+        Promises and demand of the holders of upstream slots.
+    committed_grants : dict
+        Committed slots by upstream and holder; the state's own are tentative.
+    upstream_views : dict
+        The upstreams as the last plan saw them.
     """
 
     shard: ShardId
@@ -189,6 +197,11 @@
     snapshot_requested_at: float = 0.0
     snapshot_ready: int = 0
     uncovered_rows: list[int] = dataclasses.field(default_factory=list)
+    book: GrantBook = dataclasses.field(default_factory=GrantBook)
+    committed_grants: dict[UpstreamId, dict[IncarnationId, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    upstream_views: dict[UpstreamId, UpstreamView] = dataclasses.field(default_factory=dict)
 
     def is_owned(self) -> bool:
         """Return whether this instance decides for the shard."""
--- a/src/lavenderhook/_internal/core/placement.py
+++ b/src/lavenderhook/_internal/core/placement.py
@@ -24,7 +24,6 @@
 from .effects import (
     AnswerCancellation,
     AnswerSubmission,
-    CountMetric,
     Effect,
     ForwardOperation,
     LoadShard,
@@ -48,6 +47,7 @@
     Ticket,
     TimerFired,
 )
+from .granting import note_committed_grants
 from .identifiers import (
     AttemptId,
     CallerName,
@@ -72,10 +72,9 @@
     build_pending_task,
     build_plan,
 )
-from .records import GrantsChanged, JobAccepted, JobCancelled, JobSpec, TaskPlaced
+from .records import JobAccepted, JobCancelled, JobSpec, TaskPlaced
 from .recovery import adopt_shard, refresh_plans, refresh_workers
 from .scheduler import PendingTask
-from .services import list_draining, list_upstreams
 from .shard import Job, ShardState, Task, find_job_shard
 from .submission import check_same_submission, resolve_submission
 
@@ -83,10 +82,8 @@
     from .state import InstanceState
 
 PLACEMENT_TIMER = "placement"
-GRANT_TIMER = "grants"
 TIMERS: dict[str, str] = {
     PLACEMENT_TIMER: "commit_interval",
-    GRANT_TIMER: "grant_report_interval",
 }
 
 OPERATORS = CallerName("operators")
@@ -97,11 +94,8 @@
 
 
 def handle_timer(state: InstanceState, event: TimerFired) -> list[Effect]:
-    """Advance every shard: take over, decide, commit, hand over; plan the grants when due."""
+    """Advance every shard: take over, decide, commit, hand over."""
     effects: list[Effect] = []
-    if event.name == GRANT_TIMER:
-        for ownership in state.placement.list_owned():
-            effects.extend(plan_owned_grants(state, ownership))
     if event.name != PLACEMENT_TIMER:
         return effects
     for number in range(state.parameters.shards):
@@ -339,21 +333,6 @@
     )
 
 
-def plan_owned_grants(state: InstanceState, ownership: Ownership) -> list[Effect]:
-    """Divide the slots of the shard's upstreams and queue the changes for the next commit.
-
-    This is the one place where the owner changes grants. A division never exceeds what holders
-    reported as their limits, which is the planner's concern.
-    """
-    upstreams = list_upstreams(
-        ownership.get_state(), state.membership.workers, list_draining(ownership)
-    )
-    records: list[GrantsChanged] = []
-    if records and not ownership.is_store_delayed():
-        append_records(state, ownership, records, urgent=False)
-    return [CountMetric(name="lavenderhook_upstreams", value=float(len(upstreams)))]
-
-
 def handle_succeeded(state: InstanceState, event: CommitSucceeded) -> list[Effect]:
     """Carry out what a batch decided, now that it is durable."""
     ownership = state.placement.get(event.shard)
@@ -390,7 +369,7 @@
 
 
 def _carry_out(state: InstanceState, ownership: Ownership, batch: Batch) -> list[Effect]:
-    effects: list[Effect] = []
+    effects = note_committed_grants(state, ownership, batch)
     for group in batch.groups:
         effects.extend(group.answers)
     placed = [attempt for group in batch.groups for attempt in group.placed]
--- a/src/lavenderhook/_internal/core/recovery.py
+++ b/src/lavenderhook/_internal/core/recovery.py
@@ -20,6 +20,8 @@
 )
 from .effects import Effect, LogDecision, PollWorker
 from .events import TimerFired
+from .fair_scheduler import FairScheduler
+from .granting import start_granting
 from .identifiers import (
     AttemptId,
     AvailabilityZone,
@@ -38,7 +40,7 @@
 )
 from .records import IncarnationRetired, WorkerView
 from .resources import ZERO
-from .scheduler import ScanScheduler, SchedulableWorker, Scheduler
+from .scheduler import SchedulableWorker, Scheduler
 from .services import reconcile_services
 from .shard import Attempt, find_worker_shard
 
@@ -54,7 +56,11 @@
 
 def build_scheduler(state: InstanceState) -> Scheduler:
     """Return an empty scheduler for a shard."""
-    return ScanScheduler(state.generator)
+    return FairScheduler(
+        state.generator,
+        max_ejected_share=state.parameters.max_ejected_share,
+        lower_class_share=state.parameters.lower_class_share,
+    )
 
 
 # Takeover
@@ -68,6 +74,7 @@
     """
     shard_state = ownership.get_state()
     ownership.scheduler = build_scheduler(state)
+    start_granting(ownership)
     ownership.views.clear()
     ownership.schedulable = ()
     refresh_workers(state, ownership)
--- a/src/lavenderhook/_internal/core/reducer.py
+++ b/src/lavenderhook/_internal/core/reducer.py
@@ -28,10 +28,11 @@
     return merged
 
 
-def _collect_tables() -> tuple[Any, ...]:
+def _list_components() -> tuple[Any, ...]:
     from . import (
         attempts,
         configuration,
+        granting,
         membership,
         placement,
         queries,
@@ -42,30 +43,28 @@
     )
 
     return (
-        membership.HANDLERS,
-        configuration.HANDLERS,
-        routing.HANDLERS,
-        requests.HANDLERS,
-        placement.HANDLERS,
-        attempts.HANDLERS,
-        recovery.HANDLERS,
-        queries.HANDLERS,
-        shutdown.HANDLERS,
+        membership,
+        configuration,
+        routing,
+        requests,
+        placement,
+        granting,
+        attempts,
+        recovery,
+        queries,
+        shutdown,
     )
 
 
 def collect_timers() -> dict[str, str]:
     """Return every timer name with the attribute of `CoreParameters` that holds its interval."""
-    from . import attempts, configuration, membership, placement, recovery, routing, shutdown
-
-    modules = (membership, configuration, routing, placement, attempts, recovery, shutdown)
     timers: dict[str, str] = {}
-    for module in modules:
-        timers.update(getattr(module, "TIMERS", {}))
+    for component in _list_components():
+        timers.update(getattr(component, "TIMERS", {}))
     return timers
 
 
-_HANDLERS = _merge(_collect_tables())
+_HANDLERS = _merge(tuple(component.HANDLERS for component in _list_components()))
 
 
 def reduce(state: InstanceState, event: Event) -> tuple[Effect, ...]:
--- a/src/lavenderhook/_internal/core/state.py
+++ b/src/lavenderhook/_internal/core/state.py
@@ -43,6 +43,7 @@
     max_ejected_share: float = 0.3
     quarantine: float = 30.0
     grant_report_interval: float = 0.5
+    grant_plan_interval: float = 0.25
     max_request_seconds: float = 30.0
     max_queue: int = 1024
     lower_class_share: float = 0.125
