Drive the shard owner through failures in virtual time, and fix what that showed

The scenarios run instances around the reducer against one table and workers that obey leases; each names the failure it guards against. Random sequences of failures showed a real fault: an owner that lost its shard to an instance that died before its heartbeat arrived kept believing in its ownership, and jobs accepted by the other were never placed. An idle owner now confirms its ownership with an empty commit every 5 s and after each pause. Reading the head instead was considered; the commit needs no new effect and costs one write per shard in 5 s.

Also fixed: a resumed instance took shards over from healthy owners, workers that do not answer were given new work, and a service task that moves could not find room for ever.

--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -52,6 +52,7 @@
         self.rows = {}
         self.snapshots = {}
         self.committed = []
+        self.folded = ShardState(0)
         self.down = False
         self.lose_answers = 0
 
@@ -67,6 +68,7 @@
         encoded = msgspec.msgpack.encode(effect.records)
         self.rows[effect.head.next_log - 1] = encoded
         self.committed.extend(effect.records)
+        self.folded.apply_all(effect.records)
         for number in effect.delete_logs:
             self.rows.pop(number, None)
         return self.version
@@ -108,6 +110,7 @@
     def __init__(self, cluster, view):
         self.cluster = cluster
         self.view = view
+        self.limit = view.capacity  # a worker that shrinks goes on with what runs there
         self.attempts = {}
         self.stopped = set()
         self.reachable = True
@@ -127,6 +130,7 @@
         if self.cluster.now >= start.lease_until:
             return AttemptReport(attempt_id=attempt_id, state="refused", reason="lease-expired")
         self.starts += 1
+        self.cluster.started_tasks.add(start.task_id)
         run_seconds = float(start.command["run_seconds"])
         ends_at = self.cluster.now + run_seconds if start.kind != "service" else float("inf")
         task = RunningTask(start.task_id, start.resources, start.lease_until, ends_at)
@@ -199,6 +203,7 @@
         self.paused = False
         self.dead = False
         self.connected = True
+        self.deaf = False  # to the answers of workers
         self.inbox = []
         self.held = []
         self.hold = ()
@@ -214,7 +219,7 @@
 
     def deliver(self, event_type, **fields):
         """Hand an event to the reducer, now or when the pause ends."""
-        if self.dead:
+        if self.dead or (self.deaf and event_type is ev.AttemptsReported):
             return
         if self.paused:
             self.inbox.append((event_type, fields))
@@ -256,8 +261,11 @@
         self.table = Table()
         self.nodes = {}
         self.workers = {}
-        self.gone_workers = {}
         self.listed_nodes = {}
+        self.started_tasks = set()
+        self.operations = {}
+        self.follow_forwards = False
+        self.list_lag = 0.0
         self.answers = {}
         self.log = []
         self.parameters = CoreParameters(**parameters)
@@ -341,17 +349,10 @@
                 return node
         return None
 
-    def fold(self):
-        """Return the state that the committed records make."""
-        state = ShardState(0)
-        state.apply_all(self.table.committed)
-        return state
-
     # Operations
 
     def submit(self, node, job_id, **fields):
         """Submit a job and return the ticket."""
-        ticket = next(self.tickets)
         values = {
             "kind": WorkloadKind.BATCH,
             "name": "proofs",
@@ -363,23 +364,19 @@
             "run_seconds": 30.0,
             **fields,
         }
-        node.deliver(ev.JobSubmitted, ticket=ticket, job=JobSpec(job_id=job_id, **values))
-        return ticket
+        return self._operate(node, ev.JobSubmitted, job=JobSpec(job_id=job_id, **values))
 
     def cancel(self, node, job_id, team="printing"):
         """Cancel a job and return the ticket."""
-        ticket = next(self.tickets)
-        node.deliver(
-            ev.JobCancelRequested, ticket=ticket, job_id=job_id, caller="engraver", team=team
+        return self._operate(
+            node, ev.JobCancelRequested, job_id=job_id, caller="engraver", team=team
         )
-        return ticket
 
     def query(self, node, kind, key="", team=None):
         """Ask for a view and return its answer."""
-        ticket = next(self.tickets)
-        node.deliver(
+        ticket = self._operate(
+            node,
             ev.QueryReceived,
-            ticket=ticket,
             kind=ev.QueryKind(kind),
             key=key,
             caller="engraver",
@@ -394,11 +391,25 @@
         handler = _EFFECTS.get(type(effect))
         if handler is not None:
             handler(self, node, effect)
+        elif isinstance(effect, fx.ForwardOperation) and self.follow_forwards:
+            self._forward(effect)
         elif hasattr(effect, "ticket"):
             self.answers[effect.ticket] = effect
         elif isinstance(effect, fx.LogDecision):
             self.log.append((self.now, node.name, effect.decision, effect.fields))
 
+    def _forward(self, effect):
+        peer = next(n for n in self.nodes.values() if n.state.address == effect.address)
+        event_type, fields = self.operations[effect.ticket]
+        self.schedule(LATENCY, lambda: peer.deliver(event_type, forwarded=True, **fields))
+
+    def _operate(self, node, event_type, **fields):
+        """Hand an operation to an instance and return its ticket."""
+        ticket = next(self.tickets)
+        self.operations[ticket] = (event_type, {"ticket": ticket, **fields})
+        node.deliver(event_type, **self.operations[ticket][1])
+        return ticket
+
     def _send_heartbeat(self, node, effect):
         for peer in self.nodes.values():
             reachable = peer is not node and peer.connected and node.connected
@@ -420,7 +431,10 @@
             for n in self.listed_nodes.values()
         )
         workers = tuple(worker.view for worker in self.workers.values())
-        node.deliver(ev.PlatformListed, instances=instances, workers=workers)
+        self.schedule(
+            self.list_lag,
+            lambda: node.deliver(ev.PlatformListed, instances=instances, workers=workers),
+        )
 
     def _load_shard(self, node, effect):
         def answer():
@@ -443,6 +457,7 @@
             self.schedule(RETRY_INTERVAL, lambda: self._try_commit(node, effect))
             return
         version = self.table.commit(effect)
+        self.check_reservations()
         if version is not None and self.table.lose_answers > 0:
             self.table.lose_answers -= 1
             node.deliver(ev.CommitDelayed, **fields)
@@ -547,20 +562,26 @@
         prefix = f"{job_id}."
         return sum(1 for _, _, task in self.list_running() if task.task_id.startswith(prefix))
 
+    def check_reservations(self):
+        """Check that what is committed fits every worker."""
+        for worker in self.workers.values():
+            reserved = self.table.folded.get_reserved(worker.view.worker_id)
+            if not reserved.fits(worker.limit):
+                raise InvariantError(f"{worker.view.worker_id} has {reserved} reserved")
+
     def check_invariants(self):
         """Check G1 and G2 on the workers themselves."""
         seen = {}
-        for worker, attempt_id, task in self.list_running():
+        for _, attempt_id, task in self.list_running():
             if task.task_id in seen:
                 raise InvariantError(
                     f"task {task.task_id} runs as {seen[task.task_id]} and {attempt_id}"
                 )
             seen[task.task_id] = attempt_id
-            del worker
         for worker in self.workers.values():
             running = [t.resources for t in worker.attempts.values() if t.state == "running"]
             used = sum(running, start=ZERO)
-            if not used.fits(worker.view.capacity):
+            if not used.fits(worker.limit):
                 raise InvariantError(f"{worker.view.worker_id} runs {used}")
 
 
--- a/src/lavenderhook/_internal/core/attempts.py
+++ b/src/lavenderhook/_internal/core/attempts.py
@@ -149,12 +149,13 @@
 
 
 def handle_timer(state: InstanceState, event: TimerFired) -> list[Effect]:
-    """Renew leases that are due and poll the workers that have attempts."""
+    """Renew leases that are due; poll the workers that have attempts or do not answer."""
     if event.name != LEASE_TIMER:
         return []
     effects: list[Effect] = []
     for ownership in state.placement.list_owned():
-        for worker_id in ownership.get_state().attempts_by_worker:
+        silent = [w for w, c in ownership.workers.items() if c.unreachable_since is not None]
+        for worker_id in {**ownership.get_state().attempts_by_worker, **dict.fromkeys(silent)}:
             worker = state.membership.workers.get(worker_id)
             if worker is None:
                 continue
--- a/src/lavenderhook/_internal/core/commits.py
+++ b/src/lavenderhook/_internal/core/commits.py
@@ -51,10 +51,15 @@
     """Return whether the waiting groups should be committed now.
 
     Groups for which nobody waits are held back for `lazy_commit_interval`, since each commit
-    counts against the store's write rate.
+    counts against the store's write rate. An owner that has nothing to commit commits an empty
+    batch every `ownership_check_interval`: another instance may have owned the shard and died
+    without a heartbeat that reached this one, and what it accepted would never be placed.
     """
-    if ownership.in_flight is not None or not ownership.pending:
+    if ownership.in_flight is not None:
         return False
+    if not ownership.pending:
+        idle = state.now - ownership.committed_at
+        return idle >= state.parameters.ownership_check_interval
     oldest = ownership.pending[0].appended_at
     if state.now - oldest >= state.parameters.lazy_commit_interval:
         return True
@@ -150,12 +155,13 @@
     ]
 
 
-def confirm_batch(ownership: Ownership, batch: Batch, version: int) -> None:
+def confirm_batch(state: InstanceState, ownership: Ownership, batch: Batch, version: int) -> None:
     """Take in that a batch is durable."""
     former = ownership.head
-    if former is not None and batch.groups and ownership.is_owned():
+    if former is not None and ownership.is_owned():
         del ownership.uncovered_rows[:MAX_DELETED_ROWS]
     ownership.in_flight = None
+    ownership.committed_at = state.now
     ownership.head = batch.head
     ownership.version = version
     for group in batch.groups:
--- a/src/lavenderhook/_internal/core/ownership.py
+++ b/src/lavenderhook/_internal/core/ownership.py
@@ -146,6 +146,8 @@
     ----------
     version : int
         Row version of the head.
+    lost : bool
+        Whether another instance's commit ended this instance's ownership before.
     open_jobs : dict of JobId to Group
         Groups that accept or cancel a job and are not committed.
     transitional : set of AttemptId
@@ -166,7 +168,9 @@
     retry_at: float = 0.0
     deferrals: int = 0
     load_failed: bool = False
+    lost: bool = False
     taken_at: float = 0.0
+    committed_at: float = 0.0
     version: int = 0
     head: ShardHead | None = None
     state: ShardState | None = None
@@ -182,6 +186,7 @@
     views: dict[WorkerId, WorkerView] = dataclasses.field(default_factory=dict)
     schedulable: tuple[SchedulableWorker, ...] = ()
     capacity_checked: bool = False
+    planned_version: int = -1
     undecided: bool = True
     decided_at: float = 0.0
     serial: int = 0
@@ -218,6 +223,7 @@
     """The shards as seen by this instance."""
 
     ownerships: dict[ShardId, Ownership] = dataclasses.field(default_factory=dict)
+    ticked_at: float = 0.0
 
     def get(self, shard: ShardId) -> Ownership:
         """Return the ownership entry of a shard."""
--- a/src/lavenderhook/_internal/core/placement.py
+++ b/src/lavenderhook/_internal/core/placement.py
@@ -104,6 +104,7 @@
             effects.extend(plan_owned_grants(state, ownership))
     if event.name != PLACEMENT_TIMER:
         return effects
+    _check_pause(state)
     for number in range(state.parameters.shards):
         ownership = state.placement.get(ShardId(number))
         if ownership.phase is OwnershipPhase.IDLE:
@@ -114,6 +115,15 @@
     return effects
 
 
+def _check_pause(state: InstanceState) -> None:
+    """Let every owned shard be confirmed by a commit if the process was paused."""
+    placement = state.placement
+    if state.now - placement.ticked_at > state.parameters.suspect_after:
+        for ownership in placement.list_owned():
+            ownership.committed_at = 0.0
+    placement.ticked_at = state.now
+
+
 # Ownership
 
 
@@ -142,9 +152,7 @@
         return []
     if ownership.unowned_since is None:
         ownership.unowned_since = state.now
-        # Without a known owner, the heartbeats of one may still be on their way.
-        known = ownership.known_owner is not None
-        ownership.patience = 0.0 if known else state.parameters.takeover_after
+        ownership.patience = _compute_patience(state, ownership.known_owner)
         ownership.known_owner = None
     if state.shutting_down_since is not None or not state.configuration.is_ready():
         return []
@@ -156,6 +164,19 @@
     return [LoadShard(shard=ownership.shard)]
 
 
+def _compute_patience(state: InstanceState, former: IncarnationId | None) -> float:
+    """Return how many seconds a shard must look unowned before it is taken over.
+
+    A process that resumes from a pause has heard from nobody for a while, and an instance that
+    has just started from nobody at all; the heartbeats of a healthy owner may be on their way.
+    """
+    if former is None:
+        return state.parameters.takeover_after
+    if get_member_state(state, former) is MemberState.FAILED:
+        return 2 * state.parameters.heartbeat_interval
+    return 0.0
+
+
 def _compute_rank(state: InstanceState, shard: ShardId) -> int:
     """Return this instance's place among the candidates, by rendezvous hash."""
     candidates = [digest.incarnation for digest in list_usable_peers(state)]
@@ -192,13 +213,15 @@
     """Return whether to leave the shard to another instance for now.
 
     The head may name an instance that has just taken over and whose first heartbeat as the owner
-    is on its way; it is given one chance.
+    is on its way, also if it was silent before; it is given one chance.
     """
     if find_owner(state, event.shard) is not None:
         return True
     if event.head is None or event.head.owner in (NOBODY, state.incarnation):
         return False
-    if ownership.deferrals > 0 or not _is_responsive(state, event.head.owner):
+    if ownership.deferrals > 0:
+        return False
+    if not (ownership.lost or _is_responsive(state, event.head.owner)):
         return False
     ownership.deferrals += 1
     ownership.known_owner = event.head.owner
@@ -277,12 +300,12 @@
 def _advance(state: InstanceState, ownership: Ownership) -> list[Effect]:
     if ownership.in_flight is not None:
         return []
-    if _is_hand_over_due(state) and not ownership.pending:
-        ownership.phase = OwnershipPhase.RELEASING
-        return commit_pending(state, ownership, NOBODY)
     effects: list[Effect] = []
-    if state.shutting_down_since is None:
+    if not _is_hand_over_due(state):
         effects.extend(_decide(state, ownership))
+    elif _can_hand_over(state, ownership):
+        ownership.phase = OwnershipPhase.RELEASING
+        return commit_pending(state, ownership, NOBODY)
     if is_commit_due(state, ownership):
         effects.extend(commit_pending(state, ownership, state.incarnation))
     return effects
@@ -293,6 +316,16 @@
     return since is not None and state.now - since >= state.parameters.drain_grace
 
 
+def _can_hand_over(state: InstanceState, ownership: Ownership) -> bool:
+    """Return whether what is pending fits the last commit and starts nothing.
+
+    A start that is committed but not sent would leave the next owner with a doubtful attempt.
+    """
+    if ownership.count_pending_records() > state.parameters.max_batch_records:
+        return False
+    return not any(group.placed for group in ownership.pending)
+
+
 def has_released_shards(state: InstanceState) -> bool:
     """Return whether this instance holds no shard, so that it may exit."""
     held = (OwnershipPhase.TAKING, OwnershipPhase.OWNED, OwnershipPhase.RELEASING)
@@ -360,12 +393,13 @@
     batch = _get_batch(ownership, event.transaction_id)
     if batch is None:
         return []
-    confirm_batch(ownership, batch, event.version)
+    confirm_batch(state, ownership, batch, event.version)
     if ownership.phase is OwnershipPhase.TAKING:
         return _finish_takeover(state, ownership, batch)
     if ownership.phase is OwnershipPhase.RELEASING:
         fields: dict[str, object] = {"shard": ownership.shard}
-        effects = drop_shard(state, ownership)
+        effects = _carry_out(state, ownership, batch)
+        effects.extend(drop_shard(state, ownership))
         return [*effects, LogDecision(decision="shard-handed-over", fields=fields)]
     return _carry_out(state, ownership, batch)
 
@@ -414,6 +448,7 @@
     fresh = state.placement.get(event.shard)
     if state.shutting_down_since is None:
         fresh.phase = OwnershipPhase.LOADING
+        fresh.lost = True
         effects.append(LoadShard(shard=event.shard))
     return effects
 
@@ -607,7 +642,8 @@
 ) -> list[Effect]:
     """Put changed labels, selectors and policies in force for what waits."""
     for ownership in state.placement.list_owned():
-        refresh_plans(state, ownership)
+        if ownership.planned_version != state.configuration.version:
+            refresh_plans(state, ownership)
     return []
 
 
--- a/src/lavenderhook/_internal/core/recovery.py
+++ b/src/lavenderhook/_internal/core/recovery.py
@@ -8,6 +8,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from .attempts import (
     MIN_START_TIME,
     End,
@@ -37,7 +39,7 @@
     queue_task,
 )
 from .records import IncarnationRetired, WorkerView
-from .resources import ZERO
+from .resources import ZERO, Resources
 from .scheduler import ScanScheduler, SchedulableWorker, Scheduler
 from .services import reconcile_services
 from .shard import Attempt, find_worker_shard
@@ -67,6 +69,7 @@
     Placed ones are asked for at their workers.
     """
     shard_state = ownership.get_state()
+    ownership.planned_version = state.configuration.version
     ownership.scheduler = build_scheduler(state)
     ownership.views.clear()
     ownership.schedulable = ()
@@ -126,6 +129,8 @@
 
     A worker that is not listed any more stays known, closed for new work, as long as attempts on
     it are not provably dead; otherwise its reservations would be lost if it were listed again.
+    A worker that does not answer, or has become smaller than what is reserved on it, is closed
+    too. The capacity of the latter counts as what is reserved until the surplus is dead.
     """
     listed = {
         worker.worker_id: worker
@@ -135,7 +140,7 @@
     occupied = ownership.get_state().attempts_by_worker
     ownership.views = {w: v for w, v in ownership.views.items() if w in occupied}
     ownership.views.update(listed)
-    workers = [_describe_worker(state, view) for view in listed.values()]
+    workers = [_describe_worker(state, ownership, view) for view in listed.values()]
     for worker_id in occupied:
         if worker_id not in listed:
             view = ownership.views.get(worker_id) or _build_placeholder(worker_id)
@@ -149,12 +154,27 @@
     ownership.capacity_checked = False
 
 
-def _describe_worker(state: InstanceState, view: WorkerView) -> SchedulableWorker:
+def _describe_worker(
+    state: InstanceState, ownership: Ownership, view: WorkerView
+) -> SchedulableWorker:
     configuration = state.configuration
-    return SchedulableWorker(
-        view=view,
-        labels=configuration.label_worker(view),
-        draining=view.leaving or configuration.is_draining(view),
+    control = ownership.workers.get(view.worker_id)
+    unreachable = control is not None and control.unreachable_since is not None
+    reserved = ownership.get_state().get_reserved(view.worker_id)
+    labels = configuration.label_worker(view)
+    if not reserved.fits(view.capacity):
+        grown = msgspec.structs.replace(view, capacity=_cover(view.capacity, reserved))
+        return SchedulableWorker(view=grown, labels=labels, draining=True)
+    closed = view.leaving or unreachable or configuration.is_draining(view)
+    return SchedulableWorker(view=view, labels=labels, draining=closed)
+
+
+def _cover(first: Resources, second: Resources) -> Resources:
+    """Return the larger amount in each dimension."""
+    return Resources(
+        max(first.processors, second.processors),
+        max(first.memory_mb, second.memory_mb),
+        max(first.accelerators, second.accelerators),
     )
 
 
@@ -171,6 +191,7 @@
 
 def refresh_plans(state: InstanceState, ownership: Ownership) -> None:
     """Apply a changed configuration to the workers and to the jobs that wait."""
+    ownership.planned_version = state.configuration.version
     refresh_workers(state, ownership)
     for job_id, job in ownership.get_state().jobs.items():
         if job.ended_at is not None:
@@ -194,6 +215,7 @@
     effects: list[Effect] = []
     for ownership in state.placement.list_owned():
         _retire_incarnations(state, ownership)
+        refresh_workers(state, ownership)
         effects.extend(_reconcile_workers(state, ownership))
         effects.extend(_reconcile_attempts(state, ownership))
         _preempt_surplus(state, ownership)
@@ -204,7 +226,9 @@
 def _reconcile_workers(state: InstanceState, ownership: Ownership) -> list[Effect]:
     effects: list[Effect] = []
     for worker_id, on_worker in list(ownership.get_state().attempts_by_worker.items()):
-        gone = [a for a in on_worker.values() if _is_worker_gone(state, a)]
+        gone: list[Attempt] = []
+        if worker_id not in state.membership.workers:
+            gone = [a for a in on_worker.values() if _is_worker_gone(state, a)]
         for attempt in gone:
             # Ending a gang member changes the others, but never removes them.
             end_attempt(state, ownership, attempt, _requeue(attempt, "worker-gone"))
@@ -228,7 +252,7 @@
     A list that is older than the attempt may lack a worker that is new, not gone.
     """
     view = state.membership
-    if view.listed_at is None or attempt.worker_id in view.workers:
+    if view.listed_at is None:
         return False
     margin = state.parameters.platform_list_lag + state.parameters.max_clock_skew
     return view.listed_at - margin > attempt.placed_at
@@ -358,8 +382,11 @@
         return view.gone[incarnation]
     if view.listed_at is None or state.incarnation not in view.listed:
         return None
+    member = view.members.get(incarnation)
+    if member is not None and state.now - member.heard_at < 2 * state.parameters.takeover_after:
+        return None
     margin = state.parameters.platform_list_lag + state.parameters.max_clock_skew
-    if incarnation in view.members or view.listed_at - margin <= ownership.taken_at:
+    if view.listed_at - margin <= ownership.taken_at:
         return None
     return view.listed_at
 
--- a/src/lavenderhook/_internal/core/scheduler.py
+++ b/src/lavenderhook/_internal/core/scheduler.py
@@ -267,8 +267,25 @@
                 return WaitReason(
                     code="no-worker", detail="no eligible worker is large enough for the task"
                 )
+        if len(tasks) > 1 and not self._can_hold(tasks):
+            return WaitReason(
+                code="no-workers", detail="the tasks do not fit on the workers at the same time"
+            )
         return None
 
+    def _can_hold(self, tasks: Sequence[PendingTask]) -> bool:
+        """Return whether first fit, largest task first, places all tasks on empty workers."""
+        free = [(w.schedulable.labels, w.schedulable.view.capacity) for w in self._workers.values()]
+        for task in sorted(tasks, key=lambda t: t.resources.processors, reverse=True):
+            for number, (labels, amount) in enumerate(free):
+                eligible = all(selector.matches(labels) for selector in task.eligible)
+                if eligible and task.resources.fits(amount):
+                    free[number] = (labels, amount - task.resources)
+                    break
+            else:
+                return False
+        return True
+
     def explain(self, task_id: TaskId, now: float) -> WaitReason | None:
         """Return why a pending task waits, or None if it is not pending."""
         task = self._pending.get(task_id)
--- a/src/lavenderhook/_internal/core/shard.py
+++ b/src/lavenderhook/_internal/core/shard.py
@@ -155,6 +155,7 @@
         self.tasks: dict[TaskId, Task] = {}
         self.attempts: dict[AttemptId, Attempt] = {}
         self.attempts_by_worker: dict[WorkerId, dict[AttemptId, Attempt]] = {}
+        self.reserved: dict[WorkerId, Resources] = {}
         self.grants: dict[UpstreamId, dict[IncarnationId, int]] = {}
         self.retired: dict[IncarnationId, float] = {}
 
@@ -177,10 +178,9 @@
         for record in records:
             self.apply(record)
 
-    def compute_reserved(self, worker_id: WorkerId) -> Resources:
+    def get_reserved(self, worker_id: WorkerId) -> Resources:
         """Return the sum of what the attempts on a worker hold."""
-        attempts = self.attempts_by_worker.get(worker_id, {})
-        return sum((a.resources for a in attempts.values()), start=ZERO)
+        return self.reserved.get(worker_id, ZERO)
 
     def list_former_owners(self, attempt: Attempt) -> list[OwnerChanged]:
         """Return the earlier owners that may have granted a lease to an attempt."""
@@ -343,6 +343,16 @@
         self.attempts[attempt.attempt_id] = attempt
         on_worker = self.attempts_by_worker.setdefault(attempt.worker_id, {})
         on_worker[attempt.attempt_id] = attempt
+        self.reserved[attempt.worker_id] = self.get_reserved(attempt.worker_id) + attempt.resources
+
+    def _detach(self, attempt: Attempt) -> None:
+        on_worker = self.attempts_by_worker[attempt.worker_id]
+        del on_worker[attempt.attempt_id]
+        if on_worker:
+            self.reserved[attempt.worker_id] -= attempt.resources
+        else:
+            del self.attempts_by_worker[attempt.worker_id]
+            del self.reserved[attempt.worker_id]
 
     def _apply_attempt_started(self, record: AttemptStarted, transitions: list[Transition]) -> None:
         attempt = self.attempts.get(record.attempt_id)
@@ -376,10 +386,7 @@
         attempt = self.attempts.pop(record.attempt_id, None)
         if attempt is None:
             return
-        on_worker = self.attempts_by_worker[attempt.worker_id]
-        del on_worker[attempt.attempt_id]
-        if not on_worker:
-            del self.attempts_by_worker[attempt.worker_id]
+        self._detach(attempt)
         self.grants.pop(UpstreamId(attempt.attempt_id), None)
         job = self.jobs[attempt.job_id]
         task = self.tasks[attempt.task_id]
--- a/src/lavenderhook/_internal/core/state.py
+++ b/src/lavenderhook/_internal/core/state.py
@@ -45,6 +45,7 @@
     drain_grace: float = 2.0
     snapshot_every: int = 200
     lazy_commit_interval: float = 0.25
+    ownership_check_interval: float = 5.0
     platform_list_lag: float = 3.0
     worker_unreachable_after: float = 6.0
     operation_timeout: float = 30.0
