--- a/src/lavenderhook/_internal/core/attempts.py
+++ b/src/lavenderhook/_internal/core/attempts.py
@@ -127,13 +127,15 @@
 
 def _build_start(ownership: Ownership, attempt: Attempt) -> TaskStart:
     spec = ownership.get_state().jobs[attempt.job_id].spec
-    command: dict[str, object] = {
-        "name": spec.name,
-        "run_seconds": spec.run_seconds,
-        "slots": attempt.slots,
-        "connections": attempt.connections,
-        "parameters": dict(spec.parameters),
-    }
+    command: dict[str, object] = dict(spec.parameters)
+    if spec.kind is WorkloadKind.SERVICE:
+        command["service"] = {
+            "name": spec.name,
+            "slots": attempt.slots,
+            "connections": attempt.connections,
+        }
+    else:
+        command["run_seconds"] = spec.run_seconds
     return TaskStart(
         attempt_id=attempt.attempt_id,
         task_id=attempt.task_id,
@@ -149,12 +151,13 @@
 
 
 def handle_timer(state: InstanceState, event: TimerFired) -> list[Effect]:
-    """Renew leases that are due and poll the workers that have attempts."""
+    """Renew leases that are due; poll the workers that have attempts or do not answer."""
     if event.name != LEASE_TIMER:
         return []
     effects: list[Effect] = []
     for ownership in state.placement.list_owned():
-        for worker_id in ownership.get_state().attempts_by_worker:
+        silent = [w for w, c in ownership.workers.items() if c.unreachable_since is not None]
+        for worker_id in {**ownership.get_state().attempts_by_worker, **dict.fromkeys(silent)}:
             worker = state.membership.workers.get(worker_id)
             if worker is None:
                 continue
--- a/src/lavenderhook/_internal/daemon/runtime.py
+++ b/src/lavenderhook/_internal/daemon/runtime.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import collections
-import importlib
-import pkgutil
 import time
 from collections.abc import Callable
 from typing import Any
@@ -14,10 +12,9 @@
 import gevent.queue
 
 from ...errors import LavenderhookError
-from .. import core
 from ..core.effects import Effect, RefuseCall
 from ..core.events import Event, TimerFired
-from ..core.reducer import reduce
+from ..core.reducer import collect_timers, reduce
 from ..core.state import InstanceState
 from ..ports.time import Clock, Timers
 
@@ -183,18 +180,3 @@
     def _run(self) -> None:
         while True:
             self.apply(self._queue.get())
-
-
-def collect_timers() -> dict[str, str]:
-    """Return the timers that the core's modules export as ``TIMERS``.
-
-    Returns
-    -------
-    dict of str to str
-        Attribute of `CoreParameters` with the interval, by timer name.
-    """
-    timers: dict[str, str] = {}
-    for found in pkgutil.iter_modules(core.__path__):
-        module = importlib.import_module(f"{core.__name__}.{found.name}")
-        timers.update(getattr(module, "TIMERS", {}))
-    return timers
