Check the daemon against raw sockets, a faulty table and peers

Four faults were found on the way and are fixed: a claim group whose conflict was read only in part released rows of claims that had been given out (a request could then run twice); forwarded requests carried no credential; a body at the limit was refused when forwarded; a wrong key in a table of the settings was not named.

--- /dev/null
+++ b/features/steps/daemon_peers.py
@@ -0,0 +1,174 @@
+"""Steps that check entry instances among each other."""
+
+import gevent
+from behave import given, then, when
+
+from features.support.stub_core import NO_SERVICE, StubCore, start_instance
+from lavenderhook._internal.adapters.transport import HttpClient
+from lavenderhook._internal.core.declarations import Quota
+from lavenderhook._internal.core.effects import CloseListeners
+from lavenderhook._internal.core.events import (
+    ConfigurationChange,
+    ConfigurationReceived,
+    RequestArrived,
+)
+from lavenderhook._internal.core.identifiers import MemberState
+from lavenderhook._internal.core.membership import get_member_state
+from lavenderhook.errors import TransportError
+
+CREDENTIAL = ("Authorization", "Bearer token-of-desk")
+
+
+@given("{count:d} running instances that know only the first one")
+def step_instances(context, count):
+    context.cores = [StubCore("refuse") for _ in range(count)]
+    context.daemons = []
+    for number, core in enumerate(context.cores):
+        seeds = [context.daemons[0].listener.location] if context.daemons else []
+        name = f"entry-{number}"
+        context.daemons.append(start_instance(context, core, name=name, seeds=seeds))
+
+
+@given("2 running instances, the second of which forwards to the first")
+def step_forwarding(context):
+    first = StubCore("dispatch", upstream=context.upstream.address)
+    target = start_instance(context, first, name="entry-0")
+    second = StubCore("forward", peer=(target.incarnation, target.listener.location))
+    source = start_instance(context, second, name="entry-1", seeds=[target.listener.location])
+    context.cores, context.daemons = [first, second], [target, source]
+    wait_until(lambda: source.peers.last_digest is not None, 2)
+
+
+@given("1 running instance that forwards to an address where nobody listens")
+def step_forwarding_nowhere(context):
+    core = StubCore("forward", peer=("gone", NO_SERVICE))
+    context.daemons = [start_instance(context, core)]
+
+
+@given("1 running instance that dispatches to it")
+def step_dispatching(context):
+    core = StubCore("dispatch", upstream=context.upstream.address)
+    context.daemons = [start_instance(context, core)]
+
+
+def wait_until(is_true, seconds):
+    """Wait for a condition.
+
+    Raises
+    ------
+    gevent.Timeout
+        If it does not hold in time.
+    """
+    with gevent.Timeout(seconds):
+        while not is_true():
+            gevent.sleep(0.01)
+
+
+@given("each sees the {count:d} others alive within {seconds:d} s")
+@then("each sees the {count:d} others alive within {seconds:d} s")
+def step_see(context, count, seconds):
+    def count_alive(daemon):
+        state = daemon.runtime.state
+        members = state.membership.members
+        return sum(get_member_state(state, m) is MemberState.ALIVE for m in members)
+
+    wait_until(lambda: all(count_alive(d) == count for d in context.daemons), seconds)
+
+
+@when("the first one gets {count:d} configuration changes")
+def step_changes(context, count):
+    changes = tuple(
+        ConfigurationChange(
+            version=version,
+            change_id=f"change-{version}",
+            author="ann",
+            at=1.0,
+            puts=(Quota(name=f"quota-{version}", team="maps"),),
+        )
+        for version in range(1, count + 1)
+    )
+    runtime = context.daemons[0].runtime
+    event = ConfigurationReceived(
+        now=runtime.now(), changes=changes, complete=True, from_table=True, head=count
+    )
+    runtime.apply(event)
+
+
+@then("the others have version {version:d} within {seconds:d} s")
+def step_version(context, version, seconds):
+    states = [daemon.runtime.state for daemon in context.daemons[1:]]
+    wait_until(lambda: all(s.configuration.version == version for s in states), seconds)
+    first = context.daemons[0].runtime.state.configuration
+    assert all(s.configuration.declarations == first.declarations for s in states)
+
+
+@when("a request is sent to the second one")
+def step_send(context):
+    client = HttpClient("test", timeout=5)
+    context.add_cleanup(client.close)
+    headers = (CREDENTIAL, ("lavenderhook-request-id", "first"))
+    location = context.daemons[-1].listener.location
+    context.reply = client.call(location, "POST", "/service/desk/x", b"question", headers)
+
+
+@when("the upstream's answer is {fault} and a request is sent to the second one")
+def step_send_broken(context, fault):
+    context.upstream.mode = fault
+    step_send(context)
+
+
+@then("it is answered with the upstream's answer to its own request id")
+def step_forwarded(context):
+    assert context.reply.status == 200, context.reply
+    assert context.reply.body == b"answer to first"
+    assert context.reply.get_header("lavenderhook-outcome") == "completed"
+    assert context.reply.get_header("lavenderhook-request-id") == "first"
+
+
+@then("the first one counts the second as the sender")
+def step_sender(context):
+    (arrived,) = context.cores[0].list_events(RequestArrived)
+    assert arrived.head.forwarded_by == context.daemons[1].incarnation
+    assert arrived.head.caller == "desk"
+
+
+@then("its outcome is {outcome} with status {status:d}")
+def step_outcome(context, outcome, status):
+    assert context.reply.get_header("lavenderhook-outcome") == outcome, context.reply
+    assert context.reply.status == status
+
+
+@when("a heartbeat without credential arrives")
+def step_no_credential(context):
+    client = HttpClient("test")
+    context.add_cleanup(client.close)
+    location = context.daemons[0].listener.location
+    context.reply = client.call(location, "POST", "/peer/v1/heartbeat", b"x")
+
+
+@then("it is refused as unauthenticated")
+def step_refused(context):
+    assert context.reply.status == 401 and b"unauthenticated" in context.reply.body
+
+
+@when("its listener is closed while a request is in flight")
+def step_drain(context):
+    context.upstream.mode, context.upstream.delay = "late", 0.3
+    sender = gevent.spawn(step_send, context)
+    wait_until(lambda: context.upstream.served, 2)
+    runtime = context.daemons[0].runtime
+    runtime._execute(CloseListeners())
+    sender.join(timeout=5)
+
+
+@then("the request is answered, its connection closed, and no new connection is accepted")
+def step_drained(context):
+    assert context.reply.body == b"answer to first"
+    assert context.reply.get_header("connection") == "close"
+    client = HttpClient("test")
+    try:
+        client.call(context.daemons[0].listener.location, "GET", "/healthz")
+    except TransportError as error:
+        assert not error.sent
+    else:
+        raise AssertionError("a new connection was accepted")
--- /dev/null
+++ b/features/steps/daemon_store.py
@@ -0,0 +1,409 @@
+"""Steps that check commits, claims and configuration against a table in memory."""
+
+import collections
+import time
+
+import gevent
+from behave import given, then, when
+
+from features.support.memory_table import MemoryTable
+from lavenderhook._internal.adapters.calls import CallTable
+from lavenderhook._internal.adapters.claims import ClaimStore, decode_claim
+from lavenderhook._internal.adapters.commits import ShardLog
+from lavenderhook._internal.adapters.configuration import ConfigurationStore
+from lavenderhook._internal.adapters.time import SystemClock
+from lavenderhook._internal.adapters.transport import HttpAnswer
+from lavenderhook._internal.core.declarations import Quota
+from lavenderhook._internal.core.effects import (
+    ClaimRequest,
+    CommitConfiguration,
+    CommitShard,
+    Completed,
+    LoadConfiguration,
+    LoadShard,
+    RecordOutcome,
+    ReleaseClaim,
+    StoreSnapshot,
+)
+from lavenderhook._internal.core.events import (
+    ClaimResolved,
+    ClaimState,
+    CommitConflicted,
+    CommitDelayed,
+    CommitSucceeded,
+    ConfigurationChange,
+    ConfigurationCommitted,
+    ConfigurationReceived,
+    ConfigurationRefused,
+    OutcomeRecorded,
+    ShardLoaded,
+)
+from lavenderhook._internal.core.records import JobCancelled, ShardHead, ShardSnapshot
+from lavenderhook._internal.ports.platform import Row
+
+CLAIM_SECONDS = 2.0
+ANSWER = HttpAnswer(201, (("content-type", "text/plain"),), b"quote 17")
+
+
+class MemoryObjects(dict):
+    """Object store in memory."""
+
+    put = dict.__setitem__
+
+    def delete(self, key):
+        """Delete an object if it exists."""
+        self.pop(key, None)
+
+
+@given("a table in memory")
+def step_table(context):
+    context.store_table = MemoryTable()
+    context.objects = MemoryObjects()
+    context.store_events = []
+    context.shard_log = ShardLog(
+        context.store_table, context.objects, SystemClock(), context.store_events.append
+    )
+
+
+@given("a table in memory that loses the next answer")
+def step_losing(context):
+    step_table(context)
+    context.store_table.lose_next = 1
+
+
+@given("a table in memory that is down for {count:d} commits")
+def step_down(context, count):
+    step_table(context)
+    context.store_table.down_for = count
+
+
+@given(
+    "a table in memory with seed {seed:d}, {requests:g} requests and {answers:g} answers lost "
+    "and {refusals:g} refused"
+)
+def step_faulty(context, seed, requests, answers, refusals):
+    context.store_table = MemoryTable(seed, requests, answers, refusals)
+
+
+# Shard log
+
+
+def commit(context, number, *, owner="one", version=0, records=None, **extra):
+    """Commit one batch as log row `number`."""
+    head = ShardHead(
+        owner=owner, epoch=1, next_log=number + 1, transaction_id=f"{owner}-{number}", **extra
+    )
+    delete_logs = tuple(range(1, extra.get("snapshot_log", 0) + 1))
+    if records is None:
+        records = (JobCancelled(at=float(number), job_id="job"),)
+    effect = CommitShard(
+        shard=0,
+        transaction_id=head.transaction_id,
+        expected_version=version,
+        head=head,
+        records=records,
+        delete_logs=delete_logs,
+    )
+    with gevent.Timeout(10):
+        context.shard_log.commit(effect)
+    return context.store_events[-1]
+
+
+def load(context):
+    """Load the shard and return the event."""
+    context.shard_log.load(LoadShard(shard=0))
+    event = context.store_events.pop()
+    assert isinstance(event, ShardLoaded), event
+    return event
+
+
+@when("shard 0 is committed by owner one")
+def step_commit(context):
+    commit(context, 1)
+
+
+@when("shard 0 is committed by owner two on an outdated version")
+def step_commit_outdated(context):
+    commit(context, 1, owner="two")
+
+
+@then("the commit succeeds with the head's version")
+def step_succeeds(context):
+    (event,) = context.store_events
+    assert isinstance(event, CommitSucceeded), event
+    assert event.version == context.store_table.rows["shard/0/head"][0]
+    assert context.store_table.commits == 1, "the transaction must not be applied twice"
+
+
+@then("the commit is a conflict")
+def step_conflict(context):
+    assert isinstance(context.store_events[-1], CommitConflicted), context.store_events
+
+
+@then("the commit is delayed once and then succeeds")
+def step_delayed(context):
+    kinds = [type(event) for event in context.store_events]
+    assert kinds == [CommitDelayed, CommitSucceeded], kinds
+
+
+@when("shard 0 gets {count:d} commits, a snapshot after {covered:d} and its old rows deleted")
+def step_compact(context, count, covered):
+    version = 0
+    for number in range(1, count + 1):
+        extra = {}
+        if number == count:
+            snapshot = ShardSnapshot(shard=0, log_number=covered, records=())
+            context.shard_log.store_snapshot(StoreSnapshot(snapshot=snapshot))
+            extra = {"snapshot_log": covered}
+        version = commit(context, number, version=version, **extra).version
+
+
+@then("the shard loads with {count:d} batch")
+def step_loads(context, count):
+    assert len(load(context).batches) == count
+
+
+@then("the shard loads with {count:d} batches and the snapshot of {covered:d}")
+def step_loads_snapshot(context, count, covered):
+    event = load(context)
+    assert len(event.batches) == count and event.snapshot.log_number == covered, event
+    assert event.batches[-1][0].at == count + covered
+
+
+@then("no log row up to {covered:d} is left")
+def step_deleted(context, covered):
+    left = [key for key in context.store_table.rows if key.startswith("shard/0/log/")]
+    assert all(int(key.rpartition("/")[2]) > covered for key in left), left
+
+
+@when("shard 0 gets a batch of {count:d} records")
+def step_large(context, count):
+    context.records = tuple(JobCancelled(at=1.0, job_id=f"job-{n}") for n in range(count))
+    commit(context, 1, records=context.records)
+
+
+@then("the shard loads with the same {count:d} records")
+def step_large_loads(context, count):
+    (batch,) = load(context).batches
+    assert batch == context.records and len(batch) == count
+
+
+# Claims
+
+
+class Claimer:
+    """One instance's claims."""
+
+    def __init__(self, table, name):
+        self.name = name
+        self.events = []
+        self.calls = CallTable()
+        self.clock = SystemClock()
+        self.store = ClaimStore(table, self.clock, self.calls, name, self.events.append, 1000)
+
+    def claim(self, request_id, body=b"order", seconds=CLAIM_SECONDS):
+        """Start a claim and return its call."""
+        call = self.calls.open(method="POST", target="/x", body=body)
+        effect = ClaimRequest(
+            ticket=call.ticket,
+            claim_id=f"{self.name}-{call.ticket}",
+            caller="desk",
+            request_id=request_id,
+            deadline=self.clock.read() + seconds,
+        )
+        self.store.claim(effect)
+        return call
+
+    def wait(self, count, event_type=ClaimResolved):
+        """Wait for events of a type and return their states by ticket."""
+        with gevent.Timeout(8):
+            while len(found := [e for e in self.events if isinstance(e, event_type)]) < count:
+                gevent.sleep(0.002)
+        return {event.ticket: event for event in found}
+
+    def claim_one(self, request_id, body=b"order"):
+        """Claim and return (call, state)."""
+        call = self.claim(request_id, body)
+        return call, self.wait(len(self.calls))[call.ticket].state
+
+
+@when("{instances:d} instances claim the same {count:d} ids at once")
+def step_race(context, instances, count):
+    context.claimers = [Claimer(context.store_table, f"entry-{n}") for n in range(instances)]
+    context.claims = {
+        (claimer.name, number): claimer.claim(f"order/{number}")
+        for number in range(count)
+        for claimer in context.claimers
+    }
+    context.claim_states = collections.defaultdict(list)
+    for claimer in context.claimers:
+        events = claimer.wait(count)
+        for (name, number), call in context.claims.items():
+            if name == claimer.name:
+                context.claim_states[number].append(events[call.ticket].state)
+
+
+@then(
+    "each id is claimed by exactly one, or by none if all were told that the store is unavailable"
+)
+def step_exactly_one(context):
+    for number, states in context.claim_states.items():
+        winners = states.count(ClaimState.CLAIMED)
+        assert winners <= 1, (number, states)
+        others = {*states} - {ClaimState.CLAIMED}
+        assert others <= {ClaimState.IN_PROGRESS, ClaimState.UNAVAILABLE}, (number, states)
+        if winners == 0:
+            assert ClaimState.UNAVAILABLE in states, (number, states)
+
+
+@then("no row stays claimed by a claim that was given up")
+def step_no_leftover(context):
+    won = [
+        f"{claimer.name}-{event.ticket}"
+        for claimer in context.claimers
+        for event in claimer.events
+        if event.state is ClaimState.CLAIMED
+    ]
+    with gevent.Timeout(5):
+        while collect_claim_ids(context.store_table) != sorted(won):
+            gevent.sleep(0.05)
+
+
+def collect_claim_ids(table):
+    """Return the claim ids in the table's rows."""
+    rows = [Row("", version, value) for version, value in table.rows.values()]
+    return sorted(decode_claim(row).claim_id for row in rows)
+
+
+@when("{count:d} claims are made at once")
+def step_many_claims(context, count):
+    context.claimer = Claimer(context.store_table, "entry-1")
+    for number in range(count):
+        context.claimer.claim(f"order/{number}")
+    context.claim_events = context.claimer.wait(count)
+
+
+@then("all are claimed with at most {limit:d} commits")
+def step_grouped(context, limit):
+    states = {event.state for event in context.claim_events.values()}
+    assert states == {ClaimState.CLAIMED}, states
+    assert context.store_table.commits <= limit, context.store_table.commits
+
+
+@when("a request is claimed")
+def step_claim(context):
+    context.claimer = Claimer(context.store_table, "entry-1")
+    started = time.monotonic()
+    context.call, context.claim_state = context.claimer.claim_one("order/1")
+    context.claim_seconds = time.monotonic() - started
+
+
+@when("a request is claimed and its answer recorded")
+def step_recorded(context):
+    step_claim(context)
+    context.call.response = ANSWER
+    identity = {"claim_id": f"entry-1-{context.call.ticket}", "caller": "desk"}
+    effect = RecordOutcome(
+        ticket=context.call.ticket, request_id="order/1", outcome=Completed(), **identity
+    )
+    context.claimer.store.record(effect)
+    (event,) = context.claimer.wait(1, OutcomeRecorded).values()
+    assert event.durable
+
+
+@when("a request is claimed and released")
+def step_release(context):
+    step_claim(context)
+    effect = ReleaseClaim(
+        claim_id=f"entry-1-{context.call.ticket}", caller="desk", request_id="order/1"
+    )
+    context.claimer.store.release(effect)
+
+
+@then("a second claim of it by another instance is {state}, with the answer")
+def step_second_recorded(context, state):
+    call, found = Claimer(context.store_table, "entry-2").claim_one("order/1")
+    assert found.value == state, found
+    assert (call.stored.status, call.stored.body) == (ANSWER.status, ANSWER.body)
+
+
+@then("a second claim of it by another instance is {state}")
+def step_second(context, state):
+    _, found = Claimer(context.store_table, "entry-2").claim_one("order/1")
+    assert found.value == state, found
+
+
+@then("a second claim with other content is {state}")
+def step_second_different(context, state):
+    _, found = Claimer(context.store_table, "entry-2").claim_one("order/1", b"another order")
+    assert found.value == state, found
+
+
+@then("the outcome can be found by request id")
+def step_find(context):
+    row = context.claimer.store.find("desk", "order/1")
+    assert row.outcome.kind == "completed" and row.outcome.body == ANSWER.body
+    assert context.claimer.store.find("desk", "order/2") is None
+
+
+@then("the claim is {state} within {seconds:g} s")
+def step_given_up(context, state, seconds):
+    assert context.claim_state.value == state, context.claim_state
+    assert context.claim_seconds < seconds, context.claim_seconds
+    assert not context.store_table.rows
+
+
+# Configuration
+
+
+def commit_change(context, name, version=1):
+    """Commit a change through a store of its own and return the event."""
+    events = []
+    store = ConfigurationStore(context.store_table, SystemClock(), events.append)
+    change = ConfigurationChange(
+        version=version,
+        change_id=name,
+        author="ann",
+        at=1.0,
+        puts=(Quota(name=name, team="maps"),),
+    )
+    with gevent.Timeout(10):
+        store.commit(CommitConfiguration(ticket=1, change=change))
+    return events[0]
+
+
+@when("two instances commit different changes for version 1 at once")
+def step_two_changes(context):
+    greenlets = [gevent.spawn(commit_change, context, name) for name in ("a", "b")]
+    gevent.joinall(greenlets, timeout=10, raise_error=True)
+    context.changes = [greenlet.value for greenlet in greenlets]
+
+
+@then("one is committed and the other is refused with version 1")
+def step_one_change(context):
+    (committed,) = [e for e in context.changes if isinstance(e, ConfigurationCommitted)]
+    (refused,) = [e for e in context.changes if isinstance(e, ConfigurationRefused)]
+    assert committed.change.version == 1 and refused.actual == 1 and refused.expected == 0
+
+
+@when("an instance commits a change for version 1")
+def step_change(context):
+    context.change_event = commit_change(context, "a")
+
+
+@then("the change is committed and read back by another instance")
+def step_change_committed(context):
+    assert isinstance(context.change_event, ConfigurationCommitted), context.change_event
+    events = []
+    ConfigurationStore(context.store_table, SystemClock(), events.append).load(
+        LoadConfiguration(after=0)
+    )
+    (event,) = events
+    assert isinstance(event, ConfigurationReceived) and event.head == 1
+    assert event.changes == (context.change_event.change,)
+
+
+@then("the change is refused because the store is unavailable")
+def step_change_unavailable(context):
+    assert isinstance(context.change_event, ConfigurationRefused), context.change_event
+    assert context.change_event.actual is None
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that the steps share."""
--- a/src/lavenderhook/_internal/adapters/claims.py
+++ b/src/lavenderhook/_internal/adapters/claims.py
@@ -62,7 +62,7 @@
     key: str
     row: ClaimRow
     value: bytes
-    resolved: bool = False
+    state: ClaimState | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -193,15 +193,22 @@
         self._resolve(claim, ClaimState.UNAVAILABLE)
 
     def _resolve(self, claim: _Claim, state: ClaimState) -> None:
-        if claim.resolved:
+        if claim.state is not None:
             if state is ClaimState.CLAIMED:
-                # The claim took effect after it was given up; nothing was dispatched for it.
-                gevent.spawn(self._release_row, claim.key, claim.row.claim_id)
+                self._release_given_up(claim)
             return
-        claim.resolved = True
+        claim.state = state
         event = ClaimResolved(now=self._clock.read(), ticket=claim.effect.ticket, state=state)
         self._emit(event)
 
+    def _release_given_up(self, claim: _Claim) -> None:
+        """Delete the row of a claim that took effect after it was given up.
+
+        A claim with any other result keeps its row: its request may have been dispatched.
+        """
+        if claim.state is ClaimState.UNAVAILABLE:
+            gevent.spawn(self._release_row, claim.key, claim.row.claim_id)
+
     def _write_claims(self, group: list[_Claim]) -> None:
         started = time.monotonic()
         uncertain = False
@@ -230,13 +237,11 @@
             backoff.wait()
 
     def _keep_open(self, group: list[_Claim], uncertain: bool) -> list[_Claim]:
-        """Drop claims that were given up, and delete their rows if they may exist."""
-        kept = [claim for claim in group if not claim.resolved]
+        """Drop claims with a result, and delete rows that may exist of ones given up."""
         if uncertain:
             for claim in group:
-                if claim.resolved:
-                    gevent.spawn(self._release_row, claim.key, claim.row.claim_id)
-        return kept
+                self._release_given_up(claim)
+        return [claim for claim in group if claim.state is None]
 
     def _give_up(self, group: list[_Claim]) -> None:
         for claim in group:
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -77,8 +77,8 @@
         self.path, _, self.query = environ["lavenderhook.target"].partition("?")
         self.headers: Mapping[str, str] = environ["lavenderhook.headers"]
 
-    def read_body(self) -> bytes:
-        """Return the whole body.
+    def read_body(self, extra_bytes: int = 0) -> bytes:
+        """Return the whole body, which may exceed the limit by `extra_bytes`.
 
         Raises
         ------
@@ -90,7 +90,7 @@
         expected: int | None = self._environ["lavenderhook.length"]
         if expected is None and "transfer-encoding" not in self.headers:
             return b""
-        limit = self._limits.body_bytes
+        limit = self._limits.body_bytes + extra_bytes
         if expected is not None and expected > limit:
             self._close_after()
             raise PayloadTooLargeError(f"the body has {expected} bytes, the limit is {limit}")
--- a/src/lavenderhook/_internal/adapters/peer_routes.py
+++ b/src/lavenderhook/_internal/adapters/peer_routes.py
@@ -46,6 +46,7 @@
 )
 from .routes import Core, run_operation, wait_for_answer
 
+FRAME_BYTES = 128 * 1024  # head of a forwarded request, on top of the largest body
 MESSAGE_TYPE = "application/msgpack"
 
 
@@ -90,7 +91,7 @@
         handler = self._handlers.get(kind)
         if handler is None or incoming.method != "POST":
             raise UnknownNameError("peer message", kind)
-        return handler(incoming.read_body(), incoming)
+        return handler(incoming.read_body(FRAME_BYTES), incoming)
 
     def _take_heartbeat(self, content: bytes, incoming: Incoming) -> Reply:
         message = decode_message(content, Heartbeat)
--- a/src/lavenderhook/_internal/adapters/peers.py
+++ b/src/lavenderhook/_internal/adapters/peers.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import struct
-import time
 from collections.abc import Callable
 from typing import TypeAlias, TypeVar
 
@@ -58,7 +57,7 @@
 from ..core.records import JobSpec
 from ..ports.time import Clock
 from .calls import CallTable, PendingCall, RelayedAnswer
-from .transport import ExchangeTimeoutError, HttpAnswer, HttpClient, build_request
+from .transport import HttpAnswer, HttpClient
 
 PREFIX = "/peer/v1/"
 PUSH_TIMEOUT = 0.5  # seconds; bounds the time until an operator is told
@@ -317,9 +316,8 @@
             return
         remaining = effect.deadline - self._clock.read()
         content = encode_framed(self._build_head(call, call.request, remaining), call.body)
-        deadline = time.monotonic() + remaining + FORWARD_MARGIN
         try:
-            answer = self._exchange(effect.address, content, deadline)
+            answer = self._exchange(effect.address, content, remaining + FORWARD_MARGIN)
             encoded, body = split_framed(answer.body)
             head = decode_message(encoded, ForwardedAnswer)
         except LavenderhookError as error:
@@ -356,19 +354,12 @@
             request=forwarded, method=call.method, target=call.target, headers=call.headers
         )
 
-    def _exchange(self, address: str, content: bytes, deadline: float) -> HttpAnswer:
-        pool = self._client.get_pool(address)
-        data = build_request("POST", PREFIX + "request", pool.address, (), content)
-        connection = pool.acquire(deadline)
-        try:
-            connection.send("POST", data, deadline)
-            answer = connection.receive(deadline)
-        except ExchangeTimeoutError as error:
-            raise TransportError(str(error), sent=True) from error
-        finally:
-            self._client.count(pool.address, connection)
-            pool.release(connection)
-        _require_success(answer)
+    def _exchange(self, address: str, content: bytes, timeout: float) -> HttpAnswer:
+        answer = self._client.call(address, "POST", PREFIX + "request", content, (), timeout)
+        if answer.status >= 300:
+            # A refusal as malformed, too large or unauthenticated comes before the core sees it.
+            sent = answer.status >= 500
+            raise TransportError(f"the peer answered {answer.status}", sent=sent)
         return answer
 
     def _fail(self, effect: ForwardToPeer, error: LavenderhookError) -> None:
--- a/src/lavenderhook/_internal/daemon/logs.py
+++ b/src/lavenderhook/_internal/daemon/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import sys
 from typing import IO, Any
 
@@ -15,6 +16,7 @@
 from .settings import LoggingSettings
 
 MAX_LINES = 20_000  # lines that wait for the writer; further ones are dropped and counted
+DEFAULT_SINK = 0  # the library's number for it
 FLUSH_SECONDS = 0.02
 
 _ENCODER = msgspec.json.Encoder(enc_hook=repr)
@@ -22,7 +24,8 @@
 
 def discard_default_sink() -> None:
     """Remove the library's own sink, which writes to standard error in the event loop."""
-    logger.remove()
+    with contextlib.suppress(ValueError):  # it may be removed already
+        logger.remove(DEFAULT_SINK)
 
 
 class LineWriter:
--- a/src/lavenderhook/_internal/violations.py
+++ b/src/lavenderhook/_internal/violations.py
@@ -13,6 +13,7 @@
 
 _MESSAGE = re.compile(r"^(?P<problem>.*?)(?: - at `(?P<path>[^`]*)`)?$", re.DOTALL)
 _FIELD = re.compile(r"field `(?P<name>[^`]+)`")
+ANY_KEY = "[...]"  # stands for the key of a mapping in msgspec's paths
 _Shape = TypeVar("_Shape")
 
 
@@ -79,12 +80,32 @@
         return msgspec.convert(values, shape)
     except msgspec.ValidationError as error:
         path, allowed = describe_violation(str(error))
+        if ANY_KEY in path:
+            path = _name_key(values, shape, path)
         choices = list_choices(cast(Any, shape)).get(path.rpartition(".")[2])
         if choices is not None and allowed.startswith("Invalid"):
             allowed = "one of " + ", ".join(choices)
         raise InvalidArgumentError(path or root, find_value(values, path), allowed) from error
 
 
+def _name_key(values: Any, shape: Any, path: str) -> str:
+    """Return a path with the key in place of `ANY_KEY`, found by leaving out all others."""
+    parent, _, rest = path.partition(ANY_KEY)
+    entries = find_value(values, parent)
+    for key, entry in entries.items() if isinstance(entries, dict) else ():
+        try:
+            msgspec.convert(_replace(values, parent.split("."), {key: entry}), shape)
+        except msgspec.ValidationError:
+            return f"{parent}.{key}{rest}"
+    return path
+
+
+def _replace(values: Any, parts: list[str], value: Any) -> Any:
+    if not parts or not isinstance(values, dict):
+        return value
+    return {**values, parts[0]: _replace(values.get(parts[0]), parts[1:], value)}
+
+
 def find_value(values: Any, path: str) -> object:
     """Return the value at a path such as ``puts[0].name``, or None."""
     for part in re.findall(r"[^.\[\]]+", path):
