--- a/features/support/__init__.py
+++ b/features/support/__init__.py
@@ -1,1 +1,1 @@
-"""Test doubles shared by the steps."""
+"""Test doubles and helpers that the steps share."""
