Add the specification of upstream slot grants

Covers section 3.3: raises, lowering after the holder's promise, gone + quarantine, and messages that arrive late, twice or out of order.

--- a/features/model.feature
+++ b/features/model.feature
@@ -16,3 +16,4 @@
       | specification |
       | tasks         |
       | claims        |
+      | grants        |
--- a/model/registry.py
+++ b/model/registry.py
@@ -9,9 +9,10 @@
     iterate_refutations,
 )
 from .specifications.claims import Claims
+from .specifications.grants import Grants
 from .specifications.tasks import Tasks
 
-SPECIFICATIONS: tuple[type[Specification], ...] = (Tasks, Claims)
+SPECIFICATIONS: tuple[type[Specification], ...] = (Tasks, Claims, Grants)
 TRACE_DIRECTORY = Path(__file__).resolve().parent / "traces"
 
 
--- /dev/null
+++ b/model/specifications/grants.py
@@ -0,0 +1,281 @@
+"""Grants of one upstream's slots (docs/design.md 3.3).
+
+The log records the limits issued to each holder by version. What a holder may still use is the
+largest limit issued since the last one that it acknowledged. Messages stay in the network, so any
+issued limit may arrive late, again or never, also at the next incarnation on the same host. Pauses
+of a holder or an owner are steps not taken. The shard's owner is not modelled apart: its state is
+the log, whose version check the shard specification covers.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from ..engine import Mutant, MutantKind, Predicate, Specification, Step, replace_item
+
+ALIVE = -1
+QUARANTINE = 2  # ticks; the longest time that a request of a dead holder keeps running
+
+
+class Holder(NamedTuple):
+    """One host: log records about its grants, and the state of its process."""
+
+    issued: tuple = (0,)  # limits by version; version 0 is the empty grant
+    acknowledged: int = 0  # last version whose acknowledgement the log records
+    promised: int = 0  # last version that the process acknowledged
+    version: int = 0  # last version that the process applied
+    limit: int = 0  # requests that the process may have outstanding
+    counted: int = 0  # requests that the process counts as outstanding
+    running: int = 0  # requests of the process that run on the upstream
+    orphans: int = 0  # running requests of the former incarnation
+    gone_for: int = ALIVE  # ticks since the former incarnation died, until its grant is freed
+    former: int = 0  # slots reserved for the former incarnation
+    old_limits: frozenset = frozenset()  # limits issued to the former incarnation
+    early: int = 0  # a raise sent before its commit
+
+
+class GrantsState(NamedTuple):
+    """State of one upstream and the holders of its slots."""
+
+    holders: tuple
+    crashes: int
+
+
+@dataclass(frozen=True)
+class GrantsBounds:
+    """Bounds of the search; `versions` limits the changes per holder incarnation."""
+
+    holders: int
+    slots: int
+    versions: int
+    crashes: int
+
+
+class Grants(Specification):
+    """Division of an upstream's slots among holders."""
+
+    name = "grants"
+    covers = "raise, lower after the holder's promise, gone + quarantine, stale messages"
+    mutants = (
+        Mutant(
+            "promise before lowering",
+            "within_slots",
+            "slots are given away once the lower limit is sent",
+            "two holders",
+        ),
+        Mutant(
+            "promise after draining",
+            "within_slots",
+            "a holder promises the lower limit while more requests are outstanding",
+            "two holders",
+        ),
+        Mutant(
+            "quarantine",
+            "within_slots",
+            "the slots of a gone holder are given away while its requests still run",
+            "two holders",
+        ),
+        Mutant(
+            "gone, not suspected",
+            "within_slots",
+            "the slots of a paused holder are given away",
+            "two holders",
+        ),
+        Mutant(
+            "commit before raise",
+            "within_slots",
+            "a raise is sent before it is committed",
+            "two holders",
+        ),
+        Mutant(
+            "limit at dispatch",
+            "within_slots",
+            "a holder dispatches above its limit",
+            "two holders",
+        ),
+        Mutant(
+            "slot until response",
+            "within_slots",
+            "a holder counts a slot as free at the request's deadline",
+            "two holders",
+        ),
+        Mutant(
+            "sum within slots",
+            "reserved_within_slots",
+            "the owner raises a grant without a free slot",
+            "two holders",
+        ),
+        Mutant(
+            "version in limit",
+            "within_slots",
+            "a holder applies a limit that is older than the one in force",
+            "two holders",
+            MutantKind.LITERAL,
+        ),
+        Mutant(
+            "version in promise",
+            "within_slots",
+            "the owner takes the promise of an older limit for that of the last one",
+            "two holders",
+            MutantKind.LITERAL,
+        ),
+        Mutant(
+            "incarnation in limit",
+            "within_slots",
+            "a restarted holder applies a limit issued to its former incarnation",
+            "two holders",
+            MutantKind.LITERAL,
+        ),
+    )
+
+    @classmethod
+    def list_configurations(cls, deep: bool) -> dict[str, Any]:
+        """Return the bounds by label."""
+        if deep:
+            return {
+                "two holders": GrantsBounds(2, 2, 4, 1),
+                "three holders": GrantsBounds(3, 1, 2, 1),
+            }
+        return {"two holders": GrantsBounds(2, 2, 3, 1), "one slot": GrantsBounds(2, 1, 3, 1)}
+
+    def build_initial(self) -> GrantsState:
+        """Return the state with no grant."""
+        return GrantsState(holders=(Holder(),) * self.bounds.holders, crashes=0)
+
+    def list_successors(self, state: GrantsState) -> list[Step]:
+        """Return the steps of the owner, the holders, the network and the upstream."""
+        steps: list[Step] = []
+        reserved = sum(self._count_reserved(h) for h in state.holders)
+        free = self.bounds.slots - reserved
+        for index, holder in enumerate(state.holders):
+            changes = [
+                *self._list_owner_steps(holder, free),
+                *self._list_limit_steps(holder),
+                *self._list_request_steps(holder),
+            ]
+            for label, changed in changes:
+                holders = replace_item(state.holders, index, changed)
+                steps.append((f"{label}(holder={index})", state._replace(holders=holders)))
+            if state.crashes < self.bounds.crashes:
+                holders = replace_item(state.holders, index, self._restart(holder))
+                crashed = GrantsState(holders=holders, crashes=state.crashes + 1)
+                steps.append((f"restart(holder={index})", crashed))
+        if any(h.gone_for not in (ALIVE, QUARANTINE) for h in state.holders):
+            holders = tuple(self._tick(h) for h in state.holders)
+            steps.append(("tick()", state._replace(holders=holders)))
+        return steps
+
+    def _count_reserved(self, holder: Holder) -> int:
+        issued = max(holder.issued[holder.acknowledged :])
+        if not self.enforces("promise before lowering"):
+            issued = holder.issued[-1]
+        return issued + holder.former
+
+    def _list_owner_steps(self, holder: Holder, free: int) -> Iterator[tuple[str, Holder]]:
+        last = holder.issued[-1]
+        if len(holder.issued) <= self.bounds.versions:
+            room = free > 0 or last < max(holder.issued[holder.acknowledged :])
+            if room or not self.enforces("sum within slots"):
+                yield "raise", holder._replace(issued=(*holder.issued, last + 1))
+            if last > 0:
+                yield "lower", holder._replace(issued=(*holder.issued, last - 1))
+            if not self.enforces("gone, not suspected") and last > 0:
+                dropped = (*holder.issued, 0)
+                acknowledged = len(dropped) - 1
+                yield "drop_suspect", holder._replace(issued=dropped, acknowledged=acknowledged)
+        if not self.enforces("commit before raise") and free > 0 and not holder.early:
+            yield "send_uncommitted_raise", holder._replace(early=last + 1)
+        if holder.promised > holder.acknowledged:
+            version = holder.promised
+            if not self.enforces("version in promise"):
+                version = len(holder.issued) - 1
+            yield "record_promise", holder._replace(acknowledged=version)
+        if holder.gone_for != ALIVE:
+            waited = holder.gone_for == QUARANTINE
+            if waited or not self.enforces("quarantine"):
+                freed = holder._replace(former=0, gone_for=ALIVE)
+                yield "free_gone", freed
+
+    def _list_limit_steps(self, holder: Holder) -> Iterator[tuple[str, Holder]]:
+        for version, limit in enumerate(holder.issued):
+            newer = version > holder.version
+            if not newer and self.enforces("version in limit"):
+                continue
+            if version == 0 or version == holder.version:
+                continue
+            drained = holder.counted <= limit
+            # A holder stops dispatching at once, and promises when the excess has drained.
+            applied = holder._replace(version=version, limit=limit)
+            yield f"apply_limit:{limit}", applied
+            if drained or not self.enforces("promise after draining"):
+                promised = max(holder.promised, version)
+                yield f"apply_and_promise:{limit}", applied._replace(promised=promised)
+        if holder.promised < holder.version and holder.counted <= holder.limit:
+            yield "promise", holder._replace(promised=holder.version)
+        if holder.early and holder.limit != holder.early:
+            yield f"apply_limit:{holder.early}", holder._replace(limit=holder.early)
+        if not self.enforces("incarnation in limit"):
+            for limit in sorted(holder.old_limits):
+                if limit != holder.limit:
+                    yield f"apply_old_limit:{limit}", holder._replace(limit=limit)
+
+    def _list_request_steps(self, holder: Holder) -> Iterator[tuple[str, Holder]]:
+        bounded = holder.counted < holder.limit
+        if not self.enforces("limit at dispatch"):
+            bounded = holder.running <= self.bounds.slots
+        if bounded and holder.running <= self.bounds.slots:
+            counted, running = holder.counted + 1, holder.running + 1
+            yield "dispatch", holder._replace(counted=counted, running=running)
+        if holder.running:
+            counted = max(holder.counted - 1, 0)
+            yield "respond", holder._replace(counted=counted, running=holder.running - 1)
+        if holder.counted and not self.enforces("slot until response"):
+            yield "pass_deadline", holder._replace(counted=holder.counted - 1)
+        if holder.orphans:
+            yield "respond_orphan", holder._replace(orphans=holder.orphans - 1)
+
+    def _restart(self, holder: Holder) -> Holder:
+        return Holder(
+            orphans=holder.orphans + holder.running,
+            gone_for=0,
+            former=self._count_reserved(holder),
+            old_limits=frozenset() if self._binds_incarnation() else frozenset(holder.issued[1:]),
+        )
+
+    def _binds_incarnation(self) -> bool:
+        return self.enforces("incarnation in limit")
+
+    def _tick(self, holder: Holder) -> Holder:
+        if holder.gone_for in (ALIVE, QUARANTINE):
+            return holder
+        gone_for = holder.gone_for + 1
+        orphans = 0 if gone_for == QUARANTINE else holder.orphans
+        return holder._replace(gone_for=gone_for, orphans=orphans)
+
+    def list_invariants(self) -> dict[str, Predicate]:
+        """Return the limits on running requests and on reservations."""
+        slots = self.bounds.slots
+
+        def is_within_slots(d: Any) -> bool:
+            return sum(h.running + h.orphans for h in d["holders"]) <= slots
+
+        def is_reserved_within(d: Any) -> bool:
+            return sum(self._count_reserved(h) for h in d["holders"]) <= slots
+
+        return {"within_slots": is_within_slots, "reserved_within_slots": is_reserved_within}
+
+    def list_witnesses(self) -> dict[str, Predicate]:
+        """Return states that show slots move between holders."""
+        slots = self.bounds.slots
+
+        def all_used(d: Any) -> bool:
+            first, second = d["holders"][:2]
+            moved = len(first.issued) > 2 and first.issued[-1] == 0
+            return moved and second.running == slots
+
+        def crash_survived(d: Any) -> bool:
+            freed = [h.gone_for == ALIVE for h in d["holders"]]
+            busy = any(h.running == slots for h in d["holders"])
+            return d["crashes"] == 1 and all(freed) and busy
+
+        return {"all slots move": all_used, "slots return after a crash": crash_survived}
