Add the specification of shard ownership and group commit

Covers section 3.1. The former owner must look at the log row of its own number before it tells a caller 'not run'.

--- a/features/model.feature
+++ b/features/model.feature
@@ -17,3 +17,4 @@
       | tasks         |
       | claims        |
       | grants        |
+      | shard         |
--- a/model/engine.py
+++ b/model/engine.py
@@ -279,19 +279,22 @@
 
 def encode_refutation(refutation: Refutation) -> str:
     """Encode a refutation as JSON that tests of the implementation can replay."""
-    document = {
+    head = {
         "specification": refutation.specification,
         "rule": refutation.mutant.rule,
         "kind": refutation.mutant.kind.value,
         "summary": refutation.mutant.summary,
         "invariant": refutation.mutant.invariant,
         "bounds": asdict(refutation.bounds),
-        "steps": [
-            {"action": step["label"], "state": _make_plain(step["state"])}
-            for step in refutation.steps
-        ],
     }
-    return json.dumps(document, indent=1) + "\n"
+    lines = [f"{json.dumps(key)}: {json.dumps(value)}" for key, value in head.items()]
+    steps = [
+        json.dumps({"action": step["label"], "state": _make_plain(step["state"])})
+        for step in refutation.steps
+    ]
+    # One step a line, so that a change of a trace reads well as a difference.
+    lines.append('"steps": [\n' + ",\n".join(steps) + "\n]")
+    return "{\n" + ",\n".join(lines) + "\n}\n"
 
 
 def _make_plain(value: Any) -> Any:
@@ -303,7 +306,7 @@
     if isinstance(value, tuple | list):
         return [_make_plain(item) for item in value]
     if isinstance(value, frozenset):
-        return sorted(_make_plain(item) for item in value)
+        return [_make_plain(item) for item in sorted(value)]
     return value
 
 
--- a/model/registry.py
+++ b/model/registry.py
@@ -10,9 +10,17 @@
 )
 from .specifications.claims import Claims
 from .specifications.grants import Grants
+from .specifications.shard import Shard
 from .specifications.tasks import Tasks
 
-SPECIFICATIONS: tuple[type[Specification], ...] = (Tasks, Claims, Grants)
+SPECIFICATIONS: tuple[type[Specification], ...] = (
+    Tasks,
+    Claims,
+    Grants,
+    Shard,
+    Configuration,
+    Leaving,
+)
 TRACE_DIRECTORY = Path(__file__).resolve().parent / "traces"
 
 
--- /dev/null
+++ b/model/specifications/shard.py
@@ -0,0 +1,287 @@
+"""Shard ownership and group commit (docs/design.md 3.1).
+
+The log is the tuple of its transactions, so its length is the head's version and its last item
+carries the head's transaction id. A transaction in the network may take effect at any later time,
+and its answer may be lost. Each transaction carries a batch of allocations on a worker of limited
+size, or a takeover. A job is one batch, named by its transaction.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from ..engine import Mutant, MutantKind, Predicate, Specification, Step, replace_item
+
+
+class Transaction(NamedTuple):
+    """One transaction: its id, the version it expects, and its records."""
+
+    instance: int
+    number: int
+    expected: int
+    units: int  # allocated by the batch; 0 for a takeover
+
+
+class Instance(NamedTuple):
+    """One instance and its memory of the shard."""
+
+    view: tuple = ()  # the prefix of the log that it has folded
+    version: int = 0  # of the head in the last answer
+    owner: bool = False
+    pending: Transaction | None = None
+    number: int = 0  # of the last transaction; unique through the incarnation
+    restarts: int = 0
+
+
+class ShardState(NamedTuple):
+    """State of the table, the network and the instances."""
+
+    store_up: bool
+    log: tuple
+    network: frozenset
+    instances: tuple
+    told: frozenset  # (instance, number, "accepted" or "not accepted")
+
+
+@dataclass(frozen=True)
+class ShardBounds:
+    """Bounds of the search; `transactions` counts per instance."""
+
+    instances: int
+    capacity: int
+    batch: int
+    transactions: int
+    restarts: int
+
+
+class Shard(Specification):
+    """Ownership and group commit of one shard."""
+
+    name = "shard"
+    covers = "group commit with version check, lost answers, retries, takeover, restarts"
+    mutants = (
+        Mutant(
+            "version check",
+            "within_capacity",
+            "a commit does not check the head's version",
+            "two owners",
+        ),
+        Mutant(
+            "takeover at the version read",
+            "within_capacity",
+            "a takeover commits on whatever version the head has, over a state read earlier",
+            "two owners",
+        ),
+        Mutant(
+            "one commit in flight",
+            "within_capacity",
+            "a second batch is decided on a state that lacks the first, and sent under its "
+            "successor's version",
+            "two owners",
+        ),
+        Mutant(
+            "same transaction again",
+            "applied_once",
+            "a batch whose answer was lost is sent as a new transaction at the version read anew",
+            "two owners",
+        ),
+        Mutant(
+            "state read again",
+            "view_is_log",
+            "an instance that lost ownership keeps its pending batch in its state",
+            "two owners",
+        ),
+        Mutant(
+            "unknown until definite",
+            "answers_are_true",
+            "a commit is given up as not accepted while the store is down",
+            "two owners",
+        ),
+        Mutant(
+            "accepted after commit",
+            "answers_are_true",
+            "the caller is told 'accepted' before the commit is known",
+            "two owners",
+        ),
+        Mutant(
+            "own row before not accepted",
+            "answers_are_true",
+            "a conflict with another owner is taken as proof that our transaction had no effect, "
+            "though the new owner committed after it",
+            "two owners",
+            MutantKind.LITERAL,
+        ),
+    )
+
+    @classmethod
+    def list_configurations(cls, deep: bool) -> dict[str, Any]:
+        """Return the bounds by label."""
+        if deep:
+            return {
+                "two owners": ShardBounds(2, 2, 2, 3, 1),
+                "three owners": ShardBounds(3, 2, 1, 3, 0),
+            }
+        return {
+            "two owners": ShardBounds(2, 2, 2, 2, 1),
+            "three owners": ShardBounds(3, 2, 1, 2, 0),
+        }
+
+    def build_initial(self) -> ShardState:
+        """Return the state with an empty log and no owner."""
+        return ShardState(
+            store_up=True,
+            log=(),
+            network=frozenset(),
+            instances=(Instance(),) * self.bounds.instances,
+            told=frozenset(),
+        )
+
+    def list_successors(self, state: ShardState) -> list[Step]:
+        """Return the steps of the store, the network and the instances."""
+        label = "store_fails()" if state.store_up else "store_returns()"
+        steps: list[Step] = [(label, state._replace(store_up=not state.store_up))]
+        if state.store_up:
+            for sent in sorted(state.network):
+                if self._is_current(state, sent):
+                    applied = state._replace(log=(*state.log, sent))
+                    label = f"apply(instance={sent.instance}, number={sent.number})"
+                    steps.append((label, self._prune(applied)))
+        for index, instance in enumerate(state.instances):
+            for name, following in self._list_instance_steps(state, index, instance):
+                steps.append((f"{name}(instance={index})", self._prune(following)))
+        return steps
+
+    def _is_current(self, state: ShardState, sent: Transaction) -> bool:
+        if sent.expected == len(state.log):
+            return True
+        checked = "takeover at the version read" if sent.units == 0 else "version check"
+        return not self.enforces(checked) and sent not in state.log
+
+    def _prune(self, state: ShardState) -> ShardState:
+        """Drop transactions that can never take effect from the network."""
+        lax = {"version check", "takeover at the version read"} & self.removed
+        if lax:
+            return state
+        alive = frozenset(t for t in state.network if t.expected >= len(state.log))
+        return state._replace(network=alive) if alive != state.network else state
+
+    def _list_instance_steps(
+        self, state: ShardState, index: int, instance: Instance
+    ) -> Iterator[Step]:
+        def become(changed: Instance, **more: Any) -> ShardState:
+            instances = replace_item(state.instances, index, changed)
+            return state._replace(instances=instances, **more)
+
+        if instance.restarts < self.bounds.restarts and instance.number:
+            fresh = Instance(number=instance.number, restarts=instance.restarts + 1)
+            yield "restart", become(fresh)
+        if instance.pending is not None:
+            yield from self._list_results(state, index, instance)
+            return
+        if state.store_up and not instance.owner and instance.version != len(state.log):
+            read = instance._replace(view=state.log, version=len(state.log))
+            yield "read", become(read)
+        if instance.number >= self.bounds.transactions:
+            return
+        if not instance.owner:
+            yield "take_over", self._send(state, index, instance, 0)
+            return
+        used = sum(t.units for t in instance.view)
+        for units in range(1, self.bounds.batch + 1):
+            if used + units <= self.bounds.capacity:
+                yield f"commit:{units}", self._send(state, index, instance, units)
+
+    def _send(self, state: ShardState, index: int, instance: Instance, units: int) -> ShardState:
+        number = instance.number + 1
+        sent = Transaction(index, number, instance.version, units)
+        network = state.network | {sent}
+        told = state.told
+        if units and not self.enforces("accepted after commit"):
+            told = told | {(index, number, "accepted")}
+        if units and not self.enforces("one commit in flight") and number < 3:
+            used = sum(t.units for t in instance.view)
+            if used + units <= self.bounds.capacity:
+                network = network | {sent._replace(number=number + 10, expected=sent.expected + 1)}
+        changed = instance._replace(pending=sent, number=number)
+        instances = replace_item(state.instances, index, changed)
+        return state._replace(instances=instances, network=network, told=told)
+
+    def _list_results(self, state: ShardState, index: int, instance: Instance) -> Iterator[Step]:
+        pending = instance.pending
+        assert pending is not None
+        row = state.log[pending.expected] if pending.expected < len(state.log) else None
+
+        def settle(changed: Instance, answer: str) -> ShardState:
+            told = state.told
+            if pending.units and answer:
+                told = told | {(index, pending.number, answer)}
+            instances = replace_item(state.instances, index, changed)
+            return state._replace(instances=instances, told=told)
+
+        idle = instance._replace(pending=None)
+        if pending.units and not self.enforces("unknown until definite") and not state.store_up:
+            yield "give_up", settle(idle, "not accepted")
+        if not state.store_up or pending not in state.log and row is None:
+            return
+        if state.log and state.log[-1] == pending:
+            view = (*instance.view, pending)
+            owner = idle._replace(view=view, version=len(state.log), owner=True)
+            # Success, or a retry whose conflict carries our own transaction id.
+            yield "learn_applied", settle(owner, "accepted")
+            if not self.enforces("same transaction again") and pending.units:
+                yield from self._resend_as_new(state, index, instance)
+            return
+        # The head carries the id of another owner: ownership is lost.
+        lost = idle._replace(view=state.log, version=len(state.log), owner=False)
+        if not self.enforces("state read again"):
+            lost = idle._replace(view=(*instance.view, pending), owner=False)
+        applied = pending in state.log
+        if not self.enforces("own row before not accepted"):
+            applied = False
+        yield "learn_conflict", settle(lost, "accepted" if applied else "not accepted")
+
+    def _resend_as_new(self, state: ShardState, index: int, instance: Instance) -> Iterator[Step]:
+        pending = instance.pending
+        assert pending is not None
+        again = pending._replace(expected=len(state.log))
+        changed = instance._replace(pending=again)
+        instances = replace_item(state.instances, index, changed)
+        yield "resend_as_new", state._replace(instances=instances, network=state.network | {again})
+
+    def list_invariants(self) -> dict[str, Predicate]:
+        """Return the invariants of the log, the views and the answers."""
+        capacity = self.bounds.capacity
+
+        def fits(d: Any) -> bool:
+            return sum(t.units for t in d["log"]) <= capacity
+
+        def is_applied_once(d: Any) -> bool:
+            ids = [(t.instance, t.number) for t in d["log"]]
+            return len(ids) == len(set(ids))
+
+        def is_prefix(d: Any) -> bool:
+            return all(d["log"][: len(i.view)] == i.view for i in d["instances"])
+
+        def is_truthful(d: Any) -> bool:
+            ids = {(t.instance, t.number) for t in d["log"]}
+            for instance, number, answer in d["told"]:
+                if answer == "not accepted" and (instance, number) in ids:
+                    return False
+                if answer == "accepted" and (instance, number) not in ids:
+                    return False
+            return True
+
+        return {
+            "within_capacity": fits,
+            "applied_once": is_applied_once,
+            "view_is_log": is_prefix,
+            "answers_are_true": is_truthful,
+        }
+
+    def list_witnesses(self) -> dict[str, Predicate]:
+        """Return states that show owners follow each other."""
+
+        def both_allocate(d: Any) -> bool:
+            return {t.instance for t in d["log"] if t.units} == {0, 1}
+
+        return {"two owners allocate in turn": both_allocate}
