Add the specification of configuration

Two confirmed pushes are enough for one replacement and one further loss. A majority was considered; it costs more in a partition and the table already holds the change.

--- a/features/model.feature
+++ b/features/model.feature
@@ -18,3 +18,4 @@
       | claims        |
       | grants        |
       | shard         |
+      | configuration |
--- a/model/registry.py
+++ b/model/registry.py
@@ -9,6 +9,7 @@
     iterate_refutations,
 )
 from .specifications.claims import Claims
+from .specifications.configuration import Configuration
 from .specifications.grants import Grants
 from .specifications.shard import Shard
 from .specifications.tasks import Tasks
