--- a/features/model.feature
+++ b/features/model.feature
@@ -19,3 +19,4 @@
       | grants        |
       | shard         |
       | configuration |
+      | leaving       |
--- a/model/registry.py
+++ b/model/registry.py
@@ -11,6 +11,7 @@
 from .specifications.claims import Claims
 from .specifications.configuration import Configuration
 from .specifications.grants import Grants
+from .specifications.leaving import Leaving
 from .specifications.shard import Shard
 from .specifications.tasks import Tasks
 
