--- a/features/model.feature
+++ b/features/model.feature
@@ -16,3 +16,7 @@
       | specification |
       | tasks         |
       | claims        |
+      | grants        |
+      | shard         |
+      | configuration |
+      | leaving       |
--- a/model/registry.py
+++ b/model/registry.py
@@ -9,9 +9,20 @@
     iterate_refutations,
 )
 from .specifications.claims import Claims
+from .specifications.configuration import Configuration
+from .specifications.grants import Grants
+from .specifications.leaving import Leaving
+from .specifications.shard import Shard
 from .specifications.tasks import Tasks
 
-SPECIFICATIONS: tuple[type[Specification], ...] = (Tasks, Claims)
+SPECIFICATIONS: tuple[type[Specification], ...] = (
+    Tasks,
+    Claims,
+    Grants,
+    Shard,
+    Configuration,
+    Leaving,
+)
 TRACE_DIRECTORY = Path(__file__).resolve().parent / "traces"
 
 
