--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -131,7 +131,7 @@
             return AttemptReport(attempt_id=attempt_id, state="refused", reason="lease-expired")
         self.starts += 1
         self.cluster.started_tasks.add(start.task_id)
-        run_seconds = float(start.command["run_seconds"])
+        run_seconds = float(str(start.command.get("run_seconds", "inf")))
         ends_at = self.cluster.now + run_seconds if start.kind != "service" else float("inf")
         task = RunningTask(start.task_id, start.resources, start.lease_until, ends_at)
         if self.failing:
