Make the worker index cheaper and remember shapes without room

Cause: computing shares of all workers and retrying every waiting line each round. Rows per dimension and a share kept with each reservation give the first, forgetting only the shapes that a releasing worker could take gives the second.

--- a/src/lavenderhook/_internal/core/fair_scheduler.py
+++ b/src/lavenderhook/_internal/core/fair_scheduler.py
@@ -14,6 +14,7 @@
 import math
 import random
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 import msgspec
 import numpy as np
@@ -21,7 +22,7 @@
 from .declarations import Quota
 from .health import WorkerHealth
 from .identifiers import JobId, PriorityClass, TaskId, TeamName, WorkerId, WorkloadKind
-from .index import Mask, WorkerIndex, to_amounts
+from .index import Amounts, Mask, WorkerIndex
 from .labels import LabelSelector
 from .pending import LineKey, PendingJob, PendingQueue
 from .policies import POLICIES
@@ -37,6 +38,14 @@
 RESERVE_AFTER_SECONDS = 1.0
 
 
+class _Shape(NamedTuple):
+    """What decides whether there is room for a task."""
+
+    resources: Resources
+    eligible: tuple[LabelSelector, ...]
+    may_use_reserved: bool
+
+
 @dataclasses.dataclass(slots=True)
 class _Reservation:
     job_id: JobId
@@ -82,8 +91,12 @@
         self._lower_class_credit = 0.0
         self._held: dict[JobId, dict[WorkerId, int]] = {}
         self._ends: dict[WorkerId, float] = {}
-        self._no_room: set[tuple[Resources, tuple[LabelSelector, ...]]] = set()
+        self._no_room: set[_Shape] = set()
+        self._released: set[WorkerId] = set()
+        self._limits: dict[WorkerId, int] = {}
+        self._changed = True
         self._reservation: _Reservation | None = None
+        self._gang_due = math.inf
         self._now = 0.0
         self._workers: tuple[SchedulableWorker, ...] = ()
 
@@ -95,22 +108,32 @@
         self._workers = ordered
         self._index.replace(ordered)
         self._shares.set_total(self._index.total)
-        self._reservation = None
-        self._no_room.clear()
+        self._set_reservation(None)
 
     def update_quotas(self, quotas: Iterable[Quota]) -> None:
         """Replace the teams' quotas."""
         self._shares.replace_quotas(quotas)
+        self._changed = True
 
     def add_pending(self, task: PendingTask) -> None:
         """Queue a task; replaces an earlier entry for the same task."""
         self._queue.add(task, self._now)
+        self._changed = True
 
     def remove_pending(self, task_id: TaskId) -> None:
         """Take a task out of the queue if it is there."""
         task = self._queue.remove(task_id)
-        if task is not None and self._reservation and self._reservation.job_id == task.job_id:
-            self._reservation = None
+        if task is not None:
+            self._cancel_reservation(task.job_id)
+
+    def _cancel_reservation(self, job_id: JobId) -> None:
+        if self._reservation is not None and self._reservation.job_id == job_id:
+            self._set_reservation(None)
+
+    def _set_reservation(self, reservation: _Reservation | None) -> None:
+        self._reservation = reservation
+        self._no_room.clear()
+        self._changed = True
 
     def reserve(
         self, worker_id: WorkerId, resources: Resources, team: TeamName, job_id: JobId
@@ -127,7 +150,8 @@
         """Free what an attempt held, once it provably cannot run any more."""
         self._index.release(worker_id, resources)
         self._shares.subtract(team, resources)
-        self._no_room.clear()
+        self._released.add(worker_id)
+        self._changed = True
         held = self._held.get(job_id)
         if held is None:
             return
@@ -145,17 +169,36 @@
         """Choose up to `limit` placements and reserve their resources."""
         self._now = now
         if self._queue.release_delayed(now):
+            self._changed = True
+        limits = self._health.find_limits(now, len(self._index))
+        if limits != self._limits:
+            self._limits = dict(limits)
             self._no_room.clear()
+            self._changed = True
+        gang_waits = now >= self._gang_due
+        if not self._changed and not gang_waits:
+            return []
+        self._changed = False
+        self._gang_due = math.inf
         if not len(self._queue) or not len(self._index):
             return []
-        round_ = _Round(now=now, left=limit)
-        round_.limits = self._health.find_limits(now, len(self._index))
+        self._forget_released()
+        round_ = _Round(now=now, left=limit, limits=limits)
         if self._lower_class_credit > 0.0:
             self._serve_lower_classes(round_)
         for priority in CLASS_ORDER:
             self._serve_class(round_, priority)
+        if round_.left <= 0:
+            self._changed = True
         return round_.decisions
 
+    def _forget_released(self) -> None:
+        """Drop the shapes for which a worker that released something has room now."""
+        positions = [self._index.get_position(worker_id) for worker_id in self._released]
+        self._released.clear()
+        free = self._index.free[:, [p for p in positions if p is not None]]
+        self._no_room = {shape for shape in self._no_room if not _has_room(free, shape.resources)}
+
     def _serve_lower_classes(self, round_: _Round) -> None:
         """Spend the credit of the lower classes before the urgent class takes the room."""
         if not self._queue.has_class(PriorityClass.URGENT):
@@ -209,8 +252,6 @@
         return None
 
     def _serve_line(self, round_: _Round, key: LineKey) -> int:
-        if (key.resources, key.eligible) in self._no_room:
-            return 0
         for job in self._queue.list_jobs(key):
             if not job.is_complete():
                 continue
@@ -219,31 +260,42 @@
             allowed = self._shares.count_allowed(key.team, key.resources, wanted)
             if allowed < (gang_size or 1):
                 return 0
+            shape = self._find_shape(round_, key, job)
+            if shape in self._no_room and not gang_size:
+                return 0
             placed = self._place_job(round_, key, job, allowed)
             if placed:
                 return placed
             if gang_size:
                 self._reserve_for_gang(round_, key, job)
                 continue
-            self._note_no_room(round_, key, job)
+            self._no_room.add(shape)
             return 0
         return 0
 
-    def _note_no_room(self, round_: _Round, key: LineKey, job: PendingJob) -> None:
-        """Remember a shape without room, unless a temporary restriction may be the reason."""
-        restricted = bool(round_.limits) or self._reservation is not None
-        if not restricted and not job.get_example().avoid:
-            self._no_room.add((key.resources, key.eligible))
+    def _find_shape(self, round_: _Round, key: LineKey, job: PendingJob) -> _Shape:
+        may_use_reserved = self._may_use_reserved(round_, job.get_example())
+        return _Shape(key.resources, key.eligible, may_use_reserved)
+
+    def _may_use_reserved(self, round_: _Round, task: PendingTask) -> bool:
+        """Return whether a task may use the workers that are reserved for a gang."""
+        reservation = self._reservation
+        if reservation is None or reservation.job_id == task.job_id:
+            return True
+        if task.policy.priority is PriorityClass.URGENT:
+            return True
+        if task.kind is WorkloadKind.SERVICE:
+            return False
+        return round_.now + task.run_seconds <= reservation.starts_at
 
     def _place_job(self, round_: _Round, key: LineKey, job: PendingJob, count: int) -> int:
         task = job.get_example()
         candidates = self._find_candidates(round_, task)
         policy = POLICIES[task.policy.mode]
-        if task.gang_size and task.policy.mode.value in ("pack", "spread"):
-            count = task.gang_size
         held = self._held.get(job.job_id, {})
-        demand = to_amounts(key.resources)
-        positions = policy.choose(self._index, demand, candidates, count, held, self._generator)
+        positions = policy.choose(
+            self._index, key.resources, candidates, count, held, self._generator
+        )
         positions = self._respect_limits(round_, positions)
         if not positions or (task.gang_size and len(positions) < task.gang_size):
             return 0
@@ -254,8 +306,7 @@
             self._take(round_, chosen, worker_id)
             placements.append((chosen.task_id, worker_id))
         round_.left -= len(placements)
-        if self._reservation is not None and self._reservation.job_id == job.job_id:
-            self._reservation = None
+        self._cancel_reservation(job.job_id)
         self._add_decisions(round_, task, policy.name, placements)
         return len(placements)
 
@@ -301,13 +352,8 @@
             position = self._index.get_position(worker_id)
             if position is not None and limit <= 0:
                 mask[position] = False
-        reservation = self._reservation
-        if reservation is not None and reservation.job_id != task.job_id:
-            ends_at = round_.now + task.run_seconds
-            ends_in_time = task.kind is not WorkloadKind.SERVICE
-            ends_in_time = ends_in_time and ends_at <= reservation.starts_at
-            if task.policy.priority is not PriorityClass.URGENT and not ends_in_time:
-                mask &= ~reservation.workers
+        if self._reservation is not None and not self._may_use_reserved(round_, task):
+            mask &= ~self._reservation.workers
         if task.avoid:
             mask = self._prefer_other_workers(task, mask)
         return mask
@@ -318,21 +364,21 @@
             position = self._index.get_position(worker_id)
             if position is not None:
                 others[position] = False
-        fits = (self._index.free >= to_amounts(task.resources)).all(axis=1)
-        return others if bool((others & fits).any()) else mask
+        return others if self._index.find_fitting(task.resources, others).any() else mask
 
     def _reserve_for_gang(self, round_: _Round, key: LineKey, job: PendingJob) -> None:
         """Reserve workers for the oldest gang that does not fit now."""
         if self._reservation is not None:
             return
-        if round_.now - job.queued_at < RESERVE_AFTER_SECONDS:
+        due = job.queued_at + RESERVE_AFTER_SECONDS
+        if round_.now < due:
+            self._gang_due = min(self._gang_due, due)
             return
         task = job.get_example()
         candidates = self._index.open & self._index.get_mask(task.eligible)
         positions = np.flatnonzero(candidates)
-        demand = to_amounts(key.resources)
-        room = self._index.count_fitting(demand, self._index.capacity[positions])
-        now_room = self._index.count_fitting(demand, self._index.free[positions])
+        room = self._index.count_fitting(key.resources, self._index.capacity[:, positions])
+        now_room = self._index.count_fitting(key.resources, self._index.free[:, positions])
         ends = np.array([self._ends.get(self._index.ids[p], round_.now) for p in positions])
         # Workers that hold services never drain, so only what is free now counts there.
         room = np.where(np.isinf(ends), now_room, room)
@@ -348,14 +394,13 @@
             found += int(room[n])
             starts_at = max(starts_at, float(ends[n]))
         if found >= task.gang_size:
-            self._reservation = _Reservation(job.job_id, mask, starts_at)
-            self._no_room.clear()
+            self._set_reservation(_Reservation(job.job_id, mask, starts_at))
 
     def find_obstacle(self, tasks: Sequence[PendingTask]) -> WaitReason | None:
         """Return why these tasks together can never run on the workers, or None."""
         task = tasks[0]
         mask = self._index.get_mask(task.eligible)
-        room = self._index.count_fitting(to_amounts(task.resources), self._index.capacity[mask])
+        room = self._index.count_fitting(task.resources, self._index.capacity[:, mask])
         most = int(room.sum()) if len(room) else 0
         if not mask.any():
             return WaitReason(code="no-eligible-worker", detail="no worker matches the selectors")
@@ -396,7 +441,7 @@
         round_ = _Round(now=now, left=1)
         round_.limits = self._health.find_limits(now, len(self._index))
         candidates = self._find_candidates(round_, task)
-        room = self._index.count_fitting(to_amounts(task.resources), self._index.free[candidates])
+        room = self._index.count_fitting(task.resources, self._index.free[:, candidates])
         fitting = int(room.sum()) if len(room) else 0
         if fitting >= max(1, task.gang_size):
             return WaitReason(code="turn", detail="fits; waits for its turn")
@@ -427,5 +472,11 @@
     def compute_packing(self) -> float:
         """Return processors reserved over processors of all workers, 0 to 1."""
         total = self._index.total.processors
-        free = int(self._index.free[:, 0].sum()) if len(self._index) else 0
+        free = int(self._index.free[0].sum())
         return (total - free) / total if total else 0.0
+
+
+def _has_room(free: Amounts, resources: Resources) -> bool:
+    fits = (free[0] >= resources.processors) & (free[1] >= resources.memory_mb)
+    fits &= free[2] >= resources.accelerators
+    return bool(fits.any())
--- a/src/lavenderhook/_internal/core/index.py
+++ b/src/lavenderhook/_internal/core/index.py
@@ -24,17 +24,11 @@
 Amounts: TypeAlias = npt.NDArray[np.int64]
 Mask: TypeAlias = npt.NDArray[np.bool_]
 Positions: TypeAlias = npt.NDArray[np.int64]
+Shares: TypeAlias = npt.NDArray[np.float64]
 
 DIMENSIONS = 3
 
 
-def to_amounts(resources: Resources) -> Amounts:
-    """Return resources as an array of shape (3,): millicores, mebibytes, accelerators."""
-    return np.array(
-        (resources.processors, resources.memory_mb, resources.accelerators), dtype=np.int64
-    )
-
-
 class WorkerIndex:
     """Workers by position.
 
@@ -42,9 +36,13 @@
     ----------
     ids : list of WorkerId
         Worker at each position.
-    capacity, free : ndarray of int64, shape (workers, 3)
-        Amounts in millicores, mebibytes and accelerators. `free` may be negative after the
-        platform reported a smaller capacity; such a worker takes nothing.
+    capacity, free : ndarray of int64, shape (3, workers)
+        Amounts in millicores, mebibytes and accelerators; one row per dimension, so that a
+        comparison reads contiguous memory. `free` may be negative after the platform reported a
+        smaller capacity; such a worker takes nothing.
+    free_share : ndarray of float64, shape (workers,)
+        Free processors and free memory as shares of the worker, summed. Kept with every
+        reservation, because computing it for all workers costs more than the choice itself.
     open : ndarray of bool, shape (workers,)
         Whether a worker may get new work at all: neither leaving nor draining.
     zone, rack : ndarray of int64, shape (workers,)
@@ -57,8 +55,9 @@
         self._position: dict[WorkerId, int] = {}
         self._reserved: dict[WorkerId, Resources] = {}
         self._masks: dict[tuple[LabelSelector, ...], Mask] = {}
-        self.capacity: Amounts = np.zeros((0, DIMENSIONS), dtype=np.int64)
+        self.capacity: Amounts = np.zeros((DIMENSIONS, 0), dtype=np.int64)
         self.free: Amounts = self.capacity.copy()
+        self.free_share: Shares = np.zeros(0, dtype=np.float64)
         self.open: Mask = np.zeros(0, dtype=np.bool_)
         self.zone: Positions = np.zeros(0, dtype=np.int64)
         self.rack: Positions = np.zeros(0, dtype=np.int64)
@@ -75,19 +74,18 @@
         self.ids = [worker.view.worker_id for worker in self.workers]
         self._position = {worker_id: n for n, worker_id in enumerate(self.ids)}
         self._masks.clear()
-        shape = (len(self.ids), DIMENSIONS)
-        capacities = [to_amounts(worker.view.capacity) for worker in self.workers]
-        reserved = [to_amounts(self._reserved.get(i, ZERO)) for i in self.ids]
-        self.capacity = np.array(capacities, dtype=np.int64).reshape(shape)
-        self.free = self.capacity - np.array(reserved, dtype=np.int64).reshape(shape)
+        self.capacity = _to_columns([worker.view.capacity for worker in self.workers])
+        reserved = _to_columns([self._reserved.get(i, ZERO) for i in self.ids])
+        self.free = self.capacity - reserved
+        shares = self.free[:2] / np.maximum(self.capacity[:2], 1)
+        self.free_share = shares.sum(axis=0)
         self.open = np.array(
             [not worker.draining and not worker.view.leaving for worker in self.workers],
             dtype=np.bool_,
         )
         self.zone, self.zones = _number([w.view.availability_zone for w in self.workers])
         self.rack, self.racks = _number([w.view.rack for w in self.workers])
-        sums = self.capacity.sum(axis=0) if len(self.ids) else np.zeros(DIMENSIONS, dtype=np.int64)
-        self.total = Resources(*(int(amount) for amount in sums))
+        self.total = Resources(*(int(amount) for amount in self.capacity.sum(axis=1)))
 
     def get_position(self, worker_id: WorkerId) -> int | None:
         """Return the position of a worker, or None if it is not listed."""
@@ -102,7 +100,7 @@
         self._reserved[worker_id] = self._reserved.get(worker_id, ZERO) + resources
         position = self._position.get(worker_id)
         if position is not None:
-            self.free[position] -= to_amounts(resources)
+            self._add_free(position, resources, -1)
 
     def release(self, worker_id: WorkerId, resources: Resources) -> None:
         """Give an amount back to a worker."""
@@ -113,7 +111,26 @@
             self._reserved[worker_id] = rest
         position = self._position.get(worker_id)
         if position is not None:
-            self.free[position] += to_amounts(resources)
+            self._add_free(position, resources, 1)
+
+    def _add_free(self, position: int, resources: Resources, sign: int) -> None:
+        free = self.free
+        free[0, position] += sign * resources.processors
+        free[1, position] += sign * resources.memory_mb
+        free[2, position] += sign * resources.accelerators
+        processors, memory_mb, _ = self.capacity[:, position].tolist()
+        self.free_share[position] = free[0, position] / max(processors, 1) + free[
+            1, position
+        ] / max(memory_mb, 1)
+
+    def find_fitting(self, resources: Resources, candidates: Mask) -> Mask:
+        """Return which of `candidates` have room for `resources`, shape (workers,)."""
+        free = self.free
+        mask = candidates & (free[0] >= resources.processors)
+        mask &= free[1] >= resources.memory_mb
+        if resources.accelerators:
+            mask &= free[2] >= resources.accelerators
+        return mask
 
     def get_mask(self, selectors: tuple[LabelSelector, ...]) -> Mask:
         """Return which workers' labels match all selectors, shape (workers,)."""
@@ -126,13 +143,19 @@
             self._masks[selectors] = mask
         return mask
 
-    def count_fitting(self, demand: Amounts, amounts: Amounts) -> Positions:
-        """Return how many tasks of `demand` fit into each row of `amounts`, shape (workers,)."""
-        needed = demand > 0
-        if not needed.any():
-            return np.full(len(amounts), np.iinfo(np.int32).max, dtype=np.int64)
-        counts: Positions = np.maximum(amounts[:, needed] // demand[needed], 0).min(axis=1)
-        return counts
+    def count_fitting(self, resources: Resources, amounts: Amounts) -> Positions:
+        """Return how many tasks fit into each column of `amounts`, shape (workers,)."""
+        counts = np.full(amounts.shape[1], np.iinfo(np.int32).max, dtype=np.int64)
+        demands = (resources.processors, resources.memory_mb, resources.accelerators)
+        for amount, demand in zip(amounts, demands, strict=True):
+            if demand > 0:
+                np.minimum(counts, amount // demand, out=counts)
+        return np.maximum(counts, 0)
+
+
+def _to_columns(amounts: Sequence[Resources]) -> Amounts:
+    rows = [(a.processors, a.memory_mb, a.accelerators) for a in amounts]
+    return np.array(rows, dtype=np.int64).reshape(len(rows), DIMENSIONS).T.copy()
 
 
 def _number(names: Sequence[str]) -> tuple[Positions, int]:
--- a/src/lavenderhook/_internal/core/policies.py
+++ b/src/lavenderhook/_internal/core/policies.py
@@ -10,7 +10,8 @@
 
 from .declarations import PlacementMode
 from .identifiers import WorkerId
-from .index import Amounts, Mask, Positions, WorkerIndex
+from .index import Mask, Shares, WorkerIndex
+from .resources import Resources
 
 # A worker with free accelerators is worth this many whole workers to a task that needs none, so
 # that work without accelerators fills the other workers first.
@@ -26,7 +27,7 @@
     def choose(
         self,
         index: WorkerIndex,
-        demand: Amounts,
+        resources: Resources,
         candidates: Mask,
         count: int,
         held: Mapping[WorkerId, int],
@@ -38,7 +39,7 @@
         ----------
         index : WorkerIndex
             Not changed.
-        demand : ndarray of int64, shape (3,)
+        resources : Resources
             Amount of each task.
         candidates : ndarray of bool, shape (workers,)
             Workers that may be used.
@@ -56,25 +57,12 @@
         """
 
 
-def _find_fitting(index: WorkerIndex, demand: Amounts, candidates: Mask) -> Positions:
-    fits = (index.free >= demand).all(axis=1)
-    found: Positions = np.flatnonzero(fits & candidates)
-    return found
-
-
-def _compute_free_share(
-    index: WorkerIndex, positions: Positions, demand: Amounts
-) -> np.ndarray[tuple[int], np.dtype[np.float64]]:
-    """Return the sum of free shares over the dimensions, shape (positions,)."""
-    capacity = np.maximum(index.capacity[positions], 1)
-    shares = index.free[positions] / capacity
-    score = shares[:, 0] + shares[:, 1]
-    if demand[2] == 0:
-        score += _ACCELERATOR_PENALTY * (index.free[positions, 2] > 0)
-    else:
-        score += shares[:, 2]
-    result: np.ndarray[tuple[int], np.dtype[np.float64]] = score
-    return result
+def _score_free_share(index: WorkerIndex, resources: Resources, mask: Mask) -> Shares:
+    """Return how empty each worker is, infinite outside `mask`, shape (workers,)."""
+    score = np.where(mask, index.free_share, np.inf)
+    if not resources.accelerators and index.total.accelerators:
+        score += _ACCELERATOR_PENALTY * (index.free[2] > 0)
+    return score
 
 
 class PackPolicy(PlacementPolicy):
@@ -85,25 +73,24 @@
     def choose(
         self,
         index: WorkerIndex,
-        demand: Amounts,
+        resources: Resources,
         candidates: Mask,
         count: int,
         held: Mapping[WorkerId, int],
         generator: random.Random,
     ) -> list[int]:
         """Choose positions for up to `count` tasks."""
-        positions = _find_fitting(index, demand, candidates)
-        if not len(positions):
-            return []
-        score = _compute_free_share(index, positions, demand)
-        if count == 1:
-            return [int(positions[score.argmin()])]
-        room = index.count_fitting(demand, index.free[positions])
+        mask = index.find_fitting(resources, candidates)
+        score = _score_free_share(index, resources, mask)
         chosen: list[int] = []
-        for n in np.argsort(score, kind="stable"):
-            chosen.extend([int(positions[n])] * min(int(room[n]), count - len(chosen)))
-            if len(chosen) == count:
+        while len(chosen) < count:
+            best = int(score.argmin())
+            if not mask[best]:
                 break
+            room = int(index.count_fitting(resources, index.free[:, best : best + 1])[0])
+            chosen.extend([best] * min(room, count - len(chosen)))
+            score[best] = np.inf
+            mask[best] = False
         return chosen
 
 
@@ -115,14 +102,14 @@
     def choose(
         self,
         index: WorkerIndex,
-        demand: Amounts,
+        resources: Resources,
         candidates: Mask,
         count: int,
         held: Mapping[WorkerId, int],
         generator: random.Random,
     ) -> list[int]:
         """Choose positions for up to `count` tasks."""
-        positions = _find_fitting(index, demand, candidates)
+        positions = np.flatnonzero(index.find_fitting(resources, candidates))
         if not len(positions):
             return []
         by_worker = np.zeros(len(index), dtype=np.int64)
@@ -132,8 +119,8 @@
                 by_worker[position] = tasks
         by_rack = np.bincount(index.rack, weights=by_worker, minlength=index.racks)
         by_zone = np.bincount(index.zone, weights=by_worker, minlength=index.zones)
-        room = index.count_fitting(demand, index.free[positions])
-        fullness = 1.0 - _compute_free_share(index, positions, demand) / 16.0
+        room = index.count_fitting(resources, index.free[:, positions])
+        fullness = 1.0 - index.free_share[positions] / 4.0
         chosen: list[int] = []
         while len(chosen) < count:
             # Lexicographic order in one number: no count reaches the next factor.
@@ -164,15 +151,15 @@
     def choose(
         self,
         index: WorkerIndex,
-        demand: Amounts,
+        resources: Resources,
         candidates: Mask,
         count: int,
         held: Mapping[WorkerId, int],
         generator: random.Random,
     ) -> list[int]:
         """Choose positions for all `count` tasks, or none."""
-        positions = _find_fitting(index, demand, candidates)
-        room = index.count_fitting(demand, index.free[positions])
+        positions = np.flatnonzero(index.find_fitting(resources, candidates))
+        room = index.count_fitting(resources, index.free[:, positions])
         if int(room.sum()) < count:
             return []
         # Within one availability zone if one can hold the whole gang: its tasks talk to each
@@ -199,15 +186,15 @@
     def choose(
         self,
         index: WorkerIndex,
-        demand: Amounts,
+        resources: Resources,
         candidates: Mask,
         count: int,
         held: Mapping[WorkerId, int],
         generator: random.Random,
     ) -> list[int]:
         """Choose positions for up to `count` tasks."""
-        positions = _find_fitting(index, demand, candidates)
-        room = index.count_fitting(demand, index.free[positions])
+        positions = np.flatnonzero(index.find_fitting(resources, candidates))
+        room = index.count_fitting(resources, index.free[:, positions])
         left = {int(p): int(r) for p, r in zip(positions, room, strict=True)}
         chosen: list[int] = []
         while left and len(chosen) < count:
@@ -227,15 +214,15 @@
     def choose(
         self,
         index: WorkerIndex,
-        demand: Amounts,
+        resources: Resources,
         candidates: Mask,
         count: int,
         held: Mapping[WorkerId, int],
         generator: random.Random,
     ) -> list[int]:
         """Choose positions for up to `count` tasks."""
-        positions = _find_fitting(index, demand, candidates)
-        room = index.count_fitting(demand, index.free[positions])
+        positions = np.flatnonzero(index.find_fitting(resources, candidates))
+        room = index.count_fitting(resources, index.free[:, positions])
         chosen: list[int] = []
         for position, fitting in zip(positions, room, strict=True):
             chosen.extend([int(position)] * min(int(fitting), count - len(chosen)))
