--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -241,9 +241,9 @@
     return type(outcome).__name__ + (f" {reason.value}" if reason else "")
 
 
-def read_lines(context):
-    """Return the lines of the step's text."""
-    return [line.strip() for line in context.text.splitlines() if line.strip()]
+def split_script(text):
+    """Return the parts of a script, which are separated by semicolons or lines."""
+    return [part.strip() for part in text.replace("\n", ";").split(";") if part.strip()]
 
 
 @given('an instance that holds "{grants}"')
@@ -254,24 +254,20 @@
     context.driver.see(f"grants {grants}")
 
 
+@when('it sees "{script}"')
 @when("it sees")
-def step_see(context):
+def step_see(context, script=None):
     context.driver.effects = []
-    for line in read_lines(context):
+    for line in split_script(script or context.text):
         context.driver.see(line)
 
 
+@then('it does "{script}"')
 @then("it does")
-def step_check(context):
+def step_check(context, script=None):
     seen = [line for line in map(describe, context.driver.effects) if line]
-    expected = read_lines(context)
-    assert seen == expected, "\n".join(["expected", *expected, "but saw", *seen])
-
-
-@then('it does "{expected}" and nothing else')
-def step_check_one(context, expected):
-    seen = [line for line in map(describe, context.driver.effects) if line]
-    assert seen == [expected], f"expected {expected!r} but saw {seen}"
+    expected = split_script(script or context.text)
+    assert seen == expected, f"expected {expected} but saw {seen}"
 
 
 @then("it does nothing")
--- /dev/null
+++ b/features/steps/routing_grants.py
@@ -0,0 +1,185 @@
+"""Steps that drive the division of slots as a shard owner does."""
+
+import msgspec
+from behave import given, then, when
+from steps.routing import make_upstream
+
+from lavenderhook._internal.core import grants
+from lavenderhook._internal.core.identifiers import MemberState
+from lavenderhook._internal.core.messages import GrantReport
+
+
+class Owner:
+    """A shard owner with its committed grants."""
+
+    def __init__(self, members, upstreams):
+        self.book = grants.GrantBook()
+        self.now = 1000.0
+        self.log_number = 1
+        self.members = {}
+        self.committed = {}
+        self.planned = ()
+        self.views = tuple(
+            make_upstream(upstream_id, int(slots), zone)
+            for upstream_id, slots, zone in (entry.split(":") for entry in upstreams.split())
+        )
+        for entry in members.split():
+            self.join(entry)
+
+    def join(self, entry):
+        """Add an alive member."""
+        name, zone = entry.split(":")
+        self.members[name] = grants.GrantMember(availability_zone=zone, state=MemberState.ALIVE)
+        self.book.due.add(name)
+
+    def collect(self):
+        """Return the inputs of a plan."""
+        return grants.GrantInputs(
+            upstreams=self.views,
+            grants=self.committed,
+            members=self.members,
+            now=self.now,
+            quarantine=30.0,
+        )
+
+    def commit(self, changes):
+        """Commit planned changes and send the updates."""
+        self.log_number += 1
+        for change in changes:
+            self.book.note_committed(change, self.committed.get(change.upstream_id, {}))
+            self.committed[change.upstream_id] = change.slots
+        return self.book.build_due(self.collect(), 0, (1, self.log_number), "a")
+
+    def report(self, holder, limits, version):
+        """Take in a report."""
+        pairs = (entry.split("=") for entry in limits.split())
+        self.book.note_report(
+            GrantReport(
+                shard=0,
+                version=version,
+                holder=holder,
+                limits={upstream_id: int(limit) for upstream_id, limit in pairs},
+                demand={},
+            )
+        )
+
+    def count(self, holder):
+        """Return the slots that a holder has."""
+        return sum(slots.get(holder, 0) for slots in self.committed.values())
+
+
+def describe(limits):
+    """Return limits as text."""
+    return " ".join(f"{key}={value}" for key, value in sorted(limits.items()))
+
+
+@given('members "{members}" and upstreams "{upstreams}"')
+def step_owner(context, members, upstreams):
+    context.owner = Owner(members, upstreams)
+
+
+@when("the owner plans and commits")
+def step_plan_commit(context):
+    context.owner.commit(context.owner.book.plan(context.owner.collect()))
+
+
+@when("the owner plans")
+def step_plan(context):
+    context.owner.planned = context.owner.book.plan(context.owner.collect())
+
+
+@when("other records are committed and updates sent")
+def step_other(context):
+    context.owner.book.due.update(context.owner.members)
+    context.updates = {update.holder: update for update in context.owner.commit(())}
+
+
+@when('member "{entry}" joins')
+def step_join(context, entry):
+    context.owner.join(entry)
+
+
+@when('"{holder}" reports "{limits}"')
+def step_report(context, holder, limits):
+    context.owner.report(holder, limits, context.owner.book.sent[holder])
+
+
+@when('"{holder}" reports "{limits}" on an older version')
+def step_report_old(context, holder, limits):
+    epoch, number = context.owner.book.sent[holder]
+    context.owner.report(holder, limits, (epoch, number - 1))
+
+
+@when('"{holder}" needs {count:d} slots')
+def step_need(context, holder, count):
+    context.owner.book.demand[holder] = {"desk": float(count)}
+
+
+@when('"{holder}" is {state} for {seconds:d} s')
+def step_state(context, holder, state, seconds):
+    owner = context.owner
+    member = owner.members[holder]
+    since = owner.now - seconds
+    owner.members[holder] = msgspec.structs.replace(
+        member, state=MemberState(state), gone_since=since
+    )
+
+
+@then('the grants are "{expected}"')
+def step_check_grants(context, expected):
+    committed = context.owner.committed
+    found = "; ".join(f"{key} {describe(committed[key])}" for key in sorted(committed))
+    assert found == expected, found
+
+
+@then("every slot is granted")
+def step_check_all(context):
+    for view in context.owner.views:
+        slots = context.owner.committed[view.upstream_id]
+        assert sum(slots.values()) == view.slots, (view.upstream_id, slots)
+
+
+@then('"{first}" and "{second}" both hold slots of "{upstream_id}"')
+def step_check_both(context, first, second, upstream_id):
+    slots = context.owner.committed[upstream_id]
+    assert slots.get(first) and slots.get(second), slots
+
+
+@then('"{holder}" holds from {low:d} to {high:d} slots')
+def step_check_count(context, holder, low, high):
+    assert low <= context.owner.count(holder) <= high, context.owner.committed
+
+
+@then('the owner asks "{holder}" for "{limits}"')
+def step_check_asked(context, holder, limits):
+    owner = context.owner
+    assert owner.book.request_moves(owner.collect())
+    updates = {u.holder: u for u in owner.commit(())}
+    assert describe(updates[holder].requested_limits) == limits, updates[holder]
+
+
+@then("the owner does not ask again within {seconds:f} s")
+def step_check_quiet(context, seconds):
+    context.owner.now += seconds
+    assert not context.owner.book.request_moves(context.owner.collect())
+
+
+@then("the owner asks again after {seconds:f} s")
+def step_check_again(context, seconds):
+    context.owner.now += seconds
+    assert context.owner.book.request_moves(context.owner.collect())
+
+
+@then('an update for "{holder}" is due')
+def step_check_due(context, holder):
+    assert holder in context.owner.book.due
+
+
+@then('the update for "{holder}" limits "{upstream_id}" to {limit:d}')
+def step_check_update(context, holder, upstream_id, limit):
+    assert context.updates[holder].requested_limits.get(upstream_id) == limit
+
+
+@then("it changes nothing that is not committed yet")
+def step_check_frozen(context):
+    assert context.owner.planned == ()
