--- a/src/lavenderhook/_internal/core/queues.py
+++ b/src/lavenderhook/_internal/core/queues.py
@@ -95,11 +95,11 @@
         self._note_removed(best[2].label_key, listed)
         return best[2]
 
-    def pop_due(self, limit: float) -> Iterator[Entry]:
-        """Take every request whose deadline is at or before `limit`."""
+    def pop_due(self, is_due: Callable[[Entry], bool]) -> Iterator[Entry]:
+        """Take requests in order of deadline up to the first that is not due."""
         for key in list(self._lists):
             listed = self._lists[key]
-            while listed and -listed[-1][0] <= limit:
+            while listed and is_due(listed[-1][2]):
                 entry = listed.pop()[2]
                 self._note_removed(key, listed)
                 yield entry
@@ -161,12 +161,12 @@
             self._credit[priority] -= 1.0
         return waiting[-1:] + waiting[:-1]
 
-    def pop_due(self, limit: float) -> Iterator[Entry]:
-        """Take every request whose deadline is at or before `limit`."""
+    def pop_due(self, is_due: Callable[[Entry], bool]) -> Iterator[Entry]:
+        """Take requests in order of deadline up to the first that is not due, in each class."""
         for queue in self.classes.values():
             if queue.size:
-                yield from queue.pop_due(limit)
+                yield from queue.pop_due(is_due)
 
     def pop_all(self) -> Iterator[Entry]:
         """Take every request, highest class and earliest deadline first."""
-        return self.pop_due(float("inf"))
+        return self.pop_due(lambda entry: True)
--- a/src/lavenderhook/_internal/core/routing.py
+++ b/src/lavenderhook/_internal/core/routing.py
@@ -80,10 +80,13 @@
 MAX_TRIES = 4
 # Weight of a new response time in the mean of a service.
 MEAN_WEIGHT = 0.05
-# The quick time follows the tenth percentile: it rises by a small step when a response took
-# longer and falls by a ninth of that step when it was quicker, relative to its own value.
-QUICK_RISE = 1.01
-QUICK_FALL = 0.91
+# The usual time follows the 95th percentile of the response times of a class: it rises by 0.95 of
+# a step when a response took longer and falls by 0.05 of it otherwise, relative to its own value.
+USUAL_STEP = 0.05
+USUAL_QUANTILE = 0.95
+# A queued request may wait for this share of its time even if responses usually take longer than
+# the rest, so that a caller with a short deadline is not refused by what others need.
+WAIT_SHARE = 0.5
 # A known leaving upstream is told to peers for this long. Receivers tell it on for as long, and
 # remember it longer, so that it does not circulate for ever.
 LEAVING_GOSSIP_SECONDS = 10.0
@@ -125,6 +128,7 @@
     head: RequestHead
     sequence: int
     label_key: LabelKey
+    arrived_at: float
     phase: Phase = Phase.WAITING
     tries: int = 0
     was_forwarded: bool = False
@@ -159,8 +163,10 @@
     ----------
     peers : dict of IncarnationId to int
         Slots assumed free at peers: of the last digest, less what was forwarded since.
-    mean_seconds, quick_seconds : float
-        Mean and tenth percentile of the response time; 0 before the first response.
+    mean_seconds : float
+        Mean response time; 0 before the first response.
+    usual_seconds : dict of PriorityClass to float
+        Time within which 19 of 20 responses of a class come.
     forwarded_in, forwarded_out : int
         Requests here that peers forwarded, and own ones that are at peers.
     """
@@ -172,12 +178,22 @@
     policy: Policy = DEFAULT_POLICIES[WorkloadKind.SERVICE]
     policy_version: ConfigurationVersion = ConfigurationVersion(-1)
     mean_seconds: float = 0.0
-    quick_seconds: float = 0.0
+    usual_seconds: dict[PriorityClass, float] = dataclasses.field(default_factory=dict)
     forwarded_in: int = 0
     forwarded_out: int = 0
     demand: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class Retained:
+    """A slot that stays in use after a timeout; times are in seconds."""
+
+    upstream: Upstream
+    priority: PriorityClass
+    started_at: float
+    since: float
+
+
 @dataclasses.dataclass(slots=True)
 class ShardGrants:
     """The last grant update of a shard."""
@@ -193,8 +209,8 @@
 
     Parameters
     ----------
-    retained : dict of (UpstreamId, Ticket) to (float, Upstream)
-        Slots that stay in use after a timeout, oldest first, with the time of the timeout.
+    retained : dict of (UpstreamId, Ticket) to Retained
+        Slots that stay in use after a timeout, oldest first.
     leaving : dict of UpstreamId to float
         Upstreams known to leave, with the time at which that became known here.
     leaving_workers : set of WorkerId
@@ -205,9 +221,7 @@
     upstreams: dict[UpstreamId, Upstream] = dataclasses.field(default_factory=dict)
     requests: dict[Ticket, Request] = dataclasses.field(default_factory=dict)
     shards: dict[ShardId, ShardGrants] = dataclasses.field(default_factory=dict)
-    retained: dict[tuple[UpstreamId, Ticket], tuple[float, Upstream]] = dataclasses.field(
-        default_factory=dict
-    )
+    retained: dict[tuple[UpstreamId, Ticket], Retained] = dataclasses.field(default_factory=dict)
     backing_off: list[tuple[float, int, Request]] = dataclasses.field(default_factory=list)
     claiming: list[tuple[float, int, Request]] = dataclasses.field(default_factory=list)
     leaving: dict[UpstreamId, float] = dataclasses.field(default_factory=dict)
@@ -227,7 +241,9 @@
         return []
     routing.sequence += 1
     label_key = tuple(sorted(head.labels.items())) if head.labels else ()
-    request = Request(head=head, sequence=routing.sequence, label_key=label_key)
+    request = Request(
+        head=head, sequence=routing.sequence, label_key=label_key, arrived_at=state.now
+    )
     routing.requests[head.ticket] = request
     service = find_service(state, head.service)
     if service is None:
@@ -284,12 +300,22 @@
         return None
     if waiting >= service.policy.max_queue:
         return NotRunReason.QUEUE_FULL
-    latest_start = request.deadline - service.quick_seconds
-    if state.now + _estimate_wait(service, request) > latest_start:
+    if state.now + _estimate_wait(service, request) > _get_latest_start(service, request):
         return NotRunReason.DEADLINE
     return None
 
 
+def _get_latest_start(service: Service, request: Request) -> float:
+    """Return the time after which a queued request would usually not end in time.
+
+    Requests that start later mostly occupy a slot for nothing: when all start just before their
+    deadlines, the slots are busy and hardly any caller gets a response.
+    """
+    usual = service.usual_seconds.get(request.priority, 0.0)
+    spare = WAIT_SHARE * (request.deadline - request.arrived_at)
+    return request.deadline - min(usual, spare)
+
+
 def _estimate_wait(service: Service, request: Request) -> float:
     """Return the expected time in seconds until the request starts, 0 if it is not known."""
     slots = service.slots
@@ -444,7 +470,7 @@
 
 
 def _start_on_own_slot(state: InstanceState, service: Service, request: Request) -> list[Effect]:
-    if request.deadline - service.quick_seconds <= state.now:
+    if _get_latest_start(service, request) <= state.now:
         return _shed(state, service, request)
     generator = state.generator
     upstream = service.slots.choose(generator, request.labels, request.tried)
@@ -472,8 +498,6 @@
 
 
 def _shed(state: InstanceState, service: Service, request: Request) -> list[Effect]:
-    # A shed request gives no response time, so one slow period must not refuse work for ever.
-    service.quick_seconds *= QUICK_FALL
     reason = NotRunReason.DEADLINE if service.slots.capacity else NotRunReason.NO_UPSTREAM
     return _refuse(state, request, reason)
 
@@ -563,7 +587,7 @@
     upstream = request.upstream
     assert upstream is not None
     service = state.routing.services[request.head.service]
-    _note_seconds(service, state.now - request.started_at)
+    _note_seconds(service, request.priority, state.now - request.started_at)
     if event.status >= FIRST_ERROR_STATUS and not event.not_run and not event.leaving:
         effects += _note_failure(state, service, upstream)
     elif not event.not_run:
@@ -602,7 +626,12 @@
         effects += _note_failure(state, service, upstream)
     if event.sent and event.timed_out:
         key = (event.upstream_id, event.ticket)
-        state.routing.retained[key] = (state.now, upstream)
+        state.routing.retained[key] = Retained(
+            upstream=upstream,
+            priority=request.priority,
+            started_at=request.started_at,
+            since=state.now,
+        )
     else:
         service.slots.release(upstream)
     if not event.sent:
@@ -628,11 +657,13 @@
 
 
 def _free_retained(state: InstanceState, upstream_id: UpstreamId, ticket: Ticket) -> list[Effect]:
-    entry = state.routing.retained.pop((upstream_id, ticket), None)
-    if entry is None:
+    retained = state.routing.retained.pop((upstream_id, ticket), None)
+    if retained is None:
         return []
-    upstream = entry[1]
+    upstream = retained.upstream
     service = state.routing.services[upstream.view.service]
+    # Without these, only quick responses would count, and overload would look like idleness.
+    _note_seconds(service, retained.priority, state.now - retained.started_at)
     service.slots.release(upstream)
     return _after_release(state, service, upstream)
 
@@ -666,16 +697,17 @@
         del state.routing.upstreams[upstream_id]
 
 
-def _note_seconds(service: Service, seconds: float) -> None:
+def _note_seconds(service: Service, priority: PriorityClass, seconds: float) -> None:
+    """Take in how long an upstream was busy with one request."""
     if service.mean_seconds == 0.0:
         service.mean_seconds = seconds
-        service.quick_seconds = seconds
-        return
     service.mean_seconds += MEAN_WEIGHT * (seconds - service.mean_seconds)
-    if seconds > service.quick_seconds:
-        service.quick_seconds = min(seconds, service.quick_seconds * QUICK_RISE)
+    usual = service.usual_seconds.get(priority, seconds)
+    if seconds > usual:
+        usual *= 1.0 + USUAL_STEP * USUAL_QUANTILE
     else:
-        service.quick_seconds = max(seconds, service.quick_seconds * QUICK_FALL)
+        usual *= 1.0 - USUAL_STEP * (1.0 - USUAL_QUANTILE)
+    service.usual_seconds[priority] = usual
 
 
 def _note_failure(state: InstanceState, service: Service, upstream: Upstream) -> list[Effect]:
@@ -714,7 +746,7 @@
     if is_free:
         return _route(state, service, request)
     delay = compute_backoff(state.generator, request.tries)
-    if state.now + delay + service.quick_seconds >= request.deadline:
+    if state.now + delay >= _get_latest_start(service, request):
         return _finish(state, request, outcome)
     if not state.retries.get_budget(service.name).withdraw():
         return _finish(state, request, outcome)
@@ -1075,12 +1107,19 @@
     for service in state.routing.services.values():
         if not len(service.queue):
             continue
-        for request in list(service.queue.pop_due(state.now + service.quick_seconds)):
+        for request in _pop_late(state, service):
             effects += _shed(state, service, request)
         effects += _start_waiting(state, service)
     return effects
 
 
+def _pop_late(state: InstanceState, service: Service) -> list[Request]:
+    def is_late(request: Request) -> bool:
+        return _get_latest_start(service, request) <= state.now
+
+    return list(service.queue.pop_due(is_late))
+
+
 def _shed_claiming(state: InstanceState) -> list[Effect]:
     """Answer requests whose claim takes too long; the claim is released when it resolves."""
     effects: list[Effect] = []
@@ -1110,8 +1149,8 @@
     retained = state.routing.retained
     limit = state.now - state.parameters.quarantine
     while retained:
-        key, (since, _) = next(iter(retained.items()))
-        if since > limit:
+        key, entry = next(iter(retained.items()))
+        if entry.since > limit:
             break
         effects += _free_retained(state, *key)
     return effects
