Ask the worker before stopping an attempt whose renewal it does not know

An attempt that ends just before its renewal is unknown to the renewal too. The poll that follows tells an ended attempt from a lost one. Ignoring the answer until the next periodic poll was considered; the poll is sent at once so that a lost task restarts no later than before.

--- a/src/lavenderhook/_internal/core/attempts.py
+++ b/src/lavenderhook/_internal/core/attempts.py
@@ -196,18 +196,21 @@
 
 
 def handle_renewed(state: InstanceState, event: LeasesRenewed) -> list[Effect]:
-    """Take in which attempts a worker still runs; what it does not know is stopped for good."""
+    """Take in which attempts a worker still runs, and ask about those that it does not know.
+
+    An unknown attempt may just have ended; only a poll tells that apart from a lost one.
+    """
     ownership = find_ownership(state, event.worker_id)
     if ownership is None:
         return []
     get_worker_control(ownership, event.worker_id).unreachable_since = None
     for attempt_id in event.attempts:
         _note_proven(state, ownership, attempt_id)
-    for attempt_id in event.unknown:
-        attempt = ownership.get_state().attempts.get(attempt_id)
-        if attempt is not None and attempt.state is TaskState.RUNNING:
-            request_stop(state, ownership, attempt, requeue=True)
-    return []
+    worker = state.membership.workers.get(event.worker_id)
+    attempts = ownership.get_state().attempts
+    if worker is None or not any(attempt_id in attempts for attempt_id in event.unknown):
+        return []
+    return [PollWorker(worker_id=worker.worker_id, address=worker.address)]
 
 
 def _note_proven(state: InstanceState, ownership: Ownership, attempt_id: AttemptId) -> None:
