Queue waiting service tasks again when their resources change

A task that waited while its service was resized stayed in the scheduler with its former amounts, but its placement reserved the new ones, which over-committed the worker (3,200 of 3,000 millicores in the sequence found). The random failures now include changes of a service and drains, which found it; a scenario with the shortest such sequence fails without the fix. Storing the resources in the placement record was considered; the task would then start with an amount that is outdated already.

--- a/features/placement_services.feature
+++ b/features/placement_services.feature
@@ -37,6 +37,26 @@
     And every task of "service.desk" has 2000 processors
     And 3 tasks of "service.desk" run
 
+  Scenario: Resources change while tasks wait (guards against reserving the former amounts)
+    Given job "filler" with 9 tasks that run 10 seconds is submitted
+    And 2 seconds pass
+    When the configuration
+      """
+      [{"kind": "workload", "name": "desk", "type": "service", "count": 6,
+        "resources": {"processors": 1000, "memory_mb": 64}}]
+      """
+    And 2 seconds pass
+    And the configuration
+      """
+      [{"kind": "workload", "name": "desk", "type": "service", "count": 6,
+        "resources": {"processors": 2000, "memory_mb": 64}}]
+      """
+    Then at least 3 tasks of "service.desk" run for 15 seconds
+    And 100 seconds pass
+    And every task of "service.desk" has 2000 processors
+    And 6 tasks of "service.desk" run
+    And the reserved amounts fit every worker
+
   Scenario: A change finds no room for replacements (guards against a change that never ends)
     Given job "filler" with 9 tasks that run 1000 seconds is submitted
     When the configuration
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -47,35 +47,15 @@
     context.cluster.run(seconds)
 
 
-def apply_configuration(context, puts, deletes=()):
-    for node in context.cluster.nodes.values():
-        version = node.state.configuration.version + 1
-        change = ev.ConfigurationChange(
-            version=version,
-            change_id=f"change-{version}",
-            author="operator",
-            at=context.cluster.now,
-            puts=tuple(puts),
-            deletes=deletes,
-        )
-        node.deliver(
-            ev.ConfigurationReceived,
-            changes=(change,),
-            complete=False,
-            from_table=True,
-            head=version,
-        )
-
-
 @step("the configuration")
 def step_configuration(context):
     declarations = msgspec.json.decode(context.text.encode(), type=tuple[AnyDeclaration, ...])
-    apply_configuration(context, declarations)
+    context.cluster.configure(declarations)
 
 
 @when('the declaration of workload "{name}" is deleted')
 def step_delete(context, name):
-    apply_configuration(context, (), (("workload", name),))
+    context.cluster.configure((), (("workload", name),))
 
 
 # Operations
@@ -252,7 +232,7 @@
 def step_drain(context, job_id):
     context.drained = find_busy_worker(context).view.worker_id
     text = f'[{{"kind": "worker-labels", "name": "{context.drained}", "drain": true}}]'
-    apply_configuration(context, msgspec.json.decode(text, type=tuple[AnyDeclaration, ...]))
+    context.cluster.configure(msgspec.json.decode(text, type=tuple[AnyDeclaration, ...]))
 
 
 # Checks
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -266,6 +266,7 @@
         self.operations = {}
         self.follow_forwards = False
         self.list_lag = 0.0
+        self.changes = []
         self.answers = {}
         self.log = []
         self.parameters = CoreParameters(**parameters)
@@ -322,6 +323,7 @@
         node = Node(self, name, generation, self.parameters)
         self.nodes[name] = node
         self.listed_nodes[name] = node
+        self._send_configuration(node)
         for offset, (timer, attribute) in enumerate(TIMERS.items()):
             interval = getattr(self.parameters, attribute)
             self.schedule(0.001 * (offset + 1), lambda t=timer, i=interval: self._tick(node, t, i))
@@ -351,6 +353,30 @@
 
     # Operations
 
+    def configure(self, puts, deletes=()):
+        """Put a configuration change in force on all instances."""
+        version = len(self.changes) + 1
+        change = ev.ConfigurationChange(
+            version=version,
+            change_id=f"change-{version}",
+            author="operator",
+            at=self.now,
+            puts=tuple(puts),
+            deletes=deletes,
+        )
+        self.changes.append(change)
+        for node in self.nodes.values():
+            self._send_configuration(node)
+
+    def _send_configuration(self, node):
+        node.deliver(
+            ev.ConfigurationReceived,
+            changes=tuple(self.changes),
+            complete=True,
+            from_table=True,
+            head=len(self.changes),
+        )
+
     def submit(self, node, job_id, **fields):
         """Submit a job and return the ticket."""
         values = {
--- a/features/support/random_failures.py
+++ b/features/support/random_failures.py
@@ -5,9 +5,11 @@
 from hypothesis import strategies as st
 
 from lavenderhook._internal.core import effects as fx
+from lavenderhook._internal.core.declarations import WorkerLabels, Workload
 from lavenderhook._internal.core.identifiers import TaskState, WorkloadKind
 from lavenderhook._internal.core.records import AnyRecord
-from lavenderhook._internal.core.shard import ENDED_STATES, ShardState
+from lavenderhook._internal.core.resources import Resources
+from lavenderhook._internal.core.shard import ShardState
 
 from .cluster import Cluster, InvariantError
 
@@ -36,6 +38,9 @@
     "replace-node",
     "cut-node",
     "heal-node",
+    "resize-service",
+    "change-service",
+    "drain-worker",
 )
 STEPS = st.lists(
     st.tuples(
@@ -63,6 +68,10 @@
             self._add_worker()
         for number in range(NODES):
             self.cluster.add_node(f"node-{number}")
+        self.service = Workload(
+            name="desk", type=WorkloadKind.SERVICE, resources=Resources(500, 64), count=2
+        )
+        self.cluster.configure([self.service])
         self.cluster.run(4.0)
         self._do_submit(5)
         self.cluster.run(1.0)
@@ -96,6 +105,19 @@
             job_id, _ = list(self.submitted.values())[number % len(self.submitted)]
             self.cancelled[self.cluster.cancel(self._get_node(number), job_id)] = job_id
 
+    def _do_resize_service(self, number):
+        self.service = msgspec.structs.replace(self.service, count=number % 4 + 1)
+        self.cluster.configure([self.service])
+
+    def _do_change_service(self, number):
+        resources = Resources(200 + 100 * number, 64)
+        self.service = msgspec.structs.replace(self.service, resources=resources)
+        self.cluster.configure([self.service])
+
+    def _do_drain_worker(self, number):
+        worker_id = self._get_worker(number).view.worker_id
+        self.cluster.configure([WorkerLabels(name=worker_id, drain=number < 3)])
+
     def _do_pause(self, number):
         self._get_node(number).paused = True
 
@@ -152,13 +174,24 @@
             self._do_heal_worker(number)
             self._do_fail_worker(1)
             self._get_worker(number).failing = False
+            self.cluster.configure([WorkerLabels(name=self._get_worker(number).view.worker_id)])
         self._do_store_up(0)
         self.cluster.table.lose_answers = 0
         self.cluster.run_until(self._is_settled, seconds=900.0)
 
     def _is_settled(self):
-        tasks = self.cluster.table.folded.tasks.values()
-        return self.cluster.find_owner() and all(task.state in ENDED_STATES for task in tasks)
+        jobs = self.cluster.table.folded.jobs.values()
+        batch = [job for job in jobs if job.spec.kind is not WorkloadKind.SERVICE]
+        ended = all(job.ended_at is not None for job in batch)
+        return self.cluster.find_owner() and ended and self._is_service_right()
+
+    def _is_service_right(self):
+        running = [
+            task.resources
+            for _, _, task in self.cluster.list_running()
+            if task.task_id.startswith("service.desk.")
+        ]
+        return running == [self.service.resources] * self.service.count
 
     def check_results(self):
         """Check that nothing durable was lost and that all answers were true."""
--- a/src/lavenderhook/_internal/core/ownership.py
+++ b/src/lavenderhook/_internal/core/ownership.py
@@ -28,7 +28,7 @@
     WorkloadKind,
 )
 from .labels import LabelSelector
-from .records import AnyRecord, ShardHead, ShardSnapshot, WorkerView
+from .records import AnyRecord, JobResized, ShardHead, ShardSnapshot, WorkerView
 from .scheduler import PendingTask, SchedulableWorker, Scheduler
 from .shard import ENDED_STATES, Attempt, Job, ShardState, Task, Transition
 
@@ -268,6 +268,8 @@
     size = sum(len(msgspec.msgpack.encode(record)) for record in records)
     group = Group(records=tuple(records), urgent=urgent, appended_at=state.now, size=size)
     for record in records:
+        if isinstance(record, JobResized):
+            ownership.plans.pop(record.job.job_id, None)
         for transition in ownership.get_state().apply(record):
             _follow(state, ownership, group, transition)
     ownership.pending.append(group)
--- a/src/lavenderhook/_internal/core/shard.py
+++ b/src/lavenderhook/_internal/core/shard.py
@@ -283,6 +283,10 @@
         for task in pending[::-1][: max(surplus, 0)]:
             task.reason = "surplus"
             self._end_task(job, task, TaskState.CANCELLED, record.at, transitions)
+        # Waiting tasks are placed with the new resources from now on.
+        for task in job.tasks.values():
+            if task.state is TaskState.PENDING:
+                transitions.append(Transition(task, TaskState.PENDING, TaskState.PENDING))
 
     def is_active(self, task: Task) -> bool:
         """Return whether a task has not ended and will not end with its current attempt's stop."""
