--- a/features/daemon_listener.feature
+++ b/features/daemon_listener.feature
@@ -26,6 +26,7 @@
       | a head that never ends          | 408    | request-timeout   |
       | a head in slow single bytes     | 408    | request-timeout   |
       | a body that never ends          | 408    | request-timeout   |
+      | a body that never begins        | 408    | request-timeout   |
 
   Scenario Outline: A wrong argument is named
     Given a running instance whose core answers every request
--- a/features/daemon_peers.feature
+++ b/features/daemon_peers.feature
@@ -5,6 +5,13 @@
     Given 3 running instances that know only the first one
     Then each sees the 2 others alive within 2 s
 
+  Scenario: A restarted instance is found again by those that sent it short heartbeats
+    Guards against short heartbeats that refer to one which the receiver has never got.
+    Given 3 running instances that know only the first one
+    And each sees the 2 others alive within 2 s
+    When the last one stops and another starts at its address
+    Then the first one sees it alive, and it sees the 2 others, within 3 s
+
   Scenario: A configuration that one instance has reaches the others
     Guards against an instance that stays behind when the table is down.
     Given 2 running instances that know only the first one
--- a/features/steps/daemon_listener.py
+++ b/features/steps/daemon_listener.py
@@ -33,6 +33,7 @@
     "a malformed chunk": POST + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
     "a head that never ends": POST,
     "a head in slow single bytes": POST + b"X-Slow: " + b"x" * 200,
+    "a body that never begins": POST + b"Content-Length: 10\r\n\r\n",
     "a body that never ends": POST + b"Content-Length: 10\r\n\r\nabc",
 }
 BYTE_PAUSE_SECONDS = 0.01
--- a/features/steps/daemon_peers.py
+++ b/features/steps/daemon_peers.py
@@ -64,17 +64,38 @@
             gevent.sleep(0.01)
 
 
+def count_alive(daemon):
+    """Return the number of members that an instance sees alive."""
+    state = daemon.runtime.state
+    members = state.membership.members
+    return sum(get_member_state(state, m) is MemberState.ALIVE for m in members)
+
+
 @given("each sees the {count:d} others alive within {seconds:d} s")
 @then("each sees the {count:d} others alive within {seconds:d} s")
 def step_see(context, count, seconds):
-    def count_alive(daemon):
-        state = daemon.runtime.state
-        members = state.membership.members
-        return sum(get_member_state(state, m) is MemberState.ALIVE for m in members)
-
     wait_until(lambda: all(count_alive(d) == count for d in context.daemons), seconds)
 
 
+@when("the last one stops and another starts at its address")
+def step_restart(context):
+    former = context.daemons.pop()
+    address = former.listener.location
+    former.stop()
+    seeds = [context.daemons[1].listener.location]
+    core = StubCore("refuse")
+    again = start_instance(context, core, name="entry-2", seeds=seeds, listen=address)
+    context.daemons.append(again)
+
+
+@then("the first one sees it alive, and it sees the {count:d} others, within {seconds:d} s")
+def step_see_again(context, count, seconds):
+    first, again = context.daemons[0], context.daemons[-1]
+    wait_until(lambda: count_alive(again) == count, seconds)
+    found = first.runtime.state
+    wait_until(lambda: get_member_state(found, again.incarnation) is MemberState.ALIVE, seconds)
+
+
 @when("the first one gets {count:d} configuration changes")
 def step_changes(context, count):
     changes = tuple(
--- a/features/support/stub_core.py
+++ b/features/support/stub_core.py
@@ -29,6 +29,7 @@
 [instance]
 name = "{name}"
 availability_zone = "hobart-a"
+listen = "{listen}"
 [peers]
 seeds = {seeds}
 credential = "secret-of-peers"
@@ -48,7 +49,7 @@
 team = "maps"
 [logging]
 level = "error"
-file = "{log}"
+file = "/dev/null"
 """
 NO_SERVICE = "127.0.0.1:1"  # nothing listens on this port
 
@@ -125,9 +126,11 @@
         return [AnswerCaller(ticket=head.ticket, outcome=outcome)]
 
 
-def start_instance(context, core, *, name="entry-1", seeds=(), log="/dev/null"):
+def start_instance(context, core, *, name="entry-1", seeds=(), listen="127.0.0.1:0"):
     """Start an instance in this process and stop it after the scenario."""
-    text = SETTINGS.format(name=name, seeds=json.dumps(list(seeds)), table=NO_SERVICE, log=log)
+    text = SETTINGS.format(
+        name=name, seeds=json.dumps(list(seeds)), listen=listen, table=NO_SERVICE
+    )
     discard_default_sink()
     daemon = Daemon(parse_settings("entry.toml", text), core.reduce)
     daemon.start()
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -15,6 +15,7 @@
 
 from ...errors import (
     LavenderhookError,
+    NotReadyError,
     PayloadTooLargeError,
     ProtocolError,
     RequestTimeoutError,
@@ -23,8 +24,12 @@
 BACKLOG = 1024
 SMALL_BODY = 65536  # bytes up to which headers and body are sent in one piece
 READ_BLOCK = 65536  # bytes
+# Connections above the limit serve only peers, operators and health checks.
+RESERVED_CONNECTIONS = 256
+RESERVED_PREFIXES = ("/peer/", "/operator/", "/healthz", "/readyz", "/metrics")
 LINGER_SECONDS = 1.0
 LINGER_BYTES = 1024 * 1024
+HEAD_END = b"\r\n\r\n"
 VERSIONS = frozenset({"HTTP/1.0", "HTTP/1.1"})
 # Headers whose repetition would change the meaning of a request.
 SINGLE_FIELDS = frozenset(
@@ -94,9 +99,14 @@
         if expected is not None and expected > limit:
             self._close_after()
             raise PayloadTooLargeError(f"the body has {expected} bytes, the limit is {limit}")
+        handler = self._environ["lavenderhook.handler"]
         try:
-            with gevent.Timeout(self._limits.read_seconds, RequestTimeoutError("body too slow")):
-                body = self._read_all(limit)
+            if expected is not None and handler.has_buffered(expected):
+                body = self._environ["wsgi.input"].read(expected)
+            else:
+                late = RequestTimeoutError("the request body was not complete in time")
+                with gevent.Timeout(self._limits.read_seconds, late):
+                    body = self._read_all(limit)
         except (LavenderhookError, OSError) as error:
             self._close_after()
             if isinstance(error, LavenderhookError):
@@ -156,6 +166,7 @@
         super().__init__(sock, address, server, rfile)
         self._fields: dict[str, str] = {}
         self._input_abandoned = False
+        self._buffered_body = 0
 
     def handle(self) -> None:
         """Serve the connection; a broken one ends silently."""
@@ -178,7 +189,12 @@
             return None
         late = RequestTimeoutError("the request head was not complete in time")
         self._head_timeout = gevent.Timeout(limits.read_seconds, late)
-        self._head_timeout.start()
+        buffered = self.rfile.peek(1)
+        head_end = buffered.find(HEAD_END)
+        if head_end < 0:
+            self._head_timeout.start()
+        # Peeking later would wait for more once the buffer is empty.
+        self._buffered_body = len(buffered) - head_end - len(HEAD_END) if head_end >= 0 else 0
         try:
             result = super().handle_one_request()
         except LavenderhookError as error:
@@ -189,6 +205,13 @@
             return self._end(result)
         return result
 
+    def log_request(self) -> None:
+        """Write nothing; decisions are logged by the core."""
+
+    def has_buffered(self, size: int) -> bool:
+        """Return whether a body of so many bytes arrived together with its head."""
+        return size <= self._buffered_body
+
     def read_requestline(self) -> str:
         """Return the request line.
 
@@ -359,7 +382,7 @@
             self._run,
             backlog=BACKLOG,
             log=None,
-            spawn=gevent.pool.Pool(limits.connections),
+            spawn=gevent.pool.Pool(limits.connections + RESERVED_CONNECTIONS),
             environ={"SERVER_NAME": address[0]},
         )
         self.limits = limits
@@ -389,7 +412,11 @@
 
     def _run(self, environ: Environ, start_response: Callable[..., Any]) -> list[bytes]:
         incoming = Incoming(environ, self.limits)
+        is_full = len(self.handlers) > self.limits.connections
+        is_reserved = incoming.path.startswith(RESERVED_PREFIXES)
         try:
+            if is_full and not is_reserved:
+                raise NotReadyError("the instance has no connection left")
             reply = self._route(incoming)
         except LavenderhookError as error:
             reply = reply_error(error)
@@ -399,9 +426,12 @@
         headers = list(reply.headers)
         handler = environ["lavenderhook.handler"]
         closes = handler._input_abandoned or (
-            self.is_draining and not incoming.path.startswith("/peer/")
+            (self.is_draining or is_full) and not incoming.path.startswith("/peer/")
         )
         if closes:
             headers.append(("Connection", "close"))
         start_response(STATUS_LINES.get(reply.status, f"{reply.status} Status"), headers)
+        if incoming.path.startswith("/peer/"):
+            # Peers need no date, and the bytes between them are to be few.
+            handler.provided_date = ""
         return [reply.body]
--- a/src/lavenderhook/_internal/adapters/peer_routes.py
+++ b/src/lavenderhook/_internal/adapters/peer_routes.py
@@ -13,7 +13,6 @@
     ConfigurationReceived,
     GrantReportReceived,
     GrantUpdateReceived,
-    HeartbeatReceived,
     JobCancelRequested,
     JobSubmitted,
     PeerOutcome,
@@ -29,6 +28,7 @@
 from .peers import (
     PREFIX,
     PULL_CHANGES,
+    UNKNOWN_BASE_STATUS,
     ConfigurationPull,
     ConfigurationPush,
     ConfigurationState,
@@ -36,9 +36,9 @@
     ForwardedCancellation,
     ForwardedHead,
     ForwardedSubmission,
-    Heartbeat,
     PeerCalls,
     PeerMessage,
+    decode_heartbeat,
     decode_message,
     decode_operation,
     encode_framed,
@@ -94,12 +94,11 @@
         return handler(incoming.read_body(FRAME_BYTES), incoming)
 
     def _take_heartbeat(self, content: bytes, incoming: Incoming) -> Reply:
-        message = decode_message(content, Heartbeat)
-        event = HeartbeatReceived(
-            now=self._core.now(), digest=message.digest, members=message.members
-        )
+        event = self._peers.take_heartbeat(decode_heartbeat(content))
+        if event is None:
+            return Reply(status=UNKNOWN_BASE_STATUS)
         self._core.apply(event)
-        if message.digest.address in self._peers.addresses:
+        if event.digest.address in self._peers.addresses:
             # That peer gets this instance's heartbeats; a reply would repeat them.
             return Reply(status=204)
         state = self._core.state
--- a/src/lavenderhook/_internal/adapters/peers.py
+++ b/src/lavenderhook/_internal/adapters/peers.py
@@ -64,6 +64,9 @@
 HEARTBEAT_TIMEOUT = 0.5  # seconds; a later heartbeat replaces a lost one
 OPERATION_TIMEOUT = 10.0  # seconds
 FORWARD_MARGIN = 0.5  # seconds that a peer's answer may take after the request's deadline
+HEARTBEAT_PATH = PREFIX + "heartbeat"
+UNKNOWN_BASE_STATUS = 409  # answer to a repeat whose full heartbeat the receiver does not have
+MAX_BASES = 4096
 PULL_CHANGES = 500  # changes in one answer to a pull
 _Shape = TypeVar("_Shape")
 _LENGTH = struct.Struct(">I")
@@ -80,6 +83,16 @@
     members: dict[IncarnationId, str] = {}
 
 
+class HeartbeatRepeat(PeerMessage, frozen=True, kw_only=True, tag=True):
+    """Says that the sender's last full heartbeat to the receiver still holds.
+
+    At rest nothing but the sequence changes, and this form has a tenth of the bytes.
+    """
+
+    incarnation: IncarnationId
+    sequence: int
+
+
 class ConfigurationPush(PeerMessage, frozen=True, kw_only=True, tag=True):
     """A committed change."""
 
@@ -142,6 +155,9 @@
 
 
 AnyOperation: TypeAlias = ForwardedSubmission | ForwardedCancellation | ForwardedQuery
+_HEARTBEAT_DECODER: msgspec.msgpack.Decoder[Heartbeat | HeartbeatRepeat] = msgspec.msgpack.Decoder(
+    Heartbeat | HeartbeatRepeat
+)
 _OPERATION_DECODER: msgspec.msgpack.Decoder[AnyOperation] = msgspec.msgpack.Decoder(AnyOperation)
 
 
@@ -185,7 +201,8 @@
 
     Parameters
     ----------
-    client : HttpClient
+    client, forwarding_client : HttpClient
+        Forwarded calls have connections of their own, so that they never hold up heartbeats.
     clock : Clock
     calls : CallTable
         Holds the calls that are forwarded and takes their answers.
@@ -198,17 +215,22 @@
     def __init__(
         self,
         client: HttpClient,
+        forwarding_client: HttpClient,
         clock: Clock,
         calls: CallTable,
         emit: Callable[[Event], None],
         apply: Callable[[Event], None],
     ) -> None:
         self._client = client
+        self._forwarding_client = forwarding_client
         self._clock = clock
         self._calls = calls
         self._emit = emit
         self._apply = apply
         self._busy: set[tuple[str, str]] = set()
+        self._base: tuple[Digest, dict[IncarnationId, str]] | None = None
+        self._acknowledged: set[str] = set()  # addresses that know the present base
+        self._received: dict[IncarnationId, Digest] = {}  # bases of peers
         self.last_digest: Digest | None = None
         self.addresses: frozenset[str] = frozenset()
 
@@ -216,31 +238,70 @@
 
     def send_heartbeats(self, effect: SendHeartbeat) -> None:
         """Send a digest to peers in parallel; does not block."""
-        self.last_digest = effect.digest
+        digest = effect.digest
+        self.last_digest = digest
         self.addresses = frozenset(effect.addresses)
-        message = Heartbeat(digest=effect.digest, members=effect.members)
-        content = msgspec.msgpack.encode(message)
+        base = (msgspec.structs.replace(digest, sequence=0), effect.members)
+        if base != self._base:
+            self._base = base
+            self._acknowledged.clear()
+        message = Heartbeat(digest=digest, members=effect.members)
+        repeat = HeartbeatRepeat(incarnation=digest.incarnation, sequence=digest.sequence)
+        repeated = msgspec.msgpack.encode(repeat)
         for address in effect.addresses:
             # While a heartbeat to a silent peer is under way, another one would tell nothing.
-            if ("heartbeat", address) not in self._busy:
-                self._busy.add(("heartbeat", address))
-                gevent.spawn(self._send_heartbeat, address, content)
-
-    def _send_heartbeat(self, address: str, content: bytes) -> None:
+            if ("heartbeat", address) in self._busy:
+                continue
+            self._busy.add(("heartbeat", address))
+            content = repeated if address in self._acknowledged else None
+            gevent.spawn(self._send_heartbeat, address, content, message)
+
+    def _send_heartbeat(self, address: str, repeated: bytes | None, message: Heartbeat) -> None:
+        base = self._base
         try:
-            answer = self._post(address, "heartbeat", content, HEARTBEAT_TIMEOUT)
-            if answer.body:
-                reply = msgspec.msgpack.decode(answer.body, type=HeartbeatReply)
-                self._emit(
-                    HeartbeatReceived(
-                        now=self._clock.read(), digest=reply.digest, members=reply.members
-                    )
+            answer = None
+            if repeated is not None:
+                answer = self._client.call(
+                    address, "POST", HEARTBEAT_PATH, repeated, (), HEARTBEAT_TIMEOUT
                 )
+            if answer is None or answer.status == UNKNOWN_BASE_STATUS:
+                content = msgspec.msgpack.encode(message)
+                answer = self._post(address, "heartbeat", content, HEARTBEAT_TIMEOUT)
+                if base is self._base:
+                    self._acknowledged.add(address)
+            self._take_reply(answer)
         except (LavenderhookError, msgspec.DecodeError):
+            self._acknowledged.discard(address)
             self._emit(PeerUnreachable(now=self._clock.read(), address=address))
         finally:
             self._busy.discard(("heartbeat", address))
 
+    def _take_reply(self, answer: HttpAnswer) -> None:
+        _require_success(answer)
+        if not answer.body:
+            return
+        reply = msgspec.msgpack.decode(answer.body, type=HeartbeatReply)
+        event = HeartbeatReceived(
+            now=self._clock.read(), digest=reply.digest, members=reply.members
+        )
+        self._emit(event)
+
+    def take_heartbeat(self, message: Heartbeat | HeartbeatRepeat) -> HeartbeatReceived | None:
+        """Return the event of a peer's heartbeat, or None if its base is not known here."""
+        now = self._clock.read()
+        if isinstance(message, Heartbeat):
+            digest = message.digest
+            self._received.pop(digest.incarnation, None)
+            self._received[digest.incarnation] = digest
+            while len(self._received) > MAX_BASES:
+                del self._received[next(iter(self._received))]
+            return HeartbeatReceived(now=now, digest=digest, members=message.members)
+        base = self._received.get(message.incarnation)
+        if base is None:
+            return None
+        digest = msgspec.structs.replace(base, sequence=message.sequence)
+        return HeartbeatReceived(now=now, digest=digest)
+
     # Grants
 
     def send_report(self, effect: SendGrantReport) -> None:
@@ -355,7 +416,8 @@
         )
 
     def _exchange(self, address: str, content: bytes, timeout: float) -> HttpAnswer:
-        answer = self._client.call(address, "POST", PREFIX + "request", content, (), timeout)
+        path = PREFIX + "request"
+        answer = self._forwarding_client.call(address, "POST", path, content, (), timeout)
         if answer.status >= 300:
             # A refusal as malformed, too large or unauthenticated comes before the core sees it.
             sent = answer.status >= 500
@@ -379,7 +441,7 @@
             return
         try:
             content = msgspec.msgpack.encode(build_operation(call))
-            answer = self._client.call(
+            answer = self._forwarding_client.call(
                 effect.address, "POST", PREFIX + "operation", content, (), OPERATION_TIMEOUT
             )
         except TransportError as error:
@@ -407,6 +469,20 @@
         raise ProtocolError(f"the peer answered {answer.status}: {answer.body[:200]!r}")
 
 
+def decode_heartbeat(content: bytes) -> Heartbeat | HeartbeatRepeat:
+    """Decode a heartbeat.
+
+    Raises
+    ------
+    ProtocolError
+        If it is malformed.
+    """
+    try:
+        return _HEARTBEAT_DECODER.decode(content)
+    except msgspec.DecodeError as error:
+        raise ProtocolError(f"malformed message: {error}") from error
+
+
 def decode_operation(content: bytes) -> AnyOperation:
     """Decode a forwarded operation.
 
--- a/src/lavenderhook/_internal/adapters/transport.py
+++ b/src/lavenderhook/_internal/adapters/transport.py
@@ -21,6 +21,10 @@
 READ_BLOCK = 65536  # bytes
 CONNECT_TIMEOUT = 1.0  # seconds; a retransmitted SYN takes 1 s, so a lost one counts as a failure
 FIRST_FINAL_STATUS = 200
+LARGEST_ANSWER = 64 * 1024 * 1024  # bytes; an endless response must not use up the memory
+# Shorter than the idle limits of usual servers, so that a request rarely meets a connection that
+# the other side is closing: such a request may or may not have run.
+MAX_IDLE_SECONDS = 30.0
 Headers = Iterable[tuple[str, str]]
 CountTraffic = Callable[[str, str, int, int], None]
 
@@ -98,6 +102,7 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self.reusable = False
+        self.idle_since = 0.0
         self._parser: _SingleResponse | None = None
         self._socket = gevent.socket.socket(sockets.AF_INET, sockets.SOCK_STREAM)
         try:
@@ -182,6 +187,8 @@
                 if not data:
                     raise self._describe_end(parser)
                 self.received_bytes += len(data)
+                if self.received_bytes > LARGEST_ANSWER:
+                    raise TransportError(f"a response above {LARGEST_ANSWER} bytes", sent=True)
                 parser.feed(data)
         except TimeoutError:
             raise ExchangeTimeoutError("no complete response at the deadline") from None
@@ -226,6 +233,7 @@
 
     def __init__(self, address: str, size: int) -> None:
         self.address = address
+        self._size = size
         self._places = gevent.lock.BoundedSemaphore(size)
         self._idle: list[Connection] = []
         self.opened = 0
@@ -257,11 +265,22 @@
     def release(self, connection: Connection) -> None:
         """Take a connection back; it is kept only if its last exchange was clean."""
         if connection.reusable:
+            connection.idle_since = time.monotonic()
             self._idle.append(connection)
         else:
             connection.close()
         self._places.release()
 
+    def trim(self) -> bool:
+        """Close connections that are idle for too long; return whether any is left or in use."""
+        limit = time.monotonic() - MAX_IDLE_SECONDS
+        kept = [connection for connection in self._idle if connection.idle_since >= limit]
+        for connection in self._idle:
+            if connection.idle_since < limit:
+                connection.close()
+        self._idle = kept
+        return bool(kept) or self._places.counter < self._size
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
@@ -345,11 +364,11 @@
         if self._count is not None:
             self._count(self.kind, location, connection.sent_bytes, connection.received_bytes)
 
-    def drop(self, address: str) -> None:
-        """Close the idle connections to an address that is no longer used."""
-        pool = self._pools.pop(address.partition("/")[0], None)
-        if pool is not None:
-            pool.close()
+    def trim(self) -> None:
+        """Close connections that are idle for too long and forget addresses without any."""
+        for location, pool in list(self._pools.items()):
+            if not pool.trim():
+                del self._pools[location]
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/src/lavenderhook/_internal/daemon/main.py
+++ b/src/lavenderhook/_internal/daemon/main.py
@@ -46,11 +46,14 @@
 # Limits of greenlets that carry out blocking effects, by lane.
 REQUEST_GREENLETS = 4096
 STORE_GREENLETS = 128
-WORKER_GREENLETS = 256
+# Enough for all workers of a shard to be unreachable while others are called.
+WORKER_GREENLETS = 1024
 PEER_GREENLETS = 256
 WORKER_CONNECTIONS = 8
-PEER_CONNECTIONS = 64
+PEER_CONNECTIONS = 8
+FORWARDING_CONNECTIONS = 256
 STORE_CONNECTIONS = 32
+TRIM_SECONDS = 10.0
 LAST_ANSWERS_SECONDS = 2.0  # for responses that are still being written when the process stops
 
 
@@ -69,6 +72,7 @@
         name = settings.instance.name
         self.incarnation = IncarnationId(f"{name}-{secrets.token_hex(NONCE_BYTES)}")
         self.stopped = gevent.event.Event()
+        self._is_ended = False
         self.clock = SystemClock()
         self.calls = CallTable()
         self.log = DecisionLog(settings.logging, self.incarnation)
@@ -111,6 +115,16 @@
         self._upstream_client = build("upstream", (), settings.limits.connections_per_upstream)
         peer_headers = _authorize(settings.peers.credential)
         self._peer_client = build("peer", peer_headers, PEER_CONNECTIONS)
+        self._forwarding_client = build("forwarded", peer_headers, FORWARDING_CONNECTIONS)
+        self._clients = (
+            self._table_client,
+            self._object_client,
+            self._list_client,
+            self._worker_client,
+            self._upstream_client,
+            self._peer_client,
+            self._forwarding_client,
+        )
         self.directory = HttpInstanceDirectory(self._list_client, settings.platform.instances)
 
     def _build_adapters(self) -> None:
@@ -137,7 +151,14 @@
             runtime.state.parameters.quarantine,
             (("lavenderhook-instance", settings.instance.name),),
         )
-        self.peers = PeerCalls(self._peer_client, clock, calls, runtime.emit, runtime.apply)
+        self.peers = PeerCalls(
+            self._peer_client,
+            self._forwarding_client,
+            clock,
+            calls,
+            runtime.emit,
+            runtime.apply,
+        )
 
     def _build_listener(self) -> None:
         settings = self.settings
@@ -198,7 +219,9 @@
 
     def _register_blocking(self) -> None:
         requests = Lane("requests", REQUEST_GREENLETS)
+        commits = Lane("commits", STORE_GREENLETS)
         store = Lane("store", STORE_GREENLETS)
+        claims = Lane("claims", STORE_GREENLETS)
         listing = Lane("listing", 1)
         workers = Lane("workers", WORKER_GREENLETS)
         peers = Lane("peers", PEER_GREENLETS)
@@ -206,12 +229,12 @@
             (effects.DispatchToUpstream, requests, self.upstreams.dispatch),
             (effects.ForwardToPeer, requests, self.peers.forward_request),
             (effects.ForwardOperation, requests, self.peers.forward_operation),
-            (effects.CommitShard, store, self.shard_log.commit),
+            (effects.CommitShard, commits, self.shard_log.commit),
             (effects.LoadShard, store, self.shard_log.load),
             (effects.StoreSnapshot, store, self.shard_log.store_snapshot),
             (effects.CommitConfiguration, store, self.configuration.commit),
             (effects.LoadConfiguration, store, self.configuration.load),
-            (effects.ReleaseClaim, store, self.claims.release),
+            (effects.ReleaseClaim, claims, self.claims.release),
             (ListPlatform, listing, self._list_platform),
             (effects.StartTasks, workers, self.workers.start),
             (effects.RenewLeases, workers, self.workers.renew),
@@ -260,8 +283,15 @@
         if not state.address:
             state.address = self.listener.location
         self.runtime.start(self._timers)
+        self._trimmer = gevent.spawn(self._trim_clients)
         self.log.note("listening", address=self.listener.location, advertised=state.address)
 
+    def _trim_clients(self) -> None:
+        while True:
+            gevent.sleep(TRIM_SECONDS)
+            for client in self._clients:
+                client.trim()
+
     def describe(self) -> dict[str, str]:
         """Return identity and addresses for whoever started the process."""
         return {
@@ -291,21 +321,18 @@
             self.listener.drain()
 
     def stop(self) -> None:
-        """End everything once the last responses are written."""
+        """End everything once the last responses are written; repeating it changes nothing."""
+        if self._is_ended:
+            return
+        self._is_ended = True
         ends_at = time.monotonic() + LAST_ANSWERS_SECONDS
         while len(self.calls) and time.monotonic() < ends_at:
             gevent.sleep(0.01)
         self._timers.stop()
         self.runtime.stop()
         self.listener.stop(timeout=0.1)
-        for client in (
-            self._table_client,
-            self._object_client,
-            self._list_client,
-            self._worker_client,
-            self._upstream_client,
-            self._peer_client,
-        ):
+        self._trimmer.kill(block=False)
+        for client in self._clients:
             client.close()
         self.log.note("stopped")
         self.log.stop()
@@ -341,6 +368,8 @@
         print(f"{options.config}: valid")
         return 0
     discard_default_sink()
+    # Saves the stack that gevent records for each new greenlet.
+    gevent.config.track_greenlet_tree = False
     daemon = Daemon(settings)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, daemon.request_shutdown)
