--- /dev/null
+++ b/src/lavenderhook/_internal/core/holdings.py
@@ -0,0 +1,295 @@
+"""Slots that this instance holds: grants and reports, and upstreams that leave.
+
+These handlers run before those of `routing`, which then starts what waits for the new slots.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from .effects import (
+    Effect,
+    LogDecision,
+    SendGrantReport,
+)
+from .events import (
+    ConfigurationCommitted,
+    ConfigurationReceived,
+    GrantUpdateReceived,
+    HeartbeatReceived,
+    PlatformListed,
+    TimerFired,
+)
+from .identifiers import (
+    IncarnationId,
+    ShardId,
+    UpstreamId,
+)
+from .membership import get_peer_address
+from .messages import GrantReport, GrantUpdate
+from .records import UpstreamView
+from .services import ShardGrants, apply_limit, create_service, forget_upstream, has_closed
+from .slots import Upstream
+
+if TYPE_CHECKING:
+    from .state import InstanceState
+
+
+GRANT_REPORT_TIMER = "grant-report"
+TIMERS = {GRANT_REPORT_TIMER: "grant_report_interval"}
+# Weight of the current requests in the demand that is reported; smooths single bursts.
+DEMAND_WEIGHT = 0.5
+# A known leaving upstream is told to peers for this long. Receivers tell it on for as long, and
+# remember it longer, so that it does not circulate for ever.
+LEAVING_GOSSIP_SECONDS = 10.0
+LEAVING_MEMORY_SECONDS = 600.0
+
+
+# Leaving upstreams
+
+
+def mark_leaving(state: InstanceState, upstream_ids: Iterable[UpstreamId]) -> list[Effect]:
+    """Give upstreams no new work from now on and tell peers about them."""
+    effects: list[Effect] = []
+    routing = state.routing
+    for upstream_id in upstream_ids:
+        if upstream_id in routing.leaving:
+            continue
+        routing.leaving[upstream_id] = state.now
+        upstream = routing.upstreams.get(upstream_id)
+        if upstream is not None:
+            apply_limit(state, upstream)
+        fields: dict[str, object] = {"upstream": upstream_id}
+        effects.append(LogDecision(decision="upstream-leaving", fields=fields))
+    return effects
+
+
+def handle_platform_list(state: InstanceState, event: PlatformListed) -> list[Effect]:
+    """Stop using the upstreams on workers that the platform shows leaving or gone."""
+    state.routing.listed_workers |= {worker.worker_id for worker in event.workers}
+    return _refresh_leaving_workers(state)
+
+
+def handle_configuration(
+    state: InstanceState, event: ConfigurationCommitted | ConfigurationReceived
+) -> list[Effect]:
+    """Stop using the upstreams on workers that operators drain."""
+    changes = event.changes if isinstance(event, ConfigurationReceived) else (event.change,)
+    return _refresh_leaving_workers(state) if changes else []
+
+
+def _refresh_leaving_workers(state: InstanceState) -> list[Effect]:
+    routing = state.routing
+    views = state.membership.workers
+    leaving = {
+        view.worker_id
+        for view in views.values()
+        if view.leaving or state.configuration.is_draining(view)
+    }
+    leaving |= {worker_id for worker_id in routing.listed_workers if worker_id not in views}
+    changed = leaving ^ routing.leaving_workers
+    routing.leaving_workers = leaving
+    effects: list[Effect] = []
+    if not changed:
+        return effects
+    for upstream in list(routing.upstreams.values()):
+        if upstream.view.worker_id in changed:
+            apply_limit(state, upstream)
+    for worker_id in sorted(changed & leaving):
+        fields: dict[str, object] = {"worker": worker_id}
+        effects.append(LogDecision(decision="worker-leaving", fields=fields))
+    return effects
+
+
+def forget_old_leaving(state: InstanceState) -> None:
+    """Drop what is known of upstreams that left long ago."""
+    leaving = state.routing.leaving
+    limit = state.now - LEAVING_MEMORY_SECONDS
+    while leaving:
+        upstream_id = next(iter(leaving))
+        if leaving[upstream_id] > limit or upstream_id in state.routing.upstreams:
+            break
+        del leaving[upstream_id]
+
+
+# Grants
+
+
+def handle_grant_update(state: InstanceState, event: GrantUpdateReceived) -> list[Effect]:
+    """Take in the grants of a shard; older updates and ones for others are ignored."""
+    update = event.update
+    routing = state.routing
+    if update.holder != state.incarnation:
+        return []
+    known = routing.shards.get(update.shard)
+    if known is not None and update.version < known.version:
+        return []
+    if known is not None and update.version == known.version:
+        _lower_limits(state, update)
+    else:
+        _replace_grants(state, update, known)
+    if update.requested_limits:
+        # The owner waits for this promise before it gives the slots to another instance.
+        return _report_shard(state, update.shard)
+    return []
+
+
+def _lower_limits(state: InstanceState, update: GrantUpdate) -> None:
+    for upstream_id, limit in update.requested_limits.items():
+        upstream = state.routing.upstreams.get(upstream_id)
+        if upstream is None or upstream.shard != update.shard:
+            continue
+        former = upstream.granted if upstream.requested is None else upstream.requested
+        upstream.requested = min(former, limit)
+        apply_limit(state, upstream)
+
+
+def _replace_grants(state: InstanceState, update: GrantUpdate, known: ShardGrants | None) -> None:
+    views = [view for view in update.upstreams if view.slots > 0]
+    ids = {view.upstream_id for view in views}
+    for upstream_id in (known.upstreams if known is not None else set()) - ids:
+        _drop_grant(state, upstream_id)
+    for view in views:
+        _set_grant(state, update, view)
+    state.routing.shards[update.shard] = ShardGrants(
+        version=update.version, owner=update.owner, upstreams=ids
+    )
+
+
+def _drop_grant(state: InstanceState, upstream_id: UpstreamId) -> None:
+    upstream = state.routing.upstreams.get(upstream_id)
+    if upstream is None:
+        return
+    service = state.routing.services[upstream.view.service]
+    upstream.granted = 0
+    service.slots.set_limit(upstream, 0)
+    if not upstream.in_use:
+        forget_upstream(state, service, upstream)
+
+
+def _set_grant(state: InstanceState, update: GrantUpdate, view: UpstreamView) -> None:
+    routing = state.routing
+    upstream = routing.upstreams.get(view.upstream_id)
+    if upstream is None:
+        is_local = view.availability_zone == state.availability_zone
+        upstream = Upstream(view=view, shard=update.shard, granted=view.slots, is_local=is_local)
+        routing.upstreams[view.upstream_id] = upstream
+        service = routing.services.get(view.service) or create_service(state, view.service)
+        service.slots.add(upstream)
+    upstream.view = view
+    upstream.granted = view.slots
+    upstream.requested = update.requested_limits.get(view.upstream_id)
+    apply_limit(state, upstream)
+
+
+def report_limits(state: InstanceState) -> list[Effect]:
+    """Report limits and demand to the owner of each shard that is known."""
+    shards = set(state.routing.shards)
+    for member in state.membership.members.values():
+        shards.update(member.digest.shards)
+    effects: list[Effect] = []
+    for shard in sorted(shards):
+        effects += _report_shard(state, shard)
+    return effects
+
+
+def _report_shard(state: InstanceState, shard: ShardId) -> list[Effect]:
+    grants = state.routing.shards.get(shard)
+    owner = _find_owner(state, shard, grants)
+    address = state.address if owner == state.incarnation else None
+    if owner is not None and address is None:
+        address = get_peer_address(state, owner)
+    if address is None:
+        return []
+    report = GrantReport(
+        shard=shard,
+        version=grants.version if grants is not None else (0, 0),
+        holder=state.incarnation,
+        limits=_collect_promises(state, grants),
+        demand={
+            service.name: round(service.demand, 2)
+            for service in state.routing.services.values()
+            if service.demand >= 0.01
+        },
+    )
+    return [SendGrantReport(address=address, report=report)]
+
+
+def _find_owner(
+    state: InstanceState, shard: ShardId, grants: ShardGrants | None
+) -> IncarnationId | None:
+    """Return the owner with the highest epoch that heartbeats or a grant update named."""
+    epoch, owner = (grants.version[0], grants.owner) if grants is not None else (-1, None)
+    for incarnation, member in state.membership.members.items():
+        claimed = member.digest.shards.get(shard, -1)
+        if claimed > epoch:
+            epoch, owner = claimed, incarnation
+    return owner
+
+
+def _collect_promises(state: InstanceState, grants: ShardGrants | None) -> dict[UpstreamId, int]:
+    """Return the promised limits that are lower than the grants, to keep reports short."""
+    promises: dict[UpstreamId, int] = {}
+    closed = has_closed(state)
+    for upstream_id in sorted(grants.upstreams) if grants is not None else ():
+        upstream = state.routing.upstreams[upstream_id]
+        promise = upstream.in_use if closed else upstream.get_promise()
+        if promise < upstream.granted:
+            promises[upstream_id] = promise
+    return promises
+
+
+def update_demand(state: InstanceState) -> None:
+    """Take in the requests in progress that arrived here, wherever they run."""
+    for service in state.routing.services.values():
+        own = service.slots.in_use + len(service.queue)
+        current = max(0, own + service.forwarded_out - service.forwarded_in)
+        service.demand += DEMAND_WEIGHT * (current - service.demand)
+
+
+def collect_routing_fields(state: InstanceState) -> dict[str, object]:
+    """Return the digest's fields on slots, queues and leaving upstreams."""
+    routing = state.routing
+    limit = state.now - LEAVING_GOSSIP_SECONDS
+    queued = {
+        service.name: len(service.queue)
+        for service in routing.services.values()
+        if len(service.queue)
+    }
+    free_slots = {
+        service.name: service.slots.free_slots
+        for service in routing.services.values()
+        if service.slots.free_slots and service.name not in queued
+    }
+    return {
+        "free_slots": {} if state.shutting_down_since is not None else free_slots,
+        "queued": queued,
+        "leaving_upstreams": tuple(
+            sorted(upstream_id for upstream_id, since in routing.leaving.items() if since > limit)
+        ),
+    }
+
+
+def handle_heartbeat(state: InstanceState, event: HeartbeatReceived) -> list[Effect]:
+    """Take in the upstreams that a peer knows to leave."""
+    return mark_leaving(state, event.digest.leaving_upstreams)
+
+
+def handle_timer(state: InstanceState, event: TimerFired) -> list[Effect]:
+    """Report to the shard owners."""
+    if event.name != GRANT_REPORT_TIMER:
+        return []
+    update_demand(state)
+    forget_old_leaving(state)
+    return report_limits(state)
+
+
+HANDLERS = {
+    HeartbeatReceived: handle_heartbeat,
+    PlatformListed: handle_platform_list,
+    ConfigurationCommitted: handle_configuration,
+    ConfigurationReceived: handle_configuration,
+    GrantUpdateReceived: handle_grant_update,
+    TimerFired: handle_timer,
+}
--- a/src/lavenderhook/_internal/core/reducer.py
+++ b/src/lavenderhook/_internal/core/reducer.py
@@ -29,11 +29,12 @@
 
 
 def _collect_tables() -> tuple[Any, ...]:
-    from . import configuration, membership, requests, routing, shutdown
+    from . import configuration, holdings, membership, requests, routing, shutdown
 
     return (
         membership.HANDLERS,
         configuration.HANDLERS,
+        holdings.HANDLERS,
         routing.HANDLERS,
         requests.HANDLERS,
         shutdown.HANDLERS,
@@ -42,11 +43,12 @@
 
 def collect_timers() -> dict[str, str]:
     """Return every timer name with the attribute of `CoreParameters` that holds its interval."""
-    from . import configuration, membership, routing, shutdown
+    from . import configuration, holdings, membership, routing, shutdown
 
     return {
         **membership.TIMERS,
         **configuration.TIMERS,
+        **holdings.TIMERS,
         **routing.TIMERS,
         **shutdown.TIMERS,
     }
--- a/src/lavenderhook/_internal/core/routing.py
+++ b/src/lavenderhook/_internal/core/routing.py
@@ -8,14 +8,10 @@
 
 from __future__ import annotations
 
-import dataclasses
-import enum
 import heapq
-from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from . import requests
-from .declarations import DEFAULT_POLICIES, Policy
 from .effects import (
     AnswerCaller,
     Completed,
@@ -26,7 +22,6 @@
     NotRun,
     NotRunReason,
     Outcome,
-    SendGrantReport,
     Unknown,
     UnknownReason,
 )
@@ -36,6 +31,7 @@
     ClaimState,
     ConfigurationCommitted,
     ConfigurationReceived,
+    Event,
     GrantUpdateReceived,
     HeartbeatReceived,
     PeerAnswered,
@@ -44,53 +40,44 @@
     PlatformListed,
     RequestAbandoned,
     RequestArrived,
-    RequestHead,
     Ticket,
     TimerFired,
     UpstreamAnswered,
     UpstreamFailed,
     UpstreamReleased,
 )
+from .holdings import mark_leaving, report_limits
 from .identifiers import (
-    ConfigurationVersion,
     IncarnationId,
     MemberState,
-    PriorityClass,
-    ShardId,
     UpstreamId,
-    WorkerId,
-    WorkloadKind,
 )
-from .labels import Labels
-from .membership import get_member_state, get_peer_address
-from .messages import Digest, GrantReport, GrantUpdate
-from .queues import LabelKey, ServiceQueue
-from .records import UpstreamView
+from .membership import get_member_state
+from .messages import Digest
 from .retries import compute_backoff
-from .slots import SlotPool, Upstream
+from .services import (
+    Phase,
+    Request,
+    Retained,
+    Service,
+    apply_limit,
+    estimate_wait,
+    find_service,
+    forget_upstream,
+    get_latest_start,
+    has_closed,
+    note_seconds,
+)
+from .slots import Upstream
 
 if TYPE_CHECKING:
     from .state import InstanceState
 
 REQUEST_TIMER = "requests"
-GRANT_REPORT_TIMER = "grant-report"
-TIMERS = {REQUEST_TIMER: "request_check_interval", GRANT_REPORT_TIMER: "grant_report_interval"}
+TIMERS = {REQUEST_TIMER: "request_check_interval"}
 
 # Tries of one request, refusals without effect included; bounds the work that one request causes.
 MAX_TRIES = 4
-# Weight of a new response time in the mean of a service.
-MEAN_WEIGHT = 0.05
-# The usual time follows the 95th percentile of the response times of a class: it rises by 0.95 of
-# a step when a response took longer and falls by 0.05 of it otherwise, relative to its own value.
-USUAL_STEP = 0.05
-USUAL_QUANTILE = 0.95
-# A queued request may wait for this share of its time even if responses usually take longer than
-# the rest, so that a caller with a short deadline is not refused by what others need.
-WAIT_SHARE = 0.5
-# A known leaving upstream is told to peers for this long. Receivers tell it on for as long, and
-# remember it longer, so that it does not circulate for ever.
-LEAVING_GOSSIP_SECONDS = 10.0
-LEAVING_MEMORY_SECONDS = 600.0
 # A timeout counts against an upstream only if it had this multiple of the service's mean time, so
 # that callers with hopeless deadlines cannot eject healthy upstreams.
 TIMEOUT_FAILURE_FACTOR = 3.0
@@ -98,136 +85,6 @@
 # Queued requests that may not be forwarded and are looked past at a time; bounds the cost when
 # most of the queue was forwarded before.
 MAX_PASSED = 16
-DEMAND_WEIGHT = 0.5
-
-
-class Phase(enum.Enum):
-    """Where a request is."""
-
-    CLAIMING = "claiming"
-    WAITING = "waiting"
-    BACKING_OFF = "backing-off"
-    DISPATCHED = "dispatched"
-    FORWARDED = "forwarded"
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Request:
-    """A request between its arrival and its answer.
-
-    Parameters
-    ----------
-    tries : int
-        Dispatches and forwards so far.
-    was_forwarded : bool
-        Whether a peer got it from us; it is then not forwarded again.
-    may_have_run : UnknownReason or None
-        Set once an upstream may have run it; it can then no longer end as not run.
-    """
-
-    head: RequestHead
-    sequence: int
-    label_key: LabelKey
-    arrived_at: float
-    phase: Phase = Phase.WAITING
-    tries: int = 0
-    was_forwarded: bool = False
-    may_have_run: UnknownReason | None = None
-    is_abandoned: bool = False
-    upstream: Upstream | None = None
-    peer: IncarnationId | None = None
-    started_at: float = 0.0
-    tried: tuple[UpstreamId, ...] = ()
-
-    @property
-    def deadline(self) -> float:
-        """Absolute time in seconds."""
-        return self.head.deadline
-
-    @property
-    def priority(self) -> PriorityClass:
-        """Class of the queue in which it waits."""
-        return self.head.priority
-
-    @property
-    def labels(self) -> Labels:
-        """Labels that the upstream must carry."""
-        return self.head.labels
-
-
-@dataclasses.dataclass(slots=True)
-class Service:
-    """What this instance knows of a service.
-
-    Parameters
-    ----------
-    peers : dict of IncarnationId to int
-        Slots assumed free at peers: of the last digest, less what was forwarded since.
-    mean_seconds : float
-        Mean response time; 0 before the first response.
-    usual_seconds : dict of PriorityClass to float
-        Time within which 19 of 20 responses of a class come.
-    forwarded_in, forwarded_out : int
-        Requests here that peers forwarded, and own ones that are at peers.
-    """
-
-    name: str
-    queue: ServiceQueue[Request]
-    slots: SlotPool = dataclasses.field(default_factory=SlotPool)
-    peers: dict[IncarnationId, int] = dataclasses.field(default_factory=dict)
-    policy: Policy = DEFAULT_POLICIES[WorkloadKind.SERVICE]
-    policy_version: ConfigurationVersion = ConfigurationVersion(-1)
-    mean_seconds: float = 0.0
-    usual_seconds: dict[PriorityClass, float] = dataclasses.field(default_factory=dict)
-    forwarded_in: int = 0
-    forwarded_out: int = 0
-    demand: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class Retained:
-    """A slot that stays in use after a timeout; times are in seconds."""
-
-    upstream: Upstream
-    priority: PriorityClass
-    started_at: float
-    since: float
-
-
-@dataclasses.dataclass(slots=True)
-class ShardGrants:
-    """The last grant update of a shard."""
-
-    version: tuple[int, int]
-    owner: IncarnationId
-    upstreams: set[UpstreamId] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(slots=True)
-class RoutingState:
-    """The request plane of one instance.
-
-    Parameters
-    ----------
-    retained : dict of (UpstreamId, Ticket) to Retained
-        Slots that stay in use after a timeout, oldest first.
-    leaving : dict of UpstreamId to float
-        Upstreams known to leave, with the time at which that became known here.
-    leaving_workers : set of WorkerId
-        Workers that leave, are gone or are drained.
-    """
-
-    services: dict[str, Service] = dataclasses.field(default_factory=dict)
-    upstreams: dict[UpstreamId, Upstream] = dataclasses.field(default_factory=dict)
-    requests: dict[Ticket, Request] = dataclasses.field(default_factory=dict)
-    shards: dict[ShardId, ShardGrants] = dataclasses.field(default_factory=dict)
-    retained: dict[tuple[UpstreamId, Ticket], Retained] = dataclasses.field(default_factory=dict)
-    backing_off: list[tuple[float, int, Request]] = dataclasses.field(default_factory=list)
-    claiming: list[tuple[float, int, Request]] = dataclasses.field(default_factory=list)
-    leaving: dict[UpstreamId, float] = dataclasses.field(default_factory=dict)
-    leaving_workers: set[WorkerId] = dataclasses.field(default_factory=set)
-    listed_workers: set[WorkerId] = dataclasses.field(default_factory=set)
-    sequence: int = 0
 
 
 # Arrival
@@ -267,29 +124,6 @@
     return state.configuration.is_ready()
 
 
-def find_service(state: InstanceState, name: str) -> Service | None:
-    """Return a service with its policy in force, or None if no such workload is declared."""
-    service = state.routing.services.get(name)
-    version = state.configuration.version
-    if service is not None and service.policy_version == version:
-        return service
-    workload = state.configuration.get_workload(name)
-    if workload is None or workload.type is not WorkloadKind.SERVICE:
-        return None
-    if service is None:
-        service = _create_service(state, name)
-    labels = {"name": name, **workload.labels}
-    service.policy = state.configuration.find_policy(WorkloadKind.SERVICE, labels)
-    service.policy_version = version
-    return service
-
-
-def _create_service(state: InstanceState, name: str) -> Service:
-    queue: ServiceQueue[Request] = ServiceQueue(state.parameters.lower_class_share)
-    service = state.routing.services[name] = Service(name=name, queue=queue)
-    return service
-
-
 def _check_admission(
     state: InstanceState, service: Service, request: Request
 ) -> NotRunReason | None:
@@ -300,37 +134,17 @@
         return None
     if waiting >= service.policy.max_queue:
         return NotRunReason.QUEUE_FULL
-    if state.now + _estimate_wait(service, request) > _get_latest_start(service, request):
+    if state.now + estimate_wait(service, request) > get_latest_start(service, request):
         return NotRunReason.DEADLINE
     return None
 
 
-def _get_latest_start(service: Service, request: Request) -> float:
-    """Return the time after which a queued request would usually not end in time.
-
-    Requests that start later mostly occupy a slot for nothing: when all start just before their
-    deadlines, the slots are busy and hardly any caller gets a response.
-    """
-    usual = service.usual_seconds.get(request.priority, 0.0)
-    spare = WAIT_SHARE * (request.deadline - request.arrived_at)
-    return request.deadline - min(usual, spare)
-
-
-def _estimate_wait(service: Service, request: Request) -> float:
-    """Return the expected time in seconds until the request starts, 0 if it is not known."""
-    slots = service.slots
-    if slots.free_slots or not slots.capacity:
-        return 0.0
-    ahead = service.queue.count_ahead(request.priority, request.deadline)
-    return (ahead + 1) * service.mean_seconds / slots.capacity
-
-
 # Choice of a destination
 
 
 def _route(state: InstanceState, service: Service, request: Request) -> list[Effect]:
     """Dispatch, forward or queue a request."""
-    if _has_closed(state):
+    if has_closed(state):
         return _route_at_shutdown(state, service, request)
     effects = _try_start(state, service, request)
     if effects is not None:
@@ -470,7 +284,7 @@
 
 
 def _start_on_own_slot(state: InstanceState, service: Service, request: Request) -> list[Effect]:
-    if _get_latest_start(service, request) <= state.now:
+    if get_latest_start(service, request) <= state.now:
         return _shed(state, service, request)
     generator = state.generator
     upstream = service.slots.choose(generator, request.labels, request.tried)
@@ -580,14 +394,14 @@
 
 def handle_answer(state: InstanceState, event: UpstreamAnswered) -> list[Effect]:
     """Free the slot and give the caller the upstream's response, or try again."""
-    effects = _mark_leaving(state, (event.upstream_id,)) if event.leaving else []
+    effects = mark_leaving(state, (event.upstream_id,)) if event.leaving else []
     request = _take_dispatched(state, event.ticket, event.upstream_id)
     if request is None:
         return effects + _free_retained(state, event.upstream_id, event.ticket)
     upstream = request.upstream
     assert upstream is not None
     service = state.routing.services[request.head.service]
-    _note_seconds(service, request.priority, state.now - request.started_at)
+    note_seconds(service, request.priority, state.now - request.started_at)
     if event.status >= FIRST_ERROR_STATUS and not event.not_run and not event.leaving:
         effects += _note_failure(state, service, upstream)
     elif not event.not_run:
@@ -663,7 +477,7 @@
     upstream = retained.upstream
     service = state.routing.services[upstream.view.service]
     # Without these, only quick responses would count, and overload would look like idleness.
-    _note_seconds(service, retained.priority, state.now - retained.started_at)
+    note_seconds(service, retained.priority, state.now - retained.started_at)
     service.slots.release(upstream)
     return _after_release(state, service, upstream)
 
@@ -683,33 +497,12 @@
 
 def _after_release(state: InstanceState, service: Service, upstream: Upstream) -> list[Effect]:
     if not upstream.granted and not upstream.in_use:
-        _forget_upstream(state, service, upstream)
+        forget_upstream(state, service, upstream)
     if len(service.queue):
         return _start_waiting(state, service)
     return []
 
 
-def _forget_upstream(state: InstanceState, service: Service, upstream: Upstream) -> None:
-    upstream_id = upstream.view.upstream_id
-    service.slots.remove(upstream)
-    state.ejection.forget(upstream_id)
-    if state.routing.upstreams.get(upstream_id) is upstream:
-        del state.routing.upstreams[upstream_id]
-
-
-def _note_seconds(service: Service, priority: PriorityClass, seconds: float) -> None:
-    """Take in how long an upstream was busy with one request."""
-    if service.mean_seconds == 0.0:
-        service.mean_seconds = seconds
-    service.mean_seconds += MEAN_WEIGHT * (seconds - service.mean_seconds)
-    usual = service.usual_seconds.get(priority, seconds)
-    if seconds > usual:
-        usual *= 1.0 + USUAL_STEP * USUAL_QUANTILE
-    else:
-        usual *= 1.0 - USUAL_STEP * (1.0 - USUAL_QUANTILE)
-    service.usual_seconds[priority] = usual
-
-
 def _note_failure(state: InstanceState, service: Service, upstream: Upstream) -> list[Effect]:
     upstream_id = upstream.view.upstream_id
     ejected = state.ejection.note_failure(
@@ -721,7 +514,7 @@
     )
     if not ejected:
         return []
-    _apply_limit(state, upstream)
+    apply_limit(state, upstream)
     fields: dict[str, object] = {"upstream": upstream_id, "service": service.name}
     return [LogDecision(decision="upstream-ejected", fields=fields)]
 
@@ -746,7 +539,7 @@
     if is_free:
         return _route(state, service, request)
     delay = compute_backoff(state.generator, request.tries)
-    if state.now + delay >= _get_latest_start(service, request):
+    if state.now + delay >= get_latest_start(service, request):
         return _finish(state, request, outcome)
     if not state.retries.get_budget(service.name).withdraw():
         return _finish(state, request, outcome)
@@ -853,7 +646,7 @@
     member = state.membership.members.get(digest.incarnation)
     if member is None or member.digest is not digest:
         return []
-    effects = _mark_leaving(state, digest.leaving_upstreams)
+    effects: list[Effect] = []
     is_usable = digest.ready and digest.state is MemberState.ALIVE
     for name in digest.free_slots:
         if name not in state.routing.services:
@@ -869,228 +662,20 @@
     return effects
 
 
-# Leaving upstreams
-
-
-def _mark_leaving(state: InstanceState, upstream_ids: Iterable[UpstreamId]) -> list[Effect]:
-    effects: list[Effect] = []
-    routing = state.routing
-    for upstream_id in upstream_ids:
-        if upstream_id in routing.leaving:
-            continue
-        routing.leaving[upstream_id] = state.now
-        upstream = routing.upstreams.get(upstream_id)
-        if upstream is not None:
-            _apply_limit(state, upstream)
-        fields: dict[str, object] = {"upstream": upstream_id}
-        effects.append(LogDecision(decision="upstream-leaving", fields=fields))
-    return effects
-
-
-def handle_platform_list(state: InstanceState, event: PlatformListed) -> list[Effect]:
-    """Stop using the upstreams on workers that the platform shows leaving or gone."""
-    state.routing.listed_workers |= {worker.worker_id for worker in event.workers}
-    return _refresh_leaving_workers(state)
-
-
-def handle_configuration(
-    state: InstanceState, event: ConfigurationCommitted | ConfigurationReceived
-) -> list[Effect]:
-    """Stop using the upstreams on workers that operators drain."""
-    changes = event.changes if isinstance(event, ConfigurationReceived) else (event.change,)
-    return _refresh_leaving_workers(state) if changes else []
-
-
-def _refresh_leaving_workers(state: InstanceState) -> list[Effect]:
-    routing = state.routing
-    views = state.membership.workers
-    leaving = {
-        view.worker_id
-        for view in views.values()
-        if view.leaving or state.configuration.is_draining(view)
-    }
-    leaving |= {worker_id for worker_id in routing.listed_workers if worker_id not in views}
-    changed = leaving ^ routing.leaving_workers
-    routing.leaving_workers = leaving
-    effects: list[Effect] = []
-    if not changed:
-        return effects
-    for upstream in list(routing.upstreams.values()):
-        if upstream.view.worker_id in changed:
-            _apply_limit(state, upstream)
-    for worker_id in sorted(changed & leaving):
-        fields: dict[str, object] = {"worker": worker_id}
-        effects.append(LogDecision(decision="worker-leaving", fields=fields))
-    for service in routing.services.values():
-        effects += _start_waiting(state, service)
-    return effects
-
-
-def _apply_limit(state: InstanceState, upstream: Upstream) -> None:
-    """Compute anew how many slots of an upstream new work may use."""
-    service = state.routing.services[upstream.view.service]
-    service.slots.set_limit(upstream, _compute_limit(state, upstream))
-
-
-def _compute_limit(state: InstanceState, upstream: Upstream) -> int:
-    view = upstream.view
-    routing = state.routing
-    if _has_closed(state) or view.leaving or view.upstream_id in routing.leaving:
-        return 0
-    if view.worker_id in routing.leaving_workers:
-        return 0
-    limit = upstream.granted
-    if upstream.requested is not None:
-        limit = min(limit, upstream.requested)
-    return state.ejection.cap_limit(view.upstream_id, limit, state.now)
-
-
-# Grants
-
-
-def handle_grant_update(state: InstanceState, event: GrantUpdateReceived) -> list[Effect]:
-    """Take in the grants of a shard; older updates and ones for others are ignored."""
-    update = event.update
-    routing = state.routing
-    if update.holder != state.incarnation:
-        return []
-    known = routing.shards.get(update.shard)
-    if known is not None and update.version < known.version:
-        return []
-    if known is not None and update.version == known.version:
-        _lower_limits(state, update)
-    else:
-        _replace_grants(state, update, known)
+def handle_slots_changed(state: InstanceState, event: Event) -> list[Effect]:
+    """Start what waits, after `holdings` took in an event that may have freed slots."""
     effects: list[Effect] = []
-    for service in routing.services.values():
+    for service in state.routing.services.values():
         if len(service.queue):
             effects += _start_waiting(state, service)
-    if update.requested_limits:
-        # The owner waits for this promise before it gives the slots to another instance.
-        effects += _report_shard(state, update.shard)
-    return effects
-
-
-def _lower_limits(state: InstanceState, update: GrantUpdate) -> None:
-    for upstream_id, limit in update.requested_limits.items():
-        upstream = state.routing.upstreams.get(upstream_id)
-        if upstream is None or upstream.shard != update.shard:
-            continue
-        former = upstream.granted if upstream.requested is None else upstream.requested
-        upstream.requested = min(former, limit)
-        _apply_limit(state, upstream)
-
-
-def _replace_grants(state: InstanceState, update: GrantUpdate, known: ShardGrants | None) -> None:
-    views = [view for view in update.upstreams if view.slots > 0]
-    ids = {view.upstream_id for view in views}
-    for upstream_id in (known.upstreams if known is not None else set()) - ids:
-        _drop_grant(state, upstream_id)
-    for view in views:
-        _set_grant(state, update, view)
-    state.routing.shards[update.shard] = ShardGrants(
-        version=update.version, owner=update.owner, upstreams=ids
-    )
-
-
-def _drop_grant(state: InstanceState, upstream_id: UpstreamId) -> None:
-    upstream = state.routing.upstreams.get(upstream_id)
-    if upstream is None:
-        return
-    service = state.routing.services[upstream.view.service]
-    upstream.granted = 0
-    service.slots.set_limit(upstream, 0)
-    if not upstream.in_use:
-        _forget_upstream(state, service, upstream)
-
-
-def _set_grant(state: InstanceState, update: GrantUpdate, view: UpstreamView) -> None:
-    routing = state.routing
-    upstream = routing.upstreams.get(view.upstream_id)
-    if upstream is None:
-        is_local = view.availability_zone == state.availability_zone
-        upstream = Upstream(view=view, shard=update.shard, granted=view.slots, is_local=is_local)
-        routing.upstreams[view.upstream_id] = upstream
-        service = routing.services.get(view.service) or _create_service(state, view.service)
-        service.slots.add(upstream)
-    upstream.view = view
-    upstream.granted = view.slots
-    upstream.requested = update.requested_limits.get(view.upstream_id)
-    _apply_limit(state, upstream)
-
-
-def report_limits(state: InstanceState) -> list[Effect]:
-    """Report limits and demand to the owner of each shard that is known."""
-    shards = set(state.routing.shards)
-    for member in state.membership.members.values():
-        shards.update(member.digest.shards)
-    effects: list[Effect] = []
-    for shard in sorted(shards):
-        effects += _report_shard(state, shard)
     return effects
 
 
-def _report_shard(state: InstanceState, shard: ShardId) -> list[Effect]:
-    grants = state.routing.shards.get(shard)
-    owner = _find_owner(state, shard, grants)
-    address = state.address if owner == state.incarnation else None
-    if owner is not None and address is None:
-        address = get_peer_address(state, owner)
-    if address is None:
-        return []
-    report = GrantReport(
-        shard=shard,
-        version=grants.version if grants is not None else (0, 0),
-        holder=state.incarnation,
-        limits=_collect_promises(state, grants),
-        demand={
-            service.name: round(service.demand, 2)
-            for service in state.routing.services.values()
-            if service.demand >= 0.01
-        },
-    )
-    return [SendGrantReport(address=address, report=report)]
-
-
-def _find_owner(
-    state: InstanceState, shard: ShardId, grants: ShardGrants | None
-) -> IncarnationId | None:
-    """Return the owner with the highest epoch that heartbeats or a grant update named."""
-    epoch, owner = (grants.version[0], grants.owner) if grants is not None else (-1, None)
-    for incarnation, member in state.membership.members.items():
-        claimed = member.digest.shards.get(shard, -1)
-        if claimed > epoch:
-            epoch, owner = claimed, incarnation
-    return owner
-
-
-def _collect_promises(state: InstanceState, grants: ShardGrants | None) -> dict[UpstreamId, int]:
-    """Return the promised limits that are lower than the grants, to keep reports short."""
-    promises: dict[UpstreamId, int] = {}
-    closed = _has_closed(state)
-    for upstream_id in sorted(grants.upstreams) if grants is not None else ():
-        upstream = state.routing.upstreams[upstream_id]
-        promise = upstream.in_use if closed else upstream.get_promise()
-        if promise < upstream.granted:
-            promises[upstream_id] = promise
-    return promises
-
-
-def _update_demand(state: InstanceState) -> None:
-    for service in state.routing.services.values():
-        own = service.slots.in_use + len(service.queue)
-        current = max(0, own + service.forwarded_out - service.forwarded_in)
-        service.demand += DEMAND_WEIGHT * (current - service.demand)
-
-
 # Timers and shutdown
 
 
 def handle_timer(state: InstanceState, event: TimerFired) -> list[Effect]:
-    """Shed, retry and release what is due; report to the shard owners."""
-    if event.name == GRANT_REPORT_TIMER:
-        _update_demand(state)
-        return report_limits(state)
+    """Shed, retry and release what is due."""
     if event.name != REQUEST_TIMER:
         return []
     effects = _shed_due(state)
@@ -1098,7 +683,6 @@
     effects += _resume_backed_off(state)
     effects += _release_quarantined(state)
     effects += _refresh_ejected(state)
-    _forget_old_leaving(state)
     return effects
 
 
@@ -1115,7 +699,7 @@
 
 def _pop_late(state: InstanceState, service: Service) -> list[Request]:
     def is_late(request: Request) -> bool:
-        return _get_latest_start(service, request) <= state.now
+        return get_latest_start(service, request) <= state.now
 
     return list(service.queue.pop_due(is_late))
 
@@ -1165,33 +749,18 @@
         upstream = state.routing.upstreams.get(upstream_id)
         if upstream is None:
             continue
-        _apply_limit(state, upstream)
+        apply_limit(state, upstream)
         service = state.routing.services[upstream.view.service]
         if len(service.queue):
             effects += _start_waiting(state, service)
     return effects
 
 
-def _forget_old_leaving(state: InstanceState) -> None:
-    leaving = state.routing.leaving
-    limit = state.now - LEAVING_MEMORY_SECONDS
-    while leaving:
-        upstream_id = next(iter(leaving))
-        if leaving[upstream_id] > limit or upstream_id in state.routing.upstreams:
-            break
-        del leaving[upstream_id]
-
-
-def _has_closed(state: InstanceState) -> bool:
-    """Return whether the grace period of a shutdown is over, so that no new work starts."""
-    return state.shutdown.listeners_closed
-
-
 def drain_queues(state: InstanceState) -> list[Effect]:
     """Forward or answer everything that waits, and give up all limits."""
     effects: list[Effect] = []
     for upstream in state.routing.upstreams.values():
-        _apply_limit(state, upstream)
+        apply_limit(state, upstream)
     for service in state.routing.services.values():
         for request in list(service.queue.pop_all()):
             effects += _route_at_shutdown(state, service, request)
@@ -1226,29 +795,6 @@
     return not routing.requests and not routing.retained and not state.claims.pending
 
 
-def collect_routing_fields(state: InstanceState) -> dict[str, object]:
-    """Return the digest's fields on slots, queues and leaving upstreams."""
-    routing = state.routing
-    limit = state.now - LEAVING_GOSSIP_SECONDS
-    queued = {
-        service.name: len(service.queue)
-        for service in routing.services.values()
-        if len(service.queue)
-    }
-    free_slots = {
-        service.name: service.slots.free_slots
-        for service in routing.services.values()
-        if service.slots.free_slots and service.name not in queued
-    }
-    return {
-        "free_slots": {} if state.shutting_down_since is not None else free_slots,
-        "queued": queued,
-        "leaving_upstreams": tuple(
-            sorted(upstream_id for upstream_id, since in routing.leaving.items() if since > limit)
-        ),
-    }
-
-
 HANDLERS = {
     RequestArrived: handle_arrival,
     RequestAbandoned: handle_abandoned,
@@ -1259,9 +805,9 @@
     PeerAnswered: handle_peer_answer,
     PeerFailed: handle_peer_failure,
     HeartbeatReceived: handle_heartbeat,
-    PlatformListed: handle_platform_list,
-    ConfigurationCommitted: handle_configuration,
-    ConfigurationReceived: handle_configuration,
-    GrantUpdateReceived: handle_grant_update,
+    PlatformListed: handle_slots_changed,
+    ConfigurationCommitted: handle_slots_changed,
+    ConfigurationReceived: handle_slots_changed,
+    GrantUpdateReceived: handle_slots_changed,
     TimerFired: handle_timer,
 }
--- /dev/null
+++ b/src/lavenderhook/_internal/core/services.py
@@ -0,0 +1,261 @@
+"""Services and requests as the request plane knows them, and the limits on their upstreams."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+from .declarations import DEFAULT_POLICIES, Policy
+from .effects import (
+    UnknownReason,
+)
+from .events import (
+    RequestHead,
+    Ticket,
+)
+from .identifiers import (
+    ConfigurationVersion,
+    IncarnationId,
+    PriorityClass,
+    ShardId,
+    UpstreamId,
+    WorkerId,
+    WorkloadKind,
+)
+from .labels import Labels
+from .queues import LabelKey, ServiceQueue
+from .slots import SlotPool, Upstream
+
+if TYPE_CHECKING:
+    from .state import InstanceState
+
+
+# Weight of a new response time in the mean of a service.
+MEAN_WEIGHT = 0.05
+# The usual time follows the 95th percentile of the response times of a class: it rises by 0.95 of
+# a step when a response took longer and falls by 0.05 of it otherwise, relative to its own value.
+USUAL_STEP = 0.05
+USUAL_QUANTILE = 0.95
+# A queued request may wait for this share of its time even if responses usually take longer than
+# the rest, so that a caller with a short deadline is not refused by what others need.
+WAIT_SHARE = 0.5
+
+
+class Phase(enum.Enum):
+    """Where a request is."""
+
+    CLAIMING = "claiming"
+    WAITING = "waiting"
+    BACKING_OFF = "backing-off"
+    DISPATCHED = "dispatched"
+    FORWARDED = "forwarded"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Request:
+    """A request between its arrival and its answer.
+
+    Parameters
+    ----------
+    tries : int
+        Dispatches and forwards so far.
+    was_forwarded : bool
+        Whether a peer got it from us; it is then not forwarded again.
+    may_have_run : UnknownReason or None
+        Set once an upstream may have run it; it can then no longer end as not run.
+    """
+
+    head: RequestHead
+    sequence: int
+    label_key: LabelKey
+    arrived_at: float
+    phase: Phase = Phase.WAITING
+    tries: int = 0
+    was_forwarded: bool = False
+    may_have_run: UnknownReason | None = None
+    is_abandoned: bool = False
+    upstream: Upstream | None = None
+    peer: IncarnationId | None = None
+    started_at: float = 0.0
+    tried: tuple[UpstreamId, ...] = ()
+
+    @property
+    def deadline(self) -> float:
+        """Absolute time in seconds."""
+        return self.head.deadline
+
+    @property
+    def priority(self) -> PriorityClass:
+        """Class of the queue in which it waits."""
+        return self.head.priority
+
+    @property
+    def labels(self) -> Labels:
+        """Labels that the upstream must carry."""
+        return self.head.labels
+
+
+@dataclasses.dataclass(slots=True)
+class Service:
+    """What this instance knows of a service.
+
+    Parameters
+    ----------
+    peers : dict of IncarnationId to int
+        Slots assumed free at peers: of the last digest, less what was forwarded since.
+    mean_seconds : float
+        Mean response time; 0 before the first response.
+    usual_seconds : dict of PriorityClass to float
+        Time within which 19 of 20 responses of a class come.
+    forwarded_in, forwarded_out : int
+        Requests here that peers forwarded, and own ones that are at peers.
+    """
+
+    name: str
+    queue: ServiceQueue[Request]
+    slots: SlotPool = dataclasses.field(default_factory=SlotPool)
+    peers: dict[IncarnationId, int] = dataclasses.field(default_factory=dict)
+    policy: Policy = DEFAULT_POLICIES[WorkloadKind.SERVICE]
+    policy_version: ConfigurationVersion = ConfigurationVersion(-1)
+    mean_seconds: float = 0.0
+    usual_seconds: dict[PriorityClass, float] = dataclasses.field(default_factory=dict)
+    forwarded_in: int = 0
+    forwarded_out: int = 0
+    demand: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Retained:
+    """A slot that stays in use after a timeout; times are in seconds."""
+
+    upstream: Upstream
+    priority: PriorityClass
+    started_at: float
+    since: float
+
+
+@dataclasses.dataclass(slots=True)
+class ShardGrants:
+    """The last grant update of a shard."""
+
+    version: tuple[int, int]
+    owner: IncarnationId
+    upstreams: set[UpstreamId] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class RoutingState:
+    """The request plane of one instance.
+
+    Parameters
+    ----------
+    retained : dict of (UpstreamId, Ticket) to Retained
+        Slots that stay in use after a timeout, oldest first.
+    leaving : dict of UpstreamId to float
+        Upstreams known to leave, with the time at which that became known here.
+    leaving_workers : set of WorkerId
+        Workers that leave, are gone or are drained.
+    """
+
+    services: dict[str, Service] = dataclasses.field(default_factory=dict)
+    upstreams: dict[UpstreamId, Upstream] = dataclasses.field(default_factory=dict)
+    requests: dict[Ticket, Request] = dataclasses.field(default_factory=dict)
+    shards: dict[ShardId, ShardGrants] = dataclasses.field(default_factory=dict)
+    retained: dict[tuple[UpstreamId, Ticket], Retained] = dataclasses.field(default_factory=dict)
+    backing_off: list[tuple[float, int, Request]] = dataclasses.field(default_factory=list)
+    claiming: list[tuple[float, int, Request]] = dataclasses.field(default_factory=list)
+    leaving: dict[UpstreamId, float] = dataclasses.field(default_factory=dict)
+    leaving_workers: set[WorkerId] = dataclasses.field(default_factory=set)
+    listed_workers: set[WorkerId] = dataclasses.field(default_factory=set)
+    sequence: int = 0
+
+
+def find_service(state: InstanceState, name: str) -> Service | None:
+    """Return a service with its policy in force, or None if no such workload is declared."""
+    service = state.routing.services.get(name)
+    version = state.configuration.version
+    if service is not None and service.policy_version == version:
+        return service
+    workload = state.configuration.get_workload(name)
+    if workload is None or workload.type is not WorkloadKind.SERVICE:
+        return None
+    if service is None:
+        service = create_service(state, name)
+    labels = {"name": name, **workload.labels}
+    service.policy = state.configuration.find_policy(WorkloadKind.SERVICE, labels)
+    service.policy_version = version
+    return service
+
+
+def create_service(state: InstanceState, name: str) -> Service:
+    """Add a service without upstreams."""
+    queue: ServiceQueue[Request] = ServiceQueue(state.parameters.lower_class_share)
+    service = state.routing.services[name] = Service(name=name, queue=queue)
+    return service
+
+
+def apply_limit(state: InstanceState, upstream: Upstream) -> None:
+    """Compute anew how many slots of an upstream new work may use."""
+    service = state.routing.services[upstream.view.service]
+    service.slots.set_limit(upstream, _compute_limit(state, upstream))
+
+
+def _compute_limit(state: InstanceState, upstream: Upstream) -> int:
+    view = upstream.view
+    routing = state.routing
+    if has_closed(state) or view.leaving or view.upstream_id in routing.leaving:
+        return 0
+    if view.worker_id in routing.leaving_workers:
+        return 0
+    limit = upstream.granted
+    if upstream.requested is not None:
+        limit = min(limit, upstream.requested)
+    return state.ejection.cap_limit(view.upstream_id, limit, state.now)
+
+
+def forget_upstream(state: InstanceState, service: Service, upstream: Upstream) -> None:
+    """Drop an upstream without a grant and without requests outstanding."""
+    upstream_id = upstream.view.upstream_id
+    service.slots.remove(upstream)
+    state.ejection.forget(upstream_id)
+    if state.routing.upstreams.get(upstream_id) is upstream:
+        del state.routing.upstreams[upstream_id]
+
+
+def has_closed(state: InstanceState) -> bool:
+    """Return whether the grace period of a shutdown is over, so that no new work starts."""
+    return state.shutdown.listeners_closed
+
+
+def get_latest_start(service: Service, request: Request) -> float:
+    """Return the time after which a queued request would usually not end in time.
+
+    Requests that start later mostly occupy a slot for nothing: when all start just before their
+    deadlines, the slots are busy and hardly any caller gets a response.
+    """
+    usual = service.usual_seconds.get(request.priority, 0.0)
+    spare = WAIT_SHARE * (request.deadline - request.arrived_at)
+    return request.deadline - min(usual, spare)
+
+
+def estimate_wait(service: Service, request: Request) -> float:
+    """Return the expected time in seconds until the request starts, 0 if it is not known."""
+    slots = service.slots
+    if slots.free_slots or not slots.capacity:
+        return 0.0
+    ahead = service.queue.count_ahead(request.priority, request.deadline)
+    return (ahead + 1) * service.mean_seconds / slots.capacity
+
+
+def note_seconds(service: Service, priority: PriorityClass, seconds: float) -> None:
+    """Take in how long an upstream was busy with one request."""
+    if service.mean_seconds == 0.0:
+        service.mean_seconds = seconds
+    service.mean_seconds += MEAN_WEIGHT * (seconds - service.mean_seconds)
+    usual = service.usual_seconds.get(priority, seconds)
+    if seconds > usual:
+        usual *= 1.0 + USUAL_STEP * USUAL_QUANTILE
+    else:
+        usual *= 1.0 - USUAL_STEP * (1.0 - USUAL_QUANTILE)
+    service.usual_seconds[priority] = usual
--- a/src/lavenderhook/_internal/core/shutdown.py
+++ b/src/lavenderhook/_internal/core/shutdown.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from . import routing
+from . import holdings, routing
 from .effects import Effect, LogDecision, StopProcess
 from .events import TimerFired
 from .membership import close_listeners_if_due
@@ -42,7 +42,7 @@
         return effects
     if all(check(state) for check in DRAIN_CHECKS):
         state.shutdown.stopped = True
-        effects += routing.report_limits(state)
+        effects += holdings.report_limits(state)
         effects.append(LogDecision(decision="shutdown-complete", fields={}))
         effects.append(StopProcess())
     return effects
--- a/src/lavenderhook/_internal/core/state.py
+++ b/src/lavenderhook/_internal/core/state.py
@@ -13,7 +13,7 @@
 from .membership import MembershipState
 from .requests import ClaimsState
 from .retries import RetryState
-from .routing import RoutingState
+from .services import RoutingState
 from .shutdown import ShutdownState
 
 
