--- a/features/routing_peers.feature
+++ b/features/routing_peers.feature
@@ -55,6 +55,13 @@
       | heartbeat b leaving=u1      | u1   |
       | workers w1:leaving w2       | none |
       | workers w2                  | none |
+      | drain w1                    | none |
+
+  Scenario: The end of a drain starts what waits
+    Guards against upstreams that stay unused after operators took a drain back.
+    Given an instance that holds "u1:1"
+    When it sees "workers w1; drain w1; arrive 1; drain w1 end"
+    Then it does "dispatch 1 u1"
 
   Scenario: An upstream that refuses because it leaves costs no request
     Guards against failed requests and spent retry budget in a planned stop.
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -10,7 +10,13 @@
 
 from lavenderhook._internal.core import effects as fx
 from lavenderhook._internal.core import events as ev
-from lavenderhook._internal.core.declarations import Policy, Selector, SelectorTarget, Workload
+from lavenderhook._internal.core.declarations import (
+    Policy,
+    Selector,
+    SelectorTarget,
+    WorkerLabels,
+    Workload,
+)
 from lavenderhook._internal.core.identifiers import MemberState, PriorityClass, WorkloadKind
 from lavenderhook._internal.core.messages import Digest, GrantUpdate
 from lavenderhook._internal.core.records import UpstreamView, WorkerView
@@ -191,7 +197,20 @@
     return ev.PlatformListed(now=driver.now, instances=(), workers=workers)
 
 
+def build_drain(driver, plain, options):
+    """Return the operators' change that drains a worker, or with ``end`` no longer does."""
+    version = driver.state.configuration.version + 1
+    labels = WorkerLabels(name=plain[0], drain="end" not in plain)
+    change = ev.ConfigurationChange(
+        version=version, change_id=f"c{version}", author="o", at=0.0, puts=(labels,)
+    )
+    return ev.ConfigurationReceived(
+        now=driver.now, changes=(change,), complete=False, from_table=True, head=version
+    )
+
+
 EVENTS = {
+    "drain": build_drain,
     "arrive": lambda d, p, o: ev.RequestArrived(now=d.now, head=make_head(int(p[0]), d.now, **o)),
     "abandon": lambda d, p, o: ev.RequestAbandoned(now=d.now, ticket=int(p[0])),
     "claim": lambda d, p, o: ev.ClaimResolved(
--- a/src/lavenderhook/_internal/core/grants.py
+++ b/src/lavenderhook/_internal/core/grants.py
@@ -58,6 +58,9 @@
         Upstreams of the shard, with all their slots.
     grants : mapping
         Committed slots by upstream and holder.
+    members : mapping
+        Every holder and every instance that may become one. A holder that is missing here keeps
+        its slots for ever; one that the platform's list does not show must be passed as GONE.
     promises : mapping
         Limits that holders promised, by holder and upstream, where lower than the grant.
     demand : mapping
@@ -514,6 +517,12 @@
         self.due.update(former)
         self.due.update(change.slots)
 
+    def forget(self, holder: IncarnationId) -> None:
+        """Drop what is known of a holder that is gone and has no grants any more."""
+        for entries in (self.promises, self.demand, self.sent, self.requested):
+            entries.pop(holder, None)
+        self.due.discard(holder)
+
     def request_moves(self, inputs: GrantInputs) -> bool:
         """Ask holders for lower limits, at most once a second; return whether any is asked."""
         if inputs.now - self.moved_at < MOVE_INTERVAL_SECONDS:
--- a/src/lavenderhook/_internal/core/holdings.py
+++ b/src/lavenderhook/_internal/core/holdings.py
@@ -8,11 +8,7 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from .effects import (
-    Effect,
-    LogDecision,
-    SendGrantReport,
-)
+from .effects import Effect, LogDecision, SendGrantReport
 from .events import (
     ConfigurationCommitted,
     ConfigurationReceived,
@@ -21,15 +17,18 @@
     PlatformListed,
     TimerFired,
 )
-from .identifiers import (
-    IncarnationId,
-    ShardId,
-    UpstreamId,
-)
+from .identifiers import IncarnationId, ShardId, UpstreamId, WorkerId
 from .membership import get_peer_address
 from .messages import GrantReport, GrantUpdate
 from .records import UpstreamView
-from .services import ShardGrants, apply_limit, create_service, forget_upstream, has_closed
+from .services import (
+    ShardGrants,
+    apply_limit,
+    create_service,
+    forget_upstream,
+    has_closed,
+    is_worker_leaving,
+)
 from .slots import Upstream
 
 if TYPE_CHECKING:
@@ -67,7 +66,13 @@
 
 def handle_platform_list(state: InstanceState, event: PlatformListed) -> list[Effect]:
     """Stop using the upstreams on workers that the platform shows leaving or gone."""
-    state.routing.listed_workers |= {worker.worker_id for worker in event.workers}
+    routing = state.routing
+    views = state.membership.workers
+    # Only workers of own upstreams are looked at: the platform may list 20,000.
+    used = {upstream.view.worker_id for upstream in routing.upstreams.values()}
+    routing.listed_workers = {
+        worker_id for worker_id in used if worker_id in views or worker_id in routing.listed_workers
+    }
     return _refresh_leaving_workers(state)
 
 
@@ -81,25 +86,20 @@
 
 def _refresh_leaving_workers(state: InstanceState) -> list[Effect]:
     routing = state.routing
-    views = state.membership.workers
-    leaving = {
-        view.worker_id
-        for view in views.values()
-        if view.leaving or state.configuration.is_draining(view)
-    }
-    leaving |= {worker_id for worker_id in routing.listed_workers if worker_id not in views}
-    changed = leaving ^ routing.leaving_workers
-    routing.leaving_workers = leaving
-    effects: list[Effect] = []
-    if not changed:
-        return effects
+    leaving: set[WorkerId] = set()
     for upstream in list(routing.upstreams.values()):
-        if upstream.view.worker_id in changed:
+        worker_id = upstream.view.worker_id
+        is_leaving = is_worker_leaving(state, worker_id)
+        if is_leaving:
+            leaving.add(worker_id)
+        if is_leaving != (worker_id in routing.leaving_workers):
             apply_limit(state, upstream)
-    for worker_id in sorted(changed & leaving):
-        fields: dict[str, object] = {"worker": worker_id}
-        effects.append(LogDecision(decision="worker-leaving", fields=fields))
-    return effects
+    changed = sorted(leaving - routing.leaving_workers)
+    routing.leaving_workers = leaving
+    return [
+        LogDecision(decision="worker-leaving", fields={"worker": worker_id})
+        for worker_id in changed
+    ]
 
 
 def forget_old_leaving(state: InstanceState) -> None:
@@ -248,6 +248,17 @@
         service.demand += DEMAND_WEIGHT * (current - service.demand)
 
 
+def get_free_slots(state: InstanceState, service_name: str) -> int:
+    """Return the slots that peers may use: none while requests wait here or at shutdown.
+
+    The digest and the answers to forwarded requests carry this figure.
+    """
+    service = state.routing.services.get(service_name)
+    if service is None or state.shutting_down_since is not None or len(service.queue):
+        return 0
+    return service.slots.free_slots
+
+
 def collect_routing_fields(state: InstanceState) -> dict[str, object]:
     """Return the digest's fields on slots, queues and leaving upstreams."""
     routing = state.routing
@@ -257,13 +268,9 @@
         for service in routing.services.values()
         if len(service.queue)
     }
-    free_slots = {
-        service.name: service.slots.free_slots
-        for service in routing.services.values()
-        if service.slots.free_slots and service.name not in queued
-    }
+    free_slots = {name: free for name in routing.services if (free := get_free_slots(state, name))}
     return {
-        "free_slots": {} if state.shutting_down_since is not None else free_slots,
+        "free_slots": free_slots,
         "queued": queued,
         "leaving_upstreams": tuple(
             sorted(upstream_id for upstream_id, since in routing.leaving.items() if since > limit)
--- a/src/lavenderhook/_internal/core/routing.py
+++ b/src/lavenderhook/_internal/core/routing.py
@@ -47,11 +47,7 @@
     UpstreamReleased,
 )
 from .holdings import mark_leaving, report_limits
-from .identifiers import (
-    IncarnationId,
-    MemberState,
-    UpstreamId,
-)
+from .identifiers import IncarnationId, MemberState, UpstreamId
 from .membership import get_member_state
 from .messages import Digest
 from .retries import compute_backoff
--- a/src/lavenderhook/_internal/core/services.py
+++ b/src/lavenderhook/_internal/core/services.py
@@ -7,13 +7,8 @@
 from typing import TYPE_CHECKING
 
 from .declarations import DEFAULT_POLICIES, Policy
-from .effects import (
-    UnknownReason,
-)
-from .events import (
-    RequestHead,
-    Ticket,
-)
+from .effects import UnknownReason
+from .events import RequestHead, Ticket
 from .identifiers import (
     ConfigurationVersion,
     IncarnationId,
@@ -155,7 +150,9 @@
     leaving : dict of UpstreamId to float
         Upstreams known to leave, with the time at which that became known here.
     leaving_workers : set of WorkerId
-        Workers that leave, are gone or are drained.
+        Workers of own upstreams that leave, are gone or are drained, as of the last check.
+    listed_workers : set of WorkerId
+        Workers of own upstreams that the platform listed at some time.
     """
 
     services: dict[str, Service] = dataclasses.field(default_factory=dict)
@@ -201,12 +198,20 @@
     service.slots.set_limit(upstream, _compute_limit(state, upstream))
 
 
+def is_worker_leaving(state: InstanceState, worker_id: WorkerId) -> bool:
+    """Return whether a worker leaves, is drained, or is no longer listed."""
+    view = state.membership.workers.get(worker_id)
+    if view is None:
+        return worker_id in state.routing.listed_workers
+    return view.leaving or state.configuration.is_draining(view)
+
+
 def _compute_limit(state: InstanceState, upstream: Upstream) -> int:
     view = upstream.view
     routing = state.routing
     if has_closed(state) or view.leaving or view.upstream_id in routing.leaving:
         return 0
-    if view.worker_id in routing.leaving_workers:
+    if is_worker_leaving(state, view.worker_id):
         return 0
     limit = upstream.granted
     if upstream.requested is not None:
