--- a/src/lavenderhook/_internal/core/reducer.py
+++ b/src/lavenderhook/_internal/core/reducer.py
@@ -33,6 +33,7 @@
         attempts,
         configuration,
         granting,
+        holdings,
         membership,
         placement,
         queries,
@@ -45,6 +46,7 @@
     return (
         membership,
         configuration,
+        holdings,
         routing,
         requests,
         placement,
--- a/src/lavenderhook/_internal/core/shutdown.py
+++ b/src/lavenderhook/_internal/core/shutdown.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from . import routing
+from . import holdings, placement, routing
 from .effects import Effect, LogDecision, StopProcess
 from .events import TimerFired
 from .membership import close_listeners_if_due
@@ -17,7 +17,10 @@
 SHUTDOWN_TIMER = "shutdown"
 TIMERS = {SHUTDOWN_TIMER: "shutdown_check_interval"}
 # Each component that must finish before the process may exit adds its check.
-DRAIN_CHECKS: tuple[Callable[..., bool], ...] = (routing.is_drained,)
+DRAIN_CHECKS: tuple[Callable[..., bool], ...] = (
+    routing.is_drained,
+    placement.has_released_shards,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,7 +45,7 @@
         return effects
     if all(check(state) for check in DRAIN_CHECKS):
         state.shutdown.stopped = True
-        effects += routing.report_limits(state)
+        effects += holdings.report_limits(state)
         effects.append(LogDecision(decision="shutdown-complete", fields={}))
         effects.append(StopProcess())
     return effects
--- a/src/lavenderhook/_internal/core/state.py
+++ b/src/lavenderhook/_internal/core/state.py
@@ -14,7 +14,7 @@
 from .ownership import PlacementState
 from .requests import ClaimsState
 from .retries import RetryState
-from .routing import RoutingState
+from .routing_state import RoutingState
 from .shutdown import ShutdownState
 
 
