Exchange one heartbeat for each pair of peers, and keep decisions free of pauses

A full collection of the garbage collector took 0.2 s with 340,000 tasks (trial); it is kept from happening.

The writer of the log is joined instead of killed, since the last lines of a process were lost while a thread wrote them; the process scenario found this.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -45,7 +45,7 @@
         queued={"sponsor-desk": 3},
         shards={0: 4},
     )
-    heartbeat = Heartbeat(digest=digest, members=dict.fromkeys(names, "10.0.0.1:8080"))
+    heartbeat = Heartbeat(base=1, digest=digest, members=dict.fromkeys(names, "10.0.0.1:8080"))
     request = ForwardedRequest(
         request_id="0123456789abcdef",
         caller="desk",
--- a/features/steps/daemon_peers.py
+++ b/features/steps/daemon_peers.py
@@ -36,7 +36,6 @@
     second = StubCore("forward", peer=(target.incarnation, target.listener.location))
     source = start_instance(context, second, name="entry-1", seeds=[target.listener.location])
     context.cores, context.daemons = [first, second], [target, source]
-    wait_until(lambda: source.peers.last_digest is not None, 2)
 
 
 @given("1 running instance that forwards to an address where nobody listens")
--- a/src/lavenderhook/_internal/adapters/peer_routes.py
+++ b/src/lavenderhook/_internal/adapters/peer_routes.py
@@ -20,8 +20,8 @@
     RequestArrived,
     RequestHead,
 )
-from ..core.membership import build_digest, list_live_members
-from ..core.messages import GrantReport, GrantUpdate, HeartbeatReply
+from ..core.membership import build_digest
+from ..core.messages import Digest, GrantReport, GrantUpdate
 from .calls import CallTable, Operation
 from .credentials import Credentials
 from .frontend import Incoming, Reply
@@ -47,12 +47,11 @@
 from .routes import Core, run_operation, wait_for_answer
 
 FRAME_BYTES = 128 * 1024  # head of a forwarded request, on top of the largest body
-MESSAGE_TYPE = "application/msgpack"
+MESSAGE_HEADERS = (("Content-Type", "application/msgpack"),)
 
 
 def _reply(message: msgspec.Struct) -> Reply:
-    headers = (("Content-Type", MESSAGE_TYPE),)
-    return Reply(headers=headers, body=msgspec.msgpack.encode(message))
+    return Reply(headers=MESSAGE_HEADERS, body=msgspec.msgpack.encode(message))
 
 
 class PeerRoutes:
@@ -64,7 +63,7 @@
     calls : CallTable
     credentials : Credentials
     peers : PeerCalls
-        Tells which peers get heartbeats from here anyway.
+        Keeps the heartbeats of peers.
     """
 
     def __init__(
@@ -94,20 +93,16 @@
         return handler(incoming.read_body(FRAME_BYTES), incoming)
 
     def _take_heartbeat(self, content: bytes, incoming: Incoming) -> Reply:
-        event = self._peers.take_heartbeat(decode_heartbeat(content))
-        if event is None:
+        message = decode_heartbeat(content)
+        answer = self._peers.answer_heartbeat(message, self._build_digest)
+        if answer is None:
             return Reply(status=UNKNOWN_BASE_STATUS)
+        event, reply = answer
         self._core.apply(event)
-        if event.digest.address in self._peers.addresses:
-            # That peer gets this instance's heartbeats; a reply would repeat them.
-            return Reply(status=204)
-        state = self._core.state
-        digest = self._peers.last_digest or build_digest(state)
-        members = {
-            incarnation: state.membership.members[incarnation].digest.address
-            for incarnation in list_live_members(state)[: state.parameters.full_mesh_limit]
-        }
-        return _reply(HeartbeatReply(digest=digest, members=members))
+        return Reply(body=reply)
+
+    def _build_digest(self) -> Digest:
+        return build_digest(self._core.state)
 
     def _take_report(self, content: bytes, incoming: Incoming) -> Reply:
         report = decode_message(content, GrantReport)
@@ -220,5 +215,4 @@
 
 
 def _reply_framed(message: PeerMessage, body: bytes = b"") -> Reply:
-    headers = (("Content-Type", MESSAGE_TYPE),)
-    return Reply(headers=headers, body=encode_framed(message, body))
+    return Reply(headers=MESSAGE_HEADERS, body=encode_framed(message, body))
--- a/src/lavenderhook/_internal/adapters/peers.py
+++ b/src/lavenderhook/_internal/adapters/peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import struct
+import time
 from collections.abc import Callable
 from typing import TypeAlias, TypeVar
 
@@ -53,7 +54,7 @@
     JobId,
     TeamName,
 )
-from ..core.messages import Digest, ForwardedRequest, HeartbeatReply
+from ..core.messages import Digest, ForwardedRequest
 from ..core.records import JobSpec
 from ..ports.time import Clock
 from .calls import CallTable, PendingCall, RelayedAnswer
@@ -64,6 +65,8 @@
 HEARTBEAT_TIMEOUT = 0.5  # seconds; a later heartbeat replaces a lost one
 OPERATION_TIMEOUT = 10.0  # seconds
 FORWARD_MARGIN = 0.5  # seconds that a peer's answer may take after the request's deadline
+# A peer that starts the exchanges is late after so many intervals; then the other one does too.
+HEARD_INTERVALS = 1.5
 HEARTBEAT_PATH = PREFIX + "heartbeat"
 UNKNOWN_BASE_STATUS = 409  # answer to a repeat whose full heartbeat the receiver does not have
 MAX_BASES = 4096
@@ -76,23 +79,41 @@
     """Base of the messages that only adapters exchange."""
 
 
-class Heartbeat(PeerMessage, frozen=True, kw_only=True, tag=True):
+class HeartbeatMessage(PeerMessage, frozen=True, kw_only=True):
+    """Base of the two forms of a heartbeat, which are also its reply.
+
+    Parameters
+    ----------
+    base : int
+        Counts the contents of the sender's heartbeats, without their sequence.
+    known : tuple of (IncarnationId, int) or None
+        Incarnation and base of the receiver that the sender has.
+    """
+
+    base: int
+    known: tuple[IncarnationId, int] | None = None
+
+
+class Heartbeat(HeartbeatMessage, frozen=True, kw_only=True, tag=True):
     """A digest and the addresses that the sender knows."""
 
     digest: Digest
     members: dict[IncarnationId, str] = {}
 
 
-class HeartbeatRepeat(PeerMessage, frozen=True, kw_only=True, tag=True):
-    """Says that the sender's last full heartbeat to the receiver still holds.
+class HeartbeatRepeat(HeartbeatMessage, frozen=True, kw_only=True, tag=True):
+    """Says that the contents of an earlier heartbeat still hold.
 
-    At rest nothing but the sequence changes, and this form has a tenth of the bytes.
+    At rest nothing but the sequence changes, and this form has a fraction of the bytes.
     """
 
     incarnation: IncarnationId
     sequence: int
 
 
+AnyHeartbeat: TypeAlias = Heartbeat | HeartbeatRepeat
+
+
 class ConfigurationPush(PeerMessage, frozen=True, kw_only=True, tag=True):
     """A committed change."""
 
@@ -210,6 +231,10 @@
         Queues an event.
     apply : callable
         Reduces an event in the calling greenlet.
+    own : IncarnationId
+        Incarnation of this instance.
+    interval : float
+        Seconds between heartbeats.
     """
 
     def __init__(
@@ -220,6 +245,8 @@
         calls: CallTable,
         emit: Callable[[Event], None],
         apply: Callable[[Event], None],
+        own: IncarnationId,
+        interval: float,
     ) -> None:
         self._client = client
         self._forwarding_client = forwarding_client
@@ -227,80 +254,139 @@
         self._calls = calls
         self._emit = emit
         self._apply = apply
+        self._own = own
         self._busy: set[tuple[str, str]] = set()
-        self._base: tuple[Digest, dict[IncarnationId, str]] | None = None
-        self._acknowledged: set[str] = set()  # addresses that know the present base
-        self._received: dict[IncarnationId, Digest] = {}  # bases of peers
-        self.last_digest: Digest | None = None
-        self.addresses: frozenset[str] = frozenset()
+        self._interval = interval
+        self._members: dict[IncarnationId, str] = {}
+        self._contents: tuple[Digest, dict[IncarnationId, str]] | None = None
+        self._base = 0
+        # By address: the base that a peer has of this instance, the one that this instance has
+        # of it, and when it was last heard (monotonic seconds).
+        self._acknowledged: dict[str, int] = {}
+        self._known: dict[str, tuple[IncarnationId, int]] = {}
+        self._heard: dict[str, float] = {}
+        self._received: dict[IncarnationId, tuple[Digest, int]] = {}
 
     # Heartbeats
 
     def send_heartbeats(self, effect: SendHeartbeat) -> None:
-        """Send a digest to peers in parallel; does not block."""
+        """Exchange heartbeats with peers in parallel; does not block.
+
+        One exchange informs both sides, so of two peers only the one with the lower address
+        starts it, as long as it does.
+        """
         digest = effect.digest
-        self.last_digest = digest
-        self.addresses = frozenset(effect.addresses)
-        base = (msgspec.structs.replace(digest, sequence=0), effect.members)
-        if base != self._base:
-            self._base = base
-            self._acknowledged.clear()
-        message = Heartbeat(digest=digest, members=effect.members)
-        repeat = HeartbeatRepeat(incarnation=digest.incarnation, sequence=digest.sequence)
-        repeated = msgspec.msgpack.encode(repeat)
+        self._members = effect.members
+        self._note_base(digest)
+        heard_after = time.monotonic() - HEARD_INTERVALS * self._interval
         for address in effect.addresses:
-            # While a heartbeat to a silent peer is under way, another one would tell nothing.
-            if ("heartbeat", address) in self._busy:
+            if address < digest.address and self._heard.get(address, 0.0) >= heard_after:
                 continue
-            self._busy.add(("heartbeat", address))
-            content = repeated if address in self._acknowledged else None
-            gevent.spawn(self._send_heartbeat, address, content, message)
+            # While a heartbeat to a silent peer is under way, another one would tell nothing.
+            if ("heartbeat", address) not in self._busy:
+                self._busy.add(("heartbeat", address))
+                gevent.spawn(self._send_heartbeat, address, digest)
+
+    def _note_base(self, digest: Digest) -> None:
+        contents = (msgspec.structs.replace(digest, sequence=0), self._members)
+        if contents != self._contents:
+            self._contents = contents
+            self._base += 1
+
+    def _build_heartbeat(
+        self, digest: Digest, known: tuple[IncarnationId, int] | None, *, full: bool
+    ) -> bytes:
+        message: AnyHeartbeat
+        if full:
+            members = self._members
+            message = Heartbeat(base=self._base, known=known, digest=digest, members=members)
+        else:
+            message = HeartbeatRepeat(
+                base=self._base,
+                known=known,
+                incarnation=digest.incarnation,
+                sequence=digest.sequence,
+            )
+        return msgspec.msgpack.encode(message)
 
-    def _send_heartbeat(self, address: str, repeated: bytes | None, message: Heartbeat) -> None:
+    def _send_heartbeat(self, address: str, digest: Digest) -> None:
         base = self._base
+        known = self._known.get(address)
         try:
-            answer = None
-            if repeated is not None:
-                answer = self._client.call(
-                    address, "POST", HEARTBEAT_PATH, repeated, (), HEARTBEAT_TIMEOUT
-                )
-            if answer is None or answer.status == UNKNOWN_BASE_STATUS:
-                content = msgspec.msgpack.encode(message)
-                answer = self._post(address, "heartbeat", content, HEARTBEAT_TIMEOUT)
-                if base is self._base:
-                    self._acknowledged.add(address)
-            self._take_reply(answer)
-        except (LavenderhookError, msgspec.DecodeError):
-            self._acknowledged.discard(address)
+            full = self._acknowledged.get(address) != base
+            answer = self._post_heartbeat(address, digest, known, full=full)
+            if answer.status == UNKNOWN_BASE_STATUS and not full:
+                answer = self._post_heartbeat(address, digest, known, full=True)
+            _require_success(answer)
+            self._acknowledged[address] = base
+            event = self._take(decode_heartbeat(answer.body))
+        except LavenderhookError:
+            self._acknowledged.pop(address, None)
             self._emit(PeerUnreachable(now=self._clock.read(), address=address))
+            return
         finally:
             self._busy.discard(("heartbeat", address))
+        if event is not None:
+            self._emit(event)
 
-    def _take_reply(self, answer: HttpAnswer) -> None:
-        _require_success(answer)
-        if not answer.body:
-            return
-        reply = msgspec.msgpack.decode(answer.body, type=HeartbeatReply)
-        event = HeartbeatReceived(
-            now=self._clock.read(), digest=reply.digest, members=reply.members
-        )
-        self._emit(event)
-
-    def take_heartbeat(self, message: Heartbeat | HeartbeatRepeat) -> HeartbeatReceived | None:
-        """Return the event of a peer's heartbeat, or None if its base is not known here."""
-        now = self._clock.read()
+    def _post_heartbeat(
+        self,
+        address: str,
+        digest: Digest,
+        known: tuple[IncarnationId, int] | None,
+        *,
+        full: bool,
+    ) -> HttpAnswer:
+        content = self._build_heartbeat(digest, known, full=full)
+        return self._client.call(address, "POST", HEARTBEAT_PATH, content, (), HEARTBEAT_TIMEOUT)
+
+    def _take(self, message: AnyHeartbeat) -> HeartbeatReceived | None:
+        """Return the event of a heartbeat, or None if its base is not known here."""
+        members: dict[IncarnationId, str] = {}
         if isinstance(message, Heartbeat):
-            digest = message.digest
-            self._received.pop(digest.incarnation, None)
-            self._received[digest.incarnation] = digest
-            while len(self._received) > MAX_BASES:
-                del self._received[next(iter(self._received))]
-            return HeartbeatReceived(now=now, digest=digest, members=message.members)
-        base = self._received.get(message.incarnation)
-        if base is None:
+            digest, members = message.digest, message.members
+            self._keep_base(digest, message.base)
+        else:
+            found = self._received.get(message.incarnation)
+            if found is None or found[1] != message.base:
+                return None
+            digest = msgspec.structs.replace(found[0], sequence=message.sequence)
+        self._heard[digest.address] = time.monotonic()
+        return HeartbeatReceived(now=self._clock.read(), digest=digest, members=members)
+
+    def _keep_base(self, digest: Digest, base: int) -> None:
+        self._received.pop(digest.incarnation, None)
+        self._received[digest.incarnation] = (digest, base)
+        self._known[digest.address] = (digest.incarnation, base)
+        while len(self._received) > MAX_BASES:
+            former, _ = self._received.pop(next(iter(self._received)))
+            self._known.pop(former.address, None)
+            self._heard.pop(former.address, None)
+            self._acknowledged.pop(former.address, None)
+
+    def answer_heartbeat(
+        self, message: AnyHeartbeat, build_own: Callable[[], Digest]
+    ) -> tuple[HeartbeatReceived, bytes] | None:
+        """Return the event of a peer's heartbeat and the reply to it.
+
+        Parameters
+        ----------
+        message : Heartbeat or HeartbeatRepeat
+        build_own : callable
+            Returns this instance's digest of now.
+
+        Returns
+        -------
+        tuple or None
+            None if the heartbeat repeats contents that are not known here.
+        """
+        event = self._take(message)
+        if event is None:
             return None
-        digest = msgspec.structs.replace(base, sequence=message.sequence)
-        return HeartbeatReceived(now=now, digest=digest)
+        own = build_own()
+        self._note_base(own)
+        full = message.known != (own.incarnation, self._base)
+        return event, self._build_heartbeat(own, None, full=full)
 
     # Grants
 
@@ -400,7 +486,6 @@
     def _build_head(
         self, call: PendingCall, request: RequestHead, remaining: float
     ) -> ForwardedHead:
-        sender = self.last_digest.incarnation if self.last_digest else IncarnationId("")
         forwarded = ForwardedRequest(
             request_id=request.request_id,
             caller=request.caller,
@@ -409,7 +494,7 @@
             idempotent=request.idempotent,
             remaining_seconds=remaining,
             priority=request.priority,
-            sender=sender,
+            sender=self._own,
         )
         return ForwardedHead(
             request=forwarded, method=call.method, target=call.target, headers=call.headers
@@ -469,7 +554,7 @@
         raise ProtocolError(f"the peer answered {answer.status}: {answer.body[:200]!r}")
 
 
-def decode_heartbeat(content: bytes) -> Heartbeat | HeartbeatRepeat:
+def decode_heartbeat(content: bytes) -> AnyHeartbeat:
     """Decode a heartbeat.
 
     Raises
--- a/src/lavenderhook/_internal/daemon/logs.py
+++ b/src/lavenderhook/_internal/daemon/logs.py
@@ -4,7 +4,9 @@
 
 import collections
 import contextlib
+import datetime
 import sys
+import time
 from typing import IO, Any
 
 import gevent
@@ -16,8 +18,11 @@
 from .settings import LoggingSettings
 
 MAX_LINES = 20_000  # lines that wait for the writer; further ones are dropped and counted
+TRACE_LINES = 12
+DECISION_LEVELS = ("debug", "info")  # levels of the settings that include decisions
 DEFAULT_SINK = 0  # the library's number for it
 FLUSH_SECONDS = 0.02
+LAST_WRITE_SECONDS = 1.0
 
 _ENCODER = msgspec.json.Encoder(enc_hook=repr)
 
@@ -40,6 +45,7 @@
         self._lines: collections.deque[str] = collections.deque()
         self._filled = gevent.event.Event()
         self._greenlet: gevent.Greenlet | None = None
+        self._is_ending = False
         self.dropped = 0
 
     def start(self) -> None:
@@ -64,21 +70,27 @@
             self._write("".join(lines))
 
     def stop(self) -> None:
-        """Write what waits and end."""
+        """Write what waits and end; a stream that still blocks loses its last lines."""
+        self._is_ending = True
+        self._filled.set()
         if self._greenlet is not None:
-            self._greenlet.kill()
+            # It is not killed, since a batch that a thread is writing would be cut off.
+            self._greenlet.join(timeout=LAST_WRITE_SECONDS)
+            if not self._greenlet.dead:
+                return
             self._greenlet = None
         self.flush()
 
     def _run(self) -> None:
         pool = gevent.get_hub().threadpool
-        while True:
+        while not self._is_ending:
             self._filled.wait()
             self._filled.clear()
             lines, self._lines = self._lines, collections.deque()
             if lines:
                 pool.apply(self._write, ("".join(lines),))
-            gevent.sleep(FLUSH_SECONDS)
+            if not self._is_ending:
+                gevent.sleep(FLUSH_SECONDS)
 
     def _write(self, text: str) -> None:
         try:
@@ -91,6 +103,10 @@
 class DecisionLog:
     """Log of one instance.
 
+    Lines about the process and its failures go through loguru. Lines of decisions are encoded
+    directly into the same writer: a record of loguru takes about 40 microseconds, a noticeable
+    part of the time that routing a request takes.
+
     Parameters
     ----------
     settings : LoggingSettings
@@ -101,6 +117,7 @@
     def __init__(self, settings: LoggingSettings, incarnation: str) -> None:
         self._incarnation = incarnation
         self._as_json = settings.format == "json"
+        self._writes_decisions = settings.level in DECISION_LEVELS
         stream: IO[str] = sys.stderr
         if settings.file != "stderr":
             stream = open(settings.file, "a", encoding="utf-8")  # noqa: SIM115
@@ -116,7 +133,8 @@
 
     def execute(self, effect: LogDecision) -> None:
         """Write the line of a decision."""
-        self._logger.bind(fields=effect.fields).info(effect.decision)
+        if self._writes_decisions:
+            self._write(time.time(), "info", effect.decision, effect.fields)
 
     def report(self, what: str, error: BaseException) -> None:
         """Write the line of a failure."""
@@ -137,20 +155,23 @@
 
     def _sink(self, message: Any) -> None:
         record = message.record
-        fields = record["extra"].get("fields", {})
-        line: dict[str, Any] = {
-            "time": record["time"].timestamp(),
-            "level": record["level"].name.lower(),
-            "instance": self._incarnation,
-            "event": record["message"],
-            **fields,
-        }
+        fields = dict(record["extra"].get("fields", {}))
         if record["exception"] is not None:
-            line["trace"] = str(message).splitlines()[-12:]
+            fields["trace"] = str(message).splitlines()[-TRACE_LINES:]
+        level = record["level"].name.lower()
+        self._write(record["time"].timestamp(), level, record["message"], fields)
+
+    def _write(self, at: float, level: str, event: str, fields: dict[str, Any]) -> None:
         if self._as_json:
+            line = {
+                "time": at,
+                "level": level,
+                "instance": self._incarnation,
+                "event": event,
+                **fields,
+            }
             self.writer.add(_ENCODER.encode(line).decode() + "\n")
             return
         rest = " ".join(f"{key}={value!r}" for key, value in fields.items())
-        self.writer.add(
-            f"{record['time']:%H:%M:%S.%f} {record['level'].name} {line['event']} {rest}\n"
-        )
+        moment = datetime.datetime.fromtimestamp(at, datetime.UTC)
+        self.writer.add(f"{moment:%H:%M:%S.%f} {level} {event} {rest}\n")
--- a/src/lavenderhook/_internal/daemon/main.py
+++ b/src/lavenderhook/_internal/daemon/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import random
 import secrets
 import signal
@@ -43,6 +44,9 @@
 from .settings import Settings, load_settings
 
 NONCE_BYTES = 6
+# A full collection stops all decisions: 0.2 s with the records of 340,000 tasks in memory. The
+# third number keeps it from happening; young cycles, such as those of failures, are collected.
+COLLECTOR_THRESHOLDS = (10_000, 10, 1_000_000)
 # Limits of greenlets that carry out blocking effects, by lane.
 REQUEST_GREENLETS = 4096
 STORE_GREENLETS = 128
@@ -158,6 +162,8 @@
             calls,
             runtime.emit,
             runtime.apply,
+            self.incarnation,
+            runtime.state.parameters.heartbeat_interval,
         )
 
     def _build_listener(self) -> None:
@@ -370,6 +376,7 @@
     discard_default_sink()
     # Saves the stack that gevent records for each new greenlet.
     gevent.config.track_greenlet_tree = False
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
     daemon = Daemon(settings)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, daemon.request_shutdown)
