--- a/src/lavenderhook/_internal/core/membership.py
+++ b/src/lavenderhook/_internal/core/membership.py
@@ -27,6 +27,7 @@
 
 HEARTBEAT_TIMER = "heartbeat"
 PLATFORM_TIMER = "platform-list"
+# Timer name to the attribute of CoreParameters that holds its interval.
 TIMERS = {HEARTBEAT_TIMER: "heartbeat_interval", PLATFORM_TIMER: "platform_poll_interval"}
 # Suspicions by this many members, the own one included, turn a silent peer into a failed one, so
 # that a single cut link does not.
