Tell workers what is a service, and how far to throttle

A worker took services for tasks with a run time of 60 s and ended them, because the command carried name and limits flat.

ThrottleTasks gets the declared processors of each attempt, an addition to the contract, because workers expect the amount and an owner that took over has no other way to tell it.

--- a/features/daemon_store.feature
+++ b/features/daemon_store.feature
@@ -87,3 +87,9 @@
     Given a table in memory that is down for 1000 commits
     When an instance commits a change for version 1
     Then the change is refused because the store is unavailable
+
+  Scenario: A start tells the worker what is a service and what is not
+    Guards against a service that a worker ends after its declared run time.
+    When the start of a service and of a batch task are sent to a worker
+    Then the service has a name, 8 slots and 64 connections and no run time
+    And the batch task has its run time and parameters and 1.5 processors
--- a/features/steps/daemon_store.py
+++ b/features/steps/daemon_store.py
@@ -4,6 +4,7 @@
 import time
 
 import gevent
+import msgspec
 from behave import given, then, when
 
 from features.support.memory_table import MemoryTable
@@ -13,6 +14,7 @@
 from lavenderhook._internal.adapters.configuration import ConfigurationStore
 from lavenderhook._internal.adapters.time import SystemClock
 from lavenderhook._internal.adapters.transport import HttpAnswer
+from lavenderhook._internal.adapters.workers import HttpWorkerClient
 from lavenderhook._internal.core.declarations import Quota
 from lavenderhook._internal.core.effects import (
     ClaimRequest,
@@ -24,6 +26,7 @@
     RecordOutcome,
     ReleaseClaim,
     StoreSnapshot,
+    TaskStart,
 )
 from lavenderhook._internal.core.events import (
     ClaimResolved,
@@ -39,6 +42,7 @@
     ShardLoaded,
 )
 from lavenderhook._internal.core.records import JobCancelled, ShardHead, ShardSnapshot
+from lavenderhook._internal.core.resources import Resources
 from lavenderhook._internal.ports.platform import Row
 
 CLAIM_SECONDS = 2.0
@@ -353,6 +357,59 @@
     assert not context.store_table.rows
 
 
+# Workers
+
+
+class RecordingClient:
+    """Client that keeps the body of a call."""
+
+    def call(self, _address, _method, _path, body=b"", headers=()):
+        """Keep the body."""
+        self.tasks = msgspec.json.decode(body)["tasks"]
+        return HttpAnswer(200, (), b'{"tasks": []}')
+
+
+@when("the start of a service and of a batch task are sent to a worker")
+def step_starts(context):
+    command = {
+        "name": "desk",
+        "run_seconds": 60.0,
+        "slots": 8,
+        "connections": 64,
+        "parameters": {"exit_code": 3},
+    }
+    starts = [
+        TaskStart(
+            attempt_id=kind,
+            task_id=kind,
+            job_id="job",
+            kind=kind,
+            resources=Resources(processors=1500),
+            lease_until=1.0,
+            command=command,
+        )
+        for kind in ("service", "batch")
+    ]
+    client = RecordingClient()
+    HttpWorkerClient(client).start("127.0.0.1:1", starts)
+    context.service_task, context.batch_task = client.tasks
+
+
+@then("the service has a name, {slots:d} slots and {connections:d} connections and no run time")
+def step_service_start(context, slots, connections):
+    command = context.service_task["command"]
+    expected = {"name": "desk", "slots": slots, "connections": connections}
+    assert command["service"] == expected and "run_seconds" not in command, command
+
+
+@then("the batch task has its run time and parameters and {processors:g} processors")
+def step_batch_start(context, processors):
+    command = context.batch_task["command"]
+    assert "service" not in command and command["run_seconds"] == 60.0, command
+    assert command["exit_code"] == 3, command
+    assert context.batch_task["resources"]["processors"] == processors
+
+
 # Configuration
 
 
--- a/src/lavenderhook/_internal/adapters/workers.py
+++ b/src/lavenderhook/_internal/adapters/workers.py
@@ -18,7 +18,7 @@
     ThrottleTasks,
 )
 from ..core.events import AttemptsReported, Event, LeasesRenewed, WorkerUnreachable
-from ..core.identifiers import AttemptId, WorkerId
+from ..core.identifiers import AttemptId, WorkerId, WorkloadKind
 from ..core.records import AttemptReport
 from ..core.resources import Resources
 from ..ports.platform import WorkerClient
@@ -77,10 +77,25 @@
             "accelerators": start.resources.accelerators,
         },
         "lease_until": start.lease_until,
-        "command": start.command,
+        "command": _describe_command(start),
     }
 
 
+def _describe_command(start: TaskStart) -> dict[str, Any]:
+    """Return the command as workers expect it.
+
+    A service is declared by its name and limits and has no run time; any other task has one. The
+    declared parameters are passed beside them.
+    """
+    command: dict[str, Any] = dict(start.command)
+    parameters = command.pop("parameters", None)
+    limits = {key: command.pop(key) for key in ("slots", "connections") if key in command}
+    if start.kind == WorkloadKind.SERVICE.value:
+        command.pop("run_seconds", None)
+        command.setdefault("service", {"name": command.get("name", ""), **limits})
+    return {**parameters, **command} if isinstance(parameters, dict) else command
+
+
 class HttpWorkerClient(WorkerClient):
     """Calls to workers over HTTP."""
 
@@ -111,9 +126,16 @@
         # The stop follows in any case: only a stop makes the worker refuse a late start.
         return self._post(address, "stop", tasks)
 
-    def throttle(self, address: str, attempts: Sequence[AttemptId]) -> None:
-        """Hold attempts to their declared processors."""
-        self._post(address, "throttle", [{"attempt": attempt} for attempt in attempts])
+    def throttle(
+        self, address: str, attempts: Sequence[AttemptId], processors: Sequence[int]
+    ) -> None:
+        """Hold attempts to these thousandths of a processor, in the same order."""
+        tasks = [
+            {"attempt": attempt, "processors": amount / MILLICORES}
+            for attempt, amount in zip(attempts, processors, strict=False)
+        ]
+        if tasks:
+            self._post(address, "throttle", tasks)
 
     def forget(self, address: str, attempts: Sequence[AttemptId]) -> None:
         """Acknowledge ended attempts."""
@@ -198,7 +220,7 @@
     def throttle(self, effect: ThrottleTasks) -> None:
         """Hold attempts to their declared processors."""
         try:
-            self._client.throttle(effect.address, effect.attempts)
+            self._client.throttle(effect.address, effect.attempts, effect.processors)
         except LavenderhookError:
             self._report_unreachable(effect.worker_id, effect.attempts, "throttle")
 
--- a/src/lavenderhook/_internal/core/effects.py
+++ b/src/lavenderhook/_internal/core/effects.py
@@ -346,11 +346,15 @@
 
 
 class ThrottleTasks(Effect, frozen=True, kw_only=True):
-    """Hold attempts to their declared processors."""
+    """Hold attempts to their declared processors.
+
+    `processors` holds the declared thousandths of a processor of each attempt, in order.
+    """
 
     worker_id: WorkerId
     address: str
     attempts: tuple[AttemptId, ...]
+    processors: tuple[int, ...] = ()
 
 
 class ForgetTasks(Effect, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/ports/platform.py
+++ b/src/lavenderhook/_internal/ports/platform.py
@@ -109,8 +109,10 @@
         """Stop attempts; the worker refuses a later start of each."""
 
     @abc.abstractmethod
-    def throttle(self, address: str, attempts: Sequence[AttemptId]) -> None:
-        """Hold attempts to their declared processors."""
+    def throttle(
+        self, address: str, attempts: Sequence[AttemptId], processors: Sequence[int]
+    ) -> None:
+        """Hold attempts to these thousandths of a processor, in the same order."""
 
     @abc.abstractmethod
     def forget(self, address: str, attempts: Sequence[AttemptId]) -> None:
