Add the guide to the model checks and checks of the engine's verdicts

A run that passes by mistake is the worst failure of this directory, so a counter is spoilt in each of the five ways that must fail a run, and the report must name that one only.

--- a/features/model.feature
+++ b/features/model.feature
@@ -6,6 +6,22 @@
     When the checker explores protocols with known state counts
     Then every count and verdict is the known one
 
+  Scenario Outline: The fault <fault> fails the run
+    When a counter with a <fault> is checked
+    Then the report shows only the <fault> and does not pass
+
+    Examples:
+      | fault                     |
+      | surviving mutant          |
+      | violated invariant        |
+      | truncated search          |
+      | unreachable witness       |
+      | invariant without mutants |
+
+  Scenario: A sound counter passes the run
+    When a counter with a refuted mutant is checked
+    Then the report passes
+
   Scenario Outline: The <specification> specification holds and refutes its mutants
     When the <specification> specification is checked at the CI bounds
     Then the search is exhaustive and no invariant is violated
