Answer a repeated send as unknown when its claim cannot be looked at

A send is told not-run without a claim only if the caller marks it as the first, or the id was made here. The two scenarios that expected not-run for any send now expect unknown, and a new one covers the marked first send. The adapter no longer rewrites the start command: the core builds it by kind, and the scenario checks that it arrives unchanged.

--- a/features/routing_claims.feature
+++ b/features/routing_claims.feature
@@ -20,7 +20,13 @@
       | recorded    | Stored                    |
       | in-progress | Unknown in-progress       |
       | different   | NotRun request-id-reused  |
-      | unavailable | NotRun store-unavailable  |
+      | unavailable | Unknown earlier-send      |
+
+  Scenario: A first send whose claim cannot be made was certainly not run
+    Guards against an unknown outcome where the caller states that no earlier send exists.
+    Given an instance that holds "u1:1"
+    When it sees "arrive 1 idempotent=false first=true; claim 1 unavailable"
+    Then it does "claim 1; answer 1 NotRun store-unavailable"
 
   Scenario: A connection that was refused lets another upstream try under the same claim
     Guards against a needless refusal, and against a second claim for the same request.
@@ -47,13 +53,13 @@
     Given an instance that holds "u1:1"
     When it sees
       """
-      arrive 1 idempotent=false deadline=1; wait 1.1; claim 1 claimed; arrive 2 idempotent=false;
-      abandon 2; claim 2 claimed
+      arrive 1 idempotent=false first=true deadline=1; wait 1.1; claim 1 claimed;
+      arrive 2 idempotent=false; abandon 2; claim 2 claimed
       """
     Then it does
       """
-      claim 1; answer 1 NotRun store-unavailable; release r1; claim 2; answer 2 NotRun abandoned;
-      release r2
+      claim 1; answer 1 NotRun store-unavailable; release r1; claim 2;
+      answer 2 Unknown earlier-send; release r2
       """
 
   Scenario: A claimed request that was shed releases its claim
--- a/features/steps/daemon_store.py
+++ b/features/steps/daemon_store.py
@@ -371,12 +371,9 @@
 
 @when("the start of a service and of a batch task are sent to a worker")
 def step_starts(context):
-    command = {
-        "name": "desk",
-        "run_seconds": 60.0,
-        "slots": 8,
-        "connections": 64,
-        "parameters": {"exit_code": 3},
+    commands = {
+        "service": {"service": {"name": "desk", "slots": 8, "connections": 64}},
+        "batch": {"run_seconds": 60.0, "exit_code": 3},
     }
     starts = [
         TaskStart(
@@ -388,7 +385,7 @@
             lease_until=1.0,
             command=command,
         )
-        for kind in ("service", "batch")
+        for kind, command in commands.items()
     ]
     client = RecordingClient()
     HttpWorkerClient(client).start("127.0.0.1:1", starts)
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -62,6 +62,7 @@
         deadline=now + float(options.get("deadline", 5)),
         priority=PriorityClass(options.get("class", "normal")),
         forwarded_by=options.get("from"),
+        first_send=options.get("first", "false") == "true",
     )
 
 
--- a/src/lavenderhook/_internal/adapters/routes.py
+++ b/src/lavenderhook/_internal/adapters/routes.py
@@ -73,6 +73,7 @@
     "lavenderhook-class",
     "lavenderhook-labels",
     "lavenderhook-instance",
+    "lavenderhook-first-send",
 }
 
 
@@ -204,6 +205,7 @@
             "idempotent": _read_flag(incoming, "lavenderhook-idempotent", idempotent),
             "deadline": deadline,
             "priority": _read_class(incoming, priority),
+            "first_send": self._is_first_send(incoming),
         }
         target = "/" + rest + ("?" + incoming.query if incoming.query else "")
         call = self._calls.open(
@@ -240,6 +242,12 @@
             raise InvalidArgumentError("lavenderhook-request-id", text, allowed)
         return RequestId(text)
 
+    def _is_first_send(self, incoming: Incoming) -> bool:
+        """Return whether the request id is certainly new; an id that is made here always is."""
+        if "lavenderhook-request-id" not in incoming.headers:
+            return True
+        return _read_flag(incoming, "lavenderhook-first-send", False)
+
     def _find_defaults(self, service: str) -> tuple[bool, PriorityClass]:
         """Return whether requests are idempotent, and their class, if the caller does not say."""
         configuration = self._core.state.configuration
--- a/src/lavenderhook/_internal/adapters/workers.py
+++ b/src/lavenderhook/_internal/adapters/workers.py
@@ -18,7 +18,7 @@
     ThrottleTasks,
 )
 from ..core.events import AttemptsReported, Event, LeasesRenewed, WorkerUnreachable
-from ..core.identifiers import AttemptId, WorkerId, WorkloadKind
+from ..core.identifiers import AttemptId, WorkerId
 from ..core.records import AttemptReport
 from ..core.resources import Resources
 from ..ports.platform import WorkerClient
@@ -77,25 +77,10 @@
             "accelerators": start.resources.accelerators,
         },
         "lease_until": start.lease_until,
-        "command": _describe_command(start),
+        "command": start.command,
     }
 
 
-def _describe_command(start: TaskStart) -> dict[str, Any]:
-    """Return the command as workers expect it.
-
-    A service is declared by its name and limits and has no run time; any other task has one. The
-    declared parameters are passed beside them.
-    """
-    command: dict[str, Any] = dict(start.command)
-    parameters = command.pop("parameters", None)
-    limits = {key: command.pop(key) for key in ("slots", "connections") if key in command}
-    if start.kind == WorkloadKind.SERVICE.value:
-        command.pop("run_seconds", None)
-        command.setdefault("service", {"name": command.get("name", ""), **limits})
-    return {**parameters, **command} if isinstance(parameters, dict) else command
-
-
 class HttpWorkerClient(WorkerClient):
     """Calls to workers over HTTP."""
 
--- a/src/lavenderhook/_internal/core/effects.py
+++ b/src/lavenderhook/_internal/core/effects.py
@@ -156,6 +156,7 @@
     IN_PROGRESS = "in-progress"
     PEER_LOST = "peer-lost"
     TRUNCATED = "truncated-answer"
+    EARLIER_SEND = "earlier-send"
 
 
 class Completed(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/core/events.py
+++ b/src/lavenderhook/_internal/core/events.py
@@ -171,6 +171,9 @@
         Absolute time in seconds.
     forwarded_by : IncarnationId or None
         The peer that forwarded it; such a request is never forwarded or retried again.
+    first_send : bool
+        Whether the caller states that it never sent this request id before. Without that, a
+        non-idempotent request whose claim could not be looked at may have run by an earlier send.
     """
 
     ticket: Ticket
@@ -182,6 +185,7 @@
     deadline: float
     priority: PriorityClass
     forwarded_by: IncarnationId | None = None
+    first_send: bool = False
 
 
 class RequestArrived(Event, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/core/requests.py
+++ b/src/lavenderhook/_internal/core/requests.py
@@ -88,6 +88,17 @@
     return NotRun(reason=NotRunReason.STORE_UNAVAILABLE)
 
 
+def may_have_run_before(state: InstanceState, head: RequestHead, outcome: NotRun) -> bool:
+    """Return whether an earlier send of the same request id may have run.
+
+    Only the claim row tells; a send that ends before its claim is decided has not seen it. The
+    model in `model/` refutes "not run" in that case with an execution of an earlier send.
+    """
+    if not needs_claim(head) or head.first_send or head.ticket in state.claims.owned:
+        return False
+    return outcome.reason is not NotRunReason.REQUEST_ID_REUSED
+
+
 def settle_claim(state: InstanceState, head: RequestHead, outcome: Outcome) -> list[Effect]:
     """Record the outcome of a request that we claimed, or release the claim if it did not run.
 
--- a/src/lavenderhook/_internal/core/routing.py
+++ b/src/lavenderhook/_internal/core/routing.py
@@ -338,6 +338,8 @@
     head = request.head
     if isinstance(outcome, NotRun) and request.may_have_run is not None:
         outcome = Unknown(reason=request.may_have_run)
+    elif isinstance(outcome, NotRun) and requests.may_have_run_before(state, head, outcome):
+        outcome = Unknown(reason=UnknownReason.EARLIER_SEND)
     del state.routing.requests[head.ticket]
     service = state.routing.services.get(head.service)
     if service is not None and head.forwarded_by is not None:
