Hold dispatches after a pause until the platform's list was read again

Ruled out: refusing while the list is merely old, which would stop all requests when the list is down. An accepted configuration now says how many peers confirmed it.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -169,3 +169,13 @@
     Then it does "dispatch 1 u1"
     When it sees "wait 0.2"
     Then it does "answer 2 NotRun deadline-before-start"
+
+  Scenario: A resumed instance starts nothing before it has read the platform's list again
+    Guards against new work on an upstream that left while this process was paused.
+    Given an instance that holds "u1:1"
+    When it sees
+      """
+      pause 5; arrive 1 deadline=2; workers w1 age=3; wait 0.1; workers w1:leaving; wait 2.5;
+      workers w1; arrive 2
+      """
+    Then it does "answer 1 NotRun no-upstream; dispatch 2 u1"
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -136,6 +136,11 @@
         )
         return ev.GrantUpdateReceived(now=self.now, update=update)
 
+    def pause(self, seconds):
+        """Let time pass while the process does not run, then fire one timer."""
+        self.now += seconds
+        self.effects += reduce(self.state, ev.TimerFired(now=self.now, name="requests"))
+
     def wait(self, seconds):
         """Let time pass with the timers that fire in it."""
         end = self.now + seconds
@@ -195,7 +200,12 @@
         )
         for entry in plain
     )
-    return ev.PlatformListed(now=driver.now, instances=(), workers=workers)
+    return ev.PlatformListed(
+        now=driver.now,
+        instances=(),
+        workers=workers,
+        requested_at=driver.now - float(options.get("age", 0)),
+    )
 
 
 def build_drain(driver, plain, options):
@@ -230,6 +240,7 @@
     "shutdown": lambda d, p, o: ev.ShutdownRequested(now=d.now),
     "timer": lambda d, p, o: ev.TimerFired(now=d.now, name=p[0]),
     "wait": lambda d, p, o: d.wait(float(p[0])),
+    "pause": lambda d, p, o: d.pause(float(p[0])),
 }
 
 
--- a/src/lavenderhook/_internal/adapters/answers.py
+++ b/src/lavenderhook/_internal/adapters/answers.py
@@ -64,6 +64,7 @@
             "version": answer.version,
             "change_id": answer.change_id,
             "repeated": answer.repeated,
+            "confirmed_by": answer.confirmed_by,
         }
         return reply_json(fields)
     if isinstance(answer, AnswerSubmission):
--- a/src/lavenderhook/_internal/core/configuration.py
+++ b/src/lavenderhook/_internal/core/configuration.py
@@ -295,7 +295,11 @@
     return [
         LogDecision(decision="configuration-accepted", fields=fields),
         AnswerConfiguration(
-            ticket=event.ticket, version=change.version, change_id=change.change_id, repeated=False
+            ticket=event.ticket,
+            version=change.version,
+            change_id=change.change_id,
+            repeated=False,
+            confirmed_by=event.reached,
         ),
     ]
 
--- a/src/lavenderhook/_internal/core/effects.py
+++ b/src/lavenderhook/_internal/core/effects.py
@@ -101,12 +101,16 @@
 
 
 class AnswerConfiguration(Effect, frozen=True, kw_only=True):
-    """Tell an operator that a change is accepted."""
+    """Tell an operator that a change is accepted, and how many peers confirmed that they have it.
+
+    `confirmed_by` is None for a repeated change, whose confirmations are not kept.
+    """
 
     ticket: Ticket
     version: ConfigurationVersion
     change_id: str
     repeated: bool
+    confirmed_by: int | None = None
 
 
 # Answers
--- a/src/lavenderhook/_internal/core/events.py
+++ b/src/lavenderhook/_internal/core/events.py
@@ -77,10 +77,21 @@
 
 
 class PlatformListed(Event, frozen=True, kw_only=True):
-    """The platform's instance list was read: entry instances and workers."""
+    """The platform's instance list was read: entry instances and workers.
+
+    `requested_at` is when the call was sent: a list that was asked for before a pause of the
+    process tells nothing about the time since.
+    """
 
     instances: tuple[InstanceView, ...]
     workers: tuple[WorkerView, ...]
+    requested_at: float = float("inf")
+
+
+class PlatformListUnavailable(Event, frozen=True, kw_only=True):
+    """The platform's instance list could not be read; `requested_at` as in `PlatformListed`."""
+
+    requested_at: float = float("inf")
 
 
 # Configuration
--- a/src/lavenderhook/_internal/core/membership.py
+++ b/src/lavenderhook/_internal/core/membership.py
@@ -15,6 +15,7 @@
     HeartbeatReceived,
     PeerUnreachable,
     PlatformListed,
+    PlatformListUnavailable,
     ShutdownRequested,
     TimerFired,
 )
@@ -54,6 +55,11 @@
     gone : dict of IncarnationId to float
         Incarnations that the platform listed once and no longer lists, with the time at which
         that was first seen.
+    is_outdated : bool
+        Whether the process was paused and has not tried to read the list since. Routing starts
+        nothing meanwhile: an upstream may have left during the pause.
+    resumed_at : float
+        End of the last pause, in seconds.
     """
 
     seeds: tuple[str, ...] = ()
@@ -65,6 +71,8 @@
     workers: dict[str, WorkerView] = dataclasses.field(default_factory=dict)
     listed_at: float | None = None
     sequence: int = 0
+    is_outdated: bool = False
+    resumed_at: float = 0.0
 
 
 def get_member_state(state: InstanceState, incarnation: IncarnationId) -> MemberState:
@@ -266,6 +274,7 @@
     view.listed = {instance.incarnation: instance for instance in event.instances}
     view.workers = {worker.worker_id: worker for worker in event.workers}
     view.listed_at = event.now
+    _note_list_attempt(state, event.requested_at)
     view.ever_listed.update(view.listed)
     effects: list[Effect] = []
     for incarnation in sorted(view.ever_listed - set(view.listed) - set(view.gone)):
@@ -278,6 +287,27 @@
     return effects
 
 
+def handle_list_unavailable(state: InstanceState, event: PlatformListUnavailable) -> list[Effect]:
+    """Go on with the last view: a list that is down must not stop all requests."""
+    _note_list_attempt(state, event.requested_at)
+    return []
+
+
+def _note_list_attempt(state: InstanceState, requested_at: float) -> None:
+    if requested_at >= state.membership.resumed_at:
+        state.membership.is_outdated = False
+
+
+def note_pause(state: InstanceState, now: float) -> list[Effect]:
+    """Refresh the view of the platform if the process has not run for a while."""
+    if state.now == 0.0 or now - state.now <= state.parameters.pause_threshold:
+        return []
+    state.membership.is_outdated = True
+    state.membership.resumed_at = now
+    fields: dict[str, object] = {"seconds": round(now - state.now, 3)}
+    return [LogDecision(decision="process-resumed", fields=fields), ListPlatform()]
+
+
 def handle_shutdown(state: InstanceState, event: ShutdownRequested) -> list[Effect]:
     """Start a graceful shutdown."""
     if state.shutting_down_since is None:
@@ -298,5 +328,6 @@
     HeartbeatReceived: handle_heartbeat,
     PeerUnreachable: handle_unreachable,
     PlatformListed: handle_platform_list,
+    PlatformListUnavailable: handle_list_unavailable,
     ShutdownRequested: handle_shutdown,
 }
--- a/src/lavenderhook/_internal/core/reducer.py
+++ b/src/lavenderhook/_internal/core/reducer.py
@@ -13,6 +13,7 @@
 
 from .effects import Effect
 from .events import Event
+from .membership import note_pause
 from .state import InstanceState
 
 Handler: TypeAlias = Callable[..., list[Effect]]
@@ -84,8 +85,8 @@
     tuple of Effect
         What the adapters must do, in order.
     """
+    effects = note_pause(state, event.now)
     state.now = max(state.now, event.now)
-    effects: list[Effect] = []
     for handler in _HANDLERS.get(type(event), ()):
         effects.extend(handler(state, event))
     return tuple(effects)
--- a/src/lavenderhook/_internal/core/routing.py
+++ b/src/lavenderhook/_internal/core/routing.py
@@ -40,6 +40,7 @@
     PeerFailed,
     PeerOutcome,
     PlatformListed,
+    PlatformListUnavailable,
     RequestAbandoned,
     RequestArrived,
     RequestHead,
@@ -164,6 +165,8 @@
 
 
 def _try_start(state: InstanceState, service: Service, request: Request) -> list[Effect] | None:
+    if state.membership.is_outdated:
+        return None
     slots = service.slots
     if slots.free_slots:
         upstream = slots.choose(state.generator, request.labels, request.tried)
@@ -273,6 +276,8 @@
 def _start_waiting(state: InstanceState, service: Service) -> list[Effect]:
     """Start queued requests while there are free slots here or at peers."""
     effects: list[Effect] = []
+    if state.membership.is_outdated:
+        return effects
     queue = service.queue
     while len(queue) and service.slots.free_slots:
         request = queue.pop_next(service.slots.has_free)
@@ -815,6 +820,7 @@
     PeerFailed: handle_peer_failure,
     HeartbeatReceived: handle_heartbeat,
     PlatformListed: handle_slots_changed,
+    PlatformListUnavailable: handle_slots_changed,
     ConfigurationCommitted: handle_slots_changed,
     ConfigurationReceived: handle_slots_changed,
     GrantUpdateReceived: handle_slots_changed,
--- a/src/lavenderhook/_internal/core/state.py
+++ b/src/lavenderhook/_internal/core/state.py
@@ -51,6 +51,7 @@
     shutdown_check_interval: float = 0.1
     retry_budget: float = 0.1
     drain_grace: float = 2.0
+    pause_threshold: float = 1.0
     snapshot_every: int = 200
     lazy_commit_interval: float = 0.25
     ownership_check_interval: float = 5.0
--- a/src/lavenderhook/_internal/daemon/main.py
+++ b/src/lavenderhook/_internal/daemon/main.py
@@ -35,7 +35,7 @@
 from ..adapters.workers import HttpWorkerClient, WorkerCalls
 from ..core import effects
 from ..core.effects import CloseListeners, ListPlatform, StopProcess
-from ..core.events import Event, PlatformListed, ShutdownRequested
+from ..core.events import Event, PlatformListed, PlatformListUnavailable, ShutdownRequested
 from ..core.identifiers import AvailabilityZone, CallerName, IncarnationId, InstanceName, TeamName
 from ..core.reducer import reduce
 from ..core.state import InstanceState
@@ -272,13 +272,22 @@
         self.metrics.observe("reduce_seconds", seconds, event=type(event).__name__)
 
     def _list_platform(self, effect: ListPlatform) -> None:
+        requested_at = self.runtime.now()
         try:
             instances, workers = self.directory.list_instances()
         except LavenderhookError as error:
             self.metrics.add("platform_list_failures_total", error=error.code)
+            self.runtime.emit(
+                PlatformListUnavailable(now=self.runtime.now(), requested_at=requested_at)
+            )
             return
         self.runtime.emit(
-            PlatformListed(now=self.runtime.now(), instances=instances, workers=workers)
+            PlatformListed(
+                now=self.runtime.now(),
+                instances=instances,
+                workers=workers,
+                requested_at=requested_at,
+            )
         )
 
     def start(self) -> None:
