Add the command-line tool and both users' declarations

Operators and callers had only the HTTP interface. The tool keeps declarations as TOML files in version control (check, plan, apply, get, history), submits and follows jobs, sends requests, and shows instances, workers, queue and totals. Failures are typed; the exit status is that of the type.

A broken call goes to the next address only if it was not sent, was refused as not ready, or is idempotent.

The default change id is a hash of the content. Considered: the hash alone; a roll-back to earlier content would then be answered as a repetition and change nothing. So the id of content that was accepted before and has been replaced since also gets the present version. A pruning change is bound to the version that its deletions were computed from, and repeats them when its id is repeated.

--- /dev/null
+++ b/features/cli_calls.feature
@@ -0,0 +1,15 @@
+Feature: Failover of the command-line tool
+  Trying the next entry instance must not run a request a second time.
+
+  Scenario Outline: A broken call goes to the next address only if that cannot repeat work
+    Given an entry instance that <fault> and a second one that answers
+    When a request that is <kind> is sent with both addresses
+    Then the exit status is <status> and the second instance received <count> calls
+
+    Examples:
+      | fault                                | kind           | status | count |
+      | refuses connections                  | not idempotent | 0      | 1     |
+      | closes the connection after the call | idempotent     | 0      | 1     |
+      | closes the connection after the call | not idempotent | 8      | 0     |
+      | says that it is not ready            | not idempotent | 0      | 1     |
+      | relays an upstream's not-ready       | not idempotent | 9      | 0     |
--- a/src/lavenderhook/_internal/cli/__init__.py
+++ b/src/lavenderhook/_internal/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The command-line tool."""
+"""The command-line tool of callers and operators."""
--- /dev/null
+++ b/src/lavenderhook/_internal/cli/changes.py
@@ -0,0 +1,179 @@
+"""Difference between the declared and the present configuration, and the change that closes it."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import hashlib
+import json
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any
+
+import msgspec
+
+from ...errors import ProtocolError
+from ..core.declarations import AnyDeclaration, DeclarationKey, get_key
+from .files import Declared
+
+CHANGE_ID_DIGITS = 16
+
+
+class Action(enum.Enum):
+    """What a change does to a declaration."""
+
+    ADD = "add"
+    CHANGE = "change"
+    DELETE = "delete"
+
+
+SIGNS = {Action.ADD: "+", Action.CHANGE: "~", Action.DELETE: "-"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FieldChange:
+    """One field with its value before and after, as JSON texts; None where it has no value."""
+
+    field: str
+    before: str | None
+    after: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """What a change does to one declaration."""
+
+    action: Action
+    key: DeclarationKey
+    fields: tuple[FieldChange, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """All steps from the configuration at `version` to the declared one."""
+
+    version: int
+    steps: tuple[Step, ...]
+    unchanged: int
+    deletes: tuple[DeclarationKey, ...]
+
+    def count(self, action: Action) -> int:
+        """Return the number of steps with an action."""
+        return sum(step.action is action for step in self.steps)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """The configuration at a version."""
+
+    version: int
+    declarations: dict[DeclarationKey, AnyDeclaration]
+
+
+def read_in_force(view: Any) -> InForce:
+    """Return the configuration that an instance's view tells.
+
+    Raises
+    ------
+    ProtocolError
+        If the view is malformed, such as from a newer version of the daemon.
+    """
+    try:
+        found = msgspec.convert(view["declarations"], tuple[AnyDeclaration, ...])
+        return InForce(int(view["version"]), {get_key(d): d for d in found})
+    except (KeyError, TypeError, ValueError, msgspec.ValidationError) as error:
+        raise ProtocolError(f"the configuration in force cannot be read: {error}") from error
+
+
+def make_plan(
+    declared: Declared, in_force: InForce, deletes: Iterable[DeclarationKey], *, prune: bool
+) -> Plan:
+    """Compare the declared configuration with what is in force.
+
+    Parameters
+    ----------
+    declared : Declared
+    in_force : InForce
+    deletes : iterable of DeclarationKey
+        Declarations to delete.
+    prune : bool
+        Whether everything that is not declared is deleted too.
+    """
+    gone = set(deletes)
+    if prune:
+        gone.update(key for key in in_force.declarations if key not in declared)
+    steps: list[Step] = []
+    for key, entry in sorted(declared.items()):
+        before = in_force.declarations.get(key)
+        if before == entry.declaration:
+            continue
+        action = Action.ADD if before is None else Action.CHANGE
+        steps.append(Step(action, key, tuple(_compare(before, entry.declaration))))
+    for key in sorted(gone & set(in_force.declarations)):
+        steps.append(Step(Action.DELETE, key, tuple(_compare(in_force.declarations[key], None))))
+    unchanged = len(declared) - sum(step.action is not Action.DELETE for step in steps)
+    return Plan(in_force.version, tuple(steps), unchanged, tuple(sorted(gone)))
+
+
+def _compare(before: AnyDeclaration | None, after: AnyDeclaration | None) -> Iterator[FieldChange]:
+    old, new = dict(_flatten(before)), dict(_flatten(after))
+    for field in sorted({*old, *new}):
+        if old.get(field) != new.get(field):
+            yield FieldChange(field, old.get(field), new.get(field))
+
+
+def _flatten(declaration: AnyDeclaration | None) -> Iterator[tuple[str, str]]:
+    if declaration is None:
+        return
+    values = msgspec.to_builtins(declaration)
+    for name in ("kind", "name"):
+        values.pop(name)
+    yield from _flatten_value("", values)
+
+
+def _flatten_value(path: str, value: Any) -> Iterator[tuple[str, str]]:
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            yield from _flatten_value(f"{path}.{name}" if path else name, inner)
+        return
+    yield path, json.dumps(value)
+
+
+def render_plan(plan: Plan) -> Iterator[str]:
+    """Return the lines that show a plan to people."""
+    for step in plan.steps:
+        yield f"{SIGNS[step.action]} {step.key[0]}/{step.key[1]}"
+        if step.action is Action.DELETE:
+            continue
+        for change in step.fields:
+            yield f"    {change.field}: {_render_values(change)}"
+    yield (
+        f"against version {plan.version}: {plan.count(Action.ADD)} to add, "
+        f"{plan.count(Action.CHANGE)} to change, {plan.count(Action.DELETE)} to delete, "
+        f"{plan.unchanged} unchanged"
+    )
+
+
+def _render_values(change: FieldChange) -> str:
+    if change.before is None:
+        return str(change.after)
+    return f"{change.before} -> {change.after if change.after is not None else 'removed'}"
+
+
+def describe_plan(plan: Plan) -> dict[str, object]:
+    """Return a plan as plain data."""
+    steps = [
+        {
+            "action": step.action.value,
+            "kind": step.key[0],
+            "name": step.key[1],
+            "fields": [dataclasses.asdict(change) for change in step.fields],
+        }
+        for step in plan.steps
+    ]
+    return {"version": plan.version, "steps": steps, "unchanged": plan.unchanged}
+
+
+def compute_change_id(puts: Sequence[AnyDeclaration], deletes: Sequence[DeclarationKey]) -> str:
+    """Return the id of a change that is derived from its content."""
+    content = msgspec.json.encode([puts, deletes], order="deterministic")
+    return "content-" + hashlib.sha256(content).hexdigest()[:CHANGE_ID_DIGITS]
--- /dev/null
+++ b/src/lavenderhook/_internal/cli/connection.py
@@ -0,0 +1,101 @@
+"""Where the entry instances are and who calls, from options, environment or a file."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+
+import msgspec
+
+from ...errors import InvalidArgumentError, SettingsError, UsageError
+from ..violations import convert
+
+ADDRESS_VARIABLE = "LAVENDERHOOK_ADDRESS"
+TOKEN_VARIABLE = "LAVENDERHOOK_TOKEN"
+FILE_VARIABLE = "LAVENDERHOOK_CONFIG"
+DEFAULT_TIMEOUT = 20.0  # seconds; an entry instance answers operations within 15 s
+
+
+class ConnectionSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Contents of the tool's TOML file.
+
+    Parameters
+    ----------
+    address : tuple of str
+        ``host:port`` of entry instances, in the order in which they are tried.
+    token : str
+        Bearer credential of a caller or an operator.
+    caller : str
+        Name of the caller; needed only where the daemon's settings declare no callers.
+    timeout_seconds : float
+        Time limit of one call.
+    """
+
+    address: tuple[str, ...] = ()
+    token: str = ""
+    caller: str = ""
+    timeout_seconds: float = DEFAULT_TIMEOUT
+
+
+def read_connection_file(path: str) -> ConnectionSettings:
+    """Read the tool's TOML file.
+
+    Raises
+    ------
+    SettingsError
+        Naming the file and the key.
+    """
+    try:
+        values = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        return convert(values, ConnectionSettings, "settings")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(path, "file", path, f"a readable UTF-8 file ({error})") from error
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(path, "file", path, f"valid TOML ({error})") from error
+    except InvalidArgumentError as error:
+        value = "(hidden)" if error.field == "token" else error.value
+        raise SettingsError(path, error.field, value, error.allowed) from error
+
+
+def resolve_connection(
+    addresses: Sequence[str],
+    token: str | None,
+    caller: str | None,
+    file: str | None,
+    environment: Mapping[str, str] = os.environ,
+) -> ConnectionSettings:
+    """Return the settings in force: options win over the environment, which wins over the file.
+
+    Raises
+    ------
+    UsageError
+        If no address is given anywhere.
+    InvalidArgumentError
+        If an address is malformed.
+    """
+    path = file or environment.get(FILE_VARIABLE)
+    stored = read_connection_file(path) if path else ConnectionSettings()
+    given = [part for text in addresses for part in _split(text)]
+    chosen = tuple(given or _split(environment.get(ADDRESS_VARIABLE, "")) or stored.address)
+    if not chosen:
+        raise UsageError(f"no entry instance is known: give --address or set {ADDRESS_VARIABLE}")
+    for address in chosen:
+        _check_address(address)
+    return ConnectionSettings(
+        address=chosen,
+        token=token or environment.get(TOKEN_VARIABLE) or stored.token,
+        caller=caller or stored.caller,
+        timeout_seconds=stored.timeout_seconds,
+    )
+
+
+def _split(text: str) -> list[str]:
+    return [part.strip() for part in text.split(",") if part.strip()]
+
+
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal() or not 1 <= int(port) <= 65535:
+        raise InvalidArgumentError("address", address, "host:port with a port from 1 to 65535")
--- /dev/null
+++ b/src/lavenderhook/_internal/cli/files.py
@@ -0,0 +1,171 @@
+"""Declarations kept as TOML files.
+
+A file holds arrays of tables, one array for each kind: ``[[workload]]``, ``[[policy]]``,
+``[[selector]]``, ``[[quota]]`` and ``[[worker-labels]]``. Every failure names the file, the
+declaration and the field, and all failures of all files are reported together.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import tomllib
+from collections.abc import Iterable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from ...errors import DeclarationError, InvalidArgumentError, UsageError
+from ..core.declarations import (
+    AnyDeclaration,
+    DeclarationKey,
+    Policy,
+    Quota,
+    Selector,
+    WorkerLabels,
+    Workload,
+    get_key,
+    validate_declaration,
+    validate_references,
+)
+from ..violations import convert
+
+SHAPES: Mapping[str, type[AnyDeclaration]] = {
+    "workload": Workload,
+    "policy": Policy,
+    "selector": Selector,
+    "quota": Quota,
+    "worker-labels": WorkerLabels,
+}
+KINDS = tuple(SHAPES)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sourced:
+    """A declaration and the file that it was read from."""
+
+    declaration: AnyDeclaration
+    file: str
+
+
+Declared = dict[DeclarationKey, Sourced]
+
+
+def load_files(paths: Sequence[str]) -> Declared:
+    """Read and check files; references to policies are left to `check_references`.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of `DeclarationError`, one for each declaration that is not valid.
+    """
+    declared: Declared = {}
+    failures: list[DeclarationError] = []
+    for path in paths:
+        for entry in _read_file(path, failures):
+            key = get_key(entry.declaration)
+            former = declared.get(key)
+            if former is not None:
+                allowed = f"each name once; {former.file} declares it too"
+                failures.append(DeclarationError(path, f"{key[0]}.{key[1]}.name", key[1], allowed))
+                continue
+            declared[key] = entry
+    _raise_all(failures)
+    return declared
+
+
+def check_references(
+    declared: Declared, in_force: Iterable[AnyDeclaration] = (), deleted: Iterable = ()
+) -> None:
+    """Check that the selectors' policies are declared in the files or remain in force.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of `DeclarationError`, one for each selector whose policy does not exist.
+    """
+    gone = set(deleted)
+    known = {get_key(d): d for d in in_force if get_key(d) not in gone}
+    known.update({key: entry.declaration for key, entry in declared.items()})
+    policies = {key: d for key, d in known.items() if isinstance(d, Policy)}
+    failures: list[DeclarationError] = []
+    for key, declaration in known.items():
+        file = declared[key].file if key in declared else "configuration in force"
+        try:
+            validate_references({**policies, key: declaration})
+        except InvalidArgumentError as error:
+            failures.append(DeclarationError(file, error.field, error.value, error.allowed))
+    _raise_all(failures)
+
+
+def _raise_all(failures: list[DeclarationError]) -> None:
+    if failures:
+        raise ExceptionGroup("declarations that are not valid", failures)
+
+
+def _read_file(path: str, failures: list[DeclarationError]) -> list[Sourced]:
+    try:
+        values = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        allowed = f"a readable UTF-8 file ({error})"
+        failures.append(DeclarationError(path, "file", path, allowed))
+        return []
+    except tomllib.TOMLDecodeError as error:
+        failures.append(DeclarationError(path, "file", path, f"valid TOML ({error})"))
+        return []
+    found: list[Sourced] = []
+    for kind, entries in values.items():
+        found.extend(_read_kind(path, kind, entries, failures))
+    return found
+
+
+def _read_kind(
+    path: str, kind: str, entries: Any, failures: list[DeclarationError]
+) -> list[Sourced]:
+    if kind not in SHAPES:
+        failures.append(DeclarationError(path, kind, kind, "one of " + ", ".join(KINDS)))
+        return []
+    if not isinstance(entries, list):
+        allowed = f"an array of tables, written as [[{kind}]]"
+        failures.append(DeclarationError(path, kind, type(entries).__name__, allowed))
+        return []
+    found: list[Sourced] = []
+    for number, values in enumerate(entries):
+        try:
+            found.append(Sourced(_read_entry(kind, number, values), path))
+        except InvalidArgumentError as error:
+            failures.append(DeclarationError(path, error.field, error.value, error.allowed))
+    return found
+
+
+def _read_entry(kind: str, number: int, values: Any) -> AnyDeclaration:
+    name = values.get("name") if isinstance(values, dict) else None
+    prefix = f"{kind}.{name}" if isinstance(name, str) and name else f"{kind}[{number}]"
+    if isinstance(values, dict) and "kind" in values:
+        allowed = "no such key; the name of the table is the kind"
+        raise InvalidArgumentError(f"{prefix}.kind", values["kind"], allowed)
+    try:
+        declaration = convert(values, SHAPES[kind], "")
+    except InvalidArgumentError as error:
+        field = f"{prefix}.{error.field}".rstrip(".")
+        raise InvalidArgumentError(field, error.value, error.allowed) from error
+    try:
+        validate_declaration(declaration)
+    except InvalidArgumentError as error:
+        field = error.field
+        if field != prefix and not field.startswith(f"{prefix}."):
+            field = f"{prefix}.{field.removeprefix(kind + '.')}"
+        raise InvalidArgumentError(field, error.value, error.allowed) from error
+    return declaration
+
+
+def parse_key(text: str) -> DeclarationKey:
+    """Return the key of a declaration that is given as ``KIND/NAME``.
+
+    Raises
+    ------
+    UsageError
+        If the text has another form or the kind does not exist.
+    """
+    kind, sign, name = text.partition("/")
+    if not sign or not name or kind not in SHAPES:
+        raise UsageError(f"{text!r} is not KIND/NAME with a kind of {', '.join(KINDS)}")
+    return kind, name
--- a/src/lavenderhook/errors.py
+++ b/src/lavenderhook/errors.py
@@ -69,6 +69,29 @@
         self.file = file
 
 
+class DeclarationError(InvalidArgumentError):
+    """A declaration in a file of the operators is not valid."""
+
+    code = "invalid-declaration"
+
+    def __init__(self, file: str, field: str, value: object, allowed: str) -> None:
+        super().__init__(field, value, allowed)
+        self.args = (f"{file}: {self.args[0]}",)
+        self.file = file
+
+    def to_fields(self) -> dict[str, object]:
+        """Return the failure as plain data for the wire."""
+        return {**super().to_fields(), "file": self.file}
+
+
+class UsageError(LavenderhookError):
+    """The command line is not valid."""
+
+    code = "usage"
+    http_status = 400
+    exit_code = 2
+
+
 class UnknownNameError(LavenderhookError):
     """A named thing does not exist."""
 
@@ -242,3 +265,68 @@
 
     code = "protocol"
     http_status = 400
+
+
+class ReportedError(LavenderhookError):
+    """A failure that an entry instance reported over HTTP.
+
+    Parameters
+    ----------
+    code : str
+        Code of the failure at the instance; decides the exit status.
+    message : str
+        What the instance said.
+    fields : dict of str to object
+        Everything that the instance reported.
+    """
+
+    def __init__(self, code: str, message: str, fields: dict[str, object]) -> None:
+        super().__init__(message)
+        self.code = code
+        self.exit_code = find_exit_code(code)
+        self.fields = fields
+
+    def to_fields(self) -> dict[str, object]:
+        """Return the failure as plain data for the wire."""
+        return {**self.fields, **super().to_fields()}
+
+
+class RequestNotRunError(LavenderhookError):
+    """A request to a service was certainly not run and may be sent again."""
+
+    code = "not-run"
+    http_status = 503
+    exit_code = 7
+
+
+class UnsuccessfulResponseError(LavenderhookError):
+    """The upstream ran the request and responded with an error status."""
+
+    code = "unsuccessful-response"
+    exit_code = 9
+
+
+class JobUnsuccessfulError(LavenderhookError):
+    """A job that was waited for ended without being done."""
+
+    code = "job-unsuccessful"
+    exit_code = 9
+
+
+class WaitTimeoutError(LavenderhookError):
+    """A job that was waited for has not ended in time; it goes on."""
+
+    code = "wait-timeout"
+    http_status = 504
+    exit_code = 10
+
+
+def find_exit_code(code: str) -> int:
+    """Return the exit status for the code of a failure; 1 if the code is not known."""
+    pending: list[type[LavenderhookError]] = [LavenderhookError]
+    while pending:
+        found = pending.pop()
+        if found.code == code:
+            return found.exit_code
+        pending.extend(found.__subclasses__())
+    return LavenderhookError.exit_code
