--- a/features/cli_cluster.feature
+++ b/features/cli_cluster.feature
@@ -68,6 +68,11 @@
     Then it exits with 0 and prints "w-24"
     When the tool runs get --token not-a-token
     Then it exits with 4 and prints "unauthenticated"
+    When the tool runs plan --delete workload/nightly
+    Then it exits with 0 and prints "- workload/nightly"
+    # A pattern that matches no file must not delete the whole configuration.
+    When the tool runs apply --prune
+    Then it exits with 2 and prints "at least one file"
     When the tool runs apply EMPTY --prune --change-id clean
     Then it exits with 0 and prints "accepted as version 5"
     When the tool runs apply EMPTY --prune --change-id clean
--- a/src/lavenderhook/_internal/cli/declared.py
+++ b/src/lavenderhook/_internal/cli/declared.py
@@ -30,6 +30,7 @@
 DEFAULT_HISTORY = 20  # changes
 SHOWN_NAMES = 3  # declarations named in a row of the history; json has them all
 FILES = argument("files", "TOML files with declarations.", multiple=True)
+OPTIONAL_FILES = argument("files", "TOML files with declarations.", optional=True, multiple=True)
 DELETE = option(
     "delete",
     None,
@@ -68,7 +69,11 @@
 
 class _ComparingCommand(ConnectedCommand):
     def _read(self) -> tuple[Declared, tuple[DeclarationKey, ...]]:
-        declared = load_files(self.argument("files"))
+        files = self.argument("files")
+        if not files and (self.option("prune") or not self.option("delete")):
+            # Pruning without files would delete the whole configuration.
+            raise UsageError("give at least one file, or only --delete")
+        declared = load_files(files)
         deletes = tuple(sorted({parse_key(text) for text in self.option("delete")}))
         for key in deletes:
             if key in declared:
@@ -98,7 +103,7 @@
 - is deleted. Declarations that are in force but in none of the files are left alone unless
 --delete or --prune says otherwise. Give the version in the last line to apply as --expected to
 be sure that the change is the one that was shown."""
-    arguments = [FILES]
+    arguments = [OPTIONAL_FILES]
     own_options = [DELETE, PRUNE]
 
     def carry_out(self) -> None:
@@ -144,7 +149,7 @@
 
 Exit status: 0 accepted, 2 not valid, 4 credential, 5 conflict, 7 nothing changed and may be
 repeated, 8 result unknown: apply the same id again."""
-    arguments = [FILES]
+    arguments = [OPTIONAL_FILES]
     own_options = [
         option("change-id", None, "Id of the change. Default: a hash of the content.", flag=False),
         option("expected", None, "Version that must be in force now.", flag=False),
