--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -10,7 +10,13 @@
 
 from lavenderhook._internal.core import effects as fx
 from lavenderhook._internal.core import events as ev
-from lavenderhook._internal.core.declarations import Policy, Selector, SelectorTarget, Workload
+from lavenderhook._internal.core.declarations import (
+    Policy,
+    Selector,
+    SelectorTarget,
+    WorkerLabels,
+    Workload,
+)
 from lavenderhook._internal.core.identifiers import MemberState, PriorityClass, WorkloadKind
 from lavenderhook._internal.core.messages import Digest, GrantUpdate
 from lavenderhook._internal.core.records import UpstreamView, WorkerView
@@ -56,6 +62,7 @@
         deadline=now + float(options.get("deadline", 5)),
         priority=PriorityClass(options.get("class", "normal")),
         forwarded_by=options.get("from"),
+        first_send=options.get("first", "false") == "true",
     )
 
 
@@ -191,7 +198,20 @@
     return ev.PlatformListed(now=driver.now, instances=(), workers=workers)
 
 
+def build_drain(driver, plain, options):
+    """Return the operators' change that drains a worker, or with ``end`` no longer does."""
+    version = driver.state.configuration.version + 1
+    labels = WorkerLabels(name=plain[0], drain="end" not in plain)
+    change = ev.ConfigurationChange(
+        version=version, change_id=f"c{version}", author="o", at=0.0, puts=(labels,)
+    )
+    return ev.ConfigurationReceived(
+        now=driver.now, changes=(change,), complete=False, from_table=True, head=version
+    )
+
+
 EVENTS = {
+    "drain": build_drain,
     "arrive": lambda d, p, o: ev.RequestArrived(now=d.now, head=make_head(int(p[0]), d.now, **o)),
     "abandon": lambda d, p, o: ev.RequestAbandoned(now=d.now, ticket=int(p[0])),
     "claim": lambda d, p, o: ev.ClaimResolved(
@@ -370,3 +390,20 @@
 @then('"{upstream_id}" may serve {count:d} request at a time')
 def step_check_limit(context, upstream_id, count):
     assert context.driver.state.routing.upstreams[upstream_id].limit == count
+
+
+@when("half of {count:d} requests of peers fail on every upstream")
+def step_fail_half(context, count):
+    driver = context.driver
+    generator = random.Random(3)
+    for ticket in range(1, count + 1):
+        driver.see(f"arrive {ticket} from=b")
+        dispatch = [e for e in driver.effects if isinstance(e, fx.DispatchToUpstream)][-1]
+        status = generator.choice((200, 500))
+        driver.see(f"answer {ticket} {dispatch.upstream_id} status={status}")
+
+
+@then('"{expected}" stay in use')
+def step_check_in_use(context, expected):
+    upstreams = context.driver.state.routing.upstreams
+    assert [u for u in upstreams if upstreams[u].limit == 4] == expected.split(",")
--- a/src/lavenderhook/_internal/adapters/workers.py
+++ b/src/lavenderhook/_internal/adapters/workers.py
@@ -111,9 +111,16 @@
         # The stop follows in any case: only a stop makes the worker refuse a late start.
         return self._post(address, "stop", tasks)
 
-    def throttle(self, address: str, attempts: Sequence[AttemptId]) -> None:
-        """Hold attempts to their declared processors."""
-        self._post(address, "throttle", [{"attempt": attempt} for attempt in attempts])
+    def throttle(
+        self, address: str, attempts: Sequence[AttemptId], processors: Sequence[int]
+    ) -> None:
+        """Hold attempts to these thousandths of a processor, in the same order."""
+        tasks = [
+            {"attempt": attempt, "processors": amount / MILLICORES}
+            for attempt, amount in zip(attempts, processors, strict=False)
+        ]
+        if tasks:
+            self._post(address, "throttle", tasks)
 
     def forget(self, address: str, attempts: Sequence[AttemptId]) -> None:
         """Acknowledge ended attempts."""
@@ -198,7 +205,7 @@
     def throttle(self, effect: ThrottleTasks) -> None:
         """Hold attempts to their declared processors."""
         try:
-            self._client.throttle(effect.address, effect.attempts)
+            self._client.throttle(effect.address, effect.attempts, effect.processors)
         except LavenderhookError:
             self._report_unreachable(effect.worker_id, effect.attempts, "throttle")
 
--- a/src/lavenderhook/_internal/core/effects.py
+++ b/src/lavenderhook/_internal/core/effects.py
@@ -156,6 +156,7 @@
     IN_PROGRESS = "in-progress"
     PEER_LOST = "peer-lost"
     TRUNCATED = "truncated-answer"
+    EARLIER_SEND = "earlier-send"
 
 
 class Completed(msgspec.Struct, frozen=True, kw_only=True):
@@ -346,11 +347,15 @@
 
 
 class ThrottleTasks(Effect, frozen=True, kw_only=True):
-    """Hold attempts to their declared processors."""
+    """Hold attempts to their declared processors.
+
+    `processors` holds the declared thousandths of a processor of each attempt, in order.
+    """
 
     worker_id: WorkerId
     address: str
     attempts: tuple[AttemptId, ...]
+    processors: tuple[int, ...] = ()
 
 
 class ForgetTasks(Effect, frozen=True, kw_only=True):
