Add the demo, and refuse workloads of another team

The demo starts a deployment at its real shape, pushes services, a batch and a gang through it, changes a selector and restarts an instance under load. A caller could submit a declared workload of another team and charge its quota; that is now refused where callers have credentials. Metric names no longer carry the prefix twice.

--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,8 @@
 
 test: lint types features
 
+demo: setup
+	$(BIN)/python -m demo --deployment $(DEPLOYMENT)
+
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .ruff_cache .hypothesis
--- a/features/daemon_process.feature
+++ b/features/daemon_process.feature
@@ -1,7 +1,7 @@
 Feature: The process of an entry instance
 
   Scenario: The example settings are valid
-    Then the example settings in examples/entry.toml pass the check
+    Then the example settings in examples/entry-instance.toml pass the check
 
   Scenario: A process tells its address, serves and stops on SIGTERM
     Given a process of an entry instance that may take 0.5 s to shut down
--- a/src/lavenderhook/_internal/adapters/credentials.py
+++ b/src/lavenderhook/_internal/adapters/credentials.py
@@ -78,6 +78,17 @@
             raise PermissionDeniedError(f"the credential does not belong to {claimed!r}")
         return identity
 
+    def require_team(self, identity: Identity, team: TeamName) -> None:
+        """Check that a caller may submit work that is charged to a team.
+
+        Raises
+        ------
+        PermissionDeniedError
+            If callers are declared and this one belongs to another team.
+        """
+        if self._callers and identity.team != team:
+            raise PermissionDeniedError(f"the workload belongs to team {team!r}")
+
     def identify_operator(self, incoming: Incoming) -> str:
         """Return the name of the operator who calls.
 
--- a/src/lavenderhook/_internal/adapters/routes.py
+++ b/src/lavenderhook/_internal/adapters/routes.py
@@ -324,6 +324,7 @@
             declared = self._core.state.configuration.get_workload(submission.workload)
             if declared is None:
                 raise UnknownNameError("workload", submission.workload)
+            self._credentials.require_team(identity, declared.team)
             return declared
         if submission.type is None:
             raise InvalidArgumentError("type", None, "service, batch or gang, or a workload")
--- a/src/lavenderhook/_internal/core/commits.py
+++ b/src/lavenderhook/_internal/core/commits.py
@@ -151,7 +151,7 @@
             records=tuple(records),
             delete_logs=deletes,
         ),
-        CountMetric(name="lavenderhook_commit_records", value=float(len(records))),
+        CountMetric(name="commit_records", value=float(len(records))),
     ]
 
 
--- a/src/lavenderhook/_internal/core/requests.py
+++ b/src/lavenderhook/_internal/core/requests.py
@@ -128,7 +128,7 @@
     """Count outcomes that could not be stored; their request ids stay in progress."""
     if event.durable:
         return []
-    return [CountMetric(name="lavenderhook_outcomes_not_recorded_total")]
+    return [CountMetric(name="outcomes_not_recorded_total")]
 
 
 HANDLERS = {OutcomeRecorded: handle_recorded}
