Check a rolling restart of real processes under load

The core's scenarios run in virtual time and can't see a connection that a shutdown cuts. Callers on loopback check every answer for their own payload and request id, and the stand-ins' ledger gives the verdict on executions. A refused connection is sent again elsewhere, as no byte of the request was sent; a connection that ends later counts as a cut.

--- /dev/null
+++ b/features/support/load.py
@@ -0,0 +1,109 @@
+"""Load on the entry instances of a cluster, with a check of every answer."""
+
+import dataclasses
+import random
+import re
+import time
+
+import gevent
+
+from demo.cluster import call
+
+CALLER = "load"
+DEADLINE_MS = 3000
+CLIENTS_PER_ENTRY = 3
+MAX_PAYLOAD_BYTES = 8000
+REFUSED_PAUSE_SECONDS = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """What one caller saw; `outcome` is ``closed`` if the connection ended early."""
+
+    request: str
+    address: str
+    idempotent: bool
+    outcome: str
+    began_at: float
+    ended_at: float
+    detail: str
+
+
+class Load:
+    """Callers that send requests one after the other to the instances in turn.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    service : str
+    seed : int
+        Of the payloads, service times and the choice of idempotence.
+    """
+
+    def __init__(self, cluster, service, seed):
+        self.results = []
+        self.wrong = []
+        self._cluster = cluster
+        self._path = f"/service/{service}/echo"
+        self._random = random.Random(seed)
+        self._running = True
+        self._number = 0
+        count = CLIENTS_PER_ENTRY * len(cluster.entries)
+        self._clients = [gevent.spawn(self._send_requests, number) for number in range(count)]
+
+    def stop(self):
+        """Let every caller finish its request."""
+        self._running = False
+        gevent.joinall(self._clients, raise_error=True, timeout=40)
+        assert all(client.dead for client in self._clients), "a caller has no answer"
+
+    def _send_requests(self, turn):
+        while self._running:
+            turn += 1
+            self._send_request(turn)
+
+    def _send_request(self, turn):
+        self._number += 1
+        request = f"r{self._number}"
+        idempotent = self._random.random() < 0.5
+        payload = self._random.randbytes(self._random.randrange(MAX_PAYLOAD_BYTES))
+        headers = {
+            "lavenderhook-request-id": request,
+            "lavenderhook-caller": CALLER,
+            "lavenderhook-idempotent": str(idempotent).lower(),
+            "lavenderhook-deadline-ms": str(DEADLINE_MS),
+            "x-service-ms": str(self._random.randint(5, 60)),
+        }
+        began_at = time.monotonic()
+        answer = None
+        detail = ""
+        while answer is None and not detail:
+            addresses = [entry.address for entry in self._cluster.entries.values()]
+            address = addresses[turn % len(addresses)]
+            try:
+                answer = call(address, "POST", self._path, payload, headers, timeout=30.0)
+            except ConnectionRefusedError:
+                # Nothing was sent: the next instance gets the same request.
+                turn += 1
+                gevent.sleep(REFUSED_PAUSE_SECONDS)
+            except Exception as error:
+                detail = repr(error)
+        outcome = "closed"
+        if answer is not None:
+            outcome = answer.headers.get("lavenderhook-outcome", "")
+            detail = f"{answer.status} {answer.body[:120]!r}"
+            self._check_answer(request, payload, outcome, answer)
+        self.results.append(
+            Result(request, address, idempotent, outcome, began_at, time.monotonic(), detail)
+        )
+
+    def _check_answer(self, request, payload, outcome, answer):
+        if outcome == "completed":
+            first, _, rest = answer.body.partition(b"\n")
+            named = re.fullmatch(rb"(\S+) w-\d+", first)
+            right = answer.status == 200 and named and named[1] == request.encode()
+            right = right and rest == payload
+        else:
+            right = {"not-run": 503, "unknown": 504}.get(outcome) == answer.status
+        if not right:
+            self.wrong.append((request, outcome, answer.status, answer.body[:120]))
