Check killed instances with a batch job and load

A kill of an instance, then of the shard's owner, must neither lose a task nor run one twice. Only callers of a killed instance may see a closed connection.

--- a/features/system.feature
+++ b/features/system.feature
@@ -6,3 +6,13 @@
     When every entry instance restarts gracefully in turn
     Then every restarted instance had exited with 0
     And the callers and the ledger saw no violation
+
+  Scenario: Killed instances lose no batch task and repeat none
+    Given a cluster of 4 entry instances and a service of 6 tasks
+    And load on every entry instance
+    And a batch job "certificates" of 10 tasks of 3 s is submitted
+    When an instance that does not own the shard is killed
+    And 1 s pass under load
+    And the owner of the shard is killed
+    Then every job ends as done within 15 s, with no task done twice
+    And the callers and the ledger saw no violation
