--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,12 @@
 
 test: lint types features
 
+bench: setup
+	mkdir -p bench/results
+	PYTHONPATH=src:. $(BIN)/python -m bench.placement --sizes 200,1000,5000,20000 --output bench/results/placement.json
+	PYTHONPATH=src:. $(BIN)/python -m bench.routing --json bench/results/routing.json
+	PYTHONPATH=src:. $(BIN)/python -m bench.slopes
+	PYTHONPATH=src:. $(BIN)/python -m bench.system
+
 clean:
 	rm -rf $(VENV) build dist .mypy_cache .ruff_cache .hypothesis
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -180,16 +180,23 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--output", help="file for the JSON result")
     parser.add_argument("--sizes", default="200,1000,2000,5000,10000,20000")
+    parser.add_argument(
+        "--trials",
+        type=int,
+        default=4,
+        help="how many of the trace trials to run; the last is slow",
+    )
     arguments = parser.parse_args()
     decisions = [measure_decisions(int(size)) for size in arguments.sizes.split(",")]
     print_table("Time of a placement decision", decisions)
     trials = []
-    for name, factory, mode in (
+    shapes: tuple[tuple[str, Callable[[], Scheduler], PlacementMode | None], ...] = (
         ("fair, best fit", lambda: FairScheduler(random.Random(SEED)), None),
         ("fair, random", lambda: FairScheduler(random.Random(SEED)), PlacementMode.RANDOM),
         ("fair, first fit", lambda: FairScheduler(random.Random(SEED)), PlacementMode.FIRST_FIT),
         ("scan, first fit", lambda: ScanScheduler(random.Random(SEED)), PlacementMode.FIRST_FIT),
-    ):
+    )
+    for name, factory, mode in shapes[: arguments.trials]:
         trial = run_trace(factory, mode)
         trials.append(
             {
