Compare routed requests with direct ones in the system benchmark

Reason: one process serves all stand-in workers and saturates before the slots do, so the caller's time alone says nothing about the router. The same load now also goes to the upstreams directly, from four generator processes, because one used 94 % of its core at 2,240 requests/s. A service time of 500 ms fills 40 and 80 % of the slots at rates that the stand-ins bear.

--- a/bench/system.py
+++ b/bench/system.py
@@ -1,9 +1,10 @@
 """Latency added by a real cluster, and its control cost at rest.
 
 Starts the stand-ins and seven entry instances as processes, declares the service of today's
-deployments, and reads processor time and memory from ``/proc`` and bytes from ``/metrics``. The
-added latency is the caller's time minus the upstream's stated service time, so it includes the
-stand-ins' and the caller's own delays on this machine.
+deployments, and reads processor time and memory from ``/proc`` and bytes from ``/metrics``. Times
+are the caller's minus the stated service time. The same load also goes to the upstreams directly,
+because the stand-ins' and the caller's own delays on one machine are part of both; all workers of
+the stand-ins share one process.
 """
 
 from __future__ import annotations
@@ -13,26 +14,31 @@
 import os
 import random
 import re
+import subprocess
+import sys
 import tempfile
 import time
+from collections.abc import Sequence
 from pathlib import Path
 
 import gevent
 from geventhttpclient import HTTPClient
 
-from demo.cluster import Cluster
+from demo.cluster import Cluster, call
 
 from .report import compute_percentile, describe_machine, print_table
 
 SEED = 20_240
-SERVICE_MS = 50
 WORKERS = 24
 SLOTS = 8
-CAPACITY = WORKERS * SLOTS * 1000 / SERVICE_MS  # requests a second that the slots allow
-REST_SECONDS = 12.0
-LOAD_SECONDS = 8.0
-WARM_UP_SECONDS = 2.0
-SETTLE_SECONDS = 6.0
+# Service time in milliseconds and requests a second. The stand-ins' one process bears no more
+# than about 1,500 requests a second, so the longer service time fills 40 and 80 % of the slots.
+LOADS = "50:300,50:1536,500:154,500:307"
+REST_SECONDS = 8.0
+LOAD_SECONDS = 4.5
+WARM_UP_SECONDS = 1.5
+SETTLE_SECONDS = 5.0
+GENERATORS = 4  # processes; one is too slow for the higher rates
 TICKS = os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
 SENT_PATTERN = re.compile(
@@ -114,35 +120,46 @@
     return rows
 
 
-def measure_load(cluster: Cluster, rate: float, cost: bool = True) -> dict[str, object]:
-    """Send idempotent requests at a fixed rate, drawn from a Poisson process, to all instances."""
-    generator = random.Random(SEED)
-    entries = list(cluster.entries.values())
+def list_upstreams(cluster: Cluster) -> list[tuple[str, str]]:
+    """Return address and path of every upstream, read from the workers."""
+    content = call(cluster.platform["instances"], "GET", "/v1/instances").decode()
+    targets = []
+    for entry in content["entries"]:
+        if entry["role"] != "worker":
+            continue
+        for task in call(entry["address"], "GET", "/v1/tasks").decode()["tasks"]:
+            if "address" in task:
+                address, _, prefix = task["address"].partition("/")
+                targets.append((address, f"/{prefix}/x"))
+    return targets
+
+
+def generate(
+    targets: Sequence[tuple[str, str]], service_ms: float, rate: float, seed: int
+) -> dict[str, object]:
+    """Send requests of a Poisson process to random targets; return times beyond the service's."""
+    generator = random.Random(seed)
     clients = [
         HTTPClient.from_url(
-            f"http://{entry.address}/", concurrency=256, connection_timeout=5, network_timeout=10
+            f"http://{address}/", concurrency=64, connection_timeout=5, network_timeout=10
         )
-        for entry in entries
+        for address, _ in targets
     ]
-    pids = [entry.process.child.pid for entry in entries]
     added: list[float] = []
     late: list[float] = []
     failures: dict[str, int] = {}
-    started = time.perf_counter()
-    used = sum(read_processor_seconds(pid) for pid in pids)
-    own = time.process_time()
+    started, own = time.perf_counter(), time.process_time()
 
-    def send(client: HTTPClient, number: int, at: float) -> None:
+    def send(target: int, number: int, at: float) -> None:
         headers = {
-            "lavenderhook-request-id": f"bench-{rate:.0f}-{number}",
+            "lavenderhook-request-id": f"bench-{seed}-{number}",
             "lavenderhook-caller": "bench",
             "lavenderhook-idempotent": "true",
-            "x-service-ms": str(SERVICE_MS),
+            "x-service-ms": str(service_ms),
         }
         begun = time.perf_counter()
-        late.append(begun - at)
         try:
-            answer = client.request("POST", "/service/sponsor-desk/x", b"hello", headers)
+            answer = clients[target].request("POST", targets[target][1], b"hello", headers)
             answer.read()
             status = str(answer.status_code)
         except OSError as error:
@@ -150,36 +167,73 @@
         taken = time.perf_counter() - begun
         if status != "200":
             failures[status] = failures.get(status, 0) + 1
-        elif begun - started > WARM_UP_SECONDS:
-            added.append(taken - SERVICE_MS / 1000)
+        elif at - started > WARM_UP_SECONDS:
+            added.append(taken - service_ms / 1000)
+            late.append(begun - at)
 
     jobs = []
     at, number = started, 0
     while at - started < LOAD_SECONDS:
         at += generator.expovariate(rate)
-        wait = at - time.perf_counter()
-        gevent.sleep(max(0.0, wait))
-        client = clients[generator.randrange(len(clients))]
-        jobs.append(gevent.spawn(send, client, number, at))
+        gevent.sleep(max(0.0, at - time.perf_counter()))
+        jobs.append(gevent.spawn(send, generator.randrange(len(targets)), number, at))
         number += 1
     elapsed = time.perf_counter() - started
-    used = sum(read_processor_seconds(pid) for pid in pids) - used
     own = time.process_time() - own
     gevent.joinall(jobs, timeout=10.0)
-    for client in clients:
-        client.close()
     return {
+        "added": added,
+        "late": late,
+        "failures": failures,
+        "sent": number,
+        "seconds": elapsed,
+        "core": own / elapsed,
+    }
+
+
+def measure_load(
+    cluster: Cluster,
+    name: str,
+    targets: Sequence[tuple[str, str]],
+    service_ms: float,
+    rate: float,
+) -> dict[str, object]:
+    """Send requests at a fixed rate from several processes; return latencies and costs."""
+    pids = [entry.process.child.pid for entry in cluster.entries.values()]
+    used = sum(read_processor_seconds(pid) for pid in pids)
+    children = []
+    for n in range(GENERATORS):
+        child = subprocess.Popen(
+            [sys.executable, "-m", "bench.system", "--generate"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            env={**os.environ, "PYTHONPATH": f"src{os.pathsep}."},
+        )
+        seed = SEED + int(rate) * 10 + n + (500_000 if name == "direct" else 0)
+        child.stdin.write(json.dumps([list(targets), service_ms, rate / GENERATORS, seed]).encode())
+        child.stdin.close()
+        children.append(child)
+    parts = [json.loads(child.stdout.read()) for child in children]
+    for child in children:
+        child.wait(10.0)
+    used = sum(read_processor_seconds(pid) for pid in pids) - used
+    added = [value for part in parts for value in part["added"]]
+    late = [value for part in parts for value in part["late"]]
+    sent = sum(part["sent"] for part in parts)
+    sent_rate = sum(part["sent"] / part["seconds"] for part in parts)
+    return {
+        "path": name,
+        "service_ms": service_ms,
         "asked_s": rate,
-        "sent_s": number / elapsed,
-        "slots_percent": 100 * (number / elapsed) / CAPACITY,
-        "requests": number,
+        "sent_s": sent_rate,
+        "slots_percent": sent_rate * service_ms / 10 / (WORKERS * SLOTS),
         "measured": len(added),
-        "added_p50_ms": compute_percentile(added, 50) * 1000,
-        "added_p99_ms": compute_percentile(added, 99) * 1000,
-        "core_us_per_request": used / number * 1e6,
-        "generator_core_percent": own / elapsed * 100,
+        "p50_ms": compute_percentile(added, 50) * 1000,
+        "p99_ms": compute_percentile(added, 99) * 1000,
+        "entry_core_us_per_request": used / sent * 1e6,
+        "generator_core_percent": max(part["core"] for part in parts) * 100,
         "generator_late_p99_ms": compute_percentile(late, 99) * 1000,
-        "failures": json.dumps(failures),
+        "failures": json.dumps([part["failures"] for part in parts if part["failures"]]),
     }
 
 
@@ -187,19 +241,31 @@
     """Run the measurements and print tables and JSON."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--output", default="bench/results/system.json")
-    parser.add_argument("--rates", default="300,600,1228,2457", help="requests a second")
+    parser.add_argument(
+        "--loads", default=LOADS, help="pairs of milliseconds and requests a second"
+    )
+    parser.add_argument("--generate", action="store_true", help="used by the benchmark itself")
     arguments = parser.parse_args()
+    if arguments.generate:
+        print(json.dumps(generate(*json.load(sys.stdin))))
+        return
     with tempfile.TemporaryDirectory() as directory:
         cluster = Cluster("authority", Path(directory), log_level="warning")
         try:
             cluster.start()
             declare_service(cluster)
             rest = measure_rest(cluster)
-            loads = [measure_load(cluster, float(rate)) for rate in arguments.rates.split(",")]
+            routed = [(e.address, "/service/sponsor-desk/x") for e in cluster.entries.values()]
+            direct = list_upstreams(cluster)
+            loads = [
+                measure_load(cluster, name, targets, float(service_ms), float(rate))
+                for service_ms, rate in (load.split(":") for load in arguments.loads.split(","))
+                for name, targets in (("direct", direct), ("routed", routed))
+            ]
         finally:
             cluster.stop()
     print_table("Control cost at rest, 7 entry instances and 24 workers", rest)
-    print_table(f"Added latency, x-service-ms {SERVICE_MS}, {CAPACITY:.0f}/s allowed", loads)
+    print_table("Time beyond the service, to upstreams directly and routed", loads)
     result = {
         "machine": {**describe_machine(), "load_average": os.getloadavg()},
         "rest": rest,
