Stop preemptible batch work for urgent tasks without room

Cause: an urgent task waited for the run time of batch work when workers were full. Quotas of the configuration now reach the scheduler, which had never been given them.

--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -131,6 +131,7 @@
             return AttemptReport(attempt_id=attempt_id, state="refused", reason="lease-expired")
         self.starts += 1
         self.cluster.started_tasks.add(start.task_id)
+        self.cluster.start_times.setdefault(start.task_id, []).append(self.cluster.now)
         run_seconds = float(str(start.command.get("run_seconds", "inf")))
         ends_at = self.cluster.now + run_seconds if start.kind != "service" else float("inf")
         task = RunningTask(start.task_id, start.resources, start.lease_until, ends_at)
@@ -263,6 +264,7 @@
         self.workers = {}
         self.listed_nodes = {}
         self.started_tasks = set()
+        self.start_times = {}
         self.operations = {}
         self.follow_forwards = False
         self.list_lag = 0.0
--- a/src/lavenderhook/_internal/core/fair_scheduler.py
+++ b/src/lavenderhook/_internal/core/fair_scheduler.py
@@ -11,6 +11,7 @@
 
 import dataclasses
 import heapq
+import itertools
 import math
 import random
 from collections.abc import Iterable, Sequence
@@ -401,6 +402,26 @@
         if found >= task.gang_size:
             self._set_reservation(_Reservation(job.job_id, mask, starts_at))
 
+    def list_pending(self, priority: PriorityClass, limit: int) -> list[PendingTask]:
+        """Return up to `limit` pending tasks of a class that may be placed now."""
+        found: list[PendingTask] = []
+        for key in self._queue.list_lines(priority):
+            for job in self._queue.list_jobs(key):
+                found.extend(itertools.islice(job.tasks.values(), limit - len(found)))
+                if len(found) >= limit:
+                    return found
+        return found
+
+    def get_free(self, worker_id: WorkerId, task: PendingTask) -> Resources | None:
+        """Return what is free on a worker, or None if `task` may not be placed there now."""
+        position = self._index.get_position(worker_id)
+        if position is None:
+            return None
+        round_ = _Round(now=self._now, left=1, limits=self._limits)
+        if not self._find_candidates(round_, task)[position]:
+            return None
+        return Resources(*(int(amount) for amount in self._index.free[:, position]))
+
     def find_obstacle(self, tasks: Sequence[PendingTask]) -> WaitReason | None:
         """Return why these tasks together can never run on the workers, or None."""
         task = tasks[0]
--- a/src/lavenderhook/_internal/core/ownership.py
+++ b/src/lavenderhook/_internal/core/ownership.py
@@ -23,6 +23,7 @@
     IncarnationId,
     JobId,
     ShardId,
+    TaskId,
     TaskState,
     TransactionId,
     UpstreamId,
@@ -166,6 +167,8 @@
         Committed slots by upstream and holder; the state's own are tentative.
     upstream_views : dict
         The upstreams as the last plan saw them.
+    preempted_at : dict of TaskId to float
+        When attempts were last stopped for an urgent task, in seconds.
     """
 
     shard: ShardId
@@ -207,6 +210,7 @@
         default_factory=dict
     )
     upstream_views: dict[UpstreamId, UpstreamView] = dataclasses.field(default_factory=dict)
+    preempted_at: dict[TaskId, float] = dataclasses.field(default_factory=dict)
 
     def is_owned(self) -> bool:
         """Return whether this instance decides for the shard."""
--- a/src/lavenderhook/_internal/core/placement.py
+++ b/src/lavenderhook/_internal/core/placement.py
@@ -72,6 +72,7 @@
     build_pending_task,
     build_plan,
 )
+from .preemption import preempt_for_urgent
 from .records import JobAccepted, JobCancelled, JobSpec, TaskPlaced
 from .recovery import adopt_shard, refresh_plans, refresh_workers
 from .scheduler import PendingTask
@@ -348,6 +349,7 @@
         }
         effects.append(LogDecision(decision="task-placed", fields=fields))
         ownership.undecided = True
+    effects.extend(preempt_for_urgent(state, ownership))
     return effects
 
 
--- a/src/lavenderhook/_internal/core/recovery.py
+++ b/src/lavenderhook/_internal/core/recovery.py
@@ -77,6 +77,7 @@
     shard_state = ownership.get_state()
     ownership.planned_version = state.configuration.version
     ownership.scheduler = build_scheduler(state)
+    ownership.scheduler.update_quotas(state.configuration.list_quotas())
     start_granting(ownership)
     ownership.views.clear()
     ownership.schedulable = ()
@@ -199,6 +200,7 @@
 def refresh_plans(state: InstanceState, ownership: Ownership) -> None:
     """Apply a changed configuration to the workers and to the jobs that wait."""
     ownership.planned_version = state.configuration.version
+    ownership.get_scheduler().update_quotas(state.configuration.list_quotas())
     refresh_workers(state, ownership)
     for job_id, job in ownership.get_state().jobs.items():
         if job.ended_at is not None:
--- a/src/lavenderhook/_internal/core/scheduler.py
+++ b/src/lavenderhook/_internal/core/scheduler.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from .declarations import PlacementMode, Policy, Quota
-from .identifiers import JobId, TaskId, TeamName, WorkerId, WorkloadKind
+from .identifiers import JobId, PriorityClass, TaskId, TeamName, WorkerId, WorkloadKind
 from .labels import LabelSelector
 from .records import WorkerView
 from .resources import ZERO, Resources
@@ -114,6 +114,14 @@
     def decide(self, now: float, limit: int) -> Sequence[Decision]:
         """Choose up to `limit` placements and reserve their resources."""
 
+    def list_pending(self, priority: PriorityClass, limit: int) -> list[PendingTask]:
+        """Return up to `limit` pending tasks of a class that may be placed now."""
+        return []
+
+    def get_free(self, worker_id: WorkerId, task: PendingTask) -> Resources | None:
+        """Return what is free on a worker, or None if `task` may not be placed there now."""
+        return None
+
     @abc.abstractmethod
     def find_obstacle(self, tasks: Sequence[PendingTask]) -> WaitReason | None:
         """Return why these tasks together can never run on the workers, or None."""
