Check paused instances and a paused owner under load

Jobs are submitted before the owner is paused so that it holds running tasks and fresh placements; a job submitted before the first pause had ended by then.

--- a/features/steps/system.py
+++ b/features/steps/system.py
@@ -165,3 +165,143 @@
     assert not violations, violations
     completed = sum(r.outcome == "completed" for r in load.results)
     assert completed > len(load.results) / 2, outcomes
+
+
+@when("an instance that does not own the shard is paused for {seconds:g} s")
+def step_pause(context, seconds):
+    owner = find_owner(context.cluster)
+    pause(context, next(name for name in context.cluster.entries if name != owner), seconds)
+
+
+@when("the owner of the shard is paused for {seconds:g} s")
+def step_pause_owner(context, seconds):
+    pause(context, find_owner(context.cluster), seconds)
+
+
+def pause(context, name, seconds):
+    """Pause an entry instance and let it run again."""
+    context.cluster.pause(name)
+    gevent.sleep(seconds)
+    context.cluster.resume(name)
+
+
+@when("the table is down for {seconds:g} s")
+def step_down(context, seconds):
+    context.down_from = time.monotonic()
+    context.cluster.add_fault("down", target="table", mode="answer")
+    gevent.sleep(seconds)
+    context.down_until = time.monotonic()
+    context.cluster.clear_faults()
+
+
+@then("while it was down idempotent requests completed and the others were not run")
+def step_during_outage(context):
+    """Guards against an outage of the store that stops requests, or a dispatch without a claim."""
+    settled = context.down_from + 0.5
+    during = [
+        r
+        for r in context.load.results
+        if r.began_at >= settled and r.ended_at <= context.down_until
+    ]
+    outcomes = Counter((r.idempotent, r.outcome) for r in during)
+    print("while down:", dict(outcomes))
+    assert set(outcomes) == {(True, "completed"), (False, "not-run")}, outcomes
+
+
+@then("a configuration change is accepted within {seconds:d} s")
+def step_change(context, seconds):
+    cluster = context.cluster
+    name = next(iter(cluster.entries))
+
+    def change():
+        return change_configuration(cluster, name, "later", "spare").status == 200
+
+    cluster.wait_for(change, "configuration change", seconds)
+
+
+@when("the table loses answers of commits with probability {probability:g}")
+def step_lose(context, probability):
+    counters = context.cluster.read_ledger()["table"]["counters"]
+    context.conflicts_before = counters.get("conflicts", 0)
+    context.cluster.add_fault(
+        "lose_answer", target="table", operations=["commit"], probability=probability
+    )
+
+
+@when("the faults end")
+def step_clear(context):
+    context.cluster.clear_faults()
+
+
+def read_version(cluster, name):
+    """Return the configuration version in force at an entry instance."""
+    return cluster.operate(name, "GET", "configuration").decode().get("version")
+
+
+@when("two operators change the same version at different instances {times:d} times")
+def step_race(context, times):
+    cluster = context.cluster
+    context.races = []
+    names = list(cluster.entries)[:2]
+    for turn in range(times):
+        version = max(read_version(cluster, name) for name in cluster.entries)
+        calls = [
+            gevent.spawn(
+                change_configuration,
+                cluster,
+                name,
+                f"race-{turn}-{name}",
+                f"spare-{name}",
+                expected=version,
+            )
+            for name in names
+        ]
+        gevent.joinall(calls, timeout=20, raise_error=True)
+        answers = [call.value for call in calls]
+        wait_for_version(cluster, version + 1)
+        context.races.append(answers)
+
+
+def wait_for_version(cluster, version):
+    """Wait until a configuration version is in force at every entry instance."""
+
+    def agree():
+        return {read_version(cluster, name) for name in cluster.entries} == {version}
+
+    cluster.wait_for(agree, f"version {version} in force everywhere", 10)
+
+
+@then("one change of each race is accepted and the other is a configuration-conflict")
+def step_conflicts(context):
+    for answers in context.races:
+        lost = [answer for answer in answers if answer.status != 200]
+        assert len(lost) == 1, answers
+        assert lost[0].status == 409 and b"configuration-conflict" in lost[0].body, lost
+
+
+@when("a worker of the service begins to leave")
+def step_leave(context):
+    ledger = context.cluster.read_ledger()
+    attempts = [a for a in ledger["attempts"] if a["end"] is None]
+    context.leaving = attempts[0]["worker"]
+    context.cluster.add_fault("leaving", target=context.leaving, signal="list")
+    context.left_at = time.time()
+
+
+@then("no request reaches that worker later than {seconds:g} s after")
+def step_left(context, seconds):
+    """Guards against an instance that has not learnt that an upstream is leaving."""
+    ledger = context.cluster.read_ledger()
+    late = [e for e in ledger["while_leaving"] if e["seconds_after"] > seconds]
+    before = [e for e in ledger["while_leaving"] if e["seconds_after"] <= seconds]
+    print("requests while leaving:", len(before), "in time,", len(late), "late")
+    assert not late, late[:5]
+    assert time.time() - context.left_at > seconds + 1
+
+
+@then("the table had answered repeated transactions with conflicts")
+def step_repeated(context):
+    """Guard against a fault without effect: a repeated, applied transaction conflicts."""
+    conflicts = context.cluster.read_ledger()["table"]["counters"].get("conflicts", 0)
+    print("conflicts:", conflicts, "before the fault:", context.conflicts_before)
+    assert conflicts > context.conflicts_before + 10, conflicts
--- a/features/support/load.py
+++ b/features/support/load.py
@@ -11,7 +11,7 @@
 
 CALLER = "load"
 DEADLINE_MS = 3000
-CLIENTS_PER_ENTRY = 3
+CLIENTS_PER_ENTRY = 4
 MAX_PAYLOAD_BYTES = 8000
 REFUSED_PAUSE_SECONDS = 0.01
 
@@ -30,14 +30,17 @@
 
 
 class Load:
-    """Callers that send requests one after the other to the instances in turn.
+    """Callers that send requests one after the other, each to an instance of its own.
+
+    A caller stays at its instance and sends either idempotent requests or others, so that callers
+    who wait for a paused instance or for the table leave the load of the others as it is.
 
     Parameters
     ----------
     cluster : Cluster
     service : str
     seed : int
-        Of the payloads, service times and the choice of idempotence.
+        Of the payloads and service times.
     """
 
     def __init__(self, cluster, service, seed):
@@ -58,14 +61,13 @@
         assert all(client.dead for client in self._clients), "a caller has no answer"
 
     def _send_requests(self, turn):
+        idempotent = turn // len(self._cluster.entries) % 2 == 0
         while self._running:
-            turn += 1
-            self._send_request(turn)
+            self._send_request(turn, idempotent)
 
-    def _send_request(self, turn):
+    def _send_request(self, turn, idempotent):
         self._number += 1
         request = f"r{self._number}"
-        idempotent = self._random.random() < 0.5
         payload = self._random.randbytes(self._random.randrange(MAX_PAYLOAD_BYTES))
         headers = {
             "lavenderhook-request-id": request,
--- a/features/system.feature
+++ b/features/system.feature
@@ -16,3 +16,14 @@
     And the owner of the shard is killed
     Then every job ends as done within 15 s, with no task done twice
     And the callers and the ledger saw no violation
+
+  Scenario: A paused instance and a paused owner resume without harm
+    Given a cluster of 3 entry instances and a service of 6 tasks
+    And load on every entry instance
+    When an instance that does not own the shard is paused for 4 s
+    And a batch job "running" of 10 tasks of 3 s is submitted
+    And 0.5 s pass under load
+    And a batch job "placed" of 10 tasks of 1 s is submitted
+    And the owner of the shard is paused for 4 s
+    Then every job ends as done within 20 s, with no task done twice
+    And the callers and the ledger saw no violation
