Check requests while the table is down

Idempotent requests need no claim and must go on; a non-idempotent one must be told that it did not run, and the ledger must agree.

--- a/features/system.feature
+++ b/features/system.feature
@@ -27,3 +27,13 @@
     And the owner of the shard is paused for 4 s
     Then every job ends as done within 20 s, with no task done twice
     And the callers and the ledger saw no violation
+
+  Scenario: Idempotent requests go on while the table is down
+    Given a cluster of 3 entry instances and a service of 6 tasks
+    And load on every entry instance
+    When the table is down for 6 s
+    Then while it was down idempotent requests completed and the others were not run
+    And a configuration change is accepted within 5 s
+    When a batch job "after" of 5 tasks of 0.5 s is submitted
+    Then every job ends as done within 10 s, with no task done twice
+    And the callers and the ledger saw no violation
