Check lost answers of the table

Half of the commits lose their answer after the write. A repeated transaction that was applied conflicts with itself, so the count of conflicts shows that the fault took effect.

--- a/features/system.feature
+++ b/features/system.feature
@@ -37,3 +37,15 @@
     When a batch job "after" of 5 tasks of 0.5 s is submitted
     Then every job ends as done within 10 s, with no task done twice
     And the callers and the ledger saw no violation
+
+  Scenario: Lost answers of the table repeat no work
+    Given a cluster of 3 entry instances and a service of 6 tasks
+    And load on every entry instance
+    When the table loses answers of commits with probability 0.5
+    And a batch job "first" of 10 tasks of 0.5 s is submitted
+    And a batch job "second" of 10 tasks of 0.5 s is submitted
+    And 4 s pass under load
+    And the faults end
+    Then the table had answered repeated transactions with conflicts
+    And every job ends as done within 10 s, with no task done twice
+    And the callers and the ledger saw no violation
