--- a/features/system.feature
+++ b/features/system.feature
@@ -49,3 +49,10 @@
     Then the table had answered repeated transactions with conflicts
     And every job ends as done within 10 s, with no task done twice
     And the callers and the ledger saw no violation
+
+  Scenario: One of two racing operators wins
+    Given a cluster of 3 entry instances and a service of 6 tasks
+    And load on every entry instance
+    When two operators change the same version at different instances 5 times
+    Then one change of each race is accepted and the other is a configuration-conflict
+    And the callers and the ledger saw no violation
