Check that a leaving worker gets no late requests

The signal is the list and the worker's report alone; its upstream serves on, so a late request is an execution rather than a refusal.

--- a/features/system.feature
+++ b/features/system.feature
@@ -56,3 +56,11 @@
     When two operators change the same version at different instances 5 times
     Then one change of each race is accepted and the other is a configuration-conflict
     And the callers and the ledger saw no violation
+
+  Scenario: A leaving worker gets no requests after a few seconds
+    Given a cluster of 3 entry instances and a service of 6 tasks
+    And load on every entry instance
+    When a worker of the service begins to leave
+    And 7 s pass under load
+    Then no request reaches that worker later than 5 s after
+    And the callers and the ledger saw no violation
