Accept waiting connections before the listener closes

Cause: the kernel had completed connections that the process had not accepted; closing the listening socket reset them, and a caller lost a request 7 ms after it had sent it. Ruled out: the restart itself, since the exit waits for every request that the core knows. The load generator now marks its sends as first ones, which they are; without it the outage scenario sees unknown instead of not-run, as designed.

--- a/features/support/load.py
+++ b/features/support/load.py
@@ -74,6 +74,7 @@
             "lavenderhook-caller": CALLER,
             "lavenderhook-idempotent": str(idempotent).lower(),
             "lavenderhook-deadline-ms": str(DEADLINE_MS),
+            "lavenderhook-first-send": "true",
             "x-service-ms": str(self._random.randint(5, 60)),
         }
         began_at = time.monotonic()
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -408,8 +408,21 @@
         the process stops.
         """
         self.is_draining = True
+        self.stop_accepting()
+        self._accept_waiting()
         self.close()
 
+    def _accept_waiting(self) -> None:
+        """Accept the connections that the kernel has completed.
+
+        Closing the socket would reset them, and their callers may have sent a request already.
+        """
+        while True:
+            accepted = self.do_read()
+            if not accepted:
+                return
+            self.do_handle(*accepted)
+
     def _run(self, environ: Environ, start_response: Callable[..., Any]) -> list[bytes]:
         incoming = Incoming(environ, self.limits)
         is_full = len(self.handlers) > self.limits.connections
