--- a/src/lavenderhook/_internal/core/attempts.py
+++ b/src/lavenderhook/_internal/core/attempts.py
@@ -163,10 +163,34 @@
                 continue
             if get_worker_control(ownership, worker_id).renew_due <= state.now:
                 effects.extend(renew_leases(state, ownership, worker))
-            effects.append(PollWorker(worker_id=worker_id, address=worker.address))
+            if _is_poll_due(state, ownership, worker_id):
+                effects.append(PollWorker(worker_id=worker_id, address=worker.address))
     return effects
 
 
+def _is_poll_due(state: InstanceState, ownership: Ownership, worker_id: WorkerId) -> bool:
+    """Return whether a worker is to be asked for its attempts now.
+
+    Only a poll tells that a task has ended. Where nothing but services runs, the answer to a
+    renewal shows a lost attempt soon enough, and polls only bring the usage.
+    """
+    control = get_worker_control(ownership, worker_id)
+    attempts = ownership.get_state().attempts_by_worker.get(worker_id, {})
+    is_quiet = control.unreachable_since is None and all(
+        _is_running_service(ownership, attempt) for attempt in attempts.values()
+    )
+    interval = state.parameters.service_poll_interval if is_quiet else 0.0
+    if state.now - control.polled_at < interval:
+        return False
+    control.polled_at = state.now
+    return True
+
+
+def _is_running_service(ownership: Ownership, attempt: Attempt) -> bool:
+    spec = ownership.get_state().jobs[attempt.job_id].spec
+    return spec.kind is WorkloadKind.SERVICE and attempt.state is TaskState.RUNNING
+
+
 def renew_leases(state: InstanceState, ownership: Ownership, worker: WorkerView) -> list[Effect]:
     """Renew the leases of all attempts on a worker that run and are to go on.
 
--- a/src/lavenderhook/_internal/core/state.py
+++ b/src/lavenderhook/_internal/core/state.py
@@ -24,7 +24,7 @@
     All durations are in seconds.
     """
 
-    heartbeat_interval: float = 0.2
+    heartbeat_interval: float = 0.4
     suspect_after: float = 1.0
     takeover_after: float = 1.5
     platform_poll_interval: float = 1.0
@@ -32,13 +32,14 @@
     full_mesh_limit: int = 16
     gossip_fanout: int = 5
     shards: int = 1
-    commit_interval: float = 0.02
+    commit_interval: float = 0.05
     max_batch_records: int = 2000
     start_window: float = 5.0
     lease_duration: float = 15.0
     renew_interval: float = 4.0
     max_clock_skew: float = 0.5
     worker_poll_interval: float = 1.0
+    service_poll_interval: float = 10.0
     max_attempts: int = 3
     max_ejected_share: float = 0.3
     quarantine: float = 30.0
@@ -47,7 +48,7 @@
     max_request_seconds: float = 30.0
     max_queue: int = 1024
     lower_class_share: float = 0.125
-    request_check_interval: float = 0.02
+    request_check_interval: float = 0.05
     shutdown_check_interval: float = 0.1
     retry_budget: float = 0.1
     drain_grace: float = 2.0
