Bound a scheduling step by the next team's share and the class's budget

Cause: a step placed up to 64 tasks of one job, so one team's backlog filled 16 free processors before another team was looked at (16 to 0 instead of 8 to 8), and lower classes got 50 % instead of an eighth while urgent work waited. Both were found by new scenarios of the scheduler, which fail without the bounds.

--- a/src/lavenderhook/_internal/core/fair_scheduler.py
+++ b/src/lavenderhook/_internal/core/fair_scheduler.py
@@ -222,7 +222,8 @@
         heapq.heapify(heap)
         while heap and round_.left > 0 and budget > 0.0:
             _, n, team = heapq.heappop(heap)
-            placed = self._serve_team(round_, by_team[team])
+            next_share = heap[0][0] if heap else math.inf
+            placed = self._serve_team(round_, by_team[team], next_share, budget)
             if placed is None:
                 continue
             budget -= placed
@@ -235,9 +236,22 @@
         else:
             self._lower_class_credit = max(0.0, self._lower_class_credit - processors)
 
-    def _serve_team(self, round_: _Round, lines: list[LineKey]) -> float | None:
+    def _serve_team(
+        self, round_: _Round, lines: list[LineKey], next_share: float, budget: float
+    ) -> float | None:
         """Place the first job of the first line that has room.
 
+        Parameters
+        ----------
+        round_ : _Round
+        lines : list of LineKey
+            Lines of the team; those without room are removed.
+        next_share : float
+            Weighted share of the team that is served next. A step ends when this team has passed
+            it, otherwise one team's backlog would take everything in a single step.
+        budget : float
+            Millicores that the class may still use.
+
         Returns
         -------
         float or None
@@ -248,18 +262,22 @@
             if not self._queue.has_line(key):
                 lines.pop(0)
                 continue
-            placed = self._serve_line(round_, key)
+            step = self._shares.count_until(key.team, key.resources, next_share, STEP_TASKS)
+            step = min(step, round_.left)
+            if budget < math.inf:
+                step = min(step, max(1, math.ceil(budget / key.resources.processors)))
+            placed = self._serve_line(round_, key, step)
             if placed:
                 return float(placed * key.resources.processors)
             lines.pop(0)
         return None
 
-    def _serve_line(self, round_: _Round, key: LineKey) -> int:
+    def _serve_line(self, round_: _Round, key: LineKey, step: int) -> int:
         for job in self._queue.list_jobs(key):
             if not job.is_complete():
                 continue
             gang_size = job.get_example().gang_size
-            wanted = gang_size or min(len(job.tasks), STEP_TASKS, round_.left)
+            wanted = gang_size or min(len(job.tasks), step)
             allowed = self._shares.count_allowed(key.team, key.resources, wanted)
             if allowed < (gang_size or 1):
                 return 0
--- a/src/lavenderhook/_internal/core/quotas.py
+++ b/src/lavenderhook/_internal/core/quotas.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from .declarations import Quota
@@ -57,6 +58,18 @@
         room = quota.max_share - self.get_share(team)
         return max(0, min(count, int(room / share + 1e-9)))
 
+    def count_until(
+        self, team: TeamName, resources: Resources, weighted_share: float, most: int
+    ) -> int:
+        """Return how many tasks bring a team just past a weighted share; from 1 to `most`."""
+        per_task = resources.compute_share(self._total)
+        if weighted_share == math.inf or per_task <= 0.0:
+            return most
+        quota = self._quotas.get(team)
+        weight = quota.weight if quota else 1.0
+        room = weighted_share * weight - self.get_share(team)
+        return max(1, min(most, int(room / per_task) + 1))
+
     def can_ever_hold(self, team: TeamName, resources: Resources, count: int) -> bool:
         """Return whether `count` tasks at a time are within the team's quota."""
         quota = self._quotas.get(team)
