Share the placement policies' common steps and drop unused code

Three policies found the workers with room and two filled them in order by copies of the same lines; the index and one function do that now. HeartbeatReply, ConfigurationState.changed_at and FairScheduler.compute_packing were read by nobody.

--- a/src/lavenderhook/_internal/core/configuration.py
+++ b/src/lavenderhook/_internal/core/configuration.py
@@ -98,7 +98,6 @@
     source_known: bool = False
     highest_seen: ConfigurationVersion = ZERO_VERSION
     pending: dict[Ticket, PendingProposal] = dataclasses.field(default_factory=dict)
-    changed_at: float = 0.0
 
     def is_ready(self) -> bool:
         """Return whether the configuration may be served."""
@@ -373,7 +372,6 @@
         configuration.declarations = apply_change(configuration.declarations, change)
         configuration.history.append(change)
         configuration.version = change.version
-        configuration.changed_at = state.now
         fields: dict[str, object] = {"version": change.version, "change": change.change_id}
         effects.append(LogDecision(decision="configuration-in-force", fields=fields))
     _note_version(state, configuration.version)
--- a/src/lavenderhook/_internal/core/fair_scheduler.py
+++ b/src/lavenderhook/_internal/core/fair_scheduler.py
@@ -513,12 +513,6 @@
             for worker in self._index.workers
         ]
 
-    def compute_packing(self) -> float:
-        """Return processors reserved over processors of all workers, 0 to 1."""
-        total = self._index.total.processors
-        free = int(self._index.free[0].sum())
-        return (total - free) / total if total else 0.0
-
 
 def _has_room(free: Amounts, resources: Resources) -> bool:
     fits = (free[0] >= resources.processors) & (free[1] >= resources.memory_mb)
--- a/src/lavenderhook/_internal/core/index.py
+++ b/src/lavenderhook/_internal/core/index.py
@@ -143,6 +143,11 @@
             self._masks[selectors] = mask
         return mask
 
+    def find_room(self, resources: Resources, candidates: Mask) -> tuple[Positions, Positions]:
+        """Return the positions with room among `candidates`, and how many tasks fit on each."""
+        positions = np.flatnonzero(self.find_fitting(resources, candidates))
+        return positions, self.count_fitting(resources, self.free[:, positions])
+
     def count_fitting(self, resources: Resources, amounts: Amounts) -> Positions:
         """Return how many tasks fit into each column of `amounts`, shape (workers,)."""
         counts = np.full(amounts.shape[1], np.iinfo(np.int32).max, dtype=np.int64)
--- a/src/lavenderhook/_internal/core/messages.py
+++ b/src/lavenderhook/_internal/core/messages.py
@@ -49,13 +49,6 @@
     suspected: tuple[IncarnationId, ...] = ()
 
 
-class HeartbeatReply(msgspec.Struct, frozen=True, kw_only=True):
-    """Answer to a heartbeat: the receiver's own digest and the addresses that it knows."""
-
-    digest: Digest
-    members: dict[IncarnationId, str] = {}
-
-
 class GrantUpdate(msgspec.Struct, frozen=True, kw_only=True):
     """The upstreams on which the receiver holds slots, complete, as of `version`.
 
--- a/src/lavenderhook/_internal/core/policies.py
+++ b/src/lavenderhook/_internal/core/policies.py
@@ -10,7 +10,7 @@
 
 from .declarations import PlacementMode
 from .identifiers import WorkerId
-from .index import Mask, Shares, WorkerIndex
+from .index import Mask, Positions, Shares, WorkerIndex
 from .resources import Resources
 
 # A worker with free accelerators is worth this many whole workers to a task that needs none, so
@@ -65,6 +65,16 @@
     return score
 
 
+def _fill_in_order(positions: Positions, room: Positions, count: int) -> list[int]:
+    """Return up to `count` positions, using up the room of each before the next."""
+    chosen: list[int] = []
+    for position, fitting in zip(positions, room, strict=True):
+        chosen.extend([int(position)] * min(int(fitting), count - len(chosen)))
+        if len(chosen) == count:
+            break
+    return chosen
+
+
 class PackPolicy(PlacementPolicy):
     """Best fit: fills the fullest worker on which a task fits."""
 
@@ -158,8 +168,7 @@
         generator: random.Random,
     ) -> list[int]:
         """Choose positions for all `count` tasks, or none."""
-        positions = np.flatnonzero(index.find_fitting(resources, candidates))
-        room = index.count_fitting(resources, index.free[:, positions])
+        positions, room = index.find_room(resources, candidates)
         if int(room.sum()) < count:
             return []
         # Within one availability zone if one can hold the whole gang: its tasks talk to each
@@ -170,12 +179,8 @@
             zone = holding[by_zone[holding].argmin()]
             inside = index.zone[positions] == zone
             positions, room = positions[inside], room[inside]
-        chosen: list[int] = []
-        for n in np.argsort(-room, kind="stable"):
-            chosen.extend([int(positions[n])] * min(int(room[n]), count - len(chosen)))
-            if len(chosen) == count:
-                break
-        return chosen
+        order = np.argsort(-room, kind="stable")
+        return _fill_in_order(positions[order], room[order], count)
 
 
 class RandomPolicy(PlacementPolicy):
@@ -193,8 +198,7 @@
         generator: random.Random,
     ) -> list[int]:
         """Choose positions for up to `count` tasks."""
-        positions = np.flatnonzero(index.find_fitting(resources, candidates))
-        room = index.count_fitting(resources, index.free[:, positions])
+        positions, room = index.find_room(resources, candidates)
         left = {int(p): int(r) for p, r in zip(positions, room, strict=True)}
         chosen: list[int] = []
         while left and len(chosen) < count:
@@ -221,14 +225,8 @@
         generator: random.Random,
     ) -> list[int]:
         """Choose positions for up to `count` tasks."""
-        positions = np.flatnonzero(index.find_fitting(resources, candidates))
-        room = index.count_fitting(resources, index.free[:, positions])
-        chosen: list[int] = []
-        for position, fitting in zip(positions, room, strict=True):
-            chosen.extend([int(position)] * min(int(fitting), count - len(chosen)))
-            if len(chosen) == count:
-                break
-        return chosen
+        positions, room = index.find_room(resources, candidates)
+        return _fill_in_order(positions, room, count)
 
 
 POLICIES: Mapping[PlacementMode, PlacementPolicy] = {
