--- a/src/lavenderhook/_internal/daemon/logs.py
+++ b/src/lavenderhook/_internal/daemon/logs.py
@@ -7,15 +7,17 @@
 import datetime
 import sys
 import time
-from typing import IO, Any
+from typing import IO, TYPE_CHECKING, Any
 
 import gevent
 import gevent.event
 import msgspec
 from loguru import logger
 
-from ..core.effects import LogDecision
-from .settings import LoggingSettings
+if TYPE_CHECKING:
+    # Importing them would load the whole core, a second of each restart on a small machine.
+    from ..core.effects import LogDecision
+    from .settings import LoggingSettings
 
 MAX_LINES = 20_000  # lines that wait for the writer; further ones are dropped and counted
 TRACE_LINES = 12
@@ -119,7 +121,9 @@
         self._as_json = settings.format == "json"
         self._writes_decisions = settings.level in DECISION_LEVELS
         stream: IO[str] = sys.stderr
-        if settings.file != "stderr":
+        if settings.file == "stdout":
+            stream = sys.stdout
+        elif settings.file != "stderr":
             stream = open(settings.file, "a", encoding="utf-8")  # noqa: SIM115
         self.writer = LineWriter(stream)
         self._logger = logger.bind(instance=incarnation)
@@ -133,8 +137,12 @@
 
     def execute(self, effect: LogDecision) -> None:
         """Write the line of a decision."""
+        self.write_decision(effect.decision, effect.fields)
+
+    def write_decision(self, decision: str, fields: dict[str, Any]) -> None:
+        """Write a line about a decision."""
         if self._writes_decisions:
-            self._write(time.time(), "info", effect.decision, effect.fields)
+            self._write(time.time(), "info", decision, fields)
 
     def report(self, what: str, error: BaseException) -> None:
         """Write the line of a failure."""
--- /dev/null
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -0,0 +1,574 @@
+"""The loops of the owner: holds, orders, advice, stored progress and the reducer between them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import gevent
+import gevent.event
+
+from ...errors import LavenderhookError, StoreUnavailableError
+from ..core.identifiers import WorkerId
+from ..ports.queueing import (
+    Condition,
+    Conflict,
+    HistoryLostError,
+    HoldRefusal,
+    RowStore,
+    StoredRow,
+    WorkerCalls,
+    WorkerChanges,
+    WorkerList,
+    Write,
+)
+from ..queueing import effects
+from ..queueing.cell import Cell, CellParameters
+from ..queueing.events import (
+    AdviceArrived,
+    Event,
+    HoldUnanswered,
+    OutcomeSeen,
+    ProgressStored,
+    ReportArrived,
+    RosterStored,
+    StartAnswered,
+    StopAnswered,
+    SubmissionSeen,
+    Ticked,
+    WorkersListed,
+)
+from ..queueing.model import (
+    FencingToken,
+    StepId,
+    Submission,
+    SubmissionId,
+    SubmissionState,
+    TicketId,
+    WorkerListing,
+)
+from ..queueing.records import (
+    CONTROL_TABLE,
+    OUTCOME_PREFIX,
+    OWNER_KEY,
+    PROGRESS_PREFIX,
+    ROSTER_KEY,
+    SUBMISSION_PREFIX,
+    WORK_TABLE,
+    Outcome,
+    Progress,
+    Roster,
+    decode_outcome,
+    decode_progress,
+    decode_roster,
+    decode_submission,
+    encode,
+    parse_key,
+)
+from .watching import TableFollower, describe_failure
+
+HOLD_WAIT_SECONDS = 1.0  # a hold is answered at once when a run ends
+HOLD_TIMEOUT_SECONDS = 0.7  # beyond the wait: link delay and a busy worker
+HOLD_PAUSE_SECONDS = 0.3  # after a hold without an answer
+STORED_WAIT_SECONDS = 0.3  # for ends to be stored, which the worker would list again at once
+TICK_SECONDS = 0.1
+GATHER_SECONDS = 0.004  # events of one moment share a placement pass
+COMMIT_PAUSE_SECONDS = 0.03  # ends of one moment share a transaction
+STORE_PAUSE_SECONDS = 0.2  # after a failed call to the store
+FEED_PAUSE_SECONDS = 0.4  # the feed only makes up for lost news of peers
+WORKERS_PAUSE_SECONDS = 0.25
+MOST_IN_TRANSACTION = 20  # submissions; the store limits entries and bytes of a transaction
+
+AskAdvice = Callable[[StepId, tuple[WorkerId, ...], float], dict[WorkerId, TicketId] | None]
+Report = Callable[..., None]
+
+
+class Owner:
+    """Places the tasks of all queues until it is shut out.
+
+    Parameters
+    ----------
+    fencing : FencingToken
+    revision : int
+        Revision of the owner row, on which every write of progress depends.
+    ask_advice : callable
+        Asks the advisory service through any instance.
+    step_down : callable
+        Called once when another owner has been seen.
+    report : callable
+        Takes (what, fields) for the log.
+    """
+
+    def __init__(
+        self,
+        fencing: FencingToken,
+        revision: int,
+        *,
+        store: RowStore,
+        worker_list: WorkerList,
+        calls: WorkerCalls,
+        ask_advice: AskAdvice,
+        parameters: CellParameters,
+        step_down: Callable[[str], None],
+        report: Report,
+    ) -> None:
+        self.fencing = fencing
+        self.is_loaded = False
+        self._revision = revision
+        self._store = store
+        self._worker_list = worker_list
+        self._calls = calls
+        self._ask_advice = ask_advice
+        self._parameters = parameters
+        self._step_down = step_down
+        self._report = report
+        self._started_at = time.monotonic()
+        self.cell: Cell | None = None
+        self._listings: dict[WorkerId, WorkerListing] = {}
+        self._clocks: dict[WorkerId, tuple[float, float]] = {}
+        self._dirty: dict[SubmissionId, None] = {}
+        self._changed = gevent.event.Event()
+        self._committed = gevent.event.Event()
+        self._holders: dict[WorkerId, gevent.Greenlet] = {}
+        self._greenlets: list[gevent.Greenlet] = []
+        self._early_news: list[Submission] = []
+        self._progress: dict[SubmissionId, tuple[Progress, int]] = {}
+        self._submissions: list[tuple[Submission, int]] = []
+        self._outcomes: dict[SubmissionId, Outcome] = {}
+        self._is_stopped = False
+
+    def start(self) -> None:
+        """Load the state and begin."""
+        self._greenlets.append(gevent.spawn(self._run))
+
+    def stop(self) -> None:
+        """End all loops; orders that are under way are not waited for."""
+        if self._is_stopped:
+            return
+        self._is_stopped = True
+        current = gevent.getcurrent()
+        others = [g for g in (*self._greenlets, *self._holders.values()) if g is not current]
+        gevent.killall(others, block=False)
+
+    def take_news(self, submission: Submission) -> None:
+        """Take a submission that a peer or this instance has just stored."""
+        if self.cell is None:
+            self._early_news.append(submission)
+        else:
+            self._offer_submission(submission, self._revision + 1, None)
+
+    def take_cancellation(self, submission: SubmissionId) -> None:
+        """Take a cancellation that has just been stored; an earlier final state stands."""
+        self._greenlets.append(gevent.spawn(self._confirm_cancellation, submission))
+
+    def _confirm_cancellation(self, submission: SubmissionId) -> None:
+        key = OUTCOME_PREFIX + submission
+        try:
+            rows = self._store.read(WORK_TABLE, key, key + "\0").rows
+        except LavenderhookError as error:
+            self._report("cancellation-unread", submission=submission, **describe_failure(error))
+            return  # the feed brings it
+        for row in rows:
+            self._apply_row(row)
+
+    # Loading.
+
+    def _run(self) -> None:
+        while not self._is_stopped:
+            try:
+                roster = self._load()
+                break
+            except LavenderhookError as error:
+                self._report("owner-loading-failed", **describe_failure(error))
+                gevent.sleep(STORE_PAUSE_SECONDS)
+        self._begin(roster)
+        for loop in (self._tick_loop, self._commit_loop, self._feed_loop, self._workers_loop):
+            self._greenlets.append(gevent.spawn(loop))
+
+    def _load(self) -> frozenset[WorkerId]:
+        self._submissions.clear()
+        self._follower = TableFollower(self._store, WORK_TABLE, self._collect_row)
+        self._follower.load()
+        if (self._follower.revision or 0) < self._revision:
+            raise StoreUnavailableError("the store's reading is older than the takeover")
+        rows = self._store.read(CONTROL_TABLE, ROSTER_KEY, ROSTER_KEY + "\0").rows
+        changes = self._worker_list.read()
+        self._apply_workers(changes)
+        self._workers_revision = changes.revision
+        return decode_roster(rows[0].value) if rows else frozenset()
+
+    def _collect_row(self, row: StoredRow) -> None:
+        if self.cell is not None:
+            self._apply_row(row)
+            return
+        prefix, submission = parse_key(row.key)
+        if row.is_deleted:
+            return
+        if prefix == SUBMISSION_PREFIX:
+            self._submissions.append((decode_submission(row.value), row.revision))
+        elif prefix == PROGRESS_PREFIX:
+            self._progress[submission] = (decode_progress(row.value), row.revision)
+        elif prefix == OUTCOME_PREFIX:
+            self._outcomes[submission] = decode_outcome(row.value)
+
+    def _begin(self, roster: frozenset[WorkerId]) -> None:
+        self.cell = Cell(self.fencing, self._revision, self._started_at, self._parameters, roster)
+        for submission_id, outcome in self._outcomes.items():
+            self.emit(OutcomeSeen(now=_now(), submission=submission_id, outcome=outcome))
+        for submission, revision in self._submissions:
+            stored = self._progress.get(submission.id)
+            self._offer_submission(submission, revision, stored)
+        for submission in self._early_news:
+            self._offer_submission(submission, self._revision + 1, None)
+        self._report(
+            "owner-loaded",
+            fencing=self.fencing,
+            submissions=len(self.cell.submissions),
+            workers=len(self._listings),
+            roster=len(roster),
+            seconds=round(_now() - self._started_at, 3),
+        )
+        self._submissions.clear()
+        self._progress.clear()
+        self._outcomes.clear()
+        self._early_news.clear()
+        self._emit_workers()
+        self.is_loaded = True
+
+    def _offer_submission(
+        self, submission: Submission, revision: int, stored: tuple[Progress, int] | None
+    ) -> None:
+        self.emit(
+            SubmissionSeen(
+                now=_now(),
+                submission=submission,
+                revision=revision,
+                age=time.time() - submission.accepted_at,
+                progress=stored[0] if stored is not None else None,
+            )
+        )
+        if stored is not None and self.cell is not None:
+            entry = self.cell.submissions.get(submission.id)
+            if entry is not None:
+                entry.progress_revision = stored[1]
+
+    def _apply_row(self, row: StoredRow) -> None:
+        prefix, submission = parse_key(row.key)
+        if row.is_deleted:
+            return
+        if prefix == SUBMISSION_PREFIX:
+            self._offer_submission(decode_submission(row.value), row.revision, None)
+        elif prefix == OUTCOME_PREFIX and self.cell is not None:
+            if submission not in self.cell.outcomes:
+                outcome = decode_outcome(row.value)
+                self.emit(OutcomeSeen(now=_now(), submission=submission, outcome=outcome))
+
+    # Reducer and effects.
+
+    def emit(self, event: Event) -> None:
+        """Apply an event and carry out its effects."""
+        if self._is_stopped or self.cell is None:
+            return
+        for effect in self.cell.reduce(event):
+            self._execute(effect)
+        if self.cell.is_schedule_due:
+            self._changed.set()
+
+    def _execute(self, effect: effects.Effect) -> None:
+        match effect:
+            case effects.LogDecision():
+                self._report(effect.decision, fencing=self.fencing, **effect.fields)
+            case effects.SendStart():
+                gevent.spawn(self._send_start, effect)
+            case effects.SendStop():
+                gevent.spawn(self._send_stop, effect)
+            case effects.AskAdvice():
+                gevent.spawn(self._send_advice, effect)
+            case effects.SaveProgress():
+                self._dirty[effect.submission] = None
+            case effects.SaveRoster():
+                self._greenlets.append(gevent.spawn(self._save_roster, effect.workers))
+            case effects.FollowWorker():
+                self._holders[effect.worker] = gevent.spawn(self._hold_loop, effect.worker)
+            case effects.LeaveWorker():
+                holder = self._holders.pop(effect.worker, None)
+                if holder is not None and holder is not gevent.getcurrent():
+                    holder.kill(block=False)
+                self._clocks.pop(effect.worker, None)
+            case effects.StepDown():
+                self._step_down(f"fenced at worker {effect.worker}")
+
+    def _compute_lease(self, worker: WorkerId) -> float | None:
+        """Return the end of a lease granted now on the worker's clock, if that is known."""
+        clock = self._clocks.get(worker)
+        if clock is None:
+            return None
+        answered_at, reading = clock
+        return reading + (_now() - answered_at) + self._parameters.lease_seconds
+
+    def _send_start(self, effect: effects.SendStart) -> None:
+        order = effect.order
+        worker = self.cell.workers.get(order.worker) if self.cell is not None else None
+        lease = self._compute_lease(order.worker)
+        if worker is None or lease is None:
+            return
+        outcome = self._calls.start(worker.listing.address, order, lease)
+        self.emit(
+            StartAnswered(
+                now=_now(),
+                worker=order.worker,
+                task=order.task,
+                number=order.number,
+                outcome=outcome,
+            )
+        )
+
+    def _send_stop(self, effect: effects.SendStop) -> None:
+        worker = self.cell.workers.get(effect.worker) if self.cell is not None else None
+        if worker is None:
+            return
+        result = self._calls.stop(
+            worker.listing.address, effect.worker, effect.task, effect.number, self.fencing
+        )
+        self._report(
+            "run-stop",
+            task=".".join(map(str, effect.task)),
+            run=effect.number,
+            worker=effect.worker,
+            answered=result,
+        )
+        self.emit(
+            StopAnswered(
+                now=_now(),
+                worker=effect.worker,
+                task=effect.task,
+                number=effect.number,
+                is_done=result,
+            )
+        )
+
+    def _send_advice(self, effect: effects.AskAdvice) -> None:
+        begun = _now()
+        allowed = self._ask_advice(effect.step, effect.workers, effect.expected_seconds)
+        self._report(
+            "advice",
+            step=".".join(map(str, effect.step)),
+            asked=len(effect.workers),
+            allowed=None if allowed is None else len(allowed),
+            seconds=round(_now() - begun, 3),
+        )
+        self.emit(
+            AdviceArrived(now=_now(), step=effect.step, asked=effect.workers, allowed=allowed)
+        )
+
+    # Loops.
+
+    def _tick_loop(self) -> None:
+        while True:
+            self._changed.wait(TICK_SECONDS)
+            self._changed.clear()
+            gevent.sleep(GATHER_SECONDS)
+            self.emit(Ticked(now=_now()))
+
+    def _hold_loop(self, worker_id: WorkerId) -> None:
+        while self.cell is not None and worker_id in self.cell.workers:
+            worker = self.cell.workers[worker_id]
+            born = worker.listing.born
+            sent_at = _now()
+            result = self._calls.hold(
+                worker.listing.address,
+                worker_id,
+                self.fencing,
+                worker.seen,
+                self._compute_lease(worker_id),
+                HOLD_WAIT_SECONDS if worker.is_reached else 0.0,
+            )
+            now = _now()
+            if isinstance(result, HoldRefusal):
+                self._report(
+                    "hold-unanswered",
+                    worker=worker_id,
+                    fenced=result.is_fenced,
+                    other_worker=result.is_other_worker,
+                    seconds=round(now - sent_at, 3),
+                )
+                self.emit(
+                    HoldUnanswered(
+                        now=now,
+                        worker=worker_id,
+                        is_fenced=result.is_fenced,
+                        is_other_boot=result.is_other_worker and worker.listing.born == born,
+                    )
+                )
+                gevent.sleep(HOLD_PAUSE_SECONDS)
+                continue
+            self._clocks[worker_id] = (now, result.clock)
+            self.emit(ReportArrived(now=now, worker=worker_id, sent_at=sent_at, report=result))
+            if worker.seen < worker.processed:
+                self._committed.clear()
+                self._committed.wait(STORED_WAIT_SECONDS)
+
+    def _workers_loop(self) -> None:
+        while True:
+            try:
+                changes = self._worker_list.follow(self._workers_revision, TICK_SECONDS)
+            except HistoryLostError:
+                self._read_workers()
+                continue
+            except LavenderhookError as error:
+                self._report("worker-list-unread", **describe_failure(error))
+                gevent.sleep(STORE_PAUSE_SECONDS)
+                continue
+            self._workers_revision = max(changes.revision, self._workers_revision)
+            if changes.workers or changes.is_complete:
+                self._apply_workers(changes)
+                self._emit_workers()
+            gevent.sleep(WORKERS_PAUSE_SECONDS)
+
+    def _read_workers(self) -> None:
+        try:
+            changes = self._worker_list.read()
+        except LavenderhookError as error:
+            self._report("worker-list-unread", **describe_failure(error))
+            gevent.sleep(STORE_PAUSE_SECONDS)
+            return
+        if changes.revision < self._workers_revision:
+            # The reading is older than what is known: it may name workers that have left.
+            gevent.sleep(STORE_PAUSE_SECONDS)
+            return
+        self._workers_revision = changes.revision
+        self._apply_workers(changes)
+        self._emit_workers()
+
+    def _apply_workers(self, changes: WorkerChanges) -> None:
+        if changes.is_complete:
+            self._listings.clear()
+        for worker_id, listing in changes.workers.items():
+            if listing is None:
+                self._listings.pop(worker_id, None)
+            else:
+                self._listings[worker_id] = listing
+
+    def _emit_workers(self) -> None:
+        self.emit(WorkersListed(now=_now(), workers=tuple(self._listings.values())))
+
+    def _feed_loop(self) -> None:
+        self._follower._apply = self._apply_row
+        while True:
+            try:
+                self._follower.poll(0.0)
+            except LavenderhookError as error:
+                self._report("work-feed-unread", **describe_failure(error))
+            gevent.sleep(FEED_PAUSE_SECONDS)
+
+    # Stored progress.
+
+    def _commit_loop(self) -> None:
+        while True:
+            gevent.sleep(COMMIT_PAUSE_SECONDS)
+            cell = self.cell
+            if cell is None:
+                continue
+            marks = {
+                worker.id: worker.processed
+                for worker in cell.list_workers()
+                if worker.processed > worker.seen
+            }
+            if not self._dirty and not marks:
+                continue
+            waiting, self._dirty = list(self._dirty), {}
+            is_stored = True
+            for start in range(0, len(waiting), MOST_IN_TRANSACTION):
+                is_stored &= self._commit(waiting[start : start + MOST_IN_TRANSACTION])
+            if is_stored:
+                self.emit(ProgressStored(now=_now(), seen=marks))
+                self._committed.set()
+            else:
+                gevent.sleep(STORE_PAUSE_SECONDS)
+
+    def _commit(self, submissions: list[SubmissionId]) -> bool:
+        """Store the progress of some submissions; those left over are dirty again."""
+        cell = self.cell
+        assert cell is not None
+        writes: list[Write] = []
+        outcomes: dict[SubmissionId, Outcome] = {}
+        for submission_id in submissions:
+            entry = cell.submissions.get(submission_id)
+            if entry is None:
+                continue
+            final = cell.find_final_state(entry)
+            if final is not None:
+                outcome = outcomes[submission_id] = Outcome(state=final, at=time.time())
+                key = OUTCOME_PREFIX + submission_id
+                writes.append(Write(WORK_TABLE, key, encode(outcome), 0))
+            else:
+                key = PROGRESS_PREFIX + submission_id
+                value = encode(entry.export_progress())
+                writes.append(Write(WORK_TABLE, key, value, entry.progress_revision))
+        if not writes:
+            return True
+        owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
+        try:
+            result = self._store.transact(writes, [owner])
+        except LavenderhookError as error:
+            self._report("progress-unstored", rows=len(writes), **describe_failure(error))
+            self._dirty.update(dict.fromkeys(submissions))
+            return False
+        if isinstance(result, Conflict):
+            return self._resolve_conflict(result, submissions)
+        for write in writes:
+            prefix, submission_id = parse_key(write.key)
+            if prefix == OUTCOME_PREFIX:
+                outcome = outcomes[submission_id]
+                self.emit(OutcomeSeen(now=_now(), submission=submission_id, outcome=outcome))
+            elif submission_id in cell.submissions:
+                cell.submissions[submission_id].progress_revision = result
+        return True
+
+    def _resolve_conflict(self, conflict: Conflict, submissions: list[SubmissionId]) -> bool:
+        """Take over what stands in the store, and leave the rest for the next transaction."""
+        owner = conflict.find(CONTROL_TABLE, OWNER_KEY)
+        if owner is None or owner.revision != self._revision:
+            self._step_down("the owner row has changed")
+            return False
+        cell = self.cell
+        assert cell is not None
+        for row in conflict.rows:
+            if row.table != WORK_TABLE or row.is_deleted:
+                continue
+            prefix, submission_id = parse_key(row.key)
+            if prefix == OUTCOME_PREFIX:
+                self._apply_row(row)
+            elif submission_id in cell.submissions:
+                # An earlier write without an answer has been carried out.
+                cell.submissions[submission_id].progress_revision = row.revision
+        self._dirty.update(dict.fromkeys(submissions))
+        return False
+
+    def _save_roster(self, workers: frozenset[WorkerId]) -> None:
+        value = encode(Roster(workers=sorted(workers)))
+        while not self._is_stopped and self.cell is not None:
+            if self.cell.requested_roster != workers:
+                return  # a newer one is on its way
+            owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
+            try:
+                result = self._store.transact([Write(CONTROL_TABLE, ROSTER_KEY, value)], [owner])
+            except LavenderhookError as error:
+                self._report("roster-unstored", **describe_failure(error))
+                gevent.sleep(STORE_PAUSE_SECONDS)
+                continue
+            if isinstance(result, Conflict):
+                self._step_down("the owner row has changed")
+                return
+            self.emit(RosterStored(now=_now(), workers=workers))
+            return
+
+    def describe(self, submission: SubmissionId) -> SubmissionState | None:
+        """Return the state of a submission, or None if the owner can't say."""
+        if self.cell is None or not self.is_loaded:
+            return None
+        return self.cell.describe(submission)
+
+
+def _now() -> float:
+    return time.monotonic()
--- /dev/null
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -0,0 +1,95 @@
+"""When an instance takes over the ownership of the queues.
+
+The owner renews a heartbeat row. Workers shut out a former owner by its fencing token, so a
+takeover that comes too early costs time and never safety; one that comes late leaves work
+without leases.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from ..queueing.model import FencingToken
+from ..queueing.records import HeartbeatRecord, OwnerRecord
+
+HEARTBEAT_SECONDS = 0.7
+# Three heartbeats; a lease must outlast it together with the loading of the state.
+SILENCE_SECONDS = 2.2
+REFUSALS_FOR_TAKEOVER = 2  # refused connections in a row that show an owner's process has ended
+CLAIM_STAGGER_SECONDS = 0.15  # between instances, so that they rarely claim at the same time
+
+
+@dataclasses.dataclass(slots=True)
+class OwnershipView:
+    """What an instance believes about the owner.
+
+    Attributes
+    ----------
+    heartbeat_seen_at : float
+        When the heartbeat row last changed, as seen here.
+    contact_since : float or None
+        Since when the store has answered without a failure; None while it doesn't.
+    """
+
+    name: str
+    boot: str
+    owner: OwnerRecord | None = None
+    owner_revision: int = 0
+    heartbeat: HeartbeatRecord | None = None
+    heartbeat_seen_at: float = 0.0
+    contact_since: float | None = None
+    refusals: int = 0
+    rank: int = 0
+
+    def note_owner(self, owner: OwnerRecord, revision: int, now: float) -> bool:
+        """Take over an owner row; return whether it is newer than the known one."""
+        if revision <= self.owner_revision:
+            return False
+        self.owner = owner
+        self.owner_revision = revision
+        self.heartbeat_seen_at = now
+        self.refusals = 0
+        return True
+
+    def note_heartbeat(self, heartbeat: HeartbeatRecord, now: float) -> None:
+        """Take over a heartbeat."""
+        if heartbeat != self.heartbeat:
+            self.heartbeat = heartbeat
+            self.heartbeat_seen_at = now
+
+    def note_contact(self, now: float, succeeded: bool) -> None:
+        """Note whether the store answered."""
+        if not succeeded:
+            self.contact_since = None
+        elif self.contact_since is None:
+            self.contact_since = now
+
+    def is_owner(self) -> bool:
+        """Return whether this process is the owner, as far as it knows."""
+        return self.owner is not None and self.owner.boot == self.boot
+
+    def next_fencing(self) -> FencingToken:
+        """Return the token of the next owner."""
+        return FencingToken(1 if self.owner is None else self.owner.fencing + 1)
+
+    def should_claim(self, now: float) -> bool:
+        """Return whether to take over now.
+
+        Answers an owner that is killed (refused connections), restarts (same name, other boot),
+        resigns, or freezes or is cut off (its heartbeat stands still while the store answers).
+        """
+        if self.contact_since is None or self.is_owner():
+            return False
+        if self.owner is None or self.owner.name == self.name:
+            return True
+        stagger = self.rank * CLAIM_STAGGER_SECONDS
+        heartbeat = self.heartbeat
+        has_resigned = (
+            heartbeat is not None
+            and heartbeat.has_resigned
+            and heartbeat.fencing == self.owner.fencing
+        )
+        if has_resigned or self.refusals >= REFUSALS_FOR_TAKEOVER:
+            return now - self.heartbeat_seen_at > stagger
+        silent_since = max(self.heartbeat_seen_at, self.contact_since)
+        return now - silent_since > SILENCE_SECONDS + stagger
--- /dev/null
+++ b/src/lavenderhook/_internal/instance/watching.py
@@ -0,0 +1,72 @@
+"""Following a table of the store in spite of lost history and old readings."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ...errors import LavenderhookError
+from ..ports.queueing import HistoryLostError, RowStore, StoredRow
+
+
+class TableFollower:
+    """Keeps the newest revision of each row of a table.
+
+    Parameters
+    ----------
+    store : RowStore
+    table : str
+    apply : callable
+        Takes each row that is newer than the one applied before.
+    """
+
+    def __init__(self, store: RowStore, table: str, apply: Callable[[StoredRow], None]) -> None:
+        self._store = store
+        self._table = table
+        self._apply = apply
+        self._revisions: dict[str, int] = {}
+        self.revision: int | None = None
+
+    def load(self) -> None:
+        """Read the whole table.
+
+        A reading may be seconds old after the store has lost its history; rows that are already
+        known at a newer revision keep it.
+
+        Raises
+        ------
+        StoreUnavailableError, TransportError
+        """
+        changes = self._store.read(self._table)
+        for row in changes.rows:
+            self.offer(row)
+        self.revision = max(changes.revision, self.revision or 0)
+
+    def poll(self, wait_seconds: float) -> None:
+        """Apply what has changed, waiting for a change.
+
+        Raises
+        ------
+        StoreUnavailableError, TransportError
+        """
+        if self.revision is None:
+            self.load()
+            return
+        try:
+            changes = self._store.follow(self._table, self.revision, wait_seconds)
+        except HistoryLostError:
+            self.load()
+            return
+        for row in changes.rows:
+            self.offer(row)
+        self.revision = max(changes.revision, self.revision)
+
+    def offer(self, row: StoredRow) -> None:
+        """Apply a row unless it is known at this or a newer revision."""
+        if row.revision > self._revisions.get(row.key, 0):
+            self._revisions[row.key] = row.revision
+            self._apply(row)
+
+
+def describe_failure(error: LavenderhookError) -> dict[str, object]:
+    """Return the fields of a log line about a failed call."""
+    return {"error": error.code, "message": str(error)}
--- /dev/null
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -0,0 +1,214 @@
+"""Ports of the queues: rows that last, workers that hold leases, and the advisory service.
+
+All calls block the calling greenlet.
+"""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from ..core.identifiers import WorkerId
+from ..queueing.model import (
+    FencingToken,
+    RunNumber,
+    StartOrder,
+    StartOutcome,
+    StepId,
+    TaskKey,
+    TicketId,
+    WorkerListing,
+    WorkerReport,
+)
+from ..queueing.routes import QueueRoutes
+
+
+class StoredRow(msgspec.Struct, frozen=True, kw_only=True):
+    """A row; `revision` is the store's counter at its last change."""
+
+    table: str
+    key: str
+    value: bytes
+    revision: int
+    is_deleted: bool = False
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """A transaction whose conditions did not hold, with the rows as they are."""
+
+    rows: tuple[StoredRow, ...]
+
+    def find(self, table: str, key: str) -> StoredRow | None:
+        """Return one of the rows, or None if it does not exist."""
+        for row in self.rows:
+            if row.table == table and row.key == key and not row.is_deleted:
+                return row
+        return None
+
+
+class RowChanges(msgspec.Struct, frozen=True):
+    """Rows that changed, and the revision from which to go on."""
+
+    rows: tuple[StoredRow, ...]
+    revision: int
+
+
+class Write(msgspec.Struct, frozen=True):
+    """A row to set; `expected` is the revision that it must have, 0 for none, None for any."""
+
+    table: str
+    key: str
+    value: bytes
+    expected: int | None = None
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """A row that must have the given revision; 0 means that it must not exist."""
+
+    table: str
+    key: str
+    revision: int
+
+
+class HistoryLostError(Exception):
+    """The store no longer has the changes after the given revision."""
+
+
+class RowStore(abc.ABC):
+    """The platform's transactional rows.
+
+    Every method raises `StoreUnavailableError` if nothing was done, and `TransportError` with
+    ``sent=True`` if a write may have been done or may still be.
+    """
+
+    @abc.abstractmethod
+    def transact(
+        self,
+        writes: Sequence[Write],
+        conditions: Sequence[Condition] = (),
+        removes: Sequence[tuple[str, str]] = (),
+    ) -> int | Conflict:
+        """Write and remove (table, key) all rows or none; return the revision or the conflict."""
+
+    @abc.abstractmethod
+    def read(self, table: str, start: str = "", end: str = "") -> RowChanges:
+        """Return the rows with ``start <= key < end`` (all pages) and the revision."""
+
+    @abc.abstractmethod
+    def follow(self, table: str, after: int, wait_seconds: float) -> RowChanges:
+        """Return the changes after a revision, waiting for one.
+
+        Raises
+        ------
+        HistoryLostError
+        """
+
+
+class WorkerCalls(abc.ABC):
+    """Orders to workers. A result of None means that no answer arrived."""
+
+    @abc.abstractmethod
+    def start(self, address: str, order: StartOrder, lease_until: float) -> StartOutcome:
+        """Order a start; `lease_until` is on the worker's clock, in seconds."""
+
+    @abc.abstractmethod
+    def stop(
+        self,
+        address: str,
+        worker: WorkerId,
+        task: TaskKey,
+        number: RunNumber,
+        fencing: FencingToken,
+    ) -> bool | None:
+        """Order a stop, which also shuts out a later start of the run; False if fenced."""
+
+    @abc.abstractmethod
+    def hold(
+        self,
+        address: str,
+        worker: WorkerId,
+        fencing: FencingToken,
+        seen: int,
+        lease_until: float | None,
+        wait_seconds: float,
+    ) -> WorkerReport | HoldRefusal:
+        """Extend all leases, forget ends up to `seen`, and report; waits for an end."""
+
+    @abc.abstractmethod
+    def forget(self, address: str) -> None:
+        """Close the connections to an address."""
+
+
+class HoldRefusal(msgspec.Struct, frozen=True):
+    """A worker gave no report.
+
+    Parameters
+    ----------
+    is_fenced : bool
+        A newer owner has been there.
+    is_other_worker : bool
+        Another worker, or another boot of it, answers at the address.
+    """
+
+    is_fenced: bool = False
+    is_other_worker: bool = False
+
+
+class Advisor(abc.ABC):
+    """The service that knows which workers may run a step."""
+
+    @abc.abstractmethod
+    def ask(
+        self, step: StepId, workers: Iterable[WorkerId], timeout_seconds: float
+    ) -> dict[WorkerId, TicketId] | None:
+        """Return the workers that are allowed, with their tickets; None without an answer."""
+
+
+class WorkerChanges(msgspec.Struct, frozen=True):
+    """Changes of the platform's list of workers; None stands for one that has left.
+
+    Parameters
+    ----------
+    is_complete : bool
+        The changes are the whole list; workers that it doesn't name have left.
+    """
+
+    workers: dict[WorkerId, WorkerListing | None]
+    revision: int
+    is_complete: bool
+
+
+class WorkerList(abc.ABC):
+    """The platform's list of live workers."""
+
+    @abc.abstractmethod
+    def read(self) -> WorkerChanges:
+        """Return the whole list."""
+
+    @abc.abstractmethod
+    def follow(self, after: int, wait_seconds: float) -> WorkerChanges:
+        """Return the changes after a revision.
+
+        Raises
+        ------
+        HistoryLostError
+        """
+
+
+class QueueConfiguration(abc.ABC):
+    """The operator's configuration of the queues."""
+
+    @abc.abstractmethod
+    def read(self) -> tuple[QueueRoutes | None, int]:
+        """Return the newest queues, if there are any, and the revision of the reading."""
+
+    @abc.abstractmethod
+    def follow(self, after: int, wait_seconds: float) -> tuple[QueueRoutes | None, int]:
+        """Return the queues if they changed after a revision, and the revision to go on from.
+
+        Raises
+        ------
+        HistoryLostError
+        """
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -0,0 +1,845 @@
+"""The owner's state and the reducer over its events.
+
+One owner at a time places the tasks of all queues. What runs is recorded by the workers
+themselves: a worker keeps each end until the owner says that the store covers it. A new owner
+takes a higher fencing token to each worker, which shuts out its predecessor and returns what
+runs there. A worker that it can't reach may hold runs until the longest lease has lapsed; until
+then, tasks that its predecessor may have started stay where they are.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+
+import msgspec
+
+from ..core.identifiers import WorkerId
+from .effects import (
+    AskAdvice,
+    Effect,
+    FollowWorker,
+    LeaveWorker,
+    LogDecision,
+    SaveProgress,
+    SaveRoster,
+    SendStart,
+    SendStop,
+    StepDown,
+)
+from .events import (
+    AdviceArrived,
+    Event,
+    HoldUnanswered,
+    OutcomeSeen,
+    ProgressStored,
+    ReportArrived,
+    RosterStored,
+    StartAnswered,
+    StopAnswered,
+    SubmissionSeen,
+    Ticked,
+    WorkersListed,
+)
+from .model import (
+    FencingToken,
+    ListedEnd,
+    ListedRun,
+    Resources,
+    RunNumber,
+    RunOutcome,
+    RunState,
+    StartOrder,
+    StartOutcome,
+    StepId,
+    SubmissionId,
+    SubmissionState,
+    TaskKey,
+    TicketId,
+)
+from .ordering import PriorityThenObjective, WaitingOrder
+from .placement import (
+    BestFit,
+    PlacementPolicy,
+    choose_gang_workers,
+    choose_worker,
+    count_fitting,
+    is_eligible,
+)
+from .submissions import TICKET_MARGIN_SECONDS, StepProgress, SubmissionProgress, Ticket
+from .workers import (
+    CLOCK_DRIFT,
+    REFUSAL_PAUSE_SECONDS,
+    Run,
+    Worker,
+    compute_first_number,
+    compute_lease_bound,
+    make_run,
+)
+
+ORDER_RETRY_SECONDS = 0.3  # an order without an answer is sent again after this time
+START_TRIES = 4  # after these a start is given up and stopped, which shuts it out
+MOST_ADVISED = 30  # workers named in a call: each adds to its duration
+MOST_RENEWED = 8  # workers named when tickets are renewed
+ADVICE_PAUSE_SECONDS = 0.3  # before asking again for a step that found no worker with room
+KEEP_OUTCOMES = 20_000  # final states kept in memory
+
+
+class CellParameters(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds that the deployment sets.
+
+    Parameters
+    ----------
+    lease_seconds : float
+        Length of the leases on what runs.
+    stop_seconds : float
+        Longest time that a worker takes to stop a run.
+    """
+
+    lease_seconds: float = 4.5
+    stop_seconds: float = 1.0
+
+
+class Cell:
+    """State of the owner.
+
+    Parameters
+    ----------
+    fencing : FencingToken
+    owner_revision : int
+        Revision of the store at which this owner took over.
+    started_at : float
+    parameters : CellParameters
+    roster : frozenset of WorkerId
+        Workers that may hold runs of earlier owners.
+    """
+
+    def __init__(
+        self,
+        fencing: FencingToken,
+        owner_revision: int,
+        started_at: float,
+        parameters: CellParameters,
+        roster: frozenset[WorkerId] = frozenset(),
+        *,
+        order: WaitingOrder | None = None,
+        policy: PlacementPolicy | None = None,
+    ) -> None:
+        self.fencing = fencing
+        self.owner_revision = owner_revision
+        self.parameters = parameters
+        self.order = order or PriorityThenObjective()
+        self.policy = policy or BestFit()
+        self.first_number = compute_first_number(fencing)
+        self.takeover_bound = compute_lease_bound(started_at, parameters.lease_seconds)
+        self.workers: dict[WorkerId, Worker] = {}
+        self.roster = roster
+        self.requested_roster = roster
+        self.unreached: set[WorkerId] = set(roster)
+        self.unanswered: list[Run] = []
+        self.submissions: dict[SubmissionId, SubmissionProgress] = {}
+        self.outcomes: dict[SubmissionId, SubmissionState] = {}
+        self.is_schedule_due = True
+
+    # State as callers see it.
+
+    def describe(self, submission: SubmissionId) -> SubmissionState | None:
+        """Return the state of a submission, or None if it isn't known here."""
+        state = self.outcomes.get(submission)
+        if state is not None:
+            return state
+        entry = self.submissions.get(submission)
+        return entry.state if entry is not None else None
+
+    def count_pending(self) -> dict[str, int]:
+        """Return, by queue, how many accepted submissions have not begun."""
+        counts: dict[str, int] = {}
+        for entry in self.submissions.values():
+            if entry.state is SubmissionState.QUEUED:
+                name = entry.submission.queue.name
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+    def list_workers(self) -> list[Worker]:
+        """Return all workers."""
+        return list(self.workers.values())
+
+    # Reducer.
+
+    def reduce(self, event: Event) -> list[Effect]:
+        """Change the state by an event and return what has to be done."""
+        return _HANDLERS[type(event)](self, event)
+
+    def handle_submission(self, event: SubmissionSeen) -> list[Effect]:
+        """Enter a submission; one that is known already changes nothing."""
+        submission = event.submission
+        if submission.id in self.submissions or submission.id in self.outcomes:
+            return []
+        entry = SubmissionProgress(
+            submission, event.revision, event.now - max(0.0, event.age), self.first_number
+        )
+        if event.progress is not None:
+            entry.import_progress(event.progress)
+        self.submissions[submission.id] = entry
+        self.is_schedule_due = True
+        effects: list[Effect] = [
+            LogDecision(
+                decision="submission-queued",
+                fields={
+                    "submission": submission.id,
+                    "queue": submission.queue.name,
+                    "revision": event.revision,
+                    "age": round(event.age, 3),
+                    "steps": len(submission.steps),
+                },
+            )
+        ]
+        effects += self._adopt_unknown(submission.id)
+        if entry.is_done:
+            effects += self._end(entry, SubmissionState.COMPLETED)
+        return effects
+
+    def handle_outcome(self, event: OutcomeSeen) -> list[Effect]:
+        """Take note of a final state in the store, and stop what still runs."""
+        self._keep_outcome(event.submission, event.outcome.state)
+        entry = self.submissions.pop(event.submission, None)
+        if entry is None:
+            return []
+        self.is_schedule_due = True
+        effects: list[Effect] = [
+            LogDecision(
+                decision="submission-ended",
+                fields={
+                    "submission": event.submission,
+                    "state": event.outcome.state.value,
+                    "seconds": round(event.now - entry.arrived_at, 3),
+                    "queue": entry.submission.queue.name,
+                    "objective": round(
+                        max(step.objective_at for step in entry.steps.values()) - entry.arrived_at,
+                        3,
+                    ),
+                },
+            )
+        ]
+        if event.outcome.state is SubmissionState.COMPLETED:
+            return effects  # what is left of its gangs ends by itself
+        for step in entry.steps.values():
+            for runs in list(step.runs.values()):
+                for run in list(runs):
+                    effects += self._stop(run, event.now)
+        return effects
+
+    def handle_workers(self, event: WorkersListed) -> list[Effect]:
+        """Follow the platform's list: new workers, changed ones, and those that left it."""
+        effects: list[Effect] = []
+        listed = {listing.id: listing for listing in event.workers}
+        for worker_id, listing in listed.items():
+            worker = self.workers.get(worker_id)
+            if worker is None:
+                worker = Worker(listing, self.takeover_bound)
+                worker.is_enrolled = worker_id in self.roster
+                self.workers[worker_id] = worker
+                effects.append(FollowWorker(worker=worker_id))
+                effects.append(_log_worker("worker-listed", worker))
+            elif listing.born > worker.listing.born:
+                effects.append(_log_worker("worker-reborn", worker))
+                effects += self._reset_worker(worker, event.now)
+                worker.listing = listing
+            else:
+                if listing.state is not worker.listing.state:
+                    effects.append(_log_worker(f"worker-{listing.state.value}", worker))
+                worker.listing = listing
+            worker.is_listed = True
+        for worker in self.workers.values():
+            if worker.id not in listed and worker.is_listed:
+                worker.is_listed = False
+                effects.append(_log_worker("worker-unlisted", worker))
+        effects += self._update_roster()
+        self.is_schedule_due = True
+        return effects
+
+    def handle_roster(self, event: RosterStored) -> list[Effect]:
+        """Take note of the workers that the store names; these may be given runs."""
+        self.roster = event.workers
+        for worker in self.workers.values():
+            worker.is_enrolled = worker.id in self.roster
+        self.is_schedule_due = True
+        return self._update_roster()
+
+    def handle_report(self, event: ReportArrived) -> list[Effect]:
+        """Take over what a worker says of its runs."""
+        worker = self.workers.get(event.worker)
+        if worker is None:
+            return []
+        effects: list[Effect] = []
+        if event.report.born != worker.listing.born:
+            if event.report.born < worker.listing.born:
+                return []  # a former life's answer, overtaken by the list
+            effects.append(_log_worker("worker-reborn", worker))
+            effects += self._reset_worker(worker, event.now)
+            worker.listing = msgspec.structs.replace(worker.listing, born=event.report.born)
+        worker.last_answer = event.now
+        worker.lease_bound = compute_lease_bound(event.now, self.parameters.lease_seconds)
+        if not worker.is_reached:
+            worker.is_reached = True
+            self.unreached.discard(worker.id)
+            self.is_schedule_due = True
+            effects.append(_log_worker("worker-reached", worker))
+        for end in event.report.ended:
+            if end.sequence > worker.processed:
+                worker.processed = end.sequence
+                effects += self._take_end(worker, end, event.now)
+        effects += self._compare_runs(worker, event)
+        return effects
+
+    def handle_silence(self, event: HoldUnanswered) -> list[Effect]:
+        """A worker gave no report; past its leases, nothing runs there."""
+        worker = self.workers.get(event.worker)
+        if worker is None:
+            return []
+        if event.is_fenced:
+            return [StepDown(worker=worker.id)]
+        effects: list[Effect] = []
+        worker.blocked_until = max(worker.blocked_until, event.now + REFUSAL_PAUSE_SECONDS)
+        has_lapsed = event.now > worker.lease_bound
+        if event.is_other_boot or has_lapsed:
+            if worker.runs or not worker.is_reached:
+                effects.append(
+                    _log_worker(
+                        "worker-lost", worker, other_boot=event.is_other_boot, lapsed=has_lapsed
+                    )
+                )
+                effects += self._reset_worker(worker, event.now)
+                worker.is_reached = True  # nothing of an earlier owner is left here
+                worker.last_answer = 0.0
+                self.unreached.discard(worker.id)
+                self.is_schedule_due = True
+            if not worker.is_listed:
+                del self.workers[worker.id]
+                effects.append(LeaveWorker(worker=worker.id))
+                effects += self._update_roster()
+        return effects
+
+    def handle_start_answer(self, event: StartAnswered) -> list[Effect]:
+        """Follow the answer to a start order."""
+        worker = self.workers.get(event.worker)
+        run = worker.runs.get((event.task, event.number)) if worker is not None else None
+        if worker is None or run is None:
+            return []
+        run.is_in_flight = False
+        if event.outcome is StartOutcome.STARTED:
+            run.is_start_certain = True
+            run.acknowledged_at = event.now
+            if run.state is RunState.STARTING:
+                run.state = RunState.RUNNING
+                entry = self.submissions.get(event.task.submission)
+                if entry is not None:
+                    entry.state = SubmissionState.RUNNING
+            return []
+        effects: list[Effect] = [
+            LogDecision(
+                decision="start-not-done",
+                fields={
+                    "task": ".".join(map(str, event.task)),
+                    "run": event.number,
+                    "worker": event.worker,
+                    "outcome": event.outcome.value,
+                    "tries": run.tries,
+                },
+            )
+        ]
+        if event.outcome is StartOutcome.FENCED:
+            effects.append(StepDown(worker=worker.id))
+        elif event.outcome is StartOutcome.UNKNOWN or (
+            event.outcome is StartOutcome.NOT_SENT and run.tries > 1
+        ):
+            self._repeat_later(run, event.now)
+            worker.blocked_until = event.now + ORDER_RETRY_SECONDS
+            if run.tries >= START_TRIES and run.state is RunState.STARTING:
+                effects += self._stop(run, event.now)
+        elif event.outcome is StartOutcome.OTHER_BOOT:
+            effects += self.handle_silence(
+                HoldUnanswered(now=event.now, worker=worker.id, is_other_boot=True)
+            )
+        elif event.outcome is StartOutcome.SUPERSEDED:
+            run.acknowledged_at = event.now  # its end is in one of the next reports
+        elif run.tries == 1:
+            if event.outcome is not StartOutcome.TICKET_REFUSED:
+                worker.blocked_until = event.now + REFUSAL_PAUSE_SECONDS
+            if event.outcome is StartOutcome.TICKET_REFUSED:
+                step = self._find_step(event.task.step_id)
+                if step is not None and worker.id in step.allowed:
+                    step.allowed[worker.id].expires_at = 0.0
+            effects += self._release(run, event.now)
+        else:
+            # A later try was refused, but an earlier one may still be carried out.
+            effects += self._stop(run, event.now)
+        return effects
+
+    def handle_stop_answer(self, event: StopAnswered) -> list[Effect]:
+        """Follow the answer to a stop order; the room is free once the end is listed."""
+        worker = self.workers.get(event.worker)
+        run = worker.runs.get((event.task, event.number)) if worker is not None else None
+        if worker is None or run is None:
+            return []
+        run.is_in_flight = False
+        if event.is_done is None:
+            self._repeat_later(run, event.now)
+        elif event.is_done:
+            run.acknowledged_at = event.now
+        else:
+            return [StepDown(worker=worker.id)]
+        return []
+
+    def handle_advice(self, event: AdviceArrived) -> list[Effect]:
+        """Keep the tickets of a step."""
+        step = self._find_step(event.step)
+        if step is None:
+            return []
+        step.is_asking = False
+        if event.allowed is None:
+            step.next_ask_at = event.now + ADVICE_PAUSE_SECONDS
+            return []
+        entry = self.submissions[event.step.submission]
+        terms = entry.submission.queue.advice
+        validity = terms.validity_seconds if terms is not None else 0.0
+        for worker_id in event.asked:
+            ticket = event.allowed.get(worker_id)
+            if ticket is None:
+                step.refused.add(worker_id)
+            else:
+                expires = event.now + validity - TICKET_MARGIN_SECONDS
+                step.allowed[worker_id] = Ticket(ticket, expires)
+        self.is_schedule_due = True
+        return []
+
+    def handle_stored(self, event: ProgressStored) -> list[Effect]:
+        """Let workers forget the ends that the store covers."""
+        for worker_id, sequence in event.seen.items():
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                worker.seen = max(worker.seen, min(sequence, worker.processed))
+        return []
+
+    def handle_tick(self, event: Ticked) -> list[Effect]:
+        """Send orders again that got no answer, and place what waits."""
+        effects: list[Effect] = []
+        waiting, self.unanswered = self.unanswered, []
+        for run in waiting:
+            effects += self._repeat_order(run, event.now)
+        effects += self._schedule(event.now)
+        self.is_schedule_due = False
+        return effects
+
+    # Runs.
+
+    def _repeat_later(self, run: Run, now: float) -> None:
+        run.next_try_at = now + ORDER_RETRY_SECONDS
+        self.unanswered.append(run)
+
+    def _repeat_order(self, run: Run, now: float) -> list[Effect]:
+        worker = self.workers.get(run.worker)
+        is_current = worker is not None and worker.runs.get((run.task, run.number)) is run
+        if run.is_in_flight or run.acknowledged_at is not None or not is_current:
+            return []
+        if now < run.next_try_at:
+            self.unanswered.append(run)
+            return []
+        run.is_in_flight = True
+        run.tries += 1
+        if run.state is RunState.STOPPING:
+            return [SendStop(worker=run.worker, task=run.task, number=run.number)]
+        if run.state is RunState.STARTING and run.order is not None:
+            return [SendStart(order=run.order)]
+        return []
+
+    def _stop(self, run: Run, now: float) -> list[Effect]:
+        if run.state is RunState.STOPPING:
+            return []
+        run.state = RunState.STOPPING
+        run.acknowledged_at = None
+        run.tries = 1
+        run.is_in_flight = True
+        return [SendStop(worker=run.worker, task=run.task, number=run.number)]
+
+    def _release(self, run: Run, now: float) -> list[Effect]:
+        """Remove a run that is certain to have ended, or never to begin."""
+        worker = self.workers.get(run.worker)
+        if worker is not None:
+            worker.remove_run(run)
+        self.is_schedule_due = True
+        step = self._find_step(run.task.step_id)
+        if step is None:
+            return []
+        step.remove_run(run)
+        if not step.spec.is_gang or step.is_done:
+            return []
+        effects: list[Effect] = []
+        for runs in list(step.runs.values()):
+            for other in runs:
+                effects += self._stop(other, now)
+        return effects
+
+    def _take_end(self, worker: Worker, end: ListedEnd, now: float) -> list[Effect]:
+        run = worker.runs.get((end.task, end.number))
+        step = self._find_step(end.task.step_id)
+        effects: list[Effect] = [
+            LogDecision(
+                decision="run-ended",
+                fields={
+                    "task": ".".join(map(str, end.task)),
+                    "run": end.number,
+                    "worker": worker.id,
+                    "outcome": end.outcome.value,
+                    "end": end.sequence,
+                    "seconds": round(now - run.ordered_at, 3) if run is not None else None,
+                },
+            )
+        ]
+        if step is not None:
+            step.last_number = RunNumber(max(step.last_number, end.number))
+            step.note_checkpoint(end.task.index, end.checkpoint)
+            effects += self._count_end(step, end, now)
+        if run is not None:
+            effects += self._release(run, now)
+        return effects
+
+    def _count_end(self, step: StepProgress, end: ListedEnd, now: float) -> list[Effect]:
+        entry = self.submissions[end.task.submission]
+        if end.outcome is RunOutcome.DONE and not step.spec.is_service:
+            if not step.mark_done(end.task.index):
+                return []
+            self.is_schedule_due = True
+            effects: list[Effect] = []
+            for run in list(step.runs.get(end.task.index, ())):
+                if run.number != end.number or run.task != end.task:
+                    effects += self._stop(run, now)  # a copy that is not needed any more
+            if entry.is_done:
+                return effects + self._end(entry, SubmissionState.COMPLETED)
+            return [*effects, SaveProgress(submission=entry.submission.id)]
+        if end.outcome is RunOutcome.FAILED and not step.spec.is_service:
+            failures = step.count_failure(end.task.index)
+            if failures >= entry.submission.queue.most_attempts:
+                return self._end(entry, SubmissionState.FAILED)
+            return [SaveProgress(submission=entry.submission.id)]
+        return []
+
+    def _end(self, entry: SubmissionProgress, state: SubmissionState) -> list[Effect]:
+        """Ask for the final state to be stored; it counts once it is."""
+        if entry.is_ending:
+            return []
+        entry.is_ending = True
+        entry.state = SubmissionState.RUNNING
+        return [
+            SaveProgress(submission=entry.submission.id),
+            LogDecision(
+                decision="submission-ending",
+                fields={"submission": entry.submission.id, "state": state.value},
+            ),
+        ]
+
+    def find_final_state(self, entry: SubmissionProgress) -> SubmissionState | None:
+        """Return the final state that a submission has reached, or None."""
+        if not entry.is_ending:
+            return None
+        return SubmissionState.COMPLETED if entry.is_done else SubmissionState.FAILED
+
+    def _compare_runs(self, worker: Worker, event: ReportArrived) -> list[Effect]:
+        effects: list[Effect] = []
+        listed: set[tuple[TaskKey, RunNumber]] = set()
+        worker.unknown_runs.clear()
+        for item in event.report.running:
+            key = (item.task, item.number)
+            listed.add(key)
+            run = worker.runs.get(key)
+            if run is None:
+                effects += self._adopt(worker, item, event.now)
+                continue
+            if item.checkpoint and item.checkpoint != run.checkpoint:
+                run.checkpoint = item.checkpoint
+                step = self._find_step(item.task.step_id)
+                if step is not None:
+                    step.note_checkpoint(item.task.index, item.checkpoint)
+            if run.state is RunState.STARTING:
+                run.state = RunState.RUNNING
+                run.acknowledged_at = event.now
+        for key, run in list(worker.runs.items()):
+            if key not in listed and self._has_vanished(run, event.sent_at):
+                effects.append(
+                    LogDecision(
+                        decision="run-vanished",
+                        fields={
+                            "task": ".".join(map(str, run.task)),
+                            "run": run.number,
+                            "worker": worker.id,
+                            "state": run.state.value,
+                        },
+                    )
+                )
+                effects += self._release(run, event.now)
+        return effects
+
+    def _has_vanished(self, run: Run, sent_at: float) -> bool:
+        """Return whether a report requested at `sent_at` would list the run if it were there."""
+        if run.is_in_flight or run.acknowledged_at is None:
+            return False
+        settling = self.parameters.stop_seconds if run.state is RunState.STOPPING else 0.0
+        return run.acknowledged_at + settling * CLOCK_DRIFT < sent_at
+
+    def _adopt(self, worker: Worker, item: ListedRun, now: float) -> list[Effect]:
+        """Enter a run that an earlier owner started, or stop one that isn't wanted."""
+        entry = self.submissions.get(item.task.submission)
+        if entry is None and item.task.submission not in self.outcomes:
+            worker.unknown_runs.add(item.task)  # its size isn't known: nothing is placed here
+            return []
+        step = self._find_step(item.task.step_id)
+        run = Run(
+            task=item.task,
+            number=item.number,
+            worker=worker.id,
+            resources=step.spec.resources if step is not None else Resources(),
+            is_filler=step.spec.is_filler if step is not None else False,
+            state=RunState.RUNNING,
+            ordered_at=now,
+            acknowledged_at=now,
+            checkpoint=item.checkpoint,
+        )
+        worker.add_run(run)
+        if step is None or entry is None:
+            return self._stop(run, now)
+        entry.state = SubmissionState.RUNNING
+        step.note_checkpoint(item.task.index, item.checkpoint)
+        others = step.runs.get(item.task.index, [])
+        is_needed = item.task.index not in step.done and (not others or step.spec.allows_copies)
+        if step.spec.is_gang:
+            numbers = {run.number for runs in step.runs.values() for run in runs}
+            is_needed = is_needed and numbers <= {item.number}
+        step.add_run(run)
+        effects: list[Effect] = [
+            LogDecision(
+                decision="run-adopted",
+                fields={
+                    "task": ".".join(map(str, item.task)),
+                    "run": item.number,
+                    "worker": worker.id,
+                    "needed": is_needed,
+                },
+            )
+        ]
+        if not is_needed:
+            effects += self._stop(run, now)
+        return effects
+
+    def _adopt_unknown(self, submission: SubmissionId) -> list[Effect]:
+        for worker in self.workers.values():
+            worker.unknown_runs = {
+                task for task in worker.unknown_runs if task.submission != submission
+            }
+        return []
+
+    def _reset_worker(self, worker: Worker, now: float) -> list[Effect]:
+        """Forget everything about a worker's former life; its runs have ended."""
+        effects: list[Effect] = []
+        for run in list(worker.runs.values()):
+            effects += self._release(run, now)
+        worker.processed = 0
+        worker.seen = 0
+        worker.unknown_runs.clear()
+        return effects
+
+    def _update_roster(self) -> list[Effect]:
+        """Ask for the roster to be stored when workers have come or gone."""
+        wanted = frozenset(self.workers)
+        if wanted == self.roster or wanted == self.requested_roster:
+            return []
+        self.requested_roster = wanted
+        return [SaveRoster(workers=wanted)]
+
+    def _keep_outcome(self, submission: SubmissionId, state: SubmissionState) -> None:
+        self.outcomes[submission] = state
+        if len(self.outcomes) > KEEP_OUTCOMES:
+            self.outcomes.pop(next(iter(self.outcomes)))
+
+    def _find_step(self, step_id: StepId) -> StepProgress | None:
+        entry = self.submissions.get(step_id.submission)
+        if entry is None:
+            return None
+        return entry.steps.get((step_id.occurrence, step_id.step))
+
+    # Placement.
+
+    def _schedule(self, now: float) -> list[Effect]:
+        """Offer room to the steps whose turn has come, in the policy's order."""
+        is_settled = not self.unreached or now > self.takeover_bound
+        candidates: list[tuple[tuple[float, ...], SubmissionProgress, StepProgress]] = []
+        for entry in self.submissions.values():
+            if entry.is_ending or not (is_settled or entry.revision > self.owner_revision):
+                continue
+            for step in entry.steps.values():
+                if step.waiting and entry.is_runnable(step, now):
+                    candidates.append((self.order.rank(entry, step, now), entry, step))
+        candidates.sort(key=lambda candidate: candidate[0])
+        open_workers = [worker for worker in self.workers.values() if worker.is_open(now)]
+        effects: list[Effect] = []
+        for _, entry, step in candidates:
+            effects += self._place_step(entry, step, open_workers, now)
+        return effects
+
+    def _place_step(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        open_workers: Sequence[Worker],
+        now: float,
+    ) -> list[Effect]:
+        service = entry.submission.queue.service
+        eligible = [worker for worker in open_workers if is_eligible(step, service, worker)]
+        if entry.submission.queue.advice is None:
+            usable = eligible
+        else:
+            usable = [
+                worker
+                for worker in eligible
+                if worker.id in step.allowed and step.allowed[worker.id].expires_at > now
+            ]
+        if step.spec.is_gang:
+            effects = self._place_gang(entry, step, usable, now)
+        else:
+            effects = self._place_tasks(entry, step, usable, now)
+        if step.waiting and entry.submission.queue.advice is not None:
+            effects += self._ask(entry, step, eligible, now)
+        return effects
+
+    def _place_tasks(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        usable: Sequence[Worker],
+        now: float,
+    ) -> list[Effect]:
+        effects: list[Effect] = []
+        for index in list(step.waiting):
+            worker = choose_worker(self.policy, step, usable)
+            if worker is None:
+                break
+            effects += self._start(entry, step, index, worker, step.take_number(), now)
+        return effects
+
+    def _place_gang(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        usable: Sequence[Worker],
+        now: float,
+    ) -> list[Effect]:
+        if len(step.waiting) < step.spec.count:
+            return []
+        chosen = choose_gang_workers(step.spec, usable)
+        if chosen is None:
+            return []
+        number = step.take_number()
+        effects: list[Effect] = []
+        for index, worker in enumerate(chosen):
+            effects += self._start(entry, step, index, worker, number, now)
+        return effects
+
+    def _start(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        index: int,
+        worker: Worker,
+        number: RunNumber,
+        now: float,
+    ) -> list[Effect]:
+        task = TaskKey(step.id.submission, step.id.occurrence, step.id.step, index)
+        ticket = step.allowed.get(worker.id)
+        order = StartOrder(
+            worker=worker.id,
+            task=task,
+            number=number,
+            payload=entry.submission.payload,
+            fencing=self.fencing,
+            checkpoint=step.get_checkpoint(index),
+            ticket=ticket.id if ticket is not None else TicketId(""),
+        )
+        run = make_run(order, step.spec.resources, step.spec.is_filler, now)
+        worker.add_run(run)
+        step.add_run(run)
+        return [
+            LogDecision(
+                decision="task-placed",
+                fields={
+                    "task": ".".join(map(str, task)),
+                    "run": number,
+                    "worker": worker.id,
+                    "report_age": round(now - worker.last_answer, 3),
+                    "free": worker.free_processors(),
+                    "waited": round(now - step.due_at, 3),
+                },
+            ),
+            SendStart(order=order),
+        ]
+
+    def _ask(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        eligible: Iterable[Worker],
+        now: float,
+    ) -> list[Effect]:
+        """Ask which workers may run a step: those with room first, then tickets that ended."""
+        if step.is_asking or now < step.next_ask_at:
+            return []
+        terms = entry.submission.queue.advice
+        if terms is None:
+            return []
+        fitting = [w for w in eligible if count_fitting(step.spec, w) > 0]
+        if step.spec.is_gang and choose_gang_workers(step.spec, fitting) is None:
+            return []
+        fitting.sort(key=Worker.free_processors, reverse=True)
+        expired = [
+            w for w in fitting if w.id in step.allowed and step.allowed[w.id].expires_at <= now
+        ]
+        unasked = [w for w in fitting if w.id not in step.allowed]
+        most = step.spec.count if step.spec.is_gang else MOST_RENEWED
+        named = (expired[: max(most, MOST_RENEWED)] + unasked)[:MOST_ADVISED]
+        if not named:
+            return []
+        step.is_asking = True
+        step.next_ask_at = now + ADVICE_PAUSE_SECONDS
+        return [
+            AskAdvice(
+                step=step.id,
+                workers=tuple(worker.id for worker in named),
+                expected_seconds=terms.decision_seconds + terms.seconds_per_worker * len(named),
+            )
+        ]
+
+
+def _log_worker(decision: str, worker: Worker, **fields: object) -> LogDecision:
+    return LogDecision(
+        decision=decision,
+        fields={
+            "worker": worker.id,
+            "address": worker.listing.address,
+            "state": worker.listing.state.value,
+            "born": worker.listing.born,
+            "runs": len(worker.runs),
+            **fields,
+        },
+    )
+
+
+_HANDLERS: dict[type[Event], Callable[[Cell, Event], list[Effect]]] = {
+    SubmissionSeen: Cell.handle_submission,  # type: ignore[dict-item]
+    OutcomeSeen: Cell.handle_outcome,  # type: ignore[dict-item]
+    WorkersListed: Cell.handle_workers,  # type: ignore[dict-item]
+    RosterStored: Cell.handle_roster,  # type: ignore[dict-item]
+    ReportArrived: Cell.handle_report,  # type: ignore[dict-item]
+    HoldUnanswered: Cell.handle_silence,  # type: ignore[dict-item]
+    StartAnswered: Cell.handle_start_answer,  # type: ignore[dict-item]
+    StopAnswered: Cell.handle_stop_answer,  # type: ignore[dict-item]
+    AdviceArrived: Cell.handle_advice,  # type: ignore[dict-item]
+    ProgressStored: Cell.handle_stored,  # type: ignore[dict-item]
+    Ticked: Cell.handle_tick,  # type: ignore[dict-item]
+}
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/effects.py
@@ -0,0 +1,71 @@
+"""What the owner's decisions ask of the world."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..core.identifiers import WorkerId
+from .model import RunNumber, StartOrder, StepId, SubmissionId, TaskKey
+
+
+class Effect(msgspec.Struct, frozen=True, kw_only=True):
+    """Base of all effects."""
+
+
+class SendStart(Effect, frozen=True, kw_only=True):
+    """Send a start order."""
+
+    order: StartOrder
+
+
+class SendStop(Effect, frozen=True, kw_only=True):
+    """Send a stop order."""
+
+    worker: WorkerId
+    task: TaskKey
+    number: RunNumber
+
+
+class AskAdvice(Effect, frozen=True, kw_only=True):
+    """Ask the advisory service which of these workers may run a step."""
+
+    step: StepId
+    workers: tuple[WorkerId, ...]
+    expected_seconds: float
+
+
+class SaveProgress(Effect, frozen=True, kw_only=True):
+    """Store what is known of a submission."""
+
+    submission: SubmissionId
+
+
+class SaveRoster(Effect, frozen=True, kw_only=True):
+    """Store the names of the workers that may hold runs."""
+
+    workers: frozenset[WorkerId]
+
+
+class FollowWorker(Effect, frozen=True, kw_only=True):
+    """Hold and watch a worker from now on."""
+
+    worker: WorkerId
+
+
+class LeaveWorker(Effect, frozen=True, kw_only=True):
+    """A worker is gone for good."""
+
+    worker: WorkerId
+
+
+class StepDown(Effect, frozen=True, kw_only=True):
+    """A newer owner has been seen at a worker."""
+
+    worker: WorkerId
+
+
+class LogDecision(Effect, frozen=True, kw_only=True):
+    """Write a line about a decision."""
+
+    decision: str
+    fields: dict[str, object]
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -0,0 +1,117 @@
+"""Everything that can happen to the owner's state. Times are seconds of a steady clock."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..core.identifiers import WorkerId
+from .model import (
+    RunNumber,
+    StartOutcome,
+    StepId,
+    Submission,
+    SubmissionId,
+    TaskKey,
+    TicketId,
+    WorkerListing,
+    WorkerReport,
+)
+from .records import Outcome, Progress
+
+
+class Event(msgspec.Struct, frozen=True, kw_only=True):
+    """Base of all events."""
+
+    now: float
+
+
+class SubmissionSeen(Event, frozen=True, kw_only=True):
+    """A stored submission has been learnt.
+
+    Parameters
+    ----------
+    age : float
+        Seconds since it was accepted.
+    """
+
+    submission: Submission
+    revision: int
+    age: float
+    progress: Progress | None = None
+
+
+class OutcomeSeen(Event, frozen=True, kw_only=True):
+    """A submission's final state stands in the store."""
+
+    submission: SubmissionId
+    outcome: Outcome
+
+
+class WorkersListed(Event, frozen=True, kw_only=True):
+    """The platform's list of workers has been read; it is complete."""
+
+    workers: tuple[WorkerListing, ...]
+
+
+class RosterStored(Event, frozen=True, kw_only=True):
+    """The roster in the store names these workers."""
+
+    workers: frozenset[WorkerId]
+
+
+class ReportArrived(Event, frozen=True, kw_only=True):
+    """A worker has answered a hold that was sent at `sent_at`."""
+
+    worker: WorkerId
+    sent_at: float
+    report: WorkerReport
+
+
+class HoldUnanswered(Event, frozen=True, kw_only=True):
+    """A worker has not answered a hold.
+
+    Parameters
+    ----------
+    is_other_boot : bool
+        Another worker answers at the address, so this one has ended.
+    """
+
+    worker: WorkerId
+    is_fenced: bool = False
+    is_other_boot: bool = False
+
+
+class StartAnswered(Event, frozen=True, kw_only=True):
+    """A start order has been answered, or its time is over."""
+
+    worker: WorkerId
+    task: TaskKey
+    number: RunNumber
+    outcome: StartOutcome
+
+
+class StopAnswered(Event, frozen=True, kw_only=True):
+    """A stop order has been carried out (True), fenced off (False) or not answered (None)."""
+
+    worker: WorkerId
+    task: TaskKey
+    number: RunNumber
+    is_done: bool | None
+
+
+class AdviceArrived(Event, frozen=True, kw_only=True):
+    """The advisory service has answered for `asked`; `allowed` is None without an answer."""
+
+    step: StepId
+    asked: tuple[WorkerId, ...]
+    allowed: dict[WorkerId, TicketId] | None
+
+
+class ProgressStored(Event, frozen=True, kw_only=True):
+    """All ends up to these sequence numbers are covered by the store."""
+
+    seen: dict[WorkerId, int]
+
+
+class Ticked(Event, frozen=True, kw_only=True):
+    """Time has passed."""
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -0,0 +1,103 @@
+"""Rows in which the queues survive the processes.
+
+A submission has up to three rows: what was submitted, which of its tasks have ended, and its
+final state. The second is written by the owner alone, under the condition that it is still the
+owner. The third is written once: by the owner or, for a cancellation, by any instance.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..core.identifiers import WorkerId
+from .model import FencingToken, Submission, SubmissionId, SubmissionState
+
+WORK_TABLE = "lavenderhook-work"
+CONTROL_TABLE = "lavenderhook-control"
+OWNER_KEY = "owner"
+HEARTBEAT_KEY = "owner-heartbeat"
+ROSTER_KEY = "roster"
+MEMBER_PREFIX = "member/"
+SUBMISSION_PREFIX = "submission/"
+PROGRESS_PREFIX = "progress/"
+OUTCOME_PREFIX = "outcome/"
+
+
+class Progress(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """Ends of a submission's tasks that count: done tasks and failed runs.
+
+    Keys are ``occurrence.step``; failures are counted by task index, and for a gang under -1.
+    """
+
+    done: dict[str, list[int]] = {}
+    failed: dict[str, dict[int, int]] = {}
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True):
+    """Final state of a submission; `at` is Unix time in seconds."""
+
+    state: SubmissionState
+    at: float
+
+
+class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Who places tasks; replaced only by another owner."""
+
+    fencing: FencingToken
+    name: str
+    boot: str
+    address: str
+
+
+class HeartbeatRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Sign of life of the owner."""
+
+    fencing: FencingToken
+    count: int
+    has_resigned: bool = False
+
+
+class Roster(msgspec.Struct, frozen=True, kw_only=True):
+    """Workers that may hold runs; a new owner has to reach each or wait out its leases."""
+
+    workers: list[WorkerId]
+
+
+class MemberRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry instance and the address at which its peers reach it."""
+
+    name: str
+    boot: str
+    address: str
+    zone: str
+
+
+def encode(record: msgspec.Struct) -> bytes:
+    """Return the bytes of a record."""
+    return msgspec.json.encode(record)
+
+
+def decode_submission(value: bytes) -> Submission:
+    """Return a stored submission."""
+    return msgspec.json.decode(value, type=Submission)
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Return stored progress."""
+    return msgspec.json.decode(value, type=Progress)
+
+
+def decode_outcome(value: bytes) -> Outcome:
+    """Return a stored final state."""
+    return msgspec.json.decode(value, type=Outcome)
+
+
+def decode_roster(value: bytes) -> frozenset[WorkerId]:
+    """Return the workers of a stored roster."""
+    return frozenset(msgspec.json.decode(value, type=Roster).workers)
+
+
+def parse_key(key: str) -> tuple[str, SubmissionId]:
+    """Split the key of a row in the work table into its prefix and the submission's id."""
+    prefix, _, rest = key.partition("/")
+    return prefix + "/", SubmissionId(rest)
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -0,0 +1,217 @@
+"""State of submissions: which tasks wait, run and have ended."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from ..core.identifiers import WorkerId
+from .model import (
+    RunNumber,
+    StepId,
+    StepSpec,
+    Submission,
+    SubmissionState,
+    TicketId,
+)
+from .records import Progress
+from .workers import Run
+
+GANG_INDEX = -1  # key under which the failures of a gang are counted
+TICKET_MARGIN_SECONDS = 0.15  # a ticket is not used this close to its end
+
+
+@dataclasses.dataclass(slots=True)
+class Ticket:
+    """Permission to run a step on one worker."""
+
+    id: TicketId
+    expires_at: float
+
+
+class StepProgress:
+    """One occurrence of a step.
+
+    Attributes
+    ----------
+    waiting : list of int
+        Indices of tasks that have no run.
+    allowed : dict
+        Tickets by worker; an expired one still says that the worker is allowed.
+    refused : set
+        Workers that may not run the step.
+    """
+
+    __slots__ = (
+        "allowed",
+        "checkpoints",
+        "done",
+        "due_at",
+        "failed",
+        "id",
+        "is_asking",
+        "last_number",
+        "next_ask_at",
+        "objective_at",
+        "refused",
+        "runs",
+        "spec",
+        "waiting",
+    )
+
+    def __init__(self, step_id: StepId, spec: StepSpec, first_number: RunNumber) -> None:
+        self.id = step_id
+        self.spec = spec
+        self.waiting: list[int] = list(range(spec.count))
+        self.done: set[int] = set()
+        self.failed: dict[int, int] = {}
+        self.runs: dict[int, list[Run]] = {}
+        self.checkpoints: dict[int, str] = {}
+        self.allowed: dict[WorkerId, Ticket] = {}
+        self.refused: set[WorkerId] = set()
+        self.is_asking = False
+        self.next_ask_at = 0.0
+        self.due_at = 0.0
+        self.objective_at = 0.0
+        self.last_number = RunNumber(first_number - 1)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task has ended done."""
+        return len(self.done) == self.spec.count
+
+    def take_number(self) -> RunNumber:
+        """Return the next run number of the step's tasks."""
+        self.last_number = RunNumber(self.last_number + 1)
+        return self.last_number
+
+    def note_checkpoint(self, index: int, value: str) -> None:
+        """Keep a checkpoint; members of a gang share theirs."""
+        if not value:
+            return
+        key = GANG_INDEX if self.spec.is_gang else index
+        if key != GANG_INDEX or value > self.checkpoints.get(key, ""):
+            self.checkpoints[key] = value
+
+    def get_checkpoint(self, index: int) -> str:
+        """Return the checkpoint from which a task goes on, or the empty string."""
+        return self.checkpoints.get(GANG_INDEX if self.spec.is_gang else index, "")
+
+    def add_run(self, run: Run) -> None:
+        """Enter a run of one of the tasks."""
+        index = run.task.index
+        self.runs.setdefault(index, []).append(run)
+        if index in self.waiting:
+            self.waiting.remove(index)
+        self.last_number = RunNumber(max(self.last_number, run.number))
+
+    def remove_run(self, run: Run) -> None:
+        """Remove an ended run and let its task wait again where it is not done."""
+        index = run.task.index
+        left = [other for other in self.runs.get(index, ()) if other is not run]
+        if left:
+            self.runs[index] = left
+            return
+        self.runs.pop(index, None)
+        if self.spec.is_gang:
+            # A gang starts again only when nothing of its former run is left.
+            if not self.runs and not self.is_done:
+                self.waiting = [i for i in range(self.spec.count) if i not in self.done]
+        elif index not in self.done and index not in self.waiting:
+            self.waiting.append(index)
+
+    def count_failure(self, index: int) -> int:
+        """Count a failed run and return how many there are."""
+        key = GANG_INDEX if self.spec.is_gang else index
+        self.failed[key] = self.failed.get(key, 0) + 1
+        return self.failed[key]
+
+    def mark_done(self, index: int) -> bool:
+        """Enter a done task, or all of a gang; return whether that was news."""
+        news = index not in self.done
+        if self.spec.is_gang:
+            self.done.update(range(self.spec.count))
+        else:
+            self.done.add(index)
+        self.waiting = [i for i in self.waiting if i not in self.done]
+        return news
+
+
+class SubmissionProgress:
+    """A submission that has no final state yet.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the stored submission.
+    progress_revision : int
+        Revision of the stored progress; 0 if there is none.
+    """
+
+    def __init__(
+        self,
+        submission: Submission,
+        revision: int,
+        arrived_at: float,
+        first_number: RunNumber,
+    ) -> None:
+        self.submission = submission
+        self.revision = revision
+        self.arrived_at = arrived_at
+        self.state = SubmissionState.QUEUED
+        self.is_ending = False
+        self.progress_revision = 0
+        self.steps: dict[tuple[int, int], StepProgress] = {}
+        for occurrence in range(max(1, submission.repetitions)):
+            due = arrived_at
+            if submission.repetitions:
+                offset = submission.first_due - submission.accepted_at
+                due += offset + occurrence * submission.interval_seconds
+            for index, spec in enumerate(submission.steps):
+                step_id = StepId(submission.id, occurrence, index)
+                step = StepProgress(step_id, spec, first_number)
+                step.due_at = due
+                step.objective_at = due + self._compute_objective()
+                self.steps[(occurrence, index)] = step
+
+    def _compute_objective(self) -> float:
+        chain = 0.0
+        lengths: list[float] = []
+        for spec in self.submission.steps:
+            before = max((lengths[i] for i in spec.after if i < len(lengths)), default=0.0)
+            lengths.append(before + spec.estimate_seconds)
+            chain = max(chain, lengths[-1])
+        terms = self.submission.queue
+        return terms.slack_factor * chain + terms.latency_seconds
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task of every step has ended done."""
+        return all(step.is_done for step in self.steps.values())
+
+    def is_runnable(self, step: StepProgress, now: float) -> bool:
+        """Return whether a step's turn has come."""
+        occurrence = step.id.occurrence
+        return now >= step.due_at and all(
+            self.steps[(occurrence, earlier)].is_done for earlier in step.spec.after
+        )
+
+    def export_progress(self) -> Progress:
+        """Return what has to last of the ended tasks."""
+        progress = Progress(done={}, failed={})
+        for (occurrence, index), step in self.steps.items():
+            key = f"{occurrence}.{index}"
+            if step.done:
+                progress.done[key] = sorted(step.done)
+            if step.failed:
+                progress.failed[key] = dict(step.failed)
+        return progress
+
+    def import_progress(self, progress: Progress) -> None:
+        """Take over what an earlier owner stored."""
+        for (occurrence, index), step in self.steps.items():
+            key = f"{occurrence}.{index}"
+            for task in progress.done.get(key, ()):
+                step.mark_done(task)
+            step.failed = dict(progress.failed.get(key, {}))
+        if progress.done or progress.failed:
+            self.state = SubmissionState.RUNNING
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -0,0 +1,156 @@
+"""Workers as the owner knows them: room, leases and the runs that they hold."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from ..core.identifiers import WorkerId
+from .model import (
+    FencingToken,
+    Resources,
+    RunNumber,
+    RunState,
+    StartOrder,
+    TaskKey,
+    WorkerListing,
+    WorkerState,
+)
+
+# A worker's clock may run 2 % slow, so its leases may last this much longer than by our clock.
+CLOCK_DRIFT = 1.0 / 0.98
+LEASE_MARGIN_SECONDS = 0.3  # network and scheduling delay on top of the drift
+# A hold waits up to a second and a long link adds tens of milliseconds.
+SILENCE_SECONDS = 2.5
+REFUSAL_PAUSE_SECONDS = 0.5  # how long a worker that refused a start gets no other
+
+
+def compute_lease_bound(now: float, lease_seconds: float) -> float:
+    """Return the time by which a lease of this length, granted until now, has lapsed."""
+    return now + lease_seconds * CLOCK_DRIFT + LEASE_MARGIN_SECONDS
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A run that has not ended, as far as the owner knows.
+
+    Attributes
+    ----------
+    acknowledged_at : float or None
+        When the worker confirmed the last order about it.
+    tries : int
+        Start or stop orders sent.
+    """
+
+    task: TaskKey
+    number: RunNumber
+    worker: WorkerId
+    resources: Resources
+    is_filler: bool
+    state: RunState
+    ordered_at: float
+    acknowledged_at: float | None = None
+    next_try_at: float = 0.0
+    tries: int = 0
+    checkpoint: str = ""
+    order: StartOrder | None = None
+    is_in_flight: bool = False
+    is_start_certain: bool = False
+
+
+class Worker:
+    """One life of a worker.
+
+    Parameters
+    ----------
+    listing : WorkerListing
+    lease_bound : float
+        Time by which every lease that an earlier owner may have granted has lapsed.
+    """
+
+    def __init__(self, listing: WorkerListing, lease_bound: float) -> None:
+        self.listing = listing
+        self.lease_bound = lease_bound
+        self.is_listed = True
+        self.is_reached = False
+        self.is_enrolled = False
+        self.last_answer = 0.0
+        self.blocked_until = 0.0
+        self.runs: dict[tuple[TaskKey, RunNumber], Run] = {}
+        self.unknown_runs: set[TaskKey] = set()
+        self.processed = 0  # highest end that has been taken into the state
+        self.seen = 0  # highest end that the store covers
+        self.used_processors = 0
+        self.used_memory_mb = 0
+        self.used_accelerators = 0
+
+    @property
+    def id(self) -> WorkerId:
+        """Id of the worker."""
+        return self.listing.id
+
+    def is_open(self, now: float) -> bool:
+        """Return whether new runs may be placed here."""
+        return (
+            self.is_listed
+            and self.is_reached
+            and self.is_enrolled
+            and not self.unknown_runs
+            and self.listing.state is WorkerState.READY
+            and now >= self.blocked_until
+            and now - self.last_answer < SILENCE_SECONDS
+        )
+
+    def has_room(self, resources: Resources, is_filler: bool) -> bool:
+        """Return whether a task fits beside everything that may be here."""
+        capacity = self.listing.capacity
+        return (
+            (is_filler or self.used_processors + resources.processors <= capacity.processors)
+            and self.used_memory_mb + resources.memory_mb <= capacity.memory_mb
+            and self.used_accelerators + resources.accelerators <= capacity.accelerators
+        )
+
+    def free_processors(self) -> int:
+        """Return the thousandths of a processor that are not taken."""
+        return self.listing.capacity.processors - self.used_processors
+
+    def add_run(self, run: Run) -> None:
+        """Take the room of a run."""
+        self.runs[(run.task, run.number)] = run
+        self._count(run, 1)
+
+    def remove_run(self, run: Run) -> None:
+        """Give back the room of a run."""
+        if self.runs.pop((run.task, run.number), None) is not None:
+            self._count(run, -1)
+
+    def _count(self, run: Run, sign: int) -> None:
+        if not run.is_filler:
+            self.used_processors += sign * run.resources.processors
+        self.used_memory_mb += sign * run.resources.memory_mb
+        self.used_accelerators += sign * run.resources.accelerators
+
+
+def make_run(order: StartOrder, resources: Resources, is_filler: bool, now: float) -> Run:
+    """Return the run that a start order begins."""
+    return Run(
+        task=order.task,
+        number=order.number,
+        worker=order.worker,
+        resources=resources,
+        is_filler=is_filler,
+        state=RunState.STARTING,
+        ordered_at=now,
+        checkpoint=order.checkpoint,
+        order=order,
+        is_in_flight=True,
+        tries=1,
+    )
+
+
+# Run numbers rise over changes of owner: each owner counts within a block of its own.
+RUNS_PER_OWNER = 1000
+
+
+def compute_first_number(fencing: FencingToken) -> RunNumber:
+    """Return the first run number of an owner."""
+    return RunNumber((fencing - 1) * RUNS_PER_OWNER + 1)
--- /dev/null
+++ b/src/lavenderhook/platform/__main__.py
@@ -0,0 +1,7 @@
+"""Program that runs on the platform's machines: ``python3 -m lavenderhook.platform``."""
+
+import sys
+
+from .program import run
+
+sys.exit(run())
--- /dev/null
+++ b/src/lavenderhook/platform/frontend.py
@@ -0,0 +1,195 @@
+"""The callers' interface on the platform."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+
+from .._internal.adapters.frontend import Incoming, Reply
+from .._internal.instance.entry import RETRY_AFTER_SECONDS, EntryInstance
+from .._internal.instance.intake import Acceptance
+from .._internal.queueing.model import (
+    Placement,
+    Resources,
+    StepSpec,
+    Submission,
+    SubmissionId,
+)
+from .._internal.queueing.routes import QueueRoute
+from ..errors import (
+    InvalidArgumentError,
+    NotReadyError,
+    UnknownNameError,
+)
+
+READINESS_PATH = "/lavenderhook/readiness"
+DEADLINE_HEADER = "x-deadline-ms"  # how long the client waits for the response
+DEFAULT_DEADLINE_MS = 3000.0
+ANSWER_MARGIN_SECONDS = 0.1  # an answer on its way needs a link's delay
+JSON_HEADERS = (("Content-Type", "application/json"),)
+GONE = 410
+
+
+class _Step(msgspec.Struct, rename="camel"):
+    """A step on the wire.
+
+    Parameters
+    ----------
+    cpu : int
+        Thousandths of a core.
+    after : list of int
+        Earlier steps that must be done first; elsewhere the field is a version.
+    affinity : str
+        Rack where the data is.
+    requirements : str
+        One label that the worker must have.
+    max_per_server : int
+        Tasks of the step on one worker.
+    speculative : bool
+        Copies may run in parallel.
+    """
+
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0.0
+    after: list[int] = []
+    gang: bool = False
+    same_rack: bool = False
+    requirements: str = ""
+    affinity: str = ""
+    max_per_server: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    checkpointing: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct, rename="camel"):
+    """A submission on the wire."""
+
+    spec: str
+    steps: list[_Step]
+    repetitions: int = 0
+    first_run_ms: float = 0.0
+    interval_ms: float = 0.0
+
+
+def convert_step(step: _Step) -> StepSpec:
+    """Return a step in the product's terms."""
+    return StepSpec(
+        count=step.count,
+        resources=Resources(step.cpu, step.mem_mb, step.gpu),
+        estimate_seconds=step.estimate_ms / 1000,
+        after=tuple(step.after),
+        placement=Placement(
+            label=step.requirements,
+            data_rack=step.affinity,
+            single_rack=step.same_rack,
+            most_per_worker=step.max_per_server,
+        ),
+        is_gang=step.gang,
+        allows_copies=step.speculative,
+        is_service=step.long_running,
+        has_checkpoints=step.checkpointing,
+        image=step.image,
+        latency_target_ms=step.target_ms,
+        is_filler=step.fills,
+        most_unavailable=step.may_miss,
+    )
+
+
+class Frontend:
+    """Routes of the callers' listener and of the readiness listener."""
+
+    def __init__(self, instance: EntryInstance) -> None:
+        self._instance = instance
+
+    def route_readiness(self, incoming: Incoming) -> Reply:
+        """Answer the balancer's check."""
+        return Reply(status=200 if self._instance.is_ready() else 503)
+
+    def route(self, incoming: Incoming) -> Reply:
+        """Answer a caller."""
+        routes = self._instance.routes
+        if routes is None:
+            raise NotReadyError("no configuration has been read yet")
+        host = incoming.headers.get("host", "")
+        found = routes.find(host, incoming.path)
+        if found is None:
+            found = routes.find(host.partition(":")[0], incoming.path)
+        if found is None:
+            raise UnknownNameError("queue", host + incoming.path)
+        submission = SubmissionId(incoming.path[len(found.path_prefix) :])
+        deadline = _read_deadline(incoming)
+        match incoming.method:
+            case "POST" if submission:
+                return self._submit(incoming, found, submission, deadline)
+            case "GET" if submission:
+                return self._describe(submission)
+            case "GET":
+                pending = self._instance.count_pending(found.terms.name)
+                return _reply({"pending": pending})
+            case "DELETE" if submission:
+                return self._cancel(submission, deadline)
+            case _:
+                raise UnknownNameError("operation", incoming.method)
+
+    def _submit(
+        self, incoming: Incoming, route: QueueRoute, submission: SubmissionId, deadline: float
+    ) -> Reply:
+        try:
+            job = msgspec.json.decode(incoming.read_body(), type=_Job)
+        except msgspec.DecodeError as error:
+            raise InvalidArgumentError("body", str(error), "a submission") from error
+        stored = Submission(
+            id=submission,
+            queue=route.terms,
+            payload=job.spec,
+            steps=tuple(map(convert_step, job.steps)),
+            accepted_at=time.time(),
+            repetitions=job.repetitions,
+            first_due=job.first_run_ms / 1000,
+            interval_seconds=job.interval_ms / 1000,
+        )
+        return _reply_acceptance(self._instance.submit(stored, deadline))
+
+    def _cancel(self, submission: SubmissionId, deadline: float) -> Reply:
+        return _reply_acceptance(self._instance.cancel(submission, deadline))
+
+    def _describe(self, submission: SubmissionId) -> Reply:
+        try:
+            state = self._instance.describe(submission)
+        except UnknownNameError:
+            return Reply(status=GONE)
+        return _reply({"state": state.value})
+
+
+def _read_deadline(incoming: Incoming) -> float:
+    text = incoming.headers.get(DEADLINE_HEADER, "")
+    try:
+        wait_ms = float(text) if text else DEFAULT_DEADLINE_MS
+    except ValueError as error:
+        raise InvalidArgumentError(DEADLINE_HEADER, text, "milliseconds") from error
+    return time.monotonic() + max(0.05, wait_ms / 1000 - ANSWER_MARGIN_SECONDS)
+
+
+def _reply(value: object) -> Reply:
+    return Reply(headers=JSON_HEADERS, body=msgspec.json.encode(value))
+
+
+def _reply_acceptance(result: Acceptance) -> Reply:
+    match result:
+        case Acceptance.STORED:
+            return _reply({})
+        case Acceptance.NO_SUCH:
+            return Reply(status=GONE)
+        case Acceptance.NOT_STORED:
+            return Reply(status=503, headers=(("Retry-After", str(RETRY_AFTER_SECONDS)),))
+        case Acceptance.UNKNOWN:
+            return Reply(status=504)
--- /dev/null
+++ b/src/lavenderhook/platform/lists.py
@@ -0,0 +1,198 @@
+"""What the operator and the workers write into the store: queues and live workers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from .._internal.core.identifiers import AvailabilityZone, ServiceName, WorkerId
+from .._internal.ports.queueing import (
+    QueueConfiguration,
+    RowStore,
+    StoredRow,
+    WorkerChanges,
+    WorkerList,
+)
+from .._internal.queueing.model import (
+    AdviceTerms,
+    QueueTerms,
+    Resources,
+    WorkerListing,
+    WorkerState,
+)
+from .._internal.queueing.routes import QueueRoute, QueueRoutes
+
+OPERATOR_TABLE = "op"
+MANIFEST_KEY = "config"
+WORKERS_TABLE = "servers"
+
+Report = Callable[..., None]
+
+
+class _Advice(msgspec.Struct, rename="camel"):
+    """Terms of advice; `period_ms` is the time for each worker named, not an interval."""
+
+    decision_ms: float
+    period_ms: float
+    validity_ms: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    """A route is a queue; `max_attempts` counts failed runs of one task."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    target_latency_ms: float = 1000.0
+    advice: _Advice | None = None
+
+
+class _Manifest(msgspec.Struct, rename="camel"):
+    """The operator's configuration."""
+
+    version: int
+    routes: list[_Route] = []
+
+
+class _Capacity(msgspec.Struct, rename="camel"):
+    """Room of a worker; `cpu` is in thousandths of a core."""
+
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _Server(msgspec.Struct, rename="camel"):
+    """A worker's entry; `labels` names its kind and its rack."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    labels: list[str] = []
+    born: int = 0
+
+
+class PlatformConfiguration(QueueConfiguration):
+    """The operator's row ``op/config``."""
+
+    def __init__(self, store: RowStore, report: Report) -> None:
+        self._store = store
+        self._report = report
+
+    def read(self) -> tuple[QueueRoutes | None, int]:
+        """Return the newest queues, if there are any, and the revision of the reading."""
+        changes = self._store.read(OPERATOR_TABLE, MANIFEST_KEY, MANIFEST_KEY + "\0")
+        return self._find(changes.rows), changes.revision
+
+    def follow(self, after: int, wait_seconds: float) -> tuple[QueueRoutes | None, int]:
+        """Return the queues if they changed after a revision, and the revision to go on from."""
+        changes = self._store.follow(OPERATOR_TABLE, after, wait_seconds)
+        return self._find(changes.rows), changes.revision
+
+    def _find(self, rows: tuple[StoredRow, ...]) -> QueueRoutes | None:
+        found = None
+        for row in rows:
+            if row.key == MANIFEST_KEY and not row.is_deleted:
+                try:
+                    found = decode_manifest(row.value)
+                except msgspec.DecodeError as error:
+                    self._report("configuration-unreadable", message=str(error))
+        return found
+
+
+class PlatformWorkers(WorkerList):
+    """The workers' rows ``servers/ID``."""
+
+    def __init__(self, store: RowStore, report: Report) -> None:
+        self._store = store
+        self._report = report
+
+    def read(self) -> WorkerChanges:
+        """Return the whole list."""
+        changes = self._store.read(WORKERS_TABLE)
+        return WorkerChanges(self._convert(changes.rows), changes.revision, True)
+
+    def follow(self, after: int, wait_seconds: float) -> WorkerChanges:
+        """Return the changes after a revision."""
+        changes = self._store.follow(WORKERS_TABLE, after, wait_seconds)
+        return WorkerChanges(self._convert(changes.rows), changes.revision, False)
+
+    def _convert(self, rows: tuple[StoredRow, ...]) -> dict[WorkerId, WorkerListing | None]:
+        workers: dict[WorkerId, WorkerListing | None] = {}
+        for row in rows:
+            worker_id = WorkerId(row.key)
+            workers[worker_id] = None
+            if row.is_deleted:
+                continue
+            try:
+                workers[worker_id] = decode_worker(worker_id, row.value)
+            except (msgspec.DecodeError, ValueError) as error:
+                # An entry of another writer names no worker to use.
+                self._report("worker-unreadable", worker=row.key, message=str(error))
+        return workers
+
+
+def decode_manifest(value: bytes) -> QueueRoutes:
+    """Return the queues of a manifest.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If it can't be read.
+    """
+    manifest = msgspec.json.decode(value, type=_Manifest)
+    return QueueRoutes(
+        manifest.version,
+        [
+            QueueRoute(
+                host=route.host,
+                path_prefix=route.path_prefix,
+                terms=QueueTerms(
+                    name=route.name,
+                    service=ServiceName(route.service),
+                    priority=route.priority,
+                    most_attempts=route.max_attempts,
+                    slack_factor=route.slack_factor,
+                    latency_seconds=route.target_latency_ms / 1000,
+                    advice=_convert_advice(route.advice),
+                ),
+            )
+            for route in manifest.routes
+        ],
+    )
+
+
+def _convert_advice(advice: _Advice | None) -> AdviceTerms | None:
+    if advice is None:
+        return None
+    return AdviceTerms(
+        advice.decision_ms / 1000, advice.period_ms / 1000, advice.validity_ms / 1000
+    )
+
+
+def decode_worker(worker_id: WorkerId, value: bytes) -> WorkerListing:
+    """Return a worker's entry.
+
+    Raises
+    ------
+    msgspec.DecodeError, ValueError
+        If fields are missing, of another type or of an unknown state.
+    """
+    server = msgspec.json.decode(value, type=_Server)
+    return WorkerListing(
+        id=worker_id,
+        service=ServiceName(server.service),
+        address=server.address,
+        zone=AvailabilityZone(server.zone),
+        state=WorkerState(server.state),
+        capacity=Resources(server.capacity.cpu, server.capacity.mem_mb, server.capacity.gpu),
+        labels=frozenset(server.labels),
+        born=server.born,
+    )
--- /dev/null
+++ b/src/lavenderhook/platform/program.py
@@ -0,0 +1,146 @@
+"""Start and stop of the process on a machine of the platform."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import time
+
+import gevent
+import gevent.event
+
+from .._internal.adapters.frontend import Listener, ListenerLimits
+from .._internal.daemon.logs import DecisionLog, discard_default_sink
+from .._internal.instance.entry import EntryInstance
+from .._internal.queueing.cell import CellParameters
+from ..errors import LavenderhookError
+from .frontend import Frontend
+from .lists import PlatformConfiguration, PlatformWorkers
+from .settings import DEFAULT_PATH, PATH_VARIABLE, load_settings
+from .store import PlatformStore
+from .workers import PlatformAdvisor, PlatformWorkerCalls
+
+COLLECTOR_THRESHOLDS = (10_000, 10, 1_000_000)  # a full collection would stop all decisions
+LEASE_SECONDS = 4.5  # outlasts a takeover: 2.2 s of silence, the claim and the loading
+STOP_MARGIN_SECONDS = 1.2  # of the grace; the last responses are written in it
+SETTINGS_SECONDS = 1.0  # between checks of the settings file, which may change without a signal
+LIMITS = ListenerLimits(
+    body_bytes=262_144,
+    header_bytes=16_384,
+    line_bytes=8_192,
+    read_seconds=3.0,
+    idle_seconds=60.0,
+    connections=3_000,
+)
+
+
+class Program:
+    """The process: adapters, instance and listeners.
+
+    Parameters
+    ----------
+    path : str
+        Path of the settings file.
+    """
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self.settings = settings = load_settings(path)
+        self.log = DecisionLog(LogTarget(), settings.node_name)
+        self._store = PlatformStore(settings.platform.address)
+        self._calls = PlatformWorkerCalls()
+        self._advisor = PlatformAdvisor(settings.advice, self.report)
+        self._done = gevent.event.Event()
+        bounds = settings.bounds
+        self.instance = EntryInstance(
+            settings.node_name,
+            settings.zone,
+            f"{settings.ip}:{settings.internal_ports[0]}",
+            store=self._store,
+            worker_list=PlatformWorkers(self._store, self.report),
+            configuration=PlatformConfiguration(self._store, self.report),
+            calls=self._calls,
+            advisor=self._advisor,
+            parameters=CellParameters(
+                lease_seconds=min(LEASE_SECONDS, bounds.hold_max_ms / 1000),
+                stop_seconds=bounds.stop_timeout_ms / 1000,
+            ),
+            limits=LIMITS,
+            report=self.report,
+            report_error=self.log.report,
+        )
+        frontend = Frontend(self.instance)
+        self._listeners = [
+            self._listen(settings.listen.readiness, frontend.route_readiness),
+            self._listen(settings.listen.frontend, frontend.route),
+        ]
+
+    def _listen(self, address: str, route) -> Listener:  # type: ignore[no-untyped-def]
+        host, _, port = address.rpartition(":")
+        return Listener((host, int(port)), LIMITS, route, self.log.report)
+
+    def report(self, what: str, **fields: object) -> None:
+        """Write a line about a decision."""
+        self.log.write_decision(what, fields)
+
+    def run(self) -> None:
+        """Serve until SIGTERM."""
+        self.log.writer.start()
+        gevent.signal_handler(signal.SIGTERM, self._begin_stop)
+        gevent.signal_handler(signal.SIGHUP, self._reload)
+        self.instance.start()
+        for listener in self._listeners:
+            listener.start()
+        gevent.spawn(self._watch_settings)
+        self._done.wait()
+        self.log.stop()
+
+    def _watch_settings(self) -> None:
+        while True:
+            gevent.sleep(SETTINGS_SECONDS)
+            self._reload()
+
+    def _reload(self) -> None:
+        """Read the settings again and take over what may change while running."""
+        try:
+            settings = load_settings(self._path)
+        except LavenderhookError as error:
+            self.log.report("settings-unreadable", error)
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self._store.address = settings.platform.address
+        self._advisor.address = settings.advice
+        self.report("settings-reloaded", store=settings.platform.address)
+
+    def _begin_stop(self) -> None:
+        gevent.spawn(self._stop)
+
+    def _stop(self) -> None:
+        ends_at = time.monotonic() + self.settings.bounds.grace_s - STOP_MARGIN_SECONDS
+        self.instance.leave(ends_at - time.monotonic())
+        frontend = self._listeners[1]
+        frontend.drain()
+        while frontend.handlers and time.monotonic() < ends_at:
+            gevent.sleep(0.05)
+        self.instance.stop()
+        self._done.set()
+
+
+class LogTarget:
+    """Where the log goes: JSON lines on standard output."""
+
+    level = "info"
+    format = "json"
+    file = "stdout"
+
+
+def run() -> int:
+    """Run the process; return its exit status."""
+    discard_default_sink()
+    gevent.config.track_greenlet_tree = False
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+    Program(os.environ.get(PATH_VARIABLE, DEFAULT_PATH)).run()
+    return 0
--- /dev/null
+++ b/src/lavenderhook/platform/settings.py
@@ -0,0 +1,94 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from ..errors import SettingsError
+
+PATH_VARIABLE = "LAVENDERHOOK_CONFIG"
+DEFAULT_PATH = "/etc/lavenderhook/boot.toml"
+
+
+class _Section(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Base of all sections; fields that aren't named here are ignored."""
+
+
+class Listen(_Section, frozen=True, kw_only=True):
+    """Addresses to listen on.
+
+    Parameters
+    ----------
+    frontend : str
+        For callers.
+    readiness : str
+        For the balancer's checks.
+    """
+
+    frontend: str = ""
+    readiness: str = ""
+
+
+class Store(_Section, frozen=True, kw_only=True):
+    """The platform's store; the section is named ``platform``."""
+
+    address: str
+
+
+class Bounds(_Section, frozen=True, kw_only=True):
+    """Bounds that the deployment sets; names carry their unit.
+
+    Parameters
+    ----------
+    grace_s : float
+        From SIGTERM to SIGKILL.
+    hold_max_ms : float
+        Longest lease that a worker grants.
+    stop_timeout_ms : float
+        Longest time that a worker takes to stop a run.
+    """
+
+    grace_s: float = 6.0
+    hold_max_ms: float = 6000.0
+    stop_timeout_ms: float = 1000.0
+
+
+class Settings(_Section, frozen=True, kw_only=True):
+    """All settings that the adapter reads.
+
+    Parameters
+    ----------
+    advice : str
+        Address of the advisory service; empty where there is none.
+    internal_ports : tuple of (int, int)
+        First and last port that is free for calls between instances.
+    """
+
+    node_name: str
+    ip: str
+    zone: str
+    internal_ports: tuple[int, int]
+    listen: Listen
+    platform: Store
+    bounds: Bounds = Bounds()
+    advice: str = ""
+
+
+def load_settings(path: str) -> Settings:
+    """Read the settings file.
+
+    Raises
+    ------
+    SettingsError
+        If it can't be read or a field is missing or of another type.
+    """
+    try:
+        content = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        return msgspec.convert(content, Settings, strict=False)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(path, "file", str(error), "a readable TOML file") from error
+    except msgspec.ValidationError as error:
+        raise SettingsError(path, "settings", str(error), "the platform's fields") from error
--- /dev/null
+++ b/src/lavenderhook/platform/store.py
@@ -0,0 +1,171 @@
+"""Client of the platform's store."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+
+from .._internal.adapters.transport import HttpAnswer, HttpClient
+from .._internal.ports.queueing import (
+    Condition,
+    Conflict,
+    HistoryLostError,
+    RowChanges,
+    RowStore,
+    StoredRow,
+    Write,
+)
+from ..errors import ProtocolError, StoreUnavailableError, TransportError
+
+TRANSACT_PATH = "/lavenderhook/rows-tx"
+READ_PATH = "/lavenderhook/rows-get"
+FOLLOW_PATH = "/lavenderhook/rows-feed"
+# The store may be 90 times as slow as its usual 10 ms.
+CALL_TIMEOUT_SECONDS = 1.5
+CONNECTIONS = 32
+PART = ""  # all rows share a part, so that one transaction may cover them
+JSON_HEADERS = (("Content-Type", "application/json"),)
+REFUSALS = (429, 503)  # nothing was done
+
+
+class _Row(msgspec.Struct, rename="camel", omit_defaults=True):
+    """A row on the wire; `schema_version` is the store's counter at the row's last change."""
+
+    table: str
+    key: str
+    part: str = ""
+    value: str = ""
+    schema_version: int = 0
+    deleted: bool = False
+
+
+class _Rows(msgspec.Struct, rename="camel"):
+    """An answer about rows; `schema_version` is the newest revision of the store."""
+
+    rows: list[_Row] = []
+    schema_version: int = 0
+    more_pages: bool = False
+
+
+class PlatformStore(RowStore):
+    """Rows in the platform's store.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._client = HttpClient("store", size=CONNECTIONS)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    def transact(
+        self,
+        writes: Sequence[Write],
+        conditions: Sequence[Condition] = (),
+        removes: Sequence[tuple[str, str]] = (),
+    ) -> int | Conflict:
+        """Write and remove all rows or none."""
+        expected = [
+            {"table": w.table, "part": PART, "key": w.key, "schemaVersion": w.expected}
+            for w in writes
+            if w.expected is not None
+        ]
+        expected += [
+            {"table": c.table, "part": PART, "key": c.key, "schemaVersion": c.revision}
+            for c in conditions
+        ]
+        body = {
+            "expectedRevision": expected,
+            "setKeys": [
+                {
+                    "table": w.table,
+                    "part": PART,
+                    "key": w.key,
+                    "value": base64.b64encode(w.value).decode(),
+                }
+                for w in writes
+            ],
+            "remove": [{"table": table, "part": PART, "key": key} for table, key in removes],
+        }
+        answer = self._client.call(
+            self.address,
+            "POST",
+            TRANSACT_PATH,
+            msgspec.json.encode(body),
+            JSON_HEADERS,
+            CALL_TIMEOUT_SECONDS,
+        )
+        if answer.status == 412:
+            return Conflict(tuple(map(_convert, _decode(answer).rows)))
+        _check(answer, "transaction")
+        return _decode(answer).schema_version
+
+    def read(self, table: str, start: str = "", end: str = "") -> RowChanges:
+        """Return rows in key order; all pages."""
+        rows: list[StoredRow] = []
+        revision: int | None = None
+        while True:
+            query = {"table": table, "part": PART}
+            if start:
+                query["from"] = start
+            if end:
+                query["to"] = end
+            page = self._get(READ_PATH, query, CALL_TIMEOUT_SECONDS)
+            rows.extend(map(_convert, page.rows))
+            if revision is None:
+                revision = page.schema_version
+            if not page.more_pages or not page.rows:
+                return RowChanges(tuple(rows), revision)
+            start = page.rows[-1].key + "\0"
+
+    def follow(self, table: str, after: int, wait_seconds: float) -> RowChanges:
+        """Return the changes after a revision."""
+        query = {"table": table, "after": after, "waitMs": int(wait_seconds * 1000)}
+        page = self._get(FOLLOW_PATH, query, wait_seconds + CALL_TIMEOUT_SECONDS)
+        return RowChanges(tuple(map(_convert, page.rows)), page.schema_version)
+
+    def _get(self, path: str, query: dict[str, Any], timeout: float) -> _Rows:
+        target = f"{path}?{urlencode(query)}"
+        try:
+            answer = self._client.call(self.address, "GET", target, timeout=timeout)
+        except TransportError as error:
+            # A reading has no effect that could be unknown.
+            raise StoreUnavailableError(f"{path}: {error}") from error
+        if answer.status == 410:
+            raise HistoryLostError(f"the history after {query.get('after')} is gone")
+        _check(answer, path)
+        return _decode(answer)
+
+
+def _check(answer: HttpAnswer, what: str) -> None:
+    if answer.status in REFUSALS:
+        raise StoreUnavailableError(f"{what}: the store answered {answer.status}")
+    if answer.status != 200:
+        raise ProtocolError(f"{what}: the store answered {answer.status}: {answer.body[:200]!r}")
+
+
+def _decode(answer: HttpAnswer) -> _Rows:
+    try:
+        return msgspec.json.decode(answer.body, type=_Rows)
+    except msgspec.DecodeError as error:
+        raise TransportError(f"unreadable answer of the store: {error}", sent=True) from error
+
+
+def _convert(row: _Row) -> StoredRow:
+    return StoredRow(
+        table=row.table,
+        key=row.key,
+        value=base64.b64decode(row.value),
+        revision=row.schema_version,
+        is_deleted=row.deleted,
+    )
