Keep a worker closed while it holds runs of unknown size

Ruled out: late start orders, copies, stop acknowledgements. Also: the answer to a start no longer counts for a run that is being stopped.

--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -193,7 +193,7 @@
                 },
             )
         ]
-        effects += self._adopt_unknown(submission.id)
+        effects += self._adopt_unknown(submission.id, event.now)
         if entry.is_done:
             effects += self._end(entry, SubmissionState.COMPLETED)
         return effects
@@ -325,15 +325,15 @@
         run = worker.runs.get((event.task, event.number)) if worker is not None else None
         if worker is None or run is None:
             return []
+        if run.state is RunState.STOPPING and event.outcome is not StartOutcome.FENCED:
+            return []  # the stop's answer decides
         run.is_in_flight = False
         if event.outcome is StartOutcome.STARTED:
-            run.is_start_certain = True
             run.acknowledged_at = event.now
-            if run.state is RunState.STARTING:
-                run.state = RunState.RUNNING
-                entry = self.submissions.get(event.task.submission)
-                if entry is not None:
-                    entry.state = SubmissionState.RUNNING
+            run.state = RunState.RUNNING
+            entry = self.submissions.get(event.task.submission)
+            if entry is not None:
+                entry.state = SubmissionState.RUNNING
             return []
         effects: list[Effect] = [
             LogDecision(
@@ -589,7 +589,7 @@
         """Enter a run that an earlier owner started, or stop one that isn't wanted."""
         entry = self.submissions.get(item.task.submission)
         if entry is None and item.task.submission not in self.outcomes:
-            worker.unknown_runs.add(item.task)  # its size isn't known: nothing is placed here
+            worker.unknown_runs[item.task] = item
             return []
         step = self._find_step(item.task.step_id)
         run = Run(
@@ -598,6 +598,7 @@
             worker=worker.id,
             resources=step.spec.resources if step is not None else Resources(),
             is_filler=step.spec.is_filler if step is not None else False,
+            has_unknown_size=step is None,
             state=RunState.RUNNING,
             ordered_at=now,
             acknowledged_at=now,
@@ -629,12 +630,13 @@
             effects += self._stop(run, now)
         return effects
 
-    def _adopt_unknown(self, submission: SubmissionId) -> list[Effect]:
+    def _adopt_unknown(self, submission: SubmissionId, now: float) -> list[Effect]:
+        """Enter the listed runs of a submission that has only now been learnt."""
+        effects: list[Effect] = []
         for worker in self.workers.values():
-            worker.unknown_runs = {
-                task for task in worker.unknown_runs if task.submission != submission
-            }
-        return []
+            for task in [t for t in worker.unknown_runs if t.submission == submission]:
+                effects += self._adopt(worker, worker.unknown_runs.pop(task), now)
+        return effects
 
     def _reset_worker(self, worker: Worker, now: float) -> list[Effect]:
         """Forget everything about a worker's former life; its runs have ended."""
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -7,6 +7,7 @@
 from ..core.identifiers import WorkerId
 from .model import (
     FencingToken,
+    ListedRun,
     Resources,
     RunNumber,
     RunState,
@@ -39,6 +40,8 @@
         When the worker confirmed the last order about it.
     tries : int
         Start or stop orders sent.
+    has_unknown_size : bool
+        The submission has ended and its steps aren't loaded; the worker is closed meanwhile.
     """
 
     task: TaskKey
@@ -54,12 +57,15 @@
     checkpoint: str = ""
     order: StartOrder | None = None
     is_in_flight: bool = False
-    is_start_certain: bool = False
+    has_unknown_size: bool = False
 
 
 class Worker:
     """One life of a worker.
 
+    Runs that a report lists for a submission that isn't known yet are kept in `unknown_runs`;
+    while there are any, the room that is left can't be told and nothing is placed here.
+
     Parameters
     ----------
     listing : WorkerListing
@@ -76,7 +82,8 @@
         self.last_answer = 0.0
         self.blocked_until = 0.0
         self.runs: dict[tuple[TaskKey, RunNumber], Run] = {}
-        self.unknown_runs: set[TaskKey] = set()
+        self.unknown_runs: dict[TaskKey, ListedRun] = {}
+        self.unknown_sizes = 0
         self.processed = 0  # highest end that has been taken into the state
         self.seen = 0  # highest end that the store covers
         self.used_processors = 0
@@ -95,6 +102,7 @@
             and self.is_reached
             and self.is_enrolled
             and not self.unknown_runs
+            and not self.unknown_sizes
             and self.listing.state is WorkerState.READY
             and now >= self.blocked_until
             and now - self.last_answer < SILENCE_SECONDS
@@ -124,6 +132,8 @@
             self._count(run, -1)
 
     def _count(self, run: Run, sign: int) -> None:
+        if run.has_unknown_size:
+            self.unknown_sizes += sign
         if not run.is_filler:
             self.used_processors += sign * run.resources.processors
         self.used_memory_mb += sign * run.resources.memory_mb
