--- a/features/support/queue_days.py
+++ b/features/support/queue_days.py
@@ -27,7 +27,7 @@
     """Play a random day and return the world after it has settled."""
     generator = random.Random(seed)
     world = QueueWorld(seed, workers=5, lost=generator.choice([0.0, 0.05, 0.2]))
-    world.failing = generator.choice([0.0, 0.05])
+    world.failing = generator.choice([0.0, 0.05, 0.2])
     world.elect()
     for index in range(40):
         at = generator.uniform(0.5, DAY_SECONDS)
@@ -40,6 +40,7 @@
     world.run(DAY_SECONDS)
     world.lost = 0.0
     world.run(SETTLE_SECONDS)
+    world.check_outcomes()
     return world
 
 
--- a/features/support/queue_world.py
+++ b/features/support/queue_world.py
@@ -46,7 +46,6 @@
 HOLD_SECONDS = 0.2
 LINK_SECONDS = 0.005
 LATEST_SECONDS = 6.0  # an order without an answer is carried out up to this late
-NOTED_SECONDS = 0.1  # a listed end counts as noted after this
 
 
 @dataclasses.dataclass
@@ -124,9 +123,7 @@
             return StartOutcome.SUPERSEDED
         self.world.check_start(self, order)
         spec = self.world.find_spec(order.task)
-        self.runs[order.task] = HeldRun(
-            order.task, order.number, spec.resources, self.world.now
-        )
+        self.runs[order.task] = HeldRun(order.task, order.number, spec.resources, self.world.now)
         if not spec.is_gang:
             self.world.after(
                 self.world.choose_duration(spec), self.finish, order.task, order.number, self.born
@@ -179,8 +176,6 @@
         for sequence, task, _, outcome in self.ends:
             if sequence <= seen and outcome is RunOutcome.DONE:
                 self.world.noted_done.setdefault(task, self.world.now)
-            elif outcome is RunOutcome.DONE:
-                self.world.noted_done.setdefault(task, self.world.now + NOTED_SECONDS)
         self.ends = [end for end in self.ends if end[0] > seen]
         return WorkerReport(
             clock=self.world.now,
@@ -361,7 +356,9 @@
             waiting, self.dirty = list(self.dirty), {}
             for submission_id in waiting:
                 self.store(submission_id)
-            self.emit(ProgressStored(now=self.world.now, seen=seen))
+            # A commit whose answer is lost is carried out without the owner knowing.
+            if self.world.random.random() >= self.world.lost:
+                self.emit(ProgressStored(now=self.world.now, seen=seen))
         self.world.after(0.05, self.commit)
 
     def store(self, submission_id):
@@ -526,6 +523,8 @@
         """Keep the books of the ends."""
         if outcome is RunOutcome.DONE:
             self.done_at.setdefault(held.task, self.now)
+        if outcome is RunOutcome.FAILED:
+            self.failures[held.task] = self.failures.get(held.task, 0) + 1
         if self.find_spec(held.task).is_gang and outcome is not RunOutcome.DONE:
             key = (held.task[:3], held.number)
             for member, task, born in self.gangs.get(key, ()):
@@ -559,6 +558,15 @@
         if cancelled is not None and self.now > cancelled + LATEST_SECONDS + 1.0:
             self._violate("start-after-cancel", worker, order)
 
+    def check_outcomes(self):
+        """Check that only submissions with enough failed runs have ended so."""
+        for name, state in self.outcomes.items():
+            if state is not SubmissionState.FAILED:
+                continue
+            most = self.submissions[name][0].queue.most_attempts
+            if not any(n >= most for t, n in self.failures.items() if t.submission == name):
+                self.violations.append((round(self.now, 3), "failed-without-cause", name))
+
     def _violate(self, rule, worker, order):
         self.violations.append((round(self.now, 3), rule, worker.name, order.task, order.number))
 
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -517,7 +517,7 @@
                 return effects + self._end(entry, SubmissionState.COMPLETED)
             return [*effects, SaveProgress(submission=entry.submission.id)]
         if end.outcome is RunOutcome.FAILED and not step.spec.is_service:
-            failures = step.count_failure(end.task.index)
+            failures = step.count_failure(end.task.index, end.number)
             if failures >= entry.submission.queue.most_attempts:
                 return self._end(entry, SubmissionState.FAILED)
             return [SaveProgress(submission=entry.submission.id)]
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -26,11 +26,12 @@
 class Progress(msgspec.Struct, kw_only=True, omit_defaults=True):
     """Ends of a submission's tasks that count: done tasks and failed runs.
 
-    Keys are ``occurrence.step``; failures are counted by task index, and for a gang under -1.
+    Keys are ``occurrence.step``; failed runs are listed by task index, and for a gang under -1.
+    Run numbers are kept instead of a count, since a worker may list an end to several owners.
     """
 
     done: dict[str, list[int]] = {}
-    failed: dict[str, dict[int, int]] = {}
+    failed: dict[str, dict[int, list[int]]] = {}
 
 
 class Outcome(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -63,7 +63,7 @@
         self.spec = spec
         self.waiting: list[int] = list(range(spec.count))
         self.done: set[int] = set()
-        self.failed: dict[int, int] = {}
+        self.failed: dict[int, set[int]] = {}  # run numbers
         self.runs: dict[int, list[Run]] = {}
         self.checkpoints: dict[int, str] = {}
         self.allowed: dict[WorkerId, Ticket] = {}
@@ -119,11 +119,12 @@
         elif index not in self.done and index not in self.waiting:
             self.waiting.append(index)
 
-    def count_failure(self, index: int) -> int:
-        """Count a failed run and return how many there are."""
+    def count_failure(self, index: int, number: RunNumber) -> int:
+        """Count a failed run once, however often it is listed; return how many there are."""
         key = GANG_INDEX if self.spec.is_gang else index
-        self.failed[key] = self.failed.get(key, 0) + 1
-        return self.failed[key]
+        runs = self.failed.setdefault(key, set())
+        runs.add(number)
+        return len(runs)
 
     def mark_done(self, index: int) -> bool:
         """Enter a done task, or all of a gang; return whether that was news."""
@@ -203,7 +204,7 @@
             if step.done:
                 progress.done[key] = sorted(step.done)
             if step.failed:
-                progress.failed[key] = dict(step.failed)
+                progress.failed[key] = {i: sorted(runs) for i, runs in step.failed.items()}
         return progress
 
     def import_progress(self, progress: Progress) -> None:
@@ -212,6 +213,6 @@
             key = f"{occurrence}.{index}"
             for task in progress.done.get(key, ()):
                 step.mark_done(task)
-            step.failed = dict(progress.failed.get(key, {}))
+            step.failed = {i: set(runs) for i, runs in progress.failed.get(key, {}).items()}
         if progress.done or progress.failed:
             self.state = SubmissionState.RUNNING
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -85,9 +85,15 @@
         """Write a line about a decision."""
         self.log.write_decision(what, fields)
 
+    def _report_greenlet(self, context: object, kind: object, error: object, _: object) -> None:
+        """Log a failure that ended a greenlet."""
+        if isinstance(error, Exception):
+            self.log.report(f"unexpected in {context}", error)
+
     def run(self) -> None:
         """Serve until SIGTERM."""
         self.log.writer.start()
+        gevent.get_hub().handle_error = self._report_greenlet
         gevent.signal_handler(signal.SIGTERM, self._begin_stop)
         gevent.signal_handler(signal.SIGHUP, self._reload)
         self.instance.start()
