Spread submissions over parts of the store; test the platform with processes

Ruled out: call rate, connections, peers. The heartbeat has a part of its own; a planned stop no longer waits for idle connections. Stand-ins of the platform and scenarios with real processes; the one on a slow store fails with a single part.

--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,107 @@
+Feature: The program on the users' platform
+  Real processes serve queues through the platform's protocol, against stand-ins of its store,
+  workers and advisory service.
+
+  Scenario: A submission is stored by one instance and seen through another
+    Guards against state that only the accepting instance knows.
+    Given 2 entry processes and 3 queue workers
+    When submission "00000000000000a1" of 4 tasks is sent to instance 0
+    Then it is answered with 200
+    And "00000000000000a1" becomes "completed" at instance 1 within 5 seconds
+    And every task was started once
+    And no rule of the queues was broken
+
+  Scenario: A submission that is sent again runs once
+    Guards against a second run when a caller repeats a submission at another instance.
+    Given 2 entry processes and 3 queue workers
+    When submission "00000000000000a2" of 2 tasks is sent to instance 0
+    And submission "00000000000000a2" of 2 tasks is sent to instance 1
+    Then it is answered with 200
+    And "00000000000000a2" becomes "completed" at instance 0 within 5 seconds
+    And every task was started once
+
+  Scenario: Unknown queues and submissions
+    Guards against a state that is shown for what nobody submitted.
+    Given 2 entry processes and 3 queue workers
+    Then a GET of "/nowhere/00000000000000a3" is answered with 404
+    And a GET of "/jobs/00000000000000a3" is answered with 410
+    And a DELETE of "/jobs/00000000000000a3" is answered with 410
+
+  Scenario: A new version of the configuration is in force within two seconds
+    Guards against instances that keep an old configuration.
+    Given 2 entry processes and 3 queue workers
+    When version 2 of the configuration adds "/more/"
+    And 2.0 seconds go by
+    Then a GET of "/more/00000000000000a4" is answered with 410
+
+  Scenario: A cancelled submission stops
+    Guards against work that goes on after its cancelling was acknowledged.
+    Given 2 entry processes and 3 queue workers
+    When submission "00000000000000a5" of 2 long tasks is sent to instance 0
+    And 1.0 seconds go by
+    And "00000000000000a5" is cancelled at instance 1
+    Then it is answered with 200
+    And nothing runs after 2 seconds
+    And "00000000000000a5" becomes "cancelled" at instance 0 within 1 seconds
+
+  Scenario: A task that always fails ends its submission after two attempts
+    Guards against endless attempts.
+    Given 2 entry processes and 3 queue workers
+    When submission "00000000000000a6" always fails
+    And submission "00000000000000a6" of 1 tasks is sent to instance 0
+    Then "00000000000000a6" becomes "failed" at instance 1 within 5 seconds
+
+  Scenario: The owner is killed while work runs
+    Guards against lost or doubled work when another instance takes over.
+    Given 3 entry processes and 3 queue workers
+    When 30 submissions are sent while the owner is killed
+    Then all accepted submissions become "completed" within 20 seconds
+    And no rule of the queues was broken
+
+  Scenario: The store refuses
+    Guards against answers that claim acceptance, and against late refusals.
+    Given 2 entry processes and 3 queue workers
+    When the store is busy
+    And submission "00000000000000a7" of 1 tasks is sent to instance 0
+    Then it is answered with 503 and a Retry-After within 1.0 seconds
+    When the store is up
+    And 1.0 seconds go by
+    And submission "00000000000000a7" of 1 tasks is sent to instance 0
+    Then it is answered with 200
+    And "00000000000000a7" becomes "completed" at instance 1 within 5 seconds
+
+  Scenario: A slow store still accepts a burst
+    Guards against submissions that wait for each other in one part of the store: with
+    transactions of 0.4 s, one part takes 2.5 a second and rejects the rest.
+    Given 2 entry processes and 3 queue workers
+    When transactions of the store take 0.4 seconds
+    And 50 submissions are sent
+    Then at least 48 submissions were accepted
+    When transactions of the store take 0.0 seconds
+    Then all accepted submissions become "completed" within 20 seconds
+    And no rule of the queues was broken
+
+  Scenario: Answers of the store are lost
+    Guards against work that is lost or doubled when a write's answer does not arrive.
+    Given 2 entry processes and 3 queue workers
+    When a third of the store's answers are lost
+    And 20 submissions are sent
+    Then all accepted submissions become "completed" within 20 seconds
+    And no rule of the queues was broken
+
+  Scenario: The store forgets its history
+    Guards against watches that stop after a lost history.
+    Given 2 entry processes and 3 queue workers
+    When the store forgets its history
+    And version 2 of the configuration adds "/more/"
+    And 2.0 seconds go by
+    Then a GET of "/more/00000000000000a8" is answered with 410
+
+  Scenario: A planned stop answers what it has read and ends within its grace
+    Guards against requests that are cut off and processes that have to be killed.
+    Given 2 entry processes and 3 queue workers
+    When the owner gets SIGTERM while 20 submissions are sent
+    Then no answer was cut off
+    And the stopped process ends by itself within 6 seconds
+    And all accepted submissions become "completed" within 20 seconds
+    And no rule of the queues was broken
--- /dev/null
+++ b/features/steps/platform_queues.py
@@ -0,0 +1,197 @@
+"""Steps with real processes on the platform's stand-ins."""
+
+import shutil
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+import gevent
+from behave import given, then, when
+
+from features.support.queue_processes import EntryCluster
+from lavenderhook.errors import TransportError
+
+
+@given("{instances:d} entry processes and {workers:d} queue workers")
+def step_cluster(context, instances, workers):
+    folder = Path(tempfile.mkdtemp(prefix="queues-"))
+    context.cluster = EntryCluster(folder, instances, workers)
+    context.add_cleanup(shutil.rmtree, folder, ignore_errors=True)
+    context.add_cleanup(context.cluster.stop)
+    context.cluster.start()
+    context.accepted = []
+    context.cut = []
+
+
+def make_steps(count, milliseconds=300):
+    """Return the steps of a submission on the wire."""
+    return [{"count": count, "cpu": 1000, "memMb": 100, "estimateMs": milliseconds}]
+
+
+@when('submission "{name}" of {count:d} tasks is sent to instance {index:d}')
+def step_submit(context, name, count, index):
+    context.sent_at = time.monotonic()
+    context.answer = context.cluster.submit(index, name, make_steps(count))
+    context.answered_at = time.monotonic()
+
+
+@when('submission "{name}" of {count:d} long tasks is sent to instance {index:d}')
+def step_submit_long(context, name, count, index):
+    context.answer = context.cluster.submit(index, name, make_steps(count, 60_000))
+
+
+@when('submission "{name}" always fails')
+def step_fails(context, name):
+    context.cluster.platform.failing.add(name)
+
+
+@when('"{name}" is cancelled at instance {index:d}')
+def step_cancel(context, name, index):
+    context.answer = context.cluster.call(index, "DELETE", f"/jobs/{name}")
+
+
+@when('version {version:d} of the configuration adds "{prefix}"')
+def step_configure(context, version, prefix):
+    context.cluster.platform.write_configuration(version, ["/jobs/", prefix])
+
+
+@when("{seconds:f} seconds go by")
+def step_sleep(context, seconds):
+    gevent.sleep(seconds)
+
+
+@when("the store is {mode:w}")
+def step_store(context, mode):
+    context.cluster.platform.store.mode = mode
+
+
+@when("transactions of the store take {seconds:f} seconds")
+def step_slow(context, seconds):
+    context.cluster.platform.store.transaction_seconds = seconds
+
+
+@then("at least {count:d} submissions were accepted")
+def step_accepted(context, count):
+    assert len(context.accepted) >= count, (len(context.accepted), context.cut[:3])
+
+
+@when("a third of the store's answers are lost")
+def step_lose(context):
+    context.cluster.platform.store.lose = 0.33
+
+
+@when("the store forgets its history")
+def step_forget(context):
+    context.cluster.platform.store.forget_history()
+
+
+def send_many(context, count, gap=0.05, indices=None):
+    """Send submissions to all instances in turn; keep the accepted and the cut-off ones."""
+    greenlets = []
+    for number in range(count):
+        index = (indices or range(len(context.cluster.entries)))[
+            number % len(indices or context.cluster.entries)
+        ]
+        greenlets.append(gevent.spawn(send_one, context, index, f"{number:016x}"))
+        gevent.sleep(gap)
+    gevent.joinall(greenlets, timeout=10)
+
+
+def send_one(context, index, name):
+    """Send one submission."""
+    try:
+        answer = context.cluster.submit(index, name, make_steps(2))
+    except TransportError as error:
+        context.cut.append((name, index, str(error), error.sent))
+        return
+    if answer.status == 200:
+        context.accepted.append(name)
+
+
+@when("{count:d} submissions are sent")
+def step_many(context, count):
+    send_many(context, count)
+
+
+@when("{count:d} submissions are sent while the owner is killed")
+def step_many_killed(context, count):
+    owner = context.cluster.find_owner()
+    victim = context.cluster.entries[owner]
+    gevent.spawn_later(0.7, victim.send, signal.SIGKILL)
+    others = [i for i in range(len(context.cluster.entries)) if i != owner]
+    send_many(context, count, indices=others)
+
+
+@when("the owner gets SIGTERM while {count:d} submissions are sent")
+def step_many_stopped(context, count):
+    context.stopping = context.cluster.entries[context.cluster.find_owner()]
+    context.stopped_at = time.monotonic() + 0.3
+    gevent.spawn_later(0.3, context.stopping.send, signal.SIGTERM)
+    send_many(context, count)
+
+
+@then("it is answered with {status:d}")
+def step_status(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@then("it is answered with {status:d} and a Retry-After within {seconds:f} seconds")
+def step_refused(context, status, seconds):
+    assert context.answer.status == status, context.answer
+    assert int(context.answer.get_header("retry-after")) >= 1, context.answer
+    assert context.answered_at - context.sent_at < seconds
+
+
+@then('"{name}" becomes "{state}" at instance {index:d} within {seconds:d} seconds')
+def step_becomes(context, name, state, index, seconds):
+    found = context.cluster.wait_state(index, name, state, seconds)
+    assert found == state, found
+
+
+@then('all accepted submissions become "{state}" within {seconds:d} seconds')
+def step_all_become(context, state, seconds):
+    assert context.accepted, "nothing was accepted"
+    until = time.monotonic() + seconds
+    alive = next(i for i, e in enumerate(context.cluster.entries) if e.process.poll() is None)
+    for name in context.accepted:
+        left = max(0.5, until - time.monotonic())
+        found = context.cluster.wait_state(alive, name, state, left)
+        assert found == state, (name, found)
+
+
+@then("every task was started once")
+def step_started_once(context):
+    starts = context.cluster.platform.starts
+    assert starts and set(starts.values()) == {1}, starts
+
+
+@then("no rule of the queues was broken")
+def step_no_violation(context):
+    assert not context.cluster.platform.violations, context.cluster.platform.violations[:5]
+
+
+@then('a {method:w} of "{path}" is answered with {status:d}')
+def step_call(context, method, path, status):
+    for index in range(len(context.cluster.entries)):
+        answer = context.cluster.call(index, method, path)
+        assert answer.status == status, (index, answer)
+
+
+@then("nothing runs after {seconds:d} seconds")
+def step_nothing_runs(context, seconds):
+    gevent.sleep(seconds)
+    running = [task for w in context.cluster.platform.workers for task in w.runs]
+    assert not running, running
+
+
+@then("no answer was cut off")
+def step_not_cut(context):
+    cut = [entry for entry in context.cut if entry[3]]
+    assert not cut, cut
+
+
+@then("the stopped process ends by itself within {seconds:d} seconds")
+def step_ends(context, seconds):
+    left = context.stopped_at + seconds - time.monotonic()
+    assert context.stopping.wait(max(0.1, left)) == 0
--- /dev/null
+++ b/features/support/queue_processes.py
@@ -0,0 +1,184 @@
+"""Real processes of the platform's program against its stand-ins."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import gevent
+
+from lavenderhook._internal.adapters.transport import HttpClient
+from lavenderhook.errors import TransportError
+from standins.queues import QueuePlatform
+
+ROOT = Path(__file__).resolve().parents[2]
+START_SECONDS = 20.0
+HEADERS = (("Content-Type", "application/json"),)
+
+
+def find_port():
+    """Return a free port of the loopback interface."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class EntryProcess:
+    """One entry instance as its own process."""
+
+    def __init__(self, cluster, name):
+        self.cluster = cluster
+        self.name = name
+        self.front = f"127.0.0.1:{find_port()}"
+        self.readiness = f"127.0.0.1:{find_port()}"
+        self.inner = find_port()
+        self.metrics = find_port()
+        self.settings = cluster.folder / f"{name}.toml"
+        self.log = cluster.folder / f"{name}.log"
+        self.process = None
+
+    def write_settings(self):
+        """Write the settings file as the platform does."""
+        platform = self.cluster.platform
+        self.settings.write_text(
+            f"""nodeName = "{self.name}"
+ip = "127.0.0.1"
+zone = "a"
+internalPorts = [{self.inner},{self.inner}]
+advice = "{platform.advice.location}"
+metricsPort = {self.metrics}
+[listen]
+frontend = "{self.front}"
+readiness = "{self.readiness}"
+[bounds]
+graceS = 6
+holdMaxMs = 6000
+stopTimeoutMs = 400
+[platform]
+address = "{platform.store.listener.location}"
+""",
+            encoding="utf-8",
+        )
+
+    def start(self):
+        """Start the process; its output goes to a file."""
+        self.write_settings()
+        environment = {**os.environ, "LAVENDERHOOK_CONFIG": str(self.settings)}
+        with self.log.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "lavenderhook.platform"],
+                env=environment,
+                stdout=output,
+                stderr=output,
+                cwd=ROOT,
+            )
+
+    def is_ready(self):
+        """Return whether the readiness check succeeds."""
+        try:
+            answer = self.cluster.client.call(
+                self.readiness, "GET", "/lavenderhook/readiness", timeout=1.0
+            )
+        except TransportError:
+            return False
+        return answer.status == 200
+
+    def send(self, number):
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def wait(self, seconds):
+        """Return the exit status, or None if the process still runs after `seconds`."""
+        until = time.monotonic() + seconds
+        while self.process.poll() is None and time.monotonic() < until:
+            gevent.sleep(0.05)
+        return self.process.poll()
+
+
+class EntryCluster:
+    """Stand-ins and entry processes.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs.
+    instances, workers : int
+    """
+
+    def __init__(self, folder, instances=2, workers=3, seed=1):
+        self.folder = folder
+        self.platform = QueuePlatform(workers, seed)
+        self.client = HttpClient("caller", size=64)
+        self.entries = [EntryProcess(self, f"entry-{i}") for i in range(instances)]
+
+    def start(self):
+        """Start everything and wait until all instances are ready."""
+        self.platform.start()
+        for entry in self.entries:
+            entry.start()
+        self.wait_ready()
+
+    def wait_ready(self):
+        """Wait until all running instances are ready."""
+        until = time.monotonic() + START_SECONDS
+        while not all(e.is_ready() for e in self.entries if e.process.poll() is None):
+            assert time.monotonic() < until, "the instances are not ready"
+            gevent.sleep(0.1)
+
+    def stop(self):
+        """End what was started, by its own process ids."""
+        for entry in self.entries:
+            if entry.process is not None and entry.process.poll() is None:
+                entry.process.send_signal(signal.SIGCONT)
+                entry.process.kill()
+                entry.process.wait()
+        self.platform.stop()
+        self.client.close()
+
+    def submit(self, index, submission, steps, prefix="/jobs/"):
+        """Send a submission to one instance; return the answer."""
+        import msgspec
+
+        self.platform.note_submission(submission, steps)
+        body = msgspec.json.encode({"spec": "text", "steps": steps})
+        return self.call(index, "POST", prefix + submission, body)
+
+    def call(self, index, method, path, body=b"", seconds=3.2):
+        """Call one instance as a caller."""
+        return self.client.call(
+            self.entries[index].front, method, path, body, HEADERS, timeout=seconds
+        )
+
+    def read_state(self, index, submission):
+        """Return the state of a submission, or the status of a refusal."""
+        import msgspec
+
+        answer = self.call(index, "GET", f"/jobs/{submission}")
+        return msgspec.json.decode(answer.body)["state"] if answer.status == 200 else answer.status
+
+    def wait_state(self, index, submission, state, seconds):
+        """Wait until a submission has a state; return the last one seen."""
+        until = time.monotonic() + seconds
+        found = None
+        while time.monotonic() < until:
+            try:
+                found = self.read_state(index, submission)
+            except TransportError as error:
+                found = str(error)
+            if found == state:
+                return found
+            gevent.sleep(0.05)
+        return found
+
+    def find_owner(self):
+        """Return the index of the instance that holds the ownership, by the store's row."""
+        import base64
+
+        import msgspec
+
+        row = self.platform.store.rows[("lavenderhook-control", "", "owner")]
+        name = msgspec.json.decode(base64.b64decode(row["value"]))["name"]
+        return next(i for i, entry in enumerate(self.entries) if entry.name == name)
--- a/src/lavenderhook/_internal/daemon/logs.py
+++ b/src/lavenderhook/_internal/daemon/logs.py
@@ -7,7 +7,7 @@
 import datetime
 import sys
 import time
-from typing import IO, TYPE_CHECKING, Any
+from typing import IO, TYPE_CHECKING, Any, Protocol
 
 import gevent
 import gevent.event
@@ -15,9 +15,8 @@
 from loguru import logger
 
 if TYPE_CHECKING:
-    # Importing them would load the whole core, a second of each restart on a small machine.
+    # Importing it would load the whole core, a second of each restart on a small machine.
     from ..core.effects import LogDecision
-    from .settings import LoggingSettings
 
 MAX_LINES = 20_000  # lines that wait for the writer; further ones are dropped and counted
 TRACE_LINES = 12
@@ -102,6 +101,22 @@
             self.dropped += text.count("\n")
 
 
+class LogTarget(Protocol):
+    """What is logged and where to."""
+
+    @property
+    def level(self) -> str:
+        """Least level that is written."""
+
+    @property
+    def format(self) -> str:
+        """``json`` or ``text``."""
+
+    @property
+    def file(self) -> str:
+        """``stdout``, ``stderr`` or a path."""
+
+
 class DecisionLog:
     """Log of one instance.
 
@@ -111,12 +126,12 @@
 
     Parameters
     ----------
-    settings : LoggingSettings
+    settings : LogTarget
     incarnation : str
         Written into every line.
     """
 
-    def __init__(self, settings: LoggingSettings, incarnation: str) -> None:
+    def __init__(self, settings: LogTarget, incarnation: str) -> None:
         self._incarnation = incarnation
         self._as_json = settings.format == "json"
         self._writes_decisions = settings.level in DECISION_LEVELS
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -22,7 +22,6 @@
 from ..core.identifiers import WorkerId
 from ..ports.queueing import (
     Advisor,
-    Condition,
     Conflict,
     HistoryLostError,
     QueueConfiguration,
@@ -37,6 +36,7 @@
 from ..queueing.records import (
     CONTROL_TABLE,
     HEARTBEAT_KEY,
+    HEARTBEAT_PART,
     MEMBER_PREFIX,
     OWNER_KEY,
     SUBMISSION_PREFIX,
@@ -44,6 +44,7 @@
     HeartbeatRecord,
     MemberRecord,
     OwnerRecord,
+    choose_part,
     encode,
 )
 from ..queueing.routes import QueueRoutes
@@ -275,7 +276,7 @@
         if submission in self._accepted:
             return True
         key = SUBMISSION_PREFIX + submission
-        changes = self._store.read(WORK_TABLE, key, key + "\0")
+        changes = self._store.read(WORK_TABLE, key, key + "\0", choose_part(submission))
         if changes.rows:
             return True
         if changes.revision < self._view.owner_revision:
@@ -331,7 +332,9 @@
     # Following the store.
 
     def _follow_control(self) -> None:
-        follower = TableFollower(self._store, CONTROL_TABLE, self._apply_control)
+        follower = TableFollower(
+            self._store, CONTROL_TABLE, self._apply_control, ("", HEARTBEAT_PART)
+        )
         self._join()
         while not self.stopped.is_set():
             try:
@@ -512,16 +515,14 @@
         record = HeartbeatRecord(
             fencing=owner.fencing, count=self._heartbeat_count, has_resigned=has_resigned
         )
-        condition = Condition(CONTROL_TABLE, OWNER_KEY, self._view.owner_revision)
+        # Not under the condition that the owner row is unchanged: that would tie it to the part of
+        # the progress, whose transactions may have to wait. Others go by the token in it.
         try:
-            result = self._store.transact(
-                [Write(CONTROL_TABLE, HEARTBEAT_KEY, encode(record))], [condition]
+            self._store.transact(
+                [Write(CONTROL_TABLE, HEARTBEAT_KEY, encode(record), part=HEARTBEAT_PART)]
             )
         except LavenderhookError as error:
             self._report("heartbeat-failed", fencing=owner.fencing, **describe_failure(error))
-            return
-        if isinstance(result, Conflict) and self._owner is owner:
-            self._step_down("the owner row has changed")
 
     # Peers.
 
--- a/src/lavenderhook/_internal/instance/intake.py
+++ b/src/lavenderhook/_internal/instance/intake.py
@@ -17,6 +17,7 @@
     SUBMISSION_PREFIX,
     WORK_TABLE,
     Outcome,
+    choose_part,
     decode_outcome,
     encode,
 )
@@ -55,9 +56,6 @@
 class Intake:
     """Writes rows of callers in shared transactions.
 
-    Rows that arrive while a transaction is under way share the next one, so that a burst costs
-    few transactions.
-
     Parameters
     ----------
     store : RowStore
@@ -68,17 +66,12 @@
     def __init__(self, store: RowStore, report: Callable[..., None]) -> None:
         self._store = store
         self._report = report
-        self._queue: list[_Waiting] = []
-        self._filled = gevent.event.Event()
-        self._greenlet = gevent.spawn(self._run)
+        self._writers: dict[str, _PartWriter] = {}
 
     def stop(self) -> None:
-        """End the writer."""
-        self._greenlet.kill(block=False)
-
-    def count_waiting(self) -> int:
-        """Return how many rows wait."""
-        return len(self._queue)
+        """End the writers."""
+        for writer in self._writers.values():
+            writer.stop()
 
     def store_submission(self, submission: Submission, deadline: float) -> Acceptance:
         """Store a submission once, however often it is sent.
@@ -89,12 +82,13 @@
         deadline : float
             Monotonic time in seconds at which the caller stops waiting.
         """
-        return self._put(SUBMISSION_PREFIX + submission.id, encode(submission), deadline)
+        key = SUBMISSION_PREFIX + submission.id
+        return self._put(choose_part(submission.id), key, encode(submission), deadline)
 
     def store_cancellation(self, submission: SubmissionId, deadline: float) -> Acceptance:
         """Store a cancellation; an earlier final state stands."""
         outcome = Outcome(state=SubmissionState.CANCELLED, at=time.time())
-        return self._put(OUTCOME_PREFIX + submission, encode(outcome), deadline)
+        return self._put("", OUTCOME_PREFIX + submission, encode(outcome), deadline)
 
     def read_outcome(self, submission: SubmissionId) -> Outcome | None:
         """Return the stored final state, or None."""
@@ -102,7 +96,34 @@
         rows = self._store.read(WORK_TABLE, key, key + "\0").rows
         return decode_outcome(rows[0].value) if rows else None
 
-    def _put(self, key: str, value: bytes, deadline: float) -> Acceptance:
+    def _put(self, part: str, key: str, value: bytes, deadline: float) -> Acceptance:
+        writer = self._writers.get(part)
+        if writer is None:
+            writer = self._writers[part] = _PartWriter(self._store, part, self._report)
+        return writer.put(key, value, deadline)
+
+
+class _PartWriter:
+    """Writes the rows of one part, one transaction at a time.
+
+    Rows that arrive while a transaction is under way share the next one, so that a burst costs
+    few transactions.
+    """
+
+    def __init__(self, store: RowStore, part: str, report: Callable[..., None]) -> None:
+        self._store = store
+        self._part = part
+        self._report = report
+        self._queue: list[_Waiting] = []
+        self._filled = gevent.event.Event()
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End the writer."""
+        self._greenlet.kill(block=False)
+
+    def put(self, key: str, value: bytes, deadline: float) -> Acceptance:
+        """Write a row that must not exist, and wait for the answer."""
         waiting = _Waiting(key, value, deadline)
         self._queue.append(waiting)
         self._filled.set()
@@ -137,7 +158,7 @@
         return batch
 
     def _write(self, batch: list[_Waiting]) -> None:
-        writes = [Write(WORK_TABLE, waiting.key, waiting.value, 0) for waiting in batch]
+        writes = [Write(WORK_TABLE, waiting.key, waiting.value, 0, self._part) for waiting in batch]
         try:
             result = self._store.transact(writes)
         except StoreUnavailableError as error:
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -53,6 +53,7 @@
     OWNER_KEY,
     PROGRESS_PREFIX,
     ROSTER_KEY,
+    SUBMISSION_PARTS,
     SUBMISSION_PREFIX,
     WORK_TABLE,
     Outcome,
@@ -77,7 +78,8 @@
 STORE_PAUSE_SECONDS = 0.2  # after a failed call to the store
 FEED_PAUSE_SECONDS = 0.4  # the feed only makes up for lost news of peers
 WORKERS_PAUSE_SECONDS = 0.25
-MOST_IN_TRANSACTION = 20  # submissions; the store limits entries and bytes of a transaction
+# Submissions; the store takes 100 entries in a transaction, two for each and one for the owner.
+MOST_IN_TRANSACTION = 45
 
 AskAdvice = Callable[[StepId, tuple[WorkerId, ...], float], dict[WorkerId, TicketId] | None]
 Report = Callable[..., None]
@@ -187,7 +189,8 @@
 
     def _load(self) -> frozenset[WorkerId]:
         self._submissions.clear()
-        self._follower = TableFollower(self._store, WORK_TABLE, self._collect_row)
+        parts = ("", *SUBMISSION_PARTS)
+        self._follower = TableFollower(self._store, WORK_TABLE, self._collect_row, parts)
         self._follower.load()
         if (self._follower.revision or 0) < self._revision:
             raise StoreUnavailableError("the store's reading is older than the takeover")
@@ -258,10 +261,12 @@
             return
         if prefix == SUBMISSION_PREFIX:
             self._offer_submission(decode_submission(row.value), row.revision, None)
-        elif prefix == OUTCOME_PREFIX and self.cell is not None:
-            if submission not in self.cell.outcomes:
-                outcome = decode_outcome(row.value)
-                self.emit(OutcomeSeen(now=_now(), submission=submission, outcome=outcome))
+        elif prefix == OUTCOME_PREFIX and self._is_news(submission):
+            outcome = decode_outcome(row.value)
+            self.emit(OutcomeSeen(now=_now(), submission=submission, outcome=outcome))
+
+    def _is_news(self, submission: SubmissionId) -> bool:
+        return self.cell is not None and submission not in self.cell.outcomes
 
     # Reducer and effects.
 
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -52,7 +52,9 @@
         return True
 
     def note_heartbeat(self, heartbeat: HeartbeatRecord, now: float) -> None:
-        """Take over a heartbeat."""
+        """Take over a heartbeat of the present owner."""
+        if self.owner is not None and heartbeat.fencing < self.owner.fencing:
+            return
         if heartbeat != self.heartbeat:
             self.heartbeat = heartbeat
             self.heartbeat_seen_at = now
--- a/src/lavenderhook/_internal/instance/watching.py
+++ b/src/lavenderhook/_internal/instance/watching.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+
+import gevent.pool
 
 from ...errors import LavenderhookError
-from ..ports.queueing import HistoryLostError, RowStore, StoredRow
+from ..ports.queueing import HistoryLostError, RowChanges, RowStore, StoredRow
+
+READERS = 16  # parts that are read at the same time
 
 
 class TableFollower:
@@ -17,12 +21,21 @@
     table : str
     apply : callable
         Takes each row that is newer than the one applied before.
+    parts : sequence of str
+        Parts of the table that are read.
     """
 
-    def __init__(self, store: RowStore, table: str, apply: Callable[[StoredRow], None]) -> None:
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        apply: Callable[[StoredRow], None],
+        parts: Sequence[str] = ("",),
+    ) -> None:
         self._store = store
         self._table = table
         self._apply = apply
+        self._parts = parts
         self._revisions: dict[str, int] = {}
         self.revision: int | None = None
 
@@ -36,10 +49,21 @@
         ------
         StoreUnavailableError, TransportError
         """
-        changes = self._store.read(self._table)
-        for row in changes.rows:
-            self.offer(row)
-        self.revision = max(changes.revision, self.revision or 0)
+        pool = gevent.pool.Pool(READERS)
+        readings = pool.map(self._read_part, self._parts)
+        for reading in readings:
+            if isinstance(reading, LavenderhookError):
+                raise reading
+        for reading in readings:
+            for row in reading.rows:
+                self.offer(row)
+        self.revision = max(min(reading.revision for reading in readings), self.revision or 0)
+
+    def _read_part(self, part: str) -> RowChanges | LavenderhookError:
+        try:
+            return self._store.read(self._table, part=part)
+        except LavenderhookError as error:
+            return error  # raised by the caller, since a pool prints what its greenlets raise
 
     def poll(self, wait_seconds: float) -> None:
         """Apply what has changed, waiting for a change.
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -33,6 +33,7 @@
     value: bytes
     revision: int
     is_deleted: bool = False
+    part: str = ""
 
 
 class Conflict(msgspec.Struct, frozen=True):
@@ -56,12 +57,21 @@
 
 
 class Write(msgspec.Struct, frozen=True):
-    """A row to set; `expected` is the revision that it must have, 0 for none, None for any."""
+    """A row to set.
+
+    Parameters
+    ----------
+    expected : int or None
+        Revision that the row must have; 0 if it must not exist, None for any.
+    part : str
+        Part of the table; one transaction writes to one part.
+    """
 
     table: str
     key: str
     value: bytes
     expected: int | None = None
+    part: str = ""
 
 
 class Condition(msgspec.Struct, frozen=True):
@@ -93,12 +103,12 @@
         """Write and remove (table, key) all rows or none; return the revision or the conflict."""
 
     @abc.abstractmethod
-    def read(self, table: str, start: str = "", end: str = "") -> RowChanges:
-        """Return the rows with ``start <= key < end`` (all pages) and the revision."""
+    def read(self, table: str, start: str = "", end: str = "", part: str = "") -> RowChanges:
+        """Return a part's rows with ``start <= key < end`` (all pages) and the revision."""
 
     @abc.abstractmethod
     def follow(self, table: str, after: int, wait_seconds: float) -> RowChanges:
-        """Return the changes after a revision, waiting for one.
+        """Return the changes in all parts after a revision, waiting for one.
 
         Raises
         ------
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -292,7 +292,7 @@
         return effects
 
     def handle_silence(self, event: HoldUnanswered) -> list[Effect]:
-        """A worker gave no report; past its leases, nothing runs there."""
+        """Follow a hold without a report; past its leases, nothing runs at the worker."""
         worker = self.workers.get(event.worker)
         if worker is None:
             return []
--- a/src/lavenderhook/_internal/queueing/model.py
+++ b/src/lavenderhook/_internal/queueing/model.py
@@ -29,7 +29,7 @@
     submission: SubmissionId
     occurrence: int
     step: int
-    index: int
+    index: int  # type: ignore[assignment]  # hides the tuple's method, which nothing calls
 
     @property
     def step_id(self) -> StepId:
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -1,4 +1,4 @@
-"""Which worker runs a task: conditions that must hold, and the policy that chooses among the rest."""
+"""Which worker runs a task: what must hold, and the policy that chooses among the rest."""
 
 from __future__ import annotations
 
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 import msgspec
 
 from ..core.identifiers import WorkerId
@@ -21,6 +23,11 @@
 SUBMISSION_PREFIX = "submission/"
 PROGRESS_PREFIX = "progress/"
 OUTCOME_PREFIX = "outcome/"
+# The store carries out the transactions of one part one after another, and rejects them when a
+# second's worth waits. While it is 70 times as slow as usual, a part takes two a second; each
+# submission is in one of these parts, so that a burst is still accepted.
+SUBMISSION_PARTS = tuple(f"submissions-{number:02}" for number in range(64))
+HEARTBEAT_PART = "heartbeat"
 
 
 class Progress(msgspec.Struct, kw_only=True, omit_defaults=True):
@@ -98,6 +105,11 @@
     return frozenset(msgspec.json.decode(value, type=Roster).workers)
 
 
+def choose_part(submission: SubmissionId) -> str:
+    """Return the part of the work table that holds a submission."""
+    return SUBMISSION_PARTS[zlib.crc32(submission.encode()) % len(SUBMISSION_PARTS)]
+
+
 def parse_key(key: str) -> tuple[str, SubmissionId]:
     """Split the key of a row in the work table into its prefix and the submission's id."""
     prefix, _, rest = key.partition("/")
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -109,6 +109,7 @@
 
     def __init__(self, instance: EntryInstance) -> None:
         self._instance = instance
+        self.active = 0  # requests that are being answered
 
     def route_readiness(self, incoming: Incoming) -> Reply:
         """Answer the balancer's check."""
@@ -116,6 +117,13 @@
 
     def route(self, incoming: Incoming) -> Reply:
         """Answer a caller."""
+        self.active += 1
+        try:
+            return self._route(incoming)
+        finally:
+            self.active -= 1
+
+    def _route(self, incoming: Incoming) -> Reply:
         routes = self._instance.routes
         if routes is None:
             raise NotReadyError("no configuration has been read yet")
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -10,7 +10,7 @@
 import gevent
 import gevent.event
 
-from .._internal.adapters.frontend import Listener, ListenerLimits
+from .._internal.adapters.frontend import Listener, ListenerLimits, Route
 from .._internal.daemon.logs import DecisionLog, discard_default_sink
 from .._internal.instance.entry import EntryInstance
 from .._internal.queueing.cell import CellParameters
@@ -25,6 +25,7 @@
 # Outlasts a takeover: a second since the last renewal, 2.2 s of silence, claim and loading.
 LEASE_SECONDS = 5.5
 STOP_MARGIN_SECONDS = 1.2  # of the grace; the last responses are written in it
+WRITE_SECONDS = 0.1  # for responses that are still being written
 SETTINGS_SECONDS = 1.0  # between checks of the settings file, which may change without a signal
 LIMITS = ListenerLimits(
     body_bytes=262_144,
@@ -48,7 +49,7 @@
     def __init__(self, path: str) -> None:
         self._path = path
         self.settings = settings = load_settings(path)
-        self.log = DecisionLog(LogTarget(), settings.node_name)
+        self.log = DecisionLog(StandardOutput(), settings.node_name)
         self._store = PlatformStore(settings.platform.address)
         self._calls = PlatformWorkerCalls()
         self._advisor = PlatformAdvisor(settings.advice, self.report)
@@ -71,13 +72,13 @@
             report=self.report,
             report_error=self.log.report,
         )
-        frontend = Frontend(self.instance)
+        frontend = self._frontend = Frontend(self.instance)
         self._listeners = [
             self._listen(settings.listen.readiness, frontend.route_readiness),
             self._listen(settings.listen.frontend, frontend.route),
         ]
 
-    def _listen(self, address: str, route) -> Listener:  # type: ignore[no-untyped-def]
+    def _listen(self, address: str, route: Route) -> Listener:
         host, _, port = address.rpartition(":")
         return Listener((host, int(port)), LIMITS, route, self.log.report)
 
@@ -128,15 +129,15 @@
     def _stop(self) -> None:
         ends_at = time.monotonic() + self.settings.bounds.grace_s - STOP_MARGIN_SECONDS
         self.instance.leave(ends_at - time.monotonic())
-        frontend = self._listeners[1]
-        frontend.drain()
-        while frontend.handlers and time.monotonic() < ends_at:
-            gevent.sleep(0.05)
+        self._listeners[1].drain()
+        gevent.sleep(WRITE_SECONDS)
+        while self._frontend.active and time.monotonic() < ends_at:
+            gevent.sleep(WRITE_SECONDS)
         self.instance.stop()
         self._done.set()
 
 
-class LogTarget:
+class StandardOutput:
     """Where the log goes: JSON lines on standard output."""
 
     level = "info"
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -25,9 +25,8 @@
 READ_PATH = "/lavenderhook/rows-get"
 FOLLOW_PATH = "/lavenderhook/rows-feed"
 # The store may be 90 times as slow as its usual 10 ms.
-CALL_TIMEOUT_SECONDS = 1.5
-CONNECTIONS = 32
-PART = ""  # all rows share a part, so that one transaction may cover them
+CALL_TIMEOUT_SECONDS = 2.2
+CONNECTIONS = 64
 JSON_HEADERS = (("Content-Type", "application/json"),)
 REFUSALS = (429, 503)  # nothing was done
 
@@ -76,12 +75,12 @@
     ) -> int | Conflict:
         """Write and remove all rows or none."""
         expected = [
-            {"table": w.table, "part": PART, "key": w.key, "schemaVersion": w.expected}
+            {"table": w.table, "part": w.part, "key": w.key, "schemaVersion": w.expected}
             for w in writes
             if w.expected is not None
         ]
         expected += [
-            {"table": c.table, "part": PART, "key": c.key, "schemaVersion": c.revision}
+            {"table": c.table, "part": "", "key": c.key, "schemaVersion": c.revision}
             for c in conditions
         ]
         body = {
@@ -89,13 +88,13 @@
             "setKeys": [
                 {
                     "table": w.table,
-                    "part": PART,
+                    "part": w.part,
                     "key": w.key,
                     "value": base64.b64encode(w.value).decode(),
                 }
                 for w in writes
             ],
-            "remove": [{"table": table, "part": PART, "key": key} for table, key in removes],
+            "remove": [{"table": table, "part": "", "key": key} for table, key in removes],
         }
         answer = self._client.call(
             self.address,
@@ -110,12 +109,12 @@
         _check(answer, "transaction")
         return _decode(answer).schema_version
 
-    def read(self, table: str, start: str = "", end: str = "") -> RowChanges:
+    def read(self, table: str, start: str = "", end: str = "", part: str = "") -> RowChanges:
         """Return rows in key order; all pages."""
         rows: list[StoredRow] = []
         revision: int | None = None
         while True:
-            query = {"table": table, "part": PART}
+            query = {"table": table, "part": part}
             if start:
                 query["from"] = start
             if end:
@@ -168,4 +167,5 @@
         value=base64.b64decode(row.value),
         revision=row.schema_version,
         is_deleted=row.deleted,
+        part=row.part,
     )
