--- a/features/platform.feature
+++ b/features/platform.feature
@@ -72,9 +72,9 @@
 
   Scenario: A slow store still accepts a burst
     Guards against submissions that wait for each other in one part of the store: with
-    transactions of 0.4 s, one part takes 2.5 a second and rejects the rest.
-    Given 2 entry processes and 3 queue workers
-    When transactions of the store take 0.4 seconds
+    transactions of 0.7 s, one part takes 1.4 a second and rejects the rest.
+    Given 4 entry processes and 3 queue workers
+    When transactions of the store take 0.7 seconds
     And 50 submissions are sent
     Then at least 48 submissions were accepted
     When transactions of the store take 0.0 seconds
