--- a/features/platform.feature
+++ b/features/platform.feature
@@ -97,6 +97,25 @@
     And 2.0 seconds go by
     Then a GET of "/more/00000000000000a8" is answered with 410
 
+  Scenario: Metrics show what an instance decides
+    Guards against counters and histograms that operators look for in vain.
+    Given 1 entry processes and 2 queue workers
+    When submission "00000000000000a9" of 2 tasks is sent to instance 0
+    And "00000000000000a9" is waited for
+    Then the metrics of instance 0 hold these
+      | metric                                               |
+      | lavenderhook_task_wait_seconds_bucket                |
+      | lavenderhook_submission_seconds_count                |
+      | lavenderhook_store_seconds_sum                       |
+      | lavenderhook_decisions_total{decision="task-placed"} |
+      | lavenderhook_is_owner 1.0                            |
+
+  Scenario: A log reader that does not read holds up nothing
+    Guards against decisions that wait for a full pipe.
+    Given 1 entry processes whose log is not read and 2 queue workers
+    When 60 submissions are sent
+    Then all accepted submissions become "completed" within 20 seconds
+
   Scenario: A planned stop answers what it has read and ends within its grace
     Guards against requests that are cut off and processes that have to be killed.
     Given 2 entry processes and 3 queue workers
--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -1,5 +1,7 @@
 """Steps with real processes on the platform's stand-ins."""
 
+import fcntl
+import os
 import shutil
 import signal
 import tempfile
@@ -12,11 +14,18 @@
 from features.support.queue_processes import EntryCluster
 from lavenderhook.errors import TransportError
 
+PIPE_BYTES = 4096  # the log of one submission fills it
+
 
 @given("{instances:d} entry processes and {workers:d} queue workers")
 def step_cluster(context, instances, workers):
+    start_cluster(context, instances, workers)
+
+
+def start_cluster(context, instances, workers, output=None):
+    """Start stand-ins and processes, and clean up after the scenario."""
     folder = Path(tempfile.mkdtemp(prefix="queues-"))
-    context.cluster = EntryCluster(folder, instances, workers)
+    context.cluster = EntryCluster(folder, instances, workers, output=output)
     context.add_cleanup(shutil.rmtree, folder, ignore_errors=True)
     context.add_cleanup(context.cluster.stop)
     context.cluster.start()
@@ -109,6 +118,29 @@
         context.accepted.append(name)
 
 
+@when('"{name}" is waited for')
+def step_wait(context, name):
+    found = context.cluster.wait_state(0, name, "completed", 5)
+    assert found == "completed", found
+
+
+@given("{instances:d} entry processes whose log is not read and {workers:d} queue workers")
+def step_cluster_unread(context, instances, workers):
+    context.unread = os.pipe()
+    fcntl.fcntl(context.unread[1], fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+    for end in context.unread:
+        context.add_cleanup(os.close, end)
+    start_cluster(context, instances, workers, output=context.unread[1])
+
+
+@then("the metrics of instance {index:d} hold these")
+def step_metrics(context, index):
+    address = f"127.0.0.1:{context.cluster.entries[index].metrics}"
+    text = context.cluster.client.call(address, "GET", "/metrics").body.decode()
+    missing = [row["metric"] for row in context.table if row["metric"] not in text]
+    assert not missing, (missing, text[:2000])
+
+
 @when("{count:d} submissions are sent")
 def step_many(context, count):
     send_many(context, count)
--- a/features/support/queue_processes.py
+++ b/features/support/queue_processes.py
@@ -67,12 +67,12 @@
         """Start the process; its output goes to a file."""
         self.write_settings()
         environment = {**os.environ, "LAVENDERHOOK_CONFIG": str(self.settings)}
-        with self.log.open("ab") as output:
+        with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "lavenderhook.platform"],
                 env=environment,
-                stdout=output,
-                stderr=output,
+                stdout=log if self.cluster.output is None else self.cluster.output,
+                stderr=log,
                 cwd=ROOT,
             )
 
@@ -108,8 +108,9 @@
     instances, workers : int
     """
 
-    def __init__(self, folder, instances=2, workers=3, seed=1):
+    def __init__(self, folder, instances=2, workers=3, seed=1, output=None):
         self.folder = folder
+        self.output = output  # of the processes; None for a file each
         self.platform = QueuePlatform(workers, seed)
         self.client = HttpClient("caller", size=64)
         self.entries = [EntryProcess(self, f"entry-{i}") for i in range(instances)]
--- a/src/lavenderhook/_internal/adapters/metrics.py
+++ b/src/lavenderhook/_internal/adapters/metrics.py
@@ -9,11 +9,15 @@
 import bisect
 import dataclasses
 from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
 
-from aioprometheus import Counter, Gauge, render
-from aioprometheus.collectors import Registry
+if TYPE_CHECKING:
+    # Loaded when metrics are first rendered, or not at all: they take half of a start on a small
+    # machine.
+    from aioprometheus import Counter, Gauge
+    from aioprometheus.collectors import Registry
 
-from ..core.effects import CountMetric
+    from ..core.effects import CountMetric
 
 NAMESPACE = "lavenderhook_"
 # Buckets in seconds for decisions (microseconds) up to waiting times (tens of seconds).
@@ -111,6 +115,9 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        from aioprometheus import Counter, Gauge, render
+        from aioprometheus.collectors import Registry
+
         registry = Registry()
         collectors: dict[str, Counter | Gauge] = {}
         for (name, labels), value in self._counters.items():
@@ -147,6 +154,8 @@
     found: _Distribution,
 ) -> None:
     """Render a histogram as its cumulative counters."""
+    from aioprometheus import Counter
+
     running = 0
     for bound, count in zip((*SECONDS_BUCKETS, float("inf")), found.counts, strict=True):
         running += count
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -152,6 +152,14 @@
             return False
         return self._view.contact_since is not None or self._find_owner_address() is not None
 
+    def is_owner(self) -> bool:
+        """Return whether this instance places tasks."""
+        return self._owner is not None
+
+    def get_configuration_version(self) -> int:
+        """Return the version of the configuration in force here; 0 if there is none."""
+        return self.routes.version if self.routes is not None else 0
+
     def submit(self, submission: Submission, deadline: float) -> Acceptance:
         """Store a submission, here or through a peer."""
         seconds = max(0.05, deadline - time.monotonic())
--- /dev/null
+++ b/src/lavenderhook/_internal/instance/telemetry.py
@@ -0,0 +1,49 @@
+"""Metrics derived from the decisions that are logged."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from ..adapters.metrics import Metrics
+
+
+class _Histogram(msgspec.Struct, frozen=True):
+    """A histogram of one field of a decision, by some of its other fields."""
+
+    name: str
+    field: str
+    labels: tuple[str, ...] = ()
+
+
+# Decisions with a duration that operators watch. Every decision is counted besides.
+_HISTOGRAMS = {
+    "task-placed": _Histogram("task_wait_seconds", "waited", ("queue",)),
+    "submission-ended": _Histogram("submission_seconds", "seconds", ("queue", "state")),
+    "run-ended": _Histogram("run_seconds", "seconds", ("outcome",)),
+    "advice": _Histogram("advice_seconds", "seconds"),
+    "owner-loaded": _Histogram("owner_load_seconds", "seconds"),
+    "hold-unanswered": _Histogram("hold_unanswered_seconds", "seconds"),
+}
+# Fields that tell apart the outcomes of a decision; their values are few.
+_COUNTER_LABELS = ("outcome", "state", "reason", "error")
+
+
+class Telemetry:
+    """Counts decisions and observes their durations."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def note(self, decision: str, fields: Mapping[str, object]) -> None:
+        """Take a decision into the metrics."""
+        labels = {name: str(fields[name]) for name in _COUNTER_LABELS if name in fields}
+        self._metrics.add("decisions_total", 1.0, decision=decision, **labels)
+        histogram = _HISTOGRAMS.get(decision)
+        if histogram is None:
+            return
+        value = fields.get(histogram.field)
+        if isinstance(value, float | int):
+            chosen = {name: str(fields.get(name, "")) for name in histogram.labels}
+            self._metrics.observe(histogram.name, float(value), **chosen)
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -795,6 +795,7 @@
                 decision="task-placed",
                 fields={
                     "task": ".".join(map(str, task)),
+                    "queue": entry.submission.queue.name,
                     "run": number,
                     "worker": worker.id,
                     "report_age": round(now - worker.last_answer, 3),
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -10,9 +10,11 @@
 import gevent
 import gevent.event
 
-from .._internal.adapters.frontend import Listener, ListenerLimits, Route
+from .._internal.adapters.frontend import Incoming, Listener, ListenerLimits, Reply, Route
+from .._internal.adapters.metrics import Metrics
 from .._internal.daemon.logs import DecisionLog, discard_default_sink
 from .._internal.instance.entry import EntryInstance
+from .._internal.instance.telemetry import Telemetry
 from .._internal.queueing.cell import CellParameters
 from ..errors import LavenderhookError
 from .frontend import Frontend
@@ -27,6 +29,7 @@
 STOP_MARGIN_SECONDS = 1.2  # of the grace; the last responses are written in it
 WRITE_SECONDS = 0.1  # for responses that are still being written
 SETTINGS_SECONDS = 1.0  # between checks of the settings file, which may change without a signal
+METRICS_HEADERS = (("Content-Type", "text/plain; version=0.0.4"),)
 LIMITS = ListenerLimits(
     body_bytes=262_144,
     header_bytes=16_384,
@@ -50,7 +53,9 @@
         self._path = path
         self.settings = settings = load_settings(path)
         self.log = DecisionLog(StandardOutput(), settings.node_name)
-        self._store = PlatformStore(settings.platform.address)
+        self.metrics = Metrics(lambda address: "", settings.zone)
+        self._telemetry = Telemetry(self.metrics)
+        self._store = PlatformStore(settings.platform.address, self.metrics.observe)
         self._calls = PlatformWorkerCalls()
         self._advisor = PlatformAdvisor(settings.advice, self.report)
         self._done = gevent.event.Event()
@@ -76,14 +81,25 @@
         self._listeners = [
             self._listen(settings.listen.readiness, frontend.route_readiness),
             self._listen(settings.listen.frontend, frontend.route),
+            self._listen(f"{settings.ip}:{settings.metrics_port}", self._route_metrics),
         ]
+        watch = self.metrics.watch
+        watch("is_owner", lambda: float(self.instance.is_owner()))
+        watch("is_ready", lambda: float(self.instance.is_ready()))
+        watch("configuration_version", self.instance.get_configuration_version)
+        watch("requests_active", lambda: float(frontend.active))
+        watch("log_lines_dropped", lambda: float(self.log.writer.dropped))
+
+    def _route_metrics(self, incoming: Incoming) -> Reply:
+        return Reply(headers=METRICS_HEADERS, body=self.metrics.render())
 
     def _listen(self, address: str, route: Route) -> Listener:
         host, _, port = address.rpartition(":")
         return Listener((host, int(port)), LIMITS, route, self.log.report)
 
     def report(self, what: str, **fields: object) -> None:
-        """Write a line about a decision."""
+        """Write a line about a decision and count it."""
+        self._telemetry.note(what, fields)
         self.log.write_decision(what, fields)
 
     def _report_greenlet(self, context: object, kind: object, error: object, _: object) -> None:
@@ -106,7 +122,9 @@
 
     def _watch_settings(self) -> None:
         while True:
+            due = time.monotonic() + SETTINGS_SECONDS
             gevent.sleep(SETTINGS_SECONDS)
+            self.metrics.observe("loop_lag_seconds", time.monotonic() - due)
             self._reload()
 
     def _reload(self) -> None:
--- a/src/lavenderhook/platform/settings.py
+++ b/src/lavenderhook/platform/settings.py
@@ -61,6 +61,8 @@
 
     Parameters
     ----------
+    metrics_port : int
+        Port of the metrics; the platform's deploy file names it too.
     advice : str
         Address of the advisory service; empty where there is none.
     internal_ports : tuple of (int, int)
@@ -75,6 +77,7 @@
     platform: Store
     bounds: Bounds = Bounds()
     advice: str = ""
+    metrics_port: int = 9464
 
 
 def load_settings(path: str) -> Settings:
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import base64
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -57,10 +58,13 @@
     ----------
     address : str
         ``ip:port``.
+    observe : callable
+        Takes (metric, seconds, labels) of each call but those that wait for a change.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, observe: Callable[..., None]) -> None:
         self.address = address
+        self._observe = observe
         self._client = HttpClient("store", size=CONNECTIONS)
 
     def close(self) -> None:
@@ -96,14 +100,18 @@
             ],
             "remove": [{"table": table, "part": "", "key": key} for table, key in removes],
         }
-        answer = self._client.call(
-            self.address,
-            "POST",
-            TRANSACT_PATH,
-            msgspec.json.encode(body),
-            JSON_HEADERS,
-            CALL_TIMEOUT_SECONDS,
-        )
+        begun = time.monotonic()
+        try:
+            answer = self._client.call(
+                self.address,
+                "POST",
+                TRANSACT_PATH,
+                msgspec.json.encode(body),
+                JSON_HEADERS,
+                CALL_TIMEOUT_SECONDS,
+            )
+        finally:
+            self._observe("store_seconds", time.monotonic() - begun, call="transact")
         if answer.status == 412:
             return Conflict(tuple(map(_convert, _decode(answer).rows)))
         _check(answer, "transaction")
