Let the strongest instance take over first

Cause: after the owner was killed, an instance on a thin link claimed first and took over 3 s to load the state; all work waited and later answers were slow. Ruled out: processor time, advice, ends waiting for commits. Instances write their strength into their rows; the order of claims is tested without processes.

--- /dev/null
+++ b/features/ownership.feature
@@ -0,0 +1,37 @@
+Feature: Taking over the ownership of the queues
+  Every instance decides by itself, from what it has read, when to claim the ownership.
+
+  Scenario: The strongest instance claims first
+    Guards against an owner on a thin link, which all work waits for.
+    Given instances of these strengths
+      | name   | processors | link |
+      | small  | 0.5        | 100  |
+      | thin   | 2.1        | 5    |
+      | strong | 2.1        | 100  |
+    And their owner has resigned
+    Then "strong" would claim before "small"
+    And "small" would claim before "thin"
+
+  Scenario: A silent owner is replaced only while the store answers
+    Guards against takeovers that the store's own outage causes.
+    Given an instance that knows an owner
+    When the heartbeat stands still for 3.0 seconds while the store answers
+    Then the instance claims
+    When the store is away for 5.0 seconds and back for 0.5 seconds
+    Then the instance does not claim
+    When the heartbeat stands still for 3.0 seconds while the store answers
+    Then the instance claims
+
+  Scenario: An owner whose process has ended is replaced at once
+    Guards against seconds without an owner after a kill.
+    Given an instance that knows an owner
+    When 2 connections to the owner are refused
+    Then the instance claims
+
+  Scenario: A former owner's heartbeat is no sign of life of the present one
+    Guards against a frozen owner's last write that hides its successor's silence.
+    Given an instance that knows an owner
+    When the heartbeat stands still for 2.0 seconds while the store answers
+    And a heartbeat of a former owner arrives
+    And 0.5 seconds more go by
+    Then the instance claims
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -52,7 +52,7 @@
 from .advice import AdviceDispatcher
 from .intake import Acceptance, Intake
 from .owner import Owner
-from .ownership import HEARTBEAT_SECONDS, OwnershipView
+from .ownership import HEARTBEAT_SECONDS, OwnershipView, rank_members
 from .watching import TableFollower, describe_failure
 
 CONTROL_WAIT_SECONDS = 0.8  # of a poll of the control table
@@ -79,6 +79,8 @@
     zone : str
     peer_address : str
         ``ip:port`` for calls of peers.
+    strength : float
+        How well this instance can carry the ownership.
     report : callable
         Takes (what, fields) for the log.
     report_error : callable
@@ -90,6 +92,7 @@
         name: str,
         zone: str,
         peer_address: str,
+        strength: float,
         *,
         store: RowStore,
         worker_list: WorkerList,
@@ -108,6 +111,7 @@
         self.routes: QueueRoutes | None = None
         self.is_leaving = False
         self.stopped = gevent.event.Event()
+        self._strength = strength
         self._store = store
         self._worker_list = worker_list
         self._configuration = configuration
@@ -370,8 +374,7 @@
                 self._members.pop(name, None)
             else:
                 self._members[name] = msgspec.json.decode(row.value, type=MemberRecord)
-            names = sorted({self.name, *self._members})
-            self._view.rank = names.index(self.name)
+            self._view.rank = rank_members(self.name, self._members, self._strength)
         elif row.key == OWNER_KEY and not row.is_deleted:
             owner = msgspec.json.decode(row.value, type=OwnerRecord)
             self._note_owner(owner, row.revision)
@@ -388,7 +391,13 @@
 
     def _join(self) -> None:
         """Write the row by which peers find this instance."""
-        record = MemberRecord(name=self.name, boot=self.boot, address=self.address, zone=self.zone)
+        record = MemberRecord(
+            name=self.name,
+            boot=self.boot,
+            address=self.address,
+            zone=self.zone,
+            strength=self._strength,
+        )
         row = Write(CONTROL_TABLE, MEMBER_PREFIX + self.name, encode(record))
         while not self.stopped.is_set():
             try:
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -8,15 +8,42 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Mapping
 
 from ..queueing.model import FencingToken
-from ..queueing.records import HeartbeatRecord, OwnerRecord
+from ..queueing.records import HeartbeatRecord, MemberRecord, OwnerRecord
 
 HEARTBEAT_SECONDS = 0.7
 # Three heartbeats; a lease must outlast it together with the loading of the state.
 SILENCE_SECONDS = 2.2
 REFUSALS_FOR_TAKEOVER = 2  # refused connections in a row that show an owner's process has ended
 CLAIM_STAGGER_SECONDS = 0.15  # between instances, so that they rarely claim at the same time
+MOST_STAGGERED = 12  # instances; the others wait as long as the last of these
+MEETING_SECONDS = 0.4  # for the first instances to write their rows, before the first claim
+# An owner of 176 workers receives and sends about 5 Mbit/s, and 20 Mbit/s while it loads.
+OWNER_LINK_MBPS = 50.0
+
+
+def compute_strength(processors: float, link_mbps: float) -> float:
+    """Return how well an instance can carry the ownership.
+
+    Answers a deployment whose instances differ: one with a thin link takes seconds to load the
+    state, and all work waits for it.
+
+    Parameters
+    ----------
+    processors : float
+    link_mbps : float
+    """
+    return processors * min(1.0, link_mbps / OWNER_LINK_MBPS)
+
+
+def rank_members(name: str, members: Mapping[str, MemberRecord], strength: float) -> int:
+    """Return the place of an instance among all, the strongest first."""
+    strengths = {member.name: member.strength for member in members.values()}
+    strengths[name] = strength
+    ordered = sorted(strengths, key=lambda member: (-strengths[member], member))
+    return min(ordered.index(name), MOST_STAGGERED)
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,9 +109,11 @@
         """
         if self.contact_since is None or self.is_owner():
             return False
-        if self.owner is None or self.owner.name == self.name:
-            return True
         stagger = self.rank * CLAIM_STAGGER_SECONDS
+        if self.owner is None:
+            return now - self.contact_since > MEETING_SECONDS + stagger
+        if self.owner.name == self.name:
+            return True
         heartbeat = self.heartbeat
         has_resigned = (
             heartbeat is not None
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -72,12 +72,19 @@
 
 
 class MemberRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """An entry instance and the address at which its peers reach it."""
+    """An entry instance and the address at which its peers reach it.
+
+    Parameters
+    ----------
+    strength : float
+        How well the instance can carry the ownership; see `compute_strength`.
+    """
 
     name: str
     boot: str
     address: str
     zone: str
+    strength: float = 1.0
 
 
 def encode(record: msgspec.Struct) -> bytes:
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -14,6 +14,7 @@
 from .._internal.adapters.metrics import Metrics
 from .._internal.daemon.logs import DecisionLog, discard_default_sink
 from .._internal.instance.entry import EntryInstance
+from .._internal.instance.ownership import compute_strength
 from .._internal.instance.telemetry import Telemetry
 from .._internal.queueing.cell import CellParameters
 from ..errors import LavenderhookError
@@ -59,11 +60,12 @@
         self._calls = PlatformWorkerCalls()
         self._advisor = PlatformAdvisor(settings.advice, self.report)
         self._done = gevent.event.Event()
-        bounds = settings.bounds
+        bounds, limits = settings.bounds, settings.limits
         self.instance = EntryInstance(
             settings.node_name,
             settings.zone,
             f"{settings.ip}:{settings.internal_ports[0]}",
+            compute_strength(limits.cpu_share * limits.cores, limits.link_mbps),
             store=self._store,
             worker_list=PlatformWorkers(self._store, self.report),
             configuration=PlatformConfiguration(self._store, self.report),
--- a/src/lavenderhook/platform/settings.py
+++ b/src/lavenderhook/platform/settings.py
@@ -56,6 +56,14 @@
     stop_timeout_ms: float = 1000.0
 
 
+class Limits(_Section, frozen=True, kw_only=True):
+    """What the machine has; a process gets `cpu_share` of a core that is `cores` times as fast."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+
 class Settings(_Section, frozen=True, kw_only=True):
     """All settings that the adapter reads.
 
@@ -76,6 +84,7 @@
     listen: Listen
     platform: Store
     bounds: Bounds = Bounds()
+    limits: Limits = Limits()
     advice: str = ""
     metrics_port: int = 9464
 
