Pass writes on to a peer when the store doesn't answer

A write without an answer after 0.8 s is also passed on; a cut watch is followed by a reading before the contact counts as lost; an instance without contact reports not ready.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -81,6 +81,20 @@
     Then all accepted submissions become "completed" within 20 seconds
     And no rule of the queues was broken
 
+  Scenario: An instance that the store doesn't answer passes submissions on
+    Guards against requests that wait until their deadline at an instance that is cut off.
+    Given 3 entry processes and 3 queue workers
+    When the store is silent for an instance that is not the owner
+    And a submission of 2 tasks is sent to that instance
+    Then it is answered with 200
+    And it took at most 2.5 seconds
+    When 3.0 seconds go by
+    And a submission of 2 tasks is sent to that instance
+    Then it is answered with 200
+    And it took at most 0.5 seconds
+    And that instance is not ready
+    And all accepted submissions become "completed" within 20 seconds
+
   Scenario: Answers of the store are lost
     Guards against work that is lost or doubled when a write's answer does not arrive.
     Given 2 entry processes and 3 queue workers
--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -85,6 +85,33 @@
     assert len(context.accepted) >= count, (len(context.accepted), context.cut[:3])
 
 
+@when("the store is silent for an instance that is not the owner")
+def step_cut(context):
+    owner = context.cluster.find_owner()
+    context.cut_index = (owner + 1) % len(context.cluster.entries)
+    context.cluster.entries[context.cut_index].entrance.mode = "silent"
+
+
+@when("a submission of {count:d} tasks is sent to that instance")
+def step_submit_there(context, count):
+    name = f"c{len(context.accepted):015x}"
+    context.sent_at = time.monotonic()
+    context.answer = context.cluster.submit(context.cut_index, name, make_steps(count))
+    context.answered_at = time.monotonic()
+    context.accepted.append(name)
+
+
+@then("it took at most {seconds:f} seconds")
+def step_took(context, seconds):
+    took = context.answered_at - context.sent_at
+    assert took <= seconds, took
+
+
+@then("that instance is not ready")
+def step_not_ready(context):
+    assert not context.cluster.entries[context.cut_index].is_ready()
+
+
 @when("a third of the store's answers are lost")
 def step_lose(context):
     context.cluster.platform.store.lose = 0.33
--- a/features/support/queue_processes.py
+++ b/features/support/queue_processes.py
@@ -12,7 +12,7 @@
 
 from lavenderhook._internal.adapters.transport import HttpClient
 from lavenderhook.errors import TransportError
-from standins.queues import QueuePlatform
+from standins.queues import QueuePlatform, StoreEntrance
 
 ROOT = Path(__file__).resolve().parents[2]
 START_SECONDS = 20.0
@@ -39,6 +39,8 @@
         self.settings = cluster.folder / f"{name}.toml"
         self.log = cluster.folder / f"{name}.log"
         self.process = None
+        self.entrance = StoreEntrance(cluster.platform.store)
+        self.entrance.listener.start()
 
     def write_settings(self):
         """Write the settings file as the platform does."""
@@ -58,7 +60,7 @@
 holdMaxMs = 6000
 stopTimeoutMs = 400
 [platform]
-address = "{platform.store.listener.location}"
+address = "{self.entrance.listener.location}"
 """,
             encoding="utf-8",
         )
@@ -136,6 +138,7 @@
                 entry.process.send_signal(signal.SIGCONT)
                 entry.process.kill()
                 entry.process.wait()
+            entry.entrance.listener.close_all()
         self.platform.stop()
         self.client.close()
 
@@ -180,6 +183,11 @@
 
         import msgspec
 
-        row = self.platform.store.rows[("lavenderhook-control", "", "owner")]
+        key = ("lavenderhook-control", "", "owner")
+        until = time.monotonic() + START_SECONDS
+        while key not in self.platform.store.rows:
+            assert time.monotonic() < until, "no instance has claimed the ownership"
+            gevent.sleep(0.05)
+        row = self.platform.store.rows[key]
         name = msgspec.json.decode(base64.b64decode(row["value"]))["name"]
         return next(i for i, entry in enumerate(self.entries) if entry.name == name)
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -62,7 +62,10 @@
 PING_SECONDS = 0.4
 PENDING_VALID_SECONDS = 0.5  # age up to which the owner's counts are used again
 PENDING_STALE_SECONDS = 1.8  # age up to which they are used when the owner does not answer
-PEERS_TRIED = 2  # peers to which a write is passed on, one after the other
+PEERS_TRIED = 3  # peers to which a write is passed on, one after the other
+# Before a write is passed on as well: a slow store answers within 0.7 s.
+HEDGE_SECONDS = 0.8
+PASS_ON_SECONDS = 0.9  # that a peer gets for a write
 LEAVING_SECONDS = 2.5  # the balancer needs two missed checks, a second apart, to leave us out
 KEEP_ACCEPTED = 5_000  # ids of submissions that this instance has stored
 RETRY_AFTER_SECONDS = 1  # for callers that met an outage of the store
@@ -152,9 +155,9 @@
 
     def is_ready(self) -> bool:
         """Return whether callers should be sent here."""
-        if self.is_leaving or self.routes is None:
-            return False
-        return self._view.contact_since is not None or self._find_owner_address() is not None
+        return (
+            not self.is_leaving and self.routes is not None and self._view.contact_since is not None
+        )
 
     def is_owner(self) -> bool:
         """Return whether this instance places tasks."""
@@ -166,12 +169,11 @@
 
     def submit(self, submission: Submission, deadline: float) -> Acceptance:
         """Store a submission, here or through a peer."""
-        seconds = max(0.05, deadline - time.monotonic())
-        result = Acceptance.NOT_STORED
-        if self._view.contact_since is not None:
-            result = self._intake.store_submission(submission, deadline)
-        if result is Acceptance.NOT_STORED:
-            result = self._pass_on(lambda address: self._peers.submit(address, submission, seconds))
+        result = self._write(
+            lambda: self._intake.store_submission(submission, deadline),
+            lambda address, seconds: self._peers.submit(address, submission, seconds),
+            deadline,
+        )
         self._report(
             "submission-" + result.value,
             submission=submission.id,
@@ -185,25 +187,54 @@
 
     def cancel(self, submission: SubmissionId, deadline: float) -> Acceptance:
         """Cancel a submission, here or through a peer."""
-        result = Acceptance.NOT_STORED
-        if self._view.contact_since is not None:
-            try:
-                if not self._is_stored(submission):
-                    return Acceptance.NO_SUCH
-                result = self._intake.store_cancellation(submission, deadline)
-            except StoreUnavailableError as error:
-                self._report("cancel-unchecked", submission=submission, **describe_failure(error))
-            except LavenderhookError as error:
-                self._report("cancel-unchecked", submission=submission, **describe_failure(error))
-        if result is Acceptance.NOT_STORED:
-            seconds = max(0.05, deadline - time.monotonic())
-            result = self._pass_on(lambda address: self._peers.cancel(address, submission, seconds))
+        result = self._write(
+            lambda: self._cancel_here(submission, deadline),
+            lambda address, seconds: self._peers.cancel(address, submission, seconds),
+            deadline,
+        )
         self._report("cancel-" + result.value, submission=submission)
         if result is Acceptance.STORED:
             self._cancelled.append(submission)
             self._has_news.set()
         return result
 
+    def _cancel_here(self, submission: SubmissionId, deadline: float) -> Acceptance:
+        try:
+            if not self._is_stored(submission):
+                return Acceptance.NO_SUCH
+        except LavenderhookError as error:
+            self._report("cancel-unchecked", submission=submission, **describe_failure(error))
+            return Acceptance.NOT_STORED
+        return self._intake.store_cancellation(submission, deadline)
+
+    def _write(
+        self,
+        write_here: Callable[[], Acceptance],
+        write_there: Callable[[str, float], Acceptance],
+        deadline: float,
+    ) -> Acceptance:
+        """Write a row once, from here or through a peer, whichever reaches the store.
+
+        Answers an instance that is cut off from the store: the first call that it would wait for
+        in vain is passed on after a moment, later ones at once. Writing the same row from two
+        instances is harmless, since the second meets the row that exists.
+        """
+        if self._view.contact_since is None:
+            return self._pass_on(write_there, deadline)
+        here = gevent.spawn(write_here)
+        here.join(HEDGE_SECONDS)
+        if here.ready() and here.value is not Acceptance.NOT_STORED:
+            return here.value
+        there = self._pass_on(write_there, deadline)
+        if there in (Acceptance.STORED, Acceptance.NO_SUCH):
+            return there
+        here.join(max(0.0, deadline - time.monotonic()))
+        if not here.ready():
+            return Acceptance.UNKNOWN
+        if here.value is Acceptance.NOT_STORED:
+            return there
+        return here.value
+
     def describe(self, submission: SubmissionId) -> SubmissionState:
         """Return the state of a submission.
 
@@ -295,13 +326,21 @@
             raise StoreUnavailableError("the store's reading is old")
         return False
 
-    def _pass_on(self, call: Callable[[str], Acceptance]) -> Acceptance:
+    def _pass_on(
+        self, write_there: Callable[[str, float], Acceptance], deadline: float
+    ) -> Acceptance:
         """Let a peer that reaches the store write a row."""
+        outcome = Acceptance.NOT_STORED
         for address in self._list_peers()[:PEERS_TRIED]:
-            result = call(address)
-            if result is not Acceptance.NOT_STORED:
+            seconds = min(PASS_ON_SECONDS, deadline - time.monotonic())
+            if seconds <= 0:
+                break
+            result = write_there(address, seconds)
+            if result in (Acceptance.STORED, Acceptance.NO_SUCH):
                 return result
-        return Acceptance.NOT_STORED
+            if result is Acceptance.UNKNOWN:
+                outcome = result
+        return outcome
 
     def _list_peers(self) -> list[str]:
         """Return the addresses of the peers: the owner first, the others in random order."""
@@ -350,7 +389,7 @@
         self._join()
         while not self.stopped.is_set():
             try:
-                follower.poll(CONTROL_WAIT_SECONDS)
+                self._poll(follower)
             except LavenderhookError as error:
                 self._note_contact(False, describe_failure(error))
                 gevent.sleep(STORE_PAUSE_SECONDS)
@@ -360,6 +399,17 @@
                 self._claim()
             gevent.sleep(POLL_PAUSE_SECONDS)
 
+    def _poll(self, follower: TableFollower) -> None:
+        """Wait for changes; a watch that is cut is no sign that the store is away."""
+        begun = time.monotonic()
+        try:
+            follower.poll(CONTROL_WAIT_SECONDS)
+        except LavenderhookError as error:
+            if time.monotonic() - begun > CONTROL_WAIT_SECONDS:
+                raise  # no answer at all
+            self._report("control-watch-cut", **describe_failure(error))
+            follower.load()
+
     def _note_contact(self, succeeded: bool, fields: dict[str, object]) -> None:
         had = self._view.contact_since is not None
         self._view.note_contact(time.monotonic(), succeeded)
@@ -618,17 +668,7 @@
         result = Acceptance.NOT_STORED
         if self._view.contact_since is not None:
             deadline = time.monotonic() + request.seconds
-            try:
-                if not self._is_stored(request.submission):
-                    result = Acceptance.NO_SUCH
-                else:
-                    result = self._intake.store_cancellation(request.submission, deadline)
-            except LavenderhookError as error:
-                self._report(
-                    "cancel-unchecked",
-                    submission=request.submission,
-                    **describe_failure(error),
-                )
+            result = self._cancel_here(request.submission, deadline)
         if result is Acceptance.STORED:
             self._cancelled.append(request.submission)
             self._has_news.set()
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -27,6 +27,7 @@
 FOLLOW_PATH = "/lavenderhook/rows-feed"
 # The store may be 90 times as slow as its usual 10 ms.
 CALL_TIMEOUT_SECONDS = 2.2
+WATCH_SLACK_SECONDS = 1.2  # beyond the wait: 70 times the usual 4 ms, and a long link
 CONNECTIONS = 64
 JSON_HEADERS = (("Content-Type", "application/json"),)
 REFUSALS = (429, 503)  # nothing was done
@@ -138,7 +139,7 @@
     def follow(self, table: str, after: int, wait_seconds: float) -> RowChanges:
         """Return the changes after a revision."""
         query = {"table": table, "after": after, "waitMs": int(wait_seconds * 1000)}
-        page = self._get(FOLLOW_PATH, query, wait_seconds + CALL_TIMEOUT_SECONDS)
+        page = self._get(FOLLOW_PATH, query, wait_seconds + WATCH_SLACK_SECONDS)
         return RowChanges(tuple(map(_convert, page.rows)), page.schema_version)
 
     def _get(self, path: str, query: dict[str, Any], timeout: float) -> _Rows:
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -163,6 +163,29 @@
         return {"schemaVersion": self.revision, "nowMs": int(time.monotonic() * 1000)}
 
 
+class StoreEntrance:
+    """An address of the store for one instance, which can be closed to it alone.
+
+    Attributes
+    ----------
+    mode : str
+        up, busy or silent.
+    """
+
+    def __init__(self, store):
+        self.mode = "up"
+        self.listener = Listener(self._respond)
+        self._store = store
+
+    def _respond(self, request):
+        if self.mode == "busy":
+            return Response(503)
+        if self.mode == "silent":
+            gevent.sleep(30)
+            raise DropConnectionError
+        return self._store.respond(request)
+
+
 class QueueWorkerStandIn:
     """A worker that starts what it is told and checks that it is never given too much.
 
