--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -75,6 +75,33 @@
     Then "poison" is failed
     And "poison" has 3 starts
 
+  Scenario: A worker that fails all that it starts is set aside
+    Guards against attempts that are used up on one bad worker.
+    Given 3 workers and an owner
+    And worker "w0" fails all that it starts
+    When 40 submissions of 1 tasks arrive over 20 seconds
+    And 20 seconds pass
+    Then every submission is completed
+    And at most 12 runs failed
+
+  Scenario: A hopeless submission sets no sound worker aside
+    Guards against workers that are blamed for work that can never be done.
+    Given 2 workers and an owner
+    And every run of "poison" fails
+    When a submission "poison" of 3 tasks on 1000 thousandths for 1 seconds arrives
+    And 6 seconds pass
+    Then "poison" is failed
+    And no worker was set aside
+
+  Scenario: A run that stands still goes on elsewhere
+    Guards against tasks that hang on a worker whose reports go on.
+    Given 3 workers and an owner
+    And runs on worker "w0" stand still
+    When 10 submissions of 1 tasks arrive over 5 seconds
+    And 20 seconds pass
+    Then every submission is completed
+    And no rule was broken
+
   Scenario Outline: Random faults break no rule
     Guards against any order of lost and late orders, cuts, restarts and changes of owner.
     When the random days <first> to <last> are played
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -6,7 +6,7 @@
 
 from features.support.queue_days import freeze, make_steps, play_day, relist
 from features.support.queue_world import QueueWorld, make_step
-from lavenderhook._internal.queueing.model import SubmissionState
+from lavenderhook._internal.queueing.model import RunOutcome, SubmissionState
 
 
 @given("{count:d} workers and an owner")
@@ -21,6 +21,47 @@
     context.world.failing = 1.0
 
 
+@given('worker "{name}" fails all that it starts')
+def step_grey(context, name):
+    context.world.workers[name].fails_all = True
+
+
+@given('runs on worker "{name}" stand still')
+def step_stalls(context, name):
+    context.world.workers[name].stalls = True
+
+
+@given('every run of "{name}" fails')
+def step_poison(context, name):
+    choose = context.world.choose_outcome
+    context.world.choose_outcome = lambda task: (
+        RunOutcome.FAILED if task.submission == name else choose(task)
+    )
+
+
+@when("{count:d} submissions of {tasks:d} tasks arrive over {seconds:d} seconds")
+def step_spread(context, count, tasks, seconds):
+    for index in range(count):
+        name = f"spread{index}"
+        steps = [make_step(tasks, 2000, 1.0)]
+        context.world.after(index * seconds / count, context.world.submit, name, steps)
+    context.world.run(seconds)
+
+
+@then("at most {count:d} runs failed")
+def step_failures(context, count):
+    failed = sum(context.world.failures.values())
+    assert failed <= count, failed
+
+
+@then("no worker was set aside")
+def step_none_aside(context):
+    world = context.world
+    cell = world.owners[-1].cell
+    aside = [w.id for w in cell.list_workers() if w.blocked_until > world.now - 5]
+    assert not aside, aside
+
+
 @when("{count:d} submissions of mixed steps arrive")
 def step_mixed(context, count):
     generator = random.Random(3)
--- a/features/support/queue_world.py
+++ b/features/support/queue_world.py
@@ -69,6 +69,8 @@
         self.rack = rack
         self.is_cut = False
         self.is_up = True
+        self.fails_all = False
+        self.stalls = False
         self.state = WorkerState.READY
         self.boot()
 
@@ -137,8 +139,10 @@
         held = self.runs.get(task)
         if not self.is_up or born != self.born or held is None or held.number != number:
             return
+        if self.stalls and outcome is None:
+            return
         if outcome is None:
-            outcome = self.world.choose_outcome(task)
+            outcome = RunOutcome.FAILED if self.fails_all else self.world.choose_outcome(task)
         self.end(held, outcome)
 
     def end(self, held, outcome):
@@ -180,7 +184,10 @@
         return WorkerReport(
             clock=self.world.now,
             born=self.born,
-            running=tuple(ListedRun(r.task, r.number, "") for r in self.runs.values()),
+            running=tuple(
+                ListedRun(r.task, r.number, "", 0 if self.stalls else r.resources.processors)
+                for r in self.runs.values()
+            ),
             ended=tuple(ListedEnd(*end, "") for end in self.ends),
         )
 
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -81,6 +81,8 @@
 MOST_ADVISED = 30  # workers named in a call: each adds to its duration
 MOST_RENEWED = 8  # workers named when tickets are renewed
 ADVICE_PAUSE_SECONDS = 0.3  # before asking again for a step that found no worker with room
+STARTUP_SECONDS = 1.5  # that a run may take to begin its work: start-up and a restore
+STALL_SECONDS = 0.8  # without work, seen in two reports at least, until a run counts as stalled
 KEEP_OUTCOMES = 20_000  # final states kept in memory
 
 
@@ -498,11 +500,56 @@
         if step is not None:
             step.last_number = RunNumber(max(step.last_number, end.number))
             step.note_checkpoint(end.task.index, end.checkpoint)
+            if end.outcome is RunOutcome.FAILED:
+                step.avoid(end.task.index, worker.id)
+                effects += self._note_trouble(worker, end.task, now)
+            elif end.outcome is RunOutcome.DONE:
+                worker.troubled.clear()
             effects += self._count_end(step, end, now)
         if run is not None:
             effects += self._release(run, now)
         return effects
 
+    def _note_trouble(self, worker: Worker, task: TaskKey, now: float) -> list[Effect]:
+        if not worker.note_trouble(task.submission, now):
+            return []
+        return [_log_worker("worker-set-aside", worker, until=round(worker.blocked_until, 3))]
+
+    def _note_load(self, worker: Worker, run: Run, load: int | None, now: float) -> list[Effect]:
+        """Stop a run that uses no processor, and let its task go on elsewhere.
+
+        Answers workers whose tasks stand still while their reports go on. Members of a gang wait
+        for each other, and services may be idle: neither is judged by its load.
+        """
+        step = self._find_step(run.task.step_id)
+        if load != 0 or step is None or step.spec.is_gang or step.spec.is_service:
+            run.idle_since = None
+            return []
+        if run.idle_since is None:
+            run.idle_since = now
+        is_stalled = (
+            run.state is RunState.RUNNING
+            and now - run.ordered_at > STARTUP_SECONDS
+            and now - run.idle_since > STALL_SECONDS
+        )
+        if not is_stalled:
+            return []
+        step.avoid(run.task.index, worker.id)
+        effects: list[Effect] = [
+            LogDecision(
+                decision="run-stalled",
+                fields={
+                    "task": ".".join(map(str, run.task)),
+                    "run": run.number,
+                    "worker": worker.id,
+                    "idle": round(now - run.idle_since, 3),
+                    "age": round(now - run.ordered_at, 3),
+                },
+            )
+        ]
+        effects += self._note_trouble(worker, run.task, now)
+        return effects + self._stop(run, now)
+
     def _count_end(self, step: StepProgress, end: ListedEnd, now: float) -> list[Effect]:
         entry = self.submissions[end.task.submission]
         if end.outcome is RunOutcome.DONE and not step.spec.is_service:
@@ -562,6 +609,7 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
                 run.acknowledged_at = event.now
+            effects += self._note_load(worker, run, item.load, event.now)
         for key, run in list(worker.runs.items()):
             if key not in listed and self._has_vanished(run, event.sent_at):
                 effects.append(
@@ -743,8 +791,14 @@
     ) -> list[Effect]:
         effects: list[Effect] = []
         for index in list(step.waiting):
-            worker = choose_worker(self.policy, step, usable)
+            candidates = usable
+            if index in step.avoided:
+                sound = [w for w in usable if not step.is_avoided(index, w.id)]
+                candidates = sound or usable
+            worker = choose_worker(self.policy, step, candidates)
             if worker is None:
+                if candidates is not usable:
+                    continue  # the room elsewhere is tried again in the next pass
                 break
             effects += self._start(entry, step, index, worker, step.take_number(), now)
         return effects
@@ -758,7 +812,10 @@
     ) -> list[Effect]:
         if len(step.waiting) < step.spec.count:
             return []
-        chosen = choose_gang_workers(step.spec, usable)
+        sound = [w for w in usable if not step.is_avoided(0, w.id)]
+        chosen = choose_gang_workers(step.spec, sound)
+        if chosen is None and len(sound) < len(usable):
+            chosen = choose_gang_workers(step.spec, usable)
         if chosen is None:
             return []
         number = step.take_number()
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -39,10 +39,13 @@
         Tickets by worker; an expired one still says that the worker is allowed.
     refused : set
         Workers that may not run the step.
+    avoided : dict
+        By task index, workers where a run of the task failed or stalled.
     """
 
     __slots__ = (
         "allowed",
+        "avoided",
         "checkpoints",
         "done",
         "due_at",
@@ -68,6 +71,7 @@
         self.checkpoints: dict[int, str] = {}
         self.allowed: dict[WorkerId, Ticket] = {}
         self.refused: set[WorkerId] = set()
+        self.avoided: dict[int, set[WorkerId]] = {}
         self.is_asking = False
         self.next_ask_at = 0.0
         self.due_at = 0.0
@@ -126,6 +130,15 @@
         runs.add(number)
         return len(runs)
 
+    def avoid(self, index: int, worker: WorkerId) -> None:
+        """Keep a task, or a whole gang, away from a worker as long as there are others."""
+        key = GANG_INDEX if self.spec.is_gang else index
+        self.avoided.setdefault(key, set()).add(worker)
+
+    def is_avoided(self, index: int, worker: WorkerId) -> bool:
+        """Return whether a task should be kept away from a worker."""
+        return worker in self.avoided.get(GANG_INDEX if self.spec.is_gang else index, ())
+
     def mark_done(self, index: int) -> bool:
         """Enter a done task, or all of a gang; return whether that was news."""
         news = index not in self.done
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -12,6 +12,7 @@
     RunNumber,
     RunState,
     StartOrder,
+    SubmissionId,
     TaskKey,
     WorkerListing,
     WorkerState,
@@ -22,6 +23,8 @@
 LEASE_MARGIN_SECONDS = 0.3  # network and scheduling delay on top of the drift
 # A hold waits up to a second and a long link adds tens of milliseconds.
 SILENCE_SECONDS = 2.5
+TROUBLED_SUBMISSIONS = 3  # in a row, without a run that ended done
+ASIDE_SECONDS = 3.0  # that a worker in trouble gets no runs
 REFUSAL_PAUSE_SECONDS = 0.5  # how long a worker that refused a start gets no other
 
 
@@ -40,6 +43,8 @@
         When the worker confirmed the last order about it.
     tries : int
         Start or stop orders sent.
+    idle_since : float or None
+        Since when the worker reports that the run uses no processor.
     has_unknown_size : bool
         The submission has ended and its steps aren't loaded; the worker is closed meanwhile.
     """
@@ -58,6 +63,7 @@
     order: StartOrder | None = None
     is_in_flight: bool = False
     has_unknown_size: bool = False
+    idle_since: float | None = None
 
 
 class Worker:
@@ -84,6 +90,7 @@
         self.runs: dict[tuple[TaskKey, RunNumber], Run] = {}
         self.unknown_runs: dict[TaskKey, ListedRun] = {}
         self.unknown_sizes = 0
+        self.troubled: set[SubmissionId] = set()  # whose runs failed since one was last done
         self.processed = 0  # highest end that has been taken into the state
         self.seen = 0  # highest end that the store covers
         self.used_processors = 0
@@ -95,6 +102,19 @@
         """Id of the worker."""
         return self.listing.id
 
+    def note_trouble(self, submission: SubmissionId, now: float) -> bool:
+        """Note a failed or stalled run; return whether the worker is set aside for a while.
+
+        Answers workers that fail or hang all that they start: several submissions in a row have
+        to meet trouble here, so that one hopeless submission sets no sound worker aside.
+        """
+        self.troubled.add(submission)
+        if len(self.troubled) < TROUBLED_SUBMISSIONS:
+            return False
+        self.troubled.pop()  # the next trouble after the pause sets it aside again
+        self.blocked_until = max(self.blocked_until, now + ASIDE_SECONDS)
+        return True
+
     def is_open(self, now: float) -> bool:
         """Return whether new runs may be placed here."""
         return (
