--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -93,15 +93,6 @@
     Then "poison" is failed
     And no worker was set aside
 
-  Scenario: A run that stands still goes on elsewhere
-    Guards against tasks that hang on a worker whose reports go on.
-    Given 3 workers and an owner
-    And runs on worker "w0" stand still
-    When 10 submissions of 1 tasks arrive over 5 seconds
-    And 20 seconds pass
-    Then every submission is completed
-    And no rule was broken
-
   Scenario Outline: Random faults break no rule
     Guards against any order of lost and late orders, cuts, restarts and changes of owner.
     When the random days <first> to <last> are played
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -26,11 +26,6 @@
     context.world.workers[name].fails_all = True
 
 
-@given('runs on worker "{name}" stand still')
-def step_stalls(context, name):
-    context.world.workers[name].stalls = True
-
-
 @given('every run of "{name}" fails')
 def step_poison(context, name):
     choose = context.world.choose_outcome
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -81,8 +81,6 @@
 MOST_ADVISED = 30  # workers named in a call: each adds to its duration
 MOST_RENEWED = 8  # workers named when tickets are renewed
 ADVICE_PAUSE_SECONDS = 0.3  # before asking again for a step that found no worker with room
-STARTUP_SECONDS = 1.5  # that a run may take to begin its work: start-up and a restore
-STALL_SECONDS = 0.8  # without work, seen in two reports at least, until a run counts as stalled
 KEEP_OUTCOMES = 20_000  # final states kept in memory
 
 
@@ -515,41 +513,6 @@
             return []
         return [_log_worker("worker-set-aside", worker, until=round(worker.blocked_until, 3))]
 
-    def _note_load(self, worker: Worker, run: Run, load: int | None, now: float) -> list[Effect]:
-        """Stop a run that uses no processor, and let its task go on elsewhere.
-
-        Answers workers whose tasks stand still while their reports go on. Members of a gang wait
-        for each other, and services may be idle: neither is judged by its load.
-        """
-        step = self._find_step(run.task.step_id)
-        if load != 0 or step is None or step.spec.is_gang or step.spec.is_service:
-            run.idle_since = None
-            return []
-        if run.idle_since is None:
-            run.idle_since = now
-        is_stalled = (
-            run.state is RunState.RUNNING
-            and now - run.ordered_at > STARTUP_SECONDS
-            and now - run.idle_since > STALL_SECONDS
-        )
-        if not is_stalled:
-            return []
-        step.avoid(run.task.index, worker.id)
-        effects: list[Effect] = [
-            LogDecision(
-                decision="run-stalled",
-                fields={
-                    "task": ".".join(map(str, run.task)),
-                    "run": run.number,
-                    "worker": worker.id,
-                    "idle": round(now - run.idle_since, 3),
-                    "age": round(now - run.ordered_at, 3),
-                },
-            )
-        ]
-        effects += self._note_trouble(worker, run.task, now)
-        return effects + self._stop(run, now)
-
     def _count_end(self, step: StepProgress, end: ListedEnd, now: float) -> list[Effect]:
         entry = self.submissions[end.task.submission]
         if end.outcome is RunOutcome.DONE and not step.spec.is_service:
@@ -609,7 +572,6 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
                 run.acknowledged_at = event.now
-            effects += self._note_load(worker, run, item.load, event.now)
         for key, run in list(worker.runs.items()):
             if key not in listed and self._has_vanished(run, event.sent_at):
                 effects.append(
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -40,7 +40,7 @@
     refused : set
         Workers that may not run the step.
     avoided : dict
-        By task index, workers where a run of the task failed or stalled.
+        By task index, workers where a run of the task failed.
     """
 
     __slots__ = (
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -43,8 +43,6 @@
         When the worker confirmed the last order about it.
     tries : int
         Start or stop orders sent.
-    idle_since : float or None
-        Since when the worker reports that the run uses no processor.
     has_unknown_size : bool
         The submission has ended and its steps aren't loaded; the worker is closed meanwhile.
     """
@@ -63,7 +61,6 @@
     order: StartOrder | None = None
     is_in_flight: bool = False
     has_unknown_size: bool = False
-    idle_since: float | None = None
 
 
 class Worker:
@@ -103,9 +100,9 @@
         return self.listing.id
 
     def note_trouble(self, submission: SubmissionId, now: float) -> bool:
-        """Note a failed or stalled run; return whether the worker is set aside for a while.
+        """Note a failed run; return whether the worker is set aside for a while.
 
-        Answers workers that fail or hang all that they start: several submissions in a row have
+        Answers workers that fail all that they start: several submissions in a row have
         to meet trouble here, so that one hopeless submission sets no sound worker aside.
         """
         self.troubled.add(submission)
--- a/src/lavenderhook/platform/workers.py
+++ b/src/lavenderhook/platform/workers.py
@@ -211,13 +211,7 @@
         clock=answer.clock_ms / 1000,
         born=answer.born,
         running=tuple(
-            ListedRun(
-                parse_task(row[0]),
-                RunNumber(row[1]),
-                row[2],
-                int(row[4]) if len(row) > 4 else None,
-            )
-            for row in answer.running
+            ListedRun(parse_task(row[0]), RunNumber(row[1]), row[2]) for row in answer.running
         ),
         ended=tuple(
             ListedEnd(
