Keep workers free for a waiting gang; name workers by the share allowed

Cause: narrow tasks of lower priority took each piece of room that became free, and a gang's call for advice named 30 workers whatever its width, so that wide gangs waited 3 to 8 s. Ruled out: advice queues (0.1 s), store, owner's processor time. The scenario of a gang under narrow tasks fails without the reservation.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -84,6 +84,15 @@
     Then every submission is completed
     And at most 12 runs failed
 
+  Scenario: A wide gang finds room under a stream of narrow tasks
+    Guards against gangs that starve while narrow tasks take each piece of room that gets free.
+    Given 4 workers and an owner
+    When a stream of narrow tasks of priority 2 keeps the workers full for 25 seconds
+    And a gang "wide" of 12 tasks on 4000 thousandths of priority 1 arrives after 4 seconds
+    And 12 seconds pass
+    Then "wide" has begun
+    And no rule was broken
+
   Scenario: A hopeless submission sets no sound worker aside
     Guards against workers that are blamed for work that can never be done.
     Given 2 workers and an owner
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -1,5 +1,6 @@
 """Steps that play queues in virtual time."""
 
+import functools
 import random
 
 from behave import given, then, when
@@ -43,6 +44,34 @@
     context.world.run(seconds)
 
 
+@when(
+    "a stream of narrow tasks of priority {priority:d} keeps the workers full "
+    "for {seconds:d} seconds"
+)
+def step_stream(context, priority, seconds):
+    for index in range(seconds * 20):
+        steps = [make_step(2, 1500, 2.0)]
+        call = functools.partial(context.world.submit, f"n{index}", steps, priority=priority)
+        context.world.after(index / 20, call)
+
+
+@when(
+    'a gang "{name}" of {count:d} tasks on {processors:d} thousandths of priority {priority:d} '
+    "arrives after {seconds:d} seconds"
+)
+def step_gang(context, name, count, processors, priority, seconds):
+    context.world.run(seconds)
+    step = make_step(count, processors, 3.0, is_gang=True)
+    context.world.submit(name, [step], priority=priority)
+
+
+@then('"{name}" has begun')
+def step_begun(context, name):
+    cell = context.world.owners[-1].cell
+    state = cell.describe(name)
+    assert state in (SubmissionState.RUNNING, SubmissionState.COMPLETED), state
+
+
 @then("at most {count:d} runs failed")
 def step_failures(context, count):
     failed = sum(context.world.failures.values())
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -61,6 +61,7 @@
     BestFit,
     PlacementPolicy,
     choose_gang_workers,
+    choose_reservation,
     choose_worker,
     count_fitting,
     is_eligible,
@@ -78,8 +79,13 @@
 
 ORDER_RETRY_SECONDS = 0.3  # an order without an answer is sent again after this time
 START_TRIES = 4  # after these a start is given up and stopped, which shuts it out
-MOST_ADVISED = 30  # workers named in a call: each adds to its duration
-MOST_RENEWED = 8  # workers named when tickets are renewed
+MOST_ADVISED = 100  # workers named in a call: the service takes no more
+LEAST_ADVISED = 8  # workers named in a call: so many add little to the fixed part of its duration
+FIRST_ALLOWED_SHARE = 0.5  # of the workers named, before any answer for a queue
+LEAST_ALLOWED_SHARE = 0.1  # bounds the number named after answers that allowed none
+SHARE_WEIGHT = 0.2  # of the newest answer in the share that is learnt
+GANG_SPREAD = 1.5  # workers named for each member of a gang, beyond the share that is allowed
+MOST_RESERVED_SHARE = 0.5  # of the open workers that may be kept free for gangs at one time
 ADVICE_PAUSE_SECONDS = 0.3  # before asking again for a step that found no worker with room
 KEEP_OUTCOMES = 20_000  # final states kept in memory
 
@@ -136,6 +142,7 @@
         self.requested_roster = roster
         self.unreached: set[WorkerId] = set(roster)
         self.unanswered: list[Run] = []
+        self.allowed_shares: dict[str, float] = {}
         self.submissions: dict[SubmissionId, SubmissionProgress] = {}
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
         self.is_schedule_due = True
@@ -400,6 +407,10 @@
             step.next_ask_at = event.now + ADVICE_PAUSE_SECONDS
             return []
         entry = self.submissions[event.step.submission]
+        queue = entry.submission.queue.name
+        share = len(event.allowed) / max(1, len(event.asked))
+        known = self.allowed_shares.get(queue, FIRST_ALLOWED_SHARE)
+        self.allowed_shares[queue] = known + (share - known) * SHARE_WEIGHT
         terms = entry.submission.queue.advice
         validity = terms.validity_seconds if terms is not None else 0.0
         for worker_id in event.asked:
@@ -714,11 +725,28 @@
                     candidates.append((self.order.rank(entry, step, now), entry, step))
         candidates.sort(key=lambda candidate: candidate[0])
         open_workers = [worker for worker in self.workers.values() if worker.is_open(now)]
+        most_reserved = len(open_workers) * MOST_RESERVED_SHARE
+        reserved: set[WorkerId] = set()
         effects: list[Effect] = []
         for _, entry, step in candidates:
-            effects += self._place_step(entry, step, open_workers, now)
+            usable = open_workers
+            if reserved:
+                usable = [worker for worker in open_workers if worker.id not in reserved]
+            effects += self._place_step(entry, step, usable, now)
+            if step.spec.is_gang and step.waiting and len(reserved) < most_reserved:
+                reserved.update(worker.id for worker in self._reserve(entry, step, usable))
         return effects
 
+    def _reserve(
+        self, entry: SubmissionProgress, step: StepProgress, workers: Sequence[Worker]
+    ) -> list[Worker]:
+        """Return the workers that are kept free for a gang in this pass."""
+        service = entry.submission.queue.service
+        eligible = [worker for worker in workers if is_eligible(step, service, worker)]
+        if entry.submission.queue.advice is not None:
+            eligible = [worker for worker in eligible if worker.id in step.allowed]
+        return choose_reservation(step.spec, eligible)
+
     def _place_step(
         self,
         entry: SubmissionProgress,
@@ -825,6 +853,17 @@
             SendStart(order=order),
         ]
 
+    def _count_advised(self, entry: SubmissionProgress, step: StepProgress) -> int:
+        """Return how many workers to name in a call for advice.
+
+        Each adds to its duration, and a share of them, which is learnt by queue, is allowed.
+        Members of a gang have to find room at one time, so that there must be more to choose from.
+        """
+        share = self.allowed_shares.get(entry.submission.queue.name, FIRST_ALLOWED_SHARE)
+        spread = GANG_SPREAD if step.spec.is_gang else 1.0
+        wanted = int(len(step.waiting) * spread / max(share, LEAST_ALLOWED_SHARE)) + 1
+        return max(LEAST_ADVISED, min(wanted, MOST_ADVISED))
+
     def _ask(
         self,
         entry: SubmissionProgress,
@@ -846,8 +885,8 @@
             w for w in fitting if w.id in step.allowed and step.allowed[w.id].expires_at <= now
         ]
         unasked = [w for w in fitting if w.id not in step.allowed]
-        most = step.spec.count if step.spec.is_gang else MOST_RENEWED
-        named = (expired[: max(most, MOST_RENEWED)] + unasked)[:MOST_ADVISED]
+        most = self._count_advised(entry, step)
+        named = (expired[:most] + unasked)[:most]
         if not named:
             return []
         step.is_asking = True
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -5,7 +5,7 @@
 import abc
 from collections.abc import Iterable, Sequence
 
-from .model import StepSpec
+from .model import Resources, StepSpec
 from .submissions import StepProgress
 from .workers import Worker
 
@@ -103,17 +103,51 @@
     return None
 
 
+def choose_reservation(spec: StepSpec, candidates: Sequence[Worker]) -> list[Worker]:
+    """Return the workers to keep free for a gang that doesn't fit now.
+
+    Answers a stream of narrow tasks that takes each piece of room as it becomes free, so that a
+    wide gang never finds enough at one time. Those with the most room now are kept, as many as
+    hold the gang once they are empty; none if even all of them wouldn't hold it.
+    """
+    chosen: list[Worker] = []
+    held = 0
+    for worker in sorted(candidates, key=Worker.free_processors, reverse=True):
+        holds = count_in_empty(spec, worker)
+        if holds == 0:
+            continue
+        chosen.append(worker)
+        held += holds
+        if held >= spec.count:
+            return chosen
+    return []
+
+
+def count_in_empty(spec: StepSpec, worker: Worker) -> int:
+    """Return how many tasks of a step an empty worker holds."""
+    return _count_in(spec, worker.listing.capacity)
+
+
 def count_fitting(spec: StepSpec, worker: Worker) -> int:
     """Return how many tasks of a step fit on a worker beside what it holds."""
     capacity = worker.listing.capacity
+    left = Resources(
+        capacity.processors - worker.used_processors,
+        capacity.memory_mb - worker.used_memory_mb,
+        capacity.accelerators - worker.used_accelerators,
+    )
+    return _count_in(spec, left)
+
+
+def _count_in(spec: StepSpec, left: Resources) -> int:
     needs = spec.resources
     room = [spec.count]
     if needs.processors and not spec.is_filler:
-        room.append((capacity.processors - worker.used_processors) // needs.processors)
+        room.append(left.processors // needs.processors)
     if needs.memory_mb:
-        room.append((capacity.memory_mb - worker.used_memory_mb) // needs.memory_mb)
+        room.append(left.memory_mb // needs.memory_mb)
     if needs.accelerators:
-        room.append((capacity.accelerators - worker.used_accelerators) // needs.accelerators)
+        room.append(left.accelerators // needs.accelerators)
     if spec.placement.most_per_worker:
         room.append(spec.placement.most_per_worker)
     return max(0, min(room))
