Refuse at once while the store is silent; let pauses grow and spread

Cause: each write sent to a silent store waits for its deadline and must be answered with 504, which callers can't repeat; 503 always named a second, so that all tries fell into the outage. Ruled out: peers (all without contact). Writes are not sent any more once calls have waited 1.1 s without any answer.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -95,6 +95,15 @@
     And that instance is not ready
     And all accepted submissions become "completed" within 20 seconds
 
+  Scenario: A silent store is noticed by the first calls that wait for it
+    Guards against callers that each wait for their deadline while the store gives no answer.
+    Given 2 entry processes and 3 queue workers
+    When the store is silent
+    And 6 submissions are sent
+    And 1.2 seconds go by
+    And submission "00000000000000b1" of 1 tasks is sent to instance 0
+    Then it is answered with 503 and a Retry-After within 0.5 seconds
+
   Scenario: Answers of the store are lost
     Guards against work that is lost or doubled when a write's answer does not arrive.
     Given 2 entry processes and 3 queue workers
--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -102,6 +102,13 @@
     Then "poison" is failed
     And no worker was set aside
 
+  Scenario: Callers that are refused together come back spread
+    Guards against pauses that all end before the outage does, or at the same moment.
+    Given an outage of 6 seconds in which 100 callers are refused in its first second
+    When each comes back as it is told, 4 times at most
+    Then at least 90 callers come back after the outage
+    And no second sees more than 70 of them
+
   Scenario Outline: Random faults break no rule
     Guards against any order of lost and late orders, cuts, restarts and changes of owner.
     When the random days <first> to <last> are played
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -1,5 +1,6 @@
 """Steps that play queues in virtual time."""
 
+import collections
 import functools
 import random
 
@@ -8,6 +9,7 @@
 from features.support.queue_days import freeze, make_steps, play_day, relist
 from features.support.queue_world import QueueWorld, make_step
 from lavenderhook._internal.queueing.model import RunOutcome, SubmissionState
+from lavenderhook._internal.queueing.refusal import choose_retry_after
 
 
 @given("{count:d} workers and an owner")
@@ -72,6 +74,38 @@
     assert state in (SubmissionState.RUNNING, SubmissionState.COMPLETED), state
 
 
+@given(
+    "an outage of {seconds:d} seconds in which {count:d} callers are refused in its first second"
+)
+def step_outage(context, seconds, count):
+    context.outage = seconds
+    context.callers = [index / count for index in range(count)]
+
+
+@when("each comes back as it is told, {tries:d} times at most")
+def step_come_back(context, tries):
+    generator = random.Random(5)
+    context.returned = []
+    for refused_at in context.callers:
+        now = refused_at
+        for _ in range(tries):
+            now += choose_retry_after(now, generator.random())
+            if now > context.outage:
+                context.returned.append(now)
+                break
+
+
+@then("at least {count:d} callers come back after the outage")
+def step_returned(context, count):
+    assert len(context.returned) >= count, len(context.returned)
+
+
+@then("no second sees more than {count:d} of them")
+def step_spread_out(context, count):
+    seconds = collections.Counter(int(moment) for moment in context.returned)
+    assert max(seconds.values()) <= count, seconds
+
+
 @then("at most {count:d} runs failed")
 def step_failures(context, count):
     failed = sum(context.world.failures.values())
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -47,6 +47,7 @@
     choose_part,
     encode,
 )
+from ..queueing.refusal import choose_retry_after
 from ..queueing.routes import QueueRoutes
 from . import peers
 from .advice import AdviceDispatcher
@@ -68,7 +69,8 @@
 PASS_ON_SECONDS = 0.9  # that a peer gets for a write
 LEAVING_SECONDS = 2.5  # the balancer needs two missed checks, a second apart, to leave us out
 KEEP_ACCEPTED = 5_000  # ids of submissions that this instance has stored
-RETRY_AFTER_SECONDS = 1  # for callers that met an outage of the store
+# Without any answer while calls wait: a store 90 times as slow as usual still answers in 0.9 s.
+SILENT_STORE_SECONDS = 1.1
 
 Report = Callable[..., None]
 
@@ -129,6 +131,7 @@
         self._advice = AdviceDispatcher(self._ask_advice_at, self._list_advisers)
         self._owner: Owner | None = None
         self._heartbeat_count = 0
+        self._contact_lost_at: float | None = None
         self._accepted: dict[SubmissionId, None] = {}
         self._news: list[Submission] = []
         self._cancelled: list[SubmissionId] = []
@@ -219,7 +222,7 @@
         in vain is passed on after a moment, later ones at once. Writing the same row from two
         instances is harmless, since the second meets the row that exists.
         """
-        if self._view.contact_since is None:
+        if not self._reaches_store():
             return self._pass_on(write_there, deadline)
         here = gevent.spawn(write_here)
         here.join(HEDGE_SECONDS)
@@ -326,6 +329,20 @@
             raise StoreUnavailableError("the store's reading is old")
         return False
 
+    def _reaches_store(self) -> bool:
+        """Return whether the store answers, as far as this instance knows."""
+        return (
+            self._view.contact_since is not None
+            and self._store.measure_silence() < SILENT_STORE_SECONDS
+        )
+
+    def suggest_retry(self) -> int:
+        """Return the seconds after which a refused caller should come back."""
+        now = time.monotonic()
+        lost_at = self._contact_lost_at
+        outage = now - lost_at if lost_at is not None else self._store.measure_silence()
+        return choose_retry_after(outage, random.random())
+
     def _pass_on(
         self, write_there: Callable[[str, float], Acceptance], deadline: float
     ) -> Acceptance:
@@ -411,6 +428,10 @@
             follower.load()
 
     def _note_contact(self, succeeded: bool, fields: dict[str, object]) -> None:
+        if succeeded:
+            self._contact_lost_at = None
+        elif self._contact_lost_at is None:
+            self._contact_lost_at = time.monotonic()
         had = self._view.contact_since is not None
         self._view.note_contact(time.monotonic(), succeeded)
         if had != succeeded:
@@ -656,7 +677,7 @@
     def _submit_for_peer(self, incoming: Incoming) -> Reply:
         request = peers.read_message(incoming, peers.SubmitRequest)
         result = Acceptance.NOT_STORED
-        if self._view.contact_since is not None:
+        if self._reaches_store():
             deadline = time.monotonic() + request.seconds
             result = self._intake.store_submission(request.submission, deadline)
         if result is Acceptance.STORED:
@@ -666,7 +687,7 @@
     def _cancel_for_peer(self, incoming: Incoming) -> Reply:
         request = peers.read_message(incoming, peers.CancelRequest)
         result = Acceptance.NOT_STORED
-        if self._view.contact_since is not None:
+        if self._reaches_store():
             deadline = time.monotonic() + request.seconds
             result = self._cancel_here(request.submission, deadline)
         if result is Acceptance.STORED:
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -102,6 +102,10 @@
     ) -> int | Conflict:
         """Write and remove (table, key) all rows or none; return the revision or the conflict."""
 
+    @abc.abstractmethod
+    def measure_silence(self) -> float:
+        """Return for how long calls have waited without any answer of the store, in seconds."""
+
     @abc.abstractmethod
     def read(self, table: str, start: str = "", end: str = "", part: str = "") -> RowChanges:
         """Return a part's rows with ``start <= key < end`` (all pages) and the revision."""
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from .._internal.adapters.frontend import Incoming, Reply
-from .._internal.instance.entry import RETRY_AFTER_SECONDS, EntryInstance
+from .._internal.instance.entry import EntryInstance
 from .._internal.instance.intake import Acceptance
 from .._internal.queueing.model import (
     Placement,
@@ -165,10 +165,22 @@
             first_due=job.first_run_ms / 1000,
             interval_seconds=job.interval_ms / 1000,
         )
-        return _reply_acceptance(self._instance.submit(stored, deadline))
+        return self._reply_acceptance(self._instance.submit(stored, deadline))
 
     def _cancel(self, submission: SubmissionId, deadline: float) -> Reply:
-        return _reply_acceptance(self._instance.cancel(submission, deadline))
+        return self._reply_acceptance(self._instance.cancel(submission, deadline))
+
+    def _reply_acceptance(self, result: Acceptance) -> Reply:
+        match result:
+            case Acceptance.STORED:
+                return _reply({})
+            case Acceptance.NO_SUCH:
+                return Reply(status=GONE)
+            case Acceptance.NOT_STORED:
+                pause = str(self._instance.suggest_retry())
+                return Reply(status=503, headers=(("Retry-After", pause),))
+            case Acceptance.UNKNOWN:
+                return Reply(status=504)
 
     def _describe(self, submission: SubmissionId) -> Reply:
         try:
@@ -189,15 +201,3 @@
 
 def _reply(value: object) -> Reply:
     return Reply(headers=JSON_HEADERS, body=msgspec.json.encode(value))
-
-
-def _reply_acceptance(result: Acceptance) -> Reply:
-    match result:
-        case Acceptance.STORED:
-            return _reply({})
-        case Acceptance.NO_SUCH:
-            return Reply(status=GONE)
-        case Acceptance.NOT_STORED:
-            return Reply(status=503, headers=(("Retry-After", str(RETRY_AFTER_SECONDS)),))
-        case Acceptance.UNKNOWN:
-            return Reply(status=504)
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from .._internal.adapters.transport import HttpAnswer, HttpClient
+from .._internal.adapters.transport import Headers, HttpAnswer, HttpClient
 from .._internal.ports.queueing import (
     Condition,
     Conflict,
@@ -67,11 +67,32 @@
         self.address = address
         self._observe = observe
         self._client = HttpClient("store", size=CONNECTIONS)
+        self._waiting = 0  # calls that the store should answer at once
+        self._silent_since = 0.0
 
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
 
+    def measure_silence(self) -> float:
+        """Return for how long calls have waited without any answer of the store, in seconds."""
+        return time.monotonic() - self._silent_since if self._waiting else 0.0
+
+    def _call(
+        self, method: str, target: str, body: bytes, headers: Headers, timeout: float, name: str
+    ) -> HttpAnswer:
+        begun = time.monotonic()
+        if not self._waiting:
+            self._silent_since = begun
+        self._waiting += 1
+        try:
+            answer = self._client.call(self.address, method, target, body, headers, timeout)
+            self._silent_since = time.monotonic()
+            return answer
+        finally:
+            self._waiting -= 1
+            self._observe("store_seconds", time.monotonic() - begun, call=name)
+
     def transact(
         self,
         writes: Sequence[Write],
@@ -101,18 +122,10 @@
             ],
             "remove": [{"table": table, "part": "", "key": key} for table, key in removes],
         }
-        begun = time.monotonic()
-        try:
-            answer = self._client.call(
-                self.address,
-                "POST",
-                TRANSACT_PATH,
-                msgspec.json.encode(body),
-                JSON_HEADERS,
-                CALL_TIMEOUT_SECONDS,
-            )
-        finally:
-            self._observe("store_seconds", time.monotonic() - begun, call="transact")
+        data = msgspec.json.encode(body)
+        answer = self._call(
+            "POST", TRANSACT_PATH, data, JSON_HEADERS, CALL_TIMEOUT_SECONDS, "transact"
+        )
         if answer.status == 412:
             return Conflict(tuple(map(_convert, _decode(answer).rows)))
         _check(answer, "transaction")
@@ -145,7 +158,12 @@
     def _get(self, path: str, query: dict[str, Any], timeout: float) -> _Rows:
         target = f"{path}?{urlencode(query)}"
         try:
-            answer = self._client.call(self.address, "GET", target, timeout=timeout)
+            if path == FOLLOW_PATH:
+                # It waits for a change, so that its silence means nothing.
+                answer = self._client.call(self.address, "GET", target, timeout=timeout)
+                self._silent_since = time.monotonic()
+            else:
+                answer = self._call("GET", target, b"", (), timeout, "read")
         except TransportError as error:
             # A reading has no effect that could be unknown.
             raise StoreUnavailableError(f"{path}: {error}") from error
