--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -22,6 +22,14 @@
     When the heartbeat stands still for 3.0 seconds while the store answers
     Then the instance claims
 
+  Scenario: Pings that time out shorten the wait for a silent owner
+    Guards against seconds without an owner after a machine is lost.
+    Given an instance that knows an owner
+    When the heartbeat stands still for 1.6 seconds while the store answers
+    Then the instance does not claim
+    When 2 pings to the owner time out
+    Then the instance claims
+
   Scenario: An owner whose process has ended is replaced at once
     Guards against seconds without an owner after a kill.
     Given an instance that knows an owner
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -76,7 +76,14 @@
 @when("{count:d} connections to the owner are refused")
 def step_refused_connections(context, count):
     context.now += 0.1
-    context.view.refusals += count
+    for _ in range(count):
+        context.view.note_ping(is_refused=True)
+
+
+@when("{count:d} pings to the owner time out")
+def step_timeouts(context, count):
+    for _ in range(count):
+        context.view.note_ping(is_timeout=True)
 
 
 @when("a heartbeat of a former owner arrives")
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -53,14 +53,14 @@
 from .advice import AdviceDispatcher
 from .intake import Acceptance, Intake
 from .owner import Owner
-from .ownership import HEARTBEAT_SECONDS, OwnershipView, rank_members
+from .ownership import HEARTBEAT_SECONDS, WATCHERS, OwnershipView, rank_members
 from .watching import TableFollower, describe_failure
 
 CONTROL_WAIT_SECONDS = 0.8  # of a poll of the control table
 CONFIGURATION_WAIT_SECONDS = 0.8  # a change of the configuration ends the wait at once
 POLL_PAUSE_SECONDS = 0.1  # between polls, so that a busy table doesn't keep an instance busy
 STORE_PAUSE_SECONDS = 0.25  # after a failed call to the store
-PING_SECONDS = 0.4
+PING_SECONDS = 0.3
 PENDING_VALID_SECONDS = 0.5  # age up to which the owner's counts are used again
 PENDING_STALE_SECONDS = 1.8  # age up to which they are used when the owner does not answer
 PEERS_TRIED = 3  # peers to which a write is passed on, one after the other
@@ -568,19 +568,21 @@
             gevent.sleep(PING_SECONDS)
             owner = self._view.owner
             address = self._find_owner_address()
-            if owner is None or address is None:
+            if owner is None or address is None or self._view.rank >= WATCHERS:
                 continue
+            is_refused = is_timeout = False
             try:
                 answer = self._peers.ping(address)
-                is_gone = answer.boot != owner.boot or not answer.is_owner
+                is_refused = answer.boot != owner.boot or not answer.is_owner
             except TransportError as error:
-                # A time-out says little, a refused connection that nothing listens.
-                is_gone = isinstance(error.__cause__, ConnectionRefusedError)
+                # A refused connection shows that nothing listens; a time-out only adds to a
+                # heartbeat that stands still.
+                is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+                is_timeout = not is_refused
             except LavenderhookError as error:
                 self._report("ping-failed", owner=address, **describe_failure(error))
-                is_gone = False
             if self._view.owner is owner:
-                self._view.refusals = self._view.refusals + 1 if is_gone else 0
+                self._view.note_ping(is_refused=is_refused, is_timeout=is_timeout)
 
     def _renew(self) -> None:
         """Write the heartbeat while this instance is the owner."""
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -16,6 +16,10 @@
 HEARTBEAT_SECONDS = 0.7
 # Three heartbeats; a lease must outlast it together with the loading of the state.
 SILENCE_SECONDS = 2.2
+# With pings that time out as well, which a slow store doesn't cause: two heartbeats.
+CONFIRMED_SILENCE_SECONDS = 1.4
+TIMEOUTS_FOR_TAKEOVER = 2
+WATCHERS = 5  # the strongest instances ping the owner; more would only load it
 REFUSALS_FOR_TAKEOVER = 2  # refused connections in a row that show an owner's process has ended
 CLAIM_STAGGER_SECONDS = 0.15  # between instances, so that they rarely claim at the same time
 MOST_STAGGERED = 12  # instances; the others wait as long as the last of these
@@ -54,6 +58,8 @@
     ----------
     heartbeat_seen_at : float
         When the heartbeat row last changed, as seen here.
+    refusals, timeouts : int
+        Pings to the owner in a row that were refused or not answered.
     contact_since : float or None
         Since when the store has answered without a failure; None while it doesn't.
     """
@@ -66,6 +72,7 @@
     heartbeat_seen_at: float = 0.0
     contact_since: float | None = None
     refusals: int = 0
+    timeouts: int = 0
     rank: int = 0
 
     def note_owner(self, owner: OwnerRecord, revision: int, now: float) -> bool:
@@ -76,6 +83,7 @@
         self.owner_revision = revision
         self.heartbeat_seen_at = now
         self.refusals = 0
+        self.timeouts = 0
         return True
 
     def note_heartbeat(self, heartbeat: HeartbeatRecord, now: float) -> None:
@@ -93,6 +101,11 @@
         elif self.contact_since is None:
             self.contact_since = now
 
+    def note_ping(self, *, is_refused: bool = False, is_timeout: bool = False) -> None:
+        """Note the result of a ping to the owner."""
+        self.refusals = self.refusals + 1 if is_refused else 0
+        self.timeouts = self.timeouts + 1 if is_timeout else 0
+
     def is_owner(self) -> bool:
         """Return whether this process is the owner, as far as it knows."""
         return self.owner is not None and self.owner.boot == self.boot
@@ -123,4 +136,6 @@
         if has_resigned or self.refusals >= REFUSALS_FOR_TAKEOVER:
             return now - self.heartbeat_seen_at > stagger
         silent_since = max(self.heartbeat_seen_at, self.contact_since)
-        return now - silent_since > SILENCE_SECONDS + stagger
+        is_confirmed = self.timeouts >= TIMEOUTS_FOR_TAKEOVER
+        silence = CONFIRMED_SILENCE_SECONDS if is_confirmed else SILENCE_SECONDS
+        return now - silent_since > silence + stagger
