--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -109,6 +109,19 @@
     Then at least 90 callers come back after the outage
     And no second sees more than 70 of them
 
+  Scenario Outline: The random days catch a broken protocol
+    Guards against checks that would pass whatever the owner did.
+    When the random days are played until one breaks a rule, while <fault>
+    Then one of the first <days> days broke a rule
+
+    Examples:
+      | fault                                     | days |
+      | workers ignore tokens                     | 10   |
+      | ends are forgotten before they are stored | 60   |
+      | starts without an answer are released     | 10   |
+      | unreachable workers are forgotten         | 60   |
+      | leases are not waited for                 | 60   |
+
   Scenario Outline: Random faults break no rule
     Guards against any order of lost and late orders, cuts, restarts and changes of owner.
     When the random days <first> to <last> are played
--- a/features/steps/architecture.py
+++ b/features/steps/architecture.py
@@ -1,11 +1,21 @@
 """Steps that check the dependency rules of the source tree."""
 
 import ast
+import re
+import subprocess
+import sys
 from pathlib import Path
 
 from behave import then, when
 
-CORE = Path(__file__).resolve().parents[2] / "src" / "lavenderhook" / "_internal" / "core"
+PACKAGE = Path(__file__).resolve().parents[2] / "src" / "lavenderhook"
+CORE = PACKAGE / "_internal" / "core"
+QUEUES = PACKAGE / "_internal" / "queueing"
+PLATFORM_PACKAGES = ("_internal/queueing", "_internal/instance", "_internal/ports", "platform")
+PLATFORM_NAMES = re.compile(
+    r"rows-tx|rows-feed|rows-get|run-start|run-stop|X-Fencing-Token|X-Expected-Instance"
+    r"|slackFactor|checkpointIntervalS|schemaVersion|expectedRevision"
+)
 FORBIDDEN_TOP_LEVEL = {
     "gevent",
     "geventhttpclient",
@@ -42,6 +52,80 @@
     ]
 
 
+@when("the imports of the queues' decisions are collected")
+def step_collect_queues(context):
+    context.imports = [
+        (path.name, module, level)
+        for path in sorted(QUEUES.rglob("*.py"))
+        for module, level in collect_imports(path)
+    ]
+
+
+def collect_edges(path):
+    """Return the modules of the package that a source file imports, as paths."""
+    edges = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if not isinstance(node, ast.ImportFrom) or not node.level:
+            continue
+        base = path.parent
+        for _ in range(node.level - 1):
+            base = base.parent
+        target = base.joinpath(*(node.module or "").split(".")) if node.module else base
+        candidates = [target.with_suffix(".py")]
+        candidates += [(target / alias.name).with_suffix(".py") for alias in node.names]
+        edges.update(found for found in candidates if found.is_file())
+    return edges
+
+
+@when("the imports among the packages of the platform are collected")
+def step_collect_edges(context):
+    files = [path for name in PLATFORM_PACKAGES for path in sorted((PACKAGE / name).glob("*.py"))]
+    context.edges = {path: collect_edges(path) & set(files) for path in files}
+
+
+@then("they form no circle")
+def step_no_circle(context):
+    left = dict(context.edges)
+    assert len(left) > 20, "the packages were not found"
+    while True:
+        leaves = [path for path, edges in left.items() if not edges & left.keys()]
+        if not leaves:
+            break
+        for path in leaves:
+            del left[path]
+    assert not left, sorted(str(path.relative_to(PACKAGE)) for path in left)
+
+
+@when("the sources outside the adapter are searched for the platform's names")
+def step_search(context):
+    context.found = [
+        (str(path.relative_to(PACKAGE)), match.group())
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if path.parent != PACKAGE / "platform"
+        for match in PLATFORM_NAMES.finditer(path.read_text(encoding="utf-8"))
+    ]
+
+
+@then("none is found")
+def step_none_found(context):
+    assert not context.found, context.found
+
+
+@when("the program of the platform is imported by a new interpreter")
+def step_import(context):
+    code = "import sys, lavenderhook.platform.program; print(*sys.modules)"
+    output = subprocess.run(
+        [sys.executable, "-c", code], check=True, capture_output=True, text=True
+    )
+    context.loaded = set(output.stdout.split())
+
+
+@then("these modules are not loaded")
+def step_not_loaded(context):
+    loaded = [row["module"] for row in context.table if row["module"] in context.loaded]
+    assert not loaded, loaded
+
+
 @then("none of them is an adapter, a clock, an I/O module or a source of randomness")
 def step_check(context):
     assert any(CORE.glob("*.py")), "no core module was found"
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -7,10 +7,13 @@
 from behave import given, then, when
 
 from features.support.queue_days import freeze, make_steps, play_day, relist
+from features.support.queue_mutants import apply_mutant
 from features.support.queue_world import QueueWorld, make_step
 from lavenderhook._internal.queueing.model import RunOutcome, SubmissionState
 from lavenderhook._internal.queueing.refusal import choose_retry_after
 
+MOST_DAYS = 60  # played with a broken protocol
+
 
 @given("{count:d} workers and an owner")
 def step_world(context, count):
@@ -106,6 +109,21 @@
     assert max(seconds.values()) <= count, seconds
 
 
+@when("the random days are played until one breaks a rule, while {fault}")
+def step_mutant(context, fault):
+    context.caught = None
+    with apply_mutant(fault):
+        for seed in range(1, MOST_DAYS + 1):
+            if play_day(seed).violations:
+                context.caught = seed
+                return
+
+
+@then("one of the first {days:d} days broke a rule")
+def step_caught(context, days):
+    assert context.caught is not None and context.caught <= days, context.caught
+
+
 @then("at most {count:d} runs failed")
 def step_failures(context, count):
     failed = sum(context.world.failures.values())
--- a/features/support/queue_days.py
+++ b/features/support/queue_days.py
@@ -55,10 +55,12 @@
     at = generator.uniform(1.0, DAY_SECONDS - 1)
     span = generator.uniform(1.0, 7.0)
     worker = world.workers[generator.choice(sorted(world.workers))]
-    kind = generator.choice(["cut", "restart", "elect", "freeze", "drain", "crash"])
+    kind = generator.choice(["cut", "restart", "elect", "freeze", "drain", "crash", "refuse"])
     if kind == "cut":
         world.after(at, setattr, worker, "is_cut", True)
         world.after(at + span, setattr, worker, "is_cut", False)
+        if generator.random() < 0.5:
+            world.after(at + span * generator.random(), world.elect)
     elif kind == "restart":
         world.after(at, restart, world, worker)
     elif kind == "crash":
@@ -68,6 +70,10 @@
         world.after(at, setattr, worker, "state", WorkerState.DRAINING)
         world.after(at + 0.2, relist, world)
         world.after(at + span, restart, world, worker)
+    elif kind == "refuse":
+        world.after(at, setattr, world, "store_refuses", True)
+        world.after(at + span, setattr, world, "store_refuses", False)
+        world.after(at + span * generator.random(), world.elect)
     elif kind == "elect":
         world.after(at, world.elect)
     else:
--- /dev/null
+++ b/features/support/queue_mutants.py
@@ -0,0 +1,78 @@
+"""Deliberate faults in the protocol of queues, which the random days have to catch."""
+
+import contextlib
+from unittest import mock
+
+from lavenderhook._internal.queueing.cell import Cell
+from lavenderhook._internal.queueing.events import ProgressStored
+from lavenderhook._internal.queueing.model import StartOutcome
+
+from .queue_world import StandInOwner, StandInWorker
+
+
+def ignore_tokens():
+    """Let workers take orders of any owner."""
+    return mock.patch.object(StandInWorker, "accept", lambda self, fencing: True)
+
+
+def forget_before_storing():
+    """Tell workers to forget ends that the store doesn't cover."""
+    emit = StandInOwner.emit
+
+    def emit_early(self, event):
+        emit(self, event)
+        if self.is_active and not isinstance(event, ProgressStored):
+            seen = {w.id: w.processed for w in self.cell.list_workers()}
+            emit(self, ProgressStored(now=self.world.now, seen=seen))
+
+    return mock.patch.object(StandInOwner, "emit", emit_early)
+
+
+def release_unanswered_starts():
+    """Take a start without an answer as not carried out."""
+    handle = Cell.handle_start_answer
+
+    def handle_early(self, event):
+        if event.outcome is not StartOutcome.UNKNOWN:
+            return handle(self, event)
+        worker = self.workers.get(event.worker)
+        run = worker.runs.get((event.task, event.number)) if worker is not None else None
+        return self._release(run, event.now) if run is not None else []
+
+    handlers = "lavenderhook._internal.queueing.cell._HANDLERS"
+    from lavenderhook._internal.queueing.events import StartAnswered
+
+    return mock.patch.dict(handlers, {StartAnswered: handle_early})
+
+
+def forget_unreachable_workers():
+    """Let a new owner start tasks that may run on a worker that it can't reach."""
+    begin = Cell.__init__
+
+    def begin_early(self, *arguments, **named):
+        begin(self, *arguments, **named)
+        self.takeover_bound = 0.0
+        self.unreached.clear()
+
+    return mock.patch.object(Cell, "__init__", begin_early)
+
+
+def grant_from_sending():
+    """Take a worker as dead at once when it doesn't answer."""
+    return mock.patch(
+        "lavenderhook._internal.queueing.cell.compute_lease_bound", lambda now, seconds: now
+    )
+
+
+MUTANTS = {
+    "workers ignore tokens": ignore_tokens,
+    "ends are forgotten before they are stored": forget_before_storing,
+    "starts without an answer are released": release_unanswered_starts,
+    "unreachable workers are forgotten": forget_unreachable_workers,
+    "leases are not waited for": grant_from_sending,
+}
+
+
+def apply_mutant(name):
+    """Return a context in which a fault is in force."""
+    return MUTANTS.get(name, contextlib.nullcontext)()
--- a/features/support/queue_world.py
+++ b/features/support/queue_world.py
@@ -352,7 +352,8 @@
         """Store progress if this owner is the newest."""
         if not self.is_active:
             return
-        if not self.is_frozen and self.world.owner_fencing == self.fencing:
+        is_owner = self.world.owner_fencing == self.fencing
+        if is_owner and not self.is_frozen and not self.world.store_refuses:
             seen = {w.id: w.processed for w in self.cell.list_workers()}
             waiting, self.dirty = list(self.dirty), {}
             for submission_id in waiting:
@@ -392,6 +393,7 @@
         self.now = 0.0
         self.lost = lost
         self.failing = 0.0
+        self.store_refuses = False
         self.allowed = None
         self._events = []
         self._sequence = itertools.count()
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -337,7 +337,7 @@
             worker.listing.address, effect.worker, effect.task, effect.number, self.fencing
         )
         self._report(
-            "run-stop",
+            "stop-answered",
             task=".".join(map(str, effect.task)),
             run=effect.number,
             worker=effect.worker,
