--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 DEPLOYMENT ?= authority
+SEEDS ?= 50
 
-.PHONY: setup test lint types features model model-deep demo bench clean
+.PHONY: setup test lint types features model model-deep soak soak-fresh demo bench clean
 
 setup: $(VENV)/.installed
 
@@ -32,6 +33,12 @@
 
 test: lint types features
 
+soak: setup
+	$(BIN)/python -m soak --seeds $(SEEDS)
+
+soak-fresh: setup
+	$(BIN)/python -m soak --fresh $(SEEDS)
+
 demo: setup
 	$(BIN)/python -m demo --deployment $(DEPLOYMENT)
 
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -139,6 +139,14 @@
     When 60 submissions are sent
     Then all accepted submissions become "completed" within 20 seconds
 
+  Scenario: A planned stop leaves no open connection to a process that ends
+    Guards against requests that an ending process reads on a kept-alive connection and doesn't
+    answer.
+    Given 2 entry processes and 3 queue workers
+    When callers send on kept-alive connections every 20 ms while the owner gets SIGTERM
+    Then no request that was sent whole stayed without an answer
+    And the stopped process ends by itself within 6 seconds
+
   Scenario: A planned stop answers what it has read and ends within its grace
     Guards against requests that are cut off and processes that have to be killed.
     Given 2 entry processes and 3 queue workers
--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -190,6 +190,37 @@
     send_many(context, count)
 
 
+def send_kept_alive(context, index, until):
+    """Ask for a state over one connection again and again until it is closed."""
+    while time.monotonic() < until:
+        try:
+            answer = context.cluster.call(index, "GET", "/jobs/00000000000000ff")
+        except TransportError as error:
+            if error.sent:
+                context.cut.append((index, str(error)))
+            return
+        if answer.get_header("connection") == "close":
+            return
+        gevent.sleep(0.02)
+
+
+@when("callers send on kept-alive connections every 20 ms while the owner gets SIGTERM")
+def step_kept_alive(context):
+    owner = context.cluster.find_owner()
+    context.stopping = context.cluster.entries[owner]
+    until = time.monotonic() + 6.0
+    callers = [gevent.spawn(send_kept_alive, context, owner, until) for _ in range(20)]
+    gevent.sleep(0.5)
+    context.stopped_at = time.monotonic()
+    context.stopping.send(signal.SIGTERM)
+    gevent.joinall(callers)
+
+
+@then("no request that was sent whole stayed without an answer")
+def step_all_answered(context):
+    assert not context.cut, context.cut[:3]
+
+
 @then("it is answered with {status:d}")
 def step_status(context, status):
     assert context.answer.status == status, context.answer
--- a/features/support/queue_processes.py
+++ b/features/support/queue_processes.py
@@ -41,6 +41,7 @@
         self.process = None
         self.entrance = StoreEntrance(cluster.platform.store)
         self.entrance.listener.start()
+        self.store_address = self.entrance.listener.location
 
     def write_settings(self):
         """Write the settings file as the platform does."""
@@ -60,7 +61,7 @@
 holdMaxMs = 6000
 stopTimeoutMs = 400
 [platform]
-address = "{self.entrance.listener.location}"
+address = "{self.store_address}"
 """,
             encoding="utf-8",
         )
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -167,6 +167,7 @@
         self._fields: dict[str, str] = {}
         self._input_abandoned = False
         self._buffered_body = 0
+        self.is_idle = False  # waits for the first byte of a request
 
     def handle(self) -> None:
         """Serve the connection; a broken one ends silently."""
@@ -181,12 +182,15 @@
     def handle_one_request(self) -> Any:
         """Read a request within the time and size limits and answer it."""
         limits = self.server.limits
+        self.is_idle = True
         try:
             with gevent.Timeout(limits.idle_seconds):
                 if not self.rfile.peek(1):
                     return None
         except (OSError, ValueError, gevent.Timeout):
             return None
+        finally:
+            self.is_idle = False
         late = RequestTimeoutError("the request head was not complete in time")
         self._head_timeout = gevent.Timeout(limits.read_seconds, late)
         buffered = self.rfile.peek(1)
@@ -318,6 +322,17 @@
         self._input_abandoned = True
         self.wsgi_input = Input(self.rfile, 0)
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being answered or has begun to arrive."""
+        if not self.is_idle:
+            return
+        try:
+            self.socket._sock.recv(1, sockets.MSG_PEEK | sockets.MSG_DONTWAIT)
+        except BlockingIOError:
+            self.socket.shutdown(sockets.SHUT_RDWR)
+        except OSError:
+            return  # the other side has closed it
+
     def is_peer_closed(self) -> bool:
         """Return whether the other side has closed the connection."""
         try:
@@ -412,6 +427,11 @@
         self._accept_waiting()
         self.close()
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being answered."""
+        for handler in list(self.handlers):
+            handler.close_if_idle()
+
     def _accept_waiting(self) -> None:
         """Accept the connections that the kernel has completed.
 
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -28,7 +28,7 @@
 # Outlasts a takeover: a second since the last renewal, 2.2 s of silence, claim and loading.
 LEASE_SECONDS = 5.5
 STOP_MARGIN_SECONDS = 1.2  # of the grace; the last responses are written in it
-WRITE_SECONDS = 0.1  # for responses that are still being written
+WRITE_SECONDS = 0.05  # for responses that are still being written
 SETTINGS_SECONDS = 1.0  # between checks of the settings file, which may change without a signal
 METRICS_HEADERS = (("Content-Type", "text/plain; version=0.0.4"),)
 LIMITS = ListenerLimits(
@@ -148,10 +148,15 @@
 
     def _stop(self) -> None:
         ends_at = time.monotonic() + self.settings.bounds.grace_s - STOP_MARGIN_SECONDS
+        frontend = self._listeners[1]
+        # Callers on open connections leave with their next answer, long before the end.
+        frontend.is_draining = True
         self.instance.leave(ends_at - time.monotonic())
-        self._listeners[1].drain()
-        gevent.sleep(WRITE_SECONDS)
-        while self._frontend.active and time.monotonic() < ends_at:
+        frontend.drain()
+        while frontend.handlers and time.monotonic() < ends_at:
+            # A connection without a request is closed now: one that arrives later would be read
+            # by a process that is about to end.
+            frontend.close_idle()
             gevent.sleep(WRITE_SECONDS)
         self.instance.stop()
         self._done.set()
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -211,6 +211,7 @@
         self.numbers = itertools.count(1)
         self.ended = gevent.event.Event()
         self.answers = True
+        self.address = ""  # in the entry; by default the listener's
         self.listener = Listener(self.respond)
 
     def write_entry(self, state="ready"):
@@ -220,7 +221,7 @@
             self.name,
             {
                 "service": "desk",
-                "address": self.listener.location,
+                "address": self.address or self.listener.location,
                 "zone": "a",
                 "state": state,
                 "capacity": {"cpu": self.processors, "memMb": 64_000, "gpu": 0},
@@ -341,7 +342,8 @@
         for listener in (self.store.listener, self.advice):
             listener.start()
         for worker in self.workers:
-            worker.listener.start()
+            if not worker.listener.started:
+                worker.listener.start()
             worker.write_entry()
         self.write_configuration(1, ["/jobs/"])
 
