Let a new owner's submissions wait until its predecessor is shut out

Ruled out: late orders, lapsed leases. They wait until all known workers are reached, at most 2.5 s.

--- a/features/support/queue_world.py
+++ b/features/support/queue_world.py
@@ -263,7 +263,8 @@
             case effects.SendStop():
                 world.send(effect.worker, self.deliver_stop, effect)
             case effects.FollowWorker():
-                world.after(0.001, self.hold, effect.worker)
+                # Slow links: meanwhile the former owner gives orders to this worker.
+                world.after(world.random.uniform(0.001, 0.4), self.hold, effect.worker)
             case effects.SaveProgress():
                 self.dirty[effect.submission] = None
             case effects.SaveRoster():
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -87,6 +87,9 @@
 GANG_SPREAD = 1.5  # workers named for each member of a gang, beyond the share that is allowed
 MOST_RESERVED_SHARE = 0.5  # of the open workers that may be kept free for gangs at one time
 ADVICE_PAUSE_SECONDS = 0.3  # before asking again for a step that found no worker with room
+# Until a former owner that still runs has met a worker that refuses its token: a hold waits a
+# second and is given up after 1.7 s. Peers may still tell it of new submissions meanwhile.
+SUCCESSION_SECONDS = 2.5
 KEEP_OUTCOMES = 20_000  # final states kept in memory
 
 
@@ -137,6 +140,7 @@
         self.policy = policy or BestFit()
         self.first_number = compute_first_number(fencing)
         self.takeover_bound = compute_lease_bound(started_at, parameters.lease_seconds)
+        self.succession_bound = started_at + SUCCESSION_SECONDS
         self.workers: dict[WorkerId, Worker] = {}
         self.roster = roster
         self.requested_roster = roster
@@ -716,9 +720,11 @@
     def _schedule(self, now: float) -> list[Effect]:
         """Offer room to the steps whose turn has come, in the policy's order."""
         is_settled = not self.unreached or now > self.takeover_bound
+        is_alone = is_settled or now > self.succession_bound
         candidates: list[tuple[tuple[float, ...], SubmissionProgress, StepProgress]] = []
         for entry in self.submissions.values():
-            if entry.is_ending or not (is_settled or entry.revision > self.owner_revision):
+            is_new = entry.revision > self.owner_revision
+            if entry.is_ending or not (is_alone if is_new else is_settled):
                 continue
             for step in entry.steps.values():
                 if step.waiting and entry.is_runnable(step, now):
