Remove rows of ended submissions; make the soak's stops follow one process

Rows of a submission are removed 30 s after its state may no longer be asked for; before, a new owner's load grew with the age of the cell. A port that another program has taken is chosen anew.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -120,6 +120,15 @@
     And 2.0 seconds go by
     Then a GET of "/more/00000000000000a8" is answered with 410
 
+  Scenario: Rows of ended submissions are removed in the end
+    Guards against a table that grows with the age of the cell, and that each new owner loads.
+    Given 2 entry processes and 3 queue workers, and states kept for -28 seconds
+    When submission "00000000000000c1" of 2 tasks is sent to instance 0
+    And "00000000000000c1" is waited for
+    Then within 14 seconds the store has no row of "00000000000000c1"
+    When 7.0 seconds go by
+    Then a GET of "/jobs/00000000000000c1" is answered with 410
+
   Scenario: Metrics show what an instance decides
     Guards against counters and histograms that operators look for in vain.
     Given 1 entry processes and 2 queue workers
--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -22,10 +22,11 @@
     start_cluster(context, instances, workers)
 
 
-def start_cluster(context, instances, workers, output=None):
+def start_cluster(context, instances, workers, output=None, status_seconds=120):
     """Start stand-ins and processes, and clean up after the scenario."""
     folder = Path(tempfile.mkdtemp(prefix="queues-"))
     context.cluster = EntryCluster(folder, instances, workers, output=output)
+    context.cluster.status_seconds = status_seconds
     context.add_cleanup(shutil.rmtree, folder, ignore_errors=True)
     context.add_cleanup(context.cluster.stop)
     context.cluster.start()
@@ -160,6 +161,23 @@
     start_cluster(context, instances, workers, output=context.unread[1])
 
 
+@given(
+    "{instances:d} entry processes and {workers:d} queue workers, "
+    "and states kept for {seconds:d} seconds"
+)
+def step_cluster_kept(context, instances, workers, seconds):
+    start_cluster(context, instances, workers, status_seconds=seconds)
+
+
+@then('within {seconds:d} seconds the store has no row of "{name}"')
+def step_no_row(context, seconds, name):
+    until = time.monotonic() + seconds
+    rows = context.cluster.platform.store.rows
+    while left := [key for key in rows if name in key[2]]:
+        assert time.monotonic() < until, left
+        gevent.sleep(0.2)
+
+
 @then("the metrics of instance {index:d} hold these")
 def step_metrics(context, index):
     address = f"127.0.0.1:{context.cluster.entries[index].metrics}"
--- a/features/support/queue_processes.py
+++ b/features/support/queue_processes.py
@@ -32,10 +32,7 @@
     def __init__(self, cluster, name):
         self.cluster = cluster
         self.name = name
-        self.front = f"127.0.0.1:{find_port()}"
-        self.readiness = f"127.0.0.1:{find_port()}"
-        self.inner = find_port()
-        self.metrics = find_port()
+        self.choose_ports()
         self.settings = cluster.folder / f"{name}.toml"
         self.log = cluster.folder / f"{name}.log"
         self.process = None
@@ -43,6 +40,19 @@
         self.entrance.listener.start()
         self.store_address = self.entrance.listener.location
 
+    def choose_ports(self):
+        """Choose ports that are free now."""
+        self.front = f"127.0.0.1:{find_port()}"
+        self.readiness = f"127.0.0.1:{find_port()}"
+        self.inner = find_port()
+        self.metrics = find_port()
+
+    def has_lost_port(self):
+        """Return whether the process ended because another program had taken a port."""
+        return self.process.poll() is not None and "Address already in use" in self.log.read_text(
+            encoding="utf-8"
+        )
+
     def write_settings(self):
         """Write the settings file as the platform does."""
         platform = self.cluster.platform
@@ -60,6 +70,7 @@
 graceS = 6
 holdMaxMs = 6000
 stopTimeoutMs = 400
+status_s = {self.cluster.status_seconds}
 [platform]
 address = "{self.store_address}"
 """,
@@ -113,6 +124,7 @@
 
     def __init__(self, folder, instances=2, workers=3, seed=1, output=None):
         self.folder = folder
+        self.status_seconds = 120
         self.output = output  # of the processes; None for a file each
         self.platform = QueuePlatform(workers, seed)
         self.client = HttpClient("caller", size=64)
@@ -129,6 +141,11 @@
         """Wait until all running instances are ready."""
         until = time.monotonic() + START_SECONDS
         while not all(e.is_ready() for e in self.entries if e.process.poll() is None):
+            for entry in self.entries:
+                if entry.has_lost_port():
+                    entry.log.unlink()
+                    entry.choose_ports()
+                    entry.start()
             assert time.monotonic() < until, "the instances are not ready"
             gevent.sleep(0.1)
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import secrets
+import signal
 import sys
 import time
 
@@ -21,6 +22,8 @@
     seeds = [*REGRESSIONS, *range(options.first, options.first + options.seeds)]
     if options.fresh:
         seeds = [secrets.randbelow(10**9) for _ in range(options.fresh)]
+    # Ends the processes of the present run when the soak itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
     failed = []
     for seed in seeds:
         begun = time.monotonic()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,11 +1,14 @@
 """Seeded faults of a soak: what strikes, when, and how it ends."""
 
 import signal
+import time
 
 import gevent
 
 from .proxy import Mode
 
+GRACE_SECONDS = 7.0  # the platform's grace and a second for a process that was paused
+
 
 class FaultPlan:
     """Strikes a cluster with random faults, in series and overlapping.
@@ -70,13 +73,19 @@
 
     def _stop(self, span):
         entry = self._pick_entry()
-        if self._soak.can_lose(entry):
-            entry.send(signal.SIGTERM)
-            if entry.wait(7.0) is None:
-                self._soak.violations.append(f"{entry.name} outlived its grace")
-                entry.send(signal.SIGKILL)
-                entry.process.wait()
-            self._soak.restart(entry)
+        if not self._soak.can_lose(entry):
+            return
+        # Another fault may end and replace the process meanwhile.
+        process = entry.process
+        process.send_signal(signal.SIGTERM)
+        ends_at = time.monotonic() + GRACE_SECONDS
+        while process.poll() is None and time.monotonic() < ends_at:
+            gevent.sleep(0.05)
+        if process.poll() is None:
+            self._soak.violations.append(f"{entry.name} outlived its grace")
+            process.kill()
+            process.wait()
+        self._soak.restart(entry)
 
     def _cut_store(self, span):
         self._cut(self._pick_proxy(self._soak.store_proxies), span)
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -25,6 +25,7 @@
     Conflict,
     HistoryLostError,
     QueueConfiguration,
+    Removal,
     RowStore,
     StoredRow,
     WorkerCalls,
@@ -68,6 +69,7 @@
 HEDGE_SECONDS = 0.8
 PASS_ON_SECONDS = 0.9  # that a peer gets for a write
 LEAVING_SECONDS = 2.5  # the balancer needs two missed checks, a second apart, to leave us out
+OLD_READING_SECONDS = 6.0  # by which the store's readings lag after it has lost its history
 KEEP_ACCEPTED = 5_000  # ids of submissions that this instance has stored
 # Without any answer while calls wait: a store 90 times as slow as usual still answers in 0.9 s.
 SILENT_STORE_SECONDS = 1.1
@@ -132,7 +134,7 @@
         self._owner: Owner | None = None
         self._heartbeat_count = 0
         self._contact_lost_at: float | None = None
-        self._accepted: dict[SubmissionId, None] = {}
+        self._accepted: dict[SubmissionId, float] = {}  # when, in the order of acceptance
         self._news: list[Submission] = []
         self._cancelled: list[SubmissionId] = []
         self._has_news = gevent.event.Event()
@@ -285,7 +287,7 @@
     def _note_accepted(self, submission: Submission) -> None:
         if submission.id in self._accepted:
             return
-        self._accepted[submission.id] = None
+        self._accepted[submission.id] = time.monotonic()
         if len(self._accepted) > KEEP_ACCEPTED:
             self._accepted.pop(next(iter(self._accepted)))
         self._news.append(submission)
@@ -312,14 +314,19 @@
         outcome = self._intake.read_outcome(submission)
         if outcome is not None:
             return outcome.state
-        if submission in self._accepted:
+        if self._was_just_accepted(submission):
             return SubmissionState.QUEUED
         if not self._is_stored(submission):
             raise UnknownNameError("submission", submission)
         return SubmissionState.QUEUED
 
+    def _was_just_accepted(self, submission: SubmissionId) -> bool:
+        """Return whether this instance has stored it within the age of an old reading."""
+        accepted_at = self._accepted.get(submission)
+        return accepted_at is not None and time.monotonic() - accepted_at < OLD_READING_SECONDS
+
     def _is_stored(self, submission: SubmissionId) -> bool:
-        if submission in self._accepted:
+        if self._was_just_accepted(submission):
             return True
         key = SUBMISSION_PREFIX + submission
         changes = self._store.read(WORK_TABLE, key, key + "\0", choose_part(submission))
@@ -710,7 +717,7 @@
             self._write_heartbeat(has_resigned=True)
             self._step_down("the instance is stopping")
         try:
-            self._store.transact([], [], removes=[(CONTROL_TABLE, MEMBER_PREFIX + self.name)])
+            self._store.transact([], [], [Removal(CONTROL_TABLE, MEMBER_PREFIX + self.name)])
         except LavenderhookError as error:
             self._report("leave-unstored", **describe_failure(error))
         gevent.sleep(max(0.0, min(LEAVING_SECONDS, ends_at - time.monotonic())))
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -15,6 +15,7 @@
     Conflict,
     HistoryLostError,
     HoldRefusal,
+    Removal,
     RowStore,
     StoredRow,
     WorkerCalls,
@@ -59,6 +60,7 @@
     Outcome,
     Progress,
     Roster,
+    choose_part,
     decode_outcome,
     decode_progress,
     decode_roster,
@@ -75,6 +77,8 @@
 TICK_SECONDS = 0.1
 GATHER_SECONDS = 0.004  # events of one moment share a placement pass
 COMMIT_PAUSE_SECONDS = 0.03  # ends of one moment share a transaction
+PRUNE_SECONDS = 5.0  # between removals of old rows
+MOST_PRUNED = 40  # submissions in a transaction, with two rows each
 STORE_PAUSE_SECONDS = 0.2  # after a failed call to the store
 FEED_PAUSE_SECONDS = 0.4  # the feed only makes up for lost news of peers
 WORKERS_PAUSE_SECONDS = 0.25
@@ -137,6 +141,7 @@
         self._progress: dict[SubmissionId, tuple[Progress, int]] = {}
         self._submissions: list[tuple[Submission, int]] = []
         self._outcomes: dict[SubmissionId, Outcome] = {}
+        self._ended_at: dict[SubmissionId, float] = {}  # Unix time, in the order of the ends
         self._is_stopped = False
 
     def start(self) -> None:
@@ -184,7 +189,13 @@
                 self._report("owner-loading-failed", **describe_failure(error))
                 gevent.sleep(STORE_PAUSE_SECONDS)
         self._begin(roster)
-        for loop in (self._tick_loop, self._commit_loop, self._feed_loop, self._workers_loop):
+        for loop in (
+            self._tick_loop,
+            self._commit_loop,
+            self._feed_loop,
+            self._workers_loop,
+            self._prune_loop,
+        ):
             self._greenlets.append(gevent.spawn(loop))
 
     def _load(self) -> frozenset[WorkerId]:
@@ -217,6 +228,7 @@
     def _begin(self, roster: frozenset[WorkerId]) -> None:
         self.cell = Cell(self.fencing, self._revision, self._started_at, self._parameters, roster)
         for submission_id, outcome in self._outcomes.items():
+            self._ended_at[submission_id] = outcome.at
             self.emit(OutcomeSeen(now=_now(), submission=submission_id, outcome=outcome))
         for submission, revision in self._submissions:
             stored = self._progress.get(submission.id)
@@ -274,6 +286,8 @@
         """Apply an event and carry out its effects."""
         if self._is_stopped or self.cell is None:
             return
+        if isinstance(event, OutcomeSeen):
+            self._ended_at.setdefault(event.submission, event.outcome.at)
         for effect in self.cell.reduce(event):
             self._execute(effect)
         if self.cell.is_schedule_due:
@@ -551,6 +565,47 @@
         self._dirty.update(dict.fromkeys(submissions))
         return False
 
+    def _prune_loop(self) -> None:
+        """Remove the rows of submissions whose state nobody may ask for any more.
+
+        Without it, the rows that a new owner has to load would grow with the age of the cell.
+        """
+        while True:
+            gevent.sleep(PRUNE_SECONDS)
+            limit = time.time() - self._parameters.retention_seconds
+            ended = [s for s, at in self._ended_at.items() if at < limit]
+            for start in range(0, len(ended), MOST_PRUNED):
+                if not self._prune(ended[start : start + MOST_PRUNED]):
+                    break
+
+    def _prune(self, submissions: list[SubmissionId]) -> bool:
+        """Remove the rows of some submissions; return whether the store did."""
+        by_part: dict[str, list[Removal]] = {}
+        for submission in submissions:
+            key = SUBMISSION_PREFIX + submission
+            part = choose_part(submission)
+            by_part.setdefault(part, []).append(Removal(WORK_TABLE, key, part))
+        # The final states go last: without them, a submission that is left would run again.
+        final = [Removal(WORK_TABLE, PROGRESS_PREFIX + s) for s in submissions]
+        final += [Removal(WORK_TABLE, OUTCOME_PREFIX + s) for s in submissions]
+        owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
+        try:
+            for removals in by_part.values():
+                self._store.transact([], [], removals)
+            result = self._store.transact([], [owner], final)
+        except LavenderhookError as error:
+            self._report("prune-failed", rows=len(final), **describe_failure(error))
+            return False
+        if isinstance(result, Conflict):
+            self._step_down("the owner row has changed")
+            return False
+        for submission in submissions:
+            self._ended_at.pop(submission, None)
+            if self.cell is not None:
+                self.cell.outcomes.pop(submission, None)
+        self._report("submissions-pruned", count=len(submissions))
+        return True
+
     def _save_roster(self, workers: frozenset[WorkerId]) -> None:
         value = encode(Roster(workers=sorted(workers)))
         while not self._is_stopped and self.cell is not None:
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -82,6 +82,14 @@
     revision: int
 
 
+class Removal(msgspec.Struct, frozen=True):
+    """A row to remove; one that does not exist is no failure."""
+
+    table: str
+    key: str
+    part: str = ""
+
+
 class HistoryLostError(Exception):
     """The store no longer has the changes after the given revision."""
 
@@ -98,9 +106,9 @@
         self,
         writes: Sequence[Write],
         conditions: Sequence[Condition] = (),
-        removes: Sequence[tuple[str, str]] = (),
+        removes: Sequence[Removal] = (),
     ) -> int | Conflict:
-        """Write and remove (table, key) all rows or none; return the revision or the conflict."""
+        """Write and remove all rows or none; return the revision or the conflict."""
 
     @abc.abstractmethod
     def measure_silence(self) -> float:
@@ -150,10 +158,6 @@
     ) -> WorkerReport | HoldRefusal:
         """Extend all leases, forget ends up to `seen`, and report; waits for an end."""
 
-    @abc.abstractmethod
-    def forget(self, address: str) -> None:
-        """Close the connections to an address."""
-
 
 class HoldRefusal(msgspec.Struct, frozen=True):
     """A worker gave no report.
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -102,10 +102,13 @@
         Length of the leases on what runs.
     stop_seconds : float
         Longest time that a worker takes to stop a run.
+    retention_seconds : float
+        For how long rows of ended submissions are kept.
     """
 
     lease_seconds: float = 4.5
     stop_seconds: float = 1.0
+    retention_seconds: float = 150.0
 
 
 class Cell:
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -28,6 +28,8 @@
 # Outlasts a takeover: a second since the last renewal, 2.2 s of silence, claim and loading.
 LEASE_SECONDS = 5.5
 STOP_MARGIN_SECONDS = 1.2  # of the grace; the last responses are written in it
+# Instances' clocks differ, and a caller may repeat a submission seconds after its acceptance.
+RETENTION_MARGIN_SECONDS = 30.0
 WRITE_SECONDS = 0.05  # for responses that are still being written
 SETTINGS_SECONDS = 1.0  # between checks of the settings file, which may change without a signal
 METRICS_HEADERS = (("Content-Type", "text/plain; version=0.0.4"),)
@@ -74,6 +76,7 @@
             parameters=CellParameters(
                 lease_seconds=min(LEASE_SECONDS, bounds.hold_max_ms / 1000),
                 stop_seconds=bounds.stop_timeout_ms / 1000,
+                retention_seconds=bounds.status_s + RETENTION_MARGIN_SECONDS,
             ),
             limits=LIMITS,
             report=self.report,
--- a/src/lavenderhook/platform/settings.py
+++ b/src/lavenderhook/platform/settings.py
@@ -49,11 +49,14 @@
         Longest lease that a worker grants.
     stop_timeout_ms : float
         Longest time that a worker takes to stop a run.
+    status_s : float
+        For how long the final state of a submission can be asked for.
     """
 
     grace_s: float = 6.0
     hold_max_ms: float = 6000.0
     stop_timeout_ms: float = 1000.0
+    status_s: float = msgspec.field(name="status_s", default=120.0)
 
 
 class Limits(_Section, frozen=True, kw_only=True):
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -15,6 +15,7 @@
     Condition,
     Conflict,
     HistoryLostError,
+    Removal,
     RowChanges,
     RowStore,
     StoredRow,
@@ -97,7 +98,7 @@
         self,
         writes: Sequence[Write],
         conditions: Sequence[Condition] = (),
-        removes: Sequence[tuple[str, str]] = (),
+        removes: Sequence[Removal] = (),
     ) -> int | Conflict:
         """Write and remove all rows or none."""
         expected = [
@@ -120,7 +121,7 @@
                 }
                 for w in writes
             ],
-            "remove": [{"table": table, "part": "", "key": key} for table, key in removes],
+            "remove": [{"table": r.table, "part": r.part, "key": r.key} for r in removes],
         }
         data = msgspec.json.encode(body)
         answer = self._call(
--- a/src/lavenderhook/platform/workers.py
+++ b/src/lavenderhook/platform/workers.py
@@ -175,10 +175,6 @@
             )
         return decode_report(answer.body)
 
-    def forget(self, address: str) -> None:
-        """Close the connections to an address."""
-        self._client.get_pool(address).close()
-
     def _call(
         self, address: str, worker: WorkerId, path: str, body: dict[str, Any], timeout: float
     ) -> HttpAnswer:
