Give test programs port ranges of their own

Cause: two clusters that run at the same time found the same port free; a process ended at its start, or a caller met the other cluster's process (a scenario of platform.feature failed once beside a soak; 1 of 24 runs in four lanes).

--- a/features/support/queue_processes.py
+++ b/features/support/queue_processes.py
@@ -1,5 +1,6 @@
 """Real processes of the platform's program against its stand-ins."""
 
+import itertools
 import os
 import signal
 import socket
@@ -19,11 +20,27 @@
 HEADERS = (("Content-Type", "application/json"),)
 
 
+# Below the range of ports that the system gives out. Test programs that run at the same time use
+# different hundreds of it: a port that two found free would lead one to the process of the other.
+FIRST_PORT = 20_000
+PORTS_EACH = 100
+PORT_RANGES = 120
+_ports = itertools.count()
+
+
 def find_port():
-    """Return a free port of the loopback interface."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port of the loopback interface that is free and that no other test program uses."""
+    first = FIRST_PORT + os.getpid() % PORT_RANGES * PORTS_EACH
+    for _ in range(PORTS_EACH):
+        port = first + next(_ports) % PORTS_EACH
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue  # it is in use
+            return port
+    raise AssertionError(f"no port is free from {first} on")
 
 
 class EntryProcess:
