--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -6,7 +6,7 @@
     Guards against a path that loses or doubles work without any fault.
     Given 4 workers and an owner
     When 12 submissions of mixed steps arrive
-    And 30 seconds pass
+    And 30 seconds pass for the queues
     Then every submission is completed
     And no rule was broken
 
@@ -14,11 +14,11 @@
     Guards against placing onto room that a cancelled run, unknown to the new owner, still takes.
     Given 1 workers and an owner
     When a submission "old" of 1 tasks on 12000 thousandths for 60 seconds arrives
-    And 1 seconds pass
+    And 1 seconds pass for the queues
     And "old" is cancelled while its owner is frozen
     And another owner takes over
     And a submission "new" of 2 tasks on 5000 thousandths for 1 seconds arrives
-    And 8 seconds pass
+    And 8 seconds pass for the queues
     Then no rule was broken
     And "new" is completed
 
@@ -26,12 +26,12 @@
     Guards against opening a worker before the size of an adopted run is entered.
     Given 1 workers and an owner
     When a submission "late" of 1 tasks on 12000 thousandths for 20 seconds arrives
-    And 1 seconds pass
+    And 1 seconds pass for the queues
     And another owner takes over that has not read "late"
-    And 1 seconds pass
+    And 1 seconds pass for the queues
     And the new owner reads "late"
     And a submission "new" of 1 tasks on 5000 thousandths for 1 seconds arrives
-    And 3 seconds pass
+    And 3 seconds pass for the queues
     Then no rule was broken
     And "new" waits
 
@@ -41,7 +41,7 @@
     When the owner freezes for 6 seconds
     And another owner takes over
     And 12 submissions of mixed steps arrive
-    And 40 seconds pass
+    And 40 seconds pass for the queues
     Then every submission is completed
     And no rule was broken
 
@@ -49,21 +49,21 @@
     Guards against a second run while the first goes on behind a partition.
     Given 2 workers and an owner
     When a submission "cut" of 2 tasks on 9000 thousandths for 30 seconds arrives
-    And 1 seconds pass
+    And 1 seconds pass for the queues
     And worker "w0" is cut off
-    And 4 seconds pass
+    And 4 seconds pass for the queues
     Then "cut" has 2 starts
-    When 40 seconds pass
+    When 40 seconds pass for the queues
     Then no rule was broken
 
   Scenario: An owner that takes over behind a partition waits for what it can't see
     Guards against starting again what its predecessor started on an unreachable worker.
     Given 2 workers and an owner
     When a submission "cut" of 2 tasks on 9000 thousandths for 30 seconds arrives
-    And 1 seconds pass
+    And 1 seconds pass for the queues
     And worker "w0" is cut off and leaves the list
     And another owner takes over
-    And 40 seconds pass
+    And 40 seconds pass for the queues
     Then no rule was broken
 
   Scenario: A task that always fails ends its submission after its attempts
@@ -71,7 +71,7 @@
     Given 3 workers and an owner
     And every run fails
     When a submission "poison" of 1 tasks on 1000 thousandths for 1 seconds arrives
-    And 10 seconds pass
+    And 10 seconds pass for the queues
     Then "poison" is failed
     And "poison" has 3 starts
 
@@ -80,7 +80,7 @@
     Given 3 workers and an owner
     And worker "w0" fails all that it starts
     When 40 submissions of 1 tasks arrive over 20 seconds
-    And 20 seconds pass
+    And 20 seconds pass for the queues
     Then every submission is completed
     And at most 12 runs failed
 
@@ -89,7 +89,7 @@
     Given 4 workers and an owner
     When a stream of narrow tasks of priority 2 keeps the workers full for 25 seconds
     And a gang "wide" of 12 tasks on 4000 thousandths of priority 1 arrives after 4 seconds
-    And 12 seconds pass
+    And 12 seconds pass for the queues
     Then "wide" has begun
     And no rule was broken
 
@@ -98,7 +98,7 @@
     Given 2 workers and an owner
     And every run of "poison" fails
     When a submission "poison" of 3 tasks on 1000 thousandths for 1 seconds arrives
-    And 6 seconds pass
+    And 6 seconds pass for the queues
     Then "poison" is failed
     And no worker was set aside
 
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -153,7 +153,7 @@
     context.world.submit(name, [make_step(count, processors, seconds)])
 
 
-@when("{seconds:d} seconds pass")
+@when("{seconds:d} seconds pass for the queues")
 def step_pass(context, seconds):
     context.world.run(seconds)
 
