Write the text of tasks and steps once; drop a replaced callback

The feed's row handler already passes rows on once the state is loaded, so replacing it there was needless.

--- a/features/support/queue_world.py
+++ b/features/support/queue_world.py
@@ -38,7 +38,7 @@
     WorkerReport,
     WorkerState,
 )
-from lavenderhook._internal.queueing.records import Outcome, Progress
+from lavenderhook._internal.queueing.records import Outcome
 
 LEASE_SECONDS = 4.5
 STOP_SECONDS = 0.4
@@ -583,8 +583,3 @@
         estimate_seconds=seconds,
         **fields,
     )
-
-
-def make_progress():
-    """Return empty progress."""
-    return Progress(done={}, failed={})
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -55,7 +55,7 @@
 from .intake import Acceptance, Intake
 from .owner import Owner
 from .ownership import HEARTBEAT_SECONDS, WATCHERS, OwnershipView, rank_members
-from .watching import TableFollower, describe_failure
+from .watching import Report, TableFollower, describe_failure
 
 CONTROL_WAIT_SECONDS = 0.8  # of a poll of the control table
 CONFIGURATION_WAIT_SECONDS = 0.8  # a change of the configuration ends the wait at once
@@ -74,8 +74,6 @@
 # Without any answer while calls wait: a store 90 times as slow as usual still answers in 0.9 s.
 SILENT_STORE_SECONDS = 1.1
 
-Report = Callable[..., None]
-
 
 class EntryInstance:
     """An entry instance.
@@ -398,7 +396,7 @@
         except LavenderhookError as error:
             self._report(
                 "advice-unanswered",
-                step=".".join(map(str, step)),
+                step=str(step),
                 peer=address,
                 **describe_failure(error),
             )
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -68,7 +68,7 @@
     encode,
     parse_key,
 )
-from .watching import TableFollower, describe_failure
+from .watching import Report, TableFollower, describe_failure
 
 HOLD_WAIT_SECONDS = 1.0  # a hold is answered at once when a run ends
 HOLD_TIMEOUT_SECONDS = 0.7  # beyond the wait: link delay and a busy worker
@@ -86,7 +86,6 @@
 MOST_IN_TRANSACTION = 45
 
 AskAdvice = Callable[[StepId, tuple[WorkerId, ...], float], dict[WorkerId, TicketId] | None]
-Report = Callable[..., None]
 
 
 class Owner:
@@ -352,7 +351,7 @@
         )
         self._report(
             "stop-answered",
-            task=".".join(map(str, effect.task)),
+            task=str(effect.task),
             run=effect.number,
             worker=effect.worker,
             answered=result,
@@ -372,7 +371,7 @@
         allowed = self._ask_advice(effect.step, effect.workers, effect.expected_seconds)
         self._report(
             "advice",
-            step=".".join(map(str, effect.step)),
+            step=str(effect.step),
             asked=len(effect.workers),
             allowed=None if allowed is None else len(allowed),
             seconds=round(_now() - begun, 3),
@@ -473,7 +472,6 @@
         self.emit(WorkersListed(now=_now(), workers=tuple(self._listings.values())))
 
     def _feed_loop(self) -> None:
-        self._follower._apply = self._apply_row
         while True:
             try:
                 self._follower.poll(0.0)
--- a/src/lavenderhook/_internal/instance/watching.py
+++ b/src/lavenderhook/_internal/instance/watching.py
@@ -9,6 +9,7 @@
 from ...errors import LavenderhookError
 from ..ports.queueing import HistoryLostError, RowChanges, RowStore, StoredRow
 
+Report = Callable[..., None]  # takes (what, fields) for the log
 READERS = 16  # parts that are read at the same time
 
 
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -353,7 +353,7 @@
             LogDecision(
                 decision="start-not-done",
                 fields={
-                    "task": ".".join(map(str, event.task)),
+                    "task": str(event.task),
                     "run": event.number,
                     "worker": event.worker,
                     "outcome": event.outcome.value,
@@ -504,7 +504,7 @@
             LogDecision(
                 decision="run-ended",
                 fields={
-                    "task": ".".join(map(str, end.task)),
+                    "task": str(end.task),
                     "run": end.number,
                     "worker": worker.id,
                     "outcome": end.outcome.value,
@@ -596,7 +596,7 @@
                     LogDecision(
                         decision="run-vanished",
                         fields={
-                            "task": ".".join(map(str, run.task)),
+                            "task": str(run.task),
                             "run": run.number,
                             "worker": worker.id,
                             "state": run.state.value,
@@ -647,7 +647,7 @@
             LogDecision(
                 decision="run-adopted",
                 fields={
-                    "task": ".".join(map(str, item.task)),
+                    "task": str(item.task),
                     "run": item.number,
                     "worker": worker.id,
                     "needed": is_needed,
@@ -850,7 +850,7 @@
             LogDecision(
                 decision="task-placed",
                 fields={
-                    "task": ".".join(map(str, task)),
+                    "task": str(task),
                     "queue": entry.submission.queue.name,
                     "run": number,
                     "worker": worker.id,
--- a/src/lavenderhook/_internal/queueing/model.py
+++ b/src/lavenderhook/_internal/queueing/model.py
@@ -22,6 +22,9 @@
     occurrence: int
     step: int
 
+    def __str__(self) -> str:
+        return ".".join(map(str, tuple(self)))
+
 
 class TaskKey(NamedTuple):
     """One task of a step."""
@@ -31,6 +34,9 @@
     step: int
     index: int  # type: ignore[assignment]  # hides the tuple's method, which nothing calls
 
+    def __str__(self) -> str:
+        return ".".join(map(str, tuple(self)))
+
     @property
     def step_id(self) -> StepId:
         """Step that the task belongs to."""
