Let work that is newer than a worker's closing go on after a takeover

Cause: a new owner waited for every worker on its predecessor's roster: 2.5 s with new submissions and up to 5.9 s with all others. Ruled out: loading (0.2 s) and reaching the other workers (0.9 s). The roster names closed workers now, with the revision by which they were closed. A roster write also depends on the row that it replaces, so that a late one can't undo a newer one, and workers that are unlisted and not reached stay on it until their leases are over. The new scenario fails without the closings.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -66,6 +66,36 @@
     And 40 seconds pass for the queues
     Then no rule was broken
 
+  Scenario: Work that is newer than a worker's drain doesn't wait for it after a takeover
+    Guards against seconds without starts when workers have left shortly before a takeover.
+    Given 3 workers and an owner
+    When worker "w0" drains
+    And 1 seconds pass for the queues
+    And the owner freezes for 6 seconds
+    And a submission "after" of 2 tasks on 9000 thousandths for 1 seconds arrives
+    And worker "w0" is cut off
+    And another owner takes over
+    And 1 seconds pass for the queues
+    Then "after" has begun
+    When 30 seconds pass for the queues
+    Then "after" is completed
+    And no rule was broken
+
+  Scenario: Work that is older than a worker's drain waits for it after a takeover
+    Guards against a second run of what goes on at a draining worker behind a partition.
+    Given 3 workers and an owner
+    When a submission "before" of 3 tasks on 9000 thousandths for 20 seconds arrives
+    And 1 seconds pass for the queues
+    And worker "w0" drains
+    And 1 seconds pass for the queues
+    And worker "w0" is cut off
+    And another owner takes over
+    And 2 seconds pass for the queues
+    Then "before" has 3 starts
+    When 60 seconds pass for the queues
+    Then "before" is completed
+    And no rule was broken
+
   Scenario: A task that always fails ends its submission after its attempts
     Guards against endless runs of work that can never be done.
     Given 3 workers and an owner
@@ -121,6 +151,7 @@
       | starts without an answer are released     | 10   |
       | unreachable workers are forgotten         | 60   |
       | leases are not waited for                 | 60   |
+      | closed workers get starts at once again   | 60   |
 
   Scenario Outline: Random faults break no rule
     Guards against any order of lost and late orders, cuts, restarts and changes of owner.
@@ -132,3 +163,13 @@
       | first | last |
       | 1     | 60   |
       | 61    | 120  |
+
+  Scenario Outline: Workers that leave around changes of owner break no rule
+    Guards against starts that don't wait for a worker which has a run of an earlier owner.
+    When the random days <first> to <last> with workers that leave are played
+    Then no day broke a rule
+    And on every day all submissions have ended
+
+    Examples:
+      | first | last |
+      | 1     | 80   |
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -9,7 +9,7 @@
 from features.support.queue_days import freeze, make_steps, play_day, relist
 from features.support.queue_mutants import apply_mutant
 from features.support.queue_world import QueueWorld, make_step
-from lavenderhook._internal.queueing.model import RunOutcome, SubmissionState
+from lavenderhook._internal.queueing.model import RunOutcome, SubmissionState, WorkerState
 from lavenderhook._internal.queueing.refusal import choose_retry_after
 
 MOST_DAYS = 60  # played with a broken protocol
@@ -114,7 +114,8 @@
     context.caught = None
     with apply_mutant(fault):
         for seed in range(1, MOST_DAYS + 1):
-            if play_day(seed).violations:
+            # Every second day has workers that leave, which some faults need.
+            if play_day(seed, has_leavers=seed % 2 == 0).violations:
                 context.caught = seed
                 return
 
@@ -201,6 +202,18 @@
     context.world.after(0, setattr, worker, "is_up", True)
 
 
+@when('worker "{name}" drains')
+def step_drain(context, name):
+    context.world.workers[name].state = WorkerState.DRAINING
+    relist(context.world)
+
+
+@when("the random days {first:d} to {last:d} with workers that leave are played")
+def step_leaving_days(context, first, last):
+    days = range(first, last + 1)
+    context.days = {seed: play_day(seed, has_leavers=True) for seed in days}
+
+
 @when("the random days {first:d} to {last:d} are played")
 def step_days(context, first, last):
     context.days = {seed: play_day(seed) for seed in range(first, last + 1)}
--- a/features/support/queue_days.py
+++ b/features/support/queue_days.py
@@ -23,7 +23,7 @@
     return [make_step(generator.randint(1, 4), generator.choice([800, 2500, 6000]), 0.8)]
 
 
-def play_day(seed):
+def play_day(seed, has_leavers=False):
     """Play a random day and return the world after it has settled."""
     generator = random.Random(seed)
     world = QueueWorld(seed, workers=5, lost=generator.choice([0.0, 0.05, 0.2]))
@@ -37,6 +37,8 @@
             world.after(at + generator.uniform(0.05, 3.0), cancel_known, world, name)
     for _ in range(generator.randint(1, 5)):
         add_fault(world, generator)
+    for _ in range(generator.randint(1, 3) if has_leavers else 0):
+        add_leaver(world, generator)
     world.run(DAY_SECONDS)
     world.lost = 0.0
     world.run(SETTLE_SECONDS)
@@ -81,6 +83,23 @@
         world.after(at + 2.0, world.elect)
 
 
+def add_leaver(world, generator):
+    """Let a worker drain or be cut off around a change of owner, and come back or not."""
+    at = generator.uniform(1.0, DAY_SECONDS - 3)
+    worker = world.workers[generator.choice(sorted(world.workers))]
+    if generator.random() < 0.6:
+        world.after(at, setattr, worker, "state", WorkerState.DRAINING)
+        world.after(at + 0.1, relist, world)
+    cut_at = at + generator.uniform(0.0, 1.5)
+    world.after(cut_at, setattr, worker, "is_cut", True)
+    back_at = cut_at + generator.uniform(0.2, 6.0)
+    world.after(back_at, setattr, worker, "is_cut", False)
+    world.after(back_at, setattr, worker, "state", WorkerState.READY)
+    world.after(back_at + 0.1, relist, world)
+    for _ in range(generator.randint(1, 2)):
+        world.after(cut_at + generator.uniform(0.0, 5.0), world.elect)
+
+
 def freeze(world, span):
     """Suspend the owner for a while."""
     owner = world.owners[-1]
--- a/features/support/queue_mutants.py
+++ b/features/support/queue_mutants.py
@@ -6,6 +6,7 @@
 from lavenderhook._internal.queueing.cell import Cell
 from lavenderhook._internal.queueing.events import ProgressStored
 from lavenderhook._internal.queueing.model import StartOutcome
+from lavenderhook._internal.queueing.roster import RosterLedger
 
 from .queue_world import StandInOwner, StandInWorker
 
@@ -52,7 +53,7 @@
     def begin_early(self, *arguments, **named):
         begin(self, *arguments, **named)
         self.takeover_bound = 0.0
-        self.unreached.clear()
+        self.ledger.unreached.clear()
 
     return mock.patch.object(Cell, "__init__", begin_early)
 
@@ -64,12 +65,20 @@
     )
 
 
+def open_before_storing():
+    """Give a closed worker starts before the store shows it as open."""
+    return mock.patch.object(
+        RosterLedger, "is_enrolled", lambda self, worker: worker not in self.requested.closed
+    )
+
+
 MUTANTS = {
     "workers ignore tokens": ignore_tokens,
     "ends are forgotten before they are stored": forget_before_storing,
     "starts without an answer are released": release_unanswered_starts,
     "unreachable workers are forgotten": forget_unreachable_workers,
     "leases are not waited for": grant_from_sending,
+    "closed workers get starts at once again": open_before_storing,
 }
 
 
--- a/features/support/queue_world.py
+++ b/features/support/queue_world.py
@@ -38,7 +38,7 @@
     WorkerReport,
     WorkerState,
 )
-from lavenderhook._internal.queueing.records import Outcome
+from lavenderhook._internal.queueing.records import Outcome, Roster, date_roster
 
 LEASE_SECONDS = 4.5
 STOP_SECONDS = 0.4
@@ -207,7 +207,7 @@
             world.revision,
             world.now,
             CellParameters(lease_seconds=LEASE_SECONDS, stop_seconds=STOP_SECONDS),
-            frozenset(world.roster),
+            world.roster,
         )
         for submission_id, outcome in world.outcomes.items():
             self.emit(
@@ -268,7 +268,7 @@
             case effects.SaveProgress():
                 self.dirty[effect.submission] = None
             case effects.SaveRoster():
-                world.after(0.02, self.save_roster, effect.workers)
+                world.after(0.02, self.save_roster, effect.roster)
             case effects.AskAdvice():
                 world.after(0.05, self.advise, effect)
             case effects.StepDown():
@@ -337,11 +337,17 @@
             )
         )
 
-    def save_roster(self, workers):
+    def save_roster(self, roster):
         """Store the roster if this owner is the newest."""
-        if self.world.owner_fencing == self.fencing and self.is_active:
-            self.world.roster = set(workers)
-            self.emit(RosterStored(now=self.world.now, workers=workers))
+        world = self.world
+        if world.owner_fencing != self.fencing or not self.is_active:
+            return
+        if self.is_frozen or world.store_refuses:
+            world.after(0.2, self.save_roster, roster)
+            return
+        world.revision += 1
+        world.roster = date_roster(roster, world.revision)
+        self.emit(RosterStored(now=world.now, roster=world.roster))
 
     def tick(self):
         """Place what waits."""
@@ -400,7 +406,7 @@
         self._sequence = itertools.count()
         self.revision = 0
         self.owner_fencing = 0
-        self.roster = set()
+        self.roster = Roster()
         self.submissions = {}
         self.progress = {}
         self.outcomes = {}
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -61,6 +61,7 @@
     Progress,
     Roster,
     choose_part,
+    date_roster,
     decode_outcome,
     decode_progress,
     decode_roster,
@@ -141,6 +142,9 @@
         self._submissions: list[tuple[Submission, int]] = []
         self._outcomes: dict[SubmissionId, Outcome] = {}
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time, in the order of the ends
+        self._roster_revision = 0
+        self._wanted_roster = Roster()
+        self._is_roster_due = gevent.event.Event()
         self._is_stopped = False
 
     def start(self) -> None:
@@ -193,22 +197,29 @@
             self._commit_loop,
             self._feed_loop,
             self._workers_loop,
+            self._roster_loop,
             self._prune_loop,
         ):
             self._greenlets.append(gevent.spawn(loop))
 
-    def _load(self) -> frozenset[WorkerId]:
+    def _load(self) -> Roster:
         self._submissions.clear()
         parts = ("", *SUBMISSION_PARTS)
         self._follower = TableFollower(self._store, WORK_TABLE, self._collect_row, parts)
         self._follower.load()
         if (self._follower.revision or 0) < self._revision:
             raise StoreUnavailableError("the store's reading is older than the takeover")
-        rows = self._store.read(CONTROL_TABLE, ROSTER_KEY, ROSTER_KEY + "\0").rows
+        reading = self._store.read(CONTROL_TABLE, ROSTER_KEY, ROSTER_KEY + "\0")
+        if reading.revision < self._revision:
+            raise StoreUnavailableError("the store's roster is older than the takeover")
         changes = self._worker_list.read()
         self._apply_workers(changes)
         self._workers_revision = changes.revision
-        return decode_roster(rows[0].value) if rows else frozenset()
+        if not reading.rows:
+            return Roster()
+        row = reading.rows[0]
+        self._roster_revision = row.revision
+        return decode_roster(row.value, row.revision)
 
     def _collect_row(self, row: StoredRow) -> None:
         if self.cell is not None:
@@ -224,7 +235,7 @@
         elif prefix == OUTCOME_PREFIX:
             self._outcomes[submission] = decode_outcome(row.value)
 
-    def _begin(self, roster: frozenset[WorkerId]) -> None:
+    def _begin(self, roster: Roster) -> None:
         self.cell = Cell(self.fencing, self._revision, self._started_at, self._parameters, roster)
         for submission_id, outcome in self._outcomes.items():
             self._ended_at[submission_id] = outcome.at
@@ -239,7 +250,8 @@
             fencing=self.fencing,
             submissions=len(self.cell.submissions),
             workers=len(self._listings),
-            roster=len(roster),
+            roster=len(roster.workers),
+            closed=len(roster.closed),
             seconds=round(_now() - self._started_at, 3),
         )
         self._submissions.clear()
@@ -305,7 +317,8 @@
             case effects.SaveProgress():
                 self._dirty[effect.submission] = None
             case effects.SaveRoster():
-                self._greenlets.append(gevent.spawn(self._save_roster, effect.workers))
+                self._wanted_roster = effect.roster
+                self._is_roster_due.set()
             case effects.FollowWorker():
                 self._holders[effect.worker] = gevent.spawn(self._hold_loop, effect.worker)
             case effects.LeaveWorker():
@@ -545,8 +558,7 @@
 
     def _resolve_conflict(self, conflict: Conflict, submissions: list[SubmissionId]) -> bool:
         """Take over what stands in the store, and leave the rest for the next transaction."""
-        owner = conflict.find(CONTROL_TABLE, OWNER_KEY)
-        if owner is None or owner.revision != self._revision:
+        if self._is_shut_out(conflict):
             self._step_down("the owner row has changed")
             return False
         cell = self.cell
@@ -604,23 +616,48 @@
         self._report("submissions-pruned", count=len(submissions))
         return True
 
-    def _save_roster(self, workers: frozenset[WorkerId]) -> None:
-        value = encode(Roster(workers=sorted(workers)))
-        while not self._is_stopped and self.cell is not None:
-            if self.cell.requested_roster != workers:
-                return  # a newer one is on its way
-            owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
-            try:
-                result = self._store.transact([Write(CONTROL_TABLE, ROSTER_KEY, value)], [owner])
-            except LavenderhookError as error:
-                self._report("roster-unstored", **describe_failure(error))
+    def _roster_loop(self) -> None:
+        while True:
+            self._is_roster_due.wait()
+            self._is_roster_due.clear()
+            if not self._save_roster(self._wanted_roster):
+                self._is_roster_due.set()
                 gevent.sleep(STORE_PAUSE_SECONDS)
-                continue
-            if isinstance(result, Conflict):
+
+    def _save_roster(self, roster: Roster) -> bool:
+        """Store a roster; return False if it has to be tried again.
+
+        The write depends on the row that it replaces: one whose answer was lost may be carried
+        out late, and must not put an older roster in the place of a newer one.
+        """
+        write = Write(CONTROL_TABLE, ROSTER_KEY, encode(roster), self._roster_revision)
+        owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
+        try:
+            result = self._store.transact([write], [owner])
+        except LavenderhookError as error:
+            self._report("roster-unstored", **describe_failure(error))
+            return False
+        if isinstance(result, Conflict):
+            if self._is_shut_out(result):
                 self._step_down("the owner row has changed")
-                return
-            self.emit(RosterStored(now=_now(), workers=workers))
-            return
+                return True
+            row = result.find(CONTROL_TABLE, ROSTER_KEY)
+            self._roster_revision = row.revision if row is not None else 0
+            return False
+        self._roster_revision = result
+        self._report(
+            "roster-stored",
+            revision=result,
+            workers=len(roster.workers),
+            closed=len(roster.closed),
+        )
+        self.emit(RosterStored(now=_now(), roster=date_roster(roster, result)))
+        return True
+
+    def _is_shut_out(self, conflict: Conflict) -> bool:
+        """Return whether a transaction failed because there is another owner."""
+        owner = conflict.find(CONTROL_TABLE, OWNER_KEY)
+        return owner is None or owner.revision != self._revision
 
     def describe(self, submission: SubmissionId) -> SubmissionState | None:
         """Return the state of a submission, or None if the owner can't say."""
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -66,6 +66,8 @@
     count_fitting,
     is_eligible,
 )
+from .records import Roster
+from .roster import RosterLedger
 from .submissions import TICKET_MARGIN_SECONDS, StepProgress, SubmissionProgress, Ticket
 from .workers import (
     CLOCK_DRIFT,
@@ -121,7 +123,7 @@
         Revision of the store at which this owner took over.
     started_at : float
     parameters : CellParameters
-    roster : frozenset of WorkerId
+    roster : Roster, optional
         Workers that may hold runs of earlier owners.
     """
 
@@ -131,7 +133,7 @@
         owner_revision: int,
         started_at: float,
         parameters: CellParameters,
-        roster: frozenset[WorkerId] = frozenset(),
+        roster: Roster | None = None,
         *,
         order: WaitingOrder | None = None,
         policy: PlacementPolicy | None = None,
@@ -145,9 +147,8 @@
         self.takeover_bound = compute_lease_bound(started_at, parameters.lease_seconds)
         self.succession_bound = started_at + SUCCESSION_SECONDS
         self.workers: dict[WorkerId, Worker] = {}
-        self.roster = roster
-        self.requested_roster = roster
-        self.unreached: set[WorkerId] = set(roster)
+        self.ledger = RosterLedger(roster or Roster())
+        self.is_succeeded = False
         self.unanswered: list[Run] = []
         self.allowed_shares: dict[str, float] = {}
         self.submissions: dict[SubmissionId, SubmissionProgress] = {}
@@ -250,7 +251,7 @@
             worker = self.workers.get(worker_id)
             if worker is None:
                 worker = Worker(listing, self.takeover_bound)
-                worker.is_enrolled = worker_id in self.roster
+                worker.is_enrolled = self.ledger.is_enrolled(worker_id)
                 self.workers[worker_id] = worker
                 effects.append(FollowWorker(worker=worker_id))
                 effects.append(_log_worker("worker-listed", worker))
@@ -273,9 +274,7 @@
 
     def handle_roster(self, event: RosterStored) -> list[Effect]:
         """Take note of the workers that the store names; these may be given runs."""
-        self.roster = event.workers
-        for worker in self.workers.values():
-            worker.is_enrolled = worker.id in self.roster
+        self.ledger.note_stored(event.roster)
         self.is_schedule_due = True
         return self._update_roster()
 
@@ -292,12 +291,16 @@
             effects += self._begin_new_life(worker, event.now)
             worker.listing = msgspec.structs.replace(worker.listing, born=event.report.born)
         worker.last_answer = event.now
+        was_usable, worker.silences = worker.is_usable(), 0
         worker.lease_bound = compute_lease_bound(event.now, self.parameters.lease_seconds)
         if not worker.is_reached:
             worker.is_reached = True
-            self.unreached.discard(worker.id)
+            self.ledger.unreached.discard(worker.id)
             self.is_schedule_due = True
             effects.append(_log_worker("worker-reached", worker))
+            effects += self._update_roster()
+        elif worker.is_usable() != was_usable:
+            effects += self._update_roster()
         for end in event.report.ended:
             if end.sequence > worker.processed:
                 worker.processed = end.sequence
@@ -313,6 +316,10 @@
         if event.is_fenced:
             return [StepDown(worker=worker.id)]
         effects: list[Effect] = []
+        was_usable = worker.is_usable()
+        worker.silences += 1
+        if worker.is_usable() != was_usable:
+            effects += self._update_roster()
         worker.blocked_until = max(worker.blocked_until, event.now + REFUSAL_PAUSE_SECONDS)
         has_lapsed = event.now > worker.lease_bound
         if event.is_other_boot or has_lapsed:
@@ -325,7 +332,7 @@
                 effects += self._reset_worker(worker, event.now)
                 worker.is_reached = True  # nothing of an earlier owner is left here
                 worker.last_answer = 0.0
-                self.unreached.discard(worker.id)
+                self.ledger.unreached.discard(worker.id)
                 self.is_schedule_due = True
             if not worker.is_listed:
                 del self.workers[worker.id]
@@ -440,7 +447,7 @@
 
     def handle_tick(self, event: Ticked) -> list[Effect]:
         """Send orders again that got no answer, and place what waits."""
-        effects: list[Effect] = []
+        effects = self._follow_succession(event.now)
         waiting, self.unanswered = self.unanswered, []
         for run in waiting:
             effects += self._repeat_order(run, event.now)
@@ -448,6 +455,16 @@
         self.is_schedule_due = False
         return effects
 
+    def _follow_succession(self, now: float) -> list[Effect]:
+        """Take note of the moments by which orders and leases of earlier owners are over."""
+        if self.ledger.unreached and now > self.takeover_bound:
+            self.ledger.unreached.clear()
+            return self._update_roster()
+        if not self.is_succeeded and now > self.succession_bound:
+            self.is_succeeded = True
+            return self._update_roster()
+        return []
+
     # Runs.
 
     def _repeat_later(self, run: Run, now: float) -> None:
@@ -700,12 +717,11 @@
         return effects
 
     def _update_roster(self) -> list[Effect]:
-        """Ask for the roster to be stored when workers have come or gone."""
-        wanted = frozenset(self.workers)
-        if wanted == self.roster or wanted == self.requested_roster:
-            return []
-        self.requested_roster = wanted
-        return [SaveRoster(workers=wanted)]
+        """Close workers at once, and ask for the roster to be stored when it has changed."""
+        wanted = self.ledger.request(self.workers.values(), is_succeeded=self.is_succeeded)
+        for worker in self.workers.values():
+            worker.is_enrolled = self.ledger.is_enrolled(worker.id)
+        return [] if wanted is None else [SaveRoster(roster=wanted)]
 
     def _keep_outcome(self, submission: SubmissionId, state: SubmissionState) -> None:
         self.outcomes[submission] = state
@@ -722,12 +738,12 @@
 
     def _schedule(self, now: float) -> list[Effect]:
         """Offer room to the steps whose turn has come, in the policy's order."""
-        is_settled = not self.unreached or now > self.takeover_bound
-        is_alone = is_settled or now > self.succession_bound
+        clear_revision = self.ledger.find_clear_revision()
+        if self.is_succeeded:
+            clear_revision = min(clear_revision, self.owner_revision)
         candidates: list[tuple[tuple[float, ...], SubmissionProgress, StepProgress]] = []
         for entry in self.submissions.values():
-            is_new = entry.revision > self.owner_revision
-            if entry.is_ending or not (is_alone if is_new else is_settled):
+            if entry.is_ending or entry.revision <= clear_revision:
                 continue
             for step in entry.steps.values():
                 if step.waiting and entry.is_runnable(step, now):
--- a/src/lavenderhook/_internal/queueing/effects.py
+++ b/src/lavenderhook/_internal/queueing/effects.py
@@ -6,6 +6,7 @@
 
 from ..core.identifiers import WorkerId
 from .model import RunNumber, StartOrder, StepId, SubmissionId, TaskKey
+from .records import Roster
 
 
 class Effect(msgspec.Struct, frozen=True, kw_only=True):
@@ -41,9 +42,9 @@
 
 
 class SaveRoster(Effect, frozen=True, kw_only=True):
-    """Store the names of the workers that may hold runs."""
+    """Store which workers may hold runs."""
 
-    workers: frozenset[WorkerId]
+    roster: Roster
 
 
 class FollowWorker(Effect, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/queueing/events.py
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -16,7 +16,7 @@
     WorkerListing,
     WorkerReport,
 )
-from .records import Outcome, Progress
+from .records import Outcome, Progress, Roster
 
 
 class Event(msgspec.Struct, frozen=True, kw_only=True):
@@ -54,9 +54,9 @@
 
 
 class RosterStored(Event, frozen=True, kw_only=True):
-    """The roster in the store names these workers."""
+    """The store holds this roster, with the revision of every closing."""
 
-    workers: frozenset[WorkerId]
+    roster: Roster
 
 
 class ReportArrived(Event, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -65,10 +65,18 @@
     has_resigned: bool = False
 
 
-class Roster(msgspec.Struct, frozen=True, kw_only=True):
-    """Workers that may hold runs; a new owner has to reach each or wait out its leases."""
+class Roster(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Workers that may hold runs; a new owner has to reach each or wait out its leases.
 
-    workers: list[WorkerId]
+    Parameters
+    ----------
+    closed : dict of WorkerId to int
+        Revision of the store after which no stored submission got a start at the worker; 0
+        stands for the revision of the row that says so.
+    """
+
+    workers: frozenset[WorkerId] = frozenset()
+    closed: dict[WorkerId, int] = {}
 
 
 class MemberRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -107,9 +115,15 @@
     return msgspec.json.decode(value, type=Outcome)
 
 
-def decode_roster(value: bytes) -> frozenset[WorkerId]:
-    """Return the workers of a stored roster."""
-    return frozenset(msgspec.json.decode(value, type=Roster).workers)
+def decode_roster(value: bytes, revision: int) -> Roster:
+    """Return the roster that was stored at a revision."""
+    return date_roster(msgspec.json.decode(value, type=Roster), revision)
+
+
+def date_roster(roster: Roster, revision: int) -> Roster:
+    """Return a roster with the revision of its row for the workers that it closes."""
+    closed = {worker: closed_at or revision for worker, closed_at in roster.closed.items()}
+    return Roster(workers=roster.workers, closed=closed)
 
 
 def choose_part(submission: SubmissionId) -> str:
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -25,6 +25,7 @@
 SILENCE_SECONDS = 2.5
 TROUBLED_SUBMISSIONS = 3  # in a row, without a run that ended done
 ASIDE_SECONDS = 3.0  # that a worker in trouble gets no runs
+CLOSING_SILENCES = 2  # holds in a row without an answer after which a worker gets no starts
 REFUSAL_PAUSE_SECONDS = 0.5  # how long a worker that refused a start gets no other
 
 
@@ -83,6 +84,7 @@
         self.is_reached = False
         self.is_enrolled = False
         self.last_answer = 0.0
+        self.silences = 0  # holds in a row without an answer
         self.blocked_until = 0.0
         self.runs: dict[tuple[TaskKey, RunNumber], Run] = {}
         self.unknown_runs: dict[TaskKey, ListedRun] = {}
@@ -112,15 +114,22 @@
         self.blocked_until = max(self.blocked_until, now + ASIDE_SECONDS)
         return True
 
+    def is_usable(self) -> bool:
+        """Return whether the worker says that it takes starts, and answers."""
+        return (
+            self.is_listed
+            and self.listing.state is WorkerState.READY
+            and self.silences < CLOSING_SILENCES
+        )
+
     def is_open(self, now: float) -> bool:
         """Return whether new runs may be placed here."""
         return (
-            self.is_listed
+            self.is_usable()
             and self.is_reached
             and self.is_enrolled
             and not self.unknown_runs
             and not self.unknown_sizes
-            and self.listing.state is WorkerState.READY
             and now >= self.blocked_until
             and now - self.last_answer < SILENCE_SECONDS
         )
