Notice the store's return at once, and wait only for owners that may still act

Probes ask a silent store every 0.25 s, and their answer ends the calls sent before. The own row is written beside everything else. Weak instances leave a second to strong ones.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -43,3 +43,24 @@
     And a heartbeat of a former owner arrives
     And 0.5 seconds more go by
     Then the instance claims
+
+  Scenario: A restarted owner is known to have ended
+    Guards against work that waits for a former owner which is gone, and against taking an owner
+    that was replaced at another address, and may run on behind a cut, for one that has ended.
+    Given an instance that knows an owner
+    When the owner's process writes its row again
+    Then the owner is not known to have ended
+    When another process writes its row at the owner's name and another address
+    Then the owner is not known to have ended
+    When another process writes its row at the owner's name and address
+    Then the owner is known to have ended
+    When 0.1 seconds more go by
+    Then the instance claims
+
+  Scenario: A weak instance leaves time to strong ones that are still starting
+    Guards against an owner on a thin link after all instances were restarted.
+    Given a weak instance that is the only one to know that its owner has ended
+    When 0.9 seconds have passed since
+    Then the instance does not claim
+    When 1.1 seconds have passed since
+    Then the instance claims
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -104,6 +104,29 @@
     And submission "00000000000000b1" of 1 tasks is sent to instance 0
     Then it is answered with 503 and a Retry-After within 0.5 seconds
 
+  Scenario: A store that was silent is used again within a second of its return
+    Guards against calls sent during an outage that hold up those after it until their time-out.
+    Given 2 entry processes and 3 queue workers
+    When the store is silent
+    And 6 submissions are sent
+    And 1.5 seconds go by
+    And the store is up
+    And 0.9 seconds go by
+    And submission "00000000000000b2" of 1 tasks is sent to instance 0
+    Then it is answered with 200
+    And it took at most 0.5 seconds
+    And "00000000000000b2" becomes "completed" at instance 1 within 3 seconds
+
+  Scenario: An instance that starts while the store is silent serves soon after its return
+    Guards against a first call without an answer that holds up everything after it.
+    Given 2 entry processes and 3 queue workers
+    When 1.0 seconds go by
+    And the store is silent
+    And the instance that is not the owner is killed and started again
+    And 1.2 seconds go by
+    And the store is up
+    Then that instance is ready within 1.3 seconds
+
   Scenario: Answers of the store are lost
     Guards against work that is lost or doubled when a write's answer does not arrive.
     Given 2 entry processes and 3 queue workers
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -12,7 +12,12 @@
 
 def make_owner(name="other", fencing=3):
     """Return an owner's row."""
-    return OwnerRecord(fencing=fencing, name=name, boot="b", address="127.0.0.1:1")
+    return OwnerRecord(fencing=fencing, name=name, boot="b", address="127.0.0.1:1", process="b")
+
+
+def make_member(boot, address="127.0.0.1:1"):
+    """Return the row of a process at the owner's name."""
+    return MemberRecord(name="other", boot=boot, address=address, zone="z")
 
 
 @given("instances of these strengths")
@@ -36,7 +41,7 @@
 
 def find_claim_time(context, name):
     """Return how long after the resignation an instance claims, in hundredths of a second."""
-    view = OwnershipView(name=name, boot="x")
+    view = OwnershipView(name=name, boot="x", strength=context.members[name].strength)
     view.rank = rank_members(name, context.members, context.members[name].strength)
     view.note_owner(make_owner("gone"), 1, 0.0)
     view.note_heartbeat(context.resigned, 0.0)
@@ -104,3 +109,42 @@
 @then("the instance does not claim")
 def step_claims_not(context):
     assert not context.view.should_claim(context.now)
+
+
+@when("another process writes its row at the owner's name and address")
+def step_restarted(context):
+    context.view.members["other"] = make_member("c")
+
+
+@when("the owner's process writes its row again")
+def step_rejoined(context):
+    context.view.members["other"] = make_member("b")
+
+
+@when("another process writes its row at the owner's name and another address")
+def step_replaced(context):
+    context.view.members["other"] = make_member("c", "127.0.0.1:2")
+
+
+@then("the owner is known to have ended")
+def step_ended(context):
+    assert context.view.has_ended(context.view.owner)
+
+
+@then("the owner is not known to have ended")
+def step_not_ended(context):
+    assert not context.view.has_ended(context.view.owner)
+
+
+@given("a weak instance that is the only one to know that its owner has ended")
+def step_weak(context):
+    context.now = 100.0
+    context.view = OwnershipView(name="me", boot="x", strength=compute_strength(0.5, 5))
+    context.view.note_owner(make_owner(), 1, context.now)
+    context.view.note_contact(context.now, True)
+    context.view.members["other"] = make_member("c")
+
+
+@when("{seconds:g} seconds have passed since")
+def step_passed(context, seconds):
+    context.now = 100.0 + seconds
--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -93,6 +93,25 @@
     context.cluster.entries[context.cut_index].entrance.mode = "silent"
 
 
+@when("the instance that is not the owner is killed and started again")
+def step_restart(context):
+    owner = context.cluster.find_owner()
+    context.cut_index = (owner + 1) % len(context.cluster.entries)
+    entry = context.cluster.entries[context.cut_index]
+    entry.send(signal.SIGKILL)
+    entry.wait(2)
+    entry.start()
+
+
+@then("that instance is ready within {seconds:f} seconds")
+def step_ready_within(context, seconds):
+    entry = context.cluster.entries[context.cut_index]
+    until = time.monotonic() + seconds
+    while not entry.is_ready():
+        assert time.monotonic() < until
+        gevent.sleep(0.02)
+
+
 @when("a submission of {count:d} tasks is sent to that instance")
 def step_submit_there(context, count):
     name = f"c{len(context.accepted):015x}"
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -21,6 +21,7 @@
 from ..adapters.frontend import Incoming, Listener, ListenerLimits, Reply
 from ..core.identifiers import WorkerId
 from ..ports.queueing import (
+    STORE_OUTAGE_SECONDS,
     Advisor,
     Conflict,
     HistoryLostError,
@@ -33,7 +34,14 @@
     Write,
 )
 from ..queueing.cell import CellParameters
-from ..queueing.model import StepId, Submission, SubmissionId, SubmissionState, TicketId
+from ..queueing.model import (
+    FencingToken,
+    StepId,
+    Submission,
+    SubmissionId,
+    SubmissionState,
+    TicketId,
+)
 from ..queueing.records import (
     CONTROL_TABLE,
     HEARTBEAT_KEY,
@@ -71,8 +79,12 @@
 LEAVING_SECONDS = 2.5  # the balancer needs two missed checks, a second apart, to leave us out
 OLD_READING_SECONDS = 6.0  # by which the store's readings lag after it has lost its history
 KEEP_ACCEPTED = 5_000  # ids of submissions that this instance has stored
-# Without any answer while calls wait: a store 90 times as slow as usual still answers in 0.9 s.
-SILENT_STORE_SECONDS = 1.1
+# Of the control table, which is small: 90 times as slow as usual, the store answers in 0.4 s.
+CONTROL_READ_SECONDS = 0.8
+REPEATED_PING_SECONDS = 0.1  # after a refused ping: a second one confirms it
+PROBE_SECONDS = 0.25  # between checks whether a silent store is back
+PROBED_SILENCE_SECONDS = 0.6  # above the 0.4 s that a reading takes 90 times as slow as usual
+PROBE_TIMEOUT_SECONDS = 0.6
 
 
 class EntryInstance:
@@ -110,7 +122,7 @@
         report_error: Callable[[str, BaseException], None],
     ) -> None:
         self.name = name
-        self.boot = secrets.token_hex(6)
+        self.process = self.boot = secrets.token_hex(6)
         self.zone = zone
         self.address = peer_address
         self.routes: QueueRoutes | None = None
@@ -124,8 +136,8 @@
         self._advisor = advisor
         self._parameters = parameters
         self._report = report
-        self._view = OwnershipView(name=name, boot=self.boot)
-        self._members: dict[str, MemberRecord] = {}
+        self._view = OwnershipView(name=name, boot=self.boot, strength=strength)
+        self._predecessor: OwnerRecord | None = None
         self._intake = Intake(store, report)
         self._peers = peers.PeerClient()
         self._advice = AdviceDispatcher(self._ask_advice_at, self._list_advisers)
@@ -145,7 +157,9 @@
         """Listen to peers and begin to follow the store."""
         self._listener.start()
         for loop in (
+            self._join,
             self._follow_control,
+            self._probe_store,
             self._follow_configuration,
             self._watch_owner,
             self._renew,
@@ -338,7 +352,7 @@
         """Return whether the store answers, as far as this instance knows."""
         return (
             self._view.contact_since is not None
-            and self._store.measure_silence() < SILENT_STORE_SECONDS
+            and self._store.measure_silence() < STORE_OUTAGE_SECONDS
         )
 
     def suggest_retry(self) -> int:
@@ -369,7 +383,7 @@
         owner = self._find_owner_address()
         others = [
             member.address
-            for member in self._members.values()
+            for member in self._view.members.values()
             if member.name != self.name and member.address != owner
         ]
         random.shuffle(others)
@@ -384,7 +398,7 @@
     # Advice.
 
     def _list_advisers(self) -> list[str]:
-        return sorted({self.address, *(member.address for member in self._members.values())})
+        return sorted({self.address, *(member.address for member in self._view.members.values())})
 
     def _ask_advice_at(
         self, address: str, step: StepId, workers: tuple[WorkerId, ...], seconds: float
@@ -406,9 +420,12 @@
 
     def _follow_control(self) -> None:
         follower = TableFollower(
-            self._store, CONTROL_TABLE, self._apply_control, ("", HEARTBEAT_PART)
+            self._store,
+            CONTROL_TABLE,
+            self._apply_control,
+            ("", HEARTBEAT_PART),
+            CONTROL_READ_SECONDS,
         )
-        self._join()
         while not self.stopped.is_set():
             try:
                 self._poll(follower)
@@ -427,11 +444,30 @@
         try:
             follower.poll(CONTROL_WAIT_SECONDS)
         except LavenderhookError as error:
-            if time.monotonic() - begun > CONTROL_WAIT_SECONDS:
-                raise  # no answer at all
+            is_overdue = time.monotonic() - begun > CONTROL_WAIT_SECONDS
+            if is_overdue and not self._store.has_answered_since(begun):
+                raise
             self._report("control-watch-cut", **describe_failure(error))
             follower.load()
 
+    def _probe_store(self) -> None:
+        """Ask a silent store often, so that its return is noticed before calls time out."""
+        while not self.stopped.is_set():
+            gevent.sleep(PROBE_SECONDS)
+            is_silent = self._store.measure_silence() > PROBED_SILENCE_SECONDS
+            if self._view.contact_since is not None and not is_silent:
+                continue
+            try:
+                self._store.read(
+                    CONTROL_TABLE,
+                    OWNER_KEY,
+                    OWNER_KEY + "\0",
+                    timeout_seconds=PROBE_TIMEOUT_SECONDS,
+                )
+            except LavenderhookError:
+                continue  # the calls that wait report the outage
+            self._note_contact(True, {"probed": True})
+
     def _note_contact(self, succeeded: bool, fields: dict[str, object]) -> None:
         if succeeded:
             self._contact_lost_at = None
@@ -447,10 +483,11 @@
         if row.key.startswith(MEMBER_PREFIX):
             name = row.key.removeprefix(MEMBER_PREFIX)
             if row.is_deleted:
-                self._members.pop(name, None)
+                self._view.members.pop(name, None)
             else:
-                self._members[name] = msgspec.json.decode(row.value, type=MemberRecord)
-            self._view.rank = rank_members(self.name, self._members, self._strength)
+                self._view.members[name] = msgspec.json.decode(row.value, type=MemberRecord)
+            self._view.rank = rank_members(self.name, self._view.members, self._strength)
+            self._follow_predecessor()
         elif row.key == OWNER_KEY and not row.is_deleted:
             owner = msgspec.json.decode(row.value, type=OwnerRecord)
             self._note_owner(owner, row.revision)
@@ -458,6 +495,12 @@
             heartbeat = msgspec.json.decode(row.value, type=HeartbeatRecord)
             self._view.note_heartbeat(heartbeat, now)
 
+    def _follow_predecessor(self) -> None:
+        """Tell the owner here when its predecessor is known to have ended."""
+        former, owner = self._predecessor, self._owner
+        if owner is not None and (former is None or self._view.has_ended(former)):
+            owner.note_predecessor_ended()
+
     def _note_owner(self, owner: OwnerRecord, revision: int) -> None:
         if not self._view.note_owner(owner, revision, time.monotonic()):
             return
@@ -467,14 +510,7 @@
 
     def _join(self) -> None:
         """Write the row by which peers find this instance."""
-        record = MemberRecord(
-            name=self.name,
-            boot=self.boot,
-            address=self.address,
-            zone=self.zone,
-            strength=self._strength,
-        )
-        row = Write(CONTROL_TABLE, MEMBER_PREFIX + self.name, encode(record))
+        row = self._make_member_row()
         while not self.stopped.is_set():
             try:
                 self._store.transact([row])
@@ -483,6 +519,16 @@
                 self._report("join-failed", **describe_failure(error))
                 gevent.sleep(STORE_PAUSE_SECONDS)
 
+    def _make_member_row(self) -> Write:
+        record = MemberRecord(
+            name=self.name,
+            boot=self.process,
+            address=self.address,
+            zone=self.zone,
+            strength=self._strength,
+        )
+        return Write(CONTROL_TABLE, MEMBER_PREFIX + self.name, encode(record))
+
     def _follow_configuration(self) -> None:
         revision: int | None = None
         while not self.stopped.is_set():
@@ -522,10 +568,11 @@
             name=self.name,
             boot=self.boot,
             address=self.address,
+            process=self.process,
         )
         write = Write(CONTROL_TABLE, OWNER_KEY, encode(owner), self._view.owner_revision)
         try:
-            result = self._store.transact([write])
+            result = self._store.transact([write, self._make_member_row()])
         except LavenderhookError as error:
             # The next reading of the control table tells whether it was carried out.
             self._report("claim-unanswered", fencing=owner.fencing, **describe_failure(error))
@@ -544,7 +591,9 @@
             refusals=self._view.refusals,
         )
         self._note_owner(owner, result)
+        self._predecessor = former
         self._own(owner, result)
+        self._follow_predecessor()
 
     def _own(self, owner: OwnerRecord, revision: int) -> None:
         self._owner = Owner(
@@ -570,7 +619,7 @@
     def _watch_owner(self) -> None:
         """Ping the owner: refused connections show at once that its process has ended."""
         while not self.stopped.is_set():
-            gevent.sleep(PING_SECONDS)
+            gevent.sleep(REPEATED_PING_SECONDS if self._view.refusals else PING_SECONDS)
             owner = self._view.owner
             address = self._find_owner_address()
             if owner is None or address is None or self._view.rank >= WATCHERS:
@@ -594,7 +643,7 @@
         while not self.stopped.is_set():
             gevent.sleep(HEARTBEAT_SECONDS)
             if self._owner is not None:
-                self._write_heartbeat(has_resigned=False)
+                self._write_heartbeat(self._owner.fencing, has_resigned=False)
             elif self._view.is_owner() and not self.is_leaving:
                 # The claim's answer was lost, or its loops have ended: take a new token.
                 self._reclaim()
@@ -602,13 +651,10 @@
     def _reclaim(self) -> None:
         self._view.boot = self.boot = secrets.token_hex(6)
 
-    def _write_heartbeat(self, *, has_resigned: bool) -> None:
-        owner = self._owner
-        if owner is None:
-            return
+    def _write_heartbeat(self, fencing: FencingToken, *, has_resigned: bool) -> None:
         self._heartbeat_count += 1
         record = HeartbeatRecord(
-            fencing=owner.fencing, count=self._heartbeat_count, has_resigned=has_resigned
+            fencing=fencing, count=self._heartbeat_count, has_resigned=has_resigned
         )
         # Not under the condition that the owner row is unchanged: that would tie it to the part of
         # the progress, whose transactions may have to wait. Others go by the token in it.
@@ -617,7 +663,7 @@
                 [Write(CONTROL_TABLE, HEARTBEAT_KEY, encode(record), part=HEARTBEAT_PART)]
             )
         except LavenderhookError as error:
-            self._report("heartbeat-failed", fencing=owner.fencing, **describe_failure(error))
+            self._report("heartbeat-failed", fencing=fencing, **describe_failure(error))
 
     # Peers.
 
@@ -711,9 +757,11 @@
         self.is_leaving = True
         ends_at = time.monotonic() + seconds
         self._report("stopping", seconds=seconds, is_owner=self._owner is not None)
-        if self._owner is not None:
-            self._write_heartbeat(has_resigned=True)
+        owner = self._owner
+        if owner is not None:
+            # Nothing more may be started here once the store says that this owner has resigned.
             self._step_down("the instance is stopping")
+            self._write_heartbeat(owner.fencing, has_resigned=True)
         try:
             self._store.transact([], [], [Removal(CONTROL_TABLE, MEMBER_PREFIX + self.name)])
         except LavenderhookError as error:
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -30,6 +30,7 @@
     Event,
     HoldUnanswered,
     OutcomeSeen,
+    PredecessorEnded,
     ProgressStored,
     ReportArrived,
     RosterStored,
@@ -74,6 +75,7 @@
 HOLD_WAIT_SECONDS = 1.0  # a hold is answered at once when a run ends
 HOLD_TIMEOUT_SECONDS = 0.7  # beyond the wait: link delay and a busy worker
 HOLD_PAUSE_SECONDS = 0.3  # after a hold without an answer
+FIRST_HOLD_PAUSE_SECONDS = 0.1  # until a worker is reached, work of earlier owners waits for it
 STORED_WAIT_SECONDS = 0.3  # for ends to be stored, which the worker would list again at once
 TICK_SECONDS = 0.1
 GATHER_SECONDS = 0.004  # events of one moment share a placement pass
@@ -142,6 +144,7 @@
         self._submissions: list[tuple[Submission, int]] = []
         self._outcomes: dict[SubmissionId, Outcome] = {}
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time, in the order of the ends
+        self._has_predecessor_ended = False
         self._roster_revision = 0
         self._wanted_roster = Roster()
         self._is_roster_due = gevent.event.Event()
@@ -160,6 +163,11 @@
         others = [g for g in (*self._greenlets, *self._holders.values()) if g is not current]
         gevent.killall(others, block=False)
 
+    def note_predecessor_ended(self) -> None:
+        """Take note that the predecessor gives no more orders."""
+        self._has_predecessor_ended = True
+        self.emit(PredecessorEnded(now=_now()))
+
     def take_news(self, submission: Submission) -> None:
         """Take a submission that a peer or this instance has just stored."""
         if self.cell is None:
@@ -259,6 +267,8 @@
         self._outcomes.clear()
         self._early_news.clear()
         self._emit_workers()
+        if self._has_predecessor_ended:
+            self.note_predecessor_ended()
         self.is_loaded = True
 
     def _offer_submission(
@@ -432,7 +442,7 @@
                         is_other_boot=result.is_other_worker and worker.listing.born == born,
                     )
                 )
-                gevent.sleep(HOLD_PAUSE_SECONDS)
+                gevent.sleep(HOLD_PAUSE_SECONDS if worker.is_reached else FIRST_HOLD_PAUSE_SECONDS)
                 continue
             self._clocks[worker_id] = result.clock
             self.emit(ReportArrived(now=now, worker=worker_id, sent_at=sent_at, report=result))
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -23,6 +23,9 @@
 REFUSALS_FOR_TAKEOVER = 2  # refused connections in a row that show an owner's process has ended
 CLAIM_STAGGER_SECONDS = 0.15  # between instances, so that they rarely claim at the same time
 MOST_STAGGERED = 12  # instances; the others wait as long as the last of these
+# A weak instance that claims while the strong ones are still starting has to be replaced soon.
+WEAK_STRENGTH = 0.5  # half a core and a link that carries the ownership
+WEAK_SECONDS = 1.0
 MEETING_SECONDS = 0.4  # for the first instances to write their rows, before the first claim
 # An owner of 176 workers receives and sends about 5 Mbit/s, and 20 Mbit/s while it loads.
 OWNER_LINK_MBPS = 50.0
@@ -62,6 +65,8 @@
         Pings to the owner in a row that were refused or not answered.
     contact_since : float or None
         Since when the store has answered without a failure; None while it doesn't.
+    members : dict
+        Rows of all instances by name.
     """
 
     name: str
@@ -74,6 +79,8 @@
     refusals: int = 0
     timeouts: int = 0
     rank: int = 0
+    strength: float = 1.0
+    members: dict[str, MemberRecord] = dataclasses.field(default_factory=dict)
 
     def note_owner(self, owner: OwnerRecord, revision: int, now: float) -> bool:
         """Take over an owner row; return whether it is newer than the known one."""
@@ -110,6 +117,22 @@
         """Return whether this process is the owner, as far as it knows."""
         return self.owner is not None and self.owner.boot == self.boot
 
+    def has_ended(self, owner: OwnerRecord) -> bool:
+        """Return whether an owner is sure to give no more orders.
+
+        It has resigned, or another process runs at its name and address. An owner's member row is
+        written together with its claim, so that the row is never older than the claim. Refused
+        connections are no proof, since a cut may refuse them as well.
+        """
+        member = self.members.get(owner.name)
+        is_same_place = member is not None and member.address == owner.address
+        if is_same_place and member is not None and member.boot != owner.process:
+            return True
+        heartbeat = self.heartbeat
+        return (
+            heartbeat is not None and heartbeat.has_resigned and heartbeat.fencing == owner.fencing
+        )
+
     def next_fencing(self) -> FencingToken:
         """Return the token of the next owner."""
         return FencingToken(1 if self.owner is None else self.owner.fencing + 1)
@@ -123,17 +146,13 @@
         if self.contact_since is None or self.is_owner():
             return False
         stagger = self.rank * CLAIM_STAGGER_SECONDS
+        if self.strength < WEAK_STRENGTH:
+            stagger += WEAK_SECONDS
         if self.owner is None:
             return now - self.contact_since > MEETING_SECONDS + stagger
         if self.owner.name == self.name:
             return True
-        heartbeat = self.heartbeat
-        has_resigned = (
-            heartbeat is not None
-            and heartbeat.has_resigned
-            and heartbeat.fencing == self.owner.fencing
-        )
-        if has_resigned or self.refusals >= REFUSALS_FOR_TAKEOVER:
+        if self.has_ended(self.owner) or self.refusals >= REFUSALS_FOR_TAKEOVER:
             return now - self.heartbeat_seen_at > stagger
         silent_since = max(self.heartbeat_seen_at, self.contact_since)
         is_confirmed = self.timeouts >= TIMEOUTS_FOR_TAKEOVER
--- a/src/lavenderhook/_internal/instance/watching.py
+++ b/src/lavenderhook/_internal/instance/watching.py
@@ -10,6 +10,7 @@
 from ..ports.queueing import HistoryLostError, RowChanges, RowStore, StoredRow
 
 Report = Callable[..., None]  # takes (what, fields) for the log
+READ_SECONDS = 2.2  # a page of 1 MB over a link of 5 Mbit/s takes 1.6 s
 READERS = 16  # parts that are read at the same time
 
 
@@ -24,6 +25,8 @@
         Takes each row that is newer than the one applied before.
     parts : sequence of str
         Parts of the table that are read.
+    read_seconds : float, optional
+        Time limit of a reading of one part.
     """
 
     def __init__(
@@ -32,7 +35,9 @@
         table: str,
         apply: Callable[[StoredRow], None],
         parts: Sequence[str] = ("",),
+        read_seconds: float = READ_SECONDS,
     ) -> None:
+        self._read_seconds = read_seconds
         self._store = store
         self._table = table
         self._apply = apply
@@ -62,7 +67,7 @@
 
     def _read_part(self, part: str) -> RowChanges | LavenderhookError:
         try:
-            return self._store.read(self._table, part=part)
+            return self._store.read(self._table, part=part, timeout_seconds=self._read_seconds)
         except LavenderhookError as error:
             return error  # raised by the caller, since a pool prints what its greenlets raise
 
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -24,6 +24,10 @@
 )
 from ..queueing.routes import QueueRoutes
 
+# Calls wait for the store without any answer for this long: it is away. 90 times as slow as usual,
+# it still answers in 0.9 s.
+STORE_OUTAGE_SECONDS = 1.1
+
 
 class StoredRow(msgspec.Struct, frozen=True, kw_only=True):
     """A row; `revision` is the store's counter at its last change."""
@@ -115,7 +119,18 @@
         """Return for how long calls have waited without any answer of the store, in seconds."""
 
     @abc.abstractmethod
-    def read(self, table: str, start: str = "", end: str = "", part: str = "") -> RowChanges:
+    def has_answered_since(self, moment: float) -> bool:
+        """Return whether any call was answered after a moment (monotonic time in seconds)."""
+
+    @abc.abstractmethod
+    def read(
+        self,
+        table: str,
+        start: str = "",
+        end: str = "",
+        part: str = "",
+        timeout_seconds: float = ...,
+    ) -> RowChanges:
         """Return a part's rows with ``start <= key < end`` (all pages) and the revision."""
 
     @abc.abstractmethod
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -31,6 +31,7 @@
     Event,
     HoldUnanswered,
     OutcomeSeen,
+    PredecessorEnded,
     ProgressStored,
     ReportArrived,
     RosterStored,
@@ -445,6 +446,12 @@
                 worker.seen = max(worker.seen, min(sequence, worker.processed))
         return []
 
+    def handle_succession(self, event: PredecessorEnded) -> list[Effect]:
+        """Place submissions that are newer than the takeover without waiting any more."""
+        self.succession_bound = min(self.succession_bound, event.now)
+        self.is_schedule_due = True
+        return []
+
     def handle_tick(self, event: Ticked) -> list[Effect]:
         """Send orders again that got no answer, and place what waits."""
         effects = self._follow_succession(event.now)
@@ -460,7 +467,7 @@
         if self.ledger.unreached and now > self.takeover_bound:
             self.ledger.unreached.clear()
             return self._update_roster()
-        if not self.is_succeeded and now > self.succession_bound:
+        if not self.is_succeeded and now >= self.succession_bound:
             self.is_succeeded = True
             return self._update_roster()
         return []
@@ -950,5 +957,6 @@
     StopAnswered: Cell.handle_stop_answer,  # type: ignore[dict-item]
     AdviceArrived: Cell.handle_advice,  # type: ignore[dict-item]
     ProgressStored: Cell.handle_stored,  # type: ignore[dict-item]
+    PredecessorEnded: Cell.handle_succession,  # type: ignore[dict-item]
     Ticked: Cell.handle_tick,  # type: ignore[dict-item]
 }
--- a/src/lavenderhook/_internal/queueing/events.py
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -113,5 +113,9 @@
     seen: dict[WorkerId, int]
 
 
+class PredecessorEnded(Event, frozen=True, kw_only=True):
+    """The former owner is sure to give no more orders."""
+
+
 class Ticked(Event, frozen=True, kw_only=True):
     """Time has passed."""
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -49,12 +49,21 @@
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Who places tasks; replaced only by another owner."""
+    """Who places tasks; replaced only by another owner.
+
+    Parameters
+    ----------
+    boot : str
+        Differs for each claim, as the answer to a claim may be lost.
+    process : str
+        The `boot` of the member row that the process writes.
+    """
 
     fencing: FencingToken
     name: str
     boot: str
     address: str
+    process: str
 
 
 class HeartbeatRecord(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lavenderhook/platform/lists.py
+++ b/src/lavenderhook/platform/lists.py
@@ -26,6 +26,8 @@
 OPERATOR_TABLE = "op"
 MANIFEST_KEY = "config"
 WORKERS_TABLE = "servers"
+# 256 KB over a link of 5 Mbit/s take 0.4 s, and a reading 90 times as slow as usual 0.4 s.
+MANIFEST_READ_SECONDS = 1.0
 
 Report = Callable[..., None]
 
@@ -88,7 +90,12 @@
 
     def read(self) -> tuple[QueueRoutes | None, int]:
         """Return the newest queues, if there are any, and the revision of the reading."""
-        changes = self._store.read(OPERATOR_TABLE, MANIFEST_KEY, MANIFEST_KEY + "\0")
+        changes = self._store.read(
+            OPERATOR_TABLE,
+            MANIFEST_KEY,
+            MANIFEST_KEY + "\0",
+            timeout_seconds=MANIFEST_READ_SECONDS,
+        )
         return self._find(changes.rows), changes.revision
 
     def follow(self, after: int, wait_seconds: float) -> tuple[QueueRoutes | None, int]:
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -8,10 +8,12 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import gevent
 import msgspec
 
 from .._internal.adapters.transport import Headers, HttpAnswer, HttpClient
 from .._internal.ports.queueing import (
+    STORE_OUTAGE_SECONDS,
     Condition,
     Conflict,
     HistoryLostError,
@@ -70,6 +72,8 @@
         self._client = HttpClient("store", size=CONNECTIONS)
         self._waiting = 0  # calls that the store should answer at once
         self._silent_since = 0.0
+        self._answered_at = 0.0
+        self._exchanges: dict[gevent.Greenlet, float] = {}  # under way, by when they began
 
     def close(self) -> None:
         """Close all connections."""
@@ -79,6 +83,10 @@
         """Return for how long calls have waited without any answer of the store, in seconds."""
         return time.monotonic() - self._silent_since if self._waiting else 0.0
 
+    def has_answered_since(self, moment: float) -> bool:
+        """Return whether any call was answered after a moment."""
+        return self._answered_at > moment
+
     def _call(
         self, method: str, target: str, body: bytes, headers: Headers, timeout: float, name: str
     ) -> HttpAnswer:
@@ -87,13 +95,54 @@
             self._silent_since = begun
         self._waiting += 1
         try:
-            answer = self._client.call(self.address, method, target, body, headers, timeout)
-            self._silent_since = time.monotonic()
-            return answer
+            return self._exchange(method, target, body, headers, timeout)
         finally:
             self._waiting -= 1
             self._observe("store_seconds", time.monotonic() - begun, call=name)
 
+    def _exchange(
+        self, method: str, target: str, body: bytes, headers: Headers, timeout: float
+    ) -> HttpAnswer:
+        """Carry out one exchange that an answer after an outage may end early."""
+        begun = time.monotonic()
+        exchange = gevent.spawn(self._try, method, target, body, headers, timeout)
+        self._exchanges[exchange] = begun
+        try:
+            exchange.join()
+        finally:
+            del self._exchanges[exchange]
+            exchange.kill(block=False)
+        result = exchange.value
+        if isinstance(result, HttpAnswer):
+            self._note_answer(begun)
+            return result
+        if isinstance(result, TransportError):
+            raise result
+        raise TransportError("the store was away and answers later calls only", sent=True)
+
+    def _try(
+        self, method: str, target: str, body: bytes, headers: Headers, timeout: float
+    ) -> HttpAnswer | TransportError:
+        # Returned and not raised, as a greenlet reports what it raises as unexpected.
+        try:
+            return self._client.call(self.address, method, target, body, headers, timeout)
+        except TransportError as error:
+            return error
+
+    def _note_answer(self, begun: float) -> None:
+        """End the calls that were lost in an outage when a later one is answered.
+
+        Answers a store that was silent: what was sent to it meanwhile is never answered, and
+        callers would wait for the time-out of their calls although it is back.
+        """
+        now = time.monotonic()
+        was_away = self._waiting > 0 and now - self._silent_since > STORE_OUTAGE_SECONDS
+        self._silent_since = self._answered_at = now
+        if was_away:
+            for exchange, since in list(self._exchanges.items()):
+                if since < begun:
+                    exchange.kill(block=False)
+
     def transact(
         self,
         writes: Sequence[Write],
@@ -132,7 +181,14 @@
         _check(answer, "transaction")
         return _decode(answer).schema_version
 
-    def read(self, table: str, start: str = "", end: str = "", part: str = "") -> RowChanges:
+    def read(
+        self,
+        table: str,
+        start: str = "",
+        end: str = "",
+        part: str = "",
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> RowChanges:
         """Return rows in key order; all pages."""
         rows: list[StoredRow] = []
         revision: int | None = None
@@ -142,7 +198,7 @@
                 query["from"] = start
             if end:
                 query["to"] = end
-            page = self._get(READ_PATH, query, CALL_TIMEOUT_SECONDS)
+            page = self._get(READ_PATH, query, timeout_seconds)
             rows.extend(map(_convert, page.rows))
             if revision is None:
                 revision = page.schema_version
@@ -161,8 +217,7 @@
         try:
             if path == FOLLOW_PATH:
                 # It waits for a change, so that its silence means nothing.
-                answer = self._client.call(self.address, "GET", target, timeout=timeout)
-                self._silent_since = time.monotonic()
+                answer = self._exchange("GET", target, b"", (), timeout)
             else:
                 answer = self._call("GET", target, b"", (), timeout, "read")
         except TransportError as error:
