--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -81,7 +81,7 @@
 KEEP_ACCEPTED = 5_000  # ids of submissions that this instance has stored
 # Of the control table, which is small: 90 times as slow as usual, the store answers in 0.4 s.
 CONTROL_READ_SECONDS = 0.8
-REPEATED_PING_SECONDS = 0.1  # after a refused ping: a second one confirms it
+REPEATED_PING_SECONDS = 0.1  # after a ping that was refused or timed out: a second confirms it
 PROBE_SECONDS = 0.25  # between checks whether a silent store is back
 PROBED_SILENCE_SECONDS = 0.6  # above the 0.4 s that a reading takes 90 times as slow as usual
 PROBE_TIMEOUT_SECONDS = 0.6
@@ -619,7 +619,8 @@
     def _watch_owner(self) -> None:
         """Ping the owner: refused connections show at once that its process has ended."""
         while not self.stopped.is_set():
-            gevent.sleep(REPEATED_PING_SECONDS if self._view.refusals else PING_SECONDS)
+            has_failed = self._view.refusals or self._view.timeouts
+            gevent.sleep(REPEATED_PING_SECONDS if has_failed else PING_SECONDS)
             owner = self._view.owner
             address = self._find_owner_address()
             if owner is None or address is None or self._view.rank >= WATCHERS:
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -16,8 +16,9 @@
 HEARTBEAT_SECONDS = 0.7
 # Three heartbeats; a lease must outlast it together with the loading of the state.
 SILENCE_SECONDS = 2.2
-# With pings that time out as well, which a slow store doesn't cause: two heartbeats.
-CONFIRMED_SILENCE_SECONDS = 1.4
+# With pings that time out as well, which a slow store doesn't cause: a heartbeat and the time in
+# which two pings are given up.
+CONFIRMED_SILENCE_SECONDS = 1.1
 TIMEOUTS_FOR_TAKEOVER = 2
 WATCHERS = 5  # the strongest instances ping the owner; more would only load it
 REFUSALS_FOR_TAKEOVER = 2  # refused connections in a row that show an owner's process has ended
--- a/src/lavenderhook/_internal/queueing/refusal.py
+++ b/src/lavenderhook/_internal/queueing/refusal.py
@@ -5,7 +5,8 @@
 import math
 
 SHORTEST_SECONDS = 1.0
-LONGEST_SECONDS = 4.0  # callers try a few times: longer pauses would pass a short outage's end
+# Four tries outlast an outage of eight seconds, and none waits long beyond a shorter one's end.
+LONGEST_SECONDS = 2.0
 GROWTH = 0.5  # of the time that the outage has lasted
 SPREAD_SECONDS = 1.5  # over which callers that are refused together come back
 
--- a/src/lavenderhook/platform/workers.py
+++ b/src/lavenderhook/platform/workers.py
@@ -32,6 +32,8 @@
 ADVISE_PATH = "/lavenderhook/advise"
 ORDER_TIMEOUT_SECONDS = 0.6  # links take up to 20 ms there and back
 HOLD_SLACK_SECONDS = 0.6  # beyond the time for which the worker waits
+# Of a hold that is to be answered at once; a new owner's work waits for the last of these.
+BRIEF_HOLD_SECONDS = 0.35
 CONNECTIONS_PER_WORKER = 6
 ADVICE_CONNECTIONS = 32  # the service lets as many calls of one machine wait
 EXPECTED_WORKER = "X-Expected-Instance"  # names the boot of the worker that the call is for
@@ -166,7 +168,8 @@
         if wait_seconds:
             body["waitMs"] = int(wait_seconds * 1000)
         try:
-            answer = self._call(address, worker, HOLD_PATH, body, wait_seconds + HOLD_SLACK_SECONDS)
+            timeout = wait_seconds + HOLD_SLACK_SECONDS if wait_seconds else BRIEF_HOLD_SECONDS
+            answer = self._call(address, worker, HOLD_PATH, body, timeout)
         except TransportError:
             return HoldRefusal()
         if answer.status != 200:
