Keep room for a waiting gang where it will be free first

Cause: gangs waited up to 30 s under load, since whole workers were kept for them even where one task there went on for long, and since advice was asked for a few workers at a time. A plan by the estimated ends of the running tasks names the workers and the time; room is kept there only, and one call asks for enough workers.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -123,6 +123,18 @@
     Then "wide" has begun
     And no rule was broken
 
+  Scenario: A gang begins beside tasks that go on for long
+    Guards against room kept on workers that will not be empty for a long time, while a stream of
+    narrow tasks takes what becomes free elsewhere.
+    Given 8 workers and an owner
+    When a submission "long" of 8 tasks on 9000 thousandths for 60 seconds arrives
+    And 1 seconds pass for the queues
+    And a stream of narrow tasks of priority 2 keeps the workers full for 20 seconds
+    And a gang "wide" of 8 tasks on 6000 thousandths of priority 1 arrives after 4 seconds
+    And 6 seconds pass for the queues
+    Then "wide" has begun
+    And no rule was broken
+
   Scenario: A backlog after an outage is worked off from its useful end
     Guards against seconds spent on work that is too late for its caller while work that is only
     late, or not late yet, becomes too late as well. The worker could do 30 in the 6 seconds that
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -62,12 +62,13 @@
     BestFit,
     PlacementPolicy,
     choose_gang_workers,
-    choose_reservation,
     choose_worker,
     count_fitting,
+    count_in_empty,
     is_eligible,
 )
 from .records import Roster
+from .reservations import GangPlan, plan_gang, reserve
 from .roster import RosterLedger
 from .submissions import TICKET_MARGIN_SECONDS, StepProgress, SubmissionProgress, Ticket
 from .workers import (
@@ -88,7 +89,11 @@
 LEAST_ALLOWED_SHARE = 0.1  # bounds the number named after answers that allowed none
 SHARE_WEIGHT = 0.2  # of the newest answer in the share that is learnt
 GANG_SPREAD = 1.5  # workers named for each member of a gang, beyond the share that is allowed
-MOST_RESERVED_SHARE = 0.5  # of the open workers that may be kept free for gangs at one time
+MOST_RESERVED_SHARE = 0.5  # of the open workers' processors that may be kept for gangs at a time
+KNOWN_ROOM = 2.0  # gangs that the workers known as allowed hold if empty, before asking for more
+TICKET_LEAD_SECONDS = 1.2  # before a gang's turn by which its tickets are renewed: a heavy call
+# Estimates of lengths are off by half; a task that uses room kept for a gang has to end in time.
+BACKFILL_MARGIN = 1.5
 ADVICE_PAUSE_SECONDS = 0.3  # before asking again for a step that found no worker with room
 # Until a former owner that still runs has met a worker that refuses its token: a hold waits a
 # second and is given up after 1.7 s. Peers may still tell it of new submissions meanwhile.
@@ -660,6 +665,7 @@
             has_unknown_size=step is None,
             state=RunState.RUNNING,
             ordered_at=now,
+            expected_end=now + (step.spec.estimate_seconds if step is not None else 0.0),
             acknowledged_at=now,
             checkpoint=item.checkpoint,
         )
@@ -764,27 +770,35 @@
                     candidates.append((self.order.rank(entry, step, now), entry, step))
         candidates.sort(key=lambda candidate: candidate[0])
         open_workers = [worker for worker in self.workers.values() if worker.is_open(now)]
-        most_reserved = len(open_workers) * MOST_RESERVED_SHARE
-        reserved: set[WorkerId] = set()
+        left_to_reserve = MOST_RESERVED_SHARE * sum(
+            worker.listing.capacity.processors for worker in open_workers
+        )
         effects: list[Effect] = []
         for _, entry, step in candidates:
-            usable = open_workers
-            if reserved:
-                usable = [worker for worker in open_workers if worker.id not in reserved]
-            effects += self._place_step(entry, step, usable, now)
-            if step.spec.is_gang and step.waiting and len(reserved) < most_reserved:
-                reserved.update(worker.id for worker in self._reserve(entry, step, usable))
+            effects += self._place_step(entry, step, open_workers, now)
+            if step.spec.is_gang and step.waiting and left_to_reserve > 0:
+                plan = step.plan = self._plan(entry, step, open_workers, now)
+                if plan is not None:
+                    left_to_reserve -= reserve(plan, step.spec, open_workers)
+        for worker in open_workers:
+            worker.clear_reservation()
         return effects
 
-    def _reserve(
-        self, entry: SubmissionProgress, step: StepProgress, workers: Sequence[Worker]
-    ) -> list[Worker]:
-        """Return the workers that are kept free for a gang in this pass."""
+    def _plan(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        workers: Sequence[Worker],
+        now: float,
+    ) -> GangPlan | None:
+        """Return where room is kept for a gang in this pass."""
+        if step.plan is not None and step.plan.is_current(now):
+            return step.plan
         service = entry.submission.queue.service
         eligible = [worker for worker in workers if is_eligible(step, service, worker)]
         if entry.submission.queue.advice is not None:
             eligible = [worker for worker in eligible if worker.id in step.allowed]
-        return choose_reservation(step.spec, eligible)
+        return plan_gang(step.spec, eligible, now)
 
     def _place_step(
         self,
@@ -819,12 +833,13 @@
         now: float,
     ) -> list[Effect]:
         effects: list[Effect] = []
+        ends_at = now + BACKFILL_MARGIN * step.spec.estimate_seconds
         for index in list(step.waiting):
             candidates = usable
             if index in step.avoided:
                 sound = [w for w in usable if not step.is_avoided(index, w.id)]
                 candidates = sound or usable
-            worker = choose_worker(self.policy, step, candidates)
+            worker = choose_worker(self.policy, step, candidates, ends_at)
             if worker is None:
                 if candidates is not usable:
                     continue  # the room elsewhere is tried again in the next pass
@@ -873,7 +888,8 @@
             checkpoint=step.get_checkpoint(index),
             ticket=ticket.id if ticket is not None else TicketId(""),
         )
-        run = make_run(order, step.spec.resources, step.spec.is_filler, now)
+        ends_at = now + step.spec.estimate_seconds
+        run = make_run(order, step.spec.resources, step.spec.is_filler, now, ends_at)
         worker.add_run(run)
         step.add_run(run)
         return [
@@ -916,16 +932,16 @@
         terms = entry.submission.queue.advice
         if terms is None:
             return []
+        eligible = list(eligible)
         fitting = [w for w in eligible if count_fitting(step.spec, w) > 0]
-        if step.spec.is_gang and choose_gang_workers(step.spec, fitting) is None:
-            return []
-        fitting.sort(key=Worker.free_processors, reverse=True)
-        expired = [
-            w for w in fitting if w.id in step.allowed and step.allowed[w.id].expires_at <= now
-        ]
-        unasked = [w for w in fitting if w.id not in step.allowed]
-        most = self._count_advised(entry, step)
-        named = (expired[:most] + unasked)[:most]
+        if step.spec.is_gang:
+            named = self._name_for_gang(entry, step, eligible, fitting, now)
+        else:
+            named = [w for w in fitting if w.id not in step.allowed]
+            named.sort(key=Worker.free_processors, reverse=True)
+            expired = [w for w in fitting if has_expired(step, w, now)]
+            most = self._count_advised(entry, step)
+            named = (expired[:most] + named)[:most]
         if not named:
             return []
         step.is_asking = True
@@ -938,6 +954,42 @@
             )
         ]
 
+    def _name_for_gang(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        eligible: Sequence[Worker],
+        fitting: Sequence[Worker],
+        now: float,
+    ) -> list[Worker]:
+        """Return the workers to name in a call for a gang.
+
+        Answers heavy calls that each take up to a second: enough workers for the gang are found
+        by one call, whether they have room now or not, and tickets are renewed shortly before
+        the gang's turn instead of after it has come.
+        """
+        spec, plan = step.spec, step.plan
+        named: list[Worker] = []
+        unasked = [w for w in eligible if w.id not in step.allowed]
+        unasked.sort(key=Worker.free_processors, reverse=True)
+        if choose_gang_workers(spec, fitting) is not None:
+            named += [w for w in fitting if has_expired(step, w, now)]
+            named += [w for w in unasked if count_fitting(spec, w) > 0]
+        elif plan is not None and plan.ready_at - now < TICKET_LEAD_SECONDS:
+            lead = now + TICKET_LEAD_SECONDS
+            named += [w for w in eligible if w.id in plan.members and has_expired(step, w, lead)]
+        known = sum(count_in_empty(spec, w) for w in eligible if w.id in step.allowed)
+        if known < KNOWN_ROOM * spec.count:
+            chosen = set(map(id, named))
+            named += [w for w in unasked if id(w) not in chosen]
+        return named[: self._count_advised(entry, step)]
+
+
+def has_expired(step: StepProgress, worker: Worker, now: float) -> bool:
+    """Return whether a worker is allowed and its ticket doesn't hold any more."""
+    ticket = step.allowed.get(worker.id)
+    return ticket is not None and ticket.expires_at <= now
+
 
 def _log_worker(decision: str, worker: Worker, **fields: object) -> LogDecision:
     return LogDecision(
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -59,15 +59,15 @@
 
 
 def choose_worker(
-    policy: PlacementPolicy, step: StepProgress, candidates: Iterable[Worker]
+    policy: PlacementPolicy, step: StepProgress, candidates: Iterable[Worker], ends_at: float
 ) -> Worker | None:
-    """Return the worker for one task of the step, or None if none has room."""
+    """Return the worker for one task of the step that ends at a time; None if none has room."""
     spec = step.spec
     most = spec.placement.most_per_worker
     best: Worker | None = None
     best_rank = 0.0
     for worker in candidates:
-        if not worker.has_room(spec.resources, spec.is_filler):
+        if not worker.has_room(spec.resources, spec.is_filler, ends_at):
             continue
         if most and count_on_worker(step, worker) >= most:
             continue
@@ -103,43 +103,18 @@
     return None
 
 
-def choose_reservation(spec: StepSpec, candidates: Sequence[Worker]) -> list[Worker]:
-    """Return the workers to keep free for a gang that doesn't fit now.
-
-    Answers a stream of narrow tasks that takes each piece of room as it becomes free, so that a
-    wide gang never finds enough at one time. Those with the most room now are kept, as many as
-    hold the gang once they are empty; none if even all of them wouldn't hold it.
-    """
-    chosen: list[Worker] = []
-    held = 0
-    for worker in sorted(candidates, key=Worker.free_processors, reverse=True):
-        holds = count_in_empty(spec, worker)
-        if holds == 0:
-            continue
-        chosen.append(worker)
-        held += holds
-        if held >= spec.count:
-            return chosen
-    return []
-
-
 def count_in_empty(spec: StepSpec, worker: Worker) -> int:
     """Return how many tasks of a step an empty worker holds."""
-    return _count_in(spec, worker.listing.capacity)
+    return count_in(spec, worker.listing.capacity)
 
 
 def count_fitting(spec: StepSpec, worker: Worker) -> int:
     """Return how many tasks of a step fit on a worker beside what it holds."""
-    capacity = worker.listing.capacity
-    left = Resources(
-        capacity.processors - worker.used_processors,
-        capacity.memory_mb - worker.used_memory_mb,
-        capacity.accelerators - worker.used_accelerators,
-    )
-    return _count_in(spec, left)
+    return count_in(spec, worker.find_room())
 
 
-def _count_in(spec: StepSpec, left: Resources) -> int:
+def count_in(spec: StepSpec, left: Resources) -> int:
+    """Return how many tasks of a step fit into some room on one worker."""
     needs = spec.resources
     room = [spec.count]
     if needs.processors and not spec.is_filler:
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/reservations.py
@@ -0,0 +1,102 @@
+"""Room that is kept for gangs that don't fit now."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+from collections.abc import Iterable, Sequence
+
+from ..core.identifiers import WorkerId
+from .model import Resources, StepSpec
+from .placement import count_in, find_rack
+from .workers import Worker
+
+PLAN_SECONDS = 0.2  # for which a plan is used again: in it, few of the running tasks end
+OVERDUE_SECONDS = 0.5  # by which a run that has lasted longer than its estimate may go on
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GangPlan:
+    """Where a gang is to run, and when there will be room for it.
+
+    Attributes
+    ----------
+    members : dict
+        How many members each worker gets.
+    """
+
+    made_at: float
+    ready_at: float
+    members: dict[WorkerId, int]
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the plan is still used."""
+        return now - self.made_at < PLAN_SECONDS
+
+
+def plan_gang(spec: StepSpec, workers: Sequence[Worker], now: float) -> GangPlan | None:
+    """Return the plan by which a gang can begin first; None if the workers never hold it.
+
+    Answers a stream of narrow tasks that takes each piece of room as it becomes free, beside
+    tasks that go on for long: room is kept where it will be free first, by the estimated ends
+    of what runs, and not by emptying whole workers.
+    """
+    if not spec.placement.single_rack:
+        return _plan(spec, workers, now)
+    racks: dict[str, list[Worker]] = {}
+    for worker in workers:
+        racks.setdefault(find_rack(worker), []).append(worker)
+    plans = [plan for members in racks.values() if (plan := _plan(spec, members, now))]
+    return min(plans, key=lambda plan: plan.ready_at, default=None)
+
+
+def _plan(spec: StepSpec, workers: Sequence[Worker], now: float) -> GangPlan | None:
+    left = [worker.find_room() for worker in workers]
+    fits = [count_in(spec, room) for room in left]
+    total = sum(fits)
+    ends = [
+        (max(run.expected_end, now + OVERDUE_SECONDS), index, number, run.resources)
+        for index, worker in enumerate(workers)
+        for number, run in enumerate(worker.runs.values())
+        if not run.is_filler
+    ]
+    heapq.heapify(ends)
+    ready_at = now
+    while total < spec.count:
+        if not ends:
+            return None
+        ready_at, index, _, freed = heapq.heappop(ends)
+        left[index] = _add(left[index], freed)
+        fit = count_in(spec, left[index])
+        total += fit - fits[index]
+        fits[index] = fit
+    return GangPlan(now, ready_at, _share_out(spec.count, workers, fits))
+
+
+def _share_out(count: int, workers: Sequence[Worker], fits: Sequence[int]) -> dict[WorkerId, int]:
+    members: dict[WorkerId, int] = {}
+    for fit, worker in sorted(zip(fits, workers, strict=True), key=lambda pair: -pair[0]):
+        taken = min(fit, count)
+        if taken > 0:
+            members[worker.id] = taken
+            count -= taken
+    return members
+
+
+def _add(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        one.processors + other.processors,
+        one.memory_mb + other.memory_mb,
+        one.accelerators + other.accelerators,
+    )
+
+
+def reserve(plan: GangPlan, spec: StepSpec, workers: Iterable[Worker]) -> int:
+    """Keep the room of a plan free in this placement pass; return the processors kept."""
+    kept = 0
+    for worker in workers:
+        count = plan.members.get(worker.id, 0)
+        if count:
+            worker.reserve(spec.resources, count, plan.ready_at)
+            kept += spec.resources.processors * count
+    return kept
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
 from ..core.identifiers import WorkerId
 from .model import (
@@ -16,6 +17,9 @@
 from .records import Progress
 from .workers import Run
 
+if TYPE_CHECKING:
+    from .reservations import GangPlan
+
 GANG_INDEX = -1  # key under which the failures of a gang are counted
 TICKET_MARGIN_SECONDS = 0.15  # a ticket is not used this close to its end
 
@@ -37,6 +41,8 @@
         Indices of tasks that have no run.
     allowed : dict
         Tickets by worker; an expired one still says that the worker is allowed.
+    plan : GangPlan or None
+        Where room is kept for a gang that waits.
     refused : set
         Workers that may not run the step.
     avoided : dict
@@ -55,6 +61,7 @@
         "last_number",
         "next_ask_at",
         "objective_at",
+        "plan",
         "refused",
         "runs",
         "spec",
@@ -72,6 +79,7 @@
         self.allowed: dict[WorkerId, Ticket] = {}
         self.refused: set[WorkerId] = set()
         self.avoided: dict[int, set[WorkerId]] = {}
+        self.plan: GangPlan | None = None
         self.is_asking = False
         self.next_ask_at = 0.0
         self.due_at = 0.0
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -55,6 +55,7 @@
     is_filler: bool
     state: RunState
     ordered_at: float
+    expected_end: float = 0.0  # by the step's estimate
     acknowledged_at: float | None = None
     next_try_at: float = 0.0
     tries: int = 0
@@ -95,6 +96,10 @@
         self.used_processors = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
+        # Kept for gangs, in one placement pass; a task that ends before `reserved_until` may
+        # use it.
+        self.reserved = Resources()
+        self.reserved_until = 0.0
 
     @property
     def id(self) -> WorkerId:
@@ -134,15 +139,42 @@
             and now - self.last_answer < SILENCE_SECONDS
         )
 
-    def has_room(self, resources: Resources, is_filler: bool) -> bool:
-        """Return whether a task fits beside everything that may be here."""
+    def find_room(self) -> Resources:
+        """Return what is left beside everything that may be here and what is kept for gangs."""
+        capacity, kept = self.listing.capacity, self.reserved
+        return Resources(
+            capacity.processors - self.used_processors - kept.processors,
+            capacity.memory_mb - self.used_memory_mb - kept.memory_mb,
+            capacity.accelerators - self.used_accelerators - kept.accelerators,
+        )
+
+    def has_room(self, resources: Resources, is_filler: bool, ends_at: float) -> bool:
+        """Return whether a task that is expected to end at a time fits here."""
         capacity = self.listing.capacity
+        kept = Resources() if ends_at <= self.reserved_until else self.reserved
+        processors = self.used_processors + kept.processors + resources.processors
         return (
-            (is_filler or self.used_processors + resources.processors <= capacity.processors)
-            and self.used_memory_mb + resources.memory_mb <= capacity.memory_mb
-            and self.used_accelerators + resources.accelerators <= capacity.accelerators
+            (is_filler or processors <= capacity.processors)
+            and self.used_memory_mb + kept.memory_mb + resources.memory_mb <= capacity.memory_mb
+            and self.used_accelerators + kept.accelerators + resources.accelerators
+            <= capacity.accelerators
         )
 
+    def reserve(self, resources: Resources, count: int, until: float) -> None:
+        """Keep room for some tasks that will start at a time."""
+        kept = self.reserved
+        self.reserved_until = until if not kept.processors else min(self.reserved_until, until)
+        self.reserved = Resources(
+            kept.processors + count * resources.processors,
+            kept.memory_mb + count * resources.memory_mb,
+            kept.accelerators + count * resources.accelerators,
+        )
+
+    def clear_reservation(self) -> None:
+        """Keep no room any more."""
+        self.reserved = Resources()
+        self.reserved_until = 0.0
+
     def free_processors(self) -> int:
         """Return the thousandths of a processor that are not taken."""
         return self.listing.capacity.processors - self.used_processors
@@ -166,7 +198,9 @@
         self.used_accelerators += sign * run.resources.accelerators
 
 
-def make_run(order: StartOrder, resources: Resources, is_filler: bool, now: float) -> Run:
+def make_run(
+    order: StartOrder, resources: Resources, is_filler: bool, now: float, expected_end: float
+) -> Run:
     """Return the run that a start order begins."""
     return Run(
         task=order.task,
@@ -176,6 +210,7 @@
         is_filler=is_filler,
         state=RunState.STARTING,
         ordered_at=now,
+        expected_end=expected_end,
         checkpoint=order.checkpoint,
         order=order,
         is_in_flight=True,
