Give each life of a worker a higher token

Cause: a worker that starts again under its id knows no token and no stops, so that a start without an answer for its former life may be carried out by the next one.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -196,3 +196,20 @@
     Examples:
       | first | last |
       | 1     | 80   |
+
+  Scenario Outline: Late orders that reach a worker's next life break no rule
+    Guards against a second run where a worker that starts again under its id takes late orders
+    for its former life.
+    When the random days <first> to <last> whose workers don't tell their lives apart are played
+    Then no day broke a rule
+    And on every day all submissions have ended
+
+    Examples:
+      | first | last |
+      | 1     | 94   |
+      | 96    | 120  |
+
+  Scenario: A late order reaches a worker's next life before the first hold does
+    Guards against the part of the above that tokens can't prevent.
+    When the random days 95 to 95 whose workers don't tell their lives apart are played
+    Then no day broke a rule
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -237,6 +237,12 @@
     context.days = {seed: play_day(seed, has_leavers=True) for seed in days}
 
 
+@when("the random days {first:d} to {last:d} whose workers don't tell their lives apart are played")
+def step_lives(context, first, last):
+    days = range(first, last + 1)
+    context.days = {seed: play_day(seed, tells_lives_apart=False) for seed in days}
+
+
 @when("the random days {first:d} to {last:d} are played")
 def step_days(context, first, last):
     context.days = {seed: play_day(seed) for seed in range(first, last + 1)}
--- a/features/support/queue_days.py
+++ b/features/support/queue_days.py
@@ -23,10 +23,11 @@
     return [make_step(generator.randint(1, 4), generator.choice([800, 2500, 6000]), 0.8)]
 
 
-def play_day(seed, has_leavers=False):
+def play_day(seed, has_leavers=False, tells_lives_apart=True):
     """Play a random day and return the world after it has settled."""
     generator = random.Random(seed)
     world = QueueWorld(seed, workers=5, lost=generator.choice([0.0, 0.05, 0.2]))
+    world.tells_lives_apart = tells_lives_apart
     world.failing = generator.choice([0.0, 0.05, 0.2])
     world.elect()
     for index in range(40):
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -370,7 +370,7 @@
         if worker is None:
             return
         result = self._calls.stop(
-            worker.listing.address, effect.worker, effect.task, effect.number, self.fencing
+            worker.listing.address, effect.worker, effect.task, effect.number, effect.token
         )
         self._report(
             "stop-answered",
@@ -383,6 +383,7 @@
             StopAnswered(
                 now=_now(),
                 worker=effect.worker,
+                token=effect.token,
                 task=effect.task,
                 number=effect.number,
                 is_done=result,
@@ -417,10 +418,11 @@
             worker = self.cell.workers[worker_id]
             born = worker.listing.born
             sent_at = _now()
+            token = self.cell.find_token(worker_id)
             result = self._calls.hold(
                 worker.listing.address,
                 worker_id,
-                self.fencing,
+                token,
                 worker.seen,
                 self._compute_lease(worker_id),
                 HOLD_WAIT_SECONDS if worker.is_reached else 0.0,
@@ -438,6 +440,7 @@
                     HoldUnanswered(
                         now=now,
                         worker=worker_id,
+                        token=token,
                         is_fenced=result.is_fenced,
                         is_other_boot=result.is_other_worker and worker.listing.born == born,
                     )
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -12,7 +12,7 @@
 
 from ..core.identifiers import WorkerId
 from ..queueing.model import (
-    FencingToken,
+    OrderToken,
     RunNumber,
     StartOrder,
     StartOutcome,
@@ -157,7 +157,7 @@
         worker: WorkerId,
         task: TaskKey,
         number: RunNumber,
-        fencing: FencingToken,
+        token: OrderToken,
     ) -> bool | None:
         """Order a stop, which also shuts out a later start of the run; False if fenced."""
 
@@ -166,7 +166,7 @@
         self,
         address: str,
         worker: WorkerId,
-        fencing: FencingToken,
+        token: OrderToken,
         seen: int,
         lease_until: float | None,
         wait_seconds: float,
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -45,6 +45,7 @@
     FencingToken,
     ListedEnd,
     ListedRun,
+    OrderToken,
     Resources,
     RunNumber,
     RunOutcome,
@@ -78,6 +79,7 @@
     Worker,
     compute_first_number,
     compute_lease_bound,
+    compute_order_token,
     make_run,
 )
 
@@ -187,6 +189,11 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
+    def find_token(self, worker_id: WorkerId) -> OrderToken:
+        """Return the token of orders to the present life of a worker."""
+        worker = self.workers.get(worker_id)
+        return compute_order_token(self.fencing, worker.lives if worker is not None else 0)
+
     def list_workers(self) -> list[Worker]:
         """Return all workers."""
         return list(self.workers.values())
@@ -326,7 +333,7 @@
         worker = self.workers.get(event.worker)
         if worker is None:
             return []
-        if event.is_fenced:
+        if event.is_fenced and event.token == self.find_token(worker.id):
             return [StepDown(worker=worker.id)]
         effects: list[Effect] = []
         was_usable = worker.is_usable()
@@ -359,7 +366,9 @@
         run = worker.runs.get((event.task, event.number)) if worker is not None else None
         if worker is None or run is None:
             return []
-        if run.state is RunState.STOPPING and event.outcome is not StartOutcome.FENCED:
+        is_for_this_life = run.order is not None and run.order.token == self.find_token(worker.id)
+        is_fenced = event.outcome is StartOutcome.FENCED and is_for_this_life
+        if run.state is RunState.STOPPING and not is_fenced:
             return []  # the stop's answer decides
         run.is_in_flight = False
         if event.outcome is StartOutcome.STARTED:
@@ -381,18 +390,24 @@
                 },
             )
         ]
-        if event.outcome is StartOutcome.FENCED:
+        if is_fenced:
             effects.append(StepDown(worker=worker.id))
         elif event.outcome is StartOutcome.UNKNOWN or (
             event.outcome is StartOutcome.NOT_SENT and run.tries > 1
         ):
+            run.has_lost_try = True
             self._repeat_later(run, event.now)
             worker.blocked_until = event.now + ORDER_RETRY_SECONDS
             if run.tries >= START_TRIES and run.state is RunState.STARTING:
                 effects += self._stop(run, event.now)
         elif event.outcome is StartOutcome.OTHER_BOOT:
             effects += self.handle_silence(
-                HoldUnanswered(now=event.now, worker=worker.id, is_other_boot=True)
+                HoldUnanswered(
+                    now=event.now,
+                    worker=worker.id,
+                    token=self.find_token(worker.id),
+                    is_other_boot=True,
+                )
             )
         elif event.outcome is StartOutcome.SUPERSEDED:
             run.acknowledged_at = event.now  # its end is in one of the next reports
@@ -413,7 +428,7 @@
         """Follow the answer to a stop order; the room is free once the end is listed."""
         worker = self.workers.get(event.worker)
         run = worker.runs.get((event.task, event.number)) if worker is not None else None
-        if worker is None or run is None:
+        if worker is None or run is None or event.token != self.find_token(worker.id):
             return []
         run.is_in_flight = False
         if event.is_done is None:
@@ -501,7 +516,7 @@
         run.is_in_flight = True
         run.tries += 1
         if run.state is RunState.STOPPING:
-            return [SendStop(worker=run.worker, task=run.task, number=run.number)]
+            return [self._make_stop(run)]
         if run.state is RunState.STARTING and run.order is not None:
             return [SendStart(order=run.order)]
         return []
@@ -513,7 +528,15 @@
         run.acknowledged_at = None
         run.tries = 1
         run.is_in_flight = True
-        return [SendStop(worker=run.worker, task=run.task, number=run.number)]
+        return [self._make_stop(run)]
+
+    def _make_stop(self, run: Run) -> SendStop:
+        return SendStop(
+            worker=run.worker,
+            task=run.task,
+            number=run.number,
+            token=self.find_token(run.worker),
+        )
 
     def _release(self, run: Run, now: float) -> list[Effect]:
         """Remove a run that is certain to have ended, or never to begin."""
@@ -709,10 +732,12 @@
         What ran has ended. A start without an answer may still reach the new life, which knows
         of no stops: it is stopped there before its task may run again.
         """
+        worker.lives += 1
         doubtful = [
             run
             for run in worker.runs.values()
-            if run.acknowledged_at is None and run.state is not RunState.RUNNING
+            if run.has_lost_try
+            or (run.acknowledged_at is None and run.state is not RunState.RUNNING)
         ]
         effects: list[Effect] = []
         for run in list(worker.runs.values()):
@@ -884,7 +909,7 @@
             task=task,
             number=number,
             payload=entry.submission.payload,
-            fencing=self.fencing,
+            token=self.find_token(worker.id),
             checkpoint=step.get_checkpoint(index),
             ticket=ticket.id if ticket is not None else TicketId(""),
         )
--- a/src/lavenderhook/_internal/queueing/effects.py
+++ b/src/lavenderhook/_internal/queueing/effects.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..core.identifiers import WorkerId
-from .model import RunNumber, StartOrder, StepId, SubmissionId, TaskKey
+from .model import OrderToken, RunNumber, StartOrder, StepId, SubmissionId, TaskKey
 from .records import Roster
 
 
@@ -25,6 +25,7 @@
     worker: WorkerId
     task: TaskKey
     number: RunNumber
+    token: OrderToken
 
 
 class AskAdvice(Effect, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/queueing/events.py
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -6,6 +6,7 @@
 
 from ..core.identifiers import WorkerId
 from .model import (
+    OrderToken,
     RunNumber,
     StartOutcome,
     StepId,
@@ -72,11 +73,14 @@
 
     Parameters
     ----------
+    token : OrderToken
+        Token of the hold.
     is_other_boot : bool
         Another worker answers at the address, so this one has ended.
     """
 
     worker: WorkerId
+    token: OrderToken
     is_fenced: bool = False
     is_other_boot: bool = False
 
@@ -94,6 +98,7 @@
     """A stop order has been carried out (True), fenced off (False) or not answered (None)."""
 
     worker: WorkerId
+    token: OrderToken
     task: TaskKey
     number: RunNumber
     is_done: bool | None
--- a/src/lavenderhook/_internal/queueing/model.py
+++ b/src/lavenderhook/_internal/queueing/model.py
@@ -11,6 +11,7 @@
 
 SubmissionId = NewType("SubmissionId", str)
 FencingToken = NewType("FencingToken", int)  # one for each owner, rising
+OrderToken = NewType("OrderToken", int)  # what a worker compares; see `compute_order_token`
 RunNumber = NewType("RunNumber", int)  # one for each start of a task, rising
 TicketId = NewType("TicketId", str)
 
@@ -217,7 +218,7 @@
     task: TaskKey
     number: RunNumber
     payload: str
-    fencing: FencingToken
+    token: OrderToken
     checkpoint: str = ""
     ticket: TicketId = TicketId("")
 
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -8,6 +8,7 @@
 from .model import (
     FencingToken,
     ListedRun,
+    OrderToken,
     Resources,
     RunNumber,
     RunState,
@@ -62,6 +63,7 @@
     checkpoint: str = ""
     order: StartOrder | None = None
     is_in_flight: bool = False
+    has_lost_try: bool = False  # a start without an answer, which may be carried out late
     has_unknown_size: bool = False
 
 
@@ -82,6 +84,7 @@
         self.listing = listing
         self.lease_bound = lease_bound
         self.is_listed = True
+        self.lives = 0  # times that it has started again under its id
         self.is_reached = False
         self.is_enrolled = False
         self.last_answer = 0.0
@@ -218,6 +221,23 @@
     )
 
 
+# A worker that starts again under its id has seen no token: a late order for its former life would
+# be carried out by the new one. Each life gets a higher token, so that the first hold shuts it out.
+LIVES_PER_OWNER = 1000
+
+
+def compute_order_token(fencing: FencingToken, lives: int) -> OrderToken:
+    """Return the token of an owner's orders to a worker.
+
+    Parameters
+    ----------
+    fencing : FencingToken
+    lives : int
+        How often the owner has seen the worker start again.
+    """
+    return OrderToken(fencing * LIVES_PER_OWNER + min(lives, LIVES_PER_OWNER - 1))
+
+
 # Run numbers rise over changes of owner: each owner counts within a block of its own.
 RUNS_PER_OWNER = 1000
 
--- a/src/lavenderhook/platform/workers.py
+++ b/src/lavenderhook/platform/workers.py
@@ -11,9 +11,9 @@
 from .._internal.core.identifiers import WorkerId
 from .._internal.ports.queueing import Advisor, HoldRefusal, WorkerCalls
 from .._internal.queueing.model import (
-    FencingToken,
     ListedEnd,
     ListedRun,
+    OrderToken,
     RunNumber,
     RunOutcome,
     StartOrder,
@@ -122,7 +122,7 @@
             "run": order.number,
             "spec": order.payload,
             "deadlineMs": int(lease_until * 1000),
-            "fencingToken": order.fencing,
+            "fencingToken": order.token,
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
@@ -140,10 +140,10 @@
         worker: WorkerId,
         task: TaskKey,
         number: RunNumber,
-        fencing: FencingToken,
+        token: OrderToken,
     ) -> bool | None:
         """Order a stop."""
-        body = {"task": format_task(task), "run": number, "fencingToken": fencing}
+        body = {"task": format_task(task), "run": number, "fencingToken": token}
         try:
             answer = self._call(address, worker, STOP_PATH, body, ORDER_TIMEOUT_SECONDS)
         except TransportError:
@@ -156,13 +156,13 @@
         self,
         address: str,
         worker: WorkerId,
-        fencing: FencingToken,
+        token: OrderToken,
         seen: int,
         lease_until: float | None,
         wait_seconds: float,
     ) -> WorkerReport | HoldRefusal:
         """Extend all leases and report."""
-        body: dict[str, Any] = {"fencingToken": fencing, "lastSeen": seen}
+        body: dict[str, Any] = {"fencingToken": token, "lastSeen": seen}
         if lease_until is not None:
             body["deadlineMs"] = int(lease_until * 1000)
         if wait_seconds:
