Put slow workers on trial, and move work with checkpoints off them

Cause: a worker that turned slow, or on which tasks stood still, got its share of all starts. When runs of two submissions in a row take three times their estimates, it gets one run at a time until one doesn't take long; overdue work with checkpoints goes on elsewhere. Both new scenarios fail without it.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -114,6 +114,26 @@
     Then every submission is completed
     And at most 12 runs failed
 
+  Scenario: A slow worker gets few tasks
+    Guards against a share of all work that goes to workers on which it takes far too long. Without
+    knowing, the worker would get a quarter of the tasks; a tenth is allowed, for it to be found out.
+    Given 4 workers and an owner
+    And tasks on worker "w0" take 8 times as long
+    When 200 submissions of 1 tasks arrive over 20 seconds
+    And 12 seconds pass for the queues
+    Then every submission is completed
+    And at most 20 runs ended on worker "w0"
+    And no rule was broken
+
+  Scenario: Work with checkpoints leaves a worker on which it stands still
+    Guards against tasks that wait for a worker although their work is saved.
+    Given 3 workers and an owner
+    And tasks on worker "w0" stand still
+    When 12 submissions of 1 tasks with checkpoints arrive over 2 seconds
+    And 8 seconds pass for the queues
+    Then every submission is completed
+    And no rule was broken
+
   Scenario: A wide gang finds room under a stream of narrow tasks
     Guards against gangs that starve while narrow tasks take each piece of room that gets free.
     Given 4 workers and an owner
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -32,6 +32,36 @@
     context.world.workers[name].fails_all = True
 
 
+@given('tasks on worker "{name}" stand still')
+def step_still(context, name):
+    context.world.workers[name].stands_still = True
+
+
+@given('tasks on worker "{name}" take {factor:d} times as long')
+def step_slow_worker(context, name, factor):
+    context.world.workers[name].slowness = factor
+
+
+@then('at most {count:d} runs ended on worker "{name}"')
+def step_ended_there(context, count, name):
+    worker = context.world.workers[name]
+    assert worker.count <= count, worker.count
+
+
+@when("{count:d} submissions of {tasks:d} tasks with checkpoints arrive over {seconds:d} seconds")
+def step_spread_saved(context, count, tasks, seconds):
+    for index in range(count):
+        steps = [make_step(tasks, 2000, 1.0, has_checkpoints=True)]
+        context.world.after(index * seconds / count, context.world.submit, f"saved{index}", steps)
+    context.world.run(seconds)
+
+
+@then("at most {count:d} submissions are left")
+def step_left(context, count):
+    left = list_unfinished(context.world)
+    assert len(left) <= count, len(left)
+
+
 @given('every run of "{name}" fails')
 def step_poison(context, name):
     choose = context.world.choose_outcome
--- a/features/support/queue_world.py
+++ b/features/support/queue_world.py
@@ -70,6 +70,8 @@
         self.is_cut = False
         self.is_up = True
         self.fails_all = False
+        self.stands_still = False
+        self.slowness = 1
         self.state = WorkerState.READY
         self.boot()
 
@@ -127,7 +129,11 @@
         self.runs[order.task] = HeldRun(order.task, order.number, spec.resources, self.world.now)
         if not spec.is_gang:
             self.world.after(
-                self.world.choose_duration(spec), self.finish, order.task, order.number, self.born
+                self.slowness * self.world.choose_duration(spec),
+                self.finish,
+                order.task,
+                order.number,
+                self.born,
             )
         else:
             self.world.join_gang(self, order)
@@ -138,6 +144,8 @@
         held = self.runs.get(task)
         if not self.is_up or born != self.born or held is None or held.number != number:
             return
+        if self.stands_still and outcome is None:
+            return
         if outcome is None:
             outcome = RunOutcome.FAILED if self.fails_all else self.world.choose_outcome(task)
         self.end(held, outcome)
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -71,6 +71,7 @@
 from .records import Roster
 from .reservations import GangPlan, plan_gang, reserve
 from .roster import RosterLedger
+from .stragglers import MOST_ON_TRIAL_SHARE, SlowInARow, SpeedPolicy, find_overdue
 from .submissions import TICKET_MARGIN_SECONDS, StepProgress, SubmissionProgress, Ticket
 from .workers import (
     CLOCK_DRIFT,
@@ -100,6 +101,7 @@
 # Until a former owner that still runs has met a worker that refuses its token: a hold waits a
 # second and is given up after 1.7 s. Peers may still tell it of new submissions meanwhile.
 SUCCESSION_SECONDS = 2.5
+SPEED_CHECK_SECONDS = 0.25  # between looks at the lengths of all runs
 KEEP_OUTCOMES = 20_000  # final states kept in memory
 
 
@@ -145,6 +147,7 @@
         *,
         order: WaitingOrder | None = None,
         policy: PlacementPolicy | None = None,
+        speed: SpeedPolicy | None = None,
     ) -> None:
         self.fencing = fencing
         self.owner_revision = owner_revision
@@ -161,6 +164,8 @@
         self.allowed_shares: dict[str, float] = {}
         self.submissions: dict[SubmissionId, SubmissionProgress] = {}
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
+        self.speed = speed or SlowInARow()
+        self.next_speed_check_at = 0.0
         self.is_schedule_due = True
 
     # State as callers see it.
@@ -485,6 +490,9 @@
         waiting, self.unanswered = self.unanswered, []
         for run in waiting:
             effects += self._repeat_order(run, event.now)
+        if event.now >= self.next_speed_check_at:
+            self.next_speed_check_at = event.now + SPEED_CHECK_SECONDS
+            effects += self._check_speed(event.now)
         effects += self._schedule(event.now)
         self.is_schedule_due = False
         return effects
@@ -499,6 +507,25 @@
             return self._update_roster()
         return []
 
+    def _check_speed(self, now: float) -> list[Effect]:
+        """Put slow workers on trial, and move work with checkpoints off them."""
+        effects: list[Effect] = []
+        left = max(1, int(len(self.workers) * MOST_ON_TRIAL_SHARE))
+        for worker in self.workers.values():
+            if not self.speed.is_suspect(worker, now) or left <= 0:
+                continue
+            left -= 1
+            overdue = find_overdue(worker, now)
+            if not worker.is_on_trial:
+                worker.is_on_trial = True
+                effects.append(_log_worker("worker-slow", worker, overdue=len(overdue)))
+            for run in overdue:
+                step = self._find_step(run.task.step_id)
+                if step is not None and step.spec.has_checkpoints:
+                    step.avoid(run.task.index, worker.id)
+                    effects += self._stop(run, now)
+        return effects
+
     # Runs.
 
     def _repeat_later(self, run: Run, now: float) -> None:
@@ -582,6 +609,8 @@
                 worker.troubled.clear()
             effects += self._count_end(step, end, now)
         if run is not None:
+            if end.outcome in (RunOutcome.DONE, RunOutcome.FAILED):
+                self.speed.note_end(worker, run, now)
             effects += self._release(run, now)
         return effects
 
@@ -915,6 +944,8 @@
         )
         ends_at = now + step.spec.estimate_seconds
         run = make_run(order, step.spec.resources, step.spec.is_filler, now, ends_at)
+        # Members of a gang wait for the slowest of them; a task that lasts has no length.
+        run.is_comparable = not (step.spec.is_gang or step.spec.is_service or step.spec.is_filler)
         worker.add_run(run)
         step.add_run(run)
         return [
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -63,6 +63,7 @@
     checkpoint: str = ""
     order: StartOrder | None = None
     is_in_flight: bool = False
+    is_comparable: bool = False  # its length tells something about its worker alone
     has_lost_try: bool = False  # a start without an answer, which may be carried out late
     has_unknown_size: bool = False
 
@@ -94,6 +95,8 @@
         self.unknown_runs: dict[TaskKey, ListedRun] = {}
         self.unknown_sizes = 0
         self.troubled: set[SubmissionId] = set()  # whose runs failed since one was last done
+        self.slow: set[SubmissionId] = set()  # whose runs took long since one didn't
+        self.is_on_trial = False  # gets one run at a time until one doesn't take long
         self.processed = 0  # highest end that has been taken into the state
         self.seen = 0  # highest end that the store covers
         self.used_processors = 0
@@ -152,7 +155,9 @@
         )
 
     def has_room(self, resources: Resources, is_filler: bool, ends_at: float) -> bool:
-        """Return whether a task that is expected to end at a time fits here."""
+        """Return whether a task that is expected to end at a time may be placed here."""
+        if self.is_on_trial and self.runs:
+            return False
         capacity = self.listing.capacity
         kept = Resources() if ends_at <= self.reserved_until else self.reserved
         processors = self.used_processors + kept.processors + resources.processors
