End all loops of an owner that is shut out; renew a gang's tickets together

Ends are marked with the worker's life, so that a commit under way at a restart covers none of the new life's, and a worker that was silent is not told to forget ends, as it may be another life. Tickets of a gang ended one after another, so that it had room and never all of them.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -58,6 +58,14 @@
     Then all accepted submissions become "completed" within 20 seconds
     And no rule of the queues was broken
 
+  Scenario: An owner that has been shut out sends no more orders
+    Guards against loops that go on after the owner has stepped down.
+    Given 3 entry processes and 3 queue workers
+    When 1.0 seconds go by
+    And the store is silent for the owner
+    And 5.0 seconds go by
+    Then no order of the former owner reaches a worker within 2.0 seconds
+
   Scenario: The store refuses
     Guards against answers that claim acceptance, and against late refusals.
     Given 2 entry processes and 3 queue workers
--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -96,6 +96,17 @@
     Then "before" is completed
     And no rule was broken
 
+  Scenario: A commit that began before a worker's restart covers none of its new ends
+    Guards against ends of a new life that are forgotten before they are stored.
+    Given 1 workers and an owner
+    When a commit begins that covers 50 ends of worker "w0"
+    And worker "w0" starts again under its id
+    And the store refuses
+    And a submission "x" of 1 tasks on 1000 thousandths for 1 seconds arrives
+    And 4 seconds pass for the queues
+    And the commit ends
+    Then worker "w0" is told to forget no end
+
   Scenario: A task that always fails ends its submission after its attempts
     Guards against endless runs of work that can never be done.
     Given 3 workers and an owner
@@ -155,6 +166,17 @@
     Then "wide" has begun
     And no rule was broken
 
+  Scenario: The tickets of a gang hold at the same time
+    Guards against a gang that has room and never all of its tickets, since they are renewed by
+    calls that take a third of their validity.
+    Given 12 workers and an owner
+    And calls for advice take 0.7 seconds and tickets hold for 2 seconds
+    When a stream of narrow tasks of priority 2 keeps the workers full for 25 seconds
+    And a gang "wide" of 24 tasks on 6000 thousandths of priority 1 arrives after 4 seconds
+    And 8 seconds pass for the queues
+    Then "wide" has begun
+    And no rule was broken
+
   Scenario: A backlog after an outage is worked off from its useful end
     Guards against seconds spent on work that is too late for its caller while work that is only
     late, or not late yet, becomes too late as well. The worker could do 30 in the 6 seconds that
--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -210,6 +210,22 @@
     send_many(context, count)
 
 
+@when("the store is silent for the owner")
+def step_cut_owner(context):
+    owner = context.cluster.entries[context.cluster.find_owner()]
+    owner.entrance.mode = "silent"
+
+
+@then("no order of the former owner reaches a worker within {seconds:f} seconds")
+def step_no_order(context, seconds):
+    workers = context.cluster.platform.workers
+    before = [worker.fenced for worker in workers]
+    assert sum(before) > 0, "the former owner was never shut out"
+    gevent.sleep(seconds)
+    after = [worker.fenced for worker in workers]
+    assert after == before, (before, after)
+
+
 @when("{count:d} submissions are sent while the owner is killed")
 def step_many_killed(context, count):
     owner = context.cluster.find_owner()
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -6,10 +6,16 @@
 
 from behave import given, then, when
 
-from features.support.queue_days import freeze, make_steps, play_day, relist
+from features.support.queue_days import freeze, make_steps, play_day, relist, restart
 from features.support.queue_mutants import apply_mutant
 from features.support.queue_world import QueueWorld, make_step
-from lavenderhook._internal.queueing.model import RunOutcome, SubmissionState, WorkerState
+from lavenderhook._internal.queueing.events import EndMark, ProgressStored
+from lavenderhook._internal.queueing.model import (
+    AdviceTerms,
+    RunOutcome,
+    SubmissionState,
+    WorkerState,
+)
 from lavenderhook._internal.queueing.refusal import choose_retry_after
 
 MOST_DAYS = 60  # played with a broken protocol
@@ -97,7 +103,14 @@
 def step_gang(context, name, count, processors, priority, seconds):
     context.world.run(seconds)
     step = make_step(count, processors, 3.0, is_gang=True)
-    context.world.submit(name, [step], priority=priority)
+    terms = {"advice": context.advice} if "advice" in context else {}
+    context.world.submit(name, [step], priority=priority, **terms)
+
+
+@given("calls for advice take {seconds:g} seconds and tickets hold for {validity:g} seconds")
+def step_advice(context, seconds, validity):
+    context.world.advice_seconds = seconds
+    context.advice = AdviceTerms(seconds, 0.0, validity)
 
 
 @then('"{name}" has begun')
@@ -273,6 +286,36 @@
     context.days = {seed: play_day(seed, tells_lives_apart=False) for seed in days}
 
 
+@when('a commit begins that covers {count:d} ends of worker "{name}"')
+def step_commit_begins(context, count, name):
+    worker = context.world.owners[-1].cell.workers[name]
+    context.marks = {name: EndMark(worker.listing.born, count)}
+
+
+@when('worker "{name}" starts again under its id')
+def step_reborn(context, name):
+    restart(context.world, context.world.workers[name])
+    context.world.run(1.0)
+
+
+@when("the store refuses")
+def step_store_refuses(context):
+    context.world.store_refuses = True
+
+
+@when("the commit ends")
+def step_commit_ends(context):
+    owner = context.world.owners[-1]
+    owner.emit(ProgressStored(now=context.world.now, seen=context.marks))
+
+
+@then('worker "{name}" is told to forget no end')
+def step_forgets_none(context, name):
+    worker = context.world.owners[-1].cell.workers[name]
+    assert worker.processed > 0, "the worker has listed no end"
+    assert worker.seen == 0, worker.seen
+
+
 @when("the random days {first:d} to {last:d} are played")
 def step_days(context, first, last):
     context.days = {seed: play_day(seed) for seed in range(first, last + 1)}
--- a/features/support/queue_mutants.py
+++ b/features/support/queue_mutants.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from lavenderhook._internal.queueing.cell import Cell
-from lavenderhook._internal.queueing.events import ProgressStored
+from lavenderhook._internal.queueing.events import EndMark, ProgressStored
 from lavenderhook._internal.queueing.model import StartOutcome
 from lavenderhook._internal.queueing.roster import RosterLedger
 
@@ -23,7 +23,8 @@
     def emit_early(self, event):
         emit(self, event)
         if self.is_active and not isinstance(event, ProgressStored):
-            seen = {w.id: w.processed for w in self.cell.list_workers()}
+            workers = self.cell.list_workers()
+            seen = {w.id: EndMark(w.listing.born, w.processed) for w in workers}
             emit(self, ProgressStored(now=self.world.now, seen=seen))
 
     return mock.patch.object(StandInOwner, "emit", emit_early)
--- a/features/support/queue_world.py
+++ b/features/support/queue_world.py
@@ -12,6 +12,7 @@
 from lavenderhook._internal.queueing.cell import Cell, CellParameters
 from lavenderhook._internal.queueing.events import (
     AdviceArrived,
+    EndMark,
     HoldUnanswered,
     OutcomeSeen,
     ProgressStored,
@@ -278,7 +279,7 @@
             case effects.SaveRoster():
                 world.after(0.02, self.save_roster, effect.roster)
             case effects.AskAdvice():
-                world.after(0.05, self.advise, effect)
+                world.after(world.advice_seconds, self.advise, effect)
             case effects.StepDown():
                 self.is_active = False
 
@@ -373,7 +374,8 @@
             return
         is_owner = self.world.owner_fencing == self.fencing
         if is_owner and not self.is_frozen and not self.world.store_refuses:
-            seen = {w.id: w.processed for w in self.cell.list_workers()}
+            workers = self.cell.list_workers()
+            seen = {w.id: EndMark(w.listing.born, w.processed) for w in workers}
             waiting, self.dirty = list(self.dirty), {}
             for submission_id in waiting:
                 self.store(submission_id)
@@ -416,6 +418,7 @@
         self.tells_lives_apart = True  # whether a worker rejects late orders for a former life
         self.store_refuses = False
         self.allowed = None
+        self.advice_seconds = 0.05
         self._events = []
         self._sequence = itertools.count()
         self.revision = 0
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -604,11 +604,16 @@
             calls=self._calls,
             ask_advice=self._advice.ask,
             parameters=self._parameters,
-            step_down=self._step_down,
+            step_down=self._end_ownership,
             report=self._report,
         )
         self._owner.start()
 
+    def _end_ownership(self, fencing: FencingToken, reason: str) -> None:
+        """Follow an owner that has seen another one; it may be an earlier owner of this process."""
+        if self._owner is not None and self._owner.fencing == fencing:
+            self._step_down(reason)
+
     def _step_down(self, reason: str) -> None:
         owner, self._owner = self._owner, None
         if owner is None:
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -27,6 +27,7 @@
 from ..queueing.cell import Cell, CellParameters
 from ..queueing.events import (
     AdviceArrived,
+    EndMark,
     Event,
     HoldUnanswered,
     OutcomeSeen,
@@ -102,7 +103,7 @@
     ask_advice : callable
         Asks the advisory service through any instance.
     step_down : callable
-        Called once when another owner has been seen.
+        Takes (token, reason) when another owner has been seen.
     report : callable
         Takes (what, fields) for the log.
     """
@@ -117,7 +118,7 @@
         calls: WorkerCalls,
         ask_advice: AskAdvice,
         parameters: CellParameters,
-        step_down: Callable[[str], None],
+        step_down: Callable[[FencingToken, str], None],
         report: Report,
     ) -> None:
         self.fencing = fencing
@@ -337,7 +338,7 @@
                     holder.kill(block=False)
                 self._clocks.pop(effect.worker, None)
             case effects.StepDown():
-                self._step_down(f"fenced at worker {effect.worker}")
+                self._step_down(self.fencing, f"fenced at worker {effect.worker}")
 
     def _compute_lease(self, worker: WorkerId) -> float | None:
         """Return the end of a lease on the worker's clock, counted from its last answer.
@@ -407,14 +408,17 @@
     # Loops.
 
     def _tick_loop(self) -> None:
-        while True:
+        while not self._is_stopped:
             self._changed.wait(TICK_SECONDS)
             self._changed.clear()
             gevent.sleep(GATHER_SECONDS)
             self.emit(Ticked(now=_now()))
 
     def _hold_loop(self, worker_id: WorkerId) -> None:
-        while self.cell is not None and worker_id in self.cell.workers:
+        # Until the first answer, and after each silence, the worker may be another life whose ends
+        # are numbered anew: it is not told to forget any.
+        is_answering = False
+        while not self._is_stopped and self.cell is not None and worker_id in self.cell.workers:
             worker = self.cell.workers[worker_id]
             born = worker.listing.born
             sent_at = _now()
@@ -423,11 +427,12 @@
                 worker.listing.address,
                 worker_id,
                 token,
-                worker.seen,
+                worker.seen if is_answering else 0,
                 self._compute_lease(worker_id),
                 HOLD_WAIT_SECONDS if worker.is_reached else 0.0,
             )
             now = _now()
+            is_answering = not isinstance(result, HoldRefusal)
             if isinstance(result, HoldRefusal):
                 self._report(
                     "hold-unanswered",
@@ -454,7 +459,7 @@
                 self._committed.wait(STORED_WAIT_SECONDS)
 
     def _workers_loop(self) -> None:
-        while True:
+        while not self._is_stopped:
             try:
                 changes = self._worker_list.follow(self._workers_revision, TICK_SECONDS)
             except HistoryLostError:
@@ -498,7 +503,7 @@
         self.emit(WorkersListed(now=_now(), workers=tuple(self._listings.values())))
 
     def _feed_loop(self) -> None:
-        while True:
+        while not self._is_stopped:
             try:
                 self._follower.poll(0.0)
             except LavenderhookError as error:
@@ -508,13 +513,13 @@
     # Stored progress.
 
     def _commit_loop(self) -> None:
-        while True:
+        while not self._is_stopped:
             gevent.sleep(COMMIT_PAUSE_SECONDS)
             cell = self.cell
             if cell is None:
                 continue
             marks = {
-                worker.id: worker.processed
+                worker.id: EndMark(worker.listing.born, worker.processed)
                 for worker in cell.list_workers()
                 if worker.processed > worker.seen
             }
@@ -572,7 +577,7 @@
     def _resolve_conflict(self, conflict: Conflict, submissions: list[SubmissionId]) -> bool:
         """Take over what stands in the store, and leave the rest for the next transaction."""
         if self._is_shut_out(conflict):
-            self._step_down("the owner row has changed")
+            self._step_down(self.fencing, "the owner row has changed")
             return False
         cell = self.cell
         assert cell is not None
@@ -593,7 +598,7 @@
 
         Without it, the rows that a new owner has to load would grow with the age of the cell.
         """
-        while True:
+        while not self._is_stopped:
             gevent.sleep(PRUNE_SECONDS)
             limit = time.time() - self._parameters.retention_seconds
             ended = [s for s, at in self._ended_at.items() if at < limit]
@@ -620,7 +625,7 @@
             self._report("prune-failed", rows=len(final), **describe_failure(error))
             return False
         if isinstance(result, Conflict):
-            self._step_down("the owner row has changed")
+            self._step_down(self.fencing, "the owner row has changed")
             return False
         for submission in submissions:
             self._ended_at.pop(submission, None)
@@ -630,7 +635,7 @@
         return True
 
     def _roster_loop(self) -> None:
-        while True:
+        while not self._is_stopped:
             self._is_roster_due.wait()
             self._is_roster_due.clear()
             if not self._save_roster(self._wanted_roster):
@@ -652,7 +657,7 @@
             return False
         if isinstance(result, Conflict):
             if self._is_shut_out(result):
-                self._step_down("the owner row has changed")
+                self._step_down(self.fencing, "the owner row has changed")
                 return True
             row = result.find(CONTROL_TABLE, ROSTER_KEY)
             self._roster_revision = row.revision if row is not None else 0
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -472,10 +472,10 @@
 
     def handle_stored(self, event: ProgressStored) -> list[Effect]:
         """Let workers forget the ends that the store covers."""
-        for worker_id, sequence in event.seen.items():
+        for worker_id, mark in event.seen.items():
             worker = self.workers.get(worker_id)
-            if worker is not None:
-                worker.seen = max(worker.seen, min(sequence, worker.processed))
+            if worker is not None and worker.listing.born == mark.born:
+                worker.seen = max(worker.seen, min(mark.sequence, worker.processed))
         return []
 
     def handle_succession(self, event: PredecessorEnded) -> list[Effect]:
@@ -1022,18 +1022,23 @@
 
         Answers heavy calls that each take up to a second: enough workers for the gang are found
         by one call, whether they have room now or not, and tickets are renewed shortly before
-        the gang's turn instead of after it has come.
+        the gang's turn instead of after it has come. They are renewed together, since all members
+        need theirs at the same time and those of several calls end one after another.
         """
         spec, plan = step.spec, step.plan
         named: list[Worker] = []
+        lead = now + TICKET_LEAD_SECONDS
         unasked = [w for w in eligible if w.id not in step.allowed]
         unasked.sort(key=Worker.free_processors, reverse=True)
-        if choose_gang_workers(spec, fitting) is not None:
-            named += [w for w in fitting if has_expired(step, w, now)]
+        fits_now = choose_gang_workers(spec, fitting) is not None
+        if fits_now:
+            named += [w for w in fitting if w.id in step.allowed]
+        elif plan is not None and plan.ready_at < lead:
+            named += [w for w in eligible if w.id in plan.members]
+        if not any(has_expired(step, w, lead) for w in named):
+            named.clear()
+        if fits_now:
             named += [w for w in unasked if count_fitting(spec, w) > 0]
-        elif plan is not None and plan.ready_at - now < TICKET_LEAD_SECONDS:
-            lead = now + TICKET_LEAD_SECONDS
-            named += [w for w in eligible if w.id in plan.members and has_expired(step, w, lead)]
         known = sum(count_in_empty(spec, w) for w in eligible if w.id in step.allowed)
         if known < KNOWN_ROOM * spec.count:
             chosen = set(map(id, named))
--- a/src/lavenderhook/_internal/queueing/events.py
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 import msgspec
 
 from ..core.identifiers import WorkerId
@@ -112,10 +114,17 @@
     allowed: dict[WorkerId, TicketId] | None
 
 
+class EndMark(NamedTuple):
+    """An end of one life of a worker, which numbers its ends anew in each."""
+
+    born: int
+    sequence: int
+
+
 class ProgressStored(Event, frozen=True, kw_only=True):
-    """All ends up to these sequence numbers are covered by the store."""
+    """All ends up to these marks are covered by the store."""
 
-    seen: dict[WorkerId, int]
+    seen: dict[WorkerId, EndMark]
 
 
 class PredecessorEnded(Event, frozen=True, kw_only=True):
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -204,6 +204,7 @@
         self.born = int(time.time() * 1000)
         self.started = time.monotonic()
         self.fencing = 0
+        self.fenced = 0  # orders of owners that have been shut out
         self.lease_until = 0.0
         self.runs = {}
         self.highest = {}
@@ -241,6 +242,7 @@
         if request.headers.get("x-expected-instance") != self.name:
             return Response(421)
         if body["fencingToken"] < self.fencing:
+            self.fenced += 1
             return self._refuse("fence")
         self.fencing = body["fencingToken"]
         self._lapse()
