--- a/features/platform.feature
+++ b/features/platform.feature
@@ -125,17 +125,18 @@
     And it took at most 0.5 seconds
     And "00000000000000b2" becomes "completed" at instance 1 within 3 seconds
 
-  Scenario: Work that ends while the store is silent is shown as completed
-    Guards against callers that wait for an outage to end although their work is done.
+  Scenario: Work that ends while the store is silent is not shown as completed before that is stored
+    Guards against a task that runs again after it was shown as done, since its worker has left
+    and all instances were lost before the store came back.
     Given 2 entry processes and 3 queue workers
     When 1.0 seconds go by
     And submission "00000000000000b3" of 2 tasks is sent to instance 0
     And 0.1 seconds go by
     And the store is silent
-    Then "00000000000000b3" becomes "completed" at instance 1 within 2 seconds
+    And 1.5 seconds go by
+    Then "00000000000000b3" becomes "running" at instance 1 within 1 seconds
     When the store is up
-    And 3.0 seconds go by
-    Then "00000000000000b3" becomes "completed" at instance 0 within 1 seconds
+    Then "00000000000000b3" becomes "completed" at instance 0 within 4 seconds
     And every task was started once
 
   Scenario: An instance that starts while the store is silent serves soon after its return
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -173,17 +173,15 @@
     def describe(self, submission: SubmissionId) -> SubmissionState | None:
         """Return the state of a submission, or None if it isn't known here.
 
-        One that has ended is shown so before that is stored: its workers keep the ends until it
-        is, so that a new owner comes to the same result. Answers an outage of the store, in which
-        callers would wait for work that is done.
+        One whose tasks have ended is shown so only once that is stored. Its workers keep the ends
+        until then, but a worker may leave and all instances be lost while the store is away: the
+        task runs again, after its caller was told that it was done.
         """
         state = self.outcomes.get(submission)
         if state is not None:
             return state
         entry = self.submissions.get(submission)
-        if entry is None:
-            return None
-        return self.find_final_state(entry) or entry.state
+        return entry.state if entry is not None else None
 
     def count_pending(self) -> dict[str, int]:
         """Return, by queue, how many accepted submissions have not begun."""
@@ -640,7 +638,7 @@
         return []
 
     def _end(self, entry: SubmissionProgress, state: SubmissionState) -> list[Effect]:
-        """Ask for the final state to be stored; a cancellation may come before it."""
+        """Ask for the final state to be stored; it counts once it is."""
         if entry.is_ending:
             return []
         entry.is_ending = True
