--- a/features/platform.feature
+++ b/features/platform.feature
@@ -126,8 +126,8 @@
     And "00000000000000b2" becomes "completed" at instance 1 within 3 seconds
 
   Scenario: Work that ends while the store is silent is not shown as completed before that is stored
-    Guards against a task that runs again after it was shown as done, since its worker has left
-    and all instances were lost before the store came back.
+    Guards against a task that runs again after it was shown as done, where its worker leaves and
+    all instances are lost before the store is back.
     Given 2 entry processes and 3 queue workers
     When 1.0 seconds go by
     And submission "00000000000000b3" of 2 tasks is sent to instance 0
