--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -9,13 +9,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
 from ..core.identifiers import WorkerId
+from .advising import AdvicePlanner
 from .effects import (
-    AskAdvice,
     Effect,
     FollowWorker,
     LeaveWorker,
@@ -50,29 +50,19 @@
     RunNumber,
     RunOutcome,
     RunState,
-    StartOrder,
     StartOutcome,
     StepId,
     SubmissionId,
     SubmissionState,
     TaskKey,
-    TicketId,
 )
 from .ordering import PriorityThenObjective, WaitingOrder
-from .placement import (
-    BestFit,
-    PlacementPolicy,
-    choose_gang_workers,
-    choose_worker,
-    count_fitting,
-    count_in_empty,
-    is_eligible,
-)
+from .placement import BestFit, PlacementPolicy
 from .records import Roster
-from .reservations import GangPlan, plan_gang, reserve
 from .roster import RosterLedger
+from .scheduling import Scheduler
 from .stragglers import MOST_ON_TRIAL_SHARE, SlowInARow, SpeedPolicy, find_overdue
-from .submissions import TICKET_MARGIN_SECONDS, StepProgress, SubmissionProgress, Ticket
+from .submissions import StepProgress, SubmissionProgress
 from .workers import (
     CLOCK_DRIFT,
     REFUSAL_PAUSE_SECONDS,
@@ -81,23 +71,10 @@
     compute_first_number,
     compute_lease_bound,
     compute_order_token,
-    make_run,
 )
 
 ORDER_RETRY_SECONDS = 0.3  # an order without an answer is sent again after this time
 START_TRIES = 4  # after these a start is given up and stopped, which shuts it out
-MOST_ADVISED = 100  # workers named in a call: the service takes no more
-LEAST_ADVISED = 8  # workers named in a call: so many add little to the fixed part of its duration
-FIRST_ALLOWED_SHARE = 0.5  # of the workers named, before any answer for a queue
-LEAST_ALLOWED_SHARE = 0.1  # bounds the number named after answers that allowed none
-SHARE_WEIGHT = 0.2  # of the newest answer in the share that is learnt
-GANG_SPREAD = 1.5  # workers named for each member of a gang, beyond the share that is allowed
-MOST_RESERVED_SHARE = 0.5  # of the open workers' processors that may be kept for gangs at a time
-KNOWN_ROOM = 2.0  # gangs that the workers known as allowed hold if empty, before asking for more
-TICKET_LEAD_SECONDS = 1.2  # before a gang's turn by which its tickets are renewed: a heavy call
-# Estimates of lengths are off by half; a task that uses room kept for a gang has to end in time.
-BACKFILL_MARGIN = 1.5
-ADVICE_PAUSE_SECONDS = 0.3  # before asking again for a step that found no worker with room
 # Until a former owner that still runs has met a worker that refuses its token: a hold waits a
 # second and is given up after 1.7 s. Peers may still tell it of new submissions meanwhile.
 SUCCESSION_SECONDS = 2.5
@@ -155,8 +132,9 @@
         self.fencing = fencing
         self.owner_revision = owner_revision
         self.parameters = parameters
-        self.order = order or PriorityThenObjective()
-        self.policy = policy or BestFit()
+        self.scheduler = Scheduler(
+            fencing, order or PriorityThenObjective(), policy or BestFit(), AdvicePlanner()
+        )
         self.first_number = compute_first_number(fencing)
         self.takeover_bound = compute_lease_bound(started_at, parameters.lease_seconds)
         self.succession_bound = started_at + SUCCESSION_SECONDS
@@ -164,7 +142,6 @@
         self.ledger = RosterLedger(roster or Roster())
         self.is_succeeded = False
         self.unanswered: list[Run] = []
-        self.allowed_shares: dict[str, float] = {}
         self.submissions: dict[SubmissionId, SubmissionProgress] = {}
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
         self.speed = speed or SlowInARow()
@@ -447,24 +424,7 @@
         step = self._find_step(event.step)
         if step is None:
             return []
-        step.is_asking = False
-        if event.allowed is None:
-            step.next_ask_at = event.now + ADVICE_PAUSE_SECONDS
-            return []
-        entry = self.submissions[event.step.submission]
-        queue = entry.submission.queue.name
-        share = len(event.allowed) / max(1, len(event.asked))
-        known = self.allowed_shares.get(queue, FIRST_ALLOWED_SHARE)
-        self.allowed_shares[queue] = known + (share - known) * SHARE_WEIGHT
-        terms = entry.submission.queue.advice
-        validity = terms.validity_seconds if terms is not None else 0.0
-        for worker_id in event.asked:
-            ticket = event.allowed.get(worker_id)
-            if ticket is None:
-                step.refused.add(worker_id)
-            else:
-                expires = event.now + validity - TICKET_MARGIN_SECONDS
-                step.allowed[worker_id] = Ticket(ticket, expires)
+        self.scheduler.advice.take_answer(self.submissions[event.step.submission], step, event)
         self.is_schedule_due = True
         return []
 
@@ -491,7 +451,12 @@
         if event.now >= self.next_speed_check_at:
             self.next_speed_check_at = event.now + SPEED_CHECK_SECONDS
             effects += self._check_speed(event.now)
-        effects += self._schedule(event.now)
+        effects += self.scheduler.schedule(
+            self.submissions.values(),
+            self.workers.values(),
+            self._find_clear_revision(),
+            event.now,
+        )
         self.is_schedule_due = False
         return effects
 
@@ -505,6 +470,11 @@
             return self._update_roster()
         return []
 
+    def _find_clear_revision(self) -> float:
+        """Return the revision after which submissions have no runs of earlier owners."""
+        revision = self.ledger.find_clear_revision()
+        return min(revision, self.owner_revision) if self.is_succeeded else revision
+
     def _check_speed(self, now: float) -> list[Effect]:
         """Put slow workers on trial, and move work with checkpoints off them."""
         effects: list[Effect] = []
@@ -841,249 +811,6 @@
             return None
         return entry.steps.get((step_id.occurrence, step_id.step))
 
-    # Placement.
-
-    def _schedule(self, now: float) -> list[Effect]:
-        """Offer room to the steps whose turn has come, in the policy's order."""
-        clear_revision = self.ledger.find_clear_revision()
-        if self.is_succeeded:
-            clear_revision = min(clear_revision, self.owner_revision)
-        candidates: list[tuple[tuple[float, ...], SubmissionProgress, StepProgress]] = []
-        for entry in self.submissions.values():
-            if entry.is_ending or entry.revision <= clear_revision:
-                continue
-            for step in entry.steps.values():
-                if step.waiting and entry.is_runnable(step, now):
-                    candidates.append((self.order.rank(entry, step, now), entry, step))
-        candidates.sort(key=lambda candidate: candidate[0])
-        open_workers = [worker for worker in self.workers.values() if worker.is_open(now)]
-        left_to_reserve = MOST_RESERVED_SHARE * sum(
-            worker.listing.capacity.processors for worker in open_workers
-        )
-        effects: list[Effect] = []
-        for _, entry, step in candidates:
-            effects += self._place_step(entry, step, open_workers, now)
-            if step.spec.is_gang and step.waiting and left_to_reserve > 0:
-                plan = step.plan = self._plan(entry, step, open_workers, now)
-                if plan is not None:
-                    left_to_reserve -= reserve(plan, step.spec, open_workers)
-        for worker in open_workers:
-            worker.clear_reservation()
-        return effects
-
-    def _plan(
-        self,
-        entry: SubmissionProgress,
-        step: StepProgress,
-        workers: Sequence[Worker],
-        now: float,
-    ) -> GangPlan | None:
-        """Return where room is kept for a gang in this pass."""
-        if step.plan is not None and step.plan.is_current(now):
-            return step.plan
-        service = entry.submission.queue.service
-        eligible = [worker for worker in workers if is_eligible(step, service, worker)]
-        if entry.submission.queue.advice is not None:
-            eligible = [worker for worker in eligible if worker.id in step.allowed]
-        return plan_gang(step.spec, eligible, now)
-
-    def _place_step(
-        self,
-        entry: SubmissionProgress,
-        step: StepProgress,
-        open_workers: Sequence[Worker],
-        now: float,
-    ) -> list[Effect]:
-        service = entry.submission.queue.service
-        eligible = [worker for worker in open_workers if is_eligible(step, service, worker)]
-        if entry.submission.queue.advice is None:
-            usable = eligible
-        else:
-            usable = [
-                worker
-                for worker in eligible
-                if worker.id in step.allowed and step.allowed[worker.id].expires_at > now
-            ]
-        if step.spec.is_gang:
-            effects = self._place_gang(entry, step, usable, now)
-        else:
-            effects = self._place_tasks(entry, step, usable, now)
-        if step.waiting and entry.submission.queue.advice is not None:
-            effects += self._ask(entry, step, eligible, now)
-        return effects
-
-    def _place_tasks(
-        self,
-        entry: SubmissionProgress,
-        step: StepProgress,
-        usable: Sequence[Worker],
-        now: float,
-    ) -> list[Effect]:
-        effects: list[Effect] = []
-        ends_at = now + BACKFILL_MARGIN * step.spec.estimate_seconds
-        for index in list(step.waiting):
-            candidates = usable
-            if index in step.avoided:
-                sound = [w for w in usable if not step.is_avoided(index, w.id)]
-                candidates = sound or usable
-            worker = choose_worker(self.policy, step, candidates, ends_at)
-            if worker is None:
-                if candidates is not usable:
-                    continue  # the room elsewhere is tried again in the next pass
-                break
-            effects += self._start(entry, step, index, worker, step.take_number(), now)
-        return effects
-
-    def _place_gang(
-        self,
-        entry: SubmissionProgress,
-        step: StepProgress,
-        usable: Sequence[Worker],
-        now: float,
-    ) -> list[Effect]:
-        if len(step.waiting) < step.spec.count:
-            return []
-        sound = [w for w in usable if not step.is_avoided(0, w.id)]
-        chosen = choose_gang_workers(step.spec, sound)
-        if chosen is None and len(sound) < len(usable):
-            chosen = choose_gang_workers(step.spec, usable)
-        if chosen is None:
-            return []
-        number = step.take_number()
-        effects: list[Effect] = []
-        for index, worker in enumerate(chosen):
-            effects += self._start(entry, step, index, worker, number, now)
-        return effects
-
-    def _start(
-        self,
-        entry: SubmissionProgress,
-        step: StepProgress,
-        index: int,
-        worker: Worker,
-        number: RunNumber,
-        now: float,
-    ) -> list[Effect]:
-        task = TaskKey(step.id.submission, step.id.occurrence, step.id.step, index)
-        ticket = step.allowed.get(worker.id)
-        order = StartOrder(
-            worker=worker.id,
-            task=task,
-            number=number,
-            payload=entry.submission.payload,
-            token=self.find_token(worker.id),
-            checkpoint=step.get_checkpoint(index),
-            ticket=ticket.id if ticket is not None else TicketId(""),
-        )
-        ends_at = now + step.spec.estimate_seconds
-        run = make_run(order, step.spec.resources, step.spec.is_filler, now, ends_at)
-        # Members of a gang wait for the slowest of them; a task that lasts has no length.
-        run.is_comparable = not (step.spec.is_gang or step.spec.is_service or step.spec.is_filler)
-        worker.add_run(run)
-        step.add_run(run)
-        return [
-            LogDecision(
-                decision="task-placed",
-                fields={
-                    "task": str(task),
-                    "queue": entry.submission.queue.name,
-                    "run": number,
-                    "worker": worker.id,
-                    "report_age": round(now - worker.last_answer, 3),
-                    "free": worker.free_processors(),
-                    "waited": round(now - step.due_at, 3),
-                },
-            ),
-            SendStart(order=order),
-        ]
-
-    def _count_advised(self, entry: SubmissionProgress, step: StepProgress) -> int:
-        """Return how many workers to name in a call for advice.
-
-        Each adds to its duration, and a share of them, which is learnt by queue, is allowed.
-        Members of a gang have to find room at one time, so that there must be more to choose from.
-        """
-        share = self.allowed_shares.get(entry.submission.queue.name, FIRST_ALLOWED_SHARE)
-        spread = GANG_SPREAD if step.spec.is_gang else 1.0
-        wanted = int(len(step.waiting) * spread / max(share, LEAST_ALLOWED_SHARE)) + 1
-        return max(LEAST_ADVISED, min(wanted, MOST_ADVISED))
-
-    def _ask(
-        self,
-        entry: SubmissionProgress,
-        step: StepProgress,
-        eligible: Iterable[Worker],
-        now: float,
-    ) -> list[Effect]:
-        """Ask which workers may run a step: those with room first, then tickets that ended."""
-        if step.is_asking or now < step.next_ask_at:
-            return []
-        terms = entry.submission.queue.advice
-        if terms is None:
-            return []
-        eligible = list(eligible)
-        fitting = [w for w in eligible if count_fitting(step.spec, w) > 0]
-        if step.spec.is_gang:
-            named = self._name_for_gang(entry, step, eligible, fitting, now)
-        else:
-            named = [w for w in fitting if w.id not in step.allowed]
-            named.sort(key=Worker.free_processors, reverse=True)
-            expired = [w for w in fitting if has_expired(step, w, now)]
-            most = self._count_advised(entry, step)
-            named = (expired[:most] + named)[:most]
-        if not named:
-            return []
-        step.is_asking = True
-        step.next_ask_at = now + ADVICE_PAUSE_SECONDS
-        return [
-            AskAdvice(
-                step=step.id,
-                workers=tuple(worker.id for worker in named),
-                expected_seconds=terms.decision_seconds + terms.seconds_per_worker * len(named),
-            )
-        ]
-
-    def _name_for_gang(
-        self,
-        entry: SubmissionProgress,
-        step: StepProgress,
-        eligible: Sequence[Worker],
-        fitting: Sequence[Worker],
-        now: float,
-    ) -> list[Worker]:
-        """Return the workers to name in a call for a gang.
-
-        Answers heavy calls that each take up to a second: enough workers for the gang are found
-        by one call, whether they have room now or not, and tickets are renewed shortly before
-        the gang's turn instead of after it has come. They are renewed together, since all members
-        need theirs at the same time and those of several calls end one after another.
-        """
-        spec, plan = step.spec, step.plan
-        named: list[Worker] = []
-        lead = now + TICKET_LEAD_SECONDS
-        unasked = [w for w in eligible if w.id not in step.allowed]
-        unasked.sort(key=Worker.free_processors, reverse=True)
-        fits_now = choose_gang_workers(spec, fitting) is not None
-        if fits_now:
-            named += [w for w in fitting if w.id in step.allowed]
-        elif plan is not None and plan.ready_at < lead:
-            named += [w for w in eligible if w.id in plan.members]
-        if not any(has_expired(step, w, lead) for w in named):
-            named.clear()
-        if fits_now:
-            named += [w for w in unasked if count_fitting(spec, w) > 0]
-        known = sum(count_in_empty(spec, w) for w in eligible if w.id in step.allowed)
-        if known < KNOWN_ROOM * spec.count:
-            chosen = set(map(id, named))
-            named += [w for w in unasked if id(w) not in chosen]
-        return named[: self._count_advised(entry, step)]
-
-
-def has_expired(step: StepProgress, worker: Worker, now: float) -> bool:
-    """Return whether a worker is allowed and its ticket doesn't hold any more."""
-    ticket = step.allowed.get(worker.id)
-    return ticket is not None and ticket.expires_at <= now
-
 
 def _log_worker(decision: str, worker: Worker, **fields: object) -> LogDecision:
     return LogDecision(
--- a/src/lavenderhook/_internal/queueing/reservations.py
+++ b/src/lavenderhook/_internal/queueing/reservations.py
@@ -2,38 +2,18 @@
 
 from __future__ import annotations
 
-import dataclasses
 import heapq
 from collections.abc import Iterable, Sequence
 
 from ..core.identifiers import WorkerId
 from .model import Resources, StepSpec
 from .placement import count_in, find_rack
+from .submissions import GangPlan
 from .workers import Worker
 
-PLAN_SECONDS = 0.2  # for which a plan is used again: in it, few of the running tasks end
 OVERDUE_SECONDS = 0.5  # by which a run that has lasted longer than its estimate may go on
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GangPlan:
-    """Where a gang is to run, and when there will be room for it.
-
-    Attributes
-    ----------
-    members : dict
-        How many members each worker gets.
-    """
-
-    made_at: float
-    ready_at: float
-    members: dict[WorkerId, int]
-
-    def is_current(self, now: float) -> bool:
-        """Return whether the plan is still used."""
-        return now - self.made_at < PLAN_SECONDS
-
-
 def plan_gang(spec: StepSpec, workers: Sequence[Worker], now: float) -> GangPlan | None:
     """Return the plan by which a gang can begin first; None if the workers never hold it.
 
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
 
 from ..core.identifiers import WorkerId
 from .model import (
@@ -17,10 +16,8 @@
 from .records import Progress
 from .workers import Run
 
-if TYPE_CHECKING:
-    from .reservations import GangPlan
-
 GANG_INDEX = -1  # key under which the failures of a gang are counted
+PLAN_SECONDS = 0.2  # for which a plan is used again: in it, few of the running tasks end
 TICKET_MARGIN_SECONDS = 0.15  # a ticket is not used this close to its end
 
 
@@ -32,6 +29,25 @@
     expires_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GangPlan:
+    """Where a gang is to run, and when there will be room for it.
+
+    Attributes
+    ----------
+    members : dict
+        How many members each worker gets.
+    """
+
+    made_at: float
+    ready_at: float
+    members: dict[WorkerId, int]
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the plan is still used."""
+        return now - self.made_at < PLAN_SECONDS
+
+
 class StepProgress:
     """One occurrence of a step.
 
