Tell callers at once when their write meets a silent store

Cause: a write without an answer held its caller until the deadline, with peers asked one after the other.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -112,6 +112,20 @@
     And submission "00000000000000b1" of 1 tasks is sent to instance 0
     Then it is answered with 503 and a Retry-After within 0.5 seconds
 
+  Scenario: A caller whose write meets a silent store is told so at once
+    Guards against requests that are held until their deadline although nothing answers.
+    Given 3 entry processes and 3 queue workers
+    When 1.0 seconds go by
+    And the store is silent
+    And submission "00000000000000b4" of 1 tasks is sent to instance 0
+    Then it is answered with 504 and a Retry-After within 2.2 seconds
+    When the store is up
+    And 1.0 seconds go by
+    And submission "00000000000000b4" of 1 tasks is sent to instance 1
+    Then it is answered with 200
+    And "00000000000000b4" becomes "completed" at instance 2 within 5 seconds
+    And every task was started once
+
   Scenario: A store that was silent is used again within a second of its return
     Guards against calls sent during an outage that hold up those after it until their time-out.
     Given 2 entry processes and 3 queue workers
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -76,6 +76,7 @@
 # Before a write is passed on as well: a slow store answers within 0.7 s.
 HEDGE_SECONDS = 0.8
 PASS_ON_SECONDS = 0.9  # that a peer gets for a write
+OUTAGE_CHECK_SECONDS = 0.1  # between looks whether the store still answers
 LEAVING_SECONDS = 2.5  # the balancer needs two missed checks, a second apart, to leave us out
 OLD_READING_SECONDS = 6.0  # by which the store's readings lag after it has lost its history
 KEEP_ACCEPTED = 5_000  # ids of submissions that this instance has stored
@@ -245,7 +246,10 @@
         there = self._pass_on(write_there, deadline)
         if there in (Acceptance.STORED, Acceptance.NO_SUCH):
             return there
-        here.join(max(0.0, deadline - time.monotonic()))
+        # A store that is away answers neither here nor there: callers come back sooner if they are
+        # told so at once, and what is under way for them counts when it is carried out.
+        while not here.ready() and time.monotonic() < deadline and not self._is_in_vain(there):
+            here.join(OUTAGE_CHECK_SECONDS)
         if not here.ready():
             return Acceptance.UNKNOWN
         if here.value is Acceptance.NOT_STORED:
@@ -369,7 +373,7 @@
         outcome = Acceptance.NOT_STORED
         for address in self._list_peers()[:PEERS_TRIED]:
             seconds = min(PASS_ON_SECONDS, deadline - time.monotonic())
-            if seconds <= 0:
+            if seconds <= 0 or self._is_in_vain(outcome):
                 break
             result = write_there(address, seconds)
             if result in (Acceptance.STORED, Acceptance.NO_SUCH):
@@ -378,6 +382,11 @@
                 outcome = result
         return outcome
 
+    def _is_in_vain(self, there: Acceptance) -> bool:
+        """Return whether the store has answered neither this instance nor a peer that was asked."""
+        is_silent = self._store.measure_silence() > HEDGE_SECONDS
+        return is_silent and there is Acceptance.UNKNOWN
+
     def _list_peers(self) -> list[str]:
         """Return the addresses of the peers: the owner first, the others in random order."""
         owner = self._find_owner_address()
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -177,10 +177,13 @@
             case Acceptance.NO_SUCH:
                 return Reply(status=GONE)
             case Acceptance.NOT_STORED:
-                pause = str(self._instance.suggest_retry())
-                return Reply(status=503, headers=(("Retry-After", pause),))
+                return self._refuse(503)
             case Acceptance.UNKNOWN:
-                return Reply(status=504)
+                return self._refuse(504)
+
+    def _refuse(self, status: int) -> Reply:
+        pause = str(self._instance.suggest_retry())
+        return Reply(status=status, headers=(("Retry-After", pause),))
 
     def _describe(self, submission: SubmissionId) -> Reply:
         try:
