Refuse callers in an outage without asking peers for each

Cause: while the store refused everybody, each request asked three peers in turn; one that was lost cost 0.5 to 0.9 s, in which callers left, and made the answer unknown. Two peers are asked at the same time, silent ones are passed over for 3 s, and a refusal by all stands for a second.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -78,6 +78,17 @@
     Then it is answered with 200
     And "00000000000000a7" becomes "completed" at instance 1 within 5 seconds
 
+  Scenario: Refusals in an outage don't wait for a peer that is lost
+    Guards against callers that are refused late, or leave before, since each request asks peers
+    that don't answer.
+    Given 3 entry processes and 3 queue workers
+    When 1.0 seconds go by
+    And the store is busy
+    And an instance that neither owns nor is instance 0 is paused
+    And 2 submissions are sent to instance 0
+    And submission "00000000000000b5" of 1 tasks is sent to instance 0
+    Then it is answered with 503 and a Retry-After within 0.3 seconds
+
   Scenario: A slow store still accepts a burst
     Guards against submissions that wait for each other in one part of the store: with
     transactions of 0.7 s, one part takes 1.4 a second and rejects the rest.
--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -210,6 +210,18 @@
     send_many(context, count)
 
 
+@when("an instance that neither owns nor is instance 0 is paused")
+def step_pause_other(context):
+    owner = context.cluster.find_owner()
+    index = next(i for i in range(1, len(context.cluster.entries)) if i != owner)
+    context.cluster.entries[index].send(signal.SIGSTOP)
+
+
+@when("{count:d} submissions are sent to instance {index:d}")
+def step_many_to(context, count, index):
+    send_many(context, count, gap=1.0, indices=[index])
+
+
 @when("the store is silent for the owner")
 def step_cut_owner(context):
     owner = context.cluster.entries[context.cluster.find_owner()]
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -72,7 +72,11 @@
 PING_SECONDS = 0.3
 PENDING_VALID_SECONDS = 0.5  # age up to which the owner's counts are used again
 PENDING_STALE_SECONDS = 1.8  # age up to which they are used when the owner does not answer
-PEERS_TRIED = 3  # peers to which a write is passed on, one after the other
+PEERS_TRIED = 2  # peers to which a write is passed on at the same time
+# A peer that is lost leaves it open whether it writes the row in the end, so that callers can't be
+# told that their submissions never run.
+PASSED_OVER_SECONDS = 3.0
+REFUSED_SECONDS = 1.0  # for which a refusal by all of them stands
 # Before a write is passed on as well: a slow store answers within 0.7 s.
 HEDGE_SECONDS = 0.8
 PASS_ON_SECONDS = 0.9  # that a peer gets for a write
@@ -145,6 +149,8 @@
         self._owner: Owner | None = None
         self._heartbeat_count = 0
         self._contact_lost_at: float | None = None
+        self._passed_over: dict[str, float] = {}  # peers by address, and until when
+        self._refused_at = -REFUSED_SECONDS  # when peers last could not write either
         self._accepted: dict[SubmissionId, float] = {}  # when, in the order of acceptance
         self._news: list[Submission] = []
         self._cancelled: list[SubmissionId] = []
@@ -369,18 +375,36 @@
     def _pass_on(
         self, write_there: Callable[[str, float], Acceptance], deadline: float
     ) -> Acceptance:
-        """Let a peer that reaches the store write a row."""
-        outcome = Acceptance.NOT_STORED
-        for address in self._list_peers()[:PEERS_TRIED]:
-            seconds = min(PASS_ON_SECONDS, deadline - time.monotonic())
-            if seconds <= 0 or self._is_in_vain(outcome):
-                break
-            result = write_there(address, seconds)
-            if result in (Acceptance.STORED, Acceptance.NO_SUCH):
-                return result
-            if result is Acceptance.UNKNOWN:
-                outcome = result
-        return outcome
+        """Let a peer that reaches the store write a row.
+
+        Answers an outage for everybody: where all peers that were asked have just been refused,
+        the next callers are refused at once and not after another round of questions.
+        """
+        now = time.monotonic()
+        seconds = min(PASS_ON_SECONDS, deadline - now)
+        if seconds <= 0 or now - self._refused_at < REFUSED_SECONDS:
+            return Acceptance.NOT_STORED
+        peers_asked = [a for a in self._list_peers() if self._passed_over.get(a, 0.0) <= now]
+        calls = [
+            gevent.spawn(self._write_at, address, write_there, seconds)
+            for address in peers_asked[:PEERS_TRIED]
+        ]
+        for call in gevent.iwait(calls, timeout=seconds):
+            if call.value in (Acceptance.STORED, Acceptance.NO_SUCH):
+                return call.value
+        if all(call.value is Acceptance.NOT_STORED for call in calls):
+            self._refused_at = time.monotonic()
+            return Acceptance.NOT_STORED
+        return Acceptance.UNKNOWN
+
+    def _write_at(
+        self, address: str, write_there: Callable[[str, float], Acceptance], seconds: float
+    ) -> Acceptance:
+        """Let one peer write a row; one that gives no answer is passed over for a while."""
+        result = write_there(address, seconds)
+        if result is Acceptance.UNKNOWN:
+            self._passed_over[address] = time.monotonic() + PASSED_OVER_SECONDS
+        return result
 
     def _is_in_vain(self, there: Acceptance) -> bool:
         """Return whether the store has answered neither this instance nor a peer that was asked."""
