Keep pauses within a caller's patience

Cause: callers wait three seconds in all, and half of the pauses outlasted what was left, so that they never came back. A pause takes half of it at most. The new scenario fails without.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -215,6 +215,13 @@
     Then at least 90 callers come back after the outage
     And no second sees more than 70 of them
 
+  Scenario: Callers that give up after three seconds come back before
+    Guards against pauses that outlast a caller's patience, which end its tries while the store is
+    coming back.
+    Given an outage of 4 seconds in which 100 callers with 3 seconds of patience are refused
+    When each comes back as it is told while its patience lasts
+    Then all who were refused in the last 1.9 seconds come back after the outage
+
   Scenario Outline: The random days catch a broken protocol
     Guards against checks that would pass whatever the owner did.
     When the random days are played until one breaks a rule, while <fault>
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -162,6 +162,37 @@
                 break
 
 
+@given(
+    "an outage of {seconds:d} seconds in which {count:d} callers "
+    "with {patience:d} seconds of patience are refused"
+)
+def step_impatient(context, seconds, count, patience):
+    context.outage = seconds
+    context.patience = patience
+    context.callers = [seconds * index / count for index in range(count)]
+
+
+@when("each comes back as it is told while its patience lasts")
+def step_impatient_return(context):
+    generator = random.Random(5)
+    context.returned = set()
+    for refused_at in context.callers:
+        now, leaves_at = refused_at, refused_at + context.patience
+        while now < context.outage:
+            now += choose_retry_after(now, generator.random(), leaves_at - now)
+            if now >= leaves_at:
+                break
+        else:
+            context.returned.add(refused_at)
+
+
+@then("all who were refused in the last {seconds:g} seconds come back after the outage")
+def step_all_return(context, seconds):
+    since = context.outage - seconds
+    lost = [at for at in context.callers if at >= since and at not in context.returned]
+    assert not lost, lost
+
+
 @then("at least {count:d} callers come back after the outage")
 def step_returned(context, count):
     assert len(context.returned) >= count, len(context.returned)
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -365,12 +365,12 @@
             and self._store.measure_silence() < STORE_OUTAGE_SECONDS
         )
 
-    def suggest_retry(self) -> int:
-        """Return the seconds after which a refused caller should come back."""
+    def suggest_retry(self, deadline: float) -> int:
+        """Return the seconds after which a refused caller that waits until then comes back."""
         now = time.monotonic()
         lost_at = self._contact_lost_at
         outage = now - lost_at if lost_at is not None else self._store.measure_silence()
-        return choose_retry_after(outage, random.random())
+        return choose_retry_after(outage, random.random(), deadline - now)
 
     def _pass_on(
         self, write_there: Callable[[str, float], Acceptance], deadline: float
--- a/src/lavenderhook/_internal/queueing/refusal.py
+++ b/src/lavenderhook/_internal/queueing/refusal.py
@@ -11,7 +11,9 @@
 SPREAD_SECONDS = 1.5  # over which callers that are refused together come back
 
 
-def choose_retry_after(outage_seconds: float, spread: float) -> int:
+def choose_retry_after(
+    outage_seconds: float, spread: float, patience_seconds: float = math.inf
+) -> int:
     """Return the seconds after which a caller should try again.
 
     Answers an outage of the store in which all callers are refused: pauses grow with it, so that
@@ -23,6 +25,10 @@
         How long the store has been away.
     spread : float
         A random number from 0 to 1.
+    patience_seconds : float
+        For how long the caller goes on trying. A pause takes half of it at most, so that there is
+        time for one more try and an answer; one that outlasts it would end the caller's tries.
     """
     pause = min(max(outage_seconds * GROWTH, SHORTEST_SECONDS), LONGEST_SECONDS)
-    return math.ceil(pause + spread * SPREAD_SECONDS)
+    bound = max(SHORTEST_SECONDS, patience_seconds / 2)
+    return math.floor(min(math.ceil(pause + spread * SPREAD_SECONDS), bound))
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -165,24 +165,24 @@
             first_due=job.first_run_ms / 1000,
             interval_seconds=job.interval_ms / 1000,
         )
-        return self._reply_acceptance(self._instance.submit(stored, deadline))
+        return self._reply_acceptance(self._instance.submit(stored, deadline), deadline)
 
     def _cancel(self, submission: SubmissionId, deadline: float) -> Reply:
-        return self._reply_acceptance(self._instance.cancel(submission, deadline))
+        return self._reply_acceptance(self._instance.cancel(submission, deadline), deadline)
 
-    def _reply_acceptance(self, result: Acceptance) -> Reply:
+    def _reply_acceptance(self, result: Acceptance, deadline: float) -> Reply:
         match result:
             case Acceptance.STORED:
                 return _reply({})
             case Acceptance.NO_SUCH:
                 return Reply(status=GONE)
             case Acceptance.NOT_STORED:
-                return self._refuse(503)
+                return self._refuse(503, deadline)
             case Acceptance.UNKNOWN:
-                return self._refuse(504)
+                return self._refuse(504, deadline)
 
-    def _refuse(self, status: int) -> Reply:
-        pause = str(self._instance.suggest_retry())
+    def _refuse(self, status: int, deadline: float) -> Reply:
+        pause = str(self._instance.suggest_retry(deadline))
         return Reply(status=status, headers=(("Retry-After", pause),))
 
     def _describe(self, submission: SubmissionId) -> Reply:
