Keep gangs off workers on trial; name the store's time limits once

A gang is as slow as its slowest worker. A worker's new life begins without suspicion. A caller whose write meets a silent store is told so whatever its peers said.

--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -252,9 +252,11 @@
         there = self._pass_on(write_there, deadline)
         if there in (Acceptance.STORED, Acceptance.NO_SUCH):
             return there
-        # A store that is away answers neither here nor there: callers come back sooner if they are
-        # told so at once, and what is under way for them counts when it is carried out.
-        while not here.ready() and time.monotonic() < deadline and not self._is_in_vain(there):
+        # Where the store has answered neither here nor there, callers come back sooner if they are
+        # told so at once; what is under way for them counts when it is carried out.
+        while not here.ready() and time.monotonic() < deadline:
+            if self._store.measure_silence() > HEDGE_SECONDS:
+                break
             here.join(OUTAGE_CHECK_SECONDS)
         if not here.ready():
             return Acceptance.UNKNOWN
@@ -406,11 +408,6 @@
             self._passed_over[address] = time.monotonic() + PASSED_OVER_SECONDS
         return result
 
-    def _is_in_vain(self, there: Acceptance) -> bool:
-        """Return whether the store has answered neither this instance nor a peer that was asked."""
-        is_silent = self._store.measure_silence() > HEDGE_SECONDS
-        return is_silent and there is Acceptance.UNKNOWN
-
     def _list_peers(self) -> list[str]:
         """Return the addresses of the peers: the owner first, the others in random order."""
         owner = self._find_owner_address()
--- a/src/lavenderhook/_internal/instance/watching.py
+++ b/src/lavenderhook/_internal/instance/watching.py
@@ -7,10 +7,9 @@
 import gevent.pool
 
 from ...errors import LavenderhookError
-from ..ports.queueing import HistoryLostError, RowChanges, RowStore, StoredRow
+from ..ports.queueing import STORE_CALL_SECONDS, HistoryLostError, RowChanges, RowStore, StoredRow
 
 Report = Callable[..., None]  # takes (what, fields) for the log
-READ_SECONDS = 2.2  # a page of 1 MB over a link of 5 Mbit/s takes 1.6 s
 READERS = 16  # parts that are read at the same time
 
 
@@ -35,7 +34,7 @@
         table: str,
         apply: Callable[[StoredRow], None],
         parts: Sequence[str] = ("",),
-        read_seconds: float = READ_SECONDS,
+        read_seconds: float = STORE_CALL_SECONDS,
     ) -> None:
         self._read_seconds = read_seconds
         self._store = store
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -27,6 +27,9 @@
 # Calls wait for the store without any answer for this long: it is away. 90 times as slow as usual,
 # it still answers in 0.9 s.
 STORE_OUTAGE_SECONDS = 1.1
+# Longest time for a call to the store: 90 times as slow as usual, a transaction takes 0.9 s and may
+# wait for a second's worth of others; a page of 1 MB over a link of 5 Mbit/s takes 1.6 s.
+STORE_CALL_SECONDS = 2.2
 
 
 class StoredRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -129,7 +132,7 @@
         start: str = "",
         end: str = "",
         part: str = "",
-        timeout_seconds: float = ...,
+        timeout_seconds: float = STORE_CALL_SECONDS,
     ) -> RowChanges:
         """Return a part's rows with ``start <= key < end`` (all pages) and the revision."""
 
--- a/src/lavenderhook/_internal/queueing/cell.py
+++ b/src/lavenderhook/_internal/queueing/cell.py
@@ -763,6 +763,8 @@
         of no stops: it is stopped there before its task may run again.
         """
         worker.lives += 1
+        worker.slow.clear()
+        worker.is_on_trial = False
         doubtful = [
             run
             for run in worker.runs.values()
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -95,7 +95,8 @@
         eligible = [worker for worker in workers if is_eligible(step, service, worker)]
         if entry.submission.queue.advice is not None:
             eligible = [worker for worker in eligible if worker.id in step.allowed]
-        return plan_gang(step.spec, eligible, now)
+        sound = [worker for worker in eligible if not worker.is_on_trial]
+        return plan_gang(step.spec, sound, now)
 
     def _place_step(
         self,
@@ -153,6 +154,7 @@
     ) -> list[Effect]:
         if len(step.waiting) < step.spec.count:
             return []
+        usable = [w for w in usable if not w.is_on_trial]  # a gang is as slow as its slowest worker
         sound = [w for w in usable if not step.is_avoided(0, w.id)]
         chosen = choose_gang_workers(step.spec, sound)
         if chosen is None and len(sound) < len(usable):
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -13,6 +13,7 @@
 
 from .._internal.adapters.transport import Headers, HttpAnswer, HttpClient
 from .._internal.ports.queueing import (
+    STORE_CALL_SECONDS,
     STORE_OUTAGE_SECONDS,
     Condition,
     Conflict,
@@ -28,8 +29,6 @@
 TRANSACT_PATH = "/lavenderhook/rows-tx"
 READ_PATH = "/lavenderhook/rows-get"
 FOLLOW_PATH = "/lavenderhook/rows-feed"
-# The store may be 90 times as slow as its usual 10 ms.
-CALL_TIMEOUT_SECONDS = 2.2
 WATCH_SLACK_SECONDS = 1.2  # beyond the wait: 70 times the usual 4 ms, and a long link
 CONNECTIONS = 64
 JSON_HEADERS = (("Content-Type", "application/json"),)
@@ -174,7 +173,7 @@
         }
         data = msgspec.json.encode(body)
         answer = self._call(
-            "POST", TRANSACT_PATH, data, JSON_HEADERS, CALL_TIMEOUT_SECONDS, "transact"
+            "POST", TRANSACT_PATH, data, JSON_HEADERS, STORE_CALL_SECONDS, "transact"
         )
         if answer.status == 412:
             return Conflict(tuple(map(_convert, _decode(answer).rows)))
@@ -187,7 +186,7 @@
         start: str = "",
         end: str = "",
         part: str = "",
-        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+        timeout_seconds: float = STORE_CALL_SECONDS,
     ) -> RowChanges:
         """Return rows in key order; all pages."""
         rows: list[StoredRow] = []
