Contain malformed messages and unexpected errors

Cause: a report, refusal, piece of advice, row or settings file that can't be decoded raised errors that no caller expects. The greenlet that read it ended: a worker was held no longer, a step waited for advice for ever, an instance no longer followed the owner row. A stored submission that names a missing step made the reducer of each owner fail, one after the other. Ruled out: the callers' and peers' listeners, which answer unexpected errors already. Change: every reader raises ProtocolError or another typed error, logged with what was malformed; a row is left out alone; a submission whose progress is unreadable is not run; an unreadable roster waits for the longest lease. Submissions are checked when they arrive and when they are read. Loops of an instance start again after an unexpected error; an owner gives up its ownership, and the next one rebuilds the state. Commands of an owner end with it: one that waited for a connection was sent after the resignation. Conclusion: one malformed message costs what it carries, and no process.

--- /dev/null
+++ b/features/malformed_messages.feature
@@ -0,0 +1,80 @@
+Feature: Malformed messages
+  Everything that arrives over the network may be malformed: one message of that kind is rejected
+  with a typed error and a log line, and changes nothing else.
+
+  Scenario Outline: Arbitrary bytes are rejected with a typed error
+    Guards against an unexpected exception that ends the loop which reads the message.
+    When 300 arbitrary and damaged messages are read as <message>
+    Then each is read or rejected with a typed error
+
+    Examples:
+      | message             |
+      | a worker's report   |
+      | a refusal           |
+      | advice              |
+      | a worker's entry    |
+      | a configuration     |
+      | a stored submission |
+      | stored progress     |
+      | a stored outcome    |
+      | an owner row        |
+      | a member row        |
+      | a heartbeat row     |
+      | a roster            |
+      | a peer's notice     |
+      | rows of the store   |
+      | a caller's body     |
+      | a settings file     |
+
+  Scenario Outline: A submission that no owner can place is refused when it arrives
+    Guards against a stored submission on which one owner after the other fails.
+    When a caller submits steps with <field> set to <value>
+    Then it is refused with invalid-argument
+
+    Examples:
+      | field       | value      |
+      | count       | 0          |
+      | count       | -1         |
+      | count       | 1000000000 |
+      | after       | [0]        |
+      | after       | [7]        |
+      | after       | [-1]       |
+      | cpu         | -5         |
+      | memMb       | -5         |
+      | estimateMs  | -1.0       |
+      | repetitions | 1000000000 |
+
+  Scenario: Malformed rows don't keep the others from being read
+    Guards against a row of another writer that ends the loop which follows the table: the instance
+    would notice neither a new owner nor new submissions.
+    Given 3 entry instances and 3 queue workers
+    When the owner has reached every worker
+    And malformed rows are written into the tables of the instances
+    And 1.0 seconds of real time pass
+    And submission "00000000000000d1" of 2 tasks is sent to instance 0
+    Then "00000000000000d1" becomes "completed" at instance 1 within 5 seconds
+    When 30 submissions are sent while the owner is killed
+    Then all accepted submissions become "completed" within 20 seconds
+    And the stand-ins saw no violation
+    And a process has logged "row-unreadable"
+
+  Scenario: Malformed reports of a worker stop neither its runs nor the owner
+    Guards against a report that ends the loop which renews a worker's leases, or the owner.
+    Given 2 entry instances and 3 queue workers
+    When the owner has reached every worker
+    And every second report of worker 0 is malformed
+    And 10 submissions are sent
+    Then all accepted submissions become "completed" within 20 seconds
+    And the stand-ins saw no violation
+    And a process has logged "report-unreadable"
+    And no process has logged "unexpected error"
+
+  Scenario: An owner with an unexpected error is replaced
+    Guards against an owner that goes on as such although the loop that places tasks has ended.
+    Given a loop that fails twice with an unexpected error
+    When it is run until stopped
+    Then it was run 3 times and both errors were reported
+    Given an owner whose reducer fails on one event
+    When the event arrives
+    Then the owner steps down and reports the error
+    And none of its loops goes on
--- /dev/null
+++ b/features/steps/malformed_messages.py
@@ -0,0 +1,401 @@
+"""Steps with messages that no correct program sends."""
+
+import contextlib
+import itertools
+import json
+import random
+
+import gevent
+import msgspec
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, seed, settings, strategies
+from hypothesis import given as given_example
+
+from lavenderhook._internal.adapters.transport import ClientResponse
+from lavenderhook._internal.instance import peers
+from lavenderhook._internal.instance.owner import Owner
+from lavenderhook._internal.instance.supervision import run_until_stopped
+from lavenderhook._internal.queueing import records
+from lavenderhook._internal.queueing.events import Ticked
+from lavenderhook._internal.queueing.model import FencingToken
+from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
+from lavenderhook._internal.queueing.validation import check_submission
+from lavenderhook.errors import LavenderhookError
+from lavenderhook.platform import frontend, lists, store, workers
+from lavenderhook.platform.settings import load_settings
+
+STEPS = [{"count": 2, "cpu": 10, "memMb": 1, "estimateMs": 5.0, "after": []}]
+SPEC = {"count": 2, "resources": {"processors": 10}, "after": []}
+QUEUE = {"name": "q", "service": "s", "priority": 0}
+# A correct message of each kind, which is damaged at random.
+EXAMPLES = {
+    "a worker's report": {
+        "clockMs": 5,
+        "born": 7,
+        "running": [["a.0.1.2", 1, "c", 5, 3]],
+        "finished": [[1, "a.0.1.2", 1, "done", ""]],
+    },
+    "a refusal": {"clockMs": 5, "reason": "fence"},
+    "advice": {"allowed": [["w", "t"]]},
+    "a worker's entry": {
+        "service": "s",
+        "address": "127.0.0.1:80",
+        "zone": "z",
+        "state": "ready",
+        "capacity": {"cpu": 5, "memMb": 3},
+        "labels": ["a"],
+        "born": 3,
+    },
+    "a configuration": {
+        "version": 3,
+        "routes": [{"name": "q", "host": "h", "pathPrefix": "/q/", "service": "s"}],
+    },
+    "a stored submission": {
+        "id": "a",
+        "queue": QUEUE,
+        "payload": "p",
+        "steps": [SPEC],
+        "accepted_at": 1.0,
+    },
+    "stored progress": {"done": {"0.0": [1]}, "failed": {"0.0": {"1": [2]}}},
+    "a stored outcome": {"state": "completed", "at": 1.0},
+    "an owner row": {"fencing": 1, "name": "n", "boot": "b", "address": "a:1", "process": "p"},
+    "a member row": {"name": "n", "boot": "b", "address": "a:1", "zone": "z"},
+    "a heartbeat row": {"fencing": 1, "count": 2},
+    "a roster": {"workers": ["w"], "closed": {"w": 3}},
+    "a peer's notice": {"submissions": [], "cancelled": ["a"]},
+    "rows of the store": {
+        "rows": [{"table": "t", "key": "k", "value": "AAAA", "schemaVersion": 1}],
+        "schemaVersion": 3,
+    },
+    "a caller's body": {"spec": "text", "steps": STEPS},
+    "a settings file": {},
+}
+SETTINGS_TEXT = """nodeName = "n"
+ip = "127.0.0.1"
+zone = "z"
+internalPorts = [1, 2]
+[listen]
+[platform]
+address = "127.0.0.1:3"
+"""
+
+
+def ignore_event(*_names, **_fields):
+    """Accept a log event."""
+
+
+class StubTransport:
+    """Client that answers each call with one body."""
+
+    def __init__(self, status, body):
+        self.response = ClientResponse(status, (), body)
+
+    def call(self, *_arguments, **_options):
+        """Return the response."""
+        return self.response
+
+
+def read_report(body):
+    """Read the response to a hold as the client does."""
+    client = workers.PlatformWorkerClient(ignore_event)
+    client._client = StubTransport(200, body)
+    client.hold("a:1", "w", 1, 0, None, 0.0)
+
+
+def read_refusal(body):
+    """Read the response to a start as the client does."""
+    client = workers.PlatformWorkerClient(ignore_event)
+    client._client = StubTransport(409, body)
+    task = workers.parse_task("a.0.0.0")
+    command = workers.StartCommand(worker="w", task=task, number=1, payload="p", token=1)
+    client.start("a:1", command, 1.0)
+
+
+def read_advice(body):
+    """Read advice as the client does."""
+    advisor = workers.PlatformAdvisor("a:1", ignore_event)
+    advisor._client = StubTransport(200, body)
+    advisor.request_advice(workers.StepId("a", 0, 0), ["w"], 1.0)
+
+
+class StubStore:
+    """Store that returns one row."""
+
+    def __init__(self, key, value):
+        row = store.StoredRow(table="t", key=key, value=value, revision=1)
+        self.changes = store.RowChanges((row,), 1)
+
+    def read(self, *_arguments, **_options):
+        """Return the row."""
+        return self.changes
+
+
+def read_rows(body):
+    """Read a page of the store."""
+    store._decode_rows(store._decode(ClientResponse(200, (), body)))
+
+
+def read_notice(body):
+    """Read a message of a peer, which is packed in another format than the other messages."""
+    with contextlib.suppress(ValueError, RecursionError, OverflowError):
+        body = msgspec.msgpack.encode(json.loads(body))
+    peers.read_message(StubRequest(body), peers.WriteNotice)
+
+
+class StubRequest:
+    """Request with a body."""
+
+    def __init__(self, body, path="/q/a", method="POST"):
+        self.body = body
+        self.path = path
+        self.method = method
+        self.headers = {"host": "h"}
+
+    def read_body(self):
+        """Return the body."""
+        return self.body
+
+
+class StubInstance:
+    """Instance that accepts every submission."""
+
+    routes = lists.decode_configuration(json.dumps(EXAMPLES["a configuration"]).encode())
+
+    def submit(self, submission, _deadline):
+        """Accept a submission that an owner could read."""
+        check_submission(submission)
+        return frontend.WriteResult.STORED
+
+
+def submit_body(body):
+    """Send a caller's body to the listener's route."""
+    return frontend.Frontend(StubInstance()).route(StubRequest(body))
+
+
+def read_settings(body):
+    """Read the bytes, added to correct settings, as a settings file."""
+    import tempfile
+
+    with tempfile.NamedTemporaryFile() as file:
+        file.write(SETTINGS_TEXT.encode() + body)
+        file.flush()
+        load_settings(file.name)
+
+
+READERS = {
+    "a worker's report": read_report,
+    "a refusal": read_refusal,
+    "advice": read_advice,
+    "a worker's entry": lambda body: lists.PlatformWorkers(
+        StubStore("w", body), ignore_event
+    ).read(),
+    "a configuration": lambda body: lists.PlatformConfiguration(
+        StubStore("config", body), ignore_event
+    ).read(),
+    "a stored submission": records.decode_submission,
+    "stored progress": lambda body: records.decode(body, records.Progress),
+    "a stored outcome": lambda body: records.decode(body, records.Outcome),
+    "an owner row": lambda body: records.decode(body, records.OwnerRecord),
+    "a member row": lambda body: records.decode(body, records.MemberRecord),
+    "a heartbeat row": lambda body: records.decode(body, records.HeartbeatRecord),
+    "a roster": lambda body: records.decode_roster(body, 1),
+    "a peer's notice": read_notice,
+    "rows of the store": read_rows,
+    "a caller's body": submit_body,
+    "a settings file": read_settings,
+}
+
+SCALARS = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**70), 2**70)
+    | strategies.floats(allow_nan=False)
+    | strategies.text(max_size=8)
+)
+VALUES = strategies.recursive(
+    SCALARS,
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+def damage(value, draw):
+    """Return a message with one part replaced or removed."""
+    if isinstance(value, dict) and value and draw(strategies.booleans()):
+        key = draw(strategies.sampled_from(sorted(value)))
+        rest = {name: part for name, part in value.items() if name != key}
+        if draw(strategies.booleans()):
+            return rest
+        return {**rest, key: damage(value[key], draw)}
+    if isinstance(value, list) and value and draw(strategies.booleans()):
+        index = draw(strategies.integers(0, len(value) - 1))
+        rest = value[:index] + value[index + 1 :]
+        if draw(strategies.booleans()):
+            return rest
+        return [*value[:index], damage(value[index], draw), *value[index + 1 :]]
+    return draw(VALUES)
+
+
+def make_messages(example):
+    """Return a strategy for messages: arbitrary bytes, cut messages and damaged ones."""
+    encoded = json.dumps(example).encode()
+    cut = strategies.integers(0, len(encoded)).map(lambda length: encoded[:length])
+    damaged = strategies.composite(lambda draw: json.dumps(damage(example, draw)).encode())()
+    nested = strategies.integers(100, 20_000).map(lambda depth: b"[" * depth)
+    return strategies.binary(max_size=60) | cut | damaged | damaged | damaged | nested
+
+
+@when("{count:d} arbitrary and damaged messages are read as {message}")
+def step_read_messages(context, count, message):
+    context.unexpected = []
+
+    @seed(11)
+    @settings(
+        max_examples=count,
+        deadline=None,
+        database=None,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+    @given_example(make_messages(EXAMPLES[message]))
+    def read(body):
+        try:
+            READERS[message](body)
+        except LavenderhookError:
+            return
+        except Exception as error:
+            context.unexpected.append((body[:200], repr(error)))
+
+    read()
+
+
+@then("each is read or rejected with a typed error")
+def step_typed(context):
+    assert not context.unexpected, (len(context.unexpected), context.unexpected[:3])
+
+
+@when("a caller submits steps with {field} set to {value}")
+def step_submit_field(context, field, value):
+    body = {"spec": "text", "steps": [dict(STEPS[0])]}
+    target = body if field == "repetitions" else body["steps"][0]
+    target[field] = json.loads(value)
+    context.error = None
+    try:
+        submit_body(json.dumps(body).encode())
+    except LavenderhookError as error:
+        context.error = error
+
+
+@then("it is refused with {code}")
+def step_refused_with(context, code):
+    assert context.error is not None and context.error.code == code, context.error
+
+
+@when("malformed rows are written into the tables of the instances")
+def step_malformed_rows(context):
+    target = context.cluster.platform.store
+    for key in ("submission/00000000000000e1", "progress/00000000000000e2", "outcome/x", "y"):
+        target.put("lavenderhook-work", key, b"{]")
+    for key in ("member/unknown", "owner-heartbeat", "other"):
+        target.put("lavenderhook-control", key, b"\xff\x00")
+    target.put("servers", "w-unknown", b"[1]")
+
+
+@when("every second report of worker {index:d} is malformed")
+def step_malformed_reports(context, index):
+    worker = context.cluster.platform.workers[index]
+    generator = random.Random(4)
+    respond = worker._hold
+    calls = itertools.count()
+
+    def respond_malformed(body):
+        response = respond(body)
+        if next(calls) % 2:
+            return response
+        content = generator.choice([b"", b"{", b'{"clockMs":1,"finished":[[1]]}', b"\xff\xfe"])
+        return type(response)(200, body=content)
+
+    worker._hold = respond_malformed
+
+
+def read_logs(context):
+    """Return the logs of all processes."""
+    return "".join(entry.log.read_text(encoding="utf-8") for entry in context.cluster.entries)
+
+
+@then('a process has logged "{text}"')
+def step_logged(context, text):
+    assert text in read_logs(context)
+
+
+@then('no process has logged "{text}"')
+def step_not_logged(context, text):
+    assert text not in read_logs(context)
+
+
+@given("a loop that fails twice with an unexpected error")
+def step_failing_loop(context):
+    context.loop_runs = 0
+
+    def fail_twice():
+        context.loop_runs += 1
+        if context.loop_runs <= 2:
+            raise KeyError("missing")
+
+    context.loop = fail_twice
+
+
+@when("it is run until stopped")
+def step_run_loop(context):
+    context.errors = []
+    run_until_stopped(
+        context.loop, lambda: False, lambda what, error: context.errors.append((what, error))
+    )
+
+
+@then("it was run {runs:d} times and both errors were reported")
+def step_loop_runs(context, runs):
+    assert context.loop_runs == runs, context.loop_runs
+    assert [type(error) for _, error in context.errors] == [KeyError, KeyError], context.errors
+
+
+@given("an owner whose reducer fails on one event")
+def step_failing_owner(context):
+    context.errors, context.reasons = [], []
+    owner = context.failing_owner = Owner(
+        FencingToken(1),
+        1,
+        store=None,
+        worker_list=None,
+        worker_client=None,
+        request_advice=None,
+        parameters=OwnerParameters(),
+        step_down=lambda _, reason: (context.reasons.append(reason), owner.stop()),
+        log_event=ignore_event,
+        report_error=lambda what, error: context.errors.append((what, error)),
+    )
+    owner.state = OwnerState(FencingToken(1), 1, 0.0, OwnerParameters())
+    owner.state.scheduler = None  # placement fails
+    context.loops = [owner._spawn(owner._tick_loop), owner._spawn(owner._commit_loop)]
+
+
+@when("the event arrives")
+def step_event(context):
+    context.failing_owner._spawn(context.failing_owner.apply, Ticked(now=1.0))
+    gevent.sleep(0.05)
+
+
+@then("the owner steps down and reports the error")
+def step_stepped_down(context):
+    assert "an unexpected error" in context.reasons, context.reasons
+    assert context.errors and isinstance(context.errors[0][1], AttributeError), context.errors
+
+
+@then("none of its loops goes on")
+def step_loops_ended(context):
+    gevent.joinall(context.loops, timeout=1.0)
+    assert all(loop.dead for loop in context.loops)
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -9,7 +9,6 @@
 
 import gevent
 import gevent.event
-import msgspec
 
 from ...errors import (
     LavenderhookError,
@@ -54,6 +53,7 @@
     MemberRecord,
     OwnerRecord,
     choose_part,
+    decode,
     encode,
 )
 from ..queueing.retry_after import choose_retry_after
@@ -68,6 +68,7 @@
     compute_rank,
 )
 from .submission_writer import SubmissionWriter, WriteResult
+from .supervision import ReportError, run_until_stopped
 from .table_watcher import LogEvent, TableWatcher, describe_failure
 
 CONTROL_WAIT_SECONDS = 0.8  # for a change of the control table
@@ -130,7 +131,7 @@
         parameters: OwnerParameters,
         limits: ListenerLimits,
         log_event: LogEvent,
-        report_error: Callable[[str, BaseException], None],
+        report_error: ReportError,
     ) -> None:
         self.name = name
         self.process_id = self.claim_id = secrets.token_hex(6)
@@ -147,6 +148,7 @@
         self._advisor = advisor
         self._parameters = parameters
         self._log_event = log_event
+        self._report_error = report_error
         self._view = OwnershipView(name=name, claim_id=self.claim_id, owner_fitness=owner_fitness)
         self._predecessor: OwnerRecord | None = None
         self._writer = SubmissionWriter(store, log_event)
@@ -180,7 +182,9 @@
             self._heartbeat_loop,
             self._send_write_notices,
         ):
-            self._greenlets.append(gevent.spawn(loop))
+            self._greenlets.append(
+                gevent.spawn(run_until_stopped, loop, self.stopped.is_set, self._report_error)
+            )
         self._log_event("started", boot=self.claim_id, address=self.address, zone=self.zone)
 
     # Operations for callers.
@@ -472,6 +476,7 @@
             CONTROL_TABLE,
             self._apply_control_row,
             ("", HEARTBEAT_PART),
+            self._log_event,
             CONTROL_READ_TIMEOUT_SECONDS,
         )
         while not self.stopped.is_set():
@@ -535,14 +540,14 @@
             if row.is_deleted:
                 self._view.members.pop(name, None)
             else:
-                self._view.members[name] = msgspec.json.decode(row.value, type=MemberRecord)
+                self._view.members[name] = decode(row.value, MemberRecord)
             self._view.rank = compute_rank(self.name, self._view.members, self._owner_fitness)
             self._check_predecessor()
         elif row.key == OWNER_KEY and not row.is_deleted:
-            owner = msgspec.json.decode(row.value, type=OwnerRecord)
+            owner = decode(row.value, OwnerRecord)
             self._update_owner(owner, row.revision)
         elif row.key == HEARTBEAT_KEY and not row.is_deleted:
-            heartbeat = msgspec.json.decode(row.value, type=HeartbeatRecord)
+            heartbeat = decode(row.value, HeartbeatRecord)
             self._view.update_heartbeat(heartbeat, now)
 
     def _check_predecessor(self) -> None:
@@ -630,7 +635,7 @@
         if isinstance(result, RowConflict):
             row = result.find(CONTROL_TABLE, OWNER_KEY)
             if row is not None:
-                found = msgspec.json.decode(row.value, type=OwnerRecord)
+                found = decode(row.value, OwnerRecord)
                 self._update_owner(found, row.revision)
             return
         self._log_event(
@@ -656,6 +661,7 @@
             parameters=self._parameters,
             step_down=self._end_ownership,
             log_event=self._log_event,
+            report_error=self._report_error,
         )
         self._owner.start()
 
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -7,8 +7,9 @@
 
 import gevent
 import gevent.event
+import gevent.pool
 
-from ...errors import LavenderhookError, StoreUnavailableError
+from ...errors import LavenderhookError, ProtocolError, StoreUnavailableError
 from ..core.identifiers import WorkerId
 from ..ports.queueing import (
     Condition,
@@ -63,20 +64,19 @@
     Progress,
     Roster,
     choose_part,
-    decode_outcome,
-    decode_progress,
+    decode,
     decode_roster,
     decode_submission,
     encode,
     parse_key,
     set_closing_revisions,
 )
+from .supervision import ReportError
 from .table_watcher import LogEvent, TableWatcher, describe_failure
 
 # A hold is a long poll of a worker: it renews the worker's leases, acknowledges finished runs and
 # returns a report. The worker answers at once when a run finishes.
 HOLD_WAIT_SECONDS = 1.0
-HOLD_TIMEOUT_SECONDS = 0.7  # beyond the wait: link delay and a busy worker
 HOLD_RETRY_SECONDS = 0.3  # after an unanswered hold
 # Until a worker is reached, tasks that a former owner may have started there wait.
 FIRST_HOLD_RETRY_SECONDS = 0.1
@@ -89,6 +89,9 @@
 STORE_RETRY_SECONDS = 0.2  # after a failed call to the store
 FEED_INTERVAL_SECONDS = 0.4  # the feed only compensates for lost write notices
 WORKERS_INTERVAL_SECONDS = 0.25
+# Stands in the roster for the workers of a row that can't be decoded: it is never reached, so that
+# the longest lease has to expire.
+UNKNOWN_WORKER = WorkerId("unknown")
 # The store takes 100 entries in a transaction: two for each submission and one for the owner.
 MAX_SUBMISSIONS_PER_TRANSACTION = 45
 
@@ -111,6 +114,8 @@
         Takes (token, reason) when another owner has been seen.
     log_event : callable
         Logs an event, given by its name and fields.
+    report_error : callable
+        Takes (what, error) for unexpected failures.
     """
 
     def __init__(
@@ -125,6 +130,7 @@
         parameters: OwnerParameters,
         step_down: Callable[[FencingToken, str], None],
         log_event: LogEvent,
+        report_error: ReportError,
     ) -> None:
         self.fencing = fencing
         self.is_loaded = False
@@ -136,6 +142,7 @@
         self._parameters = parameters
         self._step_down = step_down
         self._log_event = log_event
+        self._report_error = report_error
         self._started_at = time.monotonic()
         self.state: OwnerState | None = None
         self._listings: dict[WorkerId, WorkerListing] = {}
@@ -144,11 +151,12 @@
         self._scheduling_due = gevent.event.Event()
         self._progress_stored = gevent.event.Event()
         self._hold_greenlets: dict[WorkerId, gevent.Greenlet] = {}
-        self._greenlets: list[gevent.Greenlet] = []
+        self._greenlets = gevent.pool.Group()  # without those that have ended
         self._submissions_during_load: list[Submission] = []
         self._loaded_progress: dict[SubmissionId, tuple[Progress, int]] = {}
         self._loaded_submissions: list[tuple[Submission, int]] = []
         self._loaded_outcomes: dict[SubmissionId, Outcome] = {}
+        self._unreadable_submissions: set[SubmissionId] = set()
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
         self._is_predecessor_inactive = False
         # The roster lists the workers that may hold runs; see `queueing.roster`.
@@ -159,16 +167,36 @@
 
     def start(self) -> None:
         """Start the greenlet that loads the state and then starts the loops."""
-        self._greenlets.append(gevent.spawn(self._load_and_start_loops))
+        self._spawn(self._load_and_start_loops)
 
     def stop(self) -> None:
-        """Stop all loops without waiting for commands that are in progress."""
+        """Stop all loops and commands; none is sent after this call.
+
+        A command that waits for a connection would otherwise be sent after a resignation has
+        become visible, beside those of the next owner.
+        """
         if self._is_stopped:
             return
         self._is_stopped = True
         current = gevent.getcurrent()
-        others = [g for g in (*self._greenlets, *self._hold_greenlets.values()) if g is not current]
-        gevent.killall(others, block=False)
+        gevent.killall([g for g in self._greenlets if g is not current], block=False)
+
+    def _spawn(self, function: Callable[..., None], *arguments: object) -> gevent.Greenlet:
+        return self._greenlets.spawn(self._run_guarded, function, *arguments)
+
+    def _run_guarded(self, function: Callable[..., None], *arguments: object) -> None:
+        """Run a loop or a command; give up the ownership after an unexpected error.
+
+        The state may be inconsistent then; the next owner rebuilds it from the store and the
+        workers.
+        """
+        if self._is_stopped:
+            return
+        try:
+            function(*arguments)
+        except Exception as error:
+            self._report_error(f"unexpected error in {function.__name__}", error)
+            self._step_down(self.fencing, "an unexpected error")
 
     def record_predecessor_inactive(self) -> None:
         """Record that the predecessor can no longer send commands."""
@@ -185,7 +213,7 @@
 
     def refresh_outcome(self, submission: SubmissionId) -> None:
         """Read the final state of a submission after a cancellation; an earlier one is kept."""
-        self._greenlets.append(gevent.spawn(self._read_outcome, submission))
+        self._spawn(self._read_outcome, submission)
 
     def _read_outcome(self, submission: SubmissionId) -> None:
         key = OUTCOME_PREFIX + submission
@@ -196,7 +224,7 @@
             self._log_event("cancellation-unread", submission=submission, **describe_failure(error))
             return  # the change feed reports it later
         for row in rows:
-            self._apply_row(row)
+            self._apply_conflicting_outcome(row, submission)
 
     # Loading.
 
@@ -217,12 +245,14 @@
             self._roster_loop,
             self._prune_loop,
         ):
-            self._greenlets.append(gevent.spawn(loop))
+            self._spawn(loop)
 
     def _load(self) -> Roster:
         self._loaded_submissions.clear()
         parts = ("", *SUBMISSION_PARTS)
-        self._watcher = TableWatcher(self._store, WORK_TABLE, self._collect_row, parts)
+        self._watcher = TableWatcher(
+            self._store, WORK_TABLE, self._collect_row, parts, self._log_event
+        )
         self._watcher.load()
         if (self._watcher.revision or 0) < self._revision:
             raise StoreUnavailableError("the store returned rows older than the takeover")
@@ -236,7 +266,11 @@
             return Roster()
         row = roster_rows.rows[0]
         self._roster_revision = row.revision
-        return decode_roster(row.value, row.revision)
+        try:
+            return decode_roster(row.value, row.revision)
+        except ProtocolError as error:
+            self._log_event("roster-unreadable", **describe_failure(error))
+            return Roster(workers=frozenset({UNKNOWN_WORKER}))
 
     def _collect_row(self, row: StoredRow) -> None:
         if self.state is not None:
@@ -245,12 +279,20 @@
         prefix, submission = parse_key(row.key)
         if row.is_deleted:
             return
+        try:
+            self._collect_record(prefix, submission, row)
+        except ProtocolError:
+            # Without its progress, tasks that are done would run again.
+            self._unreadable_submissions.add(submission)
+            raise
+
+    def _collect_record(self, prefix: str, submission: SubmissionId, row: StoredRow) -> None:
         if prefix == SUBMISSION_PREFIX:
             self._loaded_submissions.append((decode_submission(row.value), row.revision))
         elif prefix == PROGRESS_PREFIX:
-            self._loaded_progress[submission] = (decode_progress(row.value), row.revision)
+            self._loaded_progress[submission] = (decode(row.value, Progress), row.revision)
         elif prefix == OUTCOME_PREFIX:
-            self._loaded_outcomes[submission] = decode_outcome(row.value)
+            self._loaded_outcomes[submission] = decode(row.value, Outcome)
 
     def _restore_state(self, roster: Roster) -> None:
         self.state = OwnerState(
@@ -260,6 +302,8 @@
             self._ended_at[submission_id] = outcome.at
             self.apply(OutcomeRead(now=_now(), submission=submission_id, outcome=outcome))
         for submission, revision in self._loaded_submissions:
+            if submission.id in self._unreadable_submissions:
+                continue
             stored_progress = self._loaded_progress.get(submission.id)
             self._apply_submission(submission, revision, stored_progress)
         for submission in self._submissions_during_load:
@@ -306,7 +350,7 @@
         if prefix == SUBMISSION_PREFIX:
             self._apply_submission(decode_submission(row.value), row.revision, None)
         elif prefix == OUTCOME_PREFIX and self._is_new_outcome(submission):
-            outcome = decode_outcome(row.value)
+            outcome = decode(row.value, Outcome)
             self.apply(OutcomeRead(now=_now(), submission=submission, outcome=outcome))
 
     def _is_new_outcome(self, submission: SubmissionId) -> bool:
@@ -330,25 +374,26 @@
             case effects.LogDecision():
                 self._log_event(effect.decision, fencing=self.fencing, **effect.fields)
             case effects.SendStart():
-                gevent.spawn(self._send_start, effect)
+                self._spawn(self._send_start, effect)
             case effects.SendStop():
-                gevent.spawn(self._send_stop, effect)
+                self._spawn(self._send_stop, effect)
             case effects.RequestAdvice():
-                gevent.spawn(self._send_advice_request, effect)
+                self._spawn(self._send_advice_request, effect)
             case effects.StoreProgress():
                 self._dirty_submissions[effect.submission] = None
             case effects.StoreRoster():
                 self._roster_to_store = effect.roster
                 self._is_roster_due.set()
             case effects.WatchWorker():
-                self._hold_greenlets[effect.worker] = gevent.spawn(self._hold_loop, effect.worker)
+                self._hold_greenlets[effect.worker] = self._spawn(self._hold_loop, effect.worker)
             case effects.UnwatchWorker():
                 greenlet = self._hold_greenlets.pop(effect.worker, None)
                 if greenlet is not None and greenlet is not gevent.getcurrent():
                     greenlet.kill(block=False)
                 self._worker_clocks.pop(effect.worker, None)
             case effects.StepDown():
-                self._step_down(self.fencing, f"fenced at worker {effect.worker}")
+                self._log_event("owner-fenced", fencing=self.fencing, worker=effect.worker)
+                self._step_down(self.fencing, "fenced at a worker")
 
     def _compute_lease_end(self, worker: WorkerId) -> float | None:
         """Return the end of a lease on the worker's clock, counted from its last report.
@@ -601,13 +646,22 @@
                 continue
             prefix, submission_id = parse_key(row.key)
             if prefix == OUTCOME_PREFIX:
-                self._apply_row(row)
+                self._apply_conflicting_outcome(row, submission_id)
             elif submission_id in state.submissions:
                 # An earlier write whose response was lost has been carried out.
                 state.submissions[submission_id].progress_revision = row.revision
-        self._dirty_submissions.update(dict.fromkeys(submissions))
+        unstored = [s for s in submissions if s not in self._unreadable_submissions]
+        self._dirty_submissions.update(dict.fromkeys(unstored))
         return False
 
+    def _apply_conflicting_outcome(self, row: StoredRow, submission: SubmissionId) -> None:
+        """Apply a final state that is already stored; nothing replaces one that is unreadable."""
+        try:
+            self._apply_row(row)
+        except ProtocolError as error:
+            self._unreadable_submissions.add(submission)
+            self._log_event("outcome-unreadable", submission=submission, **describe_failure(error))
+
     def _prune_loop(self) -> None:
         """Delete the rows of submissions whose retention period has passed.
 
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -103,7 +103,7 @@
     """
     try:
         return msgspec.msgpack.decode(incoming.read_body(), type=message_type)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise ProtocolError(f"malformed {message_type.__name__}: {error}") from error
 
 
@@ -187,7 +187,7 @@
             return None
         try:
             return msgspec.msgpack.decode(response.body, type=message_type)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
             raise ProtocolError(
                 f"malformed {message_type.__name__} from {address}: {error}"
             ) from error
--- a/src/lavenderhook/_internal/instance/submission_writer.py
+++ b/src/lavenderhook/_internal/instance/submission_writer.py
@@ -18,7 +18,7 @@
     WORK_TABLE,
     Outcome,
     choose_part,
-    decode_outcome,
+    decode,
     encode,
 )
 
@@ -95,7 +95,7 @@
         key = OUTCOME_PREFIX + submission
         # The end of a range is exclusive, so this reads one key.
         rows = self._store.read(WORK_TABLE, key, key + "\0").rows
-        return decode_outcome(rows[0].value) if rows else None
+        return decode(rows[0].value, Outcome) if rows else None
 
     def _put(self, part: str, key: str, value: bytes, deadline: float) -> WriteResult:
         writer = self._writers.get(part)
--- a/src/lavenderhook/_internal/instance/table_watcher.py
+++ b/src/lavenderhook/_internal/instance/table_watcher.py
@@ -6,7 +6,7 @@
 
 import gevent.pool
 
-from ...errors import LavenderhookError
+from ...errors import LavenderhookError, ProtocolError
 from ..ports.queueing import STORE_CALL_SECONDS, HistoryLostError, RowChanges, RowStore, StoredRow
 
 LogEvent = Callable[..., None]  # logs an event, given by its name and fields
@@ -21,9 +21,12 @@
     store : RowStore
     table : str
     apply : callable
-        Takes each row that is newer than the one applied before.
+        Takes each row that is newer than the one applied before; raises `ProtocolError` for one
+        that can't be decoded.
     parts : sequence of str
         Parts of the table that `load` reads.
+    log_event : callable
+        Logs an event, given by its name and fields.
     read_timeout_seconds : float, optional
         Time limit for reading one part.
     """
@@ -33,7 +36,8 @@
         store: RowStore,
         table: str,
         apply: Callable[[StoredRow], None],
-        parts: Sequence[str] = ("",),
+        parts: Sequence[str],
+        log_event: LogEvent,
         read_timeout_seconds: float = STORE_CALL_SECONDS,
     ) -> None:
         self._read_timeout_seconds = read_timeout_seconds
@@ -41,6 +45,7 @@
         self._table = table
         self._apply = apply
         self._parts = parts
+        self._log_event = log_event
         self._revisions: dict[str, int] = {}
         self.revision: int | None = None
 
@@ -92,10 +97,23 @@
         self.revision = max(changes.revision, self.revision)
 
     def apply_if_newer(self, row: StoredRow) -> None:
-        """Apply a row unless it is known at this or a newer revision."""
-        if row.revision > self._revisions.get(row.key, 0):
-            self._revisions[row.key] = row.revision
+        """Apply a row unless it is known at this or a newer revision.
+
+        A row that can't be decoded is logged and left out; it must not hold up the others.
+        """
+        if row.revision <= self._revisions.get(row.key, 0):
+            return
+        self._revisions[row.key] = row.revision
+        try:
             self._apply(row)
+        except ProtocolError as error:
+            self._log_event(
+                "row-unreadable",
+                table=self._table,
+                key=row.key,
+                revision=row.revision,
+                **describe_failure(error),
+            )
 
 
 def describe_failure(error: LavenderhookError) -> dict[str, object]:
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -8,11 +8,14 @@
 from __future__ import annotations
 
 import zlib
+from typing import TypeVar
 
 import msgspec
 
+from ...errors import InvalidArgumentError, ProtocolError
 from ..core.identifiers import WorkerId
 from .model import FencingToken, Submission, SubmissionId, SubmissionState
+from .validation import check_submission
 
 WORK_TABLE = "lavenderhook-work"
 CONTROL_TABLE = "lavenderhook-control"
@@ -29,6 +32,8 @@
 SUBMISSION_PARTS = tuple(f"submissions-{number:02}" for number in range(64))
 HEARTBEAT_PART = "heartbeat"
 
+Record = TypeVar("Record", bound=msgspec.Struct)
+
 
 class Progress(msgspec.Struct, kw_only=True, omit_defaults=True):
     """Done tasks and failed runs of a submission.
@@ -109,24 +114,44 @@
     return msgspec.json.encode(record)
 
 
-def decode_submission(value: bytes) -> Submission:
-    """Return a stored submission."""
-    return msgspec.json.decode(value, type=Submission)
+def decode(value: bytes, record_type: type[Record]) -> Record:
+    """Return the record that a row holds.
 
+    Raises
+    ------
+    ProtocolError
+        If the row does not hold a record of this type.
+    """
+    try:
+        return msgspec.json.decode(value, type=record_type)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise ProtocolError(f"malformed {record_type.__name__}: {error}") from error
 
-def decode_progress(value: bytes) -> Progress:
-    """Return stored progress."""
-    return msgspec.json.decode(value, type=Progress)
 
+def decode_submission(value: bytes) -> Submission:
+    """Return a stored submission.
 
-def decode_outcome(value: bytes) -> Outcome:
-    """Return a stored final state."""
-    return msgspec.json.decode(value, type=Outcome)
+    Raises
+    ------
+    ProtocolError
+        If it is malformed, such as one that another version of the program has accepted.
+    """
+    submission = decode(value, Submission)
+    try:
+        check_submission(submission)
+    except InvalidArgumentError as error:
+        raise ProtocolError(f"malformed Submission: {error}") from error
+    return submission
 
 
 def decode_roster(value: bytes, revision: int) -> Roster:
-    """Return the roster that was stored at a revision."""
-    return set_closing_revisions(msgspec.json.decode(value, type=Roster), revision)
+    """Return the roster that was stored at a revision.
+
+    Raises
+    ------
+    ProtocolError
+    """
+    return set_closing_revisions(decode(value, Roster), revision)
 
 
 def set_closing_revisions(roster: Roster, revision: int) -> Roster:
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -17,6 +17,7 @@
     SubmissionId,
 )
 from .._internal.queueing.routes import QueueRoute
+from .._internal.queueing.validation import check_submission
 from ..errors import (
     InvalidArgumentError,
     NotReadyError,
@@ -159,7 +160,7 @@
     ) -> Reply:
         try:
             body = msgspec.json.decode(request.read_body(), type=_SubmissionBody)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
             raise InvalidArgumentError("body", str(error), "a submission") from error
         submission = Submission(
             id=submission_id,
@@ -171,6 +172,7 @@
             first_due=body.first_run_ms / 1000,
             interval_seconds=body.interval_ms / 1000,
         )
+        check_submission(submission)
         return self._reply_write_result(self._instance.submit(submission, deadline), deadline)
 
     def _cancel(self, submission_id: SubmissionId, deadline: float) -> Reply:
--- a/src/lavenderhook/platform/lists.py
+++ b/src/lavenderhook/platform/lists.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .._internal.adapters.transport import split_address
 from .._internal.core.identifiers import AvailabilityZone, ServiceName, WorkerId
 from .._internal.ports.queueing import (
     QueueConfiguration,
@@ -109,7 +110,7 @@
             if row.key == CONFIGURATION_KEY and not row.is_deleted:
                 try:
                     newest = decode_configuration(row.value)
-                except msgspec.DecodeError as error:
+                except (msgspec.DecodeError, ValueError) as error:
                     self._log_event("configuration-unreadable", message=str(error))
         return newest
 
@@ -193,6 +194,7 @@
         If fields are missing, of another type or of an unknown state.
     """
     server = msgspec.json.decode(value, type=_Server)
+    split_address(server.address)  # raises ValueError
     return WorkerListing(
         id=worker_id,
         service=ServiceName(server.service),
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -61,7 +61,7 @@
         self.metrics = Metrics(lambda address: "", settings.zone)
         self._decision_metrics = DecisionMetrics(self.metrics)
         self._store = PlatformStore(settings.platform.address, self.metrics.observe)
-        self._worker_client = PlatformWorkerClient()
+        self._worker_client = PlatformWorkerClient(self.log_event)
         self._advisor = PlatformAdvisor(settings.advice, self.log_event)
         self._stopped = gevent.event.Event()
         bounds, limits = settings.bounds, settings.limits
--- a/src/lavenderhook/platform/settings.py
+++ b/src/lavenderhook/platform/settings.py
@@ -103,7 +103,7 @@
     try:
         content = tomllib.loads(Path(path).read_text(encoding="utf-8"))
         return msgspec.convert(content, Settings, strict=False)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise SettingsError(path, "file", str(error), "a readable TOML file") from error
     except msgspec.ValidationError as error:
         raise SettingsError(
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -181,7 +181,7 @@
             "POST", TRANSACT_PATH, data, JSON_HEADERS, STORE_CALL_SECONDS, "transact"
         )
         if response.status == 412:
-            return RowConflict(tuple(map(_convert, _decode(response).rows)))
+            return RowConflict(_decode_rows(_decode(response)))
         _check_status(response, "transaction")
         return _decode(response).schema_version
 
@@ -203,7 +203,7 @@
             if end:
                 query["to"] = end
             page = self._get(READ_PATH, query, timeout_seconds)
-            rows.extend(map(_convert, page.rows))
+            rows.extend(_decode_rows(page))
             if revision is None:
                 revision = page.schema_version
             if not page.more_pages or not page.rows:
@@ -214,7 +214,7 @@
         """Return the changes after a revision."""
         query = {"table": table, "after": after, "waitMs": int(wait_seconds * 1000)}
         page = self._get(FEED_PATH, query, wait_seconds + WATCH_TIMEOUT_MARGIN_SECONDS)
-        return RowChanges(tuple(map(_convert, page.rows)), page.schema_version)
+        return RowChanges(_decode_rows(page), page.schema_version)
 
     def _get(self, path: str, query: dict[str, Any], timeout: float) -> _Rows:
         target = f"{path}?{urlencode(query)}"
@@ -247,12 +247,19 @@
 def _decode(response: ClientResponse) -> _Rows:
     try:
         return msgspec.json.decode(response.body, type=_Rows)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, ValueError) as error:
         raise TransportError(
             f"cannot decode the response of the store: {error}", sent=True
         ) from error
 
 
+def _decode_rows(page: _Rows) -> tuple[StoredRow, ...]:
+    try:
+        return tuple(map(_convert, page.rows))
+    except ValueError as error:
+        raise TransportError(f"cannot decode a row of the store: {error}", sent=True) from error
+
+
 def _convert(row: _Row) -> StoredRow:
     return StoredRow(
         table=row.table,
--- a/src/lavenderhook/platform/workers.py
+++ b/src/lavenderhook/platform/workers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -24,7 +24,7 @@
     TicketId,
     WorkerReport,
 )
-from ..errors import TransportError
+from ..errors import ProtocolError, TransportError
 
 START_PATH = "/lavenderhook/run-start"
 STOP_PATH = "/lavenderhook/run-stop"
@@ -57,6 +57,9 @@
     "alone": RunOutcome.GANG_INCOMPLETE,  # the other members did not start
 }
 
+LogEvent = Callable[..., None]
+_Message = TypeVar("_Message", bound=msgspec.Struct)
+
 
 class _HoldResponse(msgspec.Struct, rename="camel"):
     """A worker's report.
@@ -77,6 +80,10 @@
     born: int = 0
 
 
+_RUNNING_ROW = tuple[str, int, str, float]  # without the load figure
+_FINISHED_ROW = tuple[int, str, int, str, str]
+
+
 class _Refusal(msgspec.Struct):
     """Why a start was refused."""
 
@@ -106,9 +113,16 @@
 
 
 class PlatformWorkerClient(QueueWorkerClient):
-    """Commands to workers over HTTP."""
+    """Commands to workers over HTTP.
+
+    Parameters
+    ----------
+    log_event : callable
+        Takes the name of a log event and its fields.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, log_event: LogEvent) -> None:
+        self._log_event = log_event
         self._client = HttpClient("worker", size=CONNECTIONS_PER_WORKER)
 
     def close(self) -> None:
@@ -134,7 +148,11 @@
             )
         except TransportError as error:
             return StartOutcome.UNKNOWN if error.sent else StartOutcome.NOT_SENT
-        return _classify_start(response)
+        try:
+            return _classify_start(response)
+        except ProtocolError as error:
+            self._log_event("start-answer-unreadable", worker=command.worker, message=str(error))
+            return StartOutcome.UNKNOWN
 
     def stop(
         self,
@@ -183,7 +201,11 @@
                 is_fenced=response.status == 409,
                 is_wrong_recipient=response.status == WRONG_RECIPIENT_STATUS,
             )
-        return decode_report(response.body)
+        try:
+            return decode_report(response.body)
+        except ProtocolError as error:
+            self._log_event("report-unreadable", worker=worker, message=str(error))
+            return HoldRefusal()
 
     def _call(
         self, address: str, worker: WorkerId, path: str, body: dict[str, Any], timeout: float
@@ -198,7 +220,7 @@
         case 200:
             return StartOutcome.STARTED
         case 409:
-            refusal = msgspec.json.decode(response.body, type=_Refusal)
+            refusal = _decode(response.body, _Refusal)
             return _START_REFUSALS.get(refusal.reason, StartOutcome.REFUSED)
         case 421:
             return StartOutcome.OTHER_INCARNATION
@@ -210,25 +232,48 @@
             return StartOutcome.UNKNOWN
 
 
+def _decode(body: bytes, message_type: type[_Message]) -> _Message:
+    """Return the message that a body holds.
+
+    Raises
+    ------
+    ProtocolError
+    """
+    try:
+        return msgspec.json.decode(body, type=message_type)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise ProtocolError(f"malformed {message_type.__name__.strip('_')}: {error}") from error
+
+
 def decode_report(body: bytes) -> WorkerReport:
-    """Decode a worker's report."""
-    response = msgspec.json.decode(body, type=_HoldResponse)
-    return WorkerReport(
-        clock=response.clock_ms / 1000,
-        born=response.born,
-        running=tuple(
-            ReportedRun(parse_task(row[0]), RunNumber(row[1]), row[2]) for row in response.running
-        ),
-        finished=tuple(
-            FinishedRun(
-                row[0],
-                parse_task(row[1]),
-                RunNumber(row[2]),
-                _RUN_OUTCOMES[row[3]],
-                row[4] if len(row) > 4 else "",
-            )
-            for row in response.finished
-        ),
+    """Decode a worker's report.
+
+    Raises
+    ------
+    ProtocolError
+        If any part of it is malformed: a run that is left out would count as ended.
+    """
+    response = _decode(body, _HoldResponse)
+    try:
+        return WorkerReport(
+            clock=response.clock_ms / 1000,
+            born=response.born,
+            running=tuple(map(_convert_running, response.running)),
+            finished=tuple(map(_convert_finished, response.finished)),
+        )
+    except (msgspec.ValidationError, ValueError, KeyError) as error:
+        raise ProtocolError(f"malformed row in a report: {error!r}") from error
+
+
+def _convert_running(row: list[Any]) -> ReportedRun:
+    name, number, checkpoint, _ = msgspec.convert(row[:4], _RUNNING_ROW)
+    return ReportedRun(parse_task(name), RunNumber(number), checkpoint)
+
+
+def _convert_finished(row: list[Any]) -> FinishedRun:
+    sequence, name, number, outcome, checkpoint = msgspec.convert(row[:5], _FINISHED_ROW)
+    return FinishedRun(
+        sequence, parse_task(name), RunNumber(number), _RUN_OUTCOMES[outcome], checkpoint
     )
 
 
@@ -243,7 +288,7 @@
         Takes the name of a log event and its fields.
     """
 
-    def __init__(self, address: str, log_event: Any) -> None:
+    def __init__(self, address: str, log_event: LogEvent) -> None:
         self.address = address
         self._log_event = log_event
         self._client = HttpClient("advice", size=ADVICE_CONNECTIONS)
@@ -265,5 +310,9 @@
         if response.status != 200:
             self._log_event("advice-refused", step=name, status=response.status)
             return None
-        allowed = msgspec.json.decode(response.body, type=_AdviceResponse).allowed
+        try:
+            allowed = _decode(response.body, _AdviceResponse).allowed
+        except ProtocolError as error:
+            self._log_event("advice-unreadable", step=name, message=str(error))
+            return None
         return {WorkerId(worker): TicketId(ticket) for worker, ticket in allowed}
