Keep incarnations of workers and instances apart

Ruled out: shutting out the late join by reading first, as the write may be carried out after the read. Change: one method forgets a former incarnation; blocks of a million numbers, and an owner that would leave its block steps down; rows of instances are replaced under the condition of their revision and marked as left instead of deleted; advice is asked of a second instance at once, and one that fails is avoided for twice as long each time. Before and after: 6 of 6 scenarios of features/worker_incarnations.feature fail before, none after.

--- /dev/null
+++ b/features/steps/worker_incarnations.py
@@ -0,0 +1,146 @@
+"""Steps on incarnations of workers and on instances that leave."""
+
+import signal
+import time
+from unittest import mock
+
+import gevent
+import msgspec
+from behave import given, then, when
+
+from features.support.queue_processes import EntryProcess
+from features.support.queue_simulation import make_step
+from lavenderhook._internal.instance import advice
+from lavenderhook._internal.instance.advice import AdviceDispatcher
+from lavenderhook._internal.queueing import workers
+from lavenderhook._internal.queueing.model import Resources, StepId
+
+
+@when('every run on worker "{name}" succeeds')
+def step_succeeding_worker(context, name):
+    context.simulation.workers[name].fails_all_runs = False
+
+
+@then('worker "{name}" is blocked')
+def step_blocked(context, name):
+    simulation = context.simulation
+    assert simulation.owners[-1].state.workers[name].blocked_until > simulation.now
+
+
+@then('worker "{name}" is not blocked')
+def step_not_blocked(context, name):
+    simulation = context.simulation
+    assert simulation.owners[-1].state.workers[name].blocked_until <= simulation.now
+
+
+def patch_constant(context, name, value):
+    """Replace a constant of the module `workers` until the scenario ends."""
+    patch = mock.patch.object(workers, name, value)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given("run numbers for {count:d} starts of a task")
+def step_few_numbers(context, count):
+    patch_constant(context, "RUN_NUMBERS_PER_OWNER", count)
+
+
+@given("command tokens for {count:d} restarts of a worker")
+def step_few_tokens(context, count):
+    patch_constant(context, "TOKENS_PER_OWNER", count)
+
+
+@when('a submission "{name}" of {count:d} tasks and {attempts:d} attempts arrives')
+def step_attempts(context, name, count, attempts):
+    context.simulation.submit(name, [make_step(count, 1000, 0.5)], most_attempts=attempts)
+
+
+@then("the owner has stepped down after {count:d} starts")
+def step_stepped_down_after(context, count):
+    assert not context.simulation.owners[-1].is_active
+    assert context.simulation.starts == count, context.simulation.starts
+
+
+@then("the owner is active")
+def step_active(context):
+    assert context.simulation.owners[-1].is_active
+
+
+@when(
+    'accelerators are reserved on worker "{name}" until {first:d} seconds '
+    "and again until {second:d} seconds"
+)
+def step_reserve(context, name, first, second):
+    worker = context.worker = context.simulation.owners[-1].state.workers[name]
+    worker.reserve(Resources(0, 0, 1), 1, first)
+    worker.reserve(Resources(0, 0, 1), 1, second)
+
+
+@then("the reservation ends after {seconds:d} seconds")
+def step_reserved_until(context, seconds):
+    assert context.worker.reserved_until == seconds, context.worker.reserved_until
+
+
+@when("another instance starts whose first write is carried out {seconds:d} seconds late")
+def step_late_join(context, seconds):
+    cluster = context.cluster
+    entry = context.starting = EntryProcess(cluster, "entry-late")
+    cluster.entries.append(entry)
+    entry.store_endpoint.delay_next_write("member/", seconds)
+    entry.start()
+    until = time.monotonic() + 10
+    while not entry.store_endpoint.has_delayed_write():
+        assert time.monotonic() < until, "the instance has not written its row"
+        gevent.sleep(0.02)
+
+
+@when("that instance receives SIGTERM")
+def step_stop_starting(context):
+    context.starting.send(signal.SIGTERM)
+
+
+@then("the table lists no instance but {count:d}")
+def step_members(context, count):
+    import base64
+
+    rows = context.cluster.platform.store.rows
+    members = [
+        msgspec.json.decode(base64.b64decode(row["value"]))
+        for (table, _, key), row in rows.items()
+        if table == "lavenderhook-control" and key.startswith("member/")
+    ]
+    listed = [member["name"] for member in members if not member.get("has_left")]
+    assert len(listed) == count and context.starting.name not in listed, listed
+
+
+@given("an advisory service that {count:d} instances reach, of which one never responds")
+def step_advice(context, count):
+    context.calls = []
+    context.now = 100.0
+    addresses = [f"i{index}" for index in range(count)]
+
+    def request_advice_at(address, _step, chosen, seconds):
+        context.calls.append(address)
+        context.now += seconds if address == "i0" else 0.05
+        return None if address == "i0" else dict.fromkeys(chosen, "t")
+
+    context.dispatcher = AdviceDispatcher(request_advice_at, lambda: addresses)
+
+
+@when("{count:d} calls for advice of {seconds:f} seconds each are made one after the other")
+def step_call_advice(context, count, seconds):
+    with mock.patch.object(advice.time, "monotonic", lambda: context.now):
+        context.answers = [
+            context.dispatcher.request_advice(StepId("a", 0, 0), ("w",), seconds)
+            for _ in range(count)
+        ]
+
+
+@then("all of them are answered")
+def step_answered(context):
+    assert None not in context.answers, context.answers.count(None)
+
+
+@then("at most {count:d} of them went to the instance that never responds")
+def step_calls_lost(context, count):
+    assert context.calls.count("i0") <= count, context.calls
--- /dev/null
+++ b/features/worker_incarnations.feature
@@ -0,0 +1,61 @@
+Feature: Incarnations of workers and instances
+  A worker that restarts knows nothing of before, and an instance that has left stays away: neither
+  is treated as the former one.
+
+  Scenario: Failures of a former incarnation don't count against a restarted worker
+    Guards against a sound worker that gets no work, since the one before it at the same id failed
+    everything.
+    Given 1 workers and an owner
+    And every run on worker "w0" fails
+    When 3 submissions of 1 tasks arrive over 1 seconds
+    And 2 seconds pass in the simulation
+    Then worker "w0" is blocked
+    When every run on worker "w0" succeeds
+    And worker "w0" restarts with the same id
+    Then worker "w0" is not blocked
+    When a submission "next" of 1 tasks of 1000 millicores and 1 seconds arrives
+    And 2 seconds pass in the simulation
+    Then "next" is completed
+
+  Scenario: An owner whose run numbers are used up steps down
+    Guards against run numbers of the next owner's block: its own starts would be refused as older
+    ones.
+    Given run numbers for 3 starts of a task
+    And 1 workers and an owner
+    And every run fails
+    When a submission "again" of 1 tasks and 9 attempts arrives
+    And 20 seconds pass in the simulation
+    Then the owner has stepped down after 3 starts
+
+  Scenario: An owner whose command tokens are used up steps down
+    Guards against two incarnations of a worker with one token: a late command for the first would
+    be carried out by the second.
+    Given command tokens for 2 restarts of a worker
+    And 2 workers and an owner
+    When worker "w0" restarts with the same id
+    Then the owner is active
+    When worker "w0" restarts with the same id
+    Then the owner has stepped down after 0 starts
+
+  Scenario: Capacity without processors is reserved as well
+    Guards against a reservation that begins anew with each step whose tasks need accelerators only:
+    tasks that end too late take what is reserved.
+    Given 1 workers and an owner
+    When accelerators are reserved on worker "w0" until 5 seconds and again until 9 seconds
+    Then the reservation ends after 5 seconds
+
+  Scenario: A join that the store carries out late doesn't list an instance that has left
+    Guards against calls to an instance that has ended: its row, written again after it left, would
+    stay in the table.
+    Given 2 entry instances and 1 queue workers
+    When another instance starts whose first write is carried out 4 seconds late
+    And that instance receives SIGTERM
+    And 5.0 seconds of real time pass
+    Then the table lists no instance but 2
+
+  Scenario: Advice that an instance doesn't return is requested through another one
+    Guards against urgent steps that wait a second for an instance that was lost, again and again.
+    Given an advisory service that 3 instances reach, of which one never responds
+    When 30 calls for advice of 0.05 seconds each are made one after the other
+    Then all of them are answered
+    And at most 2 of them went to the instance that never responds
--- a/src/lavenderhook/_internal/instance/advice.py
+++ b/src/lavenderhook/_internal/instance/advice.py
@@ -13,8 +13,12 @@
 from ..queueing.model import StepId, TicketId
 
 # A call waits at most this long beyond its expected duration and the calls before it.
-ADVICE_TIMEOUT_MARGIN_SECONDS = 1.0
-FAILURE_PENALTY_SECONDS = 2.0  # how long an instance that did not respond counts as busy
+ADVICE_TIMEOUT_MARGIN_SECONDS = 0.6
+MAX_ATTEMPTS = 2  # each through another instance
+# An instance that did not respond is not used for this time, which doubles with each failure in a
+# row: the rows of instances that were lost stay in the table.
+FAILURE_PENALTY_SECONDS = 2.0
+MAX_FAILURE_PENALTY_SECONDS = 60.0
 
 RequestAdviceAt = Callable[
     [str, StepId, tuple[WorkerId, ...], float], "dict[WorkerId, TicketId] | None"
@@ -24,6 +28,9 @@
 class AdviceDispatcher:
     """Chooses the instance whose calls will be done first.
 
+    Handles instances that are lost, partitioned or slow: a call without a response is repeated
+    through another instance, and the one that failed is avoided for longer each time.
+
     Parameters
     ----------
     request_advice_at : callable
@@ -38,6 +45,7 @@
         self._request_advice_at = request_advice_at
         self._list_addresses = list_addresses
         self._busy_until: dict[str, float] = {}
+        self._failures: dict[str, int] = {}  # in a row
 
     def choose_instance(self, expected_seconds: float, now: float) -> tuple[str, float]:
         """Return the address for a call and the seconds until its response is expected."""
@@ -51,10 +59,19 @@
         self, step: StepId, workers: tuple[WorkerId, ...], expected_seconds: float
     ) -> dict[WorkerId, TicketId] | None:
         """Return the workers that may run a step, with their tickets; None without a response."""
-        address, wait_seconds = self.choose_instance(expected_seconds, time.monotonic())
-        allowed = self._request_advice_at(
-            address, step, workers, wait_seconds + ADVICE_TIMEOUT_MARGIN_SECONDS
-        )
-        if allowed is None:
-            self._busy_until[address] = time.monotonic() + FAILURE_PENALTY_SECONDS
-        return allowed
+        for _ in range(MAX_ATTEMPTS):
+            address, wait_seconds = self.choose_instance(expected_seconds, time.monotonic())
+            allowed = self._request_advice_at(
+                address, step, workers, wait_seconds + ADVICE_TIMEOUT_MARGIN_SECONDS
+            )
+            if allowed is not None:
+                self._failures.pop(address, None)
+                return allowed
+            self._record_failure(address)
+        return None
+
+    def _record_failure(self, address: str) -> None:
+        failures = self._failures.get(address, 0)
+        self._failures[address] = failures + 1
+        penalty = min(FAILURE_PENALTY_SECONDS * 2**failures, MAX_FAILURE_PENALTY_SECONDS)
+        self._busy_until[address] = time.monotonic() + penalty
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -22,7 +22,6 @@
 from ..ports.queueing import (
     STORE_OUTAGE_SECONDS,
     Advisor,
-    Deletion,
     HistoryLostError,
     QueueConfiguration,
     QueueWorkerClient,
@@ -87,6 +86,7 @@
 HEDGE_DELAY_SECONDS = 0.8
 PEER_WRITE_TIMEOUT_SECONDS = 0.9
 OUTAGE_CHECK_INTERVAL_SECONDS = 0.1  # between checks whether the store still answers
+MAX_LEAVE_ATTEMPTS = 3  # the row may have changed in the meantime
 DRAIN_SECONDS = 2.5  # the balancer removes an instance after two failed checks, 1 s apart
 MAX_READ_STALENESS_SECONDS = 6.0  # of reads after the store's change feed has lost its history
 MAX_ACCEPTED_IDS = 5_000  # of submissions that this instance has stored
@@ -158,6 +158,7 @@
         )
         self._owner: Owner | None = None
         self._heartbeat_count = 0
+        self._member_revision = 0  # of the row of this instance
         self._store_lost_at: float | None = None
         self._skipped_until: dict[str, float] = {}  # by address of the peer
         self._peers_refused_at = -PEER_REFUSAL_VALID_SECONDS  # when peers last failed to write
@@ -537,10 +538,13 @@
         now = time.monotonic()
         if row.key.startswith(MEMBER_PREFIX):
             name = row.key.removeprefix(MEMBER_PREFIX)
-            if row.is_deleted:
+            member = None if row.is_deleted else decode(row.value, MemberRecord)
+            if name == self.name:
+                self._member_revision = max(self._member_revision, row.revision)
+            if member is None or member.has_left:
                 self._view.members.pop(name, None)
             else:
-                self._view.members[name] = decode(row.value, MemberRecord)
+                self._view.members[name] = member
             self._view.rank = compute_rank(self.name, self._view.members, self._owner_fitness)
             self._check_predecessor()
         elif row.key == OWNER_KEY and not row.is_deleted:
@@ -565,24 +569,43 @@
 
     def _register_member(self) -> None:
         """Write the row that tells peers the address of this instance; retry until stored."""
-        row = self._make_member_row()
-        while not self.stopped.is_set():
+        while not self.stopped.is_set() and not self.is_draining:
             try:
-                self._store.transact([row])
-                return
+                if self._write_member_row(has_left=False):
+                    return
             except LavenderhookError as error:
                 self._log_event("join-failed", **describe_failure(error))
                 gevent.sleep(STORE_RETRY_SECONDS)
 
-    def _make_member_row(self) -> Write:
+    def _write_member_row(self, *, has_left: bool) -> bool:
+        """Replace the row of this instance; return False if it has changed in the meantime.
+
+        Raises
+        ------
+        StoreUnavailableError, TransportError
+        """
+        result = self._store.transact([self._make_member_row(has_left=has_left)])
+        if isinstance(result, RowConflict):
+            self._record_member_conflict(result)
+            return False
+        self._member_revision = result
+        return True
+
+    def _record_member_conflict(self, conflict: RowConflict) -> None:
+        row = conflict.find(CONTROL_TABLE, MEMBER_PREFIX + self.name)
+        self._member_revision = row.revision if row is not None else 0
+
+    def _make_member_row(self, *, has_left: bool = False) -> Write:
         record = MemberRecord(
             name=self.name,
             boot=self.process_id,
             address=self.address,
             zone=self.zone,
             strength=self._owner_fitness,
+            has_left=has_left,
         )
-        return Write(CONTROL_TABLE, MEMBER_PREFIX + self.name, encode(record))
+        key = MEMBER_PREFIX + self.name
+        return Write(CONTROL_TABLE, key, encode(record), self._member_revision)
 
     def _watch_configuration(self) -> None:
         revision: int | None = None
@@ -633,6 +656,7 @@
             self._log_event("claim-unanswered", fencing=owner.fencing, **describe_failure(error))
             return
         if isinstance(result, RowConflict):
+            self._record_member_conflict(result)
             row = result.find(CONTROL_TABLE, OWNER_KEY)
             if row is not None:
                 found = decode(row.value, OwnerRecord)
@@ -645,6 +669,7 @@
             heartbeat_age=round(time.monotonic() - self._view.heartbeat_seen_at, 3),
             refusals=self._view.refusals,
         )
+        self._member_revision = result
         self._update_owner(owner, result)
         self._predecessor = predecessor
         self._start_owner(owner, result)
@@ -827,11 +852,17 @@
             # No start may be sent once the store shows that this owner has resigned.
             self._step_down("the instance is stopping")
             self._write_heartbeat(owner.fencing, has_resigned=True)
+        self._store_leaving()
+        gevent.sleep(max(0.0, min(DRAIN_SECONDS, ends_at - time.monotonic())))
+
+    def _store_leaving(self) -> None:
+        """Let the peers know that this instance takes no more calls."""
         try:
-            self._store.transact([], [], [Deletion(CONTROL_TABLE, MEMBER_PREFIX + self.name)])
+            for _ in range(MAX_LEAVE_ATTEMPTS):
+                if self._write_member_row(has_left=True):
+                    return
         except LavenderhookError as error:
             self._log_event("leave-unstored", **describe_failure(error))
-        gevent.sleep(max(0.0, min(DRAIN_SECONDS, ends_at - time.monotonic())))
 
     def stop(self) -> None:
         """Stop all loops and close all connections."""
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -392,8 +392,13 @@
                     greenlet.kill(block=False)
                 self._worker_clocks.pop(effect.worker, None)
             case effects.StepDown():
-                self._log_event("owner-fenced", fencing=self.fencing, worker=effect.worker)
-                self._step_down(self.fencing, "fenced at a worker")
+                self._log_event(
+                    "owner-steps-down",
+                    fencing=self.fencing,
+                    worker=effect.worker,
+                    reason=effect.reason.value,
+                )
+                self._step_down(self.fencing, effect.reason.value)
 
     def _compute_lease_end(self, worker: WorkerId) -> float | None:
         """Return the end of a lease on the worker's clock, counted from its last report.
--- a/src/lavenderhook/_internal/queueing/effects.py
+++ b/src/lavenderhook/_internal/queueing/effects.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from ..core.identifiers import WorkerId
@@ -60,10 +62,18 @@
     worker: WorkerId
 
 
+class StepDownReason(enum.Enum):
+    """Why an owner gives up the ownership."""
+
+    FENCED = "fenced at a worker"  # it has seen the token of a newer owner
+    NUMBERS_USED_UP = "run numbers or tokens are used up"
+
+
 class StepDown(Effect, frozen=True, kw_only=True):
-    """Give up the ownership, since a worker has seen the token of a newer owner."""
+    """Give up the ownership."""
 
     worker: WorkerId
+    reason: StepDownReason = StepDownReason.FENCED
 
 
 class LogDecision(Effect, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -21,6 +21,7 @@
     SendStart,
     SendStop,
     StepDown,
+    StepDownReason,
     StoreProgress,
     StoreRoster,
     UnwatchWorker,
@@ -71,6 +72,7 @@
     compute_command_token,
     compute_first_run_number,
     compute_latest_lease_expiry,
+    has_token_left,
 )
 
 COMMAND_RETRY_SECONDS = 0.3  # after a command without an answer
@@ -784,9 +786,9 @@
         What ran has ended. An unanswered start may still reach the new incarnation, which knows
         of no stops: the run is stopped there before its task may run again.
         """
-        worker.restarts += 1
-        worker.slow_submissions.clear()
-        worker.is_on_probation = False
+        worker.begin_incarnation()
+        if not has_token_left(worker.restarts):
+            return [StepDown(worker=worker.id, reason=StepDownReason.NUMBERS_USED_UP)]
         unconfirmed = [
             run
             for run in worker.runs.values()
@@ -800,10 +802,6 @@
         for run in unconfirmed:
             run.state = RunState.RUNNING  # a stop sent to the former incarnation has no effect
             effects += self._stop(run, now)
-        worker.processed_sequence = 0
-        worker.stored_sequence = 0
-        worker.unmatched_finished_runs = ()
-        worker.unmatched_runs.clear()
         return effects
 
     def _reset_worker(self, worker: Worker, now: float) -> list[Effect]:
@@ -811,10 +809,7 @@
         effects: list[Effect] = []
         for run in list(worker.runs.values()):
             effects += self._remove_run(run, now)
-        worker.processed_sequence = 0
-        worker.stored_sequence = 0
-        worker.unmatched_finished_runs = ()
-        worker.unmatched_runs.clear()
+        worker.forget_reports()
         return effects
 
     def _update_roster(self) -> list[Effect]:
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -100,6 +100,9 @@
     ----------
     strength : float
         Fitness of the instance as owner; see `compute_owner_fitness`.
+    has_left : bool
+        The process has stopped. The row is kept: after a deletion, a write of the process whose
+        response was lost could be carried out late and list the instance again.
     """
 
     name: str
@@ -107,6 +110,7 @@
     address: str
     zone: str
     strength: float = 1.0
+    has_left: bool = False
 
 
 def encode(record: msgspec.Struct) -> bytes:
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -5,13 +5,13 @@
 from collections.abc import Iterable, Sequence
 
 from .advising import AdvicePlanner
-from .effects import Effect, LogDecision, SendStart
+from .effects import Effect, LogDecision, SendStart, StepDown, StepDownReason
 from .model import FencingToken, RunNumber, StartCommand, TaskKey, TicketId
 from .placement import PlacementPolicy, choose_gang_workers, choose_worker, is_eligible
 from .ranking import StepRanking
 from .reservations import GangPlan, plan_gang, reserve
 from .submissions import StepProgress, SubmissionProgress
-from .workers import Worker, compute_command_token, make_run
+from .workers import Worker, compute_command_token, is_run_number_of, make_run
 
 MAX_RESERVED_SHARE = 0.5  # of the schedulable workers' processors, for all gangs at a time
 # Estimated durations are off by half; a task that uses capacity reserved for a gang has to end in
@@ -178,6 +178,8 @@
         number: RunNumber,
         now: float,
     ) -> list[Effect]:
+        if not is_run_number_of(number, self._fencing):
+            return [StepDown(worker=worker.id, reason=StepDownReason.NUMBERS_USED_UP)]
         task = TaskKey(step.id.submission, step.id.occurrence, step.id.step, index)
         ticket = step.allowed.get(worker.id)
         command = StartCommand(
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -120,6 +120,23 @@
         """Id of the worker."""
         return self.listing.id
 
+    def forget_reports(self) -> None:
+        """Discard what was reported, since finished runs are numbered from the start again."""
+        self.processed_sequence = 0
+        self.stored_sequence = 0
+        self.unmatched_finished_runs = ()
+        self.unmatched_since = None
+        self.unmatched_runs.clear()
+
+    def begin_incarnation(self) -> None:
+        """Discard what was learnt about the former incarnation, which has ended."""
+        self.restarts += 1
+        self.forget_reports()
+        self.failed_submissions.clear()
+        self.slow_submissions.clear()
+        self.is_on_probation = False
+        self.blocked_until = 0.0
+
     def record_failure(self, submission: SubmissionId, now: float) -> bool:
         """Record a failed run; return whether the worker is blocked for a while.
 
@@ -179,7 +196,8 @@
     def reserve(self, resources: Resources, count: int, until: float) -> None:
         """Reserve capacity for tasks that are to start at `until`."""
         reserved = self.reserved
-        self.reserved_until = until if not reserved.processors else min(self.reserved_until, until)
+        is_first = reserved == Resources()
+        self.reserved_until = until if is_first else min(self.reserved_until, until)
         self.reserved = Resources(
             reserved.processors + count * resources.processors,
             reserved.memory_mb + count * resources.memory_mb,
@@ -241,7 +259,8 @@
 # A worker that restarts under the same id has seen no token and would carry out a late command for
 # its former incarnation. Each incarnation gets a higher token, so that such commands are fenced
 # from the first hold on.
-TOKENS_PER_OWNER = 1000
+# An owner steps down before it would use tokens of the next one.
+TOKENS_PER_OWNER = 1_000_000
 
 
 def compute_command_token(fencing: FencingToken, restarts: int) -> CommandToken:
@@ -253,13 +272,24 @@
     restarts : int
         How often the owner has seen the worker restart.
     """
-    return CommandToken(fencing * TOKENS_PER_OWNER + min(restarts, TOKENS_PER_OWNER - 1))
+    return CommandToken(fencing * TOKENS_PER_OWNER + restarts)
+
 
+def has_token_left(restarts: int) -> bool:
+    """Return whether an owner has a token for a worker that it saw restart this often."""
+    return restarts < TOKENS_PER_OWNER
 
-# Run numbers increase across owners: each owner counts within a block of its own.
-RUN_NUMBERS_PER_OWNER = 1000
+
+# Run numbers increase across owners: each owner counts within a block of its own, and steps down
+# before it would use numbers of the next one.
+RUN_NUMBERS_PER_OWNER = 1_000_000
 
 
 def compute_first_run_number(fencing: FencingToken) -> RunNumber:
     """Return the first run number of an owner."""
     return RunNumber((fencing - 1) * RUN_NUMBERS_PER_OWNER + 1)
+
+
+def is_run_number_of(number: RunNumber, fencing: FencingToken) -> bool:
+    """Return whether a run number belongs to an owner and not to a later one."""
+    return number < compute_first_run_number(FencingToken(fencing + 1))
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -1,6 +1,7 @@
 """HTTP stand-ins of the platform of the queues: row store, workers with leases, advice."""
 
 import base64
+import io
 import itertools
 import random
 import time
@@ -182,8 +183,23 @@
         self.mode = "up"
         self.listener = Listener(self._respond)
         self._store = store
+        self._delayed_prefix = None
+        self._delay_seconds = 0.0
+
+    def delay_next_write(self, prefix, seconds):
+        """Leave the next write of a key without an answer, and carry it out late."""
+        self._delayed_prefix = prefix
+        self._delay_seconds = seconds
+
+    def has_delayed_write(self):
+        """Return whether the write to be delayed has arrived."""
+        return self._delayed_prefix is None
 
     def _respond(self, request):
+        if self._is_write_to_delay(request):
+            self._delayed_prefix = None
+            gevent.spawn_later(self._delay_seconds, self._store.respond, request)
+            raise DropConnectionError
         if self.mode == "busy":
             return Response(503)
         if self.mode == "silent":
@@ -191,6 +207,15 @@
             raise DropConnectionError
         return self._store.respond(request)
 
+    def _is_write_to_delay(self, request):
+        if self._delayed_prefix is None or request.path != "/lavenderhook/rows-tx":
+            return False
+        body = request.read_body()
+        request.environ["wsgi.input"] = io.BytesIO(body)  # it is read again when carried out
+        keys = [row["key"] for row in request.read_json()["setKeys"]]
+        request.environ["wsgi.input"] = io.BytesIO(body)
+        return any(key.startswith(self._delayed_prefix) for key in keys)
+
 
 class QueueWorkerStandIn:
     """Queue worker that checks each start command against the invariants of the queues.
