Hand the ownership over when only the owner has lost the store

For 2.3 s, until its heartbeat was missed, no end of a task could be stored; 9 submissions whose tasks had ended at 2.5 to 4.6 s were shown as completed at 5.0 s. Ruled out: a shorter heartbeat time-out (a slow store misses it); a takeover by the peers' own choice (in an outage of the whole store, placement goes on at the owner and would stop). Change: an owner without responses reads once itself and asks the three fittest peers to read; if only they succeed, it steps down, and tells the fittest to claim at once. A stopping owner does the same. The two next owners follow the work table, so that a takeover reads one page of changes. A ping counts as refused only if another process or claim answers. An instance that has stepped down leaves the ownership to others for a second. Forwarding of writes has a module of its own. The scenario of a fenced owner pauses it now: an owner that is cut off gives up before it is fenced.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -67,3 +67,51 @@
     Then the instance does not claim ownership
     When 1.1 seconds have passed since it read the owner row
     Then the instance claims ownership
+
+  Scenario: An instance that the owner designates claims at once
+    Guards against seconds without an owner after one has resigned, while the others wait for its
+    heartbeat.
+    Given an instance that knows an owner
+    And it is the 5th in the order of claims
+    When the owner announces its resignation and designates another instance
+    Then the instance does not claim ownership
+    When the owner announces its resignation and designates this instance
+    Then the instance claims ownership
+
+  Scenario: An instance that gave up the ownership leaves it to others for a second
+    Guards against an owner that fails on its state and takes over again and again, before another
+    instance can.
+    Given an instance that knows an owner
+    When this instance takes over and steps down
+    And another 0.5 seconds pass for the instance
+    Then the instance does not claim ownership
+    When another 0.6 seconds pass for the instance
+    Then the instance claims ownership
+
+  Scenario Outline: An owner hands over only what a peer can do better
+    Guards against an owner that gives up the placement of work in an outage of the whole store,
+    which goes on without the store; and against one that keeps it although it alone is cut off.
+    Then an owner whose store <own> asks its peers: <asks>
+    And it hands over to a peer whose read <peer>: <hands over>
+
+    Examples:
+      | own                           | asks | peer                      | hands over |
+      | answers                       | no   | is answered in 0.01 s     | no         |
+      | answers again after 0.6 s     | yes  | is answered in 0.01 s     | no         |
+      | has not answered for 0.6 s    | yes  | is answered in 0.01 s     | yes        |
+      | has not answered for 0.6 s    | yes  | is answered in 0.24 s     | no         |
+      | has not answered for 0.6 s    | yes  | fails                     | no         |
+      | rejects calls                 | yes  | is answered in 0.24 s     | yes        |
+      | rejects calls                 | yes  | fails                     | no         |
+
+  Scenario: The next owners follow the work table
+    Guards against a takeover that reads every part of a large table, over a thin link or from a
+    slow store.
+    Given a work table with 40 submissions that a standby follows
+    When 3 submissions are stored and the standby takes over
+    Then it knows 43 submissions after 1 call to the store
+
+  Scenario: Two fittest instances besides the owner are standbys
+    Guards against all instances of a large fleet that read every change of the work table.
+    Given 30 instances of which the fittest is the owner
+    Then the second and the third fittest are standbys and no others
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -65,10 +65,42 @@
     Guards against background greenlets of an owner that continue after it has stepped down.
     Given 3 entry instances and 3 queue workers
     When the owner has reached every worker
-    And the store stops answering the owner
-    And 5.0 seconds of real time pass
+    And the owner is paused for 4.0 seconds
+    And 1.0 seconds of real time pass
     Then no command of the former owner reaches a worker within 2.0 seconds
 
+  Scenario Outline: An owner that alone has lost the store hands over
+    Guards against ends of tasks that can't be stored, and callers that wait for them, until the
+    missing heartbeat shows that the owner is cut off.
+    Given 3 entry instances and 3 queue workers
+    When the owner has reached every worker
+    And the store's mode towards the owner becomes <mode>
+    Then another instance is the owner within 1.6 seconds
+    And the stand-ins see no command of the former owner after one of the next
+
+    Examples:
+      | mode   |
+      | silent |
+      | busy   |
+
+  Scenario Outline: An owner keeps the ownership in an outage of the whole store
+    Guards against an owner that gives up placement, which needs no store, when no instance can
+    take over.
+    Given 3 entry instances and 3 queue workers
+    When the owner has reached every worker
+    And submission "00000000000000f1" of 2 tasks is sent to instance 0
+    And the store's mode is <mode>
+    And 4.0 seconds of real time pass
+    And the store's mode is up
+    And 1.5 seconds of real time pass
+    Then the ownership has not changed
+    And "00000000000000f1" becomes "completed" at instance 1 within 3 seconds
+
+    Examples:
+      | mode   |
+      | silent |
+      | busy   |
+
   Scenario: The store rejects writes
     Guards against responses that confirm a submission which is not stored, and against late
     refusals.
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -15,6 +15,7 @@
 from lavenderhook._internal.instance import peers
 from lavenderhook._internal.instance.owner import Owner
 from lavenderhook._internal.instance.supervision import run_until_stopped
+from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.queueing import records
 from lavenderhook._internal.queueing.events import Ticked
 from lavenderhook._internal.queueing.model import FencingToken
@@ -377,6 +378,7 @@
         step_down=lambda _, reason: (context.reasons.append(reason), owner.stop()),
         log_event=ignore_event,
         report_error=lambda what, error: context.errors.append((what, error)),
+        work=WorkTable(None, ignore_event),
     )
     owner.state = OwnerState(FencingToken(1), 1, 0.0, OwnerParameters())
     owner.state.scheduler = None  # placement fails
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -4,10 +4,22 @@
 
 from lavenderhook._internal.instance.ownership import (
     OwnershipView,
+    StoreContact,
     compute_owner_fitness,
     compute_rank,
+    may_have_lost_store,
+    should_hand_over,
+)
+from lavenderhook._internal.instance.work_table import WorkTable
+from lavenderhook._internal.ports.queueing import RowChanges, StoredRow
+from lavenderhook._internal.queueing.model import QueueTerms, StepSpec, Submission
+from lavenderhook._internal.queueing.records import (
+    HeartbeatRecord,
+    MemberRecord,
+    OwnerRecord,
+    choose_part,
+    encode,
 )
-from lavenderhook._internal.queueing.records import HeartbeatRecord, MemberRecord, OwnerRecord
 
 
 def make_owner(name="other", fencing=3):
@@ -153,3 +165,127 @@
 @when("{seconds:g} seconds have passed since it read the owner row")
 def step_passed(context, seconds):
     context.now = 100.0 + seconds
+
+
+@given("it is the {rank:d}th in the order of claims")
+def step_rank(context, rank):
+    context.view.rank = rank - 1
+
+
+@when("the owner announces its resignation and designates {recipient}")
+def step_announced(context, recipient):
+    context.view.record_resignation(3, is_designated=recipient == "this instance")
+
+
+@when("this instance takes over and steps down")
+def step_took_over(context):
+    view = context.view
+    view.process_id = "p"
+    owner = OwnerRecord(fencing=4, name="me", boot="x", address="127.0.0.1:2", process="p")
+    view.update_owner(owner, 2, context.now)
+    view.record_step_down(4, context.now)
+    view.claim_id = "y"
+
+
+# Whether the store answered the last calls, for how long none was answered, and a new read.
+OWN_CONTACTS = {
+    "answers": (True, 0.0, StoreContact(True, 0.01)),
+    "has not answered for 0.6 s": (True, 0.6, StoreContact(False, 0.25)),
+    "answers again after 0.6 s": (True, 0.6, StoreContact(True, 0.01)),
+    "rejects calls": (False, 0.0, StoreContact(False, 0.01)),
+}
+PEER_CONTACTS = {
+    "is answered in 0.01 s": StoreContact(True, 0.01),
+    "is answered in 0.24 s": StoreContact(True, 0.24),
+    "fails": StoreContact(False, 0.25),
+}
+
+
+@then("an owner whose store {own} asks its peers: {asks}")
+def step_asks(context, own, asks):
+    context.own = OWN_CONTACTS[own]
+    assert may_have_lost_store(*context.own[:2]) is (asks == "yes")
+
+
+@then("it hands over to a peer whose read {peer}: {expected}")
+def step_hands_over(context, peer, expected):
+    is_handed_over = should_hand_over(context.own[2], PEER_CONTACTS[peer])
+    assert is_handed_over is (expected == "yes")
+
+
+class CountingStore:
+    """Store that counts its calls."""
+
+    def __init__(self):
+        self.rows = []
+        self.calls = 0
+
+    def add(self, name):
+        """Store a submission."""
+        queue = QueueTerms(name="q", service="s")
+        submission = Submission(id=name, queue=queue, payload="", steps=STEPS, accepted_at=0.0)
+        row = StoredRow(
+            table="lavenderhook-work",
+            key=f"submission/{name}",
+            value=encode(submission),
+            revision=len(self.rows) + 1,
+            part=choose_part(name),
+        )
+        self.rows.append(row)
+
+    def read(self, _table, part="", timeout_seconds=0.0):
+        """Return the rows of a part."""
+        self.calls += 1
+        return RowChanges(tuple(row for row in self.rows if row.part == part), len(self.rows))
+
+    def wait_for_changes(self, _table, after, _wait_seconds):
+        """Return the rows after a revision."""
+        self.calls += 1
+        return RowChanges(tuple(self.rows[after:]), len(self.rows))
+
+
+STEPS = (StepSpec(),)
+
+
+@given("a work table with {count:d} submissions that a standby follows")
+def step_work_table(context, count):
+    context.store = CountingStore()
+    for number in range(count):
+        context.store.add(f"s{number}")
+    context.work = WorkTable(context.store, lambda *_names, **_fields: None)
+    context.work.poll()
+
+
+@when("{count:d} submissions are stored and the standby takes over")
+def step_standby_takes_over(context, count):
+    for number in range(count):
+        context.store.add(f"new{number}")
+    context.store.calls = 0
+    context.work.catch_up(len(context.store.rows))
+
+
+@then("it knows {count:d} submissions after {calls:d} call to the store")
+def step_knows(context, count, calls):
+    assert len(context.work.submissions) == count, len(context.work.submissions)
+    assert context.store.calls == calls, context.store.calls
+
+
+@given("{count:d} instances of which the fittest is the owner")
+def step_many_instances(context, count):
+    context.members = {
+        f"i{number:02}": MemberRecord(
+            name=f"i{number:02}", boot="b", address="a:1", zone="z", strength=float(-number)
+        )
+        for number in range(count)
+    }
+
+
+@then("the second and the third fittest are standbys and no others")
+def step_standbys(context):
+    standbys = []
+    for name in context.members:
+        view = OwnershipView(name=name, claim_id="x", members=context.members)
+        view.update_owner(make_owner("i00"), 1, 0.0)
+        if view.is_standby():
+            standbys.append(name)
+    assert standbys == ["i01", "i02"], standbys
--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -234,10 +234,38 @@
         gevent.sleep(0.02)
 
 
-@when("the store stops answering the owner")
-def step_store_unanswered_owner(context):
+@when("the owner is paused for {seconds:f} seconds")
+def step_pause_owner(context, seconds):
     owner = context.cluster.entries[context.cluster.find_owner()]
-    owner.store_endpoint.mode = "silent"
+    owner.send(signal.SIGSTOP)
+    gevent.sleep(seconds)
+    owner.send(signal.SIGCONT)
+
+
+@when("the store's mode towards the owner becomes {mode}")
+def step_store_mode_owner(context, mode):
+    context.selected_index = context.cluster.find_owner()
+    context.cluster.entries[context.selected_index].store_endpoint.mode = mode
+    context.changed_at = time.monotonic()
+
+
+@then("another instance is the owner within {seconds:f} seconds")
+def step_other_owner(context, seconds):
+    while context.cluster.find_owner() == context.selected_index:
+        assert time.monotonic() < context.changed_at + seconds
+        gevent.sleep(0.02)
+
+
+@then("the stand-ins see no command of the former owner after one of the next")
+def step_no_stale_commands(context):
+    gevent.sleep(1.5)
+    assert not sum(worker.stale_command_count for worker in context.cluster.platform.workers)
+
+
+@then("the ownership has not changed")
+def step_same_owner(context):
+    log = "".join(entry.log.read_text(encoding="utf-8") for entry in context.cluster.entries)
+    assert log.count('"ownership-claimed"') == 1, log.count('"ownership-claimed"')
 
 
 @then("no command of the former owner reaches a worker within {seconds:f} seconds")
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import time
-from collections.abc import Callable
 
 import gevent
 import gevent.event
@@ -59,16 +58,21 @@
 from ..queueing.routes import QueueRoutes
 from . import peers
 from .advice import AdviceDispatcher
+from .forwarding import ForwardingWriter
 from .owner import Owner
 from .ownership import (
     HEARTBEAT_INTERVAL_SECONDS,
     MAX_PINGING_INSTANCES,
     OwnershipView,
+    StoreContact,
     compute_rank,
+    may_have_lost_store,
+    should_hand_over,
 )
 from .submission_writer import SubmissionWriter, WriteResult
 from .supervision import ReportError, run_until_stopped
 from .table_watcher import LogEvent, TableWatcher, describe_failure
+from .work_table import WorkTable
 
 CONTROL_WAIT_SECONDS = 0.8  # for a change of the control table
 CONFIGURATION_WAIT_SECONDS = 0.8  # a change of the configuration ends the wait at once
@@ -77,15 +81,6 @@
 PING_INTERVAL_SECONDS = 0.3
 PENDING_REFRESH_SECONDS = 0.5  # age up to which the owner's counts are reused
 PENDING_MAX_AGE_SECONDS = 1.8  # age up to which they are used if the owner doesn't respond
-MAX_PEERS_PER_WRITE = 2  # to which a write is forwarded at the same time
-# A peer that does not respond may still write the row, so that callers can't be told that their
-# submissions never run. It is skipped for this time.
-PEER_SKIP_SECONDS = 3.0
-PEER_REFUSAL_VALID_SECONDS = 1.0  # after all peers asked failed to write
-# After this delay a write is forwarded as well; a slow store answers within 0.7 s.
-HEDGE_DELAY_SECONDS = 0.8
-PEER_WRITE_TIMEOUT_SECONDS = 0.9
-OUTAGE_CHECK_INTERVAL_SECONDS = 0.1  # between checks whether the store still answers
 MAX_LEAVE_ATTEMPTS = 3  # the row may have changed in the meantime
 DRAIN_SECONDS = 2.5  # the balancer removes an instance after two failed checks, 1 s apart
 MAX_READ_STALENESS_SECONDS = 6.0  # of reads after the store's change feed has lost its history
@@ -93,9 +88,14 @@
 # The control table is small: when 90 times as slow as usual, the store answers in 0.4 s.
 CONTROL_READ_TIMEOUT_SECONDS = 0.8
 PING_RETRY_SECONDS = 0.1  # a second ping confirms one that was refused or unanswered
+MAX_SUCCESSORS = 3  # peers that an owner asks or notifies when it hands over
+CONTACT_READ_SECONDS = 0.25  # for a peer that asks whether the store answers
+CONTACT_RETRY_SECONDS = 0.6  # before an owner without a successor asks its peers again
+STORE_CHECK_SECONDS = 0.1  # between checks whether the owner has lost the store
+STANDBY_POLL_SECONDS = 0.5  # between polls of the work table by the next owners
 PROBE_INTERVAL_SECONDS = 0.25  # between probes of a store that does not answer
+PROBE_AFTER_UNANSWERED_SECONDS = 0.25
 # Above the 0.4 s that a read takes when the store is 90 times as slow as usual.
-PROBE_AFTER_UNANSWERED_SECONDS = 0.6
 PROBE_TIMEOUT_SECONDS = 0.6
 
 
@@ -149,19 +149,25 @@
         self._parameters = parameters
         self._log_event = log_event
         self._report_error = report_error
-        self._view = OwnershipView(name=name, claim_id=self.claim_id, owner_fitness=owner_fitness)
+        self._view = OwnershipView(
+            name=name,
+            claim_id=self.claim_id,
+            process_id=self.process_id,
+            owner_fitness=owner_fitness,
+        )
         self._predecessor: OwnerRecord | None = None
         self._writer = SubmissionWriter(store, log_event)
+        self._forwarding = ForwardingWriter(store, self._can_reach_store, self._list_peers)
+        self._work = WorkTable(store, log_event)
         self._peers = peers.PeerClient()
         self._advice_dispatcher = AdviceDispatcher(
             self._request_advice_at, self._list_instance_addresses
         )
         self._owner: Owner | None = None
+        self._is_claiming = False
         self._heartbeat_count = 0
         self._member_revision = 0  # of the row of this instance
         self._store_lost_at: float | None = None
-        self._skipped_until: dict[str, float] = {}  # by address of the peer
-        self._peers_refused_at = -PEER_REFUSAL_VALID_SECONDS  # when peers last failed to write
         self._accepted_at: dict[SubmissionId, float] = {}  # in order of acceptance
         self._submissions_for_notice: list[Submission] = []
         self._cancellations_for_notice: list[SubmissionId] = []
@@ -182,6 +188,8 @@
             self._ping_owner_loop,
             self._heartbeat_loop,
             self._send_write_notices,
+            self._follow_work_table,
+            self._watch_store_as_owner,
         ):
             self._greenlets.append(
                 gevent.spawn(run_until_stopped, loop, self.stopped.is_set, self._report_error)
@@ -208,7 +216,7 @@
 
     def submit(self, submission: Submission, deadline: float) -> WriteResult:
         """Store a submission, directly or through a peer."""
-        result = self._write(
+        result = self._forwarding.write(
             lambda: self._writer.store_submission(submission, deadline),
             lambda address, seconds: self._peers.submit(address, submission, seconds),
             deadline,
@@ -226,7 +234,7 @@
 
     def cancel(self, submission: SubmissionId, deadline: float) -> WriteResult:
         """Cancel a submission, directly or through a peer."""
-        result = self._write(
+        result = self._forwarding.write(
             lambda: self._cancel_locally(submission, deadline),
             lambda address, seconds: self._peers.cancel(address, submission, seconds),
             deadline,
@@ -246,40 +254,6 @@
             return WriteResult.NOT_STORED
         return self._writer.store_cancellation(submission, deadline)
 
-    def _write(
-        self,
-        write_locally: Callable[[], WriteResult],
-        write_remotely: Callable[[str, float], WriteResult],
-        deadline: float,
-    ) -> WriteResult:
-        """Write a row, directly or through a peer.
-
-        Handles an instance that is partitioned from the store: a write that gets no response is
-        forwarded after `HEDGE_DELAY_SECONDS`, and at once while the store counts as unavailable,
-        such as after `STORE_OUTAGE_SECONDS` without a response. Writing the same row from two
-        instances is harmless, since the second write finds the row.
-        """
-        if not self._can_reach_store():
-            return self._write_via_peers(write_remotely, deadline)
-        local_write = gevent.spawn(write_locally)
-        local_write.join(HEDGE_DELAY_SECONDS)
-        if local_write.ready() and local_write.value is not WriteResult.NOT_STORED:
-            return local_write.value
-        peer_result = self._write_via_peers(write_remotely, deadline)
-        if peer_result in (WriteResult.STORED, WriteResult.NO_SUCH):
-            return peer_result
-        # When the store has answered neither this instance nor a peer, callers retry sooner if they
-        # are told so at once; a write in progress still takes effect if the store carries it out.
-        while not local_write.ready() and time.monotonic() < deadline:
-            if self._store.measure_unanswered_seconds() > HEDGE_DELAY_SECONDS:
-                break
-            local_write.join(OUTAGE_CHECK_INTERVAL_SECONDS)
-        if not local_write.ready():
-            return WriteResult.UNKNOWN
-        if local_write.value is WriteResult.NOT_STORED:
-            return peer_result
-        return local_write.value
-
     def describe(self, submission: SubmissionId) -> SubmissionState:
         """Return the state of a submission.
 
@@ -395,40 +369,6 @@
         outage = now - lost_at if lost_at is not None else self._store.measure_unanswered_seconds()
         return choose_retry_after(outage, random.random(), deadline - now)
 
-    def _write_via_peers(
-        self, write_remotely: Callable[[str, float], WriteResult], deadline: float
-    ) -> WriteResult:
-        """Write a row through a peer that reaches the store.
-
-        Handles a store that is unavailable to all instances: after all peers that were asked have
-        failed, the next callers are refused at once, without asking peers again.
-        """
-        now = time.monotonic()
-        seconds = min(PEER_WRITE_TIMEOUT_SECONDS, deadline - now)
-        if seconds <= 0 or now - self._peers_refused_at < PEER_REFUSAL_VALID_SECONDS:
-            return WriteResult.NOT_STORED
-        peers_asked = [a for a in self._list_peers() if self._skipped_until.get(a, 0.0) <= now]
-        greenlets = [
-            gevent.spawn(self._write_at, address, write_remotely, seconds)
-            for address in peers_asked[:MAX_PEERS_PER_WRITE]
-        ]
-        for greenlet in gevent.iwait(greenlets, timeout=seconds):
-            if greenlet.value in (WriteResult.STORED, WriteResult.NO_SUCH):
-                return greenlet.value
-        if all(greenlet.value is WriteResult.NOT_STORED for greenlet in greenlets):
-            self._peers_refused_at = time.monotonic()
-            return WriteResult.NOT_STORED
-        return WriteResult.UNKNOWN
-
-    def _write_at(
-        self, address: str, write_remotely: Callable[[str, float], WriteResult], seconds: float
-    ) -> WriteResult:
-        """Write a row through one peer; skip the peer for some time if the outcome is unknown."""
-        result = write_remotely(address, seconds)
-        if result is WriteResult.UNKNOWN:
-            self._skipped_until[address] = time.monotonic() + PEER_SKIP_SECONDS
-        return result
-
     def _list_peers(self) -> list[str]:
         """Return the addresses of the peers: the owner first, the others in random order."""
         owner = self._find_owner_address()
@@ -488,8 +428,7 @@
                 gevent.sleep(STORE_RETRY_SECONDS)
                 continue
             self._record_store_result(True, {})
-            if self._view.should_claim(time.monotonic()) and not self.is_draining:
-                self._claim()
+            self._claim_if_due()
             gevent.sleep(POLL_INTERVAL_SECONDS)
 
     def _poll(self, watcher: TableWatcher) -> None:
@@ -520,8 +459,11 @@
                     OWNER_KEY + "\0",
                     timeout_seconds=PROBE_TIMEOUT_SECONDS,
                 )
-            except LavenderhookError:
-                continue  # the calls in progress report the outage
+            except LavenderhookError as error:
+                # Without this, each call that begins later would wait for a response again.
+                if self._store.measure_unanswered_seconds() > PROBE_AFTER_UNANSWERED_SECONDS:
+                    self._record_store_result(False, describe_failure(error))
+                continue
             self._record_store_result(True, {"probed": True})
 
     def _record_store_result(self, succeeded: bool, fields: dict[str, object]) -> None:
@@ -687,7 +629,9 @@
             step_down=self._end_ownership,
             log_event=self._log_event,
             report_error=self._report_error,
+            work=self._work,
         )
+        self._work = WorkTable(self._store, self._log_event)  # for the time after this ownership
         self._owner.start()
 
     def _end_ownership(self, fencing: FencingToken, reason: str) -> None:
@@ -701,6 +645,102 @@
             return
         self._log_event("ownership-ended", fencing=owner.fencing, reason=reason)
         owner.stop()
+        self._view.record_step_down(owner.fencing, time.monotonic())
+        self._reset_claim_id()
+
+    def _follow_work_table(self) -> None:
+        """Follow the work table while this instance is one of the next owners."""
+        while not self.stopped.is_set():
+            gevent.sleep(STANDBY_POLL_SECONDS)
+            if not self._view.is_standby() or not self._can_reach_store():
+                continue
+            work = self._work
+            try:
+                work.poll()
+            except LavenderhookError as error:
+                self._log_event("standby-unread", **describe_failure(error))
+
+    def _watch_store_as_owner(self) -> None:
+        """Hand over the ownership if only this instance has lost the store."""
+        while not self.stopped.is_set():
+            gevent.sleep(STORE_CHECK_SECONDS)
+            owner = self._owner
+            is_available = self._view.store_available_since is not None
+            unanswered = self._store.measure_unanswered_seconds()
+            if owner is None or not may_have_lost_store(is_available, unanswered):
+                continue
+            own_read = gevent.spawn(self._measure_store_contact)
+            peer_contacts = self._request_store_contacts()
+            own = own_read.get()
+            successors = [a for a, peer in peer_contacts if should_hand_over(own, peer)]
+            if successors and self._owner is owner:
+                self._step_down("only this instance has lost the store")
+                self._send_hand_over(owner.fencing, successors)
+            else:
+                gevent.sleep(CONTACT_RETRY_SECONDS)
+
+    def _measure_store_contact(self) -> StoreContact:
+        """Read one row: what is known of the store may be older than its loss."""
+        started_at = time.monotonic()
+        try:
+            self._store.read(
+                CONTROL_TABLE, OWNER_KEY, OWNER_KEY + "\0", timeout_seconds=CONTACT_READ_SECONDS
+            )
+        except LavenderhookError as error:
+            if self._view.store_available_since is not None:
+                self._log_event("contact-unread", **describe_failure(error))
+            return StoreContact(False, time.monotonic() - started_at)
+        return StoreContact(True, time.monotonic() - started_at)
+
+    def _list_successors(self) -> list[str]:
+        """Return the addresses of the fittest peers."""
+        members = [m for m in self._view.members.values() if m.name != self.name]
+        members.sort(key=lambda member: (-member.strength, member.name))
+        return [member.address for member in members[:MAX_SUCCESSORS]]
+
+    def _request_store_contacts(self) -> list[tuple[str, StoreContact]]:
+        """Return how the fittest peers reach the store, in order of their fitness."""
+        addresses = self._list_successors()
+        calls = [gevent.spawn(self._request_store_contact, address) for address in addresses]
+        gevent.joinall(calls)
+        contacts = zip(addresses, calls, strict=True)
+        return [(address, call.value) for address, call in contacts if call.value is not None]
+
+    def _request_store_contact(self, address: str) -> StoreContact | None:
+        try:
+            return self._peers.request_store_contact(address)
+        except LavenderhookError as error:
+            self._log_event("contact-unanswered", peer=address, **describe_failure(error))
+            return None
+
+    def _send_hand_over(self, fencing: FencingToken, successors: list[str]) -> None:
+        """Tell the peers that the owner has resigned; the first that answers takes over."""
+        is_designated = True
+        for address in successors:
+            try:
+                self._peers.send_hand_over(address, peers.HandOverNotice(fencing, is_designated))
+            except LavenderhookError as error:
+                self._log_event("hand-over-unsent", peer=address, **describe_failure(error))
+                continue
+            self._log_event(
+                "ownership-handed-over", peer=address, fencing=fencing, designated=is_designated
+            )
+            is_designated = False
+
+    def _apply_hand_over(self, notice: peers.HandOverNotice) -> None:
+        self._view.record_resignation(notice.fencing, is_designated=notice.is_designated)
+        if notice.is_designated:
+            gevent.spawn(self._claim_if_due)
+
+    def _claim_if_due(self) -> None:
+        """Claim the ownership if this instance should take over now."""
+        if self._is_claiming or self.is_draining or not self._view.should_claim(time.monotonic()):
+            return
+        self._is_claiming = True
+        try:
+            self._claim()
+        finally:
+            self._is_claiming = False
 
     def _ping_owner_loop(self) -> None:
         """Ping the owner: refused connections soon suggest that its process has ended."""
@@ -714,7 +754,9 @@
             is_refused = is_unanswered = False
             try:
                 answer = self._peers.ping(address)
-                is_refused = answer.boot != owner.boot or not answer.is_owner
+                # One that has stepped down has another id; one that has claimed but has no response
+                # yet is not the owner so far.
+                is_refused = answer.boot != owner.boot
             except TransportError as error:
                 # A refused connection suggests that nothing listens; other failures, such as
                 # time-outs, only count together with a heartbeat that does not change.
@@ -731,9 +773,9 @@
             gevent.sleep(HEARTBEAT_INTERVAL_SECONDS)
             if self._owner is not None:
                 self._write_heartbeat(self._owner.fencing, has_resigned=False)
-            elif self._view.is_owner() and not self.is_draining:
-                # The response to the claim was lost, or the owner has stepped down: a new id
-                # lets this instance claim again, with a new fencing token.
+            elif self._view.is_owner() and not self._is_claiming:
+                # The response to the claim was lost: a new id lets this instance claim again, with
+                # a new fencing token.
                 self._reset_claim_id()
 
     def _reset_claim_id(self) -> None:
@@ -788,6 +830,11 @@
             case peers.PING_PATH:
                 is_owner = self._owner is not None
                 return peers.reply_message(peers.PingResponse(self.claim_id, is_owner))
+            case peers.CONTACT_PATH:
+                return peers.reply_message(self._measure_store_contact())
+            case peers.HAND_OVER_PATH:
+                self._apply_hand_over(peers.read_message(incoming, peers.HandOverNotice))
+                return Reply()
             case peers.WRITE_NOTICE_PATH:
                 self._apply_write_notice(peers.read_message(incoming, peers.WriteNotice))
                 return Reply()
@@ -851,6 +898,7 @@
         if owner is not None:
             # No start may be sent once the store shows that this owner has resigned.
             self._step_down("the instance is stopping")
+            self._send_hand_over(owner.fencing, self._list_successors())
             self._write_heartbeat(owner.fencing, has_resigned=True)
         self._store_leaving()
         gevent.sleep(max(0.0, min(DRAIN_SECONDS, ends_at - time.monotonic())))
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -57,7 +57,6 @@
     OWNER_KEY,
     PROGRESS_PREFIX,
     ROSTER_KEY,
-    SUBMISSION_PARTS,
     SUBMISSION_PREFIX,
     WORK_TABLE,
     Outcome,
@@ -72,7 +71,8 @@
     set_closing_revisions,
 )
 from .supervision import ReportError
-from .table_watcher import LogEvent, TableWatcher, describe_failure
+from .table_watcher import LogEvent, describe_failure
+from .work_table import WorkTable
 
 # A hold is a long poll of a worker: it renews the worker's leases, acknowledges finished runs and
 # returns a report. The worker answers at once when a run finishes.
@@ -116,6 +116,8 @@
         Logs an event, given by its name and fields.
     report_error : callable
         Takes (what, error) for unexpected failures.
+    work : WorkTable
+        The rows, as far as this instance has followed them.
     """
 
     def __init__(
@@ -131,6 +133,7 @@
         step_down: Callable[[FencingToken, str], None],
         log_event: LogEvent,
         report_error: ReportError,
+        work: WorkTable,
     ) -> None:
         self.fencing = fencing
         self.is_loaded = False
@@ -153,10 +156,7 @@
         self._hold_greenlets: dict[WorkerId, gevent.Greenlet] = {}
         self._greenlets = gevent.pool.Group()  # without those that have ended
         self._submissions_during_load: list[Submission] = []
-        self._loaded_progress: dict[SubmissionId, tuple[Progress, int]] = {}
-        self._loaded_submissions: list[tuple[Submission, int]] = []
-        self._loaded_outcomes: dict[SubmissionId, Outcome] = {}
-        self._unreadable_submissions: set[SubmissionId] = set()
+        self._work = work
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
         self._is_predecessor_inactive = False
         # The roster lists the workers that may hold runs; see `queueing.roster`.
@@ -248,14 +248,7 @@
             self._spawn(loop)
 
     def _load(self) -> Roster:
-        self._loaded_submissions.clear()
-        parts = ("", *SUBMISSION_PARTS)
-        self._watcher = TableWatcher(
-            self._store, WORK_TABLE, self._collect_row, parts, self._log_event
-        )
-        self._watcher.load()
-        if (self._watcher.revision or 0) < self._revision:
-            raise StoreUnavailableError("the store returned rows older than the takeover")
+        self._work.catch_up(self._revision)
         roster_rows = self._store.read(CONTROL_TABLE, ROSTER_KEY, ROSTER_KEY + "\0")
         if roster_rows.revision < self._revision:
             raise StoreUnavailableError("the store returned a roster older than the takeover")
@@ -272,39 +265,17 @@
             self._log_event("roster-unreadable", **describe_failure(error))
             return Roster(workers=frozenset({UNKNOWN_WORKER}))
 
-    def _collect_row(self, row: StoredRow) -> None:
-        if self.state is not None:
-            self._apply_row(row)
-            return
-        prefix, submission = parse_key(row.key)
-        if row.is_deleted:
-            return
-        try:
-            self._collect_record(prefix, submission, row)
-        except ProtocolError:
-            # Without its progress, tasks that are done would run again.
-            self._unreadable_submissions.add(submission)
-            raise
-
-    def _collect_record(self, prefix: str, submission: SubmissionId, row: StoredRow) -> None:
-        if prefix == SUBMISSION_PREFIX:
-            self._loaded_submissions.append((decode_submission(row.value), row.revision))
-        elif prefix == PROGRESS_PREFIX:
-            self._loaded_progress[submission] = (decode(row.value, Progress), row.revision)
-        elif prefix == OUTCOME_PREFIX:
-            self._loaded_outcomes[submission] = decode(row.value, Outcome)
-
     def _restore_state(self, roster: Roster) -> None:
         self.state = OwnerState(
             self.fencing, self._revision, self._started_at, self._parameters, roster
         )
-        for submission_id, outcome in self._loaded_outcomes.items():
+        for submission_id, outcome in self._work.outcomes.items():
             self._ended_at[submission_id] = outcome.at
             self.apply(OutcomeRead(now=_now(), submission=submission_id, outcome=outcome))
-        for submission, revision in self._loaded_submissions:
-            if submission.id in self._unreadable_submissions:
+        for submission, revision in self._work.submissions.values():
+            if submission.id in self._work.unreadable:
                 continue
-            stored_progress = self._loaded_progress.get(submission.id)
+            stored_progress = self._work.progress.get(submission.id)
             self._apply_submission(submission, revision, stored_progress)
         for submission in self._submissions_during_load:
             self._apply_submission(submission, self._revision + 1, None)
@@ -317,9 +288,7 @@
             closed=len(roster.closed),
             seconds=round(_now() - self._started_at, 3),
         )
-        self._loaded_submissions.clear()
-        self._loaded_progress.clear()
-        self._loaded_outcomes.clear()
+        self._work.hand_over(self._apply_row)
         self._submissions_during_load.clear()
         self._apply_listings()
         if self._is_predecessor_inactive:
@@ -568,7 +537,7 @@
     def _feed_loop(self) -> None:
         while not self._is_stopped:
             try:
-                self._watcher.poll(0.0)
+                self._work.poll()
             except LavenderhookError as error:
                 self._log_event("work-feed-unread", **describe_failure(error))
             gevent.sleep(FEED_INTERVAL_SECONDS)
@@ -655,7 +624,7 @@
             elif submission_id in state.submissions:
                 # An earlier write whose response was lost has been carried out.
                 state.submissions[submission_id].progress_revision = row.revision
-        unstored = [s for s in submissions if s not in self._unreadable_submissions]
+        unstored = [s for s in submissions if s not in self._work.unreadable]
         self._dirty_submissions.update(dict.fromkeys(unstored))
         return False
 
@@ -664,7 +633,7 @@
         try:
             self._apply_row(row)
         except ProtocolError as error:
-            self._unreadable_submissions.add(submission)
+            self._work.unreadable.add(submission)
             self._log_event("outcome-unreadable", submission=submission, **describe_failure(error))
 
     def _prune_loop(self) -> None:
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -8,8 +8,11 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Mapping
 
+import msgspec
+
 from ..queueing.model import FencingToken
 from ..queueing.records import HeartbeatRecord, MemberRecord, OwnerRecord
 
@@ -32,6 +35,55 @@
 FIRST_CLAIM_DELAY_SECONDS = 0.4
 # An owner of 176 workers receives and sends about 5 Mbit/s, and 20 Mbit/s while it loads.
 OWNER_LINK_MBPS = 50.0
+# An owner whose calls to the store go unanswered for this long asks its peers how they reach it.
+HAND_OVER_AFTER_UNANSWERED_SECONDS = 0.5
+# A store that answers peers within this time is not slow, so that the missing responses are due to
+# the path to this instance.
+MAX_USUAL_LATENCY_SECONDS = 0.12
+# What made this instance give up the ownership may make it fail again.
+STEP_DOWN_PAUSE_SECONDS = 1.0
+STANDBY_COUNT = 2  # instances that follow the work table to take over without loading it
+
+
+class StoreContact(msgspec.Struct, frozen=True):
+    """Result of a read that an instance has just made from the store.
+
+    Parameters
+    ----------
+    is_available : bool
+        The store answered the read.
+    seconds : float
+        Duration of the read.
+    """
+
+    is_available: bool
+    seconds: float
+
+
+def may_have_lost_store(is_available: bool, unanswered_seconds: float) -> bool:
+    """Return whether the owner may be the only one without the store, so that it asks its peers.
+
+    Parameters
+    ----------
+    is_available : bool
+        The store has answered the owner's last calls.
+    unanswered_seconds : float
+        For how long the owner's calls have waited without any response.
+    """
+    return not is_available or unanswered_seconds > HAND_OVER_AFTER_UNANSWERED_SECONDS
+
+
+def should_hand_over(own: StoreContact, peer: StoreContact) -> bool:
+    """Return whether the owner should hand over to a peer, by reads that both have just made.
+
+    Handles a partition between the owner and the store, or a store that rejects the owner's calls
+    only: nothing that ends can be stored until another instance takes over. While the store is down
+    or slow for all, the owner stays, since placement goes on without the store.
+    """
+    if own.is_available or not peer.is_available:
+        return False
+    is_rejected = own.seconds < MAX_USUAL_LATENCY_SECONDS
+    return is_rejected or peer.seconds < MAX_USUAL_LATENCY_SECONDS
 
 
 def compute_owner_fitness(processors: float, link_mbps: float) -> float:
@@ -72,10 +124,17 @@
         Since when the store has answered without a failure; None while it is unavailable.
     members : dict
         Rows of all instances by name.
+    resigned_fencing : FencingToken
+        Newest owner that has announced its resignation to this instance; 0 if there is none.
+    is_designated : bool
+        That owner has asked this instance to take over.
+    stepped_down_at : float
+        When this instance last gave up the ownership.
     """
 
     name: str
     claim_id: str
+    process_id: str = ""
     owner: OwnerRecord | None = None
     owner_revision: int = 0
     heartbeat: HeartbeatRecord | None = None
@@ -86,6 +145,9 @@
     rank: int = 0
     owner_fitness: float = 1.0
     members: dict[str, MemberRecord] = dataclasses.field(default_factory=dict)
+    resigned_fencing: FencingToken = FencingToken(0)
+    is_designated: bool = False
+    stepped_down_at: float = -math.inf
 
     def update_owner(self, owner: OwnerRecord, revision: int, now: float) -> bool:
         """Apply an owner row; return whether it is newer than the known one."""
@@ -106,6 +168,17 @@
             self.heartbeat = heartbeat
             self.heartbeat_seen_at = now
 
+    def record_resignation(self, fencing: FencingToken, *, is_designated: bool) -> None:
+        """Record that an owner has resigned; it sends no commands any more."""
+        if fencing >= self.resigned_fencing:
+            self.resigned_fencing = fencing
+            self.is_designated = is_designated
+
+    def record_step_down(self, fencing: FencingToken, now: float) -> None:
+        """Record that this instance has given up the ownership."""
+        self.record_resignation(fencing, is_designated=False)
+        self.stepped_down_at = now
+
     def record_store_result(self, now: float, succeeded: bool) -> None:
         """Record whether the store answered."""
         if not succeeded:
@@ -118,6 +191,15 @@
         self.refusals = self.refusals + 1 if is_refused else 0
         self.unanswered_pings = self.unanswered_pings + 1 if is_unanswered else 0
 
+    def is_standby(self) -> bool:
+        """Return whether this instance follows the work table to take over quickly."""
+        if self.owner is None or self.is_owner():
+            return False
+        owner_fitness = {m.name: m.strength for m in self.members.values()}
+        ranked = sorted(owner_fitness, key=lambda name: (-owner_fitness[name], name))
+        successors = [name for name in ranked if name != self.owner.name]
+        return self.name in successors[:STANDBY_COUNT]
+
     def is_owner(self) -> bool:
         """Return whether this process is the owner, as far as it knows."""
         return self.owner is not None and self.owner.boot == self.claim_id
@@ -133,6 +215,8 @@
         is_same_address = member is not None and member.address == owner.address
         if is_same_address and member is not None and member.boot != owner.process:
             return True
+        if self.resigned_fencing == owner.fencing:
+            return True
         heartbeat = self.heartbeat
         return (
             heartbeat is not None and heartbeat.has_resigned and heartbeat.fencing == owner.fencing
@@ -151,12 +235,16 @@
         """
         if self.store_available_since is None or self.is_owner():
             return False
+        if now - self.stepped_down_at < STEP_DOWN_PAUSE_SECONDS:
+            return False
         delay = self.rank * CLAIM_STAGGER_SECONDS
         if self.owner_fitness < LOW_OWNER_FITNESS:
             delay += LOW_FITNESS_DELAY_SECONDS
         if self.owner is None:
             return now - self.store_available_since > FIRST_CLAIM_DELAY_SECONDS + delay
-        if self.owner.name == self.name:
+        if self.owner.name == self.name and self.owner.process != self.process_id:
+            return True
+        if self.is_designated and self.resigned_fencing == self.owner.fencing:
             return True
         if self.is_owner_inactive(self.owner) or self.refusals >= PING_REFUSALS_FOR_TAKEOVER:
             return now - self.heartbeat_seen_at > delay
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -11,7 +11,15 @@
 from ..adapters.frontend import HttpRequest, Reply
 from ..adapters.transport import HttpClient
 from ..core.identifiers import WorkerId
-from ..queueing.model import StepId, Submission, SubmissionId, SubmissionState, TicketId
+from ..queueing.model import (
+    FencingToken,
+    StepId,
+    Submission,
+    SubmissionId,
+    SubmissionState,
+    TicketId,
+)
+from .ownership import StoreContact
 from .submission_writer import WriteResult
 
 PING_PATH = "/peer/ping"
@@ -21,6 +29,10 @@
 SUBMIT_PATH = "/peer/submit"
 CANCEL_PATH = "/peer/cancel"
 ADVISE_PATH = "/peer/advise"
+HAND_OVER_PATH = "/peer/hand-over"
+CONTACT_PATH = "/peer/store-contact"
+CONTACT_TIMEOUT_SECONDS = 0.4  # the peer reads from the store for up to 0.25 s
+HAND_OVER_TIMEOUT_SECONDS = 0.3  # without a response, peers notice the missing heartbeat
 PING_TIMEOUT_SECONDS = 0.45  # an owner on a busy machine responds sooner
 QUERY_TIMEOUT_SECONDS = 0.5  # afterwards, a state is read from the store instead
 WRITE_NOTICE_TIMEOUT_SECONDS = 0.5  # the owner reads the store's change feed anyway
@@ -93,6 +105,13 @@
     is_owner: bool
 
 
+class HandOverNotice(msgspec.Struct, frozen=True):
+    """An owner has resigned and sends no more commands; the recipient may have to take over."""
+
+    fencing: FencingToken
+    is_designated: bool
+
+
 def read_message(incoming: HttpRequest, message_type: type[Any]) -> Any:
     """Return the decoded body of a peer's call.
 
@@ -126,6 +145,14 @@
         """Return the peer's identity."""
         return self._call(address, PING_PATH, None, PingResponse, PING_TIMEOUT_SECONDS)
 
+    def request_store_contact(self, address: str) -> StoreContact:
+        """Return how the peer reaches the store."""
+        return self._call(address, CONTACT_PATH, None, StoreContact, CONTACT_TIMEOUT_SECONDS)
+
+    def send_hand_over(self, address: str, notice: HandOverNotice) -> None:
+        """Tell a peer that the owner has resigned."""
+        self._call(address, HAND_OVER_PATH, notice, None, HAND_OVER_TIMEOUT_SECONDS)
+
     def send_write_notice(self, address: str, notice: WriteNotice) -> None:
         """Notify the owner of rows that have been stored."""
         self._call(address, WRITE_NOTICE_PATH, notice, None, WRITE_NOTICE_TIMEOUT_SECONDS)
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -121,6 +121,10 @@
     def measure_unanswered_seconds(self) -> float:
         """Return for how long calls have waited without any response of the store, in seconds."""
 
+    @abc.abstractmethod
+    def measure_latency_seconds(self) -> float:
+        """Return the smoothed duration of recent calls that were answered, in seconds."""
+
     @abc.abstractmethod
     def has_answered_since(self, moment: float) -> bool:
         """Return whether any call was answered after a moment (monotonic time in seconds)."""
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -32,6 +32,8 @@
 # Beyond the wait: 70 times the usual latency of 4 ms, and the delay of a long link.
 WATCH_TIMEOUT_MARGIN_SECONDS = 1.2
 CONNECTIONS = 64
+INITIAL_LATENCY_SECONDS = 0.1  # assumed before the first response
+LATENCY_SMOOTHING = 0.3  # weight of the newest call in the moving average
 JSON_HEADERS = (("Content-Type", "application/json"),)
 REFUSAL_STATUSES = (429, 503)  # the request had no effect
 
@@ -73,6 +75,7 @@
         self._calls_in_flight = 0  # without those that wait for a change
         self._unanswered_since = 0.0
         self._last_response_at = 0.0
+        self._latency_seconds = INITIAL_LATENCY_SECONDS
         self._exchanges: dict[gevent.Greenlet, float] = {}  # exchanges in progress and their start
 
     def close(self) -> None:
@@ -83,6 +86,10 @@
         """Return for how long calls have waited without any response of the store, in seconds."""
         return time.monotonic() - self._unanswered_since if self._calls_in_flight else 0.0
 
+    def measure_latency_seconds(self) -> float:
+        """Return the smoothed duration of recent calls that were answered, in seconds."""
+        return self._latency_seconds
+
     def has_answered_since(self, moment: float) -> bool:
         """Return whether any call was answered after a moment."""
         return self._last_response_at > moment
@@ -95,11 +102,16 @@
             self._unanswered_since = started_at
         self._calls_in_flight += 1
         try:
-            return self._exchange(method, target, body, headers, timeout)
+            response = self._exchange(method, target, body, headers, timeout)
+            self._record_latency(time.monotonic() - started_at)
+            return response
         finally:
             self._calls_in_flight -= 1
             self._observe("store_seconds", time.monotonic() - started_at, call=name)
 
+    def _record_latency(self, seconds: float) -> None:
+        self._latency_seconds += (seconds - self._latency_seconds) * LATENCY_SMOOTHING
+
     def _exchange(
         self, method: str, target: str, body: bytes, headers: Headers, timeout: float
     ) -> ClientResponse:
