Judge runs by their progress; move work off workers that leave; spread services

The owner dropped the progress that workers report, and judged workers by submissions whose estimates are off by half. Nothing moved off a draining worker: its tasks were lost and started again once its lease had expired, 5.5 s later. A service that lost a worker counted as hopelessly late, since it had been submitted long ago, and waited behind all other work; its tasks were packed on few workers. Change: progress is kept with the worker's clock. A worker is slow if a run stands still in its reports, or the median of its runs takes 2.5 times as long as the others of their steps; its runs are copied where that is allowed, or started again if they would end sooner. Silence counts for nothing. Work that would not end in time leaves a draining worker, services always. Services keep their rank and are spread over workers and racks. Progress also tells gangs when capacity will be free.

--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -3,6 +3,7 @@
 The invariants are checked on the side of the workers, independently of the owner's state.
 """
 
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -57,8 +58,14 @@
     number: int
     resources: Resources
     started_at: float
+    seconds: float = 0.0  # 0 for a run without an end of its own
     is_stopping: bool = False
 
+    def describe(self, now, is_stalled):
+        """Return the run as the worker reports it."""
+        done = min(1.0, (now - self.started_at) / self.seconds) if self.seconds else 1.0
+        return ReportedRun(self.task, self.number, "", 0.0 if is_stalled else round(done, 2))
+
 
 class SimulatedWorker:
     """A worker that checks only token, lease and run number, as the platform's workers do."""
@@ -74,6 +81,8 @@
         self.stalls_tasks = False
         self.duration_factor = 1
         self.state = WorkerState.READY
+        self.leaves_at = None  # time at which a draining worker leaves
+        self.lost_runs = []
         self.begin_incarnation()
 
     def begin_incarnation(self):
@@ -97,8 +106,17 @@
             capacity=self.capacity,
             labels=frozenset({self.rack}),
             born=self.born,
+            leaves_in_seconds=(
+                None if self.leaves_at is None else max(0.0, self.leaves_at - self.simulation.now)
+            ),
         )
 
+    def leave(self):
+        """End with everything that runs."""
+        self.lost_runs += self.runs.values()
+        self.runs.clear()
+        self.is_up = False
+
     def check_token(self, token):
         """Record a command's token; return whether it is not below the highest one seen."""
         if token < self.highest_token:
@@ -130,9 +148,13 @@
         self.runs[command.task] = ActiveRun(
             command.task, command.number, spec.resources, self.simulation.now
         )
-        if not spec.is_gang:
+        if spec.is_service:
+            pass  # it runs until it is stopped
+        elif not spec.is_gang:
+            seconds = self.duration_factor * self.simulation.choose_duration(spec)
+            self.runs[command.task].seconds = seconds
             self.simulation.call_later(
-                self.duration_factor * self.simulation.choose_duration(spec),
+                seconds,
                 self.finish_if_active,
                 command.task,
                 command.number,
@@ -198,7 +220,9 @@
         return WorkerReport(
             clock=self.simulation.now,
             born=self.born,
-            running=tuple(ReportedRun(r.task, r.number, "") for r in self.runs.values()),
+            running=tuple(
+                run.describe(self.simulation.now, self.stalls_tasks) for run in self.runs.values()
+            ),
             finished=tuple(FinishedRun(*entry, "") for entry in self.finished_runs),
         )
 
@@ -452,6 +476,7 @@
         self.completed_at = {}
         self.acknowledged_at = {}
         self.failure_counts = {}
+        self.outcome_counts = collections.Counter()
         self.gang_members = {}
         self.violations = []
         self.starts = 0
@@ -583,6 +608,7 @@
 
     def record_finished_run(self, worker, run, outcome):
         """Record completions and failures; a gang is broken when one member isn't done."""
+        self.outcome_counts[outcome] += 1
         if outcome is RunOutcome.DONE:
             self.completed_at.setdefault(run.task, self.now)
         if outcome is RunOutcome.FAILED:
--- a/src/lavenderhook/_internal/queueing/model.py
+++ b/src/lavenderhook/_internal/queueing/model.py
@@ -179,6 +179,8 @@
     ----------
     born : int
         Identifies the incarnation; increases when the worker restarts under the same id.
+    leaves_in_seconds : float or None
+        Shortest time until a draining worker leaves, counted from the entry's last change.
     """
 
     id: WorkerId
@@ -190,14 +192,16 @@
     labels: frozenset[str]
     born: int
     enforces_capacity: bool = False
+    leaves_in_seconds: float | None = None
 
 
 class ReportedRun(NamedTuple):
-    """A run in a worker's report."""
+    """A run in a worker's report; `progress` is the share that is done, 1 for a service at work."""
 
     task: TaskKey
     number: RunNumber
     checkpoint: str
+    progress: float = 0.0
 
 
 class FinishedRun(NamedTuple):
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -57,12 +58,13 @@
     SubmissionState,
     TaskKey,
 )
-from .placement import BestFit, PlacementPolicy
+from .placement import BestFit, PlacementPolicy, SpreadServices
 from .ranking import PriorityThenObjective, StepRanking
 from .records import Roster
+from .review import Decision, RunReviewer
 from .roster import RosterTracker
 from .scheduling import Scheduler
-from .stragglers import MAX_PROBATION_SHARE, ConsecutiveSlowRuns, SlowWorkerPolicy, find_overdue
+from .stragglers import RunAction, project_remaining
 from .submissions import StepProgress, SubmissionProgress
 from .workers import (
     CLOCK_DRIFT_FACTOR,
@@ -83,7 +85,7 @@
 # A finished run of an unknown submission is kept for this time, since results read from the store
 # lag by up to 6 s after the change feed no longer covers the revision.
 UNMATCHED_FINISHED_RUN_SECONDS = 8.0
-SPEED_CHECK_INTERVAL_SECONDS = 0.25
+REVIEW_INTERVAL_SECONDS = 0.2
 MAX_CACHED_OUTCOMES = 20_000
 
 
@@ -129,13 +131,16 @@
         *,
         ranking: StepRanking | None = None,
         policy: PlacementPolicy | None = None,
-        slow_worker_policy: SlowWorkerPolicy | None = None,
+        reviewer: RunReviewer | None = None,
     ) -> None:
         self.fencing = fencing
         self.owner_revision = owner_revision
         self.parameters = parameters
         self.scheduler = Scheduler(
-            fencing, ranking or PriorityThenObjective(), policy or BestFit(), AdvicePlanner()
+            fencing,
+            ranking or PriorityThenObjective(),
+            policy or SpreadServices(BestFit()),
+            AdvicePlanner(),
         )
         self.first_run_number = compute_first_run_number(fencing)
         self.earlier_leases_expire_at = compute_latest_lease_expiry(
@@ -148,8 +153,8 @@
         self.commands_to_retry: list[Run] = []
         self.submissions: dict[SubmissionId, SubmissionProgress] = {}
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
-        self.slow_worker_policy = slow_worker_policy or ConsecutiveSlowRuns()
-        self.next_speed_check_at = 0.0
+        self.reviewer = reviewer or RunReviewer(self._find_step)
+        self.next_review_at = 0.0
         self.needs_scheduling = True
 
     # State as callers see it.
@@ -258,6 +263,7 @@
             worker = self.workers.get(worker_id)
             if worker is None:
                 worker = Worker(listing, self.earlier_leases_expire_at)
+                worker.update_listing(listing, event.now)
                 worker.is_open_in_roster = self.roster.is_open_in_roster(worker_id)
                 self.workers[worker_id] = worker
                 effects.append(WatchWorker(worker=worker_id))
@@ -265,11 +271,11 @@
             elif listing.born > worker.listing.born:
                 effects.append(_log_worker("worker-reborn", worker))
                 effects += self._handle_restart(worker, event.now)
-                worker.listing = listing
+                worker.update_listing(listing, event.now)
             else:
                 if listing.state is not worker.listing.state:
                     effects.append(_log_worker(f"worker-{listing.state.value}", worker))
-                worker.listing = listing
+                worker.update_listing(listing, event.now)
             worker.is_listed = True
         for worker in self.workers.values():
             if worker.id not in listed and worker.is_listed:
@@ -461,9 +467,9 @@
         pending, self.commands_to_retry = self.commands_to_retry, []
         for run in pending:
             effects += self._retry_command(run, event.now)
-        if event.now >= self.next_speed_check_at:
-            self.next_speed_check_at = event.now + SPEED_CHECK_INTERVAL_SECONDS
-            effects += self._check_speed(event.now)
+        if event.now >= self.next_review_at:
+            self.next_review_at = event.now + REVIEW_INTERVAL_SECONDS
+            effects += self._review_runs(event.now)
         effects += self.scheduler.schedule(
             self.submissions.values(),
             self.workers.values(),
@@ -488,25 +494,44 @@
         revision = self.roster.compute_blocked_through_revision()
         return min(revision, self.owner_revision) if self.is_predecessor_inactive else revision
 
-    def _check_speed(self, now: float) -> list[Effect]:
-        """Put slow workers on probation, and stop their overdue runs of steps with checkpoints."""
-        effects: list[Effect] = []
-        remaining_slow_workers = max(1, int(len(self.workers) * MAX_PROBATION_SHARE))
-        for worker in self.workers.values():
-            if not self.slow_worker_policy.is_slow(worker, now) or remaining_slow_workers <= 0:
-                continue
-            remaining_slow_workers -= 1
-            overdue = find_overdue(worker, now)
-            if not worker.is_on_probation:
-                worker.is_on_probation = True
-                effects.append(_log_worker("worker-slow", worker, overdue=len(overdue)))
-            for run in overdue:
-                step = self._find_step(run.task.step_id)
-                if step is not None and step.spec.has_checkpoints:
-                    step.avoid(run.task.index, worker.id)
-                    effects += self._stop(run, now)
+    def _review_runs(self, now: float) -> list[Effect]:
+        """Put slow workers on probation, and move or copy runs that are better off elsewhere."""
+        workers = self.workers.values()
+        effects: list[Effect] = [
+            _log_worker("worker-slow", worker)
+            for worker in self.reviewer.update_probation(workers, now)
+        ]
+        for decision in self.reviewer.review(workers, now):
+            effects += self._apply_decision(decision, now)
         return effects
 
+    def _apply_decision(self, decision: Decision, now: float) -> list[Effect]:
+        run, step = decision.run, decision.step
+        index = run.task.index
+        if run.state is not RunState.RUNNING or index in step.copies:
+            return []  # another member of its gang has been stopped, or the copy has no worker yet
+        step.avoid(index, run.worker)
+        effects: list[Effect] = [
+            LogDecision(
+                decision="run-reviewed",
+                fields={
+                    "task": str(run.task),
+                    "run": run.number,
+                    "worker": run.worker,
+                    "action": decision.action.value,
+                    "reason": decision.reason.value,
+                    "progress": run.progress,
+                    "seconds": round(now - run.commanded_at, 3),
+                },
+            )
+        ]
+        self.needs_scheduling = True
+        if decision.action is RunAction.COPY:
+            step.copies.append(index)
+            return effects
+        step.restarts[index] = step.restarts.get(index, 0) + 1
+        return effects + self._stop(run, now)
+
     # Runs.
 
     def _schedule_retry(self, run: Run, now: float) -> None:
@@ -592,8 +617,10 @@
                 worker.failed_submissions.clear()
             effects += self._apply_run_outcome(step, finished, now)
         if run is not None:
+            if finished.outcome is RunOutcome.DONE and step is not None and not run.checkpoint:
+                step.durations.append(now - run.commanded_at)
             if finished.outcome in (RunOutcome.DONE, RunOutcome.FAILED):
-                self.slow_worker_policy.record_finished_run(worker, run, now)
+                self.reviewer.slow_worker_policy.record_finished_run(worker, run, now)
             effects += self._remove_run(run, now)
         return effects
 
@@ -693,6 +720,10 @@
             if run is None:
                 effects += self._adopt(worker, reported, event.now)
                 continue
+            run.record_progress(reported.progress, event.report.clock)
+            remaining = project_remaining(run)
+            if remaining is not None:
+                run.estimated_end_at = event.now + remaining
             if reported.checkpoint and reported.checkpoint != run.checkpoint:
                 run.checkpoint = reported.checkpoint
                 step = self._find_step(reported.task.step_id)
@@ -740,10 +771,14 @@
             has_unknown_resources=step is None,
             state=RunState.RUNNING,
             commanded_at=now,
-            estimated_end_at=now + (step.spec.estimate_seconds if step is not None else 0.0),
             acknowledged_at=now,
             checkpoint=reported.checkpoint,
+            rack=worker.rack,
         )
+        if step is not None:
+            spec = step.spec
+            run.estimate_seconds = math.inf if spec.is_service else spec.estimate_seconds
+            run.estimated_end_at = now + run.estimate_seconds
         worker.add_run(run)
         if step is None or entry is None:
             return self._stop(run, now)
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -9,16 +9,6 @@
 from .submissions import StepProgress
 from .workers import Worker
 
-RACK_PREFIX = "r"  # labels of racks look like r1-3
-
-
-def find_rack(worker: Worker) -> str:
-    """Return the rack in the labels of a worker, or the empty string."""
-    for label in worker.listing.labels:
-        if label.startswith(RACK_PREFIX) and "-" in label:
-            return label
-    return ""
-
 
 def is_eligible(step: StepProgress, service: str, worker: Worker) -> bool:
     """Return whether a worker may run the step, regardless of its free capacity."""
@@ -35,11 +25,16 @@
     return sum(run.worker == worker.id for runs in step.runs.values() for run in runs)
 
 
+def count_in_rack(step: StepProgress, worker: Worker) -> int:
+    """Return how many runs of a step the rack of a worker holds."""
+    return sum(run.rack == worker.rack for runs in step.runs.values() for run in runs)
+
+
 class PlacementPolicy(abc.ABC):
     """Ranks the workers that may run a task and have capacity for it."""
 
     @abc.abstractmethod
-    def rank(self, step: StepProgress, worker: Worker) -> float:
+    def rank(self, step: StepProgress, worker: Worker) -> tuple[float, ...]:
         """Return the rank of a worker for the step; the lowest is taken."""
 
 
@@ -50,14 +45,30 @@
     are nearly full, so that others have free capacity for the large ones.
     """
 
-    def rank(self, step: StepProgress, worker: Worker) -> float:
+    def rank(self, step: StepProgress, worker: Worker) -> tuple[float, ...]:
         """Return the processors left free, plus all the capacity if the data is on another rack."""
         remaining = worker.get_free_processors() - step.spec.resources.processors
         rack = step.spec.placement.data_rack
-        rack_penalty = (
-            worker.listing.capacity.processors if rack and find_rack(worker) != rack else 0
-        )
-        return remaining + rack_penalty
+        rack_penalty = worker.listing.capacity.processors if rack and worker.rack != rack else 0
+        return (remaining + rack_penalty,)
+
+
+class SpreadServices(PlacementPolicy):
+    """Spreads the tasks of a service over racks and workers; other steps follow another policy.
+
+    Handles workers that crash, racks that are lost and workers that are replaced in turn: few tasks
+    of one service are away at a time.
+    """
+
+    def __init__(self, other: PlacementPolicy) -> None:
+        self._other = other
+
+    def rank(self, step: StepProgress, worker: Worker) -> tuple[float, ...]:
+        """Return how many tasks of the step the worker and its rack hold, then the other rank."""
+        rank = self._other.rank(step, worker)
+        if not step.spec.is_service:
+            return rank
+        return (count_on_worker(step, worker), count_in_rack(step, worker), *rank)
 
 
 def choose_worker(
@@ -67,7 +78,7 @@
     spec = step.spec
     max_per_worker = spec.placement.most_per_worker
     best: Worker | None = None
-    best_rank = 0.0
+    best_rank: tuple[float, ...] = ()
     for worker in candidates:
         if not worker.has_capacity_for(spec.resources, spec.is_filler, ends_at):
             continue
@@ -88,7 +99,7 @@
     if spec.placement.single_rack:
         racks: dict[str, list[Worker]] = {}
         for worker in candidates:
-            racks.setdefault(find_rack(worker), []).append(worker)
+            racks.setdefault(worker.rack, []).append(worker)
         for members in racks.values():
             found = _assign_greedily(spec, members)
             if found is not None:
--- a/src/lavenderhook/_internal/queueing/ranking.py
+++ b/src/lavenderhook/_internal/queueing/ranking.py
@@ -40,7 +40,13 @@
     """
 
     def rank(self, entry: SubmissionProgress, step: StepProgress, now: float) -> tuple[float, ...]:
-        """Return uselessness, priority, lateness and the next limit."""
+        """Return uselessness, priority, lateness and the next limit.
+
+        A service is never too late: its tasks run until it is cancelled, and one that waits again
+        has lost its worker.
+        """
+        if step.spec.is_service:
+            return (False, entry.submission.queue.priority, Lateness.IN_TIME, step.due_at)
         useful_until = step.due_at + USELESS_AFTER_OBJECTIVES * (step.objective_at - step.due_at)
         is_useless = now > step.due_at + ESTIMATE_MARGIN * (useful_until - step.due_at)
         done_at = now + step.spec.estimate_seconds
--- a/src/lavenderhook/_internal/queueing/reservations.py
+++ b/src/lavenderhook/_internal/queueing/reservations.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Iterable, Sequence
 
 from ..core.identifiers import WorkerId
 from .model import Resources, StepSpec
-from .placement import count_fitting_in, find_rack
+from .placement import count_fitting_in
 from .submissions import GangPlan
 from .workers import Worker
 
@@ -26,7 +27,7 @@
         return _plan(spec, workers, now)
     racks: dict[str, list[Worker]] = {}
     for worker in workers:
-        racks.setdefault(find_rack(worker), []).append(worker)
+        racks.setdefault(worker.rack, []).append(worker)
     plans = [plan for members in racks.values() if (plan := _plan(spec, members, now))]
     return min(plans, key=lambda plan: plan.ready_at, default=None)
 
@@ -44,7 +45,7 @@
         )
         for index, worker in enumerate(workers)
         for number, run in enumerate(worker.runs.values())
-        if not run.is_filler
+        if not run.is_filler and math.isfinite(run.estimated_end_at)
     ]
     heapq.heapify(releases)
     ready_at = now
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/review.py
@@ -0,0 +1,142 @@
+"""Periodic review of the active runs: which ones are to be moved or copied, and why."""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Callable, Collection, Iterator
+from typing import NamedTuple
+
+from .evacuation import EvacuationPolicy, MoveBeforeLeaving
+from .model import RunState, StepId, WorkerState
+from .stragglers import (
+    MAX_PROBATION_SHARE,
+    ComparedRuns,
+    ProjectedEnd,
+    RunAction,
+    RunSpeed,
+    SlowWorkerPolicy,
+    StragglerPolicy,
+    estimate_duration,
+    is_stalled,
+    project_duration,
+)
+from .submissions import StepProgress
+from .workers import Run, Worker
+
+STALL_BLOCK_SECONDS = 3.0  # a worker on which a run stands still gets no others for this time
+
+
+class ReviewReason(enum.Enum):
+    """Why a run is moved or copied."""
+
+    WORKER_LEAVES = "worker-leaves"
+    WORKER_SLOW = "worker-slow"
+    STALLED = "stalled"
+
+
+class Decision(NamedTuple):
+    """What to do about one run."""
+
+    action: RunAction
+    run: Run
+    step: StepProgress
+    reason: ReviewReason
+
+
+class RunReviewer:
+    """Applies the policies on slow workers, stragglers and workers that leave.
+
+    Parameters
+    ----------
+    find_step : callable
+        Returns the step with an id, or None if its submission has ended.
+    """
+
+    def __init__(
+        self,
+        find_step: Callable[[StepId], StepProgress | None],
+        *,
+        slow_worker_policy: SlowWorkerPolicy | None = None,
+        straggler_policy: StragglerPolicy | None = None,
+        evacuation_policy: EvacuationPolicy | None = None,
+    ) -> None:
+        self._find_step = find_step
+        self.slow_worker_policy = slow_worker_policy or ComparedRuns()
+        self._straggler_policy = straggler_policy or ProjectedEnd()
+        self._evacuation_policy = evacuation_policy or MoveBeforeLeaving()
+        self._reviewed_at = -math.inf
+        self._expected: dict[StepId, float | None] = {}  # durations by step, for one review
+
+    def update_probation(self, workers: Collection[Worker], now: float) -> list[Worker]:
+        """Put slow workers on probation; return those that were not on it before.
+
+        Only workers that have reported since the last call are judged again.
+        """
+        max_slow_workers = max(1, int(len(workers) * MAX_PROBATION_SHARE))
+        slow_workers = sum(worker.is_on_probation for worker in workers)
+        self._expected.clear()
+        newly_slow: list[Worker] = []
+        for worker in workers:
+            if worker.last_report_at <= self._reviewed_at:
+                continue
+            speeds = self._measure_speeds(worker)
+            if not speeds or not self.slow_worker_policy.is_slow(worker, speeds, now):
+                continue
+            if not worker.is_on_probation and slow_workers < max_slow_workers:
+                worker.is_on_probation = True
+                slow_workers += 1
+                newly_slow.append(worker)
+            if worker.is_on_probation and any(is_stalled(speed.run) for speed in speeds):
+                worker.blocked_until = max(worker.blocked_until, now + STALL_BLOCK_SECONDS)
+        self._reviewed_at = now
+        return newly_slow
+
+    def review(self, workers: Collection[Worker], now: float) -> Iterator[Decision]:
+        """Yield the runs to be moved or copied."""
+        for worker in workers:
+            is_draining = worker.listing.state is WorkerState.DRAINING
+            if not is_draining and not worker.is_on_probation:
+                continue
+            for run in list(worker.runs.values()):
+                step = self._find_step(run.task.step_id)
+                if run.state is not RunState.RUNNING or step is None:
+                    continue
+                decision = self._review_run(worker, run, step, now)
+                if decision is not None:
+                    yield decision
+
+    def _review_run(
+        self, worker: Worker, run: Run, step: StepProgress, now: float
+    ) -> Decision | None:
+        is_draining = worker.listing.state is WorkerState.DRAINING
+        if is_draining and self._evacuation_policy.should_move(worker, run, step, now):
+            return Decision(RunAction.RESTART, run, step, ReviewReason.WORKER_LEAVES)
+        if not worker.is_on_probation:
+            return None
+        expected = self._estimate_duration(step)
+        if expected is None:
+            expected = run.estimate_seconds
+        action = self._straggler_policy.choose_action(run, step, expected, now)
+        if action is RunAction.KEEP:
+            return None
+        reason = ReviewReason.STALLED if is_stalled(run) else ReviewReason.WORKER_SLOW
+        return Decision(action, run, step, reason)
+
+    def _measure_speeds(self, worker: Worker) -> list[RunSpeed]:
+        speeds: list[RunSpeed] = []
+        for run in worker.runs.values():
+            if run.counts_for_speed:
+                speeds.append(RunSpeed(run, self._measure_slowness(run)))
+        return speeds
+
+    def _measure_slowness(self, run: Run) -> float | None:
+        projected = project_duration(run)
+        step = self._find_step(run.task.step_id) if projected is not None else None
+        expected = self._estimate_duration(step) if step is not None else None
+        return None if projected is None or expected is None else projected / expected
+
+    def _estimate_duration(self, step: StepProgress) -> float | None:
+        if step.id not in self._expected:
+            self._expected[step.id] = estimate_duration(step)
+        return self._expected[step.id]
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Sequence
 
 from .advising import AdvicePlanner
@@ -64,7 +65,7 @@
             if entry.is_finalizing or entry.revision <= blocked_through_revision:
                 continue
             for step in entry.steps.values():
-                if step.waiting and entry.is_ready(step, now):
+                if (step.waiting or step.copies) and entry.is_ready(step, now):
                     candidates.append((self._ranking.rank(entry, step, now), entry, step))
         candidates.sort(key=lambda candidate: candidate[0])
         schedulable_workers = [worker for worker in workers if worker.is_schedulable(now)]
@@ -120,7 +121,8 @@
             effects = self._place_gang(entry, step, usable, now)
         else:
             effects = self._place_tasks(entry, step, usable, now)
-        if step.waiting and entry.submission.queue.advice is not None:
+            effects += self._place_copies(entry, step, usable, now)
+        if (step.waiting or step.copies) and entry.submission.queue.advice is not None:
             effects += self.advice.request_advice(entry, step, eligible, now)
         return effects
 
@@ -132,7 +134,7 @@
         now: float,
     ) -> list[Effect]:
         effects: list[Effect] = []
-        ends_at = now + BACKFILL_MARGIN * step.spec.estimate_seconds
+        ends_at = self._estimate_end(step, now)
         for index in list(step.waiting):
             candidates = usable
             if index in step.avoided:
@@ -146,6 +148,31 @@
             effects += self._start(entry, step, index, worker, step.allocate_run_number(), now)
         return effects
 
+    def _place_copies(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        usable: Sequence[Worker],
+        now: float,
+    ) -> list[Effect]:
+        """Start a second run of tasks that are slow on their worker."""
+        effects: list[Effect] = []
+        step.drop_needless_copies()
+        for index in list(step.copies):
+            candidates = [w for w in usable if not step.is_avoided(index, w.id)]
+            ends_at = self._estimate_end(step, now)
+            worker = choose_worker(self._policy, step, candidates, ends_at)
+            if worker is None:
+                continue
+            step.copies.remove(index)
+            effects += self._start(entry, step, index, worker, step.allocate_run_number(), now)
+        return effects
+
+    def _estimate_end(self, step: StepProgress, now: float) -> float:
+        if step.spec.is_service:
+            return math.inf
+        return now + BACKFILL_MARGIN * step.spec.estimate_seconds
+
     def _place_gang(
         self,
         entry: SubmissionProgress,
@@ -191,8 +218,9 @@
             checkpoint=step.get_checkpoint(index),
             ticket=ticket.id if ticket is not None else TicketId(""),
         )
-        ends_at = now + step.spec.estimate_seconds
-        run = make_run(command, step.spec.resources, step.spec.is_filler, now, ends_at)
+        spec = step.spec
+        duration = math.inf if spec.is_service else spec.estimate_seconds
+        run = make_run(command, spec.resources, spec.is_filler, now, duration, worker.rack)
         # Members of a gang wait for the slowest; long-running tasks have no expected duration.
         run.counts_for_speed = not (
             step.spec.is_gang or step.spec.is_service or step.spec.is_filler
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -57,6 +57,12 @@
         Indices of tasks that have no run.
     allowed : dict
         Tickets by worker; a worker with an expired one is still allowed.
+    copies : list of int
+        Indices of tasks that are to get another run beside the active one.
+    durations : list of float
+        Of the runs that ended done, in seconds.
+    restarts : dict
+        By task index, how often a run was stopped since it was slow.
     plan : GangPlan or None
         Where capacity is reserved for a waiting gang.
     refused : set
@@ -69,8 +75,10 @@
         "allowed",
         "avoided",
         "checkpoints",
+        "copies",
         "done",
         "due_at",
+        "durations",
         "failed",
         "id",
         "is_advice_pending",
@@ -79,6 +87,7 @@
         "objective_at",
         "plan",
         "refused",
+        "restarts",
         "runs",
         "spec",
         "waiting",
@@ -95,6 +104,9 @@
         self.allowed: dict[WorkerId, Ticket] = {}
         self.refused: set[WorkerId] = set()
         self.avoided: dict[int, set[WorkerId]] = {}
+        self.copies: list[int] = []
+        self.durations: list[float] = []
+        self.restarts: dict[int, int] = {}
         self.plan: GangPlan | None = None
         self.is_advice_pending = False
         self.next_advice_at = 0.0
@@ -112,6 +124,10 @@
         self.last_run_number = RunNumber(self.last_run_number + 1)
         return self.last_run_number
 
+    def drop_needless_copies(self) -> None:
+        """Forget the copies of tasks that are done, have one already, or have no run."""
+        self.copies = [index for index in self.copies if len(self.runs.get(index, ())) == 1]
+
     def record_checkpoint(self, index: int, value: str) -> None:
         """Record a checkpoint; members of a gang share theirs."""
         if not value:
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -28,9 +28,20 @@
 FAILED_SUBMISSIONS_TO_BLOCK = 3  # in a row, without a run that ended done
 FAILURE_BLOCK_SECONDS = 3.0
 UNANSWERED_HOLDS_TO_CLOSE = 2  # in a row
+RACK_PREFIX = "r"  # labels of racks look like r1-3
+MIN_RATE_SECONDS = 0.3  # between the samples from which a rate of progress is taken
+MIN_RATE_PROGRESS = 0.03  # progress is reported in hundredths
 REFUSAL_BLOCK_SECONDS = 0.5  # after a refused start or an unanswered hold
 
 
+def find_rack(listing: WorkerListing) -> str:
+    """Return the rack in the labels of a worker, or the empty string."""
+    for label in listing.labels:
+        if label.startswith(RACK_PREFIX) and "-" in label:
+            return label
+    return ""
+
+
 def compute_latest_lease_expiry(now: float, lease_seconds: float) -> float:
     """Return the time by which any lease of this length granted until now has expired."""
     return now + lease_seconds * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_SECONDS
@@ -50,6 +61,8 @@
         Start or stop commands sent.
     is_filler : bool
         Its processors aren't counted; see `StepSpec`.
+    progress : float
+        Share that is done, by the worker's last report.
     has_unknown_resources : bool
         The submission has ended and its steps aren't loaded; nothing is placed on the worker.
     """
@@ -61,7 +74,8 @@
     is_filler: bool
     state: RunState
     commanded_at: float
-    estimated_end_at: float = 0.0  # by the step's estimate
+    estimate_seconds: float = 0.0
+    estimated_end_at: float = 0.0  # infinite for a service
     acknowledged_at: float | None = None
     next_attempt_at: float = 0.0
     attempts: int = 0
@@ -71,6 +85,40 @@
     counts_for_speed: bool = False  # its duration depends on its worker only
     has_unconfirmed_start: bool = False  # an unanswered start may be carried out late
     has_unknown_resources: bool = False
+    rack: str = ""
+    progress: float = 0.0
+    # Samples of the progress, with the time on the worker's clock in seconds.
+    _samples: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    _moved_clock: float = 0.0  # when the progress last increased
+
+    def record_progress(self, progress: float, clock: float) -> None:
+        """Record the progress that a worker has reported at a time on its own clock."""
+        if not self._samples or progress > self.progress:
+            self._moved_clock = clock
+        self.progress = progress
+        if len(self._samples) > 2 and clock - self._samples[1][1] >= MIN_RATE_SECONDS:
+            del self._samples[0]
+        if (
+            len(self._samples) > 1
+            and self._samples[-1][1] - self._samples[-2][1] < MIN_RATE_SECONDS
+        ):
+            self._samples[-1] = (progress, clock)
+        else:
+            self._samples.append((progress, clock))
+
+    def get_progress_rate(self) -> float | None:
+        """Return the recent progress for each second, or None if it is not known well enough."""
+        if len(self._samples) < 2:
+            return None
+        (earlier, earlier_clock), (latest, latest_clock) = self._samples[0], self._samples[-1]
+        progress, seconds = latest - earlier, latest_clock - earlier_clock
+        if seconds < MIN_RATE_SECONDS or progress < MIN_RATE_PROGRESS:
+            return None
+        return progress / seconds
+
+    def get_standing_seconds(self) -> float:
+        """Return for how long the reports have shown no progress, by the worker's clock."""
+        return self._samples[-1][1] - self._moved_clock if self._samples else 0.0
 
 
 class Worker:
@@ -89,6 +137,7 @@
 
     def __init__(self, listing: WorkerListing, lease_expires_by: float) -> None:
         self.listing = listing
+        self.rack = find_rack(listing)
         self.lease_expires_by = lease_expires_by
         self.is_listed = True
         self.restarts = 0  # under the same id, as seen by this owner
@@ -102,6 +151,7 @@
         self.runs_with_unknown_resources = 0
         self.failed_submissions: set[SubmissionId] = set()  # since a run was last done
         self.slow_submissions: set[SubmissionId] = set()  # since a run last finished in time
+        self.leaves_at: float | None = None  # a draining worker leaves at this time or later
         self.is_on_probation = False  # see the module `stragglers`
         # reported before their submission was known
         self.unmatched_finished_runs: tuple[FinishedRun, ...] = ()
@@ -137,6 +187,15 @@
         self.is_on_probation = False
         self.blocked_until = 0.0
 
+    def update_listing(self, listing: WorkerListing, now: float) -> None:
+        """Apply the newest entry of the platform's list."""
+        if listing.leaves_in_seconds is None:
+            self.leaves_at = None
+        elif listing != self.listing or self.leaves_at is None:
+            self.leaves_at = now + listing.leaves_in_seconds
+        self.listing = listing
+        self.rack = find_rack(listing)
+
     def record_failure(self, submission: SubmissionId, now: float) -> bool:
         """Record a failed run; return whether the worker is blocked for a while.
 
@@ -237,7 +296,8 @@
     resources: Resources,
     is_filler: bool,
     now: float,
-    estimated_end_at: float,
+    estimate_seconds: float,
+    rack: str,
 ) -> Run:
     """Return the run that a start command begins."""
     return Run(
@@ -248,11 +308,13 @@
         is_filler=is_filler,
         state=RunState.STARTING,
         commanded_at=now,
-        estimated_end_at=estimated_end_at,
+        estimate_seconds=estimate_seconds,
+        estimated_end_at=now + estimate_seconds,
         checkpoint=command.checkpoint,
         command=command,
         is_in_flight=True,
         attempts=1,
+        rack=rack,
     )
 
 
--- a/src/lavenderhook/platform/lists.py
+++ b/src/lavenderhook/platform/lists.py
@@ -71,7 +71,10 @@
 
 
 class _Server(msgspec.Struct, rename="camel"):
-    """A worker's entry; `labels` contains its kind and its rack."""
+    """A worker's entry; `labels` contains its kind and its rack.
+
+    While it drains, `drain_remaining_ms` is the shortest time until it leaves.
+    """
 
     service: str
     address: str
@@ -80,6 +83,7 @@
     capacity: _Capacity
     labels: list[str] = []
     born: int = 0
+    drain_remaining_ms: float | None = None
 
 
 class PlatformConfiguration(QueueConfiguration):
@@ -185,6 +189,12 @@
     )
 
 
+def _convert_remaining(server: _Server) -> float | None:
+    if server.drain_remaining_ms is None or server.state != WorkerState.DRAINING.value:
+        return None
+    return server.drain_remaining_ms / 1000
+
+
 def decode_worker(worker_id: WorkerId, value: bytes) -> WorkerListing:
     """Decode a worker's entry.
 
@@ -204,4 +214,5 @@
         capacity=Resources(server.capacity.cpu, server.capacity.mem_mb, server.capacity.gpu),
         labels=frozenset(server.labels),
         born=server.born,
+        leaves_in_seconds=_convert_remaining(server),
     )
--- a/src/lavenderhook/platform/workers.py
+++ b/src/lavenderhook/platform/workers.py
@@ -69,7 +69,7 @@
     clock_ms : int
         The worker's own clock.
     running : list
-        Rows of task, run, checkpoint, speed in percent, and a load figure.
+        Rows of task, run, checkpoint, progress in percent, and a load figure.
     finished : list
         Rows of sequence number, task, run, outcome and checkpoint.
     """
@@ -266,8 +266,8 @@
 
 
 def _convert_running(row: list[Any]) -> ReportedRun:
-    name, number, checkpoint, _ = msgspec.convert(row[:4], _RUNNING_ROW)
-    return ReportedRun(parse_task(name), RunNumber(number), checkpoint)
+    name, number, checkpoint, percent = msgspec.convert(row[:4], _RUNNING_ROW)
+    return ReportedRun(parse_task(name), RunNumber(number), checkpoint, percent / 100)
 
 
 def _convert_finished(row: list[Any]) -> FinishedRun:
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -321,9 +321,15 @@
             return self._refuse("old")
         step = self.platform.check_start(self, task, body)
         self._extend_lease(body)
-        self.runs[task] = {"run": run_number, "cpu": step["cpu"]}
+        seconds = step.get("estimateMs", 100) / 1000 * RUN_TIME_FACTOR
+        self.runs[task] = {
+            "run": run_number,
+            "cpu": step["cpu"],
+            "started": time.monotonic(),
+            "seconds": seconds,
+        }
         gevent.spawn_later(
-            step.get("estimateMs", 100) / 1000 * RUN_TIME_FACTOR,
+            seconds,
             self._finish_if_active,
             task,
             run_number,
@@ -360,12 +366,19 @@
             )
         return reply_json({"clockMs": self.read_clock_ms()})
 
+    def _compute_percent(self, active):
+        done = (time.monotonic() - active["started"]) / active["seconds"]
+        return min(100, int(100 * done))
+
     def _hold(self, body):
         self._extend_lease(body)
         self.finished_runs = [run for run in self.finished_runs if run[0] > body["lastSeen"]]
         if not self.finished_runs and body.get("waitMs"):
             self.run_finished.wait(body["waitMs"] / 1000)
-        running = [[task, active["run"], "", 100, 0] for task, active in self.runs.items()]
+        running = [
+            [task, active["run"], "", self._compute_percent(active), 0]
+            for task, active in self.runs.items()
+        ]
         return reply_json(
             {
                 "clockMs": self.read_clock_ms(),
