Let an owner that reaches neither the store nor a peer extend no lease

Cause (read in the code, shown by a test): an owner that is cut off together with some workers goes on to hold them. Its successor can't reach these workers, waits for the longest lease counted from the takeover, and starts their tasks elsewhere, while they still run under leases that the former owner extends. The same holds for an owner that wakes after a pause: its clock has stood still, its reports look fresh, and answers from before the pause wait in its buffers. Ruled out: waiting longer at the successor, as the former owner may extend leases for ever. Change: an answer counts from the sending of its call, on a clock that goes on while the machine is suspended. After 1.2 s without one, of the store or a peer, an owner sends holds without a lease and starts nothing; a test derives that its last lease ends before the successor's wait. An outage of the whole store is no isolation, since peers answer. Before and after: 'An owner that was paused acts only once it is in contact again' fails without the check. The scenario of a fenced owner failed once: the owner read of its successor before it sent a command.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -115,3 +115,19 @@
     Guards against all instances of a large fleet that read every change of the work table.
     Given 30 instances of which the fittest is the owner
     Then the second and the third fittest are standbys and no others
+
+  Scenario: An owner that was paused acts only once it is in contact again
+    Guards against leases that a paused or partitioned owner extends at workers which its successor
+    can't reach: the successor starts their tasks elsewhere while they still run.
+    Given an owner with one worker whose answers are recorded
+    When it reaches neither the store nor a peer for 1.3 seconds
+    Then it sends no start, and its holds extend no lease
+    When an answer arrives that was sent before
+    Then it sends no start, and its holds extend no lease
+    When a new call to the store is answered
+    Then it sends starts, and its holds extend the lease
+
+  Scenario: Leases of an isolated owner have expired when its successor counts them as expired
+    Guards against constants that no longer fit each other.
+    Given leases of 5.5 seconds on a worker's clock that runs 2 percent slow
+    Then the last lease of an isolated owner ends before the wait of the earliest successor
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -65,7 +65,7 @@
     Guards against background greenlets of an owner that continue after it has stepped down.
     Given 3 entry instances and 3 queue workers
     When the owner has reached every worker
-    And the owner is paused for 4.0 seconds
+    And the owner is paused for 4.0 seconds, after which the store doesn't answer it
     And 1.0 seconds of real time pass
     Then no command of the former owner reaches a worker within 2.0 seconds
 
@@ -101,6 +101,15 @@
       | silent |
       | busy   |
 
+  Scenario: A process that is stopped during an outage of the store ends in its grace period
+    Guards against requests that are cut off by SIGKILL, since each farewell to the store waits for
+    its time-out.
+    Given 3 entry instances and 3 queue workers
+    When the owner has reached every worker
+    And the store's mode is silent
+    And the owner receives SIGTERM while 4 submissions are sent
+    Then the stopped process ends by itself within 6 seconds
+
   Scenario: The store rejects writes
     Guards against responses that confirm a submission which is not stored, and against late
     refusals.
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -379,6 +379,7 @@
         log_event=ignore_event,
         report_error=lambda what, error: context.errors.append((what, error)),
         work=WorkTable(None, ignore_event),
+        is_isolated=lambda: False,
     )
     owner.state = OwnerState(FencingToken(1), 1, 0.0, OwnerParameters())
     owner.state.scheduler = None  # placement fails
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -1,8 +1,14 @@
 """Steps for the decision when an instance claims ownership."""
 
+import time
+
+import gevent
 from behave import given, then, when
 
+from lavenderhook._internal.instance.contact import ISOLATION_SECONDS, Contact, is_isolated
+from lavenderhook._internal.instance.owner import Owner
 from lavenderhook._internal.instance.ownership import (
+    HEARTBEAT_TIMEOUT_WITH_FAILED_PINGS_SECONDS,
     OwnershipView,
     StoreContact,
     compute_owner_fitness,
@@ -12,14 +18,28 @@
 )
 from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.ports.queueing import RowChanges, StoredRow
-from lavenderhook._internal.queueing.model import QueueTerms, StepSpec, Submission
+from lavenderhook._internal.queueing.events import RosterStored, WorkersListed
+from lavenderhook._internal.queueing.model import (
+    FencingToken,
+    QueueTerms,
+    Resources,
+    StartOutcome,
+    StepSpec,
+    Submission,
+    WorkerListing,
+    WorkerReport,
+    WorkerState,
+)
+from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
 from lavenderhook._internal.queueing.records import (
     HeartbeatRecord,
     MemberRecord,
     OwnerRecord,
+    Roster,
     choose_part,
     encode,
 )
+from lavenderhook._internal.queueing.workers import compute_latest_lease_expiry
 
 
 def make_owner(name="other", fencing=3):
@@ -289,3 +309,122 @@
         if view.is_standby():
             standbys.append(name)
     assert standbys == ["i01", "i02"], standbys
+
+
+class RecordingWorkerClient:
+    """Client of one worker that records the leases of holds, and the starts."""
+
+    def __init__(self):
+        self.starts = []
+        self.leases = []
+
+    def start(self, _address, command, _lease_until):
+        """Record a start."""
+        self.starts.append(command)
+        return StartOutcome.STARTED
+
+    def hold(self, _address, _worker, _token, _acknowledged, lease_until, _wait):
+        """Record the lease; report no runs."""
+        gevent.sleep(0.01)
+        self.leases.append(lease_until)
+        return WorkerReport(clock=100.0, born=1, running=(), finished=())
+
+
+@given("an owner with one worker whose answers are recorded")
+def step_recorded_owner(context):
+    context.elapsed = 1000.0
+    context.contact = Contact()
+    context.contact.record_answer(context.elapsed)
+    context.client = RecordingWorkerClient()
+    context.owner = Owner(
+        FencingToken(2),
+        1,
+        store=None,
+        worker_list=None,
+        worker_client=context.client,
+        request_advice=None,
+        parameters=OwnerParameters(),
+        step_down=lambda *_: None,
+        log_event=lambda *_names, **_fields: None,
+        report_error=lambda *_: None,
+        work=WorkTable(None, lambda *_names, **_fields: None),
+        is_isolated=lambda: is_isolated(context.contact.last_sent_at, context.elapsed),
+    )
+    context.add_cleanup(context.owner.stop)
+    owner = context.owner
+    owner.state = OwnerState(FencingToken(2), 1, time.monotonic(), OwnerParameters())
+    listing = WorkerListing(
+        id="w",
+        service="s",
+        address="a:1",
+        zone="z",
+        state=WorkerState.READY,
+        capacity=Resources(9000, 9000),
+        labels=frozenset(),
+        born=1,
+    )
+    now = time.monotonic()
+    owner.apply(WorkersListed(now=now, workers=(listing,)))
+    owner.apply(RosterStored(now=now, roster=Roster(workers=frozenset({"w"}))))
+    owner._spawn(owner._tick_loop)
+    gevent.sleep(0.1)
+
+
+@when("it reaches neither the store nor a peer for {seconds:f} seconds")
+def step_no_contact(context, seconds):
+    context.sent_before = context.elapsed
+    context.elapsed += seconds
+
+
+@when("an answer arrives that was sent before")
+def step_old_answer(context):
+    context.contact.record_answer(context.sent_before)
+
+
+@when("a new call to the store is answered")
+def step_new_answer(context):
+    context.contact.record_answer(context.elapsed)
+
+
+def submit_and_observe(context):
+    """Submit a task; return the starts and the leases that follow within a while."""
+    name = f"s{time.monotonic()}"
+    submission = Submission(
+        id=name,
+        queue=QueueTerms(name="q", service="s"),
+        payload="",
+        steps=(StepSpec(resources=Resources(1, 1), estimate_seconds=1.0),),
+        accepted_at=time.time(),
+    )
+    gevent.sleep(0.05)  # holds that were sent before
+    context.client.starts.clear()
+    context.client.leases.clear()
+    context.owner.add_submission(submission)
+    gevent.sleep(0.3)
+    return context.client.starts, context.client.leases
+
+
+@then("it sends no start, and its holds extend no lease")
+def step_nothing_sent(context):
+    starts, leases = submit_and_observe(context)
+    assert not starts and leases and set(leases) == {None}, (starts, leases)
+
+
+@then("it sends starts, and its holds extend the lease")
+def step_something_sent(context):
+    starts, leases = submit_and_observe(context)
+    assert starts and None not in leases, (starts, leases)
+
+
+@given("leases of {seconds:f} seconds on a worker's clock that runs {percent:d} percent slow")
+def step_leases(context, seconds, percent):
+    context.lease_seconds = seconds
+    context.longest_lease = seconds / (1 - percent / 100)
+
+
+@then("the last lease of an isolated owner ends before the wait of the earliest successor")
+def step_lease_bound(context):
+    last_lease_ends = ISOLATION_SECONDS + context.longest_lease
+    takeover = HEARTBEAT_TIMEOUT_WITH_FAILED_PINGS_SECONDS
+    wait_ends = compute_latest_lease_expiry(takeover, context.lease_seconds)
+    assert last_lease_ends < wait_ends, (last_lease_ends, wait_ends)
--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -234,10 +234,11 @@
         gevent.sleep(0.02)
 
 
-@when("the owner is paused for {seconds:f} seconds")
+@when("the owner is paused for {seconds:f} seconds, after which the store doesn't answer it")
 def step_pause_owner(context, seconds):
     owner = context.cluster.entries[context.cluster.find_owner()]
     owner.send(signal.SIGSTOP)
+    owner.store_endpoint.mode = "silent"  # it can't read that another owner has taken over
     gevent.sleep(seconds)
     owner.send(signal.SIGCONT)
 
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -58,6 +58,7 @@
 from ..queueing.routes import QueueRoutes
 from . import peers
 from .advice import AdviceDispatcher
+from .contact import is_isolated, read_elapsed_clock
 from .forwarding import ForwardingWriter
 from .owner import Owner
 from .ownership import (
@@ -630,10 +631,18 @@
             log_event=self._log_event,
             report_error=self._report_error,
             work=self._work,
+            is_isolated=self._is_isolated,
         )
         self._work = WorkTable(self._store, self._log_event)  # for the time after this ownership
         self._owner.start()
 
+    def _is_isolated(self) -> bool:
+        """Return whether peers that exist may have taken over without this instance noticing."""
+        if all(name == self.name for name in self._view.members):
+            return False
+        last_contact = max(self._store.get_last_contact(), self._peers.contact.last_sent_at)
+        return is_isolated(last_contact, read_elapsed_clock())
+
     def _end_ownership(self, fencing: FencingToken, reason: str) -> None:
         """Step down unless the call comes from a former `Owner` of this process."""
         if self._owner is not None and self._owner.fencing == fencing:
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -43,6 +43,7 @@
 )
 from ..queueing.model import (
     FencingToken,
+    StartOutcome,
     StepId,
     Submission,
     SubmissionId,
@@ -118,6 +119,9 @@
         Takes (what, error) for unexpected failures.
     work : WorkTable
         The rows, as far as this instance has followed them.
+    is_isolated : callable
+        Returns whether this owner may have been replaced without noticing; until it is in contact
+        again, it extends no leases and starts nothing.
     """
 
     def __init__(
@@ -134,6 +138,7 @@
         log_event: LogEvent,
         report_error: ReportError,
         work: WorkTable,
+        is_isolated: Callable[[], bool],
     ) -> None:
         self.fencing = fencing
         self.is_loaded = False
@@ -157,6 +162,8 @@
         self._greenlets = gevent.pool.Group()  # without those that have ended
         self._submissions_during_load: list[Submission] = []
         self._work = work
+        self._is_isolated = is_isolated
+        self._was_isolated = False
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
         self._is_predecessor_inactive = False
         # The roster lists the workers that may hold runs; see `queueing.roster`.
@@ -372,19 +379,26 @@
     def _compute_lease_end(self, worker: WorkerId) -> float | None:
         """Return the end of a lease on the worker's clock, counted from its last report.
 
+        None if there was no report, or the owner is isolated.
+
         While a worker's reports are lost, the end stays fixed even if commands reach it, so that
         the latest time at which its leases expire does not move.
         """
+        if self._is_isolated():
+            return None
         clock = self._worker_clocks.get(worker)
         return None if clock is None else clock + self._parameters.lease_seconds
 
     def _send_start(self, effect: effects.SendStart) -> None:
         command = effect.command
         worker = self.state.workers.get(command.worker) if self.state is not None else None
-        lease_end = self._compute_lease_end(command.worker)
-        if worker is None or lease_end is None:
+        if worker is None or command.worker not in self._worker_clocks:
             return  # the worker has been removed in the meantime
-        outcome = self._worker_client.start(worker.listing.address, command, lease_end)
+        lease_end = self._compute_lease_end(command.worker)
+        if lease_end is None:
+            outcome = StartOutcome.NOT_SENT
+        else:
+            outcome = self._worker_client.start(worker.listing.address, command, lease_end)
         self.apply(
             StartAnswered(
                 now=_now(),
@@ -441,8 +455,20 @@
             self._scheduling_due.wait(TICK_INTERVAL_SECONDS)
             self._scheduling_due.clear()
             gevent.sleep(EVENT_BATCH_SECONDS)
+            if self._check_isolation():
+                gevent.sleep(TICK_INTERVAL_SECONDS)
+                continue
             self.apply(Ticked(now=_now()))
 
+    def _check_isolation(self) -> bool:
+        """Return whether the owner is isolated; log when that changes."""
+        is_isolated = self._is_isolated()
+        if is_isolated != self._was_isolated:
+            self._was_isolated = is_isolated
+            what = "owner-isolated" if is_isolated else "owner-in-contact"
+            self._log_event(what, fencing=self.fencing)
+        return is_isolated
+
     def _hold_loop(self, worker_id: WorkerId) -> None:
         # Before the first report and after an unanswered hold, the worker may be another
         # incarnation, whose finished runs are numbered from the start: none are acknowledged.
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -125,6 +125,10 @@
     def measure_latency_seconds(self) -> float:
         """Return the smoothed duration of recent calls that were answered, in seconds."""
 
+    @abc.abstractmethod
+    def get_last_contact(self) -> float:
+        """Return when the newest call that was answered was sent, by `read_elapsed_clock`."""
+
     @abc.abstractmethod
     def has_answered_since(self, moment: float) -> bool:
         """Return whether any call was answered after a moment (monotonic time in seconds)."""
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from .._internal.adapters.transport import ClientResponse, Headers, HttpClient
+from .._internal.instance.contact import Contact, read_elapsed_clock
 from .._internal.ports.queueing import (
     STORE_CALL_SECONDS,
     STORE_OUTAGE_SECONDS,
@@ -75,6 +76,7 @@
         self._calls_in_flight = 0  # without those that wait for a change
         self._unanswered_since = 0.0
         self._last_response_at = 0.0
+        self._contact = Contact()
         self._latency_seconds = INITIAL_LATENCY_SECONDS
         self._exchanges: dict[gevent.Greenlet, float] = {}  # exchanges in progress and their start
 
@@ -90,6 +92,10 @@
         """Return the smoothed duration of recent calls that were answered, in seconds."""
         return self._latency_seconds
 
+    def get_last_contact(self) -> float:
+        """Return when the newest call that was answered was sent, by `read_elapsed_clock`."""
+        return self._contact.last_sent_at
+
     def has_answered_since(self, moment: float) -> bool:
         """Return whether any call was answered after a moment."""
         return self._last_response_at > moment
@@ -116,7 +122,7 @@
         self, method: str, target: str, body: bytes, headers: Headers, timeout: float
     ) -> ClientResponse:
         """Carry out one exchange, abandoned if a later one is answered after an outage."""
-        started_at = time.monotonic()
+        started_at, sent_at = time.monotonic(), read_elapsed_clock()
         exchange = gevent.spawn(self._call_client, method, target, body, headers, timeout)
         self._exchanges[exchange] = started_at
         try:
@@ -127,6 +133,8 @@
         result = exchange.value
         if isinstance(result, ClientResponse):
             self._record_response(started_at)
+            if result.status not in REFUSAL_STATUSES:
+                self._contact.record_answer(sent_at)
             return result
         if isinstance(result, TransportError):
             raise result
