Resolve outcomes one by one; tell errors of peers and workers apart

Cause (read in the code, shown by tests that fail first): a read that failed while the outcomes of a batch were resolved ended the greenlet with a KeyError at the next attempt, since those before it were resolved already; a peer's answer of 300 to 499 counted as not run although only some precede its core; an error status was reported to the caller as a time-out; workers that spell the reason lease_expired made each expired lease count as a failure of the task. Change: records are resolved one by one; only 400, 401, 403, 404, 408 and 413 of a peer count as not run; the reason error-status; reasons of workers are read with either spelling.

--- a/features/daemon_exchanges.feature
+++ b/features/daemon_exchanges.feature
@@ -68,3 +68,13 @@
     Given a scripted TCP upstream
     When 6 requests are dispatched at once over at most 2 connections
     Then each gets its own response and at most 2 connections were opened
+
+  Scenario Outline: The reason of a worker is recognised in either spelling
+    Guards against leases that expired and count as failures of their task.
+    When a worker reports a stopped attempt with the reason "<reason>"
+    Then the attempt's lease has expired
+
+    Examples:
+      | reason        |
+      | lease-expired |
+      | lease_expired |
--- a/features/daemon_peers.feature
+++ b/features/daemon_peers.feature
@@ -55,3 +55,19 @@
     And 1 running instance that dispatches to it
     When its listener is closed while a request is in flight
     Then the request is answered, its connection closed, and no new connection is accepted
+
+  Scenario Outline: Only errors that precede a peer's core show that a request has not run
+    Guards against callers that are told that their request has not run, and send it again, although
+    a peer may have run it before it answered with an error.
+    When a peer answers a forwarded request with status <status>
+    Then the request counts as <result>
+
+    Examples:
+      | status | result      |
+      | 302    | maybe run   |
+      | 400    | not run     |
+      | 401    | not run     |
+      | 409    | maybe run   |
+      | 413    | not run     |
+      | 429    | maybe run   |
+      | 500    | maybe run   |
--- a/features/daemon_store.feature
+++ b/features/daemon_store.feature
@@ -110,3 +110,11 @@
     When start calls for a service task and a batch task are sent to a worker
     Then the service has a name, 8 slots and 64 connections and no run time
     And the batch task has its run time and parameters and 1.5 processors
+
+  Scenario: A read that fails while outcomes are resolved loses none of them
+    Guards against a greenlet that ends with the outcomes which it had still to write: the response
+    to their write was lost, and the second of the reads that follow fails.
+    Given an in-memory table
+    When 3 requests are claimed
+    And their responses are recorded while the response to the write and then read 2 are lost
+    Then all 3 outcomes are reported as durable, once each
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -137,6 +137,12 @@
     When it receives "arrive 1 deadline=1; arrive 2; fail 1 u1; wait 1.5"
     Then it emits "dispatch 1 u1; dispatch 2 u1; answer 1 Unknown connection-lost"
 
+  Scenario: A request that got an error and no later response is reported with that reason
+    Guards against callers that are told of a time-out although an upstream answered with an error.
+    Given an instance with granted slots "u1:1"
+    When it receives "arrive 1 deadline=1; arrive 2; answer 1 u1 status=500; wait 1.5"
+    Then it emits "dispatch 1 u1; dispatch 2 u1; answer 1 Unknown error-status"
+
   Scenario: An abandoned request keeps its slot until the upstream responds
     Guards against overcommitted upstreams after callers have disconnected, and against dispatching
     requests for which no caller waits.
--- a/features/steps/daemon_exchanges.py
+++ b/features/steps/daemon_exchanges.py
@@ -10,6 +10,8 @@
 from lavenderhook._internal.adapters.time import SystemClock
 from lavenderhook._internal.adapters.transport import HttpClient
 from lavenderhook._internal.adapters.upstreams import UpstreamEffects
+from lavenderhook._internal.adapters.workers import _build_report, _Entry
+from lavenderhook._internal.core.attempts import LEASE_EXPIRED
 from lavenderhook._internal.core.effects import DispatchToUpstream
 from lavenderhook._internal.core.events import UpstreamAnswered, UpstreamFailed, UpstreamReleased
 
@@ -138,3 +140,13 @@
     for name, call in context.concurrent_calls.items():
         assert call.response.body == f"answer to {name}".encode()
     assert context.upstream.connections <= limit, context.upstream.connections
+
+
+@when('a worker reports a stopped attempt with the reason "{reason}"')
+def step_worker_reason(context, reason):
+    context.report = _build_report(_Entry(attempt="a", state="stopped", reason=reason))
+
+
+@then("the attempt's lease has expired")
+def step_lease_expired(context):
+    assert context.report.reason == LEASE_EXPIRED, context.report
--- a/features/steps/daemon_peers.py
+++ b/features/steps/daemon_peers.py
@@ -4,7 +4,8 @@
 from behave import given, then, when
 
 from features.support.stub_core import UNUSED_ADDRESS, StubCore, start_instance
-from lavenderhook._internal.adapters.transport import HttpClient
+from lavenderhook._internal.adapters.peers import PeerEffects
+from lavenderhook._internal.adapters.transport import ClientResponse, HttpClient
 from lavenderhook._internal.core.declarations import Quota
 from lavenderhook._internal.core.effects import CloseListeners
 from lavenderhook._internal.core.events import (
@@ -196,3 +197,23 @@
         assert not error.sent
     else:
         raise AssertionError("a new connection was accepted")
+
+
+@when("a peer answers a forwarded request with status {status:d}")
+def step_peer_status(context, status):
+    class Client:
+        def call(self, *_arguments, **_options):
+            return ClientResponse(status, (), b"")
+
+    effects = PeerEffects.__new__(PeerEffects)
+    effects._forwarding_client = Client()
+    context.transport_error = None
+    try:
+        effects._post_request("a:1", b"", 1.0)
+    except TransportError as error:
+        context.transport_error = error
+
+
+@then("the request counts as {result}")
+def step_counts_as(context, result):
+    assert context.transport_error.sent is (result == "maybe run"), context.transport_error
--- a/features/steps/daemon_store.py
+++ b/features/steps/daemon_store.py
@@ -75,6 +75,12 @@
     context.store_table.responses_to_lose = 1
 
 
+@given("an in-memory table that rejects {count:d} commit attempts as unavailable")
+def step_rejecting(context, count):
+    step_table(context)
+    context.store_table.commits_to_reject = count
+
+
 @given("an in-memory table that is unavailable for {seconds:f} seconds")
 def step_unavailable(context, seconds):
     step_table(context)
@@ -467,3 +473,38 @@
 def step_change_unavailable(context):
     assert isinstance(context.change_event, ConfigurationRefused), context.change_event
     assert context.change_event.actual is None
+
+
+@when("{count:d} requests are claimed")
+def step_claim_several(context, count):
+    context.claim_client = ClaimClient(context.store_table, "entry-1")
+    context.claimed = [context.claim_client.claim(f"order/{number}") for number in range(count)]
+    context.claim_client.wait(count)
+
+
+@when(
+    "their responses are recorded while the response to the write and then read {number:d} are lost"
+)
+def step_record_several(context, number):
+    table = context.store_table
+    table.responses_to_lose = 1
+    table.lose_read(number)
+    for index, call in enumerate(context.claimed):
+        call.response = RESPONSE
+        context.claim_client.store.record(
+            RecordOutcome(
+                ticket=call.ticket,
+                claim_id=f"entry-1-{call.ticket}",
+                caller="desk",
+                request_id=f"order/{index}",
+                outcome=Completed(),
+            )
+        )
+
+
+@then("all {count:d} outcomes are reported as durable, once each")
+def step_all_durable(context, count):
+    context.claim_client.wait(count, OutcomeRecorded)
+    gevent.sleep(0.3)
+    recorded = [e for e in context.claim_client.events if isinstance(e, OutcomeRecorded)]
+    assert len(recorded) == count and all(event.durable for event in recorded), recorded
--- a/features/support/memory_table.py
+++ b/features/support/memory_table.py
@@ -38,12 +38,17 @@
         self.revision = 0
         self.commits = 0
         self.responses_to_lose = 0
+        self._reads_until_loss = 0
+        self.commits_to_reject = 0
         self.unavailable_until = 0.0  # monotonic time in seconds
 
     def commit(self, transaction_id, checks, puts, deletes=()):
         """Apply a transaction, subject to the injected faults."""
         gevent.sleep(LATENCY_SECONDS)
         draw = self.random.random()
+        if self.commits_to_reject > 0:
+            self.commits_to_reject -= 1
+            raise StoreUnavailableError("table unavailable")
         if time.monotonic() < self.unavailable_until:
             raise StoreUnavailableError("table unavailable")
         if draw < self.rejection_probability:
@@ -71,9 +76,16 @@
             self.rows.pop(key, None)
         return self.revision
 
+    def lose_read(self, number):
+        """Lose one of the reads that follow: the first for 1."""
+        self._reads_until_loss = number
+
     def read(self, key):
         """Return a row."""
         gevent.sleep(LATENCY_SECONDS)
+        self._reads_until_loss -= 1
+        if self._reads_until_loss == 0:
+            raise TransportError("read lost", sent=True)
         if self.random.random() < self.lost_request_probability:
             raise TransportError("read lost", sent=True)
         version, value = self.rows.get(key, (0, b""))
--- a/src/lavenderhook/_internal/adapters/claims.py
+++ b/src/lavenderhook/_internal/adapters/claims.py
@@ -335,7 +335,7 @@
                     for record in batch:
                         self._report_record(record.effect, True)
                     return
-                batch = [r for r in batch if not self._resolve_record(r, set(result.versions))]
+                batch = self._resolve_records(batch, set(result.versions))
                 continue
             except ProtocolError:
                 break
@@ -344,6 +344,18 @@
         for record in batch:
             self._report_record(record.effect, False)
 
+    def _resolve_records(self, batch: list[_Record], keys: set[str]) -> list[_Record]:
+        """Return the records that need another write attempt."""
+        remaining: list[_Record] = []
+        for position, record in enumerate(batch):
+            try:
+                if not self._resolve_record(record, keys):
+                    remaining.append(record)
+            except LavenderhookError:
+                # Those before it are resolved, and must not be written again.
+                return [*remaining, *batch[position:]]
+        return remaining
+
     def _resolve_record(self, record: _Record, keys: set[str]) -> bool:
         """Return whether the outcome needs no further write attempt."""
         if record.key not in keys:
--- a/src/lavenderhook/_internal/adapters/peers.py
+++ b/src/lavenderhook/_internal/adapters/peers.py
@@ -76,6 +76,10 @@
 _T = TypeVar("_T")
 _LENGTH = struct.Struct(">I")
 
+# A peer answers these before a request reaches its core: malformed, unauthenticated, forbidden, an
+# unknown message, not read in time, or too large. After any other error it may have run.
+REJECTED_BEFORE_CORE_STATUSES = (400, 401, 403, 404, 408, 413)
+
 
 class PeerMessage(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Base of the messages that only adapters exchange."""
@@ -519,9 +523,7 @@
         path = PREFIX + "request"
         response = self._forwarding_client.call(address, "POST", path, content, (), timeout)
         if response.status >= 300:
-            # A lower status rejects the request as malformed, too large or unauthenticated, before
-            # it reaches the core.
-            sent = response.status >= 500
+            sent = response.status not in REJECTED_BEFORE_CORE_STATUSES
             raise TransportError(f"the peer answered {response.status}", sent=sent)
         return response
 
--- a/src/lavenderhook/_internal/adapters/workers.py
+++ b/src/lavenderhook/_internal/adapters/workers.py
@@ -60,7 +60,7 @@
         state=entry.state,
         address=entry.address,
         exit_code=entry.exit_code,
-        reason=entry.reason,
+        reason=entry.reason.replace("_", "-"),  # workers spell reasons either way
         used=used,
     )
 
--- a/src/lavenderhook/_internal/core/effects.py
+++ b/src/lavenderhook/_internal/core/effects.py
@@ -156,6 +156,7 @@
     """Why it is not known whether a request was run."""
 
     TIMEOUT = "timeout"
+    ERROR_STATUS = "error-status"  # an upstream answered with one, and no later attempt succeeded
     CONNECTION_LOST = "connection-lost"
     IN_PROGRESS = "in-progress"
     PEER_LOST = "peer-lost"
--- a/src/lavenderhook/_internal/core/routing.py
+++ b/src/lavenderhook/_internal/core/routing.py
@@ -448,7 +448,7 @@
         )
     if event.status >= FIRST_ERROR_STATUS and request.head.idempotent:
         completed = Completed(upstream_id=event.upstream_id)
-        request.may_have_run = UnknownReason.TIMEOUT
+        request.may_have_run = UnknownReason.ERROR_STATUS
         return _retry_or_finish(state, service, request, completed)
     return _finish(state, request, Completed(upstream_id=event.upstream_id))
 
@@ -612,7 +612,7 @@
 ) -> list[Effect]:
     if event.outcome is PeerOutcome.COMPLETED:
         if event.status >= FIRST_ERROR_STATUS and request.head.idempotent:
-            request.may_have_run = UnknownReason.TIMEOUT
+            request.may_have_run = UnknownReason.ERROR_STATUS
             return _retry_or_finish(state, service, request, Completed())
         return _finish(state, request, Completed())
     if event.outcome is PeerOutcome.UNKNOWN:
