Leave a run alone that is about to end; name the ownership manager

Cause (read in the diff): a run whose remaining time is 0 counted as one that never ends, so that a task at 100 percent on a slow worker was copied or stopped. Change: unknown and zero are told apart. OwnershipKeeper is OwnershipManager, the usual term. Before and after: 'A run on a slow worker is started again only if that ends sooner' fails at progress 1.0 before, and passes after.

--- a/features/steps/stragglers.py
+++ b/features/steps/stragglers.py
@@ -6,8 +6,21 @@
 
 from features.support.queue_random_runs import refresh_worker_lists
 from features.support.queue_simulation import make_step
-from lavenderhook._internal.queueing.model import Resources, RunOutcome, RunState, WorkerState
-from lavenderhook._internal.queueing.stragglers import is_stalled, project_remaining
+from lavenderhook._internal.queueing.model import (
+    Resources,
+    RunOutcome,
+    RunState,
+    StepId,
+    TaskKey,
+    WorkerState,
+)
+from lavenderhook._internal.queueing.stragglers import (
+    ProjectedEnd,
+    RunAction,
+    is_stalled,
+    project_remaining,
+)
+from lavenderhook._internal.queueing.submissions import StepProgress
 from lavenderhook._internal.queueing.workers import Run
 
 
@@ -98,7 +111,7 @@
 @given("a run of estimated {estimate:d} seconds that has done {progress:f} in {seconds:d} seconds")
 def step_run(context, estimate, progress, seconds):
     context.run = Run(
-        task=("a", 0, 0, 0),
+        task=TaskKey("a", 0, 0, 0),
         number=1,
         worker="w",
         resources=Resources(),
@@ -129,3 +142,15 @@
 @then("it counts as stalled")
 def step_is_stalled(context):
     assert is_stalled(context.run)
+
+
+@when("a policy judges it on a slow worker, where its task takes {seconds:f} seconds elsewhere")
+def step_judge(context, seconds):
+    step = StepProgress(StepId("a", 0, 0), make_step(1, 1000, 1.0), 1)
+    context.action = ProjectedEnd().choose_action(context.run, step, seconds, 4.0)
+
+
+@then("the run is to be {action}")
+def step_action(context, action):
+    expected = {"restarted": RunAction.RESTART, "kept": RunAction.KEEP}[action]
+    assert context.action is expected, context.action
--- a/features/stragglers.feature
+++ b/features/stragglers.feature
@@ -89,3 +89,15 @@
     Then its remaining time is 2.0 seconds
     When its reports show no more progress for 5 seconds
     Then it counts as stalled
+
+  Scenario Outline: A run on a slow worker is started again only if that ends sooner
+    Guards against work that is thrown away shortly before its end.
+    Given a run of estimated 1 seconds that has done <progress> in 4 seconds
+    When a policy judges it on a slow worker, where its task takes 1.0 seconds elsewhere
+    Then the run is to be <action>
+
+    Examples:
+      | progress | action    |
+      | 0.2      | restarted |
+      | 0.8      | kept      |
+      | 1.0      | kept      |
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -44,7 +44,7 @@
 from .advice import AdviceDispatcher
 from .forwarding import ForwardingWriter
 from .owner import Owner
-from .ownership_keeper import OwnershipKeeper
+from .ownership_manager import OwnershipManager
 from .submission_writer import SubmissionWriter, WriteResult
 from .supervision import ReportError, run_until_stopped
 from .table_watcher import LogEvent, describe_failure
@@ -109,7 +109,7 @@
         self._log_event = log_event
         self._report_error = report_error
         self._peers = peers.PeerClient()
-        self._keeper = OwnershipKeeper(
+        self._ownership = OwnershipManager(
             name,
             zone,
             peer_address,
@@ -122,10 +122,10 @@
         )
         self._writer = SubmissionWriter(store, log_event)
         self._forwarding = ForwardingWriter(
-            store, self._keeper.can_reach_store, self._keeper.list_peers
+            store, self._ownership.can_reach_store, self._ownership.list_peers
         )
         self._advice_dispatcher = AdviceDispatcher(
-            self._request_advice_at, self._keeper.list_instance_addresses
+            self._request_advice_at, self._ownership.list_instance_addresses
         )
         self._accepted_at: dict[SubmissionId, float] = {}  # in order of acceptance
         self._submissions_for_notice: list[Submission] = []
@@ -140,14 +140,16 @@
         """Start the listener for peers and the background loops."""
         self._listener.start()
         for loop in (
-            *self._keeper.list_loops(),
+            *self._ownership.list_loops(),
             self._watch_configuration,
             self._send_write_notices,
         ):
             self._greenlets.append(
                 gevent.spawn(run_until_stopped, loop, self.stopped.is_set, self._report_error)
             )
-        self._log_event("started", boot=self._keeper.claim_id, address=self.address, zone=self.zone)
+        self._log_event(
+            "started", boot=self._ownership.claim_id, address=self.address, zone=self.zone
+        )
 
     # Operations for callers.
 
@@ -156,12 +158,12 @@
         return (
             not self.is_draining
             and self.routes is not None
-            and self._keeper.view.store_available_since is not None
+            and self._ownership.view.store_available_since is not None
         )
 
     def is_owner(self) -> bool:
         """Return whether this instance places tasks."""
-        return self._keeper.owner is not None
+        return self._ownership.owner is not None
 
     def get_configuration_version(self) -> int:
         """Return the version of the active configuration; 0 if there is none."""
@@ -179,7 +181,7 @@
             submission=submission.id,
             queue=submission.queue.name,
             configuration=self.routes.version if self.routes is not None else None,
-            store_contact=self._keeper.view.store_available_since is not None,
+            store_contact=self._ownership.view.store_available_since is not None,
         )
         if result is WriteResult.STORED:
             self._record_accepted(submission)
@@ -231,11 +233,11 @@
             If the owner does not return its counts and the last ones are too old.
         """
         if (
-            self._keeper.owner is not None
-            and self._keeper.owner.is_loaded
-            and self._keeper.owner.state is not None
+            self._ownership.owner is not None
+            and self._ownership.owner.is_loaded
+            and self._ownership.owner.state is not None
         ):
-            return self._keeper.owner.state.count_pending().get(queue, 0)
+            return self._ownership.owner.state.count_pending().get(queue, 0)
         now = time.monotonic()
         if self._pending_counts is None or now - self._pending_counts[0] > PENDING_REFRESH_SECONDS:
             self._refresh_pending(now)
@@ -246,7 +248,7 @@
         return self._pending_counts[1].get(queue, 0)
 
     def _refresh_pending(self, now: float) -> None:
-        address = self._keeper.find_owner_address()
+        address = self._ownership.find_owner_address()
         if address is None:
             return
         try:
@@ -267,9 +269,9 @@
         self._is_notice_due.set()
 
     def _ask_owner(self, submission: SubmissionId) -> SubmissionState | None:
-        if self._keeper.owner is not None:
-            return self._keeper.owner.describe(submission)
-        address = self._keeper.find_owner_address()
+        if self._ownership.owner is not None:
+            return self._ownership.owner.describe(submission)
+        address = self._ownership.find_owner_address()
         if address is None:
             return None
         try:
@@ -308,14 +310,14 @@
         changes = self._store.read(WORK_TABLE, key, key + "\0", choose_part(submission))
         if changes.rows:
             return True
-        if changes.revision < self._keeper.view.owner_revision:
+        if changes.revision < self._ownership.view.owner_revision:
             raise StoreUnavailableError("the store returned a stale read")
         return False
 
     def compute_retry_after(self, deadline: float) -> int:
         """Return the seconds after which a refused caller with this deadline should retry."""
         now = time.monotonic()
-        lost_at = self._keeper.store_lost_at
+        lost_at = self._ownership.store_lost_at
         outage = now - lost_at if lost_at is not None else self._store.measure_unanswered_seconds()
         return choose_retry_after(outage, random.random(), deadline - now)
 
@@ -348,11 +350,11 @@
             worker_client=self._worker_client,
             request_advice=self._advice_dispatcher.request_advice,
             parameters=self._parameters,
-            step_down=self._keeper.end_ownership,
+            step_down=self._ownership.end_ownership,
             log_event=self._log_event,
             report_error=self._report_error,
             work=work,
-            is_isolated=self._keeper.is_isolated,
+            is_isolated=self._ownership.is_isolated,
         )
 
     def _watch_configuration(self) -> None:
@@ -395,10 +397,10 @@
             submissions, self._submissions_for_notice = self._submissions_for_notice, []
             cancelled, self._cancellations_for_notice = self._cancellations_for_notice, []
             notice = peers.WriteNotice(submissions=tuple(submissions), cancelled=tuple(cancelled))
-            if self._keeper.owner is not None:
+            if self._ownership.owner is not None:
                 self._apply_write_notice(notice)
                 continue
-            address = self._keeper.find_owner_address()
+            address = self._ownership.find_owner_address()
             if address is None:
                 continue
             try:
@@ -407,7 +409,7 @@
                 self._log_event("news-unsent", owner=address, **describe_failure(error))
 
     def _apply_write_notice(self, notice: peers.WriteNotice) -> None:
-        owner = self._keeper.owner
+        owner = self._ownership.owner
         if owner is None:
             return
         for submission in notice.submissions:
@@ -418,19 +420,19 @@
     def _route_peer(self, incoming: HttpRequest) -> Reply:
         match incoming.path:
             case peers.PING_PATH:
-                is_owner = self._keeper.owner is not None
-                return peers.reply_message(peers.PingResponse(self._keeper.claim_id, is_owner))
+                is_owner = self._ownership.owner is not None
+                return peers.reply_message(peers.PingResponse(self._ownership.claim_id, is_owner))
             case peers.CONTACT_PATH:
-                return peers.reply_message(self._keeper.measure_store_contact())
+                return peers.reply_message(self._ownership.measure_store_contact())
             case peers.HAND_OVER_PATH:
-                self._keeper.apply_hand_over(peers.read_message(incoming, peers.HandOverNotice))
+                self._ownership.apply_hand_over(peers.read_message(incoming, peers.HandOverNotice))
                 return Reply()
             case peers.WRITE_NOTICE_PATH:
                 self._apply_write_notice(peers.read_message(incoming, peers.WriteNotice))
                 return Reply()
             case peers.STATE_PATH:
                 state_request = peers.read_message(incoming, peers.StateRequest)
-                owner = self._keeper.owner
+                owner = self._ownership.owner
                 state = owner.describe(state_request.submission) if owner is not None else None
                 return peers.reply_message(peers.StateResponse(state))
             case peers.PENDING_PATH:
@@ -449,7 +451,7 @@
                 raise UnknownNameError("path", incoming.path)
 
     def _count_pending_as_owner(self) -> dict[str, int] | None:
-        owner = self._keeper.owner
+        owner = self._ownership.owner
         if owner is None or not owner.is_loaded or owner.state is None:
             return None
         return owner.state.count_pending()
@@ -457,7 +459,7 @@
     def _submit_for_peer(self, incoming: HttpRequest) -> Reply:
         request = peers.read_message(incoming, peers.SubmitRequest)
         result = WriteResult.NOT_STORED
-        if self._keeper.can_reach_store():
+        if self._ownership.can_reach_store():
             deadline = time.monotonic() + request.seconds
             result = self._writer.store_submission(request.submission, deadline)
         if result is WriteResult.STORED:
@@ -467,7 +469,7 @@
     def _cancel_for_peer(self, incoming: HttpRequest) -> Reply:
         request = peers.read_message(incoming, peers.CancelRequest)
         result = WriteResult.NOT_STORED
-        if self._keeper.can_reach_store():
+        if self._ownership.can_reach_store():
             deadline = time.monotonic() + request.seconds
             result = self._cancel_locally(request.submission, deadline)
         if result is WriteResult.STORED:
@@ -483,14 +485,14 @@
             return
         self.is_draining = True
         ends_at = time.monotonic() + seconds
-        self._log_event("stopping", seconds=seconds, is_owner=self._keeper.owner is not None)
-        self._keeper.resign()
+        self._log_event("stopping", seconds=seconds, is_owner=self._ownership.owner is not None)
+        self._ownership.resign()
         gevent.sleep(max(0.0, min(DRAIN_SECONDS, ends_at - time.monotonic())))
 
     def stop(self) -> None:
         """Stop all loops and close all connections."""
         self.stopped.set()
-        self._keeper.step_down("the instance has stopped")
+        self._ownership.step_down("the instance has stopped")
         gevent.killall(self._greenlets, block=False)
         self._writer.stop()
         self._listener.stop(timeout=0.05)
--- a/src/lavenderhook/_internal/instance/ownership_keeper.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -59,8 +59,8 @@
 PROBE_TIMEOUT_SECONDS = 0.6
 
 
-class OwnershipKeeper:
-    """Keeps one instance's part in the ownership of the queues.
+class OwnershipManager:
+    """Manages one instance's part in the ownership of the queues.
 
     It follows the control table, claims the ownership when due, and gives it up.
 
@@ -171,6 +171,7 @@
         return owner.address
 
     def list_instance_addresses(self) -> list[str]:
+        """Return the addresses of all instances, this one included."""
         return sorted({self._address, *(member.address for member in self.view.members.values())})
 
     # The control table.
--- a/src/lavenderhook/_internal/queueing/stragglers.py
+++ b/src/lavenderhook/_internal/queueing/stragglers.py
@@ -8,7 +8,6 @@
 
 import abc
 import enum
-import math
 import statistics
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -132,8 +131,10 @@
         if not run.counts_for_speed or len(step.runs.get(index, ())) > 1:
             return RunAction.KEEP
         remaining = project_remaining(run)
-        is_late = is_overdue(run, now) if remaining is None else True
-        if not is_late or (remaining or math.inf) < RESTART_SECONDS + expected_seconds:
+        if remaining is None:
+            if not is_overdue(run, now):
+                return RunAction.KEEP
+        elif remaining < RESTART_SECONDS + expected_seconds:
             return RunAction.KEEP
         if step.spec.allows_copies:
             return RunAction.COPY
