Let an owner that was isolated confirm its ownership before it acts

Ruled out: a read of the owner row, which may be seconds old after the store has lost its history. Change: once isolated, an owner extends no lease and starts nothing until a write under the condition of the owner row has been carried out; a conflict ends the ownership. 'An owner that was paused finds out that it has been replaced before it acts' fails before.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -124,9 +124,18 @@
     Then it sends no start, and its holds extend no lease
     When an answer arrives that was sent before
     Then it sends no start, and its holds extend no lease
-    When a new call to the store is answered
+    When a new call to the store is answered, which knows no other owner
     Then it sends starts, and its holds extend the lease
 
+  Scenario: An owner that was paused finds out that it has been replaced before it acts
+    Guards against starts at a worker that has restarted meanwhile, and knows no token of the
+    successor yet.
+    Given an owner with one worker whose answers are recorded
+    When it reaches neither the store nor a peer for 1.3 seconds
+    Then it sends no start, and its holds extend no lease
+    When a new call to the store is answered, which knows another owner
+    Then it has sent no start and steps down
+
   Scenario: Leases of an isolated owner have expired when its successor counts them as expired
     Guards against constants that no longer fit each other.
     Given leases of 5.5 seconds on a worker's clock that runs 2 percent slow
--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -268,6 +268,23 @@
       | first | last |
       | 1     | 80   |
 
+  Scenario Outline: Services, stalled workers and announced leaves violate no invariant
+    Guards against second runs of tasks that are moved off a slow or leaving worker, or copied, around
+    lost answers and changes of owner.
+    When the random simulations <first> to <last> with services and slow workers are run
+    Then no simulation violated an invariant
+    And all submissions ended in every simulation
+
+    Examples:
+      | first | last |
+      | 1     | 80   |
+
+  Scenario: An owner that resumes without confirmation starts a task a second time
+    Guards against a check that would pass without the confirmation: the worker has restarted and
+    knows no token of the successor.
+    When random simulation 66 is run with owners that don't confirm their ownership
+    Then an invariant was violated
+
   Scenario Outline: Late commands that reach a restarted worker violate no invariant
     Guards against a second run of a task: a worker that has restarted with the same id executes a
     late command for its earlier incarnation.
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -17,7 +17,7 @@
     should_hand_over,
 )
 from lavenderhook._internal.instance.work_table import WorkTable
-from lavenderhook._internal.ports.queueing import RowChanges, StoredRow
+from lavenderhook._internal.ports.queueing import RowChanges, RowConflict, StoredRow
 from lavenderhook._internal.queueing.events import RosterStored, WorkersListed
 from lavenderhook._internal.queueing.model import (
     FencingToken,
@@ -336,15 +336,17 @@
     context.contact = Contact()
     context.contact.record_answer(context.elapsed)
     context.client = RecordingWorkerClient()
+    context.store = ConfirmingStore(context)
+    context.step_downs = []
     context.owner = Owner(
         FencingToken(2),
         1,
-        store=None,
+        store=context.store,
         worker_list=None,
         worker_client=context.client,
         request_advice=None,
         parameters=OwnerParameters(),
-        step_down=lambda *_: None,
+        step_down=lambda _, reason: (context.step_downs.append(reason), context.owner.stop()),
         log_event=lambda *_names, **_fields: None,
         report_error=lambda *_: None,
         work=WorkTable(None, lambda *_names, **_fields: None),
@@ -381,11 +383,33 @@
     context.contact.record_answer(context.sent_before)
 
 
-@when("a new call to the store is answered")
-def step_new_answer(context):
+class ConfirmingStore:
+    """Store that accepts a transaction only if it knows no other owner."""
+
+    def __init__(self, context):
+        self.context = context
+        self.owner_revision = 1
+
+    def transact(self, _writes, conditions):
+        """Check the condition on the owner row."""
+        self.context.contact.record_answer(self.context.elapsed)
+        if conditions[0].revision == self.owner_revision:
+            return 9
+        return RowConflict(())
+
+
+@when("a new call to the store is answered, which knows {owner} owner")
+def step_new_answer(context, owner):
+    context.store.owner_revision = 1 if owner == "no other" else 7
     context.contact.record_answer(context.elapsed)
 
 
+@then("it has sent no start and steps down")
+def step_replaced(context):
+    gevent.sleep(0.5)
+    assert not context.client.starts and context.step_downs, context.client.starts
+
+
 def submit_and_observe(context):
     """Submit a task; return the starts and the leases that follow within a while."""
     name = f"s{time.monotonic()}"
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -349,6 +349,27 @@
     }
 
 
+@when("the random simulations {first:d} to {last:d} with services and slow workers are run")
+def step_runs_with_services(context, first, last):
+    seeds = range(first, last + 1)
+    context.simulations = {
+        seed: run_random_simulation(
+            seed, has_leaving_workers=seed % 2 == 0, has_services=True, owners_confirm=True
+        )
+        for seed in seeds
+    }
+
+
+@when("random simulation {seed:d} is run with owners that don't confirm their ownership")
+def step_run_without_confirmation(context, seed):
+    context.simulation = run_random_simulation(seed, has_leaving_workers=True, has_services=True)
+
+
+@then("an invariant was violated")
+def step_violation(context):
+    assert context.simulation.violations
+
+
 @when("the random simulations {first:d} to {last:d} without incarnation checks are run")
 def step_runs_without_incarnation_check(context, first, last):
     seeds = range(first, last + 1)
--- a/features/support/queue_random_runs.py
+++ b/features/support/queue_random_runs.py
@@ -23,13 +23,23 @@
     return [make_step(generator.randint(1, 4), generator.choice([800, 2500, 6000]), 0.8)]
 
 
-def run_random_simulation(seed, has_leaving_workers=False, checks_incarnation=True):
-    """Run a simulation with random faults, let it settle without lost answers, and return it."""
+def run_random_simulation(
+    seed,
+    has_leaving_workers=False,
+    checks_incarnation=True,
+    has_services=False,
+    owners_confirm=False,
+):
+    """Run a simulation with random faults, let it settle without lost answers, and return it.
+
+    With services, workers slow down, stall, and announce when they leave as well.
+    """
     generator = random.Random(seed)
     simulation = QueueSimulation(
         seed, workers=5, lost_answer_share=generator.choice([0.0, 0.05, 0.2])
     )
     simulation.checks_incarnation = checks_incarnation
+    simulation.owners_confirm = owners_confirm
     simulation.failure_share = generator.choice([0.0, 0.05, 0.2])
     simulation.start_new_owner()
     for index in range(40):
@@ -44,6 +54,8 @@
         add_fault(simulation, generator)
     for _ in range(generator.randint(1, 3) if has_leaving_workers else 0):
         add_leaving_worker(simulation, generator)
+    if has_services:
+        add_services(simulation, generator)
     simulation.run(FAULT_PHASE_SECONDS)
     simulation.lost_answer_share = 0.0
     simulation.run(SETTLE_SECONDS)
@@ -107,6 +119,47 @@
         )
 
 
+def add_services(simulation, generator):
+    """Submit services, which are cancelled at the end, and let workers slow down and leave."""
+    for index in range(4):
+        name = f"service{index}"
+        steps = [make_step(generator.randint(1, 4), 1500, 0.0, is_service=True)]
+        simulation.call_later(generator.uniform(0.5, 5.0), simulation.submit, name, steps)
+        simulation.call_later(FAULT_PHASE_SECONDS + 25.0, simulation.cancel, name)
+    for _ in range(2):
+        worker = simulation.workers[generator.choice(sorted(simulation.workers))]
+        at, span = generator.uniform(1.0, 10.0), generator.uniform(2.0, 5.0)
+        simulation.call_later(at, setattr, worker, "stalls_tasks", True)
+        simulation.call_later(at + span, end_stall, simulation, worker)
+    worker = simulation.workers[generator.choice(sorted(simulation.workers))]
+    at, notice = generator.uniform(2.0, 10.0), generator.uniform(0.5, 4.0)
+    simulation.call_later(at, announce_leaving, simulation, worker, notice)
+    simulation.call_later(at + notice + 3.0, return_worker, simulation, worker)
+
+
+def end_stall(simulation, worker):
+    """Let the tasks of a stalled worker go on; those that were due end now."""
+    worker.stalls_tasks = False
+    for run in list(worker.runs.values()):
+        if run.seconds and simulation.now >= run.started_at + run.seconds:
+            worker.finish_if_active(run.task, run.number, worker.born)
+
+
+def announce_leaving(simulation, worker, notice):
+    """Let a worker drain, and leave with everything that runs after `notice` seconds."""
+    worker.state = WorkerState.DRAINING
+    worker.leaves_at = simulation.now + notice
+    refresh_worker_lists(simulation)
+    simulation.call_later(notice, worker.leave)
+    simulation.call_later(notice, refresh_worker_lists, simulation)
+
+
+def return_worker(simulation, worker):
+    """Restart a worker that has left."""
+    worker.leaves_at = None
+    restart(simulation, worker)
+
+
 def suspend_owner(simulation, span):
     """Suspend the latest owner for `span` seconds."""
     owner = simulation.owners[-1]
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -241,6 +241,7 @@
         self.fencing = fencing
         self.is_active = True
         self.is_suspended = False
+        self.was_suspended = False
         self.unstored_submissions = {}
         self.reported_clocks = {}
         self.state = OwnerState(
@@ -286,8 +287,17 @@
         if not self.is_active:
             return
         if self.is_suspended:
+            self.was_suspended = True
             self.simulation.call_later(0.2, self.apply, event)
             return
+        if self.simulation.owners_confirm and self.was_suspended:
+            if self.simulation.store_refuses:
+                self.simulation.call_later(0.2, self.apply, event)
+                return
+            self.was_suspended = False
+            if self.simulation.latest_fencing_token != self.fencing:
+                self.is_active = False
+                return
         if isinstance(event, ReportArrived):
             self.reported_clocks[event.worker] = event.report.clock
         for effect in self.state.reduce(event):
@@ -458,6 +468,7 @@
         self.now = 0.0
         self.lost_answer_share = lost_answer_share
         self.failure_share = 0.0
+        self.owners_confirm = False  # that they still are owners, after they were suspended
         self.checks_incarnation = True  # late commands for an earlier incarnation are rejected
         self.store_refuses = False
         self.allowed_workers = None  # names; None for all
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -53,6 +53,7 @@
 )
 from ..queueing.owner_state import OwnerParameters, OwnerState
 from ..queueing.records import (
+    CONFIRMATION_KEY,
     CONTROL_TABLE,
     OUTCOME_PREFIX,
     OWNER_KEY,
@@ -163,7 +164,7 @@
         self._submissions_during_load: list[Submission] = []
         self._work = work
         self._is_isolated = is_isolated
-        self._was_isolated = False
+        self._needs_confirmation = False
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
         self._is_predecessor_inactive = False
         # The roster lists the workers that may hold runs; see `queueing.roster`.
@@ -384,7 +385,7 @@
         While a worker's reports are lost, the end stays fixed even if commands reach it, so that
         the latest time at which its leases expire does not move.
         """
-        if self._is_isolated():
+        if not self._may_act():
             return None
         clock = self._worker_clocks.get(worker)
         return None if clock is None else clock + self._parameters.lease_seconds
@@ -455,19 +456,39 @@
             self._scheduling_due.wait(TICK_INTERVAL_SECONDS)
             self._scheduling_due.clear()
             gevent.sleep(EVENT_BATCH_SECONDS)
-            if self._check_isolation():
+            if self._may_act() or self._confirm_ownership():
+                self.apply(Ticked(now=_now()))
+            else:
                 gevent.sleep(TICK_INTERVAL_SECONDS)
-                continue
-            self.apply(Ticked(now=_now()))
-
-    def _check_isolation(self) -> bool:
-        """Return whether the owner is isolated; log when that changes."""
-        is_isolated = self._is_isolated()
-        if is_isolated != self._was_isolated:
-            self._was_isolated = is_isolated
-            what = "owner-isolated" if is_isolated else "owner-in-contact"
-            self._log_event(what, fencing=self.fencing)
-        return is_isolated
+
+    def _may_act(self) -> bool:
+        """Return whether the owner may extend leases and send starts.
+
+        After it was isolated, it may only once it has confirmed its ownership: contact alone
+        doesn't show whether there is another owner by now.
+        """
+        if self._is_isolated() and not self._needs_confirmation:
+            self._needs_confirmation = True
+            self._log_event("owner-isolated", fencing=self.fencing)
+        return not self._needs_confirmation
+
+    def _confirm_ownership(self) -> bool:
+        """Write a row under the condition of the owner row; reads may be stale."""
+        if self._is_isolated():
+            return False
+        write = Write(CONTROL_TABLE, CONFIRMATION_KEY, b"{}")
+        owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
+        try:
+            result = self._store.transact([write], [owner])
+        except LavenderhookError as error:
+            self._log_event("owner-unconfirmed", **describe_failure(error))
+            return False
+        if isinstance(result, RowConflict):
+            self._step_down(self.fencing, "the owner row has changed")
+            return False
+        self._needs_confirmation = False
+        self._log_event("owner-confirmed", fencing=self.fencing)
+        return True
 
     def _hold_loop(self, worker_id: WorkerId) -> None:
         # Before the first report and after an unanswered hold, the worker may be another
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -21,6 +21,7 @@
 CONTROL_TABLE = "lavenderhook-control"
 OWNER_KEY = "owner"
 HEARTBEAT_KEY = "owner-heartbeat"
+CONFIRMATION_KEY = "owner-confirmation"  # written by an owner to confirm that it still is one
 ROSTER_KEY = "roster"
 MEMBER_PREFIX = "member/"
 SUBMISSION_PREFIX = "submission/"
