Keep contact with peers while the store doesn't answer

Cause (read in the diff, shown by a check that fails first): in an outage of the whole store, an idle owner asked its peers only once its calls had been unanswered for half a second, and again 0.6 s after their answers; meanwhile its last contact was older than 1.2 s, so that it counted as isolated, extended no lease and waited for the store to confirm its ownership. Change: an owner whose last contact is older than 0.4 s pings the three fittest peers.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -94,6 +94,7 @@
     And the store's mode is up
     And 1.5 seconds of real time pass
     Then the ownership has not changed
+    And no process has logged "owner-isolated"
     And "00000000000000f1" becomes "completed" at instance 1 within 3 seconds
 
     Examples:
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -350,7 +350,7 @@
         log_event=lambda *_names, **_fields: None,
         report_error=lambda *_: None,
         work=WorkTable(None, lambda *_names, **_fields: None),
-        is_isolated=lambda: is_isolated(context.contact.last_sent_at, context.elapsed),
+        is_isolated=lambda: is_isolated(context.elapsed - context.contact.last_sent_at),
     )
     context.add_cleanup(context.owner.stop)
     owner = context.owner
@@ -402,6 +402,7 @@
 def step_new_answer(context, owner):
     context.store.owner_revision = 1 if owner == "no other" else 7
     context.contact.record_answer(context.elapsed)
+    gevent.sleep(0.3)  # the owner confirms its ownership with its next tick
 
 
 @then("it has sent no start and steps down")
--- a/src/lavenderhook/_internal/instance/contact.py
+++ b/src/lavenderhook/_internal/instance/contact.py
@@ -35,11 +35,11 @@
         self.last_sent_at = max(self.last_sent_at, sent_at)
 
 
-def is_isolated(last_contact: float, now: float) -> bool:
+def is_isolated(contact_age_seconds: float) -> bool:
     """Return whether an owner has to assume that it has been replaced.
 
     Handles an owner that is cut off together with some workers, or that was paused: its successor
     can't reach those workers, and starts their tasks elsewhere once their leases must have expired.
     Until it reaches the store or a peer again, the owner extends no lease and starts nothing.
     """
-    return now - last_contact > ISOLATION_SECONDS
+    return contact_age_seconds > ISOLATION_SECONDS
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -26,7 +26,7 @@
     encode,
 )
 from . import peers
-from .contact import is_isolated, read_elapsed_clock
+from .contact import ISOLATION_SECONDS, is_isolated, read_elapsed_clock
 from .owner import Owner
 from .ownership import (
     HEARTBEAT_INTERVAL_SECONDS,
@@ -51,6 +51,10 @@
 MAX_SUCCESSORS = 3  # peers that an owner asks or notifies when it hands over
 CONTACT_READ_SECONDS = 0.25  # for a peer that asks whether the store answers
 CONTACT_RETRY_SECONDS = 0.6  # before an owner without a successor asks its peers again
+# An owner without an answer for this long pings its peers, so that an outage of the whole store
+# doesn't look like isolation.
+CONTACT_REFRESH_SECONDS = ISOLATION_SECONDS / 3
+CONTACT_CHECK_SECONDS = 0.1
 STORE_CHECK_SECONDS = 0.1  # between checks whether the owner has lost the store
 STANDBY_POLL_SECONDS = 0.5  # between polls of the work table by the next owners
 PROBE_INTERVAL_SECONDS = 0.25  # between probes of a store that does not answer
@@ -132,6 +136,7 @@
             self._heartbeat_loop,
             self._follow_work_table,
             self._watch_store_as_owner,
+            self._keep_contact_as_owner,
         )
 
     def resign(self) -> None:
@@ -383,8 +388,7 @@
         """Return whether peers that exist may have taken over without this instance noticing."""
         if all(name == self.name for name in self.view.members):
             return False
-        last_contact = max(self._store.get_last_contact(), self._peers.contact.last_sent_at)
-        return is_isolated(last_contact, read_elapsed_clock())
+        return is_isolated(self._measure_contact_age())
 
     def end_ownership(self, fencing: FencingToken, reason: str) -> None:
         """Step down unless the call comes from a former `Owner` of this process."""
@@ -392,6 +396,7 @@
             self.step_down(reason)
 
     def step_down(self, reason: str) -> None:
+        """Give up the ownership, if this instance has it."""
         owner, self.owner = self.owner, None
         if owner is None:
             return
@@ -436,6 +441,25 @@
             else:
                 gevent.sleep(CONTACT_RETRY_SECONDS)
 
+    def _keep_contact_as_owner(self) -> None:
+        """Ping the fittest peers while the store doesn't answer."""
+        while not self._stopped.is_set():
+            gevent.sleep(CONTACT_CHECK_SECONDS)
+            if self.owner is None or self._measure_contact_age() < CONTACT_REFRESH_SECONDS:
+                continue
+            for address in self._list_successors():
+                gevent.spawn(self._ping_peer, address)
+
+    def _ping_peer(self, address: str) -> None:
+        try:
+            self._peers.ping(address)
+        except LavenderhookError as error:
+            self._log_event("contact-unanswered", peer=address, **describe_failure(error))
+
+    def _measure_contact_age(self) -> float:
+        last_contact = max(self._store.get_last_contact(), self._peers.contact.last_sent_at)
+        return read_elapsed_clock() - last_contact
+
     def measure_store_contact(self) -> StoreContact:
         """Read one row: what is known of the store may be older than its loss."""
         started_at = time.monotonic()
@@ -485,6 +509,7 @@
             is_designated = False
 
     def apply_hand_over(self, notice: peers.HandOverNotice) -> None:
+        """Record that an owner has resigned, and claim if it designates this instance."""
         self.view.record_resignation(notice.fencing, is_designated=notice.is_designated)
         if notice.is_designated:
             gevent.spawn(self._claim_if_due)
