Give one place to the expected duration of a task and to the log lines of runs

Read in the diff: 'infinite for a service, else the estimate' stood three times, and the end of a copy was estimated once for each task of its step; five log lines of runs repeated the same three fields. Now StepSpec.expected_seconds and _log_run serve them. Behaviour, events and their fields are as they were.

--- a/src/lavenderhook/_internal/queueing/model.py
+++ b/src/lavenderhook/_internal/queueing/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import NamedTuple, NewType
 
 import msgspec
@@ -122,6 +123,11 @@
     is_filler: bool = False
     most_unavailable: int = 0
 
+    @property
+    def expected_seconds(self) -> float:
+        """Expected duration of a task; infinite for a service."""
+        return math.inf if self.is_service else self.estimate_seconds
+
 
 class AdviceTerms(msgspec.Struct, frozen=True):
     """Duration of a call to the advisory service, and validity of its tickets."""
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -376,15 +375,13 @@
                 entry.state = SubmissionState.RUNNING
             return []
         effects: list[Effect] = [
-            LogDecision(
-                decision="start-not-done",
-                fields={
-                    "task": str(event.task),
-                    "run": event.number,
-                    "worker": event.worker,
-                    "outcome": event.outcome.value,
-                    "tries": run.attempts,
-                },
+            _log_run(
+                "start-not-done",
+                event.task,
+                event.number,
+                event.worker,
+                outcome=event.outcome.value,
+                tries=run.attempts,
             )
         ]
         if is_fenced:
@@ -512,17 +509,15 @@
             return []  # another member of its gang has been stopped, or the copy has no worker yet
         step.avoid(index, run.worker)
         effects: list[Effect] = [
-            LogDecision(
-                decision="run-reviewed",
-                fields={
-                    "task": str(run.task),
-                    "run": run.number,
-                    "worker": run.worker,
-                    "action": decision.action.value,
-                    "reason": decision.reason.value,
-                    "progress": run.progress,
-                    "seconds": round(now - run.commanded_at, 3),
-                },
+            _log_run(
+                "run-reviewed",
+                run.task,
+                run.number,
+                run.worker,
+                action=decision.action.value,
+                reason=decision.reason.value,
+                progress=run.progress,
+                seconds=round(now - run.commanded_at, 3),
             )
         ]
         self.needs_scheduling = True
@@ -595,16 +590,14 @@
         run = worker.runs.get((finished.task, finished.number))
         step = self._find_step(finished.task.step_id)
         effects: list[Effect] = [
-            LogDecision(
-                decision="run-ended",
-                fields={
-                    "task": str(finished.task),
-                    "run": finished.number,
-                    "worker": worker.id,
-                    "outcome": finished.outcome.value,
-                    "end": finished.sequence,
-                    "seconds": round(now - run.commanded_at, 3) if run is not None else None,
-                },
+            _log_run(
+                "run-ended",
+                finished.task,
+                finished.number,
+                worker.id,
+                outcome=finished.outcome.value,
+                end=finished.sequence,
+                seconds=round(now - run.commanded_at, 3) if run is not None else None,
             )
         ]
         if step is not None:
@@ -735,14 +728,12 @@
         for key, run in list(worker.runs.items()):
             if key not in reported_keys and self._has_vanished(run, event.sent_at):
                 effects.append(
-                    LogDecision(
-                        decision="run-vanished",
-                        fields={
-                            "task": str(run.task),
-                            "run": run.number,
-                            "worker": worker.id,
-                            "state": run.state.value,
-                        },
+                    _log_run(
+                        "run-vanished",
+                        run.task,
+                        run.number,
+                        worker.id,
+                        state=run.state.value,
                     )
                 )
                 effects += self._remove_run(run, event.now)
@@ -776,8 +767,7 @@
             rack=worker.rack,
         )
         if step is not None:
-            spec = step.spec
-            run.estimate_seconds = math.inf if spec.is_service else spec.estimate_seconds
+            run.estimate_seconds = step.spec.expected_seconds
             run.estimated_end_at = now + run.estimate_seconds
         worker.add_run(run)
         if step is None or entry is None:
@@ -791,14 +781,12 @@
             is_needed = is_needed and numbers <= {reported.number}
         step.add_run(run)
         effects: list[Effect] = [
-            LogDecision(
-                decision="run-adopted",
-                fields={
-                    "task": str(reported.task),
-                    "run": reported.number,
-                    "worker": worker.id,
-                    "needed": is_needed,
-                },
+            _log_run(
+                "run-adopted",
+                reported.task,
+                reported.number,
+                worker.id,
+                needed=is_needed,
             )
         ]
         if not is_needed:
@@ -868,6 +856,15 @@
         return entry.steps.get((step_id.occurrence, step_id.step))
 
 
+def _log_run(
+    decision: str, task: TaskKey, number: RunNumber, worker: WorkerId, **fields: object
+) -> LogDecision:
+    return LogDecision(
+        decision=decision,
+        fields={"task": str(task), "run": number, "worker": worker, **fields},
+    )
+
+
 def _log_worker(decision: str, worker: Worker, **fields: object) -> LogDecision:
     return LogDecision(
         decision=decision,
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable, Sequence
 
 from .advising import AdvicePlanner
@@ -134,7 +133,7 @@
         now: float,
     ) -> list[Effect]:
         effects: list[Effect] = []
-        ends_at = self._estimate_end(step, now)
+        ends_at = now + BACKFILL_MARGIN * step.spec.expected_seconds
         for index in list(step.waiting):
             candidates = usable
             if index in step.avoided:
@@ -158,9 +157,9 @@
         """Start a second run of tasks that are slow on their worker."""
         effects: list[Effect] = []
         step.drop_needless_copies()
+        ends_at = now + BACKFILL_MARGIN * step.spec.expected_seconds
         for index in list(step.copies):
             candidates = [w for w in usable if not step.is_avoided(index, w.id)]
-            ends_at = self._estimate_end(step, now)
             worker = choose_worker(self._policy, step, candidates, ends_at)
             if worker is None:
                 continue
@@ -168,11 +167,6 @@
             effects += self._start(entry, step, index, worker, step.allocate_run_number(), now)
         return effects
 
-    def _estimate_end(self, step: StepProgress, now: float) -> float:
-        if step.spec.is_service:
-            return math.inf
-        return now + BACKFILL_MARGIN * step.spec.estimate_seconds
-
     def _place_gang(
         self,
         entry: SubmissionProgress,
@@ -219,8 +213,9 @@
             ticket=ticket.id if ticket is not None else TicketId(""),
         )
         spec = step.spec
-        duration = math.inf if spec.is_service else spec.estimate_seconds
-        run = make_run(command, spec.resources, spec.is_filler, now, duration, worker.rack)
+        run = make_run(
+            command, spec.resources, spec.is_filler, now, spec.expected_seconds, worker.rack
+        )
         # Members of a gang wait for the slowest; long-running tasks have no expected duration.
         run.counts_for_speed = not (
             step.spec.is_gang or step.spec.is_service or step.spec.is_filler
