Log each run that is lost with its worker

Change: one line run-lost for each, with the reason, its age and how many ran beside it; counted by reason.

--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -42,6 +42,8 @@
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
 from lavenderhook._internal.queueing.records import Outcome, Roster, set_closing_revisions
 
+from .crashing_tasks import CrashingTasks
+
 LEASE_SECONDS = 4.5
 MAX_STOP_SECONDS = 0.4
 GANG_START_TIMEOUT_SECONDS = 3.0
@@ -334,6 +336,8 @@
             outcome = StartOutcome.UNKNOWN
         elif worker.is_up:
             outcome = worker.start(command, lease_until)
+            if self.simulation.crashing_tasks.crash_at_start(worker, command):
+                outcome = StartOutcome.UNKNOWN
         else:
             outcome = StartOutcome.NOT_SENT
         return StartAnswered(
@@ -473,6 +477,7 @@
         self.store_refuses = False
         self.allowed_workers = None  # names; None for all
         self.advice_seconds = 0.05
+        self.crashing_tasks = CrashingTasks(self)
         self._events = []
         self._sequence = itertools.count()
         self.revision = 0
@@ -657,14 +662,16 @@
             is_gang = self.submissions[command.task.submission][0].steps[earlier].is_gang
             if done < (1 if is_gang else count):
                 self._add_violation("order", worker, command)
+        if not self.crashing_tasks.record_start(worker, command):
+            self._add_violation("crash-budget", worker, command)
         cancelled = self.cancelled_at.get(command.task.submission)
         if cancelled is not None and self.now > cancelled + MAX_COMMAND_DELAY_SECONDS + 1.0:
             self._add_violation("start-after-cancel", worker, command)
 
     def check_outcomes(self):
-        """Check that every failed submission has a task that used up its attempts."""
+        """Check that a task of every failed submission used up its attempts or crashed workers."""
         for name, state in self.outcomes.items():
-            if state is not SubmissionState.FAILED:
+            if state is not SubmissionState.FAILED or self.crashing_tasks.may_be_given_up(name):
                 continue
             max_attempts = self.submissions[name][0].queue.most_attempts
             if not any(
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -42,6 +42,8 @@
     Ticked,
     WorkersListed,
 )
+from .log_lines import log_run, log_worker
+from .losses import LossReason, find_loss_reason, log_lost_runs
 from .model import (
     CommandToken,
     FencingToken,
@@ -266,20 +268,20 @@
                 worker.is_open_in_roster = self.roster.is_open_in_roster(worker_id)
                 self.workers[worker_id] = worker
                 effects.append(WatchWorker(worker=worker_id))
-                effects.append(_log_worker("worker-listed", worker))
+                effects.append(log_worker("worker-listed", worker))
             elif listing.born > worker.listing.born:
-                effects.append(_log_worker("worker-reborn", worker))
+                effects.append(log_worker("worker-reborn", worker))
                 effects += self._handle_restart(worker, event.now)
                 worker.update_listing(listing, event.now)
             else:
                 if listing.state is not worker.listing.state:
-                    effects.append(_log_worker(f"worker-{listing.state.value}", worker))
+                    effects.append(log_worker(f"worker-{listing.state.value}", worker))
                 worker.update_listing(listing, event.now)
             worker.is_listed = True
         for worker in self.workers.values():
             if worker.id not in listed and worker.is_listed:
                 worker.is_listed = False
-                effects.append(_log_worker("worker-unlisted", worker))
+                effects.append(log_worker("worker-unlisted", worker))
         effects += self._update_roster()
         self.needs_scheduling = True
         return effects
@@ -299,7 +301,7 @@
         if event.report.born != worker.listing.born:
             if event.report.born < worker.listing.born:
                 return []  # report of a former incarnation, older than the listing
-            effects.append(_log_worker("worker-reborn", worker))
+            effects.append(log_worker("worker-reborn", worker))
             effects += self._handle_restart(worker, event.now)
             worker.listing = msgspec.structs.replace(worker.listing, born=event.report.born)
         worker.last_report_at = event.now
@@ -311,7 +313,7 @@
             worker.is_reached = True
             self.roster.unreached.discard(worker.id)
             self.needs_scheduling = True
-            effects.append(_log_worker("worker-reached", worker))
+            effects.append(log_worker("worker-reached", worker))
             effects += self._update_roster()
         elif worker.accepts_starts() != accepted_starts:
             effects += self._update_roster()
@@ -336,14 +338,15 @@
         if event.is_other_incarnation or have_leases_expired:
             if worker.runs or not worker.is_reached:
                 effects.append(
-                    _log_worker(
+                    log_worker(
                         "worker-lost",
                         worker,
                         other_boot=event.is_other_incarnation,
                         lapsed=have_leases_expired,
                     )
                 )
-                effects += self._reset_worker(worker, event.now)
+                reason = LossReason.REPLACED if event.is_other_incarnation else LossReason.SILENT
+                effects += self._reset_worker(worker, reason, event.now)
                 worker.is_reached = True  # nothing of an earlier owner is left here
                 worker.last_report_at = 0.0
                 self.roster.unreached.discard(worker.id)
@@ -375,7 +378,7 @@
                 entry.state = SubmissionState.RUNNING
             return []
         effects: list[Effect] = [
-            _log_run(
+            log_run(
                 "start-not-done",
                 event.task,
                 event.number,
@@ -495,7 +498,7 @@
         """Put slow workers on probation, and move or copy runs that are better off elsewhere."""
         workers = self.workers.values()
         effects: list[Effect] = [
-            _log_worker("worker-slow", worker)
+            log_worker("worker-slow", worker)
             for worker in self.reviewer.update_probation(workers, now)
         ]
         for decision in self.reviewer.review(workers, now):
@@ -509,7 +512,7 @@
             return []  # another member of its gang has been stopped, or the copy has no worker yet
         step.avoid(index, run.worker)
         effects: list[Effect] = [
-            _log_run(
+            log_run(
                 "run-reviewed",
                 run.task,
                 run.number,
@@ -590,7 +593,7 @@
         run = worker.runs.get((finished.task, finished.number))
         step = self._find_step(finished.task.step_id)
         effects: list[Effect] = [
-            _log_run(
+            log_run(
                 "run-ended",
                 finished.task,
                 finished.number,
@@ -653,7 +656,7 @@
     def _record_failure(self, worker: Worker, task: TaskKey, now: float) -> list[Effect]:
         if not worker.record_failure(task.submission, now):
             return []
-        return [_log_worker("worker-set-aside", worker, until=round(worker.blocked_until, 3))]
+        return [log_worker("worker-set-aside", worker, until=round(worker.blocked_until, 3))]
 
     def _apply_run_outcome(
         self, step: StepProgress, finished: FinishedRun, now: float
@@ -728,7 +731,7 @@
         for key, run in list(worker.runs.items()):
             if key not in reported_keys and self._has_vanished(run, event.sent_at):
                 effects.append(
-                    _log_run(
+                    log_run(
                         "run-vanished",
                         run.task,
                         run.number,
@@ -781,7 +784,7 @@
             is_needed = is_needed and numbers <= {reported.number}
         step.add_run(run)
         effects: list[Effect] = [
-            _log_run(
+            log_run(
                 "run-adopted",
                 reported.task,
                 reported.number,
@@ -809,6 +812,8 @@
         What ran has ended. An unanswered start may still reach the new incarnation, which knows
         of no stops: the run is stopped there before its task may run again.
         """
+        effects: list[Effect] = []
+        effects += log_lost_runs(worker, find_loss_reason(worker, LossReason.RESTARTED), now)
         worker.begin_incarnation()
         if not has_token_left(worker.restarts):
             return [StepDown(worker=worker.id, reason=StepDownReason.NUMBERS_USED_UP)]
@@ -818,7 +823,6 @@
             if run.has_unconfirmed_start
             or (run.acknowledged_at is None and run.state is not RunState.RUNNING)
         ]
-        effects: list[Effect] = []
         for run in list(worker.runs.values()):
             if run not in unconfirmed:
                 effects += self._remove_run(run, now)
@@ -827,9 +831,9 @@
             effects += self._stop(run, now)
         return effects
 
-    def _reset_worker(self, worker: Worker, now: float) -> list[Effect]:
+    def _reset_worker(self, worker: Worker, reason: LossReason, now: float) -> list[Effect]:
         """Remove all runs of a worker that has ended or whose leases have expired."""
-        effects: list[Effect] = []
+        effects: list[Effect] = [*log_lost_runs(worker, find_loss_reason(worker, reason), now)]
         for run in list(worker.runs.values()):
             effects += self._remove_run(run, now)
         worker.forget_reports()
@@ -856,29 +860,6 @@
         return entry.steps.get((step_id.occurrence, step_id.step))
 
 
-def _log_run(
-    decision: str, task: TaskKey, number: RunNumber, worker: WorkerId, **fields: object
-) -> LogDecision:
-    return LogDecision(
-        decision=decision,
-        fields={"task": str(task), "run": number, "worker": worker, **fields},
-    )
-
-
-def _log_worker(decision: str, worker: Worker, **fields: object) -> LogDecision:
-    return LogDecision(
-        decision=decision,
-        fields={
-            "worker": worker.id,
-            "address": worker.listing.address,
-            "state": worker.listing.state.value,
-            "born": worker.listing.born,
-            "runs": len(worker.runs),
-            **fields,
-        },
-    )
-
-
 _HANDLERS: dict[type[Event], Callable[[OwnerState, Event], list[Effect]]] = {
     SubmissionRead: OwnerState.handle_submission,  # type: ignore[dict-item]
     OutcomeRead: OwnerState.handle_outcome,  # type: ignore[dict-item]
