Give no incarnation of a worker a lower token than an earlier one

What callers saw: nothing that was measured; an owner that steps down without cause leaves all queues without an owner for a second or so. Cause: the token counted the restarts of one worker object. A worker that had been removed and came back under its id got a lower token than its former incarnation; a late command to that one, which arrives first, made the worker refuse its present owner, which took itself for replaced. Evidence: 'An owner is not fenced by its own command to a worker that it had removed' fails before and passes after. Why it works: one count for all workers of the owner, which rises with each restart and each removal.

--- a/features/steps/worker_incarnations.py
+++ b/features/steps/worker_incarnations.py
@@ -9,11 +9,26 @@
 from behave import given, then, when
 
 from features.support.queue_processes import EntryProcess
+from features.support.queue_random_runs import crash, restart
 from features.support.queue_simulation import make_step
 from lavenderhook._internal.instance import advice
 from lavenderhook._internal.instance.advice import AdviceDispatcher
 from lavenderhook._internal.queueing import workers
 from lavenderhook._internal.queueing.model import Resources, StepId
+from lavenderhook._internal.queueing.workers import compute_command_token
+
+
+@when('worker "{name}" crashes')
+def step_crash(context, name):
+    crash(context.simulation, context.simulation.workers[name])
+
+
+@when('worker "{name}" is started and has received the owner\'s last command')
+def step_late_command(context, name):
+    simulation = context.simulation
+    assert name not in simulation.owners[-1].state.workers, "the worker has not been removed"
+    restart(simulation, simulation.workers[name])
+    simulation.workers[name].check_token(compute_command_token(simulation.owners[-1].fencing, 1))
 
 
 @when('every run on worker "{name}" succeeds')
--- a/features/worker_incarnations.feature
+++ b/features/worker_incarnations.feature
@@ -37,6 +37,17 @@
     When worker "w0" restarts with the same id
     Then the owner has stepped down after 0 starts
 
+  Scenario: An owner is not fenced by its own command to a worker that it had removed
+    Guards against an owner that steps down: a command to a former incarnation reaches the next one
+    under the same id, which gets a lower token since the owner had removed the worker.
+    Given 2 workers and an owner
+    When worker "w0" restarts with the same id
+    And worker "w0" crashes
+    And 8 seconds pass in the simulation
+    And worker "w0" is started and has received the owner's last command
+    And 2 seconds pass in the simulation
+    Then the owner is active
+
   Scenario: Capacity without processors is reserved as well
     Guards against a reservation that begins anew with each step whose tasks need accelerators only:
     tasks that end too late take what is reserved.
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -149,6 +149,7 @@
         )
         self.predecessor_inactive_at = started_at + MAX_PREDECESSOR_ACTIVE_SECONDS
         self.workers: dict[WorkerId, Worker] = {}
+        self.latest_incarnation = 0
         self.roster = RosterTracker(roster or Roster())
         self.is_predecessor_inactive = False
         self.commands_to_retry: list[Run] = []
@@ -185,7 +186,7 @@
     def get_command_token(self, worker_id: WorkerId) -> CommandToken:
         """Return the token of commands to the current incarnation of a worker."""
         worker = self.workers.get(worker_id)
-        return compute_command_token(self.fencing, worker.restarts if worker is not None else 0)
+        return compute_command_token(self.fencing, worker.incarnation if worker is not None else 0)
 
     def list_workers(self) -> list[Worker]:
         """Return all workers."""
@@ -263,7 +264,7 @@
         for worker_id, listing in listed.items():
             worker = self.workers.get(worker_id)
             if worker is None:
-                worker = Worker(listing, self.earlier_leases_expire_at)
+                worker = Worker(listing, self.earlier_leases_expire_at, self.latest_incarnation)
                 worker.update_listing(listing, event.now)
                 worker.is_open_in_roster = self.roster.is_open_in_roster(worker_id)
                 self.workers[worker_id] = worker
@@ -353,6 +354,7 @@
                 self.needs_scheduling = True
             if not worker.is_listed:
                 del self.workers[worker.id]
+                effects += self._count_incarnation(worker)
                 effects.append(UnwatchWorker(worker=worker.id))
                 effects += self._update_roster()
         return effects
@@ -814,9 +816,10 @@
         """
         effects: list[Effect] = []
         effects += log_lost_runs(worker, find_loss_reason(worker, LossReason.RESTARTED), now)
-        worker.begin_incarnation()
-        if not has_token_left(worker.restarts):
-            return [StepDown(worker=worker.id, reason=StepDownReason.NUMBERS_USED_UP)]
+        step_down = self._count_incarnation(worker)
+        worker.begin_incarnation(self.latest_incarnation)
+        if step_down:
+            return step_down
         unconfirmed = [
             run
             for run in worker.runs.values()
@@ -831,6 +834,13 @@
             effects += self._stop(run, now)
         return effects
 
+    def _count_incarnation(self, worker: Worker) -> list[Effect]:
+        """Let the next incarnation of any worker have a number of its own."""
+        self.latest_incarnation += 1
+        if has_token_left(self.latest_incarnation):
+            return []
+        return [StepDown(worker=worker.id, reason=StepDownReason.NUMBERS_USED_UP)]
+
     def _reset_worker(self, worker: Worker, reason: LossReason, now: float) -> list[Effect]:
         """Remove all runs of a worker that has ended or whose leases have expired."""
         effects: list[Effect] = [*log_lost_runs(worker, find_loss_reason(worker, reason), now)]
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -208,7 +208,7 @@
             task=task,
             number=number,
             payload=entry.submission.payload,
-            token=compute_command_token(self._fencing, worker.restarts),
+            token=compute_command_token(self._fencing, worker.incarnation),
             checkpoint=step.get_checkpoint(index),
             ticket=ticket.id if ticket is not None else TicketId(""),
         )
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -133,14 +133,18 @@
     lease_expires_by : float
         Time by which every lease that any owner may have granted has expired; later after each
         report.
+    incarnation : int
+        Number of its incarnation; see `compute_command_token`.
     """
 
-    def __init__(self, listing: WorkerListing, lease_expires_by: float) -> None:
+    def __init__(
+        self, listing: WorkerListing, lease_expires_by: float, incarnation: int = 0
+    ) -> None:
         self.listing = listing
         self.rack = find_rack(listing)
         self.lease_expires_by = lease_expires_by
         self.is_listed = True
-        self.restarts = 0  # under the same id, as seen by this owner
+        self.incarnation = incarnation
         self.is_reached = False  # has answered this owner, or can hold no earlier runs
         self.is_open_in_roster = False
         self.last_report_at = 0.0
@@ -178,9 +182,9 @@
         self.unmatched_since = None
         self.unmatched_runs.clear()
 
-    def begin_incarnation(self) -> None:
+    def begin_incarnation(self, incarnation: int) -> None:
         """Discard what was learnt about the former incarnation, which has ended."""
-        self.restarts += 1
+        self.incarnation = incarnation
         self.forget_reports()
         self.failed_submissions.clear()
         self.slow_submissions.clear()
@@ -320,26 +324,27 @@
 
 # A worker that restarts under the same id has seen no token and would carry out a late command for
 # its former incarnation. Each incarnation gets a higher token, so that such commands are fenced
-# from the first hold on.
+# from the first hold on. The numbers increase for all workers of an owner together, since one that
+# was removed may return under its id.
 # An owner steps down before it would use tokens of the next one.
 TOKENS_PER_OWNER = 1_000_000
 
 
-def compute_command_token(fencing: FencingToken, restarts: int) -> CommandToken:
-    """Return the token of an owner's commands to a worker.
+def compute_command_token(fencing: FencingToken, incarnation: int) -> CommandToken:
+    """Return the token of an owner's commands to an incarnation of a worker.
 
     Parameters
     ----------
     fencing : FencingToken
-    restarts : int
-        How often the owner has seen the worker restart.
+    incarnation : int
+        How many workers the owner had seen restart or removed when this incarnation began.
     """
-    return CommandToken(fencing * TOKENS_PER_OWNER + restarts)
+    return CommandToken(fencing * TOKENS_PER_OWNER + incarnation)
 
 
-def has_token_left(restarts: int) -> bool:
-    """Return whether an owner has a token for a worker that it saw restart this often."""
-    return restarts < TOKENS_PER_OWNER
+def has_token_left(incarnation: int) -> bool:
+    """Return whether an owner has a token for an incarnation."""
+    return incarnation < TOKENS_PER_OWNER
 
 
 # Run numbers increase across owners: each owner counts within a block of its own, and steps down
