Stop a start that a restarted worker has answered

Cause: an owner that learns of a restart took each acknowledged run for one of the former incarnation, and freed its capacity. A start that was sent before the owner knew of the restart, and answered by the new incarnation, runs there. Evidence: 'A start that a restarted worker has answered is stopped before its capacity is used' fails before (over-capacity at 0.665 s) and passes after. Why it works: what was acknowledged after the last report of the former incarnation is stopped, as an unanswered start is, and keeps its capacity until a report shows that it has ended. The step takes fractions of seconds now; whole ones read the same.

--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -110,7 +110,7 @@
 
 @when(
     'a gang "{name}" of {count:d} tasks of {processors:d} millicores with priority {priority:d} '
-    "arrives after {seconds:d} seconds"
+    "arrives after {seconds:g} seconds"
 )
 def step_gang(context, name, count, processors, priority, seconds):
     context.simulation.run(seconds)
--- a/features/steps/worker_incarnations.py
+++ b/features/steps/worker_incarnations.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from features.support.queue_processes import EntryProcess
-from features.support.queue_random_runs import crash, restart
+from features.support.queue_random_runs import crash, refresh_worker_lists, restart
 from features.support.queue_simulation import make_step
 from lavenderhook._internal.instance import advice
 from lavenderhook._internal.instance.advice import AdviceDispatcher
@@ -23,6 +23,17 @@
     crash(context.simulation, context.simulation.workers[name])
 
 
+@when('worker "{name}" restarts, as the list of workers shows after a start and before a report')
+def step_unnoticed(context, name):
+    simulation = context.simulation
+    worker = simulation.owners[-1].state.workers[name]
+    last_report_at = worker.last_report_at
+    while worker.last_report_at == last_report_at:  # the next report comes in 0.2 s
+        simulation.run(0.01)
+    simulation.workers[name].begin_incarnation()
+    simulation.call_later(0.1, refresh_worker_lists, simulation)
+
+
 @when('worker "{name}" is started and has received the owner\'s last command')
 def step_late_command(context, name):
     simulation = context.simulation
--- a/features/worker_incarnations.feature
+++ b/features/worker_incarnations.feature
@@ -48,6 +48,19 @@
     And 2 seconds pass in the simulation
     Then the owner is active
 
+  Scenario: A start that a restarted worker has answered is stopped before its capacity is used
+    Guards against a worker over its capacity: the owner starts a task, which the new incarnation
+    carries out, before it learns of the restart, and takes the run for one of the former.
+    Given 1 workers and an owner
+    When worker "w0" restarts, as the list of workers shows after a start and before a report
+    And a gang "first" of 1 tasks of 12000 millicores with priority 2 arrives after 0 seconds
+    And a gang "second" of 1 tasks of 12000 millicores with priority 1 arrives after 0.08 seconds
+    And 3 seconds pass in the simulation
+    Then no invariant was violated
+    When 40 seconds pass in the simulation
+    Then every submission is completed
+    And no invariant was violated
+
   Scenario: Capacity without processors is reserved as well
     Guards against a reservation that begins anew with each step whose tasks need accelerators only:
     tasks that end too late take what is reserved.
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -825,6 +825,8 @@
             for run in worker.runs.values()
             if run.has_unconfirmed_start
             or (run.acknowledged_at is None and run.state is not RunState.RUNNING)
+            # The new incarnation may have answered the start.
+            or (run.acknowledged_at or 0.0) > worker.last_report_at
         ]
         for run in list(worker.runs.values()):
             if run not in unconfirmed:
