--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -83,9 +83,6 @@
 # Within this time, a worker refuses the token of a former owner that still runs: a hold waits a
 # second and times out after 1.6 s. Until then, peers may still notify it of new submissions.
 MAX_PREDECESSOR_ACTIVE_SECONDS = 2.5
-# A finished run of an unknown submission is kept for this time, since results read from the store
-# lag by up to 6 s after the change feed no longer covers the revision.
-UNMATCHED_FINISHED_RUN_SECONDS = 8.0
 REVIEW_INTERVAL_SECONDS = 0.2
 MAX_CACHED_OUTCOMES = 20_000
 
@@ -631,30 +628,15 @@
         for position, finished in enumerate(finished_runs):
             if finished.sequence <= worker.processed_sequence:
                 continue
-            if self._is_unmatched(worker, finished, now):
+            submission = finished.task.submission
+            is_known = submission in self.submissions or submission in self.outcomes
+            if worker.waits_for_submission(is_known=is_known, now=now):
                 worker.unmatched_finished_runs = tuple(finished_runs[position:])
                 break
             worker.processed_sequence = finished.sequence
             effects += self._process_finished_run(worker, finished, now)
         return effects
 
-    def _is_unmatched(self, worker: Worker, finished: FinishedRun, now: float) -> bool:
-        """Return whether a finished run has to wait until its submission is known here.
-
-        A former owner may have started a submission that was stored after the takeover; without
-        the wait, its finished run would be acknowledged without being stored.
-        """
-        submission = finished.task.submission
-        if submission in self.submissions or submission in self.outcomes:
-            worker.unmatched_since = None
-            return False
-        if worker.unmatched_since is None:
-            worker.unmatched_since = now
-        if now - worker.unmatched_since < UNMATCHED_FINISHED_RUN_SECONDS:
-            return True
-        worker.unmatched_since = None  # the submission's rows have been deleted
-        return False
-
     def _record_failure(self, worker: Worker, task: TaskKey, now: float) -> list[Effect]:
         if not worker.record_failure(task.submission, now):
             return []
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -31,6 +31,9 @@
 RACK_PREFIX = "r"  # labels of racks look like r1-3
 MIN_RATE_SECONDS = 0.3  # between the samples from which a rate of progress is taken
 MIN_RATE_PROGRESS = 0.03  # progress is reported in hundredths
+# A finished run of an unknown submission is kept for this time, since results read from the store
+# lag by up to 6 s after the change feed no longer covers the revision.
+UNMATCHED_FINISHED_RUN_SECONDS = 8.0
 REFUSAL_BLOCK_SECONDS = 0.5  # after a refused start or an unanswered hold
 
 
@@ -182,6 +185,22 @@
         self.unmatched_since = None
         self.unmatched_runs.clear()
 
+    def waits_for_submission(self, *, is_known: bool, now: float) -> bool:
+        """Return whether the next finished run has to wait until its submission is known.
+
+        A former owner may have started a submission that was stored after the takeover; without
+        the wait, its finished run would be acknowledged without being stored.
+        """
+        if is_known:
+            self.unmatched_since = None
+            return False
+        if self.unmatched_since is None:
+            self.unmatched_since = now
+        if now - self.unmatched_since < UNMATCHED_FINISHED_RUN_SECONDS:
+            return True
+        self.unmatched_since = None  # the submission's rows have been deleted
+        return False
+
     def begin_incarnation(self, incarnation: int) -> None:
         """Discard what was learnt about the former incarnation, which has ended."""
         self.incarnation = incarnation
