Repeat an unanswered start only after a report of the same incarnation

Cause: a start without an answer was sent again after 0.3 s. A worker that had crashed and was back by then carried the same run out a second time, before the owner had learnt of the restart. Ruled out: the order of late commands; the simulation has no lost answers there. Evidence: 'A start without an answer is not repeated at a worker that may have restarted' (down 0.25 s) fails before with run-started-twice and passes after. Why it works: the report that follows the missing answer comes either from the same incarnation, which has not executed the start or lists it, or from another one, and then the run is stopped there.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -101,6 +101,21 @@
     Then "deadly" is failed
     And no invariant was violated
 
+  Scenario Outline: A start without an answer is not repeated at a worker that may have restarted
+    Guards against a run that is started twice: the worker crashes before it answers, and its next
+    incarnation carries out the command when it is sent again.
+    Given 1 workers and an owner
+    And task 0 of "deadly" crashes its worker after 0 seconds for <down> seconds
+    When a submission "deadly" of 1 tasks of 4500 millicores and 5 seconds arrives
+    And 2 seconds pass in the simulation
+    Then no invariant was violated
+
+    Examples:
+      | down |
+      | 0.25 |
+      | 0.45 |
+      | 0.55 |
+
   Scenario: Workers that crash together blame no task
     Guards against work that is given up or held back since a rack was lost, however often.
     Given 12 workers and an owner
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -497,6 +497,7 @@
         self.violations = []
         self.starts = 0
         self.starts_by_submission = collections.Counter()
+        self.started_runs = set()
         self.owners = []
         capacity = Resources(16_000, 64_000, 0)
         self.workers = {
@@ -643,6 +644,10 @@
         """Check the invariants that apply when a run starts."""
         self.starts += 1
         self.starts_by_submission[command.task.submission] += 1
+        # Without incarnation checks, nothing prevents a late command from being carried out again.
+        if self.checks_incarnation and (command.task, command.number) in self.started_runs:
+            self._add_violation("run-started-twice", worker, command)
+        self.started_runs.add((command.task, command.number))
         spec = self.find_spec(command.task)
         used = sum(run.resources.processors for run in worker.runs.values())
         if used + spec.resources.processors > worker.capacity.processors:
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -537,10 +537,15 @@
 
     def _retry_command(self, run: Run, now: float) -> list[Effect]:
         worker = self.workers.get(run.worker)
-        is_current = worker is not None and worker.runs.get((run.task, run.number)) is run
-        if run.is_in_flight or run.acknowledged_at is not None or not is_current:
+        if worker is None or worker.runs.get((run.task, run.number)) is not run:
             return []
-        if now < run.next_attempt_at:
+        if run.is_in_flight or run.acknowledged_at is not None:
+            return []
+        # A worker that has crashed and restarted would carry out the start a second time: a report
+        # has to show first that it has not.
+        unanswered_at = run.next_attempt_at - COMMAND_RETRY_SECONDS
+        is_uncertain = run.state is RunState.STARTING and worker.last_report_at < unanswered_at
+        if now < run.next_attempt_at or is_uncertain:
             self.commands_to_retry.append(run)
             return []
         run.is_in_flight = True
