--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -87,6 +87,54 @@
       | 2     | 3      |
       | 3     | 4      |
 
+  Scenario Outline: The budget outlives a series of owners
+    Guards against starts that no owner knows of: owners end one after another, each as the task has
+    crashed its worker and before the crash is noticed.
+    Given 12 workers and an owner
+    And 60 submissions of 4 tasks arrive over 30 seconds
+    And task 0 of "deadly" crashes its worker after <age> seconds
+    And the owner ends at each of the first <count> crashes
+    When a submission "deadly" of 4 tasks of 4500 millicores and 5 seconds arrives
+    And 70 seconds pass in the simulation
+    Then "deadly" is failed
+    And all submissions but "deadly" are completed
+    And no invariant was violated
+
+    Examples:
+      | age | count |
+      | 0.1 | 2     |
+      | 0.1 | 3     |
+      | 0.1 | 4     |
+      | 4.5 | 3     |
+
+  Scenario: A run that was moved off a leaving worker is not counted by the next owner
+    Guards against work that is given up for crashes that were none: the worker has left and is back
+    as another incarnation, and the next owner knows only that the run was started there.
+    Given 3 workers and an owner
+    When a submission "moved" of 1 tasks of 4500 millicores and 12 seconds arrives
+    And 1 seconds pass in the simulation
+    And the worker of "moved" leaves after 1.5 seconds and returns 1 seconds later
+    And another owner takes over
+    And 1 seconds pass in the simulation
+    Then no crash is counted under "moved"
+    When 30 seconds pass in the simulation
+    Then "moved" is completed
+    And no invariant was violated
+
+  Scenario: A planned start of a cancelled submission is not sent
+    Guards against a worker over its capacity: the place of a suspect is free once its submission is
+    cancelled, and a start that waited for the store was sent nevertheless.
+    Given 2 workers and an owner
+    And task 0 of "deadly" crashes its worker after 0.1 seconds for 1 seconds
+    When a submission "deadly" of 1 tasks of 4500 millicores and 5 seconds arrives
+    And 1 seconds pass in the simulation
+    And the store rejects writes
+    And a start of "deadly" is planned
+    And "deadly" is cancelled in the simulation
+    And 5 seconds pass in the simulation
+    Then "deadly" has 1 starts
+    And no invariant was violated
+
   Scenario: A task is not started beyond its budget while the store rejects writes
     Guards against counts that exist only in memory when the owner ends with an outage of the store.
     Given 12 workers and an owner
@@ -156,3 +204,4 @@
     Examples:
       | first | last |
       | 1     | 60   |
+      | 61    | 140  |
--- a/features/steps/crashing_tasks.py
+++ b/features/steps/crashing_tasks.py
@@ -4,10 +4,16 @@
 
 from behave import given, then, when
 
-from features.support.crashing_tasks import CrashBehaviour, crash_worker
-from features.support.queue_random_runs import run_random_simulation
+from features.support.crashing_tasks import crash_worker
+from features.support.queue_random_runs import (
+    announce_leaving,
+    refresh_worker_lists,
+    return_worker,
+    run_random_simulation,
+)
 from features.support.queue_simulation import make_step
-from lavenderhook._internal.queueing.model import SubmissionState
+from lavenderhook._internal.queueing.model import RunState, SubmissionState
+from standins.crashes import CrashBehaviour
 
 WORKER_DOWN_SECONDS = 2.5
 OWNER_CHANGE_SECONDS = 1.0
@@ -35,7 +41,7 @@
 def add_crashes(context, name, which, age, down):
     """Let one task, or every one, of a submission crash its worker."""
     indices = None if which == "every task" else frozenset({int(which.removeprefix("task "))})
-    context.simulation.crashing_tasks.add(name, CrashBehaviour(age, down, indices))
+    context.simulation.crashing_tasks.budget.add(name, CrashBehaviour(age, down, indices))
 
 
 @given('a service "{name}" of {count:d} tasks of {processors:d} millicores is running')
@@ -50,6 +56,58 @@
     )
 
 
+@given("the owner ends at each of the first {count:d} crashes")
+def step_owners_end(context, count):
+    context.simulation.crashing_tasks.on_crash = functools.partial(
+        end_owner, context.simulation, set(range(1, count + 1))
+    )
+
+
+@when('the worker of "{name}" leaves after {notice:g} seconds and returns {away:g} seconds later')
+def step_leave_and_return(context, name, notice, away):
+    simulation = context.simulation
+    worker = find_worker(simulation, name)
+    announce_leaving(simulation, worker, notice)
+    simulation.run(notice + away)
+    return_worker(simulation, worker)
+    refresh_worker_lists(simulation)
+    simulation.run(0.5)
+
+
+def find_worker(simulation, name):
+    """Return the worker that runs the first task of a submission."""
+    return next(
+        worker
+        for worker in simulation.workers.values()
+        for task in worker.runs
+        if task.submission == name
+    )
+
+
+@when('a start of "{name}" is planned')
+def step_planned(context, name):
+    workers = context.simulation.owners[-1].state.workers
+    context.simulation.run_until(
+        lambda: any(
+            run.task.submission == name and run.state is RunState.PLANNED
+            for worker in workers.values()
+            for run in worker.runs.values()
+        )
+    )
+
+
+@when('"{name}" is cancelled in the simulation')
+def step_cancel(context, name):
+    context.simulation.cancel(name)
+
+
+@then('no crash is counted under "{name}"')
+def step_no_crash_counted(context, name):
+    entry = context.simulation.owners[-1].state.submissions[name]
+    crashes = [history.crashes for _, _, history in entry.list_crash_histories()]
+    assert not any(crashes), crashes
+
+
 def end_owner(simulation, crashes, count):
     """End the owner at some of the crashes; another one takes over later."""
     if count in crashes:
--- a/features/support/queue_random_runs.py
+++ b/features/support/queue_random_runs.py
@@ -3,8 +3,8 @@
 import random
 
 from lavenderhook._internal.queueing.model import WorkerState
+from standins.crashes import CrashBehaviour
 
-from .crashing_tasks import CrashBehaviour
 from .queue_simulation import QueueSimulation, make_step
 
 FAULT_PHASE_SECONDS = 15.0
@@ -129,7 +129,7 @@
     indices = None if generator.random() < 0.3 else frozenset({0})
     age = generator.choice([0.0, 0.1, 0.5, 0.35 * steps[0].estimate_seconds])
     behaviour = CrashBehaviour(age, generator.uniform(1.0, 7.0), indices)
-    simulation.crashing_tasks.add(name, behaviour)
+    simulation.crashing_tasks.budget.add(name, behaviour)
     at = generator.uniform(0.5, FAULT_PHASE_SECONDS)
     simulation.call_later(at, simulation.submit, name, steps)
 
@@ -184,13 +184,13 @@
 
 def crash(simulation, worker):
     """Kill a worker's process; the list of workers shows it 4 s later."""
-    worker.is_up = False
-    worker.runs.clear()
+    worker.crash()
     simulation.call_later(4.0, refresh_worker_lists, simulation)
 
 
 def restart(simulation, worker):
     """Restart a worker as a new incarnation with the same id."""
+    worker.crash()
     worker.is_up = True
     worker.state = WorkerState.READY
     worker.begin_incarnation()
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -21,6 +21,7 @@
     StartAnswered,
     StopAnswered,
     SubmissionRead,
+    SubmissionStored,
     Ticked,
     WorkersListed,
 )
@@ -41,6 +42,7 @@
 )
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
 from lavenderhook._internal.queueing.records import Outcome, Roster, set_closing_revisions
+from lavenderhook._internal.queueing.start_log import collect_starts
 
 from .crashing_tasks import CrashingTasks
 
@@ -49,6 +51,7 @@
 GANG_START_TIMEOUT_SECONDS = 3.0
 HOLD_INTERVAL_SECONDS = 0.2
 LINK_LATENCY_SECONDS = 0.005
+MAX_CONDITION_CHECKS = 2000
 MAX_COMMAND_DELAY_SECONDS = 6.0  # a start or stop without an answer is executed up to this late
 
 
@@ -119,6 +122,15 @@
         self.runs.clear()
         self.is_up = False
 
+    def crash(self):
+        """End without notice, with everything that runs."""
+        lost = list(self.runs.values())
+        self.runs.clear()
+        self.is_up = False
+        for run in lost:
+            self.simulation.crashing_tasks.crashes_beside[run.task] += 1
+            self.simulation.break_gang(run)
+
     def check_token(self, token):
         """Record a command's token; return whether it is not below the highest one seen."""
         if token < self.highest_token:
@@ -154,6 +166,7 @@
             pass  # it runs until it is stopped
         elif not spec.is_gang:
             seconds = self.duration_factor * self.simulation.choose_duration(spec)
+            seconds += self.simulation.crashing_tasks.get_crash_age(command.task)
             self.runs[command.task].seconds = seconds
             self.simulation.call_later(
                 seconds,
@@ -252,6 +265,7 @@
             simulation.now,
             OwnerParameters(lease_seconds=LEASE_SECONDS, stop_seconds=MAX_STOP_SECONDS),
             simulation.roster,
+            former_starts=collect_starts(simulation.start_log_rows.values(), simulation.now),
         )
         for submission_id, outcome in simulation.outcomes.items():
             self.apply(
@@ -434,17 +448,37 @@
             waiting, self.unstored_submissions = list(self.unstored_submissions), {}
             for submission_id in waiting:
                 self.store(submission_id)
+            start_log = self.state.scheduler.start_log
+            row = start_log.take(self.simulation.now)
+            if row is not None:
+                self.simulation.start_log_rows[start_log.next_key()] = row
             # A commit whose answer is lost takes effect without the owner's knowledge.
             if self.simulation.random.random() >= self.simulation.lost_answer_share:
                 self.apply(ProgressStored(now=self.simulation.now, stored_positions=positions))
+                for submission_id in waiting:
+                    self.confirm_stored(submission_id)
+            else:
+                self.unstored_submissions.update(dict.fromkeys(waiting))
         self.simulation.call_later(0.05, self.commit)
 
+    def confirm_stored(self, submission_id):
+        """Apply the progress that the store holds of a submission."""
+        if submission_id in self.simulation.progress:
+            self.apply(
+                SubmissionStored(
+                    now=self.simulation.now,
+                    submission=submission_id,
+                    progress=self.simulation.progress[submission_id],
+                    revision=self.simulation.revision,
+                )
+            )
+
     def store(self, submission_id):
         """Store the progress or the outcome of one submission."""
         entry = self.state.submissions.get(submission_id)
         if entry is None:
             return
-        final = self.state.find_final_state(entry)
+        final = entry.find_final_state()
         if final is None:
             self.simulation.progress[submission_id] = entry.export_progress()
             return
@@ -483,6 +517,7 @@
         self.revision = 0
         self.latest_fencing_token = 0
         self.roster = Roster()
+        self.start_log_rows = {}
         self.submissions = {}
         self.progress = {}
         self.outcomes = {}
@@ -509,6 +544,14 @@
         entry = (self.now + seconds, next(self._sequence), call, arguments)
         heapq.heappush(self._events, entry)
 
+    def run_until(self, is_reached):
+        """Let time pass in hundredths of a second until a condition holds."""
+        for _ in range(MAX_CONDITION_CHECKS):
+            if is_reached():
+                return
+            self.run(0.01)
+        raise AssertionError("the condition was not reached")
+
     def run(self, seconds):
         """Execute the scheduled calls of the next `seconds`; expire leases before each."""
         end = self.now + seconds
@@ -631,14 +674,20 @@
             self.completed_at.setdefault(run.task, self.now)
         if outcome is RunOutcome.FAILED:
             self.failure_counts[run.task] = self.failure_counts.get(run.task, 0) + 1
-        if self.find_spec(run.task).is_gang and outcome is not RunOutcome.DONE:
-            key = (run.task[:3], run.number)
-            for member, task, born in self.gang_members.get(key, ()):
-                other = member.runs.get(task)
-                if other is not None and other.number == run.number:
-                    self.call_later(
-                        0, member.finish_if_active, task, run.number, born, RunOutcome.GANG_BROKEN
-                    )
+        if outcome is not RunOutcome.DONE:
+            self.break_gang(run)
+
+    def break_gang(self, run):
+        """End the other members of a gang of which one has ended without being done."""
+        if not self.find_spec(run.task).is_gang:
+            return
+        key = (run.task[:3], run.number)
+        for member, task, born in self.gang_members.get(key, ()):
+            other = member.runs.get(task)
+            if other is not None and other.number == run.number:
+                self.call_later(
+                    0, member.finish_if_active, task, run.number, born, RunOutcome.GANG_BROKEN
+                )
 
     def check_start(self, worker, command):
         """Check the invariants that apply when a run starts."""
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -38,6 +38,7 @@
     StartAnswered,
     StopAnswered,
     SubmissionRead,
+    SubmissionStored,
     Ticked,
     WorkersListed,
 )
@@ -72,6 +73,12 @@
     parse_key,
     set_closing_revisions,
 )
+from ..queueing.start_log import (
+    START_LOG_TABLE,
+    LoggedStart,
+    StartLogRow,
+    collect_starts,
+)
 from .supervision import ReportError
 from .table_watcher import LogEvent, describe_failure
 from .work_table import WorkTable
@@ -91,6 +98,8 @@
 STORE_RETRY_SECONDS = 0.2  # after a failed call to the store
 FEED_INTERVAL_SECONDS = 0.4  # the feed only compensates for lost write notices
 WORKERS_INTERVAL_SECONDS = 0.25
+# While a commit takes longer, no commit is made for started runs alone.
+QUICK_COMMIT_SECONDS = 0.1
 # Stands in the roster for the workers of a row that can't be decoded: it is never reached, so that
 # the longest lease has to expire.
 UNKNOWN_WORKER = WorkerId("unknown")
@@ -165,6 +174,8 @@
         self._work = work
         self._is_isolated = is_isolated
         self._needs_confirmation = False
+        self._former_starts: dict[SubmissionId, list[LoggedStart]] = {}
+        self._commit_seconds = 0.0  # duration of the last commit
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
         self._is_predecessor_inactive = False
         # The roster lists the workers that may hold runs; see `queueing.roster`.
@@ -260,6 +271,7 @@
         roster_rows = self._store.read(CONTROL_TABLE, ROSTER_KEY, ROSTER_KEY + "\0")
         if roster_rows.revision < self._revision:
             raise StoreUnavailableError("the store returned a roster older than the takeover")
+        self._former_starts = self._read_former_starts()
         changes = self._worker_list.read()
         self._update_listings(changes)
         self._workers_revision = changes.revision
@@ -273,9 +285,33 @@
             self._log_event("roster-unreadable", **describe_failure(error))
             return Roster(workers=frozenset({UNKNOWN_WORKER}))
 
+    def _read_former_starts(self) -> dict[SubmissionId, list[LoggedStart]]:
+        """Return what earlier owners have started lately.
+
+        Raises
+        ------
+        LavenderhookError
+            If the log can't be read; a malformed row is left out.
+        """
+        found = self._store.read(START_LOG_TABLE, "", "~")
+        if found.revision < self._revision:
+            raise StoreUnavailableError("the store returned a start log older than the takeover")
+        rows: list[StartLogRow] = []
+        for row in found.rows:
+            try:
+                rows.append(decode(row.value, StartLogRow))
+            except ProtocolError as error:
+                self._log_event("start-log-unreadable", key=row.key, **describe_failure(error))
+        return collect_starts(rows, time.time())
+
     def _restore_state(self, roster: Roster) -> None:
         self.state = OwnerState(
-            self.fencing, self._revision, self._started_at, self._parameters, roster
+            self.fencing,
+            self._revision,
+            self._started_at,
+            self._parameters,
+            roster,
+            former_starts=self._former_starts,
         )
         for submission_id, outcome in self._work.outcomes.items():
             self._ended_at[submission_id] = outcome.at
@@ -602,14 +638,20 @@
                 for worker in state.list_workers()
                 if worker.processed_sequence > worker.stored_sequence
             }
-            if not self._dirty_submissions and not positions:
+            stores_starts = (
+                state.scheduler.start_log.has_changes
+                and self._commit_seconds < QUICK_COMMIT_SECONDS
+            )
+            if not self._dirty_submissions and not positions and not stores_starts:
                 continue
             submissions, self._dirty_submissions = list(self._dirty_submissions), {}
             is_stored = True
-            for start in range(0, len(submissions), MAX_SUBMISSIONS_PER_TRANSACTION):
+            began_at = _now()
+            for start in range(0, len(submissions) or 1, MAX_SUBMISSIONS_PER_TRANSACTION):
                 is_stored &= self._commit(
                     submissions[start : start + MAX_SUBMISSIONS_PER_TRANSACTION]
                 )
+            self._commit_seconds = _now() - began_at
             if is_stored:
                 self.apply(ProgressStored(now=_now(), stored_positions=positions))
                 self._progress_stored.set()
@@ -622,19 +664,27 @@
         assert state is not None
         writes: list[Write] = []
         outcomes: dict[SubmissionId, Outcome] = {}
+        progress: dict[SubmissionId, Progress] = {}
         for submission_id in submissions:
             entry = state.submissions.get(submission_id)
             if entry is None:
                 continue
-            final = state.find_final_state(entry)
+            final = entry.find_final_state()
             if final is not None:
-                outcome = outcomes[submission_id] = Outcome(state=final, at=time.time())
+                reason = entry.failure if final is SubmissionState.FAILED else None
+                outcome = Outcome(state=final, at=time.time(), reason=reason)
+                outcomes[submission_id] = outcome
                 key = OUTCOME_PREFIX + submission_id
                 writes.append(Write(WORK_TABLE, key, encode(outcome), 0))
             else:
                 key = PROGRESS_PREFIX + submission_id
-                value = encode(entry.export_progress())
+                progress[submission_id] = entry.export_progress()
+                value = encode(progress[submission_id])
                 writes.append(Write(WORK_TABLE, key, value, entry.progress_revision))
+        start_log = state.scheduler.start_log
+        starts = start_log.take(time.time())
+        if starts is not None:
+            writes.append(Write(START_LOG_TABLE, start_log.next_key(), encode(starts)))
         if not writes:
             return True
         owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
@@ -643,16 +693,27 @@
         except LavenderhookError as error:
             self._log_event("progress-unstored", rows=len(writes), **describe_failure(error))
             self._dirty_submissions.update(dict.fromkeys(submissions))
+            start_log.put_back(starts)
             return False
         if isinstance(result, RowConflict):
+            start_log.put_back(starts)
             return self._resolve_conflict(result, submissions)
         for write in writes:
+            if write.table != WORK_TABLE:
+                continue
             prefix, submission_id = parse_key(write.key)
             if prefix == OUTCOME_PREFIX:
                 outcome = outcomes[submission_id]
                 self.apply(OutcomeRead(now=_now(), submission=submission_id, outcome=outcome))
-            elif submission_id in state.submissions:
-                state.submissions[submission_id].progress_revision = result
+            else:
+                self.apply(
+                    SubmissionStored(
+                        now=_now(),
+                        submission=submission_id,
+                        progress=progress[submission_id],
+                        revision=result,
+                    )
+                )
         return True
 
     def _resolve_conflict(self, conflict: RowConflict, submissions: list[SubmissionId]) -> bool:
--- a/src/lavenderhook/_internal/queueing/events.py
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -127,6 +127,14 @@
     stored_positions: dict[WorkerId, FinishedRunPosition]
 
 
+class SubmissionStored(Event, frozen=True, kw_only=True):
+    """The store holds this progress of a submission."""
+
+    submission: SubmissionId
+    progress: Progress
+    revision: int
+
+
 class PredecessorInactive(Event, frozen=True, kw_only=True):
     """The predecessor can no longer send commands."""
 
--- a/src/lavenderhook/_internal/queueing/log_lines.py
+++ b/src/lavenderhook/_internal/queueing/log_lines.py
@@ -1,10 +1,12 @@
-"""Log lines on runs and workers."""
+"""Log lines on submissions, runs and workers."""
 
 from __future__ import annotations
 
 from ..core.identifiers import WorkerId
 from .effects import LogDecision
 from .model import RunNumber, TaskKey
+from .records import FailureReason, Outcome
+from .submissions import SubmissionProgress
 from .workers import Worker
 
 
@@ -31,3 +33,46 @@
             **fields,
         },
     )
+
+
+def log_submission_queued(entry: SubmissionProgress, age: float) -> LogDecision:
+    """Return the log line of a submission that the owner has read; `age` is in seconds."""
+    submission = entry.submission
+    return LogDecision(
+        decision="submission-queued",
+        fields={
+            "submission": submission.id,
+            "queue": submission.queue.name,
+            "revision": entry.revision,
+            "age": round(age, 3),
+            "steps": len(submission.steps),
+        },
+    )
+
+
+def log_submission_ending(entry: SubmissionProgress, failure: FailureReason | None) -> LogDecision:
+    """Return the log line of a submission whose final state is about to be stored."""
+    return LogDecision(
+        decision="submission-ending",
+        fields={
+            "submission": entry.submission.id,
+            "state": "completed" if failure is None else "failed",
+            "reason": "" if failure is None else failure.value,
+        },
+    )
+
+
+def log_submission_ended(entry: SubmissionProgress, outcome: Outcome, now: float) -> LogDecision:
+    """Return the log line of a submission whose final state is stored."""
+    objective_at = max(step.objective_at for step in entry.steps.values())
+    return LogDecision(
+        decision="submission-ended",
+        fields={
+            "submission": entry.submission.id,
+            "state": outcome.state.value,
+            "reason": "" if outcome.reason is None else outcome.reason.value,
+            "seconds": round(now - entry.arrived_at, 3),
+            "queue": entry.submission.queue.name,
+            "objective": round(objective_at - entry.arrived_at, 3),
+        },
+    )
--- a/src/lavenderhook/_internal/queueing/model.py
+++ b/src/lavenderhook/_internal/queueing/model.py
@@ -69,6 +69,7 @@
 class RunState(enum.Enum):
     """What the owner knows of a run that has not ended."""
 
+    PLANNED = "planned"  # not commanded before the store holds its number
     STARTING = "starting"  # the start command has not been answered
     RUNNING = "running"
     STOPPING = "stopping"
@@ -201,6 +202,13 @@
     leaves_in_seconds: float | None = None
 
 
+class WorkerIncarnation(NamedTuple):
+    """One incarnation of a worker: the `born` and the address of its listing."""
+
+    born: int = 0
+    address: str = ""
+
+
 class ReportedRun(NamedTuple):
     """A run in a worker's report; `progress` is the share that is done, 1 for a service at work."""
 
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -17,7 +17,6 @@
 from .advising import AdvicePlanner
 from .effects import (
     Effect,
-    LogDecision,
     SendStart,
     SendStop,
     StepDown,
@@ -39,17 +38,23 @@
     StartAnswered,
     StopAnswered,
     SubmissionRead,
+    SubmissionStored,
     Ticked,
     WorkersListed,
 )
-from .log_lines import log_run, log_worker
-from .losses import LossReason, find_loss_reason, log_lost_runs
+from .log_lines import (
+    log_run,
+    log_submission_ended,
+    log_submission_ending,
+    log_submission_queued,
+    log_worker,
+)
+from .losses import LossReason, LossRecorder
 from .model import (
     CommandToken,
     FencingToken,
     FinishedRun,
     ReportedRun,
-    Resources,
     RunNumber,
     RunOutcome,
     RunState,
@@ -61,10 +66,11 @@
 )
 from .placement import BestFit, PlacementPolicy, SpreadServices
 from .ranking import PriorityThenObjective, StepRanking
-from .records import Roster
+from .records import FailureReason, Roster
 from .review import Decision, RunReviewer
 from .roster import RosterTracker
 from .scheduling import Scheduler
+from .start_log import LoggedStart
 from .stragglers import RunAction, project_remaining
 from .submissions import StepProgress, SubmissionProgress
 from .workers import (
@@ -76,6 +82,7 @@
     compute_first_run_number,
     compute_latest_lease_expiry,
     has_token_left,
+    make_adopted_run,
 )
 
 COMMAND_RETRY_SECONDS = 0.3  # after a command without an answer
@@ -117,6 +124,8 @@
     parameters : OwnerParameters
     roster : Roster, optional
         Workers that may hold runs of earlier owners.
+    former_starts : dict, optional
+        By submission, what earlier owners have started lately.
     """
 
     def __init__(
@@ -127,6 +136,7 @@
         parameters: OwnerParameters,
         roster: Roster | None = None,
         *,
+        former_starts: dict[SubmissionId, list[LoggedStart]] | None = None,
         ranking: StepRanking | None = None,
         policy: PlacementPolicy | None = None,
         reviewer: RunReviewer | None = None,
@@ -147,12 +157,14 @@
         self.predecessor_inactive_at = started_at + MAX_PREDECESSOR_ACTIVE_SECONDS
         self.workers: dict[WorkerId, Worker] = {}
         self.latest_incarnation = 0
+        self.former_starts = former_starts or {}
         self.roster = RosterTracker(roster or Roster())
         self.is_predecessor_inactive = False
         self.commands_to_retry: list[Run] = []
         self.submissions: dict[SubmissionId, SubmissionProgress] = {}
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
         self.reviewer = reviewer or RunReviewer(self._find_step)
+        self.losses = LossRecorder(self._find_step, self._give_up)
         self.next_review_at = 0.0
         self.needs_scheduling = True
 
@@ -204,24 +216,15 @@
             submission, event.revision, event.now - max(0.0, event.age), self.first_run_number
         )
         if event.progress is not None:
-            entry.import_progress(event.progress)
+            entry.import_progress(event.progress, event.now)
+        entry.import_starts(self.former_starts.pop(submission.id, ()), event.now)
         self.submissions[submission.id] = entry
         self.needs_scheduling = True
-        effects: list[Effect] = [
-            LogDecision(
-                decision="submission-queued",
-                fields={
-                    "submission": submission.id,
-                    "queue": submission.queue.name,
-                    "revision": event.revision,
-                    "age": round(event.age, 3),
-                    "steps": len(submission.steps),
-                },
-            )
-        ]
+        effects: list[Effect] = [log_submission_queued(entry, event.age)]
         effects += self._adopt_unmatched(submission.id, event.now)
+        effects += self.losses.adopt_histories(entry, event.now)
         if entry.is_done:
-            effects += self._begin_finalizing(entry, SubmissionState.COMPLETED)
+            effects += self._begin_finalizing(entry)
         return effects
 
     def handle_outcome(self, event: OutcomeRead) -> list[Effect]:
@@ -231,21 +234,7 @@
         if entry is None:
             return []
         self.needs_scheduling = True
-        effects: list[Effect] = [
-            LogDecision(
-                decision="submission-ended",
-                fields={
-                    "submission": event.submission,
-                    "state": event.outcome.state.value,
-                    "seconds": round(event.now - entry.arrived_at, 3),
-                    "queue": entry.submission.queue.name,
-                    "objective": round(
-                        max(step.objective_at for step in entry.steps.values()) - entry.arrived_at,
-                        3,
-                    ),
-                },
-            )
-        ]
+        effects: list[Effect] = [log_submission_ended(entry, event.outcome, event.now)]
         if event.outcome.state is SubmissionState.COMPLETED:
             return effects  # remaining runs of its gangs end by themselves
         for step in entry.steps.values():
@@ -260,6 +249,7 @@
         listed = {listing.id: listing for listing in event.workers}
         for worker_id, listing in listed.items():
             worker = self.workers.get(worker_id)
+            effects += self.losses.record_listing(listing, event.now)
             if worker is None:
                 worker = Worker(listing, self.earlier_leases_expire_at, self.latest_incarnation)
                 worker.update_listing(listing, event.now)
@@ -302,8 +292,7 @@
             effects.append(log_worker("worker-reborn", worker))
             effects += self._handle_restart(worker, event.now)
             worker.listing = msgspec.structs.replace(worker.listing, born=event.report.born)
-        worker.last_report_at = event.now
-        accepted_starts, worker.unanswered_holds = worker.accepts_starts(), 0
+        has_reopened = worker.record_answer(event.now)
         worker.lease_expires_by = compute_latest_lease_expiry(
             event.now, self.parameters.lease_seconds
         )
@@ -313,11 +302,11 @@
             self.needs_scheduling = True
             effects.append(log_worker("worker-reached", worker))
             effects += self._update_roster()
-        elif worker.accepts_starts() != accepted_starts:
+        elif has_reopened:
             effects += self._update_roster()
         effects += self._process_finished_runs(worker, event.report.finished, event.now)
         effects += self._reconcile_runs(worker, event)
-        return effects
+        return effects + self.losses.record_report(worker, event.now)
 
     def handle_hold_unanswered(self, event: HoldUnanswered) -> list[Effect]:
         """Handle a hold without a report; nothing runs at a worker whose leases have expired."""
@@ -327,11 +316,8 @@
         if event.is_fenced and event.token == self.get_command_token(worker.id):
             return [StepDown(worker=worker.id)]
         effects: list[Effect] = []
-        accepted_starts = worker.accepts_starts()
-        worker.unanswered_holds += 1
-        if worker.accepts_starts() != accepted_starts:
+        if worker.record_unanswered_hold(event.now):
             effects += self._update_roster()
-        worker.blocked_until = max(worker.blocked_until, event.now + REFUSAL_BLOCK_SECONDS)
         have_leases_expired = event.now > worker.lease_expires_by
         if event.is_other_incarnation or have_leases_expired:
             if worker.runs or not worker.is_reached:
@@ -454,6 +440,15 @@
                 )
         return []
 
+    def handle_submission_stored(self, event: SubmissionStored) -> list[Effect]:
+        """Record the stored progress of a submission; planned starts wait for it."""
+        entry = self.submissions.get(event.submission)
+        if entry is not None:
+            entry.progress_revision = event.revision
+            entry.record_stored(event.progress)
+            self.needs_scheduling = True
+        return []
+
     def handle_predecessor_inactive(self, event: PredecessorInactive) -> list[Effect]:
         """Stop delaying the placement of submissions that are newer than the takeover."""
         self.predecessor_inactive_at = min(self.predecessor_inactive_at, event.now)
@@ -466,9 +461,12 @@
         pending, self.commands_to_retry = self.commands_to_retry, []
         for run in pending:
             effects += self._retry_command(run, event.now)
+        for run in self.scheduler.suspects.list_misplaced(event.now):
+            effects += self._remove_run(run, event.now)
         if event.now >= self.next_review_at:
             self.next_review_at = event.now + REVIEW_INTERVAL_SECONDS
             effects += self._review_runs(event.now)
+            effects += self.losses.expire(event.now)
         effects += self.scheduler.schedule(
             self.submissions.values(),
             self.workers.values(),
@@ -559,6 +557,8 @@
     def _stop(self, run: Run, now: float) -> list[Effect]:
         if run.state is RunState.STOPPING:
             return []
+        if run.state is RunState.PLANNED:
+            return self._remove_run(run, now)
         run.state = RunState.STOPPING
         run.acknowledged_at = None
         run.attempts = 1
@@ -583,6 +583,8 @@
         if step is None:
             return []
         step.remove_run(run)
+        if not step.has_lost(run) and run.task.index not in step.done:
+            self.scheduler.start_log.withdraw(run)
         if not step.spec.is_gang or step.is_done:
             return []
         effects: list[Effect] = []
@@ -610,6 +612,7 @@
         if step is not None:
             step.last_run_number = RunNumber(max(step.last_run_number, finished.number))
             step.record_checkpoint(finished.task.index, finished.checkpoint)
+            self.losses.record_finished_run(worker, step, finished)
             if finished.outcome is RunOutcome.FAILED:
                 step.avoid(finished.task.index, worker.id)
                 effects += self._record_failure(worker, finished.task, now)
@@ -660,40 +663,31 @@
                 if run.number != finished.number or run.task != finished.task:
                     effects += self._stop(run, now)  # a copy that is no longer needed
             if entry.is_done:
-                return effects + self._begin_finalizing(entry, SubmissionState.COMPLETED)
+                return effects + self._begin_finalizing(entry)
             return [*effects, StoreProgress(submission=entry.submission.id)]
         if finished.outcome is RunOutcome.FAILED and not step.spec.is_service:
             failures = step.count_failure(finished.task.index, finished.number)
             if failures >= entry.submission.queue.most_attempts:
-                return self._begin_finalizing(entry, SubmissionState.FAILED)
+                return self._begin_finalizing(entry, FailureReason.ATTEMPTS_USED_UP)
             return [StoreProgress(submission=entry.submission.id)]
         return []
 
+    def _give_up(self, step_id: StepId, now: float) -> list[Effect]:
+        """End a submission as failed, since one of its tasks crashes its workers."""
+        entry = self.submissions[step_id.submission]
+        return self._begin_finalizing(entry, FailureReason.WORKERS_CRASHED)
+
     def _begin_finalizing(
-        self, entry: SubmissionProgress, final_state: SubmissionState
+        self, entry: SubmissionProgress, failure: FailureReason | None = None
     ) -> list[Effect]:
-        """Request that the final state be stored; until then, callers see a running submission.
-
-        `final_state` is only logged; the state to store comes from `find_final_state`.
-        """
-        if entry.is_finalizing:
+        """Request that the final state be stored; until then, callers see a running submission."""
+        if not entry.begin_finalizing(failure):
             return []
-        entry.is_finalizing = True
-        entry.state = SubmissionState.RUNNING
         return [
             StoreProgress(submission=entry.submission.id),
-            LogDecision(
-                decision="submission-ending",
-                fields={"submission": entry.submission.id, "state": final_state.value},
-            ),
+            log_submission_ending(entry, failure),
         ]
 
-    def find_final_state(self, entry: SubmissionProgress) -> SubmissionState | None:
-        """Return the final state that a submission has reached, or None."""
-        if not entry.is_finalizing:
-            return None
-        return SubmissionState.COMPLETED if entry.is_done else SubmissionState.FAILED
-
     def _reconcile_runs(self, worker: Worker, event: ReportArrived) -> list[Effect]:
         effects: list[Effect] = []
         reported_keys: set[tuple[TaskKey, RunNumber]] = set()
@@ -706,6 +700,8 @@
                 effects += self._adopt(worker, reported, event.now)
                 continue
             run.record_progress(reported.progress, event.report.clock)
+            if run.is_suspect:
+                effects += self.losses.review_suspect(run, event.now)
             remaining = project_remaining(run)
             if remaining is not None:
                 run.estimated_end_at = event.now + remaining
@@ -745,22 +741,7 @@
             worker.unmatched_runs[reported.task] = reported
             return []
         step = self._find_step(reported.task.step_id)
-        run = Run(
-            task=reported.task,
-            number=reported.number,
-            worker=worker.id,
-            resources=step.spec.resources if step is not None else Resources(),
-            is_filler=step.spec.is_filler if step is not None else False,
-            has_unknown_resources=step is None,
-            state=RunState.RUNNING,
-            commanded_at=now,
-            acknowledged_at=now,
-            checkpoint=reported.checkpoint,
-            rack=worker.rack,
-        )
-        if step is not None:
-            run.estimate_seconds = step.spec.expected_seconds
-            run.estimated_end_at = now + run.estimate_seconds
+        run = make_adopted_run(reported, step.spec if step is not None else None, worker, now)
         worker.add_run(run)
         if step is None or entry is None:
             return self._stop(run, now)
@@ -801,8 +782,7 @@
         What ran has ended. An unanswered start may still reach the new incarnation, which knows
         of no stops: the run is stopped there before its task may run again.
         """
-        effects: list[Effect] = []
-        effects += log_lost_runs(worker, find_loss_reason(worker, LossReason.RESTARTED), now)
+        effects = self._record_loss(worker, LossReason.RESTARTED, now)
         step_down = self._count_incarnation(worker)
         worker.begin_incarnation(self.latest_incarnation)
         if step_down:
@@ -811,7 +791,10 @@
             run
             for run in worker.runs.values()
             if run.has_unconfirmed_start
-            or (run.acknowledged_at is None and run.state is not RunState.RUNNING)
+            or (
+                run.acknowledged_at is None
+                and run.state not in (RunState.RUNNING, RunState.PLANNED)
+            )
             # The new incarnation may have answered the start.
             or (run.acknowledged_at or 0.0) > worker.last_report_at
         ]
@@ -823,6 +806,9 @@
             effects += self._stop(run, now)
         return effects
 
+    def _record_loss(self, worker: Worker, reason: LossReason, now: float) -> list[Effect]:
+        return self.losses.record_loss(worker, self.workers.values(), reason, now)
+
     def _count_incarnation(self, worker: Worker) -> list[Effect]:
         """Let the next incarnation of any worker have a number of its own."""
         self.latest_incarnation += 1
@@ -832,7 +818,7 @@
 
     def _reset_worker(self, worker: Worker, reason: LossReason, now: float) -> list[Effect]:
         """Remove all runs of a worker that has ended or whose leases have expired."""
-        effects: list[Effect] = [*log_lost_runs(worker, find_loss_reason(worker, reason), now)]
+        effects = self._record_loss(worker, reason, now)
         for run in list(worker.runs.values()):
             effects += self._remove_run(run, now)
         worker.forget_reports()
@@ -870,6 +856,7 @@
     StopAnswered: OwnerState.handle_stop_answer,  # type: ignore[dict-item]
     AdviceArrived: OwnerState.handle_advice,  # type: ignore[dict-item]
     ProgressStored: OwnerState.handle_progress_stored,  # type: ignore[dict-item]
+    SubmissionStored: OwnerState.handle_submission_stored,  # type: ignore[dict-item]
     PredecessorInactive: OwnerState.handle_predecessor_inactive,  # type: ignore[dict-item]
     Ticked: OwnerState.handle_tick,  # type: ignore[dict-item]
 }
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -71,6 +71,20 @@
         return (count_on_worker(step, worker), count_in_rack(step, worker), *rank)
 
 
+class LeastLoss(PlacementPolicy):
+    """Prefers workers whose crash would cost least; data stays near.
+
+    Handles a worker that has crashed with twenty runs, of which at most a few are the cause:
+    started again together, they would crash the next worker together.
+    """
+
+    def rank(self, step: StepProgress, worker: Worker) -> tuple[float, ...]:
+        """Return whether the data is on another rack, the suspects there, and what is in use."""
+        rack = step.spec.placement.data_rack
+        is_remote = bool(rack) and worker.rack != rack
+        return (is_remote, worker.count_suspects(), worker.used_processors)
+
+
 def choose_worker(
     policy: PlacementPolicy, step: StepProgress, candidates: Iterable[Worker], ends_at: float
 ) -> Worker | None:
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 import zlib
 from typing import TypeVar
 
@@ -14,7 +15,7 @@
 
 from ...errors import InvalidArgumentError, ProtocolError
 from ..core.identifiers import WorkerId
-from .model import FencingToken, Submission, SubmissionId, SubmissionState
+from .model import FencingToken, Submission, SubmissionId, SubmissionState, WorkerIncarnation
 from .validation import check_submission
 
 WORK_TABLE = "lavenderhook-work"
@@ -36,22 +37,58 @@
 Record = TypeVar("Record", bound=msgspec.Struct)
 
 
+class StoredCrash(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A crash of a worker on which a run was active.
+
+    Parameters
+    ----------
+    age_seconds : float
+        Upper bound on the age of the run.
+    weak : bool
+        It has probably another cause.
+    alone : bool
+        Nothing else ran on the worker.
+    """
+
+    age_seconds: float = 0.0
+    weak: bool = False
+    alone: bool = False
+
+
 class Progress(msgspec.Struct, kw_only=True, omit_defaults=True):
-    """Done tasks and failed runs of a submission.
+    """Done tasks and failed runs of a submission, and the crashes of workers under its tasks.
 
-    Keys are ``occurrence.step``; failed runs are given by task index, and for a gang under -1. Run
-    numbers are stored, not a count, since a worker may report a finished run to several owners.
+    Keys are ``occurrence.step``; runs are given by task index, and for a gang under -1. Run numbers
+    are stored, not a count, since a worker may report a finished run to several owners.
+
+    Parameters
+    ----------
+    crashed : dict
+        Runs whose worker crashed, by number.
+    unresolved : dict
+        Other runs of tasks with crashes, by number: the incarnations of the workers that they may
+        have been started on, by worker.
     """
 
     done: dict[str, list[int]] = {}
     failed: dict[str, dict[int, list[int]]] = {}
+    crashed: dict[str, dict[int, dict[int, StoredCrash]]] = {}
+    unresolved: dict[str, dict[int, dict[int, dict[WorkerId, WorkerIncarnation]]]] = {}
+
+
+class FailureReason(enum.Enum):
+    """Why a submission has failed."""
+
+    ATTEMPTS_USED_UP = "attempts-used-up"
+    WORKERS_CRASHED = "workers-crashed"
 
 
-class Outcome(msgspec.Struct, frozen=True, kw_only=True):
+class Outcome(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Final state of a submission; `at` is Unix time in seconds."""
 
     state: SubmissionState
     at: float
+    reason: FailureReason | None = None
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from .advising import AdvicePlanner
-from .effects import Effect, LogDecision, SendStart, StepDown, StepDownReason
-from .model import FencingToken, RunNumber, StartCommand, TaskKey, TicketId
+from .effects import Effect, LogDecision, SendStart, StepDown, StepDownReason, StoreProgress
+from .isolation import SuspectPlacer
+from .model import FencingToken, RunNumber, RunState, StartCommand, TicketId
 from .placement import PlacementPolicy, choose_gang_workers, choose_worker, is_eligible
 from .ranking import StepRanking
 from .reservations import GangPlan, plan_gang, reserve
+from .start_log import StartLog
 from .submissions import StepProgress, SubmissionProgress
 from .workers import Worker, compute_command_token, is_run_number_of, make_run
 
@@ -38,6 +40,8 @@
         advice: AdvicePlanner,
     ) -> None:
         self.advice = advice
+        self.suspects = SuspectPlacer()
+        self.start_log = StartLog()
         self._fencing = fencing
         self._ranking = ranking
         self._policy = policy
@@ -45,7 +49,7 @@
     def schedule(
         self,
         submissions: Iterable[SubmissionProgress],
-        workers: Iterable[Worker],
+        workers: Collection[Worker],
         blocked_through_revision: float,
         now: float,
     ) -> list[Effect]:
@@ -54,7 +58,7 @@
         Parameters
         ----------
         submissions : iterable of SubmissionProgress
-        workers : iterable of Worker
+        workers : collection of Worker
         blocked_through_revision : float
             Submissions up to this revision of the store may have runs at unreached workers.
         now : float
@@ -68,10 +72,11 @@
                     candidates.append((self._ranking.rank(entry, step, now), entry, step))
         candidates.sort(key=lambda candidate: candidate[0])
         schedulable_workers = [worker for worker in workers if worker.is_schedulable(now)]
+        self.suspects.begin_pass(workers)
         left_to_reserve = MAX_RESERVED_SHARE * sum(
             worker.listing.capacity.processors for worker in schedulable_workers
         )
-        effects: list[Effect] = []
+        effects = self._send_planned_starts(now)
         for _, entry, step in candidates:
             effects += self._place_step(entry, step, schedulable_workers, now)
             if step.spec.is_gang and step.waiting and left_to_reserve > 0:
@@ -80,6 +85,17 @@
                     left_to_reserve -= reserve(plan, step.spec, schedulable_workers)
         for worker in schedulable_workers:
             worker.clear_reservation()
+        self.suspects.end_pass()
+        return effects
+
+    def _send_planned_starts(self, now: float) -> list[Effect]:
+        """Start the suspects whose run numbers are stored."""
+        effects: list[Effect] = []
+        for run in self.suspects.pop_startable(now):
+            assert run.command is not None
+            run.begin_start(now)
+            self.start_log.add(run.command, run.incarnation)
+            effects.append(SendStart(command=run.command))
         return effects
 
     def _plan(
@@ -96,7 +112,7 @@
         eligible = [worker for worker in workers if is_eligible(step, service, worker)]
         if entry.submission.queue.advice is not None:
             eligible = [worker for worker in eligible if worker.id in step.allowed]
-        candidates = [worker for worker in eligible if not worker.is_on_probation]
+        candidates = [w for w in eligible if not w.is_on_probation and w.is_shared()]
         return plan_gang(step.spec, candidates, now)
 
     def _place_step(
@@ -135,18 +151,53 @@
         effects: list[Effect] = []
         ends_at = now + BACKFILL_MARGIN * step.spec.expected_seconds
         for index in list(step.waiting):
+            if step.is_suspect(index):
+                effects += self._place_suspect(entry, step, index, usable, now)
+                continue
             candidates = usable
             if index in step.avoided:
                 preferred = [w for w in usable if not step.is_avoided(index, w.id)]
                 candidates = preferred or usable
             worker = choose_worker(self._policy, step, candidates, ends_at)
             if worker is None:
-                if candidates is not usable:
+                if candidates is not usable or step.crash_histories:
                     continue  # other tasks may fit on workers that this one avoids
                 break
             effects += self._start(entry, step, index, worker, step.allocate_run_number(), now)
         return effects
 
+    def _place_suspect(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        index: int,
+        usable: Sequence[Worker],
+        now: float,
+    ) -> list[Effect]:
+        """Plan the start of a task or gang that may crash its workers, and let it be stored."""
+        workers = self.suspects.choose_workers(entry, step, index, usable, now)
+        if not workers:
+            return []
+        return [
+            *self._start_on(entry, step, index, workers, now),
+            StoreProgress(submission=entry.submission.id),
+        ]
+
+    def _start_on(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        first_index: int,
+        workers: Sequence[Worker],
+        now: float,
+    ) -> list[Effect]:
+        """Start a task, or all members of a gang, on these workers with one run number."""
+        number = step.allocate_run_number()
+        effects: list[Effect] = []
+        for index, worker in enumerate(workers, first_index):
+            effects += self._start(entry, step, index, worker, number, now)
+        return effects
+
     def _place_copies(
         self,
         entry: SubmissionProgress,
@@ -177,18 +228,16 @@
         if len(step.waiting) < step.spec.count:
             return []
         # a gang is as slow as its slowest worker
-        usable = [w for w in usable if not w.is_on_probation]
+        usable = [w for w in usable if not w.is_on_probation and w.is_shared()]
+        if step.is_suspect(0):
+            return self._place_suspect(entry, step, 0, usable, now)
         preferred = [w for w in usable if not step.is_avoided(0, w.id)]
         chosen = choose_gang_workers(step.spec, preferred)
         if chosen is None and len(preferred) < len(usable):
             chosen = choose_gang_workers(step.spec, usable)
         if chosen is None:
             return []
-        number = step.allocate_run_number()
-        effects: list[Effect] = []
-        for index, worker in enumerate(chosen):
-            effects += self._start(entry, step, index, worker, number, now)
-        return effects
+        return self._start_on(entry, step, 0, chosen, now)
 
     def _start(
         self,
@@ -201,7 +250,7 @@
     ) -> list[Effect]:
         if not is_run_number_of(number, self._fencing):
             return [StepDown(worker=worker.id, reason=StepDownReason.NUMBERS_USED_UP)]
-        task = TaskKey(step.id.submission, step.id.occurrence, step.id.step, index)
+        task = step.make_task_key(index)
         ticket = step.allowed.get(worker.id)
         command = StartCommand(
             worker=worker.id,
@@ -212,28 +261,26 @@
             checkpoint=step.get_checkpoint(index),
             ticket=ticket.id if ticket is not None else TicketId(""),
         )
-        spec = step.spec
-        run = make_run(
-            command, spec.resources, spec.is_filler, now, spec.expected_seconds, worker.rack
-        )
-        # Members of a gang wait for the slowest; long-running tasks have no expected duration.
-        run.counts_for_speed = not (
-            step.spec.is_gang or step.spec.is_service or step.spec.is_filler
-        )
+        run = make_run(command, step.spec, worker, now)
         worker.add_run(run)
         step.add_run(run)
-        return [
-            LogDecision(
-                decision="task-placed",
-                fields={
-                    "task": str(task),
-                    "queue": entry.submission.queue.name,
-                    "run": number,
-                    "worker": worker.id,
-                    "report_age": round(now - worker.last_report_at, 3),
-                    "free": worker.get_free_processors(),
-                    "waited": round(now - step.due_at, 3),
-                },
-            ),
-            SendStart(command=command),
-        ]
+        placed = LogDecision(
+            decision="task-placed",
+            fields={
+                "task": str(task),
+                "queue": entry.submission.queue.name,
+                "run": number,
+                "worker": worker.id,
+                "report_age": round(now - worker.last_report_at, 3),
+                "free": worker.get_free_processors(),
+                "waited": round(now - step.due_at, 3),
+                "suspicion": step.get_suspicion(index).value,
+            },
+        )
+        if run.is_suspect:
+            run.state = RunState.PLANNED
+            run.is_in_flight = False
+            self.suspects.add_planned(step, run, worker)
+            return [placed]
+        self.start_log.add(command, run.incarnation)
+        return [placed, SendStart(command=command)]
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable, Iterator
 
 from ..core.identifiers import WorkerId
+from .crash_history import CrashHistory, SuspicionLevel
 from .model import (
     RunNumber,
     StepId,
     StepSpec,
     Submission,
     SubmissionState,
+    TaskKey,
     TicketId,
 )
-from .records import Progress
+from .records import FailureReason, Progress
+from .start_log import LoggedStart
 from .workers import Run
 
 GANG_INDEX = -1  # key of what a gang's members share: checkpoint, failures, avoided workers
@@ -68,7 +72,9 @@
     refused : set
         Workers that may not run the step.
     avoided : dict
-        By task index, workers where a run of the task failed or was overdue.
+        By task index, workers where a run of the task failed, was overdue or crashed the worker.
+    crash_histories : dict
+        By task index, the crashes of workers on which the task ran.
     """
 
     __slots__ = (
@@ -76,6 +82,7 @@
         "avoided",
         "checkpoints",
         "copies",
+        "crash_histories",
         "done",
         "due_at",
         "durations",
@@ -105,6 +112,7 @@
         self.refused: set[WorkerId] = set()
         self.avoided: dict[int, set[WorkerId]] = {}
         self.copies: list[int] = []
+        self.crash_histories: dict[int, CrashHistory] = {}
         self.durations: list[float] = []
         self.restarts: dict[int, int] = {}
         self.plan: GangPlan | None = None
@@ -125,20 +133,24 @@
         return self.last_run_number
 
     def drop_needless_copies(self) -> None:
-        """Forget the copies of tasks that are done, have one already, or have no run."""
-        self.copies = [index for index in self.copies if len(self.runs.get(index, ())) == 1]
+        """Forget the copies of tasks that are done, copied, without a run, or suspects."""
+        self.copies = [
+            index
+            for index in self.copies
+            if len(self.runs.get(index, ())) == 1 and not self.is_suspect(index)
+        ]
 
     def record_checkpoint(self, index: int, value: str) -> None:
         """Record a checkpoint; members of a gang share theirs."""
         if not value:
             return
-        key = GANG_INDEX if self.spec.is_gang else index
+        key = self._get_key(index)
         if key != GANG_INDEX or value > self.checkpoints.get(key, ""):
             self.checkpoints[key] = value
 
     def get_checkpoint(self, index: int) -> str:
         """Return the checkpoint from which a task resumes, or the empty string."""
-        return self.checkpoints.get(GANG_INDEX if self.spec.is_gang else index, "")
+        return self.checkpoints.get(self._get_key(index), "")
 
     def add_run(self, run: Run) -> None:
         """Add a run of one of the tasks."""
@@ -147,10 +159,17 @@
         if index in self.waiting:
             self.waiting.remove(index)
         self.last_run_number = RunNumber(max(self.last_run_number, run.number))
+        history = self.find_crash_history(index)
+        if history is not None:
+            history.add_active(run.number, run.worker, run.incarnation)
+            run.is_suspect = run.is_on_trial = self.is_suspect(index)
 
     def remove_run(self, run: Run) -> None:
         """Remove a run; its task waits again unless it is done or has other runs."""
         index = run.task.index
+        history = self.find_crash_history(index)
+        if history is not None:
+            history.remove_inactive(run.number, run.worker)
         left = [other for other in self.runs.get(index, ()) if other is not run]
         if left:
             self.runs[index] = left
@@ -165,19 +184,23 @@
 
     def count_failure(self, index: int, number: RunNumber) -> int:
         """Count a failed run once, however often it is reported; return the failures so far."""
-        key = GANG_INDEX if self.spec.is_gang else index
+        key = self._get_key(index)
         runs = self.failed.setdefault(key, set())
         runs.add(number)
         return len(runs)
 
     def avoid(self, index: int, worker: WorkerId) -> None:
         """Avoid a worker for a task, or for a whole gang, if another one is available."""
-        key = GANG_INDEX if self.spec.is_gang else index
+        key = self._get_key(index)
         self.avoided.setdefault(key, set()).add(worker)
 
+    def stop_avoiding(self, index: int, worker: WorkerId) -> None:
+        """Stop avoiding a worker for a task, or for a whole gang."""
+        self.avoided.get(self._get_key(index), set()).discard(worker)
+
     def is_avoided(self, index: int, worker: WorkerId) -> bool:
         """Return whether a worker is avoided for a task."""
-        return worker in self.avoided.get(GANG_INDEX if self.spec.is_gang else index, ())
+        return worker in self.avoided.get(self._get_key(index), ())
 
     def mark_done(self, index: int) -> bool:
         """Mark a task, or all of a gang, as done; return whether the task was not done before."""
@@ -187,8 +210,64 @@
         else:
             self.done.add(index)
         self.waiting = [i for i in self.waiting if i not in self.done]
+        self.crash_histories.pop(self._get_key(index), None)
         return is_new
 
+    def make_task_key(self, index: int) -> TaskKey:
+        """Return the key of a task."""
+        return TaskKey(self.id.submission, self.id.occurrence, self.id.step, index)
+
+    def _get_key(self, index: int) -> int:
+        return GANG_INDEX if self.spec.is_gang else index
+
+    # Crashes of workers under the tasks of the step.
+
+    def find_crash_history(self, index: int) -> CrashHistory | None:
+        """Return the crashes under a task, or under its gang, if there were any."""
+        return self.crash_histories.get(self._get_key(index))
+
+    def get_or_add_crash_history(self, index: int) -> CrashHistory:
+        """Return the crashes under a task, or under its gang."""
+        return self.crash_histories.setdefault(self._get_key(index), CrashHistory())
+
+    def has_lost(self, run: Run) -> bool:
+        """Return whether a run has crashed its worker, or may have done so."""
+        history = self.find_crash_history(run.task.index)
+        return history is not None and run.number in history.runs
+
+    def drop_empty_history(self, index: int) -> None:
+        """Forget the history of a task or gang that names no run any longer."""
+        history = self.find_crash_history(index)
+        if history is not None and not history.runs:
+            del self.crash_histories[self._get_key(index)]
+
+    def forget_crashes(self, index: int) -> None:
+        """Forget the crashes under a task or gang that is not their cause."""
+        self.crash_histories.pop(self._get_key(index), None)
+        for run in self.list_runs(self._get_key(index)):
+            run.is_suspect = run.is_on_trial = False
+
+    def get_suspicion(self, index: int) -> SuspicionLevel:
+        """Return how a task is to be placed."""
+        history = self.find_crash_history(index)
+        return SuspicionLevel.NONE if history is None else history.level
+
+    def is_suspect(self, index: int) -> bool:
+        """Return whether a task may have crashed workers."""
+        return self.get_suspicion(index) is not SuspicionLevel.NONE
+
+    def list_runs(self, key: int) -> list[Run]:
+        """Return the runs of the task or gang that a crash history is kept for."""
+        if key == GANG_INDEX:
+            return [run for runs in self.runs.values() for run in runs]
+        return self.runs.get(key, [])
+
+    def shares_history(self, run: Run, other: Run) -> bool:
+        """Return whether a run of this step belongs to the same task or gang as another run."""
+        if self.spec.is_gang:
+            return run.task.step_id == other.task.step_id
+        return run.task == other.task
+
 
 class SubmissionProgress:
     """A submission that has no final state yet.
@@ -199,6 +278,8 @@
         Revision of the stored submission.
     progress_revision : int
         Revision of the stored progress; 0 if there is none.
+    failure : FailureReason or None
+        Why it is to fail.
     """
 
     def __init__(
@@ -213,6 +294,7 @@
         self.arrived_at = arrived_at
         self.state = SubmissionState.QUEUED
         self.is_finalizing = False
+        self.failure: FailureReason | None = None
         self.progress_revision = 0
         self.steps: dict[tuple[int, int], StepProgress] = {}
         for occurrence in range(max(1, submission.repetitions)):
@@ -244,6 +326,36 @@
         """Whether every task of every step has ended done."""
         return all(step.is_done for step in self.steps.values())
 
+    def import_starts(self, starts: Iterable[LoggedStart], now: float) -> None:
+        """Record the runs that earlier owners have started, and whose fate isn't known here."""
+        for start in starts:
+            step = self.steps.get((start.task.occurrence, start.task.step))
+            if step is not None and start.task.index not in step.done:
+                step.get_or_add_crash_history(start.task.index).add_uncertain(
+                    start.number, start.worker, start.incarnation, now
+                )
+
+    def begin_finalizing(self, failure: FailureReason | None) -> bool:
+        """Begin to store the final state; return whether that had not begun before.
+
+        Parameters
+        ----------
+        failure : FailureReason or None
+            None if all tasks are done.
+        """
+        if self.is_finalizing:
+            return False
+        self.is_finalizing = True
+        self.failure = failure
+        self.state = SubmissionState.RUNNING
+        return True
+
+    def find_final_state(self) -> SubmissionState | None:
+        """Return the final state that the submission has reached, or None."""
+        if not self.is_finalizing:
+            return None
+        return SubmissionState.COMPLETED if self.is_done else SubmissionState.FAILED
+
     def is_ready(self, step: StepProgress, now: float) -> bool:
         """Return whether a step is due and the steps before it are done."""
         occurrence = step.id.occurrence
@@ -251,23 +363,46 @@
             self.steps[(occurrence, earlier)].is_done for earlier in step.spec.after
         )
 
+    def list_crash_histories(self) -> Iterator[tuple[StepProgress, int, CrashHistory]]:
+        """Yield the crash histories of all steps, each with its step and its task index or -1."""
+        for step in self.steps.values():
+            for key, history in step.crash_histories.items():
+                yield step, key, history
+
     def export_progress(self) -> Progress:
         """Return the progress to store."""
-        progress = Progress(done={}, failed={})
+        progress = Progress(done={}, failed={}, crashed={}, unresolved={})
         for (occurrence, index), step in self.steps.items():
             key = f"{occurrence}.{index}"
             if step.done:
                 progress.done[key] = sorted(step.done)
             if step.failed:
                 progress.failed[key] = {i: sorted(runs) for i, runs in step.failed.items()}
+            for task, history in step.crash_histories.items():
+                crashed, unresolved = history.export_crashed(), history.export_unresolved()
+                if crashed:
+                    progress.crashed.setdefault(key, {})[task] = crashed
+                if unresolved:
+                    progress.unresolved.setdefault(key, {})[task] = unresolved
         return progress
 
-    def import_progress(self, progress: Progress) -> None:
+    def record_stored(self, progress: Progress) -> None:
+        """Record the progress that the store holds now."""
+        for step, task, history in self.list_crash_histories():
+            key = f"{step.id.occurrence}.{step.id.step}"
+            history.record_stored(progress.unresolved.get(key, {}).get(task, {}))
+
+    def import_progress(self, progress: Progress, now: float) -> None:
         """Restore the progress that an earlier owner stored."""
         for (occurrence, index), step in self.steps.items():
             key = f"{occurrence}.{index}"
             for task in progress.done.get(key, ()):
                 step.mark_done(task)
             step.failed = {i: set(runs) for i, runs in progress.failed.get(key, {}).items()}
-        if progress.done or progress.failed:
+            crashed, unresolved = progress.crashed.get(key, {}), progress.unresolved.get(key, {})
+            for task in crashed.keys() | unresolved.keys():
+                step.crash_histories[task] = CrashHistory.restore(
+                    crashed.get(task, {}), unresolved.get(task, {}), now
+                )
+        if progress.done or progress.failed or progress.crashed:
             self.state = SubmissionState.RUNNING
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -14,8 +14,10 @@
     RunNumber,
     RunState,
     StartCommand,
+    StepSpec,
     SubmissionId,
     TaskKey,
+    WorkerIncarnation,
     WorkerListing,
     WorkerState,
 )
@@ -58,6 +60,8 @@
 
     Attributes
     ----------
+    incarnation : WorkerIncarnation
+        That of its worker.
     acknowledged_at : float or None
         When the worker confirmed the last command for it.
     attempts : int
@@ -66,6 +70,10 @@
         Its processors aren't counted; see `StepSpec`.
     progress : float
         Share that is done, by the worker's last report.
+    is_suspect : bool
+        The task may crash its worker.
+    is_on_trial : bool
+        It is suspect, and not known to have become older than the runs that crashed.
     has_unknown_resources : bool
         The submission has ended and its steps aren't loaded; nothing is placed on the worker.
     """
@@ -77,6 +85,7 @@
     is_filler: bool
     state: RunState
     commanded_at: float
+    incarnation: WorkerIncarnation = WorkerIncarnation()
     estimate_seconds: float = 0.0
     estimated_end_at: float = 0.0  # infinite for a service
     acknowledged_at: float | None = None
@@ -88,12 +97,21 @@
     counts_for_speed: bool = False  # its duration depends on its worker only
     has_unconfirmed_start: bool = False  # an unanswered start may be carried out late
     has_unknown_resources: bool = False
+    is_suspect: bool = False
+    is_on_trial: bool = False
     rack: str = ""
     progress: float = 0.0
     # Samples of the progress, with the time on the worker's clock in seconds.
     _samples: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     _moved_clock: float = 0.0  # when the progress last increased
 
+    def begin_start(self, now: float) -> None:
+        """Begin the start of a planned run."""
+        self.state = RunState.STARTING
+        self.commanded_at = now
+        self.estimated_end_at = now + self.estimate_seconds
+        self.is_in_flight = True
+
     def record_progress(self, progress: float, clock: float) -> None:
         """Record the progress that a worker has reported at a time on its own clock."""
         if not self._samples or progress > self.progress:
@@ -152,6 +170,7 @@
         self.is_open_in_roster = False
         self.last_report_at = 0.0
         self.unanswered_holds = 0  # in a row
+        self.silent_since: float | None = None  # the first of these
         self.blocked_until = 0.0
         self.runs: dict[tuple[TaskKey, RunNumber], Run] = {}
         self.unmatched_runs: dict[TaskKey, ReportedRun] = {}
@@ -160,6 +179,8 @@
         self.slow_submissions: set[SubmissionId] = set()  # since a run last finished in time
         self.leaves_at: float | None = None  # a draining worker leaves at this time or later
         self.is_on_probation = False  # see the module `stragglers`
+        self.isolated_run: Run | None = None  # nothing is placed beside it; see `isolation`
+        self.emptied_for: TaskKey | None = None  # nothing is placed until this suspect starts here
         # reported before their submission was known
         self.unmatched_finished_runs: tuple[FinishedRun, ...] = ()
         self.unmatched_since: float | None = None
@@ -177,6 +198,10 @@
         """Id of the worker."""
         return self.listing.id
 
+    def get_incarnation(self) -> WorkerIncarnation:
+        """Return what identifies the incarnation."""
+        return WorkerIncarnation(self.listing.born, self.listing.address)
+
     def forget_reports(self) -> None:
         """Discard what was reported, since finished runs are numbered from the start again."""
         self.processed_sequence = 0
@@ -185,6 +210,23 @@
         self.unmatched_since = None
         self.unmatched_runs.clear()
 
+    def record_answer(self, now: float) -> bool:
+        """Record a report; return whether that changes whether the worker accepts starts."""
+        accepted_starts = self.accepts_starts()
+        self.last_report_at = now
+        self.unanswered_holds = 0
+        self.silent_since = None
+        return self.accepts_starts() != accepted_starts
+
+    def record_unanswered_hold(self, now: float) -> bool:
+        """Record an unanswered hold; return whether that changes whether it accepts starts."""
+        accepted_starts = self.accepts_starts()
+        self.unanswered_holds += 1
+        if self.silent_since is None:
+            self.silent_since = now
+        self.blocked_until = max(self.blocked_until, now + REFUSAL_BLOCK_SECONDS)
+        return self.accepts_starts() != accepted_starts
+
     def waits_for_submission(self, *, is_known: bool, now: float) -> bool:
         """Return whether the next finished run has to wait until its submission is known.
 
@@ -209,6 +251,7 @@
         self.slow_submissions.clear()
         self.is_on_probation = False
         self.blocked_until = 0.0
+        self.silent_since = None
 
     def update_listing(self, listing: WorkerListing, now: float) -> None:
         """Apply the newest entry of the platform's list."""
@@ -263,7 +306,7 @@
 
     def has_capacity_for(self, resources: Resources, is_filler: bool, ends_at: float) -> bool:
         """Return whether a task that is expected to end at a time may be placed here."""
-        if self.is_on_probation and self.runs:
+        if not self.is_shared() or (self.is_on_probation and self.runs):
             return False
         capacity = self.listing.capacity
         reserved = Resources() if ends_at <= self.reserved_until else self.reserved
@@ -286,6 +329,15 @@
             reserved.accelerators + count * resources.accelerators,
         )
 
+    def is_shared(self) -> bool:
+        """Return whether tasks may be placed here beside others."""
+        is_isolated = self.isolated_run is not None and self.isolated_run.is_on_trial
+        return not is_isolated and self.emptied_for is None
+
+    def count_suspects(self) -> int:
+        """Return how many runs may crash the worker."""
+        return sum(run.is_suspect for run in self.runs.values())
+
     def clear_reservation(self) -> None:
         """Release all reserved capacity."""
         self.reserved = Resources()
@@ -304,6 +356,10 @@
         """Remove a run and free its resources."""
         if self.runs.pop((run.task, run.number), None) is not None:
             self._update_usage(run, -1)
+        if self.isolated_run is run:  # other members of its gang may remain
+            step_id = run.task.step_id
+            others = (other for other in self.runs.values() if other.task.step_id == step_id)
+            self.isolated_run = next(others, None)
 
     def _update_usage(self, run: Run, sign: int) -> None:
         if run.has_unknown_resources:
@@ -314,21 +370,39 @@
         self.used_accelerators += sign * run.resources.accelerators
 
 
-def make_run(
-    command: StartCommand,
-    resources: Resources,
-    is_filler: bool,
-    now: float,
-    estimate_seconds: float,
-    rack: str,
+def make_adopted_run(
+    reported: ReportedRun, spec: StepSpec | None, worker: Worker, now: float
 ) -> Run:
+    """Return a run that an earlier owner started; `spec` is None if its submission has ended."""
+    known = spec or StepSpec()
+    return Run(
+        task=reported.task,
+        number=reported.number,
+        worker=worker.id,
+        incarnation=worker.get_incarnation(),
+        resources=known.resources,
+        is_filler=known.is_filler,
+        has_unknown_resources=spec is None,
+        state=RunState.RUNNING,
+        commanded_at=now,
+        estimate_seconds=known.expected_seconds,
+        estimated_end_at=0.0 if spec is None else now + spec.expected_seconds,
+        acknowledged_at=now,
+        checkpoint=reported.checkpoint,
+        rack=worker.rack,
+    )
+
+
+def make_run(command: StartCommand, spec: StepSpec, worker: Worker, now: float) -> Run:
     """Return the run that a start command begins."""
+    estimate_seconds = spec.expected_seconds
     return Run(
         task=command.task,
         number=command.number,
         worker=command.worker,
-        resources=resources,
-        is_filler=is_filler,
+        incarnation=worker.get_incarnation(),
+        resources=spec.resources,
+        is_filler=spec.is_filler,
         state=RunState.STARTING,
         commanded_at=now,
         estimate_seconds=estimate_seconds,
@@ -337,7 +411,9 @@
         command=command,
         is_in_flight=True,
         attempts=1,
-        rack=rack,
+        # Members of a gang wait for the slowest; long-running tasks have no expected duration.
+        counts_for_speed=not (spec.is_gang or spec.is_service or spec.is_filler),
+        rack=worker.rack,
     )
 
 
