Let stand-in workers crash under tasks and change their capacity

Adds to the stand-in workers crashes under set tasks, restarts as another incarnation, and changes of capacity, each with the rule that a start must keep; and a scenario with real processes, without and with owners that are killed as the crash happens.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -135,6 +135,24 @@
     Then "deadly" has 1 starts
     And no invariant was violated
 
+  Scenario Outline: A task that crashes its workers is given up by real processes
+    Guards against starts beyond the budget that pass through the store, the workers' own reports and
+    owners that are killed as the crash happens.
+    Given 3 entry instances and 4 queue workers
+    When task 0 of submission "00000000000000d1" crashes its workers after <age> seconds
+    And the owner is killed each time that a task crashes its worker, <kills> times
+    And submission "00000000000000d1" of 2 tasks is sent to instance 0
+    And 20 submissions are sent
+    Then "00000000000000d1" becomes "failed" at instance 1 within 40 seconds
+    And all accepted submissions become "completed" within 20 seconds
+    And the stand-ins saw no violation
+
+    Examples:
+      | age | kills |
+      | 0   | 0     |
+      | 0.1 | 0     |
+      | 0.1 | 2     |
+
   Scenario: A task is not started beyond its budget while the store rejects writes
     Guards against counts that exist only in memory when the owner ends with an outage of the store.
     Given 12 workers and an owner
--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -13,8 +13,11 @@
 
 from features.support.queue_processes import EntryCluster
 from lavenderhook.errors import TransportError
+from standins.crashes import CrashBehaviour
 
 PIPE_BYTES = 4096  # the log of one submission fills it
+WORKER_DOWN_SECONDS = 1.5  # after a crash
+INSTANCE_DOWN_SECONDS = 0.5  # after it was killed
 MAX_REACH_SECONDS = 10.0  # for an owner to load its state and call all workers
 
 
@@ -60,6 +63,29 @@
     context.cluster.platform.failing_submissions.add(name)
 
 
+@when('task {index:d} of submission "{name}" crashes its workers after {age:g} seconds')
+def step_crashing(context, index, name, age):
+    behaviour = CrashBehaviour(age, WORKER_DOWN_SECONDS, frozenset({index}))
+    context.cluster.platform.crash_budget.add(name, behaviour)
+
+
+@when("the owner is killed each time that a task crashes its worker, {count:d} times")
+def step_kill_owners(context, count):
+    def kill_owner(crashes):
+        if crashes <= count:
+            entry = context.cluster.entries[context.cluster.find_owner()]
+            entry.send(signal.SIGKILL)
+            gevent.spawn_later(INSTANCE_DOWN_SECONDS, restart_killed, entry)
+
+    context.cluster.platform.on_crash = kill_owner
+
+
+def restart_killed(entry):
+    """Start an instance again that was killed."""
+    entry.process.wait()
+    entry.start()
+
+
 @when('"{name}" is cancelled at instance {index:d}')
 def step_cancel(context, name, index):
     context.answer = context.cluster.call(index, "DELETE", f"/jobs/{name}")
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -9,6 +9,8 @@
 import gevent
 import gevent.event
 
+from .capacity import ProcessorLimit
+from .crashes import CrashBudget
 from .errors import DropConnectionError
 from .web import Listener, Response, reply_json
 
@@ -18,6 +20,7 @@
 GANG_START_TIMEOUT_SECONDS = 3.0
 MAX_PART_BACKLOG_SECONDS = 1.0  # of transactions waiting for one part
 RUN_TIME_FACTOR = 1.0  # run time of a task divided by its estimate
+ENTRY_TIMEOUT_SECONDS = 4.5  # the platform removes a silent worker's entry after this time
 
 
 class RowStoreStandIn:
@@ -237,26 +240,59 @@
         Expiry of the lease in milliseconds of the worker's clock.
     address : str
         Address in the worker's entry; empty for that of the listener.
+    is_up : bool
+        Whether its process runs.
     """
 
     def __init__(self, platform, name, processors=8000):
         self.platform = platform
         self.name = name
-        self.processors = processors
-        self.born = int(time.time() * 1000)
-        self.started_at = time.monotonic()
-        self.highest_token = 0
+        self.limit = ProcessorLimit(processors)
         self.stale_command_count = 0
-        self.lease_until = 0.0
         self.runs = {}
-        self.highest_run_numbers = {}
-        self.finished_runs = []
-        self.sequences = itertools.count(1)
         self.run_finished = gevent.event.Event()
         self.is_answering = True
         self.address = ""
+        self.born = 0
+        self.begin_incarnation()
         self.listener = Listener(self.respond)
 
+    def begin_incarnation(self):
+        """Start the worker's process, which knows nothing of the one before."""
+        self.born = max(self.born + 1, int(time.time() * 1000))
+        self.started_at = time.monotonic()
+        self.highest_token = 0
+        self.lease_until = 0.0
+        self.highest_run_numbers = {}
+        self.finished_runs = []
+        self.sequences = itertools.count(1)
+        self.is_up = True
+
+    def crash(self, down_seconds):
+        """End without notice, with everything that runs, and start again later."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.runs.clear()
+        self.run_finished.set()
+        self.run_finished.clear()
+        gevent.spawn_later(ENTRY_TIMEOUT_SECONDS, self._remove_entry, self.born)
+        gevent.spawn_later(down_seconds, self._restart)
+
+    def _remove_entry(self, born):
+        if not self.is_up and self.born == born:
+            self.platform.store.delete("servers", self.name)
+
+    def _restart(self):
+        self.begin_incarnation()
+        self.write_entry()
+
+    def resize(self, processors):
+        """Change the capacity while the worker runs."""
+        self.limit.resize(processors, time.monotonic())
+        if self.is_up:
+            self.write_entry()
+
     def write_entry(self, state="ready"):
         """Write the worker's entry to the row store."""
         self.platform.write_json(
@@ -267,7 +303,7 @@
                 "address": self.address or self.listener.location,
                 "zone": "a",
                 "state": state,
-                "capacity": {"cpu": self.processors, "memMb": 64_000, "gpu": 0},
+                "capacity": {"cpu": self.limit.processors, "memMb": 64_000, "gpu": 0},
                 "labels": ["a", "r1-1"],
                 "born": self.born,
                 "sequence": 1,
@@ -281,6 +317,9 @@
     def respond(self, request):
         """Handle a command."""
         body = request.read_json()
+        born = self.born
+        if not self.is_up:
+            raise DropConnectionError
         if request.headers.get("x-expected-instance") != self.name:
             return Response(421)
         if body["fencingToken"] < self.highest_token:
@@ -293,7 +332,7 @@
             "/lavenderhook/run-stop": self._stop,
             "/lavenderhook/hold": self._hold,
         }[request.path](body)
-        if not self.is_answering:
+        if not self.is_answering or not self.is_up or self.born != born:
             raise DropConnectionError
         return response
 
@@ -333,13 +372,28 @@
             self._finish_if_active,
             task,
             run_number,
+            self.born,
         )
+        behaviour = self.platform.find_crash(task)
+        if behaviour is not None:
+            if behaviour.age_seconds:
+                gevent.spawn_later(
+                    behaviour.age_seconds, self._crash_under, task, run_number, self.born, behaviour
+                )
+            else:
+                self._crash_under(task, run_number, self.born, behaviour)
         return reply_json({"clockMs": self.read_clock_ms()})
 
-    def _finish_if_active(self, task, run_number, outcome="done"):
+    def _crash_under(self, task, run_number, born, behaviour):
+        active = self.runs.get(task)
+        if self.born == born and active is not None and active["run"] == run_number:
+            self.platform.record_crash(task)
+            self.crash(behaviour.down_seconds)
+
+    def _finish_if_active(self, task, run_number, born, outcome="done"):
         """Finish this run if it is active; the platform may turn ``done`` into another outcome."""
         active = self.runs.get(task)
-        if active is not None and active["run"] == run_number:
+        if self.born == born and active is not None and active["run"] == run_number:
             self._finish_run(
                 task, self.platform.choose_outcome(task) if outcome == "done" else outcome
             )
@@ -362,6 +416,7 @@
                 self._finish_if_active,
                 task,
                 self.runs[task]["run"],
+                self.born,
                 "stopped",
             )
         return reply_json({"clockMs": self.read_clock_ms()})
@@ -400,6 +455,10 @@
         Monotonic time of completion in seconds by task.
     failing_submissions : set of str
         Submissions whose runs all fail.
+    crash_budget : CrashBudget
+        Submissions whose tasks crash their workers.
+    on_crash : callable or None
+        Called with the number of workers that tasks have crashed so far.
     violations : list of str
         Invariants violated, as observed by the workers.
     """
@@ -412,6 +471,8 @@
         self.starts = {}
         self.completed_at = {}
         self.failing_submissions = set()
+        self.crash_budget = CrashBudget()
+        self.on_crash = None
         self.violations = []
 
     def start(self):
@@ -472,7 +533,7 @@
         spec = self.steps[submission][int(step)]
         self.starts[task] = self.starts.get(task, 0) + 1
         used = sum(active["cpu"] for active in worker.runs.values())
-        if used + spec["cpu"] > worker.processors:
+        if used + spec["cpu"] > worker.limit.compute(time.monotonic()):
             self.violations.append(f"capacity of {worker.name} exceeded by {task}")
         if any(task in other.runs for other in self.workers):
             self.violations.append(f"{task} has two active runs")
@@ -480,8 +541,21 @@
             self.violations.append(f"{task} was started after its completion")
         if body.get("ticket") != "ticket":
             self.violations.append(f"{task} was started without its ticket")
+        if not self.crash_budget.record_start(task):
+            self.violations.append(f"{task} was started beyond its budget of crashes")
         return spec
 
+    def find_crash(self, task):
+        """Return how a task crashes its workers, or None."""
+        submission, _, _, index = task.split(".")
+        return self.crash_budget.find(submission, int(index))
+
+    def record_crash(self, task):
+        """Record that a task is crashing its worker."""
+        self.crash_budget.crashes[task] += 1
+        if self.on_crash is not None:
+            self.on_crash(self.crash_budget.crashes.total())
+
     def choose_outcome(self, task):
         """Return the outcome of a run that is not stopped."""
         return "failed" if task.partition(".")[0] in self.failing_submissions else "done"
