Send no start that was decided before its worker shrank

What callers would see: a worker over its capacity (rule LIMIT), which crashes or slows all that runs there. Cause: two starts are sent long after they were decided: that of a suspect, which waits until the store holds its number, and one without an answer, which is repeated once the worker is in contact. The capacity was checked when they were decided only. Evidence: 'A planned start is not sent to a worker that has shrunk' and 'An unanswered start is not repeated at a worker that has shrunk' fail before (over-capacity) and pass after; the first needs an outage of the store, the second a cut of 4.4 s. Change: such starts are given up when what runs on their worker exceeds its capacity. A line worker-resized for each change.

--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -216,13 +216,32 @@
 
 @when("random simulations run until one violates an invariant, with the fault: {fault}")
 def step_mutant(context, fault):
-    context.violating_seed = None
+    # Every second simulation has leaving workers, without which some faults have no effect.
+    context.violating_seed = find_violating_seed(
+        fault, lambda seed: run_random_simulation(seed, has_leaving_workers=seed % 2 == 0)
+    )
+
+
+@when(
+    "random simulations with crashing tasks and changes of capacity run until one violates "
+    "an invariant, with the fault: {fault}"
+)
+def step_mutant_of_budget(context, fault):
+    context.violating_seed = find_violating_seed(
+        fault,
+        functools.partial(
+            run_random_simulation, has_crashing_tasks=True, has_capacity_changes=True
+        ),
+    )
+
+
+def find_violating_seed(fault, run_simulation):
+    """Return the first seed that violates an invariant, with a deliberate fault, or None."""
     with apply_mutant(fault):
         for seed in range(1, MAX_SEEDS + 1):
-            # Every second simulation has leaving workers, without which some faults have no effect.
-            if run_random_simulation(seed, has_leaving_workers=seed % 2 == 0).violations:
-                context.violating_seed = seed
-                return
+            if run_simulation(seed).violations:
+                return seed
+    return None
 
 
 @then("one of the first {count:d} simulations violated an invariant")
--- a/features/support/queue_mutants.py
+++ b/features/support/queue_mutants.py
@@ -2,10 +2,14 @@
 
 from unittest import mock
 
+import msgspec
+
 from lavenderhook._internal.queueing.events import FinishedRunPosition, ProgressStored
 from lavenderhook._internal.queueing.model import StartOutcome
 from lavenderhook._internal.queueing.owner_state import OwnerState
 from lavenderhook._internal.queueing.roster import RosterTracker
+from lavenderhook._internal.queueing.submissions import SubmissionProgress
+from lavenderhook._internal.queueing.workers import Worker
 
 from .queue_simulation import SimulatedOwner, SimulatedWorker
 
@@ -77,6 +81,31 @@
     )
 
 
+def ignore_capacity_changes():
+    """Keep the capacity that a worker had when it was first listed."""
+    original_update = Worker.update_listing
+
+    def update_without_capacity(self, listing, now):
+        former = self.listing.capacity
+        original_update(self, msgspec.structs.replace(listing, capacity=former), now)
+
+    return mock.patch.object(Worker, "update_listing", update_without_capacity)
+
+
+def forget_crashes():
+    """Let a new owner begin without the crashes that earlier owners have seen or caused."""
+    original_import = SubmissionProgress.import_progress
+
+    def import_without_crashes(self, progress, now):
+        original_import(self, msgspec.structs.replace(progress, crashed={}, unresolved={}), now)
+
+    return mock.patch.multiple(
+        SubmissionProgress,
+        import_progress=import_without_crashes,
+        import_starts=lambda self, starts, now: None,
+    )
+
+
 MUTANTS = {
     "workers ignore tokens": ignore_tokens,
     "finished runs are acknowledged before they are stored": acknowledge_before_commit,
@@ -84,6 +113,8 @@
     "a new owner ignores unreachable workers": forget_unreachable_workers,
     "the owner does not wait for leases to expire": ignore_leases,
     "closed workers get starts before they are reopened": reopen_before_commit,
+    "changes of capacity are ignored": ignore_capacity_changes,
+    "a new owner forgets crashes": forget_crashes,
 }
 
 
--- a/features/support/queue_random_runs.py
+++ b/features/support/queue_random_runs.py
@@ -9,6 +9,7 @@
 
 FAULT_PHASE_SECONDS = 15.0
 SETTLE_SECONDS = 40.0
+MAX_BEAT_SECONDS = 1.5  # between a worker's entries in the platform's list
 
 
 def make_steps(generator):
@@ -31,6 +32,7 @@
     has_services=False,
     owners_confirm=False,
     has_crashing_tasks=False,
+    has_capacity_changes=False,
 ):
     """Run a simulation with random faults, let it settle without lost answers, and return it.
 
@@ -60,6 +62,8 @@
         add_services(simulation, generator)
     for index in range(generator.randint(1, 3) if has_crashing_tasks else 0):
         add_crashing_tasks(simulation, generator, f"crashing{index}")
+    for _ in range(generator.randint(2, 6) if has_capacity_changes else 0):
+        add_capacity_change(simulation, generator)
     simulation.run(FAULT_PHASE_SECONDS)
     simulation.lost_answer_share = 0.0
     simulation.run(SETTLE_SECONDS)
@@ -134,6 +138,20 @@
     simulation.call_later(at, simulation.submit, name, steps)
 
 
+def add_capacity_change(simulation, generator):
+    """Let a worker shrink and grow again while it runs; its entry shows that with its next beat."""
+    worker = simulation.workers[generator.choice(sorted(simulation.workers))]
+    at, span = generator.uniform(0.5, FAULT_PHASE_SECONDS - 2), generator.uniform(1.0, 9.0)
+    full = worker.capacity.processors
+    for time, processors in (
+        (at, int(full * generator.choice([0.0, 0.2, 0.5, 0.8]))),
+        (at + span, full),
+    ):
+        simulation.call_later(time, worker.resize, processors)
+        beat = generator.uniform(0.0, MAX_BEAT_SECONDS)
+        simulation.call_later(time + beat, refresh_worker_lists, simulation)
+
+
 def add_services(simulation, generator):
     """Submit services, which are cancelled at the end, and let workers slow down and leave."""
     for index in range(4):
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -9,6 +9,8 @@
 import itertools
 import random
 
+import msgspec
+
 from lavenderhook._internal.queueing import effects
 from lavenderhook._internal.queueing.events import (
     AdviceArrived,
@@ -43,6 +45,7 @@
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
 from lavenderhook._internal.queueing.records import Outcome, Roster, set_closing_revisions
 from lavenderhook._internal.queueing.start_log import collect_starts
+from standins.capacity import ProcessorLimit
 
 from .crashing_tasks import CrashingTasks
 
@@ -79,6 +82,7 @@
         self.simulation = simulation
         self.name = name
         self.capacity = capacity
+        self.limit = ProcessorLimit(capacity.processors)
         self.rack = rack
         self.is_partitioned = False
         self.is_up = True
@@ -116,6 +120,11 @@
             ),
         )
 
+    def resize(self, processors):
+        """Change the capacity while the worker runs."""
+        self.capacity = msgspec.structs.replace(self.capacity, processors=processors)
+        self.limit.resize(processors, self.simulation.now)
+
     def leave(self):
         """End with everything that runs."""
         self.lost_runs += self.runs.values()
@@ -699,7 +708,7 @@
         self.started_runs.add((command.task, command.number))
         spec = self.find_spec(command.task)
         used = sum(run.resources.processors for run in worker.runs.values())
-        if used + spec.resources.processors > worker.capacity.processors:
+        if used + spec.resources.processors > worker.limit.compute(self.now):
             self._add_violation("over-capacity", worker, command)
         for other in self.workers.values():
             if other.is_up and command.task in other.runs and not spec.allows_copies:
--- a/src/lavenderhook/_internal/queueing/isolation.py
+++ b/src/lavenderhook/_internal/queueing/isolation.py
@@ -160,11 +160,12 @@
         return [planned.run for planned in startable]
 
     def list_misplaced(self, now: float) -> list[Run]:
-        """Return the planned runs whose workers take no starts any longer."""
+        """Return the planned runs that their workers can't take any longer."""
         return [
             planned.run
             for planned in self._planned
-            if planned.is_current() and not planned.worker.is_schedulable(now)
+            if planned.is_current()
+            and (not planned.worker.is_schedulable(now) or planned.worker.is_over_capacity())
         ]
 
 
--- a/src/lavenderhook/_internal/queueing/log_lines.py
+++ b/src/lavenderhook/_internal/queueing/log_lines.py
@@ -4,7 +4,7 @@
 
 from ..core.identifiers import WorkerId
 from .effects import LogDecision
-from .model import RunNumber, TaskKey
+from .model import Resources, RunNumber, TaskKey
 from .records import FailureReason, Outcome
 from .submissions import SubmissionProgress
 from .workers import Worker
@@ -35,6 +35,20 @@
     )
 
 
+def log_capacity_change(worker: Worker, capacity: Resources) -> LogDecision:
+    """Return the log line of a worker that has another capacity than before."""
+    former = worker.listing.capacity
+    return log_worker(
+        "worker-resized",
+        worker,
+        processors=capacity.processors,
+        memory=capacity.memory_mb,
+        accelerators=capacity.accelerators,
+        former_processors=former.processors,
+        used=worker.used_processors,
+    )
+
+
 def log_submission_queued(entry: SubmissionProgress, age: float) -> LogDecision:
     """Return the log line of a submission that the owner has read; `age` is in seconds."""
     submission = entry.submission
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -43,6 +43,7 @@
     WorkersListed,
 )
 from .log_lines import (
+    log_capacity_change,
     log_run,
     log_submission_ended,
     log_submission_ending,
@@ -264,6 +265,8 @@
             else:
                 if listing.state is not worker.listing.state:
                     effects.append(log_worker(f"worker-{listing.state.value}", worker))
+                if listing.capacity != worker.listing.capacity:
+                    effects.append(log_capacity_change(worker, listing.capacity))
                 worker.update_listing(listing, event.now)
             worker.is_listed = True
         for worker in self.workers.values():
@@ -546,6 +549,8 @@
         if now < run.next_attempt_at or is_uncertain:
             self.commands_to_retry.append(run)
             return []
+        if run.state is RunState.STARTING and worker.is_over_capacity():
+            return self._stop(run, now)  # the worker has shrunk meanwhile
         run.is_in_flight = True
         run.attempts += 1
         if run.state is RunState.STOPPING:
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -318,6 +318,15 @@
             <= capacity.accelerators
         )
 
+    def is_over_capacity(self) -> bool:
+        """Return whether its runs use more than a capacity that has shrunk meanwhile."""
+        capacity = self.listing.capacity
+        return (
+            self.used_processors > capacity.processors
+            or self.used_memory_mb > capacity.memory_mb
+            or self.used_accelerators > capacity.accelerators
+        )
+
     def reserve(self, resources: Resources, count: int, until: float) -> None:
         """Reserve capacity for tasks that are to start at `until`."""
         reserved = self.reserved
