Name the suspicion of a task in its log lines

What operators saw: lines task-suspected and task-given-up whose level was "isolated" or "separated", so that a filter by level lost them. Cause: the field had the name of the line's own level. Change: the field is called suspicion, as in task-placed. The simulation now reports a decision that hides a field of the line: 'Single workers that crash blame no task for long' fails before (hidden-log-fields) and passes after.

--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -54,6 +54,7 @@
 GANG_START_TIMEOUT_SECONDS = 3.0
 HOLD_INTERVAL_SECONDS = 0.2
 LINK_LATENCY_SECONDS = 0.005
+LINE_FIELDS = {"time", "level", "instance", "event"}  # of every log line
 MAX_CONDITION_CHECKS = 2000
 MAX_COMMAND_DELAY_SECONDS = 6.0  # a start or stop without an answer is executed up to this late
 
@@ -336,6 +337,10 @@
                 lease_until = self.reported_clocks[effect.command.worker] + LEASE_SECONDS
                 message = (effect.command, lease_until)
                 simulation.send(effect.command.worker, self.deliver_start, message)
+            case effects.LogDecision():
+                hidden = LINE_FIELDS & effect.fields.keys()
+                if hidden:
+                    simulation.violations.append((simulation.now, "hidden-log-fields", hidden))
             case effects.SendStop():
                 simulation.send(effect.worker, self.deliver_stop, effect)
             case effects.WatchWorker():
--- a/src/lavenderhook/_internal/queueing/losses.py
+++ b/src/lavenderhook/_internal/queueing/losses.py
@@ -302,7 +302,7 @@
         fields={
             "task": str(step.make_task_key(index)),
             "run": number,
-            "level": history.level.value,
+            "suspicion": history.level.value,
             "crashes": history.crashes,
             "uncertain": len(set(history.list_uncertain())),
             "longest_age": round(history.longest_age, 3),
