Add crashing tasks, crashing workers and changes of capacity to the soak

Three more kinds of fault on real processes: a worker crashes, a worker shrinks and grows again, and a submission whose tasks crash their workers has to be shown as failed within the time that all others have to be completed. Workers could not crash in the soak before, so none lost an end.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,8 @@
 
 import gevent
 
+from standins.crashes import CrashBehaviour
+
 from .proxy import Mode
 
 MAX_SHUTDOWN_SECONDS = 7.0  # graceS of the settings, and one second for a paused process
@@ -38,6 +40,9 @@
             self._delay_store,
             self._change_configuration,
             self._reset_connections,
+            self._crash_worker,
+            self._resize_worker,
+            self._submit_crashing_task,
         ]
         with gevent.Timeout(seconds, False):
             while True:
@@ -99,6 +104,21 @@
         gevent.sleep(duration_seconds)
         proxy.mode = Mode.PASS
 
+    def _crash_worker(self, duration_seconds):
+        worker = self._random.choice(self._soak.cluster.platform.workers)
+        worker.crash(duration_seconds)
+
+    def _resize_worker(self, duration_seconds):
+        worker = self._random.choice(self._soak.cluster.platform.workers)
+        full = worker.full_processors
+        worker.resize(int(full * self._random.choice([0.1, 0.4, 0.8])))
+        gevent.sleep(2 * duration_seconds)
+        worker.resize(full)
+
+    def _submit_crashing_task(self, duration_seconds):
+        age_seconds = self._random.choice([0.0, 0.1, 0.3])
+        self._soak.submit_crashing_task(CrashBehaviour(age_seconds, duration_seconds))
+
     def _reset_connections(self, _):
         self._pick_proxy(self._soak.store_proxies + self._soak.worker_proxies).reset()
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from .proxy import Mode, Proxy
 
 COMPLETION_TIMEOUT_SECONDS = 30.0  # for accepted submissions, after all faults have ended
+CRASHING_SUBMISSION = "ff00000000000000"
 STEPS = [{"count": 2, "cpu": 1500, "memMb": 100, "estimateMs": 400}]
 
 
@@ -36,6 +37,7 @@
         self.accepted = set()
         self.cancelled = set()
         self.refused = {}
+        self.crashing = set()  # accepted submissions whose tasks crash their workers
         self._version = 1
         self._faults_ended = False
         self.store_proxies = []
@@ -120,6 +122,17 @@
                 self._cancel(name, index)
             gevent.sleep(0.15)
 
+    def submit_crashing_task(self, behaviour):
+        """Send a submission whose tasks crash their workers; one at a time."""
+        if self.crashing:
+            return
+        name = CRASHING_SUBMISSION
+        self.cluster.platform.crash_budget.add(name, behaviour)
+        self._submit(name, 0)
+        if name in self.accepted:
+            self.accepted.remove(name)
+            self.crashing.add(name)
+
     def _submit(self, name, index):
         for attempt in range(3):
             try:
@@ -152,10 +165,12 @@
         self.violations += self.cluster.platform.violations
         self.cluster.wait_ready()
         deadline = time.monotonic() + COMPLETION_TIMEOUT_SECONDS
-        for name in sorted(self.accepted - self.cancelled):
+        expected = dict.fromkeys(sorted(self.accepted - self.cancelled), "completed")
+        expected |= dict.fromkeys(self.crashing, "failed")
+        for name, final in expected.items():
             remaining_seconds = max(0.3, deadline - time.monotonic())
-            state = self.cluster.wait_state(0, name, "completed", remaining_seconds)
-            if state != "completed":
+            state = self.cluster.wait_state(0, name, final, remaining_seconds)
+            if state != final:
                 self.violations.append(f"{name} was accepted, but its state is {state}")
         self.violations += self.cluster.platform.violations
         for name in self.refused:
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -247,6 +247,7 @@
     def __init__(self, platform, name, processors=8000):
         self.platform = platform
         self.name = name
+        self.full_processors = processors
         self.limit = ProcessorLimit(processors)
         self.stale_command_count = 0
         self.runs = {}
@@ -274,6 +275,9 @@
             return
         self.is_up = False
         self.runs.clear()
+        for _, task, _, outcome, _ in self.finished_runs:
+            if outcome == "done":
+                self.platform.forget_completion(task)  # no owner has acknowledged it
         self.run_finished.set()
         self.run_finished.clear()
         gevent.spawn_later(ENTRY_TIMEOUT_SECONDS, self._remove_entry, self.born)
@@ -560,6 +564,10 @@
         """Return the outcome of a run that is not stopped."""
         return "failed" if task.partition(".")[0] in self.failing_submissions else "done"
 
+    def forget_completion(self, task):
+        """Let a task run again whose completion was lost with its worker."""
+        self.completed_at.pop(task, None)
+
     def record_completion(self, task):
         """Record the time at which a task completed."""
         self.completed_at[task] = time.monotonic()
