Let a task fail that crashes one worker after another in the placement plane

What callers would see: a job that never ends and takes worker after worker, with all that runs beside it: the same class of fault as on the users' platform, in the product's own placement. Cause: an attempt that is lost with its worker (gone from the list, or restarted under its id) returned to pending without a count. Evidence: 'A task that crashes its workers fails after a few of them' (workers replaced, restarted) and 'A count of lost workers outlives its owner' fail before and pass after. Change: such losses are counted in the log, apart from failures. Only the tasks on a worker that were lost most often before count, and none that had run for five minutes or whose workers went together. A task fails when it is the only one with the most losses, three at least. Services back off only. What remains: a job all of whose tasks crash their workers at the same moment looks like a lost rack and only backs off.

--- a/features/placement_failures.feature
+++ b/features/placement_failures.feature
@@ -192,3 +192,48 @@
     Guards against interleavings of pauses, lost responses, late starts, partitions and takeovers
     that violate an invariant.
     Then no invariant is violated under random failures of two owners
+
+  Scenario Outline: A task that crashes its workers fails after a few of them
+    Guards against one task that takes worker after worker with it, and all that runs beside it.
+    When job "certificates" with 6 tasks that run 300 seconds is submitted
+    And job "deadly" with 1 tasks that run 30 seconds is submitted
+    And each worker that runs "deadly" is <fate> for 120 seconds
+    Then job "deadly" is failed
+    And at most 5 workers were lost
+    And 6 tasks of "certificates" run
+    And no task ran on two workers at any time
+
+    Examples:
+      | fate      |
+      | replaced  |
+      | restarted |
+
+  Scenario: A count of lost workers outlives its owner
+    Guards against a task that starts anew with each owner.
+    When job "deadly" with 1 tasks that run 30 seconds is submitted
+    And each worker that runs "deadly" is replaced for 10 seconds
+    And the owner process is killed
+    And another instance takes over the shard
+    And each worker that runs "deadly" is replaced for 120 seconds
+    Then job "deadly" is failed
+    And at most 5 workers were lost
+
+  Scenario: Workers that are lost together blame no task
+    Guards against work that is given up since a rack was lost, however often.
+    When job "certificates" with 6 tasks that run 200 seconds is submitted
+    And all workers are replaced each 15 seconds for 120 seconds
+    And 30 seconds pass
+    Then 6 tasks of "certificates" run
+
+  Scenario Outline: Long work whose workers are lost now and then is kept
+    Guards against work that is given up for losses which it doesn't cause: it ran for minutes before
+    each of them.
+    When job "certificates" with 1 tasks that run 400 seconds is submitted
+    And the worker that runs "certificates" is <fate> each 310 seconds, 5 times
+    And 500 seconds pass
+    Then job "certificates" is done
+
+    Examples:
+      | fate      |
+      | replaced  |
+      | restarted |
--- a/src/lavenderhook/_internal/core/attempts.py
+++ b/src/lavenderhook/_internal/core/attempts.py
@@ -23,7 +23,15 @@
 )
 from .events import AttemptsReported, LeasesRenewed, TimerFired, WorkerUnreachable
 from .identifiers import AttemptId, TaskState, WorkerId, WorkloadKind
-from .ownership import AttemptStatus, Ownership, WorkerStatus, append_records, get_placement_rules
+from .ownership import (
+    AttemptResult,
+    AttemptStatus,
+    Ownership,
+    Suspicion,
+    WorkerStatus,
+    append_records,
+    get_placement_rules,
+)
 from .records import (
     AttemptEnded,
     AttemptReport,
@@ -32,6 +40,7 @@
     WorkerView,
 )
 from .shard import START_NOT_SENT, Attempt, find_worker_shard
+from .worker_losses import build_lost_result, mark_suspects
 
 if TYPE_CHECKING:
     from .state import InstanceState
@@ -46,8 +55,6 @@
 # A running attempt with less lease left than this is renewed without waiting for the timer.
 IMMEDIATE_RENEWAL_SECONDS = 2.0
 
-AttemptResult = tuple[TaskState, str, bool]
-
 
 def get_worker_status(ownership: Ownership, worker_id: WorkerId) -> WorkerStatus:
     """Return the reachability status of a worker; create it if there is none."""
@@ -440,7 +447,7 @@
         if not attempt.requeue:
             return TaskState.CANCELLED, reason, False
         if not over_memory:
-            return TaskState.PENDING, reason, False
+            return build_lost_result(ownership, attempt, reason)
         reason = "memory-exceeded"
     if report.reason == LEASE_EXPIRED:
         return TaskState.PENDING, reason, False
@@ -471,12 +478,14 @@
 ) -> None:
     """Record the end of an attempt that is provably dead."""
     ended, reason, count_as_failure = result
+    status = ownership.attempt_statuses.get(attempt.attempt_id)
     record = AttemptEnded(
         at=state.now,
         attempt_id=attempt.attempt_id,
         state=ended,
         reason=reason,
         count_as_failure=count_as_failure,
+        count_as_loss=status is not None and status.suspicion is not Suspicion.NONE,
     )
     append_records(state, ownership, [record], urgent=urgent)
 
@@ -523,20 +532,23 @@
     """Stop the attempts that are missing from a worker's complete report.
 
     The stop makes the worker refuse a start that is still in transit; only its confirmation ends
-    the attempt.
+    the attempt. A worker that has lost an attempt which ran there has restarted.
     """
     reported = {report.attempt_id for report in event.reports}
     on_worker = ownership.get_shard_state().attempts_by_worker.get(event.worker_id, {})
-    for attempt in [a for a in on_worker.values() if a.attempt_id not in reported]:
+    missing = [attempt for attempt in on_worker.values() if attempt.attempt_id not in reported]
+    lost: list[Attempt] = []
+    unstarted: list[Attempt] = []
+    for attempt in missing:
         status = ownership.attempt_statuses[attempt.attempt_id]
         if attempt.state is TaskState.RUNNING:
-            was_confirmed = (
-                status.confirmed_at is not None and status.confirmed_at < event.requested_at
-            )
-            if was_confirmed:
-                request_stop(state, ownership, attempt, requeue=True)
+            if status.confirmed_at is not None and status.confirmed_at < event.requested_at:
+                lost.append(attempt)
         elif attempt.state is TaskState.PLACED and not status.is_placed_by_this_owner:
-            request_stop(state, ownership, attempt, requeue=True)
+            unstarted.append(attempt)
+    mark_suspects(ownership, lost, state.now)
+    for attempt in lost + unstarted:
+        request_stop(state, ownership, attempt, requeue=True)
 
 
 def handle_unreachable(state: InstanceState, event: WorkerUnreachable) -> list[Effect]:
--- a/src/lavenderhook/_internal/core/ownership.py
+++ b/src/lavenderhook/_internal/core/ownership.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import xxhash
 
 from .declarations import Policy
 from .effects import Effect
@@ -93,6 +94,22 @@
     delayed: bool = False
 
 
+# Range of the additional delays after a loss, in back-offs.
+LOSS_STAGGER_FACTOR = 4.0
+
+
+class Suspicion(enum.Enum):
+    """Whether a task may have crashed the worker of its attempt."""
+
+    NONE = "none"
+    SHARED = "shared"  # or another task that ran there
+    SOLE = "sole"
+
+
+# The task's state after an attempt, the reason, and whether it is a failure.
+AttemptResult = tuple[TaskState, str, bool]
+
+
 @dataclasses.dataclass(slots=True)
 class AttemptStatus:
     """What this owner knows of a live attempt and has sent to its worker.
@@ -105,10 +122,12 @@
         Latest lease expiry that this owner granted or the placement record names, in seconds.
     stop_committed : bool
         Whether the decision to stop is durable, so that stops may be sent.
-    result : tuple of (TaskState, str, bool) or None
+    result : AttemptResult or None
         A result that the worker confirmed but that must not be recorded yet.
     drain_since : float or None
         When its upstream was marked leaving.
+    suspicion : Suspicion
+        Whether its worker was lost, with its task as the possible cause.
     """
 
     is_placed_by_this_owner: bool
@@ -121,8 +140,9 @@
     over_memory: bool = False
     stop_committed: bool = False
     stop_sent_at: float = 0.0
-    result: tuple[TaskState, str, bool] | None = None
+    result: AttemptResult | None = None
     drain_since: float | None = None
+    suspicion: Suspicion = Suspicion.NONE
 
 
 @dataclasses.dataclass(slots=True)
@@ -380,8 +400,10 @@
     """Return a task as the scheduler sees it."""
     spec = job.spec
     not_before = 0.0
-    if task.failures:
-        not_before = task.failed_at + compute_backoff(state, task.failures)
+    if task.failures or task.losses:
+        not_before = task.failed_at + compute_backoff(state, task.failures + task.losses)
+    if task.losses:
+        not_before += compute_loss_stagger(state, job, task)
     return PendingTask(
         task_id=task.task_id,
         job_id=spec.job_id,
@@ -398,6 +420,17 @@
     )
 
 
+def compute_loss_stagger(state: InstanceState, job: Job, task: Task) -> float:
+    """Return an additional delay in seconds after the loss of a worker, which differs by task.
+
+    Tasks that were lost together start again at different times, so that the next crash of a
+    worker distinguishes its cause from what ran beside it.
+    """
+    name = job.spec.job_id if job.spec.kind is WorkloadKind.GANG else task.task_id
+    share: float = xxhash.xxh32_intdigest(f"{name}-{task.losses}".encode()) / 2**32
+    return share * compute_backoff(state, task.losses) * LOSS_STAGGER_FACTOR
+
+
 def compute_backoff(state: InstanceState, failures: int) -> float:
     """Return the delay in seconds before a task that failed is placed again."""
     parameters = state.parameters
--- a/src/lavenderhook/_internal/core/records.py
+++ b/src/lavenderhook/_internal/core/records.py
@@ -103,13 +103,15 @@
 class AttemptEnded(Record, frozen=True, tag=True, kw_only=True):
     """The attempt provably cannot run any more; its resources are free.
 
-    `state` is DONE, FAILED or CANCELLED, or PENDING if the task is queued again.
+    `state` is DONE, FAILED or CANCELLED, or PENDING if the task is queued again. With
+    `count_as_loss`, its worker was lost and the task may be the cause.
     """
 
     attempt_id: AttemptId
     state: TaskState
     reason: str
     count_as_failure: bool = False
+    count_as_loss: bool = False
 
 
 class GrantsChanged(Record, frozen=True, tag=True, kw_only=True):
@@ -153,6 +155,7 @@
     index: int
     state: TaskState
     failures: int = 0
+    losses: int = 0
     starts: int = 0
     avoid: tuple[WorkerId, ...] = ()
     failed_at: float = 0.0
--- a/src/lavenderhook/_internal/core/recovery.py
+++ b/src/lavenderhook/_internal/core/recovery.py
@@ -12,7 +12,6 @@
 
 from .attempts import (
     MIN_START_LEASE_SECONDS,
-    AttemptResult,
     end_attempt,
     get_worker_status,
     renew_leases,
@@ -45,6 +44,7 @@
 from .scheduler import SchedulableWorker, Scheduler
 from .services import reconcile_services
 from .shard import Attempt, find_worker_shard
+from .worker_losses import MAX_SEPARATE_LOSSES, build_lost_result, mark_suspects
 
 if TYPE_CHECKING:
     from .state import InstanceState
@@ -235,25 +235,44 @@
 
 def _reconcile_workers(state: InstanceState, ownership: Ownership) -> list[Effect]:
     effects: list[Effect] = []
-    for worker_id, on_worker in list(ownership.get_shard_state().attempts_by_worker.items()):
-        gone: list[Attempt] = []
-        if worker_id not in state.membership.workers:
-            gone = [a for a in on_worker.values() if _is_worker_gone(state, a)]
-        for attempt in gone:
-            # The end of a gang member changes the state of the others, but never removes them.
-            end_attempt(state, ownership, attempt, _build_lost_result(attempt, "worker-gone"))
-        if gone:
-            fields: dict[str, object] = {"worker": worker_id, "attempts": len(gone)}
-            effects.append(LogDecision(decision="worker-gone", fields=fields))
+    occupied = ownership.get_shard_state().attempts_by_worker
+    gone = {
+        worker_id: found
+        for worker_id, on_worker in occupied.items()
+        if worker_id not in state.membership.workers
+        and (found := [a for a in on_worker.values() if _is_worker_gone(state, a)])
+    }
+    for worker_id in list(occupied):
+        if worker_id in gone:
+            is_joint = len(gone) > MAX_SEPARATE_LOSSES
+            effects.append(_end_gone(state, ownership, worker_id, gone[worker_id], is_joint))
         elif _is_worker_unreachable(state, ownership, worker_id):
             _stop_unreachable(state, ownership, worker_id)
     return effects
 
 
-def _build_lost_result(attempt: Attempt, reason: str) -> AttemptResult:
-    """Return the result of an attempt that was lost without a failure of its own."""
-    ended = TaskState.PENDING if attempt.requeue else TaskState.CANCELLED
-    return ended, reason, False
+def _end_gone(
+    state: InstanceState,
+    ownership: Ownership,
+    worker_id: WorkerId,
+    gone: list[Attempt],
+    is_joint: bool,
+) -> Effect:
+    """End the attempts on a worker that is gone; `is_joint` if others are gone as well."""
+    view = ownership.views.get(worker_id)
+    is_crash = not is_joint and (view is None or not view.leaving)
+    if is_crash:
+        mark_suspects(ownership, gone, state.now)
+    for attempt in gone:
+        # The end of a gang member changes the state of the others, but never removes them.
+        result = build_lost_result(ownership, attempt, "worker-gone")
+        end_attempt(state, ownership, attempt, result)
+    fields: dict[str, object] = {
+        "worker": worker_id,
+        "attempts": len(gone),
+        "is_crash": is_crash,
+    }
+    return LogDecision(decision="worker-gone", fields=fields)
 
 
 def _is_worker_gone(state: InstanceState, attempt: Attempt) -> bool:
@@ -303,7 +322,9 @@
                 restarts.append(attempt)
         elif attempt.state is TaskState.STOPPING and status.stop_committed:
             if are_leases_expired(state, ownership, attempt):
-                end_attempt(state, ownership, attempt, _build_lost_result(attempt, "lease-lapsed"))
+                end_attempt(
+                    state, ownership, attempt, build_lost_result(ownership, attempt, "lease-lapsed")
+                )
             elif state.now - status.stop_sent_at >= state.parameters.worker_poll_interval:
                 stops.append(attempt_id)
     return [
@@ -332,7 +353,9 @@
         return False
     if are_leases_expired(state, ownership, attempt):
         ownership.get_scheduler().report_start(attempt.worker_id, attempt.job_id, False, state.now)
-        end_attempt(state, ownership, attempt, _build_lost_result(attempt, "start-not-confirmed"))
+        end_attempt(
+            state, ownership, attempt, build_lost_result(ownership, attempt, "start-not-confirmed")
+        )
         return False
     overdue = state.now - status.start_sent_at >= state.parameters.worker_poll_interval
     return overdue and state.now < attempt.lease_until - MIN_START_LEASE_SECONDS
--- a/src/lavenderhook/_internal/core/shard.py
+++ b/src/lavenderhook/_internal/core/shard.py
@@ -49,8 +49,9 @@
 START_NOT_SENT = "start-not-sent"
 # A task avoids this many of the last workers on which it failed; earlier ones may be used again.
 MAX_AVOIDED = 8
-# The back-off of a service task that ran this long is reset; it would only grow otherwise.
-HEALTHY_SERVICE_RUN_SECONDS = 300.0
+# The back-off of a service task that ran this long is reset; it would only grow otherwise. A task
+# that ran this long isn't what crashed its worker.
+HEALTHY_RUN_SECONDS = 300.0
 ENDED_STATES = frozenset({TaskState.DONE, TaskState.FAILED, TaskState.CANCELLED})
 
 
@@ -97,8 +98,10 @@
     ----------
     queued_at : float
         Time at which it was first queued, in seconds.
+    losses : int
+        Workers that were lost under it, with the task as the possible cause.
     failed_at : float
-        Time of the last ended attempt that counts as a failure; back-off starts there.
+        Time of the last ended attempt that counts as a failure or loss; back-off starts there.
     starts : int
         Placements, except those that ended before their start was sent.
     """
@@ -110,6 +113,7 @@
     state: TaskState = TaskState.PENDING
     attempt_id: AttemptId | None = None
     failures: int = 0
+    losses: int = 0
     failed_at: float = 0.0
     starts: int = 0
     avoid: tuple[WorkerId, ...] = ()
@@ -247,6 +251,7 @@
             index=task.index,
             state=task.state,
             failures=task.failures,
+            losses=task.losses,
             failed_at=task.failed_at,
             starts=task.starts,
             avoid=task.avoid,
@@ -401,11 +406,12 @@
         task.reason = record.reason
         if record.reason == START_NOT_SENT:
             task.starts -= 1
-        if record.count_as_failure:
+        if record.count_as_failure or record.count_as_loss:
             ran = record.at - attempt.changed_at if attempt.state is TaskState.RUNNING else 0.0
-            if job.spec.kind is WorkloadKind.SERVICE and ran > HEALTHY_SERVICE_RUN_SECONDS:
-                task.failures = 0
-            task.failures += 1
+            if job.spec.kind is WorkloadKind.SERVICE and ran > HEALTHY_RUN_SECONDS:
+                task.failures = task.losses = 0
+            task.failures += record.count_as_failure
+            task.losses += record.count_as_loss
             task.failed_at = record.at
             task.avoid = (*task.avoid, attempt.worker_id)[-MAX_AVOIDED:]
         if record.state is TaskState.PENDING and not job.cancelled:
@@ -497,6 +503,7 @@
             queued_at=record.at,
             state=record.state,
             failures=record.failures,
+            losses=record.losses,
             failed_at=record.failed_at,
             starts=record.starts,
             avoid=record.avoid,
