Leave one submission alone whose placement fails with an error

What callers would see: all queues without an owner for a second or so, again and again: an unexpected error in the placement of one submission ended the owner, and then each owner that loaded it. The same class of fault as a task that crashes its workers. Change: the error is logged with its trace (placement-failed, counted by error), what the pass has placed of the step is undone, as its commands are lost, and nothing of the submission is placed for five seconds. Any other unexpected error still ends the owner. A request that breaks every connection is sent to four upstreams at most: a scenario for what holds already.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -16,6 +16,7 @@
       | a configuration     |
       | a stored submission |
       | stored progress     |
+      | a row of the starts |
       | a stored outcome    |
       | an owner row        |
       | a member row        |
@@ -78,3 +79,24 @@
     When the event arrives
     Then the owner steps down and reports the error
     And none of its loops goes on
+
+  Scenario Outline: A submission whose placement fails with an error leaves the others alone
+    Guards against one submission that ends owner after owner, and against capacity that is kept for
+    runs whose commands were lost with the error.
+    Given 3 workers and an owner
+    And the placement of "broken" fails with an error <where>
+    And 20 submissions of 2 tasks arrive over 5 seconds
+    When a submission "broken" of 3 tasks of 9000 millicores and 1 seconds arrives
+    And 8 seconds pass in the simulation
+    Then all submissions but "broken" are completed
+    And the owner is active
+    And the placement of "broken" has failed 2 times
+    When the placement of "broken" fails no longer
+    And 8 seconds pass in the simulation
+    Then "broken" is completed
+    And no invariant was violated
+
+    Examples:
+      | where                      |
+      | before its first task      |
+      | after two of its tasks     |
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -130,6 +130,20 @@
     When 40 idempotent requests arrive and every exchange gets status 500
     Then there are at most 14 retries and every request is answered
 
+  Scenario: A request that breaks every connection is sent to four upstreams at most
+    Guards against one request that crashes upstream after upstream.
+    Given an instance with granted slots "u1:1"
+    When it receives
+      """
+      arrive 1; grants u1:1 u2:1; fail 1 u1; wait 0.3; grants u1:1 u2:1 u3:1; fail 1 u2; wait 0.3;
+      grants u1:1 u2:1 u3:1 u4:1; fail 1 u3; wait 0.3; grants u1:1 u2:1 u3:1 u4:1 u5:1; fail 1 u4;
+      wait 1
+      """
+    Then it emits
+      """
+      dispatch 1 u1; dispatch 1 u2; dispatch 1 u3; dispatch 1 u4; answer 1 Unknown connection-lost
+      """
+
   Scenario: A request that may have run is never reported as not run
     Guards against duplicate work: a caller that is told that its request did not run sends it
     again.
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import random
+from unittest import mock
 
 import gevent
 import msgspec
@@ -16,10 +17,11 @@
 from lavenderhook._internal.instance.owner import Owner
 from lavenderhook._internal.instance.supervision import run_until_stopped
 from lavenderhook._internal.instance.work_table import WorkTable
-from lavenderhook._internal.queueing import records
+from lavenderhook._internal.queueing import placement, records, scheduling
 from lavenderhook._internal.queueing.events import Ticked
 from lavenderhook._internal.queueing.model import FencingToken
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
+from lavenderhook._internal.queueing.start_log import StartLogRow
 from lavenderhook._internal.queueing.validation import check_submission
 from lavenderhook.errors import LavenderhookError
 from lavenderhook.platform import frontend, lists, store, workers
@@ -58,7 +60,17 @@
         "steps": [SPEC],
         "accepted_at": 1.0,
     },
-    "stored progress": {"done": {"0.0": [1]}, "failed": {"0.0": {"1": [2]}}},
+    "stored progress": {
+        "done": {"0.0": [1]},
+        "failed": {"0.0": {"1": [2]}},
+        "crashed": {"0.0": {"1": {"2": {"age_seconds": 0.5, "weak": True}}}},
+        "unresolved": {"0.0": {"1": {"3": {"w": [3, "a:1"]}}}},
+    },
+    "a row of the starts": {
+        "at": 1.0,
+        "starts": [[["s", 0, 0, 1], 1, "w", [3, "a:1"]]],
+        "withdrawn": [[["s", 0, 0, 2], 1, "w"]],
+    },
     "a stored outcome": {"state": "completed", "at": 1.0},
     "an owner row": {"fencing": 1, "name": "n", "boot": "b", "address": "a:1", "process": "p"},
     "a member row": {"name": "n", "boot": "b", "address": "a:1", "zone": "z"},
@@ -196,6 +208,7 @@
     ).read(),
     "a stored submission": records.decode_submission,
     "stored progress": lambda body: records.decode(body, records.Progress),
+    "a row of the starts": lambda body: records.decode(body, StartLogRow),
     "a stored outcome": lambda body: records.decode(body, records.Outcome),
     "an owner row": lambda body: records.decode(body, records.OwnerRecord),
     "a member row": lambda body: records.decode(body, records.MemberRecord),
@@ -402,3 +415,29 @@
 def step_loops_ended(context):
     gevent.joinall(context.loops, timeout=1.0)
     assert all(loop.dead for loop in context.loops)
+
+
+@given('the placement of "{name}" fails with an error {where}')
+def step_failing_placement(context, name, where):
+    placed = {"before its first task": 0, "after two of its tasks": 2}[where]
+    context.placement_failures = 0
+
+    def fail(policy, step, candidates, ends_at):
+        if step.id.submission == name and len(step.runs) == placed:
+            context.placement_failures += 1
+            raise KeyError(name)
+        return placement.choose_worker(policy, step, candidates, ends_at)
+
+    context.failing_placement = mock.patch.object(scheduling, "choose_worker", fail)
+    context.failing_placement.start()
+    context.add_cleanup(mock.patch.stopall)
+
+
+@then('the placement of "{name}" has failed {count:d} times')
+def step_placement_failures(context, name, count):
+    assert context.placement_failures == count, context.placement_failures
+
+
+@when('the placement of "{name}" fails no longer')
+def step_placement_succeeds(context, name):
+    context.failing_placement.stop()
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Collection, Iterable, Sequence
 
 from .advising import AdvicePlanner
@@ -19,6 +20,8 @@
 # Estimated durations are off by half; a task that uses capacity reserved for a gang has to end in
 # time.
 BACKFILL_MARGIN = 1.5
+PLACEMENT_RETRY_SECONDS = 5.0  # after an unexpected error
+MAX_TRACE_ENTRIES = 4
 
 
 class Scheduler:
@@ -65,7 +68,8 @@
         """
         candidates: list[tuple[tuple[float, ...], SubmissionProgress, StepProgress]] = []
         for entry in submissions:
-            if entry.is_finalizing or entry.revision <= blocked_through_revision:
+            is_blocked = entry.revision <= blocked_through_revision or now < entry.blocked_until
+            if entry.is_finalizing or is_blocked:
                 continue
             for step in entry.steps.values():
                 if (step.waiting or step.copies) and entry.is_ready(step, now):
@@ -78,16 +82,50 @@
         )
         effects = self._send_planned_starts(now)
         for _, entry, step in candidates:
-            effects += self._place_step(entry, step, schedulable_workers, now)
-            if step.spec.is_gang and step.waiting and left_to_reserve > 0:
-                plan = step.plan = self._plan(entry, step, schedulable_workers, now)
-                if plan is not None:
-                    left_to_reserve -= reserve(plan, step.spec, schedulable_workers)
+            try:
+                effects += self._place_step(entry, step, schedulable_workers, now)
+                if step.spec.is_gang and step.waiting and left_to_reserve > 0:
+                    plan = step.plan = self._plan(entry, step, schedulable_workers, now)
+                    if plan is not None:
+                        left_to_reserve -= reserve(plan, step.spec, schedulable_workers)
+            except Exception as error:
+                effects.append(self._block(entry, step, workers, error, now))
         for worker in schedulable_workers:
             worker.clear_reservation()
         self.suspects.end_pass()
         return effects
 
+    def _block(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        workers: Iterable[Worker],
+        error: Exception,
+        now: float,
+    ) -> LogDecision:
+        """Leave a submission alone for a while whose placement has failed with an error.
+
+        Otherwise it would end this owner, and then one after the other. What was placed in this
+        pass is undone, as its commands are lost with the error.
+        """
+        entry.blocked_until = now + PLACEMENT_RETRY_SECONDS
+        for worker in workers:
+            for run in list(worker.runs.values()):
+                is_of_this_pass = run.commanded_at == now and run.acknowledged_at is None
+                if run.task.step_id == step.id and is_of_this_pass:
+                    worker.remove_run(run)
+                    step.remove_run(run)
+                    self.start_log.withdraw(run)
+        return LogDecision(
+            decision="placement-failed",
+            fields={
+                "submission": entry.submission.id,
+                "step": str(step.id),
+                "error": type(error).__name__,
+                "trace": traceback.format_exception(error)[-MAX_TRACE_ENTRIES:],
+            },
+        )
+
     def _send_planned_starts(self, now: float) -> list[Effect]:
         """Start the suspects whose run numbers are stored."""
         effects: list[Effect] = []
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -280,6 +280,8 @@
         Revision of the stored progress; 0 if there is none.
     failure : FailureReason or None
         Why it is to fail.
+    blocked_until : float
+        Until then, nothing is placed, after an unexpected error.
     """
 
     def __init__(
@@ -295,6 +297,7 @@
         self.state = SubmissionState.QUEUED
         self.is_finalizing = False
         self.failure: FailureReason | None = None
+        self.blocked_until = 0.0
         self.progress_revision = 0
         self.steps: dict[tuple[int, int], StepProgress] = {}
         for occurrence in range(max(1, submission.repetitions)):
