Log when the planned start of a suspect is sent or dropped

task-placed is logged when the start of a suspect is planned; that it was sent, or given up since its worker shrank or took no starts any longer, left no line.

--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -465,6 +465,7 @@
         for run in pending:
             effects += self._retry_command(run, event.now)
         for run in self.scheduler.suspects.list_misplaced(event.now):
+            effects.append(log_run("planned-start-dropped", run.task, run.number, run.worker))
             effects += self._remove_run(run, event.now)
         if event.now >= self.next_review_at:
             self.next_review_at = event.now + REVIEW_INTERVAL_SECONDS
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -8,6 +8,7 @@
 from .advising import AdvicePlanner
 from .effects import Effect, LogDecision, SendStart, StepDown, StepDownReason, StoreProgress
 from .isolation import SuspectPlacer
+from .log_lines import log_run
 from .model import FencingToken, RunNumber, RunState, StartCommand, TicketId
 from .placement import PlacementPolicy, choose_gang_workers, choose_worker, is_eligible
 from .ranking import StepRanking
@@ -131,6 +132,10 @@
         effects: list[Effect] = []
         for run in self.suspects.pop_startable(now):
             assert run.command is not None
+            waited = round(now - run.commanded_at, 3)
+            effects.append(
+                log_run("planned-start-sent", run.task, run.number, run.worker, waited=waited)
+            )
             run.begin_start(now)
             self.start_log.add(run.command, run.incarnation)
             effects.append(SendStart(command=run.command))
