Show when bystanders of crashing tasks are given up, and when not

On 48 workers, 2 and 10 of 100 submissions of ten seconds crash their workers while the owner is replaced: all of these fail within five crashes each, all others complete (new scenarios, which pass). On 5 workers beside many other faults, 22 of 500 random simulations give up work that caused none of the three or four crashes that hit it.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -223,3 +223,31 @@
       | first | last |
       | 1     | 60   |
       | 61    | 140  |
+
+  Scenario Outline: Many submissions crash workers on a larger site
+    Guards against bystanders that are given up, or left open, while hundreds of suspects wait for few
+    workers of their own, and the owner is replaced meanwhile.
+    Given 48 workers and an owner
+    When 600 submissions of random size arrive over 30 seconds, and of those from 5 to 15 seconds <share> of 100 crash their workers after <age> seconds
+    And the owner ends 12 seconds after the first of them
+    And 70 seconds pass in the simulation
+    Then every submission that crashes its workers is failed
+    And every other submission is completed
+    And at most 5 workers crashed for each task that crashes them
+    And no invariant was violated
+
+    Examples:
+      | share | age |
+      | 2     | 0.1 |
+      | 10    | 0.1 |
+      | 10    | 0   |
+
+  Scenario Outline: Bystanders on few workers are not given up beside many other faults
+    Guards against work that is given up since it was hit by four crashes of which it caused none.
+    When the random simulation <seed> with crashing tasks, services, changes of capacity and leaving workers is run
+    Then no simulation violated an invariant
+
+    Examples:
+      | seed |
+      | 1027 |
+      | 1032 |
--- a/features/steps/crashing_tasks.py
+++ b/features/steps/crashing_tasks.py
@@ -1,6 +1,7 @@
 """Steps on tasks that crash their workers."""
 
 import functools
+import random
 
 from behave import given, then, when
 
@@ -108,6 +109,67 @@
     assert not any(crashes), crashes
 
 
+@when(
+    "{count:d} submissions of random size arrive over {seconds:d} seconds, and of those from "
+    "{first:d} to {last:d} seconds {share:d} of 100 crash their workers after {age:g} seconds"
+)
+def step_many_crashing(context, count, seconds, first, last, share, age):
+    simulation = context.simulation
+    generator = random.Random(1)
+    behaviour = CrashBehaviour(age, WORKER_DOWN_SECONDS, frozenset({0}))
+    context.crashing = set()
+    for index in range(count):
+        at, name = index * seconds / count, f"many{index}"
+        step = make_step(generator.randint(2, 8), 2000, generator.choice([0.5, 1.0, 2.0]))
+        if first <= at < last and generator.random() < share / 100:
+            context.crashing.add(name)
+            simulation.crashing_tasks.budget.add(name, behaviour)
+        simulation.call_later(at, simulation.submit, name, [step])
+
+
+@when("the owner ends {seconds:d} seconds after the first of them")
+def step_owner_ends_later(context, seconds):
+    context.simulation.call_later(seconds, end_owner, context.simulation, {0}, 0)
+
+
+@then("every submission that crashes its workers is failed")
+def step_all_failed(context):
+    outcomes = context.simulation.outcomes
+    assert context.crashing
+    states = {name: outcomes.get(name) for name in context.crashing}
+    assert set(states.values()) == {SubmissionState.FAILED}, states
+
+
+@then("every other submission is completed")
+def step_all_others_completed(context):
+    outcomes = context.simulation.outcomes
+    others = context.simulation.submissions.keys() - context.crashing
+    left = {name: outcomes.get(name) for name in others}
+    left = {name: state for name, state in left.items() if state is not SubmissionState.COMPLETED}
+    assert not left, left
+
+
+@then("at most {count:d} workers crashed for each task that crashes them")
+def step_crashes_by_task(context, count):
+    crashes = context.simulation.crashing_tasks.budget.crashes
+    assert max(crashes.values()) <= count, crashes
+
+
+@when(
+    "the random simulation {seed:d} with crashing tasks, services, changes of capacity and "
+    "leaving workers is run"
+)
+def step_random_run(context, seed):
+    simulation = run_random_simulation(
+        seed,
+        has_crashing_tasks=True,
+        has_services=True,
+        has_capacity_changes=True,
+        has_leaving_workers=True,
+    )
+    context.simulations = {seed: simulation}
+
+
 def end_owner(simulation, crashes, count):
     """End the owner at some of the crashes; another one takes over later."""
     if count in crashes:
