Count from its placement how long a lost attempt had run

What callers would see: a long job failed with workers-lost although it had run for minutes before each loss. Cause: an attempt on an unreachable worker is stopped before the platform shows the worker gone, and its age was counted from that stop.

--- a/features/placement_failures.feature
+++ b/features/placement_failures.feature
@@ -234,6 +234,7 @@
     Then job "certificates" is done
 
     Examples:
-      | fate      |
-      | replaced  |
-      | restarted |
+      | fate        |
+      | replaced    |
+      | restarted   |
+      | unreachable |
--- a/features/steps/placement_losses.py
+++ b/features/steps/placement_losses.py
@@ -3,6 +3,7 @@
 from behave import then, when
 
 CHECK_SECONDS = 0.5
+UNREACHABLE_SECONDS = 8.0
 
 
 @when('each worker that runs "{job_id}" is {fate:w} for {seconds:d} seconds')
@@ -37,6 +38,10 @@
 def lose_worker(context, worker, fate):
     """Let a worker restart under its id, or end, with another worker instead."""
     lost = context.lost_workers = context.lost_workers + 1
+    if fate == "unreachable":
+        # It is stopped as unreachable before the platform shows that it is gone.
+        worker.is_reachable = False
+        context.cluster.run(UNREACHABLE_SECONDS)
     if fate == "restarted":
         worker.attempts.clear()
         worker.stopped.clear()
--- a/src/lavenderhook/_internal/core/ownership.py
+++ b/src/lavenderhook/_internal/core/ownership.py
@@ -39,6 +39,11 @@
 if TYPE_CHECKING:
     from .state import InstanceState
 
+LOSS_STAGGER_FACTOR = 4.0  # largest additional delay after a loss, in back-offs
+
+# The task's state after an attempt, the reason, and whether it is a failure.
+AttemptResult = tuple[TaskState, str, bool]
+
 
 class OwnershipPhase(enum.Enum):
     """Phase of a shard's ownership by this instance."""
@@ -94,10 +99,6 @@
     delayed: bool = False
 
 
-# Range of the additional delays after a loss, in back-offs.
-LOSS_STAGGER_FACTOR = 4.0
-
-
 class Suspicion(enum.Enum):
     """Whether a task may have crashed the worker of its attempt."""
 
@@ -106,10 +107,6 @@
     SOLE = "sole"
 
 
-# The task's state after an attempt, the reason, and whether it is a failure.
-AttemptResult = tuple[TaskState, str, bool]
-
-
 @dataclasses.dataclass(slots=True)
 class AttemptStatus:
     """What this owner knows of a live attempt and has sent to its worker.
--- a/src/lavenderhook/_internal/core/worker_losses.py
+++ b/src/lavenderhook/_internal/core/worker_losses.py
@@ -22,7 +22,7 @@
 def mark_suspects(ownership: Ownership, lost: Collection[Attempt], now: float) -> None:
     """Mark the attempts on a lost worker whose tasks may have crashed it."""
     shard_state = ownership.get_shard_state()
-    recent = [a for a in lost if now - a.changed_at < HEALTHY_RUN_SECONDS]
+    recent = [a for a in lost if now - a.placed_at < HEALTHY_RUN_SECONDS]
     losses = {a.attempt_id: shard_state.tasks[a.task_id].losses for a in recent}
     suspects = [a for a in recent if losses[a.attempt_id] == max(losses.values())]
     # The members of a gang share the cause.
