Let no connection be established while a draining listener closes

Cause, traced in a scratch copy: the accept pass of the drain ended at 3694.581043, the socket was closed at 3694.581114, and the connection of the request was established between the two (sent from 3694.579712, closed at 3694.581392). Change: the product's own daemon attaches a packet filter to the listening socket before its last accept pass, so that the kernel drops the first packet of later connections; the caller's kernel repeats it and is refused. Where the system has no such filter, that is logged and the window remains. The platform's process closes its listener after the balancer has removed it and is unchanged. Evidence: 'No connection is established while the listener closes' fails without the filter and passes with it.

--- a/features/daemon_listener.feature
+++ b/features/daemon_listener.feature
@@ -78,3 +78,11 @@
     Given a log writer whose stream blocks
     When 100 lines are added
     Then adding them takes less than 0.5 s
+
+  Scenario: No connection is established while the listener closes
+    Guards against connections that are reset with a request in them: established after the last
+    accept, and closed with the listener.
+    Given a running instance whose core answers every request
+    When it drains, and a caller connects between the last accept and the close
+    Then the caller's connection is not established
+    And a connection from before is answered
--- a/features/steps/daemon_listener.py
+++ b/features/steps/daemon_listener.py
@@ -1,5 +1,6 @@
 """Steps that check the listener with raw TCP clients."""
 
+import errno
 import json
 import statistics
 import time
@@ -42,6 +43,7 @@
     "answers no request": "ignore",
     "fails at every request": "fail",
 }
+CONNECT_SECONDS = 0.5  # on the loopback interface
 CREDENTIAL = ("Authorization", "Bearer token-of-desk")
 
 
@@ -241,3 +243,31 @@
 @then("adding them takes less than {seconds:g} s")
 def step_added(context, seconds):
     assert context.adding_seconds < seconds, context.adding_seconds
+
+
+@when("it drains, and a caller connects between the last accept and the close")
+def step_connect_while_closing(context):
+    listener = context.daemon.listener
+    context.early = connect(context)
+    accept = listener._accept_established
+
+    def accept_and_connect():
+        accept()
+        late = context.late = socket.socket()
+        context.add_cleanup(late.close)
+        late.settimeout(CONNECT_SECONDS)
+        context.late_error = late.connect_ex(listener.address)
+
+    listener._accept_established = accept_and_connect
+    context.daemon._drain_listener()
+
+
+@then("the caller's connection is not established")
+def step_not_established(context):
+    assert context.late_error in (errno.EAGAIN, errno.ETIMEDOUT), context.late_error
+
+
+@then("a connection from before is answered")
+def step_early_answered(context):
+    context.early.sendall(b"GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n")
+    assert context.early.recv(100).startswith(b"HTTP/1.1 200")
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -20,6 +20,7 @@
     ProtocolError,
     RequestTimeoutError,
 )
+from .socket_filters import drop_new_connections
 
 BACKLOG = 1024
 MAX_SINGLE_SEND_BYTES = 65536  # up to this size, headers and body are sent in one call
@@ -416,14 +417,25 @@
         """Count a request that was refused before it reached a route."""
         self.refusals[error.code] = self.refusals.get(error.code, 0) + 1
 
-    def drain(self) -> None:
+    def drain(self, *, drops_new_connections: bool = False) -> None:
         """Accept no new connections; callers' open ones are closed after their next response.
 
         Connections of peers stay open, since grants and heartbeats are exchanged over them until
         the process stops.
+
+        Parameters
+        ----------
+        drops_new_connections : bool
+            Whether no connection may be established between the last accept and the close, where
+            it would be reset. Needless if a balancer sends no new connections by then.
         """
         self.is_draining = True
         self.stop_accepting()
+        if drops_new_connections:
+            try:
+                drop_new_connections(self.socket)
+            except OSError as error:  # connections of these microseconds are reset
+                self._log_failure("dropping new connections", error)
         self._accept_established()
         self.close()
 
--- a/src/lavenderhook/_internal/daemon/main.py
+++ b/src/lavenderhook/_internal/daemon/main.py
@@ -335,7 +335,7 @@
     def _drain_listener(self) -> None:
         if not self.listener.is_draining:
             self.log.log_info("listener-closed", pending=len(self.calls))
-            self.listener.drain()
+            self.listener.drain(drops_new_connections=True)
 
     def stop(self) -> None:
         """Stop the daemon once the last responses are written; a second call changes nothing."""
