Show how two owners in one outage of the store exceed the budget

Random simulation 2637, 1 of 1,500 by hand: the store takes no writes for 6.4 s, two owners start the task, and both are replaced before they know of the crash. The log of starts has neither start, and the limit allows for one. A write before each start would show it, and stop all starts with the store.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -251,3 +251,9 @@
       | seed |
       | 1027 |
       | 1032 |
+
+  Scenario: The budget outlives two owners that are replaced in one outage of the store
+    Guards against starts that no owner knows of: the store takes no writes while two owners, one after
+    the other, start a task that crashes its worker, and are replaced.
+    When the random simulation 2637 with crashing tasks and services is run
+    Then no simulation exceeded the budget of a task
--- a/features/steps/crashing_tasks.py
+++ b/features/steps/crashing_tasks.py
@@ -170,6 +170,25 @@
     context.simulations = {seed: simulation}
 
 
+@when("the random simulation {seed:d} with crashing tasks and services is run")
+def step_random_run_with_services(context, seed):
+    simulation = run_random_simulation(
+        seed, has_crashing_tasks=True, has_services=True, owners_confirm=True
+    )
+    context.simulations = {seed: simulation}
+
+
+@then("no simulation exceeded the budget of a task")
+def step_no_budget_exceeded(context):
+    exceeded = [
+        violation
+        for simulation in context.simulations.values()
+        for violation in simulation.violations
+        if violation[1] == "crash-budget"
+    ]
+    assert not exceeded, exceeded
+
+
 def end_owner(simulation, crashes, count):
     """End the owner at some of the crashes; another one takes over later."""
     if count in crashes:
