Log what decides the version of the configuration that is active

Callers saw 404 for queues that had been added.

The watch moves from the entry instance into its own module, unchanged in its decisions. New: the age of the last confirmation in configuration-unread and as a gauge, configuration-unconfirmed and -confirmed at the bound that the platform sets (configApplyMs), configuration-behind for a peer with a newer version (the ping carries it), configuration-stale and -history-lost, the revisions of what was read, and queue-unknown for each 404.

--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import random
+from types import SimpleNamespace
 from unittest import mock
 
 import gevent
@@ -173,7 +174,9 @@
 class StubInstance:
     """Instance that accepts every submission."""
 
-    routes = lists.decode_configuration(json.dumps(EXAMPLES["a configuration"]).encode())
+    def __init__(self):
+        content = json.dumps(EXAMPLES["a configuration"]).encode()
+        self.configuration = SimpleNamespace(routes=lists.decode_configuration(content))
 
     def submit(self, submission, _deadline):
         """Accept a submission that an owner could read."""
@@ -183,7 +186,7 @@
 
 def submit_body(body):
     """Send a caller's body to the listener's route."""
-    return frontend.Frontend(StubInstance()).route(StubRequest(body))
+    return frontend.Frontend(StubInstance(), ignore_event).route(StubRequest(body))
 
 
 def read_settings(body):
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -18,7 +18,6 @@
 from ..core.identifiers import WorkerId
 from ..ports.queueing import (
     Advisor,
-    HistoryLostError,
     QueueConfiguration,
     QueueWorkerClient,
     RowStore,
@@ -39,9 +38,9 @@
     choose_part,
 )
 from ..queueing.retry_after import choose_retry_after
-from ..queueing.routes import QueueRoutes
 from . import peers
 from .advice import AdviceDispatcher
+from .configuration import ConfigurationFollower
 from .forwarding import ForwardingWriter
 from .owner import Owner
 from .ownership_manager import OwnershipManager
@@ -50,9 +49,6 @@
 from .table_watcher import LogEvent, describe_failure
 from .work_table import WorkTable
 
-CONFIGURATION_WAIT_SECONDS = 0.8  # a change of the configuration ends the wait at once
-POLL_INTERVAL_SECONDS = 0.1  # between polls; limits the load of frequent changes
-STORE_RETRY_SECONDS = 0.25  # after a failed call to the store
 PENDING_REFRESH_SECONDS = 0.5  # age up to which the owner's counts are reused
 PENDING_MAX_AGE_SECONDS = 1.8  # age up to which they are used if the owner doesn't respond
 DRAIN_SECONDS = 2.5  # the balancer removes an instance after two failed checks, 1 s apart
@@ -71,6 +67,8 @@
         ``ip:port`` for calls of peers.
     owner_fitness : float
         How suitable this instance is as the owner; see `compute_owner_fitness`.
+    configuration_bound_seconds : float
+        Time after which a change of the configuration has to be in force everywhere.
     log_event : callable
         Logs an event, given by its name and fields.
     report_error : callable
@@ -90,6 +88,7 @@
         worker_client: QueueWorkerClient,
         advisor: Advisor,
         parameters: OwnerParameters,
+        configuration_bound_seconds: float,
         limits: ListenerLimits,
         log_event: LogEvent,
         report_error: ReportError,
@@ -97,12 +96,13 @@
         self.name = name
         self.zone = zone
         self.address = peer_address
-        self.routes: QueueRoutes | None = None
         self.is_draining = False
         self.stopped = gevent.event.Event()
         self._store = store
         self._worker_list = worker_list
-        self._configuration = configuration
+        self.configuration = ConfigurationFollower(
+            configuration, configuration_bound_seconds, self.stopped, log_event
+        )
         self._worker_client = worker_client
         self._advisor = advisor
         self._parameters = parameters
@@ -117,6 +117,7 @@
             store=store,
             peer_client=self._peers,
             make_owner=self._make_owner,
+            record_peer_version=self.configuration.record_peer_version,
             stopped=self.stopped,
             log_event=log_event,
         )
@@ -141,7 +142,7 @@
         self._listener.start()
         for loop in (
             *self._ownership.list_loops(),
-            self._watch_configuration,
+            *self.configuration.list_loops(),
             self._send_write_notices,
         ):
             self._greenlets.append(
@@ -157,7 +158,7 @@
         """Return whether this instance should receive callers' requests."""
         return (
             not self.is_draining
-            and self.routes is not None
+            and self.configuration.routes is not None
             and self._ownership.view.store_available_since is not None
         )
 
@@ -165,10 +166,6 @@
         """Return whether this instance places tasks."""
         return self._ownership.owner is not None
 
-    def get_configuration_version(self) -> int:
-        """Return the version of the active configuration; 0 if there is none."""
-        return self.routes.version if self.routes is not None else 0
-
     def submit(self, submission: Submission, deadline: float) -> WriteResult:
         """Store a submission, directly or through a peer."""
         result = self._forwarding.write(
@@ -180,7 +177,7 @@
             "submission-" + result.value,
             submission=submission.id,
             queue=submission.queue.name,
-            configuration=self.routes.version if self.routes is not None else None,
+            configuration=self.configuration.get_version(),
             store_contact=self._ownership.view.store_available_since is not None,
         )
         if result is WriteResult.STORED:
@@ -339,8 +336,6 @@
             )
             return None
 
-    # Configuration.
-
     def _make_owner(self, fencing: FencingToken, revision: int, work: WorkTable) -> Owner:
         return Owner(
             fencing,
@@ -357,36 +352,6 @@
             is_isolated=self._ownership.is_isolated,
         )
 
-    def _watch_configuration(self) -> None:
-        revision: int | None = None
-        while not self.stopped.is_set():
-            try:
-                if revision is None:
-                    routes, revision = self._configuration.read()
-                else:
-                    routes, revision = self._configuration.wait_for_changes(
-                        revision, CONFIGURATION_WAIT_SECONDS
-                    )
-            except HistoryLostError:
-                revision = None
-                continue
-            except LavenderhookError as error:
-                self._log_event("configuration-unread", **describe_failure(error))
-                gevent.sleep(STORE_RETRY_SECONDS)
-                continue
-            if routes is not None:
-                self._apply_configuration(routes)
-            gevent.sleep(POLL_INTERVAL_SECONDS)
-
-    def _apply_configuration(self, routes: QueueRoutes) -> None:
-        former = self.routes.version if self.routes is not None else 0
-        if routes.version <= former:
-            return  # a stale read
-        self.routes = routes
-        self._log_event(
-            "configuration-applied", version=routes.version, former=former, queues=len(routes)
-        )
-
     # Peers.
 
     def _send_write_notices(self) -> None:
@@ -421,7 +386,10 @@
         match incoming.path:
             case peers.PING_PATH:
                 is_owner = self._ownership.owner is not None
-                return peers.reply_message(peers.PingResponse(self._ownership.claim_id, is_owner))
+                version = self.configuration.get_version()
+                return peers.reply_message(
+                    peers.PingResponse(self._ownership.claim_id, is_owner, version)
+                )
             case peers.CONTACT_PATH:
                 return peers.reply_message(self._ownership.measure_store_contact())
             case peers.HAND_OVER_PATH:
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -87,6 +87,8 @@
         How suitable this instance is as the owner; see `compute_owner_fitness`.
     make_owner : callable
         Returns an owner that isn't started, given its token, its revision and the work table.
+    record_peer_version : callable
+        Takes the address of a peer and the version of its configuration.
     stopped : gevent.event.Event
         Ends the loops.
     """
@@ -101,6 +103,7 @@
         store: RowStore,
         peer_client: peers.PeerClient,
         make_owner: Callable[[FencingToken, int, WorkTable], Owner],
+        record_peer_version: Callable[[str, int], None],
         stopped: gevent.event.Event,
         log_event: LogEvent,
     ) -> None:
@@ -118,6 +121,7 @@
         self._store = store
         self._peers = peer_client
         self._make_owner = make_owner
+        self._record_peer_version = record_peer_version
         self._stopped = stopped
         self._log_event = log_event
         self._work = WorkTable(store, log_event)
@@ -452,7 +456,8 @@
 
     def _ping_peer(self, address: str) -> None:
         try:
-            self._peers.ping(address)
+            answer = self._peers.ping(address)
+            self._record_peer_version(address, answer.configuration)
         except LavenderhookError as error:
             self._log_event("contact-unanswered", peer=address, **describe_failure(error))
 
@@ -531,6 +536,7 @@
                 # One that has stepped down has another id; one that has claimed but has no response
                 # yet is not the owner so far.
                 is_refused = answer.boot != owner.boot
+                self._record_peer_version(address, answer.configuration)
             except TransportError as error:
                 # A refused connection suggests that nothing listens; other failures, such as
                 # time-outs, only count together with a heartbeat that does not change.
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -100,10 +100,19 @@
 
 
 class PingResponse(msgspec.Struct, frozen=True):
-    """Response to a ping; `boot` is the claim id of the instance."""
+    """Response to a ping.
+
+    Parameters
+    ----------
+    boot : str
+        Claim id of the instance.
+    configuration : int
+        Version of its active configuration; 0 if it has none or does not say.
+    """
 
     boot: str
     is_owner: bool
+    configuration: int = 0
 
 
 class HandOverNotice(msgspec.Struct, frozen=True):
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -252,18 +252,34 @@
         """
 
 
+class ConfigurationChange(msgspec.Struct, frozen=True):
+    """The result of reading the configuration.
+
+    Parameters
+    ----------
+    routes : QueueRoutes or None
+        The queues; None if they did not change or can't be decoded.
+    revision : int
+        Revision to continue from.
+    row_revision : int
+        Revision of the row that was read; 0 if none was.
+    """
+
+    routes: QueueRoutes | None
+    revision: int
+    row_revision: int = 0
+
+
 class QueueConfiguration(abc.ABC):
     """The operator's configuration of the queues."""
 
     @abc.abstractmethod
-    def read(self) -> tuple[QueueRoutes | None, int]:
-        """Return the queues, or None if none can be decoded, and the revision that was read."""
+    def read(self) -> ConfigurationChange:
+        """Return the whole configuration."""
 
     @abc.abstractmethod
-    def wait_for_changes(self, after: int, wait_seconds: float) -> tuple[QueueRoutes | None, int]:
-        """Return the queues that changed after a revision, and the revision to continue from.
-
-        The queues are None if they did not change or can't be decoded.
+    def wait_for_changes(self, after: int, wait_seconds: float) -> ConfigurationChange:
+        """Return the change after a revision.
 
         Raises
         ------
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -9,6 +9,7 @@
 from .._internal.adapters.frontend import HttpRequest, Reply
 from .._internal.instance.entry import EntryInstance
 from .._internal.instance.submission_writer import WriteResult
+from .._internal.instance.table_watcher import LogEvent
 from .._internal.queueing.model import (
     Placement,
     Resources,
@@ -30,6 +31,7 @@
 RESPONSE_MARGIN_SECONDS = 0.1  # for the delay of the link that carries the response
 JSON_HEADERS = (("Content-Type", "application/json"),)
 GONE_STATUS = 410
+MAX_LOGGED_CHARACTERS = 200
 
 
 class _Step(msgspec.Struct, rename="camel"):
@@ -108,10 +110,18 @@
 
 
 class Frontend:
-    """Routes of the callers' listener and of the readiness listener."""
+    """Routes of the callers' listener and of the readiness listener.
 
-    def __init__(self, instance: EntryInstance) -> None:
+    Parameters
+    ----------
+    instance : EntryInstance
+    log_event : callable
+        Logs an event, given by its name and fields.
+    """
+
+    def __init__(self, instance: EntryInstance, log_event: LogEvent) -> None:
         self._instance = instance
+        self._log_event = log_event
         self.active = 0  # requests in progress
 
     def route_readiness(self, request: HttpRequest) -> Reply:
@@ -127,7 +137,8 @@
             self.active -= 1
 
     def _route(self, request: HttpRequest) -> Reply:
-        routes = self._instance.routes
+        configuration = self._instance.configuration
+        routes = configuration.routes
         if routes is None:
             raise NotReadyError("no configuration has been read yet")
         host = request.headers.get("host", "")
@@ -135,6 +146,12 @@
         if route is None:
             route = routes.find(host.partition(":")[0], request.path)
         if route is None:
+            self._log_event(
+                "queue-unknown",
+                host=host[:MAX_LOGGED_CHARACTERS],
+                path=request.path[:MAX_LOGGED_CHARACTERS],
+                **configuration.describe(),
+            )
             raise UnknownNameError("queue", host + request.path)
         submission_id = SubmissionId(request.path[len(route.path_prefix) :])
         deadline = _read_deadline(request)
--- a/src/lavenderhook/platform/lists.py
+++ b/src/lavenderhook/platform/lists.py
@@ -9,7 +9,9 @@
 from .._internal.adapters.transport import split_address
 from .._internal.core.identifiers import AvailabilityZone, ServiceName, WorkerId
 from .._internal.ports.queueing import (
+    ConfigurationChange,
     QueueConfiguration,
+    RowChanges,
     RowStore,
     StoredRow,
     WorkerChanges,
@@ -93,29 +95,34 @@
         self._store = store
         self._log_event = log_event
 
-    def read(self) -> tuple[QueueRoutes | None, int]:
-        """Return the queues, or None if none can be decoded, and the revision that was read."""
+    def read(self) -> ConfigurationChange:
+        """Return the whole configuration."""
         changes = self._store.read(
             OPERATOR_TABLE,
             CONFIGURATION_KEY,
             CONFIGURATION_KEY + "\0",
             timeout_seconds=CONFIGURATION_READ_SECONDS,
         )
-        return self._decode_newest(changes.rows), changes.revision
+        return self._decode_newest(changes)
 
-    def wait_for_changes(self, after: int, wait_seconds: float) -> tuple[QueueRoutes | None, int]:
-        """Return the queues that changed after a revision, and the revision to continue from."""
-        changes = self._store.wait_for_changes(OPERATOR_TABLE, after, wait_seconds)
-        return self._decode_newest(changes.rows), changes.revision
+    def wait_for_changes(self, after: int, wait_seconds: float) -> ConfigurationChange:
+        """Return the change after a revision."""
+        return self._decode_newest(
+            self._store.wait_for_changes(OPERATOR_TABLE, after, wait_seconds)
+        )
 
-    def _decode_newest(self, rows: tuple[StoredRow, ...]) -> QueueRoutes | None:
-        newest = None
-        for row in rows:
+    def _decode_newest(self, changes: RowChanges) -> ConfigurationChange:
+        newest = ConfigurationChange(None, changes.revision)
+        for row in changes.rows:
             if row.key == CONFIGURATION_KEY and not row.is_deleted:
                 try:
-                    newest = decode_configuration(row.value)
+                    routes = decode_configuration(row.value)
                 except (msgspec.DecodeError, ValueError) as error:
-                    self._log_event("configuration-unreadable", message=str(error))
+                    self._log_event(
+                        "configuration-unreadable", revision=row.revision, message=str(error)
+                    )
+                    continue
+                newest = ConfigurationChange(routes, changes.revision, row.revision)
         return newest
 
 
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -80,11 +80,12 @@
                 stop_seconds=bounds.stop_timeout_ms / 1000,
                 retention_seconds=bounds.status_s + RETENTION_MARGIN_SECONDS,
             ),
+            configuration_bound_seconds=bounds.config_apply_ms / 1000,
             limits=LISTENER_LIMITS,
             log_event=self.log_event,
             report_error=self.log.log_failure,
         )
-        frontend = self._frontend = Frontend(self.instance)
+        frontend = self._frontend = Frontend(self.instance, self.log_event)
         self._listeners = [
             self._create_listener(settings.listen.readiness, frontend.route_readiness),
             self._create_listener(settings.listen.frontend, frontend.route),
@@ -93,7 +94,9 @@
         register_gauge = self.metrics.register_gauge
         register_gauge("is_owner", lambda: float(self.instance.is_owner()))
         register_gauge("is_ready", lambda: float(self.instance.is_ready()))
-        register_gauge("configuration_version", self.instance.get_configuration_version)
+        configuration = self.instance.configuration
+        register_gauge("configuration_version", configuration.get_version)
+        register_gauge("configuration_age_seconds", configuration.measure_age)
         register_gauge("requests_active", lambda: float(frontend.active))
         register_gauge("log_lines_dropped", lambda: float(self.log.writer.dropped))
 
--- a/src/lavenderhook/platform/settings.py
+++ b/src/lavenderhook/platform/settings.py
@@ -51,11 +51,14 @@
         Longest time that a worker takes to stop a run.
     status_s : float
         For how long the final state of a submission can be queried.
+    config_apply_ms : float
+        Time after which a change of the configuration has to be in force.
     """
 
     grace_s: float = 6.0
     hold_max_ms: float = 6000.0
     stop_timeout_ms: float = 1000.0
+    config_apply_ms: float = 2000.0
     status_s: float = msgspec.field(name="status_s", default=120.0)
 
 
