--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,67 @@
+Feature: Changes of the configuration
+  A change that the operator's write has confirmed is in force at every instance in time: within 2 s
+  (configApplyMs), and within 5 s more (maxExtensionMs) while the store serves only some of the
+  instances. An instance that can't know whether a queue exists doesn't deny it.
+
+  Scenario Outline: Instances that the store turns away get a new configuration from their peers
+    Guards against instances that answer by an old configuration for as long as the store turns them
+    away, although they reach peers that have the new one.
+    Given 4 entry instances and 1 queue workers
+    When the owner has reached every worker
+    And the store's mode towards instances 1 and 2 becomes <mode>
+    And version 2 of the configuration adds "/more/"
+    Then every instance answers a GET of "/more/00000000000000a4" with 410 within 7.0 seconds
+    When version 5 of the configuration adds "/other/"
+    Then every instance answers a GET of "/other/00000000000000a4" with 410 within 7.0 seconds
+    And every instance answers a GET of "/more/00000000000000a4" with 404 within 7.0 seconds
+
+    Examples:
+      | mode   |
+      | busy   |
+      | silent |
+
+  Scenario: An instance that can't confirm its configuration doesn't deny a queue
+    Guards against a 404 for a queue that exists, from an instance that has reached neither the store
+    nor a peer for longer than a change takes to be in force.
+    Given 1 entry instances and 1 queue workers
+    When the owner has reached every worker
+    And the store's mode is busy
+    And 2.5 seconds of real time pass
+    Then a GET of "/more/00000000000000a4" is refused with 503 and a Retry-After
+    When the store's mode is up
+    Then every instance answers a GET of "/more/00000000000000a4" with 404 within 2.0 seconds
+
+  Scenario Outline: A route that can't be decoded leaves the others in force
+    Guards against a version of which nothing is in force because one of its routes has an unusual
+    field, and against a 404 for that route.
+    Given 2 entry instances and 1 queue workers
+    When version 2 adds "/more/" and a route "/odd/" whose <field> is <value>
+    Then every instance answers a GET of "/more/00000000000000a4" with 410 within 2.0 seconds
+    And a GET of "/odd/00000000000000a4" is refused with 503 and a Retry-After
+    And a GET of "/nowhere/00000000000000a4" is answered with 404
+    When version 3 of the configuration adds "/odd/"
+    Then every instance answers a GET of "/odd/00000000000000a4" with 410 within 2.0 seconds
+
+    Examples:
+      | field       | value             |
+      | maxAttempts | "two"             |
+      | advice      | [1]               |
+      | priority    | 1e400             |
+
+  Scenario Outline: A version that can't be decoded denies no queue
+    Guards against a 404 for a queue that the version adds, and against known queues that are refused
+    because of it.
+    Given 2 entry instances and 1 queue workers
+    When version 2 of the configuration is <content>
+    And 1.0 seconds of real time pass
+    Then a GET of "/jobs/00000000000000a4" is answered with 410
+    And a GET of "/more/00000000000000a4" is refused with 503 and a Retry-After
+    When version 3 of the configuration adds "/more/"
+    Then every instance answers a GET of "/more/00000000000000a4" with 410 within 2.0 seconds
+    And a GET of "/nowhere/00000000000000a4" is answered with 404
+
+    Examples:
+      | content        |
+      | not JSON       |
+      | deeply nested  |
+      | without routes |
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -506,7 +506,11 @@
 
     def write_configuration(self, version, prefixes):
         """Write the operator's configuration."""
-        routes = [
+        self.write_json("op", "config", {"version": version, "routes": self.make_routes(prefixes)})
+
+    def make_routes(self, prefixes):
+        """Return the routes of a configuration with one queue for each path prefix."""
+        return [
             {
                 "name": f"q{index}",
                 "host": "127.0.0.1",
@@ -520,7 +524,6 @@
             }
             for index, prefix in enumerate(prefixes)
         ]
-        self.write_json("op", "config", {"version": version, "routes": routes})
 
     def _advise(self, request):
         workers = request.read_json()["workers"]
