--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -9,11 +9,14 @@
     Given 4 entry instances and 1 queue workers
     When the owner has reached every worker
     And the store's mode towards instances 1 and 2 becomes <mode>
+    And 1.0 seconds of real time pass
     And version 2 of the configuration adds "/more/"
-    Then every instance answers a GET of "/more/00000000000000a4" with 410 within 7.0 seconds
+    Then every instance answers a GET of "/more/" with 200 within 7.0 seconds
     When version 5 of the configuration adds "/other/"
-    Then every instance answers a GET of "/other/00000000000000a4" with 410 within 7.0 seconds
-    And every instance answers a GET of "/more/00000000000000a4" with 404 within 7.0 seconds
+    Then every instance answers a GET of "/other/" with 200 within 7.0 seconds
+    And every instance answers a GET of "/more/" with 404 within 7.0 seconds
+    When a submission to "/other/" is sent to instance 1
+    Then it is answered with 200
 
     Examples:
       | mode   |
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -36,6 +36,12 @@
     context.cluster.platform.store.put("op", "config", UNREADABLE[content])
 
 
+@when('a submission to "{prefix}" is sent to instance {index:d}')
+def step_submit_to(context, prefix, index):
+    steps = [{"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 100}]
+    context.answer = context.cluster.submit(index, "00000000000000c1", steps, prefix)
+
+
 @then('every instance answers a GET of "{path}" with {status:d} within {seconds:f} seconds')
 def step_all_answer(context, path, status, seconds):
     until = time.monotonic() + seconds
