Take a newer configuration from peers while the store does not answer

Callers saw 404 for queues that had been added, and could submit to queues that had been removed, at instances that the store turned away while it served the others and the operator. Cause: each instance had the store as its only source of the configuration, though it exchanges calls with peers that have a newer one. Class: state that depends on one path although it is known on others. Ruled out: the peers' links (they answer pings), the decoding (the version is applied at once after the outage), stale reads (platform_compact: row revisions as expected). Change: an instance whose version the store has not confirmed for 1.2 s asks three peers for theirs every 0.3 s, and fetches the content, as the operator wrote it, of a newer one. It passes the same decoder; the newest wins and none is replaced by an older one. A confirmation counts as of the time at which the store gave it, also over several hops, so that two instances that are both turned away don't confirm each other. Unreadable or unanswered peers are passed over. While no peer knows more, the interval grows to 1.2 s; while the store answers, no peer is called. The scenario failed before ({0: 200, 1: 404, 2: 404, 3: 200} after 7 s) and passes.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -11,12 +11,10 @@
     And the store's mode towards instances 1 and 2 becomes <mode>
     And 1.0 seconds of real time pass
     And version 2 of the configuration adds "/more/"
-    Then every instance answers a GET of "/more/" with 200 within 7.0 seconds
+    Then every instance answers submissions to "/more/" with 200 within 7.0 seconds
     When version 5 of the configuration adds "/other/"
-    Then every instance answers a GET of "/other/" with 200 within 7.0 seconds
-    And every instance answers a GET of "/more/" with 404 within 7.0 seconds
-    When a submission to "/other/" is sent to instance 1
-    Then it is answered with 200
+    Then every instance answers submissions to "/other/" with 200 within 7.0 seconds
+    And every instance answers submissions to "/more/" with 404 within 7.0 seconds
 
     Examples:
       | mode   |
@@ -68,3 +66,49 @@
       | not JSON       |
       | deeply nested  |
       | without routes |
+
+  Scenario: A new configuration reaches instances over several hops
+    Guards against instances that only help peers to what they have read from the store themselves.
+    Given followers a, b, c, d that each reach their neighbours only
+    When only d reaches the store
+    And 3.0 seconds of real time pass
+    And the operator writes version 2
+    Then all followers have version 2 within 2.0 seconds
+    And the confirmation of b stays younger than 2.0 seconds
+
+  Scenario: Instances that are turned away together don't confirm each other
+    Guards against two instances that each take the other's old version for the newest.
+    Given followers a, b, c, d that each reach their neighbours only
+    When only d reaches the store
+    And the link between b and c is cut
+    And 3.5 seconds of real time pass
+    Then the confirmations of a and b are older than 2.0 seconds
+    And the confirmation of c stays younger than 2.0 seconds
+
+  Scenario Outline: A peer without a usable newer configuration is passed over
+    Guards against an instance that gives up its configuration, or stops asking the others, because
+    of one peer.
+    Given followers a, b, c that all reach each other
+    When b is <kind>
+    And only c reaches the store
+    And 2.0 seconds of real time pass
+    And the operator writes version 2
+    Then follower a has version 2 within 4.0 seconds
+    And follower a has logged "<line>"
+
+    Examples:
+      | kind                          | line                      |
+      | a peer of an older build      | configuration-unanswered  |
+      | a peer that has just started  | configuration-applied     |
+      | a peer with malformed content | configuration-not-fetched |
+      | a peer with too much content  | configuration-not-fetched |
+
+  Scenario: Peers are asked rarely
+    Guards against calls to peers while the store answers, and against a load that grows in an outage
+    of the whole store.
+    Given followers a, b, c that all reach each other
+    When 3.0 seconds of real time pass
+    Then no follower has called a peer
+    When no follower reaches the store
+    And 6.0 seconds of real time pass
+    Then each follower has called peers at most 20 times
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -1,10 +1,16 @@
 """Steps with changes of the configuration."""
 
+import itertools
 import json
 import time
+import zlib
 
 import gevent
-from behave import then, when
+from behave import given, then, when
+
+from features.support.configuration_followers import FollowerNetwork
+from lavenderhook._internal.instance.peers import ConfigurationStatus
+from lavenderhook.errors import ProtocolError
 
 NESTING = 100_000
 UNREADABLE = {
@@ -36,28 +42,165 @@
     context.cluster.platform.store.put("op", "config", UNREADABLE[content])
 
 
-@when('a submission to "{prefix}" is sent to instance {index:d}')
-def step_submit_to(context, prefix, index):
-    steps = [{"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 100}]
-    context.answer = context.cluster.submit(index, "00000000000000c1", steps, prefix)
-
-
-@then('every instance answers a GET of "{path}" with {status:d} within {seconds:f} seconds')
-def step_all_answer(context, path, status, seconds):
+def wait_for_statuses(context, call, status, seconds):
+    """Call every instance until each has answered once with a status."""
     until = time.monotonic() + seconds
     waiting = set(range(len(context.cluster.entries)))
     found = {}
     while waiting and time.monotonic() < until:
         for index in sorted(waiting):
-            found[index] = context.cluster.call(index, "GET", path).status
+            found[index] = call(index).status
             if found[index] == status:
                 waiting.discard(index)
         gevent.sleep(0.05)
     assert not waiting, found
 
 
+@then('every instance answers a GET of "{path}" with {status:d} within {seconds:f} seconds')
+def step_all_answer(context, path, status, seconds):
+    wait_for_statuses(
+        context, lambda index: context.cluster.call(index, "GET", path), status, seconds
+    )
+
+
+@then('every instance answers submissions to "{prefix}" with {status:d} within {seconds:f} seconds')
+def step_all_accept(context, prefix, status, seconds):
+    numbers = itertools.count(1)
+    steps = [{"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 100}]
+    name = zlib.crc32(f"{prefix}{status}".encode())
+
+    def submit(index):
+        return context.cluster.submit(index, f"{name:08x}{next(numbers):08x}", steps, prefix)
+
+    wait_for_statuses(context, submit, status, seconds)
+
+
 @then('a GET of "{path}" is refused with {status:d} and a Retry-After')
 def step_refused_read(context, path, status):
     answer = context.cluster.call(0, "GET", path)
     assert answer.status == status, answer
     assert int(answer.get_header("retry-after") or 0) >= 1, answer
+
+
+def start_followers(context, names):
+    """Start followers and register their clean-up."""
+    context.network = FollowerNetwork(names)
+    context.add_cleanup(context.network.stop)
+    gevent.sleep(0.05)
+
+
+@given("followers a, b, c, d that each reach their neighbours only")
+def step_chain(context):
+    start_followers(context, "abcd")
+    context.network.links = {frozenset(pair) for pair in ("ab", "bc", "cd")}
+
+
+@given("followers a, b, c that all reach each other")
+def step_followers(context):
+    start_followers(context, "abc")
+
+
+@when("only {name:w} reaches the store")
+def step_only_one_reaches(context, name):
+    for other, source in context.network.sources.items():
+        source.is_reachable = other == name
+
+
+@when("no follower reaches the store")
+def step_none_reaches(context):
+    for source in context.network.sources.values():
+        source.is_reachable = False
+
+
+@when("the link between {one:w} and {other:w} is cut")
+def step_cut(context, one, other):
+    context.network.links.discard(frozenset((one, other)))
+
+
+@when("the operator writes version {version:d}")
+def step_write_version(context, version):
+    context.network.write(version)
+
+
+class StubPeer:
+    """Peer that answers with one status and one content; None stands for an unknown call."""
+
+    def __init__(self, status, content=b""):
+        self.status = status
+        self.content = content
+
+    def get_status(self):
+        """Return the status."""
+        if self.status is None:
+            raise ProtocolError("the peer answered with 404")
+        return self.status
+
+    def get_content(self):
+        """Return the content."""
+        return self.content
+
+
+PEERS = {
+    "a peer of an older build": StubPeer(None),
+    "a peer that has just started": StubPeer(ConfigurationStatus(0, float("inf"))),
+    "a peer with malformed content": StubPeer(ConfigurationStatus(99, 0.0), b"{"),
+    "a peer with too much content": StubPeer(ConfigurationStatus(99, 0.0), b"9" * 1_000_001),
+}
+
+
+@when("b is {kind}")
+def step_peer_kind(context, kind):
+    context.network.peers["b"] = PEERS[kind]
+
+
+def wait_for_version(context, names, version, seconds):
+    """Wait until followers have a version."""
+    until = time.monotonic() + seconds
+    followers = [context.network.followers[name] for name in names]
+    while time.monotonic() < until:
+        if all(follower.get_version() == version for follower in followers):
+            return
+        gevent.sleep(0.02)
+    raise AssertionError([follower.get_version() for follower in followers])
+
+
+@then("all followers have version {version:d} within {seconds:f} seconds")
+def step_all_have(context, version, seconds):
+    wait_for_version(context, context.network.followers, version, seconds)
+
+
+@then("follower {name:w} has version {version:d} within {seconds:f} seconds")
+def step_one_has(context, name, version, seconds):
+    wait_for_version(context, [name], version, seconds)
+
+
+@then("the confirmation of {name:w} stays younger than {seconds:f} seconds")
+def step_confirmed(context, name, seconds):
+    until = time.monotonic() + 2.0
+    while time.monotonic() < until:
+        age = context.network.followers[name].measure_age()
+        assert age <= seconds, age
+        gevent.sleep(0.05)
+
+
+@then("the confirmations of a and b are older than {seconds:f} seconds")
+def step_unconfirmed(context, seconds):
+    ages = {name: context.network.followers[name].measure_age() for name in "ab"}
+    assert min(ages.values()) > seconds, ages
+
+
+@then('follower {name:w} has logged "{event}"')
+def step_follower_logged(context, name, event):
+    assert any(found[:2] == (name, event) for found in context.network.events)
+
+
+@then("no follower has called a peer")
+def step_no_calls(context):
+    calls = {name: client.calls for name, client in context.network.clients.items()}
+    assert not any(calls.values()), calls
+
+
+@then("each follower has called peers at most {count:d} times")
+def step_few_calls(context, count):
+    calls = {name: client.calls for name, client in context.network.clients.items()}
+    assert all(0 < number <= count for number in calls.values()), calls
--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -1,4 +1,4 @@
-"""The configuration of the queues, as this instance follows it in the store."""
+"""The configuration of the queues, followed in the store and, while it is unreachable, at peers."""
 
 from __future__ import annotations
 
@@ -8,19 +8,31 @@
 import gevent
 import gevent.event
 
-from ...errors import LavenderhookError
-from ..ports.queueing import HistoryLostError, QueueConfiguration
+from ...errors import LavenderhookError, ProtocolError
+from ..ports.queueing import ConfigurationChange, HistoryLostError, QueueConfiguration
 from ..queueing.routes import QueueRoutes
 from .contact import read_elapsed_clock
+from .peers import ConfigurationStatus, PeerClient
 from .table_watcher import LogEvent, describe_failure
 
 WAIT_SECONDS = 0.8  # a change of the configuration ends the wait at once
 POLL_INTERVAL_SECONDS = 0.1  # between polls; limits the load of frequent changes
 STORE_RETRY_SECONDS = 0.25  # after a failed call to the store
+# Longer than a wait for changes, the pause after it and a response that is late under load.
+ASK_PEERS_AFTER_SECONDS = 1.2
+PEER_INTERVAL_SECONDS = 0.3
+MAX_PEER_INTERVAL_SECONDS = 1.2  # while no peer knows more than this instance
+MAX_PEERS_ASKED = 3
+MAX_CONTENT_BYTES = 1_000_000  # limit of the store for what is written at once
 
 
 class ConfigurationFollower:
-    """Keeps the newest configuration that this instance has read active.
+    """Keeps the newest configuration that this instance or a peer has read active.
+
+    Handles an instance that the store turns away while it serves others and the operator: it asks
+    its peers for their versions, and for the content of a newer one. A version is never replaced
+    by an older one, and it counts as the newest only as of the time at which the store last said
+    so, to this instance or to the peer that passes it on.
 
     Attributes
     ----------
@@ -32,6 +44,9 @@
     configuration : QueueConfiguration
     bound_seconds : float
         Time after which a change of the configuration has to be in force everywhere.
+    peer_client : PeerClient
+    list_peers : callable
+        Returns the addresses of the peers, in the order in which they are asked.
     stopped : gevent.event.Event
         Ends the loops.
     log_event : callable
@@ -42,21 +57,31 @@
         self,
         configuration: QueueConfiguration,
         bound_seconds: float,
+        *,
+        peer_client: PeerClient,
+        list_peers: Callable[[], list[str]],
         stopped: gevent.event.Event,
         log_event: LogEvent,
     ) -> None:
         self.routes: QueueRoutes | None = None
         self._configuration = configuration
         self._bound_seconds = bound_seconds
+        self._peer_client = peer_client
+        self._list_peers = list_peers
         self._stopped = stopped
         self._log_event = log_event
-        self._confirmed_at = -math.inf  # by `read_elapsed_clock`
+        self._content = b""  # of the active configuration
+        # By `read_elapsed_clock`: when the active version was last known to be the newest, and
+        # when the store itself last said so.
+        self._confirmed_at = -math.inf
+        self._store_confirmed_at = -math.inf
         self._is_overdue = True
-        self._peer_versions: dict[str, int] = {}  # by address, those newer than the active one
+        self._newer_peers: dict[str, int] = {}  # versions by address
+        self._unreadable: dict[str, int] = {}  # versions by address
 
     def list_loops(self) -> tuple[Callable[[], None], ...]:
         """Return the loops to run until the instance stops."""
-        return (self._watch_store, self._watch_age)
+        return (self._watch_store, self._watch_peers, self._watch_age)
 
     def get_version(self) -> int:
         """Return the version of the active configuration; 0 if there is none."""
@@ -73,10 +98,10 @@
 
     def record_peer_version(self, address: str, version: int) -> None:
         """Record the version that a peer has."""
-        if version <= self.get_version():
-            self._peer_versions.pop(address, None)
-        elif self._peer_versions.get(address) != version:
-            self._peer_versions[address] = version
+        if version <= max(self.get_version(), self._unreadable.get(address, 0)):
+            self._newer_peers.pop(address, None)
+        elif self._newer_peers.get(address) != version:
+            self._newer_peers[address] = version
             self._log_event("configuration-behind", peer=address, newer=version, **self.describe())
 
     def _watch_store(self) -> None:
@@ -100,32 +125,110 @@
                 continue
             revision = change.revision
             if change.routes is not None:
-                self._apply(change.routes, revision, change.row_revision)
-            self._confirmed_at = sent_at
+                self._apply(
+                    change.routes,
+                    change.content,
+                    revision=revision,
+                    row_revision=change.row_revision,
+                )
+            self._record_store_answer(change, sent_at)
             gevent.sleep(POLL_INTERVAL_SECONDS)
 
-    def _apply(self, routes: QueueRoutes, revision: int, row_revision: int) -> None:
+    def _record_store_answer(self, change: ConfigurationChange, sent_at: float) -> None:
+        confirmed_at = sent_at
+        if change.has_waited:
+            confirmed_at = min(sent_at + WAIT_SECONDS, read_elapsed_clock())
+        self._store_confirmed_at = confirmed_at
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+
+    def _apply(self, routes: QueueRoutes, content: bytes, **source: object) -> None:
         former = self.get_version()
         if routes.version <= former:
             if routes.version < former:
                 self._log_event(
-                    "configuration-stale",
-                    read=routes.version,
-                    revision=revision,
-                    row_revision=row_revision,
-                    **self.describe(),
+                    "configuration-stale", read=routes.version, **source, **self.describe()
                 )
             return
         self.routes = routes
+        self._content = content
+        self._newer_peers = {a: v for a, v in self._newer_peers.items() if v > routes.version}
         self._log_event(
             "configuration-applied",
             version=routes.version,
             former=former,
             queues=len(routes),
-            revision=revision,
-            row_revision=row_revision,
+            **source,
         )
 
+    # Peers.
+
+    def get_status(self) -> ConfigurationStatus:
+        """Return what a peer is told about the active configuration."""
+        return ConfigurationStatus(self.get_version(), self.measure_age())
+
+    def get_content(self) -> bytes:
+        """Return the content of the active configuration for a peer; empty if there is none."""
+        return self._content
+
+    def _watch_peers(self) -> None:
+        """Ask peers for their versions while the store does not confirm the active one."""
+        interval = PEER_INTERVAL_SECONDS
+        while not self._stopped.is_set():
+            gevent.sleep(interval)
+            age = read_elapsed_clock() - self._store_confirmed_at
+            if age < ASK_PEERS_AFTER_SECONDS and not self._newer_peers:
+                interval = PEER_INTERVAL_SECONDS
+                continue
+            self._ask_peers()
+            # While the store is unavailable to all instances, no peer knows more.
+            is_outage = self.measure_age() > self._bound_seconds and not self._newer_peers
+            interval = (
+                min(2 * interval, MAX_PEER_INTERVAL_SECONDS) if is_outage else PEER_INTERVAL_SECONDS
+            )
+
+    def _ask_peers(self) -> None:
+        addresses = list(dict.fromkeys([*self._newer_peers, *self._list_peers()]))
+        calls = [gevent.spawn(self._ask_peer, address) for address in addresses[:MAX_PEERS_ASKED]]
+        gevent.joinall(calls)
+        if not self._newer_peers:
+            return
+        address = max(self._newer_peers, key=lambda peer: self._newer_peers[peer])
+        version = self._newer_peers.pop(address)  # the next round finds it again if this fails
+        try:
+            routes, content = self._fetch(address)
+        except LavenderhookError as error:
+            if isinstance(error, ProtocolError):
+                self._unreadable[address] = version  # leaves the next round to other peers
+            self._log_event(
+                "configuration-not-fetched",
+                peer=address,
+                newer=version,
+                **describe_failure(error),
+                **self.describe(),
+            )
+            return
+        self._apply(routes, content, peer=address)
+
+    def _fetch(self, address: str) -> tuple[QueueRoutes, bytes]:
+        content = self._peer_client.request_configuration(address)
+        if len(content) > MAX_CONTENT_BYTES:
+            raise ProtocolError(
+                f"the configuration has {len(content)} bytes, more than {MAX_CONTENT_BYTES}"
+            )
+        return self._configuration.decode(content), content
+
+    def _ask_peer(self, address: str) -> None:
+        sent_at = read_elapsed_clock()
+        try:
+            status = self._peer_client.request_configuration_status(address)
+        except LavenderhookError as error:
+            self._newer_peers.pop(address, None)
+            self._log_event("configuration-unanswered", peer=address, **describe_failure(error))
+            return
+        self.record_peer_version(address, status.version)
+        if status.version == self.get_version():
+            self._confirmed_at = max(self._confirmed_at, sent_at - status.age_seconds)
+
     def _watch_age(self) -> None:
         """Log when the active version has not been confirmed within the bound, and when it is."""
         while not self._stopped.is_set():
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -100,15 +100,20 @@
         self.stopped = gevent.event.Event()
         self._store = store
         self._worker_list = worker_list
-        self.configuration = ConfigurationFollower(
-            configuration, configuration_bound_seconds, self.stopped, log_event
-        )
         self._worker_client = worker_client
         self._advisor = advisor
         self._parameters = parameters
         self._log_event = log_event
         self._report_error = report_error
         self._peers = peers.PeerClient()
+        self.configuration = ConfigurationFollower(
+            configuration,
+            configuration_bound_seconds,
+            peer_client=self._peers,
+            list_peers=lambda: self._ownership.list_peers(),
+            stopped=self.stopped,
+            log_event=log_event,
+        )
         self._ownership = OwnershipManager(
             name,
             zone,
@@ -392,6 +397,11 @@
                 )
             case peers.CONTACT_PATH:
                 return peers.reply_message(self._ownership.measure_store_contact())
+            case peers.CONFIGURATION_STATUS_PATH:
+                return peers.reply_message(self.configuration.get_status())
+            case peers.CONFIGURATION_PATH:
+                content = self.configuration.get_content()
+                return peers.reply_message(peers.ConfigurationContent(content))
             case peers.HAND_OVER_PATH:
                 self._ownership.apply_hand_over(peers.read_message(incoming, peers.HandOverNotice))
                 return Reply()
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -32,6 +32,10 @@
 ADVISE_PATH = "/peer/advise"
 HAND_OVER_PATH = "/peer/hand-over"
 CONTACT_PATH = "/peer/store-contact"
+CONFIGURATION_STATUS_PATH = "/peer/configuration-status"
+CONFIGURATION_PATH = "/peer/configuration"
+CONFIGURATION_STATUS_TIMEOUT_SECONDS = 0.4  # the next peers are asked soon after
+CONFIGURATION_TIMEOUT_SECONDS = 1.0  # 256 KB over a link of 5 Mbit/s take 0.4 s
 CONTACT_TIMEOUT_SECONDS = 0.4  # the peer reads from the store for up to 0.25 s
 HAND_OVER_TIMEOUT_SECONDS = 0.3  # without a response, peers notice the missing heartbeat
 PING_TIMEOUT_SECONDS = 0.45  # an owner on a busy machine responds sooner
@@ -115,6 +119,27 @@
     configuration: int = 0
 
 
+class ConfigurationStatus(msgspec.Struct, frozen=True):
+    """Which configuration an instance uses.
+
+    Parameters
+    ----------
+    version : int
+        0 if it has none.
+    age_seconds : float
+        How long ago this version was known to be the newest.
+    """
+
+    version: int
+    age_seconds: float
+
+
+class ConfigurationContent(msgspec.Struct, frozen=True):
+    """The configuration that an instance uses, as the operator wrote it."""
+
+    content: bytes
+
+
 class HandOverNotice(msgspec.Struct, frozen=True):
     """An owner has resigned and sends no more commands; the recipient may have to take over."""
 
@@ -166,6 +191,23 @@
         """Return how the peer reaches the store."""
         return self._call(address, CONTACT_PATH, None, StoreContact, CONTACT_TIMEOUT_SECONDS)
 
+    def request_configuration_status(self, address: str) -> ConfigurationStatus:
+        """Return the version that the peer uses."""
+        return self._call(
+            address,
+            CONFIGURATION_STATUS_PATH,
+            None,
+            ConfigurationStatus,
+            CONFIGURATION_STATUS_TIMEOUT_SECONDS,
+        )
+
+    def request_configuration(self, address: str) -> bytes:
+        """Return the content of the configuration that the peer uses."""
+        response = self._call(
+            address, CONFIGURATION_PATH, None, ConfigurationContent, CONFIGURATION_TIMEOUT_SECONDS
+        )
+        return response.content
+
     def send_hand_over(self, address: str, notice: HandOverNotice) -> None:
         """Tell a peer that the owner has resigned."""
         self._call(address, HAND_OVER_PATH, notice, None, HAND_OVER_TIMEOUT_SECONDS)
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -257,17 +257,23 @@
 
     Parameters
     ----------
-    routes : QueueRoutes or None
-        The queues; None if they did not change or can't be decoded.
     revision : int
         Revision to continue from.
+    routes : QueueRoutes or None
+        The queues; None if they did not change or can't be decoded.
+    content : bytes
+        What the queues were decoded from.
     row_revision : int
         Revision of the row that was read; 0 if none was.
+    has_waited : bool
+        Nothing was written, so that the store answered at the end of the wait.
     """
 
-    routes: QueueRoutes | None
     revision: int
+    routes: QueueRoutes | None = None
+    content: bytes = b""
     row_revision: int = 0
+    has_waited: bool = False
 
 
 class QueueConfiguration(abc.ABC):
@@ -285,3 +291,12 @@
         ------
         HistoryLostError
         """
+
+    @abc.abstractmethod
+    def decode(self, content: bytes) -> QueueRoutes:
+        """Return the queues of a configuration that a peer has read.
+
+        Raises
+        ------
+        ProtocolError
+        """
--- a/src/lavenderhook/platform/lists.py
+++ b/src/lavenderhook/platform/lists.py
@@ -25,6 +25,7 @@
     WorkerState,
 )
 from .._internal.queueing.routes import QueueRoute, QueueRoutes
+from ..errors import ProtocolError
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -107,22 +108,27 @@
 
     def wait_for_changes(self, after: int, wait_seconds: float) -> ConfigurationChange:
         """Return the change after a revision."""
-        return self._decode_newest(
-            self._store.wait_for_changes(OPERATOR_TABLE, after, wait_seconds)
-        )
+        changes = self._store.wait_for_changes(OPERATOR_TABLE, after, wait_seconds)
+        if not changes.rows:
+            return ConfigurationChange(changes.revision, has_waited=True)
+        return self._decode_newest(changes)
+
+    def decode(self, content: bytes) -> QueueRoutes:
+        """Return the queues of a configuration that a peer has read."""
+        return decode_configuration(content)
 
     def _decode_newest(self, changes: RowChanges) -> ConfigurationChange:
-        newest = ConfigurationChange(None, changes.revision)
+        newest = ConfigurationChange(changes.revision)
         for row in changes.rows:
             if row.key == CONFIGURATION_KEY and not row.is_deleted:
                 try:
                     routes = decode_configuration(row.value)
-                except (msgspec.DecodeError, ValueError) as error:
+                except ProtocolError as error:
                     self._log_event(
                         "configuration-unreadable", revision=row.revision, message=str(error)
                     )
                     continue
-                newest = ConfigurationChange(routes, changes.revision, row.revision)
+                newest = ConfigurationChange(changes.revision, routes, row.value, row.revision)
         return newest
 
 
@@ -163,10 +169,13 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    ProtocolError
         If fields are missing or of another type.
     """
-    configuration = msgspec.json.decode(value, type=_Configuration)
+    try:
+        configuration = msgspec.json.decode(value, type=_Configuration)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise ProtocolError(f"malformed configuration: {error}") from error
     return QueueRoutes(
         configuration.version,
         [
