Deny a queue only while the configuration is confirmed

Callers got 404 for a queue that existed, from an instance that could not know: one that had reached neither the store nor a peer for longer than a change takes to be in force, or whose newest version could not be decoded. Cause: a miss in the active routes was taken for proof, whatever their age. Class: absence concluded from old knowledge. Change: 404 only if the active version was confirmed within configApplyMs, by the store or through a peer, and no newer one is unreadable; 503 with Retry-After otherwise, also before the first version. The confirmation is dated so that a request sent configApplyMs after a change can't be denied by a version older than it. Weighed: known queues are still served by an unconfirmed instance, although they may have been removed. It can store a submission only through the store or a peer, and then learns of a removal from the same; while the store is down for all, nobody can remove them, and refusing would cost callers for nothing. Unknown queues get 503 then, which costs only callers of queues that don't exist.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -27,7 +27,7 @@
     Given 1 entry instances and 1 queue workers
     When the owner has reached every worker
     And the store's mode is busy
-    And 2.5 seconds of real time pass
+    And 3.5 seconds of real time pass
     Then a GET of "/more/00000000000000a4" is refused with 503 and a Retry-After
     When the store's mode is up
     Then every instance answers a GET of "/more/00000000000000a4" with 404 within 2.0 seconds
--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -76,6 +76,7 @@
         self._confirmed_at = -math.inf
         self._store_confirmed_at = -math.inf
         self._is_overdue = True
+        self._is_newest_unreadable = False
         self._newer_peers: dict[str, int] = {}  # versions by address
         self._unreadable: dict[str, int] = {}  # versions by address
 
@@ -91,6 +92,15 @@
         """Return how long ago the active version was known to be the newest, in seconds."""
         return read_elapsed_clock() - self._confirmed_at
 
+    def can_deny_queues(self) -> bool:
+        """Return whether a queue that the active version does not have does not exist.
+
+        An instance that has not heard for longer than a change takes to be in force may have missed
+        the change that added the queue. Queues that it knows are still served: while no instance
+        reaches the store, nobody can have removed them, and while one does, a peer tells.
+        """
+        return not self._is_newest_unreadable and self.measure_age() <= self._bound_seconds
+
     def describe(self) -> dict[str, object]:
         """Return the log fields that describe the active configuration."""
         age = self.measure_age()
@@ -124,7 +134,10 @@
                 gevent.sleep(STORE_RETRY_SECONDS)
                 continue
             revision = change.revision
+            if change.is_unreadable:
+                self._is_newest_unreadable = True
             if change.routes is not None:
+                self._is_newest_unreadable = False
                 self._apply(
                     change.routes,
                     change.content,
@@ -135,6 +148,8 @@
             gevent.sleep(POLL_INTERVAL_SECONDS)
 
     def _record_store_answer(self, change: ConfigurationChange, sent_at: float) -> None:
+        if self._is_newest_unreadable:
+            return  # the active version is not the newest
         confirmed_at = sent_at
         if change.has_waited:
             confirmed_at = min(sent_at + WAIT_SECONDS, read_elapsed_clock())
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -265,6 +265,8 @@
         What the queues were decoded from.
     row_revision : int
         Revision of the row that was read; 0 if none was.
+    is_unreadable : bool
+        The newest row can't be decoded.
     has_waited : bool
         Nothing was written, so that the store answered at the end of the wait.
     """
@@ -273,6 +275,7 @@
     routes: QueueRoutes | None = None
     content: bytes = b""
     row_revision: int = 0
+    is_unreadable: bool = False
     has_waited: bool = False
 
 
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -21,7 +21,6 @@
 from .._internal.queueing.validation import check_submission
 from ..errors import (
     InvalidArgumentError,
-    NotReadyError,
     UnknownNameError,
 )
 
@@ -137,24 +136,11 @@
             self.active -= 1
 
     def _route(self, request: HttpRequest) -> Reply:
-        configuration = self._instance.configuration
-        routes = configuration.routes
-        if routes is None:
-            raise NotReadyError("no configuration has been read yet")
-        host = request.headers.get("host", "")
-        route = routes.find(host, request.path)
-        if route is None:
-            route = routes.find(host.partition(":")[0], request.path)
+        deadline = _read_deadline(request)
+        route = self._find_route(request)
         if route is None:
-            self._log_event(
-                "queue-unknown",
-                host=host[:MAX_LOGGED_CHARACTERS],
-                path=request.path[:MAX_LOGGED_CHARACTERS],
-                **configuration.describe(),
-            )
-            raise UnknownNameError("queue", host + request.path)
+            return self._reply_unavailable(503, deadline)
         submission_id = SubmissionId(request.path[len(route.path_prefix) :])
-        deadline = _read_deadline(request)
         match request.method:
             case "POST" if submission_id:
                 return self._submit(request, route, submission_id, deadline)
@@ -168,6 +154,34 @@
             case _:
                 raise UnknownNameError("operation", request.method)
 
+    def _find_route(self, request: HttpRequest) -> QueueRoute | None:
+        """Return the route of a request, or None if this instance can't know whether it exists.
+
+        Raises
+        ------
+        UnknownNameError
+            If no such queue exists.
+        """
+        configuration = self._instance.configuration
+        host = request.headers.get("host", "")
+        route = None
+        if configuration.routes is not None:
+            route = configuration.routes.find(host, request.path)
+            if route is None:
+                route = configuration.routes.find(host.partition(":")[0], request.path)
+        if route is not None:
+            return route
+        is_unknown = configuration.can_deny_queues()
+        self._log_event(
+            "queue-unknown" if is_unknown else "queue-unconfirmed",
+            host=host[:MAX_LOGGED_CHARACTERS],
+            path=request.path[:MAX_LOGGED_CHARACTERS],
+            **configuration.describe(),
+        )
+        if is_unknown:
+            raise UnknownNameError("queue", host + request.path)
+        return None
+
     def _submit(
         self,
         request: HttpRequest,
--- a/src/lavenderhook/platform/lists.py
+++ b/src/lavenderhook/platform/lists.py
@@ -121,16 +121,17 @@
         newest = ConfigurationChange(changes.revision)
         for row in changes.rows:
             if row.key == CONFIGURATION_KEY and not row.is_deleted:
-                try:
-                    routes = decode_configuration(row.value)
-                except ProtocolError as error:
-                    self._log_event(
-                        "configuration-unreadable", revision=row.revision, message=str(error)
-                    )
-                    continue
-                newest = ConfigurationChange(changes.revision, routes, row.value, row.revision)
+                newest = self._decode_row(row, changes.revision)
         return newest
 
+    def _decode_row(self, row: StoredRow, revision: int) -> ConfigurationChange:
+        try:
+            routes = decode_configuration(row.value)
+        except ProtocolError as error:
+            self._log_event("configuration-unreadable", revision=row.revision, message=str(error))
+            return ConfigurationChange(revision, row_revision=row.revision, is_unreadable=True)
+        return ConfigurationChange(revision, routes, row.value, row.revision)
+
 
 class PlatformWorkers(WorkerList):
     """The workers' rows ``servers/ID``."""
@@ -174,7 +175,7 @@
     """
     try:
         configuration = msgspec.json.decode(value, type=_Configuration)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise ProtocolError(f"malformed configuration: {error}") from error
     return QueueRoutes(
         configuration.version,
