Decode routes one by one, so that an odd one leaves the others in force

Callers got 404 for a queue that a new version had added, since another route of that version had an unusual field: the version was passed over, and the watch went on from the revision after it. Cause: one decoder call for the whole version. Class: one odd item refuses its whole list. Change: a route that can't be decoded is logged (route-unreadable) and keeps its address: requests to it get 503, neither a wrong queue of a shorter prefix nor a 404. If its address can't be decoded either, all requests without another route get 503. The scenario (3 examples) failed before with 404 for the other route, and passes.

--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -176,7 +176,9 @@
 
     def __init__(self):
         content = json.dumps(EXAMPLES["a configuration"]).encode()
-        self.configuration = SimpleNamespace(routes=lists.decode_configuration(content))
+        self.configuration = SimpleNamespace(
+            routes=lists.decode_configuration(content, ignore_event)
+        )
 
     def submit(self, submission, _deadline):
         """Accept a submission that an owner could read."""
--- a/src/lavenderhook/_internal/queueing/routes.py
+++ b/src/lavenderhook/_internal/queueing/routes.py
@@ -8,12 +8,28 @@
 
 from .model import QueueTerms
 
+ANY_HOST = "*"
 
-class QueueRoute(msgspec.Struct, frozen=True, kw_only=True):
-    """A queue and the host and path under which callers reach it."""
+
+class RouteAddress(msgspec.Struct, frozen=True, kw_only=True):
+    """The host and path under which callers reach a queue.
+
+    By itself, it stands for a queue whose other fields can't be decoded: requests to it can't be
+    served, and must not be told that the queue does not exist.
+
+    Parameters
+    ----------
+    host : str
+        `ANY_HOST` if it can't be decoded either.
+    """
 
     host: str
     path_prefix: str
+
+
+class QueueRoute(RouteAddress, frozen=True, kw_only=True):
+    """A queue and its address."""
+
     terms: QueueTerms
 
 
@@ -24,12 +40,12 @@
     ----------
     version : int
         Version of the configuration; increases.
-    routes : iterable of QueueRoute
+    routes : iterable of RouteAddress
     """
 
-    def __init__(self, version: int, routes: Iterable[QueueRoute]) -> None:
+    def __init__(self, version: int, routes: Iterable[RouteAddress]) -> None:
         self.version = version
-        self._by_host: dict[str, list[QueueRoute]] = {}
+        self._by_host: dict[str, list[RouteAddress]] = {}
         for route in routes:
             self._by_host.setdefault(route.host, []).append(route)
         for host_routes in self._by_host.values():
@@ -38,9 +54,17 @@
     def __len__(self) -> int:
         return sum(map(len, self._by_host.values()))
 
-    def find(self, host: str, path: str) -> QueueRoute | None:
-        """Return the route with the longest prefix of the path, or None."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.path_prefix):
-                return route
+    def find(self, host: str, path: str) -> RouteAddress | None:
+        """Return the route with the longest prefix of the path, or None.
+
+        Parameters
+        ----------
+        host : str
+            With or without a port.
+        path : str
+        """
+        for name in (host, host.partition(":")[0], ANY_HOST):
+            for route in self._by_host.get(name, ()):
+                if path.startswith(route.path_prefix):
+                    return route
         return None
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -167,11 +167,9 @@
         route = None
         if configuration.routes is not None:
             route = configuration.routes.find(host, request.path)
-            if route is None:
-                route = configuration.routes.find(host.partition(":")[0], request.path)
-        if route is not None:
+        if isinstance(route, QueueRoute):
             return route
-        is_unknown = configuration.can_deny_queues()
+        is_unknown = route is None and configuration.can_deny_queues()
         self._log_event(
             "queue-unknown" if is_unknown else "queue-unconfirmed",
             host=host[:MAX_LOGGED_CHARACTERS],
--- a/src/lavenderhook/platform/lists.py
+++ b/src/lavenderhook/platform/lists.py
@@ -24,7 +24,7 @@
     WorkerListing,
     WorkerState,
 )
-from .._internal.queueing.routes import QueueRoute, QueueRoutes
+from .._internal.queueing.routes import ANY_HOST, QueueRoute, QueueRoutes, RouteAddress
 from ..errors import ProtocolError
 
 OPERATOR_TABLE = "op"
@@ -58,11 +58,18 @@
     advice: _Advice | None = None
 
 
+class _RouteAddress(msgspec.Struct, rename="camel"):
+    """The part of a route that selects it."""
+
+    host: str
+    path_prefix: str
+
+
 class _Configuration(msgspec.Struct, rename="camel"):
-    """The operator's configuration."""
+    """The operator's configuration; routes are decoded one by one."""
 
     version: int
-    routes: list[_Route] = []
+    routes: list[msgspec.Raw] = []
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
@@ -113,10 +120,6 @@
             return ConfigurationChange(changes.revision, has_waited=True)
         return self._decode_newest(changes)
 
-    def decode(self, content: bytes) -> QueueRoutes:
-        """Return the queues of a configuration that a peer has read."""
-        return decode_configuration(content)
-
     def _decode_newest(self, changes: RowChanges) -> ConfigurationChange:
         newest = ConfigurationChange(changes.revision)
         for row in changes.rows:
@@ -124,9 +127,13 @@
                 newest = self._decode_row(row, changes.revision)
         return newest
 
+    def decode(self, content: bytes) -> QueueRoutes:
+        """Return the queues of a configuration that a peer has read."""
+        return decode_configuration(content, self._log_event)
+
     def _decode_row(self, row: StoredRow, revision: int) -> ConfigurationChange:
         try:
-            routes = decode_configuration(row.value)
+            routes = self.decode(row.value)
         except ProtocolError as error:
             self._log_event("configuration-unreadable", revision=row.revision, message=str(error))
             return ConfigurationChange(revision, row_revision=row.revision, is_unreadable=True)
@@ -165,39 +172,59 @@
         return workers
 
 
-def decode_configuration(value: bytes) -> QueueRoutes:
+def decode_configuration(value: bytes, log_event: LogEvent) -> QueueRoutes:
     """Decode the queues of a configuration.
 
+    A route that can't be decoded is logged and keeps its address, if that can be decoded.
+
     Raises
     ------
     ProtocolError
-        If fields are missing or of another type.
+        If there is no version or no list of routes.
     """
     try:
         configuration = msgspec.json.decode(value, type=_Configuration)
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise ProtocolError(f"malformed configuration: {error}") from error
-    return QueueRoutes(
-        configuration.version,
-        [
-            QueueRoute(
-                host=route.host,
-                path_prefix=route.path_prefix,
-                terms=QueueTerms(
-                    name=route.name,
-                    service=ServiceName(route.service),
-                    priority=route.priority,
-                    most_attempts=route.max_attempts,
-                    slack_factor=route.slack_factor,
-                    latency_seconds=route.target_latency_ms / 1000,
-                    advice=_convert_advice(route.advice),
-                ),
-            )
-            for route in configuration.routes
-        ],
+    routes: list[RouteAddress] = []
+    for content in configuration.routes:
+        try:
+            routes.append(_decode_route(content))
+        except ProtocolError as error:
+            log_event("route-unreadable", version=configuration.version, message=str(error))
+            routes.append(_decode_address(content))
+    return QueueRoutes(configuration.version, routes)
+
+
+def _decode_route(content: msgspec.Raw) -> QueueRoute:
+    try:
+        route = msgspec.json.decode(content, type=_Route)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise ProtocolError(f"malformed route: {error}") from error
+    return QueueRoute(
+        host=route.host,
+        path_prefix=route.path_prefix,
+        terms=QueueTerms(
+            name=route.name,
+            service=ServiceName(route.service),
+            priority=route.priority,
+            most_attempts=route.max_attempts,
+            slack_factor=route.slack_factor,
+            latency_seconds=route.target_latency_ms / 1000,
+            advice=_convert_advice(route.advice),
+        ),
     )
 
 
+def _decode_address(content: msgspec.Raw) -> RouteAddress:
+    """Return the address of a route that can't be decoded; it matches all requests if unknown."""
+    try:
+        address = msgspec.json.decode(content, type=_RouteAddress)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        return RouteAddress(host=ANY_HOST, path_prefix="")
+    return RouteAddress(host=address.host, path_prefix=address.path_prefix)
+
+
 def _convert_advice(advice: _Advice | None) -> AdviceTerms | None:
     if advice is None:
         return None
