Read the configuration beside a watch that is not answered

Callers got 404 for a new queue for up to 2.3 s, and 4 s after two lost responses in a row, from an instance whose watch of the configuration had lost its response on a connection that had gone silent. Cause: the only call that could show a change waited for its time-out (0.8 s and 1.2 s). Class: one silent connection hides all news. Change: when the store has not confirmed the version for 1.2 s while a watch waits, one plain read goes to the store as well. The scenario (no watch is answered) failed before, with version 1 after 2 s, and passes. A stale read no longer confirms.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -112,3 +112,10 @@
     When no follower reaches the store
     And 6.0 seconds of real time pass
     Then each follower has called peers at most 20 times
+
+  Scenario: A lost response to the watch does not hide a change
+    Guards against a change that waits for the time-out of a watch whose connection has gone silent.
+    Given followers a, b, c that all reach each other
+    When no watch is answered any longer
+    And the operator writes version 2
+    Then all followers have version 2 within 2.0 seconds
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -8,7 +8,8 @@
 import gevent
 from behave import given, then, when
 
-from features.support.configuration_followers import FollowerNetwork
+from features.support.configuration_followers import BOUND_SECONDS, FollowerNetwork
+from lavenderhook._internal.instance.configuration import WAIT_SECONDS
 from lavenderhook._internal.instance.peers import ConfigurationStatus
 from lavenderhook.errors import ProtocolError
 
@@ -204,3 +205,43 @@
 def step_few_calls(context, count):
     calls = {name: client.calls for name, client in context.network.clients.items()}
     assert all(0 < number <= count for number in calls.values()), calls
+
+
+@when(
+    "the store loses its history while version {version:d} is written, "
+    "and reads are stale for {seconds:f} seconds"
+)
+def step_lose_history(context, version, seconds):
+    network = context.network
+    context.early_denials = []
+    for source in network.sources.values():
+        source.stale_version = network.version
+        source.has_lost_history = True
+    # A wait that has begun ends before the history is lost.
+    gevent.sleep(WAIT_SECONDS + 0.3)
+    network.write(version)
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        gevent.sleep(0.05)
+        if time.monotonic() > until - seconds + BOUND_SECONDS:
+            context.early_denials += [
+                name
+                for name, follower in network.followers.items()
+                if follower.get_version() < version and follower.can_deny_queues()
+            ]
+    for source in network.sources.values():
+        source.stale_version = None
+
+
+@then("no follower denied a queue before it had version 2")
+def step_no_denials(context):
+    assert not context.early_denials, context.early_denials
+
+
+@when("no watch is answered any longer")
+def step_lose_watches(context):
+    gevent.sleep(WAIT_SECONDS + 0.05)
+    for source in context.network.sources.values():
+        source.loses_watches = True
+    # The change is written while each follower waits for an answer that will not come.
+    gevent.sleep(WAIT_SECONDS + 0.3)
--- a/features/support/configuration_followers.py
+++ b/features/support/configuration_followers.py
@@ -4,27 +4,46 @@
 import gevent.event
 
 from lavenderhook._internal.instance.configuration import ConfigurationFollower
-from lavenderhook._internal.ports.queueing import ConfigurationChange, QueueConfiguration
+from lavenderhook._internal.ports.queueing import (
+    ConfigurationChange,
+    HistoryLostError,
+    QueueConfiguration,
+)
 from lavenderhook._internal.queueing.routes import QueueRoutes
 from lavenderhook.errors import ProtocolError, StoreUnavailableError, TransportError
+from lavenderhook.platform.store import WATCH_TIMEOUT_MARGIN_SECONDS
 
 BOUND_SECONDS = 2.0
 
 
 class StubConfiguration(QueueConfiguration):
-    """The store as one instance reaches it; the content of a configuration is its version."""
+    """The store as one instance reaches it; the content of a configuration is its version.
+
+    Attributes
+    ----------
+    has_lost_history : bool
+        The next watch finds its history lost.
+    stale_version : int or None
+        Version that reads return with the newest revision.
+    loses_watches : bool
+        No call that waits for changes is answered.
+    """
 
     def __init__(self, network):
         self.network = network
         self.is_reachable = True
+        self.has_lost_history = False
+        self.loses_watches = False
+        self.stale_version = None
 
     def _check(self):
         if not self.is_reachable:
             raise StoreUnavailableError("turned away")
 
     def _describe(self):
-        version = self.network.version
-        return ConfigurationChange(version, QueueRoutes(version, ()), b"%d" % version, version)
+        newest = self.network.version
+        version = self.stale_version or newest
+        return ConfigurationChange(newest, QueueRoutes(version, ()), b"%d" % version, version)
 
     def read(self):
         """Return the version that the operator has written last."""
@@ -34,6 +53,12 @@
     def wait_for_changes(self, after, wait_seconds):
         """Return a newer version, or nothing after the wait."""
         self._check()
+        if self.has_lost_history:
+            self.has_lost_history = False
+            raise HistoryLostError
+        if self.loses_watches:
+            gevent.sleep(wait_seconds + WATCH_TIMEOUT_MARGIN_SECONDS)
+            raise StoreUnavailableError("no complete response at the deadline")
         if self.network.version <= after:
             self.network.changed.wait(wait_seconds)
         self._check()
--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -23,6 +23,7 @@
 PEER_INTERVAL_SECONDS = 0.3
 MAX_PEER_INTERVAL_SECONDS = 1.2  # while no peer knows more than this instance
 MAX_PEERS_ASKED = 3
+MAX_READ_STALENESS_SECONDS = 6.0  # of reads after the store has lost its history
 MAX_CONTENT_BYTES = 1_000_000  # limit of the store for what is written at once
 
 
@@ -76,7 +77,9 @@
         self._confirmed_at = -math.inf
         self._store_confirmed_at = -math.inf
         self._is_overdue = True
+        self._row_revision = 0  # of the newest row that was read
         self._is_newest_unreadable = False
+        self._is_watching = False  # a call that waits for a change is in progress
         self._newer_peers: dict[str, int] = {}  # versions by address
         self._unreadable: dict[str, int] = {}  # versions by address
 
@@ -117,44 +120,66 @@
     def _watch_store(self) -> None:
         revision: int | None = None
         while not self._stopped.is_set():
-            sent_at = read_elapsed_clock()
             try:
-                if revision is None:
-                    change = self._configuration.read()
-                else:
-                    change = self._configuration.wait_for_changes(revision, WAIT_SECONDS)
+                revision = self._read() if revision is None else self._wait_for_changes(revision)
             except HistoryLostError:
                 self._log_event("configuration-history-lost", after=revision, **self.describe())
                 revision = None
                 continue
             except LavenderhookError as error:
-                self._log_event(
-                    "configuration-unread", **describe_failure(error), **self.describe()
-                )
+                self._log_unread(error)
                 gevent.sleep(STORE_RETRY_SECONDS)
                 continue
-            revision = change.revision
-            if change.is_unreadable:
-                self._is_newest_unreadable = True
-            if change.routes is not None:
-                self._is_newest_unreadable = False
-                self._apply(
-                    change.routes,
-                    change.content,
-                    revision=revision,
-                    row_revision=change.row_revision,
-                )
-            self._record_store_answer(change, sent_at)
             gevent.sleep(POLL_INTERVAL_SECONDS)
 
-    def _record_store_answer(self, change: ConfigurationChange, sent_at: float) -> None:
-        if self._is_newest_unreadable:
-            return  # the active version is not the newest
-        confirmed_at = sent_at
+    def _read(self) -> int:
+        sent_at = read_elapsed_clock()
+        change = self._configuration.read()
+        self._apply_change(change, sent_at)
+        return change.revision
+
+    def _wait_for_changes(self, revision: int) -> int:
+        sent_at = read_elapsed_clock()
+        self._is_watching = True
+        try:
+            change = self._configuration.wait_for_changes(revision, WAIT_SECONDS)
+        finally:
+            self._is_watching = False
         if change.has_waited:
-            confirmed_at = min(sent_at + WAIT_SECONDS, read_elapsed_clock())
-        self._store_confirmed_at = confirmed_at
-        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+            sent_at = min(sent_at + WAIT_SECONDS, read_elapsed_clock())
+        self._apply_change(change, sent_at)
+        return change.revision
+
+    def _read_beside_watch(self) -> None:
+        """Read the configuration while the watch has no response.
+
+        Handles a response that is lost on a connection that has gone silent.
+        """
+        try:
+            self._read()
+        except LavenderhookError as error:
+            self._log_unread(error)
+
+    def _log_unread(self, error: LavenderhookError) -> None:
+        self._log_event("configuration-unread", **describe_failure(error), **self.describe())
+
+    def _apply_change(self, change: ConfigurationChange, current_at: float) -> None:
+        """Apply what was read, which was current at a moment or later."""
+        if change.row_revision > self._row_revision:
+            self._row_revision = change.row_revision
+            self._is_newest_unreadable = change.is_unreadable
+        if change.routes is not None:
+            self._apply(
+                change.routes,
+                change.content,
+                revision=change.revision,
+                row_revision=change.row_revision,
+            )
+        is_stale = change.routes is not None and change.routes.version < self.get_version()
+        if is_stale or self._is_newest_unreadable:
+            return
+        self._store_confirmed_at = current_at
+        self._confirmed_at = max(self._confirmed_at, current_at)
 
     def _apply(self, routes: QueueRoutes, content: bytes, **source: object) -> None:
         former = self.get_version()
@@ -187,6 +212,7 @@
 
     def _watch_peers(self) -> None:
         """Ask peers for their versions while the store does not confirm the active one."""
+        beside_watch: gevent.Greenlet | None = None
         interval = PEER_INTERVAL_SECONDS
         while not self._stopped.is_set():
             gevent.sleep(interval)
@@ -194,6 +220,8 @@
             if age < ASK_PEERS_AFTER_SECONDS and not self._newer_peers:
                 interval = PEER_INTERVAL_SECONDS
                 continue
+            if self._is_watching and (beside_watch is None or beside_watch.dead):
+                beside_watch = gevent.spawn(self._read_beside_watch)
             self._ask_peers()
             # While the store is unavailable to all instances, no peer knows more.
             is_outage = self.measure_age() > self._bound_seconds and not self._newer_peers
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -40,7 +40,7 @@
 from ..queueing.retry_after import choose_retry_after
 from . import peers
 from .advice import AdviceDispatcher
-from .configuration import ConfigurationFollower
+from .configuration import MAX_READ_STALENESS_SECONDS, ConfigurationFollower
 from .forwarding import ForwardingWriter
 from .owner import Owner
 from .ownership_manager import OwnershipManager
@@ -52,7 +52,6 @@
 PENDING_REFRESH_SECONDS = 0.5  # age up to which the owner's counts are reused
 PENDING_MAX_AGE_SECONDS = 1.8  # age up to which they are used if the owner doesn't respond
 DRAIN_SECONDS = 2.5  # the balancer removes an instance after two failed checks, 1 s apart
-MAX_READ_STALENESS_SECONDS = 6.0  # of reads after the store's change feed has lost its history
 MAX_ACCEPTED_IDS = 5_000  # of submissions that this instance has stored
 
 
