Read the configuration again while reads may be stale

A change of the configuration that was made while the store lost its history could be missed until the next change: a read after the loss may be stale, and its revision newer than its rows, so that the watch goes on behind the change. It is found by reading, and by the leads of operators; class: a stale read taken as the newest. Change: for 6 s after a lost history, each wait for changes is followed by a plain read, and what the store confirms counts as 6 s old, so that no queue is denied by it; a peer that has not lost its history may confirm sooner. The scenario failed before (version 1 after 6 s) and passes.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -113,6 +113,14 @@
     And 6.0 seconds of real time pass
     Then each follower has called peers at most 20 times
 
+  Scenario: A change in the gap of a lost history is found
+    Guards against a stale read that is taken for the newest version, with a revision that is newer
+    than its rows, so that the watch goes on behind the change.
+    Given followers a, b, c that all reach each other
+    When the store loses its history while version 2 is written, and reads are stale for 3.0 seconds
+    Then all followers have version 2 within 6.0 seconds
+    And no follower denied a queue before it had version 2
+
   Scenario: A lost response to the watch does not hide a change
     Guards against a change that waits for the time-out of a watch whose connection has gone silent.
     Given followers a, b, c that all reach each other
--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -79,6 +79,7 @@
         self._is_overdue = True
         self._row_revision = 0  # of the newest row that was read
         self._is_newest_unreadable = False
+        self._history_lost_at: float | None = None  # until reads can't be stale any longer
         self._is_watching = False  # a call that waits for a change is in progress
         self._newer_peers: dict[str, int] = {}  # versions by address
         self._unreadable: dict[str, int] = {}  # versions by address
@@ -122,9 +123,13 @@
         while not self._stopped.is_set():
             try:
                 revision = self._read() if revision is None else self._wait_for_changes(revision)
+                if self._history_lost_at is not None:
+                    # What was read before may be stale, and its revision too new for its rows.
+                    self._read()
             except HistoryLostError:
                 self._log_event("configuration-history-lost", after=revision, **self.describe())
                 revision = None
+                self._history_lost_at = read_elapsed_clock()
                 continue
             except LavenderhookError as error:
                 self._log_unread(error)
@@ -178,6 +183,11 @@
         is_stale = change.routes is not None and change.routes.version < self.get_version()
         if is_stale or self._is_newest_unreadable:
             return
+        if self._history_lost_at is not None:
+            if current_at < self._history_lost_at + MAX_READ_STALENESS_SECONDS:
+                current_at -= MAX_READ_STALENESS_SECONDS
+            elif change.routes is not None:
+                self._history_lost_at = None
         self._store_confirmed_at = current_at
         self._confirmed_at = max(self._confirmed_at, current_at)
 
