Reject odd entries with one kind of error, whatever a decoder raises

It can happen here: with a deeply nested value in a field that is not read, decode_worker raised RecursionError, which ends the loop that follows the list; each owner reads the list when it takes over, so that the next ones failed too, and no submission was completed (scenario "Malformed rows don't keep the others from being read", extended: queued after 5 s). Cause: each decoder's caller listed the errors that it thought of. Class: an exception type that a caller didn't think of. Change: _internal/decoding is the one place where content of others is decoded, and it raises ProtocolError alone; all adapters, rows, settings, declarations and the command line use it. Numbers of other programs are bounded, so that none is read that can't be encoded again or that a double can't hold. An address needs a host, a port from 1 to 65535 and a path that can be part of a request; ids and headers with line breaks are rejected before anything is sent (AddressError is a TransportError, which each loop that makes calls handles). Submissions and X-Deadline-Ms are bounded as well.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -58,6 +58,9 @@
     Then all accepted submissions become "completed" within 20 seconds
     And the stand-ins saw no violation
     And a process has logged "row-unreadable"
+    And a process has logged "worker-unreadable"
+    And no process has logged "unexpected error"
+    And no process has logged "unhandled exception"
 
   Scenario: Malformed reports of a worker stop neither its runs nor the owner
     Guards against a report that ends the loop which renews a worker's leases, or the owner.
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import random
+import re
 from types import SimpleNamespace
 from unittest import mock
 
@@ -13,13 +14,17 @@
 from hypothesis import HealthCheck, Phase, seed, settings, strategies
 from hypothesis import given as given_example
 
-from lavenderhook._internal.adapters.transport import ClientResponse
+from lavenderhook._internal.adapters.transport import (
+    ClientResponse,
+    build_request,
+    split_address,
+)
 from lavenderhook._internal.instance import peers
 from lavenderhook._internal.instance.owner import Owner
 from lavenderhook._internal.instance.supervision import run_until_stopped
 from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.queueing import placement, records, scheduling
-from lavenderhook._internal.queueing.events import Ticked
+from lavenderhook._internal.queueing.events import Ticked, WorkersListed
 from lavenderhook._internal.queueing.model import FencingToken
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
 from lavenderhook._internal.queueing.start_log import StartLogRow
@@ -145,6 +150,25 @@
         return self.changes
 
 
+def read_worker_entry(body):
+    """Read a worker's entry, and use what was read as the owner does."""
+    changes = lists.PlatformWorkers(StubStore("w", body), ignore_event).read()
+    for listing in changes.workers.values():
+        if listing is not None:
+            use_worker(listing)
+
+
+def use_worker(listing):
+    """Place a task on a worker, and build a command to it."""
+    state = OwnerState(FencingToken(1), 1, 0.0, OwnerParameters())
+    state.reduce(WorkersListed(now=1.0, workers=(listing,)))
+    state.reduce(Ticked(now=2.0))
+    msgspec.json.encode(listing)
+    _, _, path = split_address(listing.address)
+    host = listing.address.partition("/")[0]
+    build_request("POST", path + "/x", host, (("X-Expected-Instance", listing.id),), b"")
+
+
 def read_rows(body):
     """Read a page of the store."""
     store._decode_rows(store._decode(ClientResponse(200, (), body)))
@@ -172,7 +196,7 @@
 
 
 class StubInstance:
-    """Instance that accepts every submission."""
+    """Instance that accepts every submission, and stores it."""
 
     def __init__(self):
         content = json.dumps(EXAMPLES["a configuration"]).encode()
@@ -183,6 +207,7 @@
     def submit(self, submission, _deadline):
         """Accept a submission that an owner could read."""
         check_submission(submission)
+        records.decode_submission(records.encode(submission))
         return frontend.WriteResult.STORED
 
 
@@ -205,9 +230,7 @@
     "a worker's report": read_report,
     "a refusal": read_refusal,
     "advice": read_advice,
-    "a worker's entry": lambda body: lists.PlatformWorkers(
-        StubStore("w", body), ignore_event
-    ).read(),
+    "a worker's entry": read_worker_entry,
     "a configuration": lambda body: lists.PlatformConfiguration(
         StubStore("config", body), ignore_event
     ).read(),
@@ -225,12 +248,46 @@
     "a settings file": read_settings,
 }
 
+# Markers that are replaced in the encoded message: nesting that json can't encode, by depth, and
+# numbers by size.
+NESTINGS = strategies.integers(100, 20_000).map(lambda depth: f"\u0001nested {depth}\u0001")
+LARGE_NUMBERS = strategies.tuples(
+    strategies.sampled_from(["", "-"]), strategies.integers(15, 5_000), strategies.booleans()
+).map(lambda parts: f"\u0001number {parts[0]}{parts[1]} {int(parts[2])}\u0001")
+MARKER = re.compile(rb'"\\u0001(nested|number) (-?)(\d+) ?(\d?)\\u0001"')
+ADDRESSES = strategies.sampled_from(
+    [
+        "127.0.0.1:70000",
+        "127.0.0.1:65536",
+        "127.0.0.1:0",
+        "127.0.0.1:-1",
+        "127.0.0.1:+80",
+        "127.0.0.1:8_0",
+        "127.0.0.1:\u0668\u0660",
+        "127.0.0.1:" + "9" * 40,
+        "127.0.0.1:" + "9" * 5_000,
+        ":80",
+        "80",
+        "127.0.0.1:80/a\r\nX-Other: b",
+        "127.0.0.1\r\nX-Other: b:80",
+        "127.0.0.1:80/\u20ac",
+        "a\u0000b:80",
+        "a" * 300 + ":80",
+        ("a" * 63 + ".") * 5 + "a:80",
+        "[::1]:80",
+        "::1:80",
+        "a..b:80",
+    ]
+)
 SCALARS = (
     strategies.none()
     | strategies.booleans()
     | strategies.integers(-(2**70), 2**70)
     | strategies.floats(allow_nan=False)
     | strategies.text(max_size=8)
+    | NESTINGS
+    | LARGE_NUMBERS
+    | ADDRESSES
 )
 VALUES = strategies.recursive(
     SCALARS,
@@ -259,13 +316,32 @@
     return draw(VALUES)
 
 
+def expand_markers(encoded):
+    """Replace the markers of nested values and large numbers."""
+
+    def expand(match):
+        kind, sign, size, is_power = match.groups()
+        if kind == b"nested":
+            return b"[" * int(size) + b"]" * int(size)
+        if is_power == b"1":
+            return sign + b"1e" + size
+        return sign + b"9" * int(size)
+
+    return MARKER.sub(expand, encoded)
+
+
 def make_messages(example):
     """Return a strategy for messages: arbitrary bytes, cut messages and damaged ones."""
     encoded = json.dumps(example).encode()
     cut = strategies.integers(0, len(encoded)).map(lambda length: encoded[:length])
-    damaged = strategies.composite(lambda draw: json.dumps(damage(example, draw)).encode())()
+    damaged = strategies.composite(
+        lambda draw: expand_markers(json.dumps(damage(example, draw)).encode())
+    )()
+    unknown = strategies.composite(
+        lambda draw: expand_markers(json.dumps({**example, "unknown": draw(VALUES)}).encode())
+    )()
     nested = strategies.integers(100, 20_000).map(lambda depth: b"[" * depth)
-    return strategies.binary(max_size=60) | cut | damaged | damaged | damaged | nested
+    return strategies.binary(max_size=60) | cut | damaged | damaged | damaged | unknown | nested
 
 
 @when("{count:d} arbitrary and damaged messages are read as {message}")
@@ -314,6 +390,39 @@
     assert context.error is not None and context.error.code == code, context.error
 
 
+def make_odd_worker(**fields):
+    """Return the entry of a worker with some unusual fields."""
+    entry = {
+        "service": "desk",
+        "address": "127.0.0.1:9",
+        "zone": "a",
+        "state": "ready",
+        "capacity": {"cpu": 8000, "memMb": 64_000, "gpu": 0},
+        "labels": ["a", "r1-1"],
+        "born": 1,
+        "sequence": 1,
+    }
+    return json.dumps({**entry, **fields}).encode()
+
+
+ODD_WORKERS = {
+    "w-nested": make_odd_worker()[:-1] + b',"more":' + b"[" * 50_000 + b"]" * 50_000 + b"}",
+    "w-port": make_odd_worker(address="127.0.0.1:70000"),
+    "w-negative-port": make_odd_worker(address="127.0.0.1:-1"),
+    "w-long-port": make_odd_worker(address="127.0.0.1:" + "9" * 40),
+    "w-no-host": make_odd_worker(address=":80"),
+    "w-nul": make_odd_worker(address="a\0b:80"),
+    "w-long-host": make_odd_worker(address="a" * 300 + ":80"),
+    "w-line-break": make_odd_worker(address="127.0.0.1:9/a\r\nX-Other: b"),
+    "w-huge": make_odd_worker(capacity={"cpu": 10**30, "memMb": 10**30, "gpu": 0}),
+    "w-negative": make_odd_worker(capacity={"cpu": -8000, "memMb": -1, "gpu": 0}),
+    "w-born": make_odd_worker(born=10**400),
+    "w-drains": make_odd_worker(state="draining", drainRemainingMs=1e300),
+    "w-key\r\nX-Other: b": make_odd_worker(),
+    "w-\u20ac": make_odd_worker(),
+}
+
+
 @when("malformed rows are written into the tables of the instances")
 def step_malformed_rows(context):
     target = context.cluster.platform.store
@@ -322,6 +431,8 @@
     for key in ("member/unknown", "owner-heartbeat", "other"):
         target.put("lavenderhook-control", key, b"\xff\x00")
     target.put("servers", "w-unknown", b"[1]")
+    for key, entry in ODD_WORKERS.items():
+        target.put("servers", key, entry)
 
 
 @when("every second report of worker {index:d} is malformed")
--- a/src/lavenderhook/_internal/adapters/claims.py
+++ b/src/lavenderhook/_internal/adapters/claims.py
@@ -21,6 +21,7 @@
 from ..core.effects import ClaimRequest, Completed, NotRun, RecordOutcome, ReleaseClaim, Unknown
 from ..core.events import ClaimResolved, ClaimState, Event, OutcomeRecorded
 from ..core.identifiers import IncarnationId
+from ..decoding import decode_msgpack
 from ..ports.platform import Row, TableStore
 from ..ports.time import Clock
 from .calls import PendingCalls, StoredOutcome
@@ -55,7 +56,7 @@
 
 def decode_claim(row: Row) -> ClaimRow:
     """Return the content of a claim row."""
-    return msgspec.msgpack.decode(row.value, type=ClaimRow)
+    return decode_msgpack(row.value, ClaimRow)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/src/lavenderhook/_internal/adapters/commits.py
+++ b/src/lavenderhook/_internal/adapters/commits.py
@@ -23,6 +23,7 @@
 )
 from ..core.identifiers import ShardId
 from ..core.records import AnyRecord, ShardHead, ShardSnapshot
+from ..decoding import decode_msgpack, reject_malformed
 from ..ports.platform import ObjectStore, Row, TableStore
 from ..ports.time import Clock
 
@@ -67,8 +68,13 @@
     """Decode the records of a log row."""
     content = value[1:]
     if value[:1] == COMPRESSED:
-        content = zlib.decompress(content)
-    return msgspec.msgpack.decode(content, type=_BATCH_TYPE)
+        content = _decompress(content)
+    return decode_msgpack(content, _BATCH_TYPE)
+
+
+def _decompress(content: bytes) -> bytes:
+    with reject_malformed("compressed row"):
+        return zlib.decompress(content)
 
 
 class Backoff:
@@ -164,7 +170,7 @@
         row = self._table.read(format_head_key(effect.shard))
         if row.version == 0:
             return None
-        head = msgspec.msgpack.decode(row.value, type=ShardHead)
+        head = decode_msgpack(row.value, ShardHead)
         return row.version if head.transaction_id == effect.transaction_id else None
 
     def _delete_remaining_log_rows(self, effect: CommitShard) -> None:
@@ -199,13 +205,13 @@
         row = self._table.read(format_head_key(shard))
         if row.version == 0:
             return self._build_loaded(shard, None, row, None, ())
-        head = msgspec.msgpack.decode(row.value, type=ShardHead)
+        head = decode_msgpack(row.value, ShardHead)
         snapshot = None
         if head.snapshot_log:
             stored = self._objects.get(format_snapshot_key(shard, head.snapshot_log))
             if stored is None:
                 return None
-            snapshot = msgspec.msgpack.decode(zlib.decompress(stored), type=ShardSnapshot)
+            snapshot = decode_msgpack(_decompress(stored), ShardSnapshot)
         batches = self._read_log(shard, head)
         if len(batches) != head.next_log - 1 - head.snapshot_log:
             return None
--- a/src/lavenderhook/_internal/adapters/configuration.py
+++ b/src/lavenderhook/_internal/adapters/configuration.py
@@ -19,6 +19,7 @@
     Event,
 )
 from ..core.identifiers import ConfigurationVersion
+from ..decoding import decode_msgpack
 from ..ports.platform import TableStore
 from ..ports.time import Clock
 from .commits import Backoff
@@ -87,7 +88,7 @@
     def _try_commit(self, change: ConfigurationChange, content: bytes) -> tuple[bool, int]:
         """Return whether the change took effect, and the current version."""
         row = self._table.read(HEAD_KEY)
-        head = msgspec.msgpack.decode(row.value, type=ConfigurationHead) if row.version else None
+        head = decode_msgpack(row.value, ConfigurationHead) if row.version else None
         version = head.version if head else 0
         if version >= change.version:
             # An earlier attempt may have taken effect although its response was lost.
@@ -144,7 +145,7 @@
 
     def _read_changes(self, after: ConfigurationVersion) -> ConfigurationReceived:
         row = self._table.read(HEAD_KEY)
-        head = msgspec.msgpack.decode(row.value, type=ConfigurationHead) if row.version else None
+        head = decode_msgpack(row.value, ConfigurationHead) if row.version else None
         version = head.version if head else 0
         changes: list[ConfigurationChange] = []
         last = format_change_key(after)
@@ -152,9 +153,7 @@
             rows = self._table.scan(CHANGE_PREFIX, last, SCAN_ROWS)
             if not rows:
                 break
-            changes.extend(
-                msgspec.msgpack.decode(found.value, type=ConfigurationChange) for found in rows
-            )
+            changes.extend(decode_msgpack(found.value, ConfigurationChange) for found in rows)
             last = rows[-1].key
         if changes:
             version = max(version, changes[-1].version)
--- a/src/lavenderhook/_internal/adapters/directory.py
+++ b/src/lavenderhook/_internal/adapters/directory.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from ...errors import ProtocolError
 from ..core.identifiers import AvailabilityZone, IncarnationId, InstanceName, RackId, WorkerId
 from ..core.records import InstanceView, WorkerView
 from ..core.resources import Resources
+from ..decoding import decode_json
 from ..ports.platform import InstanceDirectory
 from .table import require_success
 from .transport import HttpClient
@@ -55,10 +55,7 @@
         """Return the entry instances and the workers."""
         response = self._client.call(self._address, "GET", "/v1/instances")
         require_success(response)
-        try:
-            entries = msgspec.json.decode(response.body, type=_Listing).entries
-        except msgspec.DecodeError as error:
-            raise ProtocolError(f"malformed instance list: {error}") from error
+        entries = decode_json(response.body, _Listing).entries
         self.zones = {entry.address: entry.zone for entry in entries}
         instances = tuple(_build_instance(e) for e in entries if e.role == "entry")
         workers = tuple(_build_worker(e) for e in entries if e.role == "worker")
--- a/src/lavenderhook/_internal/adapters/peers.py
+++ b/src/lavenderhook/_internal/adapters/peers.py
@@ -56,6 +56,7 @@
 )
 from ..core.messages import Digest, ForwardedRequest
 from ..core.records import JobSpec
+from ..decoding import decode_msgpack, reject_malformed
 from ..ports.time import Clock
 from .calls import PendingCall, PendingCalls, RelayedAnswer
 from .transport import ClientResponse, HttpClient
@@ -588,10 +589,8 @@
     ProtocolError
         If it is malformed.
     """
-    try:
+    with reject_malformed("heartbeat"):
         return _HEARTBEAT_DECODER.decode(content)
-    except msgspec.DecodeError as error:
-        raise ProtocolError(f"malformed message: {error}") from error
 
 
 def decode_operation(content: bytes) -> AnyOperation:
@@ -602,10 +601,8 @@
     ProtocolError
         If it is malformed.
     """
-    try:
+    with reject_malformed("operation"):
         return _OPERATION_DECODER.decode(content)
-    except msgspec.DecodeError as error:
-        raise ProtocolError(f"malformed message: {error}") from error
 
 
 def decode_message(content: bytes, message_type: type[_T]) -> _T:
@@ -616,7 +613,4 @@
     ProtocolError
         If it is malformed.
     """
-    try:
-        return msgspec.msgpack.decode(content, type=message_type)
-    except msgspec.DecodeError as error:
-        raise ProtocolError(f"malformed message: {error}") from error
+    return decode_msgpack(content, message_type)
--- a/src/lavenderhook/_internal/adapters/table.py
+++ b/src/lavenderhook/_internal/adapters/table.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ...errors import ProtocolError, StoreUnavailableError, TransportError
+from ..decoding import decode_json
 from ..ports.platform import Row, TableStore, TransactionConflict
 from .transport import ClientResponse, HttpClient
 
@@ -119,8 +120,8 @@
 
 def _decode(response: ClientResponse, message_type: type[_T]) -> _T:
     try:
-        return msgspec.json.decode(response.body, type=message_type)
-    except msgspec.DecodeError as error:
+        return decode_json(response.body, message_type)
+    except ProtocolError as error:
         # The write may have taken effect although its response is malformed.
         raise TransportError(f"malformed response: {error}", sent=True) from error
 
--- a/src/lavenderhook/_internal/adapters/transport.py
+++ b/src/lavenderhook/_internal/adapters/transport.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 import socket as sockets
 import time
 from collections.abc import Callable, Iterable
@@ -16,7 +17,7 @@
 import msgspec
 from geventhttpclient.response import HTTPParseError, HTTPProtocolViolationError, HTTPResponse
 
-from ...errors import LavenderhookError, TransportError, TruncatedAnswerError
+from ...errors import AddressError, LavenderhookError, TransportError, TruncatedAnswerError
 
 READ_BLOCK_BYTES = 65536
 # A retransmitted SYN takes 1 s, so a lost one counts as a failure.
@@ -26,6 +27,13 @@
 # Shorter than the idle time-outs of common servers, so that a request is rarely sent on a
 # connection that the other side is closing: such a request may or may not have run.
 MAX_IDLE_SECONDS = 30.0
+MAX_PORT = 65535
+MAX_HOST_CHARACTERS = 253
+# An IPv4 address or a host name; the path has no spaces and no control characters.
+_ADDRESS = re.compile(
+    r"(?P<host>[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*):(?P<port>[0-9]{1,5})(?P<path>(/[!-~]*)?)"
+)
+_NOT_IN_HEAD = re.compile(r"[^\t -~\x80-\xff]")
 Headers = Iterable[tuple[str, str]]
 CountTraffic = Callable[[str, str, int, int], None]
 
@@ -72,18 +80,37 @@
 
 
 def split_address(address: str) -> tuple[str, int, str]:
-    """Split ``host:port/path`` into host, port and path (without its final slash)."""
-    location, slash, path = address.partition("/")
-    host, _, port = location.rpartition(":")
-    return host, int(port), (slash + path).rstrip("/")
+    """Split ``host:port/path`` into host, port and path (without its final slash).
+
+    Raises
+    ------
+    AddressError
+        If no connection can be made to it, or its path can't be part of a request.
+    """
+    match = _ADDRESS.fullmatch(address)
+    if match is None or len(match["host"]) > MAX_HOST_CHARACTERS:
+        raise AddressError(address)
+    port = int(match["port"])
+    if not 1 <= port <= MAX_PORT:
+        raise AddressError(address)
+    return match["host"], port, match["path"].rstrip("/")
 
 
 def build_request(method: str, target: str, host: str, headers: Headers, body: bytes) -> bytes:
-    """Return the bytes of a request, in one buffer so that a small one fits in one segment."""
+    """Return the bytes of a request, in one buffer so that a small one fits in one segment.
+
+    Raises
+    ------
+    TransportError
+        If a part of the head has characters that would end a line or can't be sent.
+    """
     lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
     lines.extend(f"{name}: {value}" for name, value in headers)
     if body or method not in ("GET", "HEAD", "DELETE"):
         lines.append(f"Content-Length: {len(body)}")
+    for line in lines:
+        if _NOT_IN_HEAD.search(line):
+            raise TransportError(f"{line[:100]!r} can't be part of a request's head", sent=False)
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
@@ -112,7 +139,7 @@
             self._socket.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
             self._socket.settimeout(max(timeout, 0.001))
             self._socket.connect((host, port))
-        except OSError as error:
+        except (OSError, ValueError) as error:  # ValueError: a host name that can't be encoded
             self._socket.close()
             raise TransportError(f"connecting to {host}:{port}: {error}", sent=False) from error
 
--- a/src/lavenderhook/_internal/adapters/workers.py
+++ b/src/lavenderhook/_internal/adapters/workers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ...errors import LavenderhookError, ProtocolError
+from ...errors import LavenderhookError
 from ..core.effects import (
     ForgetTasks,
     PollWorker,
@@ -21,6 +21,7 @@
 from ..core.identifiers import AttemptId, WorkerId
 from ..core.records import AttemptReport
 from ..core.resources import Resources
+from ..decoding import decode_json, reject_malformed
 from ..ports.platform import WorkerClient
 from ..ports.time import Clock
 from .directory import MILLICORES
@@ -141,11 +142,9 @@
 
 
 def _decode(body: bytes) -> list[AttemptReport]:
-    try:
-        entries = msgspec.json.decode(body, type=_Entries).tasks
-    except msgspec.DecodeError as error:
-        raise ProtocolError(f"malformed response of a worker: {error}") from error
-    return [_build_report(entry) for entry in entries]
+    entries = decode_json(body, _Entries).tasks
+    with reject_malformed("response of a worker"):
+        return [_build_report(entry) for entry in entries]
 
 
 class WorkerEffects:
--- a/src/lavenderhook/_internal/cli/client.py
+++ b/src/lavenderhook/_internal/cli/client.py
@@ -25,6 +25,7 @@
 )
 from ..adapters.answers import OUTCOME_HEADER
 from ..adapters.transport import ClientResponse, HttpClient
+from ..decoding import decode_any_json
 from .connection import ConnectionSettings
 
 # Error codes of an instance that did not execute the call; another instance may be able to.
@@ -161,8 +162,8 @@
 
 def _read_fields(response: ClientResponse) -> dict[str, Any]:
     try:
-        fields = msgspec.json.decode(response.body)
-    except msgspec.DecodeError:
+        fields = decode_any_json(response.body)
+    except ProtocolError:
         return {}
     return fields if isinstance(fields, dict) else {}
 
@@ -188,7 +189,4 @@
     """
     if response.status != 200:
         raise read_error(response)
-    try:
-        return msgspec.json.decode(response.body)
-    except msgspec.DecodeError as error:
-        raise ProtocolError(f"the response is not JSON: {error}") from error
+    return decode_any_json(response.body)
--- a/src/lavenderhook/_internal/cli/connection.py
+++ b/src/lavenderhook/_internal/cli/connection.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import os
-import tomllib
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 import msgspec
 
-from ...errors import InvalidArgumentError, SettingsError, UsageError
+from ...errors import (
+    InvalidArgumentError,
+    ProtocolError,
+    SettingsError,
+    UsageError,
+)
+from ..decoding import decode_toml
 from ..violations import convert
 
 ADDRESS_VARIABLE = "LAVENDERHOOK_ADDRESS"
@@ -49,11 +54,11 @@
         If the file cannot be read or is not valid; names the file and the key.
     """
     try:
-        values = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        values = decode_toml(Path(path).read_text(encoding="utf-8"))
         return convert(values, ConnectionSettings, "settings")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(path, "file", path, f"a readable UTF-8 file ({error})") from error
-    except tomllib.TOMLDecodeError as error:
+    except ProtocolError as error:
         raise SettingsError(path, "file", path, f"valid TOML ({error})") from error
     except InvalidArgumentError as error:
         value = "(hidden)" if error.field == "token" else error.value
--- a/src/lavenderhook/_internal/cli/files.py
+++ b/src/lavenderhook/_internal/cli/files.py
@@ -8,12 +8,16 @@
 from __future__ import annotations
 
 import dataclasses
-import tomllib
 from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
-from ...errors import DeclarationError, InvalidArgumentError, UsageError
+from ...errors import (
+    DeclarationError,
+    InvalidArgumentError,
+    ProtocolError,
+    UsageError,
+)
 from ..core.declarations import (
     AnyDeclaration,
     DeclarationKey,
@@ -26,6 +30,7 @@
     validate_declaration,
     validate_references,
 )
+from ..decoding import decode_toml
 from ..violations import convert
 
 DECLARATION_TYPES: Mapping[str, type[AnyDeclaration]] = {
@@ -103,12 +108,12 @@
 
 def _read_file(path: str, failures: list[DeclarationError]) -> list[SourcedDeclaration]:
     try:
-        values = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        values = decode_toml(Path(path).read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
         allowed = f"a readable UTF-8 file ({error})"
         failures.append(DeclarationError(path, "file", path, allowed))
         return []
-    except tomllib.TOMLDecodeError as error:
+    except ProtocolError as error:
         failures.append(DeclarationError(path, "file", path, f"valid TOML ({error})"))
         return []
     found: list[SourcedDeclaration] = []
--- a/src/lavenderhook/_internal/daemon/settings.py
+++ b/src/lavenderhook/_internal/daemon/settings.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import re
-import tomllib
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from ...errors import InvalidArgumentError, SettingsError
+from ...errors import InvalidArgumentError, ProtocolError, SettingsError
 from ..core.declarations import validate_name
 from ..core.state import CoreParameters
+from ..decoding import decode_toml
 from ..violations import convert
 
 _ADDRESS = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})\Z")
@@ -136,8 +136,8 @@
         Naming the file, the key, its value and what is allowed.
     """
     try:
-        values = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+        values = decode_toml(text)
+    except ProtocolError as error:
         raise SettingsError(path, "file", path, f"valid TOML ({error})") from error
     try:
         settings = convert(values, _StrictSettings, "settings")
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -11,6 +11,7 @@
 from ..adapters.frontend import HttpRequest, Reply
 from ..adapters.transport import HttpClient
 from ..core.identifiers import WorkerId
+from ..decoding import decode_msgpack
 from ..queueing.model import (
     FencingToken,
     StepId,
@@ -155,10 +156,7 @@
     ProtocolError
         If it is not a message of this type.
     """
-    try:
-        return msgspec.msgpack.decode(incoming.read_body(), type=message_type)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        raise ProtocolError(f"malformed {message_type.__name__}: {error}") from error
+    return decode_msgpack(incoming.read_body(), message_type)
 
 
 def reply_message(message: msgspec.Struct) -> Reply:
@@ -273,9 +271,4 @@
             raise ProtocolError(f"peer {address} answered {path} with {response.status}")
         if message_type is None:
             return None
-        try:
-            return msgspec.msgpack.decode(response.body, type=message_type)
-        except (msgspec.DecodeError, ValueError, RecursionError) as error:
-            raise ProtocolError(
-                f"malformed {message_type.__name__} from {address}: {error}"
-            ) from error
+        return decode_msgpack(response.body, message_type)
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -15,6 +15,7 @@
 
 from ...errors import InvalidArgumentError, ProtocolError
 from ..core.identifiers import WorkerId
+from ..decoding import decode_json, reject_malformed
 from .model import FencingToken, Submission, SubmissionId, SubmissionState, WorkerIncarnation
 from .validation import check_submission
 
@@ -164,10 +165,10 @@
     ProtocolError
         If the row does not hold a record of this type.
     """
-    try:
-        return msgspec.json.decode(value, type=record_type)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise ProtocolError(f"malformed {record_type.__name__}: {error}") from error
+    record = decode_json(value, record_type)
+    with reject_malformed(record_type.__name__):
+        encode(record)  # raises OverflowError for numbers that could not be stored again
+    return record
 
 
 def decode_submission(value: bytes) -> Submission:
--- a/src/lavenderhook/_internal/queueing/validation.py
+++ b/src/lavenderhook/_internal/queueing/validation.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from ...errors import InvalidArgumentError
+from ..decoding import MAX_NUMBER
 from .model import StepSpec, Submission
 
 MAX_STEPS = 1000
 # Over all steps and repetitions; the owner holds state for each task.
 MAX_TASKS = 100_000
+MAX_SECONDS = 1e11  # Unix time of the year 5138
 
 
 def check_submission(submission: Submission) -> None:
@@ -24,10 +26,14 @@
         raise InvalidArgumentError("steps", len(submission.steps), f"1 to {MAX_STEPS} steps")
     for index, step in enumerate(submission.steps):
         _check_step(f"steps.{index}", index, step)
-    if submission.repetitions < 0:
-        raise InvalidArgumentError("repetitions", submission.repetitions, "0 or more")
+    if not 0 <= submission.repetitions <= MAX_TASKS:
+        raise InvalidArgumentError("repetitions", submission.repetitions, f"0 to {MAX_TASKS}")
     if submission.repetitions > 1 and submission.interval_seconds < 0:
         raise InvalidArgumentError("interval", submission.interval_seconds, "0 or more")
+    times = {"first_due": submission.first_due, "interval": submission.interval_seconds}
+    for name, seconds in times.items():
+        if abs(seconds) > MAX_SECONDS:
+            raise InvalidArgumentError(name, seconds, f"at most {MAX_SECONDS:.0f} seconds")
     tasks = sum(step.count for step in submission.steps) * max(1, submission.repetitions)
     if tasks > MAX_TASKS:
         raise InvalidArgumentError("steps", tasks, f"at most {MAX_TASKS} tasks in all")
@@ -49,5 +55,5 @@
         "latency_target": step.latency_target_ms,
     }
     for name, amount in amounts.items():
-        if amount < 0:
-            raise InvalidArgumentError(f"{field}.{name}", amount, "0 or more")
+        if not 0 <= amount <= MAX_NUMBER:
+            raise InvalidArgumentError(f"{field}.{name}", amount, f"0 to {MAX_NUMBER}")
--- a/src/lavenderhook/_internal/violations.py
+++ b/src/lavenderhook/_internal/violations.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from ..errors import InvalidArgumentError
+from ..errors import InvalidArgumentError, ProtocolError
+from .decoding import decode_any_json
 
 _MESSAGE = re.compile(r"^(?P<problem>.*?)(?: - at `(?P<path>[^`]*)`)?$", re.DOTALL)
 _FIELD = re.compile(r"field `(?P<name>[^`]+)`")
@@ -127,7 +128,7 @@
         Naming the argument that is not valid.
     """
     try:
-        values = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+        values = decode_any_json(body)
+    except ProtocolError as error:
         raise InvalidArgumentError("body", body[:80], f"JSON ({error})") from error
     return convert(values, target_type, "body")
--- a/src/lavenderhook/errors.py
+++ b/src/lavenderhook/errors.py
@@ -245,6 +245,15 @@
         self.sent = sent
 
 
+class AddressError(TransportError):
+    """An address that no connection can be made to; nothing was sent."""
+
+    code = "address"
+
+    def __init__(self, address: str) -> None:
+        super().__init__(f"{address[:100]!r} is no address of the form host:port/path", sent=False)
+
+
 class TruncatedAnswerError(TransportError):
     """A response body ended before its declared length."""
 
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .._internal.adapters.frontend import HttpRequest, Reply
+from .._internal.decoding import decode_json
 from .._internal.instance.entry import EntryInstance
 from .._internal.instance.submission_writer import WriteResult
 from .._internal.instance.table_watcher import LogEvent
@@ -21,12 +22,14 @@
 from .._internal.queueing.validation import check_submission
 from ..errors import (
     InvalidArgumentError,
+    ProtocolError,
     UnknownNameError,
 )
 
 READINESS_PATH = "/lavenderhook/readiness"
 DEADLINE_HEADER = "x-deadline-ms"  # how long the client waits for the response
 DEFAULT_DEADLINE_MS = 3000.0
+MAX_DEADLINE_MS = 3_600_000.0
 RESPONSE_MARGIN_SECONDS = 0.1  # for the delay of the link that carries the response
 JSON_HEADERS = (("Content-Type", "application/json"),)
 GONE_STATUS = 410
@@ -187,9 +190,10 @@
         submission_id: SubmissionId,
         deadline: float,
     ) -> Reply:
+        content = request.read_body()
         try:
-            body = msgspec.json.decode(request.read_body(), type=_SubmissionBody)
-        except (msgspec.DecodeError, ValueError, RecursionError) as error:
+            body = decode_json(content, _SubmissionBody)
+        except ProtocolError as error:
             raise InvalidArgumentError("body", str(error), "a submission") from error
         submission = Submission(
             id=submission_id,
@@ -236,6 +240,10 @@
         wait_ms = float(text) if text else DEFAULT_DEADLINE_MS
     except ValueError as error:
         raise InvalidArgumentError(DEADLINE_HEADER, text, "milliseconds") from error
+    if not 0 <= wait_ms <= MAX_DEADLINE_MS:
+        raise InvalidArgumentError(
+            DEADLINE_HEADER, text, f"0 to {MAX_DEADLINE_MS:.0f} milliseconds"
+        )
     return time.monotonic() + max(0.05, wait_ms / 1000 - RESPONSE_MARGIN_SECONDS)
 
 
--- a/src/lavenderhook/platform/lists.py
+++ b/src/lavenderhook/platform/lists.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
 import msgspec
 
 from .._internal.adapters.transport import split_address
 from .._internal.core.identifiers import AvailabilityZone, ServiceName, WorkerId
+from .._internal.decoding import Amount, Number, decode_json, reject_malformed
 from .._internal.ports.queueing import (
     ConfigurationChange,
     QueueConfiguration,
@@ -33,15 +35,17 @@
 # 256 KB over a link of 5 Mbit/s take 0.4 s, and a read at 90 times the usual latency 0.4 s.
 CONFIGURATION_READ_SECONDS = 1.0
 
+_WORKER_ID = re.compile(r"[!-~]{1,200}")  # it is sent in a header of each command
+
 LogEvent = Callable[..., None]
 
 
 class _Advice(msgspec.Struct, rename="camel"):
     """Costs of an advisory call; `period_ms` is the time for each named worker, not an interval."""
 
-    decision_ms: float
-    period_ms: float
-    validity_ms: float
+    decision_ms: Amount
+    period_ms: Amount
+    validity_ms: Amount
 
 
 class _Route(msgspec.Struct, rename="camel"):
@@ -51,10 +55,10 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
-    slack_factor: float = 1.0
-    target_latency_ms: float = 1000.0
+    priority: Number = 0
+    max_attempts: Number = 1
+    slack_factor: Amount = 1.0
+    target_latency_ms: Amount = 1000.0
     advice: _Advice | None = None
 
 
@@ -68,16 +72,16 @@
 class _Configuration(msgspec.Struct, rename="camel"):
     """The operator's configuration; routes are decoded one by one."""
 
-    version: int
+    version: Number
     routes: list[msgspec.Raw] = []
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
     """Capacity of a worker; `cpu` is in thousandths of a core."""
 
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Number
+    mem_mb: Number
+    gpu: Number = 0
 
 
 class _Server(msgspec.Struct, rename="camel"):
@@ -92,8 +96,8 @@
     state: str
     capacity: _Capacity
     labels: list[str] = []
-    born: int = 0
-    drain_remaining_ms: float | None = None
+    born: Number = 0
+    drain_remaining_ms: Amount | None = None
 
 
 class PlatformConfiguration(QueueConfiguration):
@@ -166,7 +170,7 @@
                 continue
             try:
                 workers[worker_id] = decode_worker(worker_id, row.value)
-            except (msgspec.DecodeError, ValueError) as error:
+            except ProtocolError as error:
                 # An entry that another program wrote doesn't name a worker that can be used.
                 self._log_event("worker-unreadable", worker=row.key, message=str(error))
         return workers
@@ -182,10 +186,7 @@
     ProtocolError
         If there is no version or no list of routes.
     """
-    try:
-        configuration = msgspec.json.decode(value, type=_Configuration)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        raise ProtocolError(f"malformed configuration: {error}") from error
+    configuration = decode_json(value, _Configuration)
     routes: list[RouteAddress] = []
     for content in configuration.routes:
         try:
@@ -197,10 +198,7 @@
 
 
 def _decode_route(content: msgspec.Raw) -> QueueRoute:
-    try:
-        route = msgspec.json.decode(content, type=_Route)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        raise ProtocolError(f"malformed route: {error}") from error
+    route = decode_json(content, _Route)
     return QueueRoute(
         host=route.host,
         path_prefix=route.path_prefix,
@@ -219,8 +217,8 @@
 def _decode_address(content: msgspec.Raw) -> RouteAddress:
     """Return the address of a route that can't be decoded; it matches all requests if unknown."""
     try:
-        address = msgspec.json.decode(content, type=_RouteAddress)
-    except (msgspec.DecodeError, ValueError, RecursionError):
+        address = decode_json(content, _RouteAddress)
+    except ProtocolError:
         return RouteAddress(host=ANY_HOST, path_prefix="")
     return RouteAddress(host=address.host, path_prefix=address.path_prefix)
 
@@ -244,19 +242,23 @@
 
     Raises
     ------
-    msgspec.DecodeError, ValueError
-        If fields are missing, of another type or of an unknown state.
+    ProtocolError
+        If fields are missing, of another type or of an unknown state, or the worker can't be called
+        by its address and id.
     """
-    server = msgspec.json.decode(value, type=_Server)
-    split_address(server.address)  # raises ValueError
-    return WorkerListing(
-        id=worker_id,
-        service=ServiceName(server.service),
-        address=server.address,
-        zone=AvailabilityZone(server.zone),
-        state=WorkerState(server.state),
-        capacity=Resources(server.capacity.cpu, server.capacity.mem_mb, server.capacity.gpu),
-        labels=frozenset(server.labels),
-        born=server.born,
-        leaves_in_seconds=_convert_remaining(server),
-    )
+    server = decode_json(value, _Server)
+    with reject_malformed("worker"):
+        split_address(server.address)
+        if not _WORKER_ID.fullmatch(worker_id):
+            raise ValueError(f"the id {worker_id!r} can't be sent in a header")
+        return WorkerListing(
+            id=worker_id,
+            service=ServiceName(server.service),
+            address=server.address,
+            zone=AvailabilityZone(server.zone),
+            state=WorkerState(server.state),
+            capacity=Resources(server.capacity.cpu, server.capacity.mem_mb, server.capacity.gpu),
+            labels=frozenset(server.labels),
+            born=server.born,
+            leaves_in_seconds=_convert_remaining(server),
+        )
--- a/src/lavenderhook/platform/settings.py
+++ b/src/lavenderhook/platform/settings.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
 
 import msgspec
 
-from ..errors import SettingsError
+from .._internal.adapters.transport import split_address
+from .._internal.decoding import decode_toml
+from ..errors import AddressError, ProtocolError, SettingsError
 
 PATH_VARIABLE = "LAVENDERHOOK_CONFIG"
 DEFAULT_PATH = "/etc/lavenderhook/boot.toml"
@@ -104,11 +105,28 @@
         If it can't be read or a field is missing or of another type.
     """
     try:
-        content = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-        return msgspec.convert(content, Settings, strict=False)
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        content = decode_toml(Path(path).read_text(encoding="utf-8"))
+        settings = msgspec.convert(content, Settings, strict=False)
+        _check_addresses(path, settings)
+        return settings
+    except (OSError, UnicodeDecodeError, ProtocolError) as error:
         raise SettingsError(path, "file", str(error), "a readable TOML file") from error
     except msgspec.ValidationError as error:
         raise SettingsError(
             path, "settings", str(error), "the fields that the platform defines"
         ) from error
+
+
+def _check_addresses(path: str, settings: Settings) -> None:
+    addresses = {
+        "platform.address": settings.platform.address,
+        "listen.frontend": settings.listen.frontend,
+        "listen.readiness": settings.listen.readiness,
+        "advice": settings.advice,
+    }
+    for name, address in addresses.items():
+        try:
+            if address:
+                split_address(address)
+        except AddressError as error:
+            raise SettingsError(path, name, address, "an address of the form host:port") from error
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from .._internal.adapters.transport import ClientResponse, Headers, HttpClient
+from .._internal.decoding import Number, decode_json, reject_malformed
 from .._internal.instance.contact import Contact, read_elapsed_clock
 from .._internal.ports.queueing import (
     STORE_CALL_SECONDS,
@@ -46,7 +47,7 @@
     key: str
     part: str = ""
     value: str = ""
-    schema_version: int = 0
+    schema_version: Number = 0
     deleted: bool = False
 
 
@@ -54,7 +55,7 @@
     """A response with rows; `schema_version` is the newest revision of the store."""
 
     rows: list[_Row] = []
-    schema_version: int = 0
+    schema_version: Number = 0
     more_pages: bool = False
 
 
@@ -266,8 +267,8 @@
 
 def _decode(response: ClientResponse) -> _Rows:
     try:
-        return msgspec.json.decode(response.body, type=_Rows)
-    except (msgspec.DecodeError, ValueError) as error:
+        return decode_json(response.body, _Rows)
+    except ProtocolError as error:
         raise TransportError(
             f"cannot decode the response of the store: {error}", sent=True
         ) from error
@@ -275,8 +276,9 @@
 
 def _decode_rows(page: _Rows) -> tuple[StoredRow, ...]:
     try:
-        return tuple(map(_convert, page.rows))
-    except ValueError as error:
+        with reject_malformed("row"):
+            return tuple(map(_convert, page.rows))
+    except ProtocolError as error:
         raise TransportError(f"cannot decode a row of the store: {error}", sent=True) from error
 
 
--- a/src/lavenderhook/platform/workers.py
+++ b/src/lavenderhook/platform/workers.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from typing import Any, TypeVar
+from typing import Any
 
 import msgspec
 
 from .._internal.adapters.transport import ClientResponse, HttpClient
 from .._internal.core.identifiers import WorkerId
+from .._internal.decoding import MAX_NUMBER, Amount, Number, decode_json, reject_malformed
 from .._internal.ports.queueing import Advisor, HoldRefusal, QueueWorkerClient
 from .._internal.queueing.model import (
     CommandToken,
@@ -58,7 +59,6 @@
 }
 
 LogEvent = Callable[..., None]
-_Message = TypeVar("_Message", bound=msgspec.Struct)
 
 
 class _HoldResponse(msgspec.Struct, rename="camel"):
@@ -74,14 +74,14 @@
         Rows of sequence number, task, run, outcome and checkpoint.
     """
 
-    clock_ms: int
+    clock_ms: Number
     running: list[list[Any]] = []
     finished: list[list[Any]] = []
-    born: int = 0
+    born: Number = 0
 
 
-_RUNNING_ROW = tuple[str, int, str, float]  # without the load figure
-_FINISHED_ROW = tuple[int, str, int, str, str]
+_RUNNING_ROW = tuple[str, Number, str, Amount]  # without the load figure
+_FINISHED_ROW = tuple[Number, str, Number, str, str]
 
 
 class _Refusal(msgspec.Struct):
@@ -108,8 +108,16 @@
     ------
     ValueError
     """
-    submission, occurrence, step, index = name.split(".")
-    return TaskKey(SubmissionId(submission), int(occurrence), int(step), int(index))
+    submission, *numbers = name.split(".")
+    occurrence, step, index = map(_parse_number, numbers)
+    return TaskKey(SubmissionId(submission), occurrence, step, index)
+
+
+def _parse_number(text: str) -> int:
+    number = int(text)
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError(f"{text[:100]!r} is not from 0 to {MAX_NUMBER}")
+    return number
 
 
 class PlatformWorkerClient(QueueWorkerClient):
@@ -220,7 +228,7 @@
         case 200:
             return StartOutcome.STARTED
         case 409:
-            refusal = _decode(response.body, _Refusal)
+            refusal = decode_json(response.body, _Refusal)
             return _START_REFUSALS.get(refusal.reason, StartOutcome.REFUSED)
         case 421:
             return StartOutcome.OTHER_INCARNATION
@@ -232,19 +240,6 @@
             return StartOutcome.UNKNOWN
 
 
-def _decode(body: bytes, message_type: type[_Message]) -> _Message:
-    """Return the message that a body holds.
-
-    Raises
-    ------
-    ProtocolError
-    """
-    try:
-        return msgspec.json.decode(body, type=message_type)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        raise ProtocolError(f"malformed {message_type.__name__.strip('_')}: {error}") from error
-
-
 def decode_report(body: bytes) -> WorkerReport:
     """Decode a worker's report.
 
@@ -253,16 +248,14 @@
     ProtocolError
         If any part of it is malformed: a run that is left out would count as ended.
     """
-    response = _decode(body, _HoldResponse)
-    try:
+    response = decode_json(body, _HoldResponse)
+    with reject_malformed("row in a report"):
         return WorkerReport(
             clock=response.clock_ms / 1000,
             born=response.born,
             running=tuple(map(_convert_running, response.running)),
             finished=tuple(map(_convert_finished, response.finished)),
         )
-    except (msgspec.ValidationError, ValueError, KeyError) as error:
-        raise ProtocolError(f"malformed row in a report: {error!r}") from error
 
 
 def _convert_running(row: list[Any]) -> ReportedRun:
@@ -311,7 +304,7 @@
             self._log_event("advice-refused", step=name, status=response.status)
             return None
         try:
-            allowed = _decode(response.body, _AdviceResponse).allowed
+            allowed = decode_json(response.body, _AdviceResponse).allowed
         except ProtocolError as error:
             self._log_event("advice-unreadable", step=name, message=str(error))
             return None
