Read the tables and the list of workers again after a lost history

The same cause as in the configuration, found by looking for it elsewhere: after the store has lost its history, one read is taken with its revision, which may be newer than its rows. An owner could keep a worker that had left in the gap, and a watcher could miss a submission or a new owner, until the row changed again. Change: one more read when none can be stale any longer (6 s after the loss).

--- /dev/null
+++ b/features/stale_reads.feature
@@ -0,0 +1,15 @@
+Feature: Stale reads after a lost history
+  After the store has lost the history of its changes, reads may be seconds stale, with a revision
+  that is newer than their rows. What such a read misses is found later.
+
+  Scenario: A row that was written in the gap is found
+    Guards against submissions that the owner never sees, and against instances that miss a new owner.
+    Given a store that loses its history while a row is written, with stale reads for a while
+    When a watcher follows the table
+    Then it finds the row once reads are no longer stale
+
+  Scenario: A worker that left in the gap is no longer listed
+    Guards against starts on a worker that has left, and against a new worker that is not used.
+    Given a store that loses its history while a worker leaves and another comes
+    When an owner follows the list of workers
+    Then it lists only the new worker once reads are no longer stale
--- /dev/null
+++ b/features/steps/stale_reads.py
@@ -0,0 +1,147 @@
+"""Steps with a store whose reads are stale after it has lost its history."""
+
+import time
+from unittest import mock
+
+import gevent
+from behave import given, then, when
+
+from lavenderhook._internal.instance import table_watcher
+from lavenderhook._internal.instance.owner import Owner
+from lavenderhook._internal.instance.table_watcher import TableWatcher
+from lavenderhook._internal.instance.work_table import WorkTable
+from lavenderhook._internal.ports.queueing import (
+    HistoryLostError,
+    RowChanges,
+    StoredRow,
+    WorkerChanges,
+)
+from lavenderhook._internal.queueing.model import FencingToken
+from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
+from lavenderhook.platform.lists import decode_worker
+
+STALE_SECONDS = 0.5
+MAX_STALENESS_SECONDS = 1.0  # in place of the real bound
+ENTRY = (
+    b'{"service":"s","address":"127.0.0.1:9","zone":"z","state":"ready",'
+    b'"capacity":{"cpu":1,"memMb":1},"born":1}'
+)
+
+
+def ignore_event(*_names, **_fields):
+    """Accept a log event."""
+
+
+class StaleSource:
+    """Reads that return old items with the newest revision until they are no longer stale."""
+
+    REVISION = 9
+
+    def __init__(self, old, new):
+        self.old = old
+        self.new = new
+        self.stale_until = time.monotonic() + STALE_SECONDS
+        self.has_lost_history = True
+
+    def read_items(self):
+        """Return the items that a read sees now."""
+        return self.old if time.monotonic() < self.stale_until else self.new
+
+    def wait(self, seconds):
+        """Wait for a change that does not come; report the lost history once."""
+        gevent.sleep(min(seconds, 0.05))
+        if self.has_lost_history:
+            self.has_lost_history = False
+            raise HistoryLostError
+
+
+class StaleStore(StaleSource):
+    """Store with one table."""
+
+    def read(self, *_arguments, **_options):
+        """Return the rows."""
+        return RowChanges(self.read_items(), self.REVISION)
+
+    def wait_for_changes(self, _table, _after, seconds):
+        """Return no change."""
+        self.wait(seconds)
+        return RowChanges((), self.REVISION)
+
+
+class StaleWorkerList(StaleSource):
+    """List of workers."""
+
+    def read(self):
+        """Return the whole list."""
+        return WorkerChanges(self.read_items(), self.REVISION, True)
+
+    def wait_for_changes(self, _after, seconds):
+        """Return no change."""
+        self.wait(seconds)
+        return WorkerChanges({}, self.REVISION, False)
+
+
+def shorten_staleness(context):
+    """Replace the bound on the staleness of reads by a shorter one."""
+    patch = mock.patch.object(table_watcher, "MAX_READ_STALENESS_SECONDS", MAX_STALENESS_SECONDS)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given("a store that loses its history while a row is written, with stale reads for a while")
+def step_stale_store(context):
+    shorten_staleness(context)
+    rows = tuple(StoredRow(table="t", key=key, value=b"", revision=5) for key in "ab")
+    context.source = StaleStore(rows[:1], rows)
+
+
+@when("a watcher follows the table")
+def step_watcher(context):
+    context.found = set()
+    watcher = TableWatcher(
+        context.source, "t", lambda row: context.found.add(row.key), ("",), ignore_event
+    )
+    until = time.monotonic() + 2 * MAX_STALENESS_SECONDS
+    while time.monotonic() < until:
+        watcher.poll(0.05)
+
+
+@then("it finds the row once reads are no longer stale")
+def step_row_found(context):
+    assert context.found == {"a", "b"}, context.found
+
+
+@given("a store that loses its history while a worker leaves and another comes")
+def step_stale_list(context):
+    shorten_staleness(context)
+    workers = {name: decode_worker(name, ENTRY) for name in ("left", "new")}
+    context.source = StaleWorkerList({"left": workers["left"]}, {"new": workers["new"]})
+
+
+@when("an owner follows the list of workers")
+def step_owner_follows(context):
+    owner = context.owner = Owner(
+        FencingToken(1),
+        1,
+        store=None,
+        worker_list=context.source,
+        worker_client=None,
+        request_advice=None,
+        parameters=OwnerParameters(),
+        step_down=lambda *_: None,
+        log_event=ignore_event,
+        report_error=ignore_event,
+        work=WorkTable(None, ignore_event),
+        is_isolated=lambda: False,
+    )
+    owner.state = OwnerState(FencingToken(1), 1, 0.0, OwnerParameters())
+    owner._workers_revision = 1
+    with mock.patch.object(owner, "apply"):  # what follows from the list is not of interest
+        loop = gevent.spawn(owner._workers_loop)
+        gevent.sleep(2 * MAX_STALENESS_SECONDS)
+        loop.kill()
+
+
+@then("it lists only the new worker once reads are no longer stale")
+def step_listed(context):
+    assert set(context.owner._listings) == {"new"}, set(context.owner._listings)
--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -9,7 +9,12 @@
 import gevent.event
 
 from ...errors import LavenderhookError, ProtocolError
-from ..ports.queueing import ConfigurationChange, HistoryLostError, QueueConfiguration
+from ..ports.queueing import (
+    MAX_READ_STALENESS_SECONDS,
+    ConfigurationChange,
+    HistoryLostError,
+    QueueConfiguration,
+)
 from ..queueing.routes import QueueRoutes
 from .contact import read_elapsed_clock
 from .peers import ConfigurationStatus, PeerClient
@@ -23,7 +28,6 @@
 PEER_INTERVAL_SECONDS = 0.3
 MAX_PEER_INTERVAL_SECONDS = 1.2  # while no peer knows more than this instance
 MAX_PEERS_ASKED = 3
-MAX_READ_STALENESS_SECONDS = 6.0  # of reads after the store has lost its history
 MAX_CONTENT_BYTES = 1_000_000  # limit of the store for what is written at once
 
 
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -17,6 +17,7 @@
 from ..adapters.frontend import HttpRequest, Listener, ListenerLimits, Reply
 from ..core.identifiers import WorkerId
 from ..ports.queueing import (
+    MAX_READ_STALENESS_SECONDS,
     Advisor,
     QueueConfiguration,
     QueueWorkerClient,
@@ -40,7 +41,7 @@
 from ..queueing.retry_after import choose_retry_after
 from . import peers
 from .advice import AdviceDispatcher
-from .configuration import MAX_READ_STALENESS_SECONDS, ConfigurationFollower
+from .configuration import ConfigurationFollower
 from .forwarding import ForwardingWriter
 from .owner import Owner
 from .ownership_manager import OwnershipManager
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -80,7 +80,7 @@
     collect_starts,
 )
 from .supervision import ReportError
-from .table_watcher import LogEvent, describe_failure
+from .table_watcher import LogEvent, Rereading, describe_failure
 from .work_table import WorkTable
 
 # A hold is a long poll of a worker: it renews the worker's leases, acknowledges finished runs and
@@ -572,12 +572,16 @@
                 self._progress_stored.wait(MAX_STORED_WAIT_SECONDS)
 
     def _workers_loop(self) -> None:
+        rereading = Rereading()
         while not self._is_stopped:
+            if rereading.is_due() and self._read_workers():
+                rereading.complete()
             try:
                 changes = self._worker_list.wait_for_changes(
                     self._workers_revision, TICK_INTERVAL_SECONDS
                 )
             except HistoryLostError:
+                rereading.record_lost_history()
                 self._read_workers()
                 continue
             except LavenderhookError as error:
@@ -590,20 +594,22 @@
                 self._apply_listings()
             gevent.sleep(WORKERS_INTERVAL_SECONDS)
 
-    def _read_workers(self) -> None:
+    def _read_workers(self) -> bool:
+        """Read the whole list; return False if it can't be read or is stale."""
         try:
             changes = self._worker_list.read()
         except LavenderhookError as error:
             self._log_event("worker-list-unread", **describe_failure(error))
             gevent.sleep(STORE_RETRY_SECONDS)
-            return
+            return False
         if changes.revision < self._workers_revision:
             # The list is stale: it may name workers that have left.
             gevent.sleep(STORE_RETRY_SECONDS)
-            return
+            return False
         self._workers_revision = changes.revision
         self._update_listings(changes)
         self._apply_listings()
+        return True
 
     def _update_listings(self, changes: WorkerChanges) -> None:
         if changes.is_complete:
--- a/src/lavenderhook/_internal/instance/table_watcher.py
+++ b/src/lavenderhook/_internal/instance/table_watcher.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Sequence
 
 import gevent.pool
 
 from ...errors import LavenderhookError, ProtocolError
-from ..ports.queueing import STORE_CALL_SECONDS, HistoryLostError, RowChanges, RowStore, StoredRow
+from ..ports.queueing import (
+    MAX_READ_STALENESS_SECONDS,
+    STORE_CALL_SECONDS,
+    HistoryLostError,
+    RowChanges,
+    RowStore,
+    StoredRow,
+)
 
 LogEvent = Callable[..., None]  # logs an event, given by its name and fields
 MAX_CONCURRENT_READS = 16  # of parts, the partitions of a table
@@ -47,6 +55,7 @@
         self._parts = parts
         self._log_event = log_event
         self._revisions: dict[str, int] = {}
+        self._rereading = Rereading()
         self.revision: int | None = None
 
     def load(self) -> None:
@@ -87,9 +96,13 @@
         if self.revision is None:
             self.load()
             return
+        if self._rereading.is_due():
+            self.load()
+            self._rereading.complete()
         try:
             changes = self._store.wait_for_changes(self._table, self.revision, wait_seconds)
         except HistoryLostError:
+            self._rereading.record_lost_history()
             self.load()
             return
         for row in changes.rows:
@@ -116,6 +129,29 @@
             )
 
 
+class Rereading:
+    """When a table is read once more after the store has lost its history.
+
+    The read that follows the loss may be stale, with a revision that is newer than its rows: the
+    change feed would go on behind the changes that the read has missed.
+    """
+
+    def __init__(self) -> None:
+        self._due_at: float | None = None
+
+    def record_lost_history(self) -> None:
+        """Schedule a read for when none can be stale any longer."""
+        self._due_at = time.monotonic() + MAX_READ_STALENESS_SECONDS
+
+    def is_due(self) -> bool:
+        """Return whether the table has to be read now."""
+        return self._due_at is not None and time.monotonic() >= self._due_at
+
+    def complete(self) -> None:
+        """Record that the table has been read."""
+        self._due_at = None
+
+
 def describe_failure(error: LavenderhookError) -> dict[str, object]:
     """Return the log fields that describe a failed call."""
     return {"error": error.code, "message": str(error)}
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -30,6 +30,8 @@
 # Time limit of a call to the store. At 90 times the usual latency, a transaction takes 0.9 s and
 # may wait a second for other ones; a page of 1 MB over a link of 5 Mbit/s takes 1.6 s.
 STORE_CALL_SECONDS = 2.2
+# Of reads after the store has lost its history; their revision may be newer than their rows.
+MAX_READ_STALENESS_SECONDS = 6.0
 
 
 class StoredRow(msgspec.Struct, frozen=True, kw_only=True):
