Take a read as proof that a submission does not exist only if it is not stale

A caller that asks for an accepted submission could get 410 from a read that does not show it: its revision was compared with that of the owner's row only, which rarely changes. The scenario failed before with 410 and passes.

--- a/features/stale_reads.feature
+++ b/features/stale_reads.feature
@@ -13,3 +13,12 @@
     Given a store that loses its history while a worker leaves and another comes
     When an owner follows the list of workers
     Then it lists only the new worker once reads are no longer stale
+
+  Scenario: A submission is not denied by a stale read
+    Guards against a 410 for an accepted submission that a stale read does not show.
+    Given 2 entry instances and 1 queue workers
+    When the owner has reached every worker
+    And the store's reads are stale for 4.0 seconds
+    And 2.0 seconds of real time pass
+    Then a GET of "/jobs/00000000000000e4" is refused with 503 and a Retry-After
+    And every instance answers a GET of "/jobs/00000000000000e4" with 410 within 5.0 seconds
--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -111,6 +111,11 @@
     assert context.found == {"a", "b"}, context.found
 
 
+@when("the store's reads are stale for {seconds:f} seconds")
+def step_serve_stale_reads(context, seconds):
+    context.cluster.platform.store.serve_stale_reads(seconds)
+
+
 @given("a store that loses its history while a worker leaves and another comes")
 def step_stale_list(context):
     shorten_staleness(context)
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -308,11 +308,12 @@
         if self._was_recently_accepted(submission):
             return True
         key = SUBMISSION_PREFIX + submission
+        newest = max(self._store.get_newest_revision(), self._ownership.view.owner_revision)
         # The end of a range is exclusive, so this reads one key.
         changes = self._store.read(WORK_TABLE, key, key + "\0", choose_part(submission))
         if changes.rows:
             return True
-        if changes.revision < self._ownership.view.owner_revision:
+        if changes.revision < newest:
             raise StoreUnavailableError("the store returned a stale read")
         return False
 
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -131,6 +131,10 @@
     def get_last_contact(self) -> float:
         """Return when the newest call that was answered was sent, by `read_elapsed_clock`."""
 
+    @abc.abstractmethod
+    def get_newest_revision(self) -> int:
+        """Return the newest revision in any response of the store; 0 before the first."""
+
     @abc.abstractmethod
     def has_answered_since(self, moment: float) -> bool:
         """Return whether any call was answered after a moment (monotonic time in seconds)."""
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -10,7 +10,7 @@
 from .._internal.decoding import decode_json
 from .._internal.instance.entry import EntryInstance
 from .._internal.instance.submission_writer import WriteResult
-from .._internal.instance.table_watcher import LogEvent
+from .._internal.instance.table_watcher import LogEvent, describe_failure
 from .._internal.queueing.model import (
     Placement,
     Resources,
@@ -23,6 +23,7 @@
 from ..errors import (
     InvalidArgumentError,
     ProtocolError,
+    StoreUnavailableError,
     UnknownNameError,
 )
 
@@ -148,7 +149,7 @@
             case "POST" if submission_id:
                 return self._submit(request, route, submission_id, deadline)
             case "GET" if submission_id:
-                return self._describe(submission_id)
+                return self._describe(submission_id, deadline)
             case "GET":
                 pending = self._instance.count_pending(route.terms.name)
                 return _reply({"pending": pending})
@@ -226,11 +227,14 @@
         retry_after = str(self._instance.compute_retry_after(deadline))
         return Reply(status=status, headers=(("Retry-After", retry_after),))
 
-    def _describe(self, submission_id: SubmissionId) -> Reply:
+    def _describe(self, submission_id: SubmissionId, deadline: float) -> Reply:
         try:
             state = self._instance.describe(submission_id)
         except UnknownNameError:
             return Reply(status=GONE_STATUS)
+        except StoreUnavailableError as error:
+            self._log_event("state-unread", submission=submission_id, **describe_failure(error))
+            return self._reply_unavailable(503, deadline)
         return _reply({"state": state.value})
 
 
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -78,6 +78,7 @@
         self._unanswered_since = 0.0
         self._last_response_at = 0.0
         self._contact = Contact()
+        self._newest_revision = 0
         self._latency_seconds = INITIAL_LATENCY_SECONDS
         self._exchanges: dict[gevent.Greenlet, float] = {}  # exchanges in progress and their start
 
@@ -97,6 +98,10 @@
         """Return when the newest call that was answered was sent, by `read_elapsed_clock`."""
         return self._contact.last_sent_at
 
+    def get_newest_revision(self) -> int:
+        """Return the newest revision in any response of the store; 0 before the first."""
+        return self._newest_revision
+
     def has_answered_since(self, moment: float) -> bool:
         """Return whether any call was answered after a moment."""
         return self._last_response_at > moment
@@ -202,9 +207,9 @@
             "POST", TRANSACT_PATH, data, JSON_HEADERS, STORE_CALL_SECONDS, "transact"
         )
         if response.status == 412:
-            return RowConflict(_decode_rows(_decode(response)))
+            return RowConflict(_decode_rows(self._decode(response)))
         _check_status(response, "transaction")
-        return _decode(response).schema_version
+        return self._decode(response).schema_version
 
     def read(
         self,
@@ -253,7 +258,12 @@
                 f"the change feed no longer covers revision {query.get('after')}"
             )
         _check_status(response, path)
-        return _decode(response)
+        return self._decode(response)
+
+    def _decode(self, response: ClientResponse) -> _Rows:
+        page = _decode(response)
+        self._newest_revision = max(self._newest_revision, page.schema_version)
+        return page
 
 
 def _check_status(response: ClientResponse, what: str) -> None:
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -51,8 +51,13 @@
         self.transaction_seconds = 0.0
         self._part_free_at = {}
         self.random = random.Random(seed)
+        self._stale_view = None  # until when reads are stale, the rows they see, and the revision
         self.listener = Listener(self.respond)
 
+    def serve_stale_reads(self, seconds):
+        """Let reads see only what is stored now, for some time."""
+        self._stale_view = time.monotonic() + seconds, dict(self.rows), self.revision
+
     def put(self, table, key, value, part=""):
         """Write a row on behalf of the operator or a worker."""
         self.revision += 1
@@ -140,9 +145,12 @@
         self.changed.clear()
 
     def _read(self, query):
+        seen, revision = self.rows, self.revision
+        if self._stale_view is not None and time.monotonic() < self._stale_view[0]:
+            _, seen, revision = self._stale_view
         rows = [
             row
-            for (table, part, key), row in sorted(self.rows.items())
+            for (table, part, key), row in sorted(seen.items())
             if table == query["table"]
             and part == query.get("part", "")
             and key >= query.get("from", "")
@@ -150,7 +158,12 @@
         ]
         limit = int(query.get("limit", 500))
         return reply_json(
-            {"rows": rows[:limit], "morePages": len(rows) > limit, **self._describe_revision()}
+            {
+                **self._describe_revision(),
+                "rows": rows[:limit],
+                "morePages": len(rows) > limit,
+                "schemaVersion": revision,
+            }
         )
 
     def _feed(self, query):
