Turn instances away in the soak while the configuration changes, and leave odd workers' entries

A caller asks for the newest queue at random instances; a 404 more than 2 s after its version was written is a violation, whatever else goes on.

--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -32,6 +32,7 @@
 from lavenderhook.errors import LavenderhookError
 from lavenderhook.platform import frontend, lists, store, workers
 from lavenderhook.platform.settings import load_settings
+from standins.odd_workers import ODD_WORKERS
 
 STEPS = [{"count": 2, "cpu": 10, "memMb": 1, "estimateMs": 5.0, "after": []}]
 SPEC = {"count": 2, "resources": {"processors": 10}, "after": []}
@@ -390,39 +391,6 @@
     assert context.error is not None and context.error.code == code, context.error
 
 
-def make_odd_worker(**fields):
-    """Return the entry of a worker with some unusual fields."""
-    entry = {
-        "service": "desk",
-        "address": "127.0.0.1:9",
-        "zone": "a",
-        "state": "ready",
-        "capacity": {"cpu": 8000, "memMb": 64_000, "gpu": 0},
-        "labels": ["a", "r1-1"],
-        "born": 1,
-        "sequence": 1,
-    }
-    return json.dumps({**entry, **fields}).encode()
-
-
-ODD_WORKERS = {
-    "w-nested": make_odd_worker()[:-1] + b',"more":' + b"[" * 50_000 + b"]" * 50_000 + b"}",
-    "w-port": make_odd_worker(address="127.0.0.1:70000"),
-    "w-negative-port": make_odd_worker(address="127.0.0.1:-1"),
-    "w-long-port": make_odd_worker(address="127.0.0.1:" + "9" * 40),
-    "w-no-host": make_odd_worker(address=":80"),
-    "w-nul": make_odd_worker(address="a\0b:80"),
-    "w-long-host": make_odd_worker(address="a" * 300 + ":80"),
-    "w-line-break": make_odd_worker(address="127.0.0.1:9/a\r\nX-Other: b"),
-    "w-huge": make_odd_worker(capacity={"cpu": 10**30, "memMb": 10**30, "gpu": 0}),
-    "w-negative": make_odd_worker(capacity={"cpu": -8000, "memMb": -1, "gpu": 0}),
-    "w-born": make_odd_worker(born=10**400),
-    "w-drains": make_odd_worker(state="draining", drainRemainingMs=1e300),
-    "w-key\r\nX-Other: b": make_odd_worker(),
-    "w-\u20ac": make_odd_worker(),
-}
-
-
 @when("malformed rows are written into the tables of the instances")
 def step_malformed_rows(context):
     target = context.cluster.platform.store
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 import gevent
 
 from standins.crashes import CrashBehaviour
+from standins.odd_workers import ODD_WORKERS
 
 from .proxy import Mode
 
@@ -43,6 +44,8 @@
             self._crash_worker,
             self._resize_worker,
             self._submit_crashing_task,
+            self._turn_away,
+            self._write_odd_worker,
         ]
         with gevent.Timeout(seconds, False):
             while True:
@@ -134,6 +137,26 @@
         gevent.sleep(duration_seconds)
         store.mode = "up"
 
+    def _turn_away(self, duration_seconds):
+        """Let the store turn some instances away, and change the configuration meanwhile."""
+        entries = self._soak.cluster.entries
+        chosen = self._random.sample(entries, self._random.randrange(1, len(entries)))
+        mode = self._random.choice(["busy", "silent"])
+        for entry in chosen:
+            entry.store_endpoint.mode = mode
+        gevent.sleep(self._random.uniform(0.2, 1.5))
+        self._soak.change_configuration()
+        gevent.sleep(2 * duration_seconds)
+        for entry in chosen:
+            entry.store_endpoint.mode = "up"
+
+    def _write_odd_worker(self, duration_seconds):
+        key, value = self._random.choice(sorted(ODD_WORKERS.items()))
+        store = self._soak.cluster.platform.store
+        store.put("servers", key, value)
+        gevent.sleep(duration_seconds)
+        store.delete("servers", key)
+
     def _truncate_store_history(self, _):
         self._soak.cluster.platform.store.truncate_history()
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,8 @@
 from .faults import RandomFaultInjector
 from .proxy import Mode, Proxy
 
+CONFIGURATION_SECONDS = 2.0  # within which a change is in force, or not denied
+QUERY_SECONDS = 1.0
 COMPLETION_TIMEOUT_SECONDS = 30.0  # for accepted submissions, after all faults have ended
 CRASHING_SUBMISSION = "ff00000000000000"
 STEPS = [{"count": 2, "cpu": 1500, "memMb": 100, "estimateMs": 400}]
@@ -30,6 +32,7 @@
 
     def __init__(self, seed, seconds=8.0, instances=3, workers=3):
         self._random = random.Random(seed)
+        self._random_queries = random.Random(seed + 1)  # leaves the sequence of faults as it is
         self._seconds = seconds
         self._directory = tempfile.TemporaryDirectory(prefix=f"soak-{seed}-")
         self.cluster = EntryCluster(Path(self._directory.name), instances, workers, seed)
@@ -39,6 +42,7 @@
         self.refused = {}
         self.crashing = set()  # accepted submissions whose tasks crash their workers
         self._version = 1
+        self._written_at = time.monotonic()  # of the version
         self._faults_ended = False
         self.store_proxies = []
         self.worker_proxies = []
@@ -49,6 +53,7 @@
         injector = RandomFaultInjector(self, self._random)
         try:
             callers = [gevent.spawn(self._run_caller, index) for index in range(3)]
+            callers.append(gevent.spawn(self._query_newest_queue))
             injector.run(self._seconds)
             gevent.joinall(callers, timeout=15)
             self._check()
@@ -95,6 +100,7 @@
         self.cluster.platform.write_configuration(
             self._version, ["/jobs/", f"/more{self._version}/"]
         )
+        self._written_at = time.monotonic()
 
     def end_all_faults(self):
         """End all faults."""
@@ -104,6 +110,7 @@
         for proxy in self.store_proxies + self.worker_proxies:
             proxy.mode = Mode.PASS
         for entry in self.cluster.entries:
+            entry.store_endpoint.mode = "up"
             if entry.process.poll() is None:
                 entry.send(signal.SIGCONT)
             else:
@@ -122,6 +129,28 @@
                 self._cancel(name, index)
             gevent.sleep(0.15)
 
+    def _query_newest_queue(self):
+        """Check that no instance denies the queue that the newest version has added."""
+        deadline = time.monotonic() + self._seconds
+        while time.monotonic() < deadline:
+            gevent.sleep(0.1)
+            version = self._version
+            if version == 1 or time.monotonic() < self._written_at + CONFIGURATION_SECONDS:
+                continue
+            index = self._random_queries.randrange(len(self.cluster.entries))
+            try:
+                response = self.cluster.call(
+                    index, "GET", f"/more{version}/", seconds=QUERY_SECONDS
+                )
+            except TransportError:
+                continue
+            if response.status == 404 and version == self._version:
+                age = time.monotonic() - self._written_at
+                self.violations.append(
+                    f"{self.cluster.entries[index].name} denied the queue of version {version} "
+                    f"{age:.2f} s after it was written"
+                )
+
     def submit_crashing_task(self, behaviour):
         """Send a submission whose tasks crash their workers; one at a time."""
         if self.crashing:
