Leave odd entries out of the platform's list of the product's own interface

An odd entry refused the whole list, or worse: of a list with one worker and one odd entry, a capacity of 1e307 raised OverflowError and labels of another type ProtocolError, so that no instance could follow the list; port 70000 was listed as a worker to use. A row of the table with invalid base64 raised binascii.Error. Change: entries are decoded one by one; those that can't be decoded or called are left out, with a line and a counter (platform-entry-unreadable). Rows decode base64 with the message. The fuzz covers ten more parsers: listing, attempts, table pages, claims, heartbeats, operations, an operator's body, settings, connection and declaration files.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -26,6 +26,21 @@
       | rows of the store   |
       | a caller's body     |
       | a settings file     |
+      | a listing           |
+      | a report of attempts |
+      | a page of the table |
+      | a claim row         |
+      | a peer's heartbeat  |
+      | a peer's operation  |
+      | an operator's body  |
+      | a daemon's settings |
+      | a connection file   |
+      | a declaration file  |
+
+  Scenario: An odd entry of the platform's list leaves the others listed
+    Guards against a list that can't be read at all because of one entry.
+    When a list with a worker and 6 odd entries is read
+    Then one worker is listed and 6 entries are reported
 
   Scenario Outline: A submission that no owner can place is refused when it arrives
     Guards against a stored submission on which one owner after the other fails.
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -5,6 +5,7 @@
 import json
 import random
 import re
+import tempfile
 from types import SimpleNamespace
 from unittest import mock
 
@@ -14,21 +15,32 @@
 from hypothesis import HealthCheck, Phase, seed, settings, strategies
 from hypothesis import given as given_example
 
+from lavenderhook._internal.adapters import workers as own_workers
+from lavenderhook._internal.adapters.claims import decode_claim
+from lavenderhook._internal.adapters.directory import HttpInstanceDirectory
+from lavenderhook._internal.adapters.peers import decode_heartbeat, decode_operation
+from lavenderhook._internal.adapters.routes import ConfigurationRequest
+from lavenderhook._internal.adapters.table import HttpTableStore
 from lavenderhook._internal.adapters.transport import (
     ClientResponse,
     build_request,
     split_address,
 )
+from lavenderhook._internal.cli.connection import read_connection_file
+from lavenderhook._internal.cli.files import load_files
+from lavenderhook._internal.daemon.settings import load_settings as load_daemon_settings
 from lavenderhook._internal.instance import peers
 from lavenderhook._internal.instance.owner import Owner
 from lavenderhook._internal.instance.supervision import run_until_stopped
 from lavenderhook._internal.instance.work_table import WorkTable
+from lavenderhook._internal.ports.platform import Row
 from lavenderhook._internal.queueing import placement, records, scheduling
 from lavenderhook._internal.queueing.events import Ticked, WorkersListed
 from lavenderhook._internal.queueing.model import FencingToken
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
 from lavenderhook._internal.queueing.start_log import StartLogRow
 from lavenderhook._internal.queueing.validation import check_submission
+from lavenderhook._internal.violations import decode_json as decode_body
 from lavenderhook.errors import LavenderhookError
 from lavenderhook.platform import frontend, lists, store, workers
 from lavenderhook.platform.settings import load_settings
@@ -90,6 +102,38 @@
     },
     "a caller's body": {"spec": "text", "steps": STEPS},
     "a settings file": {},
+    "a listing": {
+        "entries": [
+            {
+                "id": "w",
+                "incarnation": "i",
+                "role": "worker",
+                "state": "ready",
+                "address": "127.0.0.1:80",
+                "zone": "z",
+                "capacity": {"processors": 4.0, "memory_mb": 5.0, "accelerators": 0},
+                "labels": {"a": "b"},
+            }
+        ]
+    },
+    "a report of attempts": {
+        "tasks": [{"attempt": "a", "state": "running", "usage": {"processors": 1.0}}]
+    },
+    "a page of the table": {"rows": [{"key": "k", "version": 1, "value": "AAAA"}]},
+    "a claim row": {
+        "request_id": "r",
+        "caller": "c",
+        "claim_id": "i",
+        "content": "",
+        "holder": "h",
+        "at": 1.0,
+    },
+    "a peer's heartbeat": {"type": "Heartbeat", "sender": "a", "sequence": 1},
+    "a peer's operation": {"type": "ForwardedQuery", "query": {}},
+    "an operator's body": {"change_id": "c", "expected_version": 1, "puts": [], "deletes": []},
+    "a daemon's settings": {},
+    "a connection file": {},
+    "a declaration file": {},
 }
 SETTINGS_TEXT = """nodeName = "n"
 ip = "127.0.0.1"
@@ -177,9 +221,7 @@
 
 def read_notice(body):
     """Read a message of a peer, which is packed in another format than the other messages."""
-    with contextlib.suppress(ValueError, RecursionError, OverflowError):
-        body = msgspec.msgpack.encode(json.loads(body))
-    peers.read_message(StubRequest(body), peers.WriteNotice)
+    peers.read_message(StubRequest(pack(body)), peers.WriteNotice)
 
 
 class StubRequest:
@@ -219,15 +261,60 @@
 
 def read_settings(body):
     """Read the bytes, added to correct settings, as a settings file."""
-    import tempfile
-
     with tempfile.NamedTemporaryFile() as file:
         file.write(SETTINGS_TEXT.encode() + body)
         file.flush()
         load_settings(file.name)
 
 
+def pack(body):
+    """Return a JSON message in the other format; unchanged if it can't be converted."""
+    with contextlib.suppress(ValueError, RecursionError, OverflowError):
+        return msgspec.msgpack.encode(json.loads(body))
+    return body
+
+
+def read_listing(body):
+    """Read the platform's list of the product's own interface."""
+    client = StubTransport(200, body)
+    directory = HttpInstanceDirectory(client, "a:1", ignore_event)
+    for worker in directory.list_instances()[1]:
+        split_address(worker.address)
+        msgspec.json.encode(worker)
+
+
+def read_table_page(body):
+    """Read a page of the product's own table."""
+    client = HttpTableStore(StubTransport(200, body), "a:1")
+    client.scan("a", "a", 5)
+
+
+def read_file(read, prefix=""):
+    """Return a reader of files."""
+
+    def read_body(body):
+        with tempfile.NamedTemporaryFile(suffix=".toml") as file:
+            file.write(prefix.encode() + body)
+            file.flush()
+            try:
+                read(file.name)
+            except ExceptionGroup as group:
+                raise group.exceptions[0] from group
+
+    return read_body
+
+
 READERS = {
+    "a listing": read_listing,
+    "a report of attempts": own_workers._decode,
+    "a page of the table": read_table_page,
+    "a claim row": lambda body: decode_claim(Row("k", 1, pack(body))),
+    "a peer's heartbeat": lambda body: decode_heartbeat(pack(body)),
+    "a peer's operation": lambda body: decode_operation(pack(body)),
+    "an operator's body": lambda body: decode_body(body, ConfigurationRequest),
+    "a daemon's settings": read_file(load_daemon_settings),
+    "a connection file": read_file(read_connection_file),
+    "a declaration file": read_file(lambda path: load_files([path])),
     "a worker's report": read_report,
     "a refusal": read_refusal,
     "advice": read_advice,
@@ -286,6 +373,7 @@
     | strategies.integers(-(2**70), 2**70)
     | strategies.floats(allow_nan=False)
     | strategies.text(max_size=8)
+    | strategies.sampled_from(["AAA", "\u20ac"])  # no base64
     | NESTINGS
     | LARGE_NUMBERS
     | ADDRESSES
@@ -374,6 +462,33 @@
     assert not context.unexpected, (len(context.unexpected), context.unexpected[:3])
 
 
+@when("a list with a worker and 6 odd entries is read")
+def step_odd_listing(context):
+    entry = EXAMPLES["a listing"]["entries"][0]
+    odd = [
+        {**entry, "address": "127.0.0.1:70000"},
+        {**entry, "address": "127.0.0.1:80/a\r\nX-Other: b"},
+        {**entry, "capacity": {"processors": 10**30}},
+        {**entry, "capacity": {"processors": -1}},
+        {**entry, "labels": [1]},
+        7,
+    ]
+    context.unreadable = []
+    directory = HttpInstanceDirectory(
+        StubTransport(200, json.dumps({"entries": [*odd, entry]}).encode()),
+        "a:1",
+        lambda position, error: context.unreadable.append((position, error.code)),
+    )
+    context.listed = directory.list_instances()
+
+
+@then("one worker is listed and 6 entries are reported")
+def step_listed(context):
+    instances, workers = context.listed
+    assert not instances and [worker.worker_id for worker in workers] == ["w"], context.listed
+    assert [position for position, _ in context.unreadable] == list(range(6)), context.unreadable
+
+
 @when("a caller submits steps with {field} set to {value}")
 def step_submit_field(context, field, value):
     body = {"spec": "text", "steps": [dict(STEPS[0])]}
--- a/src/lavenderhook/_internal/adapters/directory.py
+++ b/src/lavenderhook/_internal/adapters/directory.py
@@ -2,23 +2,26 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
+from ...errors import LavenderhookError
 from ..core.identifiers import AvailabilityZone, IncarnationId, InstanceName, RackId, WorkerId
 from ..core.records import InstanceView, WorkerView
 from ..core.resources import Resources
-from ..decoding import decode_json
+from ..decoding import Amount, Number, decode_json
 from ..ports.platform import InstanceDirectory
 from .table import require_success
-from .transport import HttpClient
+from .transport import HttpClient, split_address
 
 MILLICORES = 1000  # the list gives processors, the core counts thousandths of a processor
 
 
 class _Capacity(msgspec.Struct):
-    processors: float = 0.0
-    memory_mb: float = 0.0
-    accelerators: int = 0
+    processors: Amount = 0.0
+    memory_mb: Amount = 0.0
+    accelerators: Number = 0
 
 
 class _Entry(msgspec.Struct):
@@ -34,32 +37,60 @@
 
 
 class _Listing(msgspec.Struct):
-    entries: list[_Entry]
+    entries: list[msgspec.Raw]
 
 
 class HttpInstanceDirectory(InstanceDirectory):
     """The platform's list of entry instances and workers over HTTP.
 
+    An entry that can't be decoded, or whose address can't be called, is reported and left out.
+
+    Parameters
+    ----------
+    client : HttpClient
+    address : str
+        ``host:port`` of the list.
+    report_unreadable : callable
+        Takes the position of an entry that is left out, and the error.
+
     Attributes
     ----------
     zones : dict of str to str
         Availability zone of each address in the last list fetched, for the traffic counters.
     """
 
-    def __init__(self, client: HttpClient, address: str) -> None:
+    def __init__(
+        self,
+        client: HttpClient,
+        address: str,
+        report_unreadable: Callable[[int, LavenderhookError], None],
+    ) -> None:
         self._client = client
         self._address = address
+        self._report_unreadable = report_unreadable
         self.zones: dict[str, str] = {}
 
     def list_instances(self) -> tuple[tuple[InstanceView, ...], tuple[WorkerView, ...]]:
         """Return the entry instances and the workers."""
         response = self._client.call(self._address, "GET", "/v1/instances")
         require_success(response)
-        entries = decode_json(response.body, _Listing).entries
-        self.zones = {entry.address: entry.zone for entry in entries}
-        instances = tuple(_build_instance(e) for e in entries if e.role == "entry")
-        workers = tuple(_build_worker(e) for e in entries if e.role == "worker")
-        return instances, workers
+        zones: dict[str, str] = {}
+        instances: list[InstanceView] = []
+        workers: list[WorkerView] = []
+        for position, content in enumerate(decode_json(response.body, _Listing).entries):
+            try:
+                entry = decode_json(content, _Entry)
+                split_address(entry.address)
+                if entry.role == "entry":
+                    instances.append(_build_instance(entry))
+                elif entry.role == "worker":
+                    workers.append(_build_worker(entry))
+            except LavenderhookError as error:
+                self._report_unreadable(position, error)
+                continue
+            zones[entry.address] = entry.zone
+        self.zones = zones
+        return tuple(instances), tuple(workers)
 
 
 def _build_instance(entry: _Entry) -> InstanceView:
--- a/src/lavenderhook/_internal/adapters/table.py
+++ b/src/lavenderhook/_internal/adapters/table.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ...errors import ProtocolError, StoreUnavailableError, TransportError
-from ..decoding import decode_json
+from ..decoding import Number, decode_json
 from ..ports.platform import Row, TableStore, TransactionConflict
 from .transport import ClientResponse, HttpClient
 
@@ -20,13 +20,13 @@
 
 
 class _Revision(msgspec.Struct):
-    revision: int
+    revision: Number
 
 
 class _WireRow(msgspec.Struct):
     key: str
-    version: int
-    value: str = ""
+    version: Number
+    value: bytes = b""  # base64
 
 
 class _Conflicts(msgspec.Struct):
@@ -41,7 +41,7 @@
 
 
 def _decode_row(row: _WireRow) -> Row:
-    return Row(row.key, row.version, base64.b64decode(row.value))
+    return Row(row.key, row.version, row.value)
 
 
 class HttpTableStore(TableStore):
--- a/src/lavenderhook/_internal/adapters/workers.py
+++ b/src/lavenderhook/_internal/adapters/workers.py
@@ -21,7 +21,7 @@
 from ..core.identifiers import AttemptId, WorkerId
 from ..core.records import AttemptReport
 from ..core.resources import Resources
-from ..decoding import decode_json, reject_malformed
+from ..decoding import Amount, Number, decode_json, reject_malformed
 from ..ports.platform import WorkerClient
 from ..ports.time import Clock
 from .directory import MILLICORES
@@ -30,9 +30,9 @@
 
 
 class _Usage(msgspec.Struct):
-    processors: float = 0.0
-    memory_mb: float = 0.0
-    accelerators: int = 0
+    processors: Amount = 0.0
+    memory_mb: Amount = 0.0
+    accelerators: Number = 0
 
 
 class _Entry(msgspec.Struct):
--- a/src/lavenderhook/_internal/daemon/main.py
+++ b/src/lavenderhook/_internal/daemon/main.py
@@ -129,7 +129,9 @@
             self._peer_client,
             self._forwarding_client,
         )
-        self.directory = HttpInstanceDirectory(self._list_client, settings.platform.instances)
+        self.directory = HttpInstanceDirectory(
+            self._list_client, settings.platform.instances, self._report_unreadable_entry
+        )
 
     def _build_adapters(self) -> None:
         runtime, clock, calls = self.runtime, self.clock, self.calls
@@ -273,6 +275,13 @@
     def _observe_event(self, event: Event, seconds: float) -> None:
         self.metrics.observe("reduce_seconds", seconds, event=type(event).__name__)
 
+    def _report_unreadable_entry(self, position: int, error: LavenderhookError) -> None:
+        self.metrics.increment("platform_entries_unreadable_total", error=error.code)
+        self.log.write_decision(
+            "platform-entry-unreadable",
+            {"position": position, "error": error.code, "message": str(error)},
+        )
+
     def _list_platform(self, effect: ListPlatform) -> None:
         requested_at = self.runtime.now()
         try:
