--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -32,6 +32,15 @@
     When the store's mode is up
     Then every instance answers a GET of "/more/00000000000000a4" with 404 within 2.0 seconds
 
+  Scenario: An instance without a configuration denies no queue
+    Guards against a 404 for a queue from an instance that has read that there is no configuration yet.
+    Given 1 entry instances and 1 queue workers
+    When the owner has reached every worker
+    And the configuration is deleted and the instance is killed and started again
+    Then a GET of "/jobs/00000000000000a4" is refused with 503 and a Retry-After
+    When version 7 of the configuration adds "/more/"
+    Then every instance answers a GET of "/more/00000000000000a4" with 410 within 2.0 seconds
+
   Scenario Outline: A route that can't be decoded leaves the others in force
     Guards against a version of which nothing is in force because one of its routes has an unusual
     field, and against a 404 for that route.
@@ -102,6 +111,7 @@
       | a peer that has just started  | configuration-applied     |
       | a peer with malformed content | configuration-not-fetched |
       | a peer with too much content  | configuration-not-fetched |
+      | a peer that sends an old one  | configuration-not-fetched |
 
   Scenario: Peers are asked rarely
     Guards against calls to peers while the store answers, and against a load that grows in an outage
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import signal
 import time
 import zlib
 
@@ -9,9 +10,10 @@
 from behave import given, then, when
 
 from features.support.configuration_followers import BOUND_SECONDS, FollowerNetwork
+from features.support.queue_processes import START_SECONDS
 from lavenderhook._internal.instance.configuration import WAIT_SECONDS
 from lavenderhook._internal.instance.peers import ConfigurationStatus
-from lavenderhook.errors import ProtocolError
+from lavenderhook.errors import ProtocolError, TransportError
 
 NESTING = 100_000
 UNREADABLE = {
@@ -43,6 +45,25 @@
     context.cluster.platform.store.put("op", "config", UNREADABLE[content])
 
 
+@when("the configuration is deleted and the instance is killed and started again")
+def step_restart_without_configuration(context):
+    cluster = context.cluster
+    cluster.platform.store.delete("op", "config")
+    entry = cluster.entries[0]
+    entry.send(signal.SIGKILL)
+    entry.wait(2)
+    entry.start()
+    until = time.monotonic() + START_SECONDS
+    while True:
+        try:
+            cluster.call(0, "GET", "/")
+            break
+        except TransportError:
+            assert time.monotonic() < until, "the instance does not answer"
+            gevent.sleep(0.05)
+    gevent.sleep(0.5)  # for its read of the configuration
+
+
 def wait_for_statuses(context, call, status, seconds):
     """Call every instance until each has answered once with a status."""
     until = time.monotonic() + seconds
@@ -145,6 +166,7 @@
     "a peer of an older build": StubPeer(None),
     "a peer that has just started": StubPeer(ConfigurationStatus(0, float("inf"))),
     "a peer with malformed content": StubPeer(ConfigurationStatus(99, 0.0), b"{"),
+    "a peer that sends an old one": StubPeer(ConfigurationStatus(99, 0.0), b"1"),
     "a peer with too much content": StubPeer(ConfigurationStatus(99, 0.0), b"9" * 1_000_001),
 }
 
--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -107,7 +107,11 @@
         the change that added the queue. Queues that it knows are still served: while no instance
         reaches the store, nobody can have removed them, and while one does, a peer tells.
         """
-        return not self._is_newest_unreadable and self.measure_age() <= self._bound_seconds
+        return (
+            self.routes is not None
+            and not self._is_newest_unreadable
+            and self.measure_age() <= self._bound_seconds
+        )
 
     def describe(self) -> dict[str, object]:
         """Return the log fields that describe the active configuration."""
@@ -154,9 +158,10 @@
             change = self._configuration.wait_for_changes(revision, WAIT_SECONDS)
         finally:
             self._is_watching = False
-        if change.has_waited:
-            sent_at = min(sent_at + WAIT_SECONDS, read_elapsed_clock())
-        self._apply_change(change, sent_at)
+        current_at = sent_at
+        if change.has_waited and read_elapsed_clock() >= sent_at + WAIT_SECONDS:
+            current_at += WAIT_SECONDS
+        self._apply_change(change, current_at)
         return change.revision
 
     def _read_beside_watch(self) -> None:
@@ -192,7 +197,7 @@
                 current_at -= MAX_READ_STALENESS_SECONDS
             elif change.routes is not None:
                 self._history_lost_at = None
-        self._store_confirmed_at = current_at
+        self._store_confirmed_at = max(self._store_confirmed_at, current_at)
         self._confirmed_at = max(self._confirmed_at, current_at)
 
     def _apply(self, routes: QueueRoutes, content: bytes, **source: object) -> None:
@@ -252,7 +257,7 @@
         address = max(self._newer_peers, key=lambda peer: self._newer_peers[peer])
         version = self._newer_peers.pop(address)  # the next round finds it again if this fails
         try:
-            routes, content = self._fetch(address)
+            routes, content = self._fetch(address, version)
         except LavenderhookError as error:
             if isinstance(error, ProtocolError):
                 self._unreadable[address] = version  # leaves the next round to other peers
@@ -266,13 +271,16 @@
             return
         self._apply(routes, content, peer=address)
 
-    def _fetch(self, address: str) -> tuple[QueueRoutes, bytes]:
+    def _fetch(self, address: str, version: int) -> tuple[QueueRoutes, bytes]:
         content = self._peer_client.request_configuration(address)
         if len(content) > MAX_CONTENT_BYTES:
             raise ProtocolError(
                 f"the configuration has {len(content)} bytes, more than {MAX_CONTENT_BYTES}"
             )
-        return self._configuration.decode(content), content
+        routes = self._configuration.decode(content)
+        if routes.version < version:
+            raise ProtocolError(f"the peer has version {version} and sent {routes.version}")
+        return routes, content
 
     def _ask_peer(self, address: str) -> None:
         sent_at = read_elapsed_clock()
