Check the configuration in 40 networks with random outages

Turned-away instances, cut links, lost watches, stale reads and changes in any order; checked every 10 ms: no instance denies a queue by a version that was replaced more than 2 s before, none goes back, all have the newest version 7 s after the end.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -137,3 +137,10 @@
     When no watch is answered any longer
     And the operator writes version 2
     Then all followers have version 2 within 2.0 seconds
+
+  Scenario: Random outages never let an instance deny a queue of the newest version
+    Guards against any order of turned-away instances, cut links, lost watches, stale reads and changes
+    in which an instance denies a queue more than 2 s after the change that added it, goes back to an
+    older version, or misses the newest one.
+    When 40 networks have random outages for 12 seconds
+    Then no check failed in any of them
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -9,13 +9,14 @@
 import gevent
 from behave import given, then, when
 
-from features.support.configuration_followers import BOUND_SECONDS, FollowerNetwork
+from features.support.configuration_followers import BOUND_SECONDS, FollowerNetwork, RandomCuts
 from features.support.queue_processes import START_SECONDS
 from lavenderhook._internal.instance.configuration import WAIT_SECONDS
 from lavenderhook._internal.instance.peers import ConfigurationStatus
 from lavenderhook.errors import ProtocolError, TransportError
 
 NESTING = 100_000
+RECOVERY_SECONDS = 7.0  # within which the newest version is in force after the outages
 UNREADABLE = {
     "not JSON": b'{"version":2,',
     "deeply nested": b'{"version":2,"more":' + b"[" * NESTING + b"]" * NESTING + b',"routes":[]}',
@@ -267,3 +268,15 @@
         source.loses_watches = True
     # The change is written while each follower waits for an answer that will not come.
     gevent.sleep(WAIT_SECONDS + 0.3)
+
+
+@when("{count:d} networks have random outages for {seconds:d} seconds")
+def step_random_outages(context, count, seconds):
+    runs = [gevent.spawn(RandomCuts(seed, seconds).run, RECOVERY_SECONDS) for seed in range(count)]
+    gevent.joinall(runs, raise_error=True)
+    context.violations = {seed: run.value for seed, run in enumerate(runs) if run.value}
+
+
+@then("no check failed in any of them")
+def step_no_violations(context):
+    assert not context.violations, {seed: v[:3] for seed, v in context.violations.items()}
--- a/features/support/configuration_followers.py
+++ b/features/support/configuration_followers.py
@@ -1,9 +1,12 @@
 """Followers of the configuration in one process, with links that can be cut."""
 
+import random
+import time
+
 import gevent
 import gevent.event
 
-from lavenderhook._internal.instance.configuration import ConfigurationFollower
+from lavenderhook._internal.instance.configuration import WAIT_SECONDS, ConfigurationFollower
 from lavenderhook._internal.ports.queueing import (
     ConfigurationChange,
     HistoryLostError,
@@ -145,3 +148,102 @@
         """End all loops."""
         self.stopped.set()
         gevent.killall(self.loops)
+
+
+class RandomCuts:
+    """Random outages and writes in one network, with checks that hold at every moment.
+
+    Parameters
+    ----------
+    seed : int
+    seconds : float
+        Duration of the faults.
+    """
+
+    CHECK_SECONDS = 0.01
+    NAMES = "abcd"
+
+    def __init__(self, seed, seconds):
+        self.network = FollowerNetwork(self.NAMES)
+        self.violations = []
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._written_at = {1: time.monotonic()}
+        self._highest = dict.fromkeys(self.NAMES, 0)
+
+    def run(self, recovery_seconds):
+        """Inject faults, end them, and check that all followers have the newest version in time."""
+        checks = gevent.spawn(self._check_loop)
+        try:
+            until = time.monotonic() + self._seconds
+            while time.monotonic() < until:
+                gevent.sleep(self._random.uniform(0.05, 0.6))
+                self._random.choice(
+                    [self._write, self._write, self._cut_links, self._turn_away, self._lose_history]
+                )()
+            self._lose_history()
+            self._write()
+            gevent.sleep(WAIT_SECONDS)  # the stale reads come after the change
+            self._end_faults()
+            gevent.sleep(recovery_seconds)
+            versions = {n: f.get_version() for n, f in self.network.followers.items()}
+            if set(versions.values()) != {self.network.version}:
+                self.violations.append(f"{versions} after all faults, not {self.network.version}")
+        finally:
+            checks.kill()
+            self.network.stop()
+        return self.violations
+
+    def _write(self):
+        version = self.network.version + self._random.randrange(1, 4)
+        self.network.write(version)
+        self._written_at[version] = time.monotonic()
+
+    def _cut_links(self):
+        self.network.links = {
+            frozenset((one, other))
+            for one in self.NAMES
+            for other in self.NAMES
+            if self._random.random() < 0.6
+        }
+
+    def _turn_away(self):
+        for source in self.network.sources.values():
+            source.is_reachable = self._random.random() < 0.5
+            source.loses_watches = self._random.random() < 0.2
+
+    def _lose_history(self):
+        """Let reads be stale after a lost history, for less long than the code allows for."""
+        version = self.network.version
+        share = self._random.choice([0.5, 1.0])
+        for source in self.network.sources.values():
+            if self._random.random() < share:
+                source.has_lost_history = True
+                source.stale_version = version
+        gevent.spawn_later(self._random.uniform(0.2, 1.5), self._end_staleness, version)
+
+    def _end_staleness(self, version):
+        for source in self.network.sources.values():
+            if source.stale_version == version:
+                source.stale_version = None
+
+    def _end_faults(self):
+        self.network.links = {frozenset((a, b)) for a in self.NAMES for b in self.NAMES}
+        for source in self.network.sources.values():
+            source.is_reachable, source.loses_watches = True, False
+            source.stale_version = None
+
+    def _check_loop(self):
+        while True:
+            gevent.sleep(self.CHECK_SECONDS)
+            now = time.monotonic()
+            due = max(
+                (v for v, at in self._written_at.items() if at < now - BOUND_SECONDS), default=0
+            )
+            for name, follower in self.network.followers.items():
+                version = follower.get_version()
+                if version < self._highest[name]:
+                    self.violations.append(f"{name} went back to {version}")
+                self._highest[name] = version
+                if version < due and follower.can_deny_queues():
+                    self.violations.append(f"{name} denies queues of {due} by version {version}")
