Ask a peer for the configuration at the start, and read it again

A restarted instance could answer by a version that had been replaced before it started: after the store has lost its history, the first read of a new process may be stale, with the newest revision, and nothing tells it so. An instance that stays up learns of the loss from its watch. Class: after a restart, something that was withdrawn is in use again. Change: until a peer has answered, for 6 s at most, peers are asked as if the store had not confirmed the version, and the configuration is read once more after 6 s. The address of a route that can't be decoded at all is no longer spelled like one that a configuration could have.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -117,8 +117,10 @@
     Guards against calls to peers while the store answers, and against a load that grows in an outage
     of the whole store.
     Given followers a, b, c that all reach each other
+    When 1.0 seconds of real time pass
+    Then each follower has called peers at most 2 times
     When 3.0 seconds of real time pass
-    Then no follower has called a peer
+    Then each follower has called peers at most 2 times
     When no follower reaches the store
     And 6.0 seconds of real time pass
     Then each follower has called peers at most 20 times
@@ -131,6 +133,15 @@
     Then all followers have version 2 within 6.0 seconds
     And no follower denied a queue before it had version 2
 
+  Scenario: An instance that starts with a stale read takes the newest version from a peer
+    Guards against a restarted instance that answers by a version which had been replaced before it
+    started, until the next change.
+    Given followers a, b, c that all reach each other
+    When the operator writes version 2
+    And 0.5 seconds of real time pass
+    And a is started again while its reads are stale with version 1
+    Then follower a has version 2 within 2.0 seconds
+
   Scenario: A lost response to the watch does not hide a change
     Guards against a change that waits for the time-out of a watch whose connection has gone silent.
     Given followers a, b, c that all reach each other
--- a/features/support/configuration_followers.py
+++ b/features/support/configuration_followers.py
@@ -122,11 +122,19 @@
         self.clients = {name: StubPeerClient(self, name) for name in names}
         self.followers = {name: self._make_follower(name, names) for name in names}
         self.peers = dict(self.followers)
-        self.loops = [
-            gevent.spawn(loop)
-            for follower in self.followers.values()
-            for loop in follower.list_loops()
-        ]
+        self.names = names
+        self.loops = {}
+        for name in names:
+            self._spawn_loops(name)
+
+    def _spawn_loops(self, name):
+        self.loops[name] = [gevent.spawn(loop) for loop in self.followers[name].list_loops()]
+
+    def restart(self, name):
+        """Replace a follower by one that knows nothing."""
+        gevent.killall(self.loops[name])
+        self.followers[name] = self.peers[name] = self._make_follower(name, self.names)
+        self._spawn_loops(name)
 
     def _make_follower(self, name, names):
         return ConfigurationFollower(
@@ -147,7 +155,7 @@
     def stop(self):
         """End all loops."""
         self.stopped.set()
-        gevent.killall(self.loops)
+        gevent.killall([loop for loops in self.loops.values() for loop in loops])
 
 
 class RandomCuts:
--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -18,7 +18,7 @@
 from ..queueing.routes import QueueRoutes
 from .contact import read_elapsed_clock
 from .peers import ConfigurationStatus, PeerClient
-from .table_watcher import LogEvent, describe_failure
+from .table_watcher import LogEvent, Rereading, describe_failure
 
 WAIT_SECONDS = 0.8  # a change of the configuration ends the wait at once
 POLL_INTERVAL_SECONDS = 0.1  # between polls; limits the load of frequent changes
@@ -84,6 +84,10 @@
         self._row_revision = 0  # of the newest row that was read
         self._is_newest_unreadable = False
         self._history_lost_at: float | None = None  # until reads can't be stale any longer
+        # The first read may be stale as well, if the store lost its history before this process
+        # began: a peer is asked, and the configuration is read once more.
+        self._has_asked_peer = False
+        self._rereading = Rereading()
         self._is_watching = False  # a call that waits for a change is in progress
         self._newer_peers: dict[str, int] = {}  # versions by address
         self._unreadable: dict[str, int] = {}  # versions by address
@@ -128,12 +132,14 @@
 
     def _watch_store(self) -> None:
         revision: int | None = None
+        self._rereading.record_lost_history()
         while not self._stopped.is_set():
             try:
                 revision = self._read() if revision is None else self._wait_for_changes(revision)
-                if self._history_lost_at is not None:
+                if self._history_lost_at is not None or self._rereading.is_due():
                     # What was read before may be stale, and its revision too new for its rows.
                     self._read()
+                    self._rereading.complete()
             except HistoryLostError:
                 self._log_event("configuration-history-lost", after=revision, **self.describe())
                 revision = None
@@ -236,10 +242,11 @@
         while not self._stopped.is_set():
             gevent.sleep(interval)
             age = read_elapsed_clock() - self._store_confirmed_at
-            if age < ASK_PEERS_AFTER_SECONDS and not self._newer_peers:
+            is_unconfirmed = age >= ASK_PEERS_AFTER_SECONDS
+            if not (is_unconfirmed or self._newer_peers or self._is_first_question_due()):
                 interval = PEER_INTERVAL_SECONDS
                 continue
-            if self._is_watching and (beside_watch is None or beside_watch.dead):
+            if is_unconfirmed and self._is_watching and (beside_watch is None or beside_watch.dead):
                 beside_watch = gevent.spawn(self._read_beside_watch)
             self._ask_peers()
             # While the store is unavailable to all instances, no peer knows more.
@@ -248,6 +255,10 @@
                 min(2 * interval, MAX_PEER_INTERVAL_SECONDS) if is_outage else PEER_INTERVAL_SECONDS
             )
 
+    def _is_first_question_due(self) -> bool:
+        """Return whether no peer has answered since the start, and reads may still be stale."""
+        return not self._has_asked_peer and self._rereading.is_pending()
+
     def _ask_peers(self) -> None:
         addresses = list(dict.fromkeys([*self._newer_peers, *self._list_peers()]))
         calls = [gevent.spawn(self._ask_peer, address) for address in addresses[:MAX_PEERS_ASKED]]
@@ -290,6 +301,7 @@
             self._newer_peers.pop(address, None)
             self._log_event("configuration-unanswered", peer=address, **describe_failure(error))
             return
+        self._has_asked_peer = True
         self.record_peer_version(address, status.version)
         if status.version == self.get_version():
             self._confirmed_at = max(self._confirmed_at, sent_at - status.age_seconds)
--- a/src/lavenderhook/_internal/instance/table_watcher.py
+++ b/src/lavenderhook/_internal/instance/table_watcher.py
@@ -147,6 +147,10 @@
         """Return whether the table has to be read now."""
         return self._due_at is not None and time.monotonic() >= self._due_at
 
+    def is_pending(self) -> bool:
+        """Return whether the table will have to be read, but not yet."""
+        return self._due_at is not None and not self.is_due()
+
     def complete(self) -> None:
         """Record that the table has been read."""
         self._due_at = None
--- a/src/lavenderhook/_internal/queueing/routes.py
+++ b/src/lavenderhook/_internal/queueing/routes.py
@@ -8,7 +8,7 @@
 
 from .model import QueueTerms
 
-ANY_HOST = "*"
+ANY_HOST = "\n"  # no host contains it
 
 
 class RouteAddress(msgspec.Struct, frozen=True, kw_only=True):
