Refuse control bytes in a request's target and lengths of thousands of digits

Found on review of the check of a request's head: a target with a control byte was accepted, and the call to an upstream would now raise before anything is sent, outside of its handler, so that the caller would wait for its deadline. Such a target is refused with 400 when it arrives, and an error while a request is built is reported like any failed call. A Content-Length of more than 4300 digits raised ValueError, and the caller got no answer.

--- a/features/daemon_listener.feature
+++ b/features/daemon_listener.feature
@@ -18,6 +18,8 @@
       | a request line above the limit  | 413    | payload-too-large |
       | a request line of two words     | 400    | protocol          |
       | a header without a colon        | 400    | protocol          |
+      | a control byte in the target    | 400    | protocol          |
+      | a length of 30 digits           | 413    | payload-too-large |
       | a space before a colon          | 400    | protocol          |
       | a folded header                 | 400    | protocol          |
       | two lengths                     | 400    | protocol          |
--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -77,6 +77,12 @@
     And no process has logged "unexpected error"
     And no process has logged "unhandled exception"
 
+  Scenario: A request with a length of 5000 digits is refused
+    Guards against an error that no handler expects, and a connection that ends without an answer.
+    Given 1 entry instances and 1 queue workers
+    When a caller gives a length of 5000 digits
+    Then it reads status 400
+
   Scenario: Malformed reports of a worker stop neither its runs nor the owner
     Guards against a report that ends the loop which renews a worker's leases, or the owner.
     Given 2 entry instances and 3 queue workers
--- a/features/steps/daemon_listener.py
+++ b/features/steps/daemon_listener.py
@@ -24,6 +24,8 @@
     "a request line above the limit": b"GET /" + b"x" * 5000 + b" HTTP/1.1\r\n\r\n",
     "a request line of two words": b"GET /healthz\r\n\r\n",
     "a header without a colon": POST + b"Broken\r\n\r\n",
+    "a control byte in the target": POST.replace(b" HTTP", b"\x01 HTTP") + b"\r\n",
+    "a length of 30 digits": POST + b"Content-Length: " + b"9" * 30 + b"\r\n\r\n",
     "a space before a colon": POST + b"Content-Length : 3\r\n\r\nabc",
     "a folded header": POST + b"X-Long: a\r\n b\r\n\r\n",
     "two lengths": POST + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 import gevent
+import gevent.socket
 import msgspec
 from behave import given, then, when
 from hypothesis import HealthCheck, Phase, seed, settings, strategies
@@ -518,6 +519,20 @@
         target.put("servers", key, entry)
 
 
+@when("a caller gives a length of {digits:d} digits")
+def step_long_length(context, digits):
+    host, _, port = context.cluster.entries[0].frontend_address.rpartition(":")
+    head = b"POST /jobs/00000000000000a1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: "
+    with gevent.socket.create_connection((host, int(port)), timeout=3.0) as client:
+        client.sendall(head + b"9" * digits + b"\r\n\r\n")
+        context.raw_answer = client.recv(4096)
+
+
+@then("it reads status {status:d}")
+def step_raw_status(context, status):
+    assert context.raw_answer.split(b" ")[1:2] == [b"%d" % status], context.raw_answer[:80]
+
+
 @when("every second report of worker {index:d} is malformed")
 def step_malformed_reports(context, index):
     worker = context.cluster.platform.workers[index]
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -38,6 +38,8 @@
 )
 STATUS_LINES = {status.value: f"{status.value} {status.phrase}" for status in HTTPStatus}
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+_TARGET = re.compile(r"/[\x21-\x7e\x80-\xff]*\Z")
+_LENGTH = re.compile(r"[0-9]{1,100}\Z")
 _VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*\Z")
 JSON_TYPE = "application/json"
 
@@ -241,7 +243,7 @@
         """
         self.requestline = raw_requestline.rstrip("\r\n")
         words = self.requestline.split(" ")
-        if len(words) != 3 or words[2] not in VERSIONS or not words[1].startswith("/"):
+        if len(words) != 3 or words[2] not in VERSIONS or not _TARGET.match(words[1]):
             raise ProtocolError("malformed request line")
         self.command, self.path, self.request_version = words
         self._fields = self._read_fields()
@@ -284,7 +286,7 @@
             raise ProtocolError("the length of the body is ambiguous")
         if text is None:
             return None
-        if not text.isdecimal() or not text.isascii():
+        if not _LENGTH.match(text):
             raise ProtocolError("malformed Content-Length")
         return int(text)
 
--- a/src/lavenderhook/_internal/adapters/upstreams.py
+++ b/src/lavenderhook/_internal/adapters/upstreams.py
@@ -87,10 +87,10 @@
         deadline: float,
     ) -> None:
         location = effect.address.partition("/")[0]
-        prefix = split_address(effect.address)[2]
         headers = (*call.headers, *self._headers, (REQUEST_ID_HEADER, effect.request_id))
-        data = build_request(call.method, prefix + call.target, location, headers, call.body)
         try:
+            prefix = split_address(effect.address)[2]
+            data = build_request(call.method, prefix + call.target, location, headers, call.body)
             connection.send(call.method, data, deadline)
             response = connection.receive(deadline)
             _check_echo(effect, response)
