--- a/review/common/scenario.py
+++ b/review/common/scenario.py
@@ -224,12 +224,14 @@
             "Connection: close\r\n\r\n"
         )
         try:
-            with gevent.Timeout(seconds, TimeoutError("no answer in time")):
-                with socket.create_connection((self.ip, PORTS[port])) as connection:
-                    connection.sendall(head.encode() + data)
-                    answer = b""
-                    while block := connection.recv(65536):
-                        answer += block
+            with (
+                gevent.Timeout(seconds, TimeoutError("no answer in time")),
+                socket.create_connection((self.ip, PORTS[port])) as connection,
+            ):
+                connection.sendall(head.encode() + data)
+                answer = b""
+                while block := connection.recv(65536):
+                    answer += block
             status = int(answer.split(b" ", 2)[1])
             return status, answer.partition(b"\r\n\r\n")[2].decode()
         except (OSError, IndexError, ValueError) as error:
