--- a/review/common/record.py
+++ b/review/common/record.py
@@ -16,7 +16,8 @@
         self.began_at = began_at
         self.ended_at = RUNNING
         self.how = ""
-        self.is_noted = False  # `lastSeen` has reached its end
+        self.has_lapsed = False  # the worker's lease lapsed after its end
+        self.is_noted = False  # `lastSeen` has reached its end, and no lease lapsed before
 
     def overlaps(self, other):
         """Return for how many seconds this run and another one were active together."""
--- a/review/common/workers.py
+++ b/review/common/workers.py
@@ -134,6 +134,9 @@
         if body.get("fencingToken", 0) < self._token:
             return self._refuse("fence")
         self._token = body.get("fencingToken", 0)
+        if self._read_clock_ms() > self._lease_ms:
+            for _, run in self._ends:
+                run.has_lapsed = True
         response = {
             "/lavenderhook/run-start": self._start,
             "/lavenderhook/run-stop": self._stop,
@@ -233,5 +236,5 @@
             if end[0] > last_seen:
                 left.append((end, run))
             else:
-                run.is_noted = True
+                run.is_noted = not run.has_lapsed
         self._ends = left
