Log the last proof of an owner, whom it is in contact with, and starts without proof

A ping is answered with the newest owner that the peer knows and whether it reaches the store; all transactions under the condition of the owner row go through one function, which records when the last one was accepted. No decision changes.

--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -32,6 +32,7 @@
 from lavenderhook._internal.daemon.settings import load_settings as load_daemon_settings
 from lavenderhook._internal.instance import peers
 from lavenderhook._internal.instance.owner import Owner
+from lavenderhook._internal.instance.ownership_proof import OwnershipProof
 from lavenderhook._internal.instance.supervision import run_until_stopped
 from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.ports.platform import Row
@@ -607,6 +608,7 @@
         report_error=lambda what, error: context.errors.append((what, error)),
         work=WorkTable(None, ignore_event),
         is_isolated=lambda: False,
+        proof=OwnershipProof(0.0),
     )
     owner.state = OwnerState(FencingToken(1), 1, 0.0, OwnerParameters())
     owner.state.scheduler = None  # placement fails
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -16,6 +16,7 @@
     may_have_lost_store,
     should_hand_over,
 )
+from lavenderhook._internal.instance.ownership_proof import OwnershipProof
 from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.ports.queueing import RowChanges, RowConflict, StoredRow
 from lavenderhook._internal.queueing.events import RosterStored, WorkersListed
@@ -351,6 +352,7 @@
         report_error=lambda *_: None,
         work=WorkTable(None, lambda *_names, **_fields: None),
         is_isolated=lambda: is_isolated(context.elapsed - context.contact.last_sent_at),
+        proof=OwnershipProof(0.0),
     )
     context.add_cleanup(context.owner.stop)
     owner = context.owner
--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -8,6 +8,7 @@
 
 from lavenderhook._internal.instance import table_watcher
 from lavenderhook._internal.instance.owner import Owner
+from lavenderhook._internal.instance.ownership_proof import OwnershipProof
 from lavenderhook._internal.instance.table_watcher import TableWatcher
 from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.ports.queueing import (
@@ -138,6 +139,7 @@
         report_error=ignore_event,
         work=WorkTable(None, ignore_event),
         is_isolated=lambda: False,
+        proof=OwnershipProof(0.0),
     )
     owner.state = OwnerState(FencingToken(1), 1, 0.0, OwnerParameters())
     owner._workers_revision = 1
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -45,6 +45,7 @@
 from .forwarding import ForwardingWriter
 from .owner import Owner
 from .ownership_manager import OwnershipManager
+from .ownership_proof import OwnershipProof
 from .submission_writer import SubmissionWriter, WriteResult
 from .supervision import ReportError, run_until_stopped
 from .table_watcher import LogEvent, describe_failure
@@ -342,7 +343,9 @@
             )
             return None
 
-    def _make_owner(self, fencing: FencingToken, revision: int, work: WorkTable) -> Owner:
+    def _make_owner(
+        self, fencing: FencingToken, revision: int, work: WorkTable, proof: OwnershipProof
+    ) -> Owner:
         return Owner(
             fencing,
             revision,
@@ -356,6 +359,7 @@
             report_error=self._report_error,
             work=work,
             is_isolated=self._ownership.is_isolated,
+            proof=proof,
         )
 
     # Peers.
@@ -391,11 +395,8 @@
     def _route_peer(self, incoming: HttpRequest) -> Reply:
         match incoming.path:
             case peers.PING_PATH:
-                is_owner = self._ownership.owner is not None
                 version = self.configuration.get_version()
-                return peers.reply_message(
-                    peers.PingResponse(self._ownership.claim_id, is_owner, version)
-                )
+                return peers.reply_message(self._ownership.describe_to_peer(version))
             case peers.CONTACT_PATH:
                 return peers.reply_message(self._ownership.measure_store_contact())
             case peers.CONFIGURATION_STATUS_PATH:
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import gevent
 import gevent.event
@@ -79,6 +79,8 @@
     StartLogRow,
     collect_starts,
 )
+from .contact import ISOLATION_SECONDS, read_elapsed_clock
+from .ownership_proof import OwnershipProof
 from .supervision import ReportError
 from .table_watcher import LogEvent, Rereading, describe_failure
 from .work_table import WorkTable
@@ -132,6 +134,7 @@
     is_isolated : callable
         Returns whether this owner may have been replaced without noticing; until it is in contact
         again, it extends no leases and starts nothing.
+    proof : OwnershipProof
     """
 
     def __init__(
@@ -149,6 +152,7 @@
         report_error: ReportError,
         work: WorkTable,
         is_isolated: Callable[[], bool],
+        proof: OwnershipProof,
     ) -> None:
         self.fencing = fencing
         self.is_loaded = False
@@ -173,6 +177,7 @@
         self._submissions_during_load: list[Submission] = []
         self._work = work
         self._is_isolated = is_isolated
+        self._proof = proof
         self._needs_confirmation = False
         self._former_starts: dict[SubmissionId, list[LoggedStart]] = {}
         self._commit_seconds = 0.0  # duration of the last commit
@@ -328,6 +333,7 @@
             fencing=self.fencing,
             submissions=len(self.state.submissions),
             workers=len(self._listings),
+            earlier_leases_expire_in=round(self.state.earlier_leases_expire_at - _now(), 3),
             roster=len(roster.workers),
             closed=len(roster.closed),
             seconds=round(_now() - self._started_at, 3),
@@ -435,6 +441,16 @@
         if lease_end is None:
             outcome = StartOutcome.NOT_SENT
         else:
+            proof_age = self._proof.measure_store_age()
+            if proof_age > ISOLATION_SECONDS:
+                self._log_event(
+                    "start-unproven-by-store",
+                    fencing=self.fencing,
+                    task=str(command.task),
+                    run=command.number,
+                    worker=command.worker,
+                    proof_age=round(proof_age, 3),
+                )
             outcome = self._worker_client.start(worker.listing.address, command, lease_end)
         self.apply(
             StartAnswered(
@@ -513,9 +529,8 @@
         if self._is_isolated():
             return False
         write = Write(CONTROL_TABLE, CONFIRMATION_KEY, b"{}")
-        owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
         try:
-            result = self._store.transact([write], [owner])
+            result = self._transact([write])
         except LavenderhookError as error:
             self._log_event("owner-unconfirmed", **describe_failure(error))
             return False
@@ -693,9 +708,8 @@
             writes.append(Write(START_LOG_TABLE, start_log.next_key(), encode(starts)))
         if not writes:
             return True
-        owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
         try:
-            result = self._store.transact(writes, [owner])
+            result = self._transact(writes)
         except LavenderhookError as error:
             self._log_event("progress-unstored", rows=len(writes), **describe_failure(error))
             self._dirty_submissions.update(dict.fromkeys(submissions))
@@ -773,11 +787,10 @@
         # Final states are deleted last: a submission that remains without one would run again.
         final = [Deletion(WORK_TABLE, PROGRESS_PREFIX + s) for s in submissions]
         final += [Deletion(WORK_TABLE, OUTCOME_PREFIX + s) for s in submissions]
-        owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
         try:
             for deletions in deletions_by_part.values():
                 self._store.transact([], [], deletions)
-            result = self._store.transact([], [owner], final)
+            result = self._transact([], final)
         except LavenderhookError as error:
             self._log_event("prune-failed", rows=len(final), **describe_failure(error))
             return False
@@ -806,9 +819,8 @@
         carried out late, and must not replace a newer roster by an older one.
         """
         write = Write(CONTROL_TABLE, ROSTER_KEY, encode(roster), self._roster_revision)
-        owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
         try:
-            result = self._store.transact([write], [owner])
+            result = self._transact([write])
         except LavenderhookError as error:
             self._log_event("roster-unstored", **describe_failure(error))
             return False
@@ -829,6 +841,22 @@
         self.apply(RosterStored(now=_now(), roster=set_closing_revisions(roster, result)))
         return True
 
+    def _transact(
+        self, writes: Sequence[Write], deletions: Sequence[Deletion] = ()
+    ) -> int | RowConflict:
+        """Write and delete rows under the condition that this is still the owner.
+
+        Raises
+        ------
+        StoreUnavailableError, TransportError
+        """
+        condition = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
+        sent_at = read_elapsed_clock()
+        result = self._store.transact(writes, [condition], deletions)
+        if not isinstance(result, RowConflict):
+            self._proof.record_store(sent_at)
+        return result
+
     def _is_superseded(self, conflict: RowConflict) -> bool:
         """Return whether a transaction failed because there is another owner."""
         owner = conflict.find(CONTROL_TABLE, OWNER_KEY)
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -37,6 +37,7 @@
     may_have_lost_store,
     should_hand_over,
 )
+from .ownership_proof import OwnershipProof
 from .table_watcher import LogEvent, TableWatcher, describe_failure
 from .work_table import WorkTable
 
@@ -86,7 +87,8 @@
     fitness : float
         How suitable this instance is as the owner; see `compute_owner_fitness`.
     make_owner : callable
-        Returns an owner that isn't started, given its token, its revision and the work table.
+        Returns an owner that isn't started, given its token, its revision, the work table and the
+        proof of its ownership.
     record_peer_version : callable
         Takes the address of a peer and the version of its configuration.
     stopped : gevent.event.Event
@@ -102,7 +104,7 @@
         *,
         store: RowStore,
         peer_client: peers.PeerClient,
-        make_owner: Callable[[FencingToken, int, WorkTable], Owner],
+        make_owner: Callable[[FencingToken, int, WorkTable, OwnershipProof], Owner],
         record_peer_version: Callable[[str, int], None],
         stopped: gevent.event.Event,
         log_event: LogEvent,
@@ -126,6 +128,8 @@
         self._log_event = log_event
         self._work = WorkTable(store, log_event)
         self._predecessor: OwnerRecord | None = None
+        self._proof = OwnershipProof(0.0)
+        self._has_proof_by_store = True
         self._is_claiming = False
         self._heartbeat_count = 0
         self._member_revision = 0  # of the row of this instance
@@ -357,6 +361,7 @@
             process=self.process_id,
         )
         write = Write(CONTROL_TABLE, OWNER_KEY, encode(owner), self.view.owner_revision)
+        sent_at = read_elapsed_clock()
         try:
             result = self._store.transact([write, self._make_member_row()])
         except LavenderhookError as error:
@@ -380,11 +385,12 @@
         self._member_revision = result
         self._update_owner(owner, result)
         self._predecessor = predecessor
+        self._proof = OwnershipProof(sent_at)
         self._start_owner(owner, result)
         self._check_predecessor()
 
     def _start_owner(self, owner: OwnerRecord, revision: int) -> None:
-        self.owner = self._make_owner(owner.fencing, revision, self._work)
+        self.owner = self._make_owner(owner.fencing, revision, self._work, self._proof)
         self._work = WorkTable(self._store, self._log_event)  # for the time after this ownership
         self.owner.start()
 
@@ -449,14 +455,37 @@
         """Ping the fittest peers while the store doesn't answer."""
         while not self._stopped.is_set():
             gevent.sleep(CONTACT_CHECK_SECONDS)
-            if self.owner is None or self._measure_contact_age() < CONTACT_REFRESH_SECONDS:
+            if self.owner is None:
+                continue
+            self._log_proof_by_store(self.owner.fencing)
+            if self._measure_contact_age() < CONTACT_REFRESH_SECONDS:
                 continue
             for address in self._list_successors():
                 gevent.spawn(self._ping_peer, address)
 
+    def _log_proof_by_store(self, fencing: FencingToken) -> None:
+        """Log when the store has last confirmed the ownership, at the beginning and the end."""
+        age = self._proof.measure_store_age()
+        has_proof = age <= ISOLATION_SECONDS
+        if has_proof is not self._has_proof_by_store:
+            self._has_proof_by_store = has_proof
+            self._log_event(
+                "owner-proven-by-store" if has_proof else "owner-unproven-by-store",
+                fencing=fencing,
+                age=round(age, 3),
+                contact_age=round(self._measure_contact_age(), 3),
+            )
+
     def _ping_peer(self, address: str) -> None:
         try:
             answer = self._peers.ping(address)
+            self._log_event(
+                "contact-answered",
+                peer=address,
+                fencing=answer.fencing,
+                has_store=answer.has_store,
+                proof_age=round(self._proof.measure_store_age(), 3),
+            )
             self._record_peer_version(address, answer.configuration)
         except LavenderhookError as error:
             self._log_event("contact-unanswered", peer=address, **describe_failure(error))
@@ -465,6 +494,17 @@
         last_contact = max(self._store.get_last_contact(), self._peers.contact.last_sent_at)
         return read_elapsed_clock() - last_contact
 
+    def describe_to_peer(self, configuration_version: int) -> peers.PingResponse:
+        """Return the response to a peer's ping."""
+        owner = self.view.owner
+        return peers.PingResponse(
+            self.claim_id,
+            self.owner is not None,
+            configuration_version,
+            fencing=owner.fencing if owner is not None else None,
+            has_store=self.view.store_available_since is not None,
+        )
+
     def measure_store_contact(self) -> StoreContact:
         """Read one row: what is known of the store may be older than its loss."""
         started_at = time.monotonic()
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -113,11 +113,18 @@
         Claim id of the instance.
     configuration : int
         Version of its active configuration; 0 if it has none or does not say.
+    fencing : FencingToken or None
+        Token of the newest owner that it knows; None if it has read no owner row in this life of
+        its process, or does not say.
+    has_store : bool
+        The store answers it.
     """
 
     boot: str
     is_owner: bool
     configuration: int = 0
+    fencing: FencingToken | None = None
+    has_store: bool = False
 
 
 class ConfigurationStatus(msgspec.Struct, frozen=True):
