Reproduce the zone that is cut off with the owner, with real processes

Five instances and twelve workers; the owner, one or two more instances and half of the workers are cut off in silence for 10 s.

All other checks are as they were.

--- /dev/null
+++ b/features/support/partitioned_process.py
@@ -0,0 +1,71 @@
+"""Runs an entry instance whose packets to some addresses are lost without an error.
+
+The first argument is the path of a file that holds the addresses (``ip:port``), one a line; it is
+read again whenever it changes.
+"""
+
+import os
+import runpy
+import sys
+
+import gevent.socket
+
+CHECK_SECONDS = 0.01  # between checks whether a partition has ended
+
+
+class Partition:
+    """The addresses that can't be reached."""
+
+    def __init__(self, path):
+        self._path = path
+        self._changed_at = None
+        self._addresses = frozenset()
+
+    def covers(self, address):
+        """Return whether packets to an address (host, port) are lost."""
+        changed_at = os.stat(self._path).st_mtime_ns
+        if changed_at != self._changed_at:
+            self._changed_at = changed_at
+            with open(self._path, encoding="utf-8") as lines:
+                self._addresses = frozenset(lines.read().split())
+        return f"{address[0]}:{address[1]}" in self._addresses
+
+
+def make_socket_class(partition):
+    """Return a socket class whose connections go silent in a partition."""
+
+    class PartitionedSocket(gevent.socket.socket):
+        _target = None
+        _has_lost_bytes = False
+
+        def connect(self, address):
+            if partition.covers(address):
+                gevent.sleep(self.gettimeout())
+                raise TimeoutError("timed out")
+            super().connect(address)
+            self._target = address
+
+        def send(self, data, flags=0):
+            if self._is_cut_off():
+                self._has_lost_bytes = True
+                return len(data)
+            return super().send(data, flags)
+
+        def recv(self, *arguments):
+            remaining = self.gettimeout()
+            while self._has_lost_bytes or self._is_cut_off():
+                if remaining <= 0:
+                    raise TimeoutError("timed out")
+                gevent.sleep(CHECK_SECONDS)
+                remaining -= CHECK_SECONDS
+            return super().recv(*arguments)
+
+        def _is_cut_off(self):
+            return self._target is not None and partition.covers(self._target)
+
+    return PartitionedSocket
+
+
+if __name__ == "__main__":
+    gevent.socket.socket = make_socket_class(Partition(sys.argv[1]))
+    runpy.run_module("lavenderhook.platform", run_name="__main__", alter_sys=True)
--- a/features/support/queue_processes.py
+++ b/features/support/queue_processes.py
@@ -100,13 +100,17 @@
         environment = {**os.environ, "LAVENDERHOOK_CONFIG": str(self.settings)}
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "lavenderhook.platform"],
+                self.make_command(),
                 env=environment,
                 stdout=log if self.cluster.output is None else self.cluster.output,
                 stderr=log,
                 cwd=ROOT,
             )
 
+    def make_command(self):
+        """Return the command of the process."""
+        return [sys.executable, "-m", "lavenderhook.platform"]
+
     def is_ready(self):
         """Return whether the readiness check succeeds."""
         try:
@@ -137,15 +141,19 @@
     folder : Path
         For settings and logs.
     instances, workers : int
+    entry_class : type
+        Class of the instances' processes.
     """
 
-    def __init__(self, folder, instances=2, workers=3, seed=1, output=None):
+    def __init__(
+        self, folder, instances=2, workers=3, seed=1, output=None, entry_class=EntryProcess
+    ):
         self.folder = folder
         self.state_retention_seconds = 120
         self.output = output  # target of the processes' standard output; None for one file each
         self.platform = QueuePlatform(workers, seed)
         self.client = HttpClient("caller", size=64)
-        self.entries = [EntryProcess(self, f"entry-{i}") for i in range(instances)]
+        self.entries = [entry_class(self, f"entry-{i}") for i in range(instances)]
 
     def start(self):
         """Start everything and wait until all instances are ready."""
