Count only the store, or all listed peers, as proof that an owner has not been replaced

Cause: an owner took each answered call as contact, so that one peer inside its own partition kept it going without end. It extended the leases of the workers that only it reached and started tasks there, and wrote off the others, while its successor waited from its own claim for the longest lease and then started the same tasks. Both sides also relied on separate timings: the successor assumed that no lease was extended after its claim.

Change: an owner acts for 1.2 s after the sending of a call that proves that nobody had taken over: a transaction under the condition of the owner row, or answers of all listed peers that they know no later owner. Peers count for at most 30 s after the last proof by the store, since an instance that has joined unnoticed isn't asked. A claim says for how long earlier owners may still act, by what its instance knows of the last one (ended; lists this instance; does not) and by what is left of those before, and the new owner waits that long before the longest lease counts. While the store is silent, work goes on as long as all peers answer.

The bound on leases no longer relies on when a claim can come at the earliest.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -116,13 +116,13 @@
     Given 30 instances of which the fittest is the owner
     Then the second and the third fittest are standbys and no others
 
-  Scenario: An owner that was paused acts only once it is in contact again
+  Scenario: An owner that was paused acts only once it has a new proof of its ownership
     Guards against leases that a paused or partitioned owner extends at workers which its successor
     can't reach: the successor starts their tasks elsewhere while they still run.
     Given an owner with one worker whose answers are recorded
-    When it reaches neither the store nor a peer for 1.3 seconds
+    When it has had no proof of its ownership for 1.3 seconds
     Then it sends no start, and its holds extend no lease
-    When an answer arrives that was sent before
+    When answers arrive to calls that were sent before
     Then it sends no start, and its holds extend no lease
     When a new call to the store is answered, which knows no other owner
     Then it sends starts, and its holds extend the lease
@@ -131,12 +131,69 @@
     Guards against starts at a worker that has restarted meanwhile, and knows no token of the
     successor yet.
     Given an owner with one worker whose answers are recorded
-    When it reaches neither the store nor a peer for 1.3 seconds
+    When it has had no proof of its ownership for 1.3 seconds
     Then it sends no start, and its holds extend no lease
     When a new call to the store is answered, which knows another owner
     Then it has sent no start and steps down
 
-  Scenario: Leases of an isolated owner have expired when its successor counts them as expired
+  Scenario: Contact with some of the peers proves nothing
+    Guards against an owner that goes on in a partition with some peers, while one of the others has
+    taken over outside.
+    Given an owner that lists the peers a and b
+    When it has had no proof of its ownership for 1.3 seconds
+    Then the owner may not act
+    When a answer that they know no later owner
+    Then the owner may not act
+    When a and b answer that they know no later owner
+    Then the owner may act
+
+  Scenario: Peers prove the ownership only for a while after the store did
+    Guards against an owner that never asks an instance which joined during the partition.
+    Given an owner that lists the peers a and b
+    When it has had no proof of its ownership for 29.9 seconds
+    And a and b answer that they know no later owner
+    Then the owner may act
+    When it has had no proof of its ownership for 1.4 seconds
+    And a and b answer that they know no later owner
+    Then the owner may not act
+
+  Scenario: Leases that an owner extends on its last proof end before its successor's wait
     Guards against constants that no longer fit each other.
     Given leases of 5.5 seconds on a worker's clock that runs 2 percent slow
-    Then the last lease of an isolated owner ends before the wait of the earliest successor
+    Then leases extended on a proof from just before the claim end before the successor's wait
+
+  Scenario: An instance knows whether the owner asks it
+    Guards against a wait that is too short for an owner that doesn't ask the claiming instance.
+    Given an instance that knows an owner with token 3
+    Then a claim takes the owner as "unaware"
+    When the owner row with token 4 lists this instance
+    Then a claim takes the owner as "asks-peers"
+    When the heartbeat with token 4 lists no other instance
+    Then a claim takes the owner as "unaware"
+    When the heartbeat with token 4 lists this instance
+    Then a claim takes the owner as "asks-peers"
+    When the owner row with token 5 lists no other instance
+    Then a claim takes the owner as "unaware"
+    When the owner's process has been replaced by another one
+    Then a claim takes the owner as "ended"
+
+  Scenario: A claim allows for the owners before the last one
+    Guards against a chain of short ownerships, whose first owner still acts when the third begins.
+    Given an instance that knows an owner with token 3
+    When a row with token 4 says that earlier owners may act for 1.2 seconds
+    Then a claim 0.2 seconds later allows for 1.0 seconds of owners before
+    And a claim 3.0 seconds later allows for 0.0 seconds of owners before
+
+  Scenario Outline: A new owner waits for what earlier owners may have extended
+    Guards against tasks that start elsewhere while their leases last, and against a long wait for an
+    owner that has ended.
+    Given a takeover with authority of <authority> and <inherited> seconds, and leases of 4.9 seconds
+    When the predecessor ends <ends> seconds after the claim
+    Then the leases of earlier owners have expired <expired> seconds after the claim, and not before
+
+    Examples:
+      | authority | inherited | ends | expired |
+      | 0.0       | 0.0       | 0.5  | 4.9     |
+      | 1.2       | 0.0       | 9.0  | 6.1     |
+      | 31.2      | 0.0       | 0.5  | 5.4     |
+      | 31.2      | 1.2       | 0.5  | 6.1     |
--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -16,7 +16,7 @@
     QueueConfiguration,
 )
 from ..queueing.routes import QueueRoutes
-from .contact import read_elapsed_clock
+from .clock import read_elapsed_clock
 from .peers import ConfigurationStatus, PeerClient
 from .table_watcher import LogEvent, Rereading, describe_failure
 
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -25,7 +25,6 @@
     WorkerList,
 )
 from ..queueing.model import (
-    FencingToken,
     StepId,
     Submission,
     SubmissionId,
@@ -36,6 +35,7 @@
 from ..queueing.records import (
     SUBMISSION_PREFIX,
     WORK_TABLE,
+    OwnerRecord,
     choose_part,
 )
 from ..queueing.retry_after import choose_retry_after
@@ -344,11 +344,18 @@
             return None
 
     def _make_owner(
-        self, fencing: FencingToken, revision: int, work: WorkTable, proof: OwnershipProof
+        self,
+        row: OwnerRecord,
+        revision: int,
+        work: WorkTable,
+        proof: OwnershipProof,
+        inherited_seconds: float,
     ) -> Owner:
         return Owner(
-            fencing,
+            row.fencing,
             revision,
+            authority_seconds=row.authority_seconds,
+            inherited_seconds=inherited_seconds,
             store=self._store,
             worker_list=self._worker_list,
             worker_client=self._worker_client,
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -25,6 +25,7 @@
     Write,
 )
 from ..queueing import effects
+from ..queueing.authority import is_proof_valid
 from ..queueing.events import (
     AdviceArrived,
     Event,
@@ -55,6 +56,7 @@
 from ..queueing.owner_state import OwnerParameters, OwnerState
 from ..queueing.records import (
     CONFIRMATION_KEY,
+    CONFIRMATION_TABLE,
     CONTROL_TABLE,
     OUTCOME_PREFIX,
     OWNER_KEY,
@@ -79,7 +81,8 @@
     StartLogRow,
     collect_starts,
 )
-from .contact import ISOLATION_SECONDS, read_elapsed_clock
+from ..queueing.takeover import Takeover
+from .clock import read_elapsed_clock
 from .ownership_proof import OwnershipProof
 from .supervision import ReportError
 from .table_watcher import LogEvent, Rereading, describe_failure
@@ -102,6 +105,7 @@
 WORKERS_INTERVAL_SECONDS = 0.25
 # While a commit takes longer, no commit is made for started runs alone.
 QUICK_COMMIT_SECONDS = 0.1
+MAX_CONFIRMATIONS = 4  # in flight, so that a slow store confirms often enough
 # Stands in the roster for the workers of a row that can't be decoded: it is never reached, so that
 # the longest lease has to expire.
 UNKNOWN_WORKER = WorkerId("unknown")
@@ -132,9 +136,12 @@
     work : WorkTable
         The rows, as far as this instance has followed them.
     is_isolated : callable
-        Returns whether this owner may have been replaced without noticing; until it is in contact
-        again, it extends no leases and starts nothing.
+        Returns whether this owner may have been replaced without noticing; until there is a new
+        proof, it extends no leases and starts nothing.
     proof : OwnershipProof
+        Records the transactions that were accepted under the condition of the owner row.
+    authority_seconds, inherited_seconds : float
+        For how long after the claim earlier owners may extend leases; see `Takeover`.
     """
 
     def __init__(
@@ -153,6 +160,8 @@
         work: WorkTable,
         is_isolated: Callable[[], bool],
         proof: OwnershipProof,
+        authority_seconds: float = 0.0,
+        inherited_seconds: float = 0.0,
     ) -> None:
         self.fencing = fencing
         self.is_loaded = False
@@ -178,7 +187,11 @@
         self._work = work
         self._is_isolated = is_isolated
         self._proof = proof
-        self._needs_confirmation = False
+        self._takeover = Takeover(
+            self._started_at, parameters.lease_seconds, authority_seconds, inherited_seconds
+        )
+        self._has_proof = True
+        self._confirmations = 0  # in flight
         self._former_starts: dict[SubmissionId, list[LoggedStart]] = {}
         self._commit_seconds = 0.0  # duration of the last commit
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
@@ -316,6 +329,7 @@
             self._started_at,
             self._parameters,
             roster,
+            takeover=self._takeover,
             former_starts=self._former_starts,
         )
         for submission_id, outcome in self._work.outcomes.items():
@@ -333,7 +347,7 @@
             fencing=self.fencing,
             submissions=len(self.state.submissions),
             workers=len(self._listings),
-            earlier_leases_expire_in=round(self.state.earlier_leases_expire_at - _now(), 3),
+            earlier_leases_expire_in=round(self._takeover.leases_expire_at - _now(), 3),
             roster=len(roster.workers),
             closed=len(roster.closed),
             seconds=round(_now() - self._started_at, 3),
@@ -442,7 +456,7 @@
             outcome = StartOutcome.NOT_SENT
         else:
             proof_age = self._proof.measure_store_age()
-            if proof_age > ISOLATION_SECONDS:
+            if not is_proof_valid(proof_age):
                 self._log_event(
                     "start-unproven-by-store",
                     fencing=self.fencing,
@@ -508,38 +522,42 @@
             self._scheduling_due.wait(TICK_INTERVAL_SECONDS)
             self._scheduling_due.clear()
             gevent.sleep(EVENT_BATCH_SECONDS)
-            if self._may_act() or self._confirm_ownership():
+            if self._may_act():
                 self.apply(Ticked(now=_now()))
             else:
                 gevent.sleep(TICK_INTERVAL_SECONDS)
 
     def _may_act(self) -> bool:
-        """Return whether the owner may extend leases and send starts.
+        """Return whether the owner may extend leases and send starts."""
+        has_proof = not self._is_isolated()
+        if has_proof is not self._has_proof:
+            self._has_proof = has_proof
+            self._log_event(
+                "owner-confirmed" if has_proof else "owner-isolated",
+                fencing=self.fencing,
+                store_age=round(self._proof.measure_store_age(), 3),
+            )
+        return has_proof
+
+    def request_confirmation(self) -> None:
+        """Write a row under the condition of the owner row, without waiting for the response.
 
-        After it was isolated, it may only once it has confirmed its ownership: contact alone
-        doesn't show whether there is another owner by now.
+        Reads may be stale, so that they don't prove that this is still the owner.
         """
-        if self._is_isolated() and not self._needs_confirmation:
-            self._needs_confirmation = True
-            self._log_event("owner-isolated", fencing=self.fencing)
-        return not self._needs_confirmation
-
-    def _confirm_ownership(self) -> bool:
-        """Write a row under the condition of the owner row; reads may be stale."""
-        if self._is_isolated():
-            return False
-        write = Write(CONTROL_TABLE, CONFIRMATION_KEY, b"{}")
+        if self._confirmations < MAX_CONFIRMATIONS:
+            self._confirmations += 1
+            self._spawn(self._confirm_ownership)
+
+    def _confirm_ownership(self) -> None:
         try:
-            result = self._transact([write])
+            result = self._transact([Write(CONFIRMATION_TABLE, CONFIRMATION_KEY, b"{}")])
         except LavenderhookError as error:
             self._log_event("owner-unconfirmed", **describe_failure(error))
-            return False
+            return
+        finally:
+            self._confirmations -= 1
         if isinstance(result, RowConflict):
             self._step_down(self.fencing, "the owner row has changed")
-            return False
-        self._needs_confirmation = False
-        self._log_event("owner-confirmed", fencing=self.fencing)
-        return True
 
     def _hold_loop(self, worker_id: WorkerId) -> None:
         # Before the first report and after an unanswered hold, the worker may be another
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from ..queueing.authority import Predecessor
 from ..queueing.model import FencingToken
 from ..queueing.records import HeartbeatRecord, MemberRecord, OwnerRecord
 
@@ -114,6 +115,8 @@
 
     Attributes
     ----------
+    owner_seen_at : float
+        When this instance first saw the row of the present owner.
     heartbeat_seen_at : float
         When this instance last saw the heartbeat row change.
     refusals : int
@@ -137,6 +140,7 @@
     process_id: str = ""
     owner: OwnerRecord | None = None
     owner_revision: int = 0
+    owner_seen_at: float = 0.0
     heartbeat: HeartbeatRecord | None = None
     heartbeat_seen_at: float = 0.0
     store_available_since: float | None = None
@@ -155,7 +159,7 @@
             return False
         self.owner = owner
         self.owner_revision = revision
-        self.heartbeat_seen_at = now
+        self.owner_seen_at = self.heartbeat_seen_at = now
         self.refusals = 0
         self.unanswered_pings = 0
         return True
@@ -222,6 +226,23 @@
             heartbeat is not None and heartbeat.has_resigned and heartbeat.fencing == owner.fencing
         )
 
+    def assess_predecessor(self) -> Predecessor:
+        """Return what is known of the present owner, for which a claim has to allow."""
+        owner, heartbeat = self.owner, self.heartbeat
+        if owner is None:
+            return Predecessor.NONE
+        if self.is_owner_inactive(owner):
+            return Predecessor.ENDED
+        has_beaten = heartbeat is not None and heartbeat.fencing == owner.fencing
+        peers = heartbeat.peers if has_beaten and heartbeat is not None else owner.peers
+        return Predecessor.ASKS_PEERS if self.process_id in peers else Predecessor.UNAWARE
+
+    def compute_inherited_seconds(self, now: float) -> float:
+        """Return for how long owners before the present one may still extend leases."""
+        if self.owner is None:
+            return 0.0
+        return max(0.0, self.owner.authority_seconds - (now - self.owner_seen_at))
+
     def compute_next_fencing(self) -> FencingToken:
         """Return the fencing token of the next owner."""
         return FencingToken(1 if self.owner is None else self.owner.fencing + 1)
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -12,6 +12,7 @@
 
 from ...errors import LavenderhookError, TransportError
 from ..ports.queueing import STORE_OUTAGE_SECONDS, RowConflict, RowStore, StoredRow, Write
+from ..queueing.authority import PROOF_SECONDS, compute_authority_seconds, is_proof_valid
 from ..queueing.model import FencingToken
 from ..queueing.records import (
     CONTROL_TABLE,
@@ -26,7 +27,7 @@
     encode,
 )
 from . import peers
-from .contact import ISOLATION_SECONDS, is_isolated, read_elapsed_clock
+from .clock import read_elapsed_clock
 from .owner import Owner
 from .ownership import (
     HEARTBEAT_INTERVAL_SECONDS,
@@ -52,10 +53,11 @@
 MAX_SUCCESSORS = 3  # peers that an owner asks or notifies when it hands over
 CONTACT_READ_SECONDS = 0.25  # for a peer that asks whether the store answers
 CONTACT_RETRY_SECONDS = 0.6  # before an owner without a successor asks its peers again
-# An owner without an answer for this long pings its peers, so that an outage of the whole store
-# doesn't look like isolation.
-CONTACT_REFRESH_SECONDS = ISOLATION_SECONDS / 3
-CONTACT_CHECK_SECONDS = 0.1
+# An owner renews its proof by the store when it is this old, and asks its peers as well when that
+# doesn't succeed, so that work goes on in an outage of the whole store.
+PROOF_RENEWAL_SECONDS = PROOF_SECONDS / 3
+ASKING_AFTER_SECONDS = PROOF_SECONDS / 2
+PROOF_CHECK_SECONDS = 0.1
 STORE_CHECK_SECONDS = 0.1  # between checks whether the owner has lost the store
 STANDBY_POLL_SECONDS = 0.5  # between polls of the work table by the next owners
 PROBE_INTERVAL_SECONDS = 0.25  # between probes of a store that does not answer
@@ -87,8 +89,9 @@
     fitness : float
         How suitable this instance is as the owner; see `compute_owner_fitness`.
     make_owner : callable
-        Returns an owner that isn't started, given its token, its revision, the work table and the
-        proof of its ownership.
+        Returns an owner that isn't started, given its row and its revision, the work table, the
+        proof of its ownership, and the seconds for which owners before the last one may extend
+        leases.
     record_peer_version : callable
         Takes the address of a peer and the version of its configuration.
     stopped : gevent.event.Event
@@ -104,7 +107,7 @@
         *,
         store: RowStore,
         peer_client: peers.PeerClient,
-        make_owner: Callable[[FencingToken, int, WorkTable, OwnershipProof], Owner],
+        make_owner: Callable[[OwnerRecord, int, WorkTable, OwnershipProof, float], Owner],
         record_peer_version: Callable[[str, int], None],
         stopped: gevent.event.Event,
         log_event: LogEvent,
@@ -144,7 +147,7 @@
             self._heartbeat_loop,
             self._follow_work_table,
             self._watch_store_as_owner,
-            self._keep_contact_as_owner,
+            self._renew_proof_as_owner,
         )
 
     def resign(self) -> None:
@@ -353,12 +356,16 @@
 
     def _claim(self) -> None:
         predecessor = self.view.owner
+        assessment = self.view.assess_predecessor()
+        inherited = self.view.compute_inherited_seconds(time.monotonic())
         owner = OwnerRecord(
             fencing=self.view.compute_next_fencing(),
             name=self.name,
             boot=self.claim_id,
             address=self._address,
             process=self.process_id,
+            authority_seconds=compute_authority_seconds(assessment, inherited),
+            peers=self._list_peer_processes(),
         )
         write = Write(CONTROL_TABLE, OWNER_KEY, encode(owner), self.view.owner_revision)
         sent_at = read_elapsed_clock()
@@ -381,24 +388,30 @@
             former=predecessor.name if predecessor is not None else None,
             heartbeat_age=round(time.monotonic() - self.view.heartbeat_seen_at, 3),
             refusals=self.view.refusals,
+            predecessor=assessment.value,
+            authority_seconds=round(owner.authority_seconds, 3),
         )
         self._member_revision = result
         self._update_owner(owner, result)
         self._predecessor = predecessor
         self._proof = OwnershipProof(sent_at)
-        self._start_owner(owner, result)
+        self._start_owner(owner, result, inherited)
         self._check_predecessor()
 
-    def _start_owner(self, owner: OwnerRecord, revision: int) -> None:
-        self.owner = self._make_owner(owner.fencing, revision, self._work, self._proof)
+    def _start_owner(self, owner: OwnerRecord, revision: int, inherited_seconds: float) -> None:
+        self.owner = self._make_owner(owner, revision, self._work, self._proof, inherited_seconds)
         self._work = WorkTable(self._store, self._log_event)  # for the time after this ownership
         self.owner.start()
 
     def is_isolated(self) -> bool:
-        """Return whether peers that exist may have taken over without this instance noticing."""
-        if all(name == self.name for name in self.view.members):
-            return False
-        return is_isolated(self._measure_contact_age())
+        """Return whether a peer may have taken over without this instance noticing."""
+        return not is_proof_valid(self._proof.measure_age(self._list_peer_addresses()))
+
+    def _list_peer_addresses(self) -> list[str]:
+        return [m.address for m in self.view.members.values() if m.name != self.name]
+
+    def _list_peer_processes(self) -> tuple[str, ...]:
+        return tuple(sorted(m.boot for m in self.view.members.values() if m.name != self.name))
 
     def end_ownership(self, fencing: FencingToken, reason: str) -> None:
         """Step down unless the call comes from a former `Owner` of this process."""
@@ -451,48 +464,51 @@
             else:
                 gevent.sleep(CONTACT_RETRY_SECONDS)
 
-    def _keep_contact_as_owner(self) -> None:
-        """Ping the fittest peers while the store doesn't answer."""
+    def _renew_proof_as_owner(self) -> None:
+        """Let the store, or else all peers, confirm that nobody has taken over."""
         while not self._stopped.is_set():
-            gevent.sleep(CONTACT_CHECK_SECONDS)
-            if self.owner is None:
+            gevent.sleep(PROOF_CHECK_SECONDS)
+            owner = self.owner
+            if owner is None:
                 continue
-            self._log_proof_by_store(self.owner.fencing)
-            if self._measure_contact_age() < CONTACT_REFRESH_SECONDS:
+            age = self._proof.measure_store_age()
+            self._log_proof_by_store(owner.fencing, age)
+            if age < PROOF_RENEWAL_SECONDS:
                 continue
-            for address in self._list_successors():
-                gevent.spawn(self._ping_peer, address)
+            if self.view.store_available_since is not None:
+                owner.request_confirmation()
+            if age > ASKING_AFTER_SECONDS:
+                for address in self._list_peer_addresses():
+                    gevent.spawn(self._ask_peer, address, owner.fencing, self._proof)
+            gevent.sleep(PROOF_RENEWAL_SECONDS - PROOF_CHECK_SECONDS)
 
-    def _log_proof_by_store(self, fencing: FencingToken) -> None:
+    def _log_proof_by_store(self, fencing: FencingToken, age: float) -> None:
         """Log when the store has last confirmed the ownership, at the beginning and the end."""
-        age = self._proof.measure_store_age()
-        has_proof = age <= ISOLATION_SECONDS
+        has_proof = is_proof_valid(age)
         if has_proof is not self._has_proof_by_store:
             self._has_proof_by_store = has_proof
             self._log_event(
                 "owner-proven-by-store" if has_proof else "owner-unproven-by-store",
                 fencing=fencing,
                 age=round(age, 3),
-                contact_age=round(self._measure_contact_age(), 3),
+                unanswered=self._proof.list_unanswered(self._list_peer_addresses(), PROOF_SECONDS),
             )
 
-    def _ping_peer(self, address: str) -> None:
+    def _ask_peer(self, address: str, fencing: FencingToken, proof: OwnershipProof) -> None:
+        """Ask a peer whether it has become a later owner."""
+        sent_at = read_elapsed_clock()
         try:
             answer = self._peers.ping(address)
-            self._log_event(
-                "contact-answered",
-                peer=address,
-                fencing=answer.fencing,
-                has_store=answer.has_store,
-                proof_age=round(self._proof.measure_store_age(), 3),
-            )
-            self._record_peer_version(address, answer.configuration)
         except LavenderhookError as error:
             self._log_event("contact-unanswered", peer=address, **describe_failure(error))
-
-    def _measure_contact_age(self) -> float:
-        last_contact = max(self._store.get_last_contact(), self._peers.contact.last_sent_at)
-        return read_elapsed_clock() - last_contact
+            return
+        self._record_peer_version(address, answer.configuration)
+        if answer.fencing is None:
+            self._log_event("contact-proves-nothing", peer=address, fencing=fencing)
+        elif answer.fencing > fencing:
+            self.end_ownership(fencing, "a peer knows a later owner")
+        else:
+            proof.record_peer(address, sent_at)
 
     def describe_to_peer(self, configuration_version: int) -> peers.PingResponse:
         """Return the response to a peer's ping."""
@@ -601,7 +617,10 @@
     def _write_heartbeat(self, fencing: FencingToken, *, has_resigned: bool) -> None:
         self._heartbeat_count += 1
         record = HeartbeatRecord(
-            fencing=fencing, count=self._heartbeat_count, has_resigned=has_resigned
+            fencing=fencing,
+            count=self._heartbeat_count,
+            has_resigned=has_resigned,
+            peers=self._list_peer_processes(),
         )
         # Not conditional on the owner row: that would put the write into the part of the progress,
         # whose transactions may have to wait. Readers check the record's token instead.
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -20,7 +20,6 @@
     SubmissionState,
     TicketId,
 )
-from .contact import Contact, read_elapsed_clock
 from .ownership import StoreContact
 from .submission_writer import WriteResult
 
@@ -172,17 +171,10 @@
 
 
 class PeerClient:
-    """Calls to peers by address.
-
-    Attributes
-    ----------
-    contact : Contact
-        The newest call that any peer has answered.
-    """
+    """Calls to peers by address."""
 
     def __init__(self) -> None:
         self._client = HttpClient("peer", size=CONNECTIONS_PER_PEER)
-        self.contact = Contact()
 
     def close(self) -> None:
         """Close all connections."""
@@ -271,9 +263,7 @@
         seconds: float,
     ) -> Any:
         body = b"" if message is None else msgspec.msgpack.encode(message)
-        sent_at = read_elapsed_clock()
         response = self._client.call(address, "POST", path, body, timeout=seconds)
-        self.contact.record_answer(sent_at)
         if response.status != 200:
             raise ProtocolError(f"peer {address} answered {path} with {response.status}")
         if message_type is None:
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -127,10 +127,6 @@
     def measure_latency_seconds(self) -> float:
         """Return the smoothed duration of recent calls that were answered, in seconds."""
 
-    @abc.abstractmethod
-    def get_last_contact(self) -> float:
-        """Return when the newest call that was answered was sent, by `read_elapsed_clock`."""
-
     @abc.abstractmethod
     def get_newest_revision(self) -> int:
         """Return the newest revision in any response of the store; 0 before the first."""
--- a/src/lavenderhook/_internal/queueing/log_lines.py
+++ b/src/lavenderhook/_internal/queueing/log_lines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from ..core.identifiers import WorkerId
 from .effects import LogDecision
 from .model import Resources, RunNumber, TaskKey
@@ -9,6 +11,8 @@
 from .submissions import SubmissionProgress
 from .workers import Worker
 
+MAX_LISTED_WORKERS = 20  # in one line
+
 
 def log_run(
     decision: str, task: TaskKey, number: RunNumber, worker: WorkerId, **fields: object
@@ -35,6 +39,14 @@
     )
 
 
+def log_takeover_wait_ended(unreached: Collection[WorkerId]) -> LogDecision:
+    """Return the log line of a new owner that no longer waits for workers it can't reach."""
+    return LogDecision(
+        decision="takeover-wait-ended",
+        fields={"count": len(unreached), "workers": sorted(unreached)[:MAX_LISTED_WORKERS]},
+    )
+
+
 def log_capacity_change(worker: Worker, capacity: Resources) -> LogDecision:
     """Return the log line of a worker that has another capacity than before."""
     former = worker.listing.capacity
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -48,6 +48,7 @@
     log_submission_ended,
     log_submission_ending,
     log_submission_queued,
+    log_takeover_wait_ended,
     log_worker,
 )
 from .losses import LossReason, LossRecorder
@@ -74,6 +75,7 @@
 from .start_log import LoggedStart
 from .stragglers import RunAction, project_remaining
 from .submissions import StepProgress, SubmissionProgress
+from .takeover import Takeover
 from .workers import (
     CLOCK_DRIFT_FACTOR,
     REFUSAL_BLOCK_SECONDS,
@@ -88,9 +90,6 @@
 
 COMMAND_RETRY_SECONDS = 0.3  # after a command without an answer
 MAX_START_ATTEMPTS = 4  # then the run is stopped, which prevents a later start
-# Within this time, a worker refuses the token of a former owner that still runs: a hold waits a
-# second and times out after 1.6 s. Until then, peers may still notify it of new submissions.
-MAX_PREDECESSOR_ACTIVE_SECONDS = 2.5
 REVIEW_INTERVAL_SECONDS = 0.2
 MAX_CACHED_OUTCOMES = 20_000
 
@@ -125,6 +124,8 @@
     parameters : OwnerParameters
     roster : Roster, optional
         Workers that may hold runs of earlier owners.
+    takeover : Takeover, optional
+        What to expect of earlier owners; by default, that they have just ended.
     former_starts : dict, optional
         By submission, what earlier owners have started lately.
     """
@@ -137,6 +138,7 @@
         parameters: OwnerParameters,
         roster: Roster | None = None,
         *,
+        takeover: Takeover | None = None,
         former_starts: dict[SubmissionId, list[LoggedStart]] | None = None,
         ranking: StepRanking | None = None,
         policy: PlacementPolicy | None = None,
@@ -152,15 +154,11 @@
             AdvicePlanner(),
         )
         self.first_run_number = compute_first_run_number(fencing)
-        self.earlier_leases_expire_at = compute_latest_lease_expiry(
-            started_at, parameters.lease_seconds
-        )
-        self.predecessor_inactive_at = started_at + MAX_PREDECESSOR_ACTIVE_SECONDS
+        self.takeover = takeover or Takeover(started_at, parameters.lease_seconds)
         self.workers: dict[WorkerId, Worker] = {}
         self.latest_incarnation = 0
         self.former_starts = former_starts or {}
         self.roster = RosterTracker(roster or Roster())
-        self.is_predecessor_inactive = False
         self.commands_to_retry: list[Run] = []
         self.submissions: dict[SubmissionId, SubmissionProgress] = {}
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
@@ -252,7 +250,7 @@
             worker = self.workers.get(worker_id)
             effects += self.losses.record_listing(listing, event.now)
             if worker is None:
-                worker = Worker(listing, self.earlier_leases_expire_at, self.latest_incarnation)
+                worker = Worker(listing, self.takeover.leases_expire_at, self.latest_incarnation)
                 worker.update_listing(listing, event.now)
                 worker.is_open_in_roster = self.roster.is_open_in_roster(worker_id)
                 self.workers[worker_id] = worker
@@ -454,7 +452,7 @@
 
     def handle_predecessor_inactive(self, event: PredecessorInactive) -> list[Effect]:
         """Stop delaying the placement of submissions that are newer than the takeover."""
-        self.predecessor_inactive_at = min(self.predecessor_inactive_at, event.now)
+        self.takeover.record_inactive(event.now, self.workers.values())
         self.needs_scheduling = True
         return []
 
@@ -482,18 +480,22 @@
 
     def _check_takeover_deadlines(self, now: float) -> list[Effect]:
         """Check the times at which commands and leases of earlier owners have ended."""
-        if self.roster.unreached and now > self.earlier_leases_expire_at:
+        if self.roster.unreached and self.takeover.have_leases_expired(now):
+            line = log_takeover_wait_ended(self.roster.unreached)
             self.roster.unreached.clear()
-            return self._update_roster()
-        if not self.is_predecessor_inactive and now >= self.predecessor_inactive_at:
-            self.is_predecessor_inactive = True
+            return [line, *self._update_roster()]
+        if self.takeover.check_inactive(now):
             return self._update_roster()
         return []
 
     def _compute_blocked_through_revision(self) -> float:
         """Return the revision after which submissions have no runs of earlier owners."""
         revision = self.roster.compute_blocked_through_revision()
-        return min(revision, self.owner_revision) if self.is_predecessor_inactive else revision
+        return (
+            min(revision, self.owner_revision)
+            if self.takeover.is_predecessor_inactive
+            else revision
+        )
 
     def _review_runs(self, now: float) -> list[Effect]:
         """Put slow workers on probation, and move or copy runs that are better off elsewhere."""
@@ -833,7 +835,7 @@
     def _update_roster(self) -> list[Effect]:
         """Close workers at once, and request that a changed roster be stored."""
         update = self.roster.prepare_update(
-            self.workers.values(), is_predecessor_inactive=self.is_predecessor_inactive
+            self.workers.values(), is_predecessor_inactive=self.takeover.is_predecessor_inactive
         )
         for worker in self.workers.values():
             worker.is_open_in_roster = self.roster.is_open_in_roster(worker.id)
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -24,6 +24,7 @@
 OWNER_KEY = "owner"
 HEARTBEAT_KEY = "owner-heartbeat"
 CONFIRMATION_KEY = "owner-confirmation"  # written by an owner to confirm that it still is one
+CONFIRMATION_TABLE = "lavenderhook-confirmation"  # which no instance watches
 ROSTER_KEY = "roster"
 MEMBER_PREFIX = "member/"
 SUBMISSION_PREFIX = "submission/"
@@ -101,6 +102,10 @@
         Id of the claim, different for each, as the response to a claim may be lost.
     process : str
         The `boot` of the member row that the process writes.
+    authority_seconds : float
+        For how long after this claim earlier owners may extend leases.
+    peers : tuple of str
+        The `boot` of each instance that this one lists.
     """
 
     fencing: FencingToken
@@ -108,14 +113,23 @@
     boot: str
     address: str
     process: str
+    authority_seconds: float = 0.0
+    peers: tuple[str, ...] = ()
 
 
 class HeartbeatRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Heartbeat of the owner."""
+    """Heartbeat of the owner.
+
+    Parameters
+    ----------
+    peers : tuple of str
+        The `boot` of each instance that the owner lists, and asks while it has no store.
+    """
 
     fencing: FencingToken
     count: int
     has_resigned: bool = False
+    peers: tuple[str, ...] = ()
 
 
 class Roster(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/takeover.py
@@ -0,0 +1,70 @@
+"""What a new owner still has to expect of earlier owners."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .workers import Worker, compute_latest_lease_expiry
+
+# Within this time, a worker refuses the token of a former owner that still runs: a hold waits a
+# second and times out after 1.6 s. Until then, peers may still notify it of new submissions.
+MAX_PREDECESSOR_ACTIVE_SECONDS = 2.5
+
+
+class Takeover:
+    """When the commands and the leases of earlier owners have ended.
+
+    Parameters
+    ----------
+    started_at : float
+        When this owner began, after its claim was stored.
+    lease_seconds : float
+    authority_seconds, inherited_seconds : float
+        For how long after the claim any earlier owner, and those before the last one, may extend
+        leases; see `compute_authority_seconds`.
+
+    Attributes
+    ----------
+    leases_expire_at : float
+        Time by which the leases that earlier owners have granted have expired.
+    is_predecessor_inactive : bool
+        The predecessor sends no commands any more.
+    """
+
+    def __init__(
+        self,
+        started_at: float,
+        lease_seconds: float,
+        authority_seconds: float = 0.0,
+        inherited_seconds: float = 0.0,
+    ) -> None:
+        self._lease_seconds = lease_seconds
+        self._inherited_until = started_at + inherited_seconds
+        self.leases_expire_at = self._compute_expiry(started_at + authority_seconds)
+        self._inactive_at = started_at + MAX_PREDECESSOR_ACTIVE_SECONDS
+        self.is_predecessor_inactive = False
+
+    def _compute_expiry(self, extended_until: float) -> float:
+        return compute_latest_lease_expiry(extended_until, self._lease_seconds)
+
+    def record_inactive(self, now: float, workers: Iterable[Worker]) -> None:
+        """Record that the predecessor has ended; its leases are no longer extended."""
+        self._inactive_at = min(self._inactive_at, now)
+        expire_at = self._compute_expiry(max(now, self._inherited_until))
+        if expire_at >= self.leases_expire_at:
+            return
+        for worker in workers:
+            if worker.lease_expires_by == self.leases_expire_at:
+                worker.lease_expires_by = expire_at
+        self.leases_expire_at = expire_at
+
+    def have_leases_expired(self, now: float) -> bool:
+        """Return whether all leases that earlier owners have granted have expired."""
+        return now > self.leases_expire_at
+
+    def check_inactive(self, now: float) -> bool:
+        """Return whether the predecessor has become inactive since the last call."""
+        if self.is_predecessor_inactive or now < self._inactive_at:
+            return False
+        self.is_predecessor_inactive = True
+        return True
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -13,7 +13,6 @@
 
 from .._internal.adapters.transport import ClientResponse, Headers, HttpClient
 from .._internal.decoding import Number, decode_json, reject_malformed
-from .._internal.instance.contact import Contact, read_elapsed_clock
 from .._internal.ports.queueing import (
     STORE_CALL_SECONDS,
     STORE_OUTAGE_SECONDS,
@@ -77,7 +76,6 @@
         self._calls_in_flight = 0  # without those that wait for a change
         self._unanswered_since = 0.0
         self._last_response_at = 0.0
-        self._contact = Contact()
         self._newest_revision = 0
         self._latency_seconds = INITIAL_LATENCY_SECONDS
         self._exchanges: dict[gevent.Greenlet, float] = {}  # exchanges in progress and their start
@@ -94,10 +92,6 @@
         """Return the smoothed duration of recent calls that were answered, in seconds."""
         return self._latency_seconds
 
-    def get_last_contact(self) -> float:
-        """Return when the newest call that was answered was sent, by `read_elapsed_clock`."""
-        return self._contact.last_sent_at
-
     def get_newest_revision(self) -> int:
         """Return the newest revision in any response of the store; 0 before the first."""
         return self._newest_revision
@@ -128,7 +122,7 @@
         self, method: str, target: str, body: bytes, headers: Headers, timeout: float
     ) -> ClientResponse:
         """Carry out one exchange, abandoned if a later one is answered after an outage."""
-        started_at, sent_at = time.monotonic(), read_elapsed_clock()
+        started_at = time.monotonic()
         exchange = gevent.spawn(self._call_client, method, target, body, headers, timeout)
         self._exchanges[exchange] = started_at
         try:
@@ -139,8 +133,6 @@
         result = exchange.value
         if isinstance(result, ClientResponse):
             self._record_response(started_at)
-            if result.status not in REFUSAL_STATUSES:
-                self._contact.record_answer(sent_at)
             return result
         if isinstance(result, TransportError):
             raise result
