Take an unanswered claim of the claiming process as an owner that never was

A claim whose response was lost and that the store has carried out names the claiming process itself. Its next claim took that row as an owner that doesn't ask this instance, and would have waited 31 s for workers that it can't reach, though no owner was started under that row.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -176,6 +176,8 @@
     Then a claim takes the owner as "unaware"
     When the owner's process has been replaced by another one
     Then a claim takes the owner as "ended"
+    When the owner row with token 6 is from a claim of this instance that got no response
+    Then a claim takes the owner as "ended"
 
   Scenario: A claim allows for the owners before the last one
     Guards against a chain of short ownerships, whose first owner still acts when the third begins.
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -504,10 +504,11 @@
     context.view.update_owner(make_row(fencing), fencing, 100.0)
 
 
-def make_row(fencing, **fields):
-    """Return the row of an owner on another instance."""
+def make_row(fencing, name="it", **fields):
+    """Return the row of an owner on another instance, or on one of this name."""
+    claim = f"claim-{fencing}"
     return OwnerRecord(
-        fencing=fencing, name="it", boot=f"claim-{fencing}", address="it:1", process="it", **fields
+        fencing=fencing, name=name, boot=claim, address=f"{name}:1", process=name, **fields
     )
 
 
@@ -521,6 +522,12 @@
         context.view.update_owner(make_row(fencing, peers=peers), fencing, 100.0)
 
 
+@when("the owner row with token {fencing:d} is from a claim of this instance that got no response")
+def step_own_row(context, fencing):
+    context.view.members.clear()
+    context.view.update_owner(make_row(fencing, name="me"), fencing, 100.0)
+
+
 @when("the owner's process has been replaced by another one")
 def step_process_replaced(context):
     member = MemberRecord(name="it", boot="other", address="it:1", zone="z")
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -231,7 +231,8 @@
         owner, heartbeat = self.owner, self.heartbeat
         if owner is None:
             return Predecessor.NONE
-        if self.is_owner_inactive(owner):
+        # A claim of this process whose response was lost has started no owner.
+        if owner.process == self.process_id or self.is_owner_inactive(owner):
             return Predecessor.ENDED
         has_beaten = heartbeat is not None and heartbeat.fencing == owner.fencing
         peers = heartbeat.peers if has_beaten and heartbeat is not None else owner.peers
