--- a/features/platform.feature
+++ b/features/platform.feature
@@ -259,6 +259,7 @@
       | lavenderhook_store_seconds_sum                       |
       | lavenderhook_decisions_total{decision="task-placed"} |
       | lavenderhook_is_owner 1.0                            |
+      | lavenderhook_owner_proof_age_seconds 0.              |
 
   Scenario: A log reader that does not read blocks nothing
     Guards against decisions that wait because the pipe of the log is full.
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -172,6 +172,10 @@
         """Return whether this instance places tasks."""
         return self._ownership.owner is not None
 
+    def measure_proof_age(self) -> float:
+        """Return the seconds since it was last proven that this instance is still the owner."""
+        return self._ownership.measure_proof_age()
+
     def submit(self, submission: Submission, deadline: float) -> WriteResult:
         """Store a submission, directly or through a peer."""
         result = self._forwarding.write(
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -407,6 +407,12 @@
         """Return whether a peer may have taken over without this instance noticing."""
         return not is_proof_valid(self._proof.measure_age(self._list_peer_addresses()))
 
+    def measure_proof_age(self) -> float:
+        """Return the seconds since the last proof of the ownership; 0 if there is no owner here."""
+        if self.owner is None:
+            return 0.0
+        return self._proof.measure_age(self._list_peer_addresses())
+
     def _list_peer_addresses(self) -> list[str]:
         return [m.address for m in self.view.members.values() if m.name != self.name]
 
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -93,6 +93,7 @@
         ]
         register_gauge = self.metrics.register_gauge
         register_gauge("is_owner", lambda: float(self.instance.is_owner()))
+        register_gauge("owner_proof_age_seconds", self.instance.measure_proof_age)
         register_gauge("is_ready", lambda: float(self.instance.is_ready()))
         configuration = self.instance.configuration
         register_gauge("configuration_version", configuration.get_version)
