Wait less for owners that have ended or that list others; bear longer outages

A restarted owner's machine takes its former process as ended when it claims, without waiting for its own member row. An instance that the owner doesn't list claims a second later than those that it lists, as its claim has to wait the longest for workers that it can't reach. With that, peers may prove an ownership for 60 s instead of 30 s after the store last did, so that running work outlives longer outages of the store.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -150,7 +150,7 @@
   Scenario: Peers prove the ownership only for a while after the store did
     Guards against an owner that never asks an instance which joined during the partition.
     Given an owner that lists the peers a and b
-    When it has had no proof of its ownership for 29.9 seconds
+    When it has had no proof of its ownership for 59.9 seconds
     And a and b answer that they know no later owner
     Then the owner may act
     When it has had no proof of its ownership for 1.4 seconds
@@ -176,8 +176,19 @@
     Then a claim takes the owner as "unaware"
     When the owner's process has been replaced by another one
     Then a claim takes the owner as "ended"
-    When the owner row with token 6 is from a claim of this instance that got no response
+    When the owner row with token 6 is of an earlier process of this instance
     Then a claim takes the owner as "ended"
+    When the owner row with token 7 is from a claim of this instance that got no response
+    Then a claim takes the owner as "ended"
+
+  Scenario: An instance that the owner doesn't list lets those that it lists claim first
+    Guards against a long wait for an owner that may go on without asking the claiming instance.
+    Given an instance that knows an owner with token 3
+    And the store has been available for 60 seconds
+    When the heartbeat with token 3 lists no other instance
+    Then it claims 3.3 seconds after that, and not 3.1
+    When the heartbeat with token 3 lists this instance
+    Then it claims 2.3 seconds after that, and not 2.1
 
   Scenario: A claim allows for the owners before the last one
     Guards against a chain of short ownerships, whose first owner still acts when the third begins.
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -97,9 +97,10 @@
 @given("an instance that knows an owner")
 def step_view(context):
     context.now = 100.0
-    context.view = OwnershipView(name="me", claim_id="x")
+    context.view = OwnershipView(name="me", claim_id="x", process_id="me")
     context.view.update_owner(make_owner(), 1, context.now)
-    context.view.update_heartbeat(HeartbeatRecord(fencing=3, count=1), context.now)
+    heartbeat = HeartbeatRecord(fencing=3, count=1, peers=("me",))
+    context.view.update_heartbeat(heartbeat, context.now)
     context.view.record_store_result(context.now, True)
 
 
@@ -500,15 +501,19 @@
 
 @given("an instance that knows an owner with token {fencing:d}")
 def step_view_of_owner(context, fencing):
-    context.view = OwnershipView(name="me", claim_id="c", process_id="me")
+    context.view = OwnershipView(name="me", claim_id="c", process_id="me", address="me:1")
     context.view.update_owner(make_row(fencing), fencing, 100.0)
 
 
-def make_row(fencing, name="it", **fields):
+def make_row(fencing, name="it", process=None, **fields):
     """Return the row of an owner on another instance, or on one of this name."""
-    claim = f"claim-{fencing}"
     return OwnerRecord(
-        fencing=fencing, name=name, boot=claim, address=f"{name}:1", process=name, **fields
+        fencing=fencing,
+        name=name,
+        boot=f"claim-{fencing}",
+        address=f"{name}:1",
+        process=process or name,
+        **fields,
     )
 
 
@@ -528,6 +533,23 @@
     context.view.update_owner(make_row(fencing, name="me"), fencing, 100.0)
 
 
+@when("the owner row with token {fencing:d} is of an earlier process of this instance")
+def step_earlier_process(context, fencing):
+    context.view.members.clear()
+    context.view.update_owner(make_row(fencing, name="me", process="before"), fencing, 100.0)
+
+
+@given("the store has been available for {seconds:d} seconds")
+def step_available(context, seconds):
+    context.view.record_store_result(100.0 - seconds, True)
+
+
+@then("it claims {seconds:f} seconds after that, and not {earlier:f}")
+def step_claims_after(context, seconds, earlier):
+    assert context.view.should_claim(100.0 + seconds)
+    assert not context.view.should_claim(100.0 + earlier)
+
+
 @when("the owner's process has been replaced by another one")
 def step_process_replaced(context):
     member = MemberRecord(name="it", boot="other", address="it:1", zone="z")
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -32,6 +32,8 @@
 # replaced soon.
 LOW_OWNER_FITNESS = 0.5  # half a core with a link of OWNER_LINK_MBPS
 LOW_FITNESS_DELAY_SECONDS = 1.0
+# An instance that the owner doesn't list has to wait longest for what that owner may still do.
+UNLISTED_DELAY_SECONDS = 1.0
 # Time for the first instances to write their rows before the first claim.
 FIRST_CLAIM_DELAY_SECONDS = 0.4
 # An owner of 176 workers receives and sends about 5 Mbit/s, and 20 Mbit/s while it loads.
@@ -138,6 +140,7 @@
     name: str
     claim_id: str
     process_id: str = ""
+    address: str = ""
     owner: OwnerRecord | None = None
     owner_revision: int = 0
     owner_seen_at: float = 0.0
@@ -231,8 +234,10 @@
         owner, heartbeat = self.owner, self.heartbeat
         if owner is None:
             return Predecessor.NONE
-        # A claim of this process whose response was lost has started no owner.
-        if owner.process == self.process_id or self.is_owner_inactive(owner):
+        # A claim of this process whose response was lost has started no owner, and a former process
+        # at its name and address has ended.
+        is_here = owner.name == self.name and owner.address == self.address
+        if is_here or self.is_owner_inactive(owner):
             return Predecessor.ENDED
         has_beaten = heartbeat is not None and heartbeat.fencing == owner.fencing
         peers = heartbeat.peers if has_beaten and heartbeat is not None else owner.peers
@@ -262,6 +267,9 @@
         delay = self.rank * CLAIM_STAGGER_SECONDS
         if self.owner_fitness < LOW_OWNER_FITNESS:
             delay += LOW_FITNESS_DELAY_SECONDS
+        predecessor = self.assess_predecessor()
+        if predecessor is Predecessor.UNAWARE:
+            delay += UNLISTED_DELAY_SECONDS
         if self.owner is None:
             return now - self.store_available_since > FIRST_CLAIM_DELAY_SECONDS + delay
         if self.owner.name == self.name and self.owner.process != self.process_id:
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -115,7 +115,11 @@
         self.name = name
         self.process_id = self.claim_id = secrets.token_hex(6)
         self.view = OwnershipView(
-            name=name, claim_id=self.claim_id, process_id=self.process_id, owner_fitness=fitness
+            name=name,
+            claim_id=self.claim_id,
+            process_id=self.process_id,
+            address=address,
+            owner_fitness=fitness,
         )
         self.owner: Owner | None = None
         self.store_lost_at: float | None = None
--- a/src/lavenderhook/_internal/queueing/authority.py
+++ b/src/lavenderhook/_internal/queueing/authority.py
@@ -18,7 +18,7 @@
 import enum
 
 PROOF_SECONDS = 1.2
-STORELESS_SECONDS = 30.0
+STORELESS_SECONDS = 60.0
 # The clocks of two instances may run at rates that differ by this much.
 CLOCK_RATE_FACTOR = 1.01
 
