Wait for starts of the former owner of submissions that are newer than a takeover

Callers could see a task run twice: a new owner freed what was stored after its claim 2.5 s after it, whatever it had reached. Until its last proof has expired, a former owner may still learn of such a submission, by a peer's notice or its own change feed, and start it on a worker that the new owner can't reach.

The 2.5 s were an estimate of the time until a worker fences the former owner, which an unreached worker doesn't do.

Change: earlier owners count as active for as long as the claim says that they may act (authority.py). Then the unreached workers are closed in the roster, as before, and a submission waits unless it was stored after this closing. If all earlier owners had ended before the claim, the takeover itself is the bound, at once.

A notice doesn't tell a submission's revision, so that the one of the takeover stood for it; the change feed's now replaces it.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -84,6 +84,41 @@
     And 40 seconds pass in the simulation
     Then no invariant was violated
 
+  Scenario: A new owner waits for starts of submissions that are newer than the takeover
+    Guards against a second run of a task that the former owner has started after the takeover,
+    while its last proof of its ownership was valid, on a worker that the new owner can't reach.
+    Given 2 workers and an owner
+    When another owner takes over, but only the former owner reaches worker "w0"
+    And 1 seconds pass in the simulation
+    And a submission "new" of 1 tasks of 9000 millicores and 30 seconds arrives
+    And 60 seconds pass in the simulation
+    Then "new" is completed
+    And no invariant was violated
+
+  Scenario: New submissions don't wait for an unreachable worker of an owner that had ended
+    Guards against seconds without starts after a takeover, although no earlier owner can have
+    started what was submitted since.
+    Given 2 workers and an owner
+    When worker "w0" is partitioned
+    And another owner takes over after the former one has ended
+    And a submission "new" of 1 tasks of 9000 millicores and 1 seconds arrives
+    And 1 seconds pass in the simulation
+    Then "new" has started
+    And no invariant was violated
+
+  Scenario: New submissions don't wait for an unreachable worker once no earlier owner may act
+    Guards against seconds without starts after a takeover, although the proof of the former owner
+    has expired, for submissions of which a peer's notice doesn't tell the revision.
+    Given 2 workers and an owner
+    And the revisions of submissions are known 0.4 seconds after their notices
+    When worker "w0" is partitioned
+    And another owner takes over
+    And 2 seconds pass in the simulation
+    And a submission "new" of 1 tasks of 9000 millicores and 1 seconds arrives
+    And 1 seconds pass in the simulation
+    Then "new" has started
+    And no invariant was violated
+
   Scenario: Work submitted after a worker began to drain doesn't wait for it after a takeover
     Guards against seconds without starts when a draining worker becomes unreachable before a
     takeover: it can't have a run of a submission that was stored after it began to drain.
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -15,6 +15,7 @@
     suspend_owner,
 )
 from features.support.queue_simulation import QueueSimulation, make_step
+from lavenderhook._internal.queueing.authority import PROOF_SECONDS
 from lavenderhook._internal.queueing.effects import RequestAdvice
 from lavenderhook._internal.queueing.events import FinishedRunPosition, ProgressStored, Ticked
 from lavenderhook._internal.queueing.model import (
@@ -327,6 +328,29 @@
     context.simulation.start_new_owner()
 
 
+@given("the revisions of submissions are known {seconds:g} seconds after their notices")
+def step_feed(context, seconds):
+    context.simulation.feed_seconds = seconds
+
+
+@when("another owner takes over after the former one has ended")
+def step_new_owner_after_end(context):
+    simulation = context.simulation
+    simulation.owners[-1].is_active = False
+    simulation.predecessor_seconds = 0.0
+    simulation.start_new_owner()
+
+
+@when('another owner takes over, but only the former owner reaches worker "{name}"')
+def step_new_owner_outside(context, name):
+    simulation = context.simulation
+    former = simulation.owners[-1]
+    former.acts_until = simulation.now + PROOF_SECONDS
+    for worker in simulation.workers.values():
+        worker.reachable_by = former.fencing + (worker.name != name)
+    simulation.start_new_owner()
+
+
 @when('another owner takes over without having loaded "{name}"')
 def step_new_owner_without(context, name):
     context.not_loaded = context.simulation.submissions.pop(name)
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -7,11 +7,13 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 
 import msgspec
 
 from lavenderhook._internal.queueing import effects
+from lavenderhook._internal.queueing.authority import Predecessor, compute_authority_seconds
 from lavenderhook._internal.queueing.events import (
     AdviceArrived,
     FinishedRunPosition,
@@ -45,6 +47,7 @@
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
 from lavenderhook._internal.queueing.records import Outcome, Roster, set_closing_revisions
 from lavenderhook._internal.queueing.start_log import collect_starts
+from lavenderhook._internal.queueing.takeover import Takeover
 from standins.capacity import ProcessorLimit
 
 from .crashing_tasks import CrashingTasks
@@ -86,6 +89,7 @@
         self.limit = ProcessorLimit(capacity.processors)
         self.rack = rack
         self.is_partitioned = False
+        self.reachable_by = None  # token of the only owner that reaches it; None for all
         self.is_up = True
         self.fails_all_runs = False
         self.stalls_tasks = False
@@ -121,6 +125,10 @@
             ),
         )
 
+    def is_reached_by(self, owner):
+        """Return whether commands of an owner reach this worker."""
+        return not self.is_partitioned and self.reachable_by in (None, owner.fencing)
+
     def resize(self, processors):
         """Change the capacity while the worker runs."""
         self.capacity = msgspec.structs.replace(self.capacity, processors=processors)
@@ -264,17 +272,21 @@
     def __init__(self, simulation, fencing):
         self.simulation = simulation
         self.fencing = fencing
+        self.revision = simulation.revision
         self.is_active = True
         self.is_suspended = False
         self.was_suspended = False
+        self.acts_until = math.inf  # it has no later proof that it has not been replaced
         self.unstored_submissions = {}
         self.reported_clocks = {}
+        authority_seconds = simulation.predecessor_seconds if simulation.owners else 0.0
         self.state = OwnerState(
             FencingToken(fencing),
-            simulation.revision,
+            self.revision,
             simulation.now,
             OwnerParameters(lease_seconds=LEASE_SECONDS, stop_seconds=MAX_STOP_SECONDS),
             simulation.roster,
+            takeover=Takeover(simulation.now, LEASE_SECONDS, authority_seconds, authority_seconds),
             former_starts=collect_starts(simulation.start_log_rows.values(), simulation.now),
         )
         for submission_id, outcome in simulation.outcomes.items():
@@ -334,8 +346,7 @@
         simulation = self.simulation
         match effect:
             case effects.SendStart():
-                lease_until = self.reported_clocks[effect.command.worker] + LEASE_SECONDS
-                message = (effect.command, lease_until)
+                message = (effect.command, self.compute_lease_end(effect.command.worker))
                 simulation.send(effect.command.worker, self.deliver_start, message)
             case effects.LogDecision():
                 hidden = LINE_FIELDS & effect.fields.keys()
@@ -357,12 +368,19 @@
             case effects.StepDown():
                 self.is_active = False
 
+    def compute_lease_end(self, name):
+        """Return the end of a lease, counted from the worker's last report."""
+        clock = self.reported_clocks.get(name)
+        if clock is None or self.simulation.now > self.acts_until:
+            return None
+        return clock + LEASE_SECONDS
+
     def deliver_start(self, worker, message):
         """Execute a start on `worker` (None if no answer arrives); return the answer event."""
         command, lease_until = message
         if worker is None:
             outcome = StartOutcome.UNKNOWN
-        elif worker.is_up:
+        elif worker.is_up and lease_until is not None:
             outcome = worker.start(command, lease_until)
             if self.simulation.crashing_tasks.crash_at_start(worker, command):
                 outcome = StartOutcome.UNKNOWN
@@ -401,14 +419,12 @@
         token = self.state.get_command_token(name)
         worker = self.simulation.workers[name]
         stored_sequence = self.state.workers[name].stored_sequence
-        if worker.is_partitioned or not worker.is_up:
+        if not worker.is_reached_by(self) or not worker.is_up:
             self.simulation.call_later(
                 0.3, self.apply, HoldUnanswered(now=sent_at + 0.3, worker=name, token=token)
             )
         else:
-            clock = self.reported_clocks.get(name)
-            lease_until = None if clock is None else clock + LEASE_SECONDS
-            report = worker.hold(token, stored_sequence, lease_until)
+            report = worker.hold(token, stored_sequence, self.compute_lease_end(name))
             arrives = sent_at + LINK_LATENCY_SECONDS
             if report is None:
                 event = HoldUnanswered(now=arrives, worker=name, token=token, is_fenced=True)
@@ -445,8 +461,9 @@
 
     def tick(self):
         """Trigger the periodic scheduling."""
-        if self.is_active:
+        if self.is_active and self.simulation.now <= self.acts_until:
             self.apply(Ticked(now=self.simulation.now))
+        if self.is_active:
             self.simulation.call_later(0.05, self.tick)
 
     def commit(self):
@@ -523,6 +540,10 @@
         self.owners_confirm = False  # that they still are owners, after they were suspended
         self.checks_incarnation = True  # late commands for an earlier incarnation are rejected
         self.store_refuses = False
+        # Until the change feed tells the revision of a submission; 0 if notices do.
+        self.feed_seconds = 0.0
+        # For how long after the claim a new owner expects earlier ones to act.
+        self.predecessor_seconds = compute_authority_seconds(Predecessor.ASKS_PEERS, 0.0)
         self.allowed_workers = None  # names; None for all
         self.advice_seconds = 0.05
         self.crashing_tasks = CrashingTasks(self)
@@ -594,9 +615,12 @@
         )
         self.submissions[name] = (submission, self.revision)
         for owner in self.owners:
-            self.call_later(
-                LINK_LATENCY_SECONDS, owner.deliver_submission, submission, self.revision
-            )
+            known = owner.revision + 1 if self.feed_seconds else self.revision
+            self.call_later(LINK_LATENCY_SECONDS, owner.deliver_submission, submission, known)
+            if self.feed_seconds:
+                self.call_later(
+                    self.feed_seconds, owner.deliver_submission, submission, self.revision
+                )
 
     def cancel(self, name):
         """Store a cancellation and notify the owners."""
@@ -615,7 +639,7 @@
         """Send a command over a link that may lose answers and delay commands."""
         worker = self.workers[name]
         owner = deliver.__self__
-        if worker.is_partitioned:
+        if not worker.is_reached_by(owner):
             self.call_later(0.6, self._deliver_and_answer, owner, deliver, None, message)
             return
         if self.random.random() < self.lost_answer_share:
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -145,7 +145,6 @@
         reviewer: RunReviewer | None = None,
     ) -> None:
         self.fencing = fencing
-        self.owner_revision = owner_revision
         self.parameters = parameters
         self.scheduler = Scheduler(
             fencing,
@@ -158,7 +157,8 @@
         self.workers: dict[WorkerId, Worker] = {}
         self.latest_incarnation = 0
         self.former_starts = former_starts or {}
-        self.roster = RosterTracker(roster or Roster())
+        ended_before = owner_revision if self.takeover.had_ended else None
+        self.roster = RosterTracker(roster or Roster(), ended_before)
         self.commands_to_retry: list[Run] = []
         self.submissions: dict[SubmissionId, SubmissionProgress] = {}
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
@@ -207,8 +207,10 @@
         return _HANDLERS[type(event)](self, event)
 
     def handle_submission(self, event: SubmissionRead) -> list[Effect]:
-        """Add a submission; one that is known already changes nothing."""
+        """Add a submission; of one that is known already, only its revision may be news."""
         submission = event.submission
+        if submission.id in self.submissions:
+            self.submissions[submission.id].record_revision(event.revision)
         if submission.id in self.submissions or submission.id in self.outcomes:
             return []
         entry = SubmissionProgress(
@@ -451,7 +453,7 @@
         return []
 
     def handle_predecessor_inactive(self, event: PredecessorInactive) -> list[Effect]:
-        """Stop delaying the placement of submissions that are newer than the takeover."""
+        """Close the unreached workers; what is stored after that doesn't wait for them."""
         self.takeover.record_inactive(event.now, self.workers.values())
         self.needs_scheduling = True
         return []
@@ -472,7 +474,7 @@
         effects += self.scheduler.schedule(
             self.submissions.values(),
             self.workers.values(),
-            self._compute_blocked_through_revision(),
+            self.roster.compute_blocked_through_revision(),
             event.now,
         )
         self.needs_scheduling = False
@@ -488,15 +490,6 @@
             return self._update_roster()
         return []
 
-    def _compute_blocked_through_revision(self) -> float:
-        """Return the revision after which submissions have no runs of earlier owners."""
-        revision = self.roster.compute_blocked_through_revision()
-        return (
-            min(revision, self.owner_revision)
-            if self.takeover.is_predecessor_inactive
-            else revision
-        )
-
     def _review_runs(self, now: float) -> list[Effect]:
         """Put slow workers on probation, and move or copy runs that are better off elsewhere."""
         workers = self.workers.values()
--- a/src/lavenderhook/_internal/queueing/roster.py
+++ b/src/lavenderhook/_internal/queueing/roster.py
@@ -35,13 +35,16 @@
     ----------
     inherited : Roster
         The predecessor's roster.
+    ended_before : int, optional
+        Revision before which all earlier owners had ended; nothing that was stored later has runs
+        of theirs.
     """
 
-    def __init__(self, inherited: Roster) -> None:
+    def __init__(self, inherited: Roster, ended_before: int | None = None) -> None:
         self.unreached = set(inherited.workers)
         self.requested = inherited
         self._stored = inherited
-        self._inherited_closed = dict(inherited.closed)
+        self._ended_before = math.inf if ended_before is None else ended_before
 
     def is_open_in_roster(self, worker: WorkerId) -> bool:
         """Return whether a worker is open in the stored roster and not being closed."""
@@ -59,7 +62,9 @@
 
     def compute_blocked_through_revision(self) -> float:
         """Return the revision after which no submission has runs at an unreached worker."""
-        return max((self._inherited_closed.get(w, math.inf) for w in self.unreached), default=0)
+        closed = self._stored.closed
+        closings = (min(closed.get(w, math.inf), self._ended_before) for w in self.unreached)
+        return max(closings, default=0)
 
     def prepare_update(
         self, workers: Iterable[Worker], *, is_predecessor_inactive: bool
@@ -70,8 +75,8 @@
         ----------
         workers : iterable of Worker
         is_predecessor_inactive : bool
-            Whether the predecessor can no longer send commands; until then, only the predecessor
-            knows whether an unreached worker gets none.
+            Whether earlier owners can no longer send commands; until then, only they know whether
+            an unreached worker gets none.
         """
         names = set(self.unreached)
         closed: dict[WorkerId, int] = {}
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -275,7 +275,7 @@
     Attributes
     ----------
     revision : int
-        Revision of the stored submission.
+        Revision of the stored submission; of one that a peer has reported, the earliest possible.
     progress_revision : int
         Revision of the stored progress; 0 if there is none.
     failure : FailureReason or None
@@ -324,6 +324,10 @@
         terms = self.submission.queue
         return terms.slack_factor * critical_path_seconds + terms.latency_seconds
 
+    def record_revision(self, revision: int) -> None:
+        """Record the revision of the stored row, which a peer's notice doesn't tell."""
+        self.revision = max(self.revision, revision)
+
     @property
     def is_done(self) -> bool:
         """Whether every task of every step has ended done."""
--- a/src/lavenderhook/_internal/queueing/takeover.py
+++ b/src/lavenderhook/_internal/queueing/takeover.py
@@ -6,10 +6,6 @@
 
 from .workers import Worker, compute_latest_lease_expiry
 
-# Within this time, a worker refuses the token of a former owner that still runs: a hold waits a
-# second and times out after 1.6 s. Until then, peers may still notify it of new submissions.
-MAX_PREDECESSOR_ACTIVE_SECONDS = 2.5
-
 
 class Takeover:
     """When the commands and the leases of earlier owners have ended.
@@ -21,14 +17,16 @@
     lease_seconds : float
     authority_seconds, inherited_seconds : float
         For how long after the claim any earlier owner, and those before the last one, may extend
-        leases; see `compute_authority_seconds`.
+        leases and start tasks; see `compute_authority_seconds`.
 
     Attributes
     ----------
     leases_expire_at : float
         Time by which the leases that earlier owners have granted have expired.
+    had_ended : bool
+        All earlier owners had ended before the claim.
     is_predecessor_inactive : bool
-        The predecessor sends no commands any more.
+        No earlier owner sends commands any more.
     """
 
     def __init__(
@@ -40,17 +38,19 @@
     ) -> None:
         self._lease_seconds = lease_seconds
         self._inherited_until = started_at + inherited_seconds
-        self.leases_expire_at = self._compute_expiry(started_at + authority_seconds)
-        self._inactive_at = started_at + MAX_PREDECESSOR_ACTIVE_SECONDS
-        self.is_predecessor_inactive = False
+        # Until then, peers may notify an earlier owner of new submissions, and it starts them.
+        self._inactive_at = started_at + authority_seconds
+        self.leases_expire_at = self._compute_expiry(self._inactive_at)
+        self.had_ended = authority_seconds <= 0.0
+        self.is_predecessor_inactive = self.had_ended
 
     def _compute_expiry(self, extended_until: float) -> float:
         return compute_latest_lease_expiry(extended_until, self._lease_seconds)
 
     def record_inactive(self, now: float, workers: Iterable[Worker]) -> None:
         """Record that the predecessor has ended; its leases are no longer extended."""
-        self._inactive_at = min(self._inactive_at, now)
-        expire_at = self._compute_expiry(max(now, self._inherited_until))
+        self._inactive_at = min(self._inactive_at, max(now, self._inherited_until))
+        expire_at = self._compute_expiry(self._inactive_at)
         if expire_at >= self.leases_expire_at:
             return
         for worker in workers:
