Take an owner as ended only by a row that another process wrote after the claim

An instance could take a new owner as ended at once, and claim without waiting for its leases: work could run twice.

Cause: another process in the member row at the owner's name and address counted as the end of the owner. The row is written together with the claim, but an instance that learns of the owner by the conflict of its own claim has the owner row alone, and the member row still as the process before has written it, until its watch goes on. An instance that has just restarted claims so early that this can happen.

Found by reading; no run has shown it with processes. The scenario 'An instance knows whether the owner asks it' has the case now, and fails without the check.

Change: the member row counts if its revision is later than the claim's.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -174,6 +174,8 @@
     Then a claim takes the owner as "asks-peers"
     When the owner row with token 5 lists no other instance
     Then a claim takes the owner as "unaware"
+    When this instance knows the row of another process from before the claim
+    Then a claim takes the owner as "unaware"
     When the owner's process has been replaced by another one
     Then a claim takes the owner as "ended"
 
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -156,27 +156,27 @@
 
 @when("another process writes its member row at the owner's name and address")
 def step_restarted(context):
-    context.view.members["other"] = make_member("c")
+    context.view.update_member("other", make_member("c"), 2)
 
 
 @when("the owner's process writes its member row again")
 def step_rejoined(context):
-    context.view.members["other"] = make_member("b")
+    context.view.update_member("other", make_member("b"), 3)
 
 
 @when("another process writes its member row at the owner's name and another address")
 def step_replaced(context):
-    context.view.members["other"] = make_member("c", "127.0.0.1:2")
+    context.view.update_member("other", make_member("c", "127.0.0.1:2"), 4)
 
 
 @then("the instance concludes that the owner process has ended")
 def step_ended(context):
-    assert context.view.is_owner_inactive(context.view.owner)
+    assert context.view.is_owner_inactive(context.view.owner, 1)
 
 
 @then("the instance does not conclude that the owner process has ended")
 def step_not_ended(context):
-    assert not context.view.is_owner_inactive(context.view.owner)
+    assert not context.view.is_owner_inactive(context.view.owner, 1)
 
 
 @given("an instance with few resources that knows no fitter one and whose owner has ended")
@@ -187,7 +187,7 @@
     )
     context.view.update_owner(make_owner(), 1, context.now)
     context.view.record_store_result(context.now, True)
-    context.view.members["other"] = make_member("c")
+    context.view.update_member("other", make_member("c"), 2)
 
 
 @when("{seconds:g} seconds have passed since it read the owner row")
@@ -524,7 +524,13 @@
 @when("the owner's process has been replaced by another one")
 def step_process_replaced(context):
     member = MemberRecord(name="it", boot="other", address="it:1", zone="z")
-    context.view.members["it"] = member
+    context.view.update_member("it", member, context.view.owner_revision + 1)
+
+
+@when("this instance knows the row of another process from before the claim")
+def step_old_member(context):
+    member = MemberRecord(name="it", boot="other", address="it:1", zone="z")
+    context.view.update_member("it", member, context.view.owner_revision - 1)
 
 
 @then('a claim takes the owner as "{predecessor}"')
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -127,6 +127,8 @@
         Since when the store has answered without a failure; None while it is unavailable.
     members : dict
         Rows of all instances by name.
+    member_revisions : dict
+        Their revisions.
     resigned_fencing : FencingToken
         Newest owner that has announced its resignation to this instance; 0 if there is none.
     is_designated : bool
@@ -149,6 +151,7 @@
     rank: int = 0
     owner_fitness: float = 1.0
     members: dict[str, MemberRecord] = dataclasses.field(default_factory=dict)
+    member_revisions: dict[str, int] = dataclasses.field(default_factory=dict)
     resigned_fencing: FencingToken = FencingToken(0)
     is_designated: bool = False
     stepped_down_at: float = -math.inf
@@ -172,6 +175,14 @@
             self.heartbeat = heartbeat
             self.heartbeat_seen_at = now
 
+    def update_member(self, name: str, member: MemberRecord | None, revision: int) -> None:
+        """Apply the row of an instance; None if it has left."""
+        if member is None:
+            self.members.pop(name, None)
+        else:
+            self.members[name] = member
+        self.member_revisions[name] = revision
+
     def record_resignation(self, fencing: FencingToken, *, is_designated: bool) -> None:
         """Record that an owner has resigned; it sends no commands any more."""
         if fencing >= self.resigned_fencing:
@@ -208,16 +219,18 @@
         """Return whether this process is the owner, as far as it knows."""
         return self.owner is not None and self.owner.boot == self.claim_id
 
-    def is_owner_inactive(self, owner: OwnerRecord) -> bool:
+    def is_owner_inactive(self, owner: OwnerRecord, revision: int) -> bool:
         """Return whether an owner can no longer send commands.
 
-        It has resigned, or another process runs at its name and address. An owner's member row is
-        written together with its claim, so that the row is never older than the claim. Refused
-        connections are no proof, since a network partition may refuse them as well.
+        It has resigned, or another process has written its row at its name and address since its
+        claim, which has the given revision. A row that this instance knows from before may be of an
+        earlier process. Refused connections are no proof, since a network partition may refuse them
+        as well.
         """
         member = self.members.get(owner.name)
+        is_newer = self.member_revisions.get(owner.name, 0) > revision
         is_same_address = member is not None and member.address == owner.address
-        if is_same_address and member is not None and member.boot != owner.process:
+        if is_newer and is_same_address and member is not None and member.boot != owner.process:
             return True
         if self.resigned_fencing == owner.fencing:
             return True
@@ -231,7 +244,7 @@
         owner, heartbeat = self.owner, self.heartbeat
         if owner is None:
             return Predecessor.NONE
-        if self.is_owner_inactive(owner):
+        if self.is_owner_inactive(owner, self.owner_revision):
             return Predecessor.ENDED
         has_beaten = heartbeat is not None and heartbeat.fencing == owner.fencing
         peers = heartbeat.peers if has_beaten and heartbeat is not None else owner.peers
@@ -267,7 +280,8 @@
             return True
         if self.is_designated and self.resigned_fencing == self.owner.fencing:
             return True
-        if self.is_owner_inactive(self.owner) or self.refusals >= PING_REFUSALS_FOR_TAKEOVER:
+        is_inactive = self.is_owner_inactive(self.owner, self.owner_revision)
+        if is_inactive or self.refusals >= PING_REFUSALS_FOR_TAKEOVER:
             return now - self.heartbeat_seen_at > delay
         unchanged_since = max(self.heartbeat_seen_at, self.store_available_since)
         have_pings_failed = self.unanswered_pings >= UNANSWERED_PINGS_FOR_TAKEOVER
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -131,6 +131,7 @@
         self._log_event = log_event
         self._work = WorkTable(store, log_event)
         self._predecessor: OwnerRecord | None = None
+        self._claimed_from = 0  # revision of the predecessor's row
         self._proof = OwnershipProof(0.0)
         self._has_proof_by_store = True
         self._is_claiming = False
@@ -265,10 +266,8 @@
             member = None if row.is_deleted else decode(row.value, MemberRecord)
             if name == self.name:
                 self._member_revision = max(self._member_revision, row.revision)
-            if member is None or member.has_left:
-                self.view.members.pop(name, None)
-            else:
-                self.view.members[name] = member
+            has_left = member is None or member.has_left
+            self.view.update_member(name, None if has_left else member, row.revision)
             self.view.rank = compute_rank(self.name, self.view.members, self._fitness)
             self._check_predecessor()
         elif row.key == OWNER_KEY and not row.is_deleted:
@@ -281,7 +280,9 @@
     def _check_predecessor(self) -> None:
         """Notify the local owner once its predecessor can no longer send commands."""
         predecessor, owner = self._predecessor, self.owner
-        if owner is not None and (predecessor is None or self.view.is_owner_inactive(predecessor)):
+        if owner is not None and (
+            predecessor is None or self.view.is_owner_inactive(predecessor, self._claimed_from)
+        ):
             owner.record_predecessor_inactive()
 
     def _update_owner(self, owner: OwnerRecord, revision: int) -> None:
@@ -355,7 +356,7 @@
             self._is_claiming = False
 
     def _claim(self) -> None:
-        predecessor = self.view.owner
+        predecessor, claimed_from = self.view.owner, self.view.owner_revision
         assessment = self.view.assess_predecessor()
         inherited = self.view.compute_inherited_seconds(time.monotonic())
         owner = OwnerRecord(
@@ -367,7 +368,7 @@
             authority_seconds=compute_authority_seconds(assessment, inherited),
             peers=self._list_peer_processes(),
         )
-        write = Write(CONTROL_TABLE, OWNER_KEY, encode(owner), self.view.owner_revision)
+        write = Write(CONTROL_TABLE, OWNER_KEY, encode(owner), claimed_from)
         sent_at = read_elapsed_clock()
         try:
             result = self._store.transact([write, self._make_member_row()])
@@ -393,7 +394,7 @@
         )
         self._member_revision = result
         self._update_owner(owner, result)
-        self._predecessor = predecessor
+        self._predecessor, self._claimed_from = predecessor, claimed_from
         self._proof = OwnershipProof(sent_at)
         self._start_owner(owner, result, inherited)
         self._check_predecessor()
