Count the answer of a peer as proof only from the process that the owner lists

An owner without the store could go on although a peer had taken over, so that work could run twice.

Cause: answers counted by address. A peer that had claimed, and whose process was replaced since, answers at the same address; the new process knows no later owner until it has read the owner row, and its first read may be stale.

Found by reading; the scenario 'Another process at a peer's address proves nothing' fails without the check.

Change: a ping's answer names the process, and answers are kept by process. The claim's assessment ('the owner lists this process') already worked that way. A process that doesn't say who it is proves nothing.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -157,6 +157,18 @@
     And a and b answer that they know no later owner
     Then the owner may not act
 
+  Scenario Outline: Another process at a peer's address proves nothing
+    Guards against an owner that goes on although a peer had taken over: the process that has
+    replaced that peer's doesn't know of the claim.
+    Given an owner that lists one peer, whose address process <process> answers
+    When the store has been silent towards it for 1.3 seconds
+    Then the owner <counts> as isolated
+
+    Examples:
+      | process | counts         |
+      | b       | does not count |
+      | c       | counts         |
+
   Scenario: Leases that an owner extends on its last proof end before its successor's wait
     Guards against constants that no longer fit each other.
     Given leases of 5.5 seconds on a worker's clock that runs 2 percent slow
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -16,7 +16,9 @@
     may_have_lost_store,
     should_hand_over,
 )
+from lavenderhook._internal.instance.ownership_manager import OwnershipManager
 from lavenderhook._internal.instance.ownership_proof import OwnershipProof
+from lavenderhook._internal.instance.peers import HandOverNotice, PingResponse
 from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.ports.queueing import RowChanges, RowConflict, StoredRow
 from lavenderhook._internal.queueing.authority import (
@@ -341,7 +343,7 @@
 def make_proof(context):
     """Prove the ownership now; `context.pass_time` lets the clock of the proof go on."""
     context.elapsed = 0.0
-    for module in ("ownership_proof", "owner"):
+    for module in ("ownership_proof", "owner", "ownership_manager"):
         clock = f"lavenderhook._internal.instance.{module}.read_elapsed_clock"
         patch = mock.patch(clock, lambda: read_elapsed_clock() + context.elapsed)
         patch.start()
@@ -477,6 +479,65 @@
         assert last_lease_ends < takeover.leases_expire_at, (predecessor, last_lease_ends)
 
 
+class AcceptingStore:
+    """Store that accepts a claim, and answers nothing else."""
+
+    def transact(self, _writes, _conditions=(), _deletes=()):
+        """Return the revision of the claim."""
+        return 9
+
+
+class AnsweringPeers:
+    """Peers that all answer pings as one process that knows no later owner."""
+
+    def __init__(self, process):
+        self.process = process
+
+    def ping(self, _address):
+        """Return the answer."""
+        return PingResponse("c", is_owner=False, fencing=FencingToken(4), process=self.process)
+
+
+@given("an owner that lists one peer, whose address process {process} answers")
+def step_peer_process(context, process):
+    make_proof(context)
+    stopped = gevent.event.Event()
+    context.add_cleanup(stopped.set)
+    manager = OwnershipManager(
+        "me",
+        "z",
+        "127.0.0.1:2",
+        1.0,
+        store=AcceptingStore(),
+        peer_client=AnsweringPeers(process),
+        make_owner=lambda row, *_: mock.Mock(fencing=row.fencing),
+        record_peer_version=lambda *_: None,
+        stopped=stopped,
+        log_event=lambda *_names, **_fields: None,
+    )
+    manager.view.record_store_result(0.0, True)
+    manager.view.update_owner(make_owner(), 1, time.monotonic())
+    manager.view.update_member("other", make_member("b"), 1)
+    manager.apply_hand_over(HandOverNotice(3, is_designated=True))
+    gevent.sleep(0.05)
+    assert manager.owner is not None
+    for loop in manager.list_loops():
+        if loop.__name__ == "_renew_proof_as_owner":
+            gevent.spawn(loop)
+    context.manager = manager
+
+
+@when("the store has been silent towards it for {seconds:f} seconds")
+def step_silent_store(context, seconds):
+    context.elapsed += seconds
+    gevent.sleep(1.0)
+
+
+@then("the owner {counts} as isolated")
+def step_isolated(context, counts):
+    assert context.manager.is_isolated() is (counts == "counts")
+
+
 PEERS = ("a:1", "b:1")
 
 
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -406,10 +406,7 @@
 
     def is_isolated(self) -> bool:
         """Return whether a peer may have taken over without this instance noticing."""
-        return not is_proof_valid(self._proof.measure_age(self._list_peer_addresses()))
-
-    def _list_peer_addresses(self) -> list[str]:
-        return [m.address for m in self.view.members.values() if m.name != self.name]
+        return not is_proof_valid(self._proof.measure_age(self._list_peer_processes()))
 
     def _list_peer_processes(self) -> tuple[str, ...]:
         return tuple(sorted(m.boot for m in self.view.members.values() if m.name != self.name))
@@ -479,8 +476,9 @@
             if self.view.store_available_since is not None:
                 owner.request_confirmation()
             if age > ASKING_AFTER_SECONDS:
-                for address in self._list_peer_addresses():
-                    gevent.spawn(self._ask_peer, address, owner.fencing, self._proof)
+                for member in self.view.members.values():
+                    if member.name != self.name:
+                        gevent.spawn(self._ask_peer, member, owner.fencing, self._proof)
             gevent.sleep(PROOF_RENEWAL_SECONDS - PROOF_CHECK_SECONDS)
 
     def _log_proof_by_store(self, fencing: FencingToken, age: float) -> None:
@@ -492,11 +490,15 @@
                 "owner-proven-by-store" if has_proof else "owner-unproven-by-store",
                 fencing=fencing,
                 age=round(age, 3),
-                unanswered=self._proof.list_unanswered(self._list_peer_addresses(), PROOF_SECONDS),
+                unanswered=self._proof.list_unanswered(self._list_peer_processes(), PROOF_SECONDS),
             )
 
-    def _ask_peer(self, address: str, fencing: FencingToken, proof: OwnershipProof) -> None:
-        """Ask a peer whether it has become a later owner."""
+    def _ask_peer(self, member: MemberRecord, fencing: FencingToken, proof: OwnershipProof) -> None:
+        """Ask a peer whether it has become a later owner.
+
+        Another process that answers at its address can't know what that one had claimed.
+        """
+        address = member.address
         sent_at = read_elapsed_clock()
         try:
             answer = self._peers.ping(address)
@@ -504,12 +506,12 @@
             self._log_event("contact-unanswered", peer=address, **describe_failure(error))
             return
         self._record_peer_version(address, answer.configuration)
-        if answer.fencing is None:
+        if answer.fencing is None or answer.process != member.boot:
             self._log_event("contact-proves-nothing", peer=address, fencing=fencing)
         elif answer.fencing > fencing:
             self.end_ownership(fencing, "a peer knows a later owner")
         else:
-            proof.record_peer(address, sent_at)
+            proof.record_peer(member.boot, sent_at)
 
     def describe_to_peer(self, configuration_version: int) -> peers.PingResponse:
         """Return the response to a peer's ping."""
@@ -520,6 +522,7 @@
             configuration_version,
             fencing=owner.fencing if owner is not None else None,
             has_store=self.view.store_available_since is not None,
+            process=self.process_id,
         )
 
     def measure_store_contact(self) -> StoreContact:
--- a/src/lavenderhook/_internal/instance/ownership_proof.py
+++ b/src/lavenderhook/_internal/instance/ownership_proof.py
@@ -30,9 +30,9 @@
         """Record that a transaction under the condition of the owner row has been accepted."""
         self._stored_at = max(self._stored_at, sent_at)
 
-    def record_peer(self, address: str, sent_at: float) -> None:
-        """Record that a peer has answered that it has not become a later owner."""
-        self._answered_at[address] = max(sent_at, self._answered_at.get(address, -math.inf))
+    def record_peer(self, process: str, sent_at: float) -> None:
+        """Record that a peer's process has answered that it has not become a later owner."""
+        self._answered_at[process] = max(sent_at, self._answered_at.get(process, -math.inf))
 
     def measure_store_age(self) -> float:
         """Return the seconds since the last proof by the store."""
@@ -44,7 +44,7 @@
         Parameters
         ----------
         peers : collection of str
-            Addresses of all listed peers.
+            Processes of all listed peers.
         """
         now = read_elapsed_clock()
         answered_at = min((self._answered_at.get(peer, -math.inf) for peer in peers), default=now)
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -117,6 +117,8 @@
         its process, or does not say.
     has_store : bool
         The store answers it.
+    process : str
+        The `boot` of the member row that the process writes; empty if it does not say.
     """
 
     boot: str
@@ -124,6 +126,7 @@
     configuration: int = 0
     fencing: FencingToken | None = None
     has_store: bool = False
+    process: str = ""
 
 
 class ConfigurationStatus(msgspec.Struct, frozen=True):
