Don't rely on an owner that may not know of its own claim

Work could run twice after a claim whose answer is lost, or that the store carries out late, while the former owner is cut off together with the claiming instance. That one answers the former owner that it knows of no later owner, for up to 30 s. The next claim, by an instance that the former owner doesn't list, allowed for the 1.2 s that stand in the row, counted from when it saw the row.

Found by reading. The scenario 'A claim doesn't rely on an owner that may not know of its own claim' fails without the change (0 s instead of 28.5 s).

Change: what a row says of earlier owners counts from the first heartbeat of its owner, which shows that it knows. Until then, an instance relies on what it knew of the former owner itself: 1.2 s if that lists it, as usual.

The claiming instance itself, once it learnt of its claim, took itself for an owner that doesn't ask it, and waited for 31 s. Its own process has ended any ownership before it claims again ('A claim that this instance didn't notice costs no long wait').

'A claim allows for the owners before the last one' now has a heartbeat of the owner, so that the times that it checks stay as they were.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -195,9 +195,27 @@
     Guards against a chain of short ownerships, whose first owner still acts when the third begins.
     Given an instance that knows an owner with token 3
     When a row with token 4 says that earlier owners may act for 1.2 seconds
+    And a heartbeat with token 4 arrives 0.0 seconds later
     Then a claim 0.2 seconds later allows for 1.0 seconds of owners before
     And a claim 3.0 seconds later allows for 0.0 seconds of owners before
 
+  Scenario: A claim doesn't rely on an owner that may not know of its own claim
+    Guards against a former owner that asks that instance, and not the one that claims next: it is
+    told of no later owner, for as long as the answer to the claim is missing.
+    Given an instance that knows an owner with token 3
+    When a row with token 4 says that earlier owners may act for 1.2 seconds
+    Then a claim 3.0 seconds later allows for 28.512 seconds of owners before
+    When a heartbeat with token 4 arrives 3.0 seconds later
+    Then a claim 3.2 seconds later allows for 1.0 seconds of owners before
+
+  Scenario: A claim that this instance didn't notice costs no long wait
+    Guards against half a minute without starts after a claim whose answer was lost.
+    Given an instance that knows an owner with token 3
+    When the heartbeat with token 3 lists this instance
+    And a claim of this instance with token 4 has been carried out without its knowledge
+    Then a claim takes the owner as "ended"
+    And a claim 0.2 seconds later allows for 1.012 seconds of owners before
+
   Scenario Outline: A new owner waits for what earlier owners may have extended
     Guards against tasks that start elsewhere while their leases last, and against a long wait for an
     owner that has ended.
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -594,6 +594,15 @@
     context.view.update_member("it", member, context.view.owner_revision - 1)
 
 
+@when("a claim of this instance with token {fencing:d} has been carried out without its knowledge")
+def step_unnoticed_claim(context, fencing):
+    row = OwnerRecord(
+        fencing=fencing, name="me", boot="c", address="me:1", process="me", authority_seconds=1.2
+    )
+    context.view.update_owner(row, fencing, 100.0)
+    context.view.claim_id = "d"
+
+
 @then('a claim takes the owner as "{predecessor}"')
 def step_assessed(context, predecessor):
     found = context.view.assess_predecessor()
@@ -605,6 +614,12 @@
     context.view.update_owner(make_row(fencing, authority_seconds=seconds), fencing, 100.0)
 
 
+@when("a heartbeat with token {fencing:d} arrives {seconds:f} seconds later")
+def step_heartbeat_later(context, fencing, seconds):
+    heartbeat = HeartbeatRecord(fencing=fencing, count=fencing, peers=("me",))
+    context.view.update_heartbeat(heartbeat, 100.0 + seconds)
+
+
 @then("a claim {passed:f} seconds later allows for {seconds:f} seconds of owners before")
 def step_inherited_left(context, passed, seconds):
     found = context.view.compute_inherited_seconds(100.0 + passed)
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ..queueing.authority import Predecessor
+from ..queueing.authority import Predecessor, compute_authority_seconds
 from ..queueing.model import FencingToken
 from ..queueing.records import HeartbeatRecord, MemberRecord, OwnerRecord
 
@@ -117,6 +117,10 @@
     ----------
     owner_seen_at : float
         When this instance first saw the row of the present owner.
+    owner_beat_at : float or None
+        When this instance first saw a heartbeat of the present owner.
+    former_acts_until : float
+        Until when owners before the present one may act, if that doesn't know that it is the owner.
     heartbeat_seen_at : float
         When this instance last saw the heartbeat row change.
     refusals : int
@@ -143,6 +147,8 @@
     owner: OwnerRecord | None = None
     owner_revision: int = 0
     owner_seen_at: float = 0.0
+    owner_beat_at: float | None = None
+    former_acts_until: float = -math.inf
     heartbeat: HeartbeatRecord | None = None
     heartbeat_seen_at: float = 0.0
     store_available_since: float | None = None
@@ -160,9 +166,14 @@
         """Apply an owner row; return whether it is newer than the known one."""
         if revision <= self.owner_revision:
             return False
+        is_first = self.owner is None and owner.fencing == 1
+        former = Predecessor.NONE if is_first else self.assess_predecessor(Predecessor.UNAWARE)
+        inherited_seconds = self.compute_inherited_seconds(now)
+        self.former_acts_until = now + compute_authority_seconds(former, inherited_seconds)
         self.owner = owner
         self.owner_revision = revision
         self.owner_seen_at = self.heartbeat_seen_at = now
+        self.owner_beat_at = now if self._has_owner_beaten() else None
         self.refusals = 0
         self.unanswered_pings = 0
         return True
@@ -174,6 +185,16 @@
         if heartbeat != self.heartbeat:
             self.heartbeat = heartbeat
             self.heartbeat_seen_at = now
+        if self.owner_beat_at is None and self._has_owner_beaten():
+            self.owner_beat_at = now
+
+    def _has_owner_beaten(self) -> bool:
+        """Return whether the last heartbeat is one of the present owner."""
+        return (
+            self.owner is not None
+            and self.heartbeat is not None
+            and self.heartbeat.fencing == self.owner.fencing
+        )
 
     def update_member(self, name: str, member: MemberRecord | None, revision: int) -> None:
         """Apply the row of an instance; None if it has left."""
@@ -239,22 +260,38 @@
             heartbeat is not None and heartbeat.has_resigned and heartbeat.fencing == owner.fencing
         )
 
-    def assess_predecessor(self) -> Predecessor:
-        """Return what is known of the present owner, for which a claim has to allow."""
+    def assess_predecessor(self, unknown: Predecessor = Predecessor.NONE) -> Predecessor:
+        """Return what is known of the present owner, for which a claim has to allow.
+
+        Parameters
+        ----------
+        unknown : Predecessor
+            Returned if no owner is known.
+        """
         owner, heartbeat = self.owner, self.heartbeat
         if owner is None:
-            return Predecessor.NONE
-        if self.is_owner_inactive(owner, self.owner_revision):
+            return unknown
+        # This process ends its ownership before it claims again, or never noticed that it had one.
+        is_own_process = owner.process == self.process_id
+        if is_own_process or self.is_owner_inactive(owner, self.owner_revision):
             return Predecessor.ENDED
         has_beaten = heartbeat is not None and heartbeat.fencing == owner.fencing
         peers = heartbeat.peers if has_beaten and heartbeat is not None else owner.peers
         return Predecessor.ASKS_PEERS if self.process_id in peers else Predecessor.UNAWARE
 
     def compute_inherited_seconds(self, now: float) -> float:
-        """Return for how long owners before the present one may still extend leases."""
+        """Return for how long owners before the present one may still extend leases.
+
+        What the present owner has assumed of them holds from when it knew of its claim, since it
+        tells them then. Its claim may have been carried out without its knowledge, until it has
+        sent a heartbeat; till then, this instance relies on what it knew of them itself.
+        """
         if self.owner is None:
             return 0.0
-        return max(0.0, self.owner.authority_seconds - (now - self.owner_seen_at))
+        if self.owner_beat_at is not None:
+            return max(0.0, self.owner.authority_seconds - (now - self.owner_beat_at))
+        claimed = self.owner.authority_seconds - (now - self.owner_seen_at)
+        return max(0.0, claimed, self.former_acts_until - now)
 
     def compute_next_fencing(self) -> FencingToken:
         """Return the fencing token of the next owner."""
