Don't take a worker or an instance as gone whose entry in the list can't be read

In the product's own interface, a task could run on two workers at once, and slots could be granted twice.

Cause: an entry of the platform's list that can't be decoded is left out, and what is absent from the list counts as gone: the attempts on such a worker ended at once, and an instance lost its grants and its leases counted as expired.

Evidence: the new scenario 'A worker whose entry in the platform's list can't be read is not gone' without the change: a task runs in two attempts, with the same owner and with the next one.

Change: the list names the ids of the entries that could not be read, or an unknown one. What they may stand for keeps its former entry, and none of it is gone, also for an owner that has never read it.

--- a/features/placement_failures.feature
+++ b/features/placement_failures.feature
@@ -45,6 +45,23 @@
     Then 4 tasks of "certificates" run
     And no task ran on two workers at any time
 
+  Scenario Outline: A worker whose entry in the platform's list can't be read is not gone
+    Guards against a task that runs on two workers: what is left out of the list because it can't be
+    decoded looked like a worker that is gone, to its owner and to the next one.
+    When job "certificates" with 4 tasks is submitted
+    And 2 seconds pass
+    And the entry of a worker with tasks in the platform's list can't be read
+    And <change>
+    And 20 seconds pass
+    Then no task ran on two workers at any time
+    And 4 tasks of "certificates" run
+    And workers have started 4 attempts in total
+
+    Examples:
+      | change                               |
+      | 1 second passes                      |
+      | the owner process is killed          |
+
   Scenario: An unanswered start is repeated only after its lease has expired
     Guards against a task that runs on two workers: the worker has started it, but its report does
     not reach the owner. The lease of a start lasts 5 s.
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -482,6 +482,7 @@
         lambda position, error: context.unreadable.append((position, error.code)),
     )
     context.listed = directory.list_instances()
+    context.unreadable_entries = directory.unreadable
 
 
 @then("one worker is listed and 6 entries are reported")
@@ -489,6 +490,11 @@
     instances, workers = context.listed
     assert not instances and [worker.worker_id for worker in workers] == ["w"], context.listed
     assert [position for position, _ in context.unreadable] == list(range(6)), context.unreadable
+    assert set(context.unreadable_entries) == {
+        "",
+        "w",
+        EXAMPLES["a listing"]["entries"][0]["incarnation"],
+    }
 
 
 @when("a caller submits steps with {field} set to {value}")
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -212,6 +212,11 @@
     context.cluster.remove_worker(find_busy_worker(context).view.worker_id)
 
 
+@when("the entry of a worker with tasks in the platform's list can't be read")
+def step_unreadable_entry(context):
+    context.cluster.unreadable_entries.add(find_busy_worker(context).view.worker_id)
+
+
 @when("a worker with tasks becomes unreachable")
 def step_partition_worker(context):
     worker = find_busy_worker(context)
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -272,6 +272,7 @@
         self.operations = {}
         self.deliver_forwarded_operations = False
         self.platform_list_delay_seconds = 0.0
+        self.unreadable_entries = set()  # ids in the platform's list
         self.changes = []
         self.answers = {}
         self.log = []
@@ -464,10 +465,17 @@
             )
             for n in self.listed_instances.values()
         )
-        workers = tuple(worker.view for worker in self.workers.values())
+        unreadable = tuple(sorted(self.unreadable_entries))
+        workers = tuple(
+            worker.view
+            for worker in self.workers.values()
+            if worker.view.worker_id not in self.unreadable_entries
+        )
         self.schedule(
             self.platform_list_delay_seconds,
-            lambda: instance.deliver(ev.PlatformListed, instances=instances, workers=workers),
+            lambda: instance.deliver(
+                ev.PlatformListed, instances=instances, workers=workers, unreadable=unreadable
+            ),
         )
 
     def _load_shard(self, instance, effect):
--- a/src/lavenderhook/_internal/adapters/directory.py
+++ b/src/lavenderhook/_internal/adapters/directory.py
@@ -36,6 +36,11 @@
     labels: dict[str, str] = {}
 
 
+class _Identity(msgspec.Struct):
+    id: str
+    incarnation: str = ""
+
+
 class _Listing(msgspec.Struct):
     entries: list[msgspec.Raw]
 
@@ -69,6 +74,7 @@
         self._address = address
         self._report_unreadable = report_unreadable
         self.zones: dict[str, str] = {}
+        self.unreadable: tuple[str, ...] = ()
 
     def list_instances(self) -> tuple[tuple[InstanceView, ...], tuple[WorkerView, ...]]:
         """Return the entry instances and the workers."""
@@ -77,6 +83,7 @@
         zones: dict[str, str] = {}
         instances: list[InstanceView] = []
         workers: list[WorkerView] = []
+        unreadable: list[str] = []
         for position, content in enumerate(decode_json(response.body, _Listing).entries):
             try:
                 entry = decode_json(content, _Entry)
@@ -87,12 +94,23 @@
                     workers.append(_build_worker(entry))
             except LavenderhookError as error:
                 self._report_unreadable(position, error)
+                unreadable += _identify(content)
                 continue
             zones[entry.address] = entry.zone
         self.zones = zones
+        self.unreadable = tuple(unreadable)
         return tuple(instances), tuple(workers)
 
 
+def _identify(content: msgspec.Raw) -> list[str]:
+    """Return the id and the incarnation of an unreadable entry; an empty id if unknown."""
+    try:
+        identity = decode_json(content, _Identity)
+    except LavenderhookError:
+        return [""]
+    return [identity.id, identity.incarnation or identity.id]
+
+
 def _build_instance(entry: _Entry) -> InstanceView:
     return InstanceView(
         name=InstanceName(entry.id),
--- a/src/lavenderhook/_internal/core/events.py
+++ b/src/lavenderhook/_internal/core/events.py
@@ -80,12 +80,14 @@
     """The platform's instance list was read: entry instances and workers.
 
     `requested_at` is when the call was sent: a list that was requested before a pause of the
-    process says nothing about the time since.
+    process says nothing about the time since. `unreadable` has the ids and incarnations of entries
+    that could not be read, and an empty string for an unknown one: what they name is not gone.
     """
 
     instances: tuple[InstanceView, ...]
     workers: tuple[WorkerView, ...]
     requested_at: float = float("inf")
+    unreadable: tuple[str, ...] = ()
 
 
 class PlatformListUnavailable(Event, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/core/membership.py
+++ b/src/lavenderhook/_internal/core/membership.py
@@ -55,6 +55,9 @@
     gone : dict of IncarnationId to float
         Incarnations that the platform listed before and no longer lists, with the time at which
         that was first observed.
+    unreadable : frozenset of str
+        Ids and incarnations of entries of the last list that could not be read; an empty string for
+        an unknown one.
     is_list_attempt_pending : bool
         Whether the process was paused and has not tried to read the list since. Routing starts
         nothing meanwhile: an upstream may have left during the pause.
@@ -70,6 +73,7 @@
     gone: dict[IncarnationId, float] = dataclasses.field(default_factory=dict)
     workers: dict[str, WorkerView] = dataclasses.field(default_factory=dict)
     listed_at: float | None = None
+    unreadable: frozenset[str] = frozenset()
     sequence: int = 0
     is_list_attempt_pending: bool = False
     resumed_at: float = 0.0
@@ -280,8 +284,18 @@
 def handle_platform_list(state: InstanceState, event: PlatformListed) -> list[Effect]:
     """Record the platform's list and the incarnations that are gone."""
     view = state.membership
-    view.listed = {instance.incarnation: instance for instance in event.instances}
-    view.workers = {worker.worker_id: worker for worker in event.workers}
+    view.unreadable = frozenset(event.unreadable)
+    listed = {instance.incarnation: instance for instance in event.instances}
+    workers: dict[str, WorkerView] = {worker.worker_id: worker for worker in event.workers}
+    if view.unreadable:
+        for incarnation, instance in view.listed.items():
+            if may_be_unreadable(state, incarnation):
+                listed.setdefault(incarnation, instance)
+        for worker_id, worker in view.workers.items():
+            if may_be_unreadable(state, worker_id):
+                workers.setdefault(worker_id, worker)
+    view.listed = listed
+    view.workers = workers
     view.listed_at = event.now
     _record_list_attempt(state, event.requested_at)
     view.ever_listed.update(view.listed)
@@ -296,6 +310,12 @@
     return effects
 
 
+def may_be_unreadable(state: InstanceState, identity: str) -> bool:
+    """Return whether the last list may have an entry with this id that could not be read."""
+    unreadable = state.membership.unreadable
+    return identity in unreadable or "" in unreadable
+
+
 def handle_list_unavailable(state: InstanceState, event: PlatformListUnavailable) -> list[Effect]:
     """Keep the last list; record the failed read, so that an outage does not stop all requests."""
     _record_list_attempt(state, event.requested_at)
--- a/src/lavenderhook/_internal/core/recovery.py
+++ b/src/lavenderhook/_internal/core/recovery.py
@@ -32,6 +32,7 @@
     WorkerId,
     WorkloadKind,
 )
+from .membership import may_be_unreadable
 from .ownership import (
     AttemptStatus,
     Ownership,
@@ -281,7 +282,7 @@
     In a list that is older than the attempt, a missing worker may be new rather than gone.
     """
     view = state.membership
-    if view.listed_at is None:
+    if view.listed_at is None or may_be_unreadable(state, attempt.worker_id):
         return False
     margin = state.parameters.platform_list_lag + state.parameters.max_clock_skew
     return view.listed_at - margin > attempt.placed_at
@@ -412,6 +413,8 @@
     view = state.membership
     if incarnation == state.incarnation or incarnation in view.listed:
         return None
+    if incarnation not in view.gone and may_be_unreadable(state, incarnation):
+        return None
     if incarnation in view.gone:
         return view.gone[incarnation]
     if view.listed_at is None or state.incarnation not in view.listed:
--- a/src/lavenderhook/_internal/daemon/main.py
+++ b/src/lavenderhook/_internal/daemon/main.py
@@ -298,6 +298,7 @@
                 instances=instances,
                 workers=workers,
                 requested_at=requested_at,
+                unreadable=self.directory.unreadable,
             )
         )
 
--- a/src/lavenderhook/_internal/ports/platform.py
+++ b/src/lavenderhook/_internal/ports/platform.py
@@ -82,7 +82,16 @@
 
 
 class InstanceDirectory(abc.ABC):
-    """The platform's list of instances and workers, which lags behind the actual state."""
+    """The platform's list of instances and workers, which lags behind the actual state.
+
+    Attributes
+    ----------
+    unreadable : tuple of str
+        Ids and incarnations of entries of the last list that could not be read; empty strings stand
+        for those that are unknown.
+    """
+
+    unreadable: tuple[str, ...] = ()
 
     @abc.abstractmethod
     def list_instances(self) -> tuple[tuple[InstanceView, ...], tuple[WorkerView, ...]]:
