--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -16,7 +16,9 @@
     may_have_lost_store,
     should_hand_over,
 )
+from lavenderhook._internal.instance.ownership_manager import OwnershipManager
 from lavenderhook._internal.instance.ownership_proof import OwnershipProof
+from lavenderhook._internal.instance.peers import HandOverNotice, PingResponse
 from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.ports.queueing import RowChanges, RowConflict, StoredRow
 from lavenderhook._internal.queueing.authority import (
@@ -157,27 +159,27 @@
 
 @when("another process writes its member row at the owner's name and address")
 def step_restarted(context):
-    context.view.members["other"] = make_member("c")
+    context.view.update_member("other", make_member("c"), 2)
 
 
 @when("the owner's process writes its member row again")
 def step_rejoined(context):
-    context.view.members["other"] = make_member("b")
+    context.view.update_member("other", make_member("b"), 3)
 
 
 @when("another process writes its member row at the owner's name and another address")
 def step_replaced(context):
-    context.view.members["other"] = make_member("c", "127.0.0.1:2")
+    context.view.update_member("other", make_member("c", "127.0.0.1:2"), 4)
 
 
 @then("the instance concludes that the owner process has ended")
 def step_ended(context):
-    assert context.view.is_owner_inactive(context.view.owner)
+    assert context.view.is_owner_inactive(context.view.owner, 1)
 
 
 @then("the instance does not conclude that the owner process has ended")
 def step_not_ended(context):
-    assert not context.view.is_owner_inactive(context.view.owner)
+    assert not context.view.is_owner_inactive(context.view.owner, 1)
 
 
 @given("an instance with few resources that knows no fitter one and whose owner has ended")
@@ -188,7 +190,7 @@
     )
     context.view.update_owner(make_owner(), 1, context.now)
     context.view.record_store_result(context.now, True)
-    context.view.members["other"] = make_member("c")
+    context.view.update_member("other", make_member("c"), 2)
 
 
 @when("{seconds:g} seconds have passed since it read the owner row")
@@ -342,7 +344,7 @@
 def make_proof(context):
     """Prove the ownership now; `context.pass_time` lets the clock of the proof go on."""
     context.elapsed = 0.0
-    for module in ("ownership_proof", "owner"):
+    for module in ("ownership_proof", "owner", "ownership_manager"):
         clock = f"lavenderhook._internal.instance.{module}.read_elapsed_clock"
         patch = mock.patch(clock, lambda: read_elapsed_clock() + context.elapsed)
         patch.start()
@@ -478,6 +480,65 @@
         assert last_lease_ends < takeover.leases_expire_at, (predecessor, last_lease_ends)
 
 
+class AcceptingStore:
+    """Store that accepts a claim, and answers nothing else."""
+
+    def transact(self, _writes, _conditions=(), _deletes=()):
+        """Return the revision of the claim."""
+        return 9
+
+
+class AnsweringPeers:
+    """Peers that all answer pings as one process that knows no later owner."""
+
+    def __init__(self, process):
+        self.process = process
+
+    def ping(self, _address):
+        """Return the answer."""
+        return PingResponse("c", is_owner=False, fencing=FencingToken(4), process=self.process)
+
+
+@given("an owner that lists one peer, whose address process {process} answers")
+def step_peer_process(context, process):
+    make_proof(context)
+    stopped = gevent.event.Event()
+    context.add_cleanup(stopped.set)
+    manager = OwnershipManager(
+        "me",
+        "z",
+        "127.0.0.1:2",
+        1.0,
+        store=AcceptingStore(),
+        peer_client=AnsweringPeers(process),
+        make_owner=lambda row, *_: mock.Mock(fencing=row.fencing),
+        record_peer_version=lambda *_: None,
+        stopped=stopped,
+        log_event=lambda *_names, **_fields: None,
+    )
+    manager.view.record_store_result(0.0, True)
+    manager.view.update_owner(make_owner(), 1, time.monotonic())
+    manager.view.update_member("other", make_member("b"), 1)
+    manager.apply_hand_over(HandOverNotice(3, is_designated=True))
+    gevent.sleep(0.05)
+    assert manager.owner is not None
+    for loop in manager.list_loops():
+        if loop.__name__ == "_renew_proof_as_owner":
+            gevent.spawn(loop)
+    context.manager = manager
+
+
+@when("the store has been silent towards it for {seconds:f} seconds")
+def step_silent_store(context, seconds):
+    context.elapsed += seconds
+    gevent.sleep(1.0)
+
+
+@then("the owner {counts} as isolated")
+def step_isolated(context, counts):
+    assert context.manager.is_isolated() is (counts == "counts")
+
+
 PEERS = ("a:1", "b:1")
 
 
@@ -553,7 +614,22 @@
 @when("the owner's process has been replaced by another one")
 def step_process_replaced(context):
     member = MemberRecord(name="it", boot="other", address="it:1", zone="z")
-    context.view.members["it"] = member
+    context.view.update_member("it", member, context.view.owner_revision + 1)
+
+
+@when("this instance knows the row of another process from before the claim")
+def step_old_member(context):
+    member = MemberRecord(name="it", boot="other", address="it:1", zone="z")
+    context.view.update_member("it", member, context.view.owner_revision - 1)
+
+
+@when("a claim of this instance with token {fencing:d} has been carried out without its knowledge")
+def step_unnoticed_claim(context, fencing):
+    row = OwnerRecord(
+        fencing=fencing, name="me", boot="c", address="me:1", process="me", authority_seconds=1.2
+    )
+    context.view.update_owner(row, fencing, 100.0)
+    context.view.claim_id = "d"
 
 
 @then('a claim takes the owner as "{predecessor}"')
@@ -567,6 +643,12 @@
     context.view.update_owner(make_row(fencing, authority_seconds=seconds), fencing, 100.0)
 
 
+@when("a heartbeat with token {fencing:d} arrives {seconds:f} seconds later")
+def step_heartbeat_later(context, fencing, seconds):
+    heartbeat = HeartbeatRecord(fencing=fencing, count=fencing, peers=("me",))
+    context.view.update_heartbeat(heartbeat, 100.0 + seconds)
+
+
 @then("a claim {passed:f} seconds later allows for {seconds:f} seconds of owners before")
 def step_inherited_left(context, passed, seconds):
     found = context.view.compute_inherited_seconds(100.0 + passed)
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ..queueing.authority import Predecessor
+from ..queueing.authority import Predecessor, compute_authority_seconds
 from ..queueing.model import FencingToken
 from ..queueing.records import HeartbeatRecord, MemberRecord, OwnerRecord
 
@@ -119,6 +119,10 @@
     ----------
     owner_seen_at : float
         When this instance first saw the row of the present owner.
+    owner_beat_at : float or None
+        When this instance first saw a heartbeat of the present owner.
+    former_acts_until : float
+        Until when owners before the present one may act, if that doesn't know that it is the owner.
     heartbeat_seen_at : float
         When this instance last saw the heartbeat row change.
     refusals : int
@@ -129,6 +133,8 @@
         Since when the store has answered without a failure; None while it is unavailable.
     members : dict
         Rows of all instances by name.
+    member_revisions : dict
+        Their revisions.
     resigned_fencing : FencingToken
         Newest owner that has announced its resignation to this instance; 0 if there is none.
     is_designated : bool
@@ -144,6 +150,8 @@
     owner: OwnerRecord | None = None
     owner_revision: int = 0
     owner_seen_at: float = 0.0
+    owner_beat_at: float | None = None
+    former_acts_until: float = -math.inf
     heartbeat: HeartbeatRecord | None = None
     heartbeat_seen_at: float = 0.0
     store_available_since: float | None = None
@@ -152,6 +160,7 @@
     rank: int = 0
     owner_fitness: float = 1.0
     members: dict[str, MemberRecord] = dataclasses.field(default_factory=dict)
+    member_revisions: dict[str, int] = dataclasses.field(default_factory=dict)
     resigned_fencing: FencingToken = FencingToken(0)
     is_designated: bool = False
     stepped_down_at: float = -math.inf
@@ -160,9 +169,14 @@
         """Apply an owner row; return whether it is newer than the known one."""
         if revision <= self.owner_revision:
             return False
+        is_first = self.owner is None and owner.fencing == 1
+        former = Predecessor.NONE if is_first else self.assess_predecessor(Predecessor.UNAWARE)
+        inherited_seconds = self.compute_inherited_seconds(now)
+        self.former_acts_until = now + compute_authority_seconds(former, inherited_seconds)
         self.owner = owner
         self.owner_revision = revision
         self.owner_seen_at = self.heartbeat_seen_at = now
+        self.owner_beat_at = now if self._has_owner_beaten() else None
         self.refusals = 0
         self.unanswered_pings = 0
         return True
@@ -174,6 +188,24 @@
         if heartbeat != self.heartbeat:
             self.heartbeat = heartbeat
             self.heartbeat_seen_at = now
+        if self.owner_beat_at is None and self._has_owner_beaten():
+            self.owner_beat_at = now
+
+    def _has_owner_beaten(self) -> bool:
+        """Return whether the last heartbeat is one of the present owner."""
+        return (
+            self.owner is not None
+            and self.heartbeat is not None
+            and self.heartbeat.fencing == self.owner.fencing
+        )
+
+    def update_member(self, name: str, member: MemberRecord | None, revision: int) -> None:
+        """Apply the row of an instance; None if it has left."""
+        if member is None:
+            self.members.pop(name, None)
+        else:
+            self.members[name] = member
+        self.member_revisions[name] = revision
 
     def record_resignation(self, fencing: FencingToken, *, is_designated: bool) -> None:
         """Record that an owner has resigned; it sends no commands any more."""
@@ -211,16 +243,18 @@
         """Return whether this process is the owner, as far as it knows."""
         return self.owner is not None and self.owner.boot == self.claim_id
 
-    def is_owner_inactive(self, owner: OwnerRecord) -> bool:
+    def is_owner_inactive(self, owner: OwnerRecord, revision: int) -> bool:
         """Return whether an owner can no longer send commands.
 
-        It has resigned, or another process runs at its name and address. An owner's member row is
-        written together with its claim, so that the row is never older than the claim. Refused
-        connections are no proof, since a network partition may refuse them as well.
+        It has resigned, or another process has written its row at its name and address since its
+        claim, which has the given revision. A row that this instance knows from before may be of an
+        earlier process. Refused connections are no proof, since a network partition may refuse them
+        as well.
         """
         member = self.members.get(owner.name)
+        is_newer = self.member_revisions.get(owner.name, 0) > revision
         is_same_address = member is not None and member.address == owner.address
-        if is_same_address and member is not None and member.boot != owner.process:
+        if is_newer and is_same_address and member is not None and member.boot != owner.process:
             return True
         if self.resigned_fencing == owner.fencing:
             return True
@@ -229,25 +263,39 @@
             heartbeat is not None and heartbeat.has_resigned and heartbeat.fencing == owner.fencing
         )
 
-    def assess_predecessor(self) -> Predecessor:
-        """Return what is known of the present owner, for which a claim has to allow."""
+    def assess_predecessor(self, unknown: Predecessor = Predecessor.NONE) -> Predecessor:
+        """Return what is known of the present owner, for which a claim has to allow.
+
+        Parameters
+        ----------
+        unknown : Predecessor
+            Returned if no owner is known.
+        """
         owner, heartbeat = self.owner, self.heartbeat
         if owner is None:
-            return Predecessor.NONE
-        # A claim of this process whose response was lost has started no owner, and a former process
-        # at its name and address has ended.
+            return unknown
+        # This process has ended its ownership or never noticed that it had one, and a former
+        # process at its name and address has ended.
         is_here = owner.name == self.name and owner.address == self.address
-        if is_here or self.is_owner_inactive(owner):
+        if is_here or self.is_owner_inactive(owner, self.owner_revision):
             return Predecessor.ENDED
         has_beaten = heartbeat is not None and heartbeat.fencing == owner.fencing
         peers = heartbeat.peers if has_beaten and heartbeat is not None else owner.peers
         return Predecessor.ASKS_PEERS if self.process_id in peers else Predecessor.UNAWARE
 
     def compute_inherited_seconds(self, now: float) -> float:
-        """Return for how long owners before the present one may still extend leases."""
+        """Return for how long owners before the present one may still extend leases.
+
+        What the present owner has assumed of them holds from when it knew of its claim, since it
+        tells them then. Its claim may have been carried out without its knowledge, until it has
+        sent a heartbeat; till then, this instance relies on what it knew of them itself.
+        """
         if self.owner is None:
             return 0.0
-        return max(0.0, self.owner.authority_seconds - (now - self.owner_seen_at))
+        if self.owner_beat_at is not None:
+            return max(0.0, self.owner.authority_seconds - (now - self.owner_beat_at))
+        claimed = self.owner.authority_seconds - (now - self.owner_seen_at)
+        return max(0.0, claimed, self.former_acts_until - now)
 
     def compute_next_fencing(self) -> FencingToken:
         """Return the fencing token of the next owner."""
@@ -276,7 +324,8 @@
             return True
         if self.is_designated and self.resigned_fencing == self.owner.fencing:
             return True
-        if self.is_owner_inactive(self.owner) or self.refusals >= PING_REFUSALS_FOR_TAKEOVER:
+        is_inactive = self.is_owner_inactive(self.owner, self.owner_revision)
+        if is_inactive or self.refusals >= PING_REFUSALS_FOR_TAKEOVER:
             return now - self.heartbeat_seen_at > delay
         unchanged_since = max(self.heartbeat_seen_at, self.store_available_since)
         have_pings_failed = self.unanswered_pings >= UNANSWERED_PINGS_FOR_TAKEOVER
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -135,6 +135,7 @@
         self._log_event = log_event
         self._work = WorkTable(store, log_event)
         self._predecessor: OwnerRecord | None = None
+        self._claimed_from = 0  # revision of the predecessor's row
         self._proof = OwnershipProof(0.0)
         self._has_proof_by_store = True
         self._is_claiming = False
@@ -269,10 +270,8 @@
             member = None if row.is_deleted else decode(row.value, MemberRecord)
             if name == self.name:
                 self._member_revision = max(self._member_revision, row.revision)
-            if member is None or member.has_left:
-                self.view.members.pop(name, None)
-            else:
-                self.view.members[name] = member
+            has_left = member is None or member.has_left
+            self.view.update_member(name, None if has_left else member, row.revision)
             self.view.rank = compute_rank(self.name, self.view.members, self._fitness)
             self._check_predecessor()
         elif row.key == OWNER_KEY and not row.is_deleted:
@@ -285,7 +284,9 @@
     def _check_predecessor(self) -> None:
         """Notify the local owner once its predecessor can no longer send commands."""
         predecessor, owner = self._predecessor, self.owner
-        if owner is not None and (predecessor is None or self.view.is_owner_inactive(predecessor)):
+        if owner is not None and (
+            predecessor is None or self.view.is_owner_inactive(predecessor, self._claimed_from)
+        ):
             owner.record_predecessor_inactive()
 
     def _update_owner(self, owner: OwnerRecord, revision: int) -> None:
@@ -359,7 +360,7 @@
             self._is_claiming = False
 
     def _claim(self) -> None:
-        predecessor = self.view.owner
+        predecessor, claimed_from = self.view.owner, self.view.owner_revision
         assessment = self.view.assess_predecessor()
         inherited = self.view.compute_inherited_seconds(time.monotonic())
         owner = OwnerRecord(
@@ -371,7 +372,7 @@
             authority_seconds=compute_authority_seconds(assessment, inherited),
             peers=self._list_peer_processes(),
         )
-        write = Write(CONTROL_TABLE, OWNER_KEY, encode(owner), self.view.owner_revision)
+        write = Write(CONTROL_TABLE, OWNER_KEY, encode(owner), claimed_from)
         sent_at = read_elapsed_clock()
         try:
             result = self._store.transact([write, self._make_member_row()])
@@ -397,7 +398,7 @@
         )
         self._member_revision = result
         self._update_owner(owner, result)
-        self._predecessor = predecessor
+        self._predecessor, self._claimed_from = predecessor, claimed_from
         self._proof = OwnershipProof(sent_at)
         self._start_owner(owner, result, inherited)
         self._check_predecessor()
@@ -409,16 +410,13 @@
 
     def is_isolated(self) -> bool:
         """Return whether a peer may have taken over without this instance noticing."""
-        return not is_proof_valid(self._proof.measure_age(self._list_peer_addresses()))
+        return not is_proof_valid(self._proof.measure_age(self._list_peer_processes()))
 
     def measure_proof_age(self) -> float:
         """Return the seconds since the last proof of the ownership; 0 if there is no owner here."""
         if self.owner is None:
             return 0.0
-        return self._proof.measure_age(self._list_peer_addresses())
-
-    def _list_peer_addresses(self) -> list[str]:
-        return [m.address for m in self.view.members.values() if m.name != self.name]
+        return self._proof.measure_age(self._list_peer_processes())
 
     def _list_peer_processes(self) -> tuple[str, ...]:
         return tuple(sorted(m.boot for m in self.view.members.values() if m.name != self.name))
@@ -488,8 +486,9 @@
             if self.view.store_available_since is not None:
                 owner.request_confirmation()
             if age > ASKING_AFTER_SECONDS:
-                for address in self._list_peer_addresses():
-                    gevent.spawn(self._ask_peer, address, owner.fencing, self._proof)
+                for member in self.view.members.values():
+                    if member.name != self.name:
+                        gevent.spawn(self._ask_peer, member, owner.fencing, self._proof)
             gevent.sleep(PROOF_RENEWAL_SECONDS - PROOF_CHECK_SECONDS)
 
     def _log_proof_by_store(self, fencing: FencingToken, age: float) -> None:
@@ -501,11 +500,15 @@
                 "owner-proven-by-store" if has_proof else "owner-unproven-by-store",
                 fencing=fencing,
                 age=round(age, 3),
-                unanswered=self._proof.list_unanswered(self._list_peer_addresses(), PROOF_SECONDS),
+                unanswered=self._proof.list_unanswered(self._list_peer_processes(), PROOF_SECONDS),
             )
 
-    def _ask_peer(self, address: str, fencing: FencingToken, proof: OwnershipProof) -> None:
-        """Ask a peer whether it has become a later owner."""
+    def _ask_peer(self, member: MemberRecord, fencing: FencingToken, proof: OwnershipProof) -> None:
+        """Ask a peer whether it has become a later owner.
+
+        Another process that answers at its address can't know what that one had claimed.
+        """
+        address = member.address
         sent_at = read_elapsed_clock()
         try:
             answer = self._peers.ping(address)
@@ -513,12 +516,12 @@
             self._log_event("contact-unanswered", peer=address, **describe_failure(error))
             return
         self._record_peer_version(address, answer.configuration)
-        if answer.fencing is None:
+        if answer.fencing is None or answer.process != member.boot:
             self._log_event("contact-proves-nothing", peer=address, fencing=fencing)
         elif answer.fencing > fencing:
             self.end_ownership(fencing, "a peer knows a later owner")
         else:
-            proof.record_peer(address, sent_at)
+            proof.record_peer(member.boot, sent_at)
 
     def describe_to_peer(self, configuration_version: int) -> peers.PingResponse:
         """Return the response to a peer's ping."""
@@ -529,6 +532,7 @@
             configuration_version,
             fencing=owner.fencing if owner is not None else None,
             has_store=self.view.store_available_since is not None,
+            process=self.process_id,
         )
 
     def measure_store_contact(self) -> StoreContact:
