Remove instances that have not answered the owner for long, so that they don't stop it in outages

Callers saw placement stop 1.2 s into each outage of the whole store, and running work lapse after its lease, once a single instance had gone without leaving (killed for good, removed, or replaced under another name).

Cause: without the store, an owner acts only while all listed instances answer, and the row of one that didn't leave was listed for ever.

Change: while the store confirms it, the owner pings all listed instances every 5 s. It marks the row of one that has not answered for 20 s as left, under the condition of the owner row and of the row itself. Only time between two rounds of pings that were confirmed counts, so that outages, pauses of the owner and the time before its takeover don't. The marked instance, if it runs, takes a new process id and registers again. The row of the instance moves out of ownership_manager.py into registration.py.

Why it is safe:

- An owner stops asking an instance once it has read the mark, so after it was stored.
A claim writes the row of its instance under the condition of its revision.
So no claim with the marked process id succeeds after the mark, and the process takes the new id before it uses the revision of the mark.
- The new id stands in the owner's rows only once the owner has read the new registration, and asks its address.
A heartbeat that is stored late names the old id at most.
Until then, a claim takes the owner as unaware and allows 31.2 s, which covers the longest time without the store.
- Only the owner that the owner row names can mark, and not itself, so that the present owner never changes its id.
A former owner may be marked by a successor.
It steps down before it takes the new id, so that peers, which take another id at its name and address as the end of that owner, are right.
A mark alone is no such proof: marked rows aren't looked at.
- If the answer to a claim comes after the mark of a later owner, the ids differ and no owner is started.
- A former owner might read its successors' marks, and no longer ask an instance that has taken over.
A mark names the token of its owner; an owner with a lower one that reads it steps down.
- A mark in transit while its owner is replaced fails on the owner row; one that meets a registration or a claim of its instance fails on the member row.

Not covered: an outage in the first 20 to 26 s after the loss isolates the owner as before.

--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -126,7 +126,9 @@
     store_available_since : float or None
         Since when the store has answered without a failure; None while it is unavailable.
     members : dict
-        Rows of all instances by name.
+        Rows of all listed instances by name.
+    member_revisions : dict
+        Revisions of these rows by name.
     resigned_fencing : FencingToken
         Newest owner that has announced its resignation to this instance; 0 if there is none.
     is_designated : bool
@@ -149,6 +151,7 @@
     rank: int = 0
     owner_fitness: float = 1.0
     members: dict[str, MemberRecord] = dataclasses.field(default_factory=dict)
+    member_revisions: dict[str, int] = dataclasses.field(default_factory=dict)
     resigned_fencing: FencingToken = FencingToken(0)
     is_designated: bool = False
     stepped_down_at: float = -math.inf
@@ -164,6 +167,19 @@
         self.unanswered_pings = 0
         return True
 
+    def update_member(self, name: str, member: MemberRecord | None, revision: int) -> None:
+        """Apply a member row; None stands for one that was deleted."""
+        if member is None or member.has_left:
+            self.members.pop(name, None)
+            self.member_revisions.pop(name, None)
+        else:
+            self.members[name] = member
+            self.member_revisions[name] = revision
+
+    def list_peers(self) -> list[MemberRecord]:
+        """Return the rows of the other listed instances."""
+        return [member for name, member in self.members.items() if name != self.name]
+
     def update_heartbeat(self, heartbeat: HeartbeatRecord, now: float) -> None:
         """Apply a heartbeat of the current owner; ignore one of a former owner."""
         if self.owner is not None and heartbeat.fencing < self.owner.fencing:
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -28,6 +28,7 @@
 )
 from . import peers
 from .clock import read_elapsed_clock
+from .member_watch import MemberWatch
 from .owner import Owner
 from .ownership import (
     HEARTBEAT_INTERVAL_SECONDS,
@@ -39,14 +40,13 @@
     should_hand_over,
 )
 from .ownership_proof import OwnershipProof
+from .registration import STORE_RETRY_SECONDS, Registration
 from .table_watcher import LogEvent, TableWatcher, describe_failure
 from .work_table import WorkTable
 
 CONTROL_WAIT_SECONDS = 0.8  # for a change of the control table
 POLL_INTERVAL_SECONDS = 0.1  # between polls; limits the load of frequent changes
-STORE_RETRY_SECONDS = 0.25  # after a failed call to the store
 PING_INTERVAL_SECONDS = 0.3
-MAX_LEAVE_ATTEMPTS = 3  # the row may have changed in the meantime
 # The control table is small: when 90 times as slow as usual, the store answers in 0.4 s.
 CONTROL_READ_TIMEOUT_SECONDS = 0.8
 PING_RETRY_SECONDS = 0.1  # a second ping confirms one that was refused or unanswered
@@ -113,14 +113,13 @@
         log_event: LogEvent,
     ) -> None:
         self.name = name
-        self.process_id = self.claim_id = secrets.token_hex(6)
+        self.claim_id = secrets.token_hex(6)
         self.view = OwnershipView(
-            name=name, claim_id=self.claim_id, process_id=self.process_id, owner_fitness=fitness
+            name=name, claim_id=self.claim_id, process_id=self.claim_id, owner_fitness=fitness
         )
         self.owner: Owner | None = None
         self.store_lost_at: float | None = None
         self.is_draining = False
-        self._zone = zone
         self._address = address
         self._fitness = fitness
         self._store = store
@@ -135,12 +134,29 @@
         self._has_proof_by_store = True
         self._is_claiming = False
         self._heartbeat_count = 0
-        self._member_revision = 0  # of the row of this instance
+        self._registration = Registration(
+            self.view,
+            zone,
+            address,
+            store=store,
+            is_draining=lambda: self.is_draining,
+            step_down=self.step_down,
+            stopped=stopped,
+            log_event=log_event,
+        )
+        self._member_watch = MemberWatch(
+            self.view,
+            store,
+            is_confirmed=self._is_confirmed_by_store,
+            ask_peer=self._ask_peer_as_owner,
+            stopped=stopped,
+            log_event=log_event,
+        )
 
     def list_loops(self) -> tuple[Callable[[], None], ...]:
         """Return the loops to run until the instance stops."""
         return (
-            self._register_member,
+            self._registration.register,
             self._watch_control_table,
             self._probe_store,
             self._ping_owner_loop,
@@ -148,6 +164,7 @@
             self._follow_work_table,
             self._watch_store_as_owner,
             self._renew_proof_as_owner,
+            self._member_watch.run,
         )
 
     def resign(self) -> None:
@@ -159,7 +176,7 @@
             self.step_down("the instance is stopping")
             self._send_hand_over(owner.fencing, self._list_successors())
             self._write_heartbeat(owner.fencing, has_resigned=True)
-        self._store_leaving()
+        self._registration.leave()
 
     def can_reach_store(self) -> bool:
         """Return whether the store is available, as far as this instance knows."""
@@ -263,12 +280,11 @@
         if row.key.startswith(MEMBER_PREFIX):
             name = row.key.removeprefix(MEMBER_PREFIX)
             member = None if row.is_deleted else decode(row.value, MemberRecord)
+            if member is not None and self.owner is not None:
+                self._check_removal(member, self.owner.fencing)
             if name == self.name:
-                self._member_revision = max(self._member_revision, row.revision)
-            if member is None or member.has_left:
-                self.view.members.pop(name, None)
-            else:
-                self.view.members[name] = member
+                self._registration.apply_row(row)
+            self.view.update_member(name, member, row.revision)
             self.view.rank = compute_rank(self.name, self.view.members, self._fitness)
             self._check_predecessor()
         elif row.key == OWNER_KEY and not row.is_deleted:
@@ -278,6 +294,14 @@
             heartbeat = decode(row.value, HeartbeatRecord)
             self.view.update_heartbeat(heartbeat, now)
 
+    def _check_removal(self, member: MemberRecord, fencing: FencingToken) -> None:
+        """Step down if a later owner has removed an instance, which may be a later owner as well.
+
+        This owner would not ask that instance any more.
+        """
+        if member.removed_by > fencing:
+            self.step_down("a later owner has removed an instance")
+
     def _check_predecessor(self) -> None:
         """Notify the local owner once its predecessor can no longer send commands."""
         predecessor, owner = self._predecessor, self.owner
@@ -291,57 +315,6 @@
         if self.owner is not None and owner.boot != self.claim_id:
             self.step_down("another owner has taken over")
 
-    # The row of this instance.
-
-    def _register_member(self) -> None:
-        """Write the row that tells peers the address of this instance; retry until stored."""
-        while not self._stopped.is_set() and not self.is_draining:
-            try:
-                if self._write_member_row(has_left=False):
-                    return
-            except LavenderhookError as error:
-                self._log_event("join-failed", **describe_failure(error))
-                gevent.sleep(STORE_RETRY_SECONDS)
-
-    def _write_member_row(self, *, has_left: bool) -> bool:
-        """Replace the row of this instance; return False if it has changed in the meantime.
-
-        Raises
-        ------
-        StoreUnavailableError, TransportError
-        """
-        result = self._store.transact([self._make_member_row(has_left=has_left)])
-        if isinstance(result, RowConflict):
-            self._record_member_conflict(result)
-            return False
-        self._member_revision = result
-        return True
-
-    def _record_member_conflict(self, conflict: RowConflict) -> None:
-        row = conflict.find(CONTROL_TABLE, MEMBER_PREFIX + self.name)
-        self._member_revision = row.revision if row is not None else 0
-
-    def _make_member_row(self, *, has_left: bool = False) -> Write:
-        record = MemberRecord(
-            name=self.name,
-            boot=self.process_id,
-            address=self._address,
-            zone=self._zone,
-            strength=self._fitness,
-            has_left=has_left,
-        )
-        key = MEMBER_PREFIX + self.name
-        return Write(CONTROL_TABLE, key, encode(record), self._member_revision)
-
-    def _store_leaving(self) -> None:
-        """Let the peers know that this instance takes no more calls."""
-        try:
-            for _ in range(MAX_LEAVE_ATTEMPTS):
-                if self._write_member_row(has_left=True):
-                    return
-        except LavenderhookError as error:
-            self._log_event("leave-unstored", **describe_failure(error))
-
     # Claims.
 
     def _claim_if_due(self) -> None:
@@ -363,25 +336,28 @@
             name=self.name,
             boot=self.claim_id,
             address=self._address,
-            process=self.process_id,
+            process=self.view.process_id,
             authority_seconds=compute_authority_seconds(assessment, inherited),
             peers=self._list_peer_processes(),
         )
         write = Write(CONTROL_TABLE, OWNER_KEY, encode(owner), self.view.owner_revision)
         sent_at = read_elapsed_clock()
         try:
-            result = self._store.transact([write, self._make_member_row()])
+            result = self._store.transact([write, self._registration.make_row()])
         except LavenderhookError as error:
             # The next change of the control table shows whether the claim was carried out.
             self._log_event("claim-unanswered", fencing=owner.fencing, **describe_failure(error))
             return
         if isinstance(result, RowConflict):
-            self._record_member_conflict(result)
+            self._registration.record_conflict(result)
             row = result.find(CONTROL_TABLE, OWNER_KEY)
             if row is not None:
                 found = decode(row.value, OwnerRecord)
                 self._update_owner(found, row.revision)
             return
+        self._registration.record_stored(result)
+        if self.view.process_id != owner.process:
+            return  # a later owner has removed this instance before the response was read
         self._log_event(
             "ownership-claimed",
             fencing=owner.fencing,
@@ -391,7 +367,6 @@
             predecessor=assessment.value,
             authority_seconds=round(owner.authority_seconds, 3),
         )
-        self._member_revision = result
         self._update_owner(owner, result)
         self._predecessor = predecessor
         self._proof = OwnershipProof(sent_at)
@@ -408,10 +383,10 @@
         return not is_proof_valid(self._proof.measure_age(self._list_peer_addresses()))
 
     def _list_peer_addresses(self) -> list[str]:
-        return [m.address for m in self.view.members.values() if m.name != self.name]
+        return [member.address for member in self.view.list_peers()]
 
     def _list_peer_processes(self) -> tuple[str, ...]:
-        return tuple(sorted(m.boot for m in self.view.members.values() if m.name != self.name))
+        return tuple(sorted(member.boot for member in self.view.list_peers()))
 
     def end_ownership(self, fencing: FencingToken, reason: str) -> None:
         """Step down unless the call comes from a former `Owner` of this process."""
@@ -494,14 +469,23 @@
                 unanswered=self._proof.list_unanswered(self._list_peer_addresses(), PROOF_SECONDS),
             )
 
-    def _ask_peer(self, address: str, fencing: FencingToken, proof: OwnershipProof) -> None:
-        """Ask a peer whether it has become a later owner."""
+    def _is_confirmed_by_store(self) -> bool:
+        """Return whether this instance is the owner, as the store has just confirmed."""
+        is_owner = self.owner is not None and self.view.is_owner()
+        return is_owner and is_proof_valid(self._proof.measure_store_age())
+
+    def _ask_peer_as_owner(self, address: str) -> bool:
+        owner = self.owner
+        return owner is not None and self._ask_peer(address, owner.fencing, self._proof)
+
+    def _ask_peer(self, address: str, fencing: FencingToken, proof: OwnershipProof) -> bool:
+        """Ask a peer whether it has become a later owner; return whether it has answered."""
         sent_at = read_elapsed_clock()
         try:
             answer = self._peers.ping(address)
         except LavenderhookError as error:
             self._log_event("contact-unanswered", peer=address, **describe_failure(error))
-            return
+            return False
         self._record_peer_version(address, answer.configuration)
         if answer.fencing is None:
             self._log_event("contact-proves-nothing", peer=address, fencing=fencing)
@@ -509,6 +493,7 @@
             self.end_ownership(fencing, "a peer knows a later owner")
         else:
             proof.record_peer(address, sent_at)
+        return True
 
     def describe_to_peer(self, configuration_version: int) -> peers.PingResponse:
         """Return the response to a peer's ping."""
@@ -536,7 +521,7 @@
 
     def _list_successors(self) -> list[str]:
         """Return the addresses of the fittest peers."""
-        members = [m for m in self.view.members.values() if m.name != self.name]
+        members = self.view.list_peers()
         members.sort(key=lambda member: (-member.strength, member.name))
         return [member.address for member in members[:MAX_SUCCESSORS]]
 
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -156,6 +156,9 @@
     has_left : bool
         The process has stopped. The row is kept: after a deletion, a write of the process whose
         response was lost could be carried out late and list the instance again.
+    removed_by : FencingToken
+        The owner that has marked the row as left since the instance didn't answer; 0 if the
+        instance has written it.
     """
 
     name: str
@@ -164,6 +167,7 @@
     zone: str
     strength: float = 1.0
     has_left: bool = False
+    removed_by: FencingToken = FencingToken(0)
 
 
 def encode(record: msgspec.Struct) -> bytes:
