--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -132,9 +132,9 @@
     store_available_since : float or None
         Since when the store has answered without a failure; None while it is unavailable.
     members : dict
-        Rows of all instances by name.
+        Rows of all listed instances by name.
     member_revisions : dict
-        Their revisions.
+        Revisions of these rows by name.
     resigned_fencing : FencingToken
         Newest owner that has announced its resignation to this instance; 0 if there is none.
     is_designated : bool
@@ -181,6 +181,19 @@
         self.unanswered_pings = 0
         return True
 
+    def update_member(self, name: str, member: MemberRecord | None, revision: int) -> None:
+        """Apply a member row; None stands for one that was deleted."""
+        if member is None or member.has_left:
+            self.members.pop(name, None)
+            self.member_revisions.pop(name, None)
+        else:
+            self.members[name] = member
+            self.member_revisions[name] = revision
+
+    def list_peers(self) -> list[MemberRecord]:
+        """Return the rows of the other listed instances."""
+        return [member for name, member in self.members.items() if name != self.name]
+
     def update_heartbeat(self, heartbeat: HeartbeatRecord, now: float) -> None:
         """Apply a heartbeat of the current owner; ignore one of a former owner."""
         if self.owner is not None and heartbeat.fencing < self.owner.fencing:
@@ -199,14 +212,6 @@
             and self.heartbeat.fencing == self.owner.fencing
         )
 
-    def update_member(self, name: str, member: MemberRecord | None, revision: int) -> None:
-        """Apply the row of an instance; None if it has left."""
-        if member is None:
-            self.members.pop(name, None)
-        else:
-            self.members[name] = member
-        self.member_revisions[name] = revision
-
     def record_resignation(self, fencing: FencingToken, *, is_designated: bool) -> None:
         """Record that an owner has resigned; it sends no commands any more."""
         if fencing >= self.resigned_fencing:
