Judge by the request of a list, and by its lag, what is gone

In the product's own interface, a task could run on two workers at once, and an instance that has just joined could lose its slots while it used them.

Cause: a list of the platform counted as of its arrival. One that was requested before a worker was known, and waited while the process was paused, showed the worker as gone. An instance counted as gone as soon as any list after the first that had it was without it, although a list may lag behind an earlier one.

Evidence: two new scenarios fail without the change ('A list that arrives late doesn't show a worker as gone': a task runs in two attempts; 'A list that lags doesn't show an instance as gone that has just joined').

Change: a list counts as of its request, an older one than the last is ignored, and an incarnation is gone only if it was first listed more than the lag and the clock skew before the request, as it already was for workers and their attempts.

--- a/features/placement_failures.feature
+++ b/features/placement_failures.feature
@@ -62,6 +62,23 @@
       | 1 second passes                      |
       | the owner process is killed          |
 
+  Scenario: A list that arrives late doesn't show a worker as gone
+    Guards against a task that runs on two workers: the list was requested before the worker was
+    known, and waited while the process was paused.
+    When a worker and an instance join and are listed
+    And job "certificates" with 16 tasks is submitted
+    And 12 seconds pass
+    And the owner gets a list from before they joined, requested 13 seconds ago
+    And 3 seconds pass
+    Then no task ran on two workers at any time
+    And workers have started 16 attempts in total
+
+  Scenario: A list that lags doesn't show an instance as gone that has just joined
+    Guards against slots that are granted to another instance while this one uses them.
+    When a worker and an instance join and are listed
+    And the owner gets a list from before they joined, requested 0 seconds ago
+    Then the instance that has joined is not gone
+
   Scenario: An unanswered start is repeated only after its lease has expired
     Guards against a task that runs on two workers: the worker has started it, but its report does
     not reach the owner. The lease of a start lasts 5 s.
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -10,6 +10,7 @@
 from lavenderhook._internal.core.declarations import AnyDeclaration
 from lavenderhook._internal.core.identifiers import WorkloadKind
 from lavenderhook._internal.core.records import TaskPlaced
+from lavenderhook._internal.core.recovery import RECOVERY_TIMER
 from lavenderhook._internal.core.resources import ZERO_RESOURCES, Resources
 from lavenderhook._internal.core.services import list_draining, list_upstreams
 
@@ -217,6 +218,36 @@
     context.cluster.unreadable_entries.add(find_busy_worker(context).view.worker_id)
 
 
+@when("a worker and an instance join and are listed")
+def step_join(context):
+    cluster = context.cluster
+    context.list_before = (
+        tuple(view for view in context.owner.state.membership.listed.values()),
+        tuple(worker.view for worker in cluster.workers.values()),
+    )
+    cluster.add_worker("worker-new", processors=64_000)
+    context.joined = cluster.add_instance("node-new")
+    cluster.run(1.5)
+
+
+@when("the owner gets a list from before they joined, requested {seconds:g} seconds ago")
+def step_late_list(context, seconds):
+    instances, workers = context.list_before
+    owner = context.owner
+    owner.deliver(
+        ev.PlatformListed,
+        instances=instances,
+        workers=workers,
+        requested_at=context.cluster.now - seconds,
+    )
+    owner.deliver(ev.TimerFired, name=RECOVERY_TIMER)
+
+
+@then("the instance that has joined is not gone")
+def step_not_gone(context):
+    assert context.joined.state.incarnation not in context.owner.state.membership.gone
+
+
 @when("a worker with tasks becomes unreachable")
 def step_partition_worker(context):
     worker = find_busy_worker(context)
--- a/src/lavenderhook/_internal/core/membership.py
+++ b/src/lavenderhook/_internal/core/membership.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from .effects import CloseListeners, Effect, ListPlatform, LogDecision, SendHeartbeat
@@ -52,9 +53,13 @@
     ----------
     seeds : tuple of str
         Addresses of peers from the settings; always among the candidates for heartbeats.
+    first_listed : dict of IncarnationId to float
+        When a list first showed each incarnation, in seconds.
     gone : dict of IncarnationId to float
         Incarnations that the platform listed before and no longer lists, with the time at which
         that was first observed.
+    listed_at, list_requested_at : float
+        When the last list arrived, and when it was requested, in seconds.
     unreadable : frozenset of str
         Ids and incarnations of entries of the last list that could not be read; an empty string for
         an unknown one.
@@ -69,10 +74,11 @@
     members: dict[IncarnationId, Member] = dataclasses.field(default_factory=dict)
     known_addresses: dict[IncarnationId, str] = dataclasses.field(default_factory=dict)
     listed: dict[IncarnationId, InstanceView] = dataclasses.field(default_factory=dict)
-    ever_listed: set[IncarnationId] = dataclasses.field(default_factory=set)
+    first_listed: dict[IncarnationId, float] = dataclasses.field(default_factory=dict)
     gone: dict[IncarnationId, float] = dataclasses.field(default_factory=dict)
     workers: dict[str, WorkerView] = dataclasses.field(default_factory=dict)
     listed_at: float | None = None
+    list_requested_at: float = -math.inf
     unreadable: frozenset[str] = frozenset()
     sequence: int = 0
     is_list_attempt_pending: bool = False
@@ -284,6 +290,10 @@
 def handle_platform_list(state: InstanceState, event: PlatformListed) -> list[Effect]:
     """Record the platform's list and the incarnations that are gone."""
     view = state.membership
+    requested_at = min(event.now, event.requested_at)
+    if requested_at < view.list_requested_at:
+        return []
+    view.list_requested_at = requested_at
     view.unreadable = frozenset(event.unreadable)
     listed = {instance.incarnation: instance for instance in event.instances}
     workers: dict[str, WorkerView] = {worker.worker_id: worker for worker in event.workers}
@@ -298,10 +308,13 @@
     view.workers = workers
     view.listed_at = event.now
     _record_list_attempt(state, event.requested_at)
-    view.ever_listed.update(view.listed)
+    for incarnation in view.listed:
+        view.first_listed.setdefault(incarnation, event.now)
     effects: list[Effect] = []
-    for incarnation in sorted(view.ever_listed - set(view.listed) - set(view.gone)):
-        if incarnation == state.incarnation:
+    for incarnation in sorted(set(view.first_listed) - set(view.listed) - set(view.gone)):
+        if incarnation == state.incarnation or not is_list_newer(
+            state, view.first_listed[incarnation]
+        ):
             continue
         view.gone[incarnation] = event.now
         view.members.pop(incarnation, None)
@@ -310,6 +323,15 @@
     return effects
 
 
+def is_list_newer(state: InstanceState, moment: float) -> bool:
+    """Return whether what existed at a moment and is missing in the last list is gone.
+
+    In a list that is older, it may be new rather than gone.
+    """
+    margin = state.parameters.platform_list_lag + state.parameters.max_clock_skew
+    return state.membership.list_requested_at - margin > moment
+
+
 def may_be_unreadable(state: InstanceState, identity: str) -> bool:
     """Return whether the last list may have an entry with this id that could not be read."""
     unreadable = state.membership.unreadable
--- a/src/lavenderhook/_internal/core/recovery.py
+++ b/src/lavenderhook/_internal/core/recovery.py
@@ -32,7 +32,7 @@
     WorkerId,
     WorkloadKind,
 )
-from .membership import may_be_unreadable
+from .membership import is_list_newer, may_be_unreadable
 from .ownership import (
     AttemptStatus,
     Ownership,
@@ -281,11 +281,8 @@
 
     In a list that is older than the attempt, a missing worker may be new rather than gone.
     """
-    view = state.membership
-    if view.listed_at is None or may_be_unreadable(state, attempt.worker_id):
-        return False
-    margin = state.parameters.platform_list_lag + state.parameters.max_clock_skew
-    return view.listed_at - margin > attempt.placed_at
+    is_newer = is_list_newer(state, attempt.placed_at)
+    return is_newer and not may_be_unreadable(state, attempt.worker_id)
 
 
 def _is_worker_unreachable(state: InstanceState, ownership: Ownership, worker_id: WorkerId) -> bool:
@@ -425,10 +422,7 @@
         and state.now - member.last_heartbeat_at < 2 * state.parameters.takeover_after
     ):
         return None
-    margin = state.parameters.platform_list_lag + state.parameters.max_clock_skew
-    if view.listed_at - margin <= ownership.owned_since:
-        return None
-    return view.listed_at
+    return view.listed_at if is_list_newer(state, ownership.owned_since) else None
 
 
 def _stop_excess_attempts(state: InstanceState, ownership: Ownership) -> None:
