Show that a new owner starts again what a stale read doesn't show as ended

Callers may see finished work run again after a change of owner within 6 s of a lost history of the store: the reads of that time may be stale, with a revision that is newer than their rows. The owner checks the revision only, and what it reads again later comes after its first starts.

--- a/features/stale_reads.feature
+++ b/features/stale_reads.feature
@@ -14,6 +14,13 @@
     When an owner follows the list of workers
     Then it lists only the new worker once reads are no longer stale
 
+  Scenario: A new owner doesn't start again what has ended before a stale read
+    Guards against tasks that run a second time: an owner that takes over reads the work without the
+    final states and the progress that were stored last.
+    Given a store that loses its history while a submission ends, with stale reads for a while
+    When an owner loads the work and places tasks
+    Then it starts nothing
+
   Scenario: A submission is not denied by a stale read
     Guards against a 410 for an accepted submission that a stale read does not show.
     Given 2 entry instances and 1 queue workers
--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -17,8 +17,18 @@
     StoredRow,
     WorkerChanges,
 )
-from lavenderhook._internal.queueing.model import FencingToken
+from lavenderhook._internal.queueing.model import (
+    FencingToken,
+    QueueTerms,
+    Resources,
+    StartOutcome,
+    StepSpec,
+    Submission,
+    SubmissionState,
+    WorkerReport,
+)
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
+from lavenderhook._internal.queueing.records import WORK_TABLE, Outcome, choose_part, encode
 from lavenderhook.platform.lists import decode_worker
 
 STALE_SECONDS = 0.5
@@ -152,3 +162,85 @@
 @then("it lists only the new worker once reads are no longer stale")
 def step_listed(context):
     assert set(context.owner._listings) == {"new"}, set(context.owner._listings)
+
+
+class LoadingStore(StaleStore):
+    """Store of an owner that loads; reads of the work table are stale for a while."""
+
+    def read(self, table, *_range, part="", **_options):
+        """Return the rows of a part."""
+        rows = self.read_items() if table == WORK_TABLE else ()
+        return RowChanges(tuple(row for row in rows if row.part == part), self.REVISION)
+
+    def transact(self, *_arguments):
+        """Return the revision of a transaction."""
+        return self.REVISION
+
+
+class IdleWorker:
+    """Client of one worker that runs nothing, and records the starts."""
+
+    def __init__(self):
+        self.starts = []
+
+    def start(self, _address, command, _lease_until):
+        """Record a start."""
+        self.starts.append(command)
+        return StartOutcome.STARTED
+
+    def hold(self, *_arguments):
+        """Report no runs."""
+        gevent.sleep(0.01)
+        return WorkerReport(clock=100.0, born=1, running=(), finished=())
+
+
+@given("a store that loses its history while a submission ends, with stale reads for a while")
+def step_stale_end(context):
+    shorten_staleness(context)
+    step = StepSpec(resources=Resources(1, 1))
+    submission = Submission(
+        id="s",
+        queue=QueueTerms(name="q", service="s"),
+        payload="",
+        steps=(step,),
+        accepted_at=time.time(),
+    )
+    outcome = Outcome(state=SubmissionState.COMPLETED, at=time.time())
+    row = StoredRow(
+        table=WORK_TABLE,
+        key="submission/s",
+        value=encode(submission),
+        revision=4,
+        part=choose_part("s"),
+    )
+    end = StoredRow(table=WORK_TABLE, key="outcome/s", value=encode(outcome), revision=5)
+    context.source = LoadingStore((row,), (row, end))
+
+
+@when("an owner loads the work and places tasks")
+def step_owner_loads(context):
+    context.client = IdleWorker()
+    workers = {"w": decode_worker("w", ENTRY)}
+    owner = Owner(
+        FencingToken(2),
+        LoadingStore.REVISION,
+        store=context.source,
+        worker_list=StaleWorkerList(workers, workers),
+        worker_client=context.client,
+        request_advice=None,
+        parameters=OwnerParameters(),
+        step_down=lambda *_: None,
+        log_event=ignore_event,
+        report_error=ignore_event,
+        work=WorkTable(context.source, ignore_event),
+        is_isolated=lambda: False,
+        proof=OwnershipProof(0.0),
+    )
+    owner.start()
+    gevent.sleep(3 * MAX_STALENESS_SECONDS)
+    owner.stop()
+
+
+@then("it starts nothing")
+def step_no_start(context):
+    assert not context.client.starts, context.client.starts
