Write off the runs of a lost worker only on a newer proof by the store

A task could run twice: a former owner that has lost a worker, and then the store, counts its leases as expired and starts its tasks elsewhere, while its last proof is still valid or its peers still confirm it. A successor that reaches the worker has found the runs meanwhile, and extends their leases.

The scenario 'Tasks of a lost worker start elsewhere once the store confirms the owner' fails without the change (2 starts).

Change: leases count as expired only if the store has confirmed the owner by a call that was sent later; until then nobody can have taken over. The same holds for the leases of earlier owners after a takeover. In an outage of the whole store, tasks of workers that are lost in it wait until it is over.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -95,6 +95,21 @@
     Then "new" is completed
     And no invariant was violated
 
+  Scenario: Tasks of a lost worker start elsewhere once the store confirms the owner
+    Guards against a second run of a task that a successor has found on that worker, and whose lease
+    it extends, while peers that know of none still confirm the former owner.
+    Given 2 workers and an owner
+    When a submission "cut" of 1 tasks of 9000 millicores and 30 seconds arrives
+    And 1 seconds pass in the simulation
+    And the owner loses the worker of "cut"
+    And peers alone confirm the owner
+    And 20 seconds pass in the simulation
+    Then "cut" has 1 starts
+    When the store confirms the owner
+    And 1 seconds pass in the simulation
+    Then "cut" has 2 starts
+    And no invariant was violated
+
   Scenario: New submissions don't wait for an unreachable worker of an owner that had ended
     Guards against seconds without starts after a takeover, although no earlier owner can have
     started what was submitted since.
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -2,6 +2,7 @@
 
 import collections
 import functools
+import math
 import random
 
 from behave import given, then, when
@@ -341,6 +342,24 @@
     simulation.start_new_owner()
 
 
+@when('the owner loses the worker of "{submission}"')
+def step_lose_worker(context, submission):
+    simulation = context.simulation
+    for worker in simulation.workers.values():
+        if any(task.submission == submission for task in worker.runs):
+            worker.reachable_by = simulation.owners[-1].fencing + 1
+
+
+@when("peers alone confirm the owner")
+def step_peers_confirm(context):
+    context.simulation.owners[-1].stored_proof_at = context.simulation.now
+
+
+@when("the store confirms the owner")
+def step_store_confirms(context):
+    context.simulation.owners[-1].stored_proof_at = math.inf
+
+
 @when('another owner takes over, but only the former owner reaches worker "{name}"')
 def step_new_owner_outside(context, name):
     simulation = context.simulation
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -277,6 +277,7 @@
         self.is_suspended = False
         self.was_suspended = False
         self.acts_until = math.inf  # it has no later proof that it has not been replaced
+        self.stored_proof_at = math.inf  # time of the last proof by the store; infinite for now
         self.unstored_submissions = {}
         self.reported_clocks = {}
         authority_seconds = simulation.predecessor_seconds if simulation.owners else 0.0
@@ -421,7 +422,11 @@
         stored_sequence = self.state.workers[name].stored_sequence
         if not worker.is_reached_by(self) or not worker.is_up:
             self.simulation.call_later(
-                0.3, self.apply, HoldUnanswered(now=sent_at + 0.3, worker=name, token=token)
+                0.3,
+                self.apply,
+                HoldUnanswered(
+                    now=sent_at + 0.3, worker=name, token=token, proven_at=self.stored_proof_at
+                ),
             )
         else:
             report = worker.hold(token, stored_sequence, self.compute_lease_end(name))
@@ -462,7 +467,7 @@
     def tick(self):
         """Trigger the periodic scheduling."""
         if self.is_active and self.simulation.now <= self.acts_until:
-            self.apply(Ticked(now=self.simulation.now))
+            self.apply(Ticked(now=self.simulation.now, proven_at=self.stored_proof_at))
         if self.is_active:
             self.simulation.call_later(0.05, self.tick)
 
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -523,7 +523,7 @@
             self._scheduling_due.clear()
             gevent.sleep(EVENT_BATCH_SECONDS)
             if self._may_act():
-                self.apply(Ticked(now=_now()))
+                self.apply(Ticked(now=_now(), proven_at=self._compute_proven_at()))
             else:
                 gevent.sleep(TICK_INTERVAL_SECONDS)
 
@@ -539,6 +539,10 @@
             )
         return has_proof
 
+    def _compute_proven_at(self) -> float:
+        """Return when the last call was sent by which the store has confirmed the owner."""
+        return _now() - self._proof.measure_store_age()
+
     def request_confirmation(self) -> None:
         """Write a row under the condition of the owner row, without waiting for the response.
 
@@ -594,6 +598,7 @@
                         is_fenced=result.is_fenced,
                         is_other_incarnation=result.is_wrong_recipient
                         and worker.listing.born == born,
+                        proven_at=self._compute_proven_at(),
                     )
                 )
                 gevent.sleep(HOLD_RETRY_SECONDS if worker.is_reached else FIRST_HOLD_RETRY_SECONDS)
--- a/src/lavenderhook/_internal/queueing/authority.py
+++ b/src/lavenderhook/_internal/queueing/authority.py
@@ -9,6 +9,9 @@
   the owner's knowledge isn't asked, so that this counts only for `STORELESS_SECONDS` after the last
   proof by the store.
 
+A lease that has expired by an owner's count proves the end of a run only if the store has confirmed
+the owner since: a successor may have reached the worker meanwhile, and extends its leases.
+
 A new owner can't know when its predecessor's last proof was, only that it was before its own claim.
 It waits for the bound that applies to its predecessor, and then for the longest lease.
 """
--- a/src/lavenderhook/_internal/queueing/events.py
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 import msgspec
@@ -79,12 +80,16 @@
         Token of the hold.
     is_other_incarnation : bool
         Another worker or incarnation answers at the address, so this one has ended.
+    proven_at : float
+        When the last call was sent by which the store has confirmed the owner. Leases that expire
+        later may have been extended by a successor.
     """
 
     worker: WorkerId
     token: CommandToken
     is_fenced: bool = False
     is_other_incarnation: bool = False
+    proven_at: float = math.inf
 
 
 class StartAnswered(Event, frozen=True, kw_only=True):
@@ -140,4 +145,12 @@
 
 
 class Ticked(Event, frozen=True, kw_only=True):
-    """Time has passed."""
+    """Time has passed.
+
+    Parameters
+    ----------
+    proven_at : float
+        As in `HoldUnanswered`.
+    """
+
+    proven_at: float = math.inf
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -321,7 +321,7 @@
         effects: list[Effect] = []
         if worker.record_unanswered_hold(event.now):
             effects += self._update_roster()
-        have_leases_expired = event.now > worker.lease_expires_by
+        have_leases_expired = min(event.now, event.proven_at) > worker.lease_expires_by
         if event.is_other_incarnation or have_leases_expired:
             if worker.runs or not worker.is_reached:
                 effects.append(
@@ -460,7 +460,7 @@
 
     def handle_tick(self, event: Ticked) -> list[Effect]:
         """Retry commands that got no answer, and place waiting tasks."""
-        effects = self._check_takeover_deadlines(event.now)
+        effects = self._check_takeover_deadlines(event)
         pending, self.commands_to_retry = self.commands_to_retry, []
         for run in pending:
             effects += self._retry_command(run, event.now)
@@ -480,13 +480,14 @@
         self.needs_scheduling = False
         return effects
 
-    def _check_takeover_deadlines(self, now: float) -> list[Effect]:
+    def _check_takeover_deadlines(self, event: Ticked) -> list[Effect]:
         """Check the times at which commands and leases of earlier owners have ended."""
-        if self.roster.unreached and self.takeover.have_leases_expired(now):
+        proven_until = min(event.now, event.proven_at)
+        if self.roster.unreached and self.takeover.have_leases_expired(proven_until):
             line = log_takeover_wait_ended(self.roster.unreached)
             self.roster.unreached.clear()
             return [line, *self._update_roster()]
-        if self.takeover.check_inactive(now):
+        if self.takeover.check_inactive(event.now):
             return self._update_roster()
         return []
 
