Model how the ownership of the queues is proven and taken over

The bounds of queueing/authority.py were shown by scenarios alone. The new specification has three instances, of which one may have joined without the owner's knowledge, two workers and one task; any call may fail, claims may be stored late or stay unanswered, and an instance may restart without memory. Invariant: the task never runs twice at once.

--- a/features/model.feature
+++ b/features/model.feature
@@ -36,3 +36,4 @@
       | shard         |
       | configuration |
       | leaving       |
+      | ownership     |
--- a/model/registry.py
+++ b/model/registry.py
@@ -12,6 +12,7 @@
 from .specifications.configuration import Configuration
 from .specifications.grants import Grants
 from .specifications.leaving import Leaving
+from .specifications.ownership import Ownership
 from .specifications.shard import Shard
 from .specifications.tasks import Tasks
 
@@ -22,6 +23,7 @@
     Shard,
     Configuration,
     Leaving,
+    Ownership,
 )
 TRACE_DIRECTORY = Path(__file__).resolve().parent / "traces"
 
