--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,7 @@
 QUERY_SECONDS = 1.0
 COMPLETION_TIMEOUT_SECONDS = 30.0  # for accepted submissions, after all faults have ended
 CRASHING_SUBMISSION = "ff00000000000000"
+CRASHING_MILLISECONDS = 400  # run time without the crash, which comes within 300 ms
 
 
 @dataclasses.dataclass(frozen=True)
@@ -167,12 +168,13 @@
     def _run_caller(self, caller):
         """Send submissions over persistent connections and cancel some of them."""
         deadline = time.monotonic() + self._size.seconds
+        run_times = self._size.task_milliseconds
         number = 0
         while time.monotonic() < deadline:
             number += 1
             name = f"{caller:02x}{number:014x}"
             index = (caller + number) % len(self.cluster.entries)
-            self._submit(name, index, number)
+            self._submit(name, index, run_times[number % len(run_times)])
             if number % 7 == 0 and name in self.accepted:
                 self._cancel(name, index)
             gevent.sleep(self._size.submission_interval_seconds)
@@ -205,16 +207,14 @@
             return
         name = CRASHING_SUBMISSION
         self.cluster.platform.crash_budget.add(name, behaviour)
-        self._submit(name, 0, 0)
+        self._submit(name, 0, CRASHING_MILLISECONDS)
         if name in self.accepted:
             self.accepted.remove(name)
             self.crashing.add(name)
 
-    def _submit(self, name, index, number):
-        run_times = self._size.task_milliseconds
-        estimate = run_times[number % len(run_times)]
+    def _submit(self, name, index, run_time):
         cpu = self._size.task_processors
-        steps = [{"count": 2, "cpu": cpu, "memMb": 100, "estimateMs": estimate}]
+        steps = [{"count": 2, "cpu": cpu, "memMb": 100, "estimateMs": run_time}]
         for attempt in range(3):
             try:
                 response = self.cluster.submit(
