--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -365,6 +365,7 @@
 def step_new_owner_outside(context, name):
     simulation = context.simulation
     former = simulation.owners[-1]
+    former.stored_proof_at = simulation.now
     former.acts_until = simulation.now + PROOF_SECONDS
     for worker in simulation.workers.values():
         worker.reachable_by = former.fencing + (worker.name != name)
--- a/features/support/queue_random_runs.py
+++ b/features/support/queue_random_runs.py
@@ -97,6 +97,7 @@
         simulation.call_later(partitioned_at, setattr, worker, "reachable_by", token)
         simulation.call_later(claimed_at + 6.0, setattr, worker, "reachable_by", None)
     simulation.call_later(claimed_at, setattr, former, "acts_until", claimed_at + PROOF_SECONDS)
+    simulation.call_later(claimed_at, setattr, former, "stored_proof_at", claimed_at)
     simulation.call_later(claimed_at, simulation.start_new_owner)
     for _ in range(3 if seed % 2 else 0):
         at = claimed_at + generator.uniform(-0.5, 2.5)
