Play random network partitions in the soak

The soak had three instances that were never cut off from one another, so that it could not find an owner that goes on in its own partition.

Cuts are drawn by a generator of their own and run beside the other faults, one after the other or several at once: the owner or others with some of the workers, in both directions or one; two zones in turn; workers alone; and a zone while the store is interrupted, an instance is killed, one joins and the configuration changes. An interrupted store may be silent now, as well as reject calls. Checks and their bounds are as they were.

Cuts of `PartitionedCluster` may overlap and be one-way now, and use the addresses of proxies. A partition file that changed twice within one tick of the file system's clock is read again.

The crashing submission keeps its run time of 400 ms.

--- a/features/support/partitioned_cluster.py
+++ b/features/support/partitioned_cluster.py
@@ -1,5 +1,7 @@
 """Entry instances in availability zones that can be cut off from one another and from the store."""
 
+import dataclasses
+import enum
 import sys
 
 from .queue_processes import EntryCluster, EntryProcess
@@ -30,28 +32,59 @@
         return f"127.0.0.1:{self.internal_port}"
 
 
+class Callers(enum.Enum):
+    """Instances whose connections across a cut fail."""
+
+    ALL = "all"
+    INSIDE = "inside"
+    OUTSIDE = "outside"
+
+
+@dataclasses.dataclass(frozen=True, eq=False)
+class Cut:
+    """Instances and workers that are cut off from all others and from the store."""
+
+    entries: tuple
+    workers: tuple
+    callers: Callers
+
+
 class PartitionedCluster(EntryCluster):
-    """Cluster whose network can be parted in two, with the store in the second part."""
+    """Cluster from which parts can be cut off; the store is outside each of them."""
 
     def __init__(self, folder, instances, workers, seed=1):
         super().__init__(folder, instances, workers, seed, entry_class=PartitionedEntry)
+        self._cuts = []
+
+    def cut_off(self, entries, workers, callers=Callers.ALL):
+        """Cut instances and workers off in silence; return the cut, which may overlap others."""
+        cut = Cut(tuple(entries), tuple(workers), callers)
+        self._cuts.append(cut)
+        self._apply_cuts()
+        return cut
 
-    def cut_off(self, entries, workers):
-        """Cut instances and workers off from all others and from the store, in silence."""
-        outside_workers = [w for w in self.platform.workers if w not in workers]
-        outside_entries = [e for e in self.entries if e not in entries]
-        for entry in entries:
-            entry.cut_off(
-                [entry.store_address]
-                + [w.listener.location for w in outside_workers]
-                + [e.get_peer_address() for e in outside_entries]
-            )
-        for entry in outside_entries:
-            entry.cut_off(
-                [w.listener.location for w in workers] + [e.get_peer_address() for e in entries]
-            )
-
-    def heal(self):
-        """End the partition."""
+    def heal(self, cut=None):
+        """End a cut, or all of them."""
+        self._cuts = [c for c in self._cuts if cut is not None and c is not cut]
+        self._apply_cuts()
+
+    def _apply_cuts(self):
         for entry in self.entries:
-            entry.cut_off([])
+            entry.cut_off({a for cut in self._cuts for a in self._list_unreachable(entry, cut)})
+
+    def _list_unreachable(self, entry, cut):
+        is_inside = entry in cut.entries
+        if cut.callers is (Callers.OUTSIDE if is_inside else Callers.INSIDE):
+            return []
+        addresses = [entry.store_address] if is_inside else []
+        addresses += [
+            worker.get_address()
+            for worker in self.platform.workers
+            if (worker in cut.workers) is not is_inside
+        ]
+        addresses += [
+            other.get_peer_address()
+            for other in self.entries
+            if (other in cut.entries) is not is_inside
+        ]
+        return addresses
--- a/features/support/partitioned_process.py
+++ b/features/support/partitioned_process.py
@@ -18,14 +18,15 @@
 
     def __init__(self, path):
         self._path = path
-        self._changed_at = None
+        self._version = None
         self._addresses = frozenset()
 
     def covers(self, address):
         """Return whether packets to an address (host, port) are lost."""
-        changed_at = os.stat(self._path).st_mtime_ns
-        if changed_at != self._changed_at:
-            self._changed_at = changed_at
+        status = os.stat(self._path)
+        version = status.st_mtime_ns, status.st_ino  # two changes may share a time
+        if version != self._version:
+            self._version = version
             with open(self._path, encoding="utf-8") as lines:
                 self._addresses = frozenset(lines.read().split())
         return f"{address[0]}:{address[1]}" in self._addresses
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,7 +20,7 @@
         "--fresh", type=int, default=0, help="number of new seeds to run instead; printed"
     )
     parser.add_argument(
-        "--seconds", type=float, default=8.0, help="duration of the faults in each run"
+        "--seconds", type=float, help="duration of the faults in each run; by size if not given"
     )
     options = parser.parse_args()
     seeds = [*REGRESSION_SEEDS, *range(options.first, options.first + options.seeds)]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,20 +26,30 @@
         self._soak = soak
         self._random = generator
         self.injected_faults = []
-
-    def run(self, seconds):
-        """Inject faults for a number of seconds, then end all of them."""
+        self._faults = []
+
+    def run(self, seconds, interval_seconds, end_cuts):
+        """Inject faults for a number of seconds, then end all of them.
+
+        Parameters
+        ----------
+        seconds : float
+        interval_seconds : tuple of float
+            Shortest and longest time between two faults.
+        end_cuts : callable
+            Called when no further fault is to begin.
+        """
         kinds = [
-            self._kill,
+            self.kill,
             self._pause,
             self._stop,
             self._cut_store,
             self._cut_worker,
             self._lose_answers,
-            self._reject_store_calls,
+            self.interrupt_store,
             self._truncate_store_history,
             self._delay_store,
-            self._change_configuration,
+            self.change_configuration,
             self._reset_connections,
             self._crash_worker,
             self._resize_worker,
@@ -49,21 +59,33 @@
         ]
         with gevent.Timeout(seconds, False):
             while True:
-                gevent.sleep(self._random.uniform(0.2, 1.2))
-                kind = self._random.choice(kinds)
-                duration_seconds = self._random.uniform(0.3, 3.0)
-                self.injected_faults.append((kind.__name__, round(duration_seconds, 2)))
-                gevent.spawn(kind, duration_seconds)
+                gevent.sleep(self._random.uniform(*interval_seconds))
+                self.inject(self._random.choice(kinds), self._random.uniform(0.3, 3.0))
+        end_cuts()
         gevent.sleep(3.2)
         self._soak.end_all_faults()
 
+    def inject(self, kind, duration_seconds):
+        """Begin a fault and return its greenlet."""
+        self.injected_faults.append(
+            f"{time.time():.2f} {kind.__name__.strip('_')} {duration_seconds:.2f}"
+        )
+        fault = gevent.spawn(kind, duration_seconds)
+        self._faults.append(fault)
+        return fault
+
+    def join(self):
+        """Wait until each fault has ended by itself."""
+        gevent.joinall(self._faults)
+
     def _pick_entry(self):
         return self._random.choice(self._soak.cluster.entries)
 
     def _pick_proxy(self, proxies):
         return self._random.choice(proxies)
 
-    def _kill(self, duration_seconds):
+    def kill(self, duration_seconds):
+        """Kill a process, and start it again later."""
         entry = self._pick_entry()
         if self._soak.can_terminate(entry):
             entry.send(signal.SIGKILL)
@@ -79,10 +101,14 @@
             if entry.process.poll() is None:
                 entry.send(signal.SIGCONT)
 
-    def _stop(self, duration_seconds):
+    def _stop(self, _):
         entry = self._pick_entry()
-        if not self._soak.can_terminate(entry):
-            return
+        if self._soak.can_terminate(entry):
+            self.terminate(entry)
+            self._soak.restart(entry)
+
+    def terminate(self, entry):
+        """Let a process resign and end."""
         # Another fault may end and replace the process in the meantime.
         process = entry.process
         process.send_signal(signal.SIGTERM)
@@ -93,7 +119,6 @@
             self._soak.violations.append(f"{entry.name} exceeded its shutdown period")
             process.kill()
             process.wait()
-        self._soak.restart(entry)
 
     def _cut_store(self, duration_seconds):
         self._cut(self._pick_proxy(self._soak.store_proxies), duration_seconds)
@@ -131,9 +156,10 @@
         gevent.sleep(duration_seconds)
         store.lost_answer_share = 0.0
 
-    def _reject_store_calls(self, duration_seconds):
+    def interrupt_store(self, duration_seconds):
+        """Let the store reject all calls or answer none."""
         store = self._soak.cluster.platform.store
-        store.mode = "busy"
+        store.mode = self._random.choice(["busy", "silent"])
         gevent.sleep(duration_seconds)
         store.mode = "up"
 
@@ -166,5 +192,6 @@
         gevent.sleep(duration_seconds)
         store.delay_seconds = 0.0
 
-    def _change_configuration(self, _):
+    def change_configuration(self, _):
+        """Write another version of the configuration."""
         self._soak.change_configuration()
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,41 +1,84 @@
 """Seeded run of the soak test with its checks."""
 
+import dataclasses
 import random
+import shutil
 import signal
 import tempfile
 import time
 from pathlib import Path
 
 import gevent
+import gevent.event
 
-from features.support.queue_processes import EntryCluster
+from features.support.partitioned_cluster import PartitionedCluster
 from lavenderhook.errors import TransportError
 
 from .faults import RandomFaultInjector
+from .partitions import PartitionInjector
 from .proxy import Mode, Proxy
 
 CONFIGURATION_SECONDS = 2.0  # within which a change is in force, or not denied
 QUERY_SECONDS = 1.0
 COMPLETION_TIMEOUT_SECONDS = 30.0  # for accepted submissions, after all faults have ended
 CRASHING_SUBMISSION = "ff00000000000000"
-STEPS = [{"count": 2, "cpu": 1500, "memMb": 100, "estimateMs": 400}]
+CRASHING_MILLISECONDS = 400  # run time without the crash, which comes within 300 ms
+
+
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """Size of a cluster, and its load and faults.
+
+    Attributes
+    ----------
+    submission_interval_seconds : float
+        Time between two submissions of one caller.
+    task_processors : int
+        Thousandths of a processor that each task needs.
+    task_milliseconds : tuple of int
+        Run times of tasks, in turn.
+    seconds : float
+        Duration of the faults.
+    fault_interval_seconds : tuple of float
+        Shortest and longest time between two faults other than cuts.
+    """
+
+    instances: int
+    workers: int
+    callers: int
+    submission_interval_seconds: float
+    task_processors: int
+    task_milliseconds: tuple
+    seconds: float
+    fault_interval_seconds: tuple
+
+
+SMALL = Size(3, 3, 3, 0.15, 1500, (400,), 8.0, (0.2, 1.2))
+LARGE = Size(5, 12, 16, 0.8, 750, (300, 1500, 4000), 18.0, (0.5, 4.0))
 
 
 class Soak:
     """Cluster behind proxies, with callers, faults and checks.
 
+    Parameters
+    ----------
+    seed : int
+    size : Size
+
     Attributes
     ----------
     violations : list of str
         Invariants violated, as observed by the callers, the workers and the store.
     """
 
-    def __init__(self, seed, seconds=8.0, instances=3, workers=3):
+    def __init__(self, seed, size):
         self._random = random.Random(seed)
-        self._random_queries = random.Random(seed + 1)  # leaves the sequence of faults as it is
-        self._seconds = seconds
-        self._directory = tempfile.TemporaryDirectory(prefix=f"soak-{seed}-")
-        self.cluster = EntryCluster(Path(self._directory.name), instances, workers, seed)
+        # Separate generators leave the sequence of the other faults as it is.
+        self._random_queries = random.Random(seed + 1)
+        self._random_cuts = random.Random(seed + 2)
+        self._size = size
+        self._directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        self.cluster = PartitionedCluster(self._directory, size.instances, size.workers, seed)
         self.violations = []
         self.accepted = set()
         self.cancelled = set()
@@ -43,7 +86,7 @@
         self.crashing = set()  # accepted submissions whose tasks crash their workers
         self._version = 1
         self._written_at = time.monotonic()  # of the version
-        self._faults_ended = False
+        self.faults_ended = gevent.event.Event()
         self.store_proxies = []
         self.worker_proxies = []
 
@@ -52,15 +95,21 @@
         self._start()
         injector = RandomFaultInjector(self, self._random)
         try:
-            callers = [gevent.spawn(self._run_caller, index) for index in range(3)]
+            callers = [gevent.spawn(self._run_caller, i) for i in range(self._size.callers)]
             callers.append(gevent.spawn(self._query_newest_queue))
-            injector.run(self._seconds)
+            cuts = gevent.spawn(PartitionInjector(self, self._random_cuts, injector).run)
+            injector.run(self._size.seconds, self._size.fault_interval_seconds, cuts.kill)
             gevent.joinall(callers, timeout=15)
             self._check()
         finally:
+            self.faults_ended.set()
+            injector.join()  # none may start a process later
             self._stop()
         if self.violations:
             self.violations.append(f"faults: {injector.injected_faults}")
+            self.violations.append(f"logs: {self._directory}")
+        else:
+            shutil.rmtree(self._directory, ignore_errors=True)
         return self.violations
 
     def _start(self):
@@ -82,12 +131,11 @@
         for proxy in self.store_proxies + self.worker_proxies:
             proxy.stop()
         self.cluster.stop()
-        self._directory.cleanup()
 
     def can_terminate(self, entry):
         """Return whether this process and another one run, and faults are still injected."""
         running = [e for e in self.cluster.entries if e.process.poll() is None]
-        return entry in running and len(running) > 1 and not self._faults_ended
+        return entry in running and len(running) > 1 and not self.faults_ended.is_set()
 
     def restart(self, entry):
         """Restart a process that has ended."""
@@ -104,7 +152,8 @@
 
     def end_all_faults(self):
         """End all faults."""
-        self._faults_ended = True
+        self.faults_ended.set()
+        self.cluster.heal()
         store = self.cluster.platform.store
         store.mode, store.delay_seconds, store.lost_answer_share = "up", 0.0, 0.0
         for proxy in self.store_proxies + self.worker_proxies:
@@ -118,20 +167,21 @@
 
     def _run_caller(self, caller):
         """Send submissions over persistent connections and cancel some of them."""
-        deadline = time.monotonic() + self._seconds
+        deadline = time.monotonic() + self._size.seconds
+        run_times = self._size.task_milliseconds
         number = 0
         while time.monotonic() < deadline:
             number += 1
             name = f"{caller:02x}{number:014x}"
             index = (caller + number) % len(self.cluster.entries)
-            self._submit(name, index)
+            self._submit(name, index, run_times[number % len(run_times)])
             if number % 7 == 0 and name in self.accepted:
                 self._cancel(name, index)
-            gevent.sleep(0.15)
+            gevent.sleep(self._size.submission_interval_seconds)
 
     def _query_newest_queue(self):
         """Check that no instance denies the queue that the newest version has added."""
-        deadline = time.monotonic() + self._seconds
+        deadline = time.monotonic() + self._size.seconds
         while time.monotonic() < deadline:
             gevent.sleep(0.1)
             version = self._version
@@ -157,16 +207,18 @@
             return
         name = CRASHING_SUBMISSION
         self.cluster.platform.crash_budget.add(name, behaviour)
-        self._submit(name, 0)
+        self._submit(name, 0, CRASHING_MILLISECONDS)
         if name in self.accepted:
             self.accepted.remove(name)
             self.crashing.add(name)
 
-    def _submit(self, name, index):
+    def _submit(self, name, index, run_time):
+        cpu = self._size.task_processors
+        steps = [{"count": 2, "cpu": cpu, "memMb": 100, "estimateMs": run_time}]
         for attempt in range(3):
             try:
                 response = self.cluster.submit(
-                    (index + attempt) % len(self.cluster.entries), name, STEPS
+                    (index + attempt) % len(self.cluster.entries), name, steps
                 )
             except TransportError:
                 self.refused.pop(name, None)
@@ -207,6 +259,9 @@
                 self.violations.append(f"{name} was started, although all instances refused it")
 
 
-def run_seed(seed, seconds=8.0):
-    """Run one seed and return the violations."""
-    return Soak(seed, seconds).run()
+def run_seed(seed, seconds=None):
+    """Run one seed, for the duration of its size if none is given, and return the violations."""
+    size = LARGE if seed % 2 else SMALL
+    if seconds is not None:
+        size = dataclasses.replace(size, seconds=seconds)
+    return Soak(seed, size).run()
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -1,6 +1,7 @@
 """HTTP stand-ins of the platform of the queues: row store, workers with leases, advice."""
 
 import base64
+import collections
 import io
 import itertools
 import random
@@ -290,6 +291,8 @@
         if not self.is_up:
             return
         self.is_up = False
+        for task, active in self.runs.items():
+            self.platform.record_event(self, task, f"run {active['run']} crashed")
         self.runs.clear()
         for _, task, _, outcome, _ in self.finished_runs:
             if outcome == "done":
@@ -313,6 +316,10 @@
         if self.is_up:
             self.write_entry()
 
+    def get_address(self):
+        """Return the address in the worker's entry."""
+        return self.address or self.listener.location
+
     def write_entry(self, state="ready"):
         """Write the worker's entry to the row store."""
         self.platform.write_json(
@@ -320,7 +327,7 @@
             self.name,
             {
                 "service": "desk",
-                "address": self.address or self.listener.location,
+                "address": self.get_address(),
                 "zone": "a",
                 "state": state,
                 "capacity": {"cpu": self.limit.processors, "memMb": 64_000, "gpu": 0},
@@ -431,6 +438,7 @@
 
     def _finish_run(self, task, outcome):
         active = self.runs.pop(task)
+        self.platform.record_event(self, task, f"run {active['run']} {outcome}")
         self.highest_run_numbers[task] = max(self.highest_run_numbers.get(task, 0), active["run"])
         self.finished_runs.append([next(self.sequences), task, active["run"], outcome, ""])
         if outcome == "done":
@@ -482,6 +490,8 @@
     ----------
     starts : dict
         Number of starts by task.
+    histories : dict
+        Starts and ends by task, with times, for messages of violations.
     completed_at : dict
         Monotonic time of completion in seconds by task.
     failing_submissions : set of str
@@ -500,6 +510,7 @@
         self.workers = [QueueWorkerStandIn(self, f"w{i}") for i in range(workers)]
         self.steps = {}
         self.starts = {}
+        self.histories = collections.defaultdict(list)
         self.completed_at = {}
         self.failing_submissions = set()
         self.crash_budget = CrashBudget()
@@ -568,19 +579,25 @@
         self.starts[task] = self.starts.get(task, 0) + 1
         for other in self.workers:
             other.expire_lease()
+        self.record_event(worker, task, f"run {body['run']} starts")
+        history = self.histories[task]
         used = sum(active["cpu"] for active in worker.runs.values())
         if used + spec["cpu"] > worker.limit.compute(time.monotonic()):
             self.violations.append(f"capacity of {worker.name} exceeded by {task}")
         if any(task in other.runs for other in self.workers):
-            self.violations.append(f"{task} has two active runs")
+            self.violations.append(f"{task} has two active runs: {history}")
         if task in self.completed_at:
-            self.violations.append(f"{task} was started after its completion")
+            self.violations.append(f"{task} was started after its completion: {history}")
         if body.get("ticket") != "ticket":
             self.violations.append(f"{task} was started without its ticket")
         if not self.crash_budget.record_start(task):
             self.violations.append(f"{task} was started beyond its budget of crashes")
         return spec
 
+    def record_event(self, worker, task, event):
+        """Add an event of a run to the history of its task."""
+        self.histories[task].append(f"{time.time():.3f} {worker.name} {event}")
+
     def find_crash(self, task):
         """Return how a task crashes its workers, or None."""
         submission, _, _, index = task.split(".")
@@ -598,7 +615,8 @@
 
     def forget_completion(self, task):
         """Let a task run again whose completion was lost with its worker or its lease."""
-        self.completed_at.pop(task, None)
+        if self.completed_at.pop(task, None) is not None:
+            self.histories[task].append(f"{time.time():.3f} completion lost")
 
     def record_completion(self, task):
         """Record the time at which a task completed."""
