Let heartbeats say for how long earlier owners may act, and rely on ended processes

All instances were killed 0.9 s after a claim of which no heartbeat had been stored, with one worker out of reach. The restarted owner knew nothing of its predecessors, and allowed 61.8 s for them, in which everything older than the takeover waits.

Cause: without a heartbeat, the claim counted as one that its instance had not noticed, so that it might still confirm its predecessor. But its process had ended, and its row shows that the predecessor asks it. A row was also counted from when it was first read, so that a restarted instance took an old claim for a new one.

Change: a new owner writes a heartbeat at once; heartbeats state what is left of the time for which earlier owners may act; without one, a claimant whose process has ended counts as confirming nobody since.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -229,6 +229,20 @@
     Then a claim takes the owner as "ended"
     And a claim 0.2 seconds later allows for 1.012 seconds of owners before
 
+  Scenario Outline: A restarted owner doesn't wait long for the owners before it
+    Guards against a minute without starts, when all instances are killed soon after a claim.
+    Given an instance that has just started
+    When it reads the row of an earlier process of it with token 3 and <authority> seconds
+    Then a claim 0.2 seconds later allows for <allowed> seconds of owners before
+    When a heartbeat with token 3 and 0.0 seconds arrives
+    Then a claim 0.2 seconds later allows for 0.0 seconds of owners before
+
+    Examples:
+      | authority | allowed |
+      | 0.0       | 1.012   |
+      | 1.212     | 1.012   |
+      | 61.812    | 61.612  |
+
   Scenario Outline: A new owner waits for what earlier owners may have extended
     Guards against tasks that start elsewhere while their leases last, and against a long wait for an
     owner that has ended.
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -560,6 +560,23 @@
     assert has_proof is (may == "may"), context.proof.measure_age(PEERS)
 
 
+@given("an instance that has just started")
+def step_fresh_view(context):
+    context.view = OwnershipView(name="me", claim_id="c", process_id="me", address="me:1")
+
+
+@when("it reads the row of an earlier process of it with token {fencing:d} and {seconds:f} seconds")
+def step_earlier_row(context, fencing, seconds):
+    row = make_row(fencing, name="me", process="before", authority_seconds=seconds)
+    context.view.update_owner(row, fencing, 100.0)
+
+
+@when("a heartbeat with token {fencing:d} and {seconds:f} seconds arrives")
+def step_heartbeat_left(context, fencing, seconds):
+    heartbeat = HeartbeatRecord(fencing=fencing, count=1, authority_seconds=seconds)
+    context.view.update_heartbeat(heartbeat, 100.0)
+
+
 @given("an instance that knows an owner with token {fencing:d}")
 def step_view_of_owner(context, fencing):
     context.view = OwnershipView(name="me", claim_id="c", process_id="me", address="me:1")
@@ -645,7 +662,12 @@
 
 @when("a heartbeat with token {fencing:d} arrives {seconds:f} seconds later")
 def step_heartbeat_later(context, fencing, seconds):
-    heartbeat = HeartbeatRecord(fencing=fencing, count=fencing, peers=("me",))
+    heartbeat = HeartbeatRecord(
+        fencing=fencing,
+        count=fencing,
+        peers=("me",),
+        authority_seconds=context.view.owner.authority_seconds,
+    )
     context.view.update_heartbeat(heartbeat, 100.0 + seconds)
 
 
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ..queueing.authority import Predecessor, compute_authority_seconds
+from ..queueing.authority import STORELESS_SECONDS, Predecessor, compute_authority_seconds
 from ..queueing.model import FencingToken
 from ..queueing.records import HeartbeatRecord, MemberRecord, OwnerRecord
 
@@ -119,8 +119,6 @@
     ----------
     owner_seen_at : float
         When this instance first saw the row of the present owner.
-    owner_beat_at : float or None
-        When this instance first saw a heartbeat of the present owner.
     former_acts_until : float
         Until when owners before the present one may act, if that doesn't know that it is the owner.
     heartbeat_seen_at : float
@@ -150,7 +148,6 @@
     owner: OwnerRecord | None = None
     owner_revision: int = 0
     owner_seen_at: float = 0.0
-    owner_beat_at: float | None = None
     former_acts_until: float = -math.inf
     heartbeat: HeartbeatRecord | None = None
     heartbeat_seen_at: float = 0.0
@@ -176,7 +173,6 @@
         self.owner = owner
         self.owner_revision = revision
         self.owner_seen_at = self.heartbeat_seen_at = now
-        self.owner_beat_at = now if self._has_owner_beaten() else None
         self.refusals = 0
         self.unanswered_pings = 0
         return True
@@ -201,8 +197,6 @@
         if heartbeat != self.heartbeat:
             self.heartbeat = heartbeat
             self.heartbeat_seen_at = now
-        if self.owner_beat_at is None and self._has_owner_beaten():
-            self.owner_beat_at = now
 
     def _has_owner_beaten(self) -> bool:
         """Return whether the last heartbeat is one of the present owner."""
@@ -281,26 +275,42 @@
             return unknown
         # This process has ended its ownership or never noticed that it had one, and a former
         # process at its name and address has ended.
-        is_here = owner.name == self.name and owner.address == self.address
-        if is_here or self.is_owner_inactive(owner, self.owner_revision):
+        if self._is_here(owner) or self.is_owner_inactive(owner, self.owner_revision):
             return Predecessor.ENDED
         has_beaten = heartbeat is not None and heartbeat.fencing == owner.fencing
         peers = heartbeat.peers if has_beaten and heartbeat is not None else owner.peers
         return Predecessor.ASKS_PEERS if self.process_id in peers else Predecessor.UNAWARE
 
+    def compute_authority_left(self, now: float) -> float:
+        """Return what is left of the time that the present owner's row states."""
+        if self.owner is None:
+            return 0.0
+        return max(0.0, self.owner.authority_seconds - (now - self.owner_seen_at))
+
     def compute_inherited_seconds(self, now: float) -> float:
         """Return for how long owners before the present one may still extend leases.
 
-        What the present owner has assumed of them holds from when it knew of its claim, since it
-        tells them then. Its claim may have been carried out without its knowledge, until it has
-        sent a heartbeat; till then, this instance relies on what it knew of them itself.
+        An owner's heartbeat says so. Without one, its claim may have been carried out without its
+        knowledge, so that it still confirmed its predecessor. If its process has ended since, that
+        is over, unless its predecessor doesn't ask it, as a long time in its row shows. Otherwise
+        this instance relies on what it knew of the owners before.
         """
-        if self.owner is None:
+        owner, heartbeat = self.owner, self.heartbeat
+        if owner is None:
             return 0.0
-        if self.owner_beat_at is not None:
-            return max(0.0, self.owner.authority_seconds - (now - self.owner_beat_at))
-        claimed = self.owner.authority_seconds - (now - self.owner_seen_at)
-        return max(0.0, claimed, self.former_acts_until - now)
+        told = heartbeat.authority_seconds if heartbeat is not None else None
+        if told is not None and self._has_owner_beaten():
+            return max(0.0, told - (now - self.heartbeat_seen_at))
+        left = self.compute_authority_left(now)
+        has_ended = self.assess_predecessor() is Predecessor.ENDED
+        if has_ended and owner.authority_seconds < STORELESS_SECONDS:
+            seconds = compute_authority_seconds(Predecessor.ASKS_PEERS, left)
+            # A former process here had ended before this one read the row.
+            return max(left, seconds - (now - self.owner_seen_at) * self._is_here(owner))
+        return max(left, self.former_acts_until - now)
+
+    def _is_here(self, owner: OwnerRecord) -> bool:
+        return owner.name == self.name and owner.address == self.address
 
     def compute_next_fencing(self) -> FencingToken:
         """Return the fencing token of the next owner."""
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -384,6 +384,8 @@
         self.owner = self._make_owner(owner, revision, self._work, self._proof, inherited_seconds)
         self._work = WorkTable(self._store, self._log_event)  # for the time after this ownership
         self.owner.start()
+        # Shows the next claimant that this instance knows of its claim.
+        gevent.spawn(self._write_heartbeat, owner.fencing, has_resigned=False)
 
     def is_isolated(self) -> bool:
         """Return whether a peer may have taken over without this instance noticing."""
@@ -621,6 +623,7 @@
             count=self._heartbeat_count,
             has_resigned=has_resigned,
             peers=self._list_peer_processes(),
+            authority_seconds=self.view.compute_authority_left(time.monotonic()),
         )
         # Not conditional on the owner row: that would put the write into the part of the progress,
         # whose transactions may have to wait. Readers check the record's token instead.
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -124,12 +124,15 @@
     ----------
     peers : tuple of str
         The `boot` of each instance that the owner lists, and asks while it has no store.
+    authority_seconds : float or None
+        For how long earlier owners may still extend leases; None if the owner doesn't say.
     """
 
     fencing: FencingToken
     count: int
     has_resigned: bool = False
     peers: tuple[str, ...] = ()
+    authority_seconds: float | None = None
 
 
 class Roster(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
