--- a/features/steps/member_removal.py
+++ b/features/steps/member_removal.py
@@ -295,7 +295,9 @@
     put(context, MEMBER_PREFIX + "o", make_member("o", "o"))
     put(context, OWNER_KEY, make_owner_row("o", 3))
     make_manager(context)
-    heartbeat = HeartbeatRecord(fencing=3, count=1, peers=(context.former_process,))
+    heartbeat = HeartbeatRecord(
+        fencing=3, count=1, peers=(context.former_process,), authority_seconds=0.0
+    )
     put(context, HEARTBEAT_KEY, heartbeat)
     context.watcher.poll(0.0)
 
