Find the owner's heartbeat in one place; drop a field of pings that nobody reads

Three places compared the token of the last heartbeat with that of the present owner; one function does. A difference that was multiplied by a boolean is a plain condition. While the proof by the store is valid, the owner no longer lists and sorts its peers at each hold and start. Behaviour is as before.

--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -198,13 +198,11 @@
             self.heartbeat = heartbeat
             self.heartbeat_seen_at = now
 
-    def _has_owner_beaten(self) -> bool:
-        """Return whether the last heartbeat is one of the present owner."""
-        return (
-            self.owner is not None
-            and self.heartbeat is not None
-            and self.heartbeat.fencing == self.owner.fencing
-        )
+    def _find_owner_heartbeat(self) -> HeartbeatRecord | None:
+        """Return the last heartbeat if it is one of the present owner."""
+        if self.owner is None or self.heartbeat is None:
+            return None
+        return self.heartbeat if self.heartbeat.fencing == self.owner.fencing else None
 
     def record_resignation(self, fencing: FencingToken, *, is_designated: bool) -> None:
         """Record that an owner has resigned; it sends no commands any more."""
@@ -270,15 +268,14 @@
         unknown : Predecessor
             Returned if no owner is known.
         """
-        owner, heartbeat = self.owner, self.heartbeat
+        owner, heartbeat = self.owner, self._find_owner_heartbeat()
         if owner is None:
             return unknown
         # This process has ended its ownership or never noticed that it had one, and a former
         # process at its name and address has ended.
         if self._is_here(owner) or self.is_owner_inactive(owner, self.owner_revision):
             return Predecessor.ENDED
-        has_beaten = heartbeat is not None and heartbeat.fencing == owner.fencing
-        peers = heartbeat.peers if has_beaten and heartbeat is not None else owner.peers
+        peers = heartbeat.peers if heartbeat is not None else owner.peers
         return Predecessor.ASKS_PEERS if self.process_id in peers else Predecessor.UNAWARE
 
     def compute_authority_left(self, now: float) -> float:
@@ -295,18 +292,18 @@
         is over, unless its predecessor doesn't ask it, as a long time in its row shows. Otherwise
         this instance relies on what it knew of the owners before.
         """
-        owner, heartbeat = self.owner, self.heartbeat
+        owner, heartbeat = self.owner, self._find_owner_heartbeat()
         if owner is None:
             return 0.0
-        told = heartbeat.authority_seconds if heartbeat is not None else None
-        if told is not None and self._has_owner_beaten():
-            return max(0.0, told - (now - self.heartbeat_seen_at))
+        if heartbeat is not None and heartbeat.authority_seconds is not None:
+            return max(0.0, heartbeat.authority_seconds - (now - self.heartbeat_seen_at))
         left = self.compute_authority_left(now)
         has_ended = self.assess_predecessor() is Predecessor.ENDED
         if has_ended and owner.authority_seconds < STORELESS_SECONDS:
             seconds = compute_authority_seconds(Predecessor.ASKS_PEERS, left)
-            # A former process here had ended before this one read the row.
-            return max(left, seconds - (now - self.owner_seen_at) * self._is_here(owner))
+            if self._is_here(owner):  # that process had ended before this one read the row
+                seconds -= now - self.owner_seen_at
+            return max(left, seconds)
         return max(left, self.former_acts_until - now)
 
     def _is_here(self, owner: OwnerRecord) -> bool:
@@ -330,8 +327,7 @@
         delay = self.rank * CLAIM_STAGGER_SECONDS
         if self.owner_fitness < LOW_OWNER_FITNESS:
             delay += LOW_FITNESS_DELAY_SECONDS
-        predecessor = self.assess_predecessor()
-        if predecessor is Predecessor.UNAWARE:
+        if self.assess_predecessor() is Predecessor.UNAWARE:
             delay += UNLISTED_DELAY_SECONDS
         if self.owner is None:
             return now - self.store_available_since > FIRST_CLAIM_DELAY_SECONDS + delay
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -389,6 +389,8 @@
 
     def is_isolated(self) -> bool:
         """Return whether a peer may have taken over without this instance noticing."""
+        if is_proof_valid(self._proof.measure_store_age()):
+            return False
         return not is_proof_valid(self._proof.measure_age(self._list_peer_processes()))
 
     def measure_proof_age(self) -> float:
@@ -519,7 +521,6 @@
             self.owner is not None,
             configuration_version,
             fencing=owner.fencing if owner is not None else None,
-            has_store=self.view.store_available_since is not None,
             process=self.view.process_id,
         )
 
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -115,8 +115,6 @@
     fencing : FencingToken or None
         Token of the newest owner that it knows; None if it has read no owner row in this life of
         its process, or does not say.
-    has_store : bool
-        The store answers it.
     process : str
         The `boot` of the member row that the process writes; empty if it does not say.
     """
@@ -125,7 +123,6 @@
     is_owner: bool
     configuration: int = 0
     fencing: FencingToken | None = None
-    has_store: bool = False
     process: str = ""
 
 
