Ignore entries of the list about a former incarnation of a worker

Cause: OwnerState.handle_workers is given the whole list whenever one entry changes. A worker that was cut off from the store still stands there as the incarnation before. Its entry replaced what a report had shown, so that the next report counted as another restart: all its runs were dropped and started elsewhere.

Change: the newest known incarnation is a thing of its own (NewestIncarnation). An entry is about an older one, this one or a newer one; an older one changes nothing, and is logged once as worker-entry-outdated. worker-reborn names the incarnation that follows as next_born. A worker that has restarted gets no start before it has reported, also if the list shows the restart first.

--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -453,7 +453,7 @@
 @when('a commit begins that covers {count:d} finished runs of worker "{name}"')
 def step_commit_begins(context, count, name):
     worker = context.simulation.owners[-1].state.workers[name]
-    context.positions = {name: FinishedRunPosition(worker.listing.born, count)}
+    context.positions = {name: FinishedRunPosition(worker.newest.born, count)}
 
 
 @when('worker "{name}" restarts with the same id')
--- a/features/steps/worker_incarnations.py
+++ b/features/steps/worker_incarnations.py
@@ -10,11 +10,18 @@
 
 from features.support.queue_processes import EntryProcess
 from features.support.queue_random_runs import crash, refresh_worker_lists, restart
-from features.support.queue_simulation import make_step
+from features.support.queue_simulation import LEASE_SECONDS, make_step, make_submission
 from lavenderhook._internal.instance import advice
 from lavenderhook._internal.instance.advice import AdviceDispatcher
 from lavenderhook._internal.queueing import workers
-from lavenderhook._internal.queueing.model import Resources, StepId
+from lavenderhook._internal.queueing.model import (
+    CommandToken,
+    Resources,
+    StartCommand,
+    StartOutcome,
+    StepId,
+    TaskKey,
+)
 from lavenderhook._internal.queueing.workers import compute_command_token
 
 
@@ -42,6 +49,54 @@
     simulation.workers[name].check_token(compute_command_token(simulation.owners[-1].fencing, 1))
 
 
+@when('worker "{name}" is cut off from the store')
+def step_cut_from_store(context, name):
+    context.simulation.workers[name].is_cut_from_store = True
+
+
+@when('worker "{name}" runs a task of {seconds:d} seconds that a former owner has started there')
+def step_running(context, name, seconds):
+    """Start a task by hand, since the owner may place it on any worker."""
+    simulation = context.simulation
+    command = StartCommand(
+        worker=name, task=TaskKey("running", 0, 0, 0), number=1, payload="p", token=CommandToken(0)
+    )
+    step = make_step(1, 2000, seconds)
+    simulation.revision += 1
+    simulation.submissions["running"] = (make_submission("running", [step]), simulation.revision)
+    worker = simulation.workers[name]
+    worker.check_token = lambda token: True
+    assert worker.start(command, simulation.now + LEASE_SECONDS) is StartOutcome.STARTED
+    del worker.check_token
+    simulation.run(0.5)  # the next report comes in 0.2 s
+    simulation.owners[-1].deliver_submission(*simulation.submissions["running"])
+
+
+@when("the list of workers is read")
+def step_read_list(context):
+    refresh_worker_lists(context.simulation)
+
+
+@when('the list of workers is read as it was before the restart of "{name}"')
+def step_read_stale(context, name):
+    simulation = context.simulation
+    worker = simulation.workers[name]
+    former = msgspec.structs.replace(worker.entry, born=1)
+    worker.entry, worker.is_cut_from_store = former, True
+    refresh_worker_lists(simulation)
+
+
+@then('the owner has {count:d} run on worker "{name}"')
+def step_runs_there(context, count, name):
+    runs = context.simulation.owners[-1].state.workers[name].runs
+    assert len(runs) == count, list(runs)
+
+
+@then("there was {count:d} start")
+def step_count_starts(context, count):
+    assert context.simulation.starts == count, context.simulation.starts
+
+
 @when('every run on worker "{name}" succeeds')
 def step_succeeding_worker(context, name):
     context.simulation.workers[name].fails_all_runs = False
--- a/features/support/queue_mutants.py
+++ b/features/support/queue_mutants.py
@@ -29,7 +29,7 @@
         if self.is_active and not isinstance(event, ProgressStored):
             workers = self.state.list_workers()
             positions = {
-                w.id: FinishedRunPosition(w.listing.born, w.processed_sequence) for w in workers
+                w.id: FinishedRunPosition(w.newest.born, w.processed_sequence) for w in workers
             }
             original_apply(
                 self, ProgressStored(now=self.simulation.now, stored_positions=positions)
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -90,6 +90,8 @@
         self.rack = rack
         self.is_partitioned = False
         self.reachable_by = None  # token of the only owner that reaches it; None for all
+        self.is_cut_from_store = False  # its entry in the list stays as it is
+        self.entry = None  # the newest, as a `WorkerListing`
         self.is_up = True
         self.fails_all_runs = False
         self.stalls_tasks = False
@@ -111,6 +113,12 @@
 
     def listing(self):
         """Return the worker's entry in the platform's list of workers."""
+        if self.entry is None or not self.is_cut_from_store:
+            self.entry = self.make_entry()
+        return self.entry
+
+    def make_entry(self):
+        """Return the entry that the worker writes."""
         return WorkerListing(
             id=self.name,
             service="desk",
@@ -479,7 +487,7 @@
         if is_owner and not self.is_suspended and not self.simulation.store_refuses:
             workers = self.state.list_workers()
             positions = {
-                w.id: FinishedRunPosition(w.listing.born, w.processed_sequence) for w in workers
+                w.id: FinishedRunPosition(w.newest.born, w.processed_sequence) for w in workers
             }
             waiting, self.unstored_submissions = list(self.unstored_submissions), {}
             for submission_id in waiting:
@@ -614,10 +622,7 @@
         """Store a submission and notify the owners."""
         self.revision += 1
         self.submission_ages[name] = age
-        queue = QueueTerms(name="q", service="desk", **{"most_attempts": 3, **terms})
-        submission = Submission(
-            id=name, queue=queue, payload="p", steps=tuple(steps), accepted_at=0.0
-        )
+        submission = make_submission(name, steps, **terms)
         self.submissions[name] = (submission, self.revision)
         for owner in self.owners:
             known = owner.revision + 1 if self.feed_seconds else self.revision
@@ -784,6 +789,12 @@
         )
 
 
+def make_submission(name, steps, **terms):
+    """Return a submission; `terms` are those of its queue."""
+    queue = QueueTerms(name="q", service="desk", **{"most_attempts": 3, **terms})
+    return Submission(id=name, queue=queue, payload="p", steps=tuple(steps), accepted_at=0.0)
+
+
 def make_step(count=2, processors=2000, seconds=1.0, **fields):
     """Return a step."""
     return StepSpec(
--- a/features/worker_incarnations.feature
+++ b/features/worker_incarnations.feature
@@ -61,6 +61,35 @@
     Then every submission is completed
     And no invariant was violated
 
+  Scenario: An outdated entry doesn't take the runs of a worker that has reported its restart
+    Guards against a second run of a task: the list still shows the former incarnation of a worker
+    that is cut off from the store, and its next report counts as another restart.
+    Given 2 workers and an owner
+    When worker "w0" is cut off from the store
+    And worker "w0" restarts with the same id
+    And worker "w0" runs a task of 4 seconds that a former owner has started there
+    And the list of workers is read
+    And 3 seconds pass in the simulation
+    Then the owner has 1 run on worker "w0"
+    When 20 seconds pass in the simulation
+    Then every submission is completed
+    And there was 1 start
+    And no invariant was violated
+
+  Scenario: An outdated entry that is read again doesn't take the runs of a worker
+    Guards against a second run of a task after a stale read of the list, which shows a former
+    incarnation of a worker, later than the list has shown the present one.
+    Given 2 workers and an owner
+    When worker "w0" restarts with the same id
+    And worker "w0" runs a task of 4 seconds that a former owner has started there
+    And the list of workers is read as it was before the restart of "w0"
+    And 3 seconds pass in the simulation
+    Then the owner has 1 run on worker "w0"
+    When 20 seconds pass in the simulation
+    Then every submission is completed
+    And there was 1 start
+    And no invariant was violated
+
   Scenario: Capacity without processors is reserved as well
     Guards against a reservation that begins anew with each step whose tasks need accelerators only:
     tasks that end too late take what is reserved.
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -569,7 +569,7 @@
         is_answering = False
         while not self._is_stopped and self.state is not None and worker_id in self.state.workers:
             worker = self.state.workers[worker_id]
-            born = worker.listing.born
+            born = worker.newest.born
             sent_at = _now()
             token = self.state.get_command_token(worker_id)
             result = self._worker_client.hold(
@@ -597,7 +597,7 @@
                         token=token,
                         is_fenced=result.is_fenced,
                         is_other_incarnation=result.is_wrong_recipient
-                        and worker.listing.born == born,
+                        and worker.newest.born == born,
                         proven_at=self._compute_proven_at(),
                     )
                 )
@@ -678,7 +678,7 @@
             if state is None:
                 continue
             positions = {
-                worker.id: FinishedRunPosition(worker.listing.born, worker.processed_sequence)
+                worker.id: FinishedRunPosition(worker.newest.born, worker.processed_sequence)
                 for worker in state.list_workers()
                 if worker.processed_sequence > worker.stored_sequence
             }
--- a/src/lavenderhook/_internal/queueing/log_lines.py
+++ b/src/lavenderhook/_internal/queueing/log_lines.py
@@ -5,8 +5,8 @@
 from collections.abc import Collection
 
 from ..core.identifiers import WorkerId
-from .effects import LogDecision
-from .model import Resources, RunNumber, TaskKey
+from .effects import Effect, LogDecision
+from .model import Resources, RunNumber, TaskKey, WorkerListing
 from .records import FailureReason, Outcome
 from .submissions import SubmissionProgress
 from .workers import Worker
@@ -32,13 +32,30 @@
             "worker": worker.id,
             "address": worker.listing.address,
             "state": worker.listing.state.value,
-            "born": worker.listing.born,
+            "born": worker.newest.born,
             "runs": len(worker.runs),
             **fields,
         },
     )
 
 
+def log_listing_changes(worker: Worker, listing: WorkerListing) -> list[Effect]:
+    """Return the log lines of an entry that shows another state or capacity than before."""
+    effects: list[Effect] = []
+    if listing.state is not worker.listing.state:
+        effects.append(log_worker(f"worker-{listing.state.value}", worker))
+    if listing.capacity != worker.listing.capacity:
+        effects.append(log_capacity_change(worker, listing.capacity))
+    return effects
+
+
+def log_outdated_listing(worker: Worker, listing: WorkerListing) -> list[Effect]:
+    """Return the log line of an entry of a former incarnation, once for each present one."""
+    if not worker.newest.must_log_outdated():
+        return []
+    return [log_worker("worker-entry-outdated", worker, entry_born=listing.born)]
+
+
 def log_takeover_wait_ended(unreached: Collection[WorkerId]) -> LogDecision:
     """Return the log line of a new owner that no longer waits for workers it can't reach."""
     return LogDecision(
--- a/src/lavenderhook/_internal/queueing/losses.py
+++ b/src/lavenderhook/_internal/queueing/losses.py
@@ -191,7 +191,7 @@
         """Resolve the runs that a worker may have lost, from its report, which has been applied."""
         if worker.id not in self._uncertain:
             return []
-        return self._resolve(worker.id, worker.listing.born, worker, now)
+        return self._resolve(worker.id, worker.newest.born, worker, now)
 
     def _resolve(
         self, worker_id: WorkerId, born: int, reporting: Worker | None, now: float
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -42,8 +42,10 @@
     Ticked,
     WorkersListed,
 )
+from .incarnations import ListingAge
 from .log_lines import (
-    log_capacity_change,
+    log_listing_changes,
+    log_outdated_listing,
     log_run,
     log_submission_ended,
     log_submission_ending,
@@ -65,6 +67,7 @@
     SubmissionId,
     SubmissionState,
     TaskKey,
+    WorkerListing,
 )
 from .placement import BestFit, PlacementPolicy, SpreadServices
 from .ranking import PriorityThenObjective, StepRanking
@@ -258,16 +261,8 @@
                 self.workers[worker_id] = worker
                 effects.append(WatchWorker(worker=worker_id))
                 effects.append(log_worker("worker-listed", worker))
-            elif listing.born > worker.listing.born:
-                effects.append(log_worker("worker-reborn", worker))
-                effects += self._handle_restart(worker, event.now)
-                worker.update_listing(listing, event.now)
             else:
-                if listing.state is not worker.listing.state:
-                    effects.append(log_worker(f"worker-{listing.state.value}", worker))
-                if listing.capacity != worker.listing.capacity:
-                    effects.append(log_capacity_change(worker, listing.capacity))
-                worker.update_listing(listing, event.now)
+                effects += self._apply_listing(worker, listing, event.now)
             worker.is_listed = True
         for worker in self.workers.values():
             if worker.id not in listed and worker.is_listed:
@@ -277,6 +272,19 @@
         self.needs_scheduling = True
         return effects
 
+    def _apply_listing(self, worker: Worker, listing: WorkerListing, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        age = worker.newest.compare(listing)
+        if age is ListingAge.OUTDATED:
+            return log_outdated_listing(worker, listing)
+        if age is ListingAge.NEWER:
+            effects.append(log_worker("worker-reborn", worker, next_born=listing.born))
+            effects += self._handle_restart(worker, listing.born, now)
+        else:
+            effects += log_listing_changes(worker, listing)
+        worker.update_listing(listing, now)
+        return effects
+
     def handle_roster(self, event: RosterStored) -> list[Effect]:
         """Record the stored roster; runs may be placed on the workers that it shows as open."""
         self.roster.record_stored(event.roster)
@@ -289,12 +297,12 @@
         if worker is None:
             return []
         effects: list[Effect] = []
-        if event.report.born != worker.listing.born:
-            if event.report.born < worker.listing.born:
+        born = event.report.born
+        if born != worker.newest.born:
+            if born < worker.newest.born:
                 return []  # report of a former incarnation, older than the listing
-            effects.append(log_worker("worker-reborn", worker))
-            effects += self._handle_restart(worker, event.now)
-            worker.listing = msgspec.structs.replace(worker.listing, born=event.report.born)
+            effects.append(log_worker("worker-reborn", worker, next_born=born))
+            effects += self._handle_restart(worker, born, event.now)
         has_reopened = worker.record_answer(event.now)
         worker.lease_expires_by = compute_latest_lease_expiry(
             event.now, self.parameters.lease_seconds
@@ -437,7 +445,7 @@
         """Record which finished runs the store covers, so that holds acknowledge them."""
         for worker_id, position in event.stored_positions.items():
             worker = self.workers.get(worker_id)
-            if worker is not None and worker.listing.born == position.born:
+            if worker is not None and worker.newest.born == position.born:
                 worker.stored_sequence = max(
                     worker.stored_sequence, min(position.sequence, worker.processed_sequence)
                 )
@@ -778,28 +786,19 @@
                 effects += self._adopt(worker, worker.unmatched_runs.pop(task), now)
         return effects
 
-    def _handle_restart(self, worker: Worker, now: float) -> list[Effect]:
-        """Handle a restart under the same id.
+    def _handle_restart(self, worker: Worker, born: int, now: float) -> list[Effect]:
+        """Handle a restart under the same id, as the incarnation `born`.
 
         What ran has ended. An unanswered start may still reach the new incarnation, which knows
         of no stops: the run is stopped there before its task may run again.
         """
         effects = self._record_loss(worker, LossReason.RESTARTED, now)
+        last_report_at = worker.last_report_at
         step_down = self._count_incarnation(worker)
-        worker.begin_incarnation(self.latest_incarnation)
+        worker.begin_incarnation(self.latest_incarnation, born)
         if step_down:
             return step_down
-        unconfirmed = [
-            run
-            for run in worker.runs.values()
-            if run.has_unconfirmed_start
-            or (
-                run.acknowledged_at is None
-                and run.state not in (RunState.RUNNING, RunState.PLANNED)
-            )
-            # The new incarnation may have answered the start.
-            or (run.acknowledged_at or 0.0) > worker.last_report_at
-        ]
+        unconfirmed = [run for run in worker.runs.values() if run.may_run_after(last_report_at)]
         for run in list(worker.runs.values()):
             if run not in unconfirmed:
                 effects += self._remove_run(run, now)
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from ..core.identifiers import WorkerId
+from .incarnations import NewestIncarnation
 from .model import (
     CommandToken,
     FencingToken,
@@ -112,6 +113,25 @@
         self.estimated_end_at = now + self.estimate_seconds
         self.is_in_flight = True
 
+    def may_run_after(self, last_report_at: float) -> bool:
+        """Return whether the next incarnation of its worker may have got the start, or get it.
+
+        Parameters
+        ----------
+        last_report_at : float
+            When the former incarnation reported last; the next one may have answered the start
+            since then.
+        """
+        is_unanswered = self.acknowledged_at is None and self.state not in (
+            RunState.RUNNING,
+            RunState.PLANNED,
+        )
+        return (
+            self.has_unconfirmed_start
+            or is_unanswered
+            or (self.acknowledged_at or 0.0) > last_report_at
+        )
+
     def record_progress(self, progress: float, clock: float) -> None:
         """Record the progress that a worker has reported at a time on its own clock."""
         if not self._samples or progress > self.progress:
@@ -162,6 +182,7 @@
         self, listing: WorkerListing, lease_expires_by: float, incarnation: int = 0
     ) -> None:
         self.listing = listing
+        self.newest = NewestIncarnation(listing.born)
         self.rack = find_rack(listing)
         self.lease_expires_by = lease_expires_by
         self.is_listed = True
@@ -200,7 +221,7 @@
 
     def get_incarnation(self) -> WorkerIncarnation:
         """Return what identifies the incarnation."""
-        return WorkerIncarnation(self.listing.born, self.listing.address)
+        return WorkerIncarnation(self.newest.born, self.listing.address)
 
     def forget_reports(self) -> None:
         """Discard what was reported, since finished runs are numbered from the start again."""
@@ -243,9 +264,11 @@
         self.unmatched_since = None  # the submission's rows have been deleted
         return False
 
-    def begin_incarnation(self, incarnation: int) -> None:
+    def begin_incarnation(self, incarnation: int, born: int) -> None:
         """Discard what was learnt about the former incarnation, which has ended."""
         self.incarnation = incarnation
+        self.newest.record(born)
+        self.last_report_at = 0.0
         self.forget_reports()
         self.failed_submissions.clear()
         self.slow_submissions.clear()
