Recognise a worker that has come back with a clock that was set back

What callers would see: tasks that count as running for ever on a worker that ended, and a worker that is never used again, if its new incarnation has a lower `born`.

Cause: a report with a lower `born` was left out as one of a former incarnation.

Change: a report with a lower `born` is that of a newer incarnation if its hold was sent after the higher one was learnt, as a former one can't have answered it. An entry that was ignored counts once its incarnation has reported.

--- a/features/steps/worker_incarnations.py
+++ b/features/steps/worker_incarnations.py
@@ -96,6 +96,15 @@
     context.simulation.run(1.0)
 
 
+@when('worker "{name}" restarts with the same id after its clock was set back')
+def step_restart_set_back(context, name):
+    worker = context.simulation.workers[name]
+    former = worker.born
+    restart(context.simulation, worker)
+    worker.born = former - 1
+    context.simulation.run(1.0)
+
+
 @when('a submission "{name}" of tasks that need the label "{label}" arrives')
 def step_submit_with_label(context, name, label):
     step = make_step(2, 2000, 1.0, placement=Placement(label=label))
--- a/features/worker_incarnations.feature
+++ b/features/worker_incarnations.feature
@@ -119,6 +119,32 @@
     And there was 1 start
     And no invariant was violated
 
+  Scenario: A worker whose clock was set back before its restart is used again
+    Guards against a worker that is never used again, and tasks that count as running on it: its new
+    incarnation seems to be older than the former one.
+    Given 1 workers and an owner
+    When a submission "before" of 1 tasks of 2000 millicores and 4 seconds arrives
+    And 1 seconds pass in the simulation
+    And worker "w0" restarts with the same id after its clock was set back
+    And 10 seconds pass in the simulation
+    Then every submission is completed
+    And no invariant was violated
+
+  Scenario: A former entry doesn't end an incarnation that seems to be older
+    Guards against the same worker that loses its runs again and again, as long as the list shows the
+    former incarnation.
+    Given 2 workers and an owner
+    When worker "w0" is cut off from the store
+    And worker "w0" restarts with the same id after its clock was set back
+    And worker "w0" runs a task of 4 seconds that a former owner has started there
+    And the list of workers is read
+    And 3 seconds pass in the simulation
+    Then the owner has 1 run on worker "w0"
+    When 20 seconds pass in the simulation
+    Then every submission is completed
+    And there was 1 start
+    And no invariant was violated
+
   Scenario: No lease is computed on the clock of a former incarnation
     Guards against a lease far longer than the owner counts: the new incarnation's clock has just
     started, and an end on the former one's is cut only to the longest lease that a worker allows.
--- a/src/lavenderhook/_internal/queueing/log_lines.py
+++ b/src/lavenderhook/_internal/queueing/log_lines.py
@@ -49,9 +49,9 @@
     return effects
 
 
-def log_outdated_listing(worker: Worker, listing: WorkerListing) -> list[Effect]:
-    """Return the log line of an entry of a former incarnation, once for each present one."""
-    if not worker.newest.must_log_outdated():
+def log_ignored_listing(worker: Worker, listing: WorkerListing) -> list[Effect]:
+    """Return the log line of an ignored entry, once for each incarnation of its worker."""
+    if not worker.newest.ignore(listing):
         return []
     return [log_worker("worker-entry-outdated", worker, entry_born=listing.born)]
 
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -45,8 +45,8 @@
 from .incarnations import ListingAge
 from .leases import CLOCK_DRIFT_FACTOR
 from .log_lines import (
+    log_ignored_listing,
     log_listing_changes,
-    log_outdated_listing,
     log_run,
     log_submission_ended,
     log_submission_ending,
@@ -275,7 +275,7 @@
         effects: list[Effect] = []
         age = worker.newest.compare(listing)
         if age is ListingAge.OUTDATED:
-            return log_outdated_listing(worker, listing)
+            return log_ignored_listing(worker, listing)
         if age is ListingAge.NEWER:
             effects.append(log_worker("worker-reborn", worker, next_born=listing.born))
             effects += self._handle_restart(worker, listing.born, now)
@@ -297,9 +297,9 @@
             return []
         effects: list[Effect] = []
         born = event.report.born
-        if born < worker.newest.born:
-            return []  # report of a former incarnation, older than the listing
-        has_restarted = born > worker.newest.born
+        if worker.newest.is_report_outdated(born, event.sent_at):
+            return []
+        has_restarted = born != worker.newest.born
         if has_restarted:
             effects.append(log_worker("worker-reborn", worker, next_born=born))
             effects += self._handle_restart(worker, born, event.now)
@@ -793,7 +793,7 @@
         effects = self._record_loss(worker, LossReason.RESTARTED, now)
         last_report_at = worker.last_report_at
         step_down = self._count_incarnation(worker)
-        worker.begin_incarnation(self.latest_incarnation, born)
+        worker.begin_incarnation(self.latest_incarnation, born, now)
         if step_down:
             return step_down
         unconfirmed = [run for run in worker.runs.values() if run.may_run_after(last_report_at)]
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -256,10 +256,9 @@
         self.unmatched_since = None  # the submission's rows have been deleted
         return False
 
-    def begin_incarnation(self, incarnation: int, born: int) -> None:
+    def begin_incarnation(self, incarnation: int, born: int, now: float) -> None:
         """Discard what was learnt about the former incarnation, which has ended."""
         self.incarnation = incarnation
-        self.newest.record(born)
         self.lease.begin_incarnation()
         self.last_report_at = 0.0
         self.forget_reports()
@@ -269,6 +268,9 @@
         self.blocked_until = 0.0
         self.silent_since = None
         self.leaves_at = None
+        listing = self.newest.record(born, now)
+        if listing is not None:
+            self.update_listing(listing, now)
 
     def update_listing(self, listing: WorkerListing, now: float) -> None:
         """Apply the newest entry of the platform's list."""
