Show that a new owner starts again what has ended behind an unknown submission

Cause, as far as it is known: at a takeover, a worker's report counts from the first end on whose submission isn't loaded yet as if it had not been reported, for up to 8 s, though the worker counts as reached.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -51,6 +51,18 @@
     And "late" has 1 starts
     And no invariant was violated
 
+  Scenario: A finished run behind one of an unknown submission counts
+    Guards against work that runs again: a new owner leaves the finished runs of a worker aside from
+    the first one on whose submission is not loaded yet, and starts their tasks again meanwhile.
+    Given 1 workers and an owner
+    When a submission "late" of 1 tasks of 2000 millicores and 1 seconds arrives
+    And a submission "known" of 1 tasks of 2000 millicores and 4 seconds arrives
+    And the store rejects writes
+    And 7 seconds pass in the simulation
+    And another owner takes over without having loaded "late"
+    And 1 seconds pass in the simulation
+    Then "known" has 1 starts
+
   Scenario: A former owner that resumes starts nothing
     Guards against two owners that both send commands, after the first one was suspended and
     replaced.
