Log by which revision a submission is placed, and which ones wait for unreached workers

After a takeover, submissions wait while a worker that may hold their runs can't be reached; which ones is decided by revisions of the store that no line showed. A task that ran twice could not be traced to a submission that counted as too new, to a roster that names a worker as closed too early, or to another cause.

submissions-blocked, when the bound changes: up to which revision submissions wait, for which workers. task-placed: by which revision its submission counted.

--- a/src/lavenderhook/_internal/queueing/log_lines.py
+++ b/src/lavenderhook/_internal/queueing/log_lines.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+import math
+from collections.abc import Collection, Mapping
 
 from ..core.identifiers import WorkerId
 from .effects import Effect, LogDecision
@@ -64,6 +65,33 @@
     )
 
 
+def log_blocked_submissions(
+    blocked_through: float, bounds: Mapping[WorkerId, float]
+) -> LogDecision:
+    """Return the log line of the submissions that wait for workers that a new owner can't reach.
+
+    Parameters
+    ----------
+    blocked_through : float
+        Submissions up to this revision wait; all of them if it is infinite.
+    bounds : mapping
+        The same by unreached worker.
+    """
+    listed = sorted(bounds)[:MAX_LISTED_WORKERS]
+    return LogDecision(
+        decision="submissions-blocked",
+        fields={
+            "through": _describe_revision(blocked_through),
+            "count": len(bounds),
+            "workers": {name: _describe_revision(bounds[name]) for name in listed},
+        },
+    )
+
+
+def _describe_revision(revision: float) -> int | str:
+    return "all" if revision == math.inf else int(revision)
+
+
 def log_capacity_change(worker: Worker, capacity: Resources) -> LogDecision:
     """Return the log line of a worker that has another capacity than before."""
     former = worker.listing.capacity
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -475,8 +475,8 @@
             effects += self._remove_run(run, event.now)
         if event.now >= self.next_review_at:
             self.next_review_at = event.now + REVIEW_INTERVAL_SECONDS
-            effects += self._review_runs(event.now)
-            effects += self.losses.expire(event.now)
+            effects += self._review_runs(event.now) + self.losses.expire(event.now)
+        effects += self.roster.log_blocked()
         effects += self.scheduler.schedule(
             self.submissions.values(),
             self.workers.values(),
--- a/src/lavenderhook/_internal/queueing/roster.py
+++ b/src/lavenderhook/_internal/queueing/roster.py
@@ -14,6 +14,8 @@
 from collections.abc import Iterable
 
 from ..core.identifiers import WorkerId
+from .effects import Effect
+from .log_lines import log_blocked_submissions
 from .records import Roster
 from .workers import Worker
 
@@ -45,6 +47,7 @@
         self.requested = inherited
         self._stored = inherited
         self._ended_before = math.inf if ended_before is None else ended_before
+        self._logged_through = 0.0
 
     def is_open_in_roster(self, worker: WorkerId) -> bool:
         """Return whether a worker is open in the stored roster and not being closed."""
@@ -62,9 +65,21 @@
 
     def compute_blocked_through_revision(self) -> float:
         """Return the revision after which no submission has runs at an unreached worker."""
+        return max(self._find_bounds().values(), default=0)
+
+    def _find_bounds(self) -> dict[WorkerId, float]:
+        """Return, by unreached worker, the revision after which no submission has runs there."""
         closed = self._stored.closed
-        closings = (min(closed.get(w, math.inf), self._ended_before) for w in self.unreached)
-        return max(closings, default=0)
+        return {w: min(closed.get(w, math.inf), self._ended_before) for w in self.unreached}
+
+    def log_blocked(self) -> list[Effect]:
+        """Return a log line if other submissions wait for unreached workers than before."""
+        bounds = self._find_bounds()
+        blocked_through = max(bounds.values(), default=0)
+        if blocked_through == self._logged_through:
+            return []
+        self._logged_through = blocked_through
+        return [log_blocked_submissions(blocked_through, bounds)]
 
     def prepare_update(
         self, workers: Iterable[Worker], *, is_predecessor_inactive: bool
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -313,6 +313,7 @@
             fields={
                 "task": str(task),
                 "queue": entry.submission.queue.name,
+                "revision": entry.revision,
                 "run": number,
                 "worker": worker.id,
                 "report_age": round(now - worker.last_report_at, 3),
