Let the reducer decide by which revision a reported submission counts

A peer's notice doesn't tell the revision of a submission. The loop of the owner took the one after its claim for it, out of sight of the simulations, which did the same again in their own code. No change of behaviour.

--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -322,7 +322,7 @@
         simulation.call_later(0.03, self.commit)
 
     def deliver_submission(self, submission, revision):
-        """Apply a stored submission."""
+        """Apply a stored submission; the revision is None if a peer reports it."""
         self.apply(
             SubmissionRead(
                 now=self.simulation.now,
@@ -652,7 +652,7 @@
         submission = make_submission(name, steps, **terms)
         self.submissions[name] = (submission, self.revision)
         for owner in self.owners:
-            known = owner.revision + 1 if self.feed_seconds else self.revision
+            known = None if self.feed_seconds else self.revision
             self.call_later(LINK_LATENCY_SECONDS, owner.deliver_submission, submission, known)
             if self.feed_seconds:
                 self.call_later(
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -245,8 +245,7 @@
         if self.state is None:
             self._submissions_during_load.append(submission)
         else:
-            # One that was not loaded was stored after the takeover; its revision is unknown.
-            self._apply_submission(submission, self._revision + 1, None)
+            self._apply_submission(submission, None, None)
 
     def refresh_outcome(self, submission: SubmissionId) -> None:
         """Read the final state of a submission after a cancellation; an earlier one is kept."""
@@ -341,7 +340,7 @@
             stored_progress = self._work.progress.get(submission.id)
             self._apply_submission(submission, revision, stored_progress)
         for submission in self._submissions_during_load:
-            self._apply_submission(submission, self._revision + 1, None)
+            self._apply_submission(submission, None, None)
         self._log_event(
             "owner-loaded",
             fencing=self.fencing,
@@ -360,7 +359,10 @@
         self.is_loaded = True
 
     def _apply_submission(
-        self, submission: Submission, revision: int, stored_progress: tuple[Progress, int] | None
+        self,
+        submission: Submission,
+        revision: int | None,
+        stored_progress: tuple[Progress, int] | None,
     ) -> None:
         self.apply(
             SubmissionRead(
--- a/src/lavenderhook/_internal/queueing/events.py
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -34,12 +34,14 @@
 
     Parameters
     ----------
+    revision : int or None
+        Revision of its row; None if a peer has reported it, which doesn't tell.
     age : float
         Seconds since it was accepted.
     """
 
     submission: Submission
-    revision: int
+    revision: int | None
     age: float
     progress: Progress | None = None
 
