Reproduce runs that are started again beside an unreached worker

A caller sends a submission again to another instance after a takeover; the notice of that instance raises the revision by which the submission counts to the one after the claim. It then counts as newer than the end of the former owner, or than the closing of the worker in the roster of the owner between, and its tasks on a worker that can't be reached are started again at once.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -146,6 +146,26 @@
     Then "new" has started
     And no invariant was violated
 
+  Scenario Outline: A submission that a peer reports again after a takeover runs once
+    Guards against a second run of a task that continues on a worker which the new owner can't
+    reach: a report that doesn't tell the revision of a submission must not make it look newer.
+    Given 4 workers and an owner
+    When a submission "cut" of 2 tasks of 9000 millicores and 30 seconds arrives
+    And 1 seconds pass in the simulation
+    And worker "w0" is partitioned
+    And <takeover>
+    And 0.3 seconds pass in the simulation
+    And a peer reports "cut" to the owner once more
+    And 60 seconds pass in the simulation
+    Then "cut" is completed
+    And no invariant was violated
+
+    Examples:
+      | takeover                                                |
+      | another owner takes over after the former one has ended |
+      | another owner takes over                                |
+      | 2 owners take over 1.5 seconds apart                    |
+
   Scenario: Work submitted after a worker began to drain doesn't wait for it after a takeover
     Guards against seconds without starts when a draining worker becomes unreachable before a
     takeover: it can't have a run of a submission that was stored after it began to drain.
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -296,7 +296,7 @@
     context.simulation.submit(name, [make_step(count, processors, seconds)])
 
 
-@when("{seconds:d} seconds pass in the simulation")
+@when("{seconds:g} seconds pass in the simulation")
 def step_pass(context, seconds):
     context.simulation.run(seconds)
 
@@ -356,6 +356,19 @@
     simulation.start_new_owner()
 
 
+@when("{count:d} owners take over {seconds:g} seconds apart")
+def step_new_owners(context, count, seconds):
+    for _ in range(count):
+        context.simulation.start_new_owner()
+        context.simulation.run(seconds)
+
+
+@when('a peer reports "{name}" to the owner once more')
+def step_report_again(context, name):
+    submission, _ = context.simulation.submissions[name]
+    context.simulation.owners[-1].deliver_submission(submission, None)
+
+
 @when('the owner loses the worker of "{submission}"')
 def step_lose_worker(context, submission):
     simulation = context.simulation
