Let a submission whose revision isn't known wait for unreached workers

Callers could see tasks run twice: a new owner started again what still ran on a worker that it couldn't reach, without waiting for the worker's lease.

Cause: a submission waits for an unreached worker unless it was stored after the closing of that worker in the roster, or after all earlier owners had ended. A peer's notice doesn't tell when a submission was stored, and the owner put the revision after its own claim in its place, also for a submission that it had loaded with its true, lower revision: the higher of the two counted. One request that a caller sends again, to another instance than before, frees all tasks of its submission on all unreached workers. It takes an owner that resigned or whose process ended, or two takeovers in a row, so that the worker is closed before the second claim.

Change: the revision is that of the row, or unknown. One that isn't known waits for every unreached worker, until the change feed tells it. A guess no longer replaces what is known, and an owner whose first read was stale doesn't take an older submission for a new one.

--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -147,7 +147,6 @@
         reviewer: RunReviewer | None = None,
     ) -> None:
         self.fencing = fencing
-        self.owner_revision = owner_revision
         self.parameters = parameters
         self.scheduler = Scheduler(
             fencing,
@@ -212,14 +211,12 @@
     def handle_submission(self, event: SubmissionRead) -> list[Effect]:
         """Add a submission; of one that is known already, only its revision may be news."""
         submission = event.submission
-        # One that was not loaded was stored after the takeover.
-        revision = self.owner_revision + 1 if event.revision is None else event.revision
         if submission.id in self.submissions:
-            self.submissions[submission.id].record_revision(revision)
+            self.submissions[submission.id].record_revision(event.revision)
         if submission.id in self.submissions or submission.id in self.outcomes:
             return []
         entry = SubmissionProgress(
-            submission, revision, event.now - max(0.0, event.age), self.first_run_number
+            submission, event.revision, event.now - max(0.0, event.age), self.first_run_number
         )
         if event.progress is not None:
             entry.import_progress(event.progress, event.now)
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -64,13 +64,15 @@
         submissions : iterable of SubmissionProgress
         workers : collection of Worker
         blocked_through_revision : float
-            Submissions up to this revision of the store may have runs at unreached workers.
+            Submissions up to this revision of the store, and those whose revision isn't known, may
+            have runs at unreached workers; 0 if none has.
         now : float
         """
         candidates: list[tuple[tuple[float, ...], SubmissionProgress, StepProgress]] = []
         for entry in submissions:
-            is_blocked = entry.revision <= blocked_through_revision or now < entry.blocked_until
-            if entry.is_finalizing or is_blocked:
+            if entry.is_finalizing or now < entry.blocked_until:
+                continue
+            if entry.is_blocked_through(blocked_through_revision):
                 continue
             for step in entry.steps.values():
                 if (step.waiting or step.copies) and entry.is_ready(step, now):
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -274,8 +274,8 @@
 
     Attributes
     ----------
-    revision : int
-        Revision of the stored submission; of one that a peer has reported, the earliest possible.
+    revision : int or None
+        Revision of the stored submission; None until its row has been read.
     progress_revision : int
         Revision of the stored progress; 0 if there is none.
     failure : FailureReason or None
@@ -287,7 +287,7 @@
     def __init__(
         self,
         submission: Submission,
-        revision: int,
+        revision: int | None,
         arrived_at: float,
         first_run_number: RunNumber,
     ) -> None:
@@ -324,9 +324,14 @@
         terms = self.submission.queue
         return terms.slack_factor * critical_path_seconds + terms.latency_seconds
 
-    def record_revision(self, revision: int) -> None:
-        """Record the revision of the stored row, which a peer's notice doesn't tell."""
-        self.revision = max(self.revision, revision)
+    def record_revision(self, revision: int | None) -> None:
+        """Record the revision of the stored row; None if a report doesn't tell it."""
+        if revision is not None:
+            self.revision = revision
+
+    def is_blocked_through(self, revision: float) -> bool:
+        """Return whether it may be stored up to a revision; 0 stands for none."""
+        return revision > 0 and (self.revision is None or self.revision <= revision)
 
     @property
     def is_done(self) -> bool:
