Start nothing of a submission with unreadable rows when it is reported again

Callers could see tasks run again that were done: an owner leaves a submission alone whose progress it can't decode, as written by a newer build, but took the same submission for a new one when an instance reported it, since a caller had sent it again.

Evidence: the new scenario, with the real owner, sees both starts before the change. The guard stood in the loading loop only; it stands now where every submission is applied.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -124,3 +124,12 @@
       | where                      |
       | before its first task      |
       | after two of its tasks     |
+
+  Scenario: A submission whose progress can't be read is not started when it is sent again
+    Guards against a second run of tasks that are done: the owner leaves the submission alone, but
+    not if an instance reports it anew.
+    Given a stored submission with a progress that can't be read
+    When an owner has loaded the rows
+    And an instance reports the submission to the owner
+    And 0.5 seconds of real time pass
+    Then it starts nothing
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -6,6 +6,7 @@
 import random
 import re
 import tempfile
+import time
 from types import SimpleNamespace
 from unittest import mock
 
@@ -16,6 +17,12 @@
 from hypothesis import HealthCheck, Phase, seed, settings, strategies
 from hypothesis import given as given_example
 
+from features.steps.stale_reads import (
+    LoadingStore,
+    make_stored_submission,
+    make_submission_row,
+    start_owner,
+)
 from lavenderhook._internal.adapters import workers as own_workers
 from lavenderhook._internal.adapters.claims import decode_claim
 from lavenderhook._internal.adapters.directory import HttpInstanceDirectory
@@ -40,6 +47,7 @@
 from lavenderhook._internal.queueing.events import Ticked, WorkersListed
 from lavenderhook._internal.queueing.model import FencingToken
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
+from lavenderhook._internal.queueing.records import WORK_TABLE
 from lavenderhook._internal.queueing.start_log import StartLogRow
 from lavenderhook._internal.queueing.validation import check_submission
 from lavenderhook._internal.violations import decode_json as decode_body
@@ -48,6 +56,7 @@
 from lavenderhook.platform.settings import load_settings
 from standins.odd_workers import ODD_WORKERS
 
+MAX_LOADING_SECONDS = 5.0
 STEPS = [{"count": 2, "cpu": 10, "memMb": 1, "estimateMs": 5.0, "after": []}]
 SPEC = {"count": 2, "resources": {"processors": 10}, "after": []}
 QUEUE = {"name": "q", "service": "s", "priority": 0}
@@ -672,3 +681,25 @@
 @when('the placement of "{name}" fails no longer')
 def step_placement_succeeds(context, name):
     context.failing_placement.stop()
+
+
+@given("a stored submission with a progress that can't be read")
+def step_unreadable_progress(context):
+    context.submission = make_stored_submission()
+    progress = store.StoredRow(table=WORK_TABLE, key="progress/s", value=b"[", revision=5)
+    rows = (make_submission_row(context.submission), progress)
+    context.source = LoadingStore(rows, rows)
+
+
+@when("an owner has loaded the rows")
+def step_load_rows(context):
+    start_owner(context)
+    until = time.monotonic() + MAX_LOADING_SECONDS
+    while not context.owner.is_loaded:
+        assert time.monotonic() < until, "the owner has not loaded the rows"
+        gevent.sleep(0.01)
+
+
+@when("an instance reports the submission to the owner")
+def step_report_submission(context):
+    context.owner.add_submission(context.submission, None)
--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -194,34 +194,48 @@
         return WorkerReport(clock=100.0, born=1, running=(), finished=())
 
 
-@given("a store that loses its history while a submission ends, with stale reads for a while")
-def step_stale_end(context):
-    shorten_staleness(context)
-    step = StepSpec(resources=Resources(1, 1))
-    submission = Submission(
+def make_stored_submission():
+    """Return a submission of one task for the workers of `ENTRY`."""
+    return Submission(
         id="s",
         queue=QueueTerms(name="q", service="s"),
         payload="",
-        steps=(step,),
+        steps=(StepSpec(resources=Resources(1, 1)),),
         accepted_at=time.time(),
     )
-    outcome = Outcome(state=SubmissionState.COMPLETED, at=time.time())
-    row = StoredRow(
+
+
+def make_submission_row(submission):
+    """Return the row of a submission."""
+    return StoredRow(
         table=WORK_TABLE,
         key="submission/s",
         value=encode(submission),
         revision=4,
         part=choose_part("s"),
     )
+
+
+@given("a store that loses its history while a submission ends, with stale reads for a while")
+def step_stale_end(context):
+    shorten_staleness(context)
+    row = make_submission_row(make_stored_submission())
+    outcome = Outcome(state=SubmissionState.COMPLETED, at=time.time())
     end = StoredRow(table=WORK_TABLE, key="outcome/s", value=encode(outcome), revision=5)
     context.source = LoadingStore((row,), (row, end))
 
 
 @when("an owner loads the work and places tasks")
 def step_owner_loads(context):
+    start_owner(context)
+    gevent.sleep(3 * MAX_STALENESS_SECONDS)
+
+
+def start_owner(context):
+    """Start an owner of one worker, which loads the rows of the source; it stops with the test."""
     context.client = IdleWorker()
     workers = {"w": decode_worker("w", ENTRY)}
-    owner = Owner(
+    owner = context.owner = Owner(
         FencingToken(2),
         LoadingStore.REVISION,
         store=context.source,
@@ -237,8 +251,7 @@
         proof=OwnershipProof(0.0),
     )
     owner.start()
-    gevent.sleep(3 * MAX_STALENESS_SECONDS)
-    owner.stop()
+    context.add_cleanup(owner.stop)
 
 
 @then("it starts nothing")
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -342,8 +342,6 @@
             self._ended_at[submission_id] = outcome.at
             self.apply(OutcomeRead(now=_now(), submission=submission_id, outcome=outcome))
         for submission, revision in self._work.submissions.values():
-            if submission.id in self._work.unreadable:
-                continue
             stored_progress = self._work.progress.get(submission.id)
             self._apply_submission(submission, revision, stored_progress)
         for submission, known_revision in self._submissions_during_load:
@@ -371,6 +369,8 @@
         revision: int | None,
         stored_progress: tuple[Progress, int] | None,
     ) -> None:
+        if submission.id in self._work.unreadable:
+            return  # without its progress, tasks that are done would run again
         self.apply(
             SubmissionRead(
                 now=_now(),
