Remember each ended submission for as long as its rows are stored

Callers could see tasks run again of a submission that had completed: an owner kept the last 20,000 final states. One that it had dropped counted as new when an instance reported the submission again. A new owner reads them in the order of their ids, so that it may have dropped a recent one.

The states are dropped when the rows are deleted, after the retention period, so that their number is bounded by the rows in the store. 150 s at 200 a second are 30,000.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -166,6 +166,17 @@
       | another owner takes over                                |
       | 2 owners take over 1.5 seconds apart                    |
 
+  Scenario: A submission that a peer reports again after many others have ended runs once
+    Guards against a second run of tasks whose submission has ended: its rows are still stored, and
+    a caller may send it again.
+    Given 2 workers and an owner
+    When a submission "ended" of 1 tasks of 1000 millicores and 1 seconds arrives
+    And 5 seconds pass in the simulation
+    And 30000 other submissions have ended
+    And a peer reports "ended" to the owner once more
+    And 5 seconds pass in the simulation
+    Then "ended" has 1 starts
+
   Scenario: Work submitted after a worker began to drain doesn't wait for it after a takeover
     Guards against seconds without starts when a draining worker becomes unreachable before a
     takeover: it can't have a run of a submission that was stored after it began to drain.
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -20,13 +20,19 @@
 from features.support.restart_runs import run_restart_simulation
 from lavenderhook._internal.queueing.authority import PROOF_SECONDS
 from lavenderhook._internal.queueing.effects import RequestAdvice
-from lavenderhook._internal.queueing.events import FinishedRunPosition, ProgressStored, Ticked
+from lavenderhook._internal.queueing.events import (
+    FinishedRunPosition,
+    OutcomeRead,
+    ProgressStored,
+    Ticked,
+)
 from lavenderhook._internal.queueing.model import (
     AdviceTerms,
     RunOutcome,
     SubmissionState,
     WorkerState,
 )
+from lavenderhook._internal.queueing.records import Outcome
 from lavenderhook._internal.queueing.retry_after import choose_retry_after
 from lavenderhook._internal.queueing.submissions import Ticket
 
@@ -363,6 +369,15 @@
         context.simulation.run(seconds)
 
 
+@when("{count:d} other submissions have ended")
+def step_others_ended(context, count):
+    simulation = context.simulation
+    outcome = Outcome(state=SubmissionState.COMPLETED, at=simulation.now)
+    for number in range(count):
+        event = OutcomeRead(now=simulation.now, submission=f"other{number}", outcome=outcome)
+        simulation.owners[-1].apply(event)
+
+
 @when('a peer reports "{name}" to the owner once more')
 def step_report_again(context, name):
     submission, _ = context.simulation.submissions[name]
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -93,7 +93,6 @@
 COMMAND_RETRY_SECONDS = 0.3  # after a command without an answer
 MAX_START_ATTEMPTS = 4  # then the run is stopped, which prevents a later start
 REVIEW_INTERVAL_SECONDS = 0.2
-MAX_CACHED_OUTCOMES = 20_000
 
 
 class OwnerParameters(msgspec.Struct, frozen=True, kw_only=True):
@@ -232,7 +231,7 @@
 
     def handle_outcome(self, event: OutcomeRead) -> list[Effect]:
         """Record a stored final state, and stop what still runs."""
-        self._cache_outcome(event.submission, event.outcome.state)
+        self.outcomes[event.submission] = event.outcome.state  # until its rows are deleted
         entry = self.submissions.pop(event.submission, None)
         if entry is None:
             return []
@@ -832,11 +831,6 @@
             worker.is_open_in_roster = self.roster.is_open_in_roster(worker.id)
         return [] if update is None else [StoreRoster(roster=update)]
 
-    def _cache_outcome(self, submission: SubmissionId, state: SubmissionState) -> None:
-        self.outcomes[submission] = state
-        if len(self.outcomes) > MAX_CACHED_OUTCOMES:
-            self.outcomes.pop(next(iter(self.outcomes)))
-
     def _find_step(self, step_id: StepId) -> StepProgress | None:
         entry = self.submissions.get(step_id.submission)
         if entry is None:
