Count calls for advice that one loss breaks as one failure of their instance

Cause: calls for advice are spread over the instances, and an instance is avoided for 2 s after a failure, twice as long after each further one in a row, at most 60 s. One reset breaks all calls that wait at an instance, and each of them counted: five or more of them, and it was avoided for a minute. With several instances avoided all advice waited at the few left.

The new scenario, 12 calls lost together: 30 later calls go to the two other instances before, 10 to each of the three after.

Change: a call that was sent before the last counted failure isn't counted again.

--- a/features/steps/worker_incarnations.py
+++ b/features/steps/worker_incarnations.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import gevent
+import gevent.event
 import msgspec
 from behave import given, then, when
 
@@ -387,3 +388,49 @@
 @then("at most {count:d} of them went to the instance that never responds")
 def step_calls_lost(context, count):
     assert context.calls.count("i0") <= count, context.calls
+
+
+@given("an advisory service that {count:d} instances reach")
+def step_pending_advice(context, count):
+    context.calls = []
+    context.now = 100.0
+    context.connection_lost = gevent.event.Event()
+    addresses = [f"i{index}" for index in range(count)]
+
+    def request_advice_at(address, _step, chosen, _seconds):
+        is_lost = not context.connection_lost.is_set()
+        context.calls.append(address)
+        context.connection_lost.wait()
+        return None if is_lost and address == "i0" else dict.fromkeys(chosen, "t")
+
+    context.dispatcher = AdviceDispatcher(request_advice_at, lambda: addresses)
+    patch = mock.patch.object(advice.time, "monotonic", lambda: context.now)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+def call_advice_together(context, count):
+    """Make calls at the same time; return their greenlets."""
+    request = context.dispatcher.request_advice
+    return [gevent.spawn(request, StepId("a", 0, 0), ("w",), 0.05) for _ in range(count)]
+
+
+@when("{count:d} calls for advice wait at each instance, and those of one are lost together")
+def step_lose_advice(context, count):
+    greenlets = call_advice_together(context, 3 * count)
+    gevent.idle()
+    assert context.calls.count("i0") == count, context.calls
+    context.connection_lost.set()
+    gevent.joinall(greenlets)
+
+
+@when("{seconds:f} seconds later {count:d} more calls for advice are made")
+def step_more_advice(context, seconds, count):
+    context.now += seconds
+    context.calls.clear()
+    gevent.joinall(call_advice_together(context, count))
+
+
+@then("{count:d} of them went to that instance")
+def step_advice_spread(context, count):
+    assert context.calls.count("i0") == count, context.calls
--- a/features/worker_incarnations.feature
+++ b/features/worker_incarnations.feature
@@ -216,3 +216,11 @@
     When 30 calls for advice of 0.05 seconds each are made one after the other
     Then all of them are answered
     And at most 2 of them went to the instance that never responds
+
+  Scenario: Calls for advice that are lost together count as one failure of their instance
+    Guards against instances that are avoided for a minute after one lost connection, so that all
+    advice waits for the few that are left.
+    Given an advisory service that 3 instances reach
+    When 12 calls for advice wait at each instance, and those of one are lost together
+    And 3.0 seconds later 30 more calls for advice are made
+    Then 10 of them went to that instance
--- a/src/lavenderhook/_internal/instance/advice.py
+++ b/src/lavenderhook/_internal/instance/advice.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 
@@ -46,6 +47,7 @@
         self._list_addresses = list_addresses
         self._busy_until: dict[str, float] = {}
         self._failures: dict[str, int] = {}  # in a row
+        self._failed_at: dict[str, float] = {}  # the last of these
 
     def choose_instance(self, expected_seconds: float, now: float) -> tuple[str, float]:
         """Return the address for a call and the seconds until its response is expected."""
@@ -60,17 +62,21 @@
     ) -> dict[WorkerId, TicketId] | None:
         """Return the workers that may run a step, with their tickets; None without a response."""
         for _ in range(MAX_ATTEMPTS):
-            address, wait_seconds = self.choose_instance(expected_seconds, time.monotonic())
+            sent_at = time.monotonic()
+            address, wait_seconds = self.choose_instance(expected_seconds, sent_at)
             allowed = self._request_advice_at(
                 address, step, workers, wait_seconds + ADVICE_TIMEOUT_MARGIN_SECONDS
             )
             if allowed is not None:
                 self._failures.pop(address, None)
                 return allowed
-            self._record_failure(address)
+            self._record_failure(address, sent_at)
         return None
 
-    def _record_failure(self, address: str) -> None:
+    def _record_failure(self, address: str, sent_at: float) -> None:
+        if sent_at <= self._failed_at.get(address, -math.inf):
+            return  # lost together with a call that has been counted
+        self._failed_at[address] = time.monotonic()
         failures = self._failures.get(address, 0)
         self._failures[address] = failures + 1
         penalty = min(FAILURE_PENALTY_SECONDS * 2**failures, MAX_FAILURE_PENALTY_SECONDS)
