Don't wait for advice as long as its instance is avoided

Callers could wait for up to a minute for a start where every instance had failed a call for advice before: the least avoided one was asked, and the time for which it was to be avoided counted as calls that wait before this one.

Change: the two times are kept apart.

--- a/features/steps/worker_incarnations.py
+++ b/features/steps/worker_incarnations.py
@@ -360,11 +360,13 @@
 @given("an advisory service that {count:d} instances reach, of which one never responds")
 def step_advice(context, count):
     context.calls = []
+    context.longest_wait = 0.0
     context.now = 100.0
     addresses = [f"i{index}" for index in range(count)]
 
     def request_advice_at(address, _step, chosen, seconds):
         context.calls.append(address)
+        context.longest_wait = max(context.longest_wait, seconds)
         context.now += seconds if address == "i0" else 0.05
         return None if address == "i0" else dict.fromkeys(chosen, "t")
 
@@ -385,6 +387,11 @@
     assert None not in context.answers, context.answers.count(None)
 
 
+@then("none of them has waited for more than {seconds:f} seconds at an instance")
+def step_wait_bounded(context, seconds):
+    assert context.longest_wait <= seconds, context.longest_wait
+
+
 @then("at most {count:d} of them went to the instance that never responds")
 def step_calls_lost(context, count):
     assert context.calls.count("i0") <= count, context.calls
--- a/features/worker_incarnations.feature
+++ b/features/worker_incarnations.feature
@@ -224,3 +224,9 @@
     When 12 calls for advice wait at each instance, and those of one are lost together
     And 3.0 seconds later 30 more calls for advice are made
     Then 10 of them went to that instance
+
+  Scenario: A call for advice waits no longer where all instances are avoided
+    Guards against advice that waits for a minute at an instance that doesn't respond.
+    Given an advisory service that 1 instances reach, of which one never responds
+    When 6 calls for advice of 0.05 seconds each are made one after the other
+    Then none of them has waited for more than 1.0 seconds at an instance
--- a/src/lavenderhook/_internal/instance/advice.py
+++ b/src/lavenderhook/_internal/instance/advice.py
@@ -45,14 +45,20 @@
     ) -> None:
         self._request_advice_at = request_advice_at
         self._list_addresses = list_addresses
-        self._busy_until: dict[str, float] = {}
+        self._busy_until: dict[str, float] = {}  # with the calls that wait there
+        self._avoided_until: dict[str, float] = {}
         self._failures: dict[str, int] = {}  # in a row
         self._failed_at: dict[str, float] = {}  # the last of these
 
     def choose_instance(self, expected_seconds: float, now: float) -> tuple[str, float]:
         """Return the address for a call and the seconds until its response is expected."""
         addresses = self._list_addresses()
-        best = min(addresses, key=lambda address: max(now, self._busy_until.get(address, 0.0)))
+        best = min(
+            addresses,
+            key=lambda address: max(
+                now, self._busy_until.get(address, 0.0), self._avoided_until.get(address, 0.0)
+            ),
+        )
         done_at = max(now, self._busy_until.get(best, 0.0)) + expected_seconds
         self._busy_until[best] = done_at
         return best, done_at - now
@@ -80,4 +86,5 @@
         failures = self._failures.get(address, 0)
         self._failures[address] = failures + 1
         penalty = min(FAILURE_PENALTY_SECONDS * 2**failures, MAX_FAILURE_PENALTY_SECONDS)
-        self._busy_until[address] = time.monotonic() + penalty
+        self._avoided_until[address] = time.monotonic() + penalty
+        self._busy_until.pop(address, None)
