Reproduce second runs by a roster that is stored but not yet known as stored

A worker that is closed in the stored roster must get no starts. An owner opens it in memory as soon as the worker answers, also while a write that closes it has no answer yet. The next owner then takes a submission that is newer than that row for one that the worker can't hold. Also: a stale read of the roster, and ends of unknown submissions that are acknowledged without being stored.

The simulation can delay the answers to rosters, written one at a time as by the real owner.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -125,6 +125,13 @@
       | before its first task      |
       | after two of its tasks     |
 
+  Scenario: The end of a task is not acknowledged while the progress of its submission can't be read
+    Guards against a second run of a task that is done: its end is stored nowhere, so that an owner
+    that can read the progress starts the task again.
+    Given a stored submission with a progress that can't be read
+    When an owner learns that a task of the submission has ended
+    Then the end is not acknowledged
+
   Scenario: A submission whose progress can't be read is not started when it is sent again
     Guards against a second run of tasks that are done: the owner leaves the submission alone, but
     not if an instance reports it anew.
--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -166,6 +166,53 @@
       | another owner takes over                                |
       | 2 owners take over 1.5 seconds apart                    |
 
+  Scenario Outline: A worker gets no starts while the store may show it as closed
+    Guards against a second run of a task that continues on a worker which the new owner can't
+    reach: the row that closes the worker was stored, but its owner had no answer yet when the
+    worker answered again, and started a submission there that is newer than the row.
+    Given 4 workers and an owner
+    When 1 seconds pass in the simulation
+    And the owner gets the answers to its rosters <answer> seconds after they are stored
+    And the link to worker "w0" fails until the store shows the worker as closed
+    And a submission "other" of 3 tasks of 9000 millicores and 60 seconds arrives
+    And 0.2 seconds pass in the simulation
+    And a submission "new" of 1 tasks of 9000 millicores and 30 seconds arrives
+    And worker "w0" is partitioned as soon as it runs "new"
+    And another owner takes over after the former one has ended
+    And "other" is cancelled
+    And 60 seconds pass in the simulation
+    Then "new" is completed
+    And no invariant was violated
+
+    Examples:
+      | answer |
+      | 0.0    |
+      | 0.8    |
+      | 2.2    |
+
+  Scenario Outline: A new owner starts nothing on a worker while the store may show it as closed
+    Guards against the same after a takeover: the new owner closes all workers that it hasn't reached
+    yet, and reaches them before it has the answer to that.
+    Given 4 workers and an owner
+    When 1 seconds pass in the simulation
+    And the owner gets the answers to its rosters <answer> seconds after they are stored
+    And another owner takes over after the former one has ended
+    And a submission "other" of 3 tasks of 9000 millicores and 60 seconds arrives
+    And 0.1 seconds pass in the simulation
+    And a submission "new" of 1 tasks of 9000 millicores and 30 seconds arrives
+    And the worker that gets "new" is partitioned
+    And another owner takes over after the former one has ended
+    And "other" is cancelled
+    And 60 seconds pass in the simulation
+    Then "new" is completed
+    And no invariant was violated
+
+    Examples:
+      | answer |
+      | 0.0    |
+      | 0.4    |
+      | 0.9    |
+
   Scenario: A submission that a peer reports again after many others have ended runs once
     Guards against a second run of tasks whose submission has ended: its rows are still stored, and
     a caller may send it again.
--- a/features/stale_reads.feature
+++ b/features/stale_reads.feature
@@ -21,6 +21,18 @@
     When an owner loads the work and places tasks
     Then it starts nothing
 
+  Scenario Outline: A new owner waits for a worker that a stale roster shows as closed
+    Guards against a second run of a task: the worker was opened again, and runs a submission that is
+    newer than the closing in the stale roster.
+    Given a roster that has changed before an owner loads it with <kind> reads
+    When the owner places tasks while it can't reach a worker of that roster
+    Then it starts nothing
+
+    Examples:
+      | kind    |
+      | current |
+      | stale   |
+
   Scenario: A submission is not denied by a stale read
     Guards against a 410 for an accepted submission that a stale read does not show.
     Given 2 entry instances and 1 queue workers
@@ -29,3 +41,10 @@
     And 2.0 seconds of real time pass
     Then a GET of "/jobs/00000000000000e4" is refused with 503 and a Retry-After
     And every instance answers a GET of "/jobs/00000000000000e4" with 410 within 5.0 seconds
+
+  Scenario: A task that ended before its submission became known is not started again
+    Guards against a second run of a task that is done: a former owner has started it from a notice;
+    its end is acknowledged without being stored, since the store is unavailable for long.
+    Given a store without the submission that a former owner has started
+    When the store is unavailable for longer than ends of unknown submissions are kept
+    Then it starts nothing
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -431,6 +431,45 @@
     context.simulation.workers[name].is_partitioned = True
 
 
+@when("the owner gets the answers to its rosters {seconds:g} seconds after they are stored")
+def step_late_roster_answers(context, seconds):
+    context.simulation.roster_answer_seconds = seconds
+
+
+@when('the link to worker "{name}" fails until the store shows the worker as closed')
+def step_interrupt_link(context, name):
+    simulation = context.simulation
+    simulation.workers[name].is_partitioned = True
+    simulation.run_until(lambda: name in simulation.roster.closed)
+    simulation.workers[name].is_partitioned = False
+
+
+@when('worker "{name}" is partitioned as soon as it runs "{submission}"')
+def step_partition_when_running(context, name, submission):
+    worker = context.simulation.workers[name]
+    context.simulation.run_until(lambda: any(t.submission == submission for t in worker.runs))
+    worker.is_partitioned = True
+
+
+@when('the worker that gets "{name}" is partitioned')
+def step_partition_first(context, name):
+    simulation = context.simulation
+
+    def find_worker():
+        return next(
+            (w for w in simulation.workers.values() if any(t.submission == name for t in w.runs)),
+            None,
+        )
+
+    simulation.run_until(find_worker)
+    find_worker().is_partitioned = True
+
+
+@when('"{name}" is cancelled')
+def step_cancel(context, name):
+    context.simulation.cancel(name)
+
+
 @when('worker "{name}" is partitioned and removed from the worker list')
 def step_partition_unlisted(context, name):
     worker = context.simulation.workers.pop(name)
--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -13,25 +13,41 @@
 from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.ports.queueing import (
     HistoryLostError,
+    HoldRefusal,
     RowChanges,
+    RowConflict,
     StoredRow,
     WorkerChanges,
 )
+from lavenderhook._internal.queueing import workers
 from lavenderhook._internal.queueing.model import (
     FencingToken,
+    FinishedRun,
     QueueTerms,
     Resources,
+    RunOutcome,
     StartOutcome,
     StepSpec,
     Submission,
     SubmissionState,
+    TaskKey,
     WorkerReport,
 )
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
-from lavenderhook._internal.queueing.records import WORK_TABLE, Outcome, choose_part, encode
+from lavenderhook._internal.queueing.records import (
+    CONTROL_TABLE,
+    ROSTER_KEY,
+    WORK_TABLE,
+    Outcome,
+    Roster,
+    choose_part,
+    encode,
+)
+from lavenderhook.errors import StoreUnavailableError
 from lavenderhook.platform.lists import decode_worker
 
 STALE_SECONDS = 0.5
+UNMATCHED_SECONDS = 0.3  # in place of the time for which ends of unknown submissions are kept
 MAX_STALENESS_SECONDS = 1.0  # in place of the real bound
 ENTRY = (
     b'{"service":"s","address":"127.0.0.1:9","zone":"z","state":"ready",'
@@ -130,8 +146,8 @@
 @given("a store that loses its history while a worker leaves and another comes")
 def step_stale_list(context):
     shorten_staleness(context)
-    workers = {name: decode_worker(name, ENTRY) for name in ("left", "new")}
-    context.source = StaleWorkerList({"left": workers["left"]}, {"new": workers["new"]})
+    listed = {name: decode_worker(name, ENTRY) for name in ("left", "new")}
+    context.source = StaleWorkerList({"left": listed["left"]}, {"new": listed["new"]})
 
 
 @when("an owner follows the list of workers")
@@ -231,15 +247,148 @@
     gevent.sleep(3 * MAX_STALENESS_SECONDS)
 
 
-def start_owner(context):
-    """Start an owner of one worker, which loads the rows of the source; it stops with the test."""
-    context.client = IdleWorker()
-    workers = {"w": decode_worker("w", ENTRY)}
+class StaleRosterStore(LoadingStore):
+    """Store of an owner that loads; only reads of the roster are stale for a while."""
+
+    ROSTER_REVISION = 3
+
+    def read(self, table, *_range, part="", **_options):
+        """Return the rows of a part."""
+        if table == CONTROL_TABLE:
+            return RowChanges(self.read_items(), self.REVISION)
+        rows = (make_submission_row(make_stored_submission()),) if table == WORK_TABLE else ()
+        return RowChanges(tuple(row for row in rows if row.part == part), self.REVISION)
+
+    def transact(self, writes, *_arguments):
+        """Return the revision of a transaction, or the newest roster if another one was read."""
+        if any(w.key == ROSTER_KEY and w.expected != self.ROSTER_REVISION for w in writes):
+            return RowConflict((make_owner_row(self.REVISION), *self.new))
+        return self.REVISION
+
+
+class EndedRunWorker(IdleWorker):
+    """Client of a worker on which the only task of `make_stored_submission` has ended done."""
+
+    def __init__(self):
+        super().__init__()
+        self.acknowledged = 0
+
+    def hold(self, _address, _worker, _born, _token, acknowledged, *_arguments):
+        """Report the end until it is acknowledged."""
+        gevent.sleep(0.01)
+        self.acknowledged = max(self.acknowledged, acknowledged)
+        end = FinishedRun(1, TaskKey("s", 0, 0, 0), 1, RunOutcome.DONE, "")
+        finished = () if self.acknowledged else (end,)
+        return WorkerReport(clock=100.0, born=1, running=(), finished=finished)
+
+
+class LostFeedStore(LoadingStore):
+    """Store that is unavailable after it was loaded; then a submission is found in it."""
+
+    is_available = True
+
+    def read_items(self):
+        """Return the rows: none until the store is available again."""
+        return self.new if self.has_returned else self.old
+
+    has_returned = False
+
+    def wait_for_changes(self, _table, _after, _seconds):
+        """Return the rows that have changed."""
+        self._check()
+        return RowChanges(self.read_items(), self.REVISION)
+
+    def transact(self, *_arguments):
+        """Return the revision of a transaction."""
+        self._check()
+        return self.REVISION
+
+    def _check(self):
+        if not self.is_available:
+            raise StoreUnavailableError("the rows are unavailable")
+
+
+@given("a store without the submission that a former owner has started")
+def step_late_submission(context):
+    context.source = LostFeedStore((), (make_submission_row(make_stored_submission()),))
+
+
+@when("the store is unavailable for longer than ends of unknown submissions are kept")
+def step_store_outage(context):
+    context.source.is_available = False
+    shorten_waits(context)
+    start_ended_run_owner(context)
+    gevent.sleep(4 * UNMATCHED_SECONDS)
+    context.source.has_returned = context.source.is_available = True
+    gevent.sleep(1.0)
+
+
+@when("an owner learns that a task of the submission has ended")
+def step_learn_end(context):
+    shorten_waits(context)
+    start_ended_run_owner(context)
+    gevent.sleep(4 * UNMATCHED_SECONDS)
+
+
+def shorten_waits(context):
+    """Keep ends of unknown submissions for a shorter time."""
+    patch = mock.patch.object(workers, "UNMATCHED_FINISHED_RUN_SECONDS", UNMATCHED_SECONDS)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+def start_ended_run_owner(context):
+    """Start an owner that reads the end of a run."""
+    start_owner(context, EndedRunWorker())
+
+
+@then("the end is not acknowledged")
+def step_not_acknowledged(context):
+    assert not context.client.acknowledged, context.client.acknowledged
+
+
+class CutOffWorker(IdleWorker):
+    """Client of workers of which one does not answer."""
+
+    def hold(self, _address, worker, *arguments):
+        """Report no runs, or nothing at all."""
+        gevent.sleep(0.01)
+        return HoldRefusal() if worker == "cut" else super().hold(_address, worker, *arguments)
+
+
+def make_owner_row(revision):
+    """Return the row of the owner, whose content no test reads."""
+    return StoredRow(table=CONTROL_TABLE, key="owner", value=b"{}", revision=revision)
+
+
+def make_roster_row(workers, revision, closed=()):
+    """Return the row of a roster."""
+    roster = Roster(workers=frozenset(workers), closed=dict.fromkeys(closed, revision))
+    return StoredRow(table=CONTROL_TABLE, key=ROSTER_KEY, value=encode(roster), revision=revision)
+
+
+@given("a roster that has changed before an owner loads it with {kind} reads")
+def step_changed_roster(context, kind):
+    old = make_roster_row(("w", "cut"), 2, closed=("cut",))
+    new = make_roster_row(("w", "cut"), StaleRosterStore.ROSTER_REVISION)
+    context.source = StaleRosterStore((old if kind == "stale" else new,), (new,))
+
+
+@when("the owner places tasks while it can't reach a worker of that roster")
+def step_place_beside_cut_worker(context):
+    start_owner(context, CutOffWorker(), ("w", "cut"))
+    gevent.sleep(2 * MAX_STALENESS_SECONDS)
+
+
+def start_owner(context, client=None, names=("w",)):
+    """Start an owner, which loads the rows of the source; it stops with the test."""
+    context.client = client or IdleWorker()
+    listed = {name: decode_worker(name, ENTRY) for name in names}
     owner = context.owner = Owner(
         FencingToken(2),
         LoadingStore.REVISION,
         store=context.source,
-        worker_list=StaleWorkerList(workers, workers),
+        worker_list=StaleWorkerList(listed, listed),
         worker_client=context.client,
         request_advice=None,
         parameters=OwnerParameters(),
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -297,6 +297,8 @@
         self.acts_until = math.inf  # it has no later proof that it has not been replaced
         self.stored_proof_at = math.inf  # time of the last proof by the store; infinite for now
         self.unstored_submissions = {}
+        self.is_roster_unanswered = False
+        self.next_roster = None  # to be stored after the one without an answer
         authority_seconds = simulation.predecessor_seconds if simulation.owners else 0.0
         self.state = OwnerState(
             FencingToken(fencing),
@@ -495,9 +497,26 @@
         if self.is_suspended or simulation.store_refuses:
             simulation.call_later(0.2, self.store_roster, roster)
             return
+        if self.is_roster_unanswered:
+            self.next_roster = roster
+            return
         simulation.revision += 1
         simulation.roster = set_closing_revisions(roster, simulation.revision)
-        self.apply(RosterStored(now=simulation.now, roster=simulation.roster))
+        if not simulation.roster_answer_seconds:
+            self.apply(RosterStored(now=simulation.now, roster=simulation.roster))
+            return
+        self.is_roster_unanswered = True
+        simulation.call_later(
+            simulation.roster_answer_seconds, self.confirm_roster, simulation.roster
+        )
+
+    def confirm_roster(self, roster):
+        """Apply the answer to the write of a roster, and store the newest one."""
+        self.is_roster_unanswered = False
+        self.apply(RosterStored(now=self.simulation.now, roster=roster))
+        newest, self.next_roster = self.next_roster, None
+        if newest is not None:
+            self.store_roster(newest)
 
     def tick(self):
         """Trigger the periodic scheduling."""
@@ -580,6 +599,7 @@
         self.owners_confirm = False  # that they still are owners, after they were suspended
         self.checks_incarnation = True  # late commands for an earlier incarnation are rejected
         self.store_refuses = False
+        self.roster_answer_seconds = 0.0  # from the storing of a roster until its owner knows
         # Until the change feed tells the revision of a submission; 0 if notices do.
         self.feed_seconds = 0.0
         # For how long after the claim a new owner expects earlier ones to act.
