Open a worker only when no roster that the store may hold shows it as closed

Callers could see tasks run twice, where a new owner could not reach a worker: it took a submission for newer than the closing of that worker in the stored roster, and started its tasks again at once, though they ran there.

Cause: an owner opened a worker in memory by the last roster whose storing it knew of and by the newest that it wanted. A closing that was sent, and whose answer was slow or lost, is neither, once the worker has answered again and is to be opened: it got starts while the store showed it as closed. After a takeover this was common, since a new owner closed every worker and reached most of them within milliseconds.

Change: a worker is open if the confirmed roster and each one requested since show it as open. A new owner has half a second to reach the workers before it closes those that it can't reach; until then what they may run is bounded as without the closing, and starts wait for no write.

--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -492,7 +492,7 @@
             line = log_takeover_wait_ended(self.roster.unreached)
             self.roster.unreached.clear()
             return [line, *self._update_roster()]
-        if self.takeover.check_inactive(event.now):
+        if self.takeover.check_closing(event.now):
             return self._update_roster()
         return []
 
@@ -825,7 +825,7 @@
     def _update_roster(self) -> list[Effect]:
         """Close workers at once, and request that a changed roster be stored."""
         update = self.roster.prepare_update(
-            self.workers.values(), is_predecessor_inactive=self.takeover.is_predecessor_inactive
+            self.workers.values(), may_close_unreached=self.takeover.may_close_unreached
         )
         for worker in self.workers.values():
             worker.is_open_in_roster = self.roster.is_open_in_roster(worker.id)
--- a/src/lavenderhook/_internal/queueing/roster.py
+++ b/src/lavenderhook/_internal/queueing/roster.py
@@ -23,8 +23,9 @@
 class RosterTracker:
     """The roster as one owner updates it.
 
-    A worker is closed in memory as soon as it accepts no starts, and opened only after the store
-    shows it as open: a worker that is closed in the stored row never gets starts.
+    A worker is closed in memory as soon as it accepts no starts, and opened only when the store
+    can't show it as closed any longer: a write that closes it may have been carried out before its
+    answer arrives, or without one.
 
     Attributes
     ----------
@@ -46,15 +47,17 @@
         self.unreached = set(inherited.workers)
         self.requested = inherited
         self._stored = inherited
+        # In a roster that was requested after the stored one, which may have replaced it.
+        self._may_be_closed: set[WorkerId] = set()
         self._ended_before = math.inf if ended_before is None else ended_before
         self._logged_through = 0.0
 
     def is_open_in_roster(self, worker: WorkerId) -> bool:
-        """Return whether a worker is open in the stored roster and not being closed."""
+        """Return whether a worker is open in every roster that the store may hold."""
         return (
             worker in self._stored.workers
             and worker not in self._stored.closed
-            and worker not in self.requested.closed
+            and worker not in self._may_be_closed
         )
 
     def record_stored(self, roster: Roster) -> None:
@@ -62,6 +65,11 @@
         self._stored = roster
         if _names_same_workers(roster, self.requested):
             self.requested = roster
+        self._may_be_closed = self._find_closed(self.requested)
+
+    def _find_closed(self, roster: Roster) -> set[WorkerId]:
+        """Return the workers that are open or closed in the stored roster, but not open in this."""
+        return set(roster.closed) | (self._stored.workers - roster.workers)
 
     def compute_blocked_through_revision(self) -> float:
         """Return the revision after which no submission has runs at an unreached worker."""
@@ -82,14 +90,14 @@
         return [log_blocked_submissions(blocked_through, bounds)]
 
     def prepare_update(
-        self, workers: Iterable[Worker], *, is_predecessor_inactive: bool
+        self, workers: Iterable[Worker], *, may_close_unreached: bool
     ) -> Roster | None:
         """Return the roster to store, or None if it has been requested already.
 
         Parameters
         ----------
         workers : iterable of Worker
-        is_predecessor_inactive : bool
+        may_close_unreached : bool
             Whether earlier owners can no longer send commands; until then, only they know whether
             an unreached worker gets none.
         """
@@ -100,12 +108,13 @@
             if worker.is_reached and not worker.accepts_starts():
                 closed[worker.id] = self._stored.closed.get(worker.id, 0)
         for name in self.unreached:
-            if is_predecessor_inactive or name in self._stored.closed:
+            if may_close_unreached or name in self._stored.closed:
                 closed[name] = self._stored.closed.get(name, 0)
         wanted = Roster(workers=frozenset(names), closed=closed)
         if _names_same_workers(wanted, self.requested):
             return None
         self.requested = wanted
+        self._may_be_closed |= self._find_closed(wanted)
         return wanted
 
 
--- a/src/lavenderhook/_internal/queueing/takeover.py
+++ b/src/lavenderhook/_internal/queueing/takeover.py
@@ -7,6 +7,10 @@
 from .leases import compute_latest_lease_expiry
 from .workers import Worker
 
+# Most workers answer sooner after the state was loaded; closing and opening them again would take
+# two writes before they get starts.
+REACH_SECONDS = 0.5
+
 
 class Takeover:
     """When the commands and the leases of earlier owners have ended.
@@ -26,8 +30,8 @@
         Time by which the leases that earlier owners have granted have expired.
     had_ended : bool
         All earlier owners had ended before the claim.
-    is_predecessor_inactive : bool
-        No earlier owner sends commands any more.
+    may_close_unreached : bool
+        No earlier owner sends commands any more, and this one had time to reach the workers.
     """
 
     def __init__(
@@ -43,7 +47,8 @@
         self._inactive_at = started_at + authority_seconds
         self.leases_expire_at = self._compute_expiry(self._inactive_at)
         self.had_ended = authority_seconds <= 0.0
-        self.is_predecessor_inactive = self.had_ended
+        self.may_close_unreached = False
+        self._reach_until: float | None = None
 
     def _compute_expiry(self, extended_until: float) -> float:
         return compute_latest_lease_expiry(extended_until, self._lease_seconds)
@@ -63,9 +68,14 @@
         """Return whether all leases that earlier owners have granted have expired."""
         return now > self.leases_expire_at
 
-    def check_inactive(self, now: float) -> bool:
-        """Return whether the predecessor has become inactive since the last call."""
-        if self.is_predecessor_inactive or now < self._inactive_at:
+    def check_closing(self, now: float) -> bool:
+        """Return whether unreached workers may be closed since this call.
+
+        The first call follows the loading of the state.
+        """
+        if self._reach_until is None:
+            self._reach_until = now + REACH_SECONDS
+        if self.may_close_unreached or now < max(self._inactive_at, self._reach_until):
             return False
-        self.is_predecessor_inactive = True
+        self.may_close_unreached = True
         return True
