Confirm the roster that a new owner has read by a transaction

Callers could see tasks run twice after the store had lost its history: a new owner read a roster of some seconds before, which named a worker as closed that had been opened since, and did not wait for what that worker ran. The conflict of its first own roster, which holds the newest one, was ignored.

Evidence: 'A new owner waits for a worker that a stale roster shows as closed', with the real owner: 1 of 1 starts at once before, 0 of 1 with a current roster. The scenario's store now checks conditions beside writes, as the platform's does.

Change: loading includes one transaction under the condition of the owner row and of the roster's revision; a conflict has the row as it is. It costs one write for each change of owner.

--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -259,9 +259,13 @@
         rows = (make_submission_row(make_stored_submission()),) if table == WORK_TABLE else ()
         return RowChanges(tuple(row for row in rows if row.part == part), self.REVISION)
 
-    def transact(self, writes, *_arguments):
+    def transact(self, writes, conditions=(), *_arguments):
         """Return the revision of a transaction, or the newest roster if another one was read."""
-        if any(w.key == ROSTER_KEY and w.expected != self.ROSTER_REVISION for w in writes):
+        expected = [(write.key, write.expected) for write in writes]
+        expected += [(condition.key, condition.revision) for condition in conditions]
+        if any(
+            key == ROSTER_KEY and revision != self.ROSTER_REVISION for key, revision in expected
+        ):
             return RowConflict((make_owner_row(self.REVISION), *self.new))
         return self.REVISION
 
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -113,6 +113,9 @@
 # The store takes 100 entries in a transaction: two for each submission and one for the owner.
 MAX_SUBMISSIONS_PER_TRANSACTION = 45
 
+# Written to prove the ownership; nobody reads it.
+CONFIRMATION = Write(CONFIRMATION_TABLE, CONFIRMATION_KEY, b"{}")
+
 RequestAdvice = Callable[[StepId, tuple[WorkerId, ...], float], dict[WorkerId, TicketId] | None]
 
 
@@ -279,6 +282,8 @@
             except LavenderhookError as error:
                 self._log_event("owner-loading-failed", **describe_failure(error))
                 gevent.sleep(STORE_RETRY_SECONDS)
+        else:
+            return
         self._restore_state(roster)
         for loop in (
             self._tick_loop,
@@ -292,16 +297,13 @@
 
     def _load(self) -> Roster:
         self._work.catch_up(self._revision)
-        roster_rows = self._store.read(CONTROL_TABLE, ROSTER_KEY, ROSTER_KEY + "\0")
-        if roster_rows.revision < self._revision:
-            raise StoreUnavailableError("the store returned a roster older than the takeover")
+        row = self._read_roster()
         self._former_starts = self._read_former_starts()
         changes = self._worker_list.read()
         self._update_listings(changes)
         self._workers_revision = changes.revision
-        if not roster_rows.rows:
+        if row is None:
             return Roster()
-        row = roster_rows.rows[0]
         self._roster_revision = row.revision
         try:
             return decode_roster(row.value, row.revision)
@@ -309,6 +311,26 @@
             self._log_event("roster-unreadable", **describe_failure(error))
             return Roster(workers=frozenset({UNKNOWN_WORKER}))
 
+    def _read_roster(self) -> StoredRow | None:
+        """Return the row of the roster, confirmed by a transaction, since a read may be stale.
+
+        Raises
+        ------
+        LavenderhookError
+            If it can't be read or confirmed, or another instance has taken over.
+        """
+        found = self._store.read(CONTROL_TABLE, ROSTER_KEY, ROSTER_KEY + "\0").rows
+        row = found[0] if found else None
+        condition = Condition(CONTROL_TABLE, ROSTER_KEY, row.revision if row is not None else 0)
+        result = self._transact([CONFIRMATION], conditions=[condition])
+        if not isinstance(result, RowConflict):
+            return row
+        if self._is_superseded(result):
+            self._step_down(self.fencing, "the owner row has changed")
+            raise StoreUnavailableError("another instance has taken over")
+        self._log_event("roster-read-stale", revision=condition.revision)
+        return result.find(CONTROL_TABLE, ROSTER_KEY)
+
     def _read_former_starts(self) -> dict[SubmissionId, list[LoggedStart]]:
         """Return what earlier owners have started lately.
 
@@ -558,7 +580,7 @@
 
     def _confirm_ownership(self) -> None:
         try:
-            result = self._transact([Write(CONFIRMATION_TABLE, CONFIRMATION_KEY, b"{}")])
+            result = self._transact([CONFIRMATION])
         except LavenderhookError as error:
             self._log_event("owner-unconfirmed", **describe_failure(error))
             return
@@ -865,17 +887,20 @@
         return True
 
     def _transact(
-        self, writes: Sequence[Write], deletions: Sequence[Deletion] = ()
+        self,
+        writes: Sequence[Write],
+        deletions: Sequence[Deletion] = (),
+        conditions: Sequence[Condition] = (),
     ) -> int | RowConflict:
-        """Write and delete rows under the condition that this is still the owner.
+        """Write and delete rows under conditions, one of which is that this is still the owner.
 
         Raises
         ------
         StoreUnavailableError, TransportError
         """
-        condition = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
+        is_owner = Condition(CONTROL_TABLE, OWNER_KEY, self._revision)
         sent_at = read_elapsed_clock()
-        result = self._store.transact(writes, [condition], deletions)
+        result = self._store.transact(writes, [is_owner, *conditions], deletions)
         if not isinstance(result, RowConflict):
             self._proof.record_store(sent_at)
         return result
