--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -243,14 +243,14 @@
         self._is_predecessor_inactive = True
         self.apply(PredecessorInactive(now=_now()))
 
-    def add_submission(self, submission: Submission, revision: int | None) -> None:
+    def add_submission(self, submission: Submission, revision: int | None = None) -> None:
         """Apply a submission that a peer or this instance has stored.
 
         Parameters
         ----------
         submission : Submission
         revision : int or None
-            That of its row; None if it isn't known.
+            That of its row; None if it is not known.
         """
         if self.state is None:
             self._submissions_during_load.append((submission, revision))
