Send accepted submissions again and end owners beside unreached workers in the soak

Callers now send each accepted submission again once or twice, to other instances and up to 6 s later. Each repetition must be answered as the submission itself, or as unavailable; a cancellation that was accepted has to last.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -41,8 +41,8 @@
         """
         kinds = [
             self.kill,
-            self._pause,
-            self._stop,
+            self.pause,
+            self.stop,
             self._cut_store,
             self._cut_worker,
             self._lose_answers,
@@ -65,12 +65,11 @@
         gevent.sleep(3.2)
         self._soak.end_all_faults()
 
-    def inject(self, kind, duration_seconds):
-        """Begin a fault and return its greenlet."""
-        self.injected_faults.append(
-            f"{time.time():.2f} {kind.__name__.strip('_')} {duration_seconds:.2f}"
-        )
-        fault = gevent.spawn(kind, duration_seconds)
+    def inject(self, kind, duration_seconds, *entries):
+        """Begin a fault, of this instance if one is given, and return its greenlet."""
+        names = [kind.__name__.strip("_"), *(entry.name for entry in entries)]
+        self.injected_faults.append(f"{time.time():.2f} {' '.join(names)} {duration_seconds:.2f}")
+        fault = gevent.spawn(kind, duration_seconds, *entries)
         self._faults.append(fault)
         return fault
 
@@ -84,25 +83,27 @@
     def _pick_proxy(self, proxies):
         return self._random.choice(proxies)
 
-    def kill(self, duration_seconds):
-        """Kill a process, and start it again later."""
-        entry = self._pick_entry()
+    def kill(self, duration_seconds, entry=None):
+        """Kill a process, a random one if none is given, and start it again later."""
+        entry = entry or self._pick_entry()
         if self._soak.can_terminate(entry):
             entry.send(signal.SIGKILL)
             entry.process.wait()
             gevent.sleep(duration_seconds / 3)
             self._soak.restart(entry)
 
-    def _pause(self, duration_seconds):
-        entry = self._pick_entry()
+    def pause(self, duration_seconds, entry=None):
+        """Pause a process, a random one if none is given."""
+        entry = entry or self._pick_entry()
         if entry.process.poll() is None:
             entry.send(signal.SIGSTOP)
             gevent.sleep(duration_seconds)
             if entry.process.poll() is None:
                 entry.send(signal.SIGCONT)
 
-    def _stop(self, _):
-        entry = self._pick_entry()
+    def stop(self, _, entry=None):
+        """Let a process, a random one if none is given, resign and end, and start it again."""
+        entry = entry or self._pick_entry()
         if self._soak.can_terminate(entry):
             self.terminate(entry)
             self._soak.restart(entry)
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,10 +17,13 @@
 from .faults import RandomFaultInjector
 from .partitions import PartitionInjector
 from .proxy import Mode, Proxy
+from .takeovers import TakeoverInjector
 
 CONFIGURATION_SECONDS = 2.0  # within which a change is in force, or not denied
 QUERY_SECONDS = 1.0
 COMPLETION_TIMEOUT_SECONDS = 30.0  # for accepted submissions, after all faults have ended
+REPEAT_SECONDS = (0.1, 6.0)  # from an acceptance to each repetition of the request
+MAX_REPEATS = 2
 CRASHING_SUBMISSION = "ff00000000000000"
 CRASHING_MILLISECONDS = 400  # run time without the crash, which comes within 300 ms
 
@@ -76,12 +79,16 @@
         # Separate generators leave the sequence of the other faults as it is.
         self._random_queries = random.Random(seed + 1)
         self._random_cuts = random.Random(seed + 2)
+        self._random_takeovers = random.Random(seed + 3)
+        self._random_repeats = random.Random(seed + 4)
         self._size = size
         self._directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.cluster = PartitionedCluster(self._directory, size.instances, size.workers, seed)
         self.violations = []
         self.accepted = set()
         self.cancelled = set()
+        self._cancellations = set()  # that were accepted
+        self._repeats = []
         self.refused = {}
         self.crashing = set()  # accepted submissions whose tasks crash their workers
         self._version = 1
@@ -97,9 +104,14 @@
         try:
             callers = [gevent.spawn(self._run_caller, i) for i in range(self._size.callers)]
             callers.append(gevent.spawn(self._query_newest_queue))
-            cuts = gevent.spawn(PartitionInjector(self, self._random_cuts, injector).run)
-            injector.run(self._size.seconds, self._size.fault_interval_seconds, cuts.kill)
+            others = [
+                gevent.spawn(PartitionInjector(self, self._random_cuts, injector).run),
+                gevent.spawn(TakeoverInjector(self, self._random_takeovers, injector).run),
+            ]
+            interval_seconds = self._size.fault_interval_seconds
+            injector.run(self._size.seconds, interval_seconds, lambda: gevent.killall(others))
             gevent.joinall(callers, timeout=15)
+            gevent.joinall(self._repeats, timeout=15)
             self._check()
         finally:
             self.faults_ended.set()
@@ -174,7 +186,12 @@
             number += 1
             name = f"{caller:02x}{number:014x}"
             index = (caller + number) % len(self.cluster.entries)
-            self._submit(name, index, run_times[number % len(run_times)])
+            run_time = run_times[number % len(run_times)]
+            self._submit(name, index, run_time)
+            if name in self.accepted:
+                for _ in range(self._random_repeats.randint(1, MAX_REPEATS)):
+                    repeat = gevent.spawn(self._repeat, name, index, run_time)
+                    self._repeats.append(repeat)
             if number % 7 == 0 and name in self.accepted:
                 self._cancel(name, index)
             gevent.sleep(self._size.submission_interval_seconds)
@@ -212,9 +229,24 @@
             self.accepted.remove(name)
             self.crashing.add(name)
 
-    def _submit(self, name, index, run_time):
+    def _make_steps(self, run_time):
         cpu = self._size.task_processors
-        steps = [{"count": 2, "cpu": cpu, "memMb": 100, "estimateMs": run_time}]
+        return [{"count": 2, "cpu": cpu, "memMb": 100, "estimateMs": run_time}]
+
+    def _repeat(self, name, index, run_time):
+        """Send an accepted submission again, to another instance."""
+        gevent.sleep(self._random_repeats.uniform(*REPEAT_SECONDS))
+        count = len(self.cluster.entries)
+        other = (index + self._random_repeats.randrange(1, count)) % count
+        try:
+            response = self.cluster.submit(other, name, self._make_steps(run_time))
+        except TransportError:
+            return
+        if response.status not in (200, 503, 504):
+            self.violations.append(f"{name} was sent again and answered with {response.status}")
+
+    def _submit(self, name, index, run_time):
+        steps = self._make_steps(run_time)
         for attempt in range(3):
             try:
                 response = self.cluster.submit(
@@ -241,6 +273,8 @@
             return
         if response.status in (200, 504):
             self.cancelled.add(name)
+        if response.status == 200:
+            self._cancellations.add(name)
 
     def _check(self):
         self.violations += self.cluster.platform.violations
@@ -253,6 +287,10 @@
             state = self.cluster.wait_state(0, name, final, remaining_seconds)
             if state != final:
                 self.violations.append(f"{name} was accepted, but its state is {state}")
+        for name in sorted(self._cancellations):
+            state = self.cluster.wait_state(0, name, "cancelled", 0.3)
+            if state not in ("cancelled", "completed"):
+                self.violations.append(f"{name} was cancelled, but its state is {state}")
         self.violations += self.cluster.platform.violations
         for name in self.refused:
             if any(task.startswith(name) for task in self.cluster.platform.starts):
