Apply finished runs behind one of an unknown submission

Callers could see a task run again right after its end. A new owner left all finished runs of a worker aside from the first one on whose submission it had not loaded, for up to 8 s. The worker counted as reached meanwhile, so that their tasks were free to start.

Only the acknowledgement depends on the order, since a worker forgets all finished runs up to the acknowledged one. FinishedRunTracker takes them in any order and acknowledges those before the first that waits. All finished runs of loaded submissions are thus applied before the active ones of the same report are compared with what is known. Each unknown one has 8 s of its own, where several in a row took that time one after another.

The scenario goes on until the late submission is loaded: nothing is acknowledged before that, and everything after it.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -62,6 +62,15 @@
     And another owner takes over without having loaded "late"
     And 1 seconds pass in the simulation
     Then "known" has 1 starts
+    When the store accepts writes
+    And 1 seconds pass in the simulation
+    Then "known" is completed
+    And worker "w0" still reports 2 finished runs
+    When the new owner loads "late"
+    And 1 seconds pass in the simulation
+    Then "late" is completed
+    And worker "w0" still reports 0 finished runs
+    And "late" has 1 starts
 
   Scenario: A former owner that resumes starts nothing
     Guards against two owners that both send commands, after the first one was suspended and
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -560,6 +560,12 @@
     context.simulation.store_refuses = True
 
 
+@then('worker "{name}" still reports {count:d} finished runs')
+def step_still_reports(context, name, count):
+    finished = context.simulation.workers[name].finished_runs
+    assert len(finished) == count, finished
+
+
 @when("the commit succeeds")
 def step_commit_succeeds(context):
     owner = context.simulation.owners[-1]
--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -19,7 +19,7 @@
     StoredRow,
     WorkerChanges,
 )
-from lavenderhook._internal.queueing import workers
+from lavenderhook._internal.queueing import finished_runs
 from lavenderhook._internal.queueing.model import (
     FencingToken,
     FinishedRun,
@@ -332,7 +332,7 @@
 
 def shorten_waits(context):
     """Keep ends of unknown submissions for a shorter time."""
-    patch = mock.patch.object(workers, "UNMATCHED_FINISHED_RUN_SECONDS", UNMATCHED_SECONDS)
+    patch = mock.patch.object(finished_runs, "UNMATCHED_FINISHED_RUN_SECONDS", UNMATCHED_SECONDS)
     patch.start()
     context.add_cleanup(patch.stop)
 
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -443,9 +443,7 @@
         for worker_id, position in event.stored_positions.items():
             worker = self.workers.get(worker_id)
             if worker is not None and worker.newest.born == position.born:
-                worker.stored_sequence = max(
-                    worker.stored_sequence, min(position.sequence, worker.processed_sequence)
-                )
+                worker.finished_runs.record_stored(position.sequence)
         return []
 
     def handle_submission_stored(self, event: SubmissionStored) -> list[Effect]:
@@ -637,19 +635,13 @@
     def _process_finished_runs(
         self, worker: Worker, finished_runs: Sequence[FinishedRun], now: float
     ) -> list[Effect]:
-        """Process reported finished runs, up to the first whose submission isn't known."""
+        """Process reported finished runs; those of unknown submissions wait."""
         effects: list[Effect] = []
-        worker.unmatched_finished_runs = ()
-        for position, finished in enumerate(finished_runs):
-            if finished.sequence <= worker.processed_sequence:
-                continue
+        for finished in worker.finished_runs.select_new(finished_runs):
             submission = finished.task.submission
             is_known = submission in self.submissions or submission in self.outcomes
-            if worker.waits_for_submission(is_known=is_known, now=now):
-                worker.unmatched_finished_runs = tuple(finished_runs[position:])
-                break
-            worker.processed_sequence = finished.sequence
-            effects += self._process_finished_run(worker, finished, now)
+            if not worker.finished_runs.waits_for_submission(finished, is_known=is_known, now=now):
+                effects += self._process_finished_run(worker, finished, now)
         return effects
 
     def _record_failure(self, worker: Worker, task: TaskKey, now: float) -> list[Effect]:
@@ -777,8 +769,8 @@
         """Process the reported runs of a submission that has only now become known."""
         effects: list[Effect] = []
         for worker in self.workers.values():
-            if worker.unmatched_finished_runs:
-                effects += self._process_finished_runs(worker, worker.unmatched_finished_runs, now)
+            waiting = worker.finished_runs.list_waiting()
+            effects += self._process_finished_runs(worker, waiting, now)
             for task in [t for t in worker.unmatched_runs if t.submission == submission]:
                 effects += self._adopt(worker, worker.unmatched_runs.pop(task), now)
         return effects
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -5,12 +5,12 @@
 import dataclasses
 
 from ..core.identifiers import WorkerId
+from .finished_runs import FinishedRunTracker
 from .incarnations import NewestIncarnation
 from .leases import WorkerLease
 from .model import (
     CommandToken,
     FencingToken,
-    FinishedRun,
     ReportedRun,
     Resources,
     RunNumber,
@@ -32,9 +32,6 @@
 RACK_PREFIX = "r"  # labels of racks look like r1-3
 MIN_RATE_SECONDS = 0.3  # between the samples from which a rate of progress is taken
 MIN_RATE_PROGRESS = 0.03  # progress is reported in hundredths
-# A finished run of an unknown submission is kept for this time, since results read from the store
-# lag by up to 6 s after the change feed no longer covers the revision.
-UNMATCHED_FINISHED_RUN_SECONDS = 8.0
 REFUSAL_BLOCK_SECONDS = 0.5  # after a refused start or an unanswered hold
 
 
@@ -194,11 +191,7 @@
         self.is_on_probation = False  # see the module `stragglers`
         self.isolated_run: Run | None = None  # nothing is placed beside it; see `isolation`
         self.emptied_for: TaskKey | None = None  # nothing is placed until this suspect starts here
-        # reported before their submission was known
-        self.unmatched_finished_runs: tuple[FinishedRun, ...] = ()
-        self.unmatched_since: float | None = None
-        self.processed_sequence = 0  # highest finished run applied to the state
-        self.stored_sequence = 0  # highest finished run covered by the store
+        self.finished_runs = FinishedRunTracker()
         self.used_processors = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
@@ -211,16 +204,23 @@
         """Id of the worker."""
         return self.listing.id
 
+    @property
+    def processed_sequence(self) -> int:
+        """Highest finished run that is applied to the state, as are all before it."""
+        return self.finished_runs.processed_sequence
+
+    @property
+    def stored_sequence(self) -> int:
+        """Highest finished run that is covered by the store, as are all before it."""
+        return self.finished_runs.stored_sequence
+
     def get_incarnation(self) -> WorkerIncarnation:
         """Return what identifies the incarnation."""
         return WorkerIncarnation(self.newest.born, self.listing.address)
 
     def forget_reports(self) -> None:
         """Discard what was reported, since finished runs are numbered from the start again."""
-        self.processed_sequence = 0
-        self.stored_sequence = 0
-        self.unmatched_finished_runs = ()
-        self.unmatched_since = None
+        self.finished_runs = FinishedRunTracker()
         self.unmatched_runs.clear()
 
     def record_answer(self, now: float) -> bool:
@@ -240,22 +240,6 @@
         self.blocked_until = max(self.blocked_until, now + REFUSAL_BLOCK_SECONDS)
         return self.accepts_starts() != accepted_starts
 
-    def waits_for_submission(self, *, is_known: bool, now: float) -> bool:
-        """Return whether the next finished run has to wait until its submission is known.
-
-        A former owner may have started a submission that was stored after the takeover; without
-        the wait, its finished run would be acknowledged without being stored.
-        """
-        if is_known:
-            self.unmatched_since = None
-            return False
-        if self.unmatched_since is None:
-            self.unmatched_since = now
-        if now - self.unmatched_since < UNMATCHED_FINISHED_RUN_SECONDS:
-            return True
-        self.unmatched_since = None  # the submission's rows have been deleted
-        return False
-
     def begin_incarnation(self, incarnation: int, born: int, now: float) -> None:
         """Discard what was learnt about the former incarnation, which has ended."""
         self.incarnation = incarnation
