Acknowledge ends of runs only if the store covers or denies them

Callers could see tasks run again that were done. A worker forgets a finished run once it is acknowledged, and that happened although no row held it: after 8 s if its submission wasn't known, even while the store was away, or the progress of the submission couldn't be decoded; and at once after the row of a final state was found unreadable in a conflict, since a commit without rows to write counted as done.

Cause: "not known here" counted as "deleted" by the clock alone, and a commit without writes made no call.

A finished run of an unknown submission now waits until its rows are found, or a read shows that there are none. The read is sent 8 s after the report. Reads lag by at most 6 s, and the row was stored before the run began, so that it is seen unless it was deleted. A read that fails is repeated every 2.5 s. A submission with an unreadable row is forgotten, and its finished runs wait. Progress counts as stored only after a transaction has succeeded; one without other writes confirms the ownership.

Holds of a worker with waiting finished runs are 0.1 s apart: it answers them at once.

The stand-in of the first scenario answered reads of its "unavailable" store with no rows; they fail now as its other calls do, after the owner has loaded. It also honours the range of a read.

--- a/features/malformed_messages.feature
+++ b/features/malformed_messages.feature
@@ -140,3 +140,11 @@
     And an instance reports the submission to the owner
     And 0.5 seconds of real time pass
     Then it starts nothing
+
+  Scenario: The end of a task is not acknowledged if the final state of its submission can't be read
+    Guards against an end that is stored nowhere: the row that can't be read is found in the conflict
+    of the transaction that was to store it.
+    Given a stored submission with a final state that can't be read, and that loading has missed
+    When an owner learns that a task of the submission has ended
+    Then the end is not acknowledged
+    And it starts nothing
--- a/features/stale_reads.feature
+++ b/features/stale_reads.feature
@@ -48,3 +48,18 @@
     Given a store without the submission that a former owner has started
     When the store is unavailable for longer than ends of unknown submissions are kept
     Then it starts nothing
+
+  Scenario: The end of a task without any row of its submission is acknowledged
+    Guards against a worker that reports ends of submissions for ever whose rows have been deleted.
+    Given a store without any row
+    When an owner learns that a task of the submission has ended
+    Then the end is acknowledged
+
+  Scenario: The end of a task is not acknowledged while the rows of its submission can't be read
+    Guards against an end that is acknowledged on the word of a clock: reads fail, so that nothing
+    shows whether the submission has a row.
+    Given a store without any row
+    When reads of the rows fail while an owner learns that a task of the submission has ended
+    Then the end is not acknowledged
+    When the store can be read again
+    Then the end is acknowledged
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -19,6 +19,7 @@
 
 from features.steps.stale_reads import (
     LoadingStore,
+    make_owner_row,
     make_stored_submission,
     make_submission_row,
     start_owner,
@@ -691,6 +692,23 @@
     context.source = LoadingStore(rows, rows)
 
 
+class UnreadableOutcomeStore(LoadingStore):
+    """Store with a final state that only transactions show."""
+
+    def transact(self, writes, *_arguments):
+        """Return the row in a conflict."""
+        if any(write.key == "outcome/s" for write in writes):
+            row = store.StoredRow(table=WORK_TABLE, key="outcome/s", value=b"[", revision=5)
+            return store.RowConflict((make_owner_row(self.REVISION), row))
+        return self.REVISION
+
+
+@given("a stored submission with a final state that can't be read, and that loading has missed")
+def step_unreadable_outcome(context):
+    rows = (make_submission_row(make_stored_submission()),)
+    context.source = UnreadableOutcomeStore(rows, rows)
+
+
 @when("an owner has loaded the rows")
 def step_load_rows(context):
     start_owner(context)
--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -19,7 +19,7 @@
     StoredRow,
     WorkerChanges,
 )
-from lavenderhook._internal.queueing import finished_runs
+from lavenderhook._internal.queueing import finished_runs, unknown_submissions
 from lavenderhook._internal.queueing.model import (
     FencingToken,
     FinishedRun,
@@ -183,10 +183,11 @@
 class LoadingStore(StaleStore):
     """Store of an owner that loads; reads of the work table are stale for a while."""
 
-    def read(self, table, *_range, part="", **_options):
-        """Return the rows of a part."""
+    def read(self, table, start="", end="", part="", **_options):
+        """Return the rows of a part with keys from `start` to before `end`."""
         rows = self.read_items() if table == WORK_TABLE else ()
-        return RowChanges(tuple(row for row in rows if row.part == part), self.REVISION)
+        found = (row for row in rows if row.part == part and row.key >= start)
+        return RowChanges(tuple(row for row in found if not end or row.key < end), self.REVISION)
 
     def transact(self, *_arguments):
         """Return the revision of a transaction."""
@@ -287,6 +288,11 @@
 
     is_available = True
 
+    def read(self, *arguments, **options):
+        """Return the rows of a part."""
+        self._check()
+        return super().read(*arguments, **options)
+
     def read_items(self):
         """Return the rows: none until the store is available again."""
         return self.new if self.has_returned else self.old
@@ -315,9 +321,10 @@
 
 @when("the store is unavailable for longer than ends of unknown submissions are kept")
 def step_store_outage(context):
-    context.source.is_available = False
     shorten_waits(context)
     start_ended_run_owner(context)
+    wait_until_loaded(context)
+    context.source.is_available = False
     gevent.sleep(4 * UNMATCHED_SECONDS)
     context.source.has_returned = context.source.is_available = True
     gevent.sleep(1.0)
@@ -330,11 +337,60 @@
     gevent.sleep(4 * UNMATCHED_SECONDS)
 
 
+class UnreadableStore(LoadingStore):
+    """Store without rows whose reads fail, while transactions succeed."""
+
+    is_readable = True
+
+    def read(self, *arguments, **options):
+        """Return no rows."""
+        if not self.is_readable:
+            raise StoreUnavailableError("the rows can't be read")
+        return super().read(*arguments, **options)
+
+
+@given("a store without any row")
+def step_empty_store(context):
+    context.source = UnreadableStore((), ())
+
+
+@when("reads of the rows fail while an owner learns that a task of the submission has ended")
+def step_learn_end_unread(context):
+    shorten_waits(context)
+    start_ended_run_owner(context)
+    wait_until_loaded(context)
+    context.source.is_readable = False
+    gevent.sleep(4 * UNMATCHED_SECONDS)
+
+
+@when("the store can be read again")
+def step_readable(context):
+    context.source.is_readable = True
+
+
+@then("the end is acknowledged")
+def step_acknowledged(context):
+    with gevent.Timeout(4 * UNMATCHED_SECONDS):
+        while not context.client.acknowledged:
+            gevent.sleep(0.01)
+
+
+def wait_until_loaded(context):
+    """Wait until the owner has loaded the rows."""
+    with gevent.Timeout(1.0):
+        while not context.owner.is_loaded:
+            gevent.sleep(0.01)
+
+
 def shorten_waits(context):
     """Keep ends of unknown submissions for a shorter time."""
-    patch = mock.patch.object(finished_runs, "UNMATCHED_FINISHED_RUN_SECONDS", UNMATCHED_SECONDS)
-    patch.start()
-    context.add_cleanup(patch.stop)
+    for module, name in (
+        (finished_runs, "UNMATCHED_FINISHED_RUN_SECONDS"),
+        (unknown_submissions, "SEARCH_INTERVAL_SECONDS"),
+    ):
+        patch = mock.patch.object(module, name, UNMATCHED_SECONDS)
+        patch.start()
+        context.add_cleanup(patch.stop)
 
 
 def start_ended_run_owner(context):
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -24,6 +24,7 @@
     RosterStored,
     StartAnswered,
     StopAnswered,
+    SubmissionAbsent,
     SubmissionRead,
     SubmissionStored,
     Ticked,
@@ -380,6 +381,8 @@
                 )
             case effects.StoreProgress():
                 self.unstored_submissions[effect.submission] = None
+            case effects.ReadSubmission():
+                simulation.call_later(0.02, self.find_submission, effect.submission, simulation.now)
             case effects.StoreRoster():
                 simulation.call_later(0.02, self.store_roster, effect.roster)
             case effects.RequestAdvice():
@@ -387,6 +390,18 @@
             case effects.StepDown():
                 self.is_active = False
 
+    def find_submission(self, submission, read_at):
+        """Apply the rows of a submission, or that it has none."""
+        simulation = self.simulation
+        if submission in simulation.outcomes:
+            outcome = Outcome(state=simulation.outcomes[submission], at=0.0)
+            self.apply(OutcomeRead(now=simulation.now, submission=submission, outcome=outcome))
+        elif submission in simulation.submissions:
+            self.deliver_submission(*simulation.submissions[submission])
+        else:
+            now = simulation.now
+            self.apply(SubmissionAbsent(now=now, submission=submission, read_at=read_at))
+
     def compute_lease_end(self, name):
         """Return the end of a lease, counted from the worker's last report."""
         if name not in self.state.workers or self.simulation.now > self.acts_until:
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -31,7 +31,7 @@
     SubmissionState,
     TicketId,
 )
-from ..queueing.owner_state import OwnerParameters
+from ..queueing.parameters import OwnerParameters
 from ..queueing.records import (
     SUBMISSION_PREFIX,
     WORK_TABLE,
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import gevent
 import gevent.event
@@ -38,8 +38,10 @@
     RosterStored,
     StartAnswered,
     StopAnswered,
+    SubmissionAbsent,
     SubmissionRead,
     SubmissionStored,
+    SubmissionUnreadable,
     Ticked,
     WorkersListed,
 )
@@ -53,7 +55,8 @@
     TicketId,
     WorkerListing,
 )
-from ..queueing.owner_state import OwnerParameters, OwnerState
+from ..queueing.owner_state import OwnerState
+from ..queueing.parameters import OwnerParameters
 from ..queueing.records import (
     CONFIRMATION_KEY,
     CONFIRMATION_TABLE,
@@ -113,6 +116,8 @@
 # The store takes 100 entries in a transaction: two for each submission and one for the owner.
 MAX_SUBMISSIONS_PER_TRANSACTION = 45
 
+_CONFIRMATION = Write(CONFIRMATION_TABLE, CONFIRMATION_KEY, b"{}")
+
 RequestAdvice = Callable[[StepId, tuple[WorkerId, ...], float], dict[WorkerId, TicketId] | None]
 
 
@@ -269,6 +274,40 @@
         for row in rows:
             self._apply_conflicting_outcome(row, submission)
 
+    def _find_submission(self, submission: SubmissionId) -> None:
+        """Read all rows of a submission of which a finished run is reported."""
+        if submission in self._work.unreadable:
+            return
+        read_at = _now()
+        try:
+            rows = self._work.read(submission)
+        except LavenderhookError as error:
+            self._log_event("submission-unread", submission=submission, **describe_failure(error))
+            return  # it is read again as long as the run is reported
+        if not rows:
+            self._log_event("submission-absent", submission=submission)
+            self.apply(SubmissionAbsent(now=_now(), submission=submission, read_at=read_at))
+            return
+        try:
+            self._apply_found_rows(rows)
+        except ProtocolError as error:
+            self._record_unreadable(submission, error)
+
+    def _apply_found_rows(self, rows: Mapping[str, StoredRow]) -> None:
+        """Apply the rows of one submission, by prefix; an outcome outranks the others."""
+        if OUTCOME_PREFIX in rows:
+            self._apply_row(rows[OUTCOME_PREFIX])
+        if SUBMISSION_PREFIX in rows:
+            row, found = rows[SUBMISSION_PREFIX], rows.get(PROGRESS_PREFIX)
+            progress = None if found is None else (decode(found.value, Progress), found.revision)
+            self._apply_submission(decode_submission(row.value), row.revision, progress)
+
+    def _record_unreadable(self, submission: SubmissionId, error: ProtocolError) -> None:
+        """Leave a submission alone; none of its rows is replaced."""
+        self._work.unreadable.add(submission)
+        self._log_event("submission-unreadable", submission=submission, **describe_failure(error))
+        self.apply(SubmissionUnreadable(now=_now(), submission=submission))
+
     # Loading.
 
     def _load_and_start_loops(self) -> None:
@@ -423,6 +462,8 @@
                 self._spawn(self._send_advice_request, effect)
             case effects.StoreProgress():
                 self._dirty_submissions[effect.submission] = None
+            case effects.ReadSubmission():
+                self._spawn(self._find_submission, effect.submission)
             case effects.StoreRoster():
                 self._roster_to_store = effect.roster
                 self._is_roster_due.set()
@@ -558,7 +599,7 @@
 
     def _confirm_ownership(self) -> None:
         try:
-            result = self._transact([Write(CONFIRMATION_TABLE, CONFIRMATION_KEY, b"{}")])
+            result = self._transact([_CONFIRMATION])
         except LavenderhookError as error:
             self._log_event("owner-unconfirmed", **describe_failure(error))
             return
@@ -608,6 +649,8 @@
             if worker.stored_sequence < worker.processed_sequence:
                 self._progress_stored.clear()
                 self._progress_stored.wait(MAX_STORED_WAIT_SECONDS)
+            elif worker.finished_runs.has_waiting:
+                gevent.sleep(TICK_INTERVAL_SECONDS)  # the worker reports these at once
 
     def _workers_loop(self) -> None:
         rereading = Rereading()
@@ -729,8 +772,8 @@
         starts = start_log.take(time.time())
         if starts is not None:
             writes.append(Write(START_LOG_TABLE, start_log.next_key(), encode(starts)))
-        if not writes:
-            return True
+        if not writes:  # what is acknowledged next has to be confirmed by the store
+            writes.append(_CONFIRMATION)
         try:
             result = self._transact(writes)
         except LavenderhookError as error:
@@ -784,8 +827,7 @@
         try:
             self._apply_row(row)
         except ProtocolError as error:
-            self._work.unreadable.add(submission)
-            self._log_event("outcome-unreadable", submission=submission, **describe_failure(error))
+            self._record_unreadable(submission, error)
 
     def _prune_loop(self) -> None:
         """Delete the rows of submissions whose retention period has passed.
--- a/src/lavenderhook/_internal/instance/work_table.py
+++ b/src/lavenderhook/_internal/instance/work_table.py
@@ -15,6 +15,7 @@
     WORK_TABLE,
     Outcome,
     Progress,
+    choose_part,
     decode,
     decode_submission,
     parse_key,
@@ -49,6 +50,7 @@
         self.progress: dict[SubmissionId, tuple[Progress, int]] = {}
         self.outcomes: dict[SubmissionId, Outcome] = {}
         self.unreadable: set[SubmissionId] = set()
+        self._store = store
         self._apply: Callable[[StoredRow], None] = self._record
         parts = ("", *SUBMISSION_PARTS)
         self._watcher = TableWatcher(store, WORK_TABLE, self._apply_row, parts, log_event)
@@ -74,6 +76,26 @@
         if (self._watcher.revision or 0) < revision:
             raise StoreUnavailableError("the store returned rows older than the takeover")
 
+    def read(self, submission: SubmissionId) -> dict[str, StoredRow]:
+        """Read the rows of a submission, by the prefixes of their keys.
+
+        Raises
+        ------
+        StoreUnavailableError, TransportError
+        """
+        parts = {
+            SUBMISSION_PREFIX: choose_part(submission),
+            PROGRESS_PREFIX: "",
+            OUTCOME_PREFIX: "",
+        }
+        rows: dict[str, StoredRow] = {}
+        for prefix, part in parts.items():
+            key = prefix + submission
+            # The end of a range is exclusive, so this reads one key.
+            found = self._store.read(WORK_TABLE, key, key + "\0", part).rows
+            rows.update((prefix, row) for row in found)
+        return rows
+
     def hand_over(self, apply: Callable[[StoredRow], None]) -> None:
         """Discard the records; later changes go to `apply`."""
         self._apply = apply
--- a/src/lavenderhook/_internal/queueing/effects.py
+++ b/src/lavenderhook/_internal/queueing/effects.py
@@ -44,6 +44,12 @@
     submission: SubmissionId
 
 
+class ReadSubmission(Effect, frozen=True, kw_only=True):
+    """Read all rows of a submission that isn't known, but of which a finished run is reported."""
+
+    submission: SubmissionId
+
+
 class StoreRoster(Effect, frozen=True, kw_only=True):
     """Store the roster."""
 
--- a/src/lavenderhook/_internal/queueing/events.py
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -46,6 +46,19 @@
     progress: Progress | None = None
 
 
+class SubmissionAbsent(Event, frozen=True, kw_only=True):
+    """A read that was sent at `read_at` has found no row of a submission."""
+
+    submission: SubmissionId
+    read_at: float
+
+
+class SubmissionUnreadable(Event, frozen=True, kw_only=True):
+    """A row of a submission can't be decoded."""
+
+    submission: SubmissionId
+
+
 class OutcomeRead(Event, frozen=True, kw_only=True):
     """A submission's final state is stored."""
 
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -11,8 +11,6 @@
 
 from collections.abc import Callable, Sequence
 
-import msgspec
-
 from ..core.identifiers import WorkerId
 from .advising import AdvicePlanner
 from .effects import (
@@ -37,8 +35,10 @@
     RosterStored,
     StartAnswered,
     StopAnswered,
+    SubmissionAbsent,
     SubmissionRead,
     SubmissionStored,
+    SubmissionUnreadable,
     Ticked,
     WorkersListed,
 )
@@ -70,6 +70,7 @@
     TaskKey,
     WorkerListing,
 )
+from .parameters import OwnerParameters
 from .placement import BestFit, PlacementPolicy, SpreadServices
 from .ranking import PriorityThenObjective, StepRanking
 from .records import FailureReason, Roster
@@ -80,6 +81,7 @@
 from .stragglers import RunAction, project_remaining
 from .submissions import StepProgress, SubmissionProgress
 from .takeover import Takeover
+from .unknown_submissions import UnknownSubmissions
 from .workers import (
     REFUSAL_BLOCK_SECONDS,
     Run,
@@ -95,24 +97,6 @@
 REVIEW_INTERVAL_SECONDS = 0.2
 
 
-class OwnerParameters(msgspec.Struct, frozen=True, kw_only=True):
-    """Times that the deployment sets.
-
-    Parameters
-    ----------
-    lease_seconds : float
-        Duration of the leases on runs.
-    stop_seconds : float
-        Longest time that a worker takes to stop a run.
-    retention_seconds : float
-        How long rows of ended submissions are kept.
-    """
-
-    lease_seconds: float = 4.5
-    stop_seconds: float = 1.0
-    retention_seconds: float = 150.0
-
-
 class OwnerState:
     """State of the owner.
 
@@ -165,6 +149,9 @@
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
         self.reviewer = reviewer or RunReviewer(self._find_step)
         self.losses = LossRecorder(self._find_step, self._give_up)
+        self.unknown_submissions = UnknownSubmissions(
+            self.workers, self.submissions, self._process_finished_run, self._remove_run
+        )
         self.next_review_at = 0.0
         self.needs_scheduling = True
 
@@ -313,6 +300,7 @@
         elif has_reopened or has_restarted:
             effects += self._update_roster()
         effects += self._process_finished_runs(worker, event.report.finished, event.now)
+        effects += self.unknown_submissions.search(worker, event.now)
         effects += self._reconcile_runs(worker, event)
         return effects + self.losses.record_report(worker, event.now)
 
@@ -832,6 +820,8 @@
 
 _HANDLERS: dict[type[Event], Callable[[OwnerState, Event], list[Effect]]] = {
     SubmissionRead: OwnerState.handle_submission,  # type: ignore[dict-item]
+    SubmissionAbsent: lambda s, event: s.unknown_submissions.handle_absent(event),  # type: ignore[arg-type]
+    SubmissionUnreadable: lambda s, event: s.unknown_submissions.handle_unreadable(event),  # type: ignore[arg-type]
     OutcomeRead: OwnerState.handle_outcome,  # type: ignore[dict-item]
     WorkersListed: OwnerState.handle_workers,  # type: ignore[dict-item]
     RosterStored: OwnerState.handle_roster,  # type: ignore[dict-item]
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -16,7 +16,7 @@
 from .._internal.instance.decision_metrics import DecisionMetrics
 from .._internal.instance.entry import EntryInstance
 from .._internal.instance.ownership import compute_owner_fitness
-from .._internal.queueing.owner_state import OwnerParameters
+from .._internal.queueing.parameters import OwnerParameters
 from ..errors import LavenderhookError
 from .frontend import Frontend
 from .lists import PlatformConfiguration, PlatformWorkers
