Add progress found in a conflict instead of overwriting it

Callers could see done tasks run again, and failures and crashes not count. An owner that took over within 6 s of a lost history read a submission without its newest progress. Its first write then conflicted with the row that it had missed. It took that row for an earlier write of its own whose response had been lost, and overwrote it.

The owner remembers digests of the progress it has sent since the last write that is known to be stored: a row that is none of these is another owner's. ProgressFound adds its done tasks, failed runs and crashes to the state, stops runs of tasks that are done, and ends the submission if that completes it or uses up its attempts. The commit is then repeated with both. A row that can't be decoded is left alone, as everywhere else. A loaded submission doesn't take the revision of a progress row that it has not read.

A task that the missed row shows as done may still have been started before the conflict; it is stopped then.

--- a/features/stale_reads.feature
+++ b/features/stale_reads.feature
@@ -63,3 +63,24 @@
     Then the end is not acknowledged
     When the store can be read again
     Then the end is acknowledged
+
+  Scenario: Progress that a stale read has missed is kept
+    Guards against a second run of tasks that are done: an owner that has loaded a submission without
+    its newest progress takes the row that it finds later for an earlier write of its own.
+    Given a store with progress that a new owner has not loaded
+    When the owner stores the end of another task
+    Then the store holds all tasks that are done, and the run that failed and the one that crashed
+    And tasks that were done in the store are stopped if they have been started, and start no more
+
+  Scenario: Progress whose write got no response is not taken for that of another owner
+    Guards against crashes that are counted again which have been cleared since they were stored.
+    Given a store that carries out the first write of progress but does not respond
+    When the owner stores the end of another task
+    Then the store holds the progress of the owner alone
+
+  Scenario: Progress that can't be read is not replaced
+    Guards against a second run of tasks that are done according to a row that a newer build has written.
+    Given a store with progress that a new owner has not loaded, and can't read
+    When the owner stores the end of another task
+    Then the progress is not replaced
+    And the end is not acknowledged
--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 import gevent
+import msgspec
 from behave import given, then, when
 
 from lavenderhook._internal.instance import table_watcher
@@ -20,10 +21,12 @@
     WorkerChanges,
 )
 from lavenderhook._internal.queueing import finished_runs, unknown_submissions
+from lavenderhook._internal.queueing.events import ProgressFound
 from lavenderhook._internal.queueing.model import (
     FencingToken,
     FinishedRun,
     QueueTerms,
+    ReportedRun,
     Resources,
     RunOutcome,
     StartOutcome,
@@ -39,11 +42,14 @@
     ROSTER_KEY,
     WORK_TABLE,
     Outcome,
+    Progress,
     Roster,
+    StoredCrash,
     choose_part,
+    decode,
     encode,
 )
-from lavenderhook.errors import StoreUnavailableError
+from lavenderhook.errors import StoreUnavailableError, TransportError
 from lavenderhook.platform.lists import decode_worker
 
 STALE_SECONDS = 0.5
@@ -462,3 +468,136 @@
 @then("it starts nothing")
 def step_no_start(context):
     assert not context.client.starts, context.client.starts
+
+
+MISSED_CRASH = StoredCrash(age_seconds=0.5)
+
+
+class ProgressStore(LoadingStore):
+    """Store with a progress row that only transactions show."""
+
+    def __init__(self, rows, value=None):
+        super().__init__(rows, rows)
+        self.value = value
+        self.revision = 0 if value is None else 5
+        self.drops_responses = False
+        self.conflicts = 0
+
+    def transact(self, writes, *_arguments):
+        """Write the progress if its revision is the expected one."""
+        for write in writes:
+            if write.key != "progress/s":
+                continue
+            if write.expected != self.revision:
+                self.conflicts += 1
+                row = StoredRow(
+                    table=WORK_TABLE, key="progress/s", value=self.value, revision=self.revision
+                )
+                return RowConflict((make_owner_row(self.REVISION), row))
+            self.value, self.revision = write.value, self.revision + 1
+            if self.drops_responses:
+                self.drops_responses = False
+                raise TransportError("the response was lost", sent=True)
+            return self.revision
+        return self.REVISION
+
+
+class ThirdTaskEndedWorker(EndedRunWorker):
+    """Client of a worker on which task 2 has ended, and tasks run until they are stopped."""
+
+    def __init__(self):
+        super().__init__()
+        self.acknowledged = 0
+        self.stops = []
+        self.active = {}
+
+    def start(self, address, command, lease_until):
+        """Start a run."""
+        self.active[command.task] = command.number
+        return super().start(address, command, lease_until)
+
+    def stop(self, _address, _worker, task, number, _token):
+        """Stop a run."""
+        self.stops.append((task, number))
+        self.active.pop(task, None)
+        return True
+
+    def hold(self, _address, _worker, _born, _token, acknowledged, *_arguments):
+        """Report the end, once the first task runs, until it is acknowledged."""
+        gevent.sleep(0.01)
+        self.acknowledged = max(self.acknowledged, acknowledged)
+        end = FinishedRun(1, TaskKey("s", 0, 0, 2), 1, RunOutcome.DONE, "")
+        has_begun = self.active or self.stops
+        return WorkerReport(
+            clock=100.0,
+            born=1,
+            running=tuple(ReportedRun(task, n, "") for task, n in self.active.items()),
+            finished=(end,) if has_begun and not self.acknowledged else (),
+        )
+
+
+def make_four_tasks_row():
+    """Return the row of a submission of four tasks, one of which may run at a time."""
+    steps = (StepSpec(resources=Resources(1, 1), count=4),)
+    queue = QueueTerms(name="q", service="s", most_attempts=3)
+    submission = msgspec.structs.replace(make_stored_submission(), queue=queue, steps=steps)
+    return make_submission_row(submission)
+
+
+@given("a store with progress that a new owner has not loaded")
+def step_missed_progress(context):
+    progress = Progress(
+        done={"0.0": [0, 1]}, failed={"0.0": {3: [7]}}, crashed={"0.0": {3: {8: MISSED_CRASH}}}
+    )
+    context.source = ProgressStore((make_four_tasks_row(),), encode(progress))
+
+
+@given("a store with progress that a new owner has not loaded, and can't read")
+def step_missed_unreadable_progress(context):
+    context.source = ProgressStore((make_four_tasks_row(),), b"[")
+
+
+@given("a store that carries out the first write of progress but does not respond")
+def step_lost_response(context):
+    context.source = ProgressStore((make_four_tasks_row(),))
+    context.source.drops_responses = True
+
+
+@when("the owner stores the end of another task")
+def step_store_end(context):
+    with mock.patch.object(Owner, "apply", autospec=True, side_effect=Owner.apply) as apply:
+        start_owner(context, ThirdTaskEndedWorker())
+        gevent.sleep(2.0)
+    context.found = [c for c in apply.call_args_list if isinstance(c.args[1], ProgressFound)]
+
+
+@then("the store holds all tasks that are done, and the run that failed and the one that crashed")
+def step_merged_progress(context):
+    assert context.source.conflicts == 1, context.source.conflicts
+    progress = decode(context.source.value, Progress)
+    assert progress.done == {"0.0": [0, 1, 2]}, progress
+    assert progress.failed == {"0.0": {3: [7]}}, progress
+    assert progress.crashed == {"0.0": {3: {8: MISSED_CRASH}}}, progress
+
+
+@then("tasks that were done in the store are stopped if they have been started, and start no more")
+def step_needless_stopped(context):
+    client = context.client
+    started = [(c.task, c.number) for c in client.starts if c.task.index in (0, 1)]
+    assert len(started) == 1, started  # before the conflict, as nothing showed that it was done
+    assert client.stops == started, (client.stops, started)
+    assert {task.index for task in client.active} == {3}, client.active
+
+
+@then("the store holds the progress of the owner alone")
+def step_own_progress(context):
+    assert context.source.conflicts == 1, context.source.conflicts
+    assert not context.found, context.found
+    assert decode(context.source.value, Progress).done == {"0.0": [2]}, context.source.value
+    assert context.client.acknowledged, "the end is not acknowledged"
+
+
+@then("the progress is not replaced")
+def step_progress_kept(context):
+    assert context.source.conflicts == 1, context.source.conflicts
+    assert context.source.value == b"[", context.source.value
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -33,6 +33,7 @@
     HoldUnanswered,
     OutcomeRead,
     PredecessorInactive,
+    ProgressFound,
     ProgressStored,
     ReportArrived,
     RosterStored,
@@ -84,12 +85,14 @@
     StartLogRow,
     collect_starts,
 )
+from ..queueing.submissions import SubmissionProgress
 from ..queueing.takeover import Takeover
 from ..queueing.workers import Worker
 from .clock import read_elapsed_clock
 from .ownership_proof import OwnershipProof
 from .supervision import ReportError
 from .table_watcher import LogEvent, Rereading, describe_failure
+from .unconfirmed_progress import UnconfirmedProgress
 from .work_table import WorkTable
 
 # A hold is a long poll of a worker: it renews the worker's leases, acknowledges finished runs and
@@ -183,6 +186,7 @@
         self._started_at = time.monotonic()
         self.state: OwnerState | None = None
         self._listings: dict[WorkerId, WorkerListing] = {}
+        self._unconfirmed_progress = UnconfirmedProgress()
         self._dirty_submissions: dict[SubmissionId, None] = {}
         self._scheduling_due = gevent.event.Event()
         self._progress_stored = gevent.event.Event()
@@ -410,6 +414,7 @@
     ) -> None:
         if submission.id in self._work.unreadable:
             return  # without its progress, tasks that are done would run again
+        is_known = self.state is not None and submission.id in self.state.submissions
         self.apply(
             SubmissionRead(
                 now=_now(),
@@ -419,7 +424,7 @@
                 progress=stored_progress[0] if stored_progress is not None else None,
             )
         )
-        if stored_progress is not None and self.state is not None:
+        if stored_progress is not None and self.state is not None and not is_known:
             entry = self.state.submissions.get(submission.id)
             if entry is not None:
                 entry.progress_revision = stored_progress[1]
@@ -768,6 +773,7 @@
                 progress[submission_id] = entry.export_progress()
                 value = encode(progress[submission_id])
                 writes.append(Write(WORK_TABLE, key, value, entry.progress_revision))
+                self._unconfirmed_progress.record_sent(submission_id, value)
         start_log = state.scheduler.start_log
         starts = start_log.take(time.time())
         if starts is not None:
@@ -792,6 +798,7 @@
                 outcome = outcomes[submission_id]
                 self.apply(OutcomeRead(now=_now(), submission=submission_id, outcome=outcome))
             else:
+                self._unconfirmed_progress.record_stored(submission_id)
                 self.apply(
                     SubmissionStored(
                         now=_now(),
@@ -815,13 +822,32 @@
             prefix, submission_id = parse_key(row.key)
             if prefix == OUTCOME_PREFIX:
                 self._apply_conflicting_outcome(row, submission_id)
-            elif submission_id in state.submissions:
-                # An earlier write whose response was lost has been carried out.
-                state.submissions[submission_id].progress_revision = row.revision
+            elif prefix == PROGRESS_PREFIX and submission_id in state.submissions:
+                self._apply_conflicting_progress(row, state.submissions[submission_id])
         unstored = [s for s in submissions if s not in self._work.unreadable]
         self._dirty_submissions.update(dict.fromkeys(unstored))
         return False
 
+    def _apply_conflicting_progress(self, row: StoredRow, entry: SubmissionProgress) -> None:
+        """Apply stored progress that this owner doesn't know, since a stale read has missed it."""
+        if row.revision == entry.progress_revision:
+            return  # another row of the transaction conflicts
+        submission = entry.submission.id
+        if self._unconfirmed_progress.has_sent(submission, row.value):
+            entry.progress_revision = row.revision  # it was stored, but the response was lost
+            return
+        try:
+            progress = decode(row.value, Progress)
+        except ProtocolError as error:
+            self._record_unreadable(submission, error)
+            return
+        self._log_event("progress-found", submission=submission, revision=row.revision)
+        self.apply(
+            ProgressFound(
+                now=_now(), submission=submission, progress=progress, revision=row.revision
+            )
+        )
+
     def _apply_conflicting_outcome(self, row: StoredRow, submission: SubmissionId) -> None:
         """Apply a final state that is already stored; nothing replaces one that is unreadable."""
         try:
--- a/src/lavenderhook/_internal/queueing/crash_history.py
+++ b/src/lavenderhook/_internal/queueing/crash_history.py
@@ -192,6 +192,17 @@
             run.incarnations.setdefault(worker, incarnation)
             self.lost_at = now
 
+    def merge(self, other: CrashHistory) -> None:
+        """Add the runs that another owner knows of; a fate that is known here is kept."""
+        self.lost_at = max(self.lost_at, other.lost_at)
+        for number, found in other.runs.items():
+            run = self.runs.setdefault(number, found)
+            run.is_stored = True
+            if run.fate is not RunFate.CRASHED and found.fate is RunFate.CRASHED:
+                self.runs[number] = found
+            elif run.fate is RunFate.UNCERTAIN:
+                run.incarnations = {**found.incarnations, **run.incarnations}
+
     def confirm(self, number: RunNumber) -> bool:
         """Record that the worker of a lost run has crashed; return whether that is new."""
         run = self.runs.get(number)
--- a/src/lavenderhook/_internal/queueing/events.py
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -155,6 +155,14 @@
     revision: int
 
 
+class ProgressFound(Event, frozen=True, kw_only=True):
+    """The store holds progress of a submission that another owner has stored."""
+
+    submission: SubmissionId
+    progress: Progress
+    revision: int
+
+
 class PredecessorInactive(Event, frozen=True, kw_only=True):
     """The predecessor can no longer send commands."""
 
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -30,6 +30,7 @@
     HoldUnanswered,
     OutcomeRead,
     PredecessorInactive,
+    ProgressFound,
     ProgressStored,
     ReportArrived,
     RosterStored,
@@ -443,6 +444,22 @@
             self.needs_scheduling = True
         return []
 
+    def handle_progress_found(self, event: ProgressFound) -> list[Effect]:
+        """Add what another owner has stored; the repeated commit stores both."""
+        entry = self.submissions.get(event.submission)
+        if entry is None:
+            return []
+        entry.progress_revision = event.revision
+        entry.import_progress(event.progress, event.now)
+        self.needs_scheduling = True
+        effects = self.losses.adopt_histories(entry, event.now)
+        for run in entry.list_needless_runs():
+            effects += self._stop(run, event.now)
+        if entry.is_done or entry.has_used_up_attempts:
+            failure = None if entry.is_done else FailureReason.ATTEMPTS_USED_UP
+            effects += self._begin_finalizing(entry, failure)
+        return effects
+
     def handle_predecessor_inactive(self, event: PredecessorInactive) -> list[Effect]:
         """Close the unreached workers; what is stored after that doesn't wait for them."""
         self.takeover.record_inactive(event.now, self.workers.values())
@@ -830,6 +847,7 @@
     StartAnswered: OwnerState.handle_start_answer,  # type: ignore[dict-item]
     StopAnswered: OwnerState.handle_stop_answer,  # type: ignore[dict-item]
     AdviceArrived: OwnerState.handle_advice,  # type: ignore[dict-item]
+    ProgressFound: OwnerState.handle_progress_found,  # type: ignore[dict-item]
     ProgressStored: OwnerState.handle_progress_stored,  # type: ignore[dict-item]
     SubmissionStored: OwnerState.handle_submission_stored,  # type: ignore[dict-item]
     PredecessorInactive: OwnerState.handle_predecessor_inactive,  # type: ignore[dict-item]
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -230,6 +230,17 @@
         """Return the crashes under a task, or under its gang."""
         return self.crash_histories.setdefault(self._get_key(index), CrashHistory())
 
+    def merge_crash_history(self, key: int, found: CrashHistory) -> None:
+        """Add the crashes under a task, or under its gang, that another owner has stored."""
+        if self.is_done if key == GANG_INDEX else key in self.done:
+            return
+        history = self.crash_histories.setdefault(key, CrashHistory())
+        history.merge(found)
+        for run in self.list_runs(key):
+            history.add_active(run.number, run.worker, run.incarnation)
+            if not run.is_suspect:
+                run.is_suspect = run.is_on_trial = self.is_suspect(run.task.index)
+
     def has_lost(self, run: Run) -> bool:
         """Return whether a run has crashed its worker, or may have done so."""
         history = self.find_crash_history(run.task.index)
@@ -368,6 +379,21 @@
             return None
         return SubmissionState.COMPLETED if self.is_done else SubmissionState.FAILED
 
+    def list_needless_runs(self) -> list[Run]:
+        """Return the runs of tasks that are done."""
+        return [
+            run
+            for step in self.steps.values()
+            for index in step.done
+            for run in step.runs.get(index, ())
+        ]
+
+    @property
+    def has_used_up_attempts(self) -> bool:
+        """Whether a task has failed as often as its queue allows."""
+        failed = (runs for step in self.steps.values() for runs in step.failed.values())
+        return any(len(runs) >= self.submission.queue.most_attempts for runs in failed)
+
     def is_ready(self, step: StepProgress, now: float) -> bool:
         """Return whether a step is due and the steps before it are done."""
         occurrence = step.id.occurrence
@@ -405,16 +431,16 @@
             history.record_stored(progress.unresolved.get(key, {}).get(task, {}))
 
     def import_progress(self, progress: Progress, now: float) -> None:
-        """Restore the progress that an earlier owner stored."""
+        """Add the progress that another owner has stored to what is known here."""
         for (occurrence, index), step in self.steps.items():
             key = f"{occurrence}.{index}"
             for task in progress.done.get(key, ()):
                 step.mark_done(task)
-            step.failed = {i: set(runs) for i, runs in progress.failed.get(key, {}).items()}
+            for task, runs in progress.failed.get(key, {}).items():
+                step.failed.setdefault(task, set()).update(runs)
             crashed, unresolved = progress.crashed.get(key, {}), progress.unresolved.get(key, {})
             for task in crashed.keys() | unresolved.keys():
-                step.crash_histories[task] = CrashHistory.restore(
-                    crashed.get(task, {}), unresolved.get(task, {}), now
-                )
+                stored = CrashHistory.restore(crashed.get(task, {}), unresolved.get(task, {}), now)
+                step.merge_crash_history(task, stored)
         if progress.done or progress.failed or progress.crashed:
             self.state = SubmissionState.RUNNING
