--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import gevent
 import gevent.event
@@ -33,13 +33,16 @@
     HoldUnanswered,
     OutcomeRead,
     PredecessorInactive,
+    ProgressFound,
     ProgressStored,
     ReportArrived,
     RosterStored,
     StartAnswered,
     StopAnswered,
+    SubmissionAbsent,
     SubmissionRead,
     SubmissionStored,
+    SubmissionUnreadable,
     Ticked,
     WorkersListed,
 )
@@ -53,7 +56,8 @@
     TicketId,
     WorkerListing,
 )
-from ..queueing.owner_state import OwnerParameters, OwnerState
+from ..queueing.owner_state import OwnerState
+from ..queueing.parameters import OwnerParameters
 from ..queueing.records import (
     CONFIRMATION_KEY,
     CONFIRMATION_TABLE,
@@ -81,12 +85,14 @@
     StartLogRow,
     collect_starts,
 )
+from ..queueing.submissions import SubmissionProgress
 from ..queueing.takeover import Takeover
 from ..queueing.workers import Worker
 from .clock import read_elapsed_clock
 from .ownership_proof import OwnershipProof
 from .supervision import ReportError
 from .table_watcher import LogEvent, Rereading, describe_failure
+from .unconfirmed_progress import UnconfirmedProgress
 from .work_table import WorkTable
 
 # A hold is a long poll of a worker: it renews the worker's leases, acknowledges finished runs and
@@ -181,6 +187,7 @@
         self._started_at = time.monotonic()
         self.state: OwnerState | None = None
         self._listings: dict[WorkerId, WorkerListing] = {}
+        self._unconfirmed_progress = UnconfirmedProgress()
         self._dirty_submissions: dict[SubmissionId, None] = {}
         self._scheduling_due = gevent.event.Event()
         self._progress_stored = gevent.event.Event()
@@ -272,6 +279,40 @@
         for row in rows:
             self._apply_conflicting_outcome(row, submission)
 
+    def _find_submission(self, submission: SubmissionId) -> None:
+        """Read all rows of a submission of which a finished run is reported."""
+        if submission in self._work.unreadable:
+            return
+        read_at = _now()
+        try:
+            rows = self._work.read(submission)
+        except LavenderhookError as error:
+            self._log_event("submission-unread", submission=submission, **describe_failure(error))
+            return  # it is read again as long as the run is reported
+        if not rows:
+            self._log_event("submission-absent", submission=submission)
+            self.apply(SubmissionAbsent(now=_now(), submission=submission, read_at=read_at))
+            return
+        try:
+            self._apply_found_rows(rows)
+        except ProtocolError as error:
+            self._record_unreadable(submission, error)
+
+    def _apply_found_rows(self, rows: Mapping[str, StoredRow]) -> None:
+        """Apply the rows of one submission, by prefix; an outcome outranks the others."""
+        if OUTCOME_PREFIX in rows:
+            self._apply_row(rows[OUTCOME_PREFIX])
+        if SUBMISSION_PREFIX in rows:
+            row, found = rows[SUBMISSION_PREFIX], rows.get(PROGRESS_PREFIX)
+            progress = None if found is None else (decode(found.value, Progress), found.revision)
+            self._apply_submission(decode_submission(row.value), row.revision, progress)
+
+    def _record_unreadable(self, submission: SubmissionId, error: ProtocolError) -> None:
+        """Leave a submission alone; none of its rows is replaced."""
+        self._work.unreadable.add(submission)
+        self._log_event("submission-unreadable", submission=submission, **describe_failure(error))
+        self.apply(SubmissionUnreadable(now=_now(), submission=submission))
+
     # Loading.
 
     def _load_and_start_loops(self) -> None:
@@ -393,6 +434,7 @@
     ) -> None:
         if submission.id in self._work.unreadable:
             return  # without its progress, tasks that are done would run again
+        is_known = self.state is not None and submission.id in self.state.submissions
         self.apply(
             SubmissionRead(
                 now=_now(),
@@ -402,7 +444,7 @@
                 progress=stored_progress[0] if stored_progress is not None else None,
             )
         )
-        if stored_progress is not None and self.state is not None:
+        if stored_progress is not None and self.state is not None and not is_known:
             entry = self.state.submissions.get(submission.id)
             if entry is not None:
                 entry.progress_revision = stored_progress[1]
@@ -445,6 +487,8 @@
                 self._spawn(self._send_advice_request, effect)
             case effects.StoreProgress():
                 self._dirty_submissions[effect.submission] = None
+            case effects.ReadSubmission():
+                self._spawn(self._find_submission, effect.submission)
             case effects.StoreRoster():
                 self._roster_to_store = effect.roster
                 self._is_roster_due.set()
@@ -630,6 +674,8 @@
             if worker.stored_sequence < worker.processed_sequence:
                 self._progress_stored.clear()
                 self._progress_stored.wait(MAX_STORED_WAIT_SECONDS)
+            elif worker.finished_runs.has_waiting:
+                gevent.sleep(TICK_INTERVAL_SECONDS)  # the worker reports these at once
 
     def _workers_loop(self) -> None:
         rereading = Rereading()
@@ -747,12 +793,13 @@
                 progress[submission_id] = entry.export_progress()
                 value = encode(progress[submission_id])
                 writes.append(Write(WORK_TABLE, key, value, entry.progress_revision))
+                self._unconfirmed_progress.record_sent(submission_id, value)
         start_log = state.scheduler.start_log
         starts = start_log.take(time.time())
         if starts is not None:
             writes.append(Write(START_LOG_TABLE, start_log.next_key(), encode(starts)))
-        if not writes:
-            return True
+        if not writes:  # what is acknowledged next has to be confirmed by the store
+            writes.append(CONFIRMATION)
         try:
             result = self._transact(writes)
         except LavenderhookError as error:
@@ -771,6 +818,7 @@
                 outcome = outcomes[submission_id]
                 self.apply(OutcomeRead(now=_now(), submission=submission_id, outcome=outcome))
             else:
+                self._unconfirmed_progress.record_stored(submission_id)
                 self.apply(
                     SubmissionStored(
                         now=_now(),
@@ -794,20 +842,38 @@
             prefix, submission_id = parse_key(row.key)
             if prefix == OUTCOME_PREFIX:
                 self._apply_conflicting_outcome(row, submission_id)
-            elif submission_id in state.submissions:
-                # An earlier write whose response was lost has been carried out.
-                state.submissions[submission_id].progress_revision = row.revision
+            elif prefix == PROGRESS_PREFIX and submission_id in state.submissions:
+                self._apply_conflicting_progress(row, state.submissions[submission_id])
         unstored = [s for s in submissions if s not in self._work.unreadable]
         self._dirty_submissions.update(dict.fromkeys(unstored))
         return False
 
+    def _apply_conflicting_progress(self, row: StoredRow, entry: SubmissionProgress) -> None:
+        """Apply stored progress that this owner doesn't know, since a stale read has missed it."""
+        if row.revision == entry.progress_revision:
+            return  # another row of the transaction conflicts
+        submission = entry.submission.id
+        if self._unconfirmed_progress.has_sent(submission, row.value):
+            entry.progress_revision = row.revision  # it was stored, but the response was lost
+            return
+        try:
+            progress = decode(row.value, Progress)
+        except ProtocolError as error:
+            self._record_unreadable(submission, error)
+            return
+        self._log_event("progress-found", submission=submission, revision=row.revision)
+        self.apply(
+            ProgressFound(
+                now=_now(), submission=submission, progress=progress, revision=row.revision
+            )
+        )
+
     def _apply_conflicting_outcome(self, row: StoredRow, submission: SubmissionId) -> None:
         """Apply a final state that is already stored; nothing replaces one that is unreadable."""
         try:
             self._apply_row(row)
         except ProtocolError as error:
-            self._work.unreadable.add(submission)
-            self._log_event("outcome-unreadable", submission=submission, **describe_failure(error))
+            self._record_unreadable(submission, error)
 
     def _prune_loop(self) -> None:
         """Delete the rows of submissions whose retention period has passed.
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -11,8 +11,6 @@
 
 from collections.abc import Callable, Sequence
 
-import msgspec
-
 from ..core.identifiers import WorkerId
 from .advising import AdvicePlanner
 from .effects import (
@@ -32,13 +30,16 @@
     HoldUnanswered,
     OutcomeRead,
     PredecessorInactive,
+    ProgressFound,
     ProgressStored,
     ReportArrived,
     RosterStored,
     StartAnswered,
     StopAnswered,
+    SubmissionAbsent,
     SubmissionRead,
     SubmissionStored,
+    SubmissionUnreadable,
     Ticked,
     WorkersListed,
 )
@@ -70,6 +71,7 @@
     TaskKey,
     WorkerListing,
 )
+from .parameters import OwnerParameters
 from .placement import BestFit, PlacementPolicy, SpreadServices
 from .ranking import PriorityThenObjective, StepRanking
 from .records import FailureReason, Roster
@@ -80,6 +82,7 @@
 from .stragglers import RunAction, project_remaining
 from .submissions import StepProgress, SubmissionProgress
 from .takeover import Takeover
+from .unknown_submissions import UnknownSubmissions
 from .workers import (
     REFUSAL_BLOCK_SECONDS,
     Run,
@@ -95,24 +98,6 @@
 REVIEW_INTERVAL_SECONDS = 0.2
 
 
-class OwnerParameters(msgspec.Struct, frozen=True, kw_only=True):
-    """Times that the deployment sets.
-
-    Parameters
-    ----------
-    lease_seconds : float
-        Duration of the leases on runs.
-    stop_seconds : float
-        Longest time that a worker takes to stop a run.
-    retention_seconds : float
-        How long rows of ended submissions are kept.
-    """
-
-    lease_seconds: float = 4.5
-    stop_seconds: float = 1.0
-    retention_seconds: float = 150.0
-
-
 class OwnerState:
     """State of the owner.
 
@@ -165,6 +150,9 @@
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
         self.reviewer = reviewer or RunReviewer(self._find_step)
         self.losses = LossRecorder(self._find_step, self._give_up)
+        self.unknown_submissions = UnknownSubmissions(
+            self.workers, self.submissions, self._process_finished_run, self._remove_run
+        )
         self.next_review_at = 0.0
         self.needs_scheduling = True
 
@@ -313,6 +301,7 @@
         elif has_reopened or has_restarted:
             effects += self._update_roster()
         effects += self._process_finished_runs(worker, event.report.finished, event.now)
+        effects += self.unknown_submissions.search(worker, event.now)
         effects += self._reconcile_runs(worker, event)
         return effects + self.losses.record_report(worker, event.now)
 
@@ -443,9 +432,7 @@
         for worker_id, position in event.stored_positions.items():
             worker = self.workers.get(worker_id)
             if worker is not None and worker.newest.born == position.born:
-                worker.stored_sequence = max(
-                    worker.stored_sequence, min(position.sequence, worker.processed_sequence)
-                )
+                worker.finished_runs.record_stored(position.sequence)
         return []
 
     def handle_submission_stored(self, event: SubmissionStored) -> list[Effect]:
@@ -457,6 +444,22 @@
             self.needs_scheduling = True
         return []
 
+    def handle_progress_found(self, event: ProgressFound) -> list[Effect]:
+        """Add what another owner has stored; the repeated commit stores both."""
+        entry = self.submissions.get(event.submission)
+        if entry is None:
+            return []
+        entry.progress_revision = event.revision
+        entry.import_progress(event.progress, event.now)
+        self.needs_scheduling = True
+        effects = self.losses.adopt_histories(entry, event.now)
+        for run in entry.list_needless_runs():
+            effects += self._stop(run, event.now)
+        if entry.is_done or entry.has_used_up_attempts:
+            failure = None if entry.is_done else FailureReason.ATTEMPTS_USED_UP
+            effects += self._begin_finalizing(entry, failure)
+        return effects
+
     def handle_predecessor_inactive(self, event: PredecessorInactive) -> list[Effect]:
         """Close the unreached workers; what is stored after that doesn't wait for them."""
         self.takeover.record_inactive(event.now, self.workers.values())
@@ -637,19 +640,13 @@
     def _process_finished_runs(
         self, worker: Worker, finished_runs: Sequence[FinishedRun], now: float
     ) -> list[Effect]:
-        """Process reported finished runs, up to the first whose submission isn't known."""
+        """Process reported finished runs; those of unknown submissions wait."""
         effects: list[Effect] = []
-        worker.unmatched_finished_runs = ()
-        for position, finished in enumerate(finished_runs):
-            if finished.sequence <= worker.processed_sequence:
-                continue
+        for finished in worker.finished_runs.select_new(finished_runs):
             submission = finished.task.submission
             is_known = submission in self.submissions or submission in self.outcomes
-            if worker.waits_for_submission(is_known=is_known, now=now):
-                worker.unmatched_finished_runs = tuple(finished_runs[position:])
-                break
-            worker.processed_sequence = finished.sequence
-            effects += self._process_finished_run(worker, finished, now)
+            if not worker.finished_runs.waits_for_submission(finished, is_known=is_known, now=now):
+                effects += self._process_finished_run(worker, finished, now)
         return effects
 
     def _record_failure(self, worker: Worker, task: TaskKey, now: float) -> list[Effect]:
@@ -777,8 +774,8 @@
         """Process the reported runs of a submission that has only now become known."""
         effects: list[Effect] = []
         for worker in self.workers.values():
-            if worker.unmatched_finished_runs:
-                effects += self._process_finished_runs(worker, worker.unmatched_finished_runs, now)
+            waiting = worker.finished_runs.list_waiting()
+            effects += self._process_finished_runs(worker, waiting, now)
             for task in [t for t in worker.unmatched_runs if t.submission == submission]:
                 effects += self._adopt(worker, worker.unmatched_runs.pop(task), now)
         return effects
@@ -840,6 +837,8 @@
 
 _HANDLERS: dict[type[Event], Callable[[OwnerState, Event], list[Effect]]] = {
     SubmissionRead: OwnerState.handle_submission,  # type: ignore[dict-item]
+    SubmissionAbsent: lambda s, event: s.unknown_submissions.handle_absent(event),  # type: ignore[arg-type]
+    SubmissionUnreadable: lambda s, event: s.unknown_submissions.handle_unreadable(event),  # type: ignore[arg-type]
     OutcomeRead: OwnerState.handle_outcome,  # type: ignore[dict-item]
     WorkersListed: OwnerState.handle_workers,  # type: ignore[dict-item]
     RosterStored: OwnerState.handle_roster,  # type: ignore[dict-item]
@@ -848,6 +847,7 @@
     StartAnswered: OwnerState.handle_start_answer,  # type: ignore[dict-item]
     StopAnswered: OwnerState.handle_stop_answer,  # type: ignore[dict-item]
     AdviceArrived: OwnerState.handle_advice,  # type: ignore[dict-item]
+    ProgressFound: OwnerState.handle_progress_found,  # type: ignore[dict-item]
     ProgressStored: OwnerState.handle_progress_stored,  # type: ignore[dict-item]
     SubmissionStored: OwnerState.handle_submission_stored,  # type: ignore[dict-item]
     PredecessorInactive: OwnerState.handle_predecessor_inactive,  # type: ignore[dict-item]
