--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -301,13 +301,19 @@
         self.is_roster_unanswered = False
         self.next_roster = None  # to be stored after the one without an answer
         authority_seconds = simulation.predecessor_seconds if simulation.owners else 0.0
+        self.predecessors_act_until = simulation.now + authority_seconds
         self.state = OwnerState(
             FencingToken(fencing),
             self.revision,
             simulation.now,
             OwnerParameters(lease_seconds=LEASE_SECONDS, stop_seconds=MAX_STOP_SECONDS),
             simulation.roster,
-            takeover=Takeover(simulation.now, LEASE_SECONDS, authority_seconds, authority_seconds),
+            takeover=Takeover(
+                simulation.now,
+                LEASE_SECONDS,
+                authority_seconds,
+                min(authority_seconds, simulation.inherited_seconds),
+            ),
             former_starts=collect_starts(simulation.start_log_rows.values(), simulation.now),
         )
         for submission_id, outcome in simulation.outcomes.items():
@@ -619,6 +625,7 @@
         self.feed_seconds = 0.0
         # For how long after the claim a new owner expects earlier ones to act.
         self.predecessor_seconds = compute_authority_seconds(Predecessor.ASKS_PEERS, 0.0)
+        self.inherited_seconds = 0.0  # the same of owners before the last one
         self.allowed_workers = None  # names; None for all
         self.advice_seconds = 0.05
         self.crashing_tasks = CrashingTasks(self)
