--- a/features/steps/takeovers.py
+++ b/features/steps/takeovers.py
@@ -2,9 +2,17 @@
 
 from behave import when
 
+from features.steps.queueing import find_violating_seed
 from features.support.takeover_runs import run_takeover_simulation
 
 
 @when("the random simulations {first:d} to {last:d} of takeovers in a row are run")
 def step_takeover_runs(context, first, last):
     context.simulations = {seed: run_takeover_simulation(seed) for seed in range(first, last + 1)}
+
+
+@when(
+    "random simulations of takeovers run until one violates an invariant, with the fault: {fault}"
+)
+def step_mutant_of_takeovers(context, fault):
+    context.violating_seed = find_violating_seed(fault, run_takeover_simulation)
--- a/features/support/queue_mutants.py
+++ b/features/support/queue_mutants.py
@@ -5,13 +5,20 @@
 
 import msgspec
 
-from lavenderhook._internal.queueing.events import FinishedRunPosition, ProgressStored
+from lavenderhook._internal.queueing.events import (
+    FinishedRunPosition,
+    HoldUnanswered,
+    ProgressStored,
+    StartAnswered,
+    SubmissionRead,
+)
 from lavenderhook._internal.queueing.incarnations import NewestIncarnation
 from lavenderhook._internal.queueing.leases import WorkerLease
-from lavenderhook._internal.queueing.model import StartOutcome
+from lavenderhook._internal.queueing.model import StartOutcome, SubmissionState
 from lavenderhook._internal.queueing.owner_state import OwnerState
 from lavenderhook._internal.queueing.roster import RosterTracker
 from lavenderhook._internal.queueing.submissions import SubmissionProgress
+from lavenderhook._internal.queueing.takeover import Takeover
 from lavenderhook._internal.queueing.workers import Worker
 
 from .queue_simulation import SimulatedOwner, SimulatedWorker
@@ -51,10 +58,7 @@
         run = worker.runs.get((event.task, event.number)) if worker is not None else None
         return self._remove_run(run, event.now) if run is not None else []
 
-    handlers = "lavenderhook._internal.queueing.owner_state._HANDLERS"
-    from lavenderhook._internal.queueing.events import StartAnswered
-
-    return mock.patch.dict(handlers, {StartAnswered: handle_as_not_executed})
+    return replace_handler(StartAnswered, handle_as_not_executed)
 
 
 def forget_unreachable_workers():
@@ -138,6 +142,72 @@
     )
 
 
+def guess_unknown_revisions():
+    """Let a submission that a peer reports count as stored after the owner's claim."""
+    original_deliver = SimulatedOwner.deliver_submission
+
+    def deliver_with_guess(self, submission, revision):
+        entry = self.state.submissions.get(submission.id)
+        known = entry.revision if entry is not None else 0
+        guess = self.revision + 1 if revision is None else revision
+        original_deliver(self, submission, max(known, guess))
+
+    return mock.patch.object(SimulatedOwner, "deliver_submission", deliver_with_guess)
+
+
+def backdate_closings():
+    """Store each unreached worker as closed from the beginning."""
+    original_prepare = RosterTracker.prepare_update
+
+    def prepare_backdated(self, workers, **named):
+        update = original_prepare(self, workers, **named)
+        if update is not None:
+            closed = {w: 1 if w in self.unreached else r for w, r in update.closed.items()}
+            update = self.requested = msgspec.structs.replace(update, closed=closed)
+        return update
+
+    return mock.patch.object(RosterTracker, "prepare_update", prepare_backdated)
+
+
+def replace_handler(event_type, handler):
+    """Let the owner handle a type of events differently."""
+    handlers = "lavenderhook._internal.queueing.owner_state._HANDLERS"
+    return mock.patch.dict(handlers, {event_type: handler})
+
+
+def presume_other_incarnation():
+    """Take the incarnation of a worker that doesn't answer for ended."""
+
+    def handle_as_ended(self, event):
+        event = msgspec.structs.replace(event, is_other_incarnation=True)
+        return OwnerState.handle_hold_unanswered(self, event)
+
+    return replace_handler(HoldUnanswered, handle_as_ended)
+
+
+def revive_cancelled_submissions():
+    """Let a cancelled submission that a peer reports again count as a new one."""
+
+    def handle_as_new(self, event):
+        is_cancelled = self.outcomes.get(event.submission.id) is SubmissionState.CANCELLED
+        if event.revision is None and is_cancelled:
+            del self.outcomes[event.submission.id]
+        return OwnerState.handle_submission(self, event)
+
+    return replace_handler(SubmissionRead, handle_as_new)
+
+
+def presume_former_owners_ended():
+    """Take all earlier owners for ended before the claim."""
+    original_init = Takeover.__init__
+
+    def init_as_ended(self, *arguments):
+        original_init(self, *arguments)
+        self.had_ended = True
+
+    return mock.patch.object(Takeover, "__init__", init_as_ended)
+
+
 MUTANTS = {
     "workers ignore tokens": ignore_tokens,
     "finished runs are acknowledged before they are stored": acknowledge_before_commit,
@@ -151,6 +221,11 @@
     "labels of a former incarnation count": use_former_labels,
     "changes of capacity are ignored": ignore_capacity_changes,
     "a new owner forgets crashes": forget_crashes,
+    "an unknown revision counts as one after the claim": guess_unknown_revisions,
+    "unreached workers count as closed from the beginning": backdate_closings,
+    "an unanswered hold counts as another incarnation": presume_other_incarnation,
+    "a cancelled submission becomes active when it is reported again": revive_cancelled_submissions,
+    "earlier owners count as ended while they act": presume_former_owners_ended,
 }
 
 
--- a/features/takeovers.feature
+++ b/features/takeovers.feature
@@ -8,3 +8,16 @@
     When the random simulations 1 to 40 of takeovers in a row are run
     Then no simulation violated an invariant
     And all submissions ended in every simulation
+
+  Scenario Outline: Simulations of takeovers in a row detect deliberate faults
+    Guards against checks that would pass whatever a new owner presumed.
+    When random simulations of takeovers run until one violates an invariant, with the fault: <fault>
+    Then one of the first <count> simulations violated an invariant
+
+    Examples:
+      | fault                                                            | count |
+      | an unknown revision counts as one after the claim                | 60    |
+      | unreached workers count as closed from the beginning             | 60    |
+      | an unanswered hold counts as another incarnation                 | 60    |
+      | a cancelled submission becomes active when it is reported again  | 60    |
+      | earlier owners count as ended while they act                     | 60    |
