Wait for the lease of a worker whose outdated address another one has

Callers could see tasks run twice: a new owner started again what ran on a worker that had restarted at another address, without waiting for its lease.

Cause: a worker's answer that it isn't the one meant (421) shows that the incarnation in the list has ended. The owner took that for the end of all that earlier owners had started under the id. It doesn't check that the list it loads is newer than its claim, as it does with the roster; an earlier owner may know a newer incarnation, elsewhere.

Change: while a worker of the inherited roster is unreached, such an answer counts like none: tasks wait until the worker answers or the leases have expired, as docs/platform.md says. Once the worker was reached, and for one that isn't on the roster, nothing changes. The price is a wait of up to a lease after a takeover for tasks of a worker that has left and whose address another one has meanwhile.

No simulation had such answers; those of takeovers in a row now let workers move.

--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -86,7 +86,7 @@
 
     def __init__(self, simulation, name, capacity, rack):
         self.simulation = simulation
-        self.name = name
+        self.name = self.address = name  # another worker answers at its former addresses
         self.capacity = capacity
         self.limit = ProcessorLimit(capacity.processors)
         self.rack = rack
@@ -130,7 +130,7 @@
         return WorkerListing(
             id=self.name,
             service="desk",
-            address=self.name,
+            address=self.address,
             zone="z",
             state=self.state,
             capacity=self.capacity,
@@ -472,14 +472,17 @@
         token = self.state.get_command_token(name)
         worker = self.simulation.workers[name]
         stored_sequence = self.state.workers[name].stored_sequence
-        if not worker.is_reached_by(self) or not worker.is_up:
-            self.simulation.call_later(
-                0.3,
-                self.apply,
-                HoldUnanswered(
-                    now=sent_at + 0.3, worker=name, token=token, proven_at=self.stored_proof_at
-                ),
+        has_moved = self.state.workers[name].listing.address != worker.address
+        if has_moved or not worker.is_reached_by(self) or not worker.is_up:
+            seconds = LINK_LATENCY_SECONDS if has_moved else 0.3
+            event = HoldUnanswered(
+                now=sent_at + seconds,
+                worker=name,
+                token=token,
+                is_other_incarnation=has_moved,
+                proven_at=self.stored_proof_at,
             )
+            self.simulation.call_later(seconds, self.apply, event)
         else:
             lease_end = self.compute_lease_end(name)
             known = self.state.workers[name].newest.born
--- a/features/support/takeover_runs.py
+++ b/features/support/takeover_runs.py
@@ -5,6 +5,8 @@
 
 import random
 
+import msgspec
+
 from lavenderhook._internal.queueing.authority import (
     PROOF_SECONDS,
     Predecessor,
@@ -20,7 +22,6 @@
     restart,
 )
 from .queue_simulation import QueueSimulation, make_step
-from .restart_runs import read_stale_list
 
 SUBMISSION_SECONDS = 12.0  # in which submissions arrive
 FAULT_SECONDS = 22.0
@@ -100,6 +101,9 @@
         for worker in simulation.workers.values():
             worker.reachable_by = generator.choice([token, token + 1])
             simulation.call_later(heals_in, setattr, worker, "reachable_by", None)
+    for worker in simulation.workers.values():
+        if worker.address != worker.name and generator.random() < 0.5:
+            show_first_entry(simulation, worker)
     assessment = Predecessor.ENDED if has_ended else Predecessor.ASKS_PEERS
     simulation.predecessor_seconds = compute_authority_seconds(
         assessment, simulation.inherited_seconds
@@ -112,8 +116,18 @@
 
 
 def add_restart(simulation, generator):
-    """Let a worker restart, and the owners read an outdated list afterwards."""
+    """Let a worker restart, perhaps at another address, and the owners read an outdated list."""
     worker = simulation.workers[generator.choice(sorted(simulation.workers))]
-    at = generator.uniform(3.0, 14.0)
+    at = generator.uniform(1.0, 14.0)
+    if generator.random() < 0.5:
+        simulation.call_later(at, setattr, worker, "address", "elsewhere")
     simulation.call_later(at, restart, simulation, worker)
-    simulation.call_later(at + generator.uniform(0.6, 3.0), read_stale_list, simulation, worker)
+    simulation.call_later(at + generator.uniform(0.6, 3.0), show_first_entry, simulation, worker)
+
+
+def show_first_entry(simulation, worker):
+    """Let the lists show the first incarnation of a worker for a moment."""
+    worker.entry = msgspec.structs.replace(worker.make_entry(), born=1, address=worker.name)
+    worker.is_cut_from_store = True
+    refresh_worker_lists(simulation)
+    simulation.call_later(0.6, setattr, worker, "is_cut_from_store", False)
--- a/features/takeovers.feature
+++ b/features/takeovers.feature
@@ -2,6 +2,26 @@
   Simulations in virtual time, as in queueing.feature: owners replace each other within the leases of
   workers that some of them don't reach, and peers report submissions again, also ended ones.
 
+  Scenario Outline: Another worker at an outdated address proves nothing about an earlier owner's runs
+    Guards against a second run of a task: the list that a new owner reads first is stale, another
+    worker has the address in it, and an earlier owner uses the next incarnation elsewhere.
+    Given 4 workers and an owner
+    When worker "w0" restarts at another address
+    And a submission "moved" of 4 tasks of 6000 millicores and 8 seconds arrives
+    And 1 seconds pass in the simulation
+    And the next list of workers shows the former entry of worker "w0"
+    And <takeover>
+    And 2 seconds pass in the simulation
+    Then "moved" has 4 starts
+    When 40 seconds pass in the simulation
+    Then "moved" is completed
+    And no invariant was violated
+
+    Examples:
+      | takeover                                                |
+      | another owner takes over after the former one has ended |
+      | another owner takes over                                |
+
   Scenario: Takeovers in a row violate no invariant
     Guards against second runs of a task that follow from what a new owner presumes: when a
     submission was stored, when a worker was closed, or that earlier owners have ended.
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -316,17 +316,13 @@
         if worker.record_unanswered_hold(event.now):
             effects += self._update_roster()
         have_leases_expired = min(event.now, event.proven_at) > worker.lease.expires_by
-        if event.is_other_incarnation or have_leases_expired:
+        # An earlier owner may know a newer incarnation, at another address.
+        has_ended = event.is_other_incarnation and worker.id not in self.roster.unreached
+        if has_ended or have_leases_expired:
             if worker.runs or not worker.is_reached:
-                effects.append(
-                    log_worker(
-                        "worker-lost",
-                        worker,
-                        other_boot=event.is_other_incarnation,
-                        lapsed=have_leases_expired,
-                    )
-                )
-                reason = LossReason.REPLACED if event.is_other_incarnation else LossReason.SILENT
+                reasons = {"other_boot": has_ended, "lapsed": have_leases_expired}
+                effects.append(log_worker("worker-lost", worker, **reasons))
+                reason = LossReason.REPLACED if has_ended else LossReason.SILENT
                 effects += self._reset_worker(worker, reason, event.now)
                 worker.is_reached = True  # nothing of an earlier owner is left here
                 worker.last_report_at = 0.0
