Don't end a submission as failed for a task that is done

Callers could see a submission as failed whose tasks were done, or could still be: where progress that a stale read had missed is found, the failed runs of a task count together with those here, also if the task is done; and a copy that fails after its task was done counted as well.

The second case is by reading; it goes through the same count.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -285,6 +285,16 @@
     Then "poison" is failed
     And "poison" has 3 starts
 
+  Scenario: Failed runs of a task that is done don't end its submission
+    Guards against a submission that is shown as failed although its tasks are done: an owner finds
+    stored progress that a stale read had missed.
+    Given 2 workers and an owner
+    When a submission "partly" of 2 tasks of 1000 millicores and 5 seconds arrives
+    And 0.5 seconds pass in the simulation
+    And the owner finds that task 0 of "partly" was done after 3 failed runs
+    And 20 seconds pass in the simulation
+    Then "partly" is completed
+
   Scenario: A worker on which every run fails is blocked
     Guards against submissions that use up their attempts on one faulty worker.
     Given 3 workers and an owner
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -23,6 +23,7 @@
 from lavenderhook._internal.queueing.events import (
     FinishedRunPosition,
     OutcomeRead,
+    ProgressFound,
     ProgressStored,
     Ticked,
 )
@@ -32,7 +33,7 @@
     SubmissionState,
     WorkerState,
 )
-from lavenderhook._internal.queueing.records import Outcome
+from lavenderhook._internal.queueing.records import Outcome, Progress
 from lavenderhook._internal.queueing.retry_after import choose_retry_after
 from lavenderhook._internal.queueing.submissions import Ticket
 
@@ -369,6 +370,18 @@
         context.simulation.run(seconds)
 
 
+@when('the owner finds that task {index:d} of "{name}" was done after {count:d} failed runs')
+def step_find_progress(context, index, name, count):
+    simulation = context.simulation
+    failed = list(range(100, 100 + count))  # numbers of runs that this owner doesn't know
+    progress = Progress(done={"0.0": [index]}, failed={"0.0": {index: failed}})
+    simulation.owners[-1].apply(
+        ProgressFound(
+            now=simulation.now, submission=name, progress=progress, revision=simulation.revision
+        )
+    )
+
+
 @when("{count:d} other submissions have ended")
 def step_others_ended(context, count):
     simulation = context.simulation
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -665,7 +665,8 @@
             if entry.is_done:
                 return effects + self._begin_finalizing(entry)
             return [*effects, StoreProgress(submission=entry.submission.id)]
-        if finished.outcome is RunOutcome.FAILED and not step.spec.is_service:
+        is_done = finished.task.index in step.done
+        if finished.outcome is RunOutcome.FAILED and not (step.spec.is_service or is_done):
             failures = step.count_failure(finished.task.index, finished.number)
             if failures >= entry.submission.queue.most_attempts:
                 return self._begin_finalizing(entry, FailureReason.ATTEMPTS_USED_UP)
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -217,6 +217,16 @@
         """Return the key of a task."""
         return TaskKey(self.id.submission, self.id.occurrence, self.id.step, index)
 
+    def has_failed_often(self, most_attempts: int) -> bool:
+        """Return whether a task, or the gang, that isn't done has used up its attempts."""
+        return any(
+            len(runs) >= most_attempts and not self._is_done(key)
+            for key, runs in self.failed.items()
+        )
+
+    def _is_done(self, key: int) -> bool:
+        return self.is_done if key == GANG_INDEX else key in self.done
+
     def _get_key(self, index: int) -> int:
         return GANG_INDEX if self.spec.is_gang else index
 
@@ -232,7 +242,7 @@
 
     def merge_crash_history(self, key: int, found: CrashHistory) -> None:
         """Add the crashes under a task, or under its gang, that another owner has stored."""
-        if self.is_done if key == GANG_INDEX else key in self.done:
+        if self._is_done(key):
             return
         history = self.crash_histories.setdefault(key, CrashHistory())
         history.merge(found)
@@ -390,9 +400,9 @@
 
     @property
     def has_used_up_attempts(self) -> bool:
-        """Whether a task has failed as often as its queue allows."""
-        failed = (runs for step in self.steps.values() for runs in step.failed.values())
-        return any(len(runs) >= self.submission.queue.most_attempts for runs in failed)
+        """Whether a task that isn't done has failed as often as its queue allows."""
+        most_attempts = self.submission.queue.most_attempts
+        return any(step.has_failed_often(most_attempts) for step in self.steps.values())
 
     def is_ready(self, step: StepProgress, now: float) -> bool:
         """Return whether a step is due and the steps before it are done."""
