--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -289,7 +289,7 @@
         except LavenderhookError as error:
             self._log_event("submission-unread", submission=submission, **describe_failure(error))
             return  # it is read again as long as the run is reported
-        if not rows:
+        if SUBMISSION_PREFIX not in rows and OUTCOME_PREFIX not in rows:
             self._log_event("submission-absent", submission=submission)
             self.apply(SubmissionAbsent(now=_now(), submission=submission, read_at=read_at))
             return
@@ -668,7 +668,8 @@
                         proven_at=self._compute_proven_at(),
                     )
                 )
-                gevent.sleep(HOLD_RETRY_SECONDS if worker.is_reached else FIRST_HOLD_RETRY_SECONDS)
+                may_answer_soon = not worker.is_reached and not result.is_wrong_recipient
+                gevent.sleep(FIRST_HOLD_RETRY_SECONDS if may_answer_soon else HOLD_RETRY_SECONDS)
                 continue
             self.apply(ReportArrived(now=now, worker=worker_id, sent_at=sent_at, report=result))
             if worker.stored_sequence < worker.processed_sequence:
@@ -816,6 +817,7 @@
             prefix, submission_id = parse_key(write.key)
             if prefix == OUTCOME_PREFIX:
                 outcome = outcomes[submission_id]
+                self._unconfirmed_progress.record_stored(submission_id)
                 self.apply(OutcomeRead(now=_now(), submission=submission_id, outcome=outcome))
             else:
                 self._unconfirmed_progress.record_stored(submission_id)
