--- a/src/lavenderhook/_internal/queueing/roster.py
+++ b/src/lavenderhook/_internal/queueing/roster.py
@@ -68,7 +68,7 @@
         self._may_be_closed = self._find_closed(self.requested)
 
     def _find_closed(self, roster: Roster) -> set[WorkerId]:
-        """Return the workers that are open or closed in the stored roster, but not open in this."""
+        """Return the workers that a roster closes, or doesn't name although the stored one does."""
         return set(roster.closed) | (self._stored.workers - roster.workers)
 
     def compute_blocked_through_revision(self) -> float:
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -351,7 +351,7 @@
             self.revision = revision
 
     def is_blocked_through(self, revision: float) -> bool:
-        """Return whether it may be stored up to a revision; 0 stands for none."""
+        """Return whether it was, or may have been, stored up to a revision; 0 stands for none."""
         return revision > 0 and (self.revision is None or self.revision <= revision)
 
     @property
--- a/src/lavenderhook/_internal/queueing/takeover.py
+++ b/src/lavenderhook/_internal/queueing/takeover.py
@@ -69,7 +69,7 @@
         return now > self.leases_expire_at
 
     def check_closing(self, now: float) -> bool:
-        """Return whether unreached workers may be closed since this call.
+        """Return whether unreached workers may be closed from this call on.
 
         The first call follows the loading of the state.
         """
