Log why a step waits although capacity is free

What is placed is unchanged: Worker.is_schedulable asks find_unschedulable_reason, which checks the same in the same order.

--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -378,6 +378,7 @@
                 hidden = LINE_FIELDS & effect.fields.keys()
                 if hidden:
                     simulation.violations.append((simulation.now, "hidden-log-fields", hidden))
+                simulation.decisions.append((simulation.now, effect))
             case effects.SendStop():
                 simulation.send(effect.worker, self.deliver_stop, effect)
             case effects.WatchWorker():
@@ -650,6 +651,7 @@
         self.outcome_counts = collections.Counter()
         self.gang_members = {}
         self.violations = []
+        self.decisions = []  # logged by any owner: (time, LogDecision)
         self.starts = 0
         self.starts_by_submission = collections.Counter()
         self.started_runs = set()
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -300,6 +300,11 @@
             return SubmissionState.QUEUED
         if not self._is_stored(submission):
             raise UnknownNameError("submission", submission)
+        self._log_event(
+            "submission-unknown-to-owner",
+            submission=submission,
+            owner=self._ownership.find_owner_address(),
+        )
         return SubmissionState.QUEUED
 
     def _was_recently_accepted(self, submission: SubmissionId) -> bool:
--- a/src/lavenderhook/_internal/instance/table_watcher.py
+++ b/src/lavenderhook/_internal/instance/table_watcher.py
@@ -73,10 +73,18 @@
         for result in results:
             if isinstance(result, LavenderhookError):
                 raise result
-        for result in results:
-            for row in result.rows:
-                self.apply_if_newer(row)
-        self.revision = max(min(result.revision for result in results), self.revision or 0)
+        rows = [row for result in results for row in result.rows]
+        newer = sum(self.apply_if_newer(row) for row in rows)
+        revision = min(result.revision for result in results)
+        self._log_event(
+            "table-read",
+            table=self._table,
+            rows=len(rows),
+            newer=newer,
+            revision=revision,
+            former_revision=self.revision,
+        )
+        self.revision = max(revision, self.revision or 0)
 
     def _read_part(self, part: str) -> RowChanges | LavenderhookError:
         try:
@@ -109,13 +117,13 @@
             self.apply_if_newer(row)
         self.revision = max(changes.revision, self.revision)
 
-    def apply_if_newer(self, row: StoredRow) -> None:
-        """Apply a row unless it is known at this or a newer revision.
+    def apply_if_newer(self, row: StoredRow) -> bool:
+        """Apply a row unless it is known at this or a newer revision; return whether it was not.
 
         A row that can't be decoded is logged and left out; it must not hold up the others.
         """
         if row.revision <= self._revisions.get(row.key, 0):
-            return
+            return False
         self._revisions[row.key] = row.revision
         try:
             self._apply(row)
@@ -127,6 +135,7 @@
                 revision=row.revision,
                 **describe_failure(error),
             )
+        return True
 
 
 class Rereading:
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/exclusions.py
@@ -0,0 +1,79 @@
+"""Why a worker gets no task of a step."""
+
+from __future__ import annotations
+
+import enum
+
+from .placement import count_on_worker, is_eligible
+from .submissions import StepProgress
+from .workers import Worker
+
+
+class ExclusionReason(enum.Enum):
+    """Why a worker gets no task of a step now; the first that applies."""
+
+    NOT_SCHEDULABLE = "not-schedulable"  # see `UnschedulableReason`
+    OTHER_SERVICE = "other-service"
+    NO_LABEL = "no-label"
+    NOT_ALLOWED = "not-allowed"  # by the advisory service
+    NOT_ASKED = "not-asked"  # the advisory service has not been asked about it
+    TICKET_EXPIRED = "ticket-expired"
+    KEPT_EMPTY = "kept-empty"  # for a task that may crash it
+    ISOLATED = "isolated"  # it runs such a task
+    ON_PROBATION = "on-probation"
+    NO_CAPACITY = "no-capacity"
+    FULL_OF_STEP = "full-of-step"  # it holds as many tasks of the step as it may
+
+
+def find_exclusion(
+    step: StepProgress, service: str, worker: Worker, now: float, *, needs_advice: bool
+) -> ExclusionReason | None:
+    """Return why a worker gets no task of a step, or None if it could get one.
+
+    Parameters
+    ----------
+    step : StepProgress
+    service : str
+        The one that runs the tasks of the step's queue.
+    worker : Worker
+    now : float
+    needs_advice : bool
+        Whether the queue has an advisory service.
+    """
+    if not worker.is_schedulable(now):
+        return ExclusionReason.NOT_SCHEDULABLE
+    if not is_eligible(step, service, worker):
+        return _find_ineligibility(step, service, worker)
+    if needs_advice:
+        ticket = step.allowed.get(worker.id)
+        if ticket is None:
+            return ExclusionReason.NOT_ASKED
+        if ticket.expires_at <= now:
+            return ExclusionReason.TICKET_EXPIRED
+    return _find_use(step, worker)
+
+
+def _find_ineligibility(step: StepProgress, service: str, worker: Worker) -> ExclusionReason:
+    if worker.listing.service != service:
+        return ExclusionReason.OTHER_SERVICE
+    if worker.id in step.refused:
+        return ExclusionReason.NOT_ALLOWED
+    return ExclusionReason.NO_LABEL
+
+
+def _find_use(step: StepProgress, worker: Worker) -> ExclusionReason | None:
+    """Return which use of a worker leaves nothing for a step."""
+    if worker.emptied_for is not None:
+        return ExclusionReason.KEPT_EMPTY
+    if not worker.is_shared():
+        return ExclusionReason.ISOLATED
+    if worker.is_on_probation and (step.spec.is_gang or worker.runs):
+        return ExclusionReason.ON_PROBATION
+    spec = step.spec
+    most = spec.placement.most_per_worker
+    if most and count_on_worker(step, worker) >= most:
+        return ExclusionReason.FULL_OF_STEP
+    # Without regard to reservations, which last for one placement pass.
+    if not worker.has_capacity_for(spec.resources, spec.is_filler, 0.0):
+        return ExclusionReason.NO_CAPACITY
+    return None
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -15,6 +15,7 @@
 from .reservations import GangPlan, plan_gang, reserve
 from .start_log import StartLog
 from .submissions import StepProgress, SubmissionProgress
+from .waiting_steps import WaitingSteps
 from .workers import Worker, compute_command_token, is_run_number_of, make_run
 
 MAX_RESERVED_SHARE = 0.5  # of the schedulable workers' processors, for all gangs at a time
@@ -46,13 +47,14 @@
         self.advice = advice
         self.suspects = SuspectPlacer()
         self.start_log = StartLog()
+        self._waiting_steps = WaitingSteps()
         self._fencing = fencing
         self._ranking = ranking
         self._policy = policy
 
     def schedule(
         self,
-        submissions: Iterable[SubmissionProgress],
+        submissions: Collection[SubmissionProgress],
         workers: Collection[Worker],
         blocked_through_revision: float,
         now: float,
@@ -61,7 +63,7 @@
 
         Parameters
         ----------
-        submissions : iterable of SubmissionProgress
+        submissions : collection of SubmissionProgress
         workers : collection of Worker
         blocked_through_revision : float
             Submissions up to this revision of the store, and those whose revision isn't known, may
@@ -96,7 +98,9 @@
         for worker in schedulable_workers:
             worker.clear_reservation()
         self.suspects.end_pass()
-        return effects
+        return effects + self._waiting_steps.review(
+            submissions, workers, blocked_through_revision, now
+        )
 
     def _block(
         self,
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 from ..core.identifiers import WorkerId
 from .finished_runs import FinishedRunTracker
@@ -43,6 +44,21 @@
     return ""
 
 
+class UnschedulableReason(enum.Enum):
+    """Why no new runs may be placed on a worker; the first that applies."""
+
+    UNLISTED = "unlisted"
+    NOT_READY = "not-ready"
+    NO_ENTRY = "no-entry"  # of its newest incarnation in the platform's list
+    NOT_ANSWERING = "not-answering"
+    UNREACHED = "unreached"
+    CLOSED = "closed"  # in the roster
+    UNMATCHED_RUNS = "unmatched-runs"  # of submissions that aren't known
+    UNKNOWN_RESOURCES = "unknown-resources"  # of runs whose submissions have ended
+    BLOCKED = "blocked"
+    SILENT = "silent"
+
+
 @dataclasses.dataclass(slots=True)
 class Run:
     """One attempt to execute a task on a worker, not known to have ended.
@@ -298,15 +314,35 @@
 
     def is_schedulable(self, now: float) -> bool:
         """Return whether new runs may be placed here."""
-        return (
-            self.accepts_starts()
-            and self.is_reached
-            and self.is_open_in_roster
-            and not self.unmatched_runs
-            and not self.runs_with_unknown_resources
-            and now >= self.blocked_until
-            and now - self.last_report_at < MAX_REPORT_AGE_SECONDS
-        )
+        return self.find_unschedulable_reason(now) is None
+
+    def find_unschedulable_reason(self, now: float) -> UnschedulableReason | None:
+        """Return why no new runs may be placed here, or None if they may."""
+        if not self.accepts_starts():
+            return self._find_refusal()
+        if not self.is_reached:
+            return UnschedulableReason.UNREACHED
+        if not self.is_open_in_roster:
+            return UnschedulableReason.CLOSED
+        if self.unmatched_runs:
+            return UnschedulableReason.UNMATCHED_RUNS
+        if self.runs_with_unknown_resources:
+            return UnschedulableReason.UNKNOWN_RESOURCES
+        if now < self.blocked_until:
+            return UnschedulableReason.BLOCKED
+        if now - self.last_report_at >= MAX_REPORT_AGE_SECONDS:
+            return UnschedulableReason.SILENT
+        return None
+
+    def _find_refusal(self) -> UnschedulableReason:
+        """Return why the worker does not accept starts."""
+        if not self.is_listed:
+            return UnschedulableReason.UNLISTED
+        if not self.newest.is_described_by(self.listing):
+            return UnschedulableReason.NO_ENTRY
+        if self.listing.state is not WorkerState.READY:
+            return UnschedulableReason.NOT_READY
+        return UnschedulableReason.NOT_ANSWERING
 
     def get_free_resources(self) -> Resources:
         """Return the resources neither used by known runs nor reserved for gangs."""
