Show steps that wait for workers on probation (known red)

Callers saw an accepted submission of which nothing starts with most of the capacity free. In virtual time: a gang that needs a worker that was slow for a while has not started 40 s later, and a worker with a service stays on probation.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -16,6 +16,32 @@
     context.simulation.submit(name, [make_step(count)], advice=AdviceTerms(0.04, 0.0006, 2.0))
 
 
+@when('worker "{name}" is as fast as the others again')
+def step_sound_again(context, name):
+    context.simulation.workers[name].duration_factor = 1
+
+
+@then("no run is active")
+def step_none_active(context):
+    active = [
+        run.task for worker in context.simulation.workers.values() for run in worker.runs.values()
+    ]
+    assert not active, active
+
+
+@given("a service on each worker")
+def step_services(context):
+    count = len(context.simulation.workers)
+    context.simulation.submit("feed", [make_step(count, 1000, 0.0, is_service=True)])
+    context.simulation.run(1.0)
+
+
+@then('"{name}" has no run on worker "{worker}"')
+def step_no_run(context, name, worker):
+    submissions = {task.submission for task in context.simulation.workers[worker].runs}
+    assert name not in submissions, submissions
+
+
 @then('there are {lines:d} lines "{decision}", with "{reason}" for {count:d} workers')
 def step_logged_reasons(context, lines, decision, reason, count):
     found = [line for _, line in context.simulation.decisions if line.decision == decision]
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -10,3 +10,49 @@
     Then there are 1 lines "step-waits", with "not-allowed" for 3 workers
     When 6 seconds pass in the simulation
     Then there are 2 lines "step-waits", with "not-allowed" for 3 workers
+
+  Scenario Outline: A gang starts although it needs a worker that was slow for a while
+    Guards against a gang that waits for the end of a worker's probation, which only a run there ends,
+    while nothing else is placed there.
+    Given <workers> workers and an owner
+    And tasks on worker "w0" take 8 times as long
+    When 30 submissions of 8 tasks arrive over 9 seconds
+    And 4 seconds pass in the simulation
+    And worker "w0" is as fast as the others again
+    And 6 seconds pass in the simulation
+    Then no run is active
+    When a gang "wide" of <workers> tasks of 12000 millicores with priority 1 arrives after 0 seconds
+    And 6 seconds pass in the simulation
+    Then "wide" is completed
+    And no invariant was violated
+
+    Examples:
+      | workers |
+      | 5       |
+      | 8       |
+
+  Scenario: A worker that was slow for a while gets tasks again beside a service
+    Guards against a worker that stays on probation, with room for one run at a time, while a service
+    runs there.
+    Given 2 workers and an owner
+    And a service on each worker
+    And tasks on worker "w0" take 8 times as long
+    When 30 submissions of 8 tasks arrive over 9 seconds
+    And 6 seconds pass in the simulation
+    And worker "w0" is as fast as the others again
+    And 20 seconds pass in the simulation
+    And a submission "many" of 10 tasks of 3000 millicores and 1 seconds arrives
+    And 2.5 seconds pass in the simulation
+    Then "many" is completed
+    And no invariant was violated
+
+  Scenario: A gang that fits on sound workers leaves out one that is slow
+    Guards against a gang that is as slow as its slowest worker although others are free.
+    Given 5 workers and an owner
+    And tasks on worker "w0" take 8 times as long
+    When 30 submissions of 8 tasks arrive over 9 seconds
+    And a gang "narrow" of 3 tasks of 12000 millicores with priority 1 arrives after 2 seconds
+    And 1 seconds pass in the simulation
+    Then "narrow" has started
+    And "narrow" has no run on worker "w0"
+    And no invariant was violated
