Start a gang on workers on probation where it can't start otherwise

Cause: gangs left out workers on probation, and only a run that ends in time ends a probation. Evidence: in virtual time a gang that needs such a worker has not started after 40 s, step-waits shows the worker as on-probation since 13 s and the others as usable.

A gang uses the sound workers as long as they hold it, now or after the ends of their runs, and all others where they don't.

--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/gang_workers.py
@@ -0,0 +1,52 @@
+"""Which workers a gang may use: those on probation only where it can't start otherwise."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from .model import StepId
+from .reservations import plan_gang
+from .submissions import GANG_PLAN_MAX_AGE_SECONDS, StepProgress
+from .workers import Worker
+
+
+class GangWorkers:
+    """Selects the workers that a gang may use.
+
+    A gang is as slow as its slowest worker, so that workers on probation are left out as long as
+    the others hold the gang, now or after the ends of their runs. Where they don't, it takes any:
+    nothing else may run on the workers on probation, and then nothing would end their probation.
+    """
+
+    def __init__(self) -> None:
+        # By gang, whether the sound workers hold it, and when that was found; recent ones only.
+        self._held_by_sound: dict[StepId, tuple[bool, float]] = {}
+
+    def select(self, step: StepProgress, eligible: Iterable[Worker], now: float) -> list[Worker]:
+        """Return the workers that a gang may use, with or without free capacity.
+
+        Parameters
+        ----------
+        step : StepProgress
+        eligible : iterable of Worker
+            Those that may run the step, also if the advisory service has not been asked yet.
+        now : float
+        """
+        shared = [worker for worker in eligible if worker.is_shared()]
+        sound = [worker for worker in shared if not worker.is_on_probation]
+        if len(sound) == len(shared) or self._do_sound_hold(step, sound, now):
+            return sound
+        return shared
+
+    def _do_sound_hold(self, step: StepProgress, sound: Sequence[Worker], now: float) -> bool:
+        known = self._held_by_sound.get(step.id)
+        if known is not None and now - known[1] < GANG_PLAN_MAX_AGE_SECONDS:
+            return known[0]
+        is_held = plan_gang(step.spec, sound, now) is not None
+        self._held_by_sound = {
+            id: (was_held, at)
+            for id, (was_held, at) in self._held_by_sound.items()
+            if now - at < GANG_PLAN_MAX_AGE_SECONDS
+        }
+        self._held_by_sound[step.id] = (is_held, now)
+        return is_held
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -7,6 +7,7 @@
 
 from .advising import AdvicePlanner
 from .effects import Effect, LogDecision, SendStart, StepDown, StepDownReason, StoreProgress
+from .gang_workers import GangWorkers
 from .isolation import SuspectPlacer
 from .log_lines import log_run
 from .model import FencingToken, RunNumber, RunState, StartCommand, TicketId
@@ -47,6 +48,7 @@
         self.advice = advice
         self.suspects = SuspectPlacer()
         self.start_log = StartLog()
+        self._gang_workers = GangWorkers()
         self._waiting_steps = WaitingSteps()
         self._fencing = fencing
         self._ranking = ranking
@@ -157,12 +159,22 @@
         """Return where capacity is reserved for a gang in this pass."""
         if step.plan is not None and step.plan.is_current(now):
             return step.plan
-        service = entry.submission.queue.service
-        eligible = [worker for worker in workers if is_eligible(step, service, worker)]
+        eligible = self._find_eligible(entry, step, workers, now)
         if entry.submission.queue.advice is not None:
             eligible = [worker for worker in eligible if worker.id in step.allowed]
-        candidates = [w for w in eligible if not w.is_on_probation and w.is_shared()]
-        return plan_gang(step.spec, candidates, now)
+        return plan_gang(step.spec, eligible, now)
+
+    def _find_eligible(
+        self,
+        entry: SubmissionProgress,
+        step: StepProgress,
+        workers: Iterable[Worker],
+        now: float,
+    ) -> list[Worker]:
+        """Return the workers that may run a step, with or without free capacity and a ticket."""
+        service = entry.submission.queue.service
+        eligible = [worker for worker in workers if is_eligible(step, service, worker)]
+        return self._gang_workers.select(step, eligible, now) if step.spec.is_gang else eligible
 
     def _place_step(
         self,
@@ -171,8 +183,7 @@
         schedulable_workers: Sequence[Worker],
         now: float,
     ) -> list[Effect]:
-        service = entry.submission.queue.service
-        eligible = [worker for worker in schedulable_workers if is_eligible(step, service, worker)]
+        eligible = self._find_eligible(entry, step, schedulable_workers, now)
         if entry.submission.queue.advice is None:
             usable = eligible
         else:
@@ -276,8 +287,6 @@
     ) -> list[Effect]:
         if len(step.waiting) < step.spec.count:
             return []
-        # a gang is as slow as its slowest worker
-        usable = [w for w in usable if not w.is_on_probation and w.is_shared()]
         if step.is_suspect(0):
             return self._place_suspect(entry, step, 0, usable, now)
         preferred = [w for w in usable if not step.is_avoided(0, w.id)]
