End a probation without evidence, and let a worker show its speed beside a service

A worker that was slow for a while got at most one run at a time, and none while it ran a service, until one finished in time. Where others have free capacity it got none: gangs waited for long tasks on sound workers beside an idle one, and services kept workers on probation for good.

A probation ends after 5 s without a run that shows the worker's speed; what was held against it doesn't count any longer. Only such runs count for the limit of one at a time.

--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -56,3 +56,17 @@
     Then "narrow" has started
     And "narrow" has no run on worker "w0"
     And no invariant was violated
+
+  Scenario: A gang doesn't wait for long tasks while a worker that was slow for a while is idle
+    Guards against a probation that lasts although nothing has shown the worker's speed for long.
+    Given 5 workers and an owner
+    And tasks on worker "w4" take 8 times as long
+    When a submission "long" of 4 tasks of 9000 millicores and 60 seconds arrives
+    And 30 submissions of 4 tasks arrive over 9 seconds
+    And 4 seconds pass in the simulation
+    And worker "w4" is as fast as the others again
+    And 6 seconds pass in the simulation
+    And a gang "wide" of 6 tasks of 6000 millicores with priority 1 arrives after 0 seconds
+    And 6 seconds pass in the simulation
+    Then "wide" is completed
+    And no invariant was violated
--- a/src/lavenderhook/_internal/queueing/exclusions.py
+++ b/src/lavenderhook/_internal/queueing/exclusions.py
@@ -67,7 +67,7 @@
         return ExclusionReason.KEPT_EMPTY
     if not worker.is_shared():
         return ExclusionReason.ISOLATED
-    if worker.is_on_probation and (step.spec.is_gang or worker.runs):
+    if worker.is_full_on_probation() or (worker.is_on_probation and step.spec.is_gang):
         return ExclusionReason.ON_PROBATION
     spec = step.spec
     most = spec.placement.most_per_worker
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -498,10 +498,7 @@
     def _review_runs(self, now: float) -> list[Effect]:
         """Put slow workers on probation, and move or copy runs that are better off elsewhere."""
         workers = self.workers.values()
-        effects: list[Effect] = [
-            log_worker("worker-slow", worker)
-            for worker in self.reviewer.update_probation(workers, now)
-        ]
+        effects = self.reviewer.update_probation(workers, now)
         for decision in self.reviewer.review(workers, now):
             effects += self._apply_decision(decision, now)
         return effects
--- a/src/lavenderhook/_internal/queueing/review.py
+++ b/src/lavenderhook/_internal/queueing/review.py
@@ -7,7 +7,9 @@
 from collections.abc import Callable, Collection, Iterator
 from typing import NamedTuple
 
+from .effects import Effect
 from .evacuation import EvacuationPolicy, MoveBeforeLeaving
+from .log_lines import log_worker
 from .model import RunState, StepId
 from .stragglers import (
     MAX_PROBATION_SHARE,
@@ -68,29 +70,34 @@
         self._reviewed_at = -math.inf
         self._expected: dict[StepId, float | None] = {}  # durations by step, for one review
 
-    def update_probation(self, workers: Collection[Worker], now: float) -> list[Worker]:
-        """Put slow workers on probation; return those that were not on it before.
+    def update_probation(self, workers: Collection[Worker], now: float) -> list[Effect]:
+        """Put slow workers on probation, and end one without evidence; return the log lines.
 
         Only workers that have reported since the last call are judged again.
         """
         max_slow_workers = max(1, int(len(workers) * MAX_PROBATION_SHARE))
         slow_workers = sum(worker.is_on_probation for worker in workers)
         self._expected.clear()
-        newly_slow: list[Worker] = []
+        effects: list[Effect] = []
         for worker in workers:
             if worker.last_report_at <= self._reviewed_at:
                 continue
             speeds = self._measure_speeds(worker)
+            if speeds:
+                worker.speed_shown_at = now
+            elif worker.is_on_probation and self.slow_worker_policy.is_evidence_old(worker, now):
+                worker.end_probation()
+                effects.append(log_worker("worker-probation-expired", worker))
             if not speeds or not self.slow_worker_policy.is_slow(worker, speeds, now):
                 continue
             if not worker.is_on_probation and slow_workers < max_slow_workers:
                 worker.is_on_probation = True
                 slow_workers += 1
-                newly_slow.append(worker)
+                effects.append(log_worker("worker-slow", worker))
             if worker.is_on_probation and any(is_stalled(speed.run) for speed in speeds):
                 worker.blocked_until = max(worker.blocked_until, now + STALL_BLOCK_SECONDS)
         self._reviewed_at = now
-        return newly_slow
+        return effects
 
     def review(self, workers: Collection[Worker], now: float) -> Iterator[Decision]:
         """Yield the runs to be moved or copied."""
--- a/src/lavenderhook/_internal/queueing/stragglers.py
+++ b/src/lavenderhook/_internal/queueing/stragglers.py
@@ -1,7 +1,8 @@
 """Runs and workers that are far slower than expected, or stand still.
 
-A slow worker is put on probation: it gets one run at a time until one finishes in time. A run that
-would end sooner elsewhere is started there again.
+A slow worker is put on probation: it gets one run at a time until one finishes in time, or until
+none has shown its speed for some seconds, since it may get none while others have free capacity. A
+run that would end sooner elsewhere is started there again.
 """
 
 from __future__ import annotations
@@ -21,6 +22,8 @@
 SLOW_SUBMISSIONS_FOR_PROBATION = 2  # on one worker in a row, since one may have a wrong estimate
 # If more workers than this seem slow, the estimates are wrong.
 MAX_PROBATION_SHARE = 0.25
+# Nothing is known of a worker's speed after this time without runs that show it.
+PROBATION_EVIDENCE_SECONDS = 5.0
 # Progress is reported in hundredths: a run without any for this long, and for this share of its
 # estimate, stands still.
 STALL_SECONDS = 0.7
@@ -53,6 +56,10 @@
     def record_finished_run(self, worker: Worker, run: Run, now: float) -> None:
         """Record a run that finished without being stopped."""
 
+    @abc.abstractmethod
+    def is_evidence_old(self, worker: Worker, now: float) -> bool:
+        """Return whether a worker without runs that show its speed is to be used again."""
+
     @abc.abstractmethod
     def is_slow(self, worker: Worker, speeds: Sequence[RunSpeed], now: float) -> bool:
         """Return whether a worker with these active runs should be on probation."""
@@ -74,8 +81,11 @@
         if is_overdue(run, now):
             worker.slow_submissions.add(run.task.submission)
         else:
-            worker.slow_submissions.clear()
-            worker.is_on_probation = False
+            worker.end_probation()
+
+    def is_evidence_old(self, worker: Worker, now: float) -> bool:
+        """Return whether no run has shown the speed of a worker for long."""
+        return now - worker.speed_shown_at >= PROBATION_EVIDENCE_SECONDS
 
     def is_slow(self, worker: Worker, speeds: Sequence[RunSpeed], now: float) -> bool:
         """Return whether a worker with these active runs should be on probation."""
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -205,6 +205,7 @@
         self.slow_submissions: set[SubmissionId] = set()  # since a run last finished in time
         self.leaves_at: float | None = None  # a draining worker leaves at this time or later
         self.is_on_probation = False  # see the module `stragglers`
+        self.speed_shown_at = 0.0  # when it last had runs that depend on its speed only
         self.isolated_run: Run | None = None  # nothing is placed beside it; see `isolation`
         self.emptied_for: TaskKey | None = None  # nothing is placed until this suspect starts here
         self.finished_runs = FinishedRunTracker()
@@ -263,8 +264,7 @@
         self.last_report_at = 0.0
         self.forget_reports()
         self.failed_submissions.clear()
-        self.slow_submissions.clear()
-        self.is_on_probation = False
+        self.end_probation()
         self.blocked_until = 0.0
         self.silent_since = None
         self.leaves_at = None
@@ -272,6 +272,15 @@
         if listing is not None:
             self.update_listing(listing, now)
 
+    def end_probation(self) -> None:
+        """Treat the worker as sound; what was held against it doesn't count any longer."""
+        self.slow_submissions.clear()
+        self.is_on_probation = False
+
+    def is_full_on_probation(self) -> bool:
+        """Return whether it is on probation and runs something that will show its speed."""
+        return self.is_on_probation and any(run.counts_for_speed for run in self.runs.values())
+
     def update_listing(self, listing: WorkerListing, now: float) -> None:
         """Apply the newest entry of the platform's list."""
         if listing.leaves_in_seconds is None:
@@ -355,7 +364,7 @@
 
     def has_capacity_for(self, resources: Resources, is_filler: bool, ends_at: float) -> bool:
         """Return whether a task that is expected to end at a time may be placed here."""
-        if not self.is_shared() or (self.is_on_probation and self.runs):
+        if not self.is_shared() or self.is_full_on_probation():
             return False
         capacity = self.listing.capacity
         reserved = Resources() if ends_at <= self.reserved_until else self.reserved
