--- a/src/lavenderhook/_internal/queueing/waiting_steps.py
+++ b/src/lavenderhook/_internal/queueing/waiting_steps.py
@@ -29,7 +29,7 @@
 
     def __init__(self) -> None:
         self._next_review_at = 0.0
-        self._waits_since: dict[StepId, float] = {}
+        self._waits_since: dict[StepId, float] = {}  # beside free capacity
         self._next_line_at: dict[StepId, float] = {}
         self._excluded_since: dict[WorkerId, tuple[str, float]] = {}
 
@@ -54,11 +54,12 @@
             return []
         self._next_review_at = now + REVIEW_INTERVAL_SECONDS
         self._update_exclusions(workers, now)
+        if not _has_free_capacity(workers):
+            self._waits_since.clear()
+            return []
         waiting = {step.id: (entry, step) for entry, step in _list_waiting(submissions, now)}
         self._waits_since = {id: self._waits_since.get(id, now) for id in waiting}
         self._next_line_at = {id: at for id, at in self._next_line_at.items() if id in waiting}
-        if not _has_free_capacity(workers):
-            return []
         due = [
             id
             for id, since in self._waits_since.items()
@@ -117,6 +118,7 @@
                 "memory": spec.resources.memory_mb,
                 "label": spec.placement.label,
                 "seconds": round(now - self._waits_since[step.id], 1),
+                "since_due": round(now - step.due_at, 1),
                 "revision": entry.revision,
                 "blocked": is_blocked,
                 "failed_placement": now < entry.blocked_until,
