--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -195,6 +195,20 @@
     When the owner row with token 7 is from a claim of this instance that got no response
     Then a claim takes the owner as "ended"
 
+  Scenario Outline: A claim doesn't wait for an owner whose process has given up its claim
+    Guards against a minute in which tasks wait for workers that are gone: the response to a claim was
+    lost, its process is about to claim again, and the instance that claims first has started since.
+    Given an instance whose owner with token 3 doesn't list it, and answers pings as <process> process with <claim> claim that knows token <token>
+    When the instance has pinged the owner
+    Then a claim takes the owner as "<predecessor>"
+
+    Examples:
+      | process  | claim    | token | predecessor |
+      | the same | another  | 3     | ended       |
+      | another  | another  | 3     | ended       |
+      | the same | the same | 3     | unaware     |
+      | the same | another  | 2     | unaware     |
+
   Scenario: An instance that the owner doesn't list lets those that it lists claim first
     Guards against a long wait for an owner that may go on without asking the claiming instance.
     Given an instance that knows an owner with token 3
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -489,43 +489,82 @@
 
 
 class AnsweringPeers:
-    """Peers that all answer pings as one process that knows no later owner."""
+    """Peers that all answer pings as one process with the same claim and known owner."""
 
-    def __init__(self, process):
+    def __init__(self, process, claim="c", fencing=4):
         self.process = process
+        self.claim = claim
+        self.fencing = fencing
 
     def ping(self, _address):
         """Return the answer."""
-        return PingResponse("c", is_owner=False, fencing=FencingToken(4), process=self.process)
+        return PingResponse(
+            self.claim,
+            is_owner=False,
+            fencing=FencingToken(self.fencing),
+            process=self.process,
+        )
 
 
 @given("an owner that lists one peer, whose address process {process} answers")
 def step_peer_process(context, process):
     make_proof(context)
+    manager = make_manager(context, AnsweringPeers(process))
+    manager.view.record_store_result(0.0, True)
+    manager.view.update_owner(make_owner(), 1, time.monotonic())
+    manager.view.update_member("other", make_member("b"), 1)
+    manager.apply_hand_over(HandOverNotice(3, is_designated=True))
+    gevent.sleep(0.05)
+    assert manager.owner is not None
+    spawn_loop(manager, "_renew_proof_as_owner")
+    context.manager = manager
+
+
+def make_manager(context, peer_client):
+    """Return the manager of an instance whose store accepts a claim."""
     stopped = gevent.event.Event()
     context.add_cleanup(stopped.set)
-    manager = OwnershipManager(
+    return OwnershipManager(
         "me",
         "z",
         "127.0.0.1:2",
         1.0,
         store=AcceptingStore(),
-        peer_client=AnsweringPeers(process),
+        peer_client=peer_client,
         make_owner=lambda row, *_: mock.Mock(fencing=row.fencing),
         record_peer_version=lambda *_: None,
         stopped=stopped,
         log_event=lambda *_names, **_fields: None,
     )
-    manager.view.record_store_result(0.0, True)
-    manager.view.update_owner(make_owner(), 1, time.monotonic())
-    manager.view.update_member("other", make_member("b"), 1)
-    manager.apply_hand_over(HandOverNotice(3, is_designated=True))
-    gevent.sleep(0.05)
-    assert manager.owner is not None
+
+
+def spawn_loop(manager, name):
+    """Run one of the loops of a manager."""
     for loop in manager.list_loops():
-        if loop.__name__ == "_renew_proof_as_owner":
+        if loop.__name__ == name:
             gevent.spawn(loop)
-    context.manager = manager
+
+
+@given(
+    "an instance whose owner with token 3 doesn't list it, and answers pings as {process} process "
+    "with {claim} claim that knows token {fencing:d}"
+)
+def step_pinged_owner(context, process, claim, fencing):
+    row = make_row(3)
+    answer = AnsweringPeers(
+        row.process if process == "the same" else "later",
+        row.boot if claim == "the same" else "later",
+        fencing,
+    )
+    manager = make_manager(context, answer)
+    context.view = manager.view
+    context.view.update_owner(row, 3, time.monotonic())
+    spawn_loop(manager, "_ping_owner_loop")
+
+
+@when("the instance has pinged the owner")
+def step_pinged(context):
+    gevent.sleep(0.5)
 
 
 @when("the store has been silent towards it for {seconds:f} seconds")
