Don't wait a minute for an owner whose process answers that it has given up its claim

A claim whose response was lost made its process the owner by the row, without its knowledge and without a heartbeat. The next claimant had started after that claim, so that the row didn't list it, and allowed 61.8 s for an owner that may go on without asking it. Its pings were answered all the while by that very process, under another claim; they only counted as a reason to claim. With one worker gone, all older submissions waited.

Cause: what an instance has been told by the owner itself was used to take over, but not to tell for how long the owner may act: a wait by the worst case although the fact is known. Whoever answers at the owner's address under another claim and knows the row counts as the owner's end now. It doesn't confirm an earlier owner either, since it knows the row; without that condition the model finds two runs, after a claim that is stored late, beyond a restart of its sender.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -208,6 +208,7 @@
       | another  | another  | 3     | ended       |
       | the same | the same | 3     | unaware     |
       | the same | another  | 2     | unaware     |
+      | another  | another  | 2     | unaware     |
 
   Scenario: An instance that the owner doesn't list lets those that it lists claim first
     Guards against a long wait for an owner that may go on without asking the claiming instance.
--- a/model/specifications/ownership.py
+++ b/model/specifications/ownership.py
@@ -185,6 +185,13 @@
             "joined late",
             RuleOrigin.UNSTATED,
         ),
+        Mutant(
+            "end known to its process",
+            "one_run",
+            "an owner counts as ended while its process has not read its row, so that the response "
+            "to its claim may still arrive",
+            "joined late",
+        ),
         Mutant(
             "store proof after the lease",
             "one_run",
@@ -357,7 +364,14 @@
             yield "read_stale", replace_instance(instance._replace(known=1))
         updated = self._read_row(instance, row)
         if updated != instance:
-            yield "read", replace_instance(updated)
+            # Its claim got no response, or was one of an earlier process: it answers whoever asks
+            # that it isn't the owner, and knows the row.
+            has_given_up = row.owner == index and instance.known != row.token
+            ended = row.has_ended or has_given_up
+            yield "read", replace_instance(updated, row=row._replace(has_ended=ended))
+        is_unanswered = claim is not None and claim.is_stored and row.owner == index
+        if is_unanswered and not row.has_ended and not self.enforces("end known to its process"):
+            yield "seem_ended", state._replace(row=row._replace(has_ended=True))
         # Any other restart only loses what the instance has read.
         has_claimed = claim is not None or row.owner == index
         if has_claimed and index in self.bounds.restarting and not state.has_restarted:
@@ -369,7 +383,7 @@
                 yield "send_claim", replace_instance(instance._replace(claim=claim))
             return
         if not claim.is_stored:
-            stored = Row(claim.token, index, claim.authority, False, claim.is_lost)
+            stored = Row(claim.token, index, claim.authority, False, False)
             pending = None if claim.is_lost else claim._replace(is_stored=True)
             yield "store_claim", replace_instance(instance._replace(claim=pending), row=stored)
             return
@@ -402,6 +416,9 @@
         else:
             ticks = UNAWARE_TICKS if self.enforces("unaware predecessor") else PROOF_TICKS
         inherited = state.instances[index].inherited if self.enforces("inherited authority") else 0
+        if row.has_ended and not row.is_known and row.authority < UNAWARE_TICKS:
+            # It doesn't confirm its predecessor any longer, which asks it.
+            inherited = max(row.authority, PROOF_TICKS)
         return max(ticks, inherited)
 
     def _begin_ownership(self, state: OwnershipState, index: int, claim: Claim) -> OwnershipState:
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -134,7 +134,8 @@
     member_revisions : dict
         Revisions of these rows by name.
     resigned_fencing : FencingToken
-        Newest owner that has announced its resignation to this instance; 0 if there is none.
+        Newest owner that has told this instance that it sends no commands any more, by announcing
+        its resignation or by its answer to a ping; 0 if there is none.
     is_designated : bool
         That owner has asked this instance to take over.
     stepped_down_at : float
@@ -210,6 +211,32 @@
             self.resigned_fencing = fencing
             self.is_designated = is_designated
 
+    def record_owner_answer(self, claim_id: str, known_fencing: FencingToken | None) -> bool:
+        """Record the answer to a ping of the owner; return whether it shows first that it has ended.
+
+        The ping must have been sent after this instance knew the owner's row. Whoever answers at
+        the owner's address under another claim, and knows that row, has stepped down, got no
+        response to the claim, or has replaced the owner's process. Since it knows the row, it
+        doesn't confirm an earlier owner any longer either.
+
+        Parameters
+        ----------
+        claim_id : str
+            Of the process that has answered.
+        known_fencing : FencingToken or None
+            Token of the newest owner that it knows.
+        """
+        owner = self.owner
+        if owner is None or claim_id == owner.boot or self._has_resigned(owner):
+            return False
+        if known_fencing is None or known_fencing < owner.fencing:
+            return False
+        self.record_resignation(owner.fencing, is_designated=False)
+        return True
+
+    def _has_resigned(self, owner: OwnerRecord) -> bool:
+        return self.resigned_fencing == owner.fencing
+
     def record_step_down(self, fencing: FencingToken, now: float) -> None:
         """Record that this instance has given up the ownership."""
         self.record_resignation(fencing, is_designated=False)
@@ -253,7 +280,7 @@
         is_same_address = member is not None and member.address == owner.address
         if is_newer and is_same_address and member is not None and member.boot != owner.process:
             return True
-        if self.resigned_fencing == owner.fencing:
+        if self._has_resigned(owner):
             return True
         heartbeat = self.heartbeat
         return (
@@ -333,7 +360,7 @@
             return now - self.store_available_since > FIRST_CLAIM_DELAY_SECONDS + delay
         if self.owner.name == self.name and self.owner.process != self.process_id:
             return True
-        if self.is_designated and self.resigned_fencing == self.owner.fencing:
+        if self.is_designated and self._has_resigned(self.owner):
             return True
         is_inactive = self.is_owner_inactive(self.owner, self.owner_revision)
         if is_inactive or self.refusals >= PING_REFUSALS_FOR_TAKEOVER:
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -590,6 +590,7 @@
             if owner is None or address is None or self.view.rank >= MAX_PINGING_INSTANCES:
                 continue
             is_refused = is_unanswered = False
+            answer: peers.PingResponse | None = None
             try:
                 answer = self._peers.ping(address)
                 # One that has stepped down has another id; one that has claimed but has no response
@@ -605,6 +606,10 @@
                 self._log_event("ping-failed", owner=address, **describe_failure(error))
             if self.view.owner is owner:
                 self.view.record_ping(is_refused=is_refused, is_unanswered=is_unanswered)
+                if answer is not None and self.view.record_owner_answer(
+                    answer.boot, answer.fencing
+                ):
+                    self._log_event("owner-given-up", owner=address, fencing=owner.fencing)
 
     def _heartbeat_loop(self) -> None:
         """Write the heartbeat while this instance is the owner."""
