--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -212,7 +212,7 @@
             self.is_designated = is_designated
 
     def record_owner_answer(self, claim_id: str, known_fencing: FencingToken | None) -> bool:
-        """Record the answer to a ping of the owner; return whether it shows first that it has ended.
+        """Record the answer to a ping of the owner; return whether it is the first sign of its end.
 
         The ping must have been sent after this instance knew the owner's row. Whoever answers at
         the owner's address under another claim, and knows that row, has stepped down, got no
