Tell the next claimant that the predecessor of an owner has ended

An owner that had allowed a minute for its predecessor went on to say so in its heartbeats after it knew that the predecessor had ended, and no longer waited itself. The heartbeat follows what the owner knows.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -210,6 +210,13 @@
       | the same | another  | 2     | unaware     |
       | another  | another  | 2     | unaware     |
 
+  Scenario: An owner that knows the end of its predecessor tells the next one
+    Guards against a chain of owners that each inherit what is left of a minute, although the owner
+    that it was meant for has ended.
+    Given an instance that has taken over from an owner that doesn't list it
+    When another process has written its member row at the former owner's name and address
+    Then its heartbeat says that no earlier owner may act
+
   Scenario: An instance that the owner doesn't list lets those that it lists claim first
     Guards against a long wait for an owner that may go on without asking the claiming instance.
     Given an instance that knows an owner with token 3
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -6,6 +6,7 @@
 import gevent
 from behave import given, then, when
 
+from features.support.row_table import RowTable
 from lavenderhook._internal.instance.clock import read_elapsed_clock
 from lavenderhook._internal.instance.owner import Owner
 from lavenderhook._internal.instance.ownership import (
@@ -20,7 +21,7 @@
 from lavenderhook._internal.instance.ownership_proof import OwnershipProof
 from lavenderhook._internal.instance.peers import HandOverNotice, PingResponse
 from lavenderhook._internal.instance.work_table import WorkTable
-from lavenderhook._internal.ports.queueing import RowChanges, RowConflict, StoredRow
+from lavenderhook._internal.ports.queueing import RowChanges, RowConflict, StoredRow, Write
 from lavenderhook._internal.queueing.authority import (
     PROOF_SECONDS,
     STORELESS_SECONDS,
@@ -42,11 +43,16 @@
 )
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
 from lavenderhook._internal.queueing.records import (
+    CONTROL_TABLE,
+    HEARTBEAT_KEY,
+    MEMBER_PREFIX,
+    OWNER_KEY,
     HeartbeatRecord,
     MemberRecord,
     OwnerRecord,
     Roster,
     choose_part,
+    decode,
     encode,
 )
 from lavenderhook._internal.queueing.takeover import Takeover
@@ -520,8 +526,8 @@
     context.manager = manager
 
 
-def make_manager(context, peer_client):
-    """Return the manager of an instance whose store accepts a claim."""
+def make_manager(context, peer_client, store=None):
+    """Return the manager of an instance, by default with a store that only accepts a claim."""
     stopped = gevent.event.Event()
     context.add_cleanup(stopped.set)
     return OwnershipManager(
@@ -529,7 +535,7 @@
         "z",
         "127.0.0.1:2",
         1.0,
-        store=AcceptingStore(),
+        store=store or AcceptingStore(),
         peer_client=peer_client,
         make_owner=lambda row, *_: mock.Mock(fencing=row.fencing),
         record_peer_version=lambda *_: None,
@@ -562,6 +568,42 @@
     spawn_loop(manager, "_ping_owner_loop")
 
 
+@given("an instance that has taken over from an owner that doesn't list it")
+def step_taken_over(context):
+    context.rows = RowTable()
+    row = make_row(3)
+    context.rows.transact([Write(CONTROL_TABLE, OWNER_KEY, encode(row))])
+    manager = make_manager(context, AnsweringPeers("me"), context.rows)
+    long_ago = time.monotonic() - 10.0
+    manager.view.update_owner(row, 1, long_ago)
+    heartbeat = HeartbeatRecord(fencing=3, count=1, authority_seconds=0.0)
+    manager.view.update_heartbeat(heartbeat, long_ago)
+    manager.view.record_store_result(long_ago, True)
+    spawn_loop(manager, "_watch_control_table")
+    spawn_loop(manager, "_heartbeat_loop")
+    gevent.sleep(0.3)
+    assert manager.owner is not None
+    assert read_authority(context) > STORELESS_SECONDS
+
+
+def read_authority(context):
+    """Return for how long earlier owners may act, by the stored heartbeat."""
+    row = context.rows.find(CONTROL_TABLE, HEARTBEAT_KEY)
+    return decode(row.value, HeartbeatRecord).authority_seconds
+
+
+@when("another process has written its member row at the former owner's name and address")
+def step_former_replaced(context):
+    member = MemberRecord(name="it", boot="later", address="it:1", zone="z")
+    context.rows.transact([Write(CONTROL_TABLE, MEMBER_PREFIX + "it", encode(member))])
+    gevent.sleep(1.2)
+
+
+@then("its heartbeat says that no earlier owner may act")
+def step_none_acts(context):
+    assert read_authority(context) == 0.0, read_authority(context)
+
+
 @when("the instance has pinged the owner")
 def step_pinged(context):
     gevent.sleep(0.5)
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -135,6 +135,8 @@
         self._work = WorkTable(store, log_event)
         self._predecessor: OwnerRecord | None = None
         self._claimed_from = 0  # revision of the predecessor's row
+        self._inherited_until = 0.0  # until when owners before the predecessor may act
+        self._is_predecessor_inactive = False
         self._proof = OwnershipProof(0.0)
         self._has_proof_by_store = True
         self._is_claiming = False
@@ -313,8 +315,17 @@
         if owner is not None and (
             predecessor is None or self.view.is_owner_inactive(predecessor, self._claimed_from)
         ):
+            self._is_predecessor_inactive = True
             owner.record_predecessor_inactive()
 
+    def _measure_authority_left(self) -> float:
+        """Return for how many seconds earlier owners may still act, as this owner knows."""
+        now = time.monotonic()
+        left = self.view.compute_authority_left(now)
+        if self._is_predecessor_inactive:
+            return min(left, max(0.0, self._inherited_until - now))
+        return left
+
     def _update_owner(self, owner: OwnerRecord, revision: int) -> None:
         if not self.view.update_owner(owner, revision, time.monotonic()):
             return
@@ -376,6 +387,8 @@
         )
         self._update_owner(owner, result)
         self._predecessor, self._claimed_from = predecessor, claimed_from
+        self._inherited_until = time.monotonic() + inherited
+        self._is_predecessor_inactive = False
         self._proof = OwnershipProof(sent_at)
         self._start_owner(owner, result, inherited)
         self._check_predecessor()
@@ -629,7 +642,7 @@
             count=self._heartbeat_count,
             has_resigned=has_resigned,
             peers=self._list_peer_processes(),
-            authority_seconds=self.view.compute_authority_left(time.monotonic()),
+            authority_seconds=self._measure_authority_left(),
         )
         # Not conditional on the owner row: that would put the write into the part of the progress,
         # whose transactions may have to wait. Readers check the record's token instead.
