Rely on a claim that allowed for no earlier owner

A row with an authority of zero says that the predecessor had ended, so that nobody confirms it, whether the claimant knows of its claim or not.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -265,6 +265,19 @@
       | 1.212     | 1.012   |
       | 61.812    | 61.612  |
 
+  Scenario Outline: A started instance relies on a claim that allowed for no earlier owner
+    Guards against a minute without starts after an owner that was handed the ownership and was lost
+    before its first heartbeat. Where the claim allowed for a predecessor, its process may have
+    confirmed that one without knowing of its claim.
+    Given an instance that has just started
+    When it reads the row of an owner elsewhere with token 3 and <authority> seconds
+    Then a claim 0.2 seconds later allows for <allowed> seconds of owners before
+
+    Examples:
+      | authority | allowed |
+      | 0.0       | 0.0     |
+      | 1.212     | 61.612  |
+
   Scenario Outline: A new owner waits for what earlier owners may have extended
     Guards against tasks that start elsewhere while their leases last, and against a long wait for an
     owner that has ended.
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -652,6 +652,11 @@
     context.view.update_owner(row, fencing, 100.0)
 
 
+@when("it reads the row of an owner elsewhere with token {fencing:d} and {seconds:f} seconds")
+def step_row_elsewhere(context, fencing, seconds):
+    context.view.update_owner(make_row(fencing, authority_seconds=seconds), fencing, 100.0)
+
+
 @when("a heartbeat with token {fencing:d} and {seconds:f} seconds arrives")
 def step_heartbeat_left(context, fencing, seconds):
     heartbeat = HeartbeatRecord(fencing=fencing, count=1, authority_seconds=seconds)
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -317,7 +317,8 @@
         An owner's heartbeat says so. Without one, its claim may have been carried out without its
         knowledge, so that it still confirmed its predecessor. If its process has ended since, that
         is over, unless its predecessor doesn't ask it, as a long time in its row shows. Otherwise
-        this instance relies on what it knew of the owners before.
+        this instance relies on what it knew of the owners before. A claim that allowed for none was
+        made after the end of its predecessor, which nobody confirms.
         """
         owner, heartbeat = self.owner, self._find_owner_heartbeat()
         if owner is None:
@@ -325,6 +326,8 @@
         if heartbeat is not None and heartbeat.authority_seconds is not None:
             return max(0.0, heartbeat.authority_seconds - (now - self.heartbeat_seen_at))
         left = self.compute_authority_left(now)
+        if owner.authority_seconds == 0.0 and not self._is_here(owner):
+            return left
         has_ended = self.assess_predecessor() is Predecessor.ENDED
         if has_ended and owner.authority_seconds < STORELESS_SECONDS:
             seconds = compute_authority_seconds(Predecessor.ASKS_PEERS, left)
