Take an owner that lists the former process of an instance as one that asks it

After all instances but the owner's had restarted, a claimant counted as unlisted, and allowed 61.8 s for an owner that may go on without asking it, since its new process wasn't in the owner's list. The list has its former process: that one doesn't answer any longer, and an owner that lists the new one asks that, so that it has no proof by its peers after the claim. It doesn't hold for a process that has left or was removed, which the owner may no longer list, nor at another address. The first example failed before.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -217,6 +217,20 @@
     When another process has written its member row at the former owner's name and address
     Then its heartbeat says that no earlier owner may act
 
+  Scenario Outline: An owner that lists the former process of an instance can't go on without it
+    Guards against a minute without starts after all instances but the owner's were restarted. A
+    process that has left, or that an owner has removed, may not be listed any longer.
+    Given an instance whose former process, at <address>, <state>
+    When it has registered, and the heartbeat with token 3 lists its former process
+    Then a claim takes the owner as "<predecessor>"
+
+    Examples:
+      | address         | state             | predecessor |
+      | its address     | has ended         | asks-peers  |
+      | another address | has ended         | unaware     |
+      | its address     | has left          | unaware     |
+      | its address     | has been removed  | unaware     |
+
   Scenario: An instance that the owner doesn't list lets those that it lists claim first
     Guards against a long wait for an owner that may go on without asking the claiming instance.
     Given an instance that knows an owner with token 3
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -20,6 +20,7 @@
 from lavenderhook._internal.instance.ownership_manager import OwnershipManager
 from lavenderhook._internal.instance.ownership_proof import OwnershipProof
 from lavenderhook._internal.instance.peers import HandOverNotice, PingResponse
+from lavenderhook._internal.instance.registration import Registration
 from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.ports.queueing import RowChanges, RowConflict, StoredRow, Write
 from lavenderhook._internal.queueing.authority import (
@@ -568,6 +569,46 @@
     spawn_loop(manager, "_ping_owner_loop")
 
 
+@given("an instance whose former process, at {address}, {state}")
+def step_former_process(context, address, state):
+    context.rows = RowTable()
+    former = MemberRecord(
+        name="me",
+        boot="before",
+        address="me:1" if address == "its address" else "me:2",
+        zone="z",
+        has_left=state == "has left",
+        removed_by=FencingToken(2 if state == "has been removed" else 0),
+    )
+    context.rows.transact([Write(CONTROL_TABLE, MEMBER_PREFIX + "me", encode(former))])
+
+
+@when("it has registered, and the heartbeat with token {fencing:d} lists its former process")
+def step_registered(context, fencing):
+    stopped = gevent.event.Event()
+    context.add_cleanup(stopped.set)
+    context.view = OwnershipView(name="me", claim_id="c", process_id="me", address="me:1")
+    registration = Registration(
+        context.view,
+        "z",
+        "me:1",
+        store=context.rows,
+        is_draining=lambda: False,
+        step_down=lambda _reason: None,
+        stopped=stopped,
+        log_event=lambda *_names, **_fields: None,
+    )
+    gevent.spawn(registration.register)
+    gevent.sleep(0.05)
+    assert (
+        decode(context.rows.find(CONTROL_TABLE, MEMBER_PREFIX + "me").value, MemberRecord).boot
+        == "me"
+    )
+    context.view.update_owner(make_row(fencing), fencing, 100.0)
+    heartbeat = HeartbeatRecord(fencing=fencing, count=fencing, peers=("before", "third"))
+    context.view.update_heartbeat(heartbeat, 100.0)
+
+
 @given("an instance that has taken over from an owner that doesn't list it")
 def step_taken_over(context):
     context.rows = RowTable()
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -117,6 +117,10 @@
 
     Attributes
     ----------
+    former_process_id : str
+        Process whose member row this one has replaced; empty if there is none, or if it was not
+        listed any longer. An owner that lists it asks this process as soon as it lists that, and
+        has no proof by its peers before.
     owner_seen_at : float
         When this instance first saw the row of the present owner.
     former_acts_until : float
@@ -145,6 +149,7 @@
     name: str
     claim_id: str
     process_id: str = ""
+    former_process_id: str = ""
     address: str = ""
     owner: OwnerRecord | None = None
     owner_revision: int = 0
@@ -303,7 +308,8 @@
         if self._is_here(owner) or self.is_owner_inactive(owner, self.owner_revision):
             return Predecessor.ENDED
         peers = heartbeat.peers if heartbeat is not None else owner.peers
-        return Predecessor.ASKS_PEERS if self.process_id in peers else Predecessor.UNAWARE
+        is_listed = self.process_id in peers or self.former_process_id in peers
+        return Predecessor.ASKS_PEERS if is_listed else Predecessor.UNAWARE
 
     def compute_authority_left(self, now: float) -> float:
         """Return what is left of the time that the present owner's row states."""
--- a/src/lavenderhook/_internal/instance/registration.py
+++ b/src/lavenderhook/_internal/instance/registration.py
@@ -61,6 +61,7 @@
         self._stopped = stopped
         self._log_event = log_event
         self._revision = 0
+        self._found: MemberRecord | None = None  # the row of that revision, if it was read
 
     def register(self) -> None:
         """Write the row, and again after a removal; retry until stored."""
@@ -100,12 +101,19 @@
         return Write(CONTROL_TABLE, key, encode(record), self._revision)
 
     def record_stored(self, revision: int) -> None:
-        """Record that the row has been stored."""
+        """Record that the row has been stored, and which process it has replaced."""
         self._revision = max(self._revision, revision)
+        found, self._found = self._found, None
+        if found is None or found.boot == self._view.process_id:
+            return
+        is_listed = not found.has_left and not found.removed_by
+        if is_listed and found.address == self._address:
+            self._view.former_process_id = found.boot
 
     def record_conflict(self, conflict: RowConflict) -> None:
         """Record the row that was found instead of the expected one."""
         row = conflict.find(CONTROL_TABLE, MEMBER_PREFIX + self._view.name)
+        self._found = None
         if row is None:
             self._revision = 0
             return
@@ -122,6 +130,8 @@
         ------
         ProtocolError
         """
+        if row.revision > self._revision:
+            self._found = None
         if not row.is_deleted:
             self._check_removal(row)
         self._revision = max(self._revision, row.revision)
@@ -132,11 +142,14 @@
         Until the caller has recorded the row's revision, no claim with the old id can succeed.
         """
         member = decode(row.value, MemberRecord)
+        if row.revision >= self._revision:
+            self._found = member
         is_removed = member.removed_by and member.boot == self._view.process_id
         if not is_removed or self._is_draining():
             return
         self._step_down("another owner has removed this instance")
         self._view.process_id = secrets.token_hex(6)
+        self._view.former_process_id = ""
         self._log_event("membership-lost", removed_by=member.removed_by, process=member.boot)
 
     def _write_row(self, *, has_left: bool) -> bool:
