Wait no longer than for a listed owner once a peer of the predecessor knows the new one

The minute is meant for an owner that goes on with the answers of its peers. Once one of these knows the new owner, it gets no such answer any more: the new owner asks them, and then waits as for an owner that asks itself. A peer that leaves, or another process, doesn't count, since the predecessor may not list it any longer.

The first example failed before.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -231,6 +231,20 @@
       | its address     | has left          | unaware     |
       | its address     | has been removed  | unaware     |
 
+  Scenario Outline: An owner waits no longer once a peer of its predecessor knows it
+    Guards against a minute without starts after an owner that was lost for good had no time to list
+    an instance that had just started. A peer that leaves may not be listed any longer.
+    Given an instance that has taken over from an owner that lists only a third, at whose address process <process> answers that it knows token <token> and <state>
+    Then 0.7 seconds later its heartbeat says that earlier owners may act
+    And 1.5 seconds later its heartbeat says that earlier owners <may> act
+
+    Examples:
+      | process | token | state  | may     |
+      | third   | 4     | stays  | may not |
+      | third   | 3     | stays  | may     |
+      | third   | 4     | leaves | may     |
+      | later   | 4     | stays  | may     |
+
   Scenario: An instance that the owner doesn't list lets those that it lists claim first
     Guards against a long wait for an owner that may go on without asking the claiming instance.
     Given an instance that knows an owner with token 3
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -498,10 +498,11 @@
 class AnsweringPeers:
     """Peers that all answer pings as one process with the same claim and known owner."""
 
-    def __init__(self, process, claim="c", fencing=4):
+    def __init__(self, process, claim="c", fencing=4, is_leaving=False):
         self.process = process
         self.claim = claim
         self.fencing = fencing
+        self.is_leaving = is_leaving
 
     def ping(self, _address):
         """Return the answer."""
@@ -510,6 +511,7 @@
             is_owner=False,
             fencing=FencingToken(self.fencing),
             process=self.process,
+            is_leaving=self.is_leaving,
         )
 
 
@@ -611,13 +613,29 @@
 
 @given("an instance that has taken over from an owner that doesn't list it")
 def step_taken_over(context):
+    take_over(context, AnsweringPeers("me"))
+
+
+@given(
+    "an instance that has taken over from an owner that lists only a third, at whose address "
+    "process {process} answers that it knows token {fencing:d} and {state}"
+)
+def step_taken_over_beside_third(context, process, fencing, state):
+    is_leaving = state == "leaves"
+    take_over(context, AnsweringPeers(process, fencing=fencing, is_leaving=is_leaving))
+
+
+def take_over(context, peer_client):
+    """Let an instance claim after an owner that doesn't list it; the peers answer alike."""
     context.rows = RowTable()
     row = make_row(3)
     context.rows.transact([Write(CONTROL_TABLE, OWNER_KEY, encode(row))])
-    manager = make_manager(context, AnsweringPeers("me"), context.rows)
+    third = MemberRecord(name="third", boot="third", address="third:1", zone="z")
+    context.rows.transact([Write(CONTROL_TABLE, MEMBER_PREFIX + "third", encode(third))])
+    manager = make_manager(context, peer_client, context.rows)
     long_ago = time.monotonic() - 10.0
     manager.view.update_owner(row, 1, long_ago)
-    heartbeat = HeartbeatRecord(fencing=3, count=1, authority_seconds=0.0)
+    heartbeat = HeartbeatRecord(fencing=3, count=1, peers=("third",), authority_seconds=0.0)
     manager.view.update_heartbeat(heartbeat, long_ago)
     manager.view.record_store_result(long_ago, True)
     spawn_loop(manager, "_watch_control_table")
@@ -645,6 +663,13 @@
     assert read_authority(context) == 0.0, read_authority(context)
 
 
+@then("{seconds:f} seconds later its heartbeat says that earlier owners {may} act")
+def step_may_act_later(context, seconds, may):
+    gevent.sleep(seconds)
+    authority = read_authority(context)
+    assert authority == 0.0 if may == "may not" else authority > 50.0, authority
+
+
 @when("the instance has pinged the owner")
 def step_pinged(context):
     gevent.sleep(0.5)
--- a/model/specifications/ownership.py
+++ b/model/specifications/ownership.py
@@ -36,6 +36,8 @@
     authority: int  # ticks after the claim for which earlier owners may act
     is_known: bool  # the owner has written since it knows of its claim
     has_ended: bool  # another process runs at the owner's name and address
+    inherited: int = 0  # the part of the authority that is for owners before the predecessor
+    former: int = -1  # the predecessor; -1 if its peers have been heard, or don't matter
 
 
 class Claim(NamedTuple):
@@ -46,6 +48,7 @@
     age: int
     is_stored: bool = False
     is_lost: bool = False  # its sender has restarted
+    inherited: int = 0
 
 
 class Instance(NamedTuple):
@@ -185,6 +188,20 @@
             "joined late",
             RuleOrigin.UNSTATED,
         ),
+        Mutant(
+            "peer knows the row",
+            "one_run",
+            "a listed peer of the predecessor that answers, but may not know the row, ends the "
+            "long wait",
+            "joined late",
+        ),
+        Mutant(
+            "proofs before the answer",
+            "one_run",
+            "the predecessor counts as ended once one of its peers knows the row, though its last "
+            "proof is still valid",
+            "joined late",
+        ),
         Mutant(
             "end known to its process",
             "one_run",
@@ -372,6 +389,8 @@
         is_unanswered = claim is not None and claim.is_stored and row.owner == index
         if is_unanswered and not row.has_ended and not self.enforces("end known to its process"):
             yield "seem_ended", state._replace(row=row._replace(has_ended=True))
+        if instance.token == row.token and row.former >= 0 and self._has_heard(state, index):
+            yield "hear_peer", self._shorten_authority(state, index)
         # Any other restart only loses what the instance has read.
         has_claimed = claim is not None or row.owner == index
         if has_claimed and index in self.bounds.restarting and not state.has_restarted:
@@ -379,11 +398,14 @@
         if claim is None:
             can_claim = not instance.token and instance.known == row.token < self._last_token
             if can_claim and index in self.bounds.claimants[row.token - 1]:
-                claim = Claim(row.token + 1, self._compute_authority(state, index), 0)
+                authority, inherited = self._compute_authority(state, index)
+                claim = Claim(row.token + 1, authority, 0, inherited=inherited)
                 yield "send_claim", replace_instance(instance._replace(claim=claim))
             return
         if not claim.is_stored:
-            stored = Row(claim.token, index, claim.authority, False, False)
+            is_long = claim.authority > max(PROOF_TICKS, claim.inherited)
+            former = row.owner if is_long and claim.token == row.token + 1 else -1
+            stored = Row(claim.token, index, claim.authority, False, False, claim.inherited, former)
             pending = None if claim.is_lost else claim._replace(is_stored=True)
             yield "store_claim", replace_instance(instance._replace(claim=pending), row=stored)
             return
@@ -407,7 +429,8 @@
         row = state.row._replace(has_ended=True) if state.row.owner == index else state.row
         return state._replace(instances=instances, row=row, has_restarted=True)
 
-    def _compute_authority(self, state: OwnershipState, index: int) -> int:
+    def _compute_authority(self, state: OwnershipState, index: int) -> tuple[int, int]:
+        """Return the authority of a claim, and the part for owners before the predecessor."""
         row = state.row
         if row.has_ended:
             ticks = 0
@@ -419,7 +442,28 @@
         if row.has_ended and not row.is_known and row.authority < UNAWARE_TICKS:
             # It doesn't confirm its predecessor any longer, which asks it.
             inherited = max(row.authority, PROOF_TICKS)
-        return max(ticks, inherited)
+        return max(ticks, inherited), inherited
+
+    def _has_heard(self, state: OwnershipState, index: int) -> bool:
+        """Return whether a peer that the predecessor lists knows the row of this owner."""
+        row = state.row
+        peers = [p for p in self._list_peers(row.token - 1, row.former) if p != index]
+        if not self.enforces("peer knows the row"):
+            return bool(peers)
+        return any(state.instances[peer].known == row.token for peer in peers)
+
+    def _shorten_authority(self, state: OwnershipState, index: int) -> OwnershipState:
+        """Let a predecessor that gets no proof by its peers any longer count like a listed one."""
+        row, owner = state.row, state.instances[index]
+        authority = max(PROOF_TICKS, row.inherited)
+        if not self.enforces("proofs before the answer"):
+            authority = row.inherited
+        leases = tuple(min(lease, authority + LEASE_TICKS) for lease in owner.leases)
+        instances = replace_item(state.instances, index, owner._replace(leases=leases))
+        return state._replace(
+            row=row._replace(authority=min(row.authority, authority), former=-1),
+            instances=instances,
+        )
 
     def _begin_ownership(self, state: OwnershipState, index: int, claim: Claim) -> OwnershipState:
         is_proven = state.row.token == claim.token
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -300,17 +300,24 @@
         unknown : Predecessor
             Returned if no owner is known.
         """
-        owner, heartbeat = self.owner, self._find_owner_heartbeat()
+        owner = self.owner
         if owner is None:
             return unknown
         # This process has ended its ownership or never noticed that it had one, and a former
         # process at its name and address has ended.
         if self._is_here(owner) or self.is_owner_inactive(owner, self.owner_revision):
             return Predecessor.ENDED
-        peers = heartbeat.peers if heartbeat is not None else owner.peers
+        peers = self.list_owner_peers()
         is_listed = self.process_id in peers or self.former_process_id in peers
         return Predecessor.ASKS_PEERS if is_listed else Predecessor.UNAWARE
 
+    def list_owner_peers(self) -> tuple[str, ...]:
+        """Return the processes that the present owner lists, as far as it has said."""
+        if self.owner is None:
+            return ()
+        heartbeat = self._find_owner_heartbeat()
+        return heartbeat.peers if heartbeat is not None else self.owner.peers
+
     def compute_authority_left(self, now: float) -> float:
         """Return what is left of the time that the present owner's row states."""
         if self.owner is None:
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -12,7 +12,12 @@
 
 from ...errors import LavenderhookError, TransportError
 from ..ports.queueing import STORE_OUTAGE_SECONDS, RowConflict, RowStore, StoredRow, Write
-from ..queueing.authority import PROOF_SECONDS, compute_authority_seconds, is_proof_valid
+from ..queueing.authority import (
+    PROOF_SECONDS,
+    Predecessor,
+    compute_authority_seconds,
+    is_proof_valid,
+)
 from ..queueing.model import FencingToken
 from ..queueing.records import (
     CONTROL_TABLE,
@@ -40,6 +45,7 @@
     should_hand_over,
 )
 from .ownership_proof import OwnershipProof
+from .predecessor import PredecessorPeers
 from .registration import STORE_RETRY_SECONDS, Registration
 from .table_watcher import LogEvent, TableWatcher, describe_failure
 from .work_table import WorkTable
@@ -315,8 +321,11 @@
         if owner is not None and (
             predecessor is None or self.view.is_owner_inactive(predecessor, self._claimed_from)
         ):
-            self._is_predecessor_inactive = True
-            owner.record_predecessor_inactive()
+            self._record_predecessor_inactive(owner)
+
+    def _record_predecessor_inactive(self, owner: Owner) -> None:
+        self._is_predecessor_inactive = True
+        owner.record_predecessor_inactive()
 
     def _measure_authority_left(self) -> float:
         """Return for how many seconds earlier owners may still act, as this owner knows."""
@@ -347,6 +356,7 @@
 
     def _claim(self) -> None:
         predecessor, claimed_from = self.view.owner, self.view.owner_revision
+        predecessor_peers = self.view.list_owner_peers()
         assessment = self.view.assess_predecessor()
         inherited = self.view.compute_inherited_seconds(time.monotonic())
         owner = OwnerRecord(
@@ -392,6 +402,22 @@
         self._proof = OwnershipProof(sent_at)
         self._start_owner(owner, result, inherited)
         self._check_predecessor()
+        if assessment is Predecessor.UNAWARE:
+            gevent.spawn(self._ask_predecessor_peers, self.owner, predecessor_peers)
+
+    def _ask_predecessor_peers(self, owner: Owner, processes: tuple[str, ...]) -> None:
+        """End the wait for a predecessor that gets no proof by its peers any longer."""
+        asked = PredecessorPeers(
+            processes,
+            owner.fencing,
+            peer_client=self._peers,
+            list_members=self.view.list_peers,
+            log_event=self._log_event,
+        )
+        if asked.wait_for_last_proof(
+            lambda: self.owner is owner and self._measure_authority_left() > 0.0
+        ):
+            self._record_predecessor_inactive(owner)
 
     def _start_owner(self, owner: OwnerRecord, revision: int, inherited_seconds: float) -> None:
         self.owner = self._make_owner(owner, revision, self._work, self._proof, inherited_seconds)
@@ -535,6 +561,7 @@
             configuration_version,
             fencing=owner.fencing if owner is not None else None,
             process=self.view.process_id,
+            is_leaving=self.is_draining,
         )
 
     def measure_store_contact(self) -> StoreContact:
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -124,6 +124,8 @@
         its process, or does not say.
     process : str
         The `boot` of the member row that the process writes; empty if it does not say.
+    is_leaving : bool
+        It is about to stop, and its row may say so.
     """
 
     boot: str
@@ -131,6 +133,7 @@
     configuration: int = 0
     fencing: FencingToken | None = None
     process: str = ""
+    is_leaving: bool = False
 
 
 class ConfigurationStatus(msgspec.Struct, frozen=True):
