--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -231,6 +231,12 @@
       | its address     | has left          | unaware     |
       | its address     | has been removed  | unaware     |
 
+  Scenario: An owner waits no longer once its predecessor knows it
+    Guards against a minute without starts after a predecessor was cut off for some seconds: it was
+    asked before the claim only.
+    Given an instance that has taken over from an owner that lists nobody, and answers that it knows token 4
+    Then 2.2 seconds later its heartbeat says that earlier owners may not act
+
   Scenario Outline: An owner waits no longer once a peer of its predecessor knows it
     Guards against a minute without starts after an owner that was lost for good had no time to list
     an instance that had just started. A peer that leaves may not be listed any longer.
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -57,6 +57,7 @@
     encode,
 )
 from lavenderhook._internal.queueing.takeover import Takeover
+from lavenderhook.errors import TransportError
 
 
 def make_owner(name="other", fencing=3):
@@ -613,7 +614,7 @@
 
 @given("an instance that has taken over from an owner that doesn't list it")
 def step_taken_over(context):
-    take_over(context, AnsweringPeers("me"))
+    take_over(context, OwnerUnreached("me"))
 
 
 @given(
@@ -622,10 +623,28 @@
 )
 def step_taken_over_beside_third(context, process, fencing, state):
     is_leaving = state == "leaves"
-    take_over(context, AnsweringPeers(process, fencing=fencing, is_leaving=is_leaving))
+    take_over(context, OwnerUnreached(process, fencing=fencing, is_leaving=is_leaving))
 
 
-def take_over(context, peer_client):
+@given(
+    "an instance that has taken over from an owner that lists nobody, and answers that it knows "
+    "token {fencing:d}"
+)
+def step_taken_over_from_cut(context, fencing):
+    take_over(context, AnsweringPeers("it", fencing=fencing), ())
+
+
+class OwnerUnreached(AnsweringPeers):
+    """Peers that answer, without the former owner."""
+
+    def ping(self, address):
+        """Return the answer of a peer."""
+        if address == "it:1":
+            raise TransportError("connecting to it:1: timed out")
+        return super().ping(address)
+
+
+def take_over(context, peer_client, listed=("third",)):
     """Let an instance claim after an owner that doesn't list it; the peers answer alike."""
     context.rows = RowTable()
     row = make_row(3)
@@ -635,7 +654,7 @@
     manager = make_manager(context, peer_client, context.rows)
     long_ago = time.monotonic() - 10.0
     manager.view.update_owner(row, 1, long_ago)
-    heartbeat = HeartbeatRecord(fencing=3, count=1, peers=("third",), authority_seconds=0.0)
+    heartbeat = HeartbeatRecord(fencing=3, count=1, peers=listed, authority_seconds=0.0)
     manager.view.update_heartbeat(heartbeat, long_ago)
     manager.view.record_store_result(long_ago, True)
     spawn_loop(manager, "_watch_control_table")
--- a/model/specifications/ownership.py
+++ b/model/specifications/ownership.py
@@ -445,9 +445,10 @@
         return max(ticks, inherited), inherited
 
     def _has_heard(self, state: OwnershipState, index: int) -> bool:
-        """Return whether a peer that the predecessor lists knows the row of this owner."""
+        """Return whether the predecessor or a peer that it lists knows the row of this owner."""
         row = state.row
         peers = [p for p in self._list_peers(row.token - 1, row.former) if p != index]
+        peers.append(row.former)
         if not self.enforces("peer knows the row"):
             return bool(peers)
         return any(state.instances[peer].known == row.token for peer in peers)
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -402,12 +402,15 @@
         self._proof = OwnershipProof(sent_at)
         self._start_owner(owner, result, inherited)
         self._check_predecessor()
-        if assessment is Predecessor.UNAWARE:
-            gevent.spawn(self._ask_predecessor_peers, self.owner, predecessor_peers)
+        if assessment is Predecessor.UNAWARE and predecessor is not None:
+            gevent.spawn(self._ask_predecessor, self.owner, predecessor, predecessor_peers)
 
-    def _ask_predecessor_peers(self, owner: Owner, processes: tuple[str, ...]) -> None:
+    def _ask_predecessor(
+        self, owner: Owner, predecessor: OwnerRecord, processes: tuple[str, ...]
+    ) -> None:
         """End the wait for a predecessor that gets no proof by its peers any longer."""
         asked = PredecessorPeers(
+            predecessor,
             processes,
             owner.fencing,
             peer_client=self._peers,
--- a/src/lavenderhook/_internal/instance/predecessor.py
+++ b/src/lavenderhook/_internal/instance/predecessor.py
@@ -15,7 +15,7 @@
 from ...errors import LavenderhookError
 from ..queueing.authority import CLOCK_RATE_FACTOR, PROOF_SECONDS
 from ..queueing.model import FencingToken
-from ..queueing.records import MemberRecord
+from ..queueing.records import MemberRecord, OwnerRecord
 from .peers import PeerClient, PingResponse
 from .table_watcher import LogEvent, describe_failure
 
@@ -23,10 +23,11 @@
 
 
 class PredecessorPeers:
-    """Asks the processes that a predecessor lists until one of them knows the new owner.
+    """Asks a predecessor and the processes that it lists until one of them knows the new owner.
 
     Parameters
     ----------
+    predecessor : OwnerRecord
     processes : collection of str
         The `boot` of each instance that the predecessor lists.
     fencing : FencingToken
@@ -40,6 +41,7 @@
 
     def __init__(
         self,
+        predecessor: OwnerRecord,
         processes: Collection[str],
         fencing: FencingToken,
         *,
@@ -47,6 +49,7 @@
         list_members: Callable[[], list[MemberRecord]],
         log_event: LogEvent,
     ) -> None:
+        self._predecessor = predecessor
         self._processes = frozenset(processes)
         self._fencing = fencing
         self._peers = peer_client
@@ -65,8 +68,9 @@
         while self._heard_at is None:
             if not should_go_on():
                 return False
-            members = [member for member in self._list_members() if member.boot in self._processes]
-            calls = [gevent.spawn(self._ask, member.address) for member in members]
+            listed = {m.address for m in self._list_members() if m.boot in self._processes}
+            addresses = listed | {self._predecessor.address}
+            calls = [gevent.spawn(self._ask, address) for address in sorted(addresses)]
             gevent.joinall(calls, timeout=ASKING_INTERVAL_SECONDS)
             if self._heard_at is None:
                 gevent.sleep(ASKING_INTERVAL_SECONDS)
@@ -80,15 +84,18 @@
         except LavenderhookError as error:
             self._log_event("contact-unanswered", peer=address, **describe_failure(error))
             return
-        if self._knows_owner(answer) and self._heard_at is None:
+        if self._ends_proofs(address, answer) and self._heard_at is None:
             self._heard_at = time.monotonic()
             self._log_event("predecessor-unproven", peer=address, fencing=self._fencing)
 
-    def _knows_owner(self, answer: PingResponse) -> bool:
-        """Return whether an answer shows that the predecessor gets no proof by this peer.
+    def _ends_proofs(self, address: str, answer: PingResponse) -> bool:
+        """Return whether an answer shows that the predecessor gets no more proofs by its peers.
 
         The predecessor may no longer list a process that leaves; one that it has removed knows so,
         and has another id, if it knows the later claim.
         """
-        is_listed = answer.process in self._processes and not answer.is_leaving
-        return is_listed and answer.fencing is not None and answer.fencing >= self._fencing
+        if answer.fencing is None or answer.fencing < self._fencing:
+            return False
+        if address == self._predecessor.address and answer.boot != self._predecessor.boot:
+            return True
+        return answer.process in self._processes and not answer.is_leaving
