Allow no minute for a predecessor that has ended, after a claim of unknown outcome

A claimant that has just started knows none of them: it allowed 59.9 s for owners before, since an owner that doesn't know of its claim may have confirmed its predecessor. That one had restarted, which the claimant could not tell, as the row named nobody. It names its predecessor now, and what a row states counts as soon as that has ended.

The first example failed before.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -312,6 +312,19 @@
       | 0.0       | 0.0     |
       | 1.212     | 61.612  |
 
+  Scenario Outline: A claim of unknown outcome after an owner that has ended costs no long wait
+    Guards against a minute without starts after all instances were lost within seconds of a claim. Its
+    owner may not know of it, but only a predecessor that still runs could be confirmed.
+    Given an instance that has just started
+    When it reads the row of an owner elsewhere with token 3 and 1.212 seconds, whose predecessor <state>
+    Then a claim 0.2 seconds later allows for <allowed> seconds of owners before
+
+    Examples:
+      | state                        | allowed |
+      | has been replaced since      | 1.012   |
+      | had been replaced before     | 61.612  |
+      | runs at another address      | 61.612  |
+
   Scenario Outline: A new owner waits for what earlier owners may have extended
     Guards against tasks that start elsewhere while their leases last, and against a long wait for an
     owner that has ended.
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -48,6 +48,7 @@
     HEARTBEAT_KEY,
     MEMBER_PREFIX,
     OWNER_KEY,
+    FormerOwner,
     HeartbeatRecord,
     MemberRecord,
     OwnerRecord,
@@ -742,6 +743,21 @@
     context.view.update_owner(make_row(fencing, authority_seconds=seconds), fencing, 100.0)
 
 
+@when(
+    "it reads the row of an owner elsewhere with token {fencing:d} and {seconds:f} seconds, "
+    "whose predecessor {state}"
+)
+def step_row_with_predecessor(context, fencing, seconds, state):
+    former = make_row(fencing - 1, name="former")
+    predecessor = FormerOwner.of(former, revision=fencing - 1)
+    row = make_row(fencing, authority_seconds=seconds, predecessor=predecessor)
+    context.view.update_owner(row, fencing, 100.0)
+    address = "former:2" if state == "runs at another address" else former.address
+    member = MemberRecord(name="former", boot="later", address=address, zone="z")
+    revision = fencing + 1 if state != "had been replaced before" else predecessor.revision - 1
+    context.view.update_member("former", member, revision)
+
+
 @when("a heartbeat with token {fencing:d} and {seconds:f} seconds arrives")
 def step_heartbeat_left(context, fencing, seconds):
     heartbeat = HeartbeatRecord(fencing=fencing, count=1, authority_seconds=seconds)
--- a/model/specifications/ownership.py
+++ b/model/specifications/ownership.py
@@ -38,6 +38,7 @@
     has_ended: bool  # another process runs at the owner's name and address
     inherited: int = 0  # the part of the authority that is for owners before the predecessor
     former: int = -1  # the predecessor; -1 if its peers have been heard, or don't matter
+    predecessor: int = -1  # -1 once its process has ended
 
 
 class Claim(NamedTuple):
@@ -202,6 +203,13 @@
             "proof is still valid",
             "joined late",
         ),
+        Mutant(
+            "predecessor has ended",
+            "one_run",
+            "the authority in a row counts from when the row is first seen, though its owner may "
+            "confirm a predecessor that has not ended",
+            "joined late",
+        ),
         Mutant(
             "end known to its process",
             "one_run",
@@ -392,7 +400,7 @@
         if instance.token == row.token and row.former >= 0 and self._has_heard(state, index):
             yield "hear_peer", self._shorten_authority(state, index)
         # Any other restart only loses what the instance has read.
-        has_claimed = claim is not None or row.owner == index
+        has_claimed = claim is not None or index in (row.owner, row.predecessor)
         if has_claimed and index in self.bounds.restarting and not state.has_restarted:
             yield "restart", self._restart(state, index)
         if claim is None:
@@ -405,7 +413,16 @@
         if not claim.is_stored:
             is_long = claim.authority > max(PROOF_TICKS, claim.inherited)
             former = row.owner if is_long and claim.token == row.token + 1 else -1
-            stored = Row(claim.token, index, claim.authority, False, False, claim.inherited, former)
+            stored = Row(
+                claim.token,
+                index,
+                claim.authority,
+                is_known=False,
+                has_ended=False,
+                inherited=claim.inherited,
+                former=former,
+                predecessor=row.owner if claim.token == row.token + 1 else row.predecessor,
+            )
             pending = None if claim.is_lost else claim._replace(is_stored=True)
             yield "store_claim", replace_instance(instance._replace(claim=pending), row=stored)
             return
@@ -414,7 +431,10 @@
     def _read_row(self, instance: Instance, row: Row) -> Instance:
         """Return an instance that has read the owner row, and gives up if it has been replaced."""
         is_counting = row.is_known or not self.enforces("claim known to its owner")
-        inherited = row.authority if is_counting or row.authority == 0 else UNAWARE_TICKS
+        # An owner that may not know of its claim could only confirm a predecessor that still runs.
+        has_predecessor = row.predecessor >= 0 and self.enforces("predecessor has ended")
+        is_stated = is_counting or row.authority == 0 or not has_predecessor
+        inherited = row.authority if is_stated else UNAWARE_TICKS
         if instance.known == row.token:
             return instance._replace(inherited=min(instance.inherited, inherited))
         claim = instance.claim
@@ -427,6 +447,8 @@
         claim = claim._replace(is_lost=True) if claim and not claim.is_stored else None
         instances = replace_item(state.instances, index, Instance(claim=claim))
         row = state.row._replace(has_ended=True) if state.row.owner == index else state.row
+        if row.predecessor == index:
+            row = row._replace(predecessor=-1)
         return state._replace(instances=instances, row=row, has_restarted=True)
 
     def _compute_authority(self, state: OwnershipState, index: int) -> tuple[int, int]:
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -15,7 +15,7 @@
 
 from ..queueing.authority import STORELESS_SECONDS, Predecessor, compute_authority_seconds
 from ..queueing.model import FencingToken
-from ..queueing.records import HeartbeatRecord, MemberRecord, OwnerRecord
+from ..queueing.records import FormerOwner, HeartbeatRecord, MemberRecord, OwnerRecord
 
 HEARTBEAT_INTERVAL_SECONDS = 0.7
 # Three heartbeats; a lease must outlast it together with the loading of the state.
@@ -239,7 +239,7 @@
         self.record_resignation(owner.fencing, is_designated=False)
         return True
 
-    def _has_resigned(self, owner: OwnerRecord) -> bool:
+    def _has_resigned(self, owner: OwnerRecord | FormerOwner) -> bool:
         return self.resigned_fencing == owner.fencing
 
     def record_step_down(self, fencing: FencingToken, now: float) -> None:
@@ -272,7 +272,7 @@
         """Return whether this process is the owner, as far as it knows."""
         return self.owner is not None and self.owner.boot == self.claim_id
 
-    def is_owner_inactive(self, owner: OwnerRecord, revision: int) -> bool:
+    def is_owner_inactive(self, owner: OwnerRecord | FormerOwner, revision: int) -> bool:
         """Return whether an owner can no longer send commands.
 
         It has resigned, or another process has written its row at its name and address since its
@@ -331,7 +331,8 @@
         knowledge, so that it still confirmed its predecessor. If its process has ended since, that
         is over, unless its predecessor doesn't ask it, as a long time in its row shows. Otherwise
         this instance relies on what it knew of the owners before. A claim that allowed for none was
-        made after the end of its predecessor, which nobody confirms.
+        made after the end of its predecessor, which nobody confirms; the same holds if that one has
+        ended since.
         """
         owner, heartbeat = self.owner, self._find_owner_heartbeat()
         if owner is None:
@@ -347,6 +348,9 @@
             if self._is_here(owner):  # that process had ended before this one read the row
                 seconds -= now - self.owner_seen_at
             return max(left, seconds)
+        former = owner.predecessor
+        if former is not None and self.is_owner_inactive(former, former.revision):
+            return left
         return max(left, self.former_acts_until - now)
 
     def _is_here(self, owner: OwnerRecord) -> bool:
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -25,6 +25,7 @@
     HEARTBEAT_PART,
     MEMBER_PREFIX,
     OWNER_KEY,
+    FormerOwner,
     HeartbeatRecord,
     MemberRecord,
     OwnerRecord,
@@ -367,6 +368,9 @@
             process=self.view.process_id,
             authority_seconds=compute_authority_seconds(assessment, inherited),
             peers=self._list_peer_processes(),
+            predecessor=(
+                FormerOwner.of(predecessor, claimed_from) if predecessor is not None else None
+            ),
         )
         write = Write(CONTROL_TABLE, OWNER_KEY, encode(owner), claimed_from)
         sent_at = read_elapsed_clock()
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -93,6 +93,33 @@
     reason: FailureReason | None = None
 
 
+class FormerOwner(msgspec.Struct, frozen=True, kw_only=True):
+    """What an owner's row says of its predecessor.
+
+    Parameters
+    ----------
+    revision : int
+        That of the predecessor's row.
+    """
+
+    fencing: FencingToken
+    name: str
+    address: str
+    process: str
+    revision: int
+
+    @classmethod
+    def of(cls, owner: OwnerRecord, revision: int) -> FormerOwner:
+        """Return what to say of an owner whose row has this revision."""
+        return cls(
+            fencing=owner.fencing,
+            name=owner.name,
+            address=owner.address,
+            process=owner.process,
+            revision=revision,
+        )
+
+
 class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
     """The instance that places tasks; replaced only by another owner.
 
@@ -106,6 +133,8 @@
         For how long after this claim earlier owners may extend leases.
     peers : tuple of str
         The `boot` of each instance that this one lists.
+    predecessor : FormerOwner or None
+        None for the first owner, or if the row does not say.
     """
 
     fencing: FencingToken
@@ -115,6 +144,7 @@
     process: str
     authority_seconds: float = 0.0
     peers: tuple[str, ...] = ()
+    predecessor: FormerOwner | None = None
 
 
 class HeartbeatRecord(msgspec.Struct, frozen=True, kw_only=True):
