--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -2,8 +2,9 @@
 
 from behave import given, then, when
 
+from features.support.queue_random_runs import refresh_worker_lists
 from features.support.queue_simulation import make_step
-from lavenderhook._internal.queueing.model import AdviceTerms
+from lavenderhook._internal.queueing.model import AdviceTerms, Placement
 
 
 @given("the advisory service allows no worker")
@@ -36,14 +37,73 @@
     context.simulation.run(1.0)
 
 
+@given('worker "{name}" is on probation')
+@when('worker "{name}" is on probation')
+def step_on_probation(context, name):
+    simulation = context.simulation
+    simulation.run_until(lambda: simulation.owners[-1].state.workers[name].last_report_at)
+    worker = simulation.owners[-1].state.workers[name]
+    worker.is_on_probation = True
+    worker.speed_shown_at = simulation.now
+
+
+@when('a gang "{name}" of {count:d} tasks of {processors:d} millicores for one rack arrives')
+def step_gang_on_rack(context, name, count, processors):
+    step = make_step(count, processors, 3.0, is_gang=True, placement=Placement(single_rack=True))
+    context.simulation.submit(name, [step])
+
+
+@given('the workers from "{name}" on belong to another service, and are full')
+def step_other_service(context, name):
+    simulation = context.simulation
+    others = [other for other in simulation.workers.values() if other.name >= name]
+    for worker in others:
+        worker.service = "other"
+    refresh_worker_lists(simulation)
+    simulation.run(0.5)
+    for worker in others:
+        known = simulation.owners[-1].state.workers[worker.name]
+        known.used_processors = known.listing.capacity.processors
+
+
+@when('a service "{name}" of {count:d} tasks, one on each worker of rack "{rack}", arrives')
+def step_service_on_rack(context, name, count, rack):
+    placement = Placement(label=rack, most_per_worker=1)
+    step = make_step(count, 2000, 0.0, is_service=True, placement=placement)
+    context.simulation.submit(name, [step])
+
+
+@then('"{name}" has not started')
+def step_not_started(context, name):
+    assert not context.simulation.starts_by_submission[name]
+
+
+@then('worker "{name}" has {count:d} active runs')
+def step_count_active(context, name, count):
+    active = list(context.simulation.workers[name].runs)
+    assert len(active) == count, active
+
+
 @then('"{name}" has no run on worker "{worker}"')
 def step_no_run(context, name, worker):
     submissions = {task.submission for task in context.simulation.workers[worker].runs}
     assert name not in submissions, submissions
 
 
+@then('the last line "step-waits" has the reason "{reason}" for {count:d} workers')
+def step_last_reasons(context, reason, count):
+    found = [line for _, line in context.simulation.decisions if line.decision == "step-waits"]
+    assert found and found[-1].fields["reasons"] == {reason: count}, found
+
+
 @then('there are {lines:d} lines "{decision}", with "{reason}" for {count:d} workers')
 def step_logged_reasons(context, lines, decision, reason, count):
     found = [line for _, line in context.simulation.decisions if line.decision == decision]
     assert len(found) == lines, found
     assert all(line.fields["reasons"] == {reason: count} for line in found), found
+
+
+@then('there are {lines:d} lines "{decision}"')
+def step_logged(context, lines, decision):
+    found = [line for _, line in context.simulation.decisions if line.decision == decision]
+    assert len(found) == lines, found
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -90,6 +90,7 @@
         self.capacity = capacity
         self.limit = ProcessorLimit(capacity.processors)
         self.rack = rack
+        self.service = "desk"
         self.kind = "a"  # one of its labels, which may be another one after a restart
         self.is_partitioned = False
         self.reachable_by = None  # token of the only owner that reaches it; None for all
@@ -129,7 +130,7 @@
         """Return the entry that the worker writes."""
         return WorkerListing(
             id=self.name,
-            service="desk",
+            service=self.service,
             address=self.address,
             zone="z",
             state=self.state,
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -70,3 +70,105 @@
     And 6 seconds pass in the simulation
     Then "wide" is completed
     And no invariant was violated
+
+  Scenario: A gang starts on a worker that has just been slow if it needs that worker
+    Guards against a gang that waits until nothing has shown the worker's speed for some seconds.
+    Given 5 workers and an owner
+    And worker "w0" is on probation
+    When a gang "wide" of 5 tasks of 12000 millicores with priority 1 arrives after 0 seconds
+    And 1 seconds pass in the simulation
+    Then "wide" has started
+    And no invariant was violated
+
+  Scenario: A gang waits behind another one rather than start on a slow worker
+    Guards against a gang on a slow worker because another gang has reserved the sound ones.
+    Given 5 workers and an owner
+    When a submission "busy" of 5 tasks of 9000 millicores and 2 seconds arrives
+    And 0.5 seconds pass in the simulation
+    And worker "w0" is on probation
+    And a gang "first" of 4 tasks of 12000 millicores with priority 1 arrives after 0 seconds
+    And a gang "second" of 1 tasks of 6000 millicores with priority 1 arrives after 0.1 seconds
+    And 0.5 seconds pass in the simulation
+    Then "second" has no run on worker "w0"
+    When 12 seconds pass in the simulation
+    Then "second" is completed
+    And no invariant was violated
+
+  Scenario: A gang for one rack leaves out a slow worker if sound workers of several racks hold it
+    Guards against a gang on a slow worker because no rack of sound workers alone holds it.
+    Given 5 workers and an owner
+    And worker "w0" is on probation
+    When a gang "narrow" of 4 tasks of 12000 millicores for one rack arrives
+    And 1 seconds pass in the simulation
+    Then "narrow" has started
+    And "narrow" has no run on worker "w0"
+    And no invariant was violated
+
+  Scenario: A slow worker gets one run at a time although it was idle for a while
+    Guards against a worker that gets its share of each burst of tasks while it is still slow.
+    Given 5 workers and an owner
+    And worker "w0" is on probation
+    And tasks on worker "w0" take 8 times as long
+    When 8 seconds pass in the simulation
+    And a submission "burst" of 20 tasks of 4000 millicores and 1 seconds arrives
+    And 0.3 seconds pass in the simulation
+    Then worker "w0" has 1 active runs
+    And no invariant was violated
+
+  Scenario: A gang leaves out a slow worker that was idle for a while if it fits without it
+    Guards against a gang on a worker that is still slow, while as many others are free.
+    Given 5 workers and an owner
+    And worker "w0" is on probation
+    When 8 seconds pass in the simulation
+    And a gang "narrow" of 4 tasks of 12000 millicores with priority 1 arrives after 0 seconds
+    And 1 seconds pass in the simulation
+    Then "narrow" has started
+    And "narrow" has no run on worker "w0"
+    And no invariant was violated
+
+  Scenario: A long task that runs as fast as expected ends a probation
+    Guards against tasks that wait beside free capacity for the end of a long task.
+    Given 1 workers and an owner
+    And worker "w0" is on probation
+    When a submission "long" of 1 tasks of 7000 millicores and 60 seconds arrives
+    And 10 seconds pass in the simulation
+    And a submission "late" of 1 tasks of 7000 millicores and 1 seconds arrives
+    And 3 seconds pass in the simulation
+    Then "late" is completed
+    And no invariant was violated
+
+  Scenario: A long task that is slow doesn't end a probation
+    Guards against more work on a worker that is still slow.
+    Given 1 workers and an owner
+    And worker "w0" is on probation
+    And tasks on worker "w0" take 8 times as long
+    When a submission "long" of 1 tasks of 7000 millicores and 60 seconds arrives
+    And 30 seconds pass in the simulation
+    And a submission "late" of 1 tasks of 7000 millicores and 1 seconds arrives
+    And 3 seconds pass in the simulation
+    Then "late" has not started
+
+  Scenario: A gang that may use workers on probation is not logged as waiting for their probation
+    Guards against a log line that names a cause that the wait doesn't have.
+    Given 5 workers and an owner
+    And worker "w0" is on probation
+    When a gang "huge" of 6 tasks of 12000 millicores with priority 1 arrives after 0 seconds
+    And 4 seconds pass in the simulation
+    Then the last line "step-waits" has the reason "usable" for 5 workers
+
+  Scenario: A step that waits is logged although the workers of another service are full
+    Guards against a wait beside free capacity that isn't logged, as other workers can't help.
+    Given 8 workers and an owner
+    And the workers from "w3" on belong to another service, and are full
+    And the advisory service allows no worker
+    When a submission "kept" of 2 tasks with advice arrives
+    And 4 seconds pass in the simulation
+    Then there are 1 lines "step-waits"
+
+  Scenario: A task of a service that waits is logged although others of it run
+    Guards against a service with too few tasks of which no log line tells.
+    Given 3 workers and an owner
+    When a service "feed" of 3 tasks, one on each worker of rack "r-0", arrives
+    And 4 seconds pass in the simulation
+    Then "feed" has 2 active tasks
+    And there are 1 lines "step-waits"
