Let a gang wait for sound workers that are reserved, or on several racks

A gang of which sound workers hold all members was started on workers on probation, at once, and takes as many times longer as its slowest worker. Whether the sound workers hold it was asked of plan_gang, which leaves out what is reserved for gangs of a higher rank, as if that never ended, and which looks for a single rack, although the gang is placed on several where no rack holds it.

can_hold_gang disregards both.

--- a/src/lavenderhook/_internal/queueing/gang_workers.py
+++ b/src/lavenderhook/_internal/queueing/gang_workers.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Sequence
 
 from .model import StepId
-from .reservations import plan_gang
+from .reservations import can_hold_gang
 from .submissions import GANG_PLAN_MAX_AGE_SECONDS, StepProgress
 from .workers import Worker
 
@@ -42,7 +42,7 @@
         known = self._held_by_sound.get(step.id)
         if known is not None and now - known[1] < GANG_PLAN_MAX_AGE_SECONDS:
             return known[0]
-        is_held = plan_gang(step.spec, sound, now) is not None
+        is_held = can_hold_gang(step.spec, sound)
         self._held_by_sound = {
             id: (was_held, at)
             for id, (was_held, at) in self._held_by_sound.items()
--- a/src/lavenderhook/_internal/queueing/reservations.py
+++ b/src/lavenderhook/_internal/queueing/reservations.py
@@ -10,7 +10,7 @@
 from .model import Resources, StepSpec
 from .placement import count_fitting_in
 from .submissions import GangPlan
-from .workers import Worker
+from .workers import Run, Worker
 
 # assumed for a run that has lasted longer than its estimate
 OVERDUE_RUN_REMAINING_SECONDS = 0.5
@@ -32,6 +32,28 @@
     return min(plans, key=lambda plan: plan.ready_at, default=None)
 
 
+def can_hold_gang(spec: StepSpec, workers: Iterable[Worker]) -> bool:
+    """Return whether workers hold a gang, now or once the runs with a known end have ended.
+
+    Regardless of what is reserved for other gangs, as they end, and of racks, as a gang is placed
+    on several if no single one holds it.
+    """
+    total = 0
+    for worker in workers:
+        unused = _add(worker.get_free_resources(), worker.reserved)
+        for run in worker.runs.values():
+            if _has_known_end(run):
+                unused = _add(unused, run.resources)
+        total += count_fitting_in(spec, unused)
+        if total >= spec.count:
+            return True
+    return False
+
+
+def _has_known_end(run: Run) -> bool:
+    return not run.is_filler and math.isfinite(run.estimated_end_at)
+
+
 def _plan(spec: StepSpec, workers: Sequence[Worker], now: float) -> GangPlan | None:
     free = [worker.get_free_resources() for worker in workers]
     fits = [count_fitting_in(spec, resources) for resources in free]
@@ -45,7 +67,7 @@
         )
         for index, worker in enumerate(workers)
         for number, run in enumerate(worker.runs.values())
-        if not run.is_filler and math.isfinite(run.estimated_end_at)
+        if _has_known_end(run)
     ]
     heapq.heapify(releases)
     ready_at = now
