Keep an idle worker on probation, but let gangs take it once its speed is unknown

A worker that was still slow got its share of the next burst of tasks, and gangs, after 5 s without evidence, since its probation had ended then: the cost for the callers came back with each gap of 5 s. Gangs don't show that a worker is slow, so that nothing had put it on probation again.

The probation lasts, with one run at a time, which is what shows the speed. Only gangs need more: they take such a worker where the sound ones have no room now, and don't wait for long tasks there.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -44,7 +44,7 @@
     simulation.run_until(lambda: simulation.owners[-1].state.workers[name].last_report_at)
     worker = simulation.owners[-1].state.workers[name]
     worker.is_on_probation = True
-    worker.speed_shown_at = simulation.now
+    worker.record_shown_speed(simulation.now)
 
 
 @when('a gang "{name}" of {count:d} tasks of {processors:d} millicores for one rack arrives')
--- a/src/lavenderhook/_internal/queueing/review.py
+++ b/src/lavenderhook/_internal/queueing/review.py
@@ -71,7 +71,7 @@
         self._expected: dict[StepId, float | None] = {}  # durations by step, for one review
 
     def update_probation(self, workers: Collection[Worker], now: float) -> list[Effect]:
-        """Put slow workers on probation, and end one without evidence; return the log lines.
+        """Put slow workers on probation, note old evidence; return the log lines.
 
         Only workers that have reported since the last call are judged again.
         """
@@ -84,10 +84,11 @@
                 continue
             speeds = self._measure_speeds(worker)
             if speeds:
-                worker.speed_shown_at = now
-            elif worker.is_on_probation and self.slow_worker_policy.is_evidence_old(worker, now):
-                worker.end_probation()
-                effects.append(log_worker("worker-probation-expired", worker))
+                worker.record_shown_speed(now)
+            elif worker.has_shown_speed and self.slow_worker_policy.is_evidence_old(worker, now):
+                worker.has_shown_speed = False
+                if worker.is_on_probation:
+                    effects.append(log_worker("worker-speed-unknown", worker))
             if not speeds or not self.slow_worker_policy.is_slow(worker, speeds, now):
                 continue
             if not worker.is_on_probation and slow_workers < max_slow_workers:
--- a/src/lavenderhook/_internal/queueing/stragglers.py
+++ b/src/lavenderhook/_internal/queueing/stragglers.py
@@ -1,8 +1,9 @@
 """Runs and workers that are far slower than expected, or stand still.
 
-A slow worker is put on probation: it gets one run at a time until one finishes in time, or until
-none has shown its speed for some seconds, since it may get none while others have free capacity. A
-run that would end sooner elsewhere is started there again.
+A slow worker is put on probation: it gets one run at a time until one finishes in time, and
+gangs leave it out as long as others hold them. Once no run has shown its speed for some seconds, a
+gang that can't start elsewhere now takes it, as there may be no other run. A run that would end
+sooner elsewhere is started there again.
 """
 
 from __future__ import annotations
@@ -58,7 +59,7 @@
 
     @abc.abstractmethod
     def is_evidence_old(self, worker: Worker, now: float) -> bool:
-        """Return whether a worker without runs that show its speed is to be used again."""
+        """Return whether no run has shown the speed of a worker for long."""
 
     @abc.abstractmethod
     def is_slow(self, worker: Worker, speeds: Sequence[RunSpeed], now: float) -> bool:
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -205,6 +205,7 @@
         self.slow_submissions: set[SubmissionId] = set()  # since a run last finished in time
         self.leaves_at: float | None = None  # a draining worker leaves at this time or later
         self.is_on_probation = False  # see the module `stragglers`
+        self.has_shown_speed = False  # lately
         self.speed_shown_at = 0.0  # when it last had runs that depend on its speed only
         self.isolated_run: Run | None = None  # nothing is placed beside it; see `isolation`
         self.emptied_for: TaskKey | None = None  # nothing is placed until this suspect starts here
@@ -277,6 +278,11 @@
         self.slow_submissions.clear()
         self.is_on_probation = False
 
+    def record_shown_speed(self, now: float) -> None:
+        """Record that it has runs that depend on its speed only."""
+        self.speed_shown_at = now
+        self.has_shown_speed = True
+
     def is_full_on_probation(self) -> bool:
         """Return whether it is on probation and runs something that will show its speed."""
         return self.is_on_probation and any(run.counts_for_speed for run in self.runs.values())
