End a probation by a long task that runs as fast as expected

A worker on probation gets one run at a time, and only the end of a run in time ended the probation. A rate is known of short runs only, as it is measured over about half a second and progress is reported in hundredths.

A run that has been as fast as expected since the probation began, or since its own start if that was later, ends it after 5 s.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -43,7 +43,8 @@
     simulation = context.simulation
     simulation.run_until(lambda: simulation.owners[-1].state.workers[name].last_report_at)
     worker = simulation.owners[-1].state.workers[name]
-    worker.is_on_probation = True
+    worker.begin_probation()
+    worker.slow_submissions.update(("slow0", "slow1"))
     worker.record_shown_speed(simulation.now)
 
 
--- a/src/lavenderhook/_internal/queueing/review.py
+++ b/src/lavenderhook/_internal/queueing/review.py
@@ -89,10 +89,14 @@
                 worker.has_shown_speed = False
                 if worker.is_on_probation:
                     effects.append(log_worker("worker-speed-unknown", worker))
+            if worker.is_on_probation and self._is_shown_sound(worker):
+                worker.end_probation()
+                slow_workers -= 1
+                effects.append(log_worker("worker-probation-ended", worker))
             if not speeds or not self.slow_worker_policy.is_slow(worker, speeds, now):
                 continue
             if not worker.is_on_probation and slow_workers < max_slow_workers:
-                worker.is_on_probation = True
+                worker.begin_probation()
                 slow_workers += 1
                 effects.append(log_worker("worker-slow", worker))
             if worker.is_on_probation and any(is_stalled(speed.run) for speed in speeds):
@@ -129,6 +133,9 @@
         reason = ReviewReason.STALLED if is_stalled(run) else ReviewReason.WORKER_SLOW
         return Decision(action, run, step, reason)
 
+    def _is_shown_sound(self, worker: Worker) -> bool:
+        return any(map(self.slow_worker_policy.shows_sound_worker, worker.runs.values()))
+
     def _measure_speeds(self, worker: Worker) -> list[RunSpeed]:
         speeds: list[RunSpeed] = []
         for run in worker.runs.values():
--- a/src/lavenderhook/_internal/queueing/stragglers.py
+++ b/src/lavenderhook/_internal/queueing/stragglers.py
@@ -1,9 +1,10 @@
 """Runs and workers that are far slower than expected, or stand still.
 
-A slow worker is put on probation: it gets one run at a time until one finishes in time, and
-gangs leave it out as long as others hold them. Once no run has shown its speed for some seconds, a
-gang that can't start elsewhere now takes it, as there may be no other run. A run that would end
-sooner elsewhere is started there again.
+A slow worker is put on probation: it gets one run at a time until one finishes in time, or has been
+as fast as expected for some seconds, so that no long task keeps others waiting. Gangs leave it out
+as long as others hold them; once no run has shown its speed for some seconds, a gang that can't
+start elsewhere now takes it, as there may be no other run. A run that would end sooner elsewhere is
+started there again.
 """
 
 from __future__ import annotations
@@ -23,7 +24,8 @@
 SLOW_SUBMISSIONS_FOR_PROBATION = 2  # on one worker in a row, since one may have a wrong estimate
 # If more workers than this seem slow, the estimates are wrong.
 MAX_PROBATION_SHARE = 0.25
-# Nothing is known of a worker's speed after this time without runs that show it.
+# Nothing is known of a worker's speed after this time without runs that show it. A run that has
+# been as fast as expected for this time shows that its worker is sound.
 PROBATION_EVIDENCE_SECONDS = 5.0
 # Progress is reported in hundredths: a run without any for this long, and for this share of its
 # estimate, stands still.
@@ -61,6 +63,10 @@
     def is_evidence_old(self, worker: Worker, now: float) -> bool:
         """Return whether no run has shown the speed of a worker for long."""
 
+    @abc.abstractmethod
+    def shows_sound_worker(self, run: Run) -> bool:
+        """Return whether an active run shows that its worker is sound."""
+
     @abc.abstractmethod
     def is_slow(self, worker: Worker, speeds: Sequence[RunSpeed], now: float) -> bool:
         """Return whether a worker with these active runs should be on probation."""
@@ -88,6 +94,16 @@
         """Return whether no run has shown the speed of a worker for long."""
         return now - worker.speed_shown_at >= PROBATION_EVIDENCE_SECONDS
 
+    def shows_sound_worker(self, run: Run) -> bool:
+        """Return whether an active run has been as fast as estimated for some seconds."""
+        rate = run.get_lasting_rate(PROBATION_EVIDENCE_SECONDS)
+        return (
+            run.counts_for_speed
+            and rate is not None
+            and 1.0 / rate <= SLOW_FACTOR * run.estimate_seconds
+            and not is_stalled(run)
+        )
+
     def is_slow(self, worker: Worker, speeds: Sequence[RunSpeed], now: float) -> bool:
         """Return whether a worker with these active runs should be on probation."""
         if any(is_stalled(speed.run) for speed in speeds):
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -111,6 +111,7 @@
     # Samples of the progress, with the time on the worker's clock in seconds.
     _samples: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     _moved_clock: float = 0.0  # when the progress last increased
+    _measured_from: tuple[float, float] | None = None
 
     def begin_start(self, now: float) -> None:
         """Begin the start of a planned run."""
@@ -143,6 +144,8 @@
         if not self._samples or progress > self.progress:
             self._moved_clock = clock
         self.progress = progress
+        if self._measured_from is None:
+            self._measured_from = (progress, clock)
         if len(self._samples) > 2 and clock - self._samples[1][1] >= MIN_RATE_SECONDS:
             del self._samples[0]
         if (
@@ -163,6 +166,20 @@
             return None
         return progress / seconds
 
+    def restart_measurement(self) -> None:
+        """Measure the progress over a long time from now on."""
+        self._measured_from = self._samples[-1] if self._samples else None
+
+    def get_lasting_rate(self, seconds: float) -> float | None:
+        """Return the progress for each second, if it has been measured for this time."""
+        if self._measured_from is None:
+            return None
+        progress = self.progress - self._measured_from[0]
+        measured_seconds = self._samples[-1][1] - self._measured_from[1]
+        if measured_seconds < seconds or progress < MIN_RATE_PROGRESS:
+            return None
+        return progress / measured_seconds
+
     def get_standing_seconds(self) -> float:
         """Return for how long the reports have shown no progress, by the worker's clock."""
         return self._samples[-1][1] - self._moved_clock if self._samples else 0.0
@@ -273,6 +290,12 @@
         if listing is not None:
             self.update_listing(listing, now)
 
+    def begin_probation(self) -> None:
+        """Treat the worker as slow; what its runs have done until now doesn't count for it."""
+        self.is_on_probation = True
+        for run in self.runs.values():
+            run.restart_measurement()
+
     def end_probation(self) -> None:
         """Treat the worker as sound; what was held against it doesn't count any longer."""
         self.slow_submissions.clear()
