Judge free capacity for step-waits by service

A step was not logged as waiting while the workers of other services were full, though they can't run its tasks: with three free workers of its own service beside five full ones of another, no line in 4 s. The capacity is now counted for each service.

--- a/src/lavenderhook/_internal/queueing/waiting_steps.py
+++ b/src/lavenderhook/_internal/queueing/waiting_steps.py
@@ -18,7 +18,7 @@
 LONG_WAIT_SECONDS = 2.5  # longer than a retry, a renewal of tickets or a block of a worker
 REPEAT_SECONDS = 5.0  # between two lines on one step
 MAX_LINES_PER_REVIEW = 5
-FREE_SHARE = 0.5  # of the processors of all listed workers
+FREE_SHARE = 0.5  # of the processors of all listed workers of a service
 
 
 class WaitingSteps:
@@ -54,10 +54,12 @@
             return []
         self._next_review_at = now + REVIEW_INTERVAL_SECONDS
         self._update_exclusions(workers, now)
-        if not _has_free_capacity(workers):
-            self._waits_since.clear()
-            return []
-        waiting = {step.id: (entry, step) for entry, step in _list_waiting(submissions, now)}
+        services = _list_services_with_free_capacity(workers)
+        waiting = {
+            step.id: (entry, step)
+            for entry, step in _list_waiting(submissions, now)
+            if entry.submission.queue.service in services
+        }
         self._waits_since = {id: self._waits_since.get(id, now) for id in waiting}
         self._next_line_at = {id: at for id, at in self._next_line_at.items() if id in waiting}
         due = [
@@ -164,9 +166,13 @@
                 yield entry, step
 
 
-def _has_free_capacity(workers: Iterable[Worker]) -> bool:
-    """Return whether at least half of the processors of the listed workers are free."""
-    listed = [worker for worker in workers if worker.is_listed]
-    total = sum(worker.listing.capacity.processors for worker in listed)
-    used = sum(worker.used_processors for worker in listed)
-    return total > 0 and total - used >= FREE_SHARE * total
+def _list_services_with_free_capacity(workers: Iterable[Worker]) -> set[str]:
+    """Return the services of which at least half of the processors of the workers are free."""
+    total: collections.Counter[str] = collections.Counter()
+    free: collections.Counter[str] = collections.Counter()
+    for worker in workers:
+        if worker.is_listed:
+            service = worker.listing.service
+            total[service] += worker.listing.capacity.processors
+            free[service] += worker.get_free_processors()
+    return {service for service in total if 0 < FREE_SHARE * total[service] <= free[service]}
