Log a service of which a task waits while others run

step-waits left out steps with any run, but each task of a service is owed for itself: with two of three tasks at work and the third not placeable, no line in 4 s.

--- a/src/lavenderhook/_internal/queueing/waiting_steps.py
+++ b/src/lavenderhook/_internal/queueing/waiting_steps.py
@@ -157,12 +157,13 @@
 def _list_waiting(
     submissions: Iterable[SubmissionProgress], now: float
 ) -> Iterator[tuple[SubmissionProgress, StepProgress]]:
-    """Yield the steps of which tasks could run and none does."""
+    """Yield the steps of which tasks could run and none does, or, of a service, not all do."""
     for entry in submissions:
         if entry.is_finalizing:
             continue
         for step in entry.steps.values():
-            if step.waiting and not step.runs and entry.is_ready(step, now):
+            is_waiting = step.waiting and (step.spec.is_service or not step.runs)
+            if is_waiting and entry.is_ready(step, now):
                 yield entry, step
 
 
