Name in step-waits what keeps a gang from a worker on probation

Each worker on probation was named as on-probation for each gang, also for one that may use it and waits for another reason: a gang of six on five workers that hold five showed on-probation for one. And a gang is placed beside a run that shows the worker's speed, which was named as on-probation as well. The line asks GangWorkers which workers are left out.

--- a/src/lavenderhook/_internal/queueing/exclusions.py
+++ b/src/lavenderhook/_internal/queueing/exclusions.py
@@ -4,7 +4,7 @@
 
 import enum
 
-from .placement import count_on_worker, is_eligible
+from .placement import count_fitting, count_on_worker, is_eligible
 from .submissions import StepProgress
 from .workers import Worker
 
@@ -26,7 +26,13 @@
 
 
 def find_exclusion(
-    step: StepProgress, service: str, worker: Worker, now: float, *, needs_advice: bool
+    step: StepProgress,
+    service: str,
+    worker: Worker,
+    now: float,
+    *,
+    needs_advice: bool,
+    is_left_out: bool,
 ) -> ExclusionReason | None:
     """Return why a worker gets no task of a step, or None if it could get one.
 
@@ -39,6 +45,8 @@
     now : float
     needs_advice : bool
         Whether the queue has an advisory service.
+    is_left_out : bool
+        Whether the step is a gang that others hold, and the worker is on probation.
     """
     if not worker.is_schedulable(now):
         return ExclusionReason.NOT_SCHEDULABLE
@@ -50,7 +58,7 @@
             return ExclusionReason.NOT_ASKED
         if ticket.expires_at <= now:
             return ExclusionReason.TICKET_EXPIRED
-    return _find_use(step, worker)
+    return _find_use(step, worker, is_left_out=is_left_out)
 
 
 def _find_ineligibility(step: StepProgress, service: str, worker: Worker) -> ExclusionReason:
@@ -61,19 +69,21 @@
     return ExclusionReason.NO_LABEL
 
 
-def _find_use(step: StepProgress, worker: Worker) -> ExclusionReason | None:
+def _find_use(step: StepProgress, worker: Worker, *, is_left_out: bool) -> ExclusionReason | None:
     """Return which use of a worker leaves nothing for a step."""
     if worker.emptied_for is not None:
         return ExclusionReason.KEPT_EMPTY
     if not worker.is_shared():
         return ExclusionReason.ISOLATED
-    if worker.is_full_on_probation() or (worker.is_on_probation and step.spec.is_gang):
-        return ExclusionReason.ON_PROBATION
     spec = step.spec
+    if is_left_out or (not spec.is_gang and worker.is_full_on_probation()):
+        return ExclusionReason.ON_PROBATION
     most = spec.placement.most_per_worker
     if most and count_on_worker(step, worker) >= most:
         return ExclusionReason.FULL_OF_STEP
     # Without regard to reservations, which last for one placement pass.
-    if not worker.has_capacity_for(spec.resources, spec.is_filler, 0.0):
-        return ExclusionReason.NO_CAPACITY
-    return None
+    if spec.is_gang:
+        has_capacity = count_fitting(spec, worker) > 0
+    else:
+        has_capacity = worker.has_capacity_for(spec.resources, spec.is_filler, 0.0)
+    return None if has_capacity else ExclusionReason.NO_CAPACITY
--- a/src/lavenderhook/_internal/queueing/gang_workers.py
+++ b/src/lavenderhook/_internal/queueing/gang_workers.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from ..core.identifiers import WorkerId
 from .model import StepId
 from .placement import choose_gang_workers
 from .reservations import can_hold_gang
@@ -41,6 +42,13 @@
         preferred = [w for w in shared if not w.is_on_probation or not w.has_shown_speed]
         return preferred if self._do_hold(step, preferred, now) else shared
 
+    def list_left_out(
+        self, step: StepProgress, eligible: Sequence[Worker], now: float
+    ) -> set[WorkerId]:
+        """Return the workers on probation that a gang leaves out."""
+        used = {worker.id for worker in self.select(step, eligible, now)}
+        return {worker.id for worker in eligible if worker.is_on_probation} - used
+
     def _do_hold(self, step: StepProgress, workers: Sequence[Worker], now: float) -> bool:
         known = self._held.get(step.id)
         if known is not None and now - known[1] < GANG_PLAN_MAX_AGE_SECONDS:
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -49,7 +49,7 @@
         self.suspects = SuspectPlacer()
         self.start_log = StartLog()
         self._gang_workers = GangWorkers()
-        self._waiting_steps = WaitingSteps()
+        self._waiting_steps = WaitingSteps(self._gang_workers)
         self._fencing = fencing
         self._ranking = ranking
         self._policy = policy
--- a/src/lavenderhook/_internal/queueing/waiting_steps.py
+++ b/src/lavenderhook/_internal/queueing/waiting_steps.py
@@ -9,8 +9,10 @@
 from .advising import ADVICE_RETRY_SECONDS
 from .effects import Effect, LogDecision
 from .exclusions import ExclusionReason, find_exclusion
+from .gang_workers import GangWorkers
 from .log_lines import MAX_LISTED_WORKERS
 from .model import StepId
+from .placement import is_eligible
 from .submissions import StepProgress, SubmissionProgress
 from .workers import Worker
 
@@ -25,9 +27,14 @@
     """Logs each step that waits for long beside free capacity, with the reason for each worker.
 
     Nothing else is logged while a step waits, so that a state that nothing ends would not show.
+
+    Parameters
+    ----------
+    gang_workers : GangWorkers
     """
 
-    def __init__(self) -> None:
+    def __init__(self, gang_workers: GangWorkers) -> None:
+        self._gang_workers = gang_workers
         self._next_review_at = 0.0
         self._waits_since: dict[StepId, float] = {}  # beside free capacity
         self._next_line_at: dict[StepId, float] = {}
@@ -90,16 +97,22 @@
         self,
         entry: SubmissionProgress,
         step: StepProgress,
-        workers: Iterable[Worker],
+        workers: Collection[Worker],
         is_blocked: bool,
         now: float,
     ) -> LogDecision:
         terms, spec = entry.submission.queue, step.spec
         counts: collections.Counter[str] = collections.Counter()
         listed: dict[WorkerId, str] = {}
+        left_out = self._list_left_out(step, terms.service, workers, now)
         for worker in workers:
             reason = find_exclusion(
-                step, terms.service, worker, now, needs_advice=terms.advice is not None
+                step,
+                terms.service,
+                worker,
+                now,
+                needs_advice=terms.advice is not None,
+                is_left_out=worker.id in left_out,
             )
             name = self._describe(reason, worker)
             counts[name] += 1
@@ -134,6 +147,14 @@
             },
         )
 
+    def _list_left_out(
+        self, step: StepProgress, service: str, workers: Iterable[Worker], now: float
+    ) -> set[WorkerId]:
+        if not step.spec.is_gang:
+            return set()
+        eligible = [w for w in workers if w.is_schedulable(now) and is_eligible(step, service, w)]
+        return self._gang_workers.list_left_out(step, eligible, now)
+
     def _describe(self, reason: ExclusionReason | None, worker: Worker) -> str:
         if reason is None:
             return "usable"
