--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -74,6 +74,21 @@
     context.simulation.submit(name, [step])
 
 
+@when(
+    'a submission "{name}" of {count:d} tasks of {processors:d} millicores '
+    'and {seconds:d} seconds on rack "{rack}" arrives'
+)
+def step_on_rack(context, name, count, processors, seconds, rack):
+    step = make_step(count, processors, seconds, placement=Placement(label=rack))
+    context.simulation.submit(name, [step])
+
+
+@when("{count:d} submissions with advice arrive")
+def step_several_advised(context, count):
+    for index in range(count):
+        step_advised(context, f"kept{index}", 2)
+
+
 @then('"{name}" has not started')
 def step_not_started(context, name):
     assert not context.simulation.starts_by_submission[name]
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -141,13 +141,46 @@
     Guards against more work on a worker that is still slow.
     Given 1 workers and an owner
     And worker "w0" is on probation
-    And tasks on worker "w0" take 8 times as long
+    And tasks on worker "w0" take 5 times as long
+    When a submission "long" of 1 tasks of 7000 millicores and 10 seconds arrives
+    And 10 seconds pass in the simulation
+    And a submission "late" of 1 tasks of 7000 millicores and 1 seconds arrives
+    And 4 seconds pass in the simulation
+    Then "late" has not started
+    And the last line "step-waits" has the reason "on-probation" for 1 workers
+
+  Scenario: What a long task has done before a probation doesn't end it
+    Guards against a worker that turns slow and counts as sound for its work until then.
+    Given 1 workers and an owner
     When a submission "long" of 1 tasks of 7000 millicores and 60 seconds arrives
-    And 30 seconds pass in the simulation
+    And 10 seconds pass in the simulation
+    And worker "w0" is on probation
     And a submission "late" of 1 tasks of 7000 millicores and 1 seconds arrives
     And 3 seconds pass in the simulation
     Then "late" has not started
 
+  Scenario: A gang waits for the end of a task rather than start on a slow worker
+    Guards against a gang that takes several times as long to save a short wait.
+    Given 2 workers and an owner
+    And worker "w0" is on probation
+    When a submission "busy" of 1 tasks of 9000 millicores and 2 seconds on rack "r-1" arrives
+    And a gang "narrow" of 1 tasks of 12000 millicores with priority 1 arrives after 0.3 seconds
+    And 0.5 seconds pass in the simulation
+    Then "narrow" has not started
+    When 6.5 seconds pass in the simulation
+    Then "narrow" is completed
+    And no invariant was violated
+
+  Scenario: A gang doesn't wait for a service that runs on a sound worker
+    Guards against a gang that waits for capacity which nothing will free.
+    Given 2 workers and an owner
+    And worker "w0" is on probation
+    When a service "feed" of 1 tasks, one on each worker of rack "r-1", arrives
+    And a gang "narrow" of 1 tasks of 15000 millicores with priority 1 arrives after 0.3 seconds
+    And 1 seconds pass in the simulation
+    Then "narrow" has started
+    And no invariant was violated
+
   Scenario: A gang that may use workers on probation is not logged as waiting for their probation
     Guards against a log line that names a cause that the wait doesn't have.
     Given 5 workers and an owner
@@ -172,3 +205,22 @@
     And 4 seconds pass in the simulation
     Then "feed" has 2 active tasks
     And there are 1 lines "step-waits"
+
+  Scenario: A step that waits for capacity is not logged
+    Guards against lines on work that waits since the workers are full.
+    Given 1 workers and an owner
+    When a submission "long" of 1 tasks of 12000 millicores and 60 seconds arrives
+    And 0.5 seconds pass in the simulation
+    And a submission "late" of 1 tasks of 7000 millicores and 1 seconds arrives
+    And 5 seconds pass in the simulation
+    Then there are 0 lines "step-waits"
+
+  Scenario: Few of the steps that wait are logged, and only after a while
+    Guards against a log that fills while hundreds of submissions wait.
+    Given 3 workers and an owner
+    And the advisory service allows no worker
+    When 8 submissions with advice arrive
+    And 2 seconds pass in the simulation
+    Then there are 0 lines "step-waits"
+    When 1.9 seconds pass in the simulation
+    Then there are 5 lines "step-waits"
