Choose the workers of a waiting gang five times a second, and check probations where there are any

Whether sound workers have room now was asked in each pass, and is_full_on_probation of each worker for each task.

--- a/src/lavenderhook/_internal/queueing/gang_workers.py
+++ b/src/lavenderhook/_internal/queueing/gang_workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Iterable, Sequence
 
 from ..core.identifiers import WorkerId
@@ -12,6 +13,14 @@
 from .workers import Worker
 
 
+class Selection(enum.Enum):
+    """Which of the workers that tasks may share a gang may use."""
+
+    SOUND = enum.auto()
+    PREFERRED = enum.auto()  # also those on probation whose speed is unknown
+    ALL = enum.auto()
+
+
 class GangWorkers:
     """Selects the workers that a gang may use.
 
@@ -22,8 +31,8 @@
     """
 
     def __init__(self) -> None:
-        # By gang, whether the preferred workers hold it, and when that was found; recent ones only.
-        self._held: dict[StepId, tuple[bool, float]] = {}
+        self._found: dict[StepId, tuple[Selection, float]] = {}  # by gang, and when; recent ones
+        self._next_pruning_at = 0.0
 
     def select(self, step: StepProgress, eligible: Iterable[Worker], now: float) -> list[Worker]:
         """Return the workers that a gang may use, with or without free capacity.
@@ -37,10 +46,42 @@
         """
         shared = [worker for worker in eligible if worker.is_shared()]
         sound = [worker for worker in shared if not worker.is_on_probation]
-        if len(sound) == len(shared) or choose_gang_workers(step.spec, sound) is not None:
+        if len(sound) == len(shared):
             return sound
         preferred = [w for w in shared if not w.is_on_probation or not w.has_shown_speed]
-        return preferred if self._do_hold(step, preferred, now) else shared
+        match self._find_selection(step, sound, preferred, now):
+            case Selection.SOUND:
+                return sound
+            case Selection.PREFERRED:
+                return preferred
+            case Selection.ALL:
+                return shared
+
+    def _find_selection(
+        self, step: StepProgress, sound: Sequence[Worker], preferred: Sequence[Worker], now: float
+    ) -> Selection:
+        self._prune(now)
+        found = self._found.get(step.id)
+        if found is not None and now - found[1] < GANG_PLAN_MAX_AGE_SECONDS:
+            return found[0]
+        if choose_gang_workers(step.spec, sound) is not None:
+            selection = Selection.SOUND
+        elif can_hold_gang(step.spec, preferred):
+            selection = Selection.PREFERRED
+        else:
+            selection = Selection.ALL
+        self._found[step.id] = (selection, now)
+        return selection
+
+    def _prune(self, now: float) -> None:
+        if now < self._next_pruning_at:
+            return
+        self._next_pruning_at = now + GANG_PLAN_MAX_AGE_SECONDS
+        self._found = {
+            id: found
+            for id, found in self._found.items()
+            if now - found[1] < GANG_PLAN_MAX_AGE_SECONDS
+        }
 
     def list_left_out(
         self, step: StepProgress, eligible: Sequence[Worker], now: float
@@ -48,16 +89,3 @@
         """Return the workers on probation that a gang leaves out."""
         used = {worker.id for worker in self.select(step, eligible, now)}
         return {worker.id for worker in eligible if worker.is_on_probation} - used
-
-    def _do_hold(self, step: StepProgress, workers: Sequence[Worker], now: float) -> bool:
-        known = self._held.get(step.id)
-        if known is not None and now - known[1] < GANG_PLAN_MAX_AGE_SECONDS:
-            return known[0]
-        is_held = can_hold_gang(step.spec, workers)
-        self._held = {
-            id: (was_held, at)
-            for id, (was_held, at) in self._held.items()
-            if now - at < GANG_PLAN_MAX_AGE_SECONDS
-        }
-        self._held[step.id] = (is_held, now)
-        return is_held
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -393,7 +393,7 @@
 
     def has_capacity_for(self, resources: Resources, is_filler: bool, ends_at: float) -> bool:
         """Return whether a task that is expected to end at a time may be placed here."""
-        if not self.is_shared() or self.is_full_on_probation():
+        if not self.is_shared() or (self.is_on_probation and self.is_full_on_probation()):
             return False
         capacity = self.listing.capacity
         reserved = Resources() if ends_at <= self.reserved_until else self.reserved
