Let a worker that seems slow take the probation of an idle one

While as many workers as may be are on probation, no other one is judged as slow, and its runs are neither moved nor copied. The new scenario failed before ("kept" not completed).

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -48,6 +48,11 @@
     worker.record_shown_speed(simulation.now)
 
 
+@when('tasks on worker "{name}" stand still from now on')
+def step_stand_still(context, name):
+    context.simulation.workers[name].stalls_tasks = True
+
+
 @when('a gang "{name}" of {count:d} tasks of {processors:d} millicores for one rack arrives')
 def step_gang_on_rack(context, name, count, processors):
     step = make_step(count, processors, 3.0, is_gang=True, placement=Placement(single_rack=True))
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -224,3 +224,15 @@
     Then there are 0 lines "step-waits"
     When 1.9 seconds pass in the simulation
     Then there are 5 lines "step-waits"
+
+  Scenario: Tasks that stand still are started elsewhere although another worker is on probation
+    Guards against an idle worker on probation that keeps others from being judged as slow.
+    Given 3 workers and an owner
+    And worker "w0" is on probation
+    When a service "feed" of 1 tasks, one on each worker of rack "r-1", arrives
+    And 8 seconds pass in the simulation
+    And tasks on worker "w1" stand still from now on
+    And a submission "kept" of 1 tasks of 2000 millicores and 1 seconds arrives
+    And 6 seconds pass in the simulation
+    Then "kept" is completed
+    And no invariant was violated
--- a/src/lavenderhook/_internal/queueing/gang_workers.py
+++ b/src/lavenderhook/_internal/queueing/gang_workers.py
@@ -48,7 +48,7 @@
         sound = [worker for worker in shared if not worker.is_on_probation]
         if len(sound) == len(shared):
             return sound
-        preferred = [w for w in shared if not w.is_on_probation or not w.has_shown_speed]
+        preferred = [w for w in shared if not w.is_on_probation or w.is_of_unknown_speed()]
         match self._find_selection(step, sound, preferred, now):
             case Selection.SOUND:
                 return sound
--- a/src/lavenderhook/_internal/queueing/review.py
+++ b/src/lavenderhook/_internal/queueing/review.py
@@ -73,7 +73,8 @@
     def update_probation(self, workers: Collection[Worker], now: float) -> list[Effect]:
         """Put slow workers on probation, note old evidence; return the log lines.
 
-        Only workers that have reported since the last call are judged again.
+        Only workers that have reported since the last call are judged again. Where no more may be
+        on probation, a worker that seems slow takes the place of one whose speed is unknown.
         """
         max_slow_workers = max(1, int(len(workers) * MAX_PROBATION_SHARE))
         slow_workers = sum(worker.is_on_probation for worker in workers)
@@ -95,6 +96,12 @@
                 effects.append(log_worker("worker-probation-ended", worker))
             if not speeds or not self.slow_worker_policy.is_slow(worker, speeds, now):
                 continue
+            if not worker.is_on_probation and slow_workers >= max_slow_workers:
+                unknown = next((w for w in workers if w.is_of_unknown_speed()), None)
+                if unknown is not None:
+                    unknown.end_probation()
+                    slow_workers -= 1
+                    effects.append(log_worker("worker-probation-ended", unknown))
             if not worker.is_on_probation and slow_workers < max_slow_workers:
                 worker.begin_probation()
                 slow_workers += 1
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -306,6 +306,10 @@
         self.speed_shown_at = now
         self.has_shown_speed = True
 
+    def is_of_unknown_speed(self) -> bool:
+        """Return whether it is on probation and no run has shown its speed lately."""
+        return self.is_on_probation and not self.has_shown_speed
+
     def is_full_on_probation(self) -> bool:
         """Return whether it is on probation and runs something that will show its speed."""
         return self.is_on_probation and any(run.counts_for_speed for run in self.runs.values())
