--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -236,3 +236,16 @@
     And 6 seconds pass in the simulation
     Then "kept" is completed
     And no invariant was violated
+
+  Scenario: A gang doesn't wait for a run that has lasted far longer than its estimate
+    Guards against a gang that waits for a run which is expected to end soon at any time.
+    Given 2 workers and an owner
+    And worker "w0" is on probation
+    And tasks on worker "w1" take 100 times as long
+    When a submission "stuck" of 1 tasks of 13000 millicores and 1 seconds on rack "r-1" arrives
+    And 4.5 seconds pass in the simulation
+    And worker "w0" is on probation
+    And a gang "narrow" of 2 tasks of 3500 millicores with priority 1 arrives after 0 seconds
+    And 1 seconds pass in the simulation
+    Then "narrow" has started
+    And no invariant was violated
--- a/src/lavenderhook/_internal/queueing/gang_workers.py
+++ b/src/lavenderhook/_internal/queueing/gang_workers.py
@@ -66,7 +66,7 @@
             return found[0]
         if choose_gang_workers(step.spec, sound) is not None:
             selection = Selection.SOUND
-        elif can_hold_gang(step.spec, preferred):
+        elif can_hold_gang(step.spec, preferred, now):
             selection = Selection.PREFERRED
         else:
             selection = Selection.ALL
--- a/src/lavenderhook/_internal/queueing/reservations.py
+++ b/src/lavenderhook/_internal/queueing/reservations.py
@@ -9,6 +9,7 @@
 from ..core.identifiers import WorkerId
 from .model import Resources, StepSpec
 from .placement import count_fitting_in
+from .stragglers import has_outlived_estimate
 from .submissions import GangPlan
 from .workers import Run, Worker
 
@@ -32,9 +33,11 @@
     return min(plans, key=lambda plan: plan.ready_at, default=None)
 
 
-def can_hold_gang(spec: StepSpec, workers: Iterable[Worker]) -> bool:
+def can_hold_gang(spec: StepSpec, workers: Iterable[Worker], now: float) -> bool:
     """Return whether workers hold a gang, now or once the runs with a known end have ended.
 
+    A run that has lasted far longer than its estimate has no known end.
+
     Regardless of what is reserved for other gangs, as they end, and of racks, as a gang is placed
     on several if no single one holds it.
     """
@@ -42,7 +45,7 @@
     for worker in workers:
         unused = _add(worker.get_free_resources(), worker.reserved)
         for run in worker.runs.values():
-            if _has_known_end(run):
+            if _has_known_end(run) and not has_outlived_estimate(run, now):
                 unused = _add(unused, run.resources)
         total += count_fitting_in(spec, unused)
         if total >= spec.count:
--- a/src/lavenderhook/_internal/queueing/stragglers.py
+++ b/src/lavenderhook/_internal/queueing/stragglers.py
@@ -206,5 +206,10 @@
     """Return whether a run stands still, or has lasted far longer than its estimate."""
     if not run.counts_for_speed:
         return False
+    return has_outlived_estimate(run, now) or is_stalled(run)
+
+
+def has_outlived_estimate(run: Run, now: float) -> bool:
+    """Return whether a run has lasted far longer than its estimate."""
     limit = OVERDUE_FACTOR * run.estimate_seconds + SLOW_RUN_SLACK_SECONDS
-    return now - run.commanded_at > limit or is_stalled(run)
+    return now - run.commanded_at > limit
