--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -249,3 +249,14 @@
     And 1 seconds pass in the simulation
     Then "narrow" has started
     And no invariant was violated
+
+  Scenario: A gang doesn't wait for a long task beside a slow worker that is free
+    Guards against an accepted submission of which nothing starts beside capacity for it twice over.
+    Given 2 workers and an owner
+    When a submission "long" of 1 tasks of 13000 millicores and 60 seconds on rack "r-1" arrives
+    And 1 seconds pass in the simulation
+    And worker "w0" is on probation
+    And a gang "narrow" of 2 tasks of 3500 millicores with priority 1 arrives after 0 seconds
+    And 2.5 seconds pass in the simulation
+    Then "narrow" has started
+    And no invariant was violated
