--- a/src/lavenderhook/_internal/queueing/review.py
+++ b/src/lavenderhook/_internal/queueing/review.py
@@ -71,9 +71,10 @@
         self._expected: dict[StepId, float | None] = {}  # durations by step, for one review
 
     def update_probation(self, workers: Collection[Worker], now: float) -> list[Effect]:
-        """Put slow workers on probation, and end one without evidence; return the log lines.
+        """Put slow workers on probation, note old evidence; return the log lines.
 
-        Only workers that have reported since the last call are judged again.
+        Only workers that have reported since the last call are judged again. Where no more may be
+        on probation, a worker that seems slow takes the place of one whose speed is unknown.
         """
         max_slow_workers = max(1, int(len(workers) * MAX_PROBATION_SHARE))
         slow_workers = sum(worker.is_on_probation for worker in workers)
@@ -84,14 +85,25 @@
                 continue
             speeds = self._measure_speeds(worker)
             if speeds:
-                worker.speed_shown_at = now
-            elif worker.is_on_probation and self.slow_worker_policy.is_evidence_old(worker, now):
+                worker.record_shown_speed(now)
+            elif worker.has_shown_speed and self.slow_worker_policy.is_evidence_old(worker, now):
+                worker.has_shown_speed = False
+                if worker.is_on_probation:
+                    effects.append(log_worker("worker-speed-unknown", worker))
+            if worker.is_on_probation and self._is_shown_sound(worker):
                 worker.end_probation()
-                effects.append(log_worker("worker-probation-expired", worker))
+                slow_workers -= 1
+                effects.append(log_worker("worker-probation-ended", worker))
             if not speeds or not self.slow_worker_policy.is_slow(worker, speeds, now):
                 continue
+            if not worker.is_on_probation and slow_workers >= max_slow_workers:
+                unknown = next((w for w in workers if w.is_of_unknown_speed()), None)
+                if unknown is not None:
+                    unknown.end_probation()
+                    slow_workers -= 1
+                    effects.append(log_worker("worker-probation-ended", unknown))
             if not worker.is_on_probation and slow_workers < max_slow_workers:
-                worker.is_on_probation = True
+                worker.begin_probation()
                 slow_workers += 1
                 effects.append(log_worker("worker-slow", worker))
             if worker.is_on_probation and any(is_stalled(speed.run) for speed in speeds):
@@ -128,6 +140,9 @@
         reason = ReviewReason.STALLED if is_stalled(run) else ReviewReason.WORKER_SLOW
         return Decision(action, run, step, reason)
 
+    def _is_shown_sound(self, worker: Worker) -> bool:
+        return any(map(self.slow_worker_policy.shows_sound_worker, worker.runs.values()))
+
     def _measure_speeds(self, worker: Worker) -> list[RunSpeed]:
         speeds: list[RunSpeed] = []
         for run in worker.runs.values():
--- a/src/lavenderhook/_internal/queueing/waiting_steps.py
+++ b/src/lavenderhook/_internal/queueing/waiting_steps.py
@@ -9,8 +9,10 @@
 from .advising import ADVICE_RETRY_SECONDS
 from .effects import Effect, LogDecision
 from .exclusions import ExclusionReason, find_exclusion
+from .gang_workers import GangWorkers
 from .log_lines import MAX_LISTED_WORKERS
 from .model import StepId
+from .placement import is_eligible
 from .submissions import StepProgress, SubmissionProgress
 from .workers import Worker
 
@@ -18,16 +20,21 @@
 LONG_WAIT_SECONDS = 2.5  # longer than a retry, a renewal of tickets or a block of a worker
 REPEAT_SECONDS = 5.0  # between two lines on one step
 MAX_LINES_PER_REVIEW = 5
-FREE_SHARE = 0.5  # of the processors of all listed workers
+FREE_SHARE = 0.5  # of the processors of all listed workers of a service
 
 
 class WaitingSteps:
     """Logs each step that waits for long beside free capacity, with the reason for each worker.
 
     Nothing else is logged while a step waits, so that a state that nothing ends would not show.
+
+    Parameters
+    ----------
+    gang_workers : GangWorkers
     """
 
-    def __init__(self) -> None:
+    def __init__(self, gang_workers: GangWorkers) -> None:
+        self._gang_workers = gang_workers
         self._next_review_at = 0.0
         self._waits_since: dict[StepId, float] = {}  # beside free capacity
         self._next_line_at: dict[StepId, float] = {}
@@ -54,10 +61,12 @@
             return []
         self._next_review_at = now + REVIEW_INTERVAL_SECONDS
         self._update_exclusions(workers, now)
-        if not _has_free_capacity(workers):
-            self._waits_since.clear()
-            return []
-        waiting = {step.id: (entry, step) for entry, step in _list_waiting(submissions, now)}
+        services = _list_services_with_free_capacity(workers)
+        waiting = {
+            step.id: (entry, step)
+            for entry, step in _list_waiting(submissions, now)
+            if entry.submission.queue.service in services
+        }
         self._waits_since = {id: self._waits_since.get(id, now) for id in waiting}
         self._next_line_at = {id: at for id, at in self._next_line_at.items() if id in waiting}
         due = [
@@ -88,16 +97,22 @@
         self,
         entry: SubmissionProgress,
         step: StepProgress,
-        workers: Iterable[Worker],
+        workers: Collection[Worker],
         is_blocked: bool,
         now: float,
     ) -> LogDecision:
         terms, spec = entry.submission.queue, step.spec
         counts: collections.Counter[str] = collections.Counter()
         listed: dict[WorkerId, str] = {}
+        left_out = self._list_left_out(step, terms.service, workers, now)
         for worker in workers:
             reason = find_exclusion(
-                step, terms.service, worker, now, needs_advice=terms.advice is not None
+                step,
+                terms.service,
+                worker,
+                now,
+                needs_advice=terms.advice is not None,
+                is_left_out=worker.id in left_out,
             )
             name = self._describe(reason, worker)
             counts[name] += 1
@@ -132,6 +147,14 @@
             },
         )
 
+    def _list_left_out(
+        self, step: StepProgress, service: str, workers: Iterable[Worker], now: float
+    ) -> set[WorkerId]:
+        if not step.spec.is_gang:
+            return set()
+        eligible = [w for w in workers if w.is_schedulable(now) and is_eligible(step, service, w)]
+        return self._gang_workers.list_left_out(step, eligible, now)
+
     def _describe(self, reason: ExclusionReason | None, worker: Worker) -> str:
         if reason is None:
             return "usable"
@@ -155,18 +178,23 @@
 def _list_waiting(
     submissions: Iterable[SubmissionProgress], now: float
 ) -> Iterator[tuple[SubmissionProgress, StepProgress]]:
-    """Yield the steps of which tasks could run and none does."""
+    """Yield the steps of which tasks could run and none does, or, of a service, not all do."""
     for entry in submissions:
         if entry.is_finalizing:
             continue
         for step in entry.steps.values():
-            if step.waiting and not step.runs and entry.is_ready(step, now):
+            is_waiting = step.waiting and (step.spec.is_service or not step.runs)
+            if is_waiting and entry.is_ready(step, now):
                 yield entry, step
 
 
-def _has_free_capacity(workers: Iterable[Worker]) -> bool:
-    """Return whether at least half of the processors of the listed workers are free."""
-    listed = [worker for worker in workers if worker.is_listed]
-    total = sum(worker.listing.capacity.processors for worker in listed)
-    used = sum(worker.used_processors for worker in listed)
-    return total > 0 and total - used >= FREE_SHARE * total
+def _list_services_with_free_capacity(workers: Iterable[Worker]) -> set[str]:
+    """Return the services of which at least half of the processors of the workers are free."""
+    total: collections.Counter[str] = collections.Counter()
+    free: collections.Counter[str] = collections.Counter()
+    for worker in workers:
+        if worker.is_listed:
+            service = worker.listing.service
+            total[service] += worker.listing.capacity.processors
+            free[service] += worker.get_free_processors()
+    return {service for service in total if 0 < FREE_SHARE * total[service] <= free[service]}
