Ask a predecessor after the claim whether it confirms an earlier owner

A new owner that allows for more than the last proof asks its predecessor; once that knows the new owner, it confirms nobody, and what its row states counts. A predecessor whose own row states a minute proves nothing.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -237,6 +237,19 @@
     Given an instance that has taken over from an owner that lists nobody, and answers that it knows token 4
     Then 2.2 seconds later its heartbeat says that earlier owners may not act
 
+  Scenario Outline: An owner waits no longer for those that its predecessor may have confirmed
+    Guards against a minute without starts after an owner that got no response to its claim, and was
+    not asked before the next claim. One that its own predecessor didn't ask proves nothing of that.
+    Given an instance that has taken over from an owner without a heartbeat, whose row states <stated> seconds, and that answers that it knows token <token>
+    Then 0.7 seconds later its heartbeat says that earlier owners may act
+    And 1.5 seconds later its heartbeat says that earlier owners <may> act
+
+    Examples:
+      | stated | token | may     |
+      | 1.212  | 4     | may not |
+      | 1.212  | 3     | may     |
+      | 61.812 | 4     | may     |
+
   Scenario Outline: An owner waits no longer once a peer of its predecessor knows it
     Guards against a minute without starts after an owner that was lost for good had no time to list
     an instance that had just started. A peer that leaves may not be listed any longer.
--- a/features/steps/member_removal.py
+++ b/features/steps/member_removal.py
@@ -253,7 +253,7 @@
     def start(self):
         """Do nothing."""
 
-    def record_predecessor_inactive(self):
+    def record_predecessor_inactive(self, inherited_until):
         """Do nothing."""
 
     def stop(self):
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -635,6 +635,14 @@
     take_over(context, AnsweringPeers("it", fencing=fencing), ())
 
 
+@given(
+    "an instance that has taken over from an owner without a heartbeat, whose row states "
+    "{seconds:f} seconds, and that answers that it knows token {fencing:d}"
+)
+def step_taken_over_from_unknown(context, seconds, fencing):
+    take_over(context, AnsweringPeers("it", fencing=fencing), None, authority_seconds=seconds)
+
+
 class OwnerUnreached(AnsweringPeers):
     """Peers that answer, without the former owner."""
 
@@ -645,24 +653,30 @@
         return super().ping(address)
 
 
-def take_over(context, peer_client, listed=("third",)):
-    """Let an instance claim after an owner that doesn't list it; the peers answer alike."""
+def take_over(context, peer_client, listed=("third",), authority_seconds=0.0):
+    """Let an instance claim after an owner that doesn't list it; the peers answer alike.
+
+    Without a list, there is no heartbeat of that owner, and its row lists the instance.
+    """
     context.rows = RowTable()
-    row = make_row(3)
+    peers = ("me",) if listed is None else ()
+    row = make_row(3, authority_seconds=authority_seconds, peers=peers)
     context.rows.transact([Write(CONTROL_TABLE, OWNER_KEY, encode(row))])
     third = MemberRecord(name="third", boot="third", address="third:1", zone="z")
     context.rows.transact([Write(CONTROL_TABLE, MEMBER_PREFIX + "third", encode(third))])
     manager = make_manager(context, peer_client, context.rows)
-    long_ago = time.monotonic() - 10.0
+    long_ago = time.monotonic() - 5.0
     manager.view.update_owner(row, 1, long_ago)
-    heartbeat = HeartbeatRecord(fencing=3, count=1, peers=listed, authority_seconds=0.0)
-    manager.view.update_heartbeat(heartbeat, long_ago)
+    if listed is not None:
+        heartbeat = HeartbeatRecord(fencing=3, count=1, peers=listed, authority_seconds=0.0)
+        manager.view.update_heartbeat(heartbeat, long_ago)
+    manager.view.process_id = "me"
     manager.view.record_store_result(long_ago, True)
     spawn_loop(manager, "_watch_control_table")
     spawn_loop(manager, "_heartbeat_loop")
     gevent.sleep(0.3)
     assert manager.owner is not None
-    assert read_authority(context) > STORELESS_SECONDS
+    assert read_authority(context) > 50.0
 
 
 def read_authority(context):
--- a/model/specifications/ownership.py
+++ b/model/specifications/ownership.py
@@ -39,6 +39,7 @@
     inherited: int = 0  # the part of the authority that is for owners before the predecessor
     former: int = -1  # the predecessor; -1 if its peers have been heard, or don't matter
     predecessor: int = -1  # -1 once its process has ended
+    stated: int = 0  # the authority in the predecessor's row
 
 
 class Claim(NamedTuple):
@@ -210,6 +211,13 @@
             "confirm a predecessor that has not ended",
             "joined late",
         ),
+        Mutant(
+            "predecessor knows the row",
+            "one_run",
+            "what the row of a predecessor states counts, though it may not know of its own claim, "
+            "and so confirm an earlier owner",
+            "joined late",
+        ),
         Mutant(
             "end known to its process",
             "one_run",
@@ -399,6 +407,8 @@
             yield "seem_ended", state._replace(row=row._replace(has_ended=True))
         if instance.token == row.token and row.former >= 0 and self._has_heard(state, index):
             yield "hear_peer", self._shorten_authority(state, index)
+        if instance.token == row.token and self._has_heard_predecessor(state):
+            yield "hear_predecessor", self._shorten_inherited(state, index)
         # Any other restart only loses what the instance has read.
         has_claimed = claim is not None or index in (row.owner, row.predecessor)
         if has_claimed and index in self.bounds.restarting and not state.has_restarted:
@@ -422,6 +432,7 @@
                 inherited=claim.inherited,
                 former=former,
                 predecessor=row.owner if claim.token == row.token + 1 else row.predecessor,
+                stated=row.authority if claim.token == row.token + 1 else UNAWARE_TICKS,
             )
             pending = None if claim.is_lost else claim._replace(is_stored=True)
             yield "store_claim", replace_instance(instance._replace(claim=pending), row=stored)
@@ -475,6 +486,25 @@
             return bool(peers)
         return any(state.instances[peer].known == row.token for peer in peers)
 
+    def _has_heard_predecessor(self, state: OwnershipState) -> bool:
+        """Return whether the predecessor doesn't confirm any earlier owner, and that matters."""
+        row = state.row
+        if row.predecessor < 0 or row.inherited <= max(row.stated, PROOF_TICKS):
+            return False
+        knows_row = state.instances[row.predecessor].known == row.token
+        return knows_row or not self.enforces("predecessor knows the row")
+
+    def _shorten_inherited(self, state: OwnershipState, index: int) -> OwnershipState:
+        """Let what the predecessor's row states count, as if it had known of its claim."""
+        row, owner = state.row, state.instances[index]
+        inherited = max(row.stated, PROOF_TICKS)
+        authority = row.authority if row.former >= 0 else inherited
+        leases = tuple(min(lease, authority + LEASE_TICKS) for lease in owner.leases)
+        return state._replace(
+            row=row._replace(inherited=inherited, authority=authority),
+            instances=replace_item(state.instances, index, owner._replace(leases=leases)),
+        )
+
     def _shorten_authority(self, state: OwnershipState, index: int) -> OwnershipState:
         """Let a predecessor that gets no proof by its peers any longer count like a listed one."""
         row, owner = state.row, state.instances[index]
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -205,7 +205,7 @@
         self._former_starts: dict[SubmissionId, list[LoggedStart]] = {}
         self._commit_seconds = 0.0  # duration of the last commit
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
-        self._is_predecessor_inactive = False
+        self._inherited_until: float | None = None  # known once the predecessor is inactive
         # The roster lists the workers that may hold runs; see `queueing.roster`.
         self._roster_revision = 0
         self._roster_to_store = Roster()
@@ -245,10 +245,16 @@
             self._report_error(f"unexpected error in {function.__name__}", error)
             self._step_down(self.fencing, "an unexpected error")
 
-    def record_predecessor_inactive(self) -> None:
-        """Record that the predecessor can no longer send commands."""
-        self._is_predecessor_inactive = True
-        self.apply(PredecessorInactive(now=_now()))
+    def record_predecessor_inactive(self, inherited_until: float) -> None:
+        """Record that the predecessor can no longer send commands.
+
+        Parameters
+        ----------
+        inherited_until : float
+            Until when owners before it may act, as far as is known now.
+        """
+        self._inherited_until = inherited_until
+        self.apply(PredecessorInactive(now=_now(), inherited_until=inherited_until))
 
     def add_submission(self, submission: Submission, revision: int | None = None) -> None:
         """Apply a submission that a peer or this instance has stored.
@@ -422,8 +428,8 @@
         self._work.hand_over(self._apply_row)
         self._submissions_during_load.clear()
         self._apply_listings()
-        if self._is_predecessor_inactive:
-            self.record_predecessor_inactive()
+        if self._inherited_until is not None:
+            self.record_predecessor_inactive(self._inherited_until)
         self.is_loaded = True
 
     def _apply_submission(
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -14,7 +14,7 @@
 from ..ports.queueing import STORE_OUTAGE_SECONDS, RowConflict, RowStore, StoredRow, Write
 from ..queueing.authority import (
     PROOF_SECONDS,
-    Predecessor,
+    STORELESS_SECONDS,
     compute_authority_seconds,
     is_proof_valid,
 )
@@ -46,7 +46,7 @@
     should_hand_over,
 )
 from .ownership_proof import OwnershipProof
-from .predecessor import PredecessorPeers
+from .predecessor import ASKING_INTERVAL_SECONDS, LAST_PROOF_SECONDS, PredecessorInquiry
 from .registration import STORE_RETRY_SECONDS, Registration
 from .table_watcher import LogEvent, TableWatcher, describe_failure
 from .work_table import WorkTable
@@ -326,7 +326,7 @@
 
     def _record_predecessor_inactive(self, owner: Owner) -> None:
         self._is_predecessor_inactive = True
-        owner.record_predecessor_inactive()
+        owner.record_predecessor_inactive(self._inherited_until)
 
     def _measure_authority_left(self) -> float:
         """Return for how many seconds earlier owners may still act, as this owner knows."""
@@ -406,14 +406,15 @@
         self._proof = OwnershipProof(sent_at)
         self._start_owner(owner, result, inherited)
         self._check_predecessor()
-        if assessment is Predecessor.UNAWARE and predecessor is not None:
+        if predecessor is not None and owner.authority_seconds > LAST_PROOF_SECONDS:
             gevent.spawn(self._ask_predecessor, self.owner, predecessor, predecessor_peers)
 
     def _ask_predecessor(
         self, owner: Owner, predecessor: OwnerRecord, processes: tuple[str, ...]
     ) -> None:
-        """End the wait for a predecessor that gets no proof by its peers any longer."""
-        asked = PredecessorPeers(
+        """End a long wait for owners that get no proof by their peers any longer."""
+        claimed_at = time.monotonic()
+        inquiry = PredecessorInquiry(
             predecessor,
             processes,
             owner.fencing,
@@ -421,10 +422,14 @@
             list_members=self.view.list_peers,
             log_event=self._log_event,
         )
-        if asked.wait_for_last_proof(
-            lambda: self.owner is owner and self._measure_authority_left() > 0.0
-        ):
-            self._record_predecessor_inactive(owner)
+        while self.owner is owner and self._measure_authority_left() > 0.0:
+            inquiry.ask()
+            if inquiry.confirms_nobody() and predecessor.authority_seconds < STORELESS_SECONDS:
+                stated_until = claimed_at + predecessor.authority_seconds
+                self._inherited_until = min(self._inherited_until, stated_until)
+            if inquiry.has_no_proof() and self.owner is owner:
+                self._record_predecessor_inactive(owner)
+            gevent.sleep(ASKING_INTERVAL_SECONDS)
 
     def _start_owner(self, owner: OwnerRecord, revision: int, inherited_seconds: float) -> None:
         self.owner = self._make_owner(owner, revision, self._work, self._proof, inherited_seconds)
--- a/src/lavenderhook/_internal/instance/predecessor.py
+++ b/src/lavenderhook/_internal/instance/predecessor.py
@@ -1,8 +1,11 @@
-"""What shows a new owner that its predecessor gets no proof by its peers any longer.
+"""What shows a new owner that earlier owners get no proof by their peers any longer.
 
 A predecessor that doesn't list the new owner may go on without asking it, as long as all instances
-that it lists answer that they know no later owner. Once one of these knows the new owner, it only
-has the proofs from before.
+that it lists answer that they know no later owner. Once one of these, or its own process, knows the
+new owner, it only has the proofs from before.
+
+A predecessor that may not have known of its own claim may have confirmed the owner before it, until
+its process knows a later one.
 """
 
 from __future__ import annotations
@@ -20,10 +23,11 @@
 from .table_watcher import LogEvent, describe_failure
 
 ASKING_INTERVAL_SECONDS = 0.3
+LAST_PROOF_SECONDS = PROOF_SECONDS * CLOCK_RATE_FACTOR  # for which one from before an answer counts
 
 
-class PredecessorPeers:
-    """Asks a predecessor and the processes that it lists until one of them knows the new owner.
+class PredecessorInquiry:
+    """Asks a predecessor and the processes that it lists whether they know the new owner.
 
     Parameters
     ----------
@@ -55,28 +59,23 @@
         self._peers = peer_client
         self._list_members = list_members
         self._log_event = log_event
-        self._heard_at: float | None = None
+        self._heard_at: float | None = None  # from anyone who ends its proofs
+        self._answered_at: float | None = None  # by itself
 
-    def wait_for_last_proof(self, should_go_on: Callable[[], bool]) -> bool:
-        """Wait until the last proof by peers has expired; return False if that is given up.
+    def ask(self) -> None:
+        """Ask all of them once."""
+        listed = {m.address for m in self._list_members() if m.boot in self._processes}
+        addresses = listed | {self._predecessor.address}
+        calls = [gevent.spawn(self._ask, address) for address in sorted(addresses)]
+        gevent.joinall(calls, timeout=ASKING_INTERVAL_SECONDS)
 
-        Parameters
-        ----------
-        should_go_on : callable
-            Returns whether the answer still matters.
-        """
-        while self._heard_at is None:
-            if not should_go_on():
-                return False
-            listed = {m.address for m in self._list_members() if m.boot in self._processes}
-            addresses = listed | {self._predecessor.address}
-            calls = [gevent.spawn(self._ask, address) for address in sorted(addresses)]
-            gevent.joinall(calls, timeout=ASKING_INTERVAL_SECONDS)
-            if self._heard_at is None:
-                gevent.sleep(ASKING_INTERVAL_SECONDS)
-        expires_at = self._heard_at + PROOF_SECONDS * CLOCK_RATE_FACTOR
-        gevent.sleep(max(0.0, expires_at - time.monotonic()))
-        return should_go_on()
+    def has_no_proof(self) -> bool:
+        """Return whether the last proof that the predecessor may have by its peers has expired."""
+        return _is_past(self._heard_at)
+
+    def confirms_nobody(self) -> bool:
+        """Return whether all proofs have expired that the predecessor's process may have given."""
+        return _is_past(self._answered_at)
 
     def _ask(self, address: str) -> None:
         try:
@@ -84,18 +83,23 @@
         except LavenderhookError as error:
             self._log_event("contact-unanswered", peer=address, **describe_failure(error))
             return
-        if self._ends_proofs(address, answer) and self._heard_at is None:
+        if answer.fencing is None or answer.fencing < self._fencing:
+            return
+        is_its_own = address == self._predecessor.address and answer.boot != self._predecessor.boot
+        if self._answered_at is None and is_its_own:
+            self._answered_at = time.monotonic()
+        if self._heard_at is None and (is_its_own or self._is_listed(answer)):
             self._heard_at = time.monotonic()
             self._log_event("predecessor-unproven", peer=address, fencing=self._fencing)
 
-    def _ends_proofs(self, address: str, answer: PingResponse) -> bool:
-        """Return whether an answer shows that the predecessor gets no more proofs by its peers.
+    def _is_listed(self, answer: PingResponse) -> bool:
+        """Return whether the predecessor still asks the process that has answered.
 
-        The predecessor may no longer list a process that leaves; one that it has removed knows so,
-        and has another id, if it knows the later claim.
+        It may no longer list one that leaves. One that it has removed knows so, and has another id,
+        if it knows the later claim.
         """
-        if answer.fencing is None or answer.fencing < self._fencing:
-            return False
-        if address == self._predecessor.address and answer.boot != self._predecessor.boot:
-            return True
         return answer.process in self._processes and not answer.is_leaving
+
+
+def _is_past(moment: float | None) -> bool:
+    return moment is not None and time.monotonic() >= moment + LAST_PROOF_SECONDS
--- a/src/lavenderhook/_internal/queueing/events.py
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -164,7 +164,15 @@
 
 
 class PredecessorInactive(Event, frozen=True, kw_only=True):
-    """The predecessor can no longer send commands."""
+    """The predecessor can no longer send commands.
+
+    Parameters
+    ----------
+    inherited_until : float
+        Until when owners before it may act, if that is less than was known before.
+    """
+
+    inherited_until: float = math.inf
 
 
 class Ticked(Event, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -458,7 +458,7 @@
 
     def handle_predecessor_inactive(self, event: PredecessorInactive) -> list[Effect]:
         """Close the unreached workers; what is stored after that doesn't wait for them."""
-        self.takeover.record_inactive(event.now, self.workers.values())
+        self.takeover.record_inactive(event.now, self.workers.values(), event.inherited_until)
         self.needs_scheduling = True
         return []
 
--- a/src/lavenderhook/_internal/queueing/takeover.py
+++ b/src/lavenderhook/_internal/queueing/takeover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from .leases import compute_latest_lease_expiry
@@ -53,8 +54,19 @@
     def _compute_expiry(self, extended_until: float) -> float:
         return compute_latest_lease_expiry(extended_until, self._lease_seconds)
 
-    def record_inactive(self, now: float, workers: Iterable[Worker]) -> None:
-        """Record that the predecessor has ended; its leases are no longer extended."""
+    def record_inactive(
+        self, now: float, workers: Iterable[Worker], inherited_until: float = math.inf
+    ) -> None:
+        """Record that the predecessor has ended; its leases are no longer extended.
+
+        Parameters
+        ----------
+        now : float
+        workers : iterable of Worker
+        inherited_until : float, optional
+            Until when owners before it may act, if that is less than was known before.
+        """
+        self._inherited_until = min(self._inherited_until, inherited_until)
         self._inactive_at = min(self._inactive_at, max(now, self._inherited_until))
         expire_at = self._compute_expiry(self._inactive_at)
         if expire_at >= self.leases_expire_at:
