Wait for no earlier owner once all instances know the new one

An owner that knows of a later one doesn't act. The new owner asks all listed instances, and once each knows it, nothing of the wait is left. An instance that an owner has removed may still run, so that the wait stays then.

--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -1,9 +1,11 @@
 """Steps for the decision when an instance claims ownership."""
 
 import time
+import types
 from unittest import mock
 
 import gevent
+import msgspec
 from behave import given, then, when
 
 from features.support.row_table import RowTable
@@ -640,7 +642,39 @@
     "{seconds:f} seconds, and that answers that it knows token {fencing:d}"
 )
 def step_taken_over_from_unknown(context, seconds, fencing):
-    take_over(context, AnsweringPeers("it", fencing=fencing), None, authority_seconds=seconds)
+    context.peers = NamedPeers("it", fencing=fencing)
+    take_over(context, context.peers, None, authority_seconds=seconds)
+
+
+class NamedPeers(AnsweringPeers):
+    """Peers of which only some answer, each as its own process; by default the former owner."""
+
+    processes = types.MappingProxyType({"it:1": "it"})
+
+    def ping(self, address):
+        """Return the answer of one that answers."""
+        if address not in self.processes:
+            raise TransportError(f"connecting to {address}: timed out", sent=False)
+        return msgspec.structs.replace(super().ping(address), process=self.processes[address])
+
+
+@given(
+    "the instances that know the new owner are {known}, and {unknown} don't answer, "
+    "while {removed} is removed"
+)
+def step_instances_known(context, known, unknown, removed):
+    members = {name: make_listed(name) for name in ("it", "third")}
+    if removed != "none":
+        fields = {"removed_by": FencingToken(2), "has_left": True}
+        members[removed] = msgspec.structs.replace(members[removed], **fields)
+    for name, member in members.items():
+        context.rows.transact([Write(CONTROL_TABLE, MEMBER_PREFIX + name, encode(member))])
+    context.peers.processes = {f"{name}:1": name for name in known.split(", ")}
+
+
+def make_listed(name):
+    """Return the row of an instance whose process has its name."""
+    return MemberRecord(name=name, boot=name, address=f"{name}:1", zone="z")
 
 
 class OwnerUnreached(AnsweringPeers):
@@ -649,7 +683,7 @@
     def ping(self, address):
         """Return the answer of a peer."""
         if address == "it:1":
-            raise TransportError("connecting to it:1: timed out")
+            raise TransportError("connecting to it:1: timed out", sent=False)
         return super().ping(address)
 
 
@@ -662,7 +696,7 @@
     peers = ("me",) if listed is None else ()
     row = make_row(3, authority_seconds=authority_seconds, peers=peers)
     context.rows.transact([Write(CONTROL_TABLE, OWNER_KEY, encode(row))])
-    third = MemberRecord(name="third", boot="third", address="third:1", zone="z")
+    third = make_listed("third")
     context.rows.transact([Write(CONTROL_TABLE, MEMBER_PREFIX + "third", encode(third))])
     manager = make_manager(context, peer_client, context.rows)
     long_ago = time.monotonic() - 5.0
--- a/model/specifications/ownership.py
+++ b/model/specifications/ownership.py
@@ -218,6 +218,12 @@
             "and so confirm an earlier owner",
             "joined late",
         ),
+        Mutant(
+            "all know the row",
+            "one_run",
+            "no earlier owner counts once any instance knows the new one",
+            "listed",
+        ),
         Mutant(
             "end known to its process",
             "one_run",
@@ -409,6 +415,15 @@
             yield "hear_peer", self._shorten_authority(state, index)
         if instance.token == row.token and self._has_heard_predecessor(state):
             yield "hear_predecessor", self._shorten_inherited(state, index)
+        if instance.token == row.token and row.authority and self._have_all_heard(state, index):
+            leases = tuple(min(lease, LEASE_TICKS) for lease in instance.leases)
+            yield (
+                "hear_all",
+                replace_instance(
+                    instance._replace(leases=leases),
+                    row=row._replace(authority=0, inherited=0, former=-1),
+                ),
+            )
         # Any other restart only loses what the instance has read.
         has_claimed = claim is not None or index in (row.owner, row.predecessor)
         if has_claimed and index in self.bounds.restarting and not state.has_restarted:
@@ -486,6 +501,13 @@
             return bool(peers)
         return any(state.instances[peer].known == row.token for peer in peers)
 
+    def _have_all_heard(self, state: OwnershipState, index: int) -> bool:
+        """Return whether all other instances know the row of this owner, so that none acts."""
+        token = state.row.token
+        others = [i for number, i in enumerate(state.instances) if number != index]
+        known = [other.known == token for other in others]
+        return all(known) if self.enforces("all know the row") else any(known)
+
     def _has_heard_predecessor(self, state: OwnershipState) -> bool:
         """Return whether the predecessor doesn't confirm any earlier owner, and that matters."""
         row = state.row
--- a/src/lavenderhook/_internal/instance/ownership.py
+++ b/src/lavenderhook/_internal/instance/ownership.py
@@ -137,6 +137,8 @@
         Rows of all listed instances by name.
     member_revisions : dict
         Revisions of these rows by name.
+    removed_members : set of str
+        Names of the instances that an owner has removed and that have not registered again.
     resigned_fencing : FencingToken
         Newest owner that has told this instance that it sends no commands any more, by announcing
         its resignation or by its answer to a ping; 0 if there is none.
@@ -164,6 +166,7 @@
     owner_fitness: float = 1.0
     members: dict[str, MemberRecord] = dataclasses.field(default_factory=dict)
     member_revisions: dict[str, int] = dataclasses.field(default_factory=dict)
+    removed_members: set[str] = dataclasses.field(default_factory=set)
     resigned_fencing: FencingToken = FencingToken(0)
     is_designated: bool = False
     stepped_down_at: float = -math.inf
@@ -185,6 +188,10 @@
 
     def update_member(self, name: str, member: MemberRecord | None, revision: int) -> None:
         """Apply a member row; None stands for one that was deleted."""
+        if member is not None and member.removed_by:
+            self.removed_members.add(name)
+        else:
+            self.removed_members.discard(name)
         if member is None or member.has_left:
             self.members.pop(name, None)
             self.member_revisions.pop(name, None)
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -420,6 +420,7 @@
             owner.fencing,
             peer_client=self._peers,
             list_members=self.view.list_peers,
+            has_removed_members=lambda: bool(self.view.removed_members),
             log_event=self._log_event,
         )
         while self.owner is owner and self._measure_authority_left() > 0.0:
@@ -427,7 +428,10 @@
             if inquiry.confirms_nobody() and predecessor.authority_seconds < STORELESS_SECONDS:
                 stated_until = claimed_at + predecessor.authority_seconds
                 self._inherited_until = min(self._inherited_until, stated_until)
-            if inquiry.has_no_proof() and self.owner is owner:
+            do_all_know_owner = inquiry.do_all_know_owner()
+            if do_all_know_owner:
+                self._inherited_until = min(self._inherited_until, time.monotonic())
+            if (do_all_know_owner or inquiry.has_no_proof()) and self.owner is owner:
                 self._record_predecessor_inactive(owner)
             gevent.sleep(ASKING_INTERVAL_SECONDS)
 
--- a/src/lavenderhook/_internal/instance/predecessor.py
+++ b/src/lavenderhook/_internal/instance/predecessor.py
@@ -6,6 +6,9 @@
 
 A predecessor that may not have known of its own claim may have confirmed the owner before it, until
 its process knows a later one.
+
+No earlier owner acts once all listed instances know the new one, unless an owner has removed one
+that may still run.
 """
 
 from __future__ import annotations
@@ -27,7 +30,7 @@
 
 
 class PredecessorInquiry:
-    """Asks a predecessor and the processes that it lists whether they know the new owner.
+    """Asks a predecessor and all listed instances whether they know the new owner.
 
     Parameters
     ----------
@@ -38,7 +41,9 @@
         Token of the new owner.
     peer_client : PeerClient
     list_members : callable
-        Returns the rows of the listed instances.
+        Returns the rows of the other listed instances.
+    has_removed_members : callable
+        Returns whether an owner has removed an instance that has not registered again.
     log_event : callable
         Logs an event, given by its name and fields.
     """
@@ -51,6 +56,7 @@
         *,
         peer_client: PeerClient,
         list_members: Callable[[], list[MemberRecord]],
+        has_removed_members: Callable[[], bool],
         log_event: LogEvent,
     ) -> None:
         self._predecessor = predecessor
@@ -58,14 +64,17 @@
         self._fencing = fencing
         self._peers = peer_client
         self._list_members = list_members
+        self._has_removed_members = has_removed_members
         self._log_event = log_event
+        self._heard: set[str] = set()  # processes that know the new owner
         self._heard_at: float | None = None  # from anyone who ends its proofs
         self._answered_at: float | None = None  # by itself
 
     def ask(self) -> None:
-        """Ask all of them once."""
-        listed = {m.address for m in self._list_members() if m.boot in self._processes}
-        addresses = listed | {self._predecessor.address}
+        """Ask those who have not answered that they know the new owner."""
+        addresses = {m.address for m in self._list_members() if m.boot not in self._heard}
+        if self._answered_at is None:
+            addresses.add(self._predecessor.address)
         calls = [gevent.spawn(self._ask, address) for address in sorted(addresses)]
         gevent.joinall(calls, timeout=ASKING_INTERVAL_SECONDS)
 
@@ -77,6 +86,14 @@
         """Return whether all proofs have expired that the predecessor's process may have given."""
         return _is_past(self._answered_at)
 
+    def do_all_know_owner(self) -> bool:
+        """Return whether all instances know the new owner, so that no earlier one acts."""
+        members = self._list_members()
+        are_listed_heard = bool(members) and all(m.boot in self._heard for m in members)
+        is_predecessor_listed = any(m.address == self._predecessor.address for m in members)
+        is_predecessor_heard = is_predecessor_listed or self._answered_at is not None
+        return are_listed_heard and is_predecessor_heard and not self._has_removed_members()
+
     def _ask(self, address: str) -> None:
         try:
             answer = self._peers.ping(address)
@@ -85,6 +102,7 @@
             return
         if answer.fencing is None or answer.fencing < self._fencing:
             return
+        self._heard.add(answer.process)
         is_its_own = address == self._predecessor.address and answer.boot != self._predecessor.boot
         if self._answered_at is None and is_its_own:
             self._answered_at = time.monotonic()
