Show rows that a stale first read misses for good (known red)

A process that starts after the store has lost its history can read a stale table whose revision is newer than its rows; its change feed goes on behind the missing ones, and only a loss that it sees itself makes it read again.

Shown on fakes with such reads: a row, a worker and a submission are never found.

--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -446,15 +446,20 @@
     gevent.sleep(2 * MAX_STALENESS_SECONDS)
 
 
-def start_owner(context, client=None, names=("w",)):
-    """Start an owner, which loads the rows of the source; it stops with the test."""
+def start_owner(
+    context, client=None, names=("w",), worker_list=None, revision=LoadingStore.REVISION
+):
+    """Start an owner, which loads the rows of the source; it stops with the test.
+
+    `worker_list` replaces a list with these names, `revision` is that of the owner's row.
+    """
     context.client = client or IdleWorker()
     listed = {name: decode_worker(name, ENTRY) for name in names}
     owner = context.owner = Owner(
         FencingToken(2),
-        LoadingStore.REVISION,
+        revision,
         store=context.source,
-        worker_list=StaleWorkerList(listed, listed),
+        worker_list=worker_list or StaleWorkerList(listed, listed),
         worker_client=context.client,
         request_advice=None,
         parameters=OwnerParameters(),
