Read what a former owner has stored of a submission that a new owner has missed

Tasks ran a second time that a former owner had stored as done, if their submission was reported to a new owner whose stale first read had missed it (by a caller that repeats its request, or a read of its rows for the end of a run). Cause: a submission that isn't loaded counted as new, without progress.

One that was stored before the takeover, or whose revision isn't known, is added only with its progress and its final state, which a transaction reads: it expects that the rows don't exist, and is never stale. Others are added at once, as before.

--- /dev/null
+++ b/src/lavenderhook/_internal/instance/missed_submissions.py
@@ -0,0 +1,94 @@
+"""Submissions that were stored before a takeover, but that the owner's first read has missed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+
+import gevent
+import gevent.event
+
+from ...errors import LavenderhookError
+from ..ports.queueing import Condition, RowConflict, StoredRow
+from ..queueing.model import Submission, SubmissionId
+from ..queueing.records import OUTCOME_PREFIX, PROGRESS_PREFIX, WORK_TABLE
+from .table_watcher import LogEvent, describe_failure
+
+MAX_SUBMISSIONS_PER_READ = 20  # their progress is returned in one response
+RETRY_SECONDS = 0.2  # after a failed call to the store
+
+
+class MissedSubmissions:
+    """Reads the progress and the final states of missed submissions, and has them applied.
+
+    Reads may be stale for seconds after the store has lost its history, and a former owner may
+    have stored progress. Transactions are never stale: one that expects that the rows don't exist
+    returns those that do.
+
+    Parameters
+    ----------
+    read_current : callable
+        Carries out a transaction under conditions and returns its result; raises
+        `LavenderhookError` if the rows can't be read, or another instance has taken over.
+    apply : callable
+        Takes a submission, its revision if it is known, and its rows by prefix.
+    log_event : callable
+        Logs an event, given by its name and fields.
+    """
+
+    def __init__(
+        self,
+        read_current: Callable[[Sequence[Condition]], int | RowConflict],
+        apply: Callable[[Submission, int | None, Mapping[str, StoredRow]], None],
+        log_event: LogEvent,
+    ) -> None:
+        self._read_current = read_current
+        self._apply = apply
+        self._log_event = log_event
+        self._pending: dict[SubmissionId, tuple[Submission, int | None]] = {}
+        self._is_due = gevent.event.Event()
+
+    def add(self, submission: Submission, revision: int | None) -> None:
+        """Add a submission, unless it has been added with its revision."""
+        _, known_revision = self._pending.get(submission.id, (submission, None))
+        self._pending[submission.id] = (submission, revision or known_revision)
+        self._is_due.set()
+
+    def run(self) -> None:
+        """Read and apply what is added, until the greenlet is killed."""
+        while True:
+            self._is_due.wait()
+            self._is_due.clear()
+            while self._pending:
+                self._apply_next()
+
+    def _apply_next(self) -> None:
+        submissions = list(self._pending)[:MAX_SUBMISSIONS_PER_READ]
+        keys = [prefix + s for s in submissions for prefix in (OUTCOME_PREFIX, PROGRESS_PREFIX)]
+        try:
+            result = self._read_current([Condition(WORK_TABLE, key, 0) for key in keys])
+        except LavenderhookError as error:
+            self._log_event(
+                "missed-unread", submissions=len(submissions), **describe_failure(error)
+            )
+            gevent.sleep(RETRY_SECONDS)
+            return
+        for submission_id in submissions:
+            submission, revision = self._pending.pop(submission_id)
+            rows = {}
+            for prefix in (OUTCOME_PREFIX, PROGRESS_PREFIX):
+                row = _find_row(result, prefix + submission_id)
+                if row is not None:
+                    rows[prefix] = row
+            self._log_event(
+                "submission-missed",
+                submission=submission_id,
+                revision=revision,
+                is_ended=OUTCOME_PREFIX in rows,
+                has_progress=PROGRESS_PREFIX in rows,
+            )
+            self._apply(submission, revision, rows)
+
+
+def _find_row(result: int | RowConflict, key: str) -> StoredRow | None:
+    """Return a row; a transaction that was carried out shows that none of them exists."""
+    return result.find(WORK_TABLE, key) if isinstance(result, RowConflict) else None
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -89,6 +89,7 @@
 from ..queueing.takeover import Takeover
 from ..queueing.workers import Worker
 from .clock import read_elapsed_clock
+from .missed_submissions import MissedSubmissions
 from .ownership_proof import OwnershipProof
 from .supervision import ReportError
 from .table_watcher import LogEvent, Rereading, describe_failure
@@ -205,6 +206,7 @@
         self._former_starts: dict[SubmissionId, list[LoggedStart]] = {}
         self._commit_seconds = 0.0  # duration of the last commit
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
+        self._missed = MissedSubmissions(self._read_current, self._apply_missed, log_event)
         self._is_predecessor_inactive = False
         # The roster lists the workers that may hold runs; see `queueing.roster`.
         self._roster_revision = 0
@@ -261,9 +263,35 @@
         """
         if self.state is None:
             self._submissions_during_load.append((submission, revision))
+        elif self._was_missed(submission.id, revision):
+            self._missed.add(submission, revision)
         else:
             self._apply_submission(submission, revision, None)
 
+    def _was_missed(self, submission: SubmissionId, revision: int | None) -> bool:
+        """Return whether it was, or may have been, stored before the takeover, but not loaded."""
+        if revision is not None and revision > self._revision:
+            return False
+        state = self.state
+        return state is not None and not (
+            submission in state.submissions
+            or submission in state.outcomes
+            or submission in self._work.unreadable
+        )
+
+    def _apply_missed(
+        self, submission: Submission, revision: int | None, rows: Mapping[str, StoredRow]
+    ) -> None:
+        try:
+            if OUTCOME_PREFIX in rows:
+                self._apply_row(rows[OUTCOME_PREFIX])
+            found = rows.get(PROGRESS_PREFIX)
+            progress = None if found is None else (decode(found.value, Progress), found.revision)
+        except ProtocolError as error:
+            self._record_unreadable(submission.id, error)
+            return
+        self._apply_submission(submission, revision, progress)
+
     def refresh_outcome(self, submission: SubmissionId) -> None:
         """Read the final state of a submission after a cancellation; an earlier one is kept."""
         self._spawn(self._read_outcome, submission)
@@ -303,9 +331,8 @@
         if OUTCOME_PREFIX in rows:
             self._apply_row(rows[OUTCOME_PREFIX])
         if SUBMISSION_PREFIX in rows:
-            row, found = rows[SUBMISSION_PREFIX], rows.get(PROGRESS_PREFIX)
-            progress = None if found is None else (decode(found.value, Progress), found.revision)
-            self._apply_submission(decode_submission(row.value), row.revision, progress)
+            row = rows[SUBMISSION_PREFIX]
+            self.add_submission(decode_submission(row.value), row.revision)
 
     def _record_unreadable(self, submission: SubmissionId, error: ProtocolError) -> None:
         """Leave a submission alone; none of its rows is replaced."""
@@ -333,6 +360,7 @@
             self._workers_loop,
             self._roster_loop,
             self._prune_loop,
+            self._missed.run,
         ):
             self._spawn(loop)
 
@@ -363,15 +391,26 @@
         found = self._store.read(CONTROL_TABLE, ROSTER_KEY, ROSTER_KEY + "\0").rows
         row = found[0] if found else None
         condition = Condition(CONTROL_TABLE, ROSTER_KEY, row.revision if row is not None else 0)
-        result = self._transact([CONFIRMATION], conditions=[condition])
+        result = self._read_current([condition])
         if not isinstance(result, RowConflict):
             return row
-        if self._is_superseded(result):
-            self._step_down(self.fencing, "the owner row has changed")
-            raise StoreUnavailableError("another instance has taken over")
         self._log_event("roster-read-stale", revision=condition.revision)
         return result.find(CONTROL_TABLE, ROSTER_KEY)
 
+    def _read_current(self, conditions: Sequence[Condition]) -> int | RowConflict:
+        """Return the result of a transaction under conditions, which is never stale.
+
+        Raises
+        ------
+        LavenderhookError
+            If it fails, or another instance has taken over.
+        """
+        result = self._transact([CONFIRMATION], conditions=conditions)
+        if isinstance(result, RowConflict) and self._is_superseded(result):
+            self._step_down(self.fencing, "the owner row has changed")
+            raise StoreUnavailableError("another instance has taken over")
+        return result
+
     def _read_former_starts(self) -> dict[SubmissionId, list[LoggedStart]]:
         """Return what earlier owners have started lately.
 
@@ -408,7 +447,7 @@
             stored_progress = self._work.progress.get(submission.id)
             self._apply_submission(submission, revision, stored_progress)
         for submission, known_revision in self._submissions_during_load:
-            self._apply_submission(submission, known_revision, None)
+            self.add_submission(submission, known_revision)
         self._log_event(
             "owner-loaded",
             fencing=self.fencing,
@@ -454,7 +493,7 @@
         if row.is_deleted:
             return
         if prefix == SUBMISSION_PREFIX:
-            self._apply_submission(decode_submission(row.value), row.revision, None)
+            self.add_submission(decode_submission(row.value), row.revision)
         elif prefix == OUTCOME_PREFIX and self._is_new_outcome(submission):
             outcome = decode(row.value, Outcome)
             self.apply(OutcomeRead(now=_now(), submission=submission, outcome=outcome))
