Read each table once more after its first read

Cause: the first read of a process may be stale, as the read after a loss that it has seen, but only the latter was repeated. The configuration was read once more already.

Reading on from an older revision, to learn of a loss, isn't possible: a process that starts knows none.

--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -132,7 +132,7 @@
 
     def _watch_store(self) -> None:
         revision: int | None = None
-        self._rereading.record_lost_history()
+        self._rereading.schedule()
         while not self._stopped.is_set():
             try:
                 revision = self._read() if revision is None else self._wait_for_changes(revision)
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -727,7 +727,7 @@
                     self._workers_revision, TICK_INTERVAL_SECONDS
                 )
             except HistoryLostError:
-                rereading.record_lost_history()
+                rereading.schedule()
                 self._read_workers()
                 continue
             except LavenderhookError as error:
--- a/src/lavenderhook/_internal/instance/table_watcher.py
+++ b/src/lavenderhook/_internal/instance/table_watcher.py
@@ -62,7 +62,8 @@
         """Read the whole table.
 
         Reads may be seconds stale after the store's change feed has lost its history; a row that
-        is already known at a newer revision keeps it.
+        is already known at a newer revision keeps it. The first read may be stale as well, if the
+        history was lost before this process began to follow the table: it is read once more.
 
         Raises
         ------
@@ -84,6 +85,8 @@
             revision=revision,
             former_revision=self.revision,
         )
+        if self.revision is None:
+            self._rereading.schedule()
         self.revision = max(revision, self.revision or 0)
 
     def _read_part(self, part: str) -> RowChanges | LavenderhookError:
@@ -110,7 +113,7 @@
         try:
             changes = self._store.wait_for_changes(self._table, self.revision, wait_seconds)
         except HistoryLostError:
-            self._rereading.record_lost_history()
+            self._rereading.schedule()
             self.load()
             return
         for row in changes.rows:
@@ -139,16 +142,17 @@
 
 
 class Rereading:
-    """When a table is read once more after the store has lost its history.
+    """When a table is read once more after the store has lost its history, or may have lost it.
 
     The read that follows the loss may be stale, with a revision that is newer than its rows: the
-    change feed would go on behind the changes that the read has missed.
+    change feed would go on behind the changes that the read has missed. The first read of a process
+    may follow a loss that the process has not seen.
     """
 
     def __init__(self) -> None:
         self._due_at: float | None = None
 
-    def record_lost_history(self) -> None:
+    def schedule(self) -> None:
         """Schedule a read for when none can be stale any longer."""
         self._due_at = time.monotonic() + MAX_READ_STALENESS_SECONDS
 
