Add a former owner's progress that is found when the table is read again

Tasks ran a second time that a former owner had stored as done, if a new owner's stale first read had missed that progress, even when they could start only after the table had been read again: an owner left all rows of progress alone, as it writes them itself. It adds those older than its claim now, as it does with those found in a conflict.

--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -497,6 +497,11 @@
         elif prefix == OUTCOME_PREFIX and self._is_new_outcome(submission):
             outcome = decode(row.value, Outcome)
             self.apply(OutcomeRead(now=_now(), submission=submission, outcome=outcome))
+        elif prefix == PROGRESS_PREFIX and row.revision < self._revision and self.state is not None:
+            # A former owner's, which the first read has missed.
+            entry = self.state.submissions.get(submission)
+            if entry is not None and entry.progress_revision < row.revision:
+                self._apply_conflicting_progress(row, entry)
 
     def _is_new_outcome(self, submission: SubmissionId) -> bool:
         return self.state is not None and submission not in self.state.outcomes
