Read the list of workers once more after a takeover

A new owner's first list may be stale, with a revision that is newer than its rows: a worker that it misses was never used, and one that had left stayed listed, until the entry changed beyond its sequence.

--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -724,6 +724,7 @@
 
     def _workers_loop(self) -> None:
         rereading = Rereading()
+        rereading.schedule()  # the list that was loaded may be stale
         while not self._is_stopped:
             if rereading.is_due() and self._read_workers():
                 rereading.complete()
