Report a submission that is unknown to the owner

An instance that found a stored submission of which the owner returned no state answered 'queued' and told nobody, so that it waited for the next owner if its notice and the owner's first read had missed it. It notifies the owner now, with the revision of the row, if the owner has loaded its state. A notice of a known submission changes nothing but its revision. The second way beside the repeated read, and a quicker one where callers ask.

--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -11,6 +11,7 @@
 from ...errors import (
     LavenderhookError,
     PeerUnavailableError,
+    ProtocolError,
     StoreUnavailableError,
     UnknownNameError,
 )
@@ -22,6 +23,7 @@
     QueueConfiguration,
     QueueWorkerClient,
     RowStore,
+    StoredRow,
     WorkerList,
 )
 from ..queueing.model import (
@@ -37,6 +39,7 @@
     WORK_TABLE,
     OwnerRecord,
     choose_part,
+    decode_submission,
 )
 from ..queueing.retry_after import choose_retry_after
 from . import peers
@@ -135,7 +138,8 @@
             self._request_advice_at, self._ownership.list_instance_addresses
         )
         self._accepted_at: dict[SubmissionId, float] = {}  # in order of acceptance
-        self._submissions_for_notice: list[Submission] = []
+        # With the revisions of their rows, as far as they are known.
+        self._submissions_for_notice: list[tuple[Submission, int | None]] = []
         self._cancellations_for_notice: list[SubmissionId] = []
         self._is_notice_due = gevent.event.Event()
         self._pending_counts: tuple[float, dict[str, int]] | None = None
@@ -226,10 +230,10 @@
         StoreUnavailableError
             If the owner does not return a state and the store can't be read or the read is stale.
         """
-        state = self._ask_owner(submission)
-        if state is not None:
-            return state
-        return self._read_state(submission)
+        answer = self._ask_owner(submission)
+        if answer is not None and answer.state is not None:
+            return answer.state
+        return self._read_state(submission, is_unknown=answer is not None and answer.is_loaded)
 
     def count_pending(self, queue: str) -> int:
         """Return how many submissions of a queue have not begun.
@@ -272,12 +276,13 @@
         self._accepted_at[submission.id] = time.monotonic()
         if len(self._accepted_at) > MAX_ACCEPTED_IDS:
             self._accepted_at.pop(next(iter(self._accepted_at)))
-        self._submissions_for_notice.append(submission)
+        revision = self._writer.find_revision(submission.id)
+        self._submissions_for_notice.append((submission, revision))
         self._is_notice_due.set()
 
-    def _ask_owner(self, submission: SubmissionId) -> SubmissionState | None:
+    def _ask_owner(self, submission: SubmissionId) -> peers.StateResponse | None:
         if self._ownership.owner is not None:
-            return self._ownership.owner.describe(submission)
+            return _describe_to_peer(self._ownership.owner, submission)
         address = self._ownership.find_owner_address()
         if address is None:
             return None
@@ -292,21 +297,36 @@
             )
             return None
 
-    def _read_state(self, submission: SubmissionId) -> SubmissionState:
+    def _read_state(self, submission: SubmissionId, *, is_unknown: bool) -> SubmissionState:
+        """Read the state of a submission; report it to an owner to which it `is_unknown`."""
         outcome = self._writer.read_outcome(submission)
         if outcome is not None:
             return outcome.state
         if self._was_recently_accepted(submission):
             return SubmissionState.QUEUED
-        if not self._is_stored(submission):
+        row = self._find_row(submission)
+        if row is None:
             raise UnknownNameError("submission", submission)
         self._log_event(
             "submission-unknown-to-owner",
             submission=submission,
             owner=self._ownership.find_owner_address(),
+            reported=is_unknown,
         )
+        if is_unknown:
+            self._report(row)
         return SubmissionState.QUEUED
 
+    def _report(self, row: StoredRow) -> None:
+        """Notify the owner of a submission that it has missed."""
+        try:
+            submission = decode_submission(row.value)
+        except ProtocolError as error:
+            self._log_event("row-unreadable", key=row.key, **describe_failure(error))
+            return
+        self._submissions_for_notice.append((submission, row.revision))
+        self._is_notice_due.set()
+
     def _was_recently_accepted(self, submission: SubmissionId) -> bool:
         """Return whether this instance has stored it so recently that reads may still miss it."""
         accepted_at = self._accepted_at.get(submission)
@@ -315,17 +335,18 @@
         )
 
     def _is_stored(self, submission: SubmissionId) -> bool:
-        if self._was_recently_accepted(submission):
-            return True
+        return self._was_recently_accepted(submission) or self._find_row(submission) is not None
+
+    def _find_row(self, submission: SubmissionId) -> StoredRow | None:
         key = SUBMISSION_PREFIX + submission
         newest = max(self._store.get_newest_revision(), self._ownership.view.owner_revision)
         # The end of a range is exclusive, so this reads one key.
         changes = self._store.read(WORK_TABLE, key, key + "\0", choose_part(submission))
         if changes.rows:
-            return True
+            return changes.rows[0]
         if changes.revision < newest:
             raise StoreUnavailableError("the store returned a stale read")
-        return False
+        return None
 
     def compute_retry_after(self, deadline: float) -> int:
         """Return the seconds after which a refused caller with this deadline should retry."""
@@ -387,12 +408,9 @@
             self._is_notice_due.clear()
             submissions, self._submissions_for_notice = self._submissions_for_notice, []
             cancelled, self._cancellations_for_notice = self._cancellations_for_notice, []
-            revisions = {s.id: self._writer.find_revision(s.id) for s in submissions}
             notice = peers.WriteNotice(
-                submissions=tuple(submissions),
-                revisions={
-                    s: revision for s, revision in revisions.items() if revision is not None
-                },
+                submissions=tuple(submission for submission, _ in submissions),
+                revisions={s.id: revision for s, revision in submissions if revision is not None},
                 cancelled=tuple(cancelled),
             )
             if self._ownership.owner is not None:
@@ -436,8 +454,9 @@
             case peers.STATE_PATH:
                 state_request = peers.read_message(incoming, peers.StateRequest)
                 owner = self._ownership.owner
-                state = owner.describe(state_request.submission) if owner is not None else None
-                return peers.reply_message(peers.StateResponse(state))
+                if owner is None:
+                    return peers.reply_message(peers.StateResponse(None))
+                return peers.reply_message(_describe_to_peer(owner, state_request.submission))
             case peers.PENDING_PATH:
                 return peers.reply_message(peers.PendingResponse(self._count_pending_as_owner()))
             case peers.SUBMIT_PATH:
@@ -501,3 +520,8 @@
         self._listener.stop(timeout=0.05)
         self._peers.close()
         self._log_event("stopped")
+
+
+def _describe_to_peer(owner: Owner, submission: SubmissionId) -> peers.StateResponse:
+    """Return what an owner knows of a submission."""
+    return peers.StateResponse(owner.describe(submission), owner.is_loaded)
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -65,9 +65,16 @@
 
 
 class StateResponse(msgspec.Struct, frozen=True):
-    """The state of a submission; None if the instance does not know it."""
+    """The state of a submission; None if the instance does not know it.
+
+    Parameters
+    ----------
+    is_loaded : bool
+        The instance is the owner and has read what is stored; False if it does not say.
+    """
 
     state: SubmissionState | None
+    is_loaded: bool = False
 
 
 class PendingResponse(msgspec.Struct, frozen=True):
@@ -220,11 +227,10 @@
         """Notify the owner of rows that have been stored."""
         self._call(address, WRITE_NOTICE_PATH, notice, None, WRITE_NOTICE_TIMEOUT_SECONDS)
 
-    def request_state(self, address: str, submission: SubmissionId) -> SubmissionState | None:
-        """Return the state of a submission from the owner; None if it does not know it."""
+    def request_state(self, address: str, submission: SubmissionId) -> StateResponse:
+        """Return what the owner knows of a submission."""
         request = StateRequest(submission)
-        response = self._call(address, STATE_PATH, request, StateResponse, QUERY_TIMEOUT_SECONDS)
-        return response.state
+        return self._call(address, STATE_PATH, request, StateResponse, QUERY_TIMEOUT_SECONDS)
 
     def request_pending_counts(self, address: str) -> dict[str, int] | None:
         """Return how many submissions of each queue have not begun; None if unknown."""
