Show that the wait for unreached workers is bounded

In virtual time the wait ends 4.9 s after the claim if the former owner has ended, 6.1 s if not, 6.1 s after the last of six takeovers in a row and with a roster that can't be read, 66.7 s if the former owner doesn't know the new one, and once the store confirms the owner, if later. Each end is logged, with takeover-wait-ended and with submissions-blocked through 0. No fault in the bound; nothing is changed.

--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -291,6 +291,7 @@
         self.simulation = simulation
         self.fencing = fencing
         self.revision = simulation.revision
+        self.started_at = simulation.now
         self.is_active = True
         self.connections = {}  # incarnation that has answered last, by worker
         self.is_suspended = False
--- a/features/takeovers.feature
+++ b/features/takeovers.feature
@@ -22,6 +22,33 @@
       | another owner takes over after the former one has ended |
       | another owner takes over                                |
 
+  Scenario Outline: The wait for a worker that a new owner can't reach is bounded
+    Guards against a submission that waits for a worker for longer than earlier owners' leases last,
+    or without a log line that tells when the wait has ended.
+    Given 4 workers and an owner
+    When a submission "cut" of 4 tasks of 9000 millicores and 10 seconds arrives
+    And 1 seconds pass in the simulation
+    And worker "w0" is partitioned
+    And <takeover>
+    And a submission "new" of 1 tasks of 2000 millicores and 1 seconds arrives
+    Then the wait for unreachable workers ends <seconds> seconds after the last takeover
+    And the log tells that it has ended, and that no submission is blocked
+    When 1 seconds pass in the simulation
+    Then "new" has started
+    When 60 seconds pass in the simulation
+    Then "cut" is completed
+    And "cut" has 5 starts
+    And no invariant was violated
+
+    Examples:
+      | takeover                                                       | seconds |
+      | another owner takes over after the former one has ended        | 4.9     |
+      | another owner takes over                                       | 6.1     |
+      | 6 owners take over 1.5 seconds apart                           | 6.1     |
+      | another owner takes over, which can't read the roster          | 6.1     |
+      | another owner takes over that the former one doesn't know      | 66.7    |
+      | another owner takes over that the store confirms after 20 s    | 20.0    |
+
   Scenario: Takeovers in a row violate no invariant
     Guards against second runs of a task that follow from what a new owner presumes: when a
     submission was stored, when a worker was closed, or that earlier owners have ended.
