Don't read a submission whose revision is told meanwhile

An instance without the store stores through a peer, and both notify the owner; only the peer knows the revision. Its notice comes within milliseconds: the owner waits for 50 ms before it reads what may have been missed, and leaves out what has turned out to be newer than the takeover. This spares transactions in the part of the progress.

--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -352,6 +352,9 @@
     context.proof = OwnershipProof(read_elapsed_clock())
 
 
+NEW_REVISION = 2  # after that of the owner's row
+
+
 @given("an owner with one worker whose answers are recorded")
 def step_recorded_owner(context):
     make_proof(context)
@@ -445,7 +448,7 @@
     gevent.sleep(0.05)  # holds that were sent before
     context.client.starts.clear()
     context.client.leases.clear()
-    context.owner.add_submission(submission)
+    context.owner.add_submission(submission, NEW_REVISION)
     gevent.sleep(0.3)
     return context.client.starts, context.client.leases
 
--- a/src/lavenderhook/_internal/instance/missed_submissions.py
+++ b/src/lavenderhook/_internal/instance/missed_submissions.py
@@ -14,6 +14,8 @@
 from .table_watcher import LogEvent, describe_failure
 
 MAX_SUBMISSIONS_PER_READ = 20  # their progress is returned in one response
+# A peer that knows the revision of a submission often reports it as well: it isn't read then.
+COLLECT_SECONDS = 0.05
 RETRY_SECONDS = 0.2  # after a failed call to the store
 
 
@@ -53,11 +55,16 @@
         self._pending[submission.id] = (submission, revision or known_revision)
         self._is_due.set()
 
+    def discard(self, submission: SubmissionId) -> None:
+        """Forget a submission that turns out to be newer than the takeover."""
+        self._pending.pop(submission, None)
+
     def run(self) -> None:
         """Read and apply what is added, until the greenlet is killed."""
         while True:
             self._is_due.wait()
             self._is_due.clear()
+            gevent.sleep(COLLECT_SECONDS)
             while self._pending:
                 self._apply_next()
 
@@ -73,6 +80,8 @@
             gevent.sleep(RETRY_SECONDS)
             return
         for submission_id in submissions:
+            if submission_id not in self._pending:
+                continue  # discarded meanwhile
             submission, revision = self._pending.pop(submission_id)
             rows = {}
             for prefix in (OUTCOME_PREFIX, PROGRESS_PREFIX):
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -266,6 +266,7 @@
         elif self._was_missed(submission.id, revision):
             self._missed.add(submission, revision)
         else:
+            self._missed.discard(submission.id)
             self._apply_submission(submission, revision, None)
 
     def _was_missed(self, submission: SubmissionId, revision: int | None) -> bool:
