Confirm what is stored of each submission after a takeover whose read may be stale

Cause: the revision of a stale read may be newer than its rows, so that the final states and the progress that were stored last were missing.

If the table has been read for the first time, or after a loss, and not again since, each submission that has not ended is added only with what a transaction shows of it, as one that was missed. 40 share a transaction. A standby that has followed the table for 6 s needs none. The owner answers for submissions once all are added.

The store of the test accepted transactions whatever their conditions; it checks those on the work table now.

--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -195,8 +195,13 @@
         found = (row for row in rows if row.part == part and row.key >= start)
         return RowChanges(tuple(row for row in found if not end or row.key < end), self.REVISION)
 
-    def transact(self, *_arguments):
-        """Return the revision of a transaction."""
+    def transact(self, _writes, conditions=(), *_arguments):
+        """Return the revision of a transaction, or the current rows if one is not the expected."""
+        current = {row.key: row for row in self.new}
+        expected = {c.key: c.revision for c in conditions if c.table == WORK_TABLE}
+        if any(current[key].revision != expected[key] for key in expected & current.keys()):
+            found = (row for key, row in current.items() if key in expected)
+            return RowConflict((make_owner_row(self.REVISION), *found))
         return self.REVISION
 
 
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -89,11 +89,11 @@
 from ..queueing.takeover import Takeover
 from ..queueing.workers import Worker
 from .clock import read_elapsed_clock
-from .missed_submissions import MissedSubmissions
 from .ownership_proof import OwnershipProof
 from .supervision import ReportError
 from .table_watcher import LogEvent, Rereading, describe_failure
 from .unconfirmed_progress import UnconfirmedProgress
+from .unconfirmed_submissions import UnconfirmedSubmissions
 from .work_table import WorkTable
 
 # A hold is a long poll of a worker: it renews the worker's leases, acknowledges finished runs and
@@ -206,7 +206,9 @@
         self._former_starts: dict[SubmissionId, list[LoggedStart]] = {}
         self._commit_seconds = 0.0  # duration of the last commit
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
-        self._missed = MissedSubmissions(self._read_current, self._apply_missed, log_event)
+        self._unconfirmed_submissions = UnconfirmedSubmissions(
+            self._read_current, self._apply_confirmed, log_event
+        )
         self._is_predecessor_inactive = False
         # The roster lists the workers that may hold runs; see `queueing.roster`.
         self._roster_revision = 0
@@ -263,14 +265,14 @@
         """
         if self.state is None:
             self._submissions_during_load.append((submission, revision))
-        elif self._was_missed(submission.id, revision):
-            self._missed.add(submission, revision)
+        elif self._may_have_missed_progress(submission.id, revision):
+            self._unconfirmed_submissions.add(submission, revision)
         else:
-            self._missed.discard(submission.id)
+            self._unconfirmed_submissions.discard(submission.id)
             self._apply_submission(submission, revision, None)
 
-    def _was_missed(self, submission: SubmissionId, revision: int | None) -> bool:
-        """Return whether it was, or may have been, stored before the takeover, but not loaded."""
+    def _may_have_missed_progress(self, submission: SubmissionId, revision: int | None) -> bool:
+        """Return whether a former owner may have stored progress that has not been read."""
         if revision is not None and revision > self._revision:
             return False
         state = self.state
@@ -280,7 +282,7 @@
             or submission in self._work.unreadable
         )
 
-    def _apply_missed(
+    def _apply_confirmed(
         self, submission: Submission, revision: int | None, rows: Mapping[str, StoredRow]
     ) -> None:
         try:
@@ -361,9 +363,11 @@
             self._workers_loop,
             self._roster_loop,
             self._prune_loop,
-            self._missed.run,
+            self._unconfirmed_submissions.run,
         ):
             self._spawn(loop)
+        self._unconfirmed_submissions.wait_until_applied()
+        self.is_loaded = True
 
     def _load(self) -> Roster:
         self._work.catch_up(self._revision)
@@ -441,10 +445,14 @@
             takeover=self._takeover,
             former_starts=self._former_starts,
         )
+        may_be_stale = self._work.may_be_stale()
         for submission_id, outcome in self._work.outcomes.items():
             self._ended_at[submission_id] = outcome.at
             self.apply(OutcomeRead(now=_now(), submission=submission_id, outcome=outcome))
         for submission, revision in self._work.submissions.values():
+            if may_be_stale:
+                self.add_submission(submission, revision)
+                continue
             stored_progress = self._work.progress.get(submission.id)
             self._apply_submission(submission, revision, stored_progress)
         for submission, known_revision in self._submissions_during_load:
@@ -453,6 +461,7 @@
             "owner-loaded",
             fencing=self.fencing,
             submissions=len(self.state.submissions),
+            unconfirmed=len(self._unconfirmed_submissions),
             workers=len(self._listings),
             earlier_leases_expire_in=round(self._takeover.leases_expire_at - _now(), 3),
             roster=len(roster.workers),
@@ -464,7 +473,6 @@
         self._apply_listings()
         if self._is_predecessor_inactive:
             self.record_predecessor_inactive()
-        self.is_loaded = True
 
     def _apply_submission(
         self,
--- a/src/lavenderhook/_internal/instance/table_watcher.py
+++ b/src/lavenderhook/_internal/instance/table_watcher.py
@@ -120,6 +120,10 @@
             self.apply_if_newer(row)
         self.revision = max(changes.revision, self.revision)
 
+    def may_be_stale(self) -> bool:
+        """Return whether the last read of the whole table may have missed rows."""
+        return self._rereading.is_scheduled()
+
     def apply_if_newer(self, row: StoredRow) -> bool:
         """Apply a row unless it is known at this or a newer revision; return whether it was not.
 
@@ -156,6 +160,10 @@
         """Schedule a read for when none can be stale any longer."""
         self._due_at = time.monotonic() + MAX_READ_STALENESS_SECONDS
 
+    def is_scheduled(self) -> bool:
+        """Return whether the table will have to be read, now or later."""
+        return self._due_at is not None
+
     def is_due(self) -> bool:
         """Return whether the table has to be read now."""
         return self._due_at is not None and time.monotonic() >= self._due_at
--- a/src/lavenderhook/_internal/instance/work_table.py
+++ b/src/lavenderhook/_internal/instance/work_table.py
@@ -64,6 +64,10 @@
         """
         self._watcher.poll(0.0)
 
+    def may_be_stale(self) -> bool:
+        """Return whether the rows may lack some that had been stored before they were read."""
+        return self._watcher.may_be_stale()
+
     def catch_up(self, revision: int) -> None:
         """Read the table as it is at a revision or later.
 
