--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -195,8 +195,13 @@
         found = (row for row in rows if row.part == part and row.key >= start)
         return RowChanges(tuple(row for row in found if not end or row.key < end), self.REVISION)
 
-    def transact(self, *_arguments):
-        """Return the revision of a transaction."""
+    def transact(self, _writes, conditions=(), *_arguments):
+        """Return the revision of a transaction, or the current rows if one is not the expected."""
+        current = {row.key: row for row in self.new}
+        expected = {c.key: c.revision for c in conditions if c.table == WORK_TABLE}
+        if any(current[key].revision != expected[key] for key in expected & current.keys()):
+            found = (row for key, row in current.items() if key in expected)
+            return RowConflict((make_owner_row(self.REVISION), *found))
         return self.REVISION
 
 
@@ -446,15 +451,20 @@
     gevent.sleep(2 * MAX_STALENESS_SECONDS)
 
 
-def start_owner(context, client=None, names=("w",)):
-    """Start an owner, which loads the rows of the source; it stops with the test."""
+def start_owner(
+    context, client=None, names=("w",), worker_list=None, revision=LoadingStore.REVISION
+):
+    """Start an owner, which loads the rows of the source; it stops with the test.
+
+    `worker_list` replaces a list with these names, `revision` is that of the owner's row.
+    """
     context.client = client or IdleWorker()
     listed = {name: decode_worker(name, ENTRY) for name in names}
     owner = context.owner = Owner(
         FencingToken(2),
-        LoadingStore.REVISION,
+        revision,
         store=context.source,
-        worker_list=StaleWorkerList(listed, listed),
+        worker_list=worker_list or StaleWorkerList(listed, listed),
         worker_client=context.client,
         request_advice=None,
         parameters=OwnerParameters(),
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -93,6 +93,7 @@
 from .supervision import ReportError
 from .table_watcher import LogEvent, Rereading, describe_failure
 from .unconfirmed_progress import UnconfirmedProgress
+from .unconfirmed_submissions import UnconfirmedSubmissions
 from .work_table import WorkTable
 
 # A hold is a long poll of a worker: it renews the worker's leases, acknowledges finished runs and
@@ -205,6 +206,9 @@
         self._former_starts: dict[SubmissionId, list[LoggedStart]] = {}
         self._commit_seconds = 0.0  # duration of the last commit
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
+        self._unconfirmed_submissions = UnconfirmedSubmissions(
+            self._read_current, self._apply_confirmed, log_event
+        )
         self._inherited_until: float | None = None  # known once the predecessor is inactive
         # The roster lists the workers that may hold runs; see `queueing.roster`.
         self._roster_revision = 0
@@ -267,9 +271,36 @@
         """
         if self.state is None:
             self._submissions_during_load.append((submission, revision))
+        elif self._may_have_missed_progress(submission.id, revision):
+            self._unconfirmed_submissions.add(submission, revision)
         else:
+            self._unconfirmed_submissions.discard(submission.id)
             self._apply_submission(submission, revision, None)
 
+    def _may_have_missed_progress(self, submission: SubmissionId, revision: int | None) -> bool:
+        """Return whether a former owner may have stored progress that has not been read."""
+        if revision is not None and revision > self._revision:
+            return False
+        state = self.state
+        return state is not None and not (
+            submission in state.submissions
+            or submission in state.outcomes
+            or submission in self._work.unreadable
+        )
+
+    def _apply_confirmed(
+        self, submission: Submission, revision: int | None, rows: Mapping[str, StoredRow]
+    ) -> None:
+        try:
+            if OUTCOME_PREFIX in rows:
+                self._apply_row(rows[OUTCOME_PREFIX])
+            found = rows.get(PROGRESS_PREFIX)
+            progress = None if found is None else (decode(found.value, Progress), found.revision)
+        except ProtocolError as error:
+            self._record_unreadable(submission.id, error)
+            return
+        self._apply_submission(submission, revision, progress)
+
     def refresh_outcome(self, submission: SubmissionId) -> None:
         """Read the final state of a submission after a cancellation; an earlier one is kept."""
         self._spawn(self._read_outcome, submission)
@@ -309,9 +340,8 @@
         if OUTCOME_PREFIX in rows:
             self._apply_row(rows[OUTCOME_PREFIX])
         if SUBMISSION_PREFIX in rows:
-            row, found = rows[SUBMISSION_PREFIX], rows.get(PROGRESS_PREFIX)
-            progress = None if found is None else (decode(found.value, Progress), found.revision)
-            self._apply_submission(decode_submission(row.value), row.revision, progress)
+            row = rows[SUBMISSION_PREFIX]
+            self.add_submission(decode_submission(row.value), row.revision)
 
     def _record_unreadable(self, submission: SubmissionId, error: ProtocolError) -> None:
         """Leave a submission alone; none of its rows is replaced."""
@@ -339,8 +369,11 @@
             self._workers_loop,
             self._roster_loop,
             self._prune_loop,
+            self._unconfirmed_submissions.run,
         ):
             self._spawn(loop)
+        self._unconfirmed_submissions.wait_until_applied()
+        self.is_loaded = True
 
     def _load(self) -> Roster:
         self._work.catch_up(self._revision)
@@ -369,15 +402,26 @@
         found = self._store.read(CONTROL_TABLE, ROSTER_KEY, ROSTER_KEY + "\0").rows
         row = found[0] if found else None
         condition = Condition(CONTROL_TABLE, ROSTER_KEY, row.revision if row is not None else 0)
-        result = self._transact([CONFIRMATION], conditions=[condition])
+        result = self._read_current([condition])
         if not isinstance(result, RowConflict):
             return row
-        if self._is_superseded(result):
-            self._step_down(self.fencing, "the owner row has changed")
-            raise StoreUnavailableError("another instance has taken over")
         self._log_event("roster-read-stale", revision=condition.revision)
         return result.find(CONTROL_TABLE, ROSTER_KEY)
 
+    def _read_current(self, conditions: Sequence[Condition]) -> int | RowConflict:
+        """Return the result of a transaction under conditions, which is never stale.
+
+        Raises
+        ------
+        LavenderhookError
+            If it fails, or another instance has taken over.
+        """
+        result = self._transact([CONFIRMATION], conditions=conditions)
+        if isinstance(result, RowConflict) and self._is_superseded(result):
+            self._step_down(self.fencing, "the owner row has changed")
+            raise StoreUnavailableError("another instance has taken over")
+        return result
+
     def _read_former_starts(self) -> dict[SubmissionId, list[LoggedStart]]:
         """Return what earlier owners have started lately.
 
@@ -407,18 +451,23 @@
             takeover=self._takeover,
             former_starts=self._former_starts,
         )
+        may_be_stale = self._work.may_be_stale()
         for submission_id, outcome in self._work.outcomes.items():
             self._ended_at[submission_id] = outcome.at
             self.apply(OutcomeRead(now=_now(), submission=submission_id, outcome=outcome))
         for submission, revision in self._work.submissions.values():
+            if may_be_stale:
+                self.add_submission(submission, revision)
+                continue
             stored_progress = self._work.progress.get(submission.id)
             self._apply_submission(submission, revision, stored_progress)
         for submission, known_revision in self._submissions_during_load:
-            self._apply_submission(submission, known_revision, None)
+            self.add_submission(submission, known_revision)
         self._log_event(
             "owner-loaded",
             fencing=self.fencing,
             submissions=len(self.state.submissions),
+            unconfirmed=len(self._unconfirmed_submissions),
             workers=len(self._listings),
             earlier_leases_expire_in=round(self._takeover.leases_expire_at - _now(), 3),
             roster=len(roster.workers),
@@ -430,7 +479,6 @@
         self._apply_listings()
         if self._inherited_until is not None:
             self.record_predecessor_inactive(self._inherited_until)
-        self.is_loaded = True
 
     def _apply_submission(
         self,
@@ -460,10 +508,15 @@
         if row.is_deleted:
             return
         if prefix == SUBMISSION_PREFIX:
-            self._apply_submission(decode_submission(row.value), row.revision, None)
+            self.add_submission(decode_submission(row.value), row.revision)
         elif prefix == OUTCOME_PREFIX and self._is_new_outcome(submission):
             outcome = decode(row.value, Outcome)
             self.apply(OutcomeRead(now=_now(), submission=submission, outcome=outcome))
+        elif prefix == PROGRESS_PREFIX and row.revision < self._revision and self.state is not None:
+            # A former owner's, which the first read has missed.
+            entry = self.state.submissions.get(submission)
+            if entry is not None and entry.progress_revision < row.revision:
+                self._apply_conflicting_progress(row, entry)
 
     def _is_new_outcome(self, submission: SubmissionId) -> bool:
         return self.state is not None and submission not in self.state.outcomes
@@ -686,6 +739,7 @@
 
     def _workers_loop(self) -> None:
         rereading = Rereading()
+        rereading.schedule()  # the list that was loaded may be stale
         while not self._is_stopped:
             if rereading.is_due() and self._read_workers():
                 rereading.complete()
@@ -694,7 +748,7 @@
                     self._workers_revision, TICK_INTERVAL_SECONDS
                 )
             except HistoryLostError:
-                rereading.record_lost_history()
+                rereading.schedule()
                 self._read_workers()
                 continue
             except LavenderhookError as error:
--- a/src/lavenderhook/_internal/instance/table_watcher.py
+++ b/src/lavenderhook/_internal/instance/table_watcher.py
@@ -62,7 +62,8 @@
         """Read the whole table.
 
         Reads may be seconds stale after the store's change feed has lost its history; a row that
-        is already known at a newer revision keeps it.
+        is already known at a newer revision keeps it. The first read may be stale as well, if the
+        history was lost before this process began to follow the table: it is read once more.
 
         Raises
         ------
@@ -84,6 +85,8 @@
             revision=revision,
             former_revision=self.revision,
         )
+        if self.revision is None:
+            self._rereading.schedule()
         self.revision = max(revision, self.revision or 0)
 
     def _read_part(self, part: str) -> RowChanges | LavenderhookError:
@@ -110,13 +113,17 @@
         try:
             changes = self._store.wait_for_changes(self._table, self.revision, wait_seconds)
         except HistoryLostError:
-            self._rereading.record_lost_history()
+            self._rereading.schedule()
             self.load()
             return
         for row in changes.rows:
             self.apply_if_newer(row)
         self.revision = max(changes.revision, self.revision)
 
+    def may_be_stale(self) -> bool:
+        """Return whether the last read of the whole table may have missed rows."""
+        return self._rereading.is_scheduled()
+
     def apply_if_newer(self, row: StoredRow) -> bool:
         """Apply a row unless it is known at this or a newer revision; return whether it was not.
 
@@ -139,19 +146,24 @@
 
 
 class Rereading:
-    """When a table is read once more after the store has lost its history.
+    """When a table is read once more after the store has lost its history, or may have lost it.
 
     The read that follows the loss may be stale, with a revision that is newer than its rows: the
-    change feed would go on behind the changes that the read has missed.
+    change feed would go on behind the changes that the read has missed. The first read of a process
+    may follow a loss that the process has not seen.
     """
 
     def __init__(self) -> None:
         self._due_at: float | None = None
 
-    def record_lost_history(self) -> None:
+    def schedule(self) -> None:
         """Schedule a read for when none can be stale any longer."""
         self._due_at = time.monotonic() + MAX_READ_STALENESS_SECONDS
 
+    def is_scheduled(self) -> bool:
+        """Return whether the table will have to be read, now or later."""
+        return self._due_at is not None
+
     def is_due(self) -> bool:
         """Return whether the table has to be read now."""
         return self._due_at is not None and time.monotonic() >= self._due_at
