Show advice that collapses under load (known red)

The advisory service is simulated in virtual time by its published rules, behind the real dispatcher: one call at a time for each machine, given up or not, at most 32 waiting. The queues at the service stay full, and nearly all calls are refused (429) or given up.

--- /dev/null
+++ b/features/steps/advice_load.py
@@ -0,0 +1,94 @@
+"""Steps on calls for advice under load, in virtual time."""
+
+from behave import given, then, when
+
+from features.support.advice_service import SimulatedAdvisoryService
+from features.support.queue_simulation import QueueSimulation, make_step
+from lavenderhook._internal.queueing.model import AdviceTerms
+
+ALLOWED_SHARE = 0.34
+URGENT_STEPS_PER_SECOND = 10
+GANG_ADVICE = AdviceTerms(0.44, 0.0063, 2.0)
+URGENT_ADVICE = (AdviceTerms(0.04, 0.0006, 2.0), AdviceTerms(0.007, 0.0001, 2.0))
+SECONDS_AFTER = 30.0  # from the last arrival until the end of a scenario
+
+
+@given("{workers:d} workers, an owner and an advisory service behind {instances:d} instances")
+def step_service(context, workers, instances):
+    simulation = context.simulation = QueueSimulation(seed=1, workers=workers)
+    context.service = SimulatedAdvisoryService(simulation, instances, ALLOWED_SHARE)
+    context.add_cleanup(context.service.close)
+    simulation.advisory_service = context.service
+    simulation.start_new_owner()
+    simulation.run(1.0)
+
+
+@given("{count:d} calls of {seconds:f} seconds wait at each instance, whose callers have gone")
+def step_left_calls(context, count, seconds):
+    context.service.add_calls(count, seconds)
+
+
+@given("calls for advice take {factor:f} times as long for the next {seconds:d} seconds")
+def step_slow_service(context, factor, seconds):
+    for machine in context.service.machines.values():
+        machine.slowdown = factor
+        context.simulation.call_later(seconds, setattr, machine, "slowdown", 1.0)
+
+
+@given("no instance reaches the advisory service for the next {seconds:d} seconds")
+def step_service_lost(context, seconds):
+    step_instances_lost(context, len(context.service.machines), seconds)
+
+
+@given("{count:d} instances don't reach the advisory service for the next {seconds:d} seconds")
+def step_instances_lost(context, count, seconds):
+    for machine in list(context.service.machines.values())[:count]:
+        machine.is_lost = True
+        context.simulation.call_later(seconds, setattr, machine, "is_lost", False)
+
+
+@when("{count:d} gangs arrive beside urgent steps for {seconds:d} seconds")
+def step_load(context, count, seconds):
+    simulation = context.simulation
+    for number in range(count):
+        step = make_step(4, 3000, 1.0, is_gang=True)
+        terms = {"priority": 1, "slack_factor": 6.0, "latency_seconds": 3.0}
+        simulation.submit(f"gang{number}", [step], advice=GANG_ADVICE, **terms)
+    for number in range(seconds * URGENT_STEPS_PER_SECOND):
+        advice = URGENT_ADVICE[number % len(URGENT_ADVICE)]
+        simulation.submit(f"urgent{number}", [make_step(2, 500, 0.3)], advice=advice)
+        simulation.run(1 / URGENT_STEPS_PER_SECOND)
+    simulation.run(SECONDS_AFTER)
+
+
+def check_waits(context, kind, limit):
+    """Check how long the steps of a kind have waited for their first answer."""
+    service = context.service
+    waits = [
+        service.first_answered_at.get(step, context.simulation.now) - since
+        for step, since in service.first_requested_at.items()
+        if step.submission.startswith(kind)
+    ]
+    late = sum(wait > limit for wait in waits)
+    assert late == 0, f"{late} of {len(waits)} steps waited longer, up to {max(waits):.2f} s"
+
+
+@then("each gang was advised within {limit:f} seconds")
+def step_gangs_advised(context, limit):
+    check_waits(context, "gang", limit)
+
+
+@then("each urgent step was advised within {limit:f} seconds")
+def step_urgent_advised(context, limit):
+    check_waits(context, "urgent", limit)
+
+
+@then("no call for advice was given up")
+def step_none_given_up(context):
+    step_few_given_up(context, 0)
+
+
+@then("at most {count:d} calls for advice were given up")
+def step_few_given_up(context, count):
+    service = context.service
+    assert service.given_up + service.refused <= count, (service.given_up, service.refused)
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -393,7 +393,10 @@
             case effects.StoreRoster():
                 simulation.call_later(0.02, self.store_roster, effect.roster)
             case effects.RequestAdvice():
-                simulation.call_later(simulation.advice_seconds, self.answer_advice, effect)
+                if simulation.advisory_service is not None:
+                    simulation.advisory_service.request(self, effect)
+                else:
+                    simulation.call_later(simulation.advice_seconds, self.answer_advice, effect)
             case effects.StepDown():
                 self.is_active = False
 
@@ -632,6 +635,7 @@
         self.inherited_seconds = 0.0  # the same of owners before the last one
         self.allowed_workers = None  # names; None for all
         self.advice_seconds = 0.05
+        self.advisory_service = None  # a `SimulatedAdvisoryService`; None for one without a queue
         self.crashing_tasks = CrashingTasks(self)
         self._events = []
         self._sequence = itertools.count()
@@ -682,6 +686,8 @@
             for worker in self.workers.values():
                 worker.expire_lease()
             call(*arguments)
+            if self.advisory_service is not None:
+                self.advisory_service.settle()
         self.now = end
 
     def start_new_owner(self):
