Send the advisory service only calls that it can answer in time

Cause: all calls were sent at once, each with a timeout from an estimate of what waits at the instance. Any error of it (calls of a former owner, a slow service, an outage) let calls be given up that the service handles all the same. The dispatcher then forgot the estimate and sent them again behind what was given up: faster than the service handles them, so that its queues stayed full without any cause from outside. And a call that is sent can't be overtaken, so that urgent steps waited behind gangs.

Few calls are now open at an instance (0.2 s of work and one more, at most 12), and the others wait in the dispatcher, in order of rank; calls of up to 0.1 s and longer ones share the service's time while both wait. The timeout counts from when a call is sent. The second attempt waits for three times the published duration, as the service may be slow. An instance that failed gets one call at a time until it answers, and is tried after 2 or 4 s (60 s before): it is needed under load. An answer after all instances had failed lets all be tried. advice-call logs for each call the instance, the wait in the dispatcher, the expected and the real duration.

In the scenario of calls that are lost together, each call now takes 0.01 s instead of 0.05 s: twelve of the latter don't wait at one instance any longer.

--- a/features/advice_load.feature
+++ b/features/advice_load.feature
@@ -14,6 +14,42 @@
     And each urgent step was advised within 1.0 seconds
     And no call for advice was given up
 
+  Scenario: Urgent steps of a queue with lower priority don't wait behind gangs for advice
+    Guards against steps that wait for seconds for a call that would delay each gang by a twentieth of
+    a second, while gangs arrive all the time.
+    Given 24 workers, an owner and an advisory service behind 7 instances
+    And urgent steps have lower priority than gangs
+    When 80 gangs arrive beside urgent steps for 10 seconds
+    Then each gang was advised within 9.0 seconds
+    And each urgent step was advised within 1.0 seconds
+    And no call for advice was given up
+
+  Scenario: Many urgent steps don't keep gangs from advice
+    Guards against gangs that wait as long as there are calls for steps of higher priority.
+    Given 24 workers, an owner and an advisory service behind 2 instances
+    And 500 urgent steps
+    When 6 gangs arrive beside urgent steps for 10 seconds
+    Then each gang was advised within 5.0 seconds
+
+  Scenario: Calls of an owner that has stopped don't keep back those of the next one
+    Guards against instances that are taken for busy with calls whose callers were ended.
+    Given 24 workers, an owner and an advisory service behind 7 instances
+    And 40 gangs that wait for advice
+    And the owner has stopped, and the same instance is the owner again
+    When 20 gangs arrive beside urgent steps for 10 seconds
+    Then each gang was advised within 9.0 seconds
+    And each urgent step was advised within 2.0 seconds
+    And at most 10 calls for advice were given up
+
+  Scenario: Gangs are advised soon after lost instances are back
+    Guards against calls that all wait at the few instances that were never lost.
+    Given 24 workers, an owner and an advisory service behind 7 instances
+    And 5 instances don't reach the advisory service for the next 35 seconds
+    And urgent steps arrive for 36 seconds
+    When 60 gangs arrive beside urgent steps for 10 seconds
+    Then each gang was advised within 8.0 seconds
+    And each urgent step was advised within 3.0 seconds
+
   Scenario: Advice recovers after a takeover, while calls of the former owner still wait
     Guards against calls that are given up and sent again faster than the service handles them, so
     that it is busy with calls that nobody waits for, and no step starts beside free capacity.
@@ -42,6 +78,14 @@
     And each urgent step was advised within 5.0 seconds
     And at most 120 calls for advice were given up
 
+  Scenario: Gangs are advised while the service is slow
+    Guards against calls for gangs that are all given up, as each takes longer than its caller waits.
+    Given 24 workers, an owner and an advisory service behind 7 instances
+    And calls for advice take 3.0 times as long for the next 40 seconds
+    When 20 gangs arrive beside urgent steps for 10 seconds
+    Then each gang was advised within 20.0 seconds
+    And each urgent step was advised within 5.0 seconds
+
   Scenario: Advice recovers when the service is reached again
     Guards against calls that all go through the first instance that is answered again, while the
     others are avoided.
--- a/features/steps/advice_load.py
+++ b/features/steps/advice_load.py
@@ -15,6 +15,7 @@
 
 @given("{workers:d} workers, an owner and an advisory service behind {instances:d} instances")
 def step_service(context, workers, instances):
+    context.urgent_priority, context.urgent_count, context.gang_count = 0, 0, 0
     simulation = context.simulation = QueueSimulation(seed=1, workers=workers)
     context.service = SimulatedAdvisoryService(simulation, instances, ALLOWED_SHARE)
     context.add_cleanup(context.service.close)
@@ -47,18 +48,56 @@
         context.simulation.call_later(seconds, setattr, machine, "is_lost", False)
 
 
-@when("{count:d} gangs arrive beside urgent steps for {seconds:d} seconds")
-def step_load(context, count, seconds):
-    simulation = context.simulation
-    for number in range(count):
+@given("urgent steps have lower priority than gangs")
+def step_lower_priority(context):
+    context.urgent_priority = 2
+
+
+@given("{count:d} urgent steps")
+def step_many_urgent(context, count):
+    for _ in range(count):
+        submit_urgent(context)
+
+
+@given("{count:d} gangs that wait for advice")
+def step_gangs(context, count):
+    for _ in range(count):
         step = make_step(4, 3000, 1.0, is_gang=True)
         terms = {"priority": 1, "slack_factor": 6.0, "latency_seconds": 3.0}
-        simulation.submit(f"gang{number}", [step], advice=GANG_ADVICE, **terms)
-    for number in range(seconds * URGENT_STEPS_PER_SECOND):
-        advice = URGENT_ADVICE[number % len(URGENT_ADVICE)]
-        simulation.submit(f"urgent{number}", [make_step(2, 500, 0.3)], advice=advice)
-        simulation.run(1 / URGENT_STEPS_PER_SECOND)
-    simulation.run(SECONDS_AFTER)
+        name = f"gang{context.gang_count}"
+        context.simulation.submit(name, [step], advice=GANG_ADVICE, **terms)
+        context.gang_count += 1
+    context.simulation.run(0.1)
+
+
+@given("the owner has stopped, and the same instance is the owner again")
+def step_same_owner(context):
+    context.simulation.owners[-1].is_active = False
+    context.service.end_callers()
+    context.simulation.start_new_owner()
+
+
+def submit_urgent(context):
+    """Submit a step whose call for advice is short."""
+    advice = URGENT_ADVICE[context.urgent_count % len(URGENT_ADVICE)]
+    name = f"urgent{context.urgent_count}"
+    priority = context.urgent_priority
+    context.simulation.submit(name, [make_step(2, 500, 0.3)], advice=advice, priority=priority)
+    context.urgent_count += 1
+
+
+@given("urgent steps arrive for {seconds:d} seconds")
+def step_urgent_load(context, seconds):
+    for _ in range(seconds * URGENT_STEPS_PER_SECOND):
+        submit_urgent(context)
+        context.simulation.run(1 / URGENT_STEPS_PER_SECOND)
+
+
+@when("{count:d} gangs arrive beside urgent steps for {seconds:d} seconds")
+def step_load(context, count, seconds):
+    step_gangs(context, count)
+    step_urgent_load(context, seconds)
+    context.simulation.run(SECONDS_AFTER)
 
 
 def check_waits(context, kind, limit):
--- a/features/steps/worker_incarnations.py
+++ b/features/steps/worker_incarnations.py
@@ -370,7 +370,9 @@
         context.now += seconds if address == "i0" else 0.05
         return None if address == "i0" else dict.fromkeys(chosen, "t")
 
-    context.dispatcher = AdviceDispatcher(request_advice_at, lambda: addresses)
+    context.dispatcher = AdviceDispatcher(
+        request_advice_at, lambda: addresses, lambda *_, **__: None
+    )
 
 
 @when("{count:d} calls for advice of {seconds:f} seconds each are made one after the other")
@@ -410,7 +412,9 @@
         context.connection_lost.wait()
         return None if is_lost and address == "i0" else dict.fromkeys(chosen, "t")
 
-    context.dispatcher = AdviceDispatcher(request_advice_at, lambda: addresses)
+    context.dispatcher = AdviceDispatcher(
+        request_advice_at, lambda: addresses, lambda *_, **__: None
+    )
     patch = mock.patch.object(advice.time, "monotonic", lambda: context.now)
     patch.start()
     context.add_cleanup(patch.stop)
@@ -419,7 +423,7 @@
 def call_advice_together(context, count):
     """Make calls at the same time; return their greenlets."""
     request = context.dispatcher.request_advice
-    return [gevent.spawn(request, StepId("a", 0, 0), ("w",), 0.05) for _ in range(count)]
+    return [gevent.spawn(request, StepId("a", 0, 0), ("w",), 0.01) for _ in range(count)]
 
 
 @when("{count:d} calls for advice wait at each instance, and those of one are lost together")
--- a/features/support/advice_service.py
+++ b/features/support/advice_service.py
@@ -66,6 +66,7 @@
         self.simulation = simulation
         self.allowed_share = allowed_share
         self.machines = {f"i{index}": Machine() for index in range(instances)}
+        self.lines = []  # logged by the dispatcher: (time, event, fields)
         self.calls = 0
         self.given_up = 0
         self.refused = 0
@@ -80,11 +81,19 @@
 
     def begin_dispatcher(self):
         """Replace the dispatcher by one that knows nothing, as that of a new owner."""
-        self.dispatcher = AdviceDispatcher(self.call, lambda: sorted(self.machines))
+        self.dispatcher = AdviceDispatcher(self.call, lambda: sorted(self.machines), self.log_event)
+
+    def log_event(self, name, **fields):
+        """Keep a line of the dispatcher."""
+        self.lines.append((self.simulation.now, name, fields))
+
+    def end_callers(self):
+        """End the callers, as an owner does that stops."""
+        gevent.killall(self._greenlets)
 
     def close(self):
         """End the callers and restore the clock."""
-        gevent.killall(self._greenlets)
+        self.end_callers()
         self._clock.stop()
 
     def request(self, owner, effect):
@@ -105,7 +114,9 @@
         )
 
     def _dispatch(self, effect):
-        return self.dispatcher.request_advice(effect.step, effect.workers, effect.expected_seconds)
+        return self.dispatcher.request_advice(
+            effect.step, effect.workers, effect.expected_seconds, effect.rank
+        )
 
     def add_calls(self, count, seconds):
         """Let calls wait at each machine whose callers have gone."""
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -132,7 +132,7 @@
             store, self._ownership.can_reach_store, self._ownership.list_peers
         )
         self._advice_dispatcher = AdviceDispatcher(
-            self._request_advice_at, self._ownership.list_instance_addresses
+            self._request_advice_at, self._ownership.list_instance_addresses, log_event
         )
         self._accepted_at: dict[SubmissionId, float] = {}  # in order of acceptance
         self._submissions_for_notice: list[Submission] = []
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -122,7 +122,9 @@
 # Written to prove the ownership; nobody reads it.
 CONFIRMATION = Write(CONFIRMATION_TABLE, CONFIRMATION_KEY, b"{}")
 
-RequestAdvice = Callable[[StepId, tuple[WorkerId, ...], float], dict[WorkerId, TicketId] | None]
+RequestAdvice = Callable[
+    [StepId, tuple[WorkerId, ...], float, tuple[float, ...]], dict[WorkerId, TicketId] | None
+]
 
 
 class Owner:
@@ -573,7 +575,9 @@
 
     def _send_advice_request(self, effect: effects.RequestAdvice) -> None:
         requested_at = _now()
-        allowed = self._request_advice(effect.step, effect.workers, effect.expected_seconds)
+        allowed = self._request_advice(
+            effect.step, effect.workers, effect.expected_seconds, effect.rank
+        )
         self._log_event(
             "advice",
             step=str(effect.step),
--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -67,6 +67,7 @@
         entry: SubmissionProgress,
         step: StepProgress,
         eligible: Iterable[Worker],
+        rank: tuple[float, ...],
         now: float,
     ) -> list[Effect]:
         """Request advice for a step; without a gang, expired tickets come before new workers."""
@@ -94,6 +95,7 @@
                 step=step.id,
                 workers=tuple(worker.id for worker in named),
                 expected_seconds=terms.decision_seconds + terms.seconds_per_worker * len(named),
+                rank=rank,
             )
         ]
 
--- a/src/lavenderhook/_internal/queueing/effects.py
+++ b/src/lavenderhook/_internal/queueing/effects.py
@@ -31,11 +31,18 @@
 
 
 class RequestAdvice(Effect, frozen=True, kw_only=True):
-    """Ask the advisory service which of these workers may run a step."""
+    """Ask the advisory service which of these workers may run a step.
+
+    Attributes
+    ----------
+    rank : tuple of float
+        Of the step; the lowest comes first.
+    """
 
     step: StepId
     workers: tuple[WorkerId, ...]
     expected_seconds: float
+    rank: tuple[float, ...]
 
 
 class StoreProgress(Effect, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -88,9 +88,9 @@
             worker.listing.capacity.processors for worker in schedulable_workers
         )
         effects = self._send_planned_starts(now)
-        for _, entry, step in candidates:
+        for rank, entry, step in candidates:
             try:
-                effects += self._place_step(entry, step, schedulable_workers, now)
+                effects += self._place_step(entry, step, schedulable_workers, rank, now)
                 if step.spec.is_gang and step.waiting and left_to_reserve > 0:
                     plan = step.plan = self._plan(entry, step, schedulable_workers, now)
                     if plan is not None:
@@ -181,6 +181,7 @@
         entry: SubmissionProgress,
         step: StepProgress,
         schedulable_workers: Sequence[Worker],
+        rank: tuple[float, ...],
         now: float,
     ) -> list[Effect]:
         eligible = self._find_eligible(entry, step, schedulable_workers, now)
@@ -198,7 +199,7 @@
             effects = self._place_tasks(entry, step, usable, now)
             effects += self._place_copies(entry, step, usable, now)
         if (step.waiting or step.copies) and entry.submission.queue.advice is not None:
-            effects += self.advice.request_advice(entry, step, eligible, now)
+            effects += self.advice.request_advice(entry, step, eligible, rank, now)
         return effects
 
     def _place_tasks(
