Keep the owner through a long outage of the advisory service

Callers would see a takeover each time: after 1,024 failures in a row at an instance, some ten minutes while none is answered, the time for which it is avoided no longer fits into a float. The error ends the call's greenlet in the owner, which gives up the ownership.

An instance is avoided for 2 s after a first failure and for 4 s after others, without a count.

--- a/features/worker_incarnations.feature
+++ b/features/worker_incarnations.feature
@@ -230,3 +230,9 @@
     Given an advisory service that 1 instances reach, of which one never responds
     When 6 calls for advice of 0.05 seconds each are made one after the other
     Then none of them has waited for more than 1.0 seconds at an instance
+
+  Scenario: Calls for advice go on after an outage of the service that lasts for long
+    Guards against an owner that steps down since the time for which an instance is avoided overflows.
+    Given an advisory service that 1 instances reach, of which one never responds
+    When 1200 calls for advice of 0.05 seconds each are made one after the other
+    Then none of them has waited for more than 1.0 seconds at an instance
--- a/src/lavenderhook/_internal/instance/advice.py
+++ b/src/lavenderhook/_internal/instance/advice.py
@@ -24,10 +24,10 @@
 # Multiples of the expected duration for which the attempts wait, each through another instance: the
 # service may be slow as a whole.
 ATTEMPT_PATIENCE = (1, 3)
-# An instance that did not respond is not used for this time, which doubles with each failure in a
-# row; then one call tries it, since an instance that is back is needed under load.
+# An instance that did not respond is not used for this time, after the first failure and after
+# others in a row; then one call tries it, since an instance that is back is needed under load.
 FAILURE_PENALTY_SECONDS = 2.0
-MAX_FAILURE_PENALTY_SECONDS = 4.0
+REPEATED_FAILURE_PENALTY_SECONDS = 4.0
 # Another call is sent to an instance while its open ones take no longer, which covers the round
 # trip; the others wait here, where urgent ones overtake.
 MAX_OPEN_SECONDS = 0.2
@@ -49,10 +49,10 @@
         Expected duration of the calls that are sent and wait for a response.
     busy_until : float
         When these, and those that were given up, are expected to be done.
-    failures : int
-        In a row.
+    has_failed : bool
+        Whether the last call got no response.
     failed_at : float
-        The last of these; calls that were sent before don't count as another one.
+        The last time of this; calls that were sent before don't count as another one.
     last_use : int
         Number of the last call.
     """
@@ -61,13 +61,13 @@
     open_seconds: float = 0.0
     busy_until: float = 0.0
     avoided_until: float = 0.0
-    failures: int = 0
+    has_failed: bool = False
     failed_at: float = -math.inf
     last_use: int = 0
 
     def accepts_call(self) -> bool:
         """Return whether another call may be sent; one at a time after a failure."""
-        if self.failures:
+        if self.has_failed:
             return not self.open_calls
         return self.open_calls < MAX_OPEN_CALLS and self.open_seconds <= MAX_OPEN_SECONDS
 
@@ -283,9 +283,9 @@
         if all(other.avoided_until > now for other in instances):
             # What ends for one, such as an outage of the service, has probably ended for all.
             for other in instances:
-                other.failures = 1
+                other.has_failed = True
                 other.failed_at = other.avoided_until = now
-        instance.failures = 0
+        instance.has_failed = False
         instance.avoided_until = now
         instance.busy_until = now + instance.open_seconds
 
@@ -294,6 +294,7 @@
     if sent_at <= instance.failed_at:
         return  # lost together with a call that has been counted
     instance.failed_at = now
-    penalty = min(FAILURE_PENALTY_SECONDS * 2**instance.failures, MAX_FAILURE_PENALTY_SECONDS)
-    instance.failures += 1
+    is_repeated = instance.has_failed
+    penalty = REPEATED_FAILURE_PENALTY_SECONDS if is_repeated else FAILURE_PENALTY_SECONDS
     instance.avoided_until = now + penalty
+    instance.has_failed = True
