Request advice first for what can start now

Callers saw steps that fit and don't start. A gang whose plan is near renews its tickets about once a second, for as long as the runs before it take longer than estimated, and its calls went before those of all steps of lower rank. Where the service can't do them all, these had no answer.

Calls that can lead to a start now are sent first, then those for gangs that wait for capacity, each by rank.

--- a/features/advice_load.feature
+++ b/features/advice_load.feature
@@ -112,3 +112,12 @@
     When 4 times 10 gangs for which there is no capacity arrive, each time of higher priority
     And 4 small gangs of lower priority arrive
     Then each small gang was advised within 3.0 seconds
+
+  Scenario: Advice for what can start now comes first
+    Guards against gangs that renew their tickets before their turn, while the runs before them take
+    longer than estimated, so that what fits has no answer and doesn't start.
+    Given 24 workers, an owner and an advisory service behind 2 instances
+    And long tasks that leave little capacity free
+    When 4 times 10 gangs for which there is no capacity arrive, each time of higher priority
+    And 4 small gangs of lower priority arrive
+    Then each small gang was advised within 3.0 seconds
--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -70,7 +70,21 @@
         rank: tuple[float, ...],
         now: float,
     ) -> list[Effect]:
-        """Request advice for a step; without a gang, expired tickets come before new workers."""
+        """Request advice for a step; without a gang, expired tickets come before new workers.
+
+        Handles gangs that wait for their turn beside steps that could start: the service can't do
+        all calls, and those that lead to a start now come first, whatever the rank of their steps.
+
+        Parameters
+        ----------
+        entry : SubmissionProgress
+        step : StepProgress
+        eligible : iterable of Worker
+            Those that may run the step, with or without free capacity.
+        rank : tuple of float
+            Of the step.
+        now : float
+        """
         if step.is_advice_pending or now < step.next_advice_at:
             return []
         terms = entry.submission.queue.advice
@@ -78,8 +92,10 @@
             return []
         eligible = list(eligible)
         fitting = [w for w in eligible if count_fitting(step.spec, w) > 0]
+        fits_now = True
         if step.spec.is_gang:
-            named = self._choose_for_gang(entry, step, eligible, fitting, now)
+            fits_now = choose_gang_workers(step.spec, fitting) is not None
+            named = self._choose_for_gang(entry, step, eligible, fitting if fits_now else (), now)
         else:
             named = [w for w in fitting if w.id not in step.allowed]
             named.sort(key=Worker.get_free_processors, reverse=True)
@@ -95,7 +111,7 @@
                 step=step.id,
                 workers=tuple(worker.id for worker in named),
                 expected_seconds=terms.decision_seconds + terms.seconds_per_worker * len(named),
-                rank=rank,
+                rank=(not fits_now, *rank),
             )
         ]
 
@@ -107,7 +123,7 @@
         fitting: Sequence[Worker],
         now: float,
     ) -> list[Worker]:
-        """Return the workers to name in a call for a gang.
+        """Return the workers to name in a call for a gang; none is `fitting` if it doesn't fit now.
 
         Handles heavy calls that each take up to a second: one call names enough workers for the
         gang, with or without free capacity now, and tickets are renewed shortly before the gang's
@@ -119,14 +135,13 @@
         renewal_limit = now + TICKET_RENEWAL_LEAD_SECONDS
         unasked = [w for w in eligible if w.id not in step.allowed]
         unasked.sort(key=Worker.get_free_processors, reverse=True)
-        fits_now = choose_gang_workers(spec, fitting) is not None
-        if fits_now:
+        if fitting:
             named += [w for w in fitting if w.id in step.allowed]
         elif plan is not None and plan.ready_at < renewal_limit:
             named += [w for w in eligible if w.id in plan.members]
         if not any(has_expired_ticket(step, w, renewal_limit) for w in named):
             named.clear()
-        if fits_now:
+        if fitting:
             named += [w for w in unasked if count_fitting(spec, w) > 0]
         allowed_count = sum(
             count_fitting_if_empty(spec, w) for w in eligible if w.id in step.allowed
