Learn the share of allowed workers without renewals of tickets

Callers saw gangs that started half a second late. The share of the workers that the advisory service allows decides how many are named in a call; renewals, which are always allowed, counted as well. The scenario fails without the change. No gang was found whose tickets are never valid together.

--- a/features/advice_load.feature
+++ b/features/advice_load.feature
@@ -121,3 +121,13 @@
     When 4 times 10 gangs for which there is no capacity arrive, each time of higher priority
     And 4 small gangs of lower priority arrive
     Then each small gang was advised within 3.0 seconds
+
+  Scenario: Renewals of tickets don't count for the share of workers that is allowed
+    Guards against calls that name too few workers for a gang, since those named again are always
+    allowed, so that it needs several calls of half a second. A third of them is allowed, so that 4
+    members need 12, and some more.
+    Given 24 workers, an owner and an advisory service behind 7 instances
+    And long tasks that leave little capacity free
+    And 2 gangs that renew their tickets for 25 seconds, and then enough capacity
+    When the gang "wide" of 4 tasks arrives
+    Then the first call for the gang "wide" named at least 13 workers
--- a/features/steps/advice_load.py
+++ b/features/steps/advice_load.py
@@ -4,7 +4,7 @@
 
 from features.support.advice_service import SimulatedAdvisoryService
 from features.support.queue_simulation import QueueSimulation, make_step
-from lavenderhook._internal.queueing.model import AdviceTerms
+from lavenderhook._internal.queueing.model import AdviceTerms, StepId
 
 ALLOWED_SHARE = 0.34
 URGENT_STEPS_PER_SECOND = 10
@@ -116,6 +116,29 @@
         context.simulation.run(4.0)
 
 
+@given("{count:d} gangs that renew their tickets for {seconds:d} seconds, and then enough capacity")
+def step_renewals(context, count, seconds):
+    simulation = context.simulation
+    simulation.choose_duration = lambda spec: spec.estimate_seconds
+    for number in range(count):
+        submit_gang(context, f"blocked{number}", 6000, 1)
+    simulation.run(float(seconds))
+    simulation.cancel("long")
+    simulation.run(5.0)
+
+
+@when('the gang "{name}" of 4 tasks arrives')
+def step_gang(context, name):
+    submit_gang(context, name, 9000, 1)
+    context.simulation.run(10.0)
+
+
+@then('the first call for the gang "{name}" named at least {count:d} workers')
+def step_named(context, name, count):
+    found = context.service.first_named[StepId(name, 0, 0)]
+    assert len(found) >= count, found
+
+
 @when("{count:d} small gangs of lower priority arrive")
 def step_small_gangs(context, count):
     for number in range(count):
--- a/features/support/advice_service.py
+++ b/features/support/advice_service.py
@@ -72,6 +72,7 @@
         self.refused = 0
         self.first_requested_at = {}  # by step
         self.first_answered_at = {}  # by step
+        self.first_named = {}  # workers, by step
         self._greenlets = []
         self._is_changed = False
         self._clock = mock.patch.object(advice.time, "monotonic", lambda: simulation.now)
@@ -99,6 +100,7 @@
     def request(self, owner, effect):
         """Let the dispatcher request advice, and apply its answer."""
         self.first_requested_at.setdefault(effect.step, self.simulation.now)
+        self.first_named.setdefault(effect.step, effect.workers)
         self._greenlets = [greenlet for greenlet in self._greenlets if not greenlet.dead]
         self._greenlets.append(gevent.spawn(self._request, owner, effect))
         self._is_changed = True
--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 
+from ..core.identifiers import WorkerId
 from .effects import Effect, RequestAdvice
 from .events import AdviceArrived
 from .placement import choose_gang_workers, count_fitting, count_fitting_if_empty
@@ -36,10 +37,7 @@
         if event.allowed is None:
             step.next_advice_at = event.now + ADVICE_RETRY_SECONDS
             return
-        queue = entry.submission.queue.name
-        share = len(event.allowed) / max(1, len(event.asked))
-        previous = self._allowed_shares.get(queue, INITIAL_ALLOWED_SHARE)
-        self._allowed_shares[queue] = previous + (share - previous) * ALLOWED_SHARE_SMOOTHING
+        self._update_allowed_share(entry.submission.queue.name, step, event.asked, event.allowed)
         terms = entry.submission.queue.advice
         validity = terms.validity_seconds if terms is not None else 0.0
         for worker_id in event.asked:
@@ -50,6 +48,21 @@
                 expires = event.now + validity - TICKET_MARGIN_SECONDS
                 step.allowed[worker_id] = Ticket(ticket, expires)
 
+    def _update_allowed_share(
+        self,
+        queue: str,
+        step: StepProgress,
+        asked: Iterable[WorkerId],
+        allowed: Container[WorkerId],
+    ) -> None:
+        """Update the moving average; renewals don't count, as these workers are always allowed."""
+        new = [worker_id for worker_id in asked if worker_id not in step.allowed]
+        if not new:
+            return
+        share = sum(worker_id in allowed for worker_id in new) / len(new)
+        previous = self._allowed_shares.get(queue, INITIAL_ALLOWED_SHARE)
+        self._allowed_shares[queue] = previous + (share - previous) * ALLOWED_SHARE_SMOOTHING
+
     def _compute_call_size(self, entry: SubmissionProgress, step: StepProgress) -> int:
         """Return how many workers to name in a call for advice.
 
