Use a ticket only for the incarnation of the worker that it was requested for

The simulated service issues tickets for the worker's life and their validity, and the workers check them.

Tickets carry the incarnation that the call was made for.

--- a/features/advice_load.feature
+++ b/features/advice_load.feature
@@ -131,3 +131,12 @@
     And 2 gangs that renew their tickets for 25 seconds, and then enough capacity
     When the gang "wide" of 4 tasks arrives
     Then the first call for the gang "wide" named at least 13 workers
+
+  Scenario: A worker that restarts gets no start with a ticket of its former life
+    Guards against gangs of which one member is rejected, so that the others have started in vain.
+    Given 3 workers, an owner and an advisory service behind 7 instances
+    And the advisory service allows each worker
+    And a gang that runs on all workers for 1 second
+    When worker "w1" restarts with the same id
+    Then the gang has ended within 2.5 seconds
+    And no start was rejected for its ticket
--- a/features/steps/advice_load.py
+++ b/features/steps/advice_load.py
@@ -139,6 +139,32 @@
     assert len(found) >= count, found
 
 
+@given("the advisory service allows each worker")
+def step_allow_each(context):
+    context.service.allowed_share = 1.0
+
+
+@given("a gang that runs on all workers for 1 second")
+def step_running_gang(context):
+    simulation = context.simulation
+    step = make_step(len(simulation.workers), 12000, 1.0, is_gang=True)
+    simulation.submit("wide", [step], advice=GANG_ADVICE)
+    simulation.run_until(lambda: all(worker.runs for worker in simulation.workers.values()))
+    context.running_at = simulation.now
+
+
+@then("the gang has ended within {seconds:f} seconds")
+def step_gang_ended(context, seconds):
+    context.simulation.run(10.0)
+    waited = context.simulation.ended_at["wide"] - context.running_at
+    assert waited <= seconds, waited
+
+
+@then("no start was rejected for its ticket")
+def step_tickets_valid(context):
+    assert context.service.refused_tickets == 0, context.service.refused_tickets
+
+
 @when("{count:d} small gangs of lower priority arrive")
 def step_small_gangs(context, count):
     for number in range(count):
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -140,7 +140,7 @@
     context.step = simulation.owners[-1].state.submissions["wide"].steps[(0, 0)]
     context.step.is_advice_pending = False
     for index, name in enumerate(simulation.workers):
-        context.step.allowed[name] = Ticket("t", simulation.now + 1.0 + index * 0.4)
+        context.step.allowed[name] = Ticket("t", simulation.now + 1.0 + index * 0.4, 0)
 
 
 @when("the first of its tickets has expired")
--- a/features/support/advice_service.py
+++ b/features/support/advice_service.py
@@ -70,6 +70,8 @@
         self.calls = 0
         self.given_up = 0
         self.refused = 0
+        self.refused_tickets = 0
+        self._tickets = {}  # step, worker, its incarnation and the end of validity
         self.first_requested_at = {}  # by step
         self.first_answered_at = {}  # by step
         self.first_named = {}  # workers, by step
@@ -167,7 +169,9 @@
             self._begin(machine)
         if not machine.is_lost and not call.is_given_up:
             allowed = {
-                worker: "t" for worker in call.workers if self._is_allowed(call.step, worker)
+                worker: self._make_ticket(call.step, worker)
+                for worker in call.workers
+                if self._is_allowed(call.step, worker)
             }
             self.simulation.call_later(LATENCY_SECONDS / 2, self._respond, call, allowed)
 
@@ -175,6 +179,24 @@
         digest = hashlib.sha256(f"{step} {worker}".encode()).digest()
         return digest[0] < math.ceil(256 * self.allowed_share)
 
+    def _make_ticket(self, step, worker):
+        """Return a ticket for this life of a worker."""
+        ticket = f"{len(self._tickets)}"
+        terms = self.simulation.submissions[step.submission][0].queue.advice
+        valid_until = self.simulation.now + terms.validity_seconds
+        self._tickets[ticket] = (step, worker, self.simulation.workers[worker].born, valid_until)
+        return ticket
+
+    def check_ticket(self, worker, command):
+        """Return whether a start on a worker carries a valid ticket, if it needs one."""
+        if self.simulation.submissions[command.task.submission][0].queue.advice is None:
+            return True
+        *found, valid_until = self._tickets.get(command.ticket, (None, None, None, 0.0))
+        is_valid = found == [command.task.step_id, worker.name, worker.born]
+        is_valid = is_valid and self.simulation.now <= valid_until
+        self.refused_tickets += not is_valid
+        return is_valid
+
     def _respond(self, call, allowed):
         if not call.response.ready():
             call.response.set(allowed)
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -191,6 +191,9 @@
             return StartOutcome.SUPERSEDED
         if run is not None:
             return StartOutcome.SUPERSEDED
+        service = self.simulation.advisory_service
+        if service is not None and not service.check_ticket(self, command):
+            return StartOutcome.TICKET_REFUSED
         self.simulation.check_start(self, command)
         spec = self.simulation.find_spec(command.task)
         self.runs[command.task] = ActiveRun(
--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -46,7 +46,8 @@
                 step.refused.add(worker_id)
             else:
                 expires = event.now + validity - TICKET_MARGIN_SECONDS
-                step.allowed[worker_id] = Ticket(ticket, expires)
+                incarnation = step.asked.get(worker_id, 0)
+                step.allowed[worker_id] = Ticket(ticket, expires, incarnation)
 
     def _update_allowed_share(
         self,
@@ -118,6 +119,7 @@
         if not named:
             return []
         step.is_advice_pending = True
+        step.asked = {worker.id: worker.incarnation for worker in named}
         step.next_advice_at = now + ADVICE_RETRY_SECONDS
         return [
             RequestAdvice(
@@ -168,4 +170,4 @@
 def has_expired_ticket(step: StepProgress, worker: Worker, now: float) -> bool:
     """Return whether a worker is allowed but its ticket has expired."""
     ticket = step.allowed.get(worker.id)
-    return ticket is not None and ticket.expires_at <= now
+    return ticket is not None and not ticket.is_valid(worker, now)
--- a/src/lavenderhook/_internal/queueing/exclusions.py
+++ b/src/lavenderhook/_internal/queueing/exclusions.py
@@ -17,7 +17,7 @@
     NO_LABEL = "no-label"
     NOT_ALLOWED = "not-allowed"  # by the advisory service
     NOT_ASKED = "not-asked"  # the advisory service has not been asked about it
-    TICKET_EXPIRED = "ticket-expired"
+    TICKET_EXPIRED = "ticket-expired"  # or of a former incarnation
     KEPT_EMPTY = "kept-empty"  # for a task that may crash it
     ISOLATED = "isolated"  # it runs such a task
     ON_PROBATION = "on-probation"
@@ -48,7 +48,7 @@
         ticket = step.allowed.get(worker.id)
         if ticket is None:
             return ExclusionReason.NOT_ASKED
-        if ticket.expires_at <= now:
+        if not ticket.is_valid(worker, now):
             return ExclusionReason.TICKET_EXPIRED
     return _find_use(step, worker)
 
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -194,7 +194,7 @@
             usable = [
                 worker
                 for worker in eligible
-                if worker.id in step.allowed and step.allowed[worker.id].expires_at > now
+                if worker.id in step.allowed and step.allowed[worker.id].is_valid(worker, now)
             ]
         if step.spec.is_gang:
             effects = self._place_gang(entry, step, usable, now)
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -18,7 +18,7 @@
 )
 from .records import FailureReason, Progress
 from .start_log import LoggedStart
-from .workers import Run
+from .workers import Run, Worker
 
 GANG_INDEX = -1  # key of what a gang's members share: checkpoint, failures, avoided workers
 GANG_PLAN_MAX_AGE_SECONDS = 0.2  # few active runs end within it
@@ -27,10 +27,21 @@
 
 @dataclasses.dataclass(slots=True)
 class Ticket:
-    """Permission to run a step on one worker."""
+    """Permission to run a step on one incarnation of a worker.
+
+    Attributes
+    ----------
+    incarnation : int
+        See `Worker`.
+    """
 
     id: TicketId
     expires_at: float
+    incarnation: int
+
+    def is_valid(self, worker: Worker, now: float) -> bool:
+        """Return whether a worker starts tasks with this ticket."""
+        return self.expires_at > now and self.incarnation == worker.incarnation
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +71,9 @@
     waiting : list of int
         Indices of tasks that have no run.
     allowed : dict
-        Tickets by worker; a worker with an expired one is still allowed.
+        Tickets by worker; a worker with one that is not valid any longer is still allowed.
+    asked : dict
+        Incarnations of the workers that the last call for advice has named.
     copies : list of int
         Indices of tasks that are to get another run beside the active one.
     durations : list of float
@@ -79,6 +92,7 @@
 
     __slots__ = (
         "allowed",
+        "asked",
         "avoided",
         "checkpoints",
         "copies",
@@ -109,6 +123,7 @@
         self.runs: dict[int, list[Run]] = {}
         self.checkpoints: dict[int, str] = {}
         self.allowed: dict[WorkerId, Ticket] = {}
+        self.asked: dict[WorkerId, int] = {}
         self.refused: set[WorkerId] = set()
         self.avoided: dict[int, set[WorkerId]] = {}
         self.copies: list[int] = []
