Request advice for the workers on which a task may be placed

Callers saw steps that fit and don't start. For tasks outside of gangs, the calls for advice chose workers by another rule than the placement, and both differences kept steps waiting: - A worker that already runs as many tasks of the step as it may was named again and again.

Both use the same check now. Both scenarios fail without the change.

--- a/features/advice_load.feature
+++ b/features/advice_load.feature
@@ -149,3 +149,19 @@
     And tasks of 30 seconds that leave little capacity free
     When a gang of 125 tasks arrives, and those tasks are cancelled 9 seconds later
     Then the gang has ended within 5.0 seconds
+
+  Scenario: Steps that are spread over all workers don't keep others from advice
+    Guards against steps with one task per worker that renew tickets for workers that already run one.
+    Given 24 workers, an owner and an advisory service behind 7 instances
+    And the advisory service allows each worker
+    And 20 steps of 40 tasks that allow one task on each worker
+    When 4 small gangs of lower priority arrive
+    Then each small gang was advised within 3.0 seconds
+
+  Scenario: A short step is advised where capacity is reserved for a gang
+    Guards against short tasks that wait although they would end before the gang's turn.
+    Given 4 workers, an owner and an advisory service behind 7 instances
+    And the advisory service allows each worker
+    And a gang that waits for all workers behind tasks of 25 seconds on 2 of them
+    When a step of 2 tasks of 1 second arrives that needs capacity reserved for the gang
+    Then it has ended within 3.0 seconds
--- a/features/steps/advice_load.py
+++ b/features/steps/advice_load.py
@@ -6,7 +6,7 @@
 
 from features.support.advice_service import SimulatedAdvisoryService
 from features.support.queue_simulation import QueueSimulation, make_step
-from lavenderhook._internal.queueing.model import AdviceTerms, StepId
+from lavenderhook._internal.queueing.model import AdviceTerms, Placement, StepId
 
 ALLOWED_SHARE = 0.34
 URGENT_STEPS_PER_SECOND = 10
@@ -141,6 +141,40 @@
     assert len(found) >= count, found
 
 
+@given("{steps:d} steps of {count:d} tasks that allow one task on each worker")
+def step_spread(context, steps, count):
+    simulation = context.simulation
+    simulation.choose_duration = lambda spec: spec.estimate_seconds
+    placement = Placement(most_per_worker=1)
+    for number in range(steps):
+        step = make_step(count, 100, 20.0, placement=placement)
+        simulation.submit(f"spread{number}", [step], advice=GANG_ADVICE)
+    simulation.run(4.0)
+
+
+@given("a gang that waits for all workers behind tasks of 25 seconds on 2 of them")
+def step_reserving_gang(context):
+    simulation = context.simulation
+    simulation.choose_duration = lambda spec: spec.estimate_seconds
+    simulation.submit("long", [make_step(2, 14000, 25.0)])
+    simulation.run(1.0)
+    step = make_step(len(simulation.workers), 12000, 1.0, is_gang=True)
+    simulation.submit("wide", [step], advice=GANG_ADVICE)
+    simulation.run(3.0)
+
+
+@when("a step of 2 tasks of 1 second arrives that needs capacity reserved for the gang")
+def step_short(context):
+    context.ready_at = context.simulation.now
+    step = make_step(2, 10000, 1.0)
+    context.simulation.submit("short", [step], advice=URGENT_ADVICE[0], priority=1)
+
+
+@then("it has ended within {seconds:f} seconds")
+def step_short_ended(context, seconds):
+    check_ended(context, "short", seconds)
+
+
 @given("the advisory service allows each worker")
 def step_allow_each(context):
     context.service.allowed_share = 1.0
@@ -174,9 +208,14 @@
 
 @then("the gang has ended within {seconds:f} seconds")
 def step_gang_ended(context, seconds):
+    check_ended(context, "wide", seconds)
+
+
+def check_ended(context, name, limit):
+    """Check how long a submission took since it could run."""
     context.simulation.run(10.0)
-    waited = context.simulation.ended_at.get("wide", math.inf) - context.ready_at
-    assert waited <= seconds, waited
+    waited = context.simulation.ended_at.get(name, math.inf) - context.ready_at
+    assert waited <= limit, waited
 
 
 @then("no start was rejected for its ticket")
--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -7,7 +7,13 @@
 from ..core.identifiers import WorkerId
 from .effects import Effect, RequestAdvice
 from .events import AdviceArrived
-from .placement import choose_gang_workers, count_fitting, count_fitting_if_empty
+from .placement import (
+    choose_gang_workers,
+    count_fitting,
+    count_fitting_if_empty,
+    estimate_end,
+    is_available,
+)
 from .submissions import TICKET_MARGIN_SECONDS, StepProgress, SubmissionProgress, Ticket
 from .workers import Worker
 
@@ -105,12 +111,14 @@
         if terms is None:
             return []
         eligible = list(eligible)
-        fitting = [w for w in eligible if count_fitting(step.spec, w) > 0]
         fits_now = True
         if step.spec.is_gang:
+            fitting = [w for w in eligible if count_fitting(step.spec, w) > 0]
             fits_now = choose_gang_workers(step.spec, fitting) is not None
             named = self._choose_for_gang(entry, step, eligible, fitting if fits_now else (), now)
         else:
+            ends_at = estimate_end(step.spec, now)
+            fitting = [w for w in eligible if is_available(step, w, ends_at)]
             named = [w for w in fitting if w.id not in step.allowed]
             named.sort(key=Worker.get_free_processors, reverse=True)
             expired = [w for w in fitting if has_expired_ticket(step, w, now)]
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -9,6 +9,10 @@
 from .submissions import StepProgress
 from .workers import Worker
 
+# Estimated durations are off by half; a task that uses capacity reserved for a gang has to end in
+# time.
+BACKFILL_MARGIN = 1.5
+
 
 def is_eligible(step: StepProgress, service: str, worker: Worker) -> bool:
     """Return whether a worker may run the step, regardless of its free capacity."""
@@ -85,18 +89,28 @@
         return (is_remote, worker.count_suspects(), worker.used_processors)
 
 
+def estimate_end(spec: StepSpec, now: float) -> float:
+    """Return when a task that starts now ends at the latest, as far as its estimate tells."""
+    return now + BACKFILL_MARGIN * spec.expected_seconds
+
+
+def is_available(step: StepProgress, worker: Worker, ends_at: float) -> bool:
+    """Return whether a task of a step that ends at a time may be placed on an eligible worker."""
+    spec = step.spec
+    if not worker.has_capacity_for(spec.resources, spec.is_filler, ends_at):
+        return False
+    most = spec.placement.most_per_worker
+    return not most or count_on_worker(step, worker) < most
+
+
 def choose_worker(
     policy: PlacementPolicy, step: StepProgress, candidates: Iterable[Worker], ends_at: float
 ) -> Worker | None:
     """Return the worker for one task of the step that ends at a time, or None."""
-    spec = step.spec
-    max_per_worker = spec.placement.most_per_worker
     best: Worker | None = None
     best_rank: tuple[float, ...] = ()
     for worker in candidates:
-        if not worker.has_capacity_for(spec.resources, spec.is_filler, ends_at):
-            continue
-        if max_per_worker and count_on_worker(step, worker) >= max_per_worker:
+        if not is_available(step, worker, ends_at):
             continue
         rank = policy.rank(step, worker)
         if best is None or rank < best_rank:
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -11,7 +11,13 @@
 from .isolation import SuspectPlacer
 from .log_lines import log_run
 from .model import FencingToken, RunNumber, RunState, StartCommand, TicketId
-from .placement import PlacementPolicy, choose_gang_workers, choose_worker, is_eligible
+from .placement import (
+    PlacementPolicy,
+    choose_gang_workers,
+    choose_worker,
+    estimate_end,
+    is_eligible,
+)
 from .ranking import StepRanking
 from .reservations import GangPlan, plan_gang, reserve
 from .start_log import StartLog
@@ -20,9 +26,6 @@
 from .workers import Worker, compute_command_token, is_run_number_of, make_run
 
 MAX_RESERVED_SHARE = 0.5  # of the schedulable workers' processors, for all gangs at a time
-# Estimated durations are off by half; a task that uses capacity reserved for a gang has to end in
-# time.
-BACKFILL_MARGIN = 1.5
 PLACEMENT_RETRY_SECONDS = 5.0  # after an unexpected error
 MAX_TRACE_ENTRIES = 4
 
@@ -213,7 +216,7 @@
         now: float,
     ) -> list[Effect]:
         effects: list[Effect] = []
-        ends_at = now + BACKFILL_MARGIN * step.spec.expected_seconds
+        ends_at = estimate_end(step.spec, now)
         for index in list(step.waiting):
             if step.is_suspect(index):
                 effects += self._place_suspect(entry, step, index, usable, now)
@@ -272,7 +275,7 @@
         """Start a second run of tasks that are slow on their worker."""
         effects: list[Effect] = []
         step.drop_needless_copies()
-        ends_at = now + BACKFILL_MARGIN * step.spec.expected_seconds
+        ends_at = estimate_end(step.spec, now)
         for index in list(step.copies):
             candidates = [w for w in usable if not step.is_avoided(index, w.id)]
             worker = choose_worker(self._policy, step, candidates, ends_at)
