Let a short gang use capacity that is reserved for a later time

Callers saw a gang that could run and didn't, with most of the capacity free. Capacity that is reserved for a gang was free for single tasks that end before its turn, but not for other gangs.

--- a/features/advice_load.feature
+++ b/features/advice_load.feature
@@ -165,3 +165,11 @@
     And a gang that waits for all workers behind tasks of 25 seconds on 2 of them
     When a step of 2 tasks of 1 second arrives that needs capacity reserved for the gang
     Then it has ended within 3.0 seconds
+
+  Scenario: A short gang runs where capacity is reserved for another one
+    Guards against a gang that waits beside free capacity which is reserved for another one until later.
+    Given 4 workers, an owner and an advisory service behind 7 instances
+    And the advisory service allows each worker
+    And a gang that waits for all workers behind tasks of 25 seconds on 2 of them
+    When a gang of 2 tasks of 1 second arrives that needs capacity reserved for the other one
+    Then it has ended within 3.0 seconds
--- a/features/steps/advice_load.py
+++ b/features/steps/advice_load.py
@@ -170,6 +170,13 @@
     context.simulation.submit("short", [step], advice=URGENT_ADVICE[0], priority=1)
 
 
+@when("a gang of 2 tasks of 1 second arrives that needs capacity reserved for the other one")
+def step_short_gang(context):
+    context.ready_at = context.simulation.now
+    step = make_step(2, 10000, 1.0, is_gang=True)
+    context.simulation.submit("short", [step], advice=GANG_ADVICE, priority=1)
+
+
 @then("it has ended within {seconds:f} seconds")
 def step_short_ended(context, seconds):
     check_ended(context, "short", seconds)
--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -112,12 +112,12 @@
             return []
         eligible = list(eligible)
         fits_now = True
+        ends_at = estimate_end(step.spec, now)
         if step.spec.is_gang:
-            fitting = [w for w in eligible if count_fitting(step.spec, w) > 0]
-            fits_now = choose_gang_workers(step.spec, fitting) is not None
+            fitting = [w for w in eligible if count_fitting(step.spec, w, ends_at) > 0]
+            fits_now = choose_gang_workers(step.spec, fitting, ends_at) is not None
             named = self._choose_for_gang(entry, step, eligible, fitting if fits_now else (), now)
         else:
-            ends_at = estimate_end(step.spec, now)
             fitting = [w for w in eligible if is_available(step, w, ends_at)]
             named = [w for w in fitting if w.id not in step.allowed]
             named.sort(key=Worker.get_free_processors, reverse=True)
@@ -169,7 +169,8 @@
             key=lambda w: (step.allowed[w.id].is_valid(w, now), step.allowed[w.id].expires_at)
         )
         if fitting:
-            named += [w for w in unasked if count_fitting(spec, w) > 0]
+            ids = {w.id for w in fitting}
+            named += [w for w in unasked if w.id in ids]
         allowed_count = sum(
             count_fitting_if_empty(spec, w) for w in eligible if w.id in step.allowed
         )
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import math
 from collections.abc import Iterable, Sequence
 
 from .model import Resources, StepSpec
@@ -118,8 +119,10 @@
     return best
 
 
-def choose_gang_workers(spec: StepSpec, candidates: Sequence[Worker]) -> list[Worker] | None:
-    """Return a worker for each member of a gang, or None if they don't all fit now.
+def choose_gang_workers(
+    spec: StepSpec, candidates: Sequence[Worker], ends_at: float = math.inf
+) -> list[Worker] | None:
+    """Return a worker for each member of a gang that ends at a time, or None if it doesn't fit now.
 
     Members are assigned greedily to the workers with most free processors, on one rack if the step
     asks for it and a rack holds them all.
@@ -129,16 +132,20 @@
         for worker in candidates:
             racks.setdefault(worker.rack, []).append(worker)
         for members in racks.values():
-            found = _assign_greedily(spec, members)
+            found = _assign_greedily(spec, members, ends_at)
             if found is not None:
                 return found
-    return _assign_greedily(spec, candidates)
+    return _assign_greedily(spec, candidates, ends_at)
 
 
-def _assign_greedily(spec: StepSpec, candidates: Sequence[Worker]) -> list[Worker] | None:
+def _assign_greedily(
+    spec: StepSpec, candidates: Sequence[Worker], ends_at: float
+) -> list[Worker] | None:
     chosen: list[Worker] = []
     for worker in sorted(candidates, key=Worker.get_free_processors, reverse=True):
-        chosen.extend([worker] * min(count_fitting(spec, worker), spec.count - len(chosen)))
+        chosen.extend(
+            [worker] * min(count_fitting(spec, worker, ends_at), spec.count - len(chosen))
+        )
         if len(chosen) >= spec.count:
             return chosen
     return None
@@ -149,9 +156,9 @@
     return count_fitting_in(spec, worker.listing.capacity)
 
 
-def count_fitting(spec: StepSpec, worker: Worker) -> int:
-    """Return how many tasks of a step fit into the free resources of a worker."""
-    return count_fitting_in(spec, worker.get_free_resources())
+def count_fitting(spec: StepSpec, worker: Worker, ends_at: float = math.inf) -> int:
+    """Return how many tasks of a step that end at a time fit into what is free of a worker."""
+    return count_fitting_in(spec, worker.get_free_resources(ends_at))
 
 
 def count_fitting_in(spec: StepSpec, free: Resources) -> int:
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -297,9 +297,10 @@
         if step.is_suspect(0):
             return self._place_suspect(entry, step, 0, usable, now)
         preferred = [w for w in usable if not step.is_avoided(0, w.id)]
-        chosen = choose_gang_workers(step.spec, preferred)
+        ends_at = estimate_end(step.spec, now)
+        chosen = choose_gang_workers(step.spec, preferred, ends_at)
         if chosen is None and len(preferred) < len(usable):
-            chosen = choose_gang_workers(step.spec, usable)
+            chosen = choose_gang_workers(step.spec, usable, ends_at)
         if chosen is None:
             return []
         return self._start_on(entry, step, 0, chosen, now)
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 
 from ..core.identifiers import WorkerId
 from .finished_runs import FinishedRunTracker
@@ -353,9 +354,13 @@
             return UnschedulableReason.NOT_READY
         return UnschedulableReason.NOT_ANSWERING
 
-    def get_free_resources(self) -> Resources:
-        """Return the resources neither used by known runs nor reserved for gangs."""
-        capacity, reserved = self.listing.capacity, self.reserved
+    def get_free_resources(self, ends_at: float = math.inf) -> Resources:
+        """Return the resources neither used by known runs nor reserved for gangs.
+
+        Those that are reserved for a later time than `ends_at` are free.
+        """
+        capacity = self.listing.capacity
+        reserved = Resources() if ends_at <= self.reserved_until else self.reserved
         return Resources(
             capacity.processors - self.used_processors - reserved.processors,
             capacity.memory_mb - self.used_memory_mb - reserved.memory_mb,
