--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 
+from ..core.identifiers import WorkerId
 from .effects import Effect, RequestAdvice
 from .events import AdviceArrived
-from .placement import choose_gang_workers, count_fitting, count_fitting_if_empty
+from .placement import (
+    choose_gang_workers,
+    count_fitting,
+    count_fitting_if_empty,
+    estimate_end,
+    is_available,
+)
 from .submissions import TICKET_MARGIN_SECONDS, StepProgress, SubmissionProgress, Ticket
 from .workers import Worker
 
@@ -36,10 +43,7 @@
         if event.allowed is None:
             step.next_advice_at = event.now + ADVICE_RETRY_SECONDS
             return
-        queue = entry.submission.queue.name
-        share = len(event.allowed) / max(1, len(event.asked))
-        previous = self._allowed_shares.get(queue, INITIAL_ALLOWED_SHARE)
-        self._allowed_shares[queue] = previous + (share - previous) * ALLOWED_SHARE_SMOOTHING
+        self._update_allowed_share(entry.submission.queue.name, step, event.asked, event.allowed)
         terms = entry.submission.queue.advice
         validity = terms.validity_seconds if terms is not None else 0.0
         for worker_id in event.asked:
@@ -48,7 +52,23 @@
                 step.refused.add(worker_id)
             else:
                 expires = event.now + validity - TICKET_MARGIN_SECONDS
-                step.allowed[worker_id] = Ticket(ticket, expires)
+                incarnation = step.asked.get(worker_id, 0)
+                step.allowed[worker_id] = Ticket(ticket, expires, incarnation)
+
+    def _update_allowed_share(
+        self,
+        queue: str,
+        step: StepProgress,
+        asked: Iterable[WorkerId],
+        allowed: Container[WorkerId],
+    ) -> None:
+        """Update the moving average; renewals don't count, as these workers are always allowed."""
+        new = [worker_id for worker_id in asked if worker_id not in step.allowed]
+        if not new:
+            return
+        share = sum(worker_id in allowed for worker_id in new) / len(new)
+        previous = self._allowed_shares.get(queue, INITIAL_ALLOWED_SHARE)
+        self._allowed_shares[queue] = previous + (share - previous) * ALLOWED_SHARE_SMOOTHING
 
     def _compute_call_size(self, entry: SubmissionProgress, step: StepProgress) -> int:
         """Return how many workers to name in a call for advice.
@@ -67,19 +87,38 @@
         entry: SubmissionProgress,
         step: StepProgress,
         eligible: Iterable[Worker],
+        rank: tuple[float, ...],
         now: float,
     ) -> list[Effect]:
-        """Request advice for a step; without a gang, expired tickets come before new workers."""
+        """Request advice for a step; without a gang, expired tickets come before new workers.
+
+        Handles gangs that wait for their turn beside steps that could start: the service can't do
+        all calls, and those that lead to a start now come first, whatever the rank of their steps.
+
+        Parameters
+        ----------
+        entry : SubmissionProgress
+        step : StepProgress
+        eligible : iterable of Worker
+            Those that may run the step, with or without free capacity.
+        rank : tuple of float
+            Of the step.
+        now : float
+        """
         if step.is_advice_pending or now < step.next_advice_at:
             return []
         terms = entry.submission.queue.advice
         if terms is None:
             return []
         eligible = list(eligible)
-        fitting = [w for w in eligible if count_fitting(step.spec, w) > 0]
+        fits_now = True
+        ends_at = estimate_end(step.spec, now)
         if step.spec.is_gang:
-            named = self._choose_for_gang(entry, step, eligible, fitting, now)
+            fitting = [w for w in eligible if count_fitting(step.spec, w, ends_at) > 0]
+            fits_now = choose_gang_workers(step.spec, fitting, ends_at) is not None
+            named = self._choose_for_gang(entry, step, eligible, fitting if fits_now else (), now)
         else:
+            fitting = [w for w in eligible if is_available(step, w, ends_at)]
             named = [w for w in fitting if w.id not in step.allowed]
             named.sort(key=Worker.get_free_processors, reverse=True)
             expired = [w for w in fitting if has_expired_ticket(step, w, now)]
@@ -88,12 +127,14 @@
         if not named:
             return []
         step.is_advice_pending = True
+        step.asked = {worker.id: worker.incarnation for worker in named}
         step.next_advice_at = now + ADVICE_RETRY_SECONDS
         return [
             RequestAdvice(
                 step=step.id,
                 workers=tuple(worker.id for worker in named),
                 expected_seconds=terms.decision_seconds + terms.seconds_per_worker * len(named),
+                rank=(not fits_now, *rank),
             )
         ]
 
@@ -105,7 +146,7 @@
         fitting: Sequence[Worker],
         now: float,
     ) -> list[Worker]:
-        """Return the workers to name in a call for a gang.
+        """Return the workers to name in a call for a gang; none is `fitting` if it doesn't fit now.
 
         Handles heavy calls that each take up to a second: one call names enough workers for the
         gang, with or without free capacity now, and tickets are renewed shortly before the gang's
@@ -117,15 +158,19 @@
         renewal_limit = now + TICKET_RENEWAL_LEAD_SECONDS
         unasked = [w for w in eligible if w.id not in step.allowed]
         unasked.sort(key=Worker.get_free_processors, reverse=True)
-        fits_now = choose_gang_workers(spec, fitting) is not None
-        if fits_now:
+        if fitting:
             named += [w for w in fitting if w.id in step.allowed]
         elif plan is not None and plan.ready_at < renewal_limit:
             named += [w for w in eligible if w.id in plan.members]
         if not any(has_expired_ticket(step, w, renewal_limit) for w in named):
             named.clear()
-        if fits_now:
-            named += [w for w in unasked if count_fitting(spec, w) > 0]
+        # A gang on more workers than a call names needs several calls before the first expires.
+        named.sort(
+            key=lambda w: (step.allowed[w.id].is_valid(w, now), step.allowed[w.id].expires_at)
+        )
+        if fitting:
+            ids = {w.id for w in fitting}
+            named += [w for w in unasked if w.id in ids]
         allowed_count = sum(
             count_fitting_if_empty(spec, w) for w in eligible if w.id in step.allowed
         )
@@ -138,4 +183,4 @@
 def has_expired_ticket(step: StepProgress, worker: Worker, now: float) -> bool:
     """Return whether a worker is allowed but its ticket has expired."""
     ticket = step.allowed.get(worker.id)
-    return ticket is not None and ticket.expires_at <= now
+    return ticket is not None and not ticket.is_valid(worker, now)
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import abc
+import math
 from collections.abc import Iterable, Sequence
 
 from .model import Resources, StepSpec
 from .submissions import StepProgress
 from .workers import Worker
 
+# Estimated durations are off by half; a task that uses capacity reserved for a gang has to end in
+# time.
+BACKFILL_MARGIN = 1.5
+
 
 def is_eligible(step: StepProgress, service: str, worker: Worker) -> bool:
     """Return whether a worker may run the step, regardless of its free capacity."""
@@ -85,18 +90,28 @@
         return (is_remote, worker.count_suspects(), worker.used_processors)
 
 
+def estimate_end(spec: StepSpec, now: float) -> float:
+    """Return when a task that starts now ends at the latest, as far as its estimate tells."""
+    return now + BACKFILL_MARGIN * spec.expected_seconds
+
+
+def is_available(step: StepProgress, worker: Worker, ends_at: float) -> bool:
+    """Return whether a task of a step that ends at a time may be placed on an eligible worker."""
+    spec = step.spec
+    if not worker.has_capacity_for(spec.resources, spec.is_filler, ends_at):
+        return False
+    most = spec.placement.most_per_worker
+    return not most or count_on_worker(step, worker) < most
+
+
 def choose_worker(
     policy: PlacementPolicy, step: StepProgress, candidates: Iterable[Worker], ends_at: float
 ) -> Worker | None:
     """Return the worker for one task of the step that ends at a time, or None."""
-    spec = step.spec
-    max_per_worker = spec.placement.most_per_worker
     best: Worker | None = None
     best_rank: tuple[float, ...] = ()
     for worker in candidates:
-        if not worker.has_capacity_for(spec.resources, spec.is_filler, ends_at):
-            continue
-        if max_per_worker and count_on_worker(step, worker) >= max_per_worker:
+        if not is_available(step, worker, ends_at):
             continue
         rank = policy.rank(step, worker)
         if best is None or rank < best_rank:
@@ -104,8 +119,10 @@
     return best
 
 
-def choose_gang_workers(spec: StepSpec, candidates: Sequence[Worker]) -> list[Worker] | None:
-    """Return a worker for each member of a gang, or None if they don't all fit now.
+def choose_gang_workers(
+    spec: StepSpec, candidates: Sequence[Worker], ends_at: float = math.inf
+) -> list[Worker] | None:
+    """Return a worker for each member of a gang that ends at a time, or None if it doesn't fit now.
 
     Members are assigned greedily to the workers with most free processors, on one rack if the step
     asks for it and a rack holds them all.
@@ -115,16 +132,20 @@
         for worker in candidates:
             racks.setdefault(worker.rack, []).append(worker)
         for members in racks.values():
-            found = _assign_greedily(spec, members)
+            found = _assign_greedily(spec, members, ends_at)
             if found is not None:
                 return found
-    return _assign_greedily(spec, candidates)
+    return _assign_greedily(spec, candidates, ends_at)
 
 
-def _assign_greedily(spec: StepSpec, candidates: Sequence[Worker]) -> list[Worker] | None:
+def _assign_greedily(
+    spec: StepSpec, candidates: Sequence[Worker], ends_at: float
+) -> list[Worker] | None:
     chosen: list[Worker] = []
     for worker in sorted(candidates, key=Worker.get_free_processors, reverse=True):
-        chosen.extend([worker] * min(count_fitting(spec, worker), spec.count - len(chosen)))
+        chosen.extend(
+            [worker] * min(count_fitting(spec, worker, ends_at), spec.count - len(chosen))
+        )
         if len(chosen) >= spec.count:
             return chosen
     return None
@@ -135,9 +156,9 @@
     return count_fitting_in(spec, worker.listing.capacity)
 
 
-def count_fitting(spec: StepSpec, worker: Worker) -> int:
-    """Return how many tasks of a step fit into the free resources of a worker."""
-    return count_fitting_in(spec, worker.get_free_resources())
+def count_fitting(spec: StepSpec, worker: Worker, ends_at: float = math.inf) -> int:
+    """Return how many tasks of a step that end at a time fit into what is free of a worker."""
+    return count_fitting_in(spec, worker.get_free_resources(ends_at))
 
 
 def count_fitting_in(spec: StepSpec, free: Resources) -> int:
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -11,7 +11,13 @@
 from .isolation import SuspectPlacer
 from .log_lines import log_run
 from .model import FencingToken, RunNumber, RunState, StartCommand, TicketId
-from .placement import PlacementPolicy, choose_gang_workers, choose_worker, is_eligible
+from .placement import (
+    PlacementPolicy,
+    choose_gang_workers,
+    choose_worker,
+    estimate_end,
+    is_eligible,
+)
 from .ranking import StepRanking
 from .reservations import GangPlan, plan_gang, reserve
 from .start_log import StartLog
@@ -20,9 +26,6 @@
 from .workers import Worker, compute_command_token, is_run_number_of, make_run
 
 MAX_RESERVED_SHARE = 0.5  # of the schedulable workers' processors, for all gangs at a time
-# Estimated durations are off by half; a task that uses capacity reserved for a gang has to end in
-# time.
-BACKFILL_MARGIN = 1.5
 PLACEMENT_RETRY_SECONDS = 5.0  # after an unexpected error
 MAX_TRACE_ENTRIES = 4
 
@@ -88,13 +91,16 @@
             worker.listing.capacity.processors for worker in schedulable_workers
         )
         effects = self._send_planned_starts(now)
-        for _, entry, step in candidates:
+        for rank, entry, step in candidates:
             try:
-                effects += self._place_step(entry, step, schedulable_workers, now)
-                if step.spec.is_gang and step.waiting and left_to_reserve > 0:
-                    plan = step.plan = self._plan(entry, step, schedulable_workers, now)
-                    if plan is not None:
-                        left_to_reserve -= reserve(plan, step.spec, schedulable_workers)
+                effects += self._place_step(entry, step, schedulable_workers, rank, now)
+                if step.spec.is_gang and step.waiting:
+                    is_next = left_to_reserve > 0
+                    step.plan = (
+                        self._plan(entry, step, schedulable_workers, now) if is_next else None
+                    )
+                    if step.plan is not None:
+                        left_to_reserve -= reserve(step.plan, step.spec, schedulable_workers)
             except Exception as error:
                 effects.append(self._block(entry, step, workers, error, now))
         for worker in schedulable_workers:
@@ -181,6 +187,7 @@
         entry: SubmissionProgress,
         step: StepProgress,
         schedulable_workers: Sequence[Worker],
+        rank: tuple[float, ...],
         now: float,
     ) -> list[Effect]:
         eligible = self._find_eligible(entry, step, schedulable_workers, now)
@@ -190,7 +197,7 @@
             usable = [
                 worker
                 for worker in eligible
-                if worker.id in step.allowed and step.allowed[worker.id].expires_at > now
+                if worker.id in step.allowed and step.allowed[worker.id].is_valid(worker, now)
             ]
         if step.spec.is_gang:
             effects = self._place_gang(entry, step, usable, now)
@@ -198,7 +205,7 @@
             effects = self._place_tasks(entry, step, usable, now)
             effects += self._place_copies(entry, step, usable, now)
         if (step.waiting or step.copies) and entry.submission.queue.advice is not None:
-            effects += self.advice.request_advice(entry, step, eligible, now)
+            effects += self.advice.request_advice(entry, step, eligible, rank, now)
         return effects
 
     def _place_tasks(
@@ -209,7 +216,7 @@
         now: float,
     ) -> list[Effect]:
         effects: list[Effect] = []
-        ends_at = now + BACKFILL_MARGIN * step.spec.expected_seconds
+        ends_at = estimate_end(step.spec, now)
         for index in list(step.waiting):
             if step.is_suspect(index):
                 effects += self._place_suspect(entry, step, index, usable, now)
@@ -268,7 +275,7 @@
         """Start a second run of tasks that are slow on their worker."""
         effects: list[Effect] = []
         step.drop_needless_copies()
-        ends_at = now + BACKFILL_MARGIN * step.spec.expected_seconds
+        ends_at = estimate_end(step.spec, now)
         for index in list(step.copies):
             candidates = [w for w in usable if not step.is_avoided(index, w.id)]
             worker = choose_worker(self._policy, step, candidates, ends_at)
@@ -290,9 +297,10 @@
         if step.is_suspect(0):
             return self._place_suspect(entry, step, 0, usable, now)
         preferred = [w for w in usable if not step.is_avoided(0, w.id)]
-        chosen = choose_gang_workers(step.spec, preferred)
+        ends_at = estimate_end(step.spec, now)
+        chosen = choose_gang_workers(step.spec, preferred, ends_at)
         if chosen is None and len(preferred) < len(usable):
-            chosen = choose_gang_workers(step.spec, usable)
+            chosen = choose_gang_workers(step.spec, usable, ends_at)
         if chosen is None:
             return []
         return self._start_on(entry, step, 0, chosen, now)
