--- a/features/support/queue_mutants.py
+++ b/features/support/queue_mutants.py
@@ -12,11 +12,13 @@
     StartAnswered,
     SubmissionRead,
 )
+from lavenderhook._internal.queueing.gang_workers import GangWorkers
 from lavenderhook._internal.queueing.incarnations import NewestIncarnation
 from lavenderhook._internal.queueing.leases import WorkerLease
 from lavenderhook._internal.queueing.model import StartOutcome, SubmissionState
 from lavenderhook._internal.queueing.owner_state import OwnerState
 from lavenderhook._internal.queueing.roster import RosterTracker
+from lavenderhook._internal.queueing.stragglers import ComparedRuns
 from lavenderhook._internal.queueing.submissions import SubmissionProgress
 from lavenderhook._internal.queueing.takeover import Takeover
 from lavenderhook._internal.queueing.workers import Worker
@@ -208,6 +210,30 @@
     return mock.patch.object(Takeover, "__init__", init_as_ended)
 
 
+def leave_out_slow_workers():
+    """Start gangs on sound workers only, whether these hold them or not."""
+
+    def select_sound(self, step, eligible, now):
+        return [w for w in eligible if w.is_shared() and not w.is_on_probation]
+
+    return mock.patch.object(GangWorkers, "select", select_sound)
+
+
+def prolong_probation():
+    """Keep a worker on probation until a run ends there in time, and gangs away from it."""
+    patches = contextlib.ExitStack()
+    patches.enter_context(leave_out_slow_workers())
+    patches.enter_context(
+        mock.patch.object(ComparedRuns, "is_evidence_old", lambda self, worker, now: False)
+    )
+    patches.enter_context(
+        mock.patch.object(
+            Worker, "is_full_on_probation", lambda self: self.is_on_probation and bool(self.runs)
+        )
+    )
+    return patches
+
+
 MUTANTS = {
     "workers ignore tokens": ignore_tokens,
     "finished runs are acknowledged before they are stored": acknowledge_before_commit,
@@ -226,6 +252,7 @@
     "an unanswered hold counts as another incarnation": presume_other_incarnation,
     "a cancelled submission becomes active when it is reported again": revive_cancelled_submissions,
     "earlier owners count as ended while they act": presume_former_owners_ended,
+    "only a run that ends in time ends a probation": prolong_probation,
 }
 
 
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -191,10 +191,12 @@
             return StartOutcome.SUPERSEDED
         if run is not None:
             return StartOutcome.SUPERSEDED
+        if command.ticket and self.simulation.now > float(command.ticket):
+            return StartOutcome.TICKET_REFUSED
         self.simulation.check_start(self, command)
         spec = self.simulation.find_spec(command.task)
         self.runs[command.task] = ActiveRun(
-            command.task, command.number, spec.resources, self.simulation.now
+            command.task, command.number, get_counted_resources(spec), self.simulation.now
         )
         if spec.is_service:
             pass  # it runs until it is stopped
@@ -300,6 +302,7 @@
         self.unstored_submissions = {}
         self.is_roster_unanswered = False
         self.next_roster = None  # to be stored after the one without an answer
+        self.newest_roster = None  # a write that is refused is repeated for this one only
         authority_seconds = simulation.predecessor_seconds if simulation.owners else 0.0
         self.predecessors_act_until = simulation.now + authority_seconds
         self.state = OwnerState(
@@ -391,6 +394,7 @@
             case effects.ReadSubmission():
                 simulation.call_later(0.02, self.find_submission, effect.submission, simulation.now)
             case effects.StoreRoster():
+                self.newest_roster = effect.roster
                 simulation.call_later(0.02, self.store_roster, effect.roster)
             case effects.RequestAdvice():
                 simulation.call_later(simulation.advice_seconds, self.answer_advice, effect)
@@ -503,14 +507,21 @@
         )
 
     def answer_advice(self, effect):
-        """Answer an advice request with the ticket ``t`` for each allowed worker.
+        """Answer an advice request with a ticket for each allowed worker: when it expires.
 
         The advisory service must allow a worker before a run starts on it.
         """
-        allowed = {name: "t" for name in effect.workers if self.simulation.is_allowed(name)}
+        simulation = self.simulation
+        queue = simulation.submissions[effect.step.submission][0].queue
+        ticket = str(simulation.now + queue.advice.validity_seconds)
+        allowed = {
+            name: ticket for name in effect.workers if simulation.is_allowed(name, queue.name)
+        }
+        if simulation.advice_is_unanswered:
+            allowed = None
         self.apply(
             AdviceArrived(
-                now=self.simulation.now, step=effect.step, asked=effect.workers, allowed=allowed
+                now=simulation.now, step=effect.step, asked=effect.workers, allowed=allowed
             )
         )
 
@@ -520,7 +531,7 @@
         if simulation.latest_fencing_token != self.fencing or not self.is_active:
             return
         if self.is_suspended or simulation.store_refuses:
-            simulation.call_later(0.2, self.store_roster, roster)
+            simulation.call_later(0.2, self.repeat_roster, roster)
             return
         if self.is_roster_unanswered:
             self.next_roster = roster
@@ -535,6 +546,11 @@
             simulation.roster_answer_seconds, self.confirm_roster, simulation.roster
         )
 
+    def repeat_roster(self, roster):
+        """Store a roster after a refusal, unless a newer one has been requested meanwhile."""
+        if roster is self.newest_roster:
+            self.store_roster(roster)
+
     def confirm_roster(self, roster):
         """Apply the answer to the write of a roster, and store the newest one."""
         self.is_roster_unanswered = False
@@ -631,7 +647,9 @@
         self.predecessor_seconds = compute_authority_seconds(Predecessor.ASKS_PEERS, 0.0)
         self.inherited_seconds = 0.0  # the same of owners before the last one
         self.allowed_workers = None  # names; None for all
+        self.allowed_by_queue = {}  # names, for queues with advice of their own
         self.advice_seconds = 0.05
+        self.advice_is_unanswered = False  # calls then end without a response
         self.crashing_tasks = CrashingTasks(self)
         self._events = []
         self._sequence = itertools.count()
@@ -760,9 +778,10 @@
             return RunOutcome.FAILED
         return RunOutcome.DONE
 
-    def is_allowed(self, name):
+    def is_allowed(self, name, queue):
         """Return whether the advisory service allows a worker."""
-        return self.allowed_workers is None or name in self.allowed_workers
+        allowed = self.allowed_by_queue.get(queue, self.allowed_workers)
+        return allowed is None or name in allowed
 
     def join_gang(self, worker, command):
         """Let a gang member wait for the others; the complete gang finishes together."""
@@ -822,8 +841,12 @@
         self.started_runs.add((command.task, command.number))
         spec = self.find_spec(command.task)
         used = sum(run.resources.processors for run in worker.runs.values())
-        if used + spec.resources.processors > worker.limit.compute(self.now):
+        needed = get_counted_resources(spec).processors
+        if needed and used + needed > worker.limit.compute(self.now):
             self._add_violation("over-capacity", worker, command)
+        queue = self.submissions[command.task.submission][0].queue
+        if not self.is_allowed(worker.name, queue.name):
+            self._add_violation("not-allowed", worker, command)
         label = spec.placement.label
         if label and label not in (worker.kind, worker.rack):
             self._add_violation("without-label", worker, command)
@@ -867,9 +890,16 @@
         )
 
 
-def make_submission(name, steps, **terms):
+def get_counted_resources(spec):
+    """Return the resources that a task uses; the processors of a filler aren't counted."""
+    if not spec.is_filler:
+        return spec.resources
+    return msgspec.structs.replace(spec.resources, processors=0)
+
+
+def make_submission(name, steps, queue="q", **terms):
     """Return a submission; `terms` are those of its queue."""
-    queue = QueueTerms(name="q", service="desk", **{"most_attempts": 3, **terms})
+    queue = QueueTerms(name=queue, service="desk", **{"most_attempts": 3, **terms})
     return Submission(id=name, queue=queue, payload="p", steps=tuple(steps), accepted_at=0.0)
 
 
