--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -2,8 +2,9 @@
 
 from behave import given, then, when
 
+from features.support.queue_random_runs import refresh_worker_lists
 from features.support.queue_simulation import make_step
-from lavenderhook._internal.queueing.model import AdviceTerms
+from lavenderhook._internal.queueing.model import AdviceTerms, Placement, WorkerState
 
 
 @given("the advisory service allows no worker")
@@ -36,6 +37,27 @@
     context.simulation.run(1.0)
 
 
+@when('runs on worker "{name}" succeed again')
+def step_succeed_again(context, name):
+    context.simulation.workers[name].fails_all_runs = False
+
+
+@given('a service "{name}" with one task on each worker')
+def step_spread_service(context, name):
+    count = len(context.simulation.workers)
+    placement = Placement(most_per_worker=1)
+    step = make_step(count, 1000, 0.0, is_service=True, placement=placement)
+    context.simulation.submit(name, [step])
+    context.simulation.run(1.0)
+
+
+@when('worker "{name}" no longer drains')
+def step_no_longer_drains(context, name):
+    worker = context.simulation.workers[name]
+    worker.state, worker.leaves_at = WorkerState.READY, None
+    refresh_worker_lists(context.simulation)
+
+
 @then('"{name}" has no run on worker "{worker}"')
 def step_no_run(context, name, worker):
     submissions = {task.submission for task in context.simulation.workers[worker].runs}
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -70,3 +70,28 @@
     And 6 seconds pass in the simulation
     Then "wide" is completed
     And no invariant was violated
+
+  Scenario: A task returns to a worker that it avoids where no other has capacity
+    Guards against a task that waits for long tasks elsewhere, or for good beside services, since its
+    run has failed or been moved once on the worker that is idle.
+    Given 2 workers and an owner
+    And every run on worker "w1" fails
+    When a submission "long" of 1 tasks of 9000 millicores and 60 seconds arrives
+    And 1 seconds pass in the simulation
+    And a submission "big" of 1 tasks of 9000 millicores and 1 seconds arrives
+    And 2 seconds pass in the simulation
+    And runs on worker "w1" succeed again
+    And 6 seconds pass in the simulation
+    Then "big" is completed
+    And no invariant was violated
+
+  Scenario: A service gets back a task that had to leave its worker
+    Guards against a task that is never started again: each other worker holds as many as it may.
+    Given 2 workers and an owner
+    And a service "spread" with one task on each worker
+    When worker "w1" drains and leaves in 60.0 seconds
+    And 1 seconds pass in the simulation
+    And worker "w1" no longer drains
+    And 6 seconds pass in the simulation
+    Then "spread" has 2 active tasks
+    And no invariant was violated
