Let a task return to a worker that it avoids once no other has had capacity for 2 s

Callers saw a task of a service that never ran again, and tasks that waited for the ends of long ones beside an idle worker. Cause: a task avoids the workers where a run of it failed, was moved or crashed the worker, for good; all others count as available, whether they have capacity, can ever have it, or hold as many tasks of the step as they may. Gangs had no such wait.

A task now takes such a worker after 2 s in which no other has had capacity, unless it is on probation, which ends by itself.

--- a/features/support/queue_mutants.py
+++ b/features/support/queue_mutants.py
@@ -1,10 +1,12 @@
 """Deliberate faults in the protocol of queues, which random simulations must detect."""
 
 import contextlib
+import math
 from unittest import mock
 
 import msgspec
 
+from lavenderhook._internal.queueing import avoidance
 from lavenderhook._internal.queueing.events import (
     FinishedRunPosition,
     HoldUnanswered,
@@ -234,6 +236,11 @@
     return patches
 
 
+def avoid_without_end():
+    """Let a task never return to a worker that it avoids while there are others."""
+    return mock.patch.object(avoidance, "AVOIDANCE_WAIT_SECONDS", math.inf)
+
+
 MUTANTS = {
     "workers ignore tokens": ignore_tokens,
     "finished runs are acknowledged before they are stored": acknowledge_before_commit,
@@ -253,6 +260,7 @@
     "a cancelled submission becomes active when it is reported again": revive_cancelled_submissions,
     "earlier owners count as ended while they act": presume_former_owners_ended,
     "only a run that ends in time ends a probation": prolong_probation,
+    "a task avoids a worker without end": avoid_without_end,
 }
 
 
--- a/features/support/waiting_runs.py
+++ b/features/support/waiting_runs.py
@@ -26,6 +26,7 @@
 LATE_SECONDS = 30.0  # in which submissions arrive after the faults
 END_SECONDS = 70.0
 LIST_INTERVAL_SECONDS = 1.0
+SERVICE_SECONDS = 5.0  # in which services arrive
 LATE_SUBMISSIONS = 14
 LATE_WIDE_SUBMISSIONS = 3  # with a task on each worker
 ADVICE = AdviceTerms(0.04, 0.0006, 2.0)
@@ -64,6 +65,8 @@
     add_long_work(simulation, generator)
     for _ in range(generator.randint(3, 10)):
         add_fault(simulation, generator, generator.choice(list(FAULTS)))
+    if generator.random() < 0.4:
+        add_fault(simulation, generator, "leave")
     if generator.random() < 0.5:  # slow until the end
         name = generator.choice(names)
         at = generator.uniform(0.5, FAULT_SECONDS - 1.0)
@@ -136,10 +139,10 @@
 def add_long_work(simulation, generator):
     """Schedule services, fillers and long tasks."""
     for index in range(generator.randint(0, 4)):
+        count = generator.choice([len(simulation.workers), 3])
         spread = Placement(most_per_worker=generator.choice([0, 1]))
-        count = generator.randint(1, len(simulation.workers))
         steps = [make_step(count, 1000, 0.0, is_service=True, placement=spread)]
-        at = generator.uniform(0.3, FAULT_SECONDS)
+        at = generator.uniform(0.3, SERVICE_SECONDS)
         simulation.call_later(at, simulation.submit, f"service{index}", steps)
     for index in range(generator.randint(0, 3)):
         count = generator.randint(1, len(simulation.workers))
--- a/features/waiting_runs.feature
+++ b/features/waiting_runs.feature
@@ -14,5 +14,6 @@
     Then one of the first <count> simulations violated an invariant
 
     Examples:
-      | fault                                          | count |
-      | only a run that ends in time ends a probation  | 20    |
+      | fault                                         | count |
+      | only a run that ends in time ends a probation | 20    |
+      | a task avoids a worker without end            | 40    |
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Iterable, Sequence
 
 from .advising import AdvicePlanner
+from .avoidance import AvoidedWorkers
 from .effects import Effect, LogDecision, SendStart, StepDown, StepDownReason, StoreProgress
 from .gang_workers import GangWorkers
 from .isolation import SuspectPlacer
@@ -49,6 +50,7 @@
         self.suspects = SuspectPlacer()
         self.start_log = StartLog()
         self._gang_workers = GangWorkers()
+        self._avoided_workers = AvoidedWorkers()
         self._waiting_steps = WaitingSteps()
         self._fencing = fencing
         self._ranking = ranking
@@ -100,6 +102,7 @@
         for worker in schedulable_workers:
             worker.clear_reservation()
         self.suspects.end_pass()
+        self._avoided_workers.end_pass()
         return effects + self._waiting_steps.review(
             submissions, workers, blocked_through_revision, now
         )
@@ -214,13 +217,14 @@
             if step.is_suspect(index):
                 effects += self._place_suspect(entry, step, index, usable, now)
                 continue
-            candidates = usable
             if index in step.avoided:
-                preferred = [w for w in usable if not step.is_avoided(index, w.id)]
-                candidates = preferred or usable
-            worker = choose_worker(self._policy, step, candidates, ends_at)
+                worker = self._avoided_workers.choose_worker(
+                    self._policy, step, index, usable, ends_at, now
+                )
+            else:
+                worker = choose_worker(self._policy, step, usable, ends_at)
             if worker is None:
-                if candidates is not usable or step.crash_histories:
+                if index in step.avoided or step.crash_histories:
                     continue  # other tasks may fit on workers that this one avoids
                 break
             effects += self._start(entry, step, index, worker, step.allocate_run_number(), now)
