--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -95,3 +95,18 @@
     And 6 seconds pass in the simulation
     Then "spread" has 2 active tasks
     And no invariant was violated
+
+  Scenario: A worker takes other work beside a service that has lost two workers
+    Guards against workers that hold nothing but one small task of a service for as long as that task had
+    run before its worker crashed, which may be hours.
+    Given 2 workers and an owner
+    And a service on each worker
+    When 60 seconds pass in the simulation
+    And worker "w0" restarts with the same id
+    And 60 seconds pass in the simulation
+    And worker "w1" restarts with the same id
+    And 18 seconds pass in the simulation
+    And a gang "wide" of 2 tasks of 12000 millicores with priority 1 arrives after 0 seconds
+    And 3 seconds pass in the simulation
+    Then "wide" is completed
+    And no invariant was violated
