End the isolation of a worker after 10 s

Callers saw gangs that waited for workers that were nearly empty. Cause: a task with two crashes keeps its worker for itself until its run is older than those that crashed. A service that had run for hours when its workers crashed, for whatever reason, kept the next one for as long again. After 6 s of waiting there is no limit on the number of such workers: four of eight in a simulation, whose gangs waited without end.

A worker takes other work again 10 s after such a run has begun. The run stays on trial for the judgement of crashes, and what runs beside it is blamed only weakly, as before.

The check of waits now allows 16 s more for all work within 30 s of a crash caused by a task, as isolations follow one another.

--- a/features/support/liveness.py
+++ b/features/support/liveness.py
@@ -8,7 +8,9 @@
 CHECK_INTERVAL_SECONDS = 0.1
 MAX_WAIT_SECONDS = 3.0
 SERVICE_RESTART_SECONDS = 6.0  # that a task of a service may be away before that
-MAX_ISOLATION_SECONDS = 16.0  # that a task may wait for a worker of its own after crashes
+# That a task may wait for a worker of its own after crashes, or for workers that others have so.
+MAX_ISOLATION_SECONDS = 16.0
+ISOLATION_PHASE_SECONDS = 30.0  # since a task last crashed its worker
 CALM_SECONDS = 6.0  # since a task last crashed its worker: leases expire
 MAX_USED_SHARE = 0.5
 CAPACITY_FACTOR = 2  # such a wait counts only if there is capacity for it so often
@@ -30,7 +32,7 @@
         self._waits_since = {}  # by submission, step and capacity, and by task for services
         self._reported = set()
         self._crashed_workers = 0
-        self._crashed_at = -CALM_SECONDS
+        self._crashed_at = -ISOLATION_PHASE_SECONDS
 
     def start(self):
         """Check now, and from now on regularly."""
@@ -44,8 +46,11 @@
             self._crashed_workers, self._crashed_at = crashed_workers, now
         is_calm = now - self._crashed_at >= CALM_SECONDS
         waits = dict(self._find_waits()) if is_calm else {}
+        is_isolating = now - self._crashed_at < ISOLATION_PHASE_SECONDS
         self._waits_since = {key: self._waits_since.get(key, now) for key in waits}
         for key, max_seconds in waits.items():
+            if is_isolating:
+                max_seconds = max(max_seconds, MAX_WAIT_SECONDS + MAX_ISOLATION_SECONDS)
             if now - self._waits_since[key] >= max_seconds and key not in self._reported:
                 self._reported.add(key)
                 line = find_newest_line(self._simulation, "step-waits", key[0])
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -107,6 +107,6 @@
     And worker "w1" restarts with the same id
     And 18 seconds pass in the simulation
     And a gang "wide" of 2 tasks of 12000 millicores with priority 1 arrives after 0 seconds
-    And 3 seconds pass in the simulation
+    And 6 seconds pass in the simulation
     Then "wide" is completed
     And no invariant was violated
--- a/src/lavenderhook/_internal/queueing/isolation.py
+++ b/src/lavenderhook/_internal/queueing/isolation.py
@@ -28,6 +28,8 @@
 # of its submission has outlived its crashes. A service is away meanwhile.
 ISOLATION_WAIT_SECONDS = 6.0
 SERVICE_ISOLATION_WAIT_SECONDS = 3.0
+# A run that crashed late, as that of a service, would keep its next worker for as long again.
+MAX_ALONE_SECONDS = 10.0
 # A task with a single crash is started without a record if the store hasn't answered by then.
 UNSTORED_START_SECONDS = 0.5
 
@@ -74,8 +76,14 @@
 
     # One placement pass.
 
-    def begin_pass(self, workers: Collection[Worker]) -> None:
-        """Count the workers that may still be isolated in this placement pass."""
+    def begin_pass(self, workers: Collection[Worker], now: float) -> None:
+        """End long isolations, and count the workers that may be isolated in this pass."""
+        for worker in workers:
+            run = worker.isolated_run
+            if run is None or run.state is RunState.PLANNED:
+                continue
+            if now >= run.commanded_at + MAX_ALONE_SECONDS:
+                worker.isolated_run = None
         isolating = sum(worker.isolated_run is not None for worker in workers)
         limit = max(MIN_ISOLATING_WORKERS, int(len(workers) * MAX_ISOLATING_SHARE))
         self._left_to_isolate = limit - isolating
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -85,7 +85,7 @@
                     candidates.append((self._ranking.rank(entry, step, now), entry, step))
         candidates.sort(key=lambda candidate: candidate[0])
         schedulable_workers = [worker for worker in workers if worker.is_schedulable(now)]
-        self.suspects.begin_pass(workers)
+        self.suspects.begin_pass(workers, now)
         left_to_reserve = MAX_RESERVED_SHARE * sum(
             worker.listing.capacity.processors for worker in schedulable_workers
         )
