Conclude from a complete list of instances only

An instance that has just started may have read the list of instances stale, and miss an earlier owner among those that it asks: the wait for earlier owners ends by their answers only after the list was read once more, 6 s after the first read. Found by reading; the new example failed before.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -252,16 +252,18 @@
 
   Scenario Outline: An owner waits for no earlier one once all instances know it
     Guards against a minute without starts after a row by the third owner in a row that stated it: each
-    relied on what the former one had allowed for.
-    Given an instance that has taken over from an owner without a heartbeat, whose row states 61.812 seconds, and that answers that it knows token 4
+    relied on what the former one had allowed for. A first read that may be stale may miss an instance.
+    Given reads may be <stale> seconds stale
+    And an instance that has taken over from an owner without a heartbeat, whose row states 61.812 seconds, and that answers that it knows token 4
     And the instances that know the new owner are <known>, and <unknown> don't answer, while <removed> is removed
     Then 2.2 seconds later its heartbeat says that earlier owners <may> act
 
     Examples:
-      | known     | unknown | removed | may     |
-      | it, third | none    | none    | may not |
-      | it        | third   | none    | may     |
-      | it        | none    | third   | may     |
+      | known     | unknown | removed | stale | may     |
+      | it, third | none    | none    | 0.5   | may not |
+      | it, third | none    | none    | 6.0   | may     |
+      | it        | third   | none    | 0.5   | may     |
+      | it        | none    | third   | 0.5   | may     |
 
   Scenario Outline: An owner waits no longer once a peer of its predecessor knows it
     Guards against a minute without starts after an owner that was lost for good had no time to list
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from features.support.row_table import RowTable
+from lavenderhook._internal.instance import table_watcher
 from lavenderhook._internal.instance.clock import read_elapsed_clock
 from lavenderhook._internal.instance.owner import Owner
 from lavenderhook._internal.instance.ownership import (
@@ -661,6 +662,13 @@
         return msgspec.structs.replace(super().ping(address), process=self.processes[address])
 
 
+@given("reads may be {seconds:f} seconds stale")
+def step_stale_reads(context, seconds):
+    patch = mock.patch.object(table_watcher, "MAX_READ_STALENESS_SECONDS", seconds)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @given(
     "the instances that know the new owner are {known}, and {unknown} don't answer, "
     "while {removed} is removed"
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -140,6 +140,14 @@
         self._stopped = stopped
         self._log_event = log_event
         self._work = WorkTable(store, log_event)
+        self._control_watcher = TableWatcher(
+            store,
+            CONTROL_TABLE,
+            self._apply_control_row,
+            ("", HEARTBEAT_PART),
+            log_event,
+            CONTROL_READ_TIMEOUT_SECONDS,
+        )
         self._predecessor: OwnerRecord | None = None
         self._claimed_from = 0  # revision of the predecessor's row
         self._inherited_until = 0.0  # until when owners before the predecessor may act
@@ -225,14 +233,7 @@
 
     def _watch_control_table(self) -> None:
         """Follow the control table, and claim ownership when due."""
-        watcher = TableWatcher(
-            self._store,
-            CONTROL_TABLE,
-            self._apply_control_row,
-            ("", HEARTBEAT_PART),
-            self._log_event,
-            CONTROL_READ_TIMEOUT_SECONDS,
-        )
+        watcher = self._control_watcher
         while not self._stopped.is_set():
             try:
                 self._poll(watcher)
@@ -409,6 +410,10 @@
         if predecessor is not None and owner.authority_seconds > LAST_PROOF_SECONDS:
             gevent.spawn(self._ask_predecessor, self.owner, predecessor, predecessor_peers)
 
+    def _are_all_listed(self) -> bool:
+        """Return whether each instance that may run is certainly listed."""
+        return not self.view.removed_members and not self._control_watcher.may_be_stale()
+
     def _ask_predecessor(
         self, owner: Owner, predecessor: OwnerRecord, processes: tuple[str, ...]
     ) -> None:
@@ -420,7 +425,7 @@
             owner.fencing,
             peer_client=self._peers,
             list_members=self.view.list_peers,
-            has_removed_members=lambda: bool(self.view.removed_members),
+            are_all_listed=self._are_all_listed,
             log_event=self._log_event,
         )
         while self.owner is owner and self._measure_authority_left() > 0.0:
--- a/src/lavenderhook/_internal/instance/predecessor.py
+++ b/src/lavenderhook/_internal/instance/predecessor.py
@@ -8,7 +8,7 @@
 its process knows a later one.
 
 No earlier owner acts once all listed instances know the new one, unless an owner has removed one
-that may still run.
+that may still run, or a stale read has missed one.
 """
 
 from __future__ import annotations
@@ -42,8 +42,8 @@
     peer_client : PeerClient
     list_members : callable
         Returns the rows of the other listed instances.
-    has_removed_members : callable
-        Returns whether an owner has removed an instance that has not registered again.
+    are_all_listed : callable
+        Returns whether each instance that may run is certainly listed.
     log_event : callable
         Logs an event, given by its name and fields.
     """
@@ -56,7 +56,7 @@
         *,
         peer_client: PeerClient,
         list_members: Callable[[], list[MemberRecord]],
-        has_removed_members: Callable[[], bool],
+        are_all_listed: Callable[[], bool],
         log_event: LogEvent,
     ) -> None:
         self._predecessor = predecessor
@@ -64,7 +64,7 @@
         self._fencing = fencing
         self._peers = peer_client
         self._list_members = list_members
-        self._has_removed_members = has_removed_members
+        self._are_all_listed = are_all_listed
         self._log_event = log_event
         self._heard: set[str] = set()  # processes that know the new owner
         self._heard_at: float | None = None  # from anyone who ends its proofs
@@ -92,7 +92,7 @@
         are_listed_heard = bool(members) and all(m.boot in self._heard for m in members)
         is_predecessor_listed = any(m.address == self._predecessor.address for m in members)
         is_predecessor_heard = is_predecessor_listed or self._answered_at is not None
-        return are_listed_heard and is_predecessor_heard and not self._has_removed_members()
+        return are_listed_heard and is_predecessor_heard and self._are_all_listed()
 
     def _ask(self, address: str) -> None:
         try:
