--- a/features/steps/member_removal.py
+++ b/features/steps/member_removal.py
@@ -31,6 +31,7 @@
     decode,
     encode,
 )
+from lavenderhook.errors import TransportError
 
 
 def choose_other(context):
@@ -243,6 +244,14 @@
     assert event in context.events, context.events
 
 
+class SilentPeers:
+    """Peers that don't answer."""
+
+    def ping(self, address):
+        """Time out."""
+        raise TransportError(f"connecting to {address}: timed out", sent=False)
+
+
 class StandInOwner:
     """Owner that records when it is stopped."""
 
@@ -269,7 +278,7 @@
         "m:1",
         1.0,
         store=context.rows,
-        peer_client=None,
+        peer_client=SilentPeers(),
         make_owner=lambda owner, *_: StandInOwner(context, owner.fencing),
         record_peer_version=lambda *_: None,
         stopped=gevent.event.Event(),
