--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -428,7 +428,10 @@
             are_all_listed=self._are_all_listed,
             log_event=self._log_event,
         )
-        while self.owner is owner and self._measure_authority_left() > 0.0:
+        while self.owner is owner:
+            left = self._measure_authority_left()
+            if left <= 0.0:
+                break
             inquiry.ask()
             if inquiry.confirms_nobody() and predecessor.authority_seconds < STORELESS_SECONDS:
                 stated_until = claimed_at + predecessor.authority_seconds
@@ -438,6 +441,13 @@
                 self._inherited_until = min(self._inherited_until, time.monotonic())
             if (do_all_know_owner or inquiry.has_no_proof()) and self.owner is owner:
                 self._record_predecessor_inactive(owner)
+            if self._measure_authority_left() <= 0.0:
+                self._log_event(
+                    "earlier-owners-inactive",
+                    fencing=owner.fencing,
+                    all_know=do_all_know_owner,
+                    left=round(left, 3),
+                )
             gevent.sleep(ASKING_INTERVAL_SECONDS)
 
     def _start_owner(self, owner: OwnerRecord, revision: int, inherited_seconds: float) -> None:
