--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of cases 6 to 10 start: byte code of the project's own
+# Builds the stand-ins that the scripts of cases 6 to 9 start: byte code of the project's own
 # stand-ins and of the classes in support_2, for the packages in target/deps.
 set -eu
 cd "$(dirname "$0")/.."
