Review: keep the shared stand-ins in a file instead of a folder

Cause: the landing check takes each folder of review/ for a case, and refuses one that isn't a number.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from review.support_2.rig import CannotRunError, Entry, run_case
+from review.rig_2 import CannotRunError, Entry, run_case
 
 CORES = 32_000  # thousandths, as the workers of dwta-lavender
 WORKERS = 8
--- a/review/support_2/rig.py
+++ b/review/rig_2.py
@@ -21,7 +21,7 @@
 from standins.queues import QueuePlatform, QueueWorkerStandIn, RowStoreStandIn
 from standins.web import Response
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 ROW_BYTES = 65_536
 TRANSACTION_ENTRIES = 100
 TRANSACTION_BYTES = 1_000_000
