Model workers as witnesses of the ownership

The specification asks one thing more of an owner without the store: that a majority of the workers of its roster has answered it. A later owner that a majority of the same workers has answered has then ended it. It is a specification of its own beside ownership.py, since it takes three workers and leaves out peers and leases, which ownership.py and leases.py cover.

--- a/features/model.feature
+++ b/features/model.feature
@@ -38,3 +38,4 @@
       | leaving       |
       | ownership     |
       | leases        |
+      | witnesses     |
--- a/model/registry.py
+++ b/model/registry.py
@@ -16,6 +16,7 @@
 from .specifications.ownership import Ownership
 from .specifications.shard import Shard
 from .specifications.tasks import Tasks
+from .specifications.witnesses import WorkerWitnesses
 
 SPECIFICATIONS: tuple[type[Specification], ...] = (
     Tasks,
@@ -26,6 +27,7 @@
     Leaving,
     Ownership,
     Leases,
+    WorkerWitnesses,
 )
 TRACE_DIRECTORY = Path(__file__).resolve().parent / "traces"
 
