End the wait for earlier owners by a majority of the workers

The new instances are ready 0.2 s after their start and accept submissions, but start nothing for 61.8 s and the longest lease after it, beside seven workers that answer and are empty.

Cause: a new owner waits, before it starts what may run on a worker that it can't reach, until no earlier owner can extend leases there. Each end of that wait is an answer of the earlier owner or of an instance that it lists. Where all of these are lost, the worst case remains: an owner that goes on for a minute behind a cut from the store.

`earlier_leases_expire_in=67.7` in `owner-loaded`, and no `earlier-owners-inactive`.

Change: an owner without the store now needs a majority of its workers as well as all listed peers (queueing/witnesses.py). A new owner that a majority of the same workers has answered has then ended each earlier one, whoever lists whom: 2.5 s later, since a hold takes up to a second. Only the lease is left. Three conditions make two majorities meet: incarnations count that the owner knew before its last proof by the store; each roster that may be stored needs a majority; a roster names the witnesses of earlier owners that may still act. Owners of the build before don't ask their workers, which the owner's row tells. The wait is not shortened where no majority is reached: old instances and most workers behind one cut go on.

Why not a shorter bound: with old instances alive behind a cut, the tasks on workers that only they reach would be started twice ("Instances that are cut off with some of the workers run nothing twice").

Log: `earlier-owners-inactive` tells by `reason` what has ended the wait, and after how many seconds; `owner-isolated` tells whether the workers answer.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -265,6 +265,19 @@
       | it        | third   | none    | 0.5   | may     |
       | it        | none    | third   | 0.5   | may     |
 
+  Scenario Outline: An owner's workers end its wait for earlier owners that ask theirs
+    Guards against a minute without starts after all earlier instances are lost, and against too short
+    a wait for an owner of the build before, which acts without its workers.
+    Given an instance that has taken over from an owner that is lost, and whose row says that it <asks> its workers
+    When its workers show that no earlier owner acts
+    Then its row says that it and all earlier owners <ask> their workers
+    And 1.5 seconds later its heartbeat says that earlier owners <may> act
+
+    Examples:
+      | asks         | ask       | may     |
+      | asks         | ask       | may not |
+      | doesn't ask  | don't ask | may     |
+
   Scenario Outline: An owner waits no longer once a peer of its predecessor knows it
     Guards against a minute without starts after an owner that was lost for good had no time to list
     an instance that had just started. A peer that leaves may not be listed any longer.
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -541,6 +541,7 @@
     """Return the manager of an instance, by default with a store that only accepts a claim."""
     stopped = gevent.event.Event()
     context.add_cleanup(stopped.set)
+    context.has_witnessed_end = False
     return OwnershipManager(
         "me",
         "z",
@@ -548,7 +549,9 @@
         1.0,
         store=store or AcceptingStore(),
         peer_client=peer_client,
-        make_owner=lambda row, *_: mock.Mock(fencing=row.fencing),
+        make_owner=lambda row, *_: mock.Mock(
+            fencing=row.fencing, has_witnessed_end=lambda: context.has_witnessed_end
+        ),
         record_peer_version=lambda *_: None,
         stopped=stopped,
         log_event=lambda *_names, **_fields: None,
@@ -698,14 +701,14 @@
         return super().ping(address)
 
 
-def take_over(context, peer_client, listed=("third",), authority_seconds=0.0):
+def take_over(context, peer_client, listed=("third",), **fields):
     """Let an instance claim after an owner that doesn't list it; the peers answer alike.
 
     Without a list, there is no heartbeat of that owner, and its row lists the instance.
     """
     context.rows = RowTable()
     peers = ("me",) if listed is None else ()
-    row = make_row(3, authority_seconds=authority_seconds, peers=peers)
+    row = make_row(3, peers=peers, **fields)
     context.rows.transact([Write(CONTROL_TABLE, OWNER_KEY, encode(row))])
     third = make_listed("third")
     context.rows.transact([Write(CONTROL_TABLE, MEMBER_PREFIX + "third", encode(third))])
@@ -724,6 +727,25 @@
     assert read_authority(context) > 50.0
 
 
+@given(
+    "an instance that has taken over from an owner that is lost, and whose row says that it {asks} "
+    "its workers"
+)
+def step_taken_over_from_lost(context, asks):
+    take_over(context, OwnerUnreached("third", fencing=3), (), asks_workers=asks == "asks")
+
+
+@when("its workers show that no earlier owner acts")
+def step_witnessed_end(context):
+    context.has_witnessed_end = True
+
+
+@then("its row says that it and all earlier owners {ask} their workers")
+def step_row_says(context, ask):
+    owner = decode(context.rows.find(CONTROL_TABLE, OWNER_KEY).value, OwnerRecord)
+    assert owner.asks_workers is (ask == "ask"), owner
+
+
 def read_authority(context):
     """Return for how long earlier owners may act, by the stored heartbeat."""
     row = context.rows.find(CONTROL_TABLE, HEARTBEAT_KEY)
--- a/features/support/partitioned_cluster.py
+++ b/features/support/partitioned_cluster.py
@@ -56,6 +56,13 @@
         super().__init__(folder, instances, workers, seed, entry_class=PartitionedEntry)
         self._cuts = []
 
+    def add_entry(self):
+        """Return a further instance, at addresses of its own, that is not started."""
+        entry = PartitionedEntry(self, f"entry-{len(self.entries)}")
+        self.entries.append(entry)
+        self._apply_cuts()
+        return entry
+
     def cut_off(self, entries, workers, callers=Callers.ALL):
         """Cut instances and workers off in silence; return the cut, which may overlap others."""
         cut = Cut(tuple(entries), tuple(workers), callers)
--- a/features/support/queue_mutants.py
+++ b/features/support/queue_mutants.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lavenderhook._internal.queueing import avoidance
+from lavenderhook._internal.queueing import avoidance, witnesses
 from lavenderhook._internal.queueing.events import (
     FinishedRunPosition,
     HoldUnanswered,
@@ -23,6 +23,7 @@
 from lavenderhook._internal.queueing.stragglers import ComparedRuns
 from lavenderhook._internal.queueing.submissions import SubmissionProgress
 from lavenderhook._internal.queueing.takeover import Takeover
+from lavenderhook._internal.queueing.witnesses import WitnessedEnd, WitnessProof
 from lavenderhook._internal.queueing.workers import Worker
 
 from .queue_simulation import SimulatedOwner, SimulatedWorker
@@ -241,6 +242,40 @@
     return mock.patch.object(avoidance, "AVOIDANCE_WAIT_SECONDS", math.inf)
 
 
+def count_any_witness():
+    """Take the answer of any worker for that of a majority."""
+
+    def has_any_answered(answered, among):
+        return not among or bool(among.intersection(answered))
+
+    return mock.patch.object(witnesses, "is_majority", has_any_answered)
+
+
+def end_at_majority():
+    """Take earlier owners for ended while the last answers that they got still count."""
+    return mock.patch.object(witnesses, "LAST_WITNESS_SECONDS", 0.0)
+
+
+def count_any_incarnation():
+    """Count workers that have restarted since the last proof by the store."""
+    original_record = WitnessProof.record_answer
+
+    def record_as_known(self, worker, born, sent_at, answered_at):
+        original_record(self, worker, born, sent_at, -math.inf)
+
+    return mock.patch.object(WitnessProof, "record_answer", record_as_known)
+
+
+def ignore_unanswered_rosters():
+    """Ask the witnesses of the last roster only that the store has confirmed."""
+    return mock.patch.object(WitnessProof, "record_requested", lambda self, roster: None)
+
+
+def forget_earlier_rosters():
+    """State no witnesses of owners before the predecessor."""
+    return mock.patch.object(WitnessedEnd, "list_unended", lambda self, roster: ())
+
+
 MUTANTS = {
     "workers ignore tokens": ignore_tokens,
     "finished runs are acknowledged before they are stored": acknowledge_before_commit,
@@ -259,6 +294,11 @@
     "an unanswered hold counts as another incarnation": presume_other_incarnation,
     "a cancelled submission becomes active when it is reported again": revive_cancelled_submissions,
     "earlier owners count as ended while they act": presume_former_owners_ended,
+    "any worker's answer counts as a majority": count_any_witness,
+    "earlier owners count as ended once a majority has answered": end_at_majority,
+    "workers that have restarted since the last proof count": count_any_incarnation,
+    "unanswered rosters are ignored": ignore_unanswered_rosters,
+    "a roster doesn't name the witnesses of earlier owners": forget_earlier_rosters,
     "only a run that ends in time ends a probation": prolong_probation,
     "a task avoids a worker without end": avoid_without_end,
 }
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -418,9 +418,13 @@
             now = simulation.now
             self.apply(SubmissionAbsent(now=now, submission=submission, read_at=read_at))
 
+    def may_act(self):
+        """Return whether the owner has a proof that it has not been replaced."""
+        return self.simulation.now <= self.acts_until
+
     def compute_lease_end(self, name):
         """Return the end of a lease, counted from the worker's last report."""
-        if name not in self.state.workers or self.simulation.now > self.acts_until:
+        if name not in self.state.workers or not self.may_act():
             return None
         return self.state.workers[name].lease.compute_end(LEASE_SECONDS)
 
@@ -566,7 +570,7 @@
 
     def tick(self):
         """Trigger the periodic scheduling."""
-        if self.is_active and self.simulation.now <= self.acts_until:
+        if self.is_active and self.may_act():
             self.apply(Ticked(now=self.simulation.now, proven_at=self.stored_proof_at))
         if self.is_active:
             self.simulation.call_later(0.05, self.tick)
@@ -637,6 +641,8 @@
         with the same probability, but always take effect.
     """
 
+    owner_class = SimulatedOwner
+
     def __init__(self, seed, workers=4, lost_answer_share=0.0):
         self.random = random.Random(seed)
         self.now = 0.0
@@ -714,7 +720,7 @@
         """Start a new owner without stopping the former one."""
         self.revision += 1
         self.latest_fencing_token += 1
-        owner = SimulatedOwner(self, self.latest_fencing_token)
+        owner = self.owner_class(self, self.latest_fencing_token)
         self.owners.append(owner)
         return owner
 
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -8,6 +8,7 @@
 import gevent
 import gevent.event
 import gevent.pool
+import msgspec
 
 from ...errors import LavenderhookError, ProtocolError, StoreUnavailableError
 from ..core.identifiers import WorkerId
@@ -87,6 +88,7 @@
 )
 from ..queueing.submissions import SubmissionProgress
 from ..queueing.takeover import Takeover
+from ..queueing.witnesses import WitnessedEnd, WitnessProof
 from ..queueing.workers import Worker
 from .clock import read_elapsed_clock
 from .ownership_proof import OwnershipProof
@@ -203,6 +205,8 @@
         self._takeover = Takeover(
             self._started_at, parameters.lease_seconds, authority_seconds, inherited_seconds
         )
+        self._witness_proof = WitnessProof(Roster())
+        self._witnessed_end: WitnessedEnd | None = None  # known once the state is loaded
         self._has_proof = True
         self._confirmations = 0  # in flight
         self._former_starts: dict[SubmissionId, list[LoggedStart]] = {}
@@ -262,6 +266,14 @@
         self._inherited_until = inherited_until
         self.apply(PredecessorInactive(now=_now(), inherited_until=inherited_until))
 
+    def has_witnesses(self) -> bool:
+        """Return whether enough workers have answered this owner lately."""
+        return self._witness_proof.is_valid(read_elapsed_clock(), self._proof.stored_at)
+
+    def has_witnessed_end(self) -> bool:
+        """Return whether the workers show that no earlier owner acts that asks them."""
+        return self._witnessed_end is not None and self._witnessed_end.has_passed(_now())
+
     def add_submission(self, submission: Submission, revision: int | None = None) -> None:
         """Apply a submission that a peer or this instance has stored.
 
@@ -444,6 +456,8 @@
         return collect_starts(rows, time.time())
 
     def _restore_state(self, roster: Roster) -> None:
+        self._witness_proof = WitnessProof(roster)
+        self._witnessed_end = WitnessedEnd(roster)
         self.state = OwnerState(
             self.fencing,
             self._revision,
@@ -669,6 +683,7 @@
                 "owner-confirmed" if has_proof else "owner-isolated",
                 fencing=self.fencing,
                 store_age=round(self._proof.measure_store_age(), 3),
+                witnessed=self.has_witnesses(),
             )
         return has_proof
 
@@ -700,7 +715,7 @@
         while not self._is_stopped and self.state is not None and worker_id in self.state.workers:
             worker = self.state.workers[worker_id]
             born = worker.newest.born
-            sent_at = _now()
+            sent_at, sent_elapsed = _now(), read_elapsed_clock()
             token = self.state.get_command_token(worker_id)
             result = self._worker_client.hold(
                 worker.listing.address,
@@ -734,6 +749,11 @@
                 may_answer_soon = not worker.is_reached and not result.is_wrong_recipient
                 gevent.sleep(FIRST_HOLD_RETRY_SECONDS if may_answer_soon else HOLD_RETRY_SECONDS)
                 continue
+            self._witness_proof.record_answer(
+                worker_id, result.born, sent_elapsed, read_elapsed_clock()
+            )
+            if self._witnessed_end is not None:
+                self._witnessed_end.record_answer(worker_id, now)
             self.apply(ReportArrived(now=now, worker=worker_id, sent_at=sent_at, report=result))
             if worker.stored_sequence < worker.processed_sequence:
                 self._progress_stored.clear()
@@ -995,6 +1015,10 @@
         The write depends on the revision that it replaces: one whose response was lost may be
         carried out late, and must not replace a newer roster by an older one.
         """
+        if self._witnessed_end is not None and not self._takeover.is_inactive(_now()):
+            earlier = self._witnessed_end.list_unended(roster)
+            roster = msgspec.structs.replace(roster, earlier=earlier)
+        self._witness_proof.record_requested(roster)
         write = Write(CONTROL_TABLE, ROSTER_KEY, encode(roster), self._roster_revision)
         try:
             result = self._transact([write])
@@ -1009,6 +1033,7 @@
             self._roster_revision = row.revision if row is not None else 0
             return False
         self._roster_revision = result
+        self._witness_proof.record_stored(roster)
         self._log_event(
             "roster-stored",
             revision=result,
--- a/src/lavenderhook/_internal/instance/ownership_manager.py
+++ b/src/lavenderhook/_internal/instance/ownership_manager.py
@@ -46,7 +46,12 @@
     should_hand_over,
 )
 from .ownership_proof import OwnershipProof
-from .predecessor import ASKING_INTERVAL_SECONDS, LAST_PROOF_SECONDS, PredecessorInquiry
+from .predecessor import (
+    ASKING_INTERVAL_SECONDS,
+    LAST_PROOF_SECONDS,
+    EndReason,
+    PredecessorInquiry,
+)
 from .registration import STORE_RETRY_SECONDS, Registration
 from .table_watcher import LogEvent, TableWatcher, describe_failure
 from .work_table import WorkTable
@@ -361,17 +366,21 @@
         predecessor_peers = self.view.list_owner_peers()
         assessment = self.view.assess_predecessor()
         inherited = self.view.compute_inherited_seconds(time.monotonic())
+        authority_seconds = compute_authority_seconds(assessment, inherited)
         owner = OwnerRecord(
             fencing=self.view.compute_next_fencing(),
             name=self.name,
             boot=self.claim_id,
             address=self._address,
             process=self.view.process_id,
-            authority_seconds=compute_authority_seconds(assessment, inherited),
+            authority_seconds=authority_seconds,
             peers=self._list_peer_processes(),
             predecessor=(
                 FormerOwner.of(predecessor, claimed_from) if predecessor is not None else None
             ),
+            asks_workers=(
+                predecessor is None or authority_seconds == 0.0 or predecessor.asks_workers
+            ),
         )
         write = Write(CONTROL_TABLE, OWNER_KEY, encode(owner), claimed_from)
         sent_at = read_elapsed_clock()
@@ -419,6 +428,7 @@
     ) -> None:
         """End a long wait for owners that get no proof by their peers any longer."""
         claimed_at = time.monotonic()
+        stated_seconds = self._measure_authority_left()
         inquiry = PredecessorInquiry(
             predecessor,
             processes,
@@ -429,25 +439,29 @@
             log_event=self._log_event,
         )
         while self.owner is owner:
-            left = self._measure_authority_left()
-            if left <= 0.0:
-                break
             inquiry.ask()
+            if self.owner is not owner:
+                return
             if inquiry.confirms_nobody() and predecessor.authority_seconds < STORELESS_SECONDS:
                 stated_until = claimed_at + predecessor.authority_seconds
                 self._inherited_until = min(self._inherited_until, stated_until)
-            do_all_know_owner = inquiry.do_all_know_owner()
-            if do_all_know_owner:
+            reason = inquiry.find_end(
+                has_witnessed_end=predecessor.asks_workers and owner.has_witnessed_end()
+            )
+            if reason in (EndReason.ALL_KNOW, EndReason.WORKERS):
                 self._inherited_until = min(self._inherited_until, time.monotonic())
-            if (do_all_know_owner or inquiry.has_no_proof()) and self.owner is owner:
+            if reason is not None:
                 self._record_predecessor_inactive(owner)
             if self._measure_authority_left() <= 0.0:
                 self._log_event(
                     "earlier-owners-inactive",
                     fencing=owner.fencing,
-                    all_know=do_all_know_owner,
-                    left=round(left, 3),
+                    former=predecessor.fencing,
+                    reason=(reason or EndReason.EXPIRED).value,
+                    seconds=round(time.monotonic() - claimed_at, 3),
+                    stated=round(stated_seconds, 3),
                 )
+                return
             gevent.sleep(ASKING_INTERVAL_SECONDS)
 
     def _start_owner(self, owner: OwnerRecord, revision: int, inherited_seconds: float) -> None:
@@ -461,7 +475,9 @@
         """Return whether a peer may have taken over without this instance noticing."""
         if is_proof_valid(self._proof.measure_store_age()):
             return False
-        return not is_proof_valid(self._proof.measure_age(self._list_peer_processes()))
+        if not is_proof_valid(self._proof.measure_age(self._list_peer_processes())):
+            return True
+        return self.owner is None or not self.owner.has_witnesses()
 
     def measure_proof_age(self) -> float:
         """Return the seconds since the last proof of the ownership; 0 if there is no owner here."""
--- a/src/lavenderhook/_internal/instance/ownership_proof.py
+++ b/src/lavenderhook/_internal/instance/ownership_proof.py
@@ -20,15 +20,20 @@
     ----------
     claimed_at : float
         When the claim was sent.
+
+    Attributes
+    ----------
+    stored_at : float
+        When the transaction was sent that was the last to be accepted.
     """
 
     def __init__(self, claimed_at: float) -> None:
-        self._stored_at = claimed_at
+        self.stored_at = claimed_at
         self._answered_at: dict[str, float] = {}
 
     def record_store(self, sent_at: float) -> None:
         """Record that a transaction under the condition of the owner row has been accepted."""
-        self._stored_at = max(self._stored_at, sent_at)
+        self.stored_at = max(self.stored_at, sent_at)
 
     def record_peer(self, process: str, sent_at: float) -> None:
         """Record that a peer's process has answered that it has not become a later owner."""
@@ -36,7 +41,7 @@
 
     def measure_store_age(self) -> float:
         """Return the seconds since the last proof by the store."""
-        return read_elapsed_clock() - self._stored_at
+        return read_elapsed_clock() - self.stored_at
 
     def measure_age(self, peers: Collection[str]) -> float:
         """Return the seconds since the last proof by the store or by all peers.
@@ -48,7 +53,7 @@
         """
         now = read_elapsed_clock()
         answered_at = min((self._answered_at.get(peer, -math.inf) for peer in peers), default=now)
-        return now - max(self._stored_at, min(answered_at, self._stored_at + STORELESS_SECONDS))
+        return now - max(self.stored_at, min(answered_at, self.stored_at + STORELESS_SECONDS))
 
     def list_unanswered(self, peers: Collection[str], max_age: float) -> list[str]:
         """Return the peers whose last answer is missing or older than `max_age` seconds."""
--- a/src/lavenderhook/_internal/instance/predecessor.py
+++ b/src/lavenderhook/_internal/instance/predecessor.py
@@ -8,11 +8,13 @@
 its process knows a later one.
 
 No earlier owner acts once all listed instances know the new one, unless an owner has removed one
-that may still run, or a stale read has missed one.
+that may still run, or a stale read has missed one. Nor does any once a majority of the workers has
+answered the new one (`queueing.witnesses`), which needs no answer of any instance.
 """
 
 from __future__ import annotations
 
+import enum
 import time
 from collections.abc import Callable, Collection
 
@@ -29,6 +31,15 @@
 LAST_PROOF_SECONDS = PROOF_SECONDS * CLOCK_RATE_FACTOR  # for which one from before an answer counts
 
 
+class EndReason(enum.Enum):
+    """What has shown that no earlier owner acts any longer."""
+
+    ALL_KNOW = "all-know"  # all listed instances know the new owner
+    WORKERS = "workers"  # a majority of the workers answers the new owner only
+    PREDECESSOR = "predecessor"  # it has no proof by its peers any longer
+    EXPIRED = "expired"  # the stated time has passed, or the predecessor's process has ended
+
+
 class PredecessorInquiry:
     """Asks a predecessor and all listed instances whether they know the new owner.
 
@@ -78,9 +89,19 @@
         calls = [gevent.spawn(self._ask, address) for address in sorted(addresses)]
         gevent.joinall(calls, timeout=ASKING_INTERVAL_SECONDS)
 
-    def has_no_proof(self) -> bool:
-        """Return whether the last proof that the predecessor may have by its peers has expired."""
-        return _is_past(self._heard_at)
+    def find_end(self, *, has_witnessed_end: bool) -> EndReason | None:
+        """Return what shows that the predecessor acts no longer, and perhaps no earlier owner.
+
+        Parameters
+        ----------
+        has_witnessed_end : bool
+            The workers show that no earlier owner acts any longer.
+        """
+        if self.do_all_know_owner():
+            return EndReason.ALL_KNOW
+        if has_witnessed_end:
+            return EndReason.WORKERS
+        return EndReason.PREDECESSOR if _is_past(self._heard_at) else None
 
     def confirms_nobody(self) -> bool:
         """Return whether all proofs have expired that the predecessor's process may have given."""
--- a/src/lavenderhook/_internal/queueing/authority.py
+++ b/src/lavenderhook/_internal/queueing/authority.py
@@ -4,16 +4,17 @@
 answer proves that nobody had taken over before. Two things prove that:
 
 - the store has accepted a transaction under the condition of the owner row;
-- each listed peer has answered that it has not become a later owner. Contact with some of them
-  proves nothing, since the others may be outside a partition. An instance that has joined without
-  the owner's knowledge isn't asked, so that this counts only for `STORELESS_SECONDS` after the last
-  proof by the store.
+- each listed peer has answered that it has not become a later owner, and a majority of the workers
+  has answered this one (`witnesses`). Contact with some of the peers proves nothing, since the
+  others may be outside a partition. An instance that has joined without the owner's knowledge isn't
+  asked, so that this counts only for `STORELESS_SECONDS` after the last proof by the store.
 
 A lease that has expired by an owner's count proves the end of a run only if the store has confirmed
 the owner since: a successor may have reached the worker meanwhile, and extends its leases.
 
 A new owner can't know when its predecessor's last proof was, only that it was before its own claim.
-It waits for the bound that applies to its predecessor, and then for the longest lease.
+It waits for the bound that applies to its predecessor, or until the answers of the workers show
+that all earlier owners have ended, and then for the longest lease.
 """
 
 from __future__ import annotations
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -135,6 +135,9 @@
         The `boot` of each instance that this one lists.
     predecessor : FormerOwner or None
         None for the first owner, or if the row does not say.
+    asks_workers : bool
+        While it has no store, this owner acts only if its workers answer it, and so does each
+        earlier one that had not ended before the claim; see the module `witnesses`.
     """
 
     fencing: FencingToken
@@ -145,6 +148,7 @@
     authority_seconds: float = 0.0
     peers: tuple[str, ...] = ()
     predecessor: FormerOwner | None = None
+    asks_workers: bool = False
 
 
 class HeartbeatRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -173,10 +177,14 @@
     closed : dict of WorkerId to int
         Revision of the store at which each worker was closed; 0 stands for the revision of the
         roster's own row.
+    earlier : tuple of frozenset of WorkerId
+        The witnesses of earlier owners that may still act, where these are others than the
+        roster's own; see the module `witnesses`.
     """
 
     workers: frozenset[WorkerId] = frozenset()
     closed: dict[WorkerId, int] = {}
+    earlier: tuple[frozenset[WorkerId], ...] = ()
 
 
 class MemberRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -251,7 +259,7 @@
 def set_closing_revisions(roster: Roster, revision: int) -> Roster:
     """Return a roster with the revision of its row in place of 0."""
     closed = {worker: closed_at or revision for worker, closed_at in roster.closed.items()}
-    return Roster(workers=roster.workers, closed=closed)
+    return msgspec.structs.replace(roster, closed=closed)
 
 
 def choose_part(submission: SubmissionId) -> str:
--- a/src/lavenderhook/_internal/queueing/takeover.py
+++ b/src/lavenderhook/_internal/queueing/takeover.py
@@ -76,6 +76,10 @@
                 worker.lease.expires_by = expire_at
         self.leases_expire_at = expire_at
 
+    def is_inactive(self, now: float) -> bool:
+        """Return whether no earlier owner sends commands any more."""
+        return now >= self._inactive_at
+
     def have_leases_expired(self, now: float) -> bool:
         """Return whether all leases that earlier owners have granted have expired."""
         return now > self.leases_expire_at
