Lose all instances at once in the soak test

All processes are killed beside one or two workers that no instance reaches, and others start at addresses that no earlier owner lists, so that nobody answers for the earlier owners. A generator of its own leaves the sequence of the other faults as it was.

--- a/soak/run.py
+++ b/soak/run.py
@@ -17,7 +17,7 @@
 from .faults import RandomFaultInjector
 from .partitions import PartitionInjector
 from .proxy import Mode, Proxy
-from .takeovers import TakeoverInjector
+from .takeovers import ReplacementInjector, TakeoverInjector
 
 CONFIGURATION_SECONDS = 2.0  # within which a change is in force, or not denied
 QUERY_SECONDS = 1.0
@@ -81,6 +81,7 @@
         self._random_cuts = random.Random(seed + 2)
         self._random_takeovers = random.Random(seed + 3)
         self._random_repeats = random.Random(seed + 4)
+        self._random_replacements = random.Random(seed + 5)
         self._size = size
         self._directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.cluster = PartitionedCluster(self._directory, size.instances, size.workers, seed)
@@ -107,6 +108,7 @@
             others = [
                 gevent.spawn(PartitionInjector(self, self._random_cuts, injector).run),
                 gevent.spawn(TakeoverInjector(self, self._random_takeovers, injector).run),
+                gevent.spawn(ReplacementInjector(self, self._random_replacements, injector).run),
             ]
             interval_seconds = self._size.fault_interval_seconds
             injector.run(self._size.seconds, interval_seconds, lambda: gevent.killall(others))
--- a/soak/takeovers.py
+++ b/soak/takeovers.py
@@ -1,4 +1,4 @@
-"""Random changes of owner beside workers that no instance reaches, and paused workers."""
+"""Random changes of owner beside workers that no instance reaches, and losses of all instances."""
 
 import gevent
 
@@ -8,6 +8,9 @@
 MAX_WORKERS = 3
 MAX_OWNERS = 3
 MAX_TAKEOVER_SECONDS = 3.0
+REPLACEMENT_INTERVAL_SECONDS = (2.0, 12.0)
+MAX_LOST_WORKERS = 2
+REPLACEMENT_SECONDS = (0.2, 1.5)  # until new instances start
 
 
 class TakeoverInjector:
@@ -68,3 +71,43 @@
         if worker.born != born or not worker.is_up:
             proxy.reset()  # connections end with the process
         proxy.mode = Mode.PASS
+
+
+class ReplacementInjector:
+    """Lose all instances for good beside workers that no instance reaches.
+
+    Parameters
+    ----------
+    soak : soak.run.Soak
+    generator : random.Random
+    faults : soak.faults.RandomFaultInjector
+    """
+
+    def __init__(self, soak, generator, faults):
+        self._soak = soak
+        self._random = generator
+        self._faults = faults
+
+    def run(self):
+        """Inject faults until the greenlet is killed."""
+        while True:
+            gevent.sleep(self._random.uniform(*REPLACEMENT_INTERVAL_SECONDS))
+            self._faults.inject(self._replace, self._random.uniform(*DURATION_SECONDS)).join()
+
+    def _replace(self, duration_seconds):
+        """Kill all processes; start others at addresses that no earlier owner lists."""
+        cluster = self._soak.cluster
+        workers = cluster.platform.workers
+        cut = cluster.cut_off(
+            [], self._random.sample(workers, self._random.randint(1, MAX_LOST_WORKERS))
+        )
+        for entry in cluster.entries:
+            entry.process.kill()
+            entry.process.wait()
+        gevent.sleep(self._random.uniform(*REPLACEMENT_SECONDS))
+        for entry in cluster.entries:
+            if entry.process.poll() is not None:  # another fault may have started it again
+                entry.choose_ports()
+                entry.start()
+        self._soak.faults_ended.wait(duration_seconds)
+        cluster.heal(cut)
