Don't take runs for lost by a restart that the store has not confirmed

What callers would see: a task that has ended done runs again (TWICE).

Cause: an owner that has been replaced, and still acts without the store, reaches a worker that has restarted. It takes the runs of the former incarnation for lost and starts them elsewhere. The later owner had reached that one, and seen how they ended. A lease that has expired proves the end of a run only if the store has confirmed the owner since; a restart was believed at once.

Change: while its last proof by the store is no longer valid, an owner applies no report of an incarnation that first answered after that proof was requested. `report-unproven-by-store` says so once for each.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -136,6 +136,16 @@
     When a new call to the store is answered, which knows another owner
     Then it has sent no start and steps down
 
+  Scenario: An owner believes the restart of a worker only once the store confirms the owner
+    Guards against a second start of what a later owner has seen to end on the former incarnation: an
+    owner that goes on without the store takes it for lost.
+    Given an owner with one worker whose answers are recorded
+    When it has had no proof of its ownership for 1.3 seconds
+    And its worker restarts
+    Then it takes its worker for the former incarnation
+    When a new call to the store is answered, which knows no other owner
+    Then it takes its worker for the next incarnation
+
   Scenario: Contact with some of the peers proves nothing
     Guards against an owner that goes on in a partition with some peers, while one of the others has
     taken over outside.
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -340,6 +340,7 @@
     def __init__(self):
         self.starts = []
         self.leases = []
+        self.born = 1
 
     def start(self, _address, command, _lease_until):
         """Record a start."""
@@ -350,7 +351,7 @@
         """Record the lease; report no runs."""
         gevent.sleep(0.01)
         self.leases.append(lease_until)
-        return WorkerReport(clock=100.0, born=1, running=(), finished=())
+        return WorkerReport(clock=100.0, born=self.born, running=(), finished=())
 
 
 def make_proof(context):
@@ -414,6 +415,19 @@
     context.elapsed += seconds
 
 
+@when("its worker restarts")
+def step_worker_restarts(context):
+    context.client.born += 1
+    gevent.sleep(0.5)
+
+
+@then("it takes its worker for the {incarnation} incarnation")
+def step_incarnation(context, incarnation):
+    gevent.sleep(0.5)
+    born = context.owner.state.workers["w"].newest.born
+    assert born == context.client.born - (incarnation == "former"), born
+
+
 @when("answers arrive to calls that were sent before")
 def step_old_answers(context):
     context.proof.record_store(context.sent_before)
--- a/features/support/witness_runs.py
+++ b/features/support/witness_runs.py
@@ -79,10 +79,19 @@
             now = self.simulation.now
             self.witness_proof.record_answer(event.worker, event.report.born, event.sent_at, now)
             self.witnessed_end.record_answer(event.worker, now)
+            if not self.accepts_report(event):
+                return
         elif isinstance(event, RosterStored):
             self.witness_proof.record_stored(event.roster)
         super().apply(event)
 
+    def accepts_report(self, event):
+        """Return whether the store has confirmed the owner lately, or since the first report."""
+        proven_at = self.proven_at
+        return is_proof_valid(self.simulation.now - proven_at) or self.witness_proof.is_confirmed(
+            event.worker, event.report.born, proven_at
+        )
+
     def store_roster(self, roster):
         """Store a roster, which the next owner may read before this one knows."""
         if self.simulation.now < self.predecessors_act_until:
--- a/features/witnesses.feature
+++ b/features/witnesses.feature
@@ -99,3 +99,5 @@
       | seed |
       | 22   |
       | 51   |
+      | 324  |
+      | 651  |
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -749,11 +749,16 @@
                 may_answer_soon = not worker.is_reached and not result.is_wrong_recipient
                 gevent.sleep(FIRST_HOLD_RETRY_SECONDS if may_answer_soon else HOLD_RETRY_SECONDS)
                 continue
-            self._witness_proof.record_answer(
+            is_new = self._witness_proof.record_answer(
                 worker_id, result.born, sent_elapsed, read_elapsed_clock()
             )
             if self._witnessed_end is not None:
                 self._witnessed_end.record_answer(worker_id, now)
+            if not self._accepts_report(worker_id, result.born):
+                if is_new:
+                    self._log_event("report-unproven-by-store", worker=worker_id, born=result.born)
+                gevent.sleep(HOLD_RETRY_SECONDS)
+                continue
             self.apply(ReportArrived(now=now, worker=worker_id, sent_at=sent_at, report=result))
             if worker.stored_sequence < worker.processed_sequence:
                 self._progress_stored.clear()
@@ -761,6 +766,16 @@
             elif worker.finished_runs.has_waiting:
                 gevent.sleep(TICK_INTERVAL_SECONDS)  # the worker reports these at once
 
+    def _accepts_report(self, worker: WorkerId, born: int) -> bool:
+        """Return whether to apply a report of an incarnation.
+
+        A later owner may have seen how the runs of the former incarnation ended. Without the store,
+        a new one doesn't show that they are lost.
+        """
+        return is_proof_valid(self._proof.measure_store_age()) or self._witness_proof.is_confirmed(
+            worker, born, self._proof.stored_at
+        )
+
     def _workers_loop(self) -> None:
         rereading = Rereading()
         rereading.schedule()  # the list that was loaded may be stale
--- a/src/lavenderhook/_internal/queueing/witnesses.py
+++ b/src/lavenderhook/_internal/queueing/witnesses.py
@@ -86,8 +86,8 @@
 
     def record_answer(
         self, worker: WorkerId, born: int, sent_at: float, answered_at: float
-    ) -> None:
-        """Record that an incarnation has answered a hold of this owner.
+    ) -> bool:
+        """Record that an incarnation has answered a hold of this owner, and whether it is new.
 
         Parameters
         ----------
@@ -96,13 +96,32 @@
             Start of the incarnation; see `WorkerListing`.
         sent_at, answered_at : float
             When the hold was sent, and when its answer arrived.
+
+        Returns
+        -------
+        bool
+            It is the first answer of this incarnation.
         """
         known = self._answers.get(worker)
-        if known is None or known.born != born:
-            self._answers[worker] = _Answers(born, answered_at, sent_at)
-            self._valid_until = -math.inf  # the former incarnation may have been counted
-        else:
+        if known is not None and known.born == born:
             known.sent_at = max(known.sent_at, sent_at)
+            return False
+        self._answers[worker] = _Answers(born, answered_at, sent_at)
+        self._valid_until = -math.inf  # the former incarnation may have been counted
+        return True
+
+    def is_confirmed(self, worker: WorkerId, born: int, store_proof_sent_at: float) -> bool:
+        """Return whether an incarnation had answered before the last proof by the store.
+
+        Parameters
+        ----------
+        worker : WorkerId
+        born : int
+        store_proof_sent_at : float
+            When the call was sent by which the store has last confirmed the owner.
+        """
+        known = self._answers.get(worker)
+        return known is not None and known.born == born and known.first_at <= store_proof_sent_at
 
     def record_requested(self, roster: Roster) -> None:
         """Record that a roster is sent to the store, which may hold it from now on."""
