Count workers as witnesses that the owner knows from the list

What callers would see: an outage of the store that begins as a new owner reaches its workers stops all starts and extensions of leases until the store answers again.

Cause: an incarnation counted only if it had *answered* the owner before its last proof by the store. After a takeover that proof is the one for the roster, which is sent before the first answers.

Change: what the argument needs is that the incarnation had started before that proof. The list shows this as well as an answer does, and a roster is written only after its workers are listed. Reports of such an incarnation are applied without the store for the same reason.

--- a/features/steps/lost_instances.py
+++ b/features/steps/lost_instances.py
@@ -14,6 +14,7 @@
 FOR_GOOD_SECONDS = 3600.0
 FROZEN_OR_KILLED = {"are killed": signal.SIGKILL, "are frozen": signal.SIGSTOP}
 MAX_READY_SECONDS = 20.0
+LONG_TASKS = 13
 LONG_TASK_MILLISECONDS = 60_000
 LONG_TASK_PROCESSORS = 3000  # of the 8000 of a worker, in thousandths
 MAX_START_SECONDS = 15.0
@@ -114,11 +115,11 @@
 def step_long_tasks(context):
     cluster = context.cluster
     context.execute_steps("When the owner has reached every worker")
-    steps = make_steps(13, LONG_TASK_MILLISECONDS)
+    steps = make_steps(LONG_TASKS, LONG_TASK_MILLISECONDS)
     steps[0]["cpu"] = LONG_TASK_PROCESSORS
     assert cluster.submit(0, "00000000000000e1", steps).status == 200
     until = time.monotonic() + MAX_START_SECONDS
-    while sum(len(worker.runs) for worker in cluster.platform.workers) < 13:
+    while sum(len(worker.runs) for worker in cluster.platform.workers) < LONG_TASKS:
         assert time.monotonic() < until, "the tasks have not started"
         gevent.sleep(0.02)
     gevent.sleep(1.5)  # until the owner's holds have been answered since its last start
@@ -153,6 +154,6 @@
 def step_all_run(context, seconds):
     until = time.monotonic() + seconds
     workers = context.cluster.platform.workers
-    while sum(len(worker.runs) for worker in workers) < 13:
+    while sum(len(worker.runs) for worker in workers) < LONG_TASKS:
         assert time.monotonic() < until, [len(worker.runs) for worker in workers]
         gevent.sleep(0.1)
--- a/features/steps/witnesses.py
+++ b/features/steps/witnesses.py
@@ -45,6 +45,19 @@
     context.confirmed_at = context.now
 
 
+@when("the list shows {names}, and the store confirms it")
+def step_listed_and_confirmed(context, names):
+    step_listed(context, names)
+    context.confirmed_at = context.now
+
+
+@when("the list shows {names}")
+def step_listed(context, names):
+    context.now = next(context.times)
+    for name in parse_workers(names):
+        context.proof.record_listing(name, context.born[name], context.now)
+
+
 @when("{names} answer it {seconds:f} seconds before the present")
 def step_answer(context, names, seconds):
     context.now = next(context.times)
--- a/features/support/queue_mutants.py
+++ b/features/support/queue_mutants.py
@@ -258,12 +258,7 @@
 
 def count_any_incarnation():
     """Count workers that have restarted since the last proof by the store."""
-    original_record = WitnessProof.record_answer
-
-    def record_as_known(self, worker, born, sent_at, answered_at):
-        original_record(self, worker, born, sent_at, -math.inf)
-
-    return mock.patch.object(WitnessProof, "record_answer", record_as_known)
+    return mock.patch.object(WitnessProof, "is_confirmed", lambda self, *_: True)
 
 
 def ignore_unanswered_rosters():
--- a/features/support/witness_runs.py
+++ b/features/support/witness_runs.py
@@ -59,6 +59,10 @@
     def deliver_worker_list(self):
         """Apply the list of workers, which the store holds."""
         if self.has_store():
+            for worker in self.simulation.workers.values():
+                if worker.is_up:
+                    born = worker.listing().born
+                    self.witness_proof.record_listing(worker.name, born, self.simulation.now)
             super().deliver_worker_list()
 
     def tick(self):
@@ -86,7 +90,7 @@
         super().apply(event)
 
     def accepts_report(self, event):
-        """Return whether the store has confirmed the owner lately, or since the first report."""
+        """Return whether the store has confirmed the owner lately, or since the incarnation."""
         proven_at = self.proven_at
         return is_proof_valid(self.simulation.now - proven_at) or self.witness_proof.is_confirmed(
             event.worker, event.report.born, proven_at
--- a/features/witnesses.feature
+++ b/features/witnesses.feature
@@ -35,6 +35,18 @@
     And a b c answer it 0.1 seconds before the present
     Then its workers confirm it
 
+  Scenario: A worker that the list has shown before the store confirmed the owner is a witness
+    Guards against an owner that stops in an outage of the store right after a takeover, though its
+    workers have not restarted since.
+    Given an owner whose stored roster has the open workers a b c and the closed workers none
+    When the list shows a b c, and the store confirms it
+    And b c answer it 0.1 seconds before the present
+    Then its workers confirm it
+    When b c restart
+    And the list shows a b c
+    And b c answer it 0.1 seconds before the present
+    Then its workers don't confirm it
+
   Scenario: An owner needs a majority of each roster that the store may hold
     Guards against a next owner that reads a roster whose storing this one doesn't know of, and asks
     other workers.
--- a/model/specifications/witnesses.py
+++ b/model/specifications/witnesses.py
@@ -32,14 +32,17 @@
     age : int
         Ticks since its call was sent.
     counts : bool
-        The incarnation had answered before the owner's last proof by the store.
+        The owner had known the incarnation before its last proof by the store.
     is_present : bool
         The worker has not restarted since.
+    is_known : bool
+        The owner had known the present incarnation before that proof.
     """
 
     age: int = OLD
     counts: bool = False
     is_present: bool = False
+    is_known: bool = False
 
 
 class Owner(NamedTuple):
@@ -138,8 +141,7 @@
         Mutant(
             "incarnation before the store proof",
             "last_owner_acts",
-            "an incarnation counts that has answered an owner only since its last proof by the "
-            "store",
+            "an incarnation counts that an owner knows only since its last proof by the store",
             "restarts",
         ),
         Mutant(
@@ -250,11 +252,9 @@
 
     def _hold(self, state: WitnessesState, index: int, worker: int) -> WitnessesState:
         owner = state.owners[index]
-        known = owner.answers[worker]
-        counts = known.counts and known.is_present
-        if not self.enforces("incarnation before the store proof"):
-            counts = True
-        answer = Answer(age=0, counts=counts, is_present=True)
+        is_known = owner.answers[worker].is_known
+        counts = is_known or not self.enforces("incarnation before the store proof")
+        answer = Answer(age=0, counts=counts, is_present=True, is_known=is_known)
         answered = owner.answered | 1 << worker
         owner = owner._replace(
             answers=replace_item(owner.answers, worker, answer), answered=answered
@@ -302,7 +302,9 @@
         if len(state.owners) == self.bounds.owners:
             last = last._replace(answers=(Answer(),) * WORKERS, possible=())
         else:
-            answers = tuple(a._replace(counts=a.counts or a.is_present) for a in last.answers)
+            answers = tuple(
+                a._replace(counts=a.counts or a.is_present, is_known=True) for a in last.answers
+            )
             last = last._replace(answers=answers)
         owners.append(last)
         owners = [o._replace(answered=0) if o.majorities_age != NONE else o for o in owners]
@@ -314,7 +316,10 @@
         """Leave out the answers that never count."""
         if not self.enforces("incarnation before the store proof"):
             return owner
-        answers = tuple(a if a.counts and a.age <= PROOF_TICKS else Answer() for a in owner.answers)
+        answers = tuple(
+            a if a.counts and a.age <= PROOF_TICKS else Answer(is_known=a.is_known)
+            for a in owner.answers
+        )
         return owner._replace(answers=answers)
 
     def list_invariants(self) -> dict[str, Predicate]:
@@ -374,7 +379,9 @@
     owners = tuple(
         owner._replace(
             answers=replace_item(
-                owner.answers, worker, owner.answers[worker]._replace(is_present=False)
+                owner.answers,
+                worker,
+                owner.answers[worker]._replace(is_present=False, is_known=False),
             )
         )
         for owner in state.owners
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -827,6 +827,8 @@
                 self._listings[worker_id] = listing
 
     def _apply_listings(self) -> None:
+        for listing in self._listings.values():
+            self._witness_proof.record_listing(listing.id, listing.born, read_elapsed_clock())
         self.apply(WorkersListed(now=_now(), workers=tuple(self._listings.values())))
 
     def _feed_loop(self) -> None:
--- a/src/lavenderhook/_internal/queueing/witnesses.py
+++ b/src/lavenderhook/_internal/queueing/witnesses.py
@@ -8,8 +8,8 @@
 
 This holds under three conditions:
 
-- An owner counts only incarnations that had answered it before its last proof by the store was
-  requested. A worker that has restarted since may have forgotten the token of a later owner.
+- An owner counts only incarnations that it knew, from the list or a report, before its last proof
+  by the store was requested. One that has started since may not know the token of a later owner.
 - While a write of the roster is unanswered, the owner needs a majority of each roster that may be
   stored, since the next owner reads one of them.
 - Owners in a row may have different rosters. The stored roster names the witnesses of each earlier
@@ -57,14 +57,13 @@
 
     Parameters
     ----------
-    first_at : float
-        Arrival of the first one.
+    born : int
+        Start of the incarnation; see `WorkerListing`.
     sent_at : float
         When the call was sent that was answered last.
     """
 
     born: int
-    first_at: float
     sent_at: float
 
 
@@ -81,13 +80,20 @@
 
     def __init__(self, roster: Roster) -> None:
         self._possible = {select_witnesses(roster)}  # of each roster that the store may hold
+        self._known_since: dict[WorkerId, tuple[int, float]] = {}  # of the newest incarnation
         self._answers: dict[WorkerId, _Answers] = {}
         self._valid_until = -math.inf
 
+    def record_listing(self, worker: WorkerId, born: int, now: float) -> None:
+        """Record that the list shows an incarnation; an outdated one changes nothing."""
+        known = self._known_since.get(worker)
+        if known is None or born > known[0]:
+            self._known_since[worker] = born, now
+
     def record_answer(
         self, worker: WorkerId, born: int, sent_at: float, answered_at: float
     ) -> bool:
-        """Record that an incarnation has answered a hold of this owner, and whether it is new.
+        """Record the answer of an incarnation to a hold; return whether it is its first one.
 
         Parameters
         ----------
@@ -97,21 +103,20 @@
         sent_at, answered_at : float
             When the hold was sent, and when its answer arrived.
 
-        Returns
-        -------
-        bool
-            It is the first answer of this incarnation.
         """
-        known = self._answers.get(worker)
-        if known is not None and known.born == born:
-            known.sent_at = max(known.sent_at, sent_at)
+        known = self._known_since.get(worker)
+        if known is None or known[0] != born:
+            self._known_since[worker] = born, answered_at
+        answers = self._answers.get(worker)
+        if answers is not None and answers.born == born:
+            answers.sent_at = max(answers.sent_at, sent_at)
             return False
-        self._answers[worker] = _Answers(born, answered_at, sent_at)
+        self._answers[worker] = _Answers(born, sent_at)
         self._valid_until = -math.inf  # the former incarnation may have been counted
         return True
 
     def is_confirmed(self, worker: WorkerId, born: int, store_proof_sent_at: float) -> bool:
-        """Return whether an incarnation had answered before the last proof by the store.
+        """Return whether an incarnation was known before the last proof by the store.
 
         Parameters
         ----------
@@ -120,8 +125,8 @@
         store_proof_sent_at : float
             When the call was sent by which the store has last confirmed the owner.
         """
-        known = self._answers.get(worker)
-        return known is not None and known.born == born and known.first_at <= store_proof_sent_at
+        known = self._known_since.get(worker)
+        return known is not None and known[0] == born and known[1] <= store_proof_sent_at
 
     def record_requested(self, roster: Roster) -> None:
         """Record that a roster is sent to the store, which may hold it from now on."""
@@ -150,7 +155,7 @@
         counted = {
             worker: answers.sent_at
             for worker, answers in self._answers.items()
-            if answers.first_at <= store_proof_sent_at
+            if self.is_confirmed(worker, answers.born, store_proof_sent_at)
         }
         valid_until = math.inf
         for witnesses in self._possible:
