Start new instances only once the last watch before the cut has been answered

"Instances that are cut off with some of the workers run nothing twice" could fail by chance: a watch of the control table that began before the cut is still answered, for up to 0.8 s, and may show the old owner a new instance. It then lists that one, which doesn't answer it, and stops. The premise is that the old owner doesn't list the new instances.

New instances start a second after the cut now; no assertion changed.

--- a/features/steps/lost_instances.py
+++ b/features/steps/lost_instances.py
@@ -19,6 +19,8 @@
 LONG_TASK_PROCESSORS = 3000  # of the 8000 of a worker, in thousandths
 MAX_START_SECONDS = 15.0
 SLOW_SECONDS = 0.2
+# The answer to a watch that began before a cut still arrives; it would list a new instance.
+LAST_ANSWER_SECONDS = 1.0
 
 
 def send_submissions(context, count, indices, milliseconds=300):
@@ -136,6 +138,7 @@
     context.before = [(w, task, r["run"]) for w in context.inside for task, r in w.runs.items()]
     cluster.cut_off(cluster.entries, context.inside)
     until = time.monotonic() + seconds
+    gevent.sleep(LAST_ANSWER_SECONDS)
     for entry in [cluster.add_entry() for _ in range(count)]:
         entry.start()
     wait_for_new_owner(cluster, former)
