Schedule reads of the list of workers in one place

Three random simulations had the same loop. The specification of witnesses names the last owner by its variable.

--- a/features/support/queue_random_runs.py
+++ b/features/support/queue_random_runs.py
@@ -253,6 +253,12 @@
     simulation.call_later(0.5, refresh_worker_lists, simulation)
 
 
+def schedule_list_reads(simulation, seconds, interval_seconds):
+    """Let the owners read the list of workers at intervals from now on."""
+    for index in range(int(seconds / interval_seconds)):
+        simulation.call_later(index * interval_seconds, refresh_worker_lists, simulation)
+
+
 def refresh_worker_lists(simulation):
     """Let all owners that are not suspended read the list of workers."""
     for owner in simulation.owners:
--- a/features/support/takeover_runs.py
+++ b/features/support/takeover_runs.py
@@ -20,6 +20,7 @@
     make_steps,
     refresh_worker_lists,
     restart,
+    schedule_list_reads,
 )
 from .queue_simulation import QueueSimulation, make_step
 
@@ -47,8 +48,7 @@
         at += generator.choice([generator.uniform(0.1, 0.9), generator.uniform(1.0, 4.0)])
     if generator.random() < 0.4:
         add_restart(simulation, generator)
-    for index in range(int(FAULT_SECONDS / LIST_INTERVAL_SECONDS)):
-        simulation.call_later(index * LIST_INTERVAL_SECONDS, refresh_worker_lists, simulation)
+    schedule_list_reads(simulation, FAULT_SECONDS, LIST_INTERVAL_SECONDS)
     simulation.run(FAULT_SECONDS)
     simulation.lost_answer_share = 0.0
     simulation.run(SETTLE_SECONDS)
--- a/features/support/waiting_runs.py
+++ b/features/support/waiting_runs.py
@@ -14,9 +14,9 @@
     cancel_if_submitted,
     crash,
     end_stall,
-    refresh_worker_lists,
     restart,
     return_worker,
+    schedule_list_reads,
     suspend_owner,
 )
 from .queue_simulation import QueueSimulation, make_step
@@ -71,8 +71,7 @@
         name = generator.choice(names)
         at = generator.uniform(0.5, FAULT_SECONDS - 1.0)
         add_slow_workers(simulation, generator, at, FAULT_SECONDS - at, [simulation.workers[name]])
-    for index in range(int(END_SECONDS / LIST_INTERVAL_SECONDS)):
-        simulation.call_later(index * LIST_INTERVAL_SECONDS, refresh_worker_lists, simulation)
+    schedule_list_reads(simulation, END_SECONDS, LIST_INTERVAL_SECONDS)
     simulation.run(FAULT_SECONDS)
     simulation.lost_answer_share = 0.0
     simulation.failure_share = 0.0
--- a/features/support/witness_runs.py
+++ b/features/support/witness_runs.py
@@ -23,7 +23,7 @@
 from lavenderhook._internal.queueing.model import WorkerState
 from lavenderhook._internal.queueing.witnesses import WitnessedEnd, WitnessProof
 
-from .queue_random_runs import make_steps, refresh_worker_lists, restart
+from .queue_random_runs import make_steps, restart, schedule_list_reads
 from .queue_simulation import QueueSimulation, SimulatedOwner, make_step
 
 WORKERS = 8
@@ -131,8 +131,7 @@
         at += generator.choice([generator.uniform(0.1, 2.0), generator.uniform(2.0, 7.0)])
     for _ in range(generator.randint(0, 6)):
         add_fault(simulation, generator, generator.uniform(1.0, FAULT_SECONDS - 8.0))
-    for index in range(int((FAULT_SECONDS + SETTLE_SECONDS) / LIST_INTERVAL_SECONDS)):
-        simulation.call_later(index * LIST_INTERVAL_SECONDS, refresh_worker_lists, simulation)
+    schedule_list_reads(simulation, FAULT_SECONDS + SETTLE_SECONDS, LIST_INTERVAL_SECONDS)
     simulation.run(FAULT_SECONDS)
     simulation.lost_answer_share = 0.0
     simulation.run(SETTLE_SECONDS)
--- a/model/specifications/witnesses.py
+++ b/model/specifications/witnesses.py
@@ -247,7 +247,7 @@
             )
             yield (
                 f"write({roster})",
-                _replace_last(written, written.owners[-1]._replace(possible=(roster,))),
+                _replace_last(written, last._replace(possible=(roster,))),
             )
 
     def _hold(self, state: WitnessesState, index: int, worker: int) -> WitnessesState:
