Add organisations to the model of the queues

Cause: neither the routes nor the submissions of the queues know organisations, so that no key is checked and no limit holds. Change: the structures that decoding, the check of keys, quotas and shares build on; nothing reads them yet.

--- a/src/lavenderhook/_internal/queueing/model.py
+++ b/src/lavenderhook/_internal/queueing/model.py
@@ -15,6 +15,7 @@
 CommandToken = NewType("CommandToken", int)  # compared by workers; see `compute_command_token`
 RunNumber = NewType("RunNumber", int)  # increases with each start of a task
 TicketId = NewType("TicketId", str)
+OrganisationName = NewType("OrganisationName", str)
 
 
 class StepId(NamedTuple):
@@ -167,6 +168,8 @@
         Unix time in seconds at the instance that accepted it.
     first_due : float
         Unix time in seconds of the first repetition.
+    organisation : OrganisationName
+        That of the key by which it was submitted; empty if its queue needs none.
     """
 
     id: SubmissionId
@@ -177,6 +180,7 @@
     repetitions: int = 0
     first_due: float = 0.0
     interval_seconds: float = 0.0
+    organisation: OrganisationName = OrganisationName("")
 
 
 class WorkerListing(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/queueing/routes.py
+++ b/src/lavenderhook/_internal/queueing/routes.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .model import QueueTerms
+from .organisations import Organisations
 
 ANY_HOST = "\n"  # no host contains it
 
@@ -28,9 +29,16 @@
 
 
 class QueueRoute(RouteAddress, frozen=True, kw_only=True):
-    """A queue and its address."""
+    """A queue and its address.
+
+    Parameters
+    ----------
+    is_public : bool
+        Calls need no key.
+    """
 
     terms: QueueTerms
+    is_public: bool = False
 
 
 class QueueRoutes:
@@ -41,10 +49,18 @@
     version : int
         Version of the configuration; increases.
     routes : iterable of RouteAddress
+    organisations : Organisations, optional
+        None if the configuration has none: calls need no key then.
     """
 
-    def __init__(self, version: int, routes: Iterable[RouteAddress]) -> None:
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[RouteAddress],
+        organisations: Organisations | None = None,
+    ) -> None:
         self.version = version
+        self.organisations = organisations
         self._by_host: dict[str, list[RouteAddress]] = {}
         for route in routes:
             self._by_host.setdefault(route.host, []).append(route)
