Check the organisations' keys at the entry instances

Cause: neither the decoder of the configuration nor the callers' interface read organisations and credentials, so that revoked and made-up keys ran work. Change: the list of organisations is decoded entry by entry; what can't be used stays as it is in the active configuration. Each call of a route that isn't public needs a key of the active configuration: 401 without one, or 503 while a newer version may have it. strictRevocation and revokeMs are read and checked. Submissions carry the name of their organisation.

--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -250,7 +250,7 @@
             context.early_denials += [
                 name
                 for name, follower in network.followers.items()
-                if follower.get_version() < version and follower.can_deny_queues()
+                if follower.get_version() < version and follower.can_deny_unknown()
             ]
     for source in network.sources.values():
         source.stale_version = None
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -45,6 +45,7 @@
 from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.ports.platform import Row
 from lavenderhook._internal.queueing import placement, records, scheduling
+from lavenderhook._internal.queueing.authentication import AvailableRevocation
 from lavenderhook._internal.queueing.events import Ticked, WorkersListed
 from lavenderhook._internal.queueing.model import FencingToken
 from lavenderhook._internal.queueing.owner_state import OwnerParameters, OwnerState
@@ -83,6 +84,14 @@
     "a configuration": {
         "version": 3,
         "routes": [{"name": "q", "host": "h", "pathPrefix": "/q/", "service": "s"}],
+        "tenants": [
+            {
+                "name": "o",
+                "apiKeys": ["k"],
+                "weight": 1,
+                "maxCount": {"cpu": 5, "memMb": 3, "gpu": 0},
+            }
+        ],
     },
     "a stored submission": {
         "id": "a",
@@ -252,7 +261,7 @@
         self.body = body
         self.path = path
         self.method = method
-        self.headers = {"host": "h"}
+        self.headers = {"host": "h", "x-credential": "k"}
 
     def read_body(self):
         """Return the body."""
@@ -265,7 +274,9 @@
     def __init__(self):
         content = json.dumps(EXAMPLES["a configuration"]).encode()
         self.configuration = SimpleNamespace(
-            routes=lists.decode_configuration(content, ignore_event)
+            routes=lists.decode_configuration(content, ignore_event),
+            can_deny_unknown=lambda: True,
+            measure_age=lambda: 0.0,
         )
 
     def submit(self, submission, _deadline):
@@ -277,7 +288,9 @@
 
 def submit_body(body):
     """Send a caller's body to the listener's route."""
-    return frontend.Frontend(StubInstance(), ignore_event).route(StubRequest(body))
+    return frontend.Frontend(StubInstance(), ignore_event, AvailableRevocation()).route(
+        StubRequest(body)
+    )
 
 
 def read_settings(body):
--- a/features/support/configuration_followers.py
+++ b/features/support/configuration_followers.py
@@ -253,5 +253,5 @@
                 if version < self._highest[name]:
                     self.violations.append(f"{name} went back to {version}")
                 self._highest[name] = version
-                if version < due and follower.can_deny_queues():
+                if version < due and follower.can_deny_unknown():
                     self.violations.append(f"{name} denies queues of {due} by version {version}")
--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -28,6 +28,7 @@
 PEER_INTERVAL_SECONDS = 0.3
 MAX_PEER_INTERVAL_SECONDS = 1.2  # while no peer knows more than this instance
 MAX_PEERS_ASKED = 3
+MAX_LOGGED_PROBLEMS = 20  # of one version
 MAX_CONTENT_BYTES = 1_000_000  # limit of the store for what is written at once
 
 
@@ -104,11 +105,11 @@
         """Return how long ago the active version was known to be the newest, in seconds."""
         return read_elapsed_clock() - self._confirmed_at
 
-    def can_deny_queues(self) -> bool:
-        """Return whether a queue that the active version does not have does not exist.
+    def can_deny_unknown(self) -> bool:
+        """Return whether a queue or key that the active version does not have does not exist.
 
         An instance that has not heard for longer than a change takes to be in force may have missed
-        the change that added the queue. Queues that it knows are still served: while no instance
+        the change that added it. Queues and keys that it knows are still served: while no instance
         reaches the store, nobody can have removed them, and while one does, a peer tells.
         """
         return (
@@ -214,6 +215,8 @@
                     "configuration-stale", read=routes.version, **source, **self.describe()
                 )
             return
+        if self.routes is not None:
+            routes.inherit(self.routes)
         self.routes = routes
         self._content = content
         self._newer_peers = {a: v for a, v in self._newer_peers.items() if v > routes.version}
@@ -224,6 +227,14 @@
             queues=len(routes),
             **source,
         )
+        for problem in routes.problems[:MAX_LOGGED_PROBLEMS]:
+            self._log_event(
+                "organisation-unreadable",
+                version=routes.version,
+                path=problem.path,
+                message=problem.message,
+                problems=len(routes.problems),
+            )
 
     # Peers.
 
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -191,6 +191,7 @@
             "submission-" + result.value,
             submission=submission.id,
             queue=submission.queue.name,
+            organisation=submission.organisation,
             configuration=self.configuration.get_version(),
             store_contact=self._ownership.view.store_available_since is not None,
         )
--- a/src/lavenderhook/_internal/queueing/log_lines.py
+++ b/src/lavenderhook/_internal/queueing/log_lines.py
@@ -114,6 +114,7 @@
         fields={
             "submission": submission.id,
             "queue": submission.queue.name,
+            "organisation": submission.organisation,
             "revision": entry.revision,
             "age": round(age, 3),
             "steps": len(submission.steps),
@@ -144,6 +145,7 @@
             "reason": "" if outcome.reason is None else outcome.reason.value,
             "seconds": round(now - entry.arrived_at, 3),
             "queue": entry.submission.queue.name,
+            "organisation": entry.submission.organisation,
             "objective": round(objective_at - entry.arrived_at, 3),
         },
     )
--- a/src/lavenderhook/_internal/queueing/organisations.py
+++ b/src/lavenderhook/_internal/queueing/organisations.py
@@ -38,9 +38,12 @@
     Parameters
     ----------
     entries : iterable of Organisation
+    is_complete : bool
+        Whether other keys aren't known to be in force anywhere; False if some could not be read.
     """
 
-    def __init__(self, entries: Iterable[Organisation] = ()) -> None:
+    def __init__(self, entries: Iterable[Organisation] = (), *, is_complete: bool = True) -> None:
+        self.is_complete = is_complete
         self._by_name = {entry.name: entry for entry in entries}
         self._by_key = {key: entry for entry in self._by_name.values() for key in entry.keys}
 
--- a/src/lavenderhook/_internal/queueing/routes.py
+++ b/src/lavenderhook/_internal/queueing/routes.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .declared_organisations import DeclarationProblem, DeclaredOrganisations
 from .model import QueueTerms
 from .organisations import Organisations
 
@@ -51,6 +52,8 @@
     routes : iterable of RouteAddress
     organisations : Organisations, optional
         None if the configuration has none: calls need no key then.
+    declared : DeclaredOrganisations, optional
+        From which the organisations are resolved, if they are given in this form.
     """
 
     def __init__(
@@ -58,9 +61,11 @@
         version: int,
         routes: Iterable[RouteAddress],
         organisations: Organisations | None = None,
+        declared: DeclaredOrganisations | None = None,
     ) -> None:
         self.version = version
-        self.organisations = organisations
+        self._declared = declared
+        self.organisations = organisations if declared is None else declared.resolve_first()
         self._by_host: dict[str, list[RouteAddress]] = {}
         for route in routes:
             self._by_host.setdefault(route.host, []).append(route)
@@ -70,6 +75,16 @@
     def __len__(self) -> int:
         return sum(map(len, self._by_host.values()))
 
+    @property
+    def problems(self) -> tuple[DeclarationProblem, ...]:
+        """Return what can't be used of the organisations."""
+        return self._declared.problems if self._declared is not None else ()
+
+    def inherit(self, active: QueueRoutes) -> None:
+        """Take what can't be used of the organisations from the routes that these replace."""
+        if self._declared is not None:
+            self.organisations = self._declared.resolve(active.organisations)
+
     def find(self, host: str, path: str) -> RouteAddress | None:
         """Return the route with the longest prefix of the path, or None.
 
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -11,7 +11,9 @@
 from .._internal.instance.entry import EntryInstance
 from .._internal.instance.submission_writer import WriteResult
 from .._internal.instance.table_watcher import LogEvent, describe_failure
+from .._internal.queueing.authentication import CallRefusal, RevocationPolicy, authenticate
 from .._internal.queueing.model import (
+    OrganisationName,
     Placement,
     Resources,
     StepSpec,
@@ -24,11 +26,13 @@
     InvalidArgumentError,
     ProtocolError,
     StoreUnavailableError,
+    UnauthenticatedError,
     UnknownNameError,
 )
 
 READINESS_PATH = "/lavenderhook/readiness"
 DEADLINE_HEADER = "x-deadline-ms"  # how long the client waits for the response
+KEY_HEADER = "x-credential"
 DEFAULT_DEADLINE_MS = 3000.0
 MAX_DEADLINE_MS = 3_600_000.0
 RESPONSE_MARGIN_SECONDS = 0.1  # for the delay of the link that carries the response
@@ -120,11 +124,20 @@
     instance : EntryInstance
     log_event : callable
         Logs an event, given by its name and fields.
+    revocation : RevocationPolicy
+
+    Attributes
+    ----------
+    revocation : RevocationPolicy
+        May be replaced while requests are served.
     """
 
-    def __init__(self, instance: EntryInstance, log_event: LogEvent) -> None:
+    def __init__(
+        self, instance: EntryInstance, log_event: LogEvent, revocation: RevocationPolicy
+    ) -> None:
         self._instance = instance
         self._log_event = log_event
+        self.revocation = revocation
         self.active = 0  # requests in progress
 
     def route_readiness(self, request: HttpRequest) -> Reply:
@@ -144,10 +157,13 @@
         route = self._find_route(request)
         if route is None:
             return self._reply_unavailable(503, deadline)
+        caller = self._authenticate(request, route)
+        if caller is None:
+            return self._reply_unavailable(503, deadline)
         submission_id = SubmissionId(request.path[len(route.path_prefix) :])
         match request.method:
             case "POST" if submission_id:
-                return self._submit(request, route, submission_id, deadline)
+                return self._submit(request, route, submission_id, caller, deadline)
             case "GET" if submission_id:
                 return self._describe(submission_id, deadline)
             case "GET":
@@ -173,7 +189,7 @@
             route = configuration.routes.find(host, request.path)
         if isinstance(route, QueueRoute):
             return route
-        is_unknown = route is None and configuration.can_deny_queues()
+        is_unknown = route is None and configuration.can_deny_unknown()
         self._log_event(
             "queue-unknown" if is_unknown else "queue-unconfirmed",
             host=host[:MAX_LOGGED_CHARACTERS],
@@ -184,11 +200,44 @@
             raise UnknownNameError("queue", host + request.path)
         return None
 
+    def _authenticate(self, request: HttpRequest, route: QueueRoute) -> OrganisationName | None:
+        """Return whose call it is, empty if no key is needed; None if that can't be known now.
+
+        Raises
+        ------
+        UnauthenticatedError
+            If the key is missing or belongs to no organisation.
+        """
+        configuration = self._instance.configuration
+        organisations = configuration.routes.organisations if configuration.routes else None
+        if route.is_public or organisations is None:
+            return OrganisationName("")
+        result = authenticate(
+            request.headers.get(KEY_HEADER, ""),
+            organisations,
+            self.revocation,
+            can_deny=configuration.can_deny_unknown(),
+            age_seconds=configuration.measure_age(),
+        )
+        if not isinstance(result, CallRefusal):
+            return result.name
+        self._log_event(
+            "call-unauthenticated",
+            reason=result.value,
+            host=request.headers.get("host", "")[:MAX_LOGGED_CHARACTERS],
+            queue=route.terms.name,
+            **configuration.describe(),
+        )
+        if result is CallRefusal.UNCONFIRMED:
+            return None
+        raise UnauthenticatedError(f"the key is {result.value}")
+
     def _submit(
         self,
         request: HttpRequest,
         route: QueueRoute,
         submission_id: SubmissionId,
+        caller: OrganisationName,
         deadline: float,
     ) -> Reply:
         content = request.read_body()
@@ -205,6 +254,7 @@
             repetitions=body.repetitions,
             first_due=body.first_run_ms / 1000,
             interval_seconds=body.interval_ms / 1000,
+            organisation=caller,
         )
         check_submission(submission)
         return self._reply_write_result(self._instance.submit(submission, deadline), deadline)
--- a/src/lavenderhook/platform/lists.py
+++ b/src/lavenderhook/platform/lists.py
@@ -28,6 +28,7 @@
 )
 from .._internal.queueing.routes import ANY_HOST, QueueRoute, QueueRoutes, RouteAddress
 from ..errors import ProtocolError
+from .organisations import decode_organisations
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -60,6 +61,7 @@
     slack_factor: Amount = 1.0
     target_latency_ms: Amount = 1000.0
     advice: _Advice | None = None
+    public: bool = False
 
 
 class _RouteAddress(msgspec.Struct, rename="camel"):
@@ -74,6 +76,7 @@
 
     version: Number
     routes: list[msgspec.Raw] = []
+    tenants: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
@@ -179,7 +182,8 @@
 def decode_configuration(value: bytes, log_event: LogEvent) -> QueueRoutes:
     """Decode the queues of a configuration.
 
-    A route that can't be decoded is logged and keeps its address, if that can be decoded.
+    A route that can't be decoded is logged and keeps its address, if that can be decoded. Problems
+    of the organisations are logged by the follower that applies the configuration.
 
     Raises
     ------
@@ -194,7 +198,9 @@
         except ProtocolError as error:
             log_event("route-unreadable", version=configuration.version, message=str(error))
             routes.append(_decode_address(content))
-    return QueueRoutes(configuration.version, routes)
+    tenants = configuration.tenants
+    declared = None if tenants is msgspec.UNSET else decode_organisations(tenants)
+    return QueueRoutes(configuration.version, routes, declared=declared)
 
 
 def _decode_route(content: msgspec.Raw) -> QueueRoute:
@@ -211,6 +217,7 @@
             latency_seconds=route.target_latency_ms / 1000,
             advice=_convert_advice(route.advice),
         ),
+        is_public=route.public,
     )
 
 
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -15,12 +15,18 @@
 from .._internal.daemon.logs import DecisionLog, discard_default_sink
 from .._internal.instance.decision_metrics import DecisionMetrics
 from .._internal.instance.entry import EntryInstance
+from .._internal.instance.log_limits import LineLimiter
 from .._internal.instance.ownership import compute_owner_fitness
+from .._internal.queueing.authentication import (
+    AvailableRevocation,
+    RevocationPolicy,
+    StrictRevocation,
+)
 from .._internal.queueing.parameters import OwnerParameters
 from ..errors import LavenderhookError
 from .frontend import Frontend
 from .lists import PlatformConfiguration, PlatformWorkers
-from .settings import DEFAULT_PATH, PATH_VARIABLE, load_settings
+from .settings import DEFAULT_PATH, PATH_VARIABLE, Bounds, load_settings
 from .store import PlatformStore
 from .workers import PlatformAdvisor, PlatformWorkerClient
 
@@ -34,6 +40,9 @@
 RETENTION_MARGIN_SECONDS = 30.0
 DRAIN_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0  # the settings file may change without a signal
+# Events that any client can cause; all are counted on the metrics address.
+LIMITED_EVENTS = ("call-unauthenticated",)
+LIMITED_LINES_PER_SECOND = 5
 METRICS_HEADERS = (("Content-Type", "text/plain; version=0.0.4"),)
 LISTENER_LIMITS = ListenerLimits(
     body_bytes=262_144,
@@ -60,6 +69,7 @@
         self.log = DecisionLog(StandardOutputSettings(), settings.node_name)
         self.metrics = Metrics(lambda address: "", settings.zone)
         self._decision_metrics = DecisionMetrics(self.metrics)
+        self._line_limiter = LineLimiter(LIMITED_EVENTS, LIMITED_LINES_PER_SECOND)
         self._store = PlatformStore(settings.platform.address, self.metrics.observe)
         self._worker_client = PlatformWorkerClient(self.log_event)
         self._advisor = PlatformAdvisor(settings.advice, self.log_event)
@@ -85,7 +95,9 @@
             log_event=self.log_event,
             report_error=self.log.log_failure,
         )
-        frontend = self._frontend = Frontend(self.instance, self.log_event)
+        frontend = self._frontend = Frontend(
+            self.instance, self.log_event, _choose_revocation(bounds)
+        )
         self._listeners = [
             self._create_listener(settings.listen.readiness, frontend.route_readiness),
             self._create_listener(settings.listen.frontend, frontend.route),
@@ -111,6 +123,11 @@
     def log_event(self, what: str, **fields: object) -> None:
         """Log a decision and update its metrics."""
         self._decision_metrics.record(what, fields)
+        omitted = self._line_limiter.admit(what, time.monotonic())
+        if omitted is None:
+            return
+        if omitted:
+            fields["omitted"] = omitted
         self.log.write_decision(what, fields)
 
     def _log_greenlet_failure(
@@ -152,6 +169,7 @@
         self.settings = settings
         self._store.address = settings.platform.address
         self._advisor.address = settings.advice
+        self._frontend.revocation = _choose_revocation(settings.bounds)
         self.log_event("settings-reloaded", store=settings.platform.address)
 
     def _begin_stop(self) -> None:
@@ -181,6 +199,12 @@
     file = "stdout"
 
 
+def _choose_revocation(bounds: Bounds) -> RevocationPolicy:
+    if not bounds.strict_revocation:
+        return AvailableRevocation()
+    return StrictRevocation(bounds.revoke_ms / 1000)
+
+
 def run() -> int:
     """Run the process; return its exit status."""
     discard_default_sink()
--- a/src/lavenderhook/platform/settings.py
+++ b/src/lavenderhook/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
 
 import msgspec
@@ -54,12 +55,18 @@
         For how long the final state of a submission can be queried.
     config_apply_ms : float
         Time after which a change of the configuration has to be in force.
+    strict_revocation : bool
+        Whether calls with a key are refused while revocations may be missed.
+    revoke_ms : float
+        Age of the configuration from which they may be.
     """
 
     grace_s: float = 6.0
     hold_max_ms: float = 6000.0
     stop_timeout_ms: float = 1000.0
     config_apply_ms: float = 2000.0
+    strict_revocation: bool = False
+    revoke_ms: float = 5000.0
     status_s: float = msgspec.field(name="status_s", default=120.0)
 
 
@@ -108,6 +115,7 @@
         content = decode_toml(Path(path).read_text(encoding="utf-8"))
         settings = msgspec.convert(content, Settings, strict=False)
         _check_addresses(path, settings)
+        _check_bounds(path, settings.bounds)
         return settings
     except (OSError, UnicodeDecodeError, ProtocolError) as error:
         raise SettingsError(path, "file", str(error), "a readable TOML file") from error
@@ -117,6 +125,13 @@
         ) from error
 
 
+def _check_bounds(path: str, bounds: Bounds) -> None:
+    if not 0 <= bounds.revoke_ms < math.inf:
+        raise SettingsError(
+            path, "bounds.revokeMs", bounds.revoke_ms, "a finite number of milliseconds from 0"
+        )
+
+
 def _check_addresses(path: str, settings: Settings) -> None:
     addresses = {
         "platform.address": settings.platform.address,
