--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -26,7 +26,9 @@
     start_cluster(context, instances, workers)
 
 
-def start_cluster(context, instances, workers, output=None, state_retention_seconds=120):
+def start_cluster(
+    context, instances, workers, output=None, state_retention_seconds=120, extra_bounds=""
+):
     """Start stand-ins and processes, and register their clean-up.
 
     `output` is the target of the processes' standard output; None for one file each.
@@ -34,6 +36,7 @@
     folder = Path(tempfile.mkdtemp(prefix="queues-"))
     context.cluster = EntryCluster(folder, instances, workers, output=output)
     context.cluster.state_retention_seconds = state_retention_seconds
+    context.cluster.extra_bounds = extra_bounds
     context.add_cleanup(shutil.rmtree, folder, ignore_errors=True)
     context.add_cleanup(context.cluster.stop)
     context.cluster.start()
--- a/features/support/queue_processes.py
+++ b/features/support/queue_processes.py
@@ -88,6 +88,7 @@
 holdMaxMs = 6000
 stopTimeoutMs = 400
 status_s = {self.cluster.state_retention_seconds}
+{self.cluster.extra_bounds}
 [platform]
 address = "{self.store_address}"
 """,
@@ -150,6 +151,8 @@
     ):
         self.folder = folder
         self.state_retention_seconds = 120
+        self.extra_bounds = ""  # lines of the settings
+        self.key = None  # of the calls, if they have one
         self.output = output  # target of the processes' standard output; None for one file each
         self.platform = QueuePlatform(workers, seed)
         self.client = HttpClient("caller", size=64)
@@ -195,8 +198,9 @@
 
     def call(self, index, method, path, body=b"", seconds=3.2):
         """Call one instance as a caller."""
+        headers = HEADERS if self.key is None else (*HEADERS, ("X-Credential", self.key))
         return self.client.call(
-            self.entries[index].frontend_address, method, path, body, HEADERS, timeout=seconds
+            self.entries[index].frontend_address, method, path, body, headers, timeout=seconds
         )
 
     def read_state(self, index, submission):
--- a/src/lavenderhook/_internal/queueing/declared_organisations.py
+++ b/src/lavenderhook/_internal/queueing/declared_organisations.py
@@ -86,8 +86,8 @@
             _resolve_entry(same_name, active.get(name), shared)
             for name, same_name in by_name.items()
         ]
-        if not self.has_all_names:
-            # Any of these may be the entry without a usable name.
+        if not self.has_all_names or len(by_name) < len(entries):
+            # Any of these may be an entry without a usable name, or with that of another one.
             resolved += [former for former in active if former.name not in by_name]
         return _assign_keys([entry for entry in resolved if entry is not None], by_name)
 
