--- a/features/organisation_keys.feature
+++ b/features/organisation_keys.feature
@@ -74,7 +74,8 @@
     Guards against keys that run work though they are missing, made up or revoked, also after a
     restart, and against keys in the logs.
     Given 2 entry instances and 2 queue workers
-    When version 2 declares "a first-key,second-key 1 0; b other-key 1 0"
+    When the owner has reached every worker
+    And version 2 declares "a first-key,second-key 1 0; b other-key 1 0"
     Then every instance answers a GET with "second-key" with 200 within 2.0 seconds
     And calls with no key and with "made-up-key" get 401, and nothing is stored
     When submission "00000000000000a1" is sent with "first-key" and again with "second-key"
@@ -87,7 +88,7 @@
     Then every instance answers a GET with "second-key" with 401 within 5.0 seconds
     And every instance answers a GET with "third-key" with 200 within 5.0 seconds
     When 60 calls with "made-up-key" are sent to instance 0
-    Then the logs have lines "call-unauthenticated", at most 30 of these, and no key
+    Then its log has at most 5 lines "call-unauthenticated" a second, and no log has a key
     And the metrics of instance 0 include
       | metric                                                                          |
       | lavenderhook_decisions_total{decision="call-unauthenticated",reason="unknown"} 6 |
@@ -95,7 +96,8 @@
   Scenario Outline: A revocation reaches instances that the store turns away
     Guards against a revoked key that is served for as long as the store turns an instance away.
     Given 4 entry instances and 1 queue workers
-    When version 2 declares "a first-key,second-key 1 0"
+    When the owner has reached every worker
+    And version 2 declares "a first-key,second-key 1 0"
     Then every instance answers a GET with "second-key" with 200 within 2.0 seconds
     When the store's mode towards instances 1 and 2 becomes <mode>
     And 1.0 seconds of real time pass
@@ -111,7 +113,8 @@
   Scenario: Known keys are served in an outage of the whole store, unknown ones are not denied
     Guards against callers that are refused for good by an instance that may have missed their key.
     Given 2 entry instances and 1 queue workers
-    When version 2 declares "a first-key 1 0"
+    When the owner has reached every worker
+    And version 2 declares "a first-key 1 0"
     Then every instance answers a GET with "first-key" with 200 within 2.0 seconds
     When submission "00000000000000a1" is sent with "first-key" and again with "first-key"
     Then its row names the organisation "a", and it completes
@@ -125,7 +128,8 @@
   Scenario: A strict deployment serves no key while it may miss a revocation
     Guards against a revoked key that is served in an outage although the deployment forbids it.
     Given 1 entry instances with the bounds "strictRevocation = true" and "revokeMs = 2000"
-    When version 2 declares "a first-key 1 0"
+    When the owner has reached every worker
+    And version 2 declares "a first-key 1 0"
     Then every instance answers a GET with "first-key" with 200 within 2.0 seconds
     When the store's mode is busy
     And 3.5 seconds of real time pass
@@ -137,7 +141,8 @@
     Guards against organisations that lose their access because of a mistake in an entry, and against
     a line in the log for each time that the configuration is read.
     Given 2 entry instances and 1 queue workers
-    When version 2 declares "a first-key,second-key 1 0; b other-key 1 0"
+    When the owner has reached every worker
+    And version 2 declares "a first-key,second-key 1 0; b other-key 1 0"
     Then every instance answers a GET with "other-key" with 200 within 2.0 seconds
     When version 3 declares "a first-key 1 0; b other-key 1 0; c third-key 1 0" with 0.weight = -1
     Then every instance answers a GET with "second-key" with 401 within 2.0 seconds
@@ -153,7 +158,8 @@
   Scenario: Public routes and configurations without organisations need no key
     Guards against deployments without organisations that stop serving their callers.
     Given 1 entry instances and 1 queue workers
-    When version 2 declares "a first-key 1 0" and "/jobs/" is public
+    When the owner has reached every worker
+    And version 2 declares "a first-key 1 0" and "/jobs/" is public
     And 1.0 seconds of real time pass
     Then a GET of "/jobs/00000000000000a4" is answered with 410
     When version 3 declares "a first-key 1 0"
