Hold the limits of organisations over all workers

Cause: an organisation could have any amount running, as nothing counted its runs. Change: the owner counts them as they are added to and removed from its workers, and starts a task or a gang only within the limit. What may run at workers that a new owner has not reached counts as well. Work beyond an organisation's rate, and of one above its weighted share, goes behind that of the others.

--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -396,6 +396,7 @@
             report_error=self._report_error,
             work=work,
             is_isolated=self._ownership.is_isolated,
+            get_routes=lambda: self.configuration.routes,
             proof=proof,
         )
 
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -32,6 +32,7 @@
     Event,
     FinishedRunPosition,
     HoldUnanswered,
+    OrganisationsChanged,
     OutcomeRead,
     PredecessorInactive,
     ProgressFound,
@@ -80,17 +81,17 @@
     parse_key,
     set_closing_revisions,
 )
+from ..queueing.routes import QueueRoutes
 from ..queueing.start_log import (
     START_LOG_TABLE,
     LoggedStart,
-    StartLogRow,
-    collect_starts,
 )
 from ..queueing.submissions import SubmissionProgress
 from ..queueing.takeover import Takeover
 from ..queueing.witnesses import WitnessedEnd, WitnessProof
 from ..queueing.workers import Worker
 from .clock import read_elapsed_clock
+from .former_starts import read_former_starts
 from .ownership_proof import OwnershipProof
 from .supervision import ReportError
 from .table_watcher import LogEvent, Rereading, describe_failure
@@ -155,6 +156,8 @@
         proof, it extends no leases and starts nothing.
     proof : OwnershipProof
         Records the transactions that were accepted under the condition of the owner row.
+    get_routes : callable, optional
+        Returns the active configuration of the queues, or None before one has been read.
     authority_seconds, inherited_seconds : float
         For how long after the claim earlier owners may extend leases; see `Takeover`.
     """
@@ -175,6 +178,7 @@
         work: WorkTable,
         is_isolated: Callable[[], bool],
         proof: OwnershipProof,
+        get_routes: Callable[[], QueueRoutes | None] = lambda: None,
         authority_seconds: float = 0.0,
         inherited_seconds: float = 0.0,
     ) -> None:
@@ -201,6 +205,8 @@
         self._submissions_during_load: list[tuple[Submission, int | None]] = []
         self._work = work
         self._is_isolated = is_isolated
+        self._get_routes = get_routes
+        self._applied_routes: QueueRoutes | None = None
         self._proof = proof
         self._takeover = Takeover(
             self._started_at, parameters.lease_seconds, authority_seconds, inherited_seconds
@@ -392,7 +398,7 @@
     def _load(self) -> Roster:
         self._work.catch_up(self._revision)
         row = self._read_roster()
-        self._former_starts = self._read_former_starts()
+        self._former_starts = read_former_starts(self._store, self._revision, self._log_event)
         changes = self._worker_list.read()
         self._update_listings(changes)
         self._workers_revision = changes.revision
@@ -436,25 +442,6 @@
             raise StoreUnavailableError("another instance has taken over")
         return result
 
-    def _read_former_starts(self) -> dict[SubmissionId, list[LoggedStart]]:
-        """Return what earlier owners have started lately.
-
-        Raises
-        ------
-        LavenderhookError
-            If the log can't be read; a malformed row is left out.
-        """
-        found = self._store.read(START_LOG_TABLE, "", "~")
-        if found.revision < self._revision:
-            raise StoreUnavailableError("the store returned a start log older than the takeover")
-        rows: list[StartLogRow] = []
-        for row in found.rows:
-            try:
-                rows.append(decode(row.value, StartLogRow))
-            except ProtocolError as error:
-                self._log_event("start-log-unreadable", key=row.key, **describe_failure(error))
-        return collect_starts(rows, time.time())
-
     def _restore_state(self, roster: Roster) -> None:
         self._witness_proof = WitnessProof(roster)
         self._witnessed_end = WitnessedEnd(roster)
@@ -669,11 +656,18 @@
             self._scheduling_due.wait(TICK_INTERVAL_SECONDS)
             self._scheduling_due.clear()
             gevent.sleep(EVENT_BATCH_SECONDS)
+            self._apply_organisations()
             if self._may_act():
                 self.apply(Ticked(now=_now(), proven_at=self._compute_proven_at()))
             else:
                 gevent.sleep(TICK_INTERVAL_SECONDS)
 
+    def _apply_organisations(self) -> None:
+        routes = self._get_routes()
+        if routes is not None and routes is not self._applied_routes:
+            self._applied_routes = routes
+            self.apply(OrganisationsChanged(now=_now(), organisations=routes.organisations))
+
     def _may_act(self) -> bool:
         """Return whether the owner may extend leases and send starts."""
         has_proof = not self._is_isolated()
--- a/src/lavenderhook/_internal/queueing/events.py
+++ b/src/lavenderhook/_internal/queueing/events.py
@@ -20,6 +20,7 @@
     WorkerListing,
     WorkerReport,
 )
+from .organisations import Organisations
 from .records import Outcome, Progress, Roster
 
 
@@ -163,6 +164,12 @@
     revision: int
 
 
+class OrganisationsChanged(Event, frozen=True, kw_only=True):
+    """Another configuration is active; its organisations are None if it has none."""
+
+    organisations: Organisations | None
+
+
 class PredecessorInactive(Event, frozen=True, kw_only=True):
     """The predecessor can no longer send commands.
 
--- a/src/lavenderhook/_internal/queueing/exclusions.py
+++ b/src/lavenderhook/_internal/queueing/exclusions.py
@@ -16,6 +16,7 @@
     OTHER_SERVICE = "other-service"
     NO_LABEL = "no-label"
     NOT_ALLOWED = "not-allowed"  # by the advisory service
+    ORGANISATION_LIMIT = "organisation-limit"  # its organisation may not have more running
     NOT_ASKED = "not-asked"  # the advisory service has not been asked about it
     TICKET_EXPIRED = "ticket-expired"  # or of a former incarnation
     KEPT_EMPTY = "kept-empty"  # for a task that may crash it
@@ -33,6 +34,7 @@
     *,
     needs_advice: bool,
     is_left_out: bool,
+    is_limited: bool = False,
 ) -> ExclusionReason | None:
     """Return why a worker gets no task of a step, or None if it could get one.
 
@@ -47,11 +49,15 @@
         Whether the queue has an advisory service.
     is_left_out : bool
         Whether the step is a gang that others hold, and the worker is on probation.
+    is_limited : bool
+        Whether the limit of its organisation holds the step.
     """
     if not worker.is_schedulable(now):
         return ExclusionReason.NOT_SCHEDULABLE
     if not is_eligible(step, service, worker):
         return _find_ineligibility(step, service, worker)
+    if is_limited:
+        return ExclusionReason.ORGANISATION_LIMIT
     if needs_advice:
         ticket = step.allowed.get(worker.id)
         if ticket is None:
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -28,6 +28,7 @@
     AdviceArrived,
     Event,
     HoldUnanswered,
+    OrganisationsChanged,
     OutcomeRead,
     PredecessorInactive,
     ProgressFound,
@@ -44,7 +45,6 @@
     WorkersListed,
 )
 from .incarnations import ListingAge
-from .leases import CLOCK_DRIFT_FACTOR
 from .log_lines import (
     log_ignored_listing,
     log_listing_changes,
@@ -60,6 +60,7 @@
     CommandToken,
     FencingToken,
     FinishedRun,
+    OrganisationName,
     ReportedRun,
     RunNumber,
     RunOutcome,
@@ -80,7 +81,7 @@
 from .scheduling import Scheduler
 from .start_log import LoggedStart
 from .stragglers import RunAction, project_remaining
-from .submissions import StepProgress, SubmissionProgress
+from .submissions import StepProgress, SubmissionProgress, count_queued
 from .takeover import Takeover
 from .unknown_submissions import UnknownSubmissions
 from .workers import (
@@ -145,6 +146,7 @@
         self.former_starts = former_starts or {}
         ended_before = owner_revision if self.takeover.had_ended else None
         self.roster = RosterTracker(roster or Roster(), ended_before)
+        self.scheduler.quotas.unreached = self.roster.unreached
         self.commands_to_retry: list[Run] = []
         self.submissions: dict[SubmissionId, SubmissionProgress] = {}
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
@@ -173,12 +175,7 @@
 
     def count_pending(self) -> dict[str, int]:
         """Return, by queue, how many accepted submissions have not begun."""
-        counts: dict[str, int] = {}
-        for entry in self.submissions.values():
-            if entry.state is SubmissionState.QUEUED:
-                name = entry.submission.queue.name
-                counts[name] = counts.get(name, 0) + 1
-        return counts
+        return count_queued(self.submissions.values())
 
     def get_command_token(self, worker_id: WorkerId) -> CommandToken:
         """Return the token of commands to the current incarnation of a worker."""
@@ -200,6 +197,8 @@
         submission = event.submission
         if submission.id in self.submissions:
             self.submissions[submission.id].record_revision(event.revision)
+        elif self.outcomes.get(submission.id) is SubmissionState.CANCELLED:
+            self.scheduler.quotas.record_ended(submission)
         if submission.id in self.submissions or submission.id in self.outcomes:
             return []
         entry = SubmissionProgress(
@@ -242,6 +241,7 @@
             effects += self.losses.record_listing(listing, event.now)
             if worker is None:
                 worker = Worker(listing, self.takeover.leases_expire_at, self.latest_incarnation)
+                worker.organisation_use = self.scheduler.quotas.use
                 worker.update_listing(listing, event.now)
                 worker.is_open_in_roster = self.roster.is_open_in_roster(worker_id)
                 self.workers[worker_id] = worker
@@ -711,8 +711,9 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
                 run.acknowledged_at = event.now
+        stop_seconds = self.parameters.stop_seconds
         for key, run in list(worker.runs.items()):
-            if key not in reported_keys and self._has_vanished(run, event.sent_at):
+            if key not in reported_keys and run.has_vanished(event.sent_at, stop_seconds):
                 effects.append(
                     log_run(
                         "run-vanished",
@@ -725,13 +726,6 @@
                 effects += self._remove_run(run, event.now)
         return effects
 
-    def _has_vanished(self, run: Run, sent_at: float) -> bool:
-        """Return whether a hold sent at `sent_at` would have reported the run if it existed."""
-        if run.is_in_flight or run.acknowledged_at is None:
-            return False
-        stop_delay = self.parameters.stop_seconds if run.state is RunState.STOPPING else 0.0
-        return run.acknowledged_at + stop_delay * CLOCK_DRIFT_FACTOR < sent_at
-
     def _adopt(self, worker: Worker, reported: ReportedRun, now: float) -> list[Effect]:
         """Add a run that an earlier owner started, and stop it if it isn't needed."""
         entry = self.submissions.get(reported.task.submission)
@@ -739,7 +733,9 @@
             worker.unmatched_runs[reported.task] = reported
             return []
         step = self._find_step(reported.task.step_id)
-        run = make_adopted_run(reported, step.spec if step is not None else None, worker, now)
+        organisation = OrganisationName("") if entry is None else entry.submission.organisation
+        spec = step.spec if step is not None else None
+        run = make_adopted_run(reported, spec, organisation, worker, now)
         worker.add_run(run)
         if step is None or entry is None:
             return self._stop(run, now)
@@ -845,5 +841,6 @@
     ProgressStored: OwnerState.handle_progress_stored,  # type: ignore[dict-item]
     SubmissionStored: OwnerState.handle_submission_stored,  # type: ignore[dict-item]
     PredecessorInactive: OwnerState.handle_predecessor_inactive,  # type: ignore[dict-item]
+    OrganisationsChanged: lambda s, event: s.scheduler.quotas.handle_change(event),  # type: ignore[arg-type]
     Ticked: OwnerState.handle_tick,  # type: ignore[dict-item]
 }
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/quotas.py
@@ -0,0 +1,311 @@
+"""Limits on what each organisation has running on all workers together."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Collection, Iterable
+
+from ...errors import InvalidArgumentError
+from ..core.identifiers import WorkerId
+from .effects import Effect, LogDecision
+from .events import OrganisationsChanged
+from .model import OrganisationName, Resources, StepId, StepSpec, Submission
+from .organisation_use import OrganisationUse
+from .organisations import Organisation, Organisations
+from .submissions import StepProgress, SubmissionProgress
+from .workers import Worker
+
+# A step that its limit has held for this long gets the next room of its organisation: small tasks
+# would otherwise take any room at once that a gang or a large task needs together.
+CLAIM_AFTER_SECONDS = 2.0
+# A claim that has room and finds no workers is given up, so that others may use the room.
+MAX_CLAIM_SECONDS = 5.0
+REPEAT_SECONDS = 5.0  # between two lines on one organisation
+RELEASE_SECONDS = 1.0  # without work that the limit holds; a line on each change would be many
+
+
+@dataclasses.dataclass(slots=True)
+class _Claim:
+    """Room that is kept for one step of an organisation."""
+
+    step: StepId
+    needs: Resources
+    has_room_since: float
+    is_waiting: bool = True  # in this pass
+
+
+@dataclasses.dataclass(slots=True)
+class _LimitedTime:
+    """Time in which the limit of an organisation holds work."""
+
+    began_at: float
+    seen_at: float
+    next_line_at: float
+
+
+class Quotas:
+    """Decides whether another task of an organisation may start.
+
+    Handles organisations that send more than they may have running, beside changes of owner: what
+    runs at workers that a new owner has not reached isn't known, and counts as far as it is
+    possible. A limit that is lowered stops nothing, and nothing starts until there is room.
+
+    Attributes
+    ----------
+    organisations : Organisations or None
+        Those of the active configuration; None if it has none, or isn't known.
+    use : OrganisationUse
+        Updated by the workers of the owner.
+    unreached : collection of WorkerId
+        Workers that may hold runs which aren't known here.
+    """
+
+    def __init__(self) -> None:
+        self.organisations: Organisations | None = None
+        self.use = OrganisationUse()
+        self.unreached: Collection[WorkerId] = ()
+        self._is_configured = False
+        self._by_name: dict[OrganisationName, Organisation] = {}  # also those that were removed
+        self._ended: dict[OrganisationName, Resources] = {}
+        self._hidden: dict[OrganisationName, Resources] = {}
+        self._hidden_of_all = Resources()
+        self._held: dict[OrganisationName, dict[StepId, StepProgress]] = {}
+        self._held_since: dict[StepId, float] = {}
+        self._claims: dict[OrganisationName, _Claim] = {}
+        self._limited: dict[OrganisationName, _LimitedTime] = {}
+
+    def handle_change(self, event: OrganisationsChanged) -> list[Effect]:
+        """Apply the organisations of another configuration.
+
+        One that was removed keeps its limit for the submissions that it has left.
+        """
+        self._is_configured = True
+        self.organisations = event.organisations
+        if event.organisations is None:
+            self._by_name.clear()
+        self._by_name |= {entry.name: entry for entry in event.organisations or ()}
+        return []
+
+    def record_ended(self, submission: Submission) -> None:
+        """Record a submission that had ended before this owner began.
+
+        If it was cancelled, it may still run at workers that aren't reached.
+        """
+        if self.unreached:
+            total = self._ended.get(submission.organisation, Resources())
+            for spec in submission.steps:
+                total = add(total, spec.resources, spec.count)
+            self._ended[submission.organisation] = total
+
+    # One placement pass.
+
+    def begin_pass(
+        self,
+        submissions: Iterable[SubmissionProgress],
+        workers: Iterable[Worker],
+        blocked_through_revision: float,
+    ) -> None:
+        """Estimate what may run without the owner's knowledge.
+
+        Parameters
+        ----------
+        submissions : iterable of SubmissionProgress
+        workers : iterable of Worker
+        blocked_through_revision : float
+            See `Scheduler.schedule`.
+        """
+        self._held = {}
+        self._hidden = {}
+        self._hidden_of_all = Resources()
+        if not self.unreached:
+            self._ended.clear()
+        if self.organisations is None:
+            return
+        known = list(workers)
+        self._hidden_of_all = _sum_unused(
+            w for w in known if w.unmatched_runs or w.runs_with_unknown_resources
+        )
+        if not self.unreached:
+            return
+        possible = dict(self._ended)
+        for entry in submissions:
+            if entry.is_blocked_through(blocked_through_revision):
+                name = entry.submission.organisation
+                total = possible.get(name, Resources())
+                for step in entry.steps.values():
+                    total = add(total, step.spec.resources, len(step.waiting))
+                possible[name] = total
+        unreached = [worker for worker in known if worker.id in self.unreached]
+        if len(unreached) < len(self.unreached):
+            self._hidden = possible  # one that isn't listed has an unknown capacity
+            return
+        unused = _sum_unused(unreached)
+        self._hidden = {name: _apply(min, total, unused) for name, total in possible.items()}
+
+    def may_start(self, entry: SubmissionProgress, step: StepProgress, now: float) -> bool:
+        """Return whether one more task of a step, or a whole gang, is within the limit."""
+        spec, name = step.spec, entry.submission.organisation
+        if not name or (spec.is_gang and len(step.waiting) < spec.count):
+            return True
+        organisation = self._by_name.get(name)
+        if self._is_configured and (organisation is None or not _is_limited(organisation)):
+            return True
+        if organisation is not None and self._has_room(organisation, step):
+            return True
+        self._held.setdefault(name, {})[step.id] = step
+        self._held_since.setdefault(step.id, now)
+        return False
+
+    def _has_room(self, organisation: Organisation, step: StepProgress) -> bool:
+        name = organisation.name
+        total = add(add(self.use.get(name), self._hidden_of_all), compute_unit(step.spec))
+        total = add(total, self._hidden.get(name, Resources()))
+        claim = self._claims.get(name)
+        if claim is not None and claim.step == step.id:
+            claim.is_waiting = True
+        elif claim is not None:
+            total = add(total, claim.needs)
+        return is_within(total, organisation.limit)
+
+    def record_start(self, step: StepId, organisation: OrganisationName) -> None:
+        """Record that a task of a step has started; others of its organisation come next."""
+        self._held_since.pop(step, None)
+        claim = self._claims.get(organisation)
+        if claim is not None and claim.step == step:
+            del self._claims[organisation]
+
+    def is_held(self, entry: SubmissionProgress, step: StepProgress) -> bool:
+        """Return whether the limit has held a step in the last pass."""
+        return step.id in self._held.get(entry.submission.organisation, ())
+
+    def end_pass(self, now: float) -> list[Effect]:
+        """Review the claims, and return the log lines of what the limits hold."""
+        self._review_claims(now)
+        effects: list[Effect] = []
+        for name, steps in self._held.items():
+            limited = self._limited.setdefault(name, _LimitedTime(now, now, now))
+            limited.seen_at = now
+            if now >= limited.next_line_at:
+                limited.next_line_at = now + REPEAT_SECONDS
+                waiting = sum(len(step.waiting) for step in steps.values())
+                effects.append(self._make_line("organisation-limited", name, waiting, limited, now))
+        for name, limited in list(self._limited.items()):
+            if now - limited.seen_at >= RELEASE_SECONDS:
+                del self._limited[name]
+                effects.append(self._make_line("organisation-released", name, 0, limited, now))
+        return effects
+
+    def _review_claims(self, now: float) -> None:
+        """Give up claims that aren't used, and let the step that has been held longest claim."""
+        for name, claim in list(self._claims.items()):
+            if claim.step in self._held.get(name, ()):
+                claim.has_room_since = now
+            elif not claim.is_waiting or now - claim.has_room_since >= MAX_CLAIM_SECONDS:
+                self.record_start(claim.step, name)
+            claim.is_waiting = False
+        held = {id for steps in self._held.values() for id in steps}
+        held.update(claim.step for claim in self._claims.values())
+        self._held_since = {id: at for id, at in self._held_since.items() if id in held}
+        for name, steps in self._held.items():
+            organisation = self._by_name.get(name)
+            if name in self._claims or organisation is None:
+                continue
+            longest = min(steps.values(), key=lambda step: self._held_since[step.id])
+            unit = compute_unit(longest.spec)
+            has_waited = now - self._held_since[longest.id] >= CLAIM_AFTER_SECONDS
+            if has_waited and is_within(unit, organisation.limit):
+                self._claims[name] = _Claim(longest.id, unit, now, is_waiting=False)
+
+    def _make_line(
+        self, decision: str, name: OrganisationName, held: int, limited: _LimitedTime, now: float
+    ) -> LogDecision:
+        organisation = self._by_name.get(name)
+        used = self.use.get(name)
+        limit = Resources() if organisation is None else organisation.limit
+        hidden = add(self._hidden_of_all, self._hidden.get(name, Resources()))
+        return LogDecision(
+            decision=decision,
+            fields={
+                "organisation": name,
+                "held_tasks": held,
+                "seconds": round(now - limited.began_at, 3),
+                "processors": used.processors,
+                "memory": used.memory_mb,
+                "accelerators": used.accelerators,
+                "limit_processors": limit.processors,
+                "limit_memory": limit.memory_mb,
+                "limit_accelerators": limit.accelerators,
+                "unknown_processors": hidden.processors,
+            },
+        )
+
+
+def check_within_limit(submission: Submission, organisation: Organisation | None) -> None:
+    """Check that each task and each gang of a submission may run under its organisation's limit.
+
+    Handles work that could only wait: it is refused at once, with the reason.
+
+    Raises
+    ------
+    InvalidArgumentError
+    """
+    if organisation is None:
+        return
+    for index, spec in enumerate(submission.steps):
+        needs = compute_unit(spec)
+        if not is_within(needs, organisation.limit):
+            raise InvalidArgumentError(
+                f"steps.{index}",
+                _describe(needs),
+                f"what {organisation.name} may have running: {_describe(organisation.limit)}",
+            )
+
+
+def compute_unit(spec: StepSpec) -> Resources:
+    """Return what the smallest part of a step that starts by itself uses: a task, or a gang."""
+    return add(Resources(), spec.resources, spec.count if spec.is_gang else 1)
+
+
+def add(one: Resources, other: Resources, count: int = 1) -> Resources:
+    """Return the sum of `one` and `count` times `other`."""
+    return Resources(
+        one.processors + count * other.processors,
+        one.memory_mb + count * other.memory_mb,
+        one.accelerators + count * other.accelerators,
+    )
+
+
+def is_within(used: Resources, limit: Resources) -> bool:
+    """Return whether each resource is within its limit; 0 is no limit."""
+    return (
+        (not limit.processors or used.processors <= limit.processors)
+        and (not limit.memory_mb or used.memory_mb <= limit.memory_mb)
+        and (not limit.accelerators or used.accelerators <= limit.accelerators)
+    )
+
+
+def _is_limited(organisation: Organisation) -> bool:
+    return organisation.limit != Resources()
+
+
+def _describe(resources: Resources) -> str:
+    return (
+        f"{resources.processors} millicores, {resources.memory_mb} MB, "
+        f"{resources.accelerators} accelerators"
+    )
+
+
+def _apply(choose: Callable[[int, int], int], one: Resources, other: Resources) -> Resources:
+    return Resources(
+        choose(one.processors, other.processors),
+        choose(one.memory_mb, other.memory_mb),
+        choose(one.accelerators, other.accelerators),
+    )
+
+
+def _sum_unused(workers: Iterable[Worker]) -> Resources:
+    """Return what workers can run besides the known runs."""
+    total = Resources()
+    for worker in workers:
+        total = add(total, _apply(max, worker.get_unused_resources(), Resources()))
+    return total
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -19,8 +19,10 @@
     estimate_end,
     is_eligible,
 )
+from .quotas import Quotas
 from .ranking import StepRanking
 from .reservations import GangPlan, plan_gang, reserve
+from .shares import ShareRanking
 from .start_log import StartLog
 from .submissions import StepProgress, SubmissionProgress
 from .waiting_steps import WaitingSteps
@@ -54,9 +56,10 @@
         self.start_log = StartLog()
         self._gang_workers = GangWorkers()
         self._avoided_workers = AvoidedWorkers()
-        self._waiting_steps = WaitingSteps(self._gang_workers)
+        self.quotas = Quotas()
+        self._waiting_steps = WaitingSteps(self._gang_workers, self.quotas)
         self._fencing = fencing
-        self._ranking = ranking
+        self._ranking = ShareRanking(ranking, self.quotas)
         self._policy = policy
 
     def schedule(
@@ -77,6 +80,8 @@
             have runs at unreached workers; 0 if none has.
         now : float
         """
+        self.quotas.begin_pass(submissions, workers, blocked_through_revision)
+        self._ranking.begin_pass(submissions, workers)
         candidates: list[tuple[tuple[float, ...], SubmissionProgress, StepProgress]] = []
         for entry in submissions:
             if entry.is_finalizing or now < entry.blocked_until:
@@ -95,6 +100,8 @@
         effects = self._send_planned_starts(now)
         for rank, entry, step in candidates:
             try:
+                if not self.quotas.may_start(entry, step, now):
+                    continue
                 effects += self._place_step(entry, step, schedulable_workers, rank, now)
                 if step.spec.is_gang and step.waiting:
                     is_next = left_to_reserve > 0
@@ -109,6 +116,7 @@
             worker.clear_reservation()
         self.suspects.end_pass()
         self._avoided_workers.end_pass()
+        effects += self.quotas.end_pass(now)
         return effects + self._waiting_steps.review(
             submissions, workers, blocked_through_revision, now
         )
@@ -221,6 +229,8 @@
         effects: list[Effect] = []
         ends_at = estimate_end(step.spec, now)
         for index in list(step.waiting):
+            if not self.quotas.may_start(entry, step, now):
+                break
             if step.is_suspect(index):
                 effects += self._place_suspect(entry, step, index, usable, now)
                 continue
@@ -281,6 +291,8 @@
         step.drop_needless_copies()
         ends_at = estimate_end(step.spec, now)
         for index in list(step.copies):
+            if not self.quotas.may_start(entry, step, now):
+                break
             candidates = [w for w in usable if not step.is_avoided(index, w.id)]
             worker = choose_worker(self._policy, step, candidates, ends_at)
             if worker is None:
@@ -332,7 +344,9 @@
             checkpoint=step.get_checkpoint(index),
             ticket=ticket.id if ticket is not None else TicketId(""),
         )
-        run = make_run(command, step.spec, worker, now)
+        organisation = entry.submission.organisation
+        run = make_run(command, step.spec, organisation, worker, now)
+        self.quotas.record_start(step.id, organisation)
         worker.add_run(run)
         step.add_run(run)
         placed = LogDecision(
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from collections.abc import Iterable, Iterator
 
@@ -318,6 +319,8 @@
         Why it is to fail.
     blocked_until : float
         Until then, nothing is placed, after an unexpected error.
+    is_owed : bool or None
+        Whether it is within the rate of its organisation; None before that is decided.
     """
 
     def __init__(
@@ -334,6 +337,7 @@
         self.is_finalizing = False
         self.failure: FailureReason | None = None
         self.blocked_until = 0.0
+        self.is_owed: bool | None = None
         self.progress_revision = 0
         self.steps: dict[tuple[int, int], StepProgress] = {}
         for occurrence in range(max(1, submission.repetitions)):
@@ -469,3 +473,9 @@
                 step.merge_crash_history(task, stored)
         if progress.done or progress.failed or progress.crashed:
             self.state = SubmissionState.RUNNING
+
+
+def count_queued(entries: Iterable[SubmissionProgress]) -> dict[str, int]:
+    """Return, by queue, how many submissions have not begun."""
+    names = (e.submission.queue.name for e in entries if e.state is SubmissionState.QUEUED)
+    return dict(collections.Counter(names))
--- a/src/lavenderhook/_internal/queueing/waiting_steps.py
+++ b/src/lavenderhook/_internal/queueing/waiting_steps.py
@@ -13,6 +13,7 @@
 from .log_lines import MAX_LISTED_WORKERS
 from .model import StepId
 from .placement import is_eligible
+from .quotas import Quotas
 from .submissions import StepProgress, SubmissionProgress
 from .workers import Worker
 
@@ -31,10 +32,12 @@
     Parameters
     ----------
     gang_workers : GangWorkers
+    quotas : Quotas
     """
 
-    def __init__(self, gang_workers: GangWorkers) -> None:
+    def __init__(self, gang_workers: GangWorkers, quotas: Quotas) -> None:
         self._gang_workers = gang_workers
+        self._quotas = quotas
         self._next_review_at = 0.0
         self._waits_since: dict[StepId, float] = {}  # beside free capacity
         self._next_line_at: dict[StepId, float] = {}
@@ -113,6 +116,7 @@
                 now,
                 needs_advice=terms.advice is not None,
                 is_left_out=worker.id in left_out,
+                is_limited=self._quotas.is_held(entry, step),
             )
             name = self._describe(reason, worker)
             counts[name] += 1
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -9,10 +9,11 @@
 from ..core.identifiers import WorkerId
 from .finished_runs import FinishedRunTracker
 from .incarnations import NewestIncarnation
-from .leases import WorkerLease
+from .leases import CLOCK_DRIFT_FACTOR, WorkerLease
 from .model import (
     CommandToken,
     FencingToken,
+    OrganisationName,
     ReportedRun,
     Resources,
     RunNumber,
@@ -25,6 +26,7 @@
     WorkerListing,
     WorkerState,
 )
+from .organisation_use import OrganisationUse
 
 # A hold waits up to a second and a long link adds tens of milliseconds.
 MAX_REPORT_AGE_SECONDS = 2.5
@@ -94,6 +96,7 @@
     state: RunState
     commanded_at: float
     incarnation: WorkerIncarnation = WorkerIncarnation()
+    organisation: OrganisationName = OrganisationName("")  # of its submission, if that is known
     estimate_seconds: float = 0.0
     estimated_end_at: float = 0.0  # infinite for a service
     acknowledged_at: float | None = None
@@ -140,6 +143,20 @@
             or (self.acknowledged_at or 0.0) > last_report_at
         )
 
+    def has_vanished(self, sent_at: float, stop_seconds: float) -> bool:
+        """Return whether a hold sent at `sent_at` would have reported the run if it existed.
+
+        Parameters
+        ----------
+        sent_at : float
+        stop_seconds : float
+            Longest time that a worker takes to stop a run.
+        """
+        if self.is_in_flight or self.acknowledged_at is None:
+            return False
+        stop_delay = stop_seconds if self.state is RunState.STOPPING else 0.0
+        return self.acknowledged_at + stop_delay * CLOCK_DRIFT_FACTOR < sent_at
+
     def record_progress(self, progress: float, clock: float) -> None:
         """Record the progress that a worker has reported at a time on its own clock."""
         if not self._samples or progress > self.progress:
@@ -231,6 +248,7 @@
         self.used_processors = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
+        self.organisation_use = OrganisationUse()  # that of all workers of an owner
         # Reserved for gangs in one placement pass; a task that ends by `reserved_until` may use it.
         self.reserved = Resources()
         self.reserved_until = 0.0
@@ -448,6 +466,15 @@
         self.reserved = Resources()
         self.reserved_until = 0.0
 
+    def get_unused_resources(self) -> Resources:
+        """Return the resources not used by known runs, without regard to reservations."""
+        capacity = self.listing.capacity
+        return Resources(
+            capacity.processors - self.used_processors,
+            capacity.memory_mb - self.used_memory_mb,
+            capacity.accelerators - self.used_accelerators,
+        )
+
     def get_free_processors(self) -> int:
         """Return the free processors in thousandths, without regard to reservations."""
         return self.listing.capacity.processors - self.used_processors
@@ -467,6 +494,7 @@
             self.isolated_run = next(others, None)
 
     def _update_usage(self, run: Run, sign: int) -> None:
+        self.organisation_use.change(run.organisation, run.resources, sign)
         if run.has_unknown_resources:
             self.runs_with_unknown_resources += sign
         if not run.is_filler:
@@ -476,7 +504,11 @@
 
 
 def make_adopted_run(
-    reported: ReportedRun, spec: StepSpec | None, worker: Worker, now: float
+    reported: ReportedRun,
+    spec: StepSpec | None,
+    organisation: OrganisationName,
+    worker: Worker,
+    now: float,
 ) -> Run:
     """Return a run that an earlier owner started; `spec` is None if its submission has ended."""
     known = spec or StepSpec()
@@ -488,6 +520,7 @@
         resources=known.resources,
         is_filler=known.is_filler,
         has_unknown_resources=spec is None,
+        organisation=organisation,
         state=RunState.RUNNING,
         commanded_at=now,
         estimate_seconds=known.expected_seconds,
@@ -498,7 +531,13 @@
     )
 
 
-def make_run(command: StartCommand, spec: StepSpec, worker: Worker, now: float) -> Run:
+def make_run(
+    command: StartCommand,
+    spec: StepSpec,
+    organisation: OrganisationName,
+    worker: Worker,
+    now: float,
+) -> Run:
     """Return the run that a start command begins."""
     estimate_seconds = spec.expected_seconds
     return Run(
@@ -508,6 +547,7 @@
         incarnation=worker.get_incarnation(),
         resources=spec.resources,
         is_filler=spec.is_filler,
+        organisation=organisation,
         state=RunState.STARTING,
         commanded_at=now,
         estimate_seconds=estimate_seconds,
