Test the limits and shares of organisations in simulations

Cause: nothing checked what an organisation has running, at the workers or in the owner's account. Change: the simulation has organisations, counts their runs at the workers, and compares the owner's account with a count of all runs it knows. The share of an organisation is that of what is in use: of the whole capacity, the heavier of two got 2.38 instead of 3 times as much, as a part is always about to be used again. Arrivals at exactly the rate are never excess. The metrics show what a limit holds.

--- a/features/support/queue_random_runs.py
+++ b/features/support/queue_random_runs.py
@@ -6,6 +6,7 @@
 from lavenderhook._internal.queueing.model import WorkerState
 from standins.crashes import CrashBehaviour
 
+from .organisation_limits import make_organisation
 from .queue_simulation import QueueSimulation, make_step
 
 FAULT_PHASE_SECONDS = 15.0
@@ -35,6 +36,7 @@
     owners_confirm=False,
     has_crashing_tasks=False,
     has_capacity_changes=False,
+    has_organisations=False,
 ):
     """Run a simulation with random faults, let it settle without lost answers, and return it.
 
@@ -47,6 +49,8 @@
     simulation.checks_incarnation = checks_incarnation
     simulation.owners_confirm = owners_confirm
     simulation.failure_share = generator.choice([0.0, 0.05, 0.2])
+    if has_organisations:
+        add_organisations(simulation, seed)
     simulation.start_new_owner()
     for index in range(40):
         at = generator.uniform(0.5, FAULT_PHASE_SECONDS)
@@ -176,6 +180,24 @@
     simulation.call_later(at, simulation.submit, name, steps)
 
 
+def add_organisations(simulation, seed):
+    """Give each submission an organisation, and change the limits of two of them in between.
+
+    The limits hold the widest gang of `make_steps`.
+    """
+    generator = random.Random(-seed - 1)
+    limits = simulation.organisation_limits
+    limits.assigned = ["narrow", "wide", "free"]
+    for at in (0.0, *(generator.uniform(2.0, FAULT_PHASE_SECONDS) for _ in range(3))):
+        organisations = [
+            make_organisation("narrow", generator.choice([15_000, 16_000, 20_000])),
+            make_organisation("wide", generator.choice([20_000, 30_000])),
+            make_organisation("free", weight=generator.choice([0.1, 1.0, 3.0])),
+        ]
+        simulation.call_later(at, limits.change, *organisations)
+    simulation.call_later(0.0, limits.check_accounts)
+
+
 def add_capacity_change(simulation, generator):
     """Let a worker shrink and grow again while it runs; its entry shows that with its next beat."""
     worker = simulation.workers[generator.choice(sorted(simulation.workers))]
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -52,6 +52,7 @@
 from standins.capacity import ProcessorLimit
 
 from .crashing_tasks import CrashingTasks
+from .organisation_limits import OrganisationLimits
 
 LEASE_SECONDS = 4.5
 MAX_LEASE_SECONDS = 10.0  # that a worker allows
@@ -332,6 +333,7 @@
         for submission, revision in simulation.submissions.values():
             self.deliver_submission(submission, revision)
         self.deliver_worker_list()
+        simulation.organisation_limits.deliver(self)
         simulation.call_later(0.01, self.tick)
         simulation.call_later(0.03, self.commit)
 
@@ -663,6 +665,7 @@
         self.advisory_service = None  # a `SimulatedAdvisoryService`; None for one without a queue
         self.advice_is_unanswered = False  # calls then end without a response
         self.crashing_tasks = CrashingTasks(self)
+        self.organisation_limits = OrganisationLimits(self)
         self._events = []
         self._sequence = itertools.count()
         self.revision = 0
@@ -728,7 +731,8 @@
         """Store a submission and notify the owners."""
         self.revision += 1
         self.submission_ages[name] = age
-        submission = make_submission(name, steps, **terms)
+        terms.setdefault("organisation", self.organisation_limits.choose(name))
+        submission = make_submission(name, steps, accepted_at=self.now, **terms)
         self.submissions[name] = (submission, self.revision)
         for owner in self.owners:
             known = None if self.feed_seconds else self.revision
@@ -887,6 +891,8 @@
                 self._add_violation("order", worker, command)
         if not self.crashing_tasks.record_start(worker, command):
             self._add_violation("crash-budget", worker, command)
+        if not self.organisation_limits.record_start(command):
+            self._add_violation("organisation-limit", worker, command)
         cancelled = self.cancelled_at.get(command.task.submission)
         if cancelled is not None and self.now > cancelled + MAX_COMMAND_DELAY_SECONDS + 1.0:
             self._add_violation("start-after-cancel", worker, command)
@@ -917,10 +923,17 @@
     return msgspec.structs.replace(spec.resources, processors=0)
 
 
-def make_submission(name, steps, queue="q", **terms):
+def make_submission(name, steps, queue="q", organisation="", accepted_at=0.0, **terms):
     """Return a submission; `terms` are those of its queue."""
     queue = QueueTerms(name=queue, service="desk", **{"most_attempts": 3, **terms})
-    return Submission(id=name, queue=queue, payload="p", steps=tuple(steps), accepted_at=0.0)
+    return Submission(
+        id=name,
+        queue=queue,
+        payload="p",
+        steps=tuple(steps),
+        accepted_at=accepted_at,
+        organisation=organisation,
+    )
 
 
 def make_step(count=2, processors=2000, seconds=1.0, **fields):
--- a/src/lavenderhook/_internal/instance/decision_metrics.py
+++ b/src/lavenderhook/_internal/instance/decision_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import time
 from collections.abc import Mapping
 
 import msgspec
@@ -26,6 +28,14 @@
     "owner-loaded": _Histogram("owner_load_seconds", "seconds"),
     "hold-unanswered": _Histogram("hold_unanswered_seconds", "seconds"),
 }
+# Gauges of an organisation whose limit holds work, by the field that they show.
+_ORGANISATION_GAUGES = {
+    "held_tasks": "organisation_held_tasks",
+    "processors": "organisation_used_millicores",
+}
+_ORGANISATION_DECISIONS = ("organisation-limited", "organisation-released")
+# An owner repeats these decisions while they hold. Without them, this is no longer the owner.
+_GAUGE_SECONDS = 10.0
 # Fields that distinguish the outcomes of a decision; they have few values.
 _COUNTER_LABELS = ("outcome", "state", "reason", "error")
 
@@ -35,11 +45,15 @@
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
+        # Values, and when they were recorded, by gauge and organisation.
+        self._gauges: dict[tuple[str, str], tuple[float, float]] = {}
 
     def record(self, decision: str, fields: Mapping[str, object]) -> None:
         """Count a decision and observe its duration, if it has one."""
         labels = {name: str(fields[name]) for name in _COUNTER_LABELS if name in fields}
         self._metrics.increment("decisions_total", 1.0, decision=decision, **labels)
+        if decision in _ORGANISATION_DECISIONS:
+            self._record_gauges(fields)
         histogram = _HISTOGRAMS.get(decision)
         if histogram is None:
             return
@@ -47,3 +61,18 @@
         if isinstance(value, float | int):
             histogram_labels = {name: str(fields.get(name, "")) for name in histogram.labels}
             self._metrics.observe(histogram.name, float(value), **histogram_labels)
+
+    def _record_gauges(self, fields: Mapping[str, object]) -> None:
+        organisation = str(fields["organisation"])
+        for field, name in _ORGANISATION_GAUGES.items():
+            key, value = (name, organisation), fields[field]
+            if key not in self._gauges:
+                self._metrics.register_gauge(
+                    name, functools.partial(self._read_gauge, key), organisation=organisation
+                )
+            if isinstance(value, float | int):
+                self._gauges[key] = (value, time.monotonic())
+
+    def _read_gauge(self, key: tuple[str, str]) -> float:
+        value, recorded_at = self._gauges[key]
+        return value if time.monotonic() - recorded_at < _GAUGE_SECONDS else 0.0
--- a/src/lavenderhook/_internal/queueing/shares.py
+++ b/src/lavenderhook/_internal/queueing/shares.py
@@ -19,6 +19,7 @@
 # Submissions are read out of order after a takeover; older ones have been decided on.
 MAX_AGE_SECONDS = 60.0
 MIN_WEIGHT = 1e-6
+SPAN_MARGIN = 0.9  # arrivals at exactly the rate vary, and none of them is excess
 LEVELS_PER_DOUBLING = 2  # of the use over the share
 
 
@@ -45,11 +46,12 @@
         rate = max(self.rate, MIN_WEIGHT)
         count = math.ceil(rate)
         end = bisect.bisect_right(self._owed_at, accepted_at)
-        begin = bisect.bisect_right(self._owed_at, accepted_at - count / rate)
+        span = SPAN_MARGIN * count / rate
+        begin = bisect.bisect_right(self._owed_at, accepted_at - span)
         if end - begin >= count:
             return False
         self._owed_at.insert(end, accepted_at)
-        kept_from = self._owed_at[-1] - max(MAX_AGE_SECONDS, count / rate)
+        kept_from = self._owed_at[-1] - max(MAX_AGE_SECONDS, span)
         del self._owed_at[: bisect.bisect_left(self._owed_at, kept_from)]
         return True
 
@@ -116,13 +118,17 @@
 def _compute_levels(
     organisations: Collection[Organisation], use: OrganisationUse, capacity: Resources
 ) -> dict[OrganisationName, int]:
-    """Return how far each organisation is above its share, in steps of its logarithm."""
-    weights = sum(max(entry.weight, MIN_WEIGHT) for entry in organisations)
+    """Return how far each organisation is above its share, in steps of its logarithm.
+
+    Its share is that of what is in use: a part of the workers is always about to be used again.
+    """
+    weights = {entry.name: max(entry.weight, MIN_WEIGHT) for entry in organisations}
+    used = {name: _compute_dominant_share(use.get(name), capacity) for name in weights}
+    total_weight, total_used = sum(weights.values()), sum(used.values())
     levels: dict[OrganisationName, int] = {}
-    for entry in organisations:
-        share = max(entry.weight, MIN_WEIGHT) / weights
-        ratio = _compute_dominant_share(use.get(entry.name), capacity) / share
-        levels[entry.name] = 0 if ratio <= 1 else math.ceil(LEVELS_PER_DOUBLING * math.log2(ratio))
+    for name, weight in weights.items():
+        ratio = used[name] * total_weight / (total_used * weight) if total_used else 0.0
+        levels[name] = 0 if ratio <= 1 else math.ceil(LEVELS_PER_DOUBLING * math.log2(ratio))
     return levels
 
 
