--- a/src/lavenderhook/_internal/queueing/quotas.py
+++ b/src/lavenderhook/_internal/queueing/quotas.py
@@ -187,11 +187,11 @@
                 if ended is not None and task.step < len(ended.steps):
                     _charge(logged, ended, ended.steps[task.step], 1)
                 continue
-            step = found.steps.get((task.occurrence, task.step))
-            if step is None or step.spec.expected_seconds >= LONG_TASK_SECONDS:
+            known = found.steps.get((task.occurrence, task.step))
+            if known is None or known.spec.expected_seconds >= LONG_TASK_SECONDS:
                 continue
-            if task.index in step.waiting:
-                _charge(logged, found.submission, step.spec, 1)
+            if task.index in known.waiting:
+                _charge(logged, found.submission, known.spec, 1)
         return logged
 
     def _limit_to_unreached(
