Gather writes to a slow store, and let final states go first

Cause: with the store 100 times as slow as usual, each submission's write was repeated by two peers, so that the parts of the table turned transactions away; such a refusal counted as an outage. Final states waited behind confirmations of the ownership and all other progress in the owner's part.

--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -441,6 +441,10 @@
         self.context = context
         self.owner_revision = 1
 
+    def measure_latency_seconds(self):
+        """Return zero: calls take no time."""
+        return 0.0
+
     def transact(self, _writes, conditions, _deletes):
         """Check the condition on the owner row."""
         if conditions[0].revision == self.owner_revision:
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -49,6 +49,7 @@
 from .owner import Owner
 from .ownership_manager import OwnershipManager
 from .ownership_proof import OwnershipProof
+from .slow_store import choose_gathering_instance, is_store_slow
 from .submission_writer import SubmissionWriter, WriteResult
 from .supervision import ReportError, run_until_stopped
 from .table_watcher import LogEvent, describe_failure
@@ -182,11 +183,7 @@
 
     def submit(self, submission: Submission, deadline: float) -> WriteResult:
         """Store a submission, directly or through a peer."""
-        result = self._forwarding.write(
-            lambda: self._writer.store_submission(submission, deadline),
-            lambda address, seconds: self._peers.submit(address, submission, seconds),
-            deadline,
-        )
+        result = self._write_submission(submission, deadline)
         self._log_event(
             "submission-" + result.value,
             submission=submission.id,
@@ -198,6 +195,23 @@
             self._record_accepted(submission)
         return result
 
+    def _write_submission(self, submission: Submission, deadline: float) -> WriteResult:
+        def write_locally() -> WriteResult:
+            return self._writer.store_submission(submission, deadline)
+
+        def write_remotely(address: str, seconds: float) -> WriteResult:
+            return self._peers.submit(address, submission, seconds)
+
+        if is_store_slow(self._store.measure_latency_seconds()):
+            gatherer = choose_gathering_instance(
+                choose_part(submission.id), self._ownership.list_instance_addresses()
+            )
+            if gatherer != self.address:
+                return self._forwarding.write_gathered(
+                    write_locally, write_remotely, deadline, gatherer
+                )
+        return self._forwarding.write(write_locally, write_remotely, deadline)
+
     def cancel(self, submission: SubmissionId, deadline: float) -> WriteResult:
         """Cancel a submission, directly or through a peer."""
         result = self._forwarding.write(
--- a/src/lavenderhook/_internal/instance/forwarding.py
+++ b/src/lavenderhook/_internal/instance/forwarding.py
@@ -8,6 +8,7 @@
 import gevent
 
 from ..ports.queueing import RowStore
+from .slow_store import MAX_HEDGE_DELAY_SECONDS, UNUSUAL_LATENCIES, compute_hedge_delay
 from .submission_writer import WriteResult
 
 MAX_PEERS_PER_WRITE = 2  # to which a write is forwarded at the same time
@@ -15,12 +16,8 @@
 # submissions never run. It is skipped for this time.
 PEER_SKIP_SECONDS = 3.0
 PEER_REFUSAL_VALID_SECONDS = 1.0  # after all peers asked failed to write
-# A write without a response is forwarded after a multiple of the usual duration of a call, within
-# these bounds; a store at 90 times the usual latency answers within 0.7 s.
-MIN_HEDGE_DELAY_SECONDS = 0.2
-MAX_HEDGE_DELAY_SECONDS = 0.8
-HEDGE_DELAY_PER_LATENCY = 8.0
 PEER_WRITE_TIMEOUT_SECONDS = 0.9
+PEER_RESPONSE_SECONDS = 0.1  # left for the response of the peer that gathers writes
 OUTAGE_CHECK_INTERVAL_SECONDS = 0.1  # between checks whether the store still answers
 
 WriteLocally = Callable[[], WriteResult]
@@ -51,6 +48,32 @@
         self._skipped_until: dict[str, float] = {}  # by address of the peer
         self._peers_refused_at = -PEER_REFUSAL_VALID_SECONDS  # when peers last failed to write
 
+    def write_gathered(
+        self,
+        write_locally: WriteLocally,
+        write_remotely: WriteAt,
+        deadline: float,
+        address: str,
+    ) -> WriteResult:
+        """Write a row through the peer that gathers the rows of its part, or else as `write` does.
+
+        Parameters
+        ----------
+        address : str
+            Of that peer.
+        """
+        seconds = max(0.0, deadline - time.monotonic() - PEER_RESPONSE_SECONDS)
+        gathered = gevent.spawn(write_remotely, address, seconds)
+        gathered.join(min(seconds, compute_hedge_delay(self._store.measure_latency_seconds())))
+        if gathered.ready() and gathered.value in (WriteResult.STORED, WriteResult.NO_SUCH):
+            return gathered.value
+        result = self.write(write_locally, write_remotely, deadline)
+        if result is not WriteResult.NOT_STORED:
+            return result
+        gathered.join(max(0.0, deadline - time.monotonic()))
+        # Without a result from the peer, the row may have been stored or may yet be.
+        return gathered.value if gathered.successful() else WriteResult.UNKNOWN
+
     def write(
         self, write_locally: WriteLocally, write_remotely: WriteAt, deadline: float
     ) -> WriteResult:
@@ -74,7 +97,9 @@
         # When the store has answered neither this instance nor a peer, callers retry sooner if they
         # are told so at once; a write in progress still takes effect if the store carries it out.
         while not local_write.ready() and time.monotonic() < deadline:
-            if self._store.measure_unanswered_seconds() > MAX_HEDGE_DELAY_SECONDS:
+            usual_seconds = UNUSUAL_LATENCIES * self._store.measure_latency_seconds()
+            limit_seconds = max(MAX_HEDGE_DELAY_SECONDS, usual_seconds)
+            if self._store.measure_unanswered_seconds() > limit_seconds:
                 break
             local_write.join(OUTAGE_CHECK_INTERVAL_SECONDS)
         if not local_write.successful():
@@ -112,9 +137,3 @@
         if result is WriteResult.UNKNOWN:
             self._skipped_until[address] = time.monotonic() + PEER_SKIP_SECONDS
         return result
-
-
-def compute_hedge_delay(latency_seconds: float) -> float:
-    """Return after how many seconds without a response a write is forwarded as well."""
-    delay = HEDGE_DELAY_PER_LATENCY * latency_seconds
-    return min(max(delay, MIN_HEDGE_DELAY_SECONDS), MAX_HEDGE_DELAY_SECONDS)
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -27,10 +27,14 @@
 )
 from ..queueing import effects
 from ..queueing.authority import is_proof_valid
+from ..queueing.commit_order import (
+    MAX_SUBMISSIONS_PER_TRANSACTION,
+    choose_submissions_to_commit,
+    list_unstored_positions,
+)
 from ..queueing.events import (
     AdviceArrived,
     Event,
-    FinishedRunPosition,
     HoldUnanswered,
     OutcomeRead,
     PredecessorInactive,
@@ -83,8 +87,6 @@
 from ..queueing.start_log import (
     START_LOG_TABLE,
     LoggedStart,
-    StartLogRow,
-    collect_starts,
 )
 from ..queueing.submissions import SubmissionProgress
 from ..queueing.takeover import Takeover
@@ -92,11 +94,12 @@
 from ..queueing.workers import Worker
 from .clock import read_elapsed_clock
 from .ownership_proof import OwnershipProof
+from .slow_store import choose_confirmation_limit, is_store_slow
 from .supervision import ReportError
 from .table_watcher import LogEvent, Rereading, describe_failure
 from .unconfirmed_progress import UnconfirmedProgress
 from .unconfirmed_submissions import UnconfirmedSubmissions
-from .work_table import WorkTable
+from .work_table import WorkTable, read_former_starts
 
 # A hold is a long poll of a worker: it renews the worker's leases, acknowledges finished runs and
 # returns a report. The worker answers at once when a run finishes.
@@ -115,12 +118,9 @@
 WORKERS_INTERVAL_SECONDS = 0.25
 # While a commit takes longer, no commit is made for started runs alone.
 QUICK_COMMIT_SECONDS = 0.1
-MAX_CONFIRMATIONS = 4  # in flight, so that a slow store confirms often enough
 # Stands in the roster for the workers of a row that can't be decoded: it is never reached, so that
 # the longest lease has to expire.
 UNKNOWN_WORKER = WorkerId("unknown")
-# The store takes 100 entries in a transaction: two for each submission and one for the owner.
-MAX_SUBMISSIONS_PER_TRANSACTION = 45
 
 # Written to prove the ownership; nobody reads it.
 CONFIRMATION = Write(CONFIRMATION_TABLE, CONFIRMATION_KEY, b"{}")
@@ -209,6 +209,7 @@
         self._witnessed_end: WitnessedEnd | None = None  # known once the state is loaded
         self._has_proof = True
         self._confirmations = 0  # in flight
+        self._is_committing = False
         self._former_starts: dict[SubmissionId, list[LoggedStart]] = {}
         self._commit_seconds = 0.0  # duration of the last commit
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
@@ -392,7 +393,7 @@
     def _load(self) -> Roster:
         self._work.catch_up(self._revision)
         row = self._read_roster()
-        self._former_starts = self._read_former_starts()
+        self._former_starts = read_former_starts(self._store, self._revision, self._log_event)
         changes = self._worker_list.read()
         self._update_listings(changes)
         self._workers_revision = changes.revision
@@ -436,25 +437,6 @@
             raise StoreUnavailableError("another instance has taken over")
         return result
 
-    def _read_former_starts(self) -> dict[SubmissionId, list[LoggedStart]]:
-        """Return what earlier owners have started lately.
-
-        Raises
-        ------
-        LavenderhookError
-            If the log can't be read; a malformed row is left out.
-        """
-        found = self._store.read(START_LOG_TABLE, "", "~")
-        if found.revision < self._revision:
-            raise StoreUnavailableError("the store returned a start log older than the takeover")
-        rows: list[StartLogRow] = []
-        for row in found.rows:
-            try:
-                rows.append(decode(row.value, StartLogRow))
-            except ProtocolError as error:
-                self._log_event("start-log-unreadable", key=row.key, **describe_failure(error))
-        return collect_starts(rows, time.time())
-
     def _restore_state(self, roster: Roster) -> None:
         self._witness_proof = WitnessProof(roster)
         self._witnessed_end = WitnessedEnd(roster)
@@ -696,7 +678,9 @@
 
         Reads may be stale, so that they don't prove that this is still the owner.
         """
-        if self._confirmations < MAX_CONFIRMATIONS:
+        latency_seconds = self._store.measure_latency_seconds()
+        limit = choose_confirmation_limit(latency_seconds, is_committing=self._is_committing)
+        if self._confirmations < limit:
             self._confirmations += 1
             self._spawn(self._confirm_ownership)
 
@@ -847,29 +831,30 @@
             state = self.state
             if state is None:
                 continue
-            positions = {
-                worker.id: FinishedRunPosition(worker.newest.born, worker.processed_sequence)
-                for worker in state.list_workers()
-                if worker.processed_sequence > worker.stored_sequence
-            }
+            positions = list_unstored_positions(state.list_workers())
             stores_starts = (
                 state.scheduler.start_log.has_changes
                 and self._commit_seconds < QUICK_COMMIT_SECONDS
             )
             if not self._dirty_submissions and not positions and not stores_starts:
                 continue
-            submissions, self._dirty_submissions = list(self._dirty_submissions), {}
-            is_stored = True
+            submissions, left = choose_submissions_to_commit(
+                self._dirty_submissions,
+                state.submissions,
+                is_store_slow=is_store_slow(self._store.measure_latency_seconds()),
+            )
+            self._dirty_submissions = dict.fromkeys(left)
+            self._is_committing = is_stored = True
             began_at = _now()
             for start in range(0, len(submissions) or 1, MAX_SUBMISSIONS_PER_TRANSACTION):
                 is_stored &= self._commit(
                     submissions[start : start + MAX_SUBMISSIONS_PER_TRANSACTION]
                 )
-            self._commit_seconds = _now() - began_at
-            if is_stored:
+            self._is_committing, self._commit_seconds = False, _now() - began_at
+            if is_stored and not left:
                 self.apply(ProgressStored(now=_now(), stored_positions=positions))
                 self._progress_stored.set()
-            else:
+            elif not is_stored:
                 gevent.sleep(STORE_RETRY_SECONDS)
 
     def _commit(self, submissions: list[SubmissionId]) -> bool:
--- a/src/lavenderhook/_internal/instance/submission_writer.py
+++ b/src/lavenderhook/_internal/instance/submission_writer.py
@@ -9,7 +9,7 @@
 import gevent
 import gevent.event
 
-from ...errors import LavenderhookError, StoreUnavailableError
+from ...errors import LavenderhookError, StoreBusyError, StoreUnavailableError
 from ..ports.queueing import RowConflict, RowStore, Write
 from ..queueing.model import Submission, SubmissionId, SubmissionState
 from ..queueing.records import (
@@ -42,6 +42,7 @@
     __slots__ = (
         "completed",
         "deadline",
+        "is_in_transaction",
         "is_outcome_unknown",
         "key",
         "result",
@@ -53,6 +54,7 @@
         self.key = key
         self.value = value
         self.deadline = deadline
+        self.is_in_transaction = False
         self.is_outcome_unknown = False
         self.result: WriteResult | None = None
         self.revision: int | None = None
@@ -63,6 +65,11 @@
         self.revision = revision
         self.completed.set()
 
+    def resolve_unwritten(self) -> None:
+        """Resolve the row that is in no transaction and won't be in one any longer."""
+        unwritten = WriteResult.UNKNOWN if self.is_outcome_unknown else WriteResult.NOT_STORED
+        self.resolve(unwritten)
+
 
 class SubmissionWriter:
     """Stores submissions and cancellations; concurrent writes to a part share transactions.
@@ -152,8 +159,10 @@
         self._has_rows.set()
         row.completed.wait(max(deadline - time.monotonic(), 0.001))
         if row.result is None:
-            # The row may be in a transaction that is in progress.
-            row.result = WriteResult.UNKNOWN
+            if row.is_in_transaction:
+                row.result = WriteResult.UNKNOWN
+            else:
+                row.resolve_unwritten()
         return row
 
     def _write_loop(self) -> None:
@@ -174,6 +183,7 @@
                 continue
             if len(batch) < MAX_ROWS_PER_TRANSACTION and row.key not in keys:
                 keys.add(row.key)
+                row.is_in_transaction = True
                 batch.append(row)
             else:
                 remaining.append(row)
@@ -184,6 +194,11 @@
         writes = [Write(WORK_TABLE, row.key, row.value, 0, self._part) for row in batch]
         try:
             result = self._store.transact(writes)
+        except StoreBusyError as error:
+            self._log_event("intake-delayed", rows=len(batch), message=str(error))
+            for row in batch:
+                self._schedule_retry(row)
+            return
         except StoreUnavailableError as error:
             self._log_event("intake-refused", rows=len(batch), message=str(error))
             for row in batch:
@@ -209,13 +224,15 @@
             if found is not None:
                 row.resolve(WriteResult.STORED, found.revision)
             else:
+                row.is_in_transaction = False
                 self._queue.append(row)
         self._has_rows.set()
 
     def _schedule_retry(self, row: _PendingRow) -> None:
-        """Write the row again later: a conflict then shows that it was stored."""
+        """Write the row again later; if it had been stored, a conflict shows that."""
+        row.is_in_transaction = False
         if time.monotonic() + WRITE_RETRY_SECONDS >= row.deadline:
-            row.resolve(WriteResult.UNKNOWN)
+            row.resolve_unwritten()
             return
         gevent.spawn_later(WRITE_RETRY_SECONDS, self._requeue, row)
 
--- a/src/lavenderhook/_internal/instance/work_table.py
+++ b/src/lavenderhook/_internal/instance/work_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 
 from ...errors import ProtocolError, StoreUnavailableError
@@ -20,7 +21,8 @@
     decode_submission,
     parse_key,
 )
-from .table_watcher import LogEvent, TableWatcher
+from ..queueing.start_log import START_LOG_TABLE, LoggedStart, StartLogRow, collect_starts
+from .table_watcher import LogEvent, TableWatcher, describe_failure
 
 
 class WorkTable:
@@ -133,3 +135,25 @@
             self.progress.pop(submission, None)
         elif prefix == OUTCOME_PREFIX:
             self.outcomes.pop(submission, None)
+
+
+def read_former_starts(
+    store: RowStore, revision: int, log_event: LogEvent
+) -> dict[SubmissionId, list[LoggedStart]]:
+    """Return what owners up to a revision of the store have started lately.
+
+    Raises
+    ------
+    LavenderhookError
+        If the log can't be read; a malformed row is left out.
+    """
+    found = store.read(START_LOG_TABLE, "", "~")
+    if found.revision < revision:
+        raise StoreUnavailableError("the store returned a start log older than the takeover")
+    rows: list[StartLogRow] = []
+    for row in found.rows:
+        try:
+            rows.append(decode(row.value, StartLogRow))
+        except ProtocolError as error:
+            log_event("start-log-unreadable", key=row.key, **describe_failure(error))
+    return collect_starts(rows, time.time())
--- a/src/lavenderhook/errors.py
+++ b/src/lavenderhook/errors.py
@@ -209,6 +209,12 @@
     exit_code = 7
 
 
+class StoreBusyError(StoreUnavailableError):
+    """The platform's store has too much to do at the moment; nothing was changed."""
+
+    code = "store-busy"
+
+
 class OutcomeUnknownError(LavenderhookError):
     """A write may or may not have taken effect."""
 
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -13,9 +13,9 @@
 
 from .._internal.adapters.transport import ClientResponse, Headers, HttpClient
 from .._internal.decoding import Number, decode_json, reject_malformed
+from .._internal.instance.slow_store import compute_outage_seconds
 from .._internal.ports.queueing import (
     STORE_CALL_SECONDS,
-    STORE_OUTAGE_SECONDS,
     Condition,
     Deletion,
     HistoryLostError,
@@ -25,7 +25,7 @@
     StoredRow,
     Write,
 )
-from ..errors import ProtocolError, StoreUnavailableError, TransportError
+from ..errors import ProtocolError, StoreBusyError, StoreUnavailableError, TransportError
 
 TRANSACT_PATH = "/lavenderhook/rows-tx"
 READ_PATH = "/lavenderhook/rows-get"
@@ -36,7 +36,8 @@
 INITIAL_LATENCY_SECONDS = 0.1  # assumed before the first response
 LATENCY_SMOOTHING = 0.3  # weight of the newest call in the moving average
 JSON_HEADERS = (("Content-Type", "application/json"),)
-REFUSAL_STATUSES = (429, 503)  # the request had no effect
+BUSY_STATUS = 429  # a part has a second's worth of transactions queued; nothing was done
+REFUSAL_STATUSES = (BUSY_STATUS, 503)  # the request had no effect
 
 
 class _Row(msgspec.Struct, rename="camel", omit_defaults=True):
@@ -156,8 +157,9 @@
         wait for the time-out of these calls although the store is available again.
         """
         now = time.monotonic()
+        outage_seconds = compute_outage_seconds(self._latency_seconds)
         was_unavailable = (
-            self._calls_in_flight > 0 and now - self._unanswered_since > STORE_OUTAGE_SECONDS
+            self._calls_in_flight > 0 and now - self._unanswered_since > outage_seconds
         )
         self._unanswered_since = self._last_response_at = now
         if was_unavailable:
@@ -259,6 +261,8 @@
 
 
 def _check_status(response: ClientResponse, what: str) -> None:
+    if response.status == BUSY_STATUS:
+        raise StoreBusyError(f"{what}: the store answered {response.status}")
     if response.status in REFUSAL_STATUSES:
         raise StoreUnavailableError(f"{what}: the store answered {response.status}")
     if response.status != 200:
