Place work by the learnt speeds of workers

Cause: nothing learns a lasting speed, so that short steps with a close objective are packed onto the workers that take twice as long, as these are busy for longer. Change: speeds are learnt from finished runs and progress, each compared with the other runs of its step and queue; slow workers go to steps that end in time on them, gangs get workers of one class, calls for advice name the preferred workers first, and probation allows for a lasting slowness. Where no worker is slow the ranks are as before.

--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 
 from ..core.identifiers import WorkerId
 from .effects import Effect, RequestAdvice
@@ -89,6 +89,7 @@
         eligible: Iterable[Worker],
         rank: tuple[float, ...],
         now: float,
+        compute_penalty: Callable[[Worker], int] = lambda worker: 0,
     ) -> list[Effect]:
         """Request advice for a step; without a gang, expired tickets come before new workers.
 
@@ -104,13 +105,15 @@
         rank : tuple of float
             Of the step.
         now : float
+        compute_penalty : callable
+            See `PlacementPolicy.compute_penalty`; the workers with the lowest are named first.
         """
         if step.is_advice_pending or now < step.next_advice_at:
             return []
         terms = entry.submission.queue.advice
         if terms is None:
             return []
-        eligible = list(eligible)
+        eligible = sorted(eligible, key=lambda w: (compute_penalty(w), -w.get_free_processors()))
         fits_now = True
         ends_at = estimate_end(step.spec, now)
         if step.spec.is_gang:
@@ -120,7 +123,6 @@
         else:
             fitting = [w for w in eligible if is_available(step, w, ends_at)]
             named = [w for w in fitting if w.id not in step.allowed]
-            named.sort(key=Worker.get_free_processors, reverse=True)
             expired = [w for w in fitting if has_expired_ticket(step, w, now)]
             max_workers = self._compute_call_size(entry, step)
             named = (expired[:max_workers] + named)[:max_workers]
@@ -157,7 +159,6 @@
         named: list[Worker] = []
         renewal_limit = now + TICKET_RENEWAL_LEAD_SECONDS
         unasked = [w for w in eligible if w.id not in step.allowed]
-        unasked.sort(key=Worker.get_free_processors, reverse=True)
         if fitting:
             named += [w for w in fitting if w.id in step.allowed]
         elif plan is not None and plan.ready_at < renewal_limit:
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -72,7 +72,7 @@
     WorkerListing,
 )
 from .parameters import OwnerParameters
-from .placement import BestFit, PlacementPolicy, SpreadServices
+from .placement import PlacementPolicy
 from .ranking import PriorityThenObjective, StepRanking
 from .records import FailureReason, Roster
 from .review import Decision, RunReviewer
@@ -135,7 +135,7 @@
         self.scheduler = Scheduler(
             fencing,
             ranking or PriorityThenObjective(),
-            policy or SpreadServices(BestFit()),
+            policy,
             AdvicePlanner(),
         )
         self.first_run_number = compute_first_run_number(fencing)
@@ -148,7 +148,7 @@
         self.commands_to_retry: list[Run] = []
         self.submissions: dict[SubmissionId, SubmissionProgress] = {}
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
-        self.reviewer = reviewer or RunReviewer(self._find_step)
+        self.reviewer = reviewer or RunReviewer(self._find_step, self.scheduler.speeds)
         self.losses = LossRecorder(self._find_step, self._give_up)
         self.unknown_submissions = UnknownSubmissions(
             self.workers, self.submissions, self._process_finished_run, self._remove_run
@@ -625,8 +625,7 @@
         if run is not None:
             if finished.outcome is RunOutcome.DONE and step is not None and not run.checkpoint:
                 step.durations.append(now - run.commanded_at)
-            if finished.outcome in (RunOutcome.DONE, RunOutcome.FAILED):
-                self.reviewer.slow_worker_policy.record_finished_run(worker, run, now)
+            self.reviewer.record_finished_run(worker, run, finished.outcome, now)
             effects += self._remove_run(run, now)
         return effects
 
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -7,12 +7,17 @@
 from collections.abc import Iterable, Sequence
 
 from .model import Resources, StepSpec
-from .submissions import StepProgress
+from .ranking import USELESS_AFTER_OBJECTIVES
+from .speeds import SpeedLearner
+from .submissions import StepProgress, SubmissionProgress
 from .workers import Worker
 
 # Estimated durations are off by half; a task that uses capacity reserved for a gang has to end in
 # time.
 BACKFILL_MARGIN = 1.5
+# Tasks of one step differ by half, and a step ends with its longest task.
+UNCERTAINTY_FACTOR = 1.5
+MIN_EXPECTED_SECONDS = 0.05
 
 
 def is_eligible(step: StepProgress, service: str, worker: Worker) -> bool:
@@ -38,12 +43,39 @@
 class PlacementPolicy(abc.ABC):
     """Ranks the workers that may run a task and have capacity for it."""
 
+    @abc.abstractmethod
+    def begin_step(self, entry: SubmissionProgress, step: StepProgress, now: float) -> None:
+        """Prepare to place tasks of a step; what the other methods return is for this step."""
+
+    @abc.abstractmethod
+    def compute_penalty(self, worker: Worker) -> int:
+        """Return what comes before the capacity of a worker in its rank; the lowest is taken."""
+
+    @abc.abstractmethod
+    def group_for_gang(self, workers: Sequence[Worker]) -> list[Sequence[Worker]]:
+        """Return the groups of workers to try in turn for all members of a gang."""
+
     @abc.abstractmethod
     def rank(self, step: StepProgress, worker: Worker) -> tuple[float, ...]:
         """Return the rank of a worker for the step; the lowest is taken."""
 
 
-class BestFit(PlacementPolicy):
+class UniformPolicy(PlacementPolicy):
+    """Ranks workers without regard to their speeds."""
+
+    def begin_step(self, entry: SubmissionProgress, step: StepProgress, now: float) -> None:
+        """Prepare nothing."""
+
+    def compute_penalty(self, worker: Worker) -> int:
+        """Return the same for each worker."""
+        return 0
+
+    def group_for_gang(self, workers: Sequence[Worker]) -> list[Sequence[Worker]]:
+        """Return all workers as one group."""
+        return [workers]
+
+
+class BestFit(UniformPolicy):
     """Prefers the worker that is left with the least free capacity.
 
     Handles gangs of large tasks that arrive among many small ones: small tasks fill workers that
@@ -75,8 +107,97 @@
             return rank
         return (count_on_worker(step, worker), count_in_rack(step, worker), *rank)
 
+    def begin_step(self, entry: SubmissionProgress, step: StepProgress, now: float) -> None:
+        """Prepare the other policy."""
+        self._other.begin_step(entry, step, now)
+
+    def compute_penalty(self, worker: Worker) -> int:
+        """Return the other policy's penalty."""
+        return self._other.compute_penalty(worker)
+
+    def group_for_gang(self, workers: Sequence[Worker]) -> list[Sequence[Worker]]:
+        """Return the other policy's groups."""
+        return self._other.group_for_gang(workers)
+
+
+class LearntSpeeds(PlacementPolicy):
+    """Keeps slow workers for steps that end in time on them too; then follows another policy.
+
+    Handles a fleet of which a third takes twice as long for good, under short steps whose objective
+    is little more than their own duration, beside long ones with much time left. Packed by capacity
+    alone, the short ones go to the slow workers, as these are busy for longer, and end late while
+    faster ones are free. Members of a gang wait for the slowest: they get workers of one class if
+    these hold them all.
 
-class LeastLoss(PlacementPolicy):
+    Workers that aren't known to be slow are ranked by the other policy only, and so are all of them
+    for services, and for steps with a preferred rack, where the distance weighs as much.
+
+    Parameters
+    ----------
+    other : PlacementPolicy
+    learner : SpeedLearner
+    """
+
+    def __init__(self, other: PlacementPolicy, learner: SpeedLearner) -> None:
+        self._other = other
+        self._learner = learner
+        self._max_slowness: float | None = None  # of a worker on which the step ends in time
+
+    def begin_step(self, entry: SubmissionProgress, step: StepProgress, now: float) -> None:
+        """Compute on how slow a worker the step still ends in time."""
+        spec = step.spec
+        self._max_slowness = None
+        if (
+            not self._learner.slow_workers
+            or spec.is_service
+            or spec.is_filler
+            or spec.placement.data_rack
+            or spec.placement.single_rack
+        ):
+            return
+        submission = entry.submission
+        seconds = self._learner.expect_seconds(
+            submission.queue.name, step.id, spec.estimate_seconds
+        )
+        seconds = UNCERTAINTY_FACTOR * max(seconds, MIN_EXPECTED_SECONDS)
+        objective_at = step.objective_at - estimate_following(submission.steps, step.id.step)
+        if now + seconds > objective_at:  # late on any worker: when is it of no use?
+            objective_at += (USELESS_AFTER_OBJECTIVES - 1) * (step.objective_at - step.due_at)
+        self._max_slowness = (objective_at - now) / seconds
+
+    def compute_penalty(self, worker: Worker) -> int:
+        """Return 1 for a slow worker on which the step ends late, -1 for other slow ones."""
+        if self._max_slowness is None or not worker.speed.is_slow:
+            return 0
+        return 1 if worker.speed.slowness > self._max_slowness >= 1.0 else -1
+
+    def rank(self, step: StepProgress, worker: Worker) -> tuple[float, ...]:
+        """Return the penalty, then the other rank."""
+        return (self.compute_penalty(worker), *self._other.rank(step, worker))
+
+    def group_for_gang(self, workers: Sequence[Worker]) -> list[Sequence[Worker]]:
+        """Return the workers by penalty, lowest first, then all of them."""
+        groups: dict[int, list[Worker]] = {}
+        for worker in workers:
+            groups.setdefault(self.compute_penalty(worker), []).append(worker)
+        if len(groups) < 2:
+            return [workers]
+        return [*(groups[penalty] for penalty in sorted(groups)), workers]
+
+
+def estimate_following(steps: Sequence[StepSpec], index: int) -> float:
+    """Return the estimate for the longest path of steps that follow one, in seconds."""
+    return max(
+        (
+            step.estimate_seconds + estimate_following(steps, later)
+            for later, step in enumerate(steps)
+            if later > index and index in step.after
+        ),
+        default=0.0,
+    )
+
+
+class LeastLoss(UniformPolicy):
     """Prefers workers whose crash would cost least; data stays near.
 
     Handles a worker that has crashed with twenty runs, of which at most a few are the cause:
@@ -119,6 +240,17 @@
     return best
 
 
+def choose_gang(
+    policy: PlacementPolicy, spec: StepSpec, candidates: Sequence[Worker], ends_at: float
+) -> list[Worker] | None:
+    """Return a worker for each member, of one group of the policy, or None if none holds them."""
+    for group in policy.group_for_gang(candidates):
+        chosen = choose_gang_workers(spec, group, ends_at)
+        if chosen is not None:
+            return chosen
+    return None
+
+
 def choose_gang_workers(
     spec: StepSpec, candidates: Sequence[Worker], ends_at: float = math.inf
 ) -> list[Worker] | None:
--- a/src/lavenderhook/_internal/queueing/review.py
+++ b/src/lavenderhook/_internal/queueing/review.py
@@ -4,13 +4,14 @@
 
 import enum
 import math
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import NamedTuple
 
 from .effects import Effect
 from .evacuation import EvacuationPolicy, MoveBeforeLeaving
 from .log_lines import log_worker
-from .model import RunState, StepId
+from .model import RunOutcome, RunState, StepId
+from .speeds import RunDuration, SpeedLearner
 from .stragglers import (
     MAX_PROBATION_SHARE,
     ComparedRuns,
@@ -26,6 +27,8 @@
 from .submissions import StepProgress
 from .workers import Run, Worker
 
+# Progress is reported in hundredths; by then, the projected duration is off by a tenth at most.
+MIN_PROJECTED_PROGRESS = 0.1
 STALL_BLOCK_SECONDS = 3.0  # a worker on which a run stands still gets no others for this time
 
 
@@ -53,23 +56,59 @@
     ----------
     find_step : callable
         Returns the step with an id, or None if its submission has ended.
+    learner : SpeedLearner, optional
+        Told the durations of runs; the policies allow for what it has learnt.
     """
 
     def __init__(
         self,
         find_step: Callable[[StepId], StepProgress | None],
+        learner: SpeedLearner | None = None,
         *,
         slow_worker_policy: SlowWorkerPolicy | None = None,
         straggler_policy: StragglerPolicy | None = None,
         evacuation_policy: EvacuationPolicy | None = None,
     ) -> None:
         self._find_step = find_step
+        self._learner = learner or SpeedLearner()
         self.slow_worker_policy = slow_worker_policy or ComparedRuns()
         self._straggler_policy = straggler_policy or ProjectedEnd()
         self._evacuation_policy = evacuation_policy or MoveBeforeLeaving()
         self._reviewed_at = -math.inf
         self._expected: dict[StepId, float | None] = {}  # durations by step, for one review
 
+    def record_finished_run(
+        self, worker: Worker, run: Run, outcome: RunOutcome, now: float
+    ) -> None:
+        """Record a finished run; what it tells of its worker depends on how it ended."""
+        if outcome is RunOutcome.DONE:
+            self._record_duration(worker, run, now - run.commanded_at, now)
+        if outcome in (RunOutcome.DONE, RunOutcome.FAILED):
+            self.slow_worker_policy.record_finished_run(worker, run, now)
+
+    def _record_duration(self, worker: Worker, run: Run, seconds: float, now: float) -> None:
+        """Record how long a run takes, once."""
+        if not run.shows_speed:
+            return
+        run.shows_speed = False
+        duration = RunDuration(run.queue, run.task.step_id, run.estimate_seconds, seconds)
+        self._learner.record(worker.speed, duration, now)
+
+    def update_speeds(self, workers: Iterable[Worker], now: float) -> list[Effect]:
+        """Compare the workers' speeds; return a line for each whose class has changed."""
+        by_speed = {worker.speed: worker for worker in workers}
+        return [
+            log_worker(
+                "worker-speed",
+                by_speed[speed],
+                speed=speed.speed_class.value,
+                slowness=round(speed.slowness, 2),
+                observed=speed.runs,
+                slow_workers=self._learner.slow_workers,
+            )
+            for speed in self._learner.refresh(by_speed, now)
+        ]
+
     def update_probation(self, workers: Collection[Worker], now: float) -> list[Effect]:
         """Put slow workers on probation, note old evidence; return the log lines.
 
@@ -79,11 +118,11 @@
         max_slow_workers = max(1, int(len(workers) * MAX_PROBATION_SHARE))
         slow_workers = sum(worker.is_on_probation for worker in workers)
         self._expected.clear()
-        effects: list[Effect] = []
+        effects = self.update_speeds(workers, now)
         for worker in workers:
             if worker.last_report_at <= self._reviewed_at:
                 continue
-            speeds = self._measure_speeds(worker)
+            speeds = self._measure_speeds(worker, now)
             if speeds:
                 worker.record_shown_speed(now)
             elif worker.has_shown_speed and self.slow_worker_policy.is_evidence_old(worker, now):
@@ -143,18 +182,22 @@
     def _is_shown_sound(self, worker: Worker) -> bool:
         return any(map(self.slow_worker_policy.shows_sound_worker, worker.runs.values()))
 
-    def _measure_speeds(self, worker: Worker) -> list[RunSpeed]:
+    def _measure_speeds(self, worker: Worker, now: float) -> list[RunSpeed]:
         speeds: list[RunSpeed] = []
         for run in worker.runs.values():
             if run.counts_for_speed:
-                speeds.append(RunSpeed(run, self._measure_slowness(run)))
+                speeds.append(RunSpeed(run, self._measure_slowness(worker, run, now)))
         return speeds
 
-    def _measure_slowness(self, run: Run) -> float | None:
+    def _measure_slowness(self, worker: Worker, run: Run, now: float) -> float | None:
         projected = project_duration(run)
+        if projected is not None and run.progress >= MIN_PROJECTED_PROGRESS:
+            self._record_duration(worker, run, projected, now)
         step = self._find_step(run.task.step_id) if projected is not None else None
         expected = self._estimate_duration(step) if step is not None else None
-        return None if projected is None or expected is None else projected / expected
+        if projected is None or expected is None:
+            return None
+        return projected / (expected * run.lasting_slowness)
 
     def _estimate_duration(self, step: StepProgress) -> float | None:
         if step.id not in self._expected:
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -13,14 +13,18 @@
 from .log_lines import log_run
 from .model import FencingToken, RunNumber, RunState, StartCommand, TicketId
 from .placement import (
+    BestFit,
+    LearntSpeeds,
     PlacementPolicy,
-    choose_gang_workers,
+    SpreadServices,
+    choose_gang,
     choose_worker,
     estimate_end,
     is_eligible,
 )
 from .ranking import StepRanking
 from .reservations import GangPlan, plan_gang, reserve
+from .speeds import SpeedLearner
 from .start_log import StartLog
 from .submissions import StepProgress, SubmissionProgress
 from .waiting_steps import WaitingSteps
@@ -38,7 +42,8 @@
     ----------
     fencing : FencingToken
     ranking : StepRanking
-    policy : PlacementPolicy
+    policy : PlacementPolicy or None
+        None for the product's own.
     advice : AdvicePlanner
     """
 
@@ -46,7 +51,7 @@
         self,
         fencing: FencingToken,
         ranking: StepRanking,
-        policy: PlacementPolicy,
+        policy: PlacementPolicy | None,
         advice: AdvicePlanner,
     ) -> None:
         self.advice = advice
@@ -57,7 +62,8 @@
         self._waiting_steps = WaitingSteps(self._gang_workers)
         self._fencing = fencing
         self._ranking = ranking
-        self._policy = policy
+        self.speeds = SpeedLearner()
+        self._policy = policy or SpreadServices(LearntSpeeds(BestFit(), self.speeds))
 
     def schedule(
         self,
@@ -193,6 +199,7 @@
         rank: tuple[float, ...],
         now: float,
     ) -> list[Effect]:
+        self._policy.begin_step(entry, step, now)
         eligible = self._find_eligible(entry, step, schedulable_workers, now)
         if entry.submission.queue.advice is None:
             usable = eligible
@@ -208,7 +215,9 @@
             effects = self._place_tasks(entry, step, usable, now)
             effects += self._place_copies(entry, step, usable, now)
         if (step.waiting or step.copies) and entry.submission.queue.advice is not None:
-            effects += self.advice.request_advice(entry, step, eligible, rank, now)
+            effects += self.advice.request_advice(
+                entry, step, eligible, rank, now, self._policy.compute_penalty
+            )
         return effects
 
     def _place_tasks(
@@ -302,9 +311,9 @@
             return self._place_suspect(entry, step, 0, usable, now)
         preferred = [w for w in usable if not step.is_avoided(0, w.id)]
         ends_at = estimate_end(step.spec, now)
-        chosen = choose_gang_workers(step.spec, preferred, ends_at)
+        chosen = choose_gang(self._policy, step.spec, preferred, ends_at)
         if chosen is None and len(preferred) < len(usable):
-            chosen = choose_gang_workers(step.spec, usable, ends_at)
+            chosen = choose_gang(self._policy, step.spec, usable, ends_at)
         if chosen is None:
             return []
         return self._start_on(entry, step, 0, chosen, now)
@@ -332,14 +341,16 @@
             checkpoint=step.get_checkpoint(index),
             ticket=ticket.id if ticket is not None else TicketId(""),
         )
-        run = make_run(command, step.spec, worker, now)
+        queue = entry.submission.queue.name
+        run = make_run(command, step.spec, worker, now, queue)
+        seconds = self.speeds.expect_seconds(queue, step.id, step.spec.estimate_seconds)
         worker.add_run(run)
         step.add_run(run)
         placed = LogDecision(
             decision="task-placed",
             fields={
                 "task": str(task),
-                "queue": entry.submission.queue.name,
+                "queue": queue,
                 "revision": entry.revision,
                 "run": number,
                 "worker": worker.id,
@@ -347,6 +358,8 @@
                 "free": worker.get_free_processors(),
                 "waited": round(now - step.due_at, 3),
                 "suspicion": step.get_suspicion(index).value,
+                "slowness": round(worker.speed.slowness, 2),
+                "expected": round(worker.speed.slowness * seconds, 3),
             },
         )
         if run.is_suspect:
--- /dev/null
+++ b/src/lavenderhook/_internal/queueing/speeds.py
@@ -0,0 +1,224 @@
+"""Lasting speeds of workers, learnt from the durations of their runs.
+
+Answers fleets of uneven machines: a third of the workers takes twice as long as the others for
+good, while estimates are off by half and a few tasks in a hundred take several times as long. A run
+is compared with the other runs of its step and queue, each corrected by the speed of its worker,
+so that a queue whose tasks mostly run on slow workers doesn't seem long by itself.
+
+Speeds only change which worker is preferred. None makes a worker ineligible, and old evidence is
+forgotten, so that each worker gets runs again that show its speed.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import math
+import statistics
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .model import StepId
+
+MAX_OBSERVED_RUNS = 15  # newest runs of one worker; half of them outvote a temporary slowness
+MAX_OBSERVATION_AGE_SECONDS = 60.0
+MIN_OBSERVED_RUNS = 3  # on a worker that is compared with others
+MIN_COMPARED_WORKERS = 4
+MIN_QUEUE_RUNS = 5  # before the runs of a queue tell anything about workers
+MIN_SMOOTHING = 1 / 400  # weight of the newest run in the typical duration of a queue
+MAX_LOG_RATIO = math.log(3.0)  # bounds the influence of one run that is far longer than the others
+SLOW_RATIO = 1.5  # of the typical worker's duration
+RECOVERED_RATIO = 1.25  # below it, a slow worker is usual again
+ERRORS_TO_BE_SLOW = 2.0  # standard errors between a slow worker and the typical one
+INITIAL_SPREAD = 0.35  # of the logarithms of the durations on one worker
+SHRINKING_RUNS = 2.0  # weight of the assumption that a worker is like the others
+REFRESH_INTERVAL_SECONDS = 0.5
+MAX_KNOWN_STEPS = 1000
+# A worker that is slower than this is on probation, however long it has been so.
+MAX_LASTING_SLOWNESS = 3.0
+MAD_TO_DEVIATION = 1.4826  # of a normal distribution
+MEDIAN_ERROR_FACTOR = 1.25  # standard error of a median relative to that of a mean
+
+
+class SpeedClass(enum.Enum):
+    """How a worker's lasting speed compares with that of the typical worker."""
+
+    USUAL = "usual"
+    SLOW = "slow"
+
+
+class RunDuration(NamedTuple):
+    """Duration of a whole run on its worker, in seconds, and the estimate for its step."""
+
+    queue: str
+    step: StepId
+    estimate_seconds: float
+    seconds: float
+
+
+class WorkerSpeed:
+    """Lasting speed of one worker.
+
+    Attributes
+    ----------
+    slowness : float
+        Expected duration of its runs relative to that on a typical worker; 1 if nothing is known.
+    is_slow : bool
+        Whether its class is `SpeedClass.SLOW`.
+    log_ratio : float
+        Median logarithm of the durations of its runs relative to those of the others.
+    error : float
+        Standard error of `log_ratio`.
+    """
+
+    __slots__ = ("_is_changed", "_observed", "error", "is_slow", "log_ratio", "slowness")
+
+    def __init__(self) -> None:
+        self.slowness = 1.0
+        self.is_slow = False
+        self.log_ratio = 0.0
+        self.error = math.inf
+        self._observed: collections.deque[tuple[float, float]] = collections.deque(
+            maxlen=MAX_OBSERVED_RUNS
+        )
+        self._is_changed = False
+
+    @property
+    def speed_class(self) -> SpeedClass:
+        """Class of the worker."""
+        return SpeedClass.SLOW if self.is_slow else SpeedClass.USUAL
+
+    @property
+    def runs(self) -> int:
+        """How many runs show the speed."""
+        return len(self._observed)
+
+    @property
+    def lasting_slowness(self) -> float:
+        """Slowness that is no sign of a fault: 1 unless the worker is slow for good."""
+        return min(self.slowness, MAX_LASTING_SLOWNESS) if self.is_slow else 1.0
+
+    def observe(self, log_ratio: float, now: float) -> None:
+        """Record the logarithm of a run's duration relative to that of other runs."""
+        self._observed.append((now, log_ratio))
+        self._is_changed = True
+
+    def forget_old(self, now: float) -> None:
+        """Forget the runs that ended long ago."""
+        while self._observed and now - self._observed[0][0] > MAX_OBSERVATION_AGE_SECONDS:
+            self._observed.popleft()
+            self._is_changed = True
+
+    def summarize(self) -> None:
+        """Update the median and its standard error if there are other runs than before."""
+        if not self._is_changed:
+            return
+        self._is_changed = False
+        ratios = [ratio for _, ratio in self._observed]
+        if not ratios:
+            self.log_ratio, self.error = 0.0, math.inf
+            return
+        self.log_ratio = statistics.median(ratios)
+        deviation = statistics.median([abs(ratio - self.log_ratio) for ratio in ratios])
+        spread = (len(ratios) * MAD_TO_DEVIATION * deviation + SHRINKING_RUNS * INITIAL_SPREAD) / (
+            len(ratios) + SHRINKING_RUNS
+        )
+        self.error = MEDIAN_ERROR_FACTOR * spread / math.sqrt(len(ratios))
+
+    def classify(self, typical: float) -> bool:
+        """Compare with the typical worker's `log_ratio`; return whether the class has changed."""
+        excess = self.log_ratio - typical if self.runs else 0.0
+        self.slowness = math.exp(excess * self.runs / (self.runs + SHRINKING_RUNS))
+        was_slow = self.is_slow
+        if was_slow:
+            self.is_slow = excess >= math.log(RECOVERED_RATIO)
+        elif self.runs >= MIN_OBSERVED_RUNS:
+            self.is_slow = excess >= max(math.log(SLOW_RATIO), ERRORS_TO_BE_SLOW * self.error)
+        return self.is_slow is not was_slow
+
+
+class _TypicalRatio:
+    """Mean logarithm of the durations of some runs on a typical worker, relative to a reference."""
+
+    __slots__ = ("count", "mean")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.mean = 0.0
+
+    def add(self, log_ratio: float, smoothing: float) -> None:
+        self.count += 1
+        self.mean += (log_ratio - self.mean) * max(smoothing, 1 / self.count)
+
+    def get_shrunk(self) -> float:
+        """Return the mean, nearer to zero the fewer runs there are."""
+        return self.mean * self.count / (self.count + 1)
+
+
+class SpeedLearner:
+    """Learns the speeds of workers, and how long tasks take on a typical one.
+
+    Attributes
+    ----------
+    slow_workers : int
+        How many workers were slow at the last refresh.
+    """
+
+    def __init__(self) -> None:
+        self.slow_workers = 0
+        self._typical = 0.0  # `log_ratio` of the typical worker
+        self._queues: dict[str, _TypicalRatio] = {}  # duration relative to the estimate
+        # Duration relative to that of the queue's other steps; newest last.
+        self._steps: collections.OrderedDict[StepId, _TypicalRatio] = collections.OrderedDict()
+        self._refreshed_at = -math.inf
+
+    def record(self, speed: WorkerSpeed, run: RunDuration, now: float) -> None:
+        """Record the duration of a run on the worker with this speed."""
+        if run.seconds <= 0 or run.estimate_seconds <= 0:
+            return
+        queue = self._queues.setdefault(run.queue, _TypicalRatio())
+        step = self._steps.setdefault(run.step, _TypicalRatio())
+        self._steps.move_to_end(run.step)
+        if len(self._steps) > MAX_KNOWN_STEPS:
+            self._steps.popitem(last=False)
+        ratio = math.log(run.seconds / run.estimate_seconds)
+        if queue.count >= MIN_QUEUE_RUNS:
+            speed.observe(_clip(ratio - queue.mean - step.get_shrunk()), now)
+        known = speed.log_ratio if speed.runs >= MIN_OBSERVED_RUNS else 0.0
+        corrected = _clip(ratio - known - queue.mean)
+        step.add(corrected, 0.0)
+        queue.add(queue.mean + corrected, MIN_SMOOTHING)
+
+    def expect_seconds(self, queue: str, step: StepId, estimate_seconds: float) -> float:
+        """Return how long a task of a step takes on a typical worker."""
+        ratio = self._typical
+        if queue in self._queues:
+            ratio += self._queues[queue].mean
+        if step in self._steps:
+            ratio += self._steps[step].get_shrunk()
+        return estimate_seconds * math.exp(ratio)
+
+    def refresh(self, speeds: Iterable[WorkerSpeed], now: float) -> list[WorkerSpeed]:
+        """Compare all workers with the median one; return those whose class has changed.
+
+        Does nothing within half a second.
+        """
+        if now - self._refreshed_at < REFRESH_INTERVAL_SECONDS:
+            return []
+        self._refreshed_at = now
+        speeds = list(speeds)
+        for speed in speeds:
+            speed.forget_old(now)
+            speed.summarize()
+        known = [speed.log_ratio for speed in speeds if speed.runs >= MIN_OBSERVED_RUNS]
+        if len(known) >= MIN_COMPARED_WORKERS:
+            self._typical = statistics.median(known)
+        elif not any(speed.is_slow for speed in speeds):
+            return []
+        changed = [speed for speed in speeds if speed.classify(self._typical)]
+        self.slow_workers = sum(speed.is_slow for speed in speeds)
+        return changed
+
+
+def _clip(log_ratio: float) -> float:
+    return max(-MAX_LOG_RATIO, min(log_ratio, MAX_LOG_RATIO))
--- a/src/lavenderhook/_internal/queueing/stragglers.py
+++ b/src/lavenderhook/_internal/queueing/stragglers.py
@@ -45,7 +45,8 @@
     Parameters
     ----------
     slowness : float or None
-        Its projected duration divided by that of the other tasks of its step, if both are known.
+        Its projected duration divided by that of the other tasks of its step, and by the lasting
+        slowness of its worker, if both durations are known.
     """
 
     run: Run
@@ -100,7 +101,7 @@
         return (
             run.counts_for_speed
             and rate is not None
-            and 1.0 / rate <= SLOW_FACTOR * run.estimate_seconds
+            and 1.0 / rate <= SLOW_FACTOR * run.estimate_seconds * run.lasting_slowness
             and not is_stalled(run)
         )
 
@@ -211,5 +212,6 @@
 
 def has_outlived_estimate(run: Run, now: float) -> bool:
     """Return whether a run has lasted far longer than its estimate."""
-    limit = OVERDUE_FACTOR * run.estimate_seconds + SLOW_RUN_SLACK_SECONDS
+    expected = run.estimate_seconds * run.lasting_slowness
+    limit = OVERDUE_FACTOR * expected + SLOW_RUN_SLACK_SECONDS
     return now - run.commanded_at > limit
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -25,6 +25,7 @@
     WorkerListing,
     WorkerState,
 )
+from .speeds import WorkerSpeed
 
 # A hold waits up to a second and a long link adds tens of milliseconds.
 MAX_REPORT_AGE_SECONDS = 2.5
@@ -84,6 +85,12 @@
         It is suspect, and not known to have become older than the runs that crashed.
     has_unknown_resources : bool
         The submission has ended and its steps aren't loaded; nothing is placed on the worker.
+    queue : str
+        Name of the queue of its submission; empty if an earlier owner started it.
+    lasting_slowness : float
+        That of its worker when it began; see `WorkerSpeed`.
+    shows_speed : bool
+        Its duration still has to be recorded for its worker's speed.
     """
 
     task: TaskKey
@@ -107,6 +114,9 @@
     has_unknown_resources: bool = False
     is_suspect: bool = False
     is_on_trial: bool = False
+    queue: str = ""
+    lasting_slowness: float = 1.0
+    shows_speed: bool = False
     rack: str = ""
     progress: float = 0.0
     # Samples of the progress, with the time on the worker's clock in seconds.
@@ -228,6 +238,7 @@
         self.isolated_run: Run | None = None  # nothing is placed beside it; see `isolation`
         self.emptied_for: TaskKey | None = None  # nothing is placed until this suspect starts here
         self.finished_runs = FinishedRunTracker()
+        self.speed = WorkerSpeed()
         self.used_processors = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
@@ -321,6 +332,9 @@
             self.leaves_at = None
         elif listing != self.listing or self.leaves_at is None:
             self.leaves_at = now + listing.leaves_in_seconds
+        kind, former_kind = ((x.labels, x.capacity) for x in (listing, self.listing))
+        if listing.born != self.listing.born and kind != former_kind:
+            self.speed = WorkerSpeed()  # another machine under the same id
         self.listing = listing
         self.rack = find_rack(listing)
 
@@ -498,8 +512,26 @@
     )
 
 
-def make_run(command: StartCommand, spec: StepSpec, worker: Worker, now: float) -> Run:
-    """Return the run that a start command begins."""
+def shows_speed(command: StartCommand, spec: StepSpec, worker: Worker) -> bool:
+    """Return whether the duration of a run tells the worker's speed, compared with other runs.
+
+    Not that of gang members, which wait for the slowest, nor of what resumes from a checkpoint or
+    may be far from its data.
+    """
+    return not (
+        spec.is_gang
+        or spec.is_service
+        or spec.is_filler
+        or command.checkpoint
+        or spec.placement.single_rack
+        or spec.placement.data_rack not in ("", worker.rack)
+    )
+
+
+def make_run(
+    command: StartCommand, spec: StepSpec, worker: Worker, now: float, queue: str = ""
+) -> Run:
+    """Return the run that a start command of a queue's submission begins."""
     estimate_seconds = spec.expected_seconds
     return Run(
         task=command.task,
@@ -518,6 +550,9 @@
         attempts=1,
         # Members of a gang wait for the slowest; long-running tasks have no expected duration.
         counts_for_speed=not (spec.is_gang or spec.is_service or spec.is_filler),
+        queue=queue,
+        lasting_slowness=worker.speed.lasting_slowness,
+        shows_speed=shows_speed(command, spec, worker),
         rack=worker.rack,
     )
 
