--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -15,8 +15,8 @@
 # Estimated durations are off by half; a task that uses capacity reserved for a gang has to end in
 # time.
 BACKFILL_MARGIN = 1.5
-# Tasks of one step differ by half, and a step ends with its longest task.
-UNCERTAINTY_FACTOR = 1.5
+# Estimates are off and tasks of one step differ, by half each; a step ends with its longest task.
+UNCERTAINTY_FACTOR = 2.0
 MIN_EXPECTED_SECONDS = 0.05
 
 
@@ -142,6 +142,7 @@
         self._other = other
         self._learner = learner
         self._max_slowness: float | None = None  # of a worker on which the step ends in time
+        self._is_late = False
 
     def begin_step(self, entry: SubmissionProgress, step: StepProgress, now: float) -> None:
         """Compute on how slow a worker the step still ends in time."""
@@ -159,17 +160,23 @@
         seconds = self._learner.expect_seconds(
             submission.queue.name, step.id, spec.estimate_seconds
         )
-        seconds = UNCERTAINTY_FACTOR * max(seconds, MIN_EXPECTED_SECONDS)
-        objective_at = step.objective_at - estimate_following(submission.steps, step.id.step)
-        if now + seconds > objective_at:  # late on any worker: when is it of no use?
-            objective_at += (USELESS_AFTER_OBJECTIVES - 1) * (step.objective_at - step.due_at)
-        self._max_slowness = (objective_at - now) / seconds
+        seconds = max(seconds, MIN_EXPECTED_SECONDS)
+        remaining = step.objective_at - estimate_following(submission.steps, step.id.step) - now
+        self._is_late = remaining < seconds  # on any worker; when is it of no use?
+        if self._is_late:
+            remaining += (USELESS_AFTER_OBJECTIVES - 1) * (step.objective_at - step.due_at)
+        self._max_slowness = remaining / (UNCERTAINTY_FACTOR * seconds)
 
     def compute_penalty(self, worker: Worker) -> int:
-        """Return 1 for a slow worker on which the step ends late, -1 for other slow ones."""
+        """Return 1 for a slow worker on which the step may end late, -1 for other slow ones.
+
+        What is late anyway doesn't prefer slow workers, nor avoid them if it is useless everywhere.
+        """
         if self._max_slowness is None or not worker.speed.is_slow:
             return 0
-        return 1 if worker.speed.slowness > self._max_slowness >= 1.0 else -1
+        if self._is_late:
+            return int(worker.speed.slowness > self._max_slowness > 0)
+        return 1 if worker.speed.slowness > self._max_slowness else -1
 
     def rank(self, step: StepProgress, worker: Worker) -> tuple[float, ...]:
         """Return the penalty, then the other rank."""
