Judge the runs of a lastingly slow worker by its learnt speed

Cause: a worker on probation when it is learnt to be slow stayed there, and one task of seven times the usual length among two on a worker was taken for a slow worker. Change: probation ends once the slowness is known to last, runs are judged by it, and most of the compared runs have to be slow.

--- a/features/speeds.feature
+++ b/features/speeds.feature
@@ -31,7 +31,7 @@
 
   Scenario: Work on lastingly slow workers is left alone
     Guards against runs that are stopped and started again since their workers are as slow as always.
-    Given 24 workers of duration factors 0.7, 0.7, 1.7
+    Given 24 workers of duration factors 0.7, 0.7, 0.7, 2.0
     When short and long work arrives for 25 seconds, with seed 1
     Then no run was stopped after 8 seconds
 
--- a/src/lavenderhook/_internal/queueing/review.py
+++ b/src/lavenderhook/_internal/queueing/review.py
@@ -94,20 +94,28 @@
         duration = RunDuration(run.queue, run.task.step_id, run.estimate_seconds, seconds)
         self._learner.record(worker.speed, duration, now)
 
-    def update_speeds(self, workers: Iterable[Worker], now: float) -> list[Effect]:
-        """Compare the workers' speeds; return a line for each whose class has changed."""
+    def _update_speeds(self, workers: Iterable[Worker], now: float) -> list[Effect]:
+        """Compare the workers' speeds; return a line for each whose class has changed.
+
+        A worker on probation that turns out to be slow for good is no longer on probation, and its
+        runs are judged by its own speed.
+        """
         by_speed = {worker.speed: worker for worker in workers}
-        return [
-            log_worker(
-                "worker-speed",
-                by_speed[speed],
-                speed=speed.speed_class.value,
-                slowness=round(speed.slowness, 2),
-                observed=speed.runs,
-                slow_workers=self._learner.slow_workers,
+        effects: list[Effect] = []
+        for speed in self._learner.refresh(by_speed, now):
+            worker = by_speed[speed]
+            worker.apply_lasting_slowness()
+            effects.append(
+                log_worker(
+                    "worker-speed",
+                    worker,
+                    speed=speed.speed_class.value,
+                    slowness=round(speed.slowness, 2),
+                    observed=speed.runs,
+                    slow_workers=self._learner.slow_workers,
+                )
             )
-            for speed in self._learner.refresh(by_speed, now)
-        ]
+        return effects
 
     def update_probation(self, workers: Collection[Worker], now: float) -> list[Effect]:
         """Put slow workers on probation, note old evidence; return the log lines.
@@ -118,7 +126,7 @@
         max_slow_workers = max(1, int(len(workers) * MAX_PROBATION_SHARE))
         slow_workers = sum(worker.is_on_probation for worker in workers)
         self._expected.clear()
-        effects = self.update_speeds(workers, now)
+        effects = self._update_speeds(workers, now)
         for worker in workers:
             if worker.last_report_at <= self._reviewed_at:
                 continue
--- a/src/lavenderhook/_internal/queueing/speeds.py
+++ b/src/lavenderhook/_internal/queueing/speeds.py
@@ -26,7 +26,8 @@
 MIN_COMPARED_WORKERS = 4
 MIN_QUEUE_RUNS = 5  # before the runs of a queue tell anything about workers
 MIN_SMOOTHING = 1 / 400  # weight of the newest run in the typical duration of a queue
-MAX_LOG_RATIO = math.log(3.0)  # bounds the influence of one run that is far longer than the others
+# Bounds the influence that one run far longer than the others has on a mean.
+MAX_LOG_RATIO = math.log(3.0)
 SLOW_RATIO = 1.2  # of the typical worker's duration
 RECOVERED_RATIO = 1.1  # below it, a slow worker is usual again
 ERRORS_TO_BE_SLOW = 2.0  # standard errors between a slow worker and the typical one
@@ -34,8 +35,8 @@
 SHRINKING_RUNS = 2.0  # weight of the assumption that a worker is like the others
 REFRESH_INTERVAL_SECONDS = 0.5
 MAX_KNOWN_STEPS = 1000
-# A worker that is slower than this is on probation, however long it has been so.
-MAX_LASTING_SLOWNESS = 3.0
+# What is slower than this is broken, however long it has been so.
+MAX_LASTING_EXCESS = math.log(3.0)
 MAD_TO_DEVIATION = 1.4826  # of a normal distribution
 MEDIAN_ERROR_FACTOR = 1.25  # standard error of a median relative to that of a mean
 
@@ -71,7 +72,15 @@
         Standard error of `log_ratio`.
     """
 
-    __slots__ = ("_is_changed", "_observed", "error", "is_slow", "log_ratio", "slowness")
+    __slots__ = (
+        "_excess",
+        "_is_changed",
+        "_observed",
+        "error",
+        "is_slow",
+        "log_ratio",
+        "slowness",
+    )
 
     def __init__(self) -> None:
         self.slowness = 1.0
@@ -82,6 +91,7 @@
             maxlen=MAX_OBSERVED_RUNS
         )
         self._is_changed = False
+        self._excess = 0.0  # of `log_ratio` over that of the typical worker
 
     @property
     def speed_class(self) -> SpeedClass:
@@ -96,7 +106,7 @@
     @property
     def lasting_slowness(self) -> float:
         """Slowness that is no sign of a fault: 1 unless the worker is slow for good."""
-        return min(self.slowness, MAX_LASTING_SLOWNESS) if self.is_slow else 1.0
+        return self.slowness if self.is_slow and self._excess <= MAX_LASTING_EXCESS else 1.0
 
     def observe(self, log_ratio: float, now: float) -> None:
         """Record the logarithm of a run's duration relative to that of other runs."""
@@ -127,7 +137,7 @@
 
     def classify(self, typical: float) -> bool:
         """Compare with the typical worker's `log_ratio`; return whether the class has changed."""
-        excess = self.log_ratio - typical if self.runs else 0.0
+        self._excess = excess = self.log_ratio - typical if self.runs else 0.0
         self.slowness = math.exp(excess * self.runs / (self.runs + SHRINKING_RUNS))
         was_slow = self.is_slow
         if was_slow:
@@ -183,7 +193,7 @@
             self._steps.popitem(last=False)
         ratio = math.log(run.seconds / run.estimate_seconds)
         if queue.count >= MIN_QUEUE_RUNS:
-            speed.observe(_clip(ratio - queue.mean - step.get_shrunk()), now)
+            speed.observe(ratio - queue.mean - step.get_shrunk(), now)
         known = speed.log_ratio if speed.runs >= MIN_OBSERVED_RUNS else 0.0
         corrected = _clip(ratio - known - queue.mean)
         step.add(corrected, 0.0)
--- a/src/lavenderhook/_internal/queueing/stragglers.py
+++ b/src/lavenderhook/_internal/queueing/stragglers.py
@@ -111,7 +111,7 @@
             return True
         slowness = [speed.slowness for speed in speeds if speed.slowness is not None]
         if len(slowness) >= MIN_COMPARED_RUNS:
-            return statistics.median(slowness) > SLOW_FACTOR
+            return statistics.median_low(slowness) > SLOW_FACTOR
         overdue = {speed.run.task.submission for speed in speeds if is_overdue(speed.run, now)}
         return len(worker.slow_submissions | overdue) >= SLOW_SUBMISSIONS_FOR_PROBATION
 
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -88,7 +88,7 @@
     queue : str
         Name of the queue of its submission; empty if an earlier owner started it.
     lasting_slowness : float
-        That of its worker when it began; see `WorkerSpeed`.
+        That of its worker; see `WorkerSpeed`.
     shows_speed : bool
         Its duration still has to be recorded for its worker's speed.
     """
@@ -313,6 +313,14 @@
         self.slow_submissions.clear()
         self.is_on_probation = False
 
+    def apply_lasting_slowness(self) -> None:
+        """Judge the runs by the learnt speed; a worker that is slow for good isn't broken."""
+        slowness = self.speed.lasting_slowness
+        for run in self.runs.values():
+            run.lasting_slowness = slowness
+        if slowness > 1.0:
+            self.end_probation()
+
     def record_shown_speed(self, now: float) -> None:
         """Record that it has runs that depend on its speed only."""
         self.speed_shown_at = now
