Name the reason of each stop of a run, and count slow workers

Cause: the line of a stop didn't tell who stopped the run, so that thrown-away work could be traced only through the lines on its submission and its other runs. Change: stops carry a reason, which the line and the counter of `stop-answered` name; a gauge shows how many workers the owner has learnt to be slow.

--- a/src/lavenderhook/_internal/instance/decision_metrics.py
+++ b/src/lavenderhook/_internal/instance/decision_metrics.py
@@ -27,19 +27,28 @@
     "hold-unanswered": _Histogram("hold_unanswered_seconds", "seconds"),
 }
 # Fields that distinguish the outcomes of a decision; they have few values.
-_COUNTER_LABELS = ("outcome", "state", "reason", "error")
+_COUNTER_LABELS = ("outcome", "state", "reason", "error", "speed")
+SLOW_WORKERS_FIELD = "slow_workers"
 
 
 class DecisionMetrics:
-    """Counts decisions and observes their durations."""
+    """Counts decisions and observes their durations.
+
+    The gauge `slow_workers` holds what this process has learnt last as the owner.
+    """
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
+        self._slow_workers = 0.0
+        metrics.register_gauge("slow_workers", lambda: self._slow_workers)
 
     def record(self, decision: str, fields: Mapping[str, object]) -> None:
         """Count a decision and observe its duration, if it has one."""
         labels = {name: str(fields[name]) for name in _COUNTER_LABELS if name in fields}
         self._metrics.increment("decisions_total", 1.0, decision=decision, **labels)
+        slow_workers = fields.get(SLOW_WORKERS_FIELD)
+        if isinstance(slow_workers, int):
+            self._slow_workers = float(slow_workers)
         histogram = _HISTOGRAMS.get(decision)
         if histogram is None:
             return
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -628,13 +628,7 @@
         result = self._worker_client.stop(
             worker.listing.address, effect.worker, effect.task, effect.number, effect.token
         )
-        self._log_event(
-            "stop-answered",
-            task=str(effect.task),
-            run=effect.number,
-            worker=effect.worker,
-            answered=result,
-        )
+        self._log_event("stop-answered", **effect.describe(), answered=result)
         self.apply(
             StopAnswered(
                 now=_now(),
--- a/src/lavenderhook/_internal/queueing/effects.py
+++ b/src/lavenderhook/_internal/queueing/effects.py
@@ -9,6 +9,7 @@
 from ..core.identifiers import WorkerId
 from .model import CommandToken, RunNumber, StartCommand, StepId, SubmissionId, TaskKey
 from .records import Roster
+from .stops import StopReason
 
 
 class Effect(msgspec.Struct, frozen=True, kw_only=True):
@@ -28,6 +29,16 @@
     task: TaskKey
     number: RunNumber
     token: CommandToken
+    reason: StopReason | None = None
+
+    def describe(self) -> dict[str, object]:
+        """Return the fields of its log line."""
+        return {
+            "task": str(self.task),
+            "run": self.number,
+            "worker": self.worker,
+            "reason": "" if self.reason is None else self.reason.value,
+        }
 
 
 class RequestAdvice(Effect, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -79,6 +79,7 @@
 from .roster import RosterTracker
 from .scheduling import Scheduler
 from .start_log import LoggedStart
+from .stops import StopReason
 from .stragglers import RunAction, project_remaining
 from .submissions import StepProgress, SubmissionProgress
 from .takeover import Takeover
@@ -230,7 +231,7 @@
         for step in entry.steps.values():
             for runs in list(step.runs.values()):
                 for run in list(runs):
-                    effects += self._stop(run, event.now)
+                    effects += self._stop(run, event.now, StopReason.SUBMISSION_ENDED)
         return effects
 
     def handle_workers(self, event: WorkersListed) -> list[Effect]:
@@ -374,7 +375,7 @@
             self._schedule_retry(run, event.now)
             worker.blocked_until = event.now + COMMAND_RETRY_SECONDS
             if run.attempts >= MAX_START_ATTEMPTS and run.state is RunState.STARTING:
-                effects += self._stop(run, event.now)
+                effects += self._stop(run, event.now, StopReason.START_UNCONFIRMED)
         elif event.outcome is StartOutcome.OTHER_INCARNATION:
             effects += self.handle_hold_unanswered(
                 HoldUnanswered(
@@ -396,7 +397,7 @@
             effects += self._remove_run(run, event.now)
         else:
             # A later attempt was refused, but an earlier one may still be carried out.
-            effects += self._stop(run, event.now)
+            effects += self._stop(run, event.now, StopReason.START_UNCONFIRMED)
         return effects
 
     def handle_stop_answer(self, event: StopAnswered) -> list[Effect]:
@@ -450,7 +451,7 @@
         self.needs_scheduling = True
         effects = self.losses.adopt_histories(entry, event.now)
         for run in entry.list_needless_runs():
-            effects += self._stop(run, event.now)
+            effects += self._stop(run, event.now, StopReason.NEEDLESS)
         if entry.is_done or entry.has_used_up_attempts:
             failure = None if entry.is_done else FailureReason.ATTEMPTS_USED_UP
             effects += self._begin_finalizing(entry, failure)
@@ -526,7 +527,7 @@
             step.copies.append(index)
             return effects
         step.restarts[index] = step.restarts.get(index, 0) + 1
-        return effects + self._stop(run, now)
+        return effects + self._stop(run, now, StopReason.REVIEWED)
 
     # Runs.
 
@@ -548,7 +549,7 @@
             self.commands_to_retry.append(run)
             return []
         if run.state is RunState.STARTING and worker.is_over_capacity():
-            return self._stop(run, now)  # the worker has shrunk meanwhile
+            return self._stop(run, now, StopReason.OVER_CAPACITY)  # the worker has shrunk meanwhile
         run.is_in_flight = True
         run.attempts += 1
         if run.state is RunState.STOPPING:
@@ -557,15 +558,12 @@
             return [SendStart(command=run.command)]
         return []
 
-    def _stop(self, run: Run, now: float) -> list[Effect]:
+    def _stop(self, run: Run, now: float, reason: StopReason) -> list[Effect]:
         if run.state is RunState.STOPPING:
             return []
         if run.state is RunState.PLANNED:
             return self._remove_run(run, now)
-        run.state = RunState.STOPPING
-        run.acknowledged_at = None
-        run.attempts = 1
-        run.is_in_flight = True
+        run.begin_stop(reason)
         return [self._make_stop(run)]
 
     def _make_stop(self, run: Run) -> SendStop:
@@ -574,6 +572,7 @@
             task=run.task,
             number=run.number,
             token=self.get_command_token(run.worker),
+            reason=run.stop_reason,
         )
 
     def _remove_run(self, run: Run, now: float) -> list[Effect]:
@@ -593,7 +592,7 @@
         effects: list[Effect] = []
         for runs in list(step.runs.values()):
             for other in runs:
-                effects += self._stop(other, now)
+                effects += self._stop(other, now, StopReason.GANG_BROKEN)
         return effects
 
     def _process_finished_run(
@@ -657,7 +656,7 @@
             effects: list[Effect] = []
             for run in list(step.runs.get(finished.task.index, ())):
                 if run.number != finished.number or run.task != finished.task:
-                    effects += self._stop(run, now)  # a copy that is no longer needed
+                    effects += self._stop(run, now, StopReason.NEEDLESS)  # a copy
             if entry.is_done:
                 return effects + self._begin_finalizing(entry)
             return [*effects, StoreProgress(submission=entry.submission.id)]
@@ -741,7 +740,7 @@
         run = make_adopted_run(reported, step.spec if step is not None else None, worker, now)
         worker.add_run(run)
         if step is None or entry is None:
-            return self._stop(run, now)
+            return self._stop(run, now, StopReason.SUBMISSION_ENDED)
         entry.state = SubmissionState.RUNNING
         step.record_checkpoint(reported.task.index, reported.checkpoint)
         others = step.runs.get(reported.task.index, [])
@@ -760,7 +759,7 @@
             )
         ]
         if not is_needed:
-            effects += self._stop(run, now)
+            effects += self._stop(run, now, StopReason.NEEDLESS)
         return effects
 
     def _adopt_unmatched(self, submission: SubmissionId, now: float) -> list[Effect]:
@@ -791,7 +790,7 @@
                 effects += self._remove_run(run, now)
         for run in unconfirmed:
             run.state = RunState.RUNNING  # a stop sent to the former incarnation has no effect
-            effects += self._stop(run, now)
+            effects += self._stop(run, now, StopReason.START_UNCONFIRMED)
         return effects
 
     def _record_loss(self, worker: Worker, reason: LossReason, now: float) -> list[Effect]:
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -26,6 +26,7 @@
     WorkerState,
 )
 from .speeds import WorkerSpeed
+from .stops import StopReason
 
 # A hold waits up to a second and a long link adds tens of milliseconds.
 MAX_REPORT_AGE_SECONDS = 2.5
@@ -117,6 +118,7 @@
     queue: str = ""
     lasting_slowness: float = 1.0
     shows_speed: bool = False
+    stop_reason: StopReason | None = None
     rack: str = ""
     progress: float = 0.0
     # Samples of the progress, with the time on the worker's clock in seconds.
@@ -131,6 +133,14 @@
         self.estimated_end_at = now + self.estimate_seconds
         self.is_in_flight = True
 
+    def begin_stop(self, reason: StopReason) -> None:
+        """Begin the stop of the run; its end is reported like any other."""
+        self.state = RunState.STOPPING
+        self.stop_reason = reason
+        self.acknowledged_at = None
+        self.attempts = 1
+        self.is_in_flight = True
+
     def may_run_after(self, last_report_at: float) -> bool:
         """Return whether the next incarnation of its worker may have got the start, or get it.
 
