Rank by capacity alone where no worker is slow

Cause: each rank computed a penalty that is the same for all. Change: the penalty is added only for steps that have a preference.

--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -113,16 +113,21 @@
         terms = entry.submission.queue.advice
         if terms is None:
             return []
-        eligible = sorted(eligible, key=lambda w: (compute_penalty(w), -w.get_free_processors()))
+        eligible = list(eligible)
+
+        def order(worker: Worker) -> tuple[int, int]:
+            return (compute_penalty(worker), -worker.get_free_processors())
+
         fits_now = True
         ends_at = estimate_end(step.spec, now)
         if step.spec.is_gang:
             fitting = [w for w in eligible if count_fitting(step.spec, w, ends_at) > 0]
             fits_now = choose_gang_workers(step.spec, fitting, ends_at) is not None
-            named = self._choose_for_gang(entry, step, eligible, fitting if fits_now else (), now)
+            gang_fitting = fitting if fits_now else ()
+            named = self._choose_for_gang(entry, step, eligible, gang_fitting, order, now)
         else:
             fitting = [w for w in eligible if is_available(step, w, ends_at)]
-            named = [w for w in fitting if w.id not in step.allowed]
+            named = sorted((w for w in fitting if w.id not in step.allowed), key=order)
             expired = [w for w in fitting if has_expired_ticket(step, w, now)]
             max_workers = self._compute_call_size(entry, step)
             named = (expired[:max_workers] + named)[:max_workers]
@@ -146,6 +151,7 @@
         step: StepProgress,
         eligible: Sequence[Worker],
         fitting: Sequence[Worker],
+        order: Callable[[Worker], tuple[int, int]],
         now: float,
     ) -> list[Worker]:
         """Return the workers to name in a call for a gang; none is `fitting` if it doesn't fit now.
@@ -158,7 +164,7 @@
         spec, plan = step.spec, step.plan
         named: list[Worker] = []
         renewal_limit = now + TICKET_RENEWAL_LEAD_SECONDS
-        unasked = [w for w in eligible if w.id not in step.allowed]
+        unasked = sorted((w for w in eligible if w.id not in step.allowed), key=order)
         if fitting:
             named += [w for w in fitting if w.id in step.allowed]
         elif plan is not None and plan.ready_at < renewal_limit:
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -180,7 +180,10 @@
 
     def rank(self, step: StepProgress, worker: Worker) -> tuple[float, ...]:
         """Return the penalty, then the other rank."""
-        return (self.compute_penalty(worker), *self._other.rank(step, worker))
+        rank = self._other.rank(step, worker)
+        if self._max_slowness is None:
+            return rank
+        return (self.compute_penalty(worker) if worker.speed.is_slow else 0, *rank)
 
     def group_for_gang(self, workers: Sequence[Worker]) -> list[Sequence[Worker]]:
         """Return the workers by penalty, lowest first, then all of them."""
