Count runs of one step on one worker as one observation of its speed

Cause: packing puts many tasks of a step on one worker, where they were compared with one another and hid its speed, and each counted although all share the error of their estimate. Change: a run is compared with the runs of its step on other workers, and a worker's runs of a step are one observation; one may be enough.

--- a/features/steps/speeds.py
+++ b/features/steps/speeds.py
@@ -152,7 +152,7 @@
 @then('worker "{name}" has a learnt speed of class "{speed}"')
 def step_class(context, name, speed):
     found = context.simulation.owners[-1].state.workers[name].speed
-    assert found.speed_class.value == speed, (found.slowness, found.runs)
+    assert found.speed_class.value == speed, (found.slowness, found.steps)
 
 
 @then('short work ran on worker "{name}" in the last {seconds:d} seconds')
--- a/src/lavenderhook/_internal/queueing/review.py
+++ b/src/lavenderhook/_internal/queueing/review.py
@@ -111,7 +111,7 @@
                     worker,
                     speed=speed.speed_class.value,
                     slowness=round(speed.slowness, 2),
-                    observed=speed.runs,
+                    steps=speed.steps,
                     slow_workers=self._learner.slow_workers,
                 )
             )
--- a/src/lavenderhook/_internal/queueing/speeds.py
+++ b/src/lavenderhook/_internal/queueing/speeds.py
@@ -20,9 +20,9 @@
 
 from .model import StepId
 
-MAX_OBSERVED_RUNS = 15  # newest runs of one worker; half of them outvote a temporary slowness
+MAX_OBSERVED_STEPS = 15  # newest on one worker; half of them outvote a temporary slowness
 MAX_OBSERVATION_AGE_SECONDS = 60.0
-MIN_OBSERVED_RUNS = 3  # on a worker that is compared with others
+MIN_OBSERVED_STEPS = 1  # on a worker that is compared with others
 MIN_COMPARED_WORKERS = 4
 MIN_QUEUE_RUNS = 5  # before the runs of a queue tell anything about workers
 MIN_SMOOTHING = 1 / 400  # weight of the newest run in the typical duration of a queue
@@ -32,7 +32,7 @@
 RECOVERED_RATIO = 1.1  # below it, a slow worker is usual again
 ERRORS_TO_BE_SLOW = 2.0  # standard errors between a slow worker and the typical one
 INITIAL_SPREAD = 0.35  # of the logarithms of the durations on one worker
-SHRINKING_RUNS = 2.0  # weight of the assumption that a worker is like the others
+SHRINKING_STEPS = 2.0  # weight of the assumption that a worker is like the others
 REFRESH_INTERVAL_SECONDS = 0.5
 MAX_KNOWN_STEPS = 1000
 # What is slower than this is broken, however long it has been so.
@@ -57,9 +57,27 @@
     seconds: float
 
 
+class _MeanRatio:
+    """Mean logarithm of the durations of some runs relative to a reference."""
+
+    __slots__ = ("changed_at", "count", "mean")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.mean = 0.0
+        self.changed_at = 0.0
+
+    def add(self, log_ratio: float, smoothing: float = 0.0) -> None:
+        """Add a run, with the weight `smoothing` at least."""
+        self.count += 1
+        self.mean += (log_ratio - self.mean) * max(smoothing, 1 / self.count)
+
+
 class WorkerSpeed:
     """Lasting speed of one worker.
 
+    Runs of one step count as one observation, as they share the error of their estimate.
+
     Attributes
     ----------
     slowness : float
@@ -87,9 +105,7 @@
         self.is_slow = False
         self.log_ratio = 0.0
         self.error = math.inf
-        self._observed: collections.deque[tuple[float, float]] = collections.deque(
-            maxlen=MAX_OBSERVED_RUNS
-        )
+        self._observed: collections.OrderedDict[StepId, _MeanRatio] = collections.OrderedDict()
         self._is_changed = False
         self._excess = 0.0  # of `log_ratio` over that of the typical worker
 
@@ -99,8 +115,8 @@
         return SpeedClass.SLOW if self.is_slow else SpeedClass.USUAL
 
     @property
-    def runs(self) -> int:
-        """How many runs show the speed."""
+    def steps(self) -> int:
+        """Number of steps whose runs show the speed."""
         return len(self._observed)
 
     @property
@@ -108,61 +124,73 @@
         """Slowness that is no sign of a fault: 1 unless the worker is slow for good."""
         return self.slowness if self.is_slow and self._excess <= MAX_LASTING_EXCESS else 1.0
 
-    def observe(self, log_ratio: float, now: float) -> None:
+    def observe(self, step: StepId, log_ratio: float, now: float) -> None:
         """Record the logarithm of a run's duration relative to that of other runs."""
-        self._observed.append((now, log_ratio))
+        observed = self._observed.setdefault(step, _MeanRatio())
+        observed.add(log_ratio)
+        observed.changed_at = now
+        self._observed.move_to_end(step)
+        if len(self._observed) > MAX_OBSERVED_STEPS:
+            self._observed.popitem(last=False)
         self._is_changed = True
 
     def forget_old(self, now: float) -> None:
         """Forget the runs that ended long ago."""
-        while self._observed and now - self._observed[0][0] > MAX_OBSERVATION_AGE_SECONDS:
-            self._observed.popleft()
+        oldest = next(iter(self._observed.values()), None)
+        while oldest is not None and now - oldest.changed_at > MAX_OBSERVATION_AGE_SECONDS:
+            self._observed.popitem(last=False)
             self._is_changed = True
+            oldest = next(iter(self._observed.values()), None)
 
     def summarize(self) -> None:
         """Update the median and its standard error if there are other runs than before."""
         if not self._is_changed:
             return
         self._is_changed = False
-        ratios = [ratio for _, ratio in self._observed]
+        ratios = [observed.mean for observed in self._observed.values()]
         if not ratios:
             self.log_ratio, self.error = 0.0, math.inf
             return
         self.log_ratio = statistics.median(ratios)
         deviation = statistics.median([abs(ratio - self.log_ratio) for ratio in ratios])
-        spread = (len(ratios) * MAD_TO_DEVIATION * deviation + SHRINKING_RUNS * INITIAL_SPREAD) / (
-            len(ratios) + SHRINKING_RUNS
+        spread = (len(ratios) * MAD_TO_DEVIATION * deviation + SHRINKING_STEPS * INITIAL_SPREAD) / (
+            len(ratios) + SHRINKING_STEPS
         )
         self.error = MEDIAN_ERROR_FACTOR * spread / math.sqrt(len(ratios))
 
     def classify(self, typical: float) -> bool:
         """Compare with the typical worker's `log_ratio`; return whether the class has changed."""
-        self._excess = excess = self.log_ratio - typical if self.runs else 0.0
-        self.slowness = math.exp(excess * self.runs / (self.runs + SHRINKING_RUNS))
+        self._excess = excess = self.log_ratio - typical if self.steps else 0.0
+        self.slowness = math.exp(excess * self.steps / (self.steps + SHRINKING_STEPS))
         was_slow = self.is_slow
         if was_slow:
             self.is_slow = excess >= math.log(RECOVERED_RATIO)
-        elif self.runs >= MIN_OBSERVED_RUNS:
+        elif self.steps >= MIN_OBSERVED_STEPS:
             self.is_slow = excess >= max(math.log(SLOW_RATIO), ERRORS_TO_BE_SLOW * self.error)
         return self.is_slow is not was_slow
 
 
-class _TypicalRatio:
-    """Mean logarithm of the durations of some runs on a typical worker, relative to a reference."""
+class _StepRatios:
+    """Durations of a step's runs on a typical worker, relative to its queue."""
 
-    __slots__ = ("count", "mean")
+    __slots__ = ("_by_worker", "_count", "_total")
 
     def __init__(self) -> None:
-        self.count = 0
-        self.mean = 0.0
+        self._count = 0
+        self._total = 0.0
+        self._by_worker: dict[WorkerSpeed, tuple[int, float]] = {}
 
-    def add(self, log_ratio: float, smoothing: float) -> None:
-        self.count += 1
-        self.mean += (log_ratio - self.mean) * max(smoothing, 1 / self.count)
+    def add(self, speed: WorkerSpeed, log_ratio: float) -> None:
+        """Add a run on a worker."""
+        count, total = self._by_worker.get(speed, (0, 0.0))
+        self._by_worker[speed] = (count + 1, total + log_ratio)
+        self._count += 1
+        self._total += log_ratio
 
-    def get_shrunk(self) -> float:
-        """Return the mean, nearer to zero the fewer runs there are."""
-        return self.mean * self.count / (self.count + 1)
+    def get_mean(self, without: WorkerSpeed | None = None) -> float:
+        """Return the mean of the runs on other workers, nearer to zero the fewer there are."""
+        count, total = (0, 0.0) if without is None else self._by_worker.get(without, (0, 0.0))
+        return (self._total - total) / (self._count - count + 1)
 
 
 class SpeedLearner:
@@ -177,26 +205,26 @@
     def __init__(self) -> None:
         self.slow_workers = 0
         self._typical = 0.0  # `log_ratio` of the typical worker
-        self._queues: dict[str, _TypicalRatio] = {}  # duration relative to the estimate
+        self._queues: dict[str, _MeanRatio] = {}  # duration relative to the estimate
         # Duration relative to that of the queue's other steps; newest last.
-        self._steps: collections.OrderedDict[StepId, _TypicalRatio] = collections.OrderedDict()
+        self._steps: collections.OrderedDict[StepId, _StepRatios] = collections.OrderedDict()
         self._refreshed_at = -math.inf
 
     def record(self, speed: WorkerSpeed, run: RunDuration, now: float) -> None:
         """Record the duration of a run on the worker with this speed."""
         if run.seconds <= 0 or run.estimate_seconds <= 0:
             return
-        queue = self._queues.setdefault(run.queue, _TypicalRatio())
-        step = self._steps.setdefault(run.step, _TypicalRatio())
+        queue = self._queues.setdefault(run.queue, _MeanRatio())
+        step = self._steps.setdefault(run.step, _StepRatios())
         self._steps.move_to_end(run.step)
         if len(self._steps) > MAX_KNOWN_STEPS:
             self._steps.popitem(last=False)
         ratio = math.log(run.seconds / run.estimate_seconds)
         if queue.count >= MIN_QUEUE_RUNS:
-            speed.observe(ratio - queue.mean - step.get_shrunk(), now)
-        known = speed.log_ratio if speed.runs >= MIN_OBSERVED_RUNS else 0.0
+            speed.observe(run.step, ratio - queue.mean - step.get_mean(without=speed), now)
+        known = speed.log_ratio if speed.steps >= MIN_OBSERVED_STEPS else 0.0
         corrected = _clip(ratio - known - queue.mean)
-        step.add(corrected, 0.0)
+        step.add(speed, corrected)
         queue.add(queue.mean + corrected, MIN_SMOOTHING)
 
     def expect_seconds(self, queue: str, step: StepId, estimate_seconds: float) -> float:
@@ -205,7 +233,7 @@
         if queue in self._queues:
             ratio += self._queues[queue].mean
         if step in self._steps:
-            ratio += self._steps[step].get_shrunk()
+            ratio += self._steps[step].get_mean()
         return estimate_seconds * math.exp(ratio)
 
     def refresh(self, speeds: Iterable[WorkerSpeed], now: float) -> list[WorkerSpeed]:
@@ -220,7 +248,7 @@
         for speed in speeds:
             speed.forget_old(now)
             speed.summarize()
-        known = [speed.log_ratio for speed in speeds if speed.runs >= MIN_OBSERVED_RUNS]
+        known = [speed.log_ratio for speed in speeds if speed.steps >= MIN_OBSERVED_STEPS]
         if len(known) >= MIN_COMPARED_WORKERS:
             self._typical = statistics.median(known)
         elif not any(speed.is_slow for speed in speeds):
