Bound the work for the steps that follow one

Cause: the longest path after a step was searched anew for each placement, with a number of calls that grows exponentially with the steps of a submission. Change: it is computed once for all steps when the submission is read. Speeds are also compared again when few workers are left.

--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -156,12 +156,10 @@
             or spec.placement.single_rack
         ):
             return
-        submission = entry.submission
-        seconds = self._learner.expect_seconds(
-            submission.queue.name, step.id, spec.estimate_seconds
-        )
+        queue = entry.submission.queue.name
+        seconds = self._learner.expect_seconds(queue, step.id, spec.estimate_seconds)
         seconds = max(seconds, MIN_EXPECTED_SECONDS)
-        remaining = step.objective_at - estimate_following(submission.steps, step.id.step) - now
+        remaining = step.objective_at - step.following_seconds - now
         self._is_late = remaining < seconds  # on any worker; when is it of no use?
         if self._is_late:
             remaining += (USELESS_AFTER_OBJECTIVES - 1) * (step.objective_at - step.due_at)
@@ -195,18 +193,6 @@
         return [*(groups[penalty] for penalty in sorted(groups)), workers]
 
 
-def estimate_following(steps: Sequence[StepSpec], index: int) -> float:
-    """Return the estimate for the longest path of steps that follow one, in seconds."""
-    return max(
-        (
-            step.estimate_seconds + estimate_following(steps, later)
-            for later, step in enumerate(steps)
-            if later > index and index in step.after
-        ),
-        default=0.0,
-    )
-
-
 class LeastLoss(UniformPolicy):
     """Prefers workers whose crash would cost least; data stays near.
 
--- a/src/lavenderhook/_internal/queueing/speeds.py
+++ b/src/lavenderhook/_internal/queueing/speeds.py
@@ -23,7 +23,7 @@
 MAX_OBSERVED_STEPS = 15  # newest on one worker; half of them outvote a temporary slowness
 MAX_OBSERVATION_AGE_SECONDS = 60.0
 MIN_OBSERVED_STEPS = 1  # on a worker that is compared with others
-MIN_COMPARED_WORKERS = 4
+MIN_COMPARED_WORKERS = 4  # for any to become slow
 MIN_QUEUE_RUNS = 5  # before the runs of a queue tell anything about workers
 MIN_SMOOTHING = 1 / 400  # weight of the newest run in the typical duration of a queue
 # Bounds the influence that one run far longer than the others has on a mean.
@@ -158,14 +158,14 @@
         )
         self.error = MEDIAN_ERROR_FACTOR * spread / math.sqrt(len(ratios))
 
-    def classify(self, typical: float) -> bool:
+    def classify(self, typical: float, *, may_become_slow: bool) -> bool:
         """Compare with the typical worker's `log_ratio`; return whether the class has changed."""
         self._excess = excess = self.log_ratio - typical if self.steps else 0.0
         self.slowness = math.exp(excess * self.steps / (self.steps + SHRINKING_STEPS))
         was_slow = self.is_slow
         if was_slow:
             self.is_slow = excess >= math.log(RECOVERED_RATIO)
-        elif self.steps >= MIN_OBSERVED_STEPS:
+        elif may_become_slow and self.steps >= MIN_OBSERVED_STEPS:
             self.is_slow = excess >= max(math.log(SLOW_RATIO), ERRORS_TO_BE_SLOW * self.error)
         return self.is_slow is not was_slow
 
@@ -249,11 +249,14 @@
             speed.forget_old(now)
             speed.summarize()
         known = [speed.log_ratio for speed in speeds if speed.steps >= MIN_OBSERVED_STEPS]
-        if len(known) >= MIN_COMPARED_WORKERS:
+        is_comparable = len(known) >= MIN_COMPARED_WORKERS
+        if is_comparable:
             self._typical = statistics.median(known)
-        elif not any(speed.is_slow for speed in speeds):
-            return []
-        changed = [speed for speed in speeds if speed.classify(self._typical)]
+        changed = [
+            speed
+            for speed in speeds
+            if speed.classify(self._typical, may_become_slow=is_comparable)
+        ]
         self.slow_workers = sum(speed.is_slow for speed in speeds)
         return changed
 
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
 from ..core.identifiers import WorkerId
 from .crash_history import CrashHistory, SuspicionLevel
@@ -80,6 +80,8 @@
         Of the runs that ended done, in seconds.
     restarts : dict
         By task index, how often a run was stopped since it was slow.
+    following_seconds : float
+        Estimate for the longest path of the steps after this one.
     plan : GangPlan or None
         Where capacity is reserved for a waiting gang.
     refused : set
@@ -101,6 +103,7 @@
         "due_at",
         "durations",
         "failed",
+        "following_seconds",
         "id",
         "is_advice_pending",
         "last_run_number",
@@ -135,6 +138,7 @@
         self.next_advice_at = 0.0
         self.due_at = 0.0
         self.objective_at = 0.0
+        self.following_seconds = 0.0
         self.last_run_number = RunNumber(first_run_number - 1)
 
     @property
@@ -305,6 +309,17 @@
         return run.task == other.task
 
 
+def compute_following_seconds(steps: Sequence[StepSpec]) -> list[float]:
+    """Return, by step, the estimate for the longest path of the steps after it, in seconds."""
+    following = [0.0] * len(steps)
+    for index in reversed(range(len(steps))):
+        path_seconds = steps[index].estimate_seconds + following[index]
+        for earlier in steps[index].after:
+            if earlier < index:
+                following[earlier] = max(following[earlier], path_seconds)
+    return following
+
+
 class SubmissionProgress:
     """A submission that has no final state yet.
 
@@ -336,6 +351,7 @@
         self.blocked_until = 0.0
         self.progress_revision = 0
         self.steps: dict[tuple[int, int], StepProgress] = {}
+        following_seconds = compute_following_seconds(submission.steps)
         for occurrence in range(max(1, submission.repetitions)):
             due = arrived_at
             if submission.repetitions:
@@ -346,6 +362,7 @@
                 step = StepProgress(step_id, spec, first_run_number)
                 step.due_at = due
                 step.objective_at = due + self._compute_objective()
+                step.following_seconds = following_seconds[index]
                 self.steps[(occurrence, index)] = step
 
     def _compute_objective(self) -> float:
