Prefer workers of known speed for steps with a close objective

Change: workers without evidence come between usual and slow ones, in the same direction as these, so that long work shows their speeds and urgent steps avoid them while others have capacity.

--- a/features/speeds.feature
+++ b/features/speeds.feature
@@ -72,9 +72,9 @@
     Then worker 0 is known to be <class>
 
     Examples:
-      | capacity | class |
-      | 16000    | slow  |
-      | 8000     | usual |
+      | capacity | class   |
+      | 16000    | slow    |
+      | 8000     | unknown |
 
   Scenario: Long work by itself doesn't make its workers slow
     Guards against workers that are slow or fast only by the queue whose tasks they run.
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -129,8 +129,8 @@
     faster ones are free. Members of a gang wait for the slowest: they get workers of one class if
     these hold them all.
 
-    Workers that aren't known to be slow are ranked by the other policy only, and so are all of them
-    for services, and for steps with a preferred rack, where the distance weighs as much.
+    Where no worker is slow, all are ranked by the other policy only; so they are for services, and
+    for steps with a preferred rack, where the distance weighs as much.
 
     Parameters
     ----------
@@ -166,31 +166,36 @@
         self._max_slowness = remaining / (UNCERTAINTY_FACTOR * seconds)
 
     def compute_penalty(self, worker: Worker) -> int:
-        """Return 1 for a slow worker on which the step may end late, -1 for other slow ones.
+        """Return 2 for a slow worker on which the step may end late, -2 for other slow ones.
 
+        Workers of unknown speed are in between, so that work with much time left shows their speed.
         What is late anyway doesn't prefer slow workers, nor avoid them if it is useless everywhere.
         """
-        if self._max_slowness is None or not worker.speed.is_slow:
+        speed = worker.speed
+        if self._max_slowness is None or speed.is_usual:
             return 0
         if self._is_late:
-            return int(worker.speed.slowness > self._max_slowness > 0)
-        return 1 if worker.speed.slowness > self._max_slowness else -1
+            return 2 if speed.is_slow and speed.slowness > self._max_slowness > 0 else 0
+        if speed.is_slow:
+            return 2 if speed.slowness > self._max_slowness else -2
+        return 1 if self._learner.typical_slowness > self._max_slowness else -1
 
     def rank(self, step: StepProgress, worker: Worker) -> tuple[float, ...]:
         """Return the penalty, then the other rank."""
         rank = self._other.rank(step, worker)
         if self._max_slowness is None:
             return rank
-        return (self.compute_penalty(worker) if worker.speed.is_slow else 0, *rank)
+        return (0 if worker.speed.is_usual else self.compute_penalty(worker), *rank)
 
     def group_for_gang(self, workers: Sequence[Worker]) -> list[Sequence[Worker]]:
-        """Return the workers by penalty, lowest first, then all of them."""
-        groups: dict[int, list[Worker]] = {}
-        for worker in workers:
-            groups.setdefault(self.compute_penalty(worker), []).append(worker)
-        if len(groups) < 2:
+        """Return the workers of the lowest penalty, then also those of the next, up to all."""
+        if self._max_slowness is None:
             return [workers]
-        return [*(groups[penalty] for penalty in sorted(groups)), workers]
+        penalties = [self.compute_penalty(worker) for worker in workers]
+        return [
+            [w for w, penalty in zip(workers, penalties, strict=True) if penalty <= highest]
+            for highest in sorted(set(penalties))
+        ]
 
 
 class LeastLoss(UniformPolicy):
--- a/src/lavenderhook/_internal/queueing/speeds.py
+++ b/src/lavenderhook/_internal/queueing/speeds.py
@@ -44,6 +44,7 @@
 class SpeedClass(enum.Enum):
     """How a worker's lasting speed compares with that of the typical worker."""
 
+    UNKNOWN = "unknown"  # no runs have shown it lately
     USUAL = "usual"
     SLOW = "slow"
 
@@ -82,8 +83,8 @@
     ----------
     slowness : float
         Expected duration of its runs relative to that on a typical worker; 1 if nothing is known.
-    is_slow : bool
-        Whether its class is `SpeedClass.SLOW`.
+    is_slow, is_usual : bool
+        Whether its class is `SpeedClass.SLOW` or `SpeedClass.USUAL`; neither if it is unknown.
     log_ratio : float
         Median logarithm of the durations of its runs relative to those of the others.
     error : float
@@ -96,6 +97,7 @@
         "_observed",
         "error",
         "is_slow",
+        "is_usual",
         "log_ratio",
         "slowness",
     )
@@ -103,6 +105,7 @@
     def __init__(self) -> None:
         self.slowness = 1.0
         self.is_slow = False
+        self.is_usual = False
         self.log_ratio = 0.0
         self.error = math.inf
         self._observed: collections.OrderedDict[StepId, _MeanRatio] = collections.OrderedDict()
@@ -112,7 +115,9 @@
     @property
     def speed_class(self) -> SpeedClass:
         """Class of the worker."""
-        return SpeedClass.SLOW if self.is_slow else SpeedClass.USUAL
+        if self.is_slow:
+            return SpeedClass.SLOW
+        return SpeedClass.USUAL if self.is_usual else SpeedClass.UNKNOWN
 
     @property
     def steps(self) -> int:
@@ -167,6 +172,7 @@
             self.is_slow = excess >= math.log(RECOVERED_RATIO)
         elif may_become_slow and self.steps >= MIN_OBSERVED_STEPS:
             self.is_slow = excess >= max(math.log(SLOW_RATIO), ERRORS_TO_BE_SLOW * self.error)
+        self.is_usual = self.steps > 0 and not self.is_slow
         return self.is_slow is not was_slow
 
 
@@ -200,10 +206,13 @@
     ----------
     slow_workers : int
         How many workers were slow at the last refresh.
+    typical_slowness : float
+        Median slowness of these; 1 if there are none.
     """
 
     def __init__(self) -> None:
         self.slow_workers = 0
+        self.typical_slowness = 1.0
         self._typical = 0.0  # `log_ratio` of the typical worker
         self._queues: dict[str, _MeanRatio] = {}  # duration relative to the estimate
         # Duration relative to that of the queue's other steps; newest last.
@@ -257,7 +266,9 @@
             for speed in speeds
             if speed.classify(self._typical, may_become_slow=is_comparable)
         ]
-        self.slow_workers = sum(speed.is_slow for speed in speeds)
+        slow = [speed.slowness for speed in speeds if speed.is_slow]
+        self.slow_workers = len(slow)
+        self.typical_slowness = statistics.median(slow) if slow else 1.0
         return changed
 
 
