--- a/src/lavenderhook/_internal/instance/decision_metrics.py
+++ b/src/lavenderhook/_internal/instance/decision_metrics.py
@@ -37,16 +37,22 @@
 # An owner repeats these decisions while they hold. Without them, this is no longer the owner.
 _GAUGE_SECONDS = 10.0
 # Fields that distinguish the outcomes of a decision; they have few values.
-_COUNTER_LABELS = ("outcome", "state", "reason", "error")
+_COUNTER_LABELS = ("outcome", "state", "reason", "error", "speed")
+SLOW_WORKERS_FIELD = "slow_workers"
 
 
 class DecisionMetrics:
-    """Counts decisions and observes their durations."""
+    """Counts decisions and observes their durations.
+
+    The gauge `slow_workers` holds what this process has learnt last as the owner.
+    """
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         # Values, and when they were recorded, by gauge and organisation.
         self._gauges: dict[tuple[str, str], tuple[float, float]] = {}
+        self._slow_workers = 0.0
+        metrics.register_gauge("slow_workers", lambda: self._slow_workers)
 
     def record(self, decision: str, fields: Mapping[str, object]) -> None:
         """Count a decision and observe its duration, if it has one."""
@@ -54,6 +60,9 @@
         self._metrics.increment("decisions_total", 1.0, decision=decision, **labels)
         if decision in _ORGANISATION_DECISIONS:
             self._record_gauges(fields)
+        slow_workers = fields.get(SLOW_WORKERS_FIELD)
+        if isinstance(slow_workers, int):
+            self._slow_workers = float(slow_workers)
         histogram = _HISTOGRAMS.get(decision)
         if histogram is None:
             return
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -27,6 +27,8 @@
     WorkerState,
 )
 from .organisation_use import OrganisationUse
+from .speeds import WorkerSpeed
+from .stops import StopReason
 
 # A hold waits up to a second and a long link adds tens of milliseconds.
 MAX_REPORT_AGE_SECONDS = 2.5
@@ -86,6 +88,12 @@
         It is suspect, and not known to have become older than the runs that crashed.
     has_unknown_resources : bool
         The submission has ended and its steps aren't loaded; nothing is placed on the worker.
+    queue : str
+        Name of the queue of its submission; empty if an earlier owner started it.
+    lasting_slowness : float
+        That of its worker; see `WorkerSpeed`.
+    shows_speed : bool
+        Its duration still has to be recorded for its worker's speed.
     """
 
     task: TaskKey
@@ -110,6 +118,10 @@
     has_unknown_resources: bool = False
     is_suspect: bool = False
     is_on_trial: bool = False
+    queue: str = ""
+    lasting_slowness: float = 1.0
+    shows_speed: bool = False
+    stop_reason: StopReason | None = None
     rack: str = ""
     progress: float = 0.0
     # Samples of the progress, with the time on the worker's clock in seconds.
@@ -124,6 +136,14 @@
         self.estimated_end_at = now + self.estimate_seconds
         self.is_in_flight = True
 
+    def begin_stop(self, reason: StopReason) -> None:
+        """Begin the stop of the run; its end is reported like any other."""
+        self.state = RunState.STOPPING
+        self.stop_reason = reason
+        self.acknowledged_at = None
+        self.attempts = 1
+        self.is_in_flight = True
+
     def may_run_after(self, last_report_at: float) -> bool:
         """Return whether the next incarnation of its worker may have got the start, or get it.
 
@@ -245,6 +265,7 @@
         self.isolated_run: Run | None = None  # nothing is placed beside it; see `isolation`
         self.emptied_for: TaskKey | None = None  # nothing is placed until this suspect starts here
         self.finished_runs = FinishedRunTracker()
+        self.speed = WorkerSpeed()
         self.used_processors = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
@@ -320,6 +341,14 @@
         self.slow_submissions.clear()
         self.is_on_probation = False
 
+    def apply_lasting_slowness(self) -> None:
+        """Judge the runs by the learnt speed; a worker that is slow for good isn't broken."""
+        slowness = self.speed.lasting_slowness
+        for run in self.runs.values():
+            run.lasting_slowness = slowness
+        if slowness > 1.0:
+            self.end_probation()
+
     def record_shown_speed(self, now: float) -> None:
         """Record that it has runs that depend on its speed only."""
         self.speed_shown_at = now
@@ -339,6 +368,9 @@
             self.leaves_at = None
         elif listing != self.listing or self.leaves_at is None:
             self.leaves_at = now + listing.leaves_in_seconds
+        kind, former_kind = ((x.labels, x.capacity) for x in (listing, self.listing))
+        if listing.born != self.listing.born and kind != former_kind:
+            self.speed = WorkerSpeed()  # another machine under the same id
         self.listing = listing
         self.rack = find_rack(listing)
 
@@ -531,14 +563,31 @@
     )
 
 
+def shows_speed(command: StartCommand, spec: StepSpec, worker: Worker) -> bool:
+    """Return whether the duration of a run tells the worker's speed, compared with other runs.
+
+    Not that of gang members, which wait for the slowest, nor of what resumes from a checkpoint or
+    may be far from its data.
+    """
+    return not (
+        spec.is_gang
+        or spec.is_service
+        or spec.is_filler
+        or command.checkpoint
+        or spec.placement.single_rack
+        or spec.placement.data_rack not in ("", worker.rack)
+    )
+
+
 def make_run(
     command: StartCommand,
     spec: StepSpec,
-    organisation: OrganisationName,
     worker: Worker,
     now: float,
+    queue: str = "",
+    organisation: OrganisationName = OrganisationName(""),
 ) -> Run:
-    """Return the run that a start command begins."""
+    """Return the run that a start command of a queue's submission begins."""
     estimate_seconds = spec.expected_seconds
     return Run(
         task=command.task,
@@ -558,6 +607,9 @@
         attempts=1,
         # Members of a gang wait for the slowest; long-running tasks have no expected duration.
         counts_for_speed=not (spec.is_gang or spec.is_service or spec.is_filler),
+        queue=queue,
+        lasting_slowness=worker.speed.lasting_slowness,
+        shows_speed=shows_speed(command, spec, worker),
         rack=worker.rack,
     )
 
