Order waiting work by what callers lose, and refuse what would begin too late

Under a load beyond all capacity, steps of one priority were placed in the order of their objectives, so that each began just before it was late. Now room goes to the submissions that need little more work for what they are still worth: what has nearly ended before what has hardly begun, what can be in time before what can't, and last what can't be done within three objectives, before it has waited that long. How long tasks take is learnt by queue and image from the runs that ended done. A step that has waited for 30 s and ten objectives goes first, one submission at a time.

The owner tells entry instances in its answers to write notices what waits for each service. A submission that would begin later than 1.5 times the time in which its result is of use is refused at once with Retry-After. Nothing is refused while a worker has room for one of its tasks, without an answer of the last second, or if it is stored or a write of it has begun at this instance.

--- /dev/null
+++ b/features/steps/waiting_order.py
@@ -0,0 +1,123 @@
+"""Steps on the order of waiting work."""
+
+import functools
+import math
+import random
+
+from behave import given, then, when
+
+from features.support.queue_simulation import QueueSimulation, make_step, make_submission
+from lavenderhook._internal.queueing.durations import DurationEstimates
+from lavenderhook._internal.queueing.losses_by_waiting import LeastLossByWaiting
+from lavenderhook._internal.queueing.model import SubmissionState
+from lavenderhook._internal.queueing.ranking import StepRanking
+from lavenderhook._internal.queueing.submissions import SubmissionProgress
+
+WORKERS = 6
+LOAD_SECONDS = 40.0
+SETTLE_SECONDS = 20.0
+# By priority: processors in thousandths, seconds, mean count of tasks, and share of the load.
+LOAD_KINDS = ((2000, 0.5, 3, 0.2), (3000, 1.5, 12, 0.8))
+OBJECTIVE = {"slack_factor": 2.0, "latency_seconds": 1.0}
+
+
+class ObjectiveRanking(StepRanking):
+    """Priority first, then the nearest objective."""
+
+    def rank(self, entry, step, now):
+        """Return the priority and the objective."""
+        return (entry.submission.queue.priority, step.objective_at)
+
+
+def play_load(ranking, share, seed):
+    """Play a load with a ranking; return how many results are in time, and of use."""
+    simulation = QueueSimulation(seed, workers=WORKERS)
+    simulation.start_new_owner().state.scheduler._ranking = ranking
+    generator = random.Random(seed)
+    due = {}  # time of arrival and objective
+    for priority, (processors, seconds, mean_count, load) in enumerate(LOAD_KINDS):
+        cores = WORKERS * 16 * share * load
+        rate = cores / (mean_count * seconds * processors / 1000)
+        at = generator.expovariate(rate)
+        while at < LOAD_SECONDS:
+            count = max(1, round(generator.lognormvariate(math.log(mean_count) - 0.2, 0.6)))
+            name = f"p{priority}-{len(due)}"
+            terms = {"queue": f"q{priority}", "priority": priority, **OBJECTIVE}
+            steps = [make_step(count, processors, seconds)]
+            simulation.call_later(at, functools.partial(simulation.submit, name, steps, **terms))
+            due[name] = (at, 2.0 * seconds + 1.0)
+            at += generator.expovariate(rate)
+    simulation.run(LOAD_SECONDS + SETTLE_SECONDS)
+    assert not simulation.violations, simulation.violations
+    objectives = [
+        (simulation.ended_at[name] - at) / objective
+        for name, (at, objective) in due.items()
+        if simulation.outcomes.get(name) is SubmissionState.COMPLETED
+    ]
+    return sum(x <= 1.0 for x in objectives), sum(x <= 3.0 for x in objectives)
+
+
+@when("{share:g} times the load that the workers can do is played by {order:w}, with seed {seed:d}")
+def step_play(context, share, order, seed):
+    is_by_loss = order == "losses"
+    ranking = LeastLossByWaiting(DurationEstimates()) if is_by_loss else ObjectiveRanking()
+    setattr(context, f"by_{order}", play_load(ranking, share, seed))
+
+
+@then("more results are in time by losses, and no fewer are of use")
+def step_compare(context):
+    (in_time, of_use), (former_in_time, former_of_use) = context.by_losses, context.by_objectives
+    assert in_time > former_in_time, (context.by_losses, context.by_objectives)
+    assert of_use >= former_of_use, (context.by_losses, context.by_objectives)
+
+
+@given(
+    "a submission with priority {priority:d} of age {age:g} with {done:d} of {count:d} tasks done"
+)
+def step_waiting(context, priority, age, done, count):
+    submission = make_submission("s", [make_step(count, 2000, 2.0)], priority=priority, **OBJECTIVE)
+    entry = SubmissionProgress(submission, 1, -age, 1)
+    step = entry.steps[(0, 0)]
+    for index in range(done):
+        step.mark_done(index)
+    rank = LeastLossByWaiting(DurationEstimates()).rank(entry, step, 0.0)
+    context.ranks = [*getattr(context, "ranks", []), rank]
+
+
+@then("the first submission goes before the second one")
+def step_before(context):
+    first, second = context.ranks
+    assert first < second, context.ranks
+
+
+@given("{count:d} runs that took {factor:d} times as long as estimated")
+def step_runs(context, count, factor):
+    context.durations = DurationEstimates()
+    for _ in range(count):
+        context.durations.record_run("q", make_step(), float(factor))
+
+
+@then("tasks of that queue are expected to take {least:g} to {most:g} times as long as estimated")
+def step_expected(context, least, most):
+    typical = context.durations.estimate("q", make_step()).typical
+    assert least <= typical <= most, typical
+
+
+@then("tasks of another queue are expected to take as long as estimated")
+def step_other_queue(context):
+    assert context.durations.estimate("other", make_step()).typical == 1.0
+
+
+@when("urgent work keeps the workers full for {seconds:d} seconds")
+def step_urgent(context, seconds):
+    for index in range(seconds * 20):
+        submit = functools.partial(
+            context.simulation.submit, f"u{index}", [make_step(2, 3000, 1.0)]
+        )
+        context.simulation.call_later(index / 20, submit)
+    context.simulation.run(1.0)
+
+
+@when('a submission "{name}" with priority {priority:d} arrives')
+def step_low(context, name, priority):
+    context.simulation.submit(name, [make_step(3)], priority=priority)
--- /dev/null
+++ b/features/waiting_order.feature
@@ -0,0 +1,55 @@
+Feature: Which work waits when there is too little room
+  What waits is what costs callers least, by its priority, its objective and the work that it needs.
+
+  Scenario Outline: More results are in time under a load beyond all capacity than by objectives
+    Guards against a backlog in which each submission begins just before it is late, so that nearly
+    all are late.
+    When <share> times the load that the workers can do is played by objectives, with seed <seed>
+    And <share> times the load that the workers can do is played by losses, with seed <seed>
+    Then more results are in time by losses, and no fewer are of use
+
+    Examples:
+      | share | seed |
+      | 1.5   | 1    |
+      | 1.5   | 2    |
+      | 2     | 3    |
+      | 2     | 4    |
+
+  Scenario Outline: The order of two waiting submissions
+    Guards against <failure>.
+    Given a submission with priority <p1> of age <age1> with <done1> of 10 tasks done
+    And a submission with priority <p2> of age <age2> with <done2> of 10 tasks done
+    Then the first submission goes before the second one
+
+    Examples: tasks take 2 s and objectives are 5 s
+      | p1 | age1 | done1 | p2 | age2 | done2 | failure                                             |
+      | 0  | 0    | 0     | 1  | 2.9  | 0     | an urgent submission behind one that is nearly late |
+      | 0  | 9    | 0     | 1  | 0    | 0     | a late urgent submission behind a less urgent one   |
+      | 1  | 0    | 0     | 0  | 20   | 0     | room for a result that is of no use any more        |
+      | 1  | 0    | 0     | 1  | 4    | 0     | room for a result that can't be in time any more    |
+      | 1  | 4    | 9     | 1  | 0    | 0     | work that is thrown away just before its end        |
+      | 1  | 2    | 0     | 1  | 0    | 0     | the newer one of two like submissions first         |
+      | 1  | 0    | 5     | 1  | 0    | 0     | more submissions begun than can be ended            |
+
+  Scenario Outline: A kind is judged by its runs, and few runs change little
+    Guards against work that seems to be in time and never is, and an order that follows an outlier.
+    Given <runs> runs that took <factor> times as long as estimated
+    Then tasks of that queue are expected to take <least> to <most> times as long as estimated
+    And tasks of another queue are expected to take as long as estimated
+
+    Examples:
+      | runs | factor | least | most |
+      | 40   | 3      | 2.5   | 3    |
+      | 1    | 8      | 1     | 1.5  |
+
+  Scenario: Nothing starves behind urgent work that fills all workers
+    Guards against work that never runs under a load that lasts, also beside what fits no worker.
+    Given 3 workers and an owner
+    When urgent work keeps the workers full for 90 seconds
+    And a submission "impossible" of 3 tasks of 90000 millicores and 1 seconds arrives
+    And a submission "low" with priority 5 arrives
+    And 29 seconds pass in the simulation
+    Then "low" has not started
+    When 31 seconds pass in the simulation
+    Then "low" is completed
+    And no invariant was violated
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -26,6 +26,7 @@
     StoredRow,
     WorkerList,
 )
+from ..queueing.backlog import count_pending
 from ..queueing.model import (
     StepId,
     Submission,
@@ -41,8 +42,9 @@
     choose_part,
     decode_submission,
 )
-from ..queueing.retry_after import choose_retry_after
+from ..queueing.retry_after import choose_retry_after, choose_retry_after_backlog
 from . import peers
+from .admission import AdmissionControl, BacklogMeter
 from .advice import AdviceDispatcher
 from .configuration import ConfigurationFollower
 from .forwarding import ForwardingWriter
@@ -137,6 +139,8 @@
         self._advice_dispatcher = AdviceDispatcher(
             self._request_advice_at, self._ownership.list_instance_addresses, log_event
         )
+        self._admission = AdmissionControl(self._is_stored, log_event)
+        self._backlog_meter = BacklogMeter()
         self._accepted_at: dict[SubmissionId, float] = {}  # in order of acceptance
         # With the revisions of their rows, as far as they are known.
         self._submissions_for_notice: list[tuple[Submission, int | None]] = []
@@ -182,11 +186,13 @@
 
     def submit(self, submission: Submission, deadline: float) -> WriteResult:
         """Store a submission, directly or through a peer."""
+        self._admission.begin_write(submission.id)
         result = self._forwarding.write(
             lambda: self._writer.store_submission(submission, deadline),
             lambda address, seconds: self._peers.submit(address, submission, seconds),
             deadline,
         )
+        self._admission.end_write(submission.id, result)
         self._log_event(
             "submission-" + result.value,
             submission=submission.id,
@@ -198,6 +204,30 @@
             self._record_accepted(submission)
         return result
 
+    def refuse(self, submission: Submission, deadline: float) -> int | None:
+        """Return the seconds after which the caller should retry, or None if it isn't refused.
+
+        Nothing has been written or forwarded for a submission that is refused.
+        """
+        now = time.monotonic()
+        owner = self._ownership.owner
+        if owner is not None and owner.is_loaded and owner.state is not None:
+            self._admission.record_backlog(self._backlog_meter.measure(owner.state, now), now)
+        refusal = self._admission.find_refusal(submission, now)
+        if refusal is None:
+            return None
+        retry_after = choose_retry_after_backlog(refusal, random.random(), deadline - now)
+        self._log_event(
+            "submission-refused",
+            submission=submission.id,
+            queue=submission.queue.name,
+            reason=refusal.reason.value,
+            wait=round(refusal.wait_seconds, 1),
+            objective=round(refusal.objective_seconds, 1),
+            retry_after=retry_after,
+        )
+        return retry_after
+
     def cancel(self, submission: SubmissionId, deadline: float) -> WriteResult:
         """Cancel a submission, directly or through a peer."""
         result = self._forwarding.write(
@@ -248,7 +278,7 @@
             and self._ownership.owner.is_loaded
             and self._ownership.owner.state is not None
         ):
-            return self._ownership.owner.state.count_pending().get(queue, 0)
+            return count_pending(self._ownership.owner.state.submissions.values()).get(queue, 0)
         now = time.monotonic()
         if self._pending_counts is None or now - self._pending_counts[0] > PENDING_REFRESH_SECONDS:
             self._refresh_pending(now)
@@ -419,8 +449,10 @@
             address = self._ownership.find_owner_address()
             if address is None:
                 continue
+            sent_at = time.monotonic()
             try:
-                self._peers.send_write_notice(address, notice)
+                backlog = self._peers.send_write_notice(address, notice)
+                self._admission.record_backlog(backlog, sent_at)
             except LavenderhookError as error:
                 self._log_event("news-unsent", owner=address, **describe_failure(error))
 
@@ -433,6 +465,14 @@
         for cancelled in notice.cancelled:
             owner.refresh_outcome(cancelled)
 
+    def _reply_backlog(self) -> Reply:
+        """Return the answer to a write notice; an instance that isn't the owner knows none."""
+        owner = self._ownership.owner
+        if owner is None or not owner.is_loaded or owner.state is None:
+            return Reply()
+        backlog = self._backlog_meter.measure(owner.state, time.monotonic())
+        return peers.reply_message(backlog) if backlog.services else Reply()
+
     def _route_peer(self, incoming: HttpRequest) -> Reply:
         match incoming.path:
             case peers.PING_PATH:
@@ -450,7 +490,7 @@
                 return Reply()
             case peers.WRITE_NOTICE_PATH:
                 self._apply_write_notice(peers.read_message(incoming, peers.WriteNotice))
-                return Reply()
+                return self._reply_backlog()
             case peers.STATE_PATH:
                 state_request = peers.read_message(incoming, peers.StateRequest)
                 owner = self._ownership.owner
@@ -476,14 +516,16 @@
         owner = self._ownership.owner
         if owner is None or not owner.is_loaded or owner.state is None:
             return None
-        return owner.state.count_pending()
+        return count_pending(owner.state.submissions.values())
 
     def _submit_for_peer(self, incoming: HttpRequest) -> Reply:
         request = peers.read_message(incoming, peers.SubmitRequest)
         result = WriteResult.NOT_STORED
         if self._ownership.can_reach_store():
             deadline = time.monotonic() + request.seconds
+            self._admission.begin_write(request.submission.id)
             result = self._writer.store_submission(request.submission, deadline)
+            self._admission.end_write(request.submission.id, result)
         if result is WriteResult.STORED:
             self._record_accepted(request.submission)
         return peers.reply_message(peers.WriteResponse(result))
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -12,6 +12,7 @@
 from ..adapters.transport import HttpClient
 from ..core.identifiers import WorkerId
 from ..decoding import decode_msgpack
+from ..queueing.backlog import Backlog
 from ..queueing.model import (
     FencingToken,
     StepId,
@@ -226,9 +227,10 @@
         """Tell a peer that the owner has resigned."""
         self._call(address, HAND_OVER_PATH, notice, None, HAND_OVER_TIMEOUT_SECONDS)
 
-    def send_write_notice(self, address: str, notice: WriteNotice) -> None:
-        """Notify the owner of rows that have been stored."""
-        self._call(address, WRITE_NOTICE_PATH, notice, None, WRITE_NOTICE_TIMEOUT_SECONDS)
+    def send_write_notice(self, address: str, notice: WriteNotice) -> Backlog:
+        """Notify the owner of rows that have been stored, and return what waits there."""
+        body = self._exchange(address, WRITE_NOTICE_PATH, notice, WRITE_NOTICE_TIMEOUT_SECONDS)
+        return decode_msgpack(body, Backlog) if body else Backlog()
 
     def request_state(self, address: str, submission: SubmissionId) -> StateResponse:
         """Return what the owner knows of a submission."""
@@ -278,10 +280,15 @@
         message_type: type[Any] | None,
         seconds: float,
     ) -> Any:
+        body = self._exchange(address, path, message, seconds)
+        return None if message_type is None else decode_msgpack(body, message_type)
+
+    def _exchange(
+        self, address: str, path: str, message: msgspec.Struct | None, seconds: float
+    ) -> bytes:
+        """Return the body of the response to a call."""
         body = b"" if message is None else msgspec.msgpack.encode(message)
         response = self._client.call(address, "POST", path, body, timeout=seconds)
         if response.status != 200:
             raise ProtocolError(f"peer {address} answered {path} with {response.status}")
-        if message_type is None:
-            return None
-        return decode_msgpack(response.body, message_type)
+        return response.body
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -13,6 +13,7 @@
 
 from ..core.identifiers import WorkerId
 from .advising import AdvicePlanner
+from .durations import DurationEstimates
 from .effects import (
     Effect,
     SendStart,
@@ -56,6 +57,7 @@
     log_worker,
 )
 from .losses import LossReason, LossRecorder
+from .losses_by_waiting import LeastLossByWaiting
 from .model import (
     CommandToken,
     FencingToken,
@@ -73,7 +75,7 @@
 )
 from .parameters import OwnerParameters
 from .placement import BestFit, PlacementPolicy, SpreadServices
-from .ranking import PriorityThenObjective, StepRanking
+from .ranking import StepRanking
 from .records import FailureReason, Roster
 from .review import Decision, RunReviewer
 from .roster import RosterTracker
@@ -132,9 +134,10 @@
     ) -> None:
         self.fencing = fencing
         self.parameters = parameters
+        self.durations = DurationEstimates()
         self.scheduler = Scheduler(
             fencing,
-            ranking or PriorityThenObjective(),
+            ranking or LeastLossByWaiting(self.durations),
             policy or SpreadServices(BestFit()),
             AdvicePlanner(),
         )
@@ -171,15 +174,6 @@
         entry = self.submissions.get(submission)
         return entry.state if entry is not None else None
 
-    def count_pending(self) -> dict[str, int]:
-        """Return, by queue, how many accepted submissions have not begun."""
-        counts: dict[str, int] = {}
-        for entry in self.submissions.values():
-            if entry.state is SubmissionState.QUEUED:
-                name = entry.submission.queue.name
-                counts[name] = counts.get(name, 0) + 1
-        return counts
-
     def get_command_token(self, worker_id: WorkerId) -> CommandToken:
         """Return the token of commands to the current incarnation of a worker."""
         worker = self.workers.get(worker_id)
@@ -625,6 +619,8 @@
         if run is not None:
             if finished.outcome is RunOutcome.DONE and step is not None and not run.checkpoint:
                 step.durations.append(now - run.commanded_at)
+                queue = self.submissions[step.id.submission].submission.queue
+                self.durations.record_run(queue.name, step.spec, now - run.commanded_at)
             if finished.outcome in (RunOutcome.DONE, RunOutcome.FAILED):
                 self.reviewer.slow_worker_policy.record_finished_run(worker, run, now)
             effects += self._remove_run(run, now)
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -22,6 +22,7 @@
 from .ranking import StepRanking
 from .reservations import GangPlan, plan_gang, reserve
 from .start_log import StartLog
+from .starvation import StarvationGuard
 from .submissions import StepProgress, SubmissionProgress
 from .waiting_steps import WaitingSteps
 from .workers import Worker, compute_command_token, is_run_number_of, make_run
@@ -54,6 +55,7 @@
         self.start_log = StartLog()
         self._gang_workers = GangWorkers()
         self._avoided_workers = AvoidedWorkers()
+        self._starvation = StarvationGuard()
         self._waiting_steps = WaitingSteps(self._gang_workers)
         self._fencing = fencing
         self._ranking = ranking
@@ -87,6 +89,7 @@
                 if (step.waiting or step.copies) and entry.is_ready(step, now):
                     candidates.append((self._ranking.rank(entry, step, now), entry, step))
         candidates.sort(key=lambda candidate: candidate[0])
+        candidates = self._starvation.promote(candidates, now)
         schedulable_workers = [worker for worker in workers if worker.is_schedulable(now)]
         self.suspects.begin_pass(workers, now)
         left_to_reserve = MAX_RESERVED_SHARE * sum(
@@ -346,6 +349,8 @@
                 "report_age": round(now - worker.last_report_at, 3),
                 "free": worker.get_free_processors(),
                 "waited": round(now - step.due_at, 3),
+                "priority": entry.submission.queue.priority,
+                "objective_in": round(step.objective_at - now, 3),
                 "suspicion": step.get_suspicion(index).value,
             },
         )
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -305,6 +305,16 @@
         return run.task == other.task
 
 
+def compute_objective_seconds(submission: Submission) -> float:
+    """Return the objective of a submission, counted from the time at which it is due."""
+    ends: list[float] = []  # of the chain through each step, from its estimates
+    for spec in submission.steps:
+        starts_after = max((ends[i] for i in spec.after if i < len(ends)), default=0.0)
+        ends.append(starts_after + spec.estimate_seconds)
+    terms = submission.queue
+    return terms.slack_factor * max(ends, default=0.0) + terms.latency_seconds
+
+
 class SubmissionProgress:
     """A submission that has no final state yet.
 
@@ -336,6 +346,7 @@
         self.blocked_until = 0.0
         self.progress_revision = 0
         self.steps: dict[tuple[int, int], StepProgress] = {}
+        objective_seconds = compute_objective_seconds(submission)
         for occurrence in range(max(1, submission.repetitions)):
             due = arrived_at
             if submission.repetitions:
@@ -345,21 +356,9 @@
                 step_id = StepId(submission.id, occurrence, index)
                 step = StepProgress(step_id, spec, first_run_number)
                 step.due_at = due
-                step.objective_at = due + self._compute_objective()
+                step.objective_at = due + objective_seconds
                 self.steps[(occurrence, index)] = step
 
-    def _compute_objective(self) -> float:
-        critical_path_seconds = 0.0
-        path_seconds: list[float] = []
-        for spec in self.submission.steps:
-            start_seconds = max(
-                (path_seconds[i] for i in spec.after if i < len(path_seconds)), default=0.0
-            )
-            path_seconds.append(start_seconds + spec.estimate_seconds)
-            critical_path_seconds = max(critical_path_seconds, path_seconds[-1])
-        terms = self.submission.queue
-        return terms.slack_factor * critical_path_seconds + terms.latency_seconds
-
     def record_revision(self, revision: int | None) -> None:
         """Record the revision of the stored row; None if a report doesn't tell it."""
         if revision is not None:
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -207,6 +207,9 @@
             interval_seconds=body.interval_ms / 1000,
         )
         check_submission(submission)
+        retry_after = self._instance.refuse(submission, deadline)
+        if retry_after is not None:
+            return Reply(status=503, headers=(("Retry-After", str(retry_after)),))
         return self._reply_write_result(self._instance.submit(submission, deadline), deadline)
 
     def _cancel(self, submission_id: SubmissionId, deadline: float) -> Reply:
