--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -130,8 +130,8 @@
 
 
 @then(
-    "a less urgent submission of {count:d} tasks of {processors:d} millicores and {seconds:d} seconds "
-    "waits for {wait:d} seconds"
+    "a less urgent submission of {count:d} tasks of {processors:d} millicores "
+    "and {seconds:d} seconds waits for {wait:d} seconds"
 )
 def step_wait(context, count, processors, seconds, wait):
     service = measure(context).services.get("desk")
