--- a/src/lavenderhook/_internal/queueing/durations.py
+++ b/src/lavenderhook/_internal/queueing/durations.py
@@ -60,6 +60,9 @@
         self.variance += (delta * (value - self.mean) - self.variance) / self.runs
 
 
+_PRIOR_RATIO = _Ratio()
+
+
 class DurationEstimates:
     """Durations by kind, as a multiple of what callers estimate.
 
@@ -91,6 +94,6 @@
         """Return the expected duration of a task; infinite for a service."""
         ratio = self._ratios.get(DurationKind(queue, spec.image))
         if ratio is None:
-            ratio = self._ratios.get(DurationKind(queue, "")) or _Ratio()
+            ratio = self._ratios.get(DurationKind(queue, ""), _PRIOR_RATIO)
         typical = spec.expected_seconds * math.exp(ratio.mean)
         return ExpectedDuration(typical, typical * math.exp(-2.0 * math.sqrt(ratio.variance)))
--- a/src/lavenderhook/_internal/queueing/losses_by_waiting.py
+++ b/src/lavenderhook/_internal/queueing/losses_by_waiting.py
@@ -7,10 +7,13 @@
 import msgspec
 
 from .durations import DurationEstimates
+from .model import StepId
 from .ranking import ESTIMATE_MARGIN, USELESS_AFTER_OBJECTIVES, StepRanking
 from .submissions import StepProgress, SubmissionProgress
 
 MIN_CORE_SECONDS = 0.01  # of fillers, which need no processors
+# Hundreds of steps are ranked in each placement pass, and what they need changes slowly.
+REUSE_SECONDS = 0.25
 
 
 class Lateness(enum.IntEnum):
@@ -85,6 +88,8 @@
 
     def __init__(self, durations: DurationEstimates) -> None:
         self._durations = durations
+        self._remaining: dict[StepId, RemainingWork] = {}
+        self._reused_until = 0.0
 
     def rank(self, entry: SubmissionProgress, step: StepProgress, now: float) -> tuple[float, ...]:
         """Return uselessness, priority, lateness and the next limit, later by the work left.
@@ -95,7 +100,7 @@
         priority = entry.submission.queue.priority
         if step.spec.is_service:
             return (False, priority, Lateness.IN_TIME, step.due_at)
-        remaining = estimate_remaining(entry, step, self._durations)
+        remaining = self._estimate_remaining(entry, step, now)
         objective_seconds = step.objective_at - step.due_at
         useful_seconds = USELESS_AFTER_OBJECTIVES * objective_seconds
         useful_until = step.due_at + useful_seconds
@@ -111,3 +116,15 @@
             lateness, limit = Lateness.TOO_LATE, useful_until
         share_left = remaining.core_seconds / remaining.total_core_seconds
         return (is_useless, priority, lateness, limit + objective_seconds * share_left)
+
+    def _estimate_remaining(
+        self, entry: SubmissionProgress, step: StepProgress, now: float
+    ) -> RemainingWork:
+        if now >= self._reused_until:
+            self._remaining.clear()
+            self._reused_until = now + REUSE_SECONDS
+        remaining = self._remaining.get(step.id)
+        if remaining is None:
+            remaining = estimate_remaining(entry, step, self._durations)
+            self._remaining[step.id] = remaining
+        return remaining
