--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -102,7 +102,7 @@
 from .table_watcher import LogEvent, Rereading, describe_failure
 from .unconfirmed_progress import UnconfirmedProgress
 from .unconfirmed_submissions import UnconfirmedSubmissions
-from .work_table import WorkTable, read_former_starts
+from .work_table import WorkTable
 
 # A hold is a long poll of a worker: it renews the worker's leases, acknowledges finished runs and
 # returns a report. The worker answers at once when a run finishes.
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -13,6 +13,7 @@
 
 from ..core.identifiers import WorkerId
 from .advising import AdvicePlanner
+from .durations import DurationEstimates
 from .effects import (
     Effect,
     SendStart,
@@ -56,6 +57,7 @@
     log_worker,
 )
 from .losses import LossReason, LossRecorder
+from .losses_by_waiting import LeastLossByWaiting
 from .model import (
     CommandToken,
     FencingToken,
@@ -74,7 +76,7 @@
 )
 from .parameters import OwnerParameters
 from .placement import PlacementPolicy
-from .ranking import PriorityThenObjective, StepRanking
+from .ranking import StepRanking
 from .records import FailureReason, Roster
 from .review import Decision, RunReviewer
 from .roster import RosterTracker
@@ -82,7 +84,7 @@
 from .start_log import LoggedStart
 from .stops import StopReason
 from .stragglers import RunAction, project_remaining
-from .submissions import StepProgress, SubmissionProgress, count_queued
+from .submissions import StepProgress, SubmissionProgress
 from .takeover import Takeover
 from .unknown_submissions import UnknownSubmissions
 from .workers import (
@@ -134,9 +136,10 @@
     ) -> None:
         self.fencing = fencing
         self.parameters = parameters
+        self.durations = DurationEstimates()
         self.scheduler = Scheduler(
             fencing,
-            ranking or PriorityThenObjective(),
+            ranking or LeastLossByWaiting(self.durations),
             policy,
             AdvicePlanner(),
         )
@@ -174,10 +177,6 @@
         entry = self.submissions.get(submission)
         return entry.state if entry is not None else None
 
-    def count_pending(self) -> dict[str, int]:
-        """Return, by queue, how many accepted submissions have not begun."""
-        return count_queued(self.submissions.values())
-
     def get_command_token(self, worker_id: WorkerId) -> CommandToken:
         """Return the token of commands to the current incarnation of a worker."""
         worker = self.workers.get(worker_id)
@@ -624,6 +623,8 @@
         if run is not None:
             if finished.outcome is RunOutcome.DONE and step is not None and not run.checkpoint:
                 step.durations.append(now - run.commanded_at)
+                queue = self.submissions[step.id.submission].submission.queue
+                self.durations.record_run(queue.name, step.spec, now - run.commanded_at)
             self.reviewer.record_finished_run(worker, run, finished.outcome, now)
             effects += self._remove_run(run, now)
         return effects
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -28,6 +28,7 @@
 from .shares import ShareRanking
 from .speeds import SpeedLearner
 from .start_log import StartLog
+from .starvation import StarvationGuard
 from .submissions import StepProgress, SubmissionProgress
 from .waiting_steps import WaitingSteps
 from .workers import Worker, compute_command_token, is_run_number_of, make_run
@@ -62,6 +63,7 @@
         self._gang_workers = GangWorkers()
         self._avoided_workers = AvoidedWorkers()
         self.quotas = Quotas()
+        self._starvation = StarvationGuard()
         self._waiting_steps = WaitingSteps(self._gang_workers, self.quotas)
         self._fencing = fencing
         self._ranking = ShareRanking(ranking, self.quotas)
@@ -98,6 +100,7 @@
                 if (step.waiting or step.copies) and entry.is_ready(step, now):
                     candidates.append((self._ranking.rank(entry, step, now), entry, step))
         candidates.sort(key=lambda candidate: candidate[0])
+        candidates = self._starvation.promote(candidates, now)
         schedulable_workers = [worker for worker in workers if worker.is_schedulable(now)]
         self.suspects.begin_pass(workers, now)
         left_to_reserve = MAX_RESERVED_SHARE * sum(
@@ -353,9 +356,9 @@
             checkpoint=step.get_checkpoint(index),
             ticket=ticket.id if ticket is not None else TicketId(""),
         )
-        queue, organisation = entry.submission.queue.name, entry.submission.organisation
-        run = make_run(command, step.spec, worker, now, queue, organisation)
-        self.quotas.record_start(step.id, organisation)
+        queue = entry.submission.queue.name
+        run = make_run(command, step.spec, entry.submission, worker, now)
+        self.quotas.record_start(step.id, entry.submission.organisation)
         seconds = self.speeds.expect_seconds(queue, step.id, step.spec.estimate_seconds)
         worker.add_run(run)
         step.add_run(run)
@@ -370,6 +373,8 @@
                 "report_age": round(now - worker.last_report_at, 3),
                 "free": worker.get_free_processors(),
                 "waited": round(now - step.due_at, 3),
+                "priority": entry.submission.queue.priority,
+                "objective_in": round(step.objective_at - now, 3),
                 "suspicion": step.get_suspicion(index).value,
                 "slowness": round(worker.speed.slowness, 2),
                 "expected": round(worker.speed.slowness * seconds, 3),
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -20,6 +20,7 @@
     RunState,
     StartCommand,
     StepSpec,
+    Submission,
     SubmissionId,
     TaskKey,
     WorkerIncarnation,
@@ -582,12 +583,11 @@
 def make_run(
     command: StartCommand,
     spec: StepSpec,
+    submission: Submission,
     worker: Worker,
     now: float,
-    queue: str = "",
-    organisation: OrganisationName = OrganisationName(""),
 ) -> Run:
-    """Return the run that a start command of a queue's submission begins."""
+    """Return the run that a start command for a task of a submission begins."""
     estimate_seconds = spec.expected_seconds
     return Run(
         task=command.task,
@@ -596,7 +596,7 @@
         incarnation=worker.get_incarnation(),
         resources=spec.resources,
         is_filler=spec.is_filler,
-        organisation=organisation,
+        organisation=submission.organisation,
         state=RunState.STARTING,
         commanded_at=now,
         estimate_seconds=estimate_seconds,
@@ -607,7 +607,7 @@
         attempts=1,
         # Members of a gang wait for the slowest; long-running tasks have no expected duration.
         counts_for_speed=not (spec.is_gang or spec.is_service or spec.is_filler),
-        queue=queue,
+        queue=submission.queue.name,
         lasting_slowness=worker.speed.lasting_slowness,
         shows_speed=shows_speed(command, spec, worker),
         rack=worker.rack,
