--- a/features/steps/platform_queues.py
+++ b/features/steps/platform_queues.py
@@ -11,7 +11,7 @@
 import gevent
 from behave import given, then, when
 
-from features.support.queue_processes import EntryCluster
+from features.support.queue_processes import EntryCluster, EntryProcess
 from lavenderhook.errors import TransportError
 from standins.crashes import CrashBehaviour
 
@@ -26,13 +26,22 @@
     start_cluster(context, instances, workers)
 
 
-def start_cluster(context, instances, workers, output=None, state_retention_seconds=120):
+def start_cluster(
+    context,
+    instances,
+    workers,
+    output=None,
+    state_retention_seconds=120,
+    entry_class=EntryProcess,
+):
     """Start stand-ins and processes, and register their clean-up.
 
     `output` is the target of the processes' standard output; None for one file each.
     """
     folder = Path(tempfile.mkdtemp(prefix="queues-"))
-    context.cluster = EntryCluster(folder, instances, workers, output=output)
+    context.cluster = EntryCluster(
+        folder, instances, workers, output=output, entry_class=entry_class
+    )
     context.cluster.state_retention_seconds = state_retention_seconds
     context.add_cleanup(shutil.rmtree, folder, ignore_errors=True)
     context.add_cleanup(context.cluster.stop)
