Bound what an entry instance holds for its clients

Cause: the limits of single requests add up: 3,000 connections of 262,144 bytes each, unread bodies that were awaited without a time limit, unread responses, and objects that were built before they were counted. Change: a process on a machine whose memory and descriptors its settings name has one budget for the bodies of its callers and one for its peers', in which bytes count as they arrive. When it is spent, the incomplete bodies that hold much and stand still are dropped with 503 and Retry-After. Each listener bounds its connections, and closes the one whose client loses least for a new one; one that is being answered is never closed. Receive buffers of callers' connections are small. Fields of a head and objects of a submission are counted before they are built, a rest of a body that no route reads ends with the response, and a response that is not read ends the connection. Requests sent ahead on one connection no longer keep the event loop from others. The limits are settings of a section [intake], checked at the start. Reports are counted by limit and listener, and five a second are logged.

--- /dev/null
+++ b/features/intake.feature
@@ -0,0 +1,74 @@
+Feature: What the listeners of a process hold for their clients
+  The decisions on bodies and connections when a limit is reached, and the settings of the limits.
+
+  Scenario Outline: A body that does not fit takes the place of those that stand still
+    Guards against a crowd that stops short of its end and so keeps out a client that does not.
+    Given a budget of 1000 bytes that holds the bodies "<held>"
+    When 200 bytes of another body arrive in second 10
+    Then "<dropped>" is dropped
+
+    # Each body has a name, its bytes, and the second of its last progress; a complete one ends in !.
+    Examples:
+      | held                | dropped |
+      | a=300@9 b=300@2     | nobody  |
+      | a=500@9 b=500@2     | b       |
+      | a=900@10 b=100@10   | a       |
+      | a=20@2 b=900@5      | b       |
+      | a=100@2 b=100@3     | nobody  |
+      | a=150@2 b=150@3 c=700@10 | a b |
+      | a=900@2! b=100@10   | nothing, and it is refused |
+      | a=700@2! b=300@9    | b       |
+
+  Scenario: Random bodies never hold more than the budget
+    Guards against bytes that are counted twice, or never returned.
+    Given a budget of 1000 bytes that holds the bodies ""
+    When 5000 random pieces of bodies arrive, complete and leave, with seed 7
+    Then no more than 1000 bytes were ever held, and none are held in the end
+
+  Scenario Outline: A new connection closes the one whose client loses least
+    Guards against connections that are held open and keep out new clients, and against closing one
+    whose request may have been carried out.
+    When a connection is added to "<connections>"
+    Then connection "<closed>" is closed
+
+    Examples:
+      | connections                        | closed |
+      | idle@3 reading@1 writing@1         | idle@3 |
+      | idle@3 idle@2                      | idle@2 |
+      | reading@5 reading@4 writing@1      | reading@4 |
+      | answering@1 writing@2              | writing@2 |
+      | answering@1 closing@9 idle@1       | closing@9 |
+      | answering@1 answering@2            | none   |
+
+  Scenario: Reports about clients are bounded
+    Guards against a crowd that fills the log.
+    When 8 clients reach a limit within one second, and 1 in the next, with 5 lines a second
+    Then 6 lines are logged, and the last says that 3 were left out
+
+  Scenario Outline: A limit that can't be is refused at the start
+    Guards against a process that starts with a limit that every client meets, or none.
+    When an instance on a machine of 160 MB and 1638 descriptors has the setting <name> = <value>
+    Then the settings are refused, naming <name> and <value>
+
+    Examples:
+      | name                   | value |
+      | intake.bodyMb          | 0.1   |
+      | intake.bodyMb          | -1.0  |
+      | intake.bodyMb          | 161.0 |
+      | intake.connections     | 0     |
+      | intake.connections     | 1439  |
+      | intake.headerFields    | 3     |
+      | intake.writeTimeoutMs  | 0.0   |
+      | limits.memoryMb        | 10.0  |
+      | limits.memoryMb        | -5.0  |
+      | limits.fileDescriptors | 250   |
+
+  Scenario: A machine of the smallest size serves 300 clients with the defaults
+    Guards against limits that clients meet who keep to the platform's.
+    When an instance on a machine of 160 MB and 1638 descriptors has no setting of its own
+    Then 300 clients with bodies of 16384 bytes each fit
+
+  Scenario: Without the machine's limits nothing is bounded
+    Guards against a changed behaviour where the settings don't name the machine's limits.
+    When an instance has settings without the machine's limits
+    Then its listeners have no budget and close no stalled connections
--- /dev/null
+++ b/features/steps/intake.py
@@ -0,0 +1,178 @@
+"""Steps for the limits of what listeners hold: decisions without a network, and settings."""
+
+import math
+import random
+import tempfile
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from lavenderhook._internal.adapters.intake import (
+    BodyBudget,
+    Limit,
+    Phase,
+    ReportSample,
+    choose_connection_to_close,
+)
+from lavenderhook.errors import SettingsError
+from lavenderhook.platform.intake import compute_intake_limits
+from lavenderhook.platform.settings import load_settings
+
+NOW = 10.0
+SETTINGS = """nodeName = "n"
+ip = "127.0.0.1"
+zone = "a"
+internalPorts = [1,2]
+[listen]
+frontend = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+[platform]
+address = "127.0.0.1:3"
+"""
+
+
+@given('a budget of {limit:d} bytes that holds the bodies "{bodies}"')
+@given('a budget of {limit:d} bytes that holds the bodies ""')
+def step_budget(context, limit, bodies=""):
+    context.budget = BodyBudget(limit)
+    for text in bodies.split():
+        name, _, rest = text.partition("=")
+        size, _, second = rest.partition("@")
+        context.budget.reserve(name, int(size), float(second.rstrip("!")), lambda n=name: n)
+        if text.endswith("!"):
+            context.budget.complete(name)
+
+
+@when("{size:d} bytes of another body arrive in second {second:d}")
+def step_arrive(context, size, second):
+    context.calls = context.budget.reserve("new", size, float(second), lambda: "new")
+
+
+@then('"{names}" is dropped')
+def step_dropped(context, names):
+    if context.calls is None:
+        assert names == "nothing, and it is refused", names
+        return
+    dropped = [drop() for drop in context.calls]
+    assert dropped == ([] if names == "nobody" else names.split()), dropped
+    assert context.budget.held_bytes <= context.budget.limit_bytes
+
+
+@when("{count:d} random pieces of bodies arrive, complete and leave, with seed {seed:d}")
+def step_random(context, count, seed):
+    generator, budget = random.Random(seed), context.budget
+    context.peak = 0
+    for step in range(count):
+        name = generator.randrange(20)
+        match generator.randrange(6):
+            case 0:
+                budget.complete(name)
+            case 1:
+                budget.release(name)
+            case _:
+                budget.reserve(name, generator.randrange(1, 200), step / 10, lambda: None)
+        context.peak = max(context.peak, budget.held_bytes)
+    for name in range(20):
+        budget.release(name)
+
+
+@then("no more than {limit:d} bytes were ever held, and none are held in the end")
+def step_bounded(context, limit):
+    assert 0 < context.peak <= limit, context.peak
+    assert context.budget.held_bytes == 0, context.budget.held_bytes
+
+
+@when('a connection is added to "{connections}"')
+def step_connections(context, connections):
+    states = []
+    for text in connections.split():
+        phase, _, second = text.partition("@")
+        states.append(SimpleNamespace(phase=Phase(phase), phase_began_at=float(second)))
+    context.chosen = choose_connection_to_close(states)
+
+
+@then('connection "{text}" is closed')
+def step_closed(context, text):
+    chosen = context.chosen
+    seen = f"{chosen.phase.value}@{chosen.phase_began_at:g}" if chosen else "none"
+    assert seen == text, seen
+
+
+@when(
+    "{count:d} clients reach a limit within one second, and 1 in the next, with {lines:d} lines a "
+    "second"
+)
+def step_reports(context, count, lines):
+    sample = ReportSample(lines)
+    times = [5.0 + index / 100 for index in range(count)] + [6.0]
+    context.logged = [sample.admit(Limit.CONNECTIONS, now) for now in times]
+    context.omitted = sample.take_omitted(Limit.CONNECTIONS)
+
+
+@then("{count:d} lines are logged, and the last says that {omitted:d} were left out")
+def step_logged(context, count, omitted):
+    assert sum(context.logged) == count, context.logged
+    assert context.logged[-1]
+    assert context.omitted == omitted, context.omitted
+
+
+def load(context, sections):
+    """Load settings with further sections, given by their names and fields."""
+    text = SETTINGS
+    for section, fields in sections.items():
+        lines = "".join(f"{name} = {value}\n" for name, value in fields.items())
+        text += f"[{section}]\n{lines}"
+    with tempfile.NamedTemporaryFile("w", suffix=".toml", encoding="utf-8") as file:
+        file.write(text)
+        file.flush()
+        return load_settings(file.name)
+
+
+@when(
+    "an instance on a machine of {memory:d} MB and {descriptors:d} descriptors has the setting "
+    "{name} = {value}"
+)
+def step_setting(context, memory, descriptors, name, value):
+    sections = {"limits": {"memoryMb": memory, "fileDescriptors": descriptors}}
+    section, _, field = name.partition(".")
+    sections.setdefault(section, {})[field] = value
+    try:
+        load(context, sections)
+        context.error = None
+    except SettingsError as error:
+        context.error = error
+
+
+@then("the settings are refused, naming {name} and {value}")
+def step_refused(context, name, value):
+    assert context.error is not None, "the settings were accepted"
+    assert context.error.field == name, context.error
+    assert str(context.error.value) == value, context.error
+
+
+@when(
+    "an instance on a machine of {memory:d} MB and {descriptors:d} descriptors has no setting "
+    "of its own"
+)
+def step_defaults(context, memory, descriptors):
+    machine = {"memoryMb": memory, "fileDescriptors": descriptors}
+    context.limits = compute_intake_limits(load(context, {"limits": machine}))
+
+
+@when("an instance has settings without the machine's limits")
+def step_unbounded(context):
+    context.limits = compute_intake_limits(load(context, {}))
+
+
+@then("{count:d} clients with bodies of {size:d} bytes each fit")
+def step_fit(context, count, size):
+    assert context.limits.callers.connections >= count, context.limits
+    assert context.limits.body_bytes >= count * size, context.limits
+
+
+@then("its listeners have no budget and close no stalled connections")
+def step_no_bounds(context):
+    limits = context.limits
+    assert limits.body_bytes == limits.peer_body_bytes == math.inf, limits
+    listeners = (limits.callers, limits.peers, limits.readiness, limits.metrics)
+    assert not any(listener.closes_stalled for listener in listeners), limits
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
+import errno
+import itertools
 import re
 import socket as sockets
+import time
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from typing import Any
@@ -11,20 +15,23 @@
 import gevent
 import gevent.pool
 import msgspec
-from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from ...errors import (
+    IntakeFullError,
     LavenderhookError,
-    NotReadyError,
     PayloadTooLargeError,
     ProtocolError,
     RequestTimeoutError,
 )
+from .bodies import BodyReader, BoundedInput
+from .intake import BodyBudget, ConnectionId, Limit, Phase, choose_connection_to_close
 from .socket_filters import drop_new_connections
 
 BACKLOG = 1024
 MAX_SINGLE_SEND_BYTES = 65536  # up to this size, headers and body are sent in one call
 READ_BLOCK_BYTES = 65536
+RETRY_AFTER_HEADERS = (("Retry-After", "1"),)
 # Connections above the limit serve only peers, operators and health checks.
 RESERVED_CONNECTIONS = 256
 RESERVED_PREFIXES = ("/peer/", "/operator/", "/healthz", "/readyz", "/metrics")
@@ -42,6 +49,11 @@
 _LENGTH = re.compile(r"[0-9]{1,100}\Z")
 _VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*\Z")
 JSON_TYPE = "application/json"
+REFUSING_LIMITS: dict[type[LavenderhookError], Limit] = {
+    PayloadTooLargeError: Limit.REQUEST_SIZE,
+    RequestTimeoutError: Limit.REQUEST_TIME,
+}
+_connection_numbers = itertools.count()
 
 Environ = dict[str, Any]
 
@@ -102,15 +114,18 @@
         if expected is not None and expected > limit:
             self._close_after_reply()
             raise PayloadTooLargeError(f"the body has {expected} bytes, the limit is {limit}")
-        handler = self._environ["lavenderhook.handler"]
+        handler: Handler = self._environ["lavenderhook.handler"]
         try:
             if expected is not None and handler.has_buffered(expected):
                 body = self._environ["wsgi.input"].read(expected)
             else:
                 timeout_error = RequestTimeoutError("the request body was not complete in time")
                 with gevent.Timeout(self._limits.read_seconds, timeout_error):
-                    body = self._read_all(limit)
+                    body = handler.read_body(limit, expected)
         except (LavenderhookError, OSError) as error:
+            if isinstance(error, IntakeFullError):
+                handler.server.report_limit(Limit.BODY_BUDGET, handler)
+            handler.body_reader.release()
             self._close_after_reply()
             if isinstance(error, LavenderhookError):
                 raise
@@ -120,17 +135,6 @@
             raise ProtocolError(f"the body has {len(body)} of {expected} bytes")
         return body
 
-    def _read_all(self, limit: int) -> bytes:
-        stream = self._environ["wsgi.input"]
-        blocks: list[bytes] = []
-        size = 0
-        while block := stream.read(READ_BLOCK_BYTES):
-            size += len(block)
-            if size > limit:
-                raise PayloadTooLargeError(f"the body exceeds the limit of {limit} bytes")
-            blocks.append(block)
-        return blocks[0] if len(blocks) == 1 else b"".join(blocks)
-
     def _close_after_reply(self) -> None:
         """Close the connection after the reply, because the rest of the body is not read."""
         self._environ["lavenderhook.handler"].abandon_input()
@@ -141,7 +145,22 @@
 
 
 class ListenerLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Limits on requests and connections; durations are in seconds."""
+    """Limits on requests and connections; durations are in seconds.
+
+    Parameters
+    ----------
+    connections : int
+        Above it, callers' requests are refused, and connections are closed if `closes_stalled`.
+    reserved_connections : int
+        Further connections, which serve only peers, operators and health checks.
+    write_seconds : float
+        For which a response may wait for a client that does not read it.
+    receive_buffer_bytes : int
+        Size that the kernel is asked for, as it holds what has not been read; 0 for its default.
+    closes_stalled : bool
+        Whether a new connection above the limit closes the one that has been idle, or made no
+        progress, for the longest time.
+    """
 
     body_bytes: int
     header_bytes: int
@@ -149,6 +168,11 @@
     read_seconds: float
     idle_seconds: float
     connections: int
+    header_fields: int = 128
+    reserved_connections: int = RESERVED_CONNECTIONS
+    write_seconds: float = 10.0
+    receive_buffer_bytes: int = 0
+    closes_stalled: bool = False
 
 
 Route = Callable[[HttpRequest], Reply]
@@ -170,30 +194,43 @@
         self._fields: dict[str, str] = {}
         self._input_abandoned = False
         self._buffered_body = 0
-        self.is_idle = False  # waiting for the first byte of a request
+        self._is_sent_ahead = False  # the next request arrived together with the last one
+        self.id = ConnectionId(next(_connection_numbers))
+        self.body_reader = BodyReader(self.id, sock, self.rfile, server.budget)
+        self.enter(Phase.IDLE)
+
+    def enter(self, phase: Phase) -> None:
+        """Note what the connection waits for from now on."""
+        self.phase = phase
+        self.phase_began_at = time.monotonic()
 
     def handle(self) -> None:
         """Serve the connection; connection errors are ignored."""
-        self.server.handlers.add(self)
+        self.server.admit(self)
         try:
             super().handle()
         except OSError:
             pass
         finally:
             self.server.handlers.discard(self)
+            self.body_reader.release()
+            # References of the handler to itself; full collections are rare.
+            self.__dict__.pop("environ", None)
+            self.__dict__.pop("_head_timeout", None)
 
     def handle_one_request(self) -> Any:
         """Read a request within the time and size limits and answer it."""
         limits = self.server.limits
-        self.is_idle = True
+        self.enter(Phase.IDLE)
         try:
             with gevent.Timeout(limits.idle_seconds):
                 if not self.rfile.peek(1):
                     return None
         except (OSError, ValueError, gevent.Timeout):
             return None
-        finally:
-            self.is_idle = False
+        self.enter(Phase.READING)
+        if self._is_sent_ahead:
+            gevent.sleep(0)  # without a pause, they would keep the event loop busy
         timeout_error = RequestTimeoutError("the request head was not complete in time")
         self._head_timeout = gevent.Timeout(limits.read_seconds, timeout_error)
         buffered = self.rfile.peek(1)
@@ -204,10 +241,12 @@
         self._buffered_body = len(buffered) - head_end - len(HEAD_END) if head_end >= 0 else 0
         try:
             result = super().handle_one_request()
+            self._is_sent_ahead = self._buffered_body > (self.content_length or 0)
         except LavenderhookError as error:
             result = self._handle_client_error(error)
         finally:
             self._head_timeout.close()
+            self.body_reader.release()
         if self._input_abandoned or isinstance(result, tuple):
             return self._linger(result)
         return result
@@ -219,6 +258,13 @@
         """Return whether a body of this size arrived together with its head."""
         return size <= self._buffered_body
 
+    def read_body(self, limit: int, expected: int | None) -> bytes:
+        """Return a body that arrives in several parts; for errors see `BodyReader.read`."""
+        self.enter(Phase.READING)
+        body = self.body_reader.read(self.wsgi_input, limit, expected)
+        self.enter(Phase.ANSWERING)
+        return body
+
     def read_requestline(self) -> str:
         """Return the request line.
 
@@ -277,6 +323,8 @@
                 raise ProtocolError(f"header {name!r} is given twice")
             value = value.strip(" \t")
             fields[name] = f"{fields[name]}, {value}" if name in fields else value
+            if len(fields) > limits.header_fields:
+                raise PayloadTooLargeError(f"the head exceeds {limits.header_fields} fields")
 
     def _read_length(self) -> int | None:
         coding = self._fields.get("transfer-encoding")
@@ -293,12 +341,14 @@
     def get_environ(self) -> Environ:
         """Return the environment of the request."""
         expects_continue = self._fields.get("expect", "").lower() == "100-continue"
-        self.wsgi_input = Input(
+        self.wsgi_input = BoundedInput(
             self.rfile,
             self.content_length,
             socket=self.socket if expects_continue else None,
             chunked_input="transfer-encoding" in self._fields,
         )
+        self.wsgi_input.discard_seconds = self.server.limits.read_seconds
+        self.wsgi_input.on_late_rest = self._close_after_late_rest
         return {
             "REQUEST_METHOD": self.command,
             "wsgi.input": self.wsgi_input,
@@ -319,22 +369,54 @@
         # One call sends one segment instead of two.
         self._sendall(b"\r\n".join(lines) + b"\r\n\r\n" + data)
 
+    def _sendall(self, data: bytes) -> None:
+        """Send a part of a response; a client that does not read it is closed in time."""
+        self.enter(Phase.WRITING)
+        self.socket.settimeout(self.server.limits.write_seconds)
+        try:
+            super()._sendall(data)
+        except TimeoutError as error:
+            self.server.report_limit(Limit.RESPONSE_TIME, self)
+            raise ConnectionResetError(errno.ECONNRESET, "the response was not read") from error
+        finally:
+            self.socket.settimeout(None)
+
+    def _close_after_late_rest(self) -> None:
+        # What arrives later would be taken for the next request.
+        self.close_connection = True
+        self.server.report_limit(Limit.UNREAD_BODY, self)
+
+    def has_large_rest(self) -> bool:
+        """Return whether too much of the body is unread for the connection to be used further."""
+        return self.wsgi_input.has_large_rest(self._buffered_body)
+
     def abandon_input(self) -> None:
         """Leave the rest of the request's body unread and close the connection afterwards."""
         self.close_connection = True
         self._input_abandoned = True
-        self.wsgi_input = Input(self.rfile, 0)
+        self.wsgi_input = BoundedInput(self.rfile, 0)
+
+    def close_now(self) -> None:
+        """Close the connection in whatever phase it is."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(sockets.SHUT_RDWR)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being answered or has begun to arrive."""
-        if not self.is_idle:
-            return
+        if self.is_silent():
+            self.close_now()
+
+    def is_silent(self) -> bool:
+        """Return whether the connection is idle and open, and nothing has arrived on it."""
+        if self.phase is not Phase.IDLE:
+            return False
         try:
             self.socket._sock.recv(1, sockets.MSG_PEEK | sockets.MSG_DONTWAIT)
         except BlockingIOError:
-            self.socket.shutdown(sockets.SHUT_RDWR)
+            return True
         except OSError:
-            return  # closed by the other side
+            pass  # closed by the other side
+        return False
 
     def is_peer_closed(self) -> bool:
         """Return whether the other side has closed the connection."""
@@ -353,7 +435,10 @@
         the response.
         """
         if isinstance(result, tuple):
-            self.socket.sendall(result[1])
+            self.enter(Phase.WRITING)
+            with gevent.Timeout(self.server.limits.write_seconds, False):
+                self.socket.sendall(result[1])
+        self.enter(Phase.CLOSING)
         self.socket.shutdown(sockets.SHUT_WR)
         remaining = LINGER_BYTES
         with gevent.Timeout(LINGER_SECONDS, False):
@@ -363,6 +448,7 @@
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         error = ex if isinstance(ex, LavenderhookError) else ProtocolError(str(ex))
         self.server.count_rejection(error)
+        self.server.report_refusal(error, self)
         reply = reply_error(error)
         head = (
             f"HTTP/1.1 {reply.status} {HTTPStatus(reply.status).phrase}\r\n"
@@ -383,6 +469,11 @@
         Answers a request; may raise any `LavenderhookError`.
     log_failure : callable
         Logs unexpected failures of routes; called with (context, error).
+    budget : BodyBudget, optional
+        Bounds the bytes of bodies, together with other listeners.
+    report_limit : callable, optional
+        Called with (limit, address of the client) when a limit refuses a request or closes a
+        connection.
     """
 
     handler_class = Handler
@@ -393,6 +484,9 @@
         limits: ListenerLimits,
         route: Route,
         log_failure: Callable[[str, BaseException], None],
+        *,
+        budget: BodyBudget | None = None,
+        report_limit: Callable[[Limit, str], None] | None = None,
     ) -> None:
         # Setting the server name avoids a resolver look-up.
         super().__init__(
@@ -400,15 +494,54 @@
             self._run,
             backlog=BACKLOG,
             log=None,
-            spawn=gevent.pool.Pool(limits.connections + RESERVED_CONNECTIONS),
+            spawn=gevent.pool.Pool(limits.connections + limits.reserved_connections),
             environ={"SERVER_NAME": address[0]},
         )
         self.limits = limits
+        self.budget = budget or BodyBudget()
         self.handlers: set[Handler] = set()
         self.is_draining = False
         self.refusals: dict[str, int] = {}
         self._route = route
         self._log_failure = log_failure
+        self._report_limit = report_limit
+
+    def init_socket(self) -> None:
+        """Create the listening socket, from which connections inherit the size of their buffer."""
+        super().init_socket()
+        size = self.limits.receive_buffer_bytes
+        if not size:
+            return
+        try:
+            self.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_RCVBUF, size)
+        except OSError as error:  # the system's own size holds more
+            self._log_failure("limiting the receive buffers", error)
+
+    def admit(self, handler: Handler) -> None:
+        """Add a connection; close a stalled one for it if there are too many."""
+        if self.limits.closes_stalled and len(self.handlers) >= self.limits.connections:
+            stalled = choose_connection_to_close(self.handlers)
+            while stalled and stalled.phase is Phase.IDLE and not stalled.is_silent():
+                # A request has arrived that its greenlet has not begun to read.
+                stalled.enter(Phase.READING)
+                stalled = choose_connection_to_close(self.handlers)
+            if stalled is not None:
+                # Its greenlet ends later, and must not be chosen again by then.
+                self.handlers.discard(stalled)
+                self.report_limit(Limit.CONNECTIONS, stalled)
+                stalled.close_now()
+        self.handlers.add(handler)
+
+    def report_limit(self, limit: Limit, handler: Handler) -> None:
+        """Report that a limit has refused a request or closed a connection."""
+        if self._report_limit is not None:
+            self._report_limit(limit, str(handler.client_address[0]))
+
+    def report_refusal(self, error: LavenderhookError, handler: Handler) -> None:
+        """Report the limit because of which a request was refused, if it was one."""
+        limit = REFUSING_LIMITS.get(type(error))
+        if limit is not None:
+            self.report_limit(limit, handler)
 
     @property
     def location(self) -> str:
@@ -458,20 +591,28 @@
             self.do_handle(*accepted)
 
     def _run(self, environ: Environ, start_response: Callable[..., Any]) -> list[bytes]:
+        handler: Handler = environ["lavenderhook.handler"]
+        handler.enter(Phase.ANSWERING)
         incoming = HttpRequest(environ, self.limits)
         is_full = len(self.handlers) > self.limits.connections
         is_reserved = incoming.path.startswith(RESERVED_PREFIXES)
         try:
             if is_full and not is_reserved:
-                raise NotReadyError("the instance has no free connections")
+                self.report_limit(Limit.CONNECTIONS, handler)
+                raise IntakeFullError("the instance has no free connections")
             reply = self._route(incoming)
+        except IntakeFullError as error:
+            reply = reply_error(error, RETRY_AFTER_HEADERS)
         except LavenderhookError as error:
+            self.report_refusal(error, handler)
             reply = reply_error(error)
         except Exception as error:  # the caller of a faulty route must still get a reply
             self._log_failure(f"answering {incoming.path}", error)
             reply = reply_error(LavenderhookError("the request could not be processed"))
+        if handler.has_large_rest():
+            self.report_limit(Limit.UNREAD_BODY, handler)
+            handler.abandon_input()
         headers = list(reply.headers)
-        handler = environ["lavenderhook.handler"]
         closes_connection = handler._input_abandoned or (
             (self.is_draining or is_full) and not incoming.path.startswith("/peer/")
         )
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections.abc import Callable
 
 import gevent
 import gevent.event
@@ -15,7 +16,7 @@
     StoreUnavailableError,
     UnknownNameError,
 )
-from ..adapters.frontend import HttpRequest, Listener, ListenerLimits, Reply
+from ..adapters.frontend import HttpRequest, Listener, Reply, Route
 from ..core.identifiers import WorkerId
 from ..ports.queueing import (
     MAX_READ_STALENESS_SECONDS,
@@ -73,6 +74,8 @@
         How suitable this instance is as the owner; see `compute_owner_fitness`.
     configuration_bound_seconds : float
         Time after which a change of the configuration has to be in force everywhere.
+    make_listener : callable
+        Returns a listener for an address and a route.
     log_event : callable
         Logs an event, given by its name and fields.
     report_error : callable
@@ -93,7 +96,7 @@
         advisor: Advisor,
         parameters: OwnerParameters,
         configuration_bound_seconds: float,
-        limits: ListenerLimits,
+        make_listener: Callable[[str, Route], Listener],
         log_event: LogEvent,
         report_error: ReportError,
     ) -> None:
@@ -144,8 +147,7 @@
         self._is_notice_due = gevent.event.Event()
         self._pending_counts: tuple[float, dict[str, int]] | None = None
         self._greenlets: list[gevent.Greenlet] = []
-        host, _, port = peer_address.rpartition(":")
-        self._listener = Listener((host, int(port)), limits, self._route_peer, report_error)
+        self._listener = make_listener(peer_address, self._route_peer)
 
     def start(self) -> None:
         """Start the listener for peers and the background loops."""
--- a/src/lavenderhook/errors.py
+++ b/src/lavenderhook/errors.py
@@ -201,6 +201,12 @@
     exit_code = 7
 
 
+class IntakeFullError(NotReadyError):
+    """The instance has no room for a request; it has not been carried out."""
+
+    code = "intake-full"
+
+
 class StoreUnavailableError(LavenderhookError):
     """The platform's store is unavailable; nothing was changed."""
 
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -19,7 +19,7 @@
     SubmissionId,
 )
 from .._internal.queueing.routes import QueueRoute
-from .._internal.queueing.validation import check_submission
+from .._internal.queueing.validation import MAX_STEPS, check_submission
 from ..errors import (
     InvalidArgumentError,
     ProtocolError,
@@ -35,6 +35,8 @@
 JSON_HEADERS = (("Content-Type", "application/json"),)
 GONE_STATUS = 410
 MAX_LOGGED_CHARACTERS = 200
+MAX_SPEC_BYTES = 4_000
+MAX_OBJECTS = 1 + MAX_STEPS + MAX_SPEC_BYTES
 
 
 class _Step(msgspec.Struct, rename="camel"):
@@ -191,11 +193,7 @@
         submission_id: SubmissionId,
         deadline: float,
     ) -> Reply:
-        content = request.read_body()
-        try:
-            body = decode_json(content, _SubmissionBody)
-        except ProtocolError as error:
-            raise InvalidArgumentError("body", str(error), "a submission") from error
+        body = _decode_submission(request.read_body())
         submission = Submission(
             id=submission_id,
             queue=route.terms,
@@ -238,6 +236,29 @@
         return _reply({"state": state.value})
 
 
+def _decode_submission(content: bytes) -> _SubmissionBody:
+    """Decode a submission within bounds on its objects, which are larger than their text.
+
+    Raises
+    ------
+    InvalidArgumentError
+    """
+    # A spec may hold this character as well.
+    objects = content.count(b"{")
+    if objects > MAX_OBJECTS:
+        raise InvalidArgumentError("body", objects, f"at most {MAX_OBJECTS} objects")
+    try:
+        body = decode_json(content, _SubmissionBody)
+    except ProtocolError as error:
+        raise InvalidArgumentError("body", str(error), "a submission") from error
+    if len(body.steps) > MAX_STEPS:
+        raise InvalidArgumentError("steps", len(body.steps), f"1 to {MAX_STEPS} steps")
+    spec_bytes = len(body.spec.encode())
+    if spec_bytes > MAX_SPEC_BYTES:
+        raise InvalidArgumentError("spec", spec_bytes, f"at most {MAX_SPEC_BYTES} bytes")
+    return body
+
+
 def _read_deadline(request: HttpRequest) -> float:
     text = request.headers.get(DEADLINE_HEADER, "")
     try:
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import gc
 import os
 import signal
@@ -11,6 +12,7 @@
 import gevent.event
 
 from .._internal.adapters.frontend import HttpRequest, Listener, ListenerLimits, Reply, Route
+from .._internal.adapters.intake import BodyBudget
 from .._internal.adapters.metrics import Metrics
 from .._internal.daemon.logs import DecisionLog, discard_default_sink
 from .._internal.instance.decision_metrics import DecisionMetrics
@@ -19,6 +21,7 @@
 from .._internal.queueing.parameters import OwnerParameters
 from ..errors import LavenderhookError
 from .frontend import Frontend
+from .intake import ClientReports, compute_intake_limits
 from .lists import PlatformConfiguration, PlatformWorkers
 from .settings import DEFAULT_PATH, PATH_VARIABLE, load_settings
 from .store import PlatformStore
@@ -35,14 +38,6 @@
 DRAIN_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0  # the settings file may change without a signal
 METRICS_HEADERS = (("Content-Type", "text/plain; version=0.0.4"),)
-LISTENER_LIMITS = ListenerLimits(
-    body_bytes=262_144,
-    header_bytes=16_384,
-    line_bytes=8_192,
-    read_seconds=3.0,
-    idle_seconds=60.0,
-    connections=3_000,
-)
 
 
 class Program:
@@ -65,6 +60,10 @@
         self._advisor = PlatformAdvisor(settings.advice, self.log_event)
         self._stopped = gevent.event.Event()
         bounds, limits = settings.bounds, settings.limits
+        self._reports = ClientReports(self.metrics.increment, self.log_event)
+        intake = compute_intake_limits(settings)
+        self._budget = BodyBudget(intake.body_bytes)
+        peer_budget = BodyBudget(intake.peer_body_bytes)
         self.instance = EntryInstance(
             settings.node_name,
             settings.zone,
@@ -81,15 +80,30 @@
                 retention_seconds=bounds.status_s + RETENTION_MARGIN_SECONDS,
             ),
             configuration_bound_seconds=bounds.config_apply_ms / 1000,
-            limits=LISTENER_LIMITS,
+            make_listener=functools.partial(
+                self._create_listener, "peers", limits=intake.peers, budget=peer_budget
+            ),
             log_event=self.log_event,
             report_error=self.log.log_failure,
         )
         frontend = self._frontend = Frontend(self.instance, self.log_event)
         self._listeners = [
-            self._create_listener(settings.listen.readiness, frontend.route_readiness),
-            self._create_listener(settings.listen.frontend, frontend.route),
-            self._create_listener(f"{settings.ip}:{settings.metrics_port}", self._serve_metrics),
+            self._create_listener(name, address, route, limits, self._budget)
+            for name, address, route, limits in (
+                (
+                    "readiness",
+                    settings.listen.readiness,
+                    frontend.route_readiness,
+                    intake.readiness,
+                ),
+                ("callers", settings.listen.frontend, frontend.route, intake.callers),
+                (
+                    "metrics",
+                    f"{settings.ip}:{settings.metrics_port}",
+                    self._serve_metrics,
+                    intake.metrics,
+                ),
+            )
         ]
         register_gauge = self.metrics.register_gauge
         register_gauge("is_owner", lambda: float(self.instance.is_owner()))
@@ -99,14 +113,24 @@
         register_gauge("configuration_version", configuration.get_version)
         register_gauge("configuration_age_seconds", configuration.measure_age)
         register_gauge("requests_active", lambda: float(frontend.active))
+        register_gauge("body_bytes_held", lambda: float(self._budget.held_bytes))
         register_gauge("log_lines_dropped", lambda: float(self.log.writer.dropped))
 
     def _serve_metrics(self, request: HttpRequest) -> Reply:
         return Reply(headers=METRICS_HEADERS, body=self.metrics.render())
 
-    def _create_listener(self, address: str, route: Route) -> Listener:
+    def _create_listener(
+        self, name: str, address: str, route: Route, limits: ListenerLimits, budget: BodyBudget
+    ) -> Listener:
         host, _, port = address.rpartition(":")
-        return Listener((host, int(port)), LISTENER_LIMITS, route, self.log.log_failure)
+        return Listener(
+            (host, int(port)),
+            limits,
+            route,
+            self.log.log_failure,
+            budget=budget,
+            report_limit=functools.partial(self._reports.report, name),
+        )
 
     def log_event(self, what: str, **fields: object) -> None:
         """Log a decision and update its metrics."""
--- a/src/lavenderhook/platform/settings.py
+++ b/src/lavenderhook/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
 
 import msgspec
@@ -12,6 +13,14 @@
 
 PATH_VARIABLE = "LAVENDERHOOK_CONFIG"
 DEFAULT_PATH = "/etc/lavenderhook/boot.toml"
+MEGABYTE = 1024 * 1024
+MAX_BODY_BYTES = 262_144
+RESERVED_DESCRIPTORS = 200  # of each machine, for files
+MIN_SOCKETS = 100  # an instance calls the store, its peers and workers besides serving callers
+MIN_MEMORY_MB = 64  # what the program needs at rest, and one share for its clients
+MIN_HEADER_FIELDS = 16
+MAX_HEADER_FIELDS = 16_384
+MAX_WRITE_TIMEOUT_MS = 600_000.0
 
 
 class _Section(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
@@ -64,11 +73,42 @@
 
 
 class Limits(_Section, frozen=True, kw_only=True):
-    """The machine; a process gets `cpu_share` of a core that is `cores` times as fast."""
+    """The machine; a process gets `cpu_share` of a core that is `cores` times as fast.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory of the process, in MiB; 0 if it isn't bounded.
+    file_descriptors : int
+        0 if they aren't bounded.
+    """
 
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 0.0
+    file_descriptors: int = 0
+
+
+class Intake(_Section, frozen=True, kw_only=True):
+    """Limits on what clients may hold; those that aren't given follow from the machine's.
+
+    Parameters
+    ----------
+    body_mb : float or None
+        All bodies of callers that the process holds, in MiB.
+    connections : int or None
+        Of callers.
+    header_fields : int
+        Of one request.
+    write_timeout_ms : float
+        For which a response may wait for a client that doesn't read it.
+    """
+
+    body_mb: float | None = None
+    connections: int | None = None
+    header_fields: int = 128
+    write_timeout_ms: float = 10_000.0
 
 
 class Settings(_Section, frozen=True, kw_only=True):
@@ -92,6 +132,7 @@
     platform: Store
     bounds: Bounds = Bounds()
     limits: Limits = Limits()
+    intake: Intake = Intake()
     advice: str = ""
     metrics_port: int = 9464
 
@@ -108,6 +149,7 @@
         content = decode_toml(Path(path).read_text(encoding="utf-8"))
         settings = msgspec.convert(content, Settings, strict=False)
         _check_addresses(path, settings)
+        _check_intake(path, settings)
         return settings
     except (OSError, UnicodeDecodeError, ProtocolError) as error:
         raise SettingsError(path, "file", str(error), "a readable TOML file") from error
@@ -130,3 +172,33 @@
                 split_address(address)
         except AddressError as error:
             raise SettingsError(path, name, address, "an address of the form host:port") from error
+
+
+def _check_intake(path: str, settings: Settings) -> None:
+    """Refuse limits that can't be, or that an ordinary request would meet.
+
+    Raises
+    ------
+    SettingsError
+    """
+    limits, intake = settings.limits, settings.intake
+    machine_mb = limits.memory_mb or math.inf
+    sockets = (
+        limits.file_descriptors - RESERVED_DESCRIPTORS if limits.file_descriptors else math.inf
+    )
+    largest_body_mb = MAX_BODY_BYTES / MEGABYTE
+    ranges: dict[str, tuple[float | None, float, float]] = {
+        "limits.memoryMb": (limits.memory_mb or None, MIN_MEMORY_MB, math.inf),
+        "limits.fileDescriptors": (
+            limits.file_descriptors or None,
+            RESERVED_DESCRIPTORS + MIN_SOCKETS,
+            math.inf,
+        ),
+        "intake.bodyMb": (intake.body_mb, largest_body_mb, machine_mb),
+        "intake.connections": (intake.connections, 1, sockets),
+        "intake.headerFields": (intake.header_fields, MIN_HEADER_FIELDS, MAX_HEADER_FIELDS),
+        "intake.writeTimeoutMs": (intake.write_timeout_ms, 1.0, MAX_WRITE_TIMEOUT_MS),
+    }
+    for name, (value, lowest, highest) in ranges.items():
+        if value is not None and not lowest <= value <= highest:
+            raise SettingsError(path, name, value, f"{lowest:g} to {highest:g}")
