Free the bytes of a dropped body at once

Cause: a body whose bytes are needed for others was freed only when its own greenlet ran, after others had read more, and one that was late only by a collection: the traceback of its time-out refers to the frames that refer to the time-out. Change: the body is cleared when it is dropped and when its read ends. Connections are ranked by a table.

--- a/src/lavenderhook/_internal/adapters/bodies.py
+++ b/src/lavenderhook/_internal/adapters/bodies.py
@@ -68,6 +68,7 @@
         self._rfile = rfile
         self._budget = budget
         self._is_dropped = False
+        self._body = bytearray()
 
     def read(self, stream: Input, limit: int, expected: int | None) -> bytes:
         """Return a body of `expected` bytes, or of unknown length if that is None.
@@ -81,16 +82,20 @@
         OSError
             If it can't be read.
         """
-        body = bytearray()
-        while not self._is_dropped and (block := self._read_block(stream, expected)):
-            if len(body) + len(block) > limit:
-                raise PayloadTooLargeError(f"the body exceeds the limit of {limit} bytes")
-            self._reserve(len(block))
-            body += block
-        if self._is_dropped:
-            raise IntakeFullError("the instance has no memory for further requests")
-        self._budget.complete(self._connection)
-        return bytes(body)
+        try:
+            while block := self._read_block(stream, expected):
+                if self._is_dropped:
+                    break
+                if len(self._body) + len(block) > limit:
+                    raise PayloadTooLargeError(f"the body exceeds the limit of {limit} bytes")
+                self._reserve(len(block))
+                self._body += block
+            if self._is_dropped:
+                raise IntakeFullError("the instance has no memory for further requests")
+            self._budget.complete(self._connection)
+            return bytes(self._body)
+        finally:
+            self._body.clear()
 
     def _read_block(self, stream: Input, expected: int | None) -> bytes:
         if expected is None:
@@ -112,6 +117,7 @@
     def _drop(self) -> None:
         """End the reading of a body whose bytes are needed for others."""
         self._is_dropped = True
+        self._body.clear()  # its own greenlet may run only after others have read more
         with contextlib.suppress(OSError):
             self._socket.shutdown(sockets.SHUT_RD)
 
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -120,8 +120,11 @@
                 body = self._environ["wsgi.input"].read(expected)
             else:
                 timeout_error = RequestTimeoutError("the request body was not complete in time")
-                with gevent.Timeout(self._limits.read_seconds, timeout_error):
-                    body = handler.read_body(limit, expected)
+                try:
+                    with gevent.Timeout(self._limits.read_seconds, timeout_error):
+                        body = handler.read_body(limit, expected)
+                finally:
+                    del timeout_error  # its traceback refers to this frame
         except (LavenderhookError, OSError) as error:
             if isinstance(error, IntakeFullError):
                 handler.server.report_limit(Limit.BODY_BUDGET, handler)
@@ -233,6 +236,7 @@
             gevent.sleep(0)  # without a pause, they would keep the event loop busy
         timeout_error = RequestTimeoutError("the request head was not complete in time")
         self._head_timeout = gevent.Timeout(limits.read_seconds, timeout_error)
+        del timeout_error  # its traceback refers to this frame
         buffered = self.rfile.peek(1)
         head_end = buffered.find(HEAD_END)
         if head_end < 0:
--- a/src/lavenderhook/_internal/adapters/intake.py
+++ b/src/lavenderhook/_internal/adapters/intake.py
@@ -39,7 +39,7 @@
 
 
 # A connection in a phase that isn't listed has a request that may have been carried out.
-CLOSING_ORDER = (Phase.CLOSING, Phase.IDLE, Phase.READING, Phase.WRITING)
+CLOSING_RANKS = {Phase.CLOSING: 0, Phase.IDLE: 1, Phase.READING: 2, Phase.WRITING: 3}
 
 
 class Connection(Protocol):
@@ -59,12 +59,8 @@
     their request or read their response for the longest time. So connections that are held open
     can't keep out a new client.
     """
-    candidates = (c for c in connections if c.phase in CLOSING_ORDER)
-    return min(
-        candidates,
-        key=lambda c: (CLOSING_ORDER.index(c.phase), c.phase_began_at),
-        default=None,
-    )
+    candidates = (c for c in connections if c.phase in CLOSING_RANKS)
+    return min(candidates, key=lambda c: (CLOSING_RANKS[c.phase], c.phase_began_at), default=None)
 
 
 class _HeldBody:
