Show open connections and test the reports about clients

Cause: an operator could not see how near a listener is to its limit, and no test guarded the counters and lines about clients that met one. Change: a gauge of the open connections of each listener, and a scenario that reads the metrics and the log after a crowd.

--- a/features/door.feature
+++ b/features/door.feature
@@ -114,3 +114,10 @@
       | readiness           |
       | metrics             |
       | the peers' address  |
+
+  Scenario: An operator sees which limit clients meet
+    Guards against refusals without a trace, and against a crowd that fills the log.
+    Given an entry instance on a small machine
+    When 300 clients send bodies in one piece to a path with a route
+    Then the metrics count clients limited by "body-budget"
+    And the log has "client-limited" lines, but no more than 5 a second
--- a/features/steps/door.py
+++ b/features/steps/door.py
@@ -1,5 +1,8 @@
 """Steps with crowds of clients that misuse the addresses of an entry process."""
 
+import collections
+import json
+
 import gevent
 from behave import given, then, when
 
@@ -78,3 +81,22 @@
     state = cluster.wait_state(0, name, "completed", RUN_SECONDS)
     assert state == "completed", state
     assert cluster.entries[0].is_ready(), "the readiness check fails"
+
+
+@then('the metrics count clients limited by "{limit}"')
+def step_counted(context, limit):
+    cluster, entry = context.cluster, context.cluster.entries[0]
+    address = choose_target(entry, "metrics").address
+    text = cluster.client.call(address, "GET", "/metrics", timeout=5.0).body.decode()
+    lines = [line for line in text.splitlines() if "clients_limited_total{" in line]
+    assert any(f'limit="{limit}"' in line for line in lines), lines
+
+
+@then('the log has "{event}" lines, but no more than {count:d} a second')
+def step_logged(context, event, count):
+    lines = context.cluster.entries[0].log.read_text(encoding="utf-8").splitlines()
+    records = [json.loads(line) for line in lines if f'"{event}"' in line]
+    assert records
+    # A second of the log may overlap two of the process.
+    seconds = collections.Counter(int(record["time"]) for record in records)
+    assert max(seconds.values()) <= 2 * count, seconds
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -87,23 +87,17 @@
             report_error=self.log.log_failure,
         )
         frontend = self._frontend = Frontend(self.instance, self.log_event)
+        listen = settings.listen
+        create = functools.partial(self._create_listener, budget=self._budget)
         self._listeners = [
-            self._create_listener(name, address, route, limits, self._budget)
-            for name, address, route, limits in (
-                (
-                    "readiness",
-                    settings.listen.readiness,
-                    frontend.route_readiness,
-                    intake.readiness,
-                ),
-                ("callers", settings.listen.frontend, frontend.route, intake.callers),
-                (
-                    "metrics",
-                    f"{settings.ip}:{settings.metrics_port}",
-                    self._serve_metrics,
-                    intake.metrics,
-                ),
-            )
+            create("readiness", listen.readiness, frontend.route_readiness, intake.readiness),
+            create("callers", listen.frontend, frontend.route, intake.callers),
+            create(
+                "metrics",
+                f"{settings.ip}:{settings.metrics_port}",
+                self._serve_metrics,
+                intake.metrics,
+            ),
         ]
         register_gauge = self.metrics.register_gauge
         register_gauge("is_owner", lambda: float(self.instance.is_owner()))
@@ -123,7 +117,7 @@
         self, name: str, address: str, route: Route, limits: ListenerLimits, budget: BodyBudget
     ) -> Listener:
         host, _, port = address.rpartition(":")
-        return Listener(
+        listener = Listener(
             (host, int(port)),
             limits,
             route,
@@ -131,6 +125,10 @@
             budget=budget,
             report_limit=functools.partial(self._reports.report, name),
         )
+        self.metrics.register_gauge(
+            "connections_open", lambda: float(len(listener.handlers)), listener=name
+        )
+        return listener
 
     def log_event(self, what: str, **fields: object) -> None:
         """Log a decision and update its metrics."""
