--- a/features/steps/waiting_order.py
+++ b/features/steps/waiting_order.py
@@ -86,17 +86,34 @@
     assert in_time >= former_in_time, (context.by_losses, context.by_limits)
 
 
+def make_entry(steps, priority, age):
+    """Return the state of a submission that is some seconds old at time 0."""
+    submission = make_submission("s", steps, priority=priority, **OBJECTIVE)
+    return SubmissionProgress(submission, 1, -age, 1)
+
+
+def rank_first_step(context, entry):
+    """Add the rank of the first step at time 0 to those of the scenario."""
+    rank = LeastLossByWaiting(DurationEstimates()).rank(entry, entry.steps[(0, 0)], 0.0)
+    context.ranks = [*getattr(context, "ranks", []), rank]
+
+
 @given(
     "a submission with priority {priority:d} of age {age:g} with {done:d} of {count:d} tasks done"
 )
 def step_waiting(context, priority, age, done, count):
-    submission = make_submission("s", [make_step(count, 2000, 2.0)], priority=priority, **OBJECTIVE)
-    entry = SubmissionProgress(submission, 1, -age, 1)
+    entry = make_entry([make_step(count, 2000, 2.0)], priority, age)
     step = entry.steps[(0, 0)]
     for index in range(done):
         step.mark_done(index)
-    rank = LeastLossByWaiting(DurationEstimates()).rank(entry, step, 0.0)
-    context.ranks = [*getattr(context, "ranks", []), rank]
+    rank_first_step(context, entry)
+
+
+@given("a submission of a step of {seconds:g} seconds and a service after it")
+def step_before_service(context, seconds):
+    service = make_step(1, 1000, 0.0, is_service=True, after=(0,))
+    entry = make_entry([make_step(1, 2000, seconds), service], 0, 0.0)
+    rank_first_step(context, entry)
 
 
 @then("the first submission goes before the second one")
--- a/features/waiting_order.feature
+++ b/features/waiting_order.feature
@@ -28,6 +28,12 @@
       | 1  | 2    | 0     | 1  | 0    | 0     | the newer one of two like submissions first         |
       | 1  | 0    | 5     | 1  | 0    | 0     | more submissions begun than can be ended            |
 
+  Scenario: A step before a service is in time
+    Guards against a step that goes last since what comes after it never ends.
+    Given a submission of a step of 2 seconds and a service after it
+    And a submission with priority 0 of age 9 with 0 of 10 tasks done
+    Then the first submission goes before the second one
+
   Scenario Outline: A kind is judged by its runs, and few runs change little
     Guards against work that seems to be in time and never is, and an order that follows an outlier.
     Given <runs> runs that took <factor> times as long as estimated
--- a/src/lavenderhook/_internal/queueing/losses_by_waiting.py
+++ b/src/lavenderhook/_internal/queueing/losses_by_waiting.py
@@ -6,11 +6,12 @@
 
 import msgspec
 
-from .durations import DurationEstimates
+from .durations import DurationEstimates, ExpectedDuration
 from .model import StepId
 from .ranking import ESTIMATE_MARGIN, USELESS_AFTER_OBJECTIVES, StepRanking
 from .submissions import StepProgress, SubmissionProgress
 
+NO_DURATION = ExpectedDuration(0.0, 0.0)
 MIN_CORE_SECONDS = 0.01  # of fillers, which need no processors
 # Hundreds of steps are ranked in each placement pass, and what they need changes slowly.
 REUSE_SECONDS = 0.25
@@ -45,17 +46,19 @@
 def estimate_remaining(
     entry: SubmissionProgress, step: StepProgress, durations: DurationEstimates
 ) -> RemainingWork:
-    """Return the work that a submission still needs, with the chain that begins with a step."""
+    """Return the work that a submission still needs, with the chain that begins with a step.
+
+    Services don't count, as their tasks have no end.
+    """
     queue = entry.submission.queue.name
     chains: dict[int, tuple[float, float]] = {}  # from the step through each one after it
     left = total = 0.0
     for index, spec in enumerate(entry.submission.steps):
-        expected = durations.estimate(queue, spec)
-        if not spec.is_service:
-            core_seconds = expected.typical * spec.resources.processors / 1000
-            done = len(entry.steps[(step.id.occurrence, index)].done)
-            left += core_seconds * (spec.count - done)
-            total += core_seconds * spec.count
+        expected = NO_DURATION if spec.is_service else durations.estimate(queue, spec)
+        core_seconds = expected.typical * spec.resources.processors / 1000
+        done = len(entry.steps[(step.id.occurrence, index)].done)
+        left += core_seconds * (spec.count - done)
+        total += core_seconds * spec.count
         earlier = [chains[i] for i in spec.after if i in chains]
         if index == step.id.step:
             # A checkpoint saves an unknown part of the task.
