--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -268,6 +268,9 @@
             routes=lists.decode_configuration(content, ignore_event)
         )
 
+    def refuse(self, _submission, _deadline):
+        """Refuse none for lack of room."""
+
     def submit(self, submission, _deadline):
         """Accept a submission that an owner could read."""
         check_submission(submission)
