--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -279,6 +279,9 @@
             measure_age=lambda: 0.0,
         )
 
+    def refuse(self, _submission, _deadline):
+        """Refuse none for lack of room."""
+
     def submit(self, submission, _deadline):
         """Accept a submission that an owner could read."""
         check_submission(submission)
