Compare speeds of eight workers or more

Cause: with four workers, the median is no typical worker, and noise in the runs of small fleets changed where their tasks go. Change: eight workers with evidence are needed before any is slow, so that smaller fleets are served as before.

--- a/src/lavenderhook/_internal/queueing/speeds.py
+++ b/src/lavenderhook/_internal/queueing/speeds.py
@@ -23,7 +23,7 @@
 MAX_OBSERVED_STEPS = 15  # newest on one worker; half of them outvote a temporary slowness
 MAX_OBSERVATION_AGE_SECONDS = 60.0
 MIN_OBSERVED_STEPS = 1  # on a worker that is compared with others
-MIN_COMPARED_WORKERS = 4  # for any to become slow
+MIN_COMPARED_WORKERS = 8  # for any to become slow; the median of fewer is no typical worker
 MIN_QUEUE_RUNS = 5  # before the runs of a queue tell anything about workers
 MIN_SMOOTHING = 1 / 400  # weight of the newest run in the typical duration of a queue
 # Bounds the influence that one run far longer than the others has on a mean.
