--- a/features/organisation_keys.feature
+++ b/features/organisation_keys.feature
@@ -76,17 +76,18 @@
     Given 2 entry instances and 2 queue workers
     When the owner has reached every worker
     And version 2 declares "a first-key,second-key 1 0; b other-key 1 0"
-    Then every instance answers a GET with "second-key" with 200 within 2.0 seconds
+    Then every instance answers a call with "made-up-key" with 401 within 2.0 seconds
+    And every instance answers a call with "second-key" with 400 within 2.0 seconds
     And calls with no key and with "made-up-key" get 401, and nothing is stored
     When submission "00000000000000a1" is sent with "first-key" and again with "second-key"
     Then its row names the organisation "a", and it completes
     When version 3 declares "a first-key,third-key 1 0; b other-key 1 0"
-    Then every instance answers a GET with "second-key" with 401 within 2.0 seconds
-    And every instance answers a GET with "third-key" with 200 within 2.0 seconds
+    Then every instance answers a call with "second-key" with 401 within 2.0 seconds
+    And every instance answers a call with "third-key" with 400 within 2.0 seconds
     And calls with no key and with "second-key" get 401, and nothing is stored
     When both instances are killed and started again
-    Then every instance answers a GET with "second-key" with 401 within 5.0 seconds
-    And every instance answers a GET with "third-key" with 200 within 5.0 seconds
+    Then every instance answers a call with "second-key" with 401 within 5.0 seconds
+    And every instance answers a call with "third-key" with 400 within 5.0 seconds
     When 60 calls with "made-up-key" are sent to instance 0
     Then its log has at most 5 lines "call-unauthenticated" a second, and no log has a key
     And the metrics of instance 0 include
@@ -98,11 +99,12 @@
     Given 4 entry instances and 1 queue workers
     When the owner has reached every worker
     And version 2 declares "a first-key,second-key 1 0"
-    Then every instance answers a GET with "second-key" with 200 within 2.0 seconds
+    Then every instance answers a call with "made-up-key" with 401 within 2.0 seconds
+    And every instance answers a call with "second-key" with 400 within 2.0 seconds
     When the store's mode towards instances 1 and 2 becomes <mode>
     And 1.0 seconds of real time pass
     And version 3 declares "a first-key,third-key 1 0"
-    Then every instance answers a GET with "second-key" with 401 within 7.0 seconds
+    Then every instance answers a call with "second-key" with 401 within 7.0 seconds
     And every instance takes submissions with "third-key" within 7.0 seconds
 
     Examples:
@@ -115,7 +117,8 @@
     Given 2 entry instances and 1 queue workers
     When the owner has reached every worker
     And version 2 declares "a first-key 1 0"
-    Then every instance answers a GET with "first-key" with 200 within 2.0 seconds
+    Then every instance answers a call with "made-up-key" with 401 within 2.0 seconds
+    And every instance answers a call with "first-key" with 400 within 2.0 seconds
     When submission "00000000000000a1" is sent with "first-key" and again with "first-key"
     Then its row names the organisation "a", and it completes
     When the store's mode is busy
@@ -123,19 +126,20 @@
     Then every instance answers a GET of the submission with "first-key" with 200 within 1.0 seconds
     And every instance answers a GET of the submission with "made-up-key" with 503 within 1.0 seconds
     When the store's mode is up
-    Then every instance answers a GET with "made-up-key" with 401 within 3.0 seconds
+    Then every instance answers a call with "made-up-key" with 401 within 3.0 seconds
 
   Scenario: A strict deployment serves no key while it may miss a revocation
     Guards against a revoked key that is served in an outage although the deployment forbids it.
     Given 1 entry instances with the bounds "strictRevocation = true" and "revokeMs = 2000"
     When the owner has reached every worker
     And version 2 declares "a first-key 1 0"
-    Then every instance answers a GET with "first-key" with 200 within 2.0 seconds
+    Then every instance answers a call with "made-up-key" with 401 within 2.0 seconds
+    And every instance answers a call with "first-key" with 400 within 2.0 seconds
     When the store's mode is busy
     And 3.5 seconds of real time pass
-    Then every instance answers a GET with "first-key" with 503 within 1.0 seconds
+    Then every instance answers a call with "first-key" with 503 within 1.0 seconds
     When the store's mode is up
-    Then every instance answers a GET with "first-key" with 200 within 3.0 seconds
+    Then every instance answers a call with "first-key" with 400 within 3.0 seconds
 
   Scenario: A mistake in the list of organisations changes nothing in force
     Guards against organisations that lose their access because of a mistake in an entry, and against
@@ -143,16 +147,17 @@
     Given 2 entry instances and 1 queue workers
     When the owner has reached every worker
     And version 2 declares "a first-key,second-key 1 0; b other-key 1 0"
-    Then every instance answers a GET with "other-key" with 200 within 2.0 seconds
+    Then every instance answers a call with "made-up-key" with 401 within 2.0 seconds
+    And every instance answers a call with "other-key" with 400 within 2.0 seconds
     When version 3 declares "a first-key 1 0; b other-key 1 0; c third-key 1 0" with 0.weight = -1
-    Then every instance answers a GET with "second-key" with 401 within 2.0 seconds
-    And every instance answers a GET with "third-key" with 200 within 2.0 seconds
+    Then every instance answers a call with "second-key" with 401 within 2.0 seconds
+    And every instance answers a call with "third-key" with 400 within 2.0 seconds
     When version 4 declares "a first-key 1 0; b other-key 1 0" with the whole list = 7
     And the store truncates its change history
     And 2.0 seconds of real time pass
-    Then every instance answers a GET with "first-key" with 200 within 1.0 seconds
-    And every instance answers a GET with "third-key" with 200 within 1.0 seconds
-    And every instance answers a GET with "made-up-key" with 401 within 9.0 seconds
+    Then every instance answers a call with "first-key" with 400 within 1.0 seconds
+    And every instance answers a call with "third-key" with 400 within 1.0 seconds
+    And every instance answers a call with "made-up-key" with 401 within 9.0 seconds
     And each log has one line "organisation-unreadable" for "tenants.0.weight" and one for "tenants"
 
   Scenario: Public routes and configurations without organisations need no key
@@ -163,7 +168,7 @@
     And 1.0 seconds of real time pass
     Then a GET of "/jobs/00000000000000a4" is answered with 410
     When version 3 declares "a first-key 1 0"
-    Then every instance answers a GET with "made-up-key" with 401 within 2.0 seconds
+    Then every instance answers a call with "made-up-key" with 401 within 2.0 seconds
     And a GET of "/nowhere/00000000000000a4" is answered with 404
     When version 4 of the configuration adds "/more/"
-    Then every instance answers a GET with "made-up-key" with 200 within 2.0 seconds
+    Then every instance answers a call with "made-up-key" with 400 within 2.0 seconds
--- a/features/steps/organisation_keys.py
+++ b/features/steps/organisation_keys.py
@@ -27,7 +27,7 @@
 BOUND_SECONDS = 3.0
 STRICT_SECONDS = 5.0
 PATH = "/jobs/00000000000000ff"
-QUEUE_PATH = "/jobs/"  # of its count of submissions, which needs no store
+QUEUE_PATH = "/jobs/"
 # The ends of all keys in the texts of the scenarios: none may occur in a log or in a message.
 KEYS = re.compile(r"-key\b|\bk[1-5]\b")
 
@@ -190,11 +190,13 @@
     write_organisations(context, version, json.dumps(make_entries(text)), is_public=True)
 
 
-@then('every instance answers a GET with "{key}" with {status:d} within {seconds:f} seconds')
+@then('every instance answers a call with "{key}" with {status:d} within {seconds:f} seconds')
 def step_all_answer_key(context, key, status, seconds):
     context.cluster.key = key
+    # A submission without a body is answered with 400, if the key is accepted: that needs neither
+    # the owner nor the store.
     wait_for_statuses(
-        context, lambda index: context.cluster.call(index, "GET", QUEUE_PATH), status, seconds
+        context, lambda index: context.cluster.call(index, "POST", PATH), status, seconds
     )
 
 
