Refuse submissions wider than their organisation may run

Cause: a task or gang above its organisation's limit was accepted and waited for good. Change: the check of the quotas runs where submissions are checked at acceptance.

--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -20,6 +20,7 @@
     Submission,
     SubmissionId,
 )
+from .._internal.queueing.quotas import check_within_limit
 from .._internal.queueing.routes import QueueRoute
 from .._internal.queueing.validation import MAX_STEPS, check_submission
 from ..errors import (
@@ -255,6 +256,9 @@
             organisation=caller,
         )
         check_submission(submission)
+        routes = self._instance.configuration.routes
+        if routes is not None and routes.organisations is not None:
+            check_within_limit(submission, routes.organisations.get(caller))
         retry_after = self._instance.refuse(submission, deadline)
         if retry_after is not None:
             return Reply(status=503, headers=(("Retry-After", str(retry_after)),))
