--- a/features/steps/waiting_order.py
+++ b/features/steps/waiting_order.py
@@ -41,7 +41,7 @@
 def play_load(ranking, share, seed):
     """Play a load with a ranking; return how many results are in time, and of use."""
     simulation = QueueSimulation(seed, workers=WORKERS)
-    simulation.start_new_owner().state.scheduler._ranking = ranking
+    simulation.start_new_owner().state.scheduler._ranking._other = ranking
     generator = random.Random(seed)
     due = {}  # time of arrival and objective
     for priority, (processors, seconds, mean_count, load) in enumerate(LOAD_KINDS):
