--- a/features/slow_store.feature
+++ b/features/slow_store.feature
@@ -45,3 +45,23 @@
     Given 100 submissions with new progress, of which the last 10 are to end
     Then a commit to a slow store begins with these 10 and leaves 55 for later
     And a commit to a quick store has all 100
+
+  Scenario: Progress is stored, and finished runs are acknowledged, beside many final states
+    Guards against workers that report all finished runs again and again, and suspects that never
+    start, while a slow store is always behind.
+    Given 200 submissions with new progress, of which the last 100 are to end
+    When 30 commits to a slow store are made, and 50 more submissions are to end after each
+    Then all of the first 200 are stored
+    And finished runs were acknowledged at least twice
+
+  Scenario Outline: A repeated call isn't refused while an earlier write may take effect
+    Guards against a caller that is told that a submission never runs while its first attempt is
+    still being stored.
+    Given an instance that has begun <begun> writes of a submission
+    When one of them ends as "not-stored"
+    Then the caller is told "<told>"
+
+    Examples:
+      | begun | told       |
+      | 1     | not-stored |
+      | 2     | unknown    |
--- a/features/steps/slow_store.py
+++ b/features/steps/slow_store.py
@@ -7,14 +7,18 @@
 from behave import given, then, when
 
 from features.support.row_table import RowTable
+from lavenderhook._internal.instance.admission import AdmissionControl
 from lavenderhook._internal.instance.slow_store import (
     choose_confirmation_limit,
     choose_gathering_instance,
     compute_hedge_delay,
     compute_outage_seconds,
 )
-from lavenderhook._internal.instance.submission_writer import SubmissionWriter
-from lavenderhook._internal.queueing.commit_order import choose_submissions_to_commit
+from lavenderhook._internal.instance.submission_writer import SubmissionWriter, WriteResult
+from lavenderhook._internal.queueing.commit_order import (
+    CommitPlanner,
+    choose_submissions_to_commit,
+)
 from lavenderhook._internal.queueing.model import QueueTerms, StepSpec, Submission
 from lavenderhook._internal.queueing.records import SUBMISSION_PARTS
 from lavenderhook.errors import StoreBusyError, TransportError
@@ -34,7 +38,8 @@
 @then("an owner has at most {idle:d} confirmations in flight, and {committing:d} beside a commit")
 def step_confirmations(context, idle, committing):
     found = [
-        choose_confirmation_limit(context.latency, is_committing=beside) for beside in (False, True)
+        choose_confirmation_limit(context.latency, 0.5, is_committing=beside)
+        for beside in (False, True)
     ]
     assert found == [idle, committing], found
 
@@ -75,6 +80,10 @@
         self.loses_response = loses_response
         self.transactions = 0
 
+    def measure_latency_seconds(self):
+        """Return what calls of a slow store take."""
+        return 0.5
+
     def transact(self, writes, conditions=(), deletes=()):
         """Refuse the transaction, or carry it out."""
         self.transactions += 1
@@ -137,3 +146,48 @@
 def step_quick_commit(context, count):
     now, later = choose_submissions_to_commit(context.changed, context.entries, is_store_slow=False)
     assert (len(now), later) == (count, [])
+
+
+@when(
+    "{commits:d} commits to a slow store are made, and {count:d} more submissions are to end "
+    "after each"
+)
+def step_lasting_backlog(context, commits, count):
+    planner = CommitPlanner()
+    changed = dict.fromkeys(context.changed)
+    context.stored, context.acknowledged = set(), 0
+    for commit in range(commits):
+        now, changed = planner.begin(changed, {}, context.entries, is_store_slow=True)
+        for index in range(count):
+            added = f"{commit}-{index}"
+            context.entries[added] = types.SimpleNamespace(is_finalizing=True)
+            changed[added] = None
+        context.stored.update(now)
+        context.acknowledged += planner.end(now, changed, is_stored=True) is not None
+
+
+@then("all of the first {count:d} are stored")
+def step_all_stored(context, count):
+    assert len(context.stored.intersection(context.changed)) == count
+
+
+@then("finished runs were acknowledged at least twice")
+def step_acknowledged(context):
+    assert context.acknowledged >= 2, context.acknowledged
+
+
+@given("an instance that has begun {count:d} writes of a submission")
+def step_begun(context, count):
+    context.admission = AdmissionControl(lambda _: False, lambda *_, **__: None)
+    for _ in range(count):
+        context.admission.begin_write("00000000000000aa")
+
+
+@when('one of them ends as "{result}"')
+def step_ended(context, result):
+    context.told = context.admission.end_write("00000000000000aa", WriteResult(result))
+
+
+@then('the caller is told "{result}"')
+def step_told(context, result):
+    assert context.told is WriteResult(result), context.told
--- a/src/lavenderhook/_internal/instance/admission.py
+++ b/src/lavenderhook/_internal/instance/admission.py
@@ -55,8 +55,8 @@
         self._log_event = log_event
         self._backlog = Backlog()
         self._measured_at = -BACKLOG_MAX_AGE_SECONDS
-        # Submissions whose write has begun here, in this order.
-        self._attempts: dict[SubmissionId, None] = {}
+        # By submission, how many writes have begun here that may take effect, in this order.
+        self._attempts: dict[SubmissionId, int] = {}
 
     def record_backlog(self, backlog: Backlog, asked_at: float) -> None:
         """Record the owner's answer to a call that was sent at a monotonic time in seconds."""
@@ -65,14 +65,24 @@
 
     def begin_write(self, submission: SubmissionId) -> None:
         """Record that a submission may be stored from now on."""
-        self._attempts[submission] = None
+        self._attempts[submission] = self._attempts.get(submission, 0) + 1
         if len(self._attempts) > MAX_ATTEMPTS:
             self._attempts.pop(next(iter(self._attempts)))
 
-    def end_write(self, submission: SubmissionId, result: WriteResult) -> None:
-        """Record the result of a write."""
-        if result is WriteResult.NOT_STORED:
-            self._attempts.pop(submission, None)
+    def end_write(self, submission: SubmissionId, result: WriteResult) -> WriteResult:
+        """Record the result of a write; return what is known of all that have begun here.
+
+        Handles a caller that repeats a call whose write is still in progress, or has lost its
+        response: the second write may fail for certain, and the first one still take effect.
+        """
+        if result is not WriteResult.NOT_STORED:
+            return result
+        left = self._attempts.get(submission, 1) - 1
+        if left > 0:
+            self._attempts[submission] = left
+            return WriteResult.UNKNOWN
+        self._attempts.pop(submission, None)
+        return result
 
     def find_refusal(self, submission: Submission, now: float) -> Refusal | None:
         """Return why a submission is refused at a monotonic time in seconds, or None."""
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -191,7 +191,7 @@
         """Store a submission, directly or through a peer."""
         self._admission.begin_write(submission.id)
         result = self._write_submission(submission, deadline)
-        self._admission.end_write(submission.id, result)
+        result = self._admission.end_write(submission.id, result)
         self._log_event(
             "submission-" + result.value,
             submission=submission.id,
@@ -543,7 +543,7 @@
             deadline = time.monotonic() + request.seconds
             self._admission.begin_write(request.submission.id)
             result = self._writer.store_submission(request.submission, deadline)
-            self._admission.end_write(request.submission.id, result)
+            result = self._admission.end_write(request.submission.id, result)
         if result is WriteResult.STORED:
             self._record_accepted(request.submission)
         return peers.reply_message(peers.WriteResponse(result))
--- a/src/lavenderhook/_internal/instance/forwarding.py
+++ b/src/lavenderhook/_internal/instance/forwarding.py
@@ -17,6 +17,8 @@
 PEER_SKIP_SECONDS = 3.0
 PEER_REFUSAL_VALID_SECONDS = 1.0  # after all peers asked failed to write
 PEER_WRITE_TIMEOUT_SECONDS = 0.9
+# Calls to a peer share few connections, and one that is gone would keep them.
+MAX_GATHERING_SECONDS = 3.0
 PEER_RESPONSE_SECONDS = 0.1  # left for the response of the peer that gathers writes
 OUTAGE_CHECK_INTERVAL_SECONDS = 0.1  # between checks whether the store still answers
 
@@ -62,8 +64,11 @@
         address : str
             Of that peer.
         """
-        seconds = max(0.0, deadline - time.monotonic() - PEER_RESPONSE_SECONDS)
-        gathered = gevent.spawn(write_remotely, address, seconds)
+        now = time.monotonic()
+        if self._skipped_until.get(address, 0.0) > now:
+            return self.write(write_locally, write_remotely, deadline)
+        seconds = min(max(0.0, deadline - now - PEER_RESPONSE_SECONDS), MAX_GATHERING_SECONDS)
+        gathered = gevent.spawn(self._write_at, address, write_remotely, seconds)
         gathered.join(min(seconds, compute_hedge_delay(self._store.measure_latency_seconds())))
         if gathered.ready() and gathered.value in (WriteResult.STORED, WriteResult.NO_SUCH):
             return gathered.value
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -29,7 +29,7 @@
 from ..queueing.authority import is_proof_valid
 from ..queueing.commit_order import (
     MAX_SUBMISSIONS_PER_TRANSACTION,
-    choose_submissions_to_commit,
+    CommitPlanner,
     list_unstored_positions,
 )
 from ..queueing.events import (
@@ -218,6 +218,7 @@
         self._has_proof = True
         self._confirmations = 0  # in flight
         self._is_committing = False
+        self._commit_planner = CommitPlanner()
         self._former_starts: dict[SubmissionId, list[LoggedStart]] = {}
         self._commit_seconds = 0.0  # duration of the last commit
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
@@ -687,8 +688,11 @@
 
         Reads may be stale, so that they don't prove that this is still the owner.
         """
-        latency_seconds = self._store.measure_latency_seconds()
-        limit = choose_confirmation_limit(latency_seconds, is_committing=self._is_committing)
+        limit = choose_confirmation_limit(
+            self._store.measure_latency_seconds(),
+            self._proof.measure_store_age(),
+            is_committing=self._is_committing,
+        )
         if self._confirmations < limit:
             self._confirmations += 1
             self._spawn(self._confirm_ownership)
@@ -847,12 +851,10 @@
             )
             if not self._dirty_submissions and not positions and not stores_starts:
                 continue
-            submissions, left = choose_submissions_to_commit(
-                self._dirty_submissions,
-                state.submissions,
-                is_store_slow=is_store_slow(self._store.measure_latency_seconds()),
+            is_slow = is_store_slow(self._store.measure_latency_seconds())
+            submissions, self._dirty_submissions = self._commit_planner.begin(
+                self._dirty_submissions, positions, state.submissions, is_store_slow=is_slow
             )
-            self._dirty_submissions = dict.fromkeys(left)
             self._is_committing = is_stored = True
             began_at = _now()
             for start in range(0, len(submissions) or 1, MAX_SUBMISSIONS_PER_TRANSACTION):
@@ -860,8 +862,11 @@
                     submissions[start : start + MAX_SUBMISSIONS_PER_TRANSACTION]
                 )
             self._is_committing, self._commit_seconds = False, _now() - began_at
-            if is_stored and not left:
-                self.apply(ProgressStored(now=_now(), stored_positions=positions))
+            stored = self._commit_planner.end(
+                submissions, self._dirty_submissions, is_stored=is_stored
+            )
+            if stored is not None:
+                self.apply(ProgressStored(now=_now(), stored_positions=stored))
                 self._progress_stored.set()
             elif not is_stored:
                 gevent.sleep(STORE_RETRY_SECONDS)
--- a/src/lavenderhook/_internal/instance/slow_store.py
+++ b/src/lavenderhook/_internal/instance/slow_store.py
@@ -49,14 +49,18 @@
     return max(STORE_OUTAGE_SECONDS, UNUSUAL_LATENCIES * latency_seconds)
 
 
-def choose_confirmation_limit(latency_seconds: float, *, is_committing: bool) -> int:
+def choose_confirmation_limit(
+    latency_seconds: float, proof_age_seconds: float, *, is_committing: bool
+) -> int:
     """Return how many confirmations of the ownership an owner may have in flight.
 
     Handles a part of the store that takes two transactions a second: final states wait behind each
     confirmation there, and confirmations that wait for others are too old once they are answered.
-    Commits of progress confirm the ownership as well.
+    Commits of progress confirm the ownership as well, unless they conflict: then the last proof
+    gets older than two calls take.
     """
-    if is_committing and is_store_slow(latency_seconds):
+    is_recent = proof_age_seconds < 2.0 * UNUSUAL_LATENCIES * latency_seconds
+    if is_committing and is_recent and is_store_slow(latency_seconds):
         return 0
     return max(1, min(MAX_CONFIRMATIONS, int(PROOF_SECONDS / max(latency_seconds, 0.001))))
 
--- a/src/lavenderhook/_internal/instance/submission_writer.py
+++ b/src/lavenderhook/_internal/instance/submission_writer.py
@@ -21,6 +21,7 @@
     decode,
     encode,
 )
+from .slow_store import is_store_slow
 
 MAX_ROWS_PER_TRANSACTION = 20  # the store limits a transaction's entries and bytes
 WRITE_RETRY_SECONDS = 0.15  # before a write of unknown outcome is repeated
@@ -196,8 +197,12 @@
             result = self._store.transact(writes)
         except StoreBusyError as error:
             self._log_event("intake-delayed", rows=len(batch), message=str(error))
+            is_slow = is_store_slow(self._store.measure_latency_seconds())
             for row in batch:
-                self._schedule_retry(row)
+                if is_slow or row.is_outcome_unknown:
+                    self._schedule_retry(row)
+                else:  # another instance may be served
+                    row.resolve(WriteResult.NOT_STORED)
             return
         except StoreUnavailableError as error:
             self._log_event("intake-refused", rows=len(batch), message=str(error))
--- a/src/lavenderhook/_internal/queueing/speeds.py
+++ b/src/lavenderhook/_internal/queueing/speeds.py
@@ -228,7 +228,8 @@
         self._steps.move_to_end(run.step)
         if len(self._steps) > MAX_KNOWN_STEPS:
             self._steps.popitem(last=False)
-        ratio = math.log(run.seconds / run.estimate_seconds)
+        # The difference of logarithms is finite for any positive estimate of a caller.
+        ratio = math.log(run.seconds) - math.log(run.estimate_seconds)
         if queue.count >= MIN_QUEUE_RUNS:
             speed.observe(run.step, ratio - queue.mean - step.get_mean(without=speed), now)
         known = speed.log_ratio if speed.steps >= MIN_OBSERVED_STEPS else 0.0
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -35,6 +35,7 @@
 CONNECTIONS = 64
 INITIAL_LATENCY_SECONDS = 0.1  # assumed before the first response
 LATENCY_SMOOTHING = 0.3  # weight of the newest call in the moving average
+LATENCY_VALID_SECONDS = 5.0  # after the last answered call
 JSON_HEADERS = (("Content-Type", "application/json"),)
 BUSY_STATUS = 429  # a part has a second's worth of transactions queued; nothing was done
 REFUSAL_STATUSES = (BUSY_STATUS, 503)  # the request had no effect
@@ -79,6 +80,7 @@
         self._last_response_at = 0.0
         self._newest_revision = 0
         self._latency_seconds = INITIAL_LATENCY_SECONDS
+        self._latency_recorded_at = 0.0
         self._exchanges: dict[gevent.Greenlet, float] = {}  # exchanges in progress and their start
 
     def close(self) -> None:
@@ -91,7 +93,8 @@
 
     def measure_latency_seconds(self) -> float:
         """Return the smoothed duration of recent calls that were answered, in seconds."""
-        return self._latency_seconds
+        is_old = time.monotonic() - self._latency_recorded_at > LATENCY_VALID_SECONDS
+        return INITIAL_LATENCY_SECONDS if is_old else self._latency_seconds
 
     def get_newest_revision(self) -> int:
         """Return the newest revision in any response of the store; 0 before the first."""
@@ -117,7 +120,11 @@
             self._observe("store_seconds", time.monotonic() - started_at, call=name)
 
     def _record_latency(self, seconds: float) -> None:
-        self._latency_seconds += (seconds - self._latency_seconds) * LATENCY_SMOOTHING
+        # An instance whose rows are gathered by others makes few calls: none may be left from the
+        # time at which the store was slow.
+        former_seconds = self.measure_latency_seconds()
+        self._latency_seconds = former_seconds + (seconds - former_seconds) * LATENCY_SMOOTHING
+        self._latency_recorded_at = time.monotonic()
 
     def _exchange(
         self, method: str, target: str, body: bytes, headers: Headers, timeout: float
@@ -157,7 +164,7 @@
         wait for the time-out of these calls although the store is available again.
         """
         now = time.monotonic()
-        outage_seconds = compute_outage_seconds(self._latency_seconds)
+        outage_seconds = compute_outage_seconds(self.measure_latency_seconds())
         was_unavailable = (
             self._calls_in_flight > 0 and now - self._unanswered_since > outage_seconds
         )
