Compare waiting steps only with workers that may have room

Cause: under a load far beyond all capacity, each placement pass compares hundreds of waiting steps with hundreds of full workers. Change: steps that aren't gangs, and have no tasks that avoid workers or may crash them, are compared with the workers that have room for the smallest waiting task; what is free of a worker only shrinks in a pass.

--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -226,6 +226,23 @@
     return not most or count_on_worker(step, worker) < most
 
 
+def list_workers_with_room(workers: Iterable[Worker], specs: Sequence[StepSpec]) -> list[Worker]:
+    """Return the workers that may have room for a task of any of the steps.
+
+    Handles a load far beyond all capacity: in each placement pass, hundreds of waiting steps would
+    be compared with hundreds of full workers. What is free of a worker only shrinks in a pass.
+    """
+    counted = [0 if spec.is_filler else spec.resources.processors for spec in specs]
+    processors = min(counted, default=0)
+    memory_mb = min((spec.resources.memory_mb for spec in specs), default=0)
+    return [
+        worker
+        for worker in workers
+        if worker.get_free_processors() >= processors
+        and worker.get_free_resources().memory_mb >= memory_mb
+    ]
+
+
 def choose_worker(
     policy: PlacementPolicy, step: StepProgress, candidates: Iterable[Worker], ends_at: float
 ) -> Worker | None:
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -21,6 +21,7 @@
     choose_worker,
     estimate_end,
     is_eligible,
+    list_workers_with_room,
 )
 from .quotas import Quotas
 from .ranking import StepRanking
@@ -107,11 +108,16 @@
             worker.listing.capacity.processors for worker in schedulable_workers
         )
         effects = self._send_planned_starts(now)
+        roomy_workers = list_workers_with_room(
+            schedulable_workers, [step.spec for _, _, step in candidates if not step.spec.is_gang]
+        )
         for rank, entry, step in candidates:
             try:
                 if not self.quotas.may_start(entry, step, now):
                     continue
-                effects += self._place_step(entry, step, schedulable_workers, rank, now)
+                needs_all = step.spec.is_gang or step.crash_histories or step.avoided
+                placed_on = schedulable_workers if needs_all else roomy_workers
+                effects += self._place_step(entry, step, placed_on, rank, now)
                 if step.spec.is_gang and step.waiting:
                     is_next = left_to_reserve > 0
                     step.plan = (
