Drop claims beyond a lowered limit, and give none to a step that can't fit

A claim whose step needs more than a limit that was lowered never ended, as the step stayed among the held ones: nothing of its organisation started until it was cancelled. A step beyond the limit was also chosen as the one held longest, so that no other of its organisation ever got a claim.

A claim ends when its needs exceed the limit or its organisation is unknown, and only steps within the limit are chosen. The two new scenarios failed before; organisation_limits passes.

--- a/features/organisation_limits.feature
+++ b/features/organisation_limits.feature
@@ -118,6 +118,33 @@
     Then "a" uses 16000 millicores
     And no invariant was violated
 
+  Scenario: A claim ends when the limit is lowered below it
+    Guards against an organisation whose work never starts again, as room is kept for a step that may
+    not run.
+    Given 4 workers and an owner
+    And organisation "a" may use 12000 millicores
+    When "a" submits "long" of 4 tasks of 2000 millicores and 6 seconds
+    And 0.5 seconds pass in the simulation
+    And "a" submits "large", a gang of 4 tasks of 2500 millicores
+    And 3 seconds pass in the simulation
+    And the limit of "a" changes to 8000 millicores
+    And "a" submits "small" of 1 tasks of 1000 millicores and 1 seconds
+    And 6 seconds pass in the simulation
+    Then "small" is completed
+    And "large" remains queued
+
+  Scenario: A step beyond the limit keeps no other from a claim
+    Guards against a gang that waits behind small tasks for ever beside one that may not run.
+    Given 4 workers and an owner
+    And organisation "a" may use 8000 millicores
+    When "a" submits "large", a gang of 4 tasks of 2500 millicores
+    And "a" submits 10 tasks of 2000 millicores a second for 20 seconds
+    And 2 seconds pass in the simulation
+    And "a" submits "gang", a gang of 4 tasks of 2000 millicores
+    And 8 seconds pass in the simulation
+    Then "gang" has started
+    And "large" remains queued
+
   Scenario: Work of organisations waits until an owner knows their limits
     Guards against an owner that starts any amount before it has read the configuration.
     Given 4 workers and an owner
--- a/src/lavenderhook/_internal/queueing/quotas.py
+++ b/src/lavenderhook/_internal/queueing/quotas.py
@@ -265,7 +265,10 @@
     def _review_claims(self, now: float) -> None:
         """Give up claims that aren't used, and let the step that has been held longest claim."""
         for name, claim in list(self._claims.items()):
-            if claim.step in self._held.get(name, ()):
+            organisation = self._by_name.get(name)
+            if organisation is None or not is_within(claim.needs, organisation.limit):
+                del self._claims[name]  # the limit is lower than when the step claimed
+            elif claim.step in self._held.get(name, ()):
                 claim.has_room_since = now
             elif not claim.is_waiting or now - claim.has_room_since >= MAX_CLAIM_SECONDS:
                 self.record_start(claim.step, name)
@@ -277,11 +280,12 @@
             organisation = self._by_name.get(name)
             if name in self._claims or organisation is None:
                 continue
-            longest = min(steps.values(), key=lambda step: self._held_since[step.id])
-            unit = compute_unit(longest.spec)
-            has_waited = now - self._held_since[longest.id] >= CLAIM_AFTER_SECONDS
-            if has_waited and is_within(unit, organisation.limit):
-                self._claims[name] = _Claim(longest.id, unit, now, is_waiting=False)
+            units = {id: compute_unit(step.spec) for id, step in steps.items()}
+            possible = [id for id, unit in units.items() if is_within(unit, organisation.limit)]
+            longest = min(possible, key=self._held_since.__getitem__, default=None)
+            if longest is None or now - self._held_since[longest] < CLAIM_AFTER_SECONDS:
+                continue
+            self._claims[name] = _Claim(longest, units[longest], now, is_waiting=False)
 
     def _make_line(
         self, decision: str, name: OrganisationName, held: int, limited: _LimitedTime, now: float
