Estimate remaining work in one pass per submission, and survive errors in a rank

The ranking walked all steps of a submission for each ready one: a submission of 1,000 independent steps occupied each owner in turn. One backward pass returns the remaining work of every step, and is kept per submission and occurrence. An error in a rank, which ended the owner, now blocks the submission for a while as an error of placement does.

--- a/features/steps/waiting_order.py
+++ b/features/steps/waiting_order.py
@@ -153,3 +153,41 @@
 @when('a submission "{name}" with priority {priority:d} arrives')
 def step_low(context, name, priority):
     context.simulation.submit(name, [make_step(3)], priority=priority)
+
+
+class CountingDurations(DurationEstimates):
+    """Estimates that count how often they are asked for."""
+
+    asked = 0
+
+    def estimate(self, queue, spec):
+        """Return the estimate, and count it."""
+        self.asked += 1
+        return super().estimate(queue, spec)
+
+
+@then("ranking {count:d} independent steps asks for {most:d} estimates")
+def step_count_estimates(context, count, most):
+    durations = CountingDurations()
+    ranking = LeastLossByWaiting(durations)
+    entry = make_entry([make_step(1, 1000, 1.0)] * count, 0, 0.0)
+    for step in entry.steps.values():
+        ranking.rank(entry, step, 0.0)
+    assert durations.asked == most, durations.asked
+
+
+@when('the rank of "{name}" fails with an error')
+def step_rank_fails(context, name):
+    class FailingRanking(LimitRanking):
+        def rank(self, entry, step, now):
+            if entry.submission.id == name:
+                raise ZeroDivisionError(name)
+            return super().rank(entry, step, now)
+
+    context.simulation.owners[-1].state.scheduler._ranking._other = FailingRanking()
+
+
+@then('the lines "{decision}" name "{name}" alone')
+def step_logged(context, decision, name):
+    lines = [line for _, line in context.simulation.decisions if line.decision == decision]
+    assert lines and all(line.fields["submission"] == name for line in lines), lines
--- a/features/waiting_order.feature
+++ b/features/waiting_order.feature
@@ -56,3 +56,18 @@
     When 31 seconds pass in the simulation
     Then "low" is completed
     And no invariant was violated
+
+  Scenario: The order of many ready steps takes time in proportion to their number
+    Guards against a submission of a thousand steps that occupies one owner after the other.
+    Then ranking 1000 independent steps asks for 1000 estimates
+
+  Scenario: An error in the rank of one submission stops no other
+    Guards against a submission that ends one owner after the other.
+    Given 1 workers and an owner
+    When the rank of "bad" fails with an error
+    And a submission "bad" of 1 tasks of 1000 millicores and 1 seconds arrives
+    And a submission "good" of 1 tasks of 1000 millicores and 1 seconds arrives
+    And 3 seconds pass in the simulation
+    Then "good" is completed
+    And "bad" remains queued
+    And the lines "placement-failed" name "bad" alone
--- a/src/lavenderhook/_internal/queueing/backlog.py
+++ b/src/lavenderhook/_internal/queueing/backlog.py
@@ -103,7 +103,7 @@
             continue
         if step.spec.is_service:
             continue
-        remaining = estimate_remaining(entry, step, durations)
+        remaining = estimate_remaining(entry, step.id.occurrence, durations)[step.id.step]
         objective_seconds = step.objective_at - step.due_at
         done_at = now + remaining.shortest_seconds
         if done_at > step.due_at + USELESS_AFTER_OBJECTIVES * objective_seconds:
--- a/src/lavenderhook/_internal/queueing/losses_by_waiting.py
+++ b/src/lavenderhook/_internal/queueing/losses_by_waiting.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from .durations import DurationEstimates, ExpectedDuration
-from .model import StepId
+from .model import SubmissionId
 from .ranking import ESTIMATE_MARGIN, USELESS_AFTER_OBJECTIVES, StepRanking
 from .submissions import StepProgress, SubmissionProgress
 
@@ -44,33 +44,33 @@
 
 
 def estimate_remaining(
-    entry: SubmissionProgress, step: StepProgress, durations: DurationEstimates
-) -> RemainingWork:
-    """Return the work that a submission still needs, with the chain that begins with a step.
+    entry: SubmissionProgress, occurrence: int, durations: DurationEstimates
+) -> list[RemainingWork]:
+    """Return, by step, the work that one occurrence of a submission still needs.
 
+    Handles submissions of a thousand steps that are all ready: one pass over the steps serves all.
     Services don't count, as their tasks have no end.
     """
-    queue = entry.submission.queue.name
-    chains: dict[int, tuple[float, float]] = {}  # from the step through each one after it
+    queue, specs = entry.submission.queue.name, entry.submission.steps
+    chains: list[tuple[float, float]] = [(0.0, 0.0)] * len(specs)
+    following = list(chains)  # the longest chains of the steps after each one
     left = total = 0.0
-    for index, spec in enumerate(entry.submission.steps):
+    for index in reversed(range(len(specs))):
+        spec, step = specs[index], entry.steps[(occurrence, index)]
         expected = NO_DURATION if spec.is_service else durations.estimate(queue, spec)
         core_seconds = expected.typical * spec.resources.processors / 1000
-        done = len(entry.steps[(step.id.occurrence, index)].done)
-        left += core_seconds * (spec.count - done)
+        left += core_seconds * (spec.count - len(step.done))
         total += core_seconds * spec.count
-        earlier = [chains[i] for i in spec.after if i in chains]
-        if index == step.id.step:
-            # A checkpoint saves an unknown part of the task.
-            shortest = 0.0 if step.checkpoints else expected.shortest
-            chains[index] = (expected.typical, shortest)
-        elif earlier:
-            typical, shortest = max(earlier)
-            chains[index] = (typical + expected.typical, shortest + expected.shortest)
-    typical, shortest = max(chains.values())
-    return RemainingWork(
-        typical, shortest, max(left, MIN_CORE_SECONDS), max(total, MIN_CORE_SECONDS)
-    )
+        typical, shortest = following[index]
+        typical += expected.typical
+        # A checkpoint saves an unknown part of the task.
+        chains[index] = (typical, shortest + (0.0 if step.checkpoints else expected.shortest))
+        for earlier in spec.after:
+            if earlier < index:
+                chain = (typical, shortest + expected.shortest)
+                following[earlier] = max(following[earlier], chain)
+    left, total = max(left, MIN_CORE_SECONDS), max(total, MIN_CORE_SECONDS)
+    return [RemainingWork(*chain, left, total) for chain in chains]
 
 
 class LeastLossByWaiting(StepRanking):
@@ -91,7 +91,7 @@
 
     def __init__(self, durations: DurationEstimates) -> None:
         self._durations = durations
-        self._remaining: dict[StepId, RemainingWork] = {}
+        self._remaining: dict[tuple[SubmissionId, int], list[RemainingWork]] = {}
         self._reused_until = 0.0
 
     def rank(self, entry: SubmissionProgress, step: StepProgress, now: float) -> tuple[float, ...]:
@@ -126,8 +126,7 @@
         if now >= self._reused_until:
             self._remaining.clear()
             self._reused_until = now + REUSE_SECONDS
-        remaining = self._remaining.get(step.id)
-        if remaining is None:
-            remaining = estimate_remaining(entry, step, self._durations)
-            self._remaining[step.id] = remaining
-        return remaining
+        key = (step.id.submission, step.id.occurrence)
+        if key not in self._remaining:
+            self._remaining[key] = estimate_remaining(entry, step.id.occurrence, self._durations)
+        return self._remaining[key][step.id.step]
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -90,6 +90,7 @@
         """
         self.quotas.begin_pass(submissions, workers, blocked_through_revision, now)
         self._ranking.begin_pass(submissions, workers)
+        effects: list[Effect] = []
         candidates: list[tuple[tuple[float, ...], SubmissionProgress, StepProgress]] = []
         for entry in submissions:
             if entry.is_finalizing or now < entry.blocked_until:
@@ -97,8 +98,13 @@
             if entry.is_blocked_through(blocked_through_revision):
                 continue
             for step in entry.steps.values():
-                if (step.waiting or step.copies) and entry.is_ready(step, now):
+                if not (step.waiting or step.copies) or not entry.is_ready(step, now):
+                    continue
+                try:
                     candidates.append((self._ranking.rank(entry, step, now), entry, step))
+                except Exception as error:
+                    effects.append(self._block(entry, step, workers, error, now))
+                    break
         candidates.sort(key=lambda candidate: candidate[0])
         candidates = self._starvation.promote(candidates, now)
         schedulable_workers = [worker for worker in workers if worker.is_schedulable(now)]
@@ -106,7 +112,7 @@
         left_to_reserve = MAX_RESERVED_SHARE * sum(
             worker.listing.capacity.processors for worker in schedulable_workers
         )
-        effects = self._send_planned_starts(now)
+        effects += self._send_planned_starts(now)
         for rank, entry, step in candidates:
             try:
                 if not self.quotas.may_start(entry, step, now):
