Check starts that are sent again or planned against a lowered limit

A start without an answer was sent again, and a planned start sent, although the limit of its organisation had been lowered meanwhile. The run is stopped, as on a worker that has shrunk; a planned one is dropped.

The new scenario on repeated starts failed before; that planned starts are dropped has no scenario.

--- a/features/organisation_limits.feature
+++ b/features/organisation_limits.feature
@@ -133,6 +133,19 @@
     Then "small" is completed
     And "large" remains queued
 
+  Scenario: A start without an answer isn't sent again above a lowered limit
+    Guards against starts above the limit long after it has changed.
+    Given 4 workers and an owner
+    And organisation "a" may use 16000 millicores
+    When all commands are lost
+    And "a" submits "first" of 8 tasks of 2000 millicores and 30 seconds
+    And 0.3 seconds pass in the simulation
+    And the limit of "a" changes to 4000 millicores
+    And commands are no longer lost
+    And 2.5 seconds pass in the simulation
+    Then "a" uses 4000 millicores
+    And no invariant was violated
+
   Scenario: A step beyond the limit keeps no other from a claim
     Guards against a gang that waits behind small tasks for ever beside one that may not run.
     Given 4 workers and an owner
--- a/features/steps/organisation_limits.py
+++ b/features/steps/organisation_limits.py
@@ -59,6 +59,18 @@
         simulation.call_later(begins + (index + 0.5) / rate, submit)
 
 
+@when("all commands are lost")
+def step_lose_commands(context):
+    context.simulation.lost_answer_share = 1.0
+    context.simulation.random.random = lambda: 0.9  # nor is any delivered late
+
+
+@when("commands are no longer lost")
+def step_keep_commands(context):
+    context.simulation.lost_answer_share = 0.0
+    del context.simulation.random.random
+
+
 @when("the owner is lost before a start is answered")
 def step_lose_owner(context):
     simulation = context.simulation
--- a/src/lavenderhook/_internal/queueing/isolation.py
+++ b/src/lavenderhook/_internal/queueing/isolation.py
@@ -14,6 +14,7 @@
     choose_worker,
     count_fitting_if_empty,
 )
+from .quotas import Quotas
 from .submissions import StepProgress, SubmissionProgress
 from .workers import Run, Worker
 
@@ -64,9 +65,14 @@
     one crash, suspects run apart from one another; after two, each runs alone, on few workers at a
     time, and one of a submission after the other. A suspect is started only once the store holds
     the number of its run, so that the next owner counts it if this one ends.
+
+    Parameters
+    ----------
+    quotas : Quotas
     """
 
-    def __init__(self) -> None:
+    def __init__(self, quotas: Quotas) -> None:
+        self._quotas = quotas
         self._policy = LeastLoss()
         self._left_to_isolate = 0
         # Workers that are kept empty, by suspect: since the last pass, and from this one on.
@@ -168,12 +174,16 @@
         return [planned.run for planned in startable]
 
     def list_misplaced(self, now: float) -> list[Run]:
-        """Return the planned runs that their workers can't take any longer."""
+        """Return the planned runs that their workers or limits can't take any longer."""
         return [
             planned.run
             for planned in self._planned
             if planned.is_current()
-            and (not planned.worker.is_schedulable(now) or planned.worker.is_over_capacity())
+            and (
+                not planned.worker.is_schedulable(now)
+                or planned.worker.is_over_capacity()
+                or self._quotas.is_exceeded(planned.run.organisation)
+            )
         ]
 
 
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -549,6 +549,8 @@
             return []
         if run.state is RunState.STARTING and worker.is_over_capacity():
             return self._stop(run, now, StopReason.OVER_CAPACITY)  # the worker has shrunk meanwhile
+        if run.state is RunState.STARTING and self.scheduler.quotas.is_exceeded(run.organisation):
+            return self._stop(run, now, StopReason.OVER_LIMIT)
         run.is_in_flight = True
         run.attempts += 1
         if run.state is RunState.STOPPING:
--- a/src/lavenderhook/_internal/queueing/quotas.py
+++ b/src/lavenderhook/_internal/queueing/quotas.py
@@ -234,6 +234,11 @@
             total = add(total, claim.needs)
         return is_within(total, organisation.limit)
 
+    def is_exceeded(self, name: OrganisationName) -> bool:
+        """Return whether an organisation has more running than its limit, which was lowered."""
+        organisation = self._by_name.get(name)
+        return organisation is not None and not is_within(self.use.get(name), organisation.limit)
+
     def record_start(self, step: StepId, organisation: OrganisationName) -> None:
         """Record that a task of a step has started; others of its organisation come next."""
         self._held_since.pop(step, None)
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -58,11 +58,11 @@
         advice: AdvicePlanner,
     ) -> None:
         self.advice = advice
-        self.suspects = SuspectPlacer()
         self.start_log = StartLog()
         self._gang_workers = GangWorkers()
         self._avoided_workers = AvoidedWorkers()
         self.quotas = Quotas()
+        self.suspects = SuspectPlacer(self.quotas)
         self._starvation = StarvationGuard()
         self._waiting_steps = WaitingSteps(self._gang_workers, self.quotas)
         self._fencing = fencing
--- a/src/lavenderhook/_internal/queueing/stops.py
+++ b/src/lavenderhook/_internal/queueing/stops.py
@@ -13,4 +13,5 @@
     NEEDLESS = "needless"  # its task is done, or another run of it is active
     REVIEWED = "reviewed"  # it goes on elsewhere; see the line `run-reviewed`
     OVER_CAPACITY = "over-capacity"  # the worker has shrunk before the start
+    OVER_LIMIT = "over-limit"  # the limit of its organisation was lowered before the start
     GANG_BROKEN = "gang-broken"  # another member has ended
