Count no work in the backlog that gives way to other organisations

What an organisation has sent beyond its rate, and what its limit holds, counted as waiting before a new submission of another organisation, which got a 503 although it would have been placed next. The owner leaves out such steps, as its scheduler tells. The new scenario failed before; admission passes.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -47,6 +47,22 @@
     When the waiting submission is of no use any more
     Then a less urgent submission waits for 0 seconds
 
+  Scenario: Work that its limit holds, or beyond the rate of its organisation, is not counted
+    Guards against refusals of one organisation for work of another that would go behind it.
+    Given 1 workers and an owner
+    And organisations "a" and "b" with weights of 1 and 1
+    When "a" submits "owed" of 4 tasks of 4000 millicores and 30 seconds
+    And "a" submits "excess" of 4 tasks of 4000 millicores and 30 seconds
+    And 2 seconds pass in the simulation
+    Then a less urgent submission waits for 0 seconds
+    When the limit of "b" changes to 1000 millicores
+    And "b" submits "held" of 4 tasks of 4000 millicores and 30 seconds
+    And 2 seconds pass in the simulation
+    Then a less urgent submission waits for 0 seconds
+    When the limit of "b" changes to 0 millicores
+    And 2 seconds pass in the simulation
+    Then a less urgent submission waits for 30 seconds
+
   Scenario: A refused submission is not stored, and one that was accepted is not refused later
     Guards against a refusal of work that runs, and against work that runs after its refusal.
     Given 2 entry instances and 3 queue workers
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -7,14 +7,13 @@
 
 from features.steps.platform_queues import make_steps
 from features.support.queue_simulation import make_step, make_submission
-from lavenderhook._internal.instance.admission import AdmissionControl
+from lavenderhook._internal.instance.admission import AdmissionControl, BacklogMeter
 from lavenderhook._internal.instance.submission_writer import WriteResult
 from lavenderhook._internal.queueing.admission import Refusal, RefusalReason, find_refusal
 from lavenderhook._internal.queueing.backlog import (
     Backlog,
     ServiceBacklog,
     WaitingWork,
-    measure_backlog,
 )
 from lavenderhook._internal.queueing.model import Resources
 from lavenderhook._internal.queueing.retry_after import choose_retry_after_backlog
@@ -124,9 +123,7 @@
 def measure(context):
     """Return the backlog of the owner in the simulation."""
     state = context.simulation.owners[-1].state
-    return measure_backlog(
-        state.submissions.values(), state.workers.values(), state.durations, context.simulation.now
-    )
+    return BacklogMeter().measure(state, context.simulation.now)
 
 
 @then("a less urgent submission waits for {wait:d} seconds")
--- a/src/lavenderhook/_internal/instance/admission.py
+++ b/src/lavenderhook/_internal/instance/admission.py
@@ -30,7 +30,11 @@
         if now - self._measured_at >= MEASURE_INTERVAL_SECONDS:
             self._measured_at = now
             self._backlog = measure_backlog(
-                state.submissions.values(), state.workers.values(), state.durations, now
+                state.submissions.values(),
+                state.workers.values(),
+                state.durations,
+                now,
+                state.scheduler.gives_way,
             )
         return msgspec.structs.replace(self._backlog, age_seconds=now - self._measured_at)
 
--- a/src/lavenderhook/_internal/queueing/backlog.py
+++ b/src/lavenderhook/_internal/queueing/backlog.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
@@ -12,7 +12,7 @@
 from .losses_by_waiting import estimate_remaining
 from .model import Resources, StepSpec, SubmissionState
 from .ranking import USELESS_AFTER_OBJECTIVES
-from .submissions import SubmissionProgress
+from .submissions import StepProgress, SubmissionProgress
 from .workers import Worker
 
 
@@ -89,11 +89,13 @@
     workers: Iterable[Worker],
     durations: DurationEstimates,
     now: float,
+    gives_way: Callable[[SubmissionProgress, StepProgress, float], bool],
 ) -> Backlog:
     """Return the work that waits at a time in seconds.
 
     Submissions that have no task running or done count, from the moment that they are due. Those
-    whose objective is three times over are left out, as they give way to all others.
+    whose objective is three times over are left out, as they give way to all others, and so are
+    those that give way to the work of other organisations.
     """
     waiting: dict[tuple[ServiceName, int], WaitingWork] = {}
     for entry in submissions:
@@ -101,7 +103,7 @@
         step = next((step for step in entry.steps.values() if step.waiting), None)
         if entry.state is not SubmissionState.QUEUED or step is None or now < step.due_at:
             continue
-        if step.spec.is_service:
+        if step.spec.is_service or gives_way(entry, step, now):
             continue
         remaining = estimate_remaining(entry, step.id.occurrence, durations)[step.id.step]
         objective_seconds = step.objective_at - step.due_at
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -136,6 +136,10 @@
             submissions, workers, blocked_through_revision, now
         )
 
+    def gives_way(self, entry: SubmissionProgress, step: StepProgress, now: float) -> bool:
+        """Return whether a new submission of another organisation would be placed before a step."""
+        return self._ranking.is_excess(entry, step, now) or self.quotas.is_held(entry, step)
+
     def _block(
         self,
         entry: SubmissionProgress,
--- a/src/lavenderhook/_internal/queueing/shares.py
+++ b/src/lavenderhook/_internal/queueing/shares.py
@@ -101,10 +101,16 @@
             return rank
         if entry.is_owed is None:
             entry.is_owed = self._is_owed(entry.submission)
-        is_excess = not entry.is_owed and now - step.due_at < MAX_EXCESS_WAIT_SECONDS
+        is_excess = self.is_excess(entry, step, now)
         level = self._levels.get(entry.submission.organisation, 0)
         return (is_excess, *rank[:-1], level, rank[-1])
 
+    def is_excess(self, entry: SubmissionProgress, step: StepProgress, now: float) -> bool:
+        """Return whether a step goes behind what the other organisations have sent in time."""
+        if self._quotas.organisations is None:
+            return False
+        return entry.is_owed is False and now - step.due_at < MAX_EXCESS_WAIT_SECONDS
+
     def _is_owed(self, submission: Submission) -> bool:
         organisations = self._quotas.organisations
         organisation = organisations.get(submission.organisation) if organisations else None
