Bound the read before a refusal

Before a submission was refused for lack of room, its row was read for as long as the store takes, 2.2 s in a lossy one, which used up the caller's time. The read gets 0.3 s, and there is neither read nor refusal at an instance that can't reach the store.

The two new rows of the scenario pass, as admission does; the former code has no such parameter.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -28,6 +28,8 @@
       | nothing is known of a submission                  | refused  |
       | a submission has a stored row                     | accepted |
       | the store can't be read for a submission          | accepted |
+      | the store answers after 2 seconds                 | accepted |
+      | the instance can't reach the store                | accepted |
       | a write of a submission has an unknown outcome    | accepted |
       | a write of a submission was rejected              | refused  |
       | the owner's answer is 2 seconds old               | accepted |
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -44,13 +44,19 @@
     context.backlog = Backlog(services={"desk": service})
     context.stored = set()
     context.is_store_down = False
+    context.is_reachable = True
+    context.read_seconds = 0.0
 
     def is_stored(submission):
         if context.is_store_down:
             raise StoreUnavailableError("down")
-        return submission in context.stored
+        is_found = submission in context.stored
+        gevent.sleep(context.read_seconds)
+        return is_found
 
-    context.control = AdmissionControl(is_stored, lambda what, **fields: None)
+    context.control = AdmissionControl(
+        is_stored, lambda: context.is_reachable, lambda what, **fields: None
+    )
     context.control.record_backlog(context.backlog, NOW)
 
 
@@ -75,6 +81,16 @@
     context.is_store_down = True
 
 
+@when("the store answers after {seconds:d} seconds")
+def step_slow_store(context, seconds):
+    context.read_seconds = seconds
+
+
+@when("the instance can't reach the store")
+def step_unreachable(context):
+    context.is_reachable = False
+
+
 @when("a write of a submission has an unknown outcome")
 def step_unknown_outcome(context):
     context.control.begin_write("new")
@@ -94,7 +110,9 @@
 
 @then("that submission is {decision:w}")
 def step_gate(context, decision):
+    began_at = time.monotonic()
     refusal = context.control.find_refusal(make_new(), NOW)
+    assert time.monotonic() - began_at < 1.0
     assert (refusal is not None) == (decision == "refused"), refusal
 
 
--- a/src/lavenderhook/_internal/instance/admission.py
+++ b/src/lavenderhook/_internal/instance/admission.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable
 
+import gevent
 import msgspec
 
-from ...errors import LavenderhookError
+from ...errors import LavenderhookError, StoreUnavailableError
 from ..queueing.admission import BACKLOG_MAX_AGE_SECONDS, Refusal, find_refusal
 from ..queueing.backlog import Backlog, measure_backlog
 from ..queueing.model import Submission, SubmissionId
@@ -16,6 +17,7 @@
 
 MEASURE_INTERVAL_SECONDS = 0.25
 MAX_ATTEMPTS = 5_000
+READ_SECONDS = 0.3  # for the row of a submission; a lossy store would use up the caller's time
 
 
 class BacklogMeter:
@@ -50,12 +52,20 @@
     ----------
     is_stored : callable
         Takes the id of a submission; raises `LavenderhookError` if that can't be known now.
+    can_reach_store : callable
+        Returns whether the store is available, as far as this instance knows.
     log_event : callable
         Logs an event, given by its name and fields.
     """
 
-    def __init__(self, is_stored: Callable[[SubmissionId], bool], log_event: LogEvent) -> None:
+    def __init__(
+        self,
+        is_stored: Callable[[SubmissionId], bool],
+        can_reach_store: Callable[[], bool],
+        log_event: LogEvent,
+    ) -> None:
         self._is_stored = is_stored
+        self._can_reach_store = can_reach_store
         self._log_event = log_event
         self._backlog = Backlog()
         self._measured_at = -BACKLOG_MAX_AGE_SECONDS
@@ -83,14 +93,28 @@
         if now - self._measured_at > BACKLOG_MAX_AGE_SECONDS or submission.id in self._attempts:
             return None
         refusal = find_refusal(submission, self._backlog)
-        if refusal is None:
-            return None
+        return None if refusal is None or self.may_be_stored(submission.id) else refusal
+
+    def may_be_stored(self, submission: SubmissionId) -> bool:
+        """Return whether a submission is stored, or may be as far as can be known at once."""
+        if submission in self._attempts or not self._can_reach_store():
+            return True
+        # A read that takes longer is left to end by itself.
+        reader = gevent.spawn(self._read_is_stored, submission)
         try:
-            is_stored = self._is_stored(submission.id)
-        except LavenderhookError as error:
-            self._log_event(
-                "refusal-unchecked", submission=submission.id, **describe_failure(error)
-            )
-            return None
+            is_stored = reader.get(timeout=READ_SECONDS)
+        except gevent.Timeout:
+            self._log_unchecked(submission, StoreUnavailableError("the read takes too long"))
+            return True
         # Another attempt may have begun while the store was read.
-        return None if is_stored or submission.id in self._attempts else refusal
+        return is_stored or submission in self._attempts
+
+    def _read_is_stored(self, submission: SubmissionId) -> bool:
+        try:
+            return self._is_stored(submission)
+        except LavenderhookError as error:
+            self._log_unchecked(submission, error)
+            return True
+
+    def _log_unchecked(self, submission: SubmissionId, error: LavenderhookError) -> None:
+        self._log_event("refusal-unchecked", submission=submission, **describe_failure(error))
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -143,7 +143,9 @@
         self._advice_dispatcher = AdviceDispatcher(
             self._request_advice_at, self._ownership.list_instance_addresses, log_event
         )
-        self._admission = AdmissionControl(self._is_stored, log_event)
+        self._admission = AdmissionControl(
+            self._is_stored, self._ownership.can_reach_store, log_event
+        )
         self._backlog_meter = BacklogMeter()
         self._accepted_at: dict[SubmissionId, float] = {}  # in order of acceptance
         # With the revisions of their rows, as far as they are known.
@@ -245,6 +247,10 @@
         )
         return retry_after
 
+    def may_be_stored(self, submission: SubmissionId) -> bool:
+        """Return whether a submission is stored, or may be as far as can be known at once."""
+        return self._was_recently_accepted(submission) or self._admission.may_be_stored(submission)
+
     def cancel(self, submission: SubmissionId, deadline: float) -> WriteResult:
         """Cancel a submission, directly or through a peer."""
         result = self._forwarding.write(
