Refuse by a limit only what isn't stored, and only by a current limit

A submission beyond its organisation's limit got a final 400 also where the configuration may be outdated, and when it repeated one that was stored before the limit was lowered. It now gets a 503 with Retry-After in the first case, and is accepted as before in the second.

--- a/features/organisation_limits.feature
+++ b/features/organisation_limits.feature
@@ -238,6 +238,17 @@
       | 0      | 0 0.1 50             | 0             |
       | 2      | 0.9 1.0 0.1 0        | 0.9 1.0 0.1 0 |
 
+  Scenario Outline: A submission beyond the limit of its organisation is answered by what is known
+    Guards against a final refusal by an outdated limit, and of a submission that is stored.
+    Then with <known> limits, one beyond them that <stored> stored is answered <status>
+
+    Examples:
+      | known    | stored | status |
+      | current  | isn't  | 400    |
+      | current  | may be | 200    |
+      | outdated | isn't  | 503    |
+      | outdated | may be | 200    |
+
   Scenario Outline: A submission that its organisation may never run is refused with the reason
     Guards against work that is accepted and can only wait.
     Then a <kind> of <count> tasks of <millicores> millicores under a limit of <limit> is <result>
--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -282,6 +282,10 @@
     def refuse(self, _submission, _deadline):
         """Refuse none for lack of room."""
 
+    def may_be_stored(self, _submission):
+        """Return that the store has no row."""
+        return False
+
     def submit(self, submission, _deadline):
         """Accept a submission that an owner could read."""
         check_submission(submission)
--- a/features/steps/organisation_limits.py
+++ b/features/steps/organisation_limits.py
@@ -1,18 +1,25 @@
 """Steps with organisations that have limits and weights."""
 
 import functools
+from types import SimpleNamespace
 
 import msgspec
 from behave import given, then, when
 
+from features.steps.malformed_messages import StubRequest
 from features.support.organisation_limits import make_organisation
 from features.support.queue_random_runs import run_random_simulation
 from features.support.queue_simulation import make_step, make_submission
 from lavenderhook._internal.adapters.metrics import Metrics
 from lavenderhook._internal.instance.decision_metrics import DecisionMetrics
+from lavenderhook._internal.instance.submission_writer import WriteResult
+from lavenderhook._internal.queueing.authentication import AvailableRevocation
+from lavenderhook._internal.queueing.organisations import Organisations
 from lavenderhook._internal.queueing.quotas import check_within_limit
+from lavenderhook._internal.queueing.routes import QueueRoute, QueueRoutes
 from lavenderhook._internal.queueing.shares import OwedSubmissions
 from lavenderhook.errors import InvalidArgumentError
+from lavenderhook.platform.frontend import Frontend
 
 USUAL_SECONDS = 20.0  # in which all organisations send
 BURST_AT = 5.0
@@ -215,6 +222,32 @@
     assert found == owed.split(), found
 
 
+@then("with {known} limits, one beyond them that {stored} stored is answered {status:d}")
+def step_answer(context, known, stored, status):
+    terms = make_submission("checked", []).queue
+    route = QueueRoute(host="h", path_prefix="/q/", terms=terms)
+    organisation = msgspec.structs.replace(make_organisation("a", 1000), keys=frozenset({"k"}))
+    instance = SimpleNamespace(
+        configuration=SimpleNamespace(
+            routes=QueueRoutes(1, [route], Organisations([organisation])),
+            can_deny_unknown=lambda: known == "current",
+            measure_age=lambda: 0.0,
+            describe=dict,
+        ),
+        may_be_stored=lambda submission: stored == "may be",
+        refuse=lambda submission, deadline: None,
+        submit=lambda submission, deadline: WriteResult.STORED,
+        compute_retry_after=lambda deadline: 1,
+    )
+    frontend = Frontend(instance, lambda what, **fields: None, AvailableRevocation())
+    request = StubRequest(b'{"spec": "s", "steps": [{"cpu": 2000, "estimateMs": 1000}]}')
+    try:
+        found = frontend.route(request).status
+    except InvalidArgumentError:
+        found = 400
+    assert found == status, found
+
+
 @then(
     "a {kind} of {count:d} tasks of {processors:d} millicores under a limit of {limit:d} "
     "is {result}"
--- a/src/lavenderhook/platform/frontend.py
+++ b/src/lavenderhook/platform/frontend.py
@@ -256,14 +256,40 @@
             organisation=caller,
         )
         check_submission(submission)
-        routes = self._instance.configuration.routes
-        if routes is not None and routes.organisations is not None:
-            check_within_limit(submission, routes.organisations.get(caller))
+        if not self._check_limit(submission):
+            return self._reply_unavailable(503, deadline)
         retry_after = self._instance.refuse(submission, deadline)
         if retry_after is not None:
             return Reply(status=503, headers=(("Retry-After", str(retry_after)),))
         return self._reply_write_result(self._instance.submit(submission, deadline), deadline)
 
+    def _check_limit(self, submission: Submission) -> bool:
+        """Check what a submission needs; return False if the limit can't be known now.
+
+        One that may be stored already remains accepted, whatever the limit is meanwhile.
+
+        Raises
+        ------
+        InvalidArgumentError
+            If its organisation may never run it.
+        """
+        configuration = self._instance.configuration
+        organisations = configuration.routes.organisations if configuration.routes else None
+        if organisations is None:
+            return True
+        try:
+            check_within_limit(submission, organisations.get(submission.organisation))
+        except InvalidArgumentError:
+            if self._instance.may_be_stored(submission.id):
+                return True
+            if configuration.can_deny_unknown():
+                raise
+            self._log_event(
+                "limit-unconfirmed", submission=submission.id, **configuration.describe()
+            )
+            return False
+        return True
+
     def _cancel(self, submission_id: SubmissionId, deadline: float) -> Reply:
         return self._reply_write_result(self._instance.cancel(submission_id, deadline), deadline)
 
