Hold the work of organisations whose entries could not be read

At a new instance that could not read the entry of an organisation, its work had no limit. It waits until the entry can be read, unless the configuration is complete. The new scenario failed before; organisation_limits passes.

--- a/features/organisation_limits.feature
+++ b/features/organisation_limits.feature
@@ -169,6 +169,20 @@
     Then "early" is completed
     And "a" has used 4000 millicores at most
 
+  Scenario: Work of an organisation waits while its entry can't be read
+    Guards against an organisation without a limit at an instance that couldn't read its entry.
+    Given 4 workers and an owner
+    When only the entry of "b" can be read
+    And "a" submits "first" of 8 tasks of 2000 millicores and 1 seconds
+    And "b" submits "other" of 2 tasks of 2000 millicores and 1 seconds
+    And 3 seconds pass in the simulation
+    Then "first" remains queued
+    And "other" is completed
+    When the limit of "a" changes to 4000 millicores
+    And 9 seconds pass in the simulation
+    Then "first" is completed
+    And "a" has used 4000 millicores at most
+
   Scenario Outline: An organisation that sends 7.5 times its usual costs the others nothing
     Guards against a crowd of one organisation that makes the work of all others late: with a second
     of work and an objective of two, a submission may wait for one second.
--- a/features/steps/organisation_limits.py
+++ b/features/steps/organisation_limits.py
@@ -66,6 +66,13 @@
         simulation.call_later(begins + (index + 0.5) / rate, submit)
 
 
+@when('only the entry of "{name}" can be read')
+def step_incomplete(context, name):
+    limits = context.simulation.organisation_limits
+    limits.organisations = Organisations([make_organisation(name)], is_complete=False)
+    limits.deliver(context.simulation.owners[-1])
+
+
 @when("all commands are lost")
 def step_lose_commands(context):
     context.simulation.lost_answer_share = 1.0
--- a/src/lavenderhook/_internal/queueing/quotas.py
+++ b/src/lavenderhook/_internal/queueing/quotas.py
@@ -215,7 +215,8 @@
         if not name or (spec.is_gang and len(step.waiting) < spec.count):
             return True
         organisation = self._by_name.get(name)
-        if self._is_configured and (organisation is None or not _is_limited(organisation)):
+        is_known = organisation is not None or self._knows_all()
+        if is_known and (organisation is None or not _is_limited(organisation)):
             return True
         if organisation is not None and self._has_room(organisation, step):
             return True
@@ -223,6 +224,15 @@
         self._held_since.setdefault(step.id, now)
         return False
 
+    def _knows_all(self) -> bool:
+        """Return whether organisations without an entry have no limit.
+
+        An entry that a new instance couldn't read may hold one that is in force elsewhere.
+        """
+        return self._is_configured and (
+            self.organisations is None or self.organisations.is_complete
+        )
+
     def _has_room(self, organisation: Organisation, step: StepProgress) -> bool:
         name = organisation.name
         total = add(add(self.use.get(name), self._hidden_of_all), compute_unit(step.spec))
