--- a/features/organisation_limits.feature
+++ b/features/organisation_limits.feature
@@ -146,6 +146,18 @@
     Then "a" uses 4000 millicores
     And no invariant was violated
 
+  Scenario: A planned start is dropped when the limit is lowered
+    Guards against the start of a suspect above the limit of its organisation.
+    Given 4 workers and an owner
+    And organisation "a" may use 16000 millicores
+    When "a" submits "long" of 2 tasks of 2000 millicores and 30 seconds
+    And 0.5 seconds pass in the simulation
+    And "a" submits "suspect" of 1 tasks of 2000 millicores and 1 seconds
+    And task 0 of "suspect" has crashed a worker and its next start is planned
+    And the limit of "a" changes to 4000 millicores
+    And 2 seconds pass in the simulation
+    Then "suspect" has not started
+
   Scenario: A step beyond the limit keeps no other from a claim
     Guards against a gang that waits behind small tasks for ever beside one that may not run.
     Given 4 workers and an owner
--- a/features/steps/organisation_limits.py
+++ b/features/steps/organisation_limits.py
@@ -14,6 +14,7 @@
 from lavenderhook._internal.instance.decision_metrics import DecisionMetrics
 from lavenderhook._internal.instance.submission_writer import WriteResult
 from lavenderhook._internal.queueing.authentication import AvailableRevocation
+from lavenderhook._internal.queueing.crash_history import RunFate, SuspectRun
 from lavenderhook._internal.queueing.organisations import Organisations
 from lavenderhook._internal.queueing.quotas import check_within_limit
 from lavenderhook._internal.queueing.routes import QueueRoute, QueueRoutes
@@ -73,6 +74,17 @@
     limits.deliver(context.simulation.owners[-1])
 
 
+@when('task 0 of "{name}" has crashed a worker and its next start is planned')
+def step_plan_start(context, name):
+    simulation = context.simulation
+    state = simulation.owners[-1].state
+    simulation.run_until(lambda: name in state.submissions)
+    step = state.submissions[name].steps[(0, 0)]
+    history = step.get_or_add_crash_history(0)
+    history.runs[1] = SuspectRun(fate=RunFate.CRASHED)
+    simulation.run_until(lambda: step.runs)
+
+
 @when("all commands are lost")
 def step_lose_commands(context):
     context.simulation.lost_answer_share = 1.0
