--- a/features/organisation_limits.feature
+++ b/features/organisation_limits.feature
@@ -118,6 +118,58 @@
     Then "a" uses 16000 millicores
     And no invariant was violated
 
+  Scenario: A claim ends when the limit is lowered below it
+    Guards against an organisation whose work never starts again, as room is kept for a step that may
+    not run.
+    Given 4 workers and an owner
+    And organisation "a" may use 12000 millicores
+    When "a" submits "long" of 4 tasks of 2000 millicores and 6 seconds
+    And 0.5 seconds pass in the simulation
+    And "a" submits "large", a gang of 4 tasks of 2500 millicores
+    And 3 seconds pass in the simulation
+    And the limit of "a" changes to 8000 millicores
+    And "a" submits "small" of 1 tasks of 1000 millicores and 1 seconds
+    And 6 seconds pass in the simulation
+    Then "small" is completed
+    And "large" remains queued
+
+  Scenario: A start without an answer isn't sent again above a lowered limit
+    Guards against starts above the limit long after it has changed.
+    Given 4 workers and an owner
+    And organisation "a" may use 16000 millicores
+    When all commands are lost
+    And "a" submits "first" of 8 tasks of 2000 millicores and 30 seconds
+    And 0.3 seconds pass in the simulation
+    And the limit of "a" changes to 4000 millicores
+    And commands are no longer lost
+    And 2.5 seconds pass in the simulation
+    Then "a" uses 4000 millicores
+    And no invariant was violated
+
+  Scenario: A planned start is dropped when the limit is lowered
+    Guards against the start of a suspect above the limit of its organisation.
+    Given 4 workers and an owner
+    And organisation "a" may use 16000 millicores
+    When "a" submits "long" of 2 tasks of 2000 millicores and 30 seconds
+    And 0.5 seconds pass in the simulation
+    And "a" submits "suspect" of 1 tasks of 2000 millicores and 1 seconds
+    And task 0 of "suspect" has crashed a worker and its next start is planned
+    And the limit of "a" changes to 4000 millicores
+    And 2 seconds pass in the simulation
+    Then "suspect" has not started
+
+  Scenario: A step beyond the limit keeps no other from a claim
+    Guards against a gang that waits behind small tasks for ever beside one that may not run.
+    Given 4 workers and an owner
+    And organisation "a" may use 8000 millicores
+    When "a" submits "large", a gang of 4 tasks of 2500 millicores
+    And "a" submits 10 tasks of 2000 millicores a second for 20 seconds
+    And 2 seconds pass in the simulation
+    And "a" submits "gang", a gang of 4 tasks of 2000 millicores
+    And 8 seconds pass in the simulation
+    Then "gang" has started
+    And "large" remains queued
+
   Scenario: Work of organisations waits until an owner knows their limits
     Guards against an owner that starts any amount before it has read the configuration.
     Given 4 workers and an owner
@@ -129,6 +181,20 @@
     Then "early" is completed
     And "a" has used 4000 millicores at most
 
+  Scenario: Work of an organisation waits while its entry can't be read
+    Guards against an organisation without a limit at an instance that couldn't read its entry.
+    Given 4 workers and an owner
+    When only the entry of "b" can be read
+    And "a" submits "first" of 8 tasks of 2000 millicores and 1 seconds
+    And "b" submits "other" of 2 tasks of 2000 millicores and 1 seconds
+    And 3 seconds pass in the simulation
+    Then "first" remains queued
+    And "other" is completed
+    When the limit of "a" changes to 4000 millicores
+    And 9 seconds pass in the simulation
+    Then "first" is completed
+    And "a" has used 4000 millicores at most
+
   Scenario Outline: An organisation that sends 7.5 times its usual costs the others nothing
     Guards against a crowd of one organisation that makes the work of all others late: with a second
     of work and an objective of two, a submission may wait for one second.
@@ -198,6 +264,17 @@
       | 0      | 0 0.1 50             | 0             |
       | 2      | 0.9 1.0 0.1 0        | 0.9 1.0 0.1 0 |
 
+  Scenario Outline: A submission beyond the limit of its organisation is answered by what is known
+    Guards against a final refusal by an outdated limit, and of a submission that is stored.
+    Then with <known> limits, one beyond them that <stored> stored is answered <status>
+
+    Examples:
+      | known    | stored | status |
+      | current  | isn't  | 400    |
+      | current  | may be | 200    |
+      | outdated | isn't  | 503    |
+      | outdated | may be | 200    |
+
   Scenario Outline: A submission that its organisation may never run is refused with the reason
     Guards against work that is accepted and can only wait.
     Then a <kind> of <count> tasks of <millicores> millicores under a limit of <limit> is <result>
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -7,14 +7,13 @@
 
 from features.steps.platform_queues import make_steps
 from features.support.queue_simulation import make_step, make_submission
-from lavenderhook._internal.instance.admission import AdmissionControl
+from lavenderhook._internal.instance.admission import AdmissionControl, BacklogMeter
 from lavenderhook._internal.instance.submission_writer import WriteResult
 from lavenderhook._internal.queueing.admission import Refusal, RefusalReason, find_refusal
 from lavenderhook._internal.queueing.backlog import (
     Backlog,
     ServiceBacklog,
     WaitingWork,
-    measure_backlog,
 )
 from lavenderhook._internal.queueing.model import Resources
 from lavenderhook._internal.queueing.retry_after import choose_retry_after_backlog
@@ -45,13 +44,19 @@
     context.backlog = Backlog(services={"desk": service})
     context.stored = set()
     context.is_store_down = False
+    context.is_reachable = True
+    context.read_seconds = 0.0
 
     def is_stored(submission):
         if context.is_store_down:
             raise StoreUnavailableError("down")
-        return submission in context.stored
+        is_found = submission in context.stored
+        gevent.sleep(context.read_seconds)
+        return is_found
 
-    context.control = AdmissionControl(is_stored, lambda what, **fields: None)
+    context.control = AdmissionControl(
+        is_stored, lambda: context.is_reachable, lambda what, **fields: None
+    )
     context.control.record_backlog(context.backlog, NOW)
 
 
@@ -76,6 +81,16 @@
     context.is_store_down = True
 
 
+@when("the store answers after {seconds:d} seconds")
+def step_slow_store(context, seconds):
+    context.read_seconds = seconds
+
+
+@when("the instance can't reach the store")
+def step_unreachable(context):
+    context.is_reachable = False
+
+
 @when("a write of a submission has an unknown outcome")
 def step_unknown_outcome(context):
     context.control.begin_write("new")
@@ -95,7 +110,9 @@
 
 @then("that submission is {decision:w}")
 def step_gate(context, decision):
+    began_at = time.monotonic()
     refusal = context.control.find_refusal(make_new(), NOW)
+    assert time.monotonic() - began_at < 1.0
     assert (refusal is not None) == (decision == "refused"), refusal
 
 
@@ -124,9 +141,7 @@
 def measure(context):
     """Return the backlog of the owner in the simulation."""
     state = context.simulation.owners[-1].state
-    return measure_backlog(
-        state.submissions.values(), state.workers.values(), state.durations, context.simulation.now
-    )
+    return BacklogMeter().measure(state, context.simulation.now)
 
 
 @then("a less urgent submission waits for {wait:d} seconds")
--- a/src/lavenderhook/_internal/queueing/quotas.py
+++ b/src/lavenderhook/_internal/queueing/quotas.py
@@ -215,7 +215,8 @@
         if not name or (spec.is_gang and len(step.waiting) < spec.count):
             return True
         organisation = self._by_name.get(name)
-        if self._is_configured and (organisation is None or not _is_limited(organisation)):
+        is_known = organisation is not None or self._knows_all()
+        if is_known and (organisation is None or not _is_limited(organisation)):
             return True
         if organisation is not None and self._has_room(organisation, step):
             return True
@@ -223,6 +224,15 @@
         self._held_since.setdefault(step.id, now)
         return False
 
+    def _knows_all(self) -> bool:
+        """Return whether organisations without an entry have no limit.
+
+        An entry that a new instance couldn't read may hold one that is in force elsewhere.
+        """
+        return self._is_configured and (
+            self.organisations is None or self.organisations.is_complete
+        )
+
     def _has_room(self, organisation: Organisation, step: StepProgress) -> bool:
         name = organisation.name
         total = add(add(self.use.get(name), self._hidden_of_all), compute_unit(step.spec))
@@ -234,6 +244,11 @@
             total = add(total, claim.needs)
         return is_within(total, organisation.limit)
 
+    def is_exceeded(self, name: OrganisationName) -> bool:
+        """Return whether an organisation has more running than its limit, which was lowered."""
+        organisation = self._by_name.get(name)
+        return organisation is not None and not is_within(self.use.get(name), organisation.limit)
+
     def record_start(self, step: StepId, organisation: OrganisationName) -> None:
         """Record that a task of a step has started; others of its organisation come next."""
         self._held_since.pop(step, None)
@@ -265,7 +280,10 @@
     def _review_claims(self, now: float) -> None:
         """Give up claims that aren't used, and let the step that has been held longest claim."""
         for name, claim in list(self._claims.items()):
-            if claim.step in self._held.get(name, ()):
+            organisation = self._by_name.get(name)
+            if organisation is None or not is_within(claim.needs, organisation.limit):
+                del self._claims[name]  # the limit is lower than when the step claimed
+            elif claim.step in self._held.get(name, ()):
                 claim.has_room_since = now
             elif not claim.is_waiting or now - claim.has_room_since >= MAX_CLAIM_SECONDS:
                 self.record_start(claim.step, name)
@@ -277,11 +295,12 @@
             organisation = self._by_name.get(name)
             if name in self._claims or organisation is None:
                 continue
-            longest = min(steps.values(), key=lambda step: self._held_since[step.id])
-            unit = compute_unit(longest.spec)
-            has_waited = now - self._held_since[longest.id] >= CLAIM_AFTER_SECONDS
-            if has_waited and is_within(unit, organisation.limit):
-                self._claims[name] = _Claim(longest.id, unit, now, is_waiting=False)
+            units = {id: compute_unit(step.spec) for id, step in steps.items()}
+            possible = [id for id, unit in units.items() if is_within(unit, organisation.limit)]
+            longest = min(possible, key=self._held_since.__getitem__, default=None)
+            if longest is None or now - self._held_since[longest] < CLAIM_AFTER_SECONDS:
+                continue
+            self._claims[name] = _Claim(longest, units[longest], now, is_waiting=False)
 
     def _make_line(
         self, decision: str, name: OrganisationName, held: int, limited: _LimitedTime, now: float
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -59,11 +59,11 @@
         advice: AdvicePlanner,
     ) -> None:
         self.advice = advice
-        self.suspects = SuspectPlacer()
         self.start_log = StartLog()
         self._gang_workers = GangWorkers()
         self._avoided_workers = AvoidedWorkers()
         self.quotas = Quotas()
+        self.suspects = SuspectPlacer(self.quotas)
         self._starvation = StarvationGuard()
         self._waiting_steps = WaitingSteps(self._gang_workers, self.quotas)
         self._fencing = fencing
@@ -91,6 +91,7 @@
         """
         self.quotas.begin_pass(submissions, workers, blocked_through_revision, now)
         self._ranking.begin_pass(submissions, workers)
+        effects: list[Effect] = []
         candidates: list[tuple[tuple[float, ...], SubmissionProgress, StepProgress]] = []
         for entry in submissions:
             if entry.is_finalizing or now < entry.blocked_until:
@@ -98,8 +99,13 @@
             if entry.is_blocked_through(blocked_through_revision):
                 continue
             for step in entry.steps.values():
-                if (step.waiting or step.copies) and entry.is_ready(step, now):
+                if not (step.waiting or step.copies) or not entry.is_ready(step, now):
+                    continue
+                try:
                     candidates.append((self._ranking.rank(entry, step, now), entry, step))
+                except Exception as error:
+                    effects.append(self._block(entry, step, workers, error, now))
+                    break
         candidates.sort(key=lambda candidate: candidate[0])
         candidates = self._starvation.promote(candidates, now)
         schedulable_workers = [worker for worker in workers if worker.is_schedulable(now)]
@@ -107,7 +113,7 @@
         left_to_reserve = MAX_RESERVED_SHARE * sum(
             worker.listing.capacity.processors for worker in schedulable_workers
         )
-        effects = self._send_planned_starts(now)
+        effects += self._send_planned_starts(now)
         roomy_workers = list_workers_with_room(
             schedulable_workers, [step.spec for _, _, step in candidates if not step.spec.is_gang]
         )
@@ -136,6 +142,10 @@
             submissions, workers, blocked_through_revision, now
         )
 
+    def gives_way(self, entry: SubmissionProgress, step: StepProgress, now: float) -> bool:
+        """Return whether a new submission of another organisation would be placed before a step."""
+        return self._ranking.is_excess(entry, step, now) or self.quotas.is_held(entry, step)
+
     def _block(
         self,
         entry: SubmissionProgress,
