Refuse a dropped body with 503, as one that may be sent again

Cause: shutting the socket of a body that the budget drops makes the waiting read fail, before the reader looks at whether it was dropped. The client got 400 without Retry-After, and the limit wasn't reported. Change: a read that fails after the drop is the refusal for lack of room.

--- a/features/intake.feature
+++ b/features/intake.feature
@@ -72,3 +72,14 @@
     Guards against a changed behaviour where the settings don't name the machine's limits.
     When an instance has settings without the machine's limits
     Then its listeners have no budget and close no stalled connections
+
+  Scenario Outline: A body whose bytes are needed for others is refused as one that may be retried
+    Guards against an answer that blames the client, and a limit that no report names.
+    Given a listener with a budget of 2000 bytes for bodies
+    When a body that is <framing> stands still after 1500 bytes, and 1200 others arrive
+    Then the former is refused with 503 and Retry-After, the latter accepted
+
+    Examples:
+      | framing       |
+      | chunked       |
+      | of known size |
--- a/features/steps/intake.py
+++ b/features/steps/intake.py
@@ -5,8 +5,11 @@
 import tempfile
 from types import SimpleNamespace
 
+import gevent
 from behave import given, then, when
+from gevent import socket
 
+from lavenderhook._internal.adapters.frontend import Listener, Reply
 from lavenderhook._internal.adapters.intake import (
     BodyBudget,
     Limit,
@@ -15,10 +18,11 @@
     choose_connection_to_close,
 )
 from lavenderhook.errors import SettingsError
-from lavenderhook.platform.intake import compute_intake_limits
+from lavenderhook.platform.intake import LISTENER_LIMITS, compute_intake_limits
 from lavenderhook.platform.settings import load_settings
 
 NOW = 10.0
+POST = b"POST / HTTP/1.1\r\nHost: entry\r\n"
 SETTINGS = """nodeName = "n"
 ip = "127.0.0.1"
 zone = "a"
@@ -176,3 +180,62 @@
     assert limits.body_bytes == limits.peer_body_bytes == math.inf, limits
     listeners = (limits.callers, limits.peers, limits.readiness, limits.metrics)
     assert not any(listener.closes_stalled for listener in listeners), limits
+
+
+def connect(context, message):
+    """Return a connection to the listener on which a message was sent."""
+    sock = socket.create_connection(context.listener.address, 5)
+    context.add_cleanup(sock.close)
+    sock.sendall(message)
+    return sock
+
+
+def receive(sock):
+    """Return the first bytes of a response, or none if the connection is closed."""
+    try:
+        return sock.recv(65536)
+    except ConnectionResetError:
+        return b""
+
+
+def start_listener(context, route, limits, budget_bytes=math.inf):
+    """Start a listener without a process of its own, and record the limits that it reports."""
+    context.reported = []
+    context.listener = Listener(
+        ("127.0.0.1", 0),
+        limits,
+        route,
+        lambda *_: None,
+        budget=BodyBudget(budget_bytes),
+        report_limit=lambda limit, _: context.reported.append(limit),
+    )
+    context.add_cleanup(context.listener.stop, 0)
+    context.listener.start()
+
+
+@given("a listener with a budget of {size:d} bytes for bodies")
+def step_listener(context, size):
+    start_listener(context, lambda request: Reply(body=request.read_body()), LISTENER_LIMITS, size)
+
+
+@when("a body that is {framing} stands still after {size:d} bytes, and {more:d} others arrive")
+def step_stand_still(context, framing, size, more):
+    field = (
+        b"Transfer-Encoding: chunked\r\n" if framing == "chunked" else b"Content-Length: 9999\r\n"
+    )
+    start = b"%x\r\n" % size if framing == "chunked" else b""
+    held = connect(context, POST + field + b"\r\n" + start + b"x" * size)
+    gevent.sleep(0.1)
+    other = connect(context, POST + b"Content-Length: %d\r\n\r\n" % more)
+    gevent.sleep(0.05)
+    other.sendall(b"x" * more)
+    context.responses = [receive(held), receive(other)]
+
+
+@then("the former is refused with 503 and Retry-After, the latter accepted")
+def step_former_refused(context):
+    former, latter = context.responses
+    assert b" 503 " in former, former
+    assert b"Retry-After" in former, former
+    assert b" 200 " in latter, latter
+    assert context.reported == [Limit.BODY_BUDGET], context.reported
--- a/src/lavenderhook/_internal/adapters/bodies.py
+++ b/src/lavenderhook/_internal/adapters/bodies.py
@@ -94,6 +94,10 @@
                 raise IntakeFullError("the instance has no memory for further requests")
             self._budget.complete(self._connection)
             return bytes(self._body)
+        except OSError as error:
+            if self._is_dropped:  # a waiting read fails when `_drop` shuts the socket
+                raise IntakeFullError("the instance has no memory for further requests") from error
+            raise
         finally:
             self._body.clear()
 
