Leave values of variables out of logged tracebacks

Cause: loguru adds the values of variables to a traceback unless told not to; an unexpected failure while a call is authenticated could so write keys of organisations to the log. Change: the sink of the log leaves them out.

Run: the new scenario of features/organisation_keys.feature fails before and passes after; the rest of that feature, which starts processes, was not run.

--- a/features/organisation_keys.feature
+++ b/features/organisation_keys.feature
@@ -70,6 +70,12 @@
       | revokeMs = inf             | bounds.revokeMs=inf |
       | strictRevocation = "maybe" | strictRevocation    |
 
+  Scenario: The report of an unexpected failure quotes no key
+    Guards against tracebacks with the values of variables, among them organisations.
+    Given the organisations "a k1 1 5" are in force
+    When a log reports a failure in a function that holds them
+    Then the log has the traceback, and no key
+
   Scenario: Calls without a key of the active configuration have no effect
     Guards against keys that run work though they are missing, made up or revoked, also after a
     restart, and against keys in the logs.
--- a/features/steps/organisation_keys.py
+++ b/features/steps/organisation_keys.py
@@ -5,7 +5,10 @@
 import json
 import re
 import signal
+import tempfile
 import time
+from pathlib import Path
+from types import SimpleNamespace
 
 import gevent
 from behave import given, then, when
@@ -13,6 +16,7 @@
 from features.steps.configuration import wait_for_statuses
 from features.steps.platform_queues import make_steps, start_cluster
 from features.support.queue_processes import EntryCluster
+from lavenderhook._internal.daemon.logs import DecisionLog
 from lavenderhook._internal.queueing.authentication import (
     AvailableRevocation,
     CallRefusal,
@@ -303,3 +307,26 @@
     for text in read_logs(context):
         lines = [json.loads(line) for line in text.splitlines() if f'"{event}"' in line]
         assert sorted(line["path"] for line in lines) == sorted((path, other)), lines
+
+
+@when("a log reports a failure in a function that holds them")
+def step_log_failure(context):
+    def fail(organisations):
+        assert KEYS.search(repr([*organisations.values()])), organisations
+        return organisations.no_such_attribute
+
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "log")
+        log = DecisionLog(SimpleNamespace(level="info", format="json", file=str(path)), "n")
+        try:
+            fail({entry.name: entry for entry in context.routes.organisations})
+        except AttributeError as error:
+            log.log_failure("checking a key", error)
+        log.stop()
+        context.added_log = path.read_text(encoding="utf-8")
+
+
+@then("the log has the traceback, and no key")
+def step_traceback_without_key(context):
+    assert "no_such_attribute" in context.added_log, context.added_log
+    assert not KEYS.search(context.added_log), context.added_log
--- a/src/lavenderhook/_internal/daemon/logs.py
+++ b/src/lavenderhook/_internal/daemon/logs.py
@@ -148,6 +148,7 @@
             self._sink,
             level=settings.level.upper(),
             format="{message}",
+            diagnose=False,  # values of variables may hold keys
             filter=lambda record: record["extra"].get("instance") == incarnation,
         )
 
