Refuse a caller of the daemon without a free connection as before

Cause: the daemon's refusal at its limit on connections had become "intake-full", which the command line doesn't retry. Change: only a listener that closes stalled connections gives that code.

--- a/features/intake.feature
+++ b/features/intake.feature
@@ -83,3 +83,14 @@
       | framing       |
       | chunked       |
       | of known size |
+
+  Scenario Outline: What a listener bounds only where it is configured
+    Guards against limits of the platform's instances that a listener of another deployment meets.
+    Given a listener <configuration>
+    When a client <does>
+    Then it gets <answer>
+
+    Examples:
+      | configuration                      | does                          | answer                |
+      | without limits of its own          | finds no free connection      | 503 and not-ready     |
+      | that closes stalled connections    | finds no free connection      | 503 and intake-full   |
--- a/features/steps/intake.py
+++ b/features/steps/intake.py
@@ -1,15 +1,17 @@
-"""Steps for the limits of what listeners hold: decisions without a network, and settings."""
+"""Steps for the limits of what listeners hold: decisions, settings, and listeners."""
 
+import contextlib
 import math
 import random
 import tempfile
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import gevent
 from behave import given, then, when
 from gevent import socket
 
-from lavenderhook._internal.adapters.frontend import Listener, Reply
+from lavenderhook._internal.adapters.frontend import Listener, ListenerLimits, Reply
 from lavenderhook._internal.adapters.intake import (
     BodyBudget,
     Limit,
@@ -239,3 +241,96 @@
     assert b"Retry-After" in former, former
     assert b" 200 " in latter, latter
     assert context.reported == [Limit.BODY_BUDGET], context.reported
+
+
+LARGE_BODY = b"x" * 20_000_000
+CONFIGURATIONS = {
+    "without limits of its own": {},
+    "that closes stalled connections": {"closes_stalled": True},
+    "with 128 fields a request": {"header_fields": 128},
+    "with 0.5 s for 64 KB of a response": {"write_seconds": 0.5},
+    "with 16,384 unread bytes": {"unread_body_bytes": 16_384},
+}
+
+
+@given("a listener {configuration}")
+def step_configured_listener(context, configuration):
+    limits = ListenerLimits(
+        body_bytes=262_144,
+        header_bytes=65_536,
+        line_bytes=8_192,
+        read_seconds=3.0,
+        idle_seconds=60.0,
+        connections=1,
+        **CONFIGURATIONS[configuration],
+    )
+
+    def answer(request):
+        return Reply(body=LARGE_BODY if request.path == "/large" else b"")
+
+    start_listener(context, answer, limits)
+
+
+@when("a client finds no free connection")
+def step_no_connection(context):
+    # Connections that are being answered aren't closed for another.
+    context.listener.handlers.update(Mock(phase=Phase.ANSWERING) for _ in range(2))
+    context.response = receive(connect(context, POST + b"\r\n"))
+
+
+@when("a client sends {count:d} fields")
+def step_fields(context, count):
+    fields = b"".join(b"%x:\r\n" % index for index in range(count))
+    context.response = receive(connect(context, POST + fields + b"\r\n"))
+
+
+def receive_large(context, pause, interval):
+    sock = connect(context, b"GET /large HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n")
+    gevent.sleep(pause)
+    blocks = []
+    while block := receive(sock):
+        blocks.append(block)
+        gevent.sleep(interval)
+    context.response = b"".join(blocks)
+
+
+@when("a client reads 20 MB after a pause")
+def step_read_late(context):
+    receive_large(context, 1.2, 0)
+
+
+@when("a client reads 20 MB slowly")
+def step_read_slowly(context):
+    receive_large(context, 0, 0.01)
+
+
+@when("a client sends two bodies of 60,000 bytes")
+def step_unread_bodies(context):
+    sock = connect(context, b"")
+    context.response = b""
+    for _ in range(2):
+        with contextlib.suppress(OSError):
+            sock.sendall(POST + b"Content-Length: 60000\r\n\r\n")
+            gevent.sleep(0.1)
+            sock.sendall(b"x" * 60_000)
+        context.response += receive(sock)
+
+
+@then("it gets {status:d} {times:w}")
+def step_status(context, status, times):
+    count = context.response.count(b" %d " % status)
+    assert count == {"once": 1, "twice": 2}[times], context.response[:999]
+
+
+@then("it gets {status:d}")
+@then("it gets {status:d} and {code}")
+def step_refusal(context, status, code=""):
+    assert b" %d " % status in context.response, context.response[:999]
+    assert code.encode() in context.response, context.response[:999]
+
+
+@then("it gets {part} of it")
+def step_part(context, part):
+    body = context.response.partition(b"\r\n\r\n")[2]
+    assert 0 < len(body) <= len(LARGE_BODY), len(body)
+    assert (body == LARGE_BODY) == (part == "all"), len(body)
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -20,6 +20,7 @@
 from ...errors import (
     IntakeFullError,
     LavenderhookError,
+    NotReadyError,
     PayloadTooLargeError,
     ProtocolError,
     RequestTimeoutError,
@@ -603,7 +604,8 @@
         try:
             if is_full and not is_reserved:
                 self.report_limit(Limit.CONNECTIONS, handler)
-                raise IntakeFullError("the instance has no free connections")
+                refusal = IntakeFullError if self.limits.closes_stalled else NotReadyError
+                raise refusal("the instance has no free connections")
             reply = self._route(incoming)
         except IntakeFullError as error:
             reply = reply_error(error, RETRY_AFTER_HEADERS)
