Leave the daemon's fields, responses and unread bodies unbounded

Cause: defaults of the limits of a listener, made for the platform's instances, held for the daemon too: 128 fields a request, 10 s for a whole response, and the end of a connection after an unread body. The time for a response holds for each block of 64 KB, so that a large one to a slow reader isn't cut.

Run: features/intake.feature 39 of 39; without the change, the rows of 4,000 fields, of 20 MB read slowly and of two unread bodies fail. daemon_listener.feature 33 of 33, mypy passes. Not run: features/door.feature.

--- a/src/lavenderhook/_internal/adapters/bodies.py
+++ b/src/lavenderhook/_internal/adapters/bodies.py
@@ -16,7 +16,6 @@
 
 # The decoder of chunks keeps a list of pieces for each block, which isn't counted as held.
 CHUNKED_BLOCK_BYTES = 1024
-DISCARDED_BYTES = 16384  # of a body that a route doesn't read; above, the connection is closed
 
 
 class BoundedInput(Input):
@@ -24,7 +23,7 @@
 
     __slots__ = ("discard_seconds", "on_late_rest")
 
-    discard_seconds: float
+    discard_seconds: float | None
     on_late_rest: Callable[[], None]
 
     def _discard(self) -> None:
@@ -37,18 +36,20 @@
         except gevent.Timeout:
             self.on_late_rest()
 
-    def has_large_rest(self, buffered_bytes: int) -> bool:
+    def has_large_rest(self, buffered_bytes: int, limit: int) -> bool:
         """Return whether the rest is too large to be discarded.
 
         Parameters
         ----------
         buffered_bytes : int
             Bytes of the body that arrived with the head, and need no waiting.
+        limit : int
+            Bytes that are discarded at most.
         """
         if self.chunked_input:
             return bool(self.chunk_length != 0)
         rest = (self.content_length or 0) - self.position
-        return bool(rest > max(DISCARDED_BYTES, buffered_bytes))
+        return bool(rest > max(limit, buffered_bytes))
 
 
 class BodyReader:
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -32,6 +32,7 @@
 BACKLOG = 1024
 MAX_SINGLE_SEND_BYTES = 65536  # up to this size, headers and body are sent in one call
 READ_BLOCK_BYTES = 65536
+SEND_BLOCK_BYTES = 65536
 RETRY_AFTER_HEADERS = (("Retry-After", "1"),)
 # Connections above the limit serve only peers, operators and health checks.
 RESERVED_CONNECTIONS = 256
@@ -157,8 +158,14 @@
         Above it, callers' requests are refused, and connections are closed if `closes_stalled`.
     reserved_connections : int
         Further connections, which serve only peers, operators and health checks.
-    write_seconds : float
-        For which a response may wait for a client that does not read it.
+    header_fields : int or None
+        Of one request; None for as many as `header_bytes` allows.
+    write_seconds : float or None
+        In which a client has to take each block of `SEND_BLOCK_BYTES` of a response; None for no
+        limit.
+    unread_body_bytes : int or None
+        Of a body that its route does not read, up to which the connection is used further if they
+        arrive within `read_seconds`; None for no limit.
     receive_buffer_bytes : int
         Size that the kernel is asked for, as it holds what has not been read; 0 for its default.
     closes_stalled : bool
@@ -172,9 +179,10 @@
     read_seconds: float
     idle_seconds: float
     connections: int
-    header_fields: int = 128
+    header_fields: int | None = None
     reserved_connections: int = RESERVED_CONNECTIONS
-    write_seconds: float = 10.0
+    write_seconds: float | None = None
+    unread_body_bytes: int | None = None
     receive_buffer_bytes: int = 0
     closes_stalled: bool = False
 
@@ -328,7 +336,7 @@
                 raise ProtocolError(f"header {name!r} is given twice")
             value = value.strip(" \t")
             fields[name] = f"{fields[name]}, {value}" if name in fields else value
-            if len(fields) > limits.header_fields:
+            if limits.header_fields is not None and len(fields) > limits.header_fields:
                 raise PayloadTooLargeError(f"the head exceeds {limits.header_fields} fields")
 
     def _read_length(self) -> int | None:
@@ -352,7 +360,9 @@
             socket=self.socket if expects_continue else None,
             chunked_input="transfer-encoding" in self._fields,
         )
-        self.wsgi_input.discard_seconds = self.server.limits.read_seconds
+        limits = self.server.limits
+        bounds_rest = limits.unread_body_bytes is not None
+        self.wsgi_input.discard_seconds = limits.read_seconds if bounds_rest else None
         self.wsgi_input.on_late_rest = self._close_after_late_rest
         return {
             "REQUEST_METHOD": self.command,
@@ -378,8 +388,11 @@
         """Send a part of a response; a client that does not read it is closed in time."""
         self.enter(Phase.WRITING)
         self.socket.settimeout(self.server.limits.write_seconds)
+        blocks = memoryview(data)
         try:
-            super()._sendall(data)
+            # The time limit holds for each call.
+            for start in range(0, len(blocks), SEND_BLOCK_BYTES):
+                super()._sendall(blocks[start : start + SEND_BLOCK_BYTES])
         except TimeoutError as error:
             self.server.report_limit(Limit.RESPONSE_TIME, self)
             raise ConnectionResetError(errno.ECONNRESET, "the response was not read") from error
@@ -393,7 +406,8 @@
 
     def has_large_rest(self) -> bool:
         """Return whether too much of the body is unread for the connection to be used further."""
-        return self.wsgi_input.has_large_rest(self._buffered_body)
+        limit = self.server.limits.unread_body_bytes
+        return limit is not None and self.wsgi_input.has_large_rest(self._buffered_body, limit)
 
     def abandon_input(self) -> None:
         """Leave the rest of the request's body unread and close the connection afterwards."""
--- a/src/lavenderhook/platform/intake.py
+++ b/src/lavenderhook/platform/intake.py
@@ -20,6 +20,7 @@
     read_seconds=3.0,
     idle_seconds=60.0,
     connections=3_000,
+    unread_body_bytes=16_384,
 )
 # Shares of the machine's memory; the rest is for the program and its state.
 BODY_SHARE = 1 / 8
