Bound the lines about requests without a route

Cause: a crowd at a path without a route wrote one line for each request. Change: "queue-unknown" and "queue-unconfirmed" are limited to five a second each, like "call-unauthenticated"; decisions_total counts all of them. No existing scenario reads these lines.

--- a/features/intake.feature
+++ b/features/intake.feature
@@ -45,6 +45,18 @@
     When 8 clients reach a limit within one second, and 1 in the next, with 5 lines a second
     Then 6 lines are logged, and the last says that 3 were left out
 
+  Scenario Outline: Refusals of clients that misuse an instance are bounded in its log
+    Guards against a crowd that fills the log with one line for each request.
+    When 100 events "<event>" happen within one second
+    Then <count> of them are logged, among them the first
+
+    Examples:
+      | event                | count |
+      | call-unauthenticated | 5     |
+      | queue-unconfirmed    | 5     |
+      | queue-unknown        | 5     |
+      | run-started          | 100   |
+
   Scenario Outline: A limit that can't be is refused at the start
     Guards against a process that starts with a limit that every client meets, or none.
     When an instance on a machine of 160 MB and 1638 descriptors has the setting <name> = <value>
--- a/features/steps/intake.py
+++ b/features/steps/intake.py
@@ -19,8 +19,10 @@
     ReportSample,
     choose_connection_to_close,
 )
+from lavenderhook._internal.instance.log_limits import LineLimiter
 from lavenderhook.errors import SettingsError
 from lavenderhook.platform.intake import LISTENER_LIMITS, compute_intake_limits
+from lavenderhook.platform.program import LIMITED_EVENTS, LIMITED_LINES_PER_SECOND
 from lavenderhook.platform.settings import load_settings
 
 NOW = 10.0
@@ -122,6 +124,18 @@
     assert context.omitted == omitted, context.omitted
 
 
+@when('{count:d} events "{event}" happen within one second')
+def step_events(context, count, event):
+    limiter = LineLimiter(LIMITED_EVENTS, LIMITED_LINES_PER_SECOND)
+    context.logged = [limiter.admit(event, 5.0 + index / count) for index in range(count)]
+
+
+@then("{count:d} of them are logged, among them the first")
+def step_events_logged(context, count):
+    assert context.logged[0] == 0, context.logged
+    assert sum(omitted is not None for omitted in context.logged) == count, context.logged
+
+
 def load(context, sections):
     """Load settings with further sections, given by their names and fields."""
     text = SETTINGS
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -44,7 +44,7 @@
 DRAIN_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0  # the settings file may change without a signal
 # Events that any client can cause; all are counted on the metrics address.
-LIMITED_EVENTS = ("call-unauthenticated",)
+LIMITED_EVENTS = ("call-unauthenticated", "queue-unconfirmed", "queue-unknown")
 LIMITED_LINES_PER_SECOND = 5
 METRICS_HEADERS = (("Content-Type", "text/plain; version=0.0.4"),)
 
