Keep the connections of new clients and of readiness checks in a crowd

Cause: a client that has just connected is idle until its first byte arrives, and idle connections were closed before half heads of any age: a crowd of these kept out every ordinary client, and the connection of the readiness check was the first to go. Change: a connection that has been in its phase for less than 1 s goes after those that have stalled for longer; at readiness, incomplete requests go before idle connections.

Run: features/intake.feature 51 of 51; with the former order (trial), three of the eight new rows fail. Not run: features/door.feature.

--- a/features/intake.feature
+++ b/features/intake.feature
@@ -40,6 +40,23 @@
       | answering@1 closing@9 idle@1       | closing@9 |
       | answering@1 answering@2            | none   |
 
+  Scenario Outline: A crowd of new connections closes neither ordinary clients nor checks
+    Guards against half heads of any age that keep their places while clients that have just
+    connected lose theirs, and against a readiness check whose connection goes first.
+    When a connection is added in second 10 to "<connections>", where <kept> stay longest
+    Then connection "<closed>" is closed
+
+    Examples:
+      | connections                     | kept      | closed      |
+      | idle@9.5 reading@5              | new ones  | reading@5   |
+      | idle@9.5 idle@3 reading@1       | new ones  | idle@3      |
+      | idle@9.5 writing@8              | new ones  | writing@8   |
+      | idle@9.5 reading@9.25           | new ones  | idle@9.5    |
+      | closing@9.5 idle@3              | new ones  | closing@9.5 |
+      | idle@3 reading@9.75 reading@9.5 | idle ones | reading@9.5 |
+      | idle@3 idle@2 writing@1         | idle ones | idle@2      |
+      | idle@3 closing@9.5 reading@1    | idle ones | closing@9.5 |
+
   Scenario: Reports about clients are bounded
     Guards against a crowd that fills the log.
     When 8 clients reach a limit within one second, and 1 in the next, with 5 lines a second
--- a/features/steps/intake.py
+++ b/features/steps/intake.py
@@ -91,12 +91,13 @@
 
 
 @when('a connection is added to "{connections}"')
-def step_connections(context, connections):
+@when('a connection is added in second 10 to "{connections}", where {others} stay longest')
+def step_connections(context, connections, others=""):
     states = []
     for text in connections.split():
         phase, _, second = text.partition("@")
         states.append(SimpleNamespace(phase=Phase(phase), phase_began_at=float(second)))
-    context.chosen = choose_connection_to_close(states)
+    context.chosen = choose_connection_to_close(states, NOW, keeps_idle=others == "idle ones")
 
 
 @then('connection "{text}" is closed')
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -171,6 +171,8 @@
     closes_stalled : bool
         Whether a new connection above the limit closes the one that has been idle, or made no
         progress, for the longest time.
+    keeps_idle : bool
+        Whether incomplete requests are closed before idle connections.
     """
 
     body_bytes: int
@@ -185,6 +187,7 @@
     unread_body_bytes: int | None = None
     receive_buffer_bytes: int = 0
     closes_stalled: bool = False
+    keeps_idle: bool = False
 
 
 Route = Callable[[HttpRequest], Reply]
@@ -539,11 +542,11 @@
     def admit(self, handler: Handler) -> None:
         """Add a connection; close a stalled one for it if there are too many."""
         if self.limits.closes_stalled and len(self.handlers) >= self.limits.connections:
-            stalled = choose_connection_to_close(self.handlers)
+            stalled = self._choose_stalled()
             while stalled and stalled.phase is Phase.IDLE and not stalled.is_silent():
                 # A request has arrived that its greenlet has not begun to read.
                 stalled.enter(Phase.READING)
-                stalled = choose_connection_to_close(self.handlers)
+                stalled = self._choose_stalled()
             if stalled is not None:
                 # Its greenlet ends later, and must not be chosen again by then.
                 self.handlers.discard(stalled)
@@ -551,6 +554,10 @@
                 stalled.close_now()
         self.handlers.add(handler)
 
+    def _choose_stalled(self) -> Handler | None:
+        keeps_idle = self.limits.keeps_idle
+        return choose_connection_to_close(self.handlers, time.monotonic(), keeps_idle=keeps_idle)
+
     def report_limit(self, limit: Limit, handler: Handler) -> None:
         """Report that a limit has refused a request or closed a connection."""
         if self._report_limit is not None:
--- a/src/lavenderhook/_internal/adapters/intake.py
+++ b/src/lavenderhook/_internal/adapters/intake.py
@@ -40,6 +40,9 @@
 
 # A connection in a phase that isn't listed has a request that may have been carried out.
 CLOSING_RANKS = {Phase.CLOSING: 0, Phase.IDLE: 1, Phase.READING: 2, Phase.WRITING: 3}
+# Where clients keep a connection between regular checks.
+IDLE_KEEPING_RANKS = {Phase.CLOSING: 0, Phase.READING: 1, Phase.IDLE: 2, Phase.WRITING: 3}
+FRESH_SECONDS = 1.0  # in which an ordinary client sends its request or reads its response
 
 
 class Connection(Protocol):
@@ -52,15 +55,33 @@
 _Connection = TypeVar("_Connection", bound=Connection)
 
 
-def choose_connection_to_close(connections: Iterable[_Connection]) -> _Connection | None:
+def choose_connection_to_close(
+    connections: Iterable[_Connection], now: float, *, keeps_idle: bool = False
+) -> _Connection | None:
     """Return the connection that makes room for a new one, or None if all are being answered.
 
     Idle connections go first, since their clients lose nothing, then those that have not sent
     their request or read their response for the longest time. So connections that are held open
-    can't keep out a new client.
+    can't keep out a new client. One that has just connected is idle too until its first byte
+    arrives: it goes only after connections that have stalled for `FRESH_SECONDS`.
+
+    Parameters
+    ----------
+    connections : iterable of Connection
+    now : float
+        Monotonic time in seconds.
+    keeps_idle : bool
+        Whether requests that have not arrived completely go before idle connections.
     """
-    candidates = (c for c in connections if c.phase in CLOSING_RANKS)
-    return min(candidates, key=lambda c: (CLOSING_RANKS[c.phase], c.phase_began_at), default=None)
+    ranks = IDLE_KEEPING_RANKS if keeps_idle else CLOSING_RANKS
+
+    def rank(connection: _Connection) -> tuple[bool, int, float]:
+        phase, began_at = connection.phase, connection.phase_began_at
+        is_ending = phase is Phase.CLOSING
+        is_fresh = not (keeps_idle or is_ending) and now - began_at < FRESH_SECONDS
+        return is_fresh, ranks[phase], began_at
+
+    return min((c for c in connections if c.phase in ranks), key=rank, default=None)
 
 
 class _HeldBody:
--- a/src/lavenderhook/platform/intake.py
+++ b/src/lavenderhook/platform/intake.py
@@ -97,7 +97,10 @@
         callers=bound(intake.connections or connections, CLOSING_CONNECTIONS, BUFFER_BYTES),
         # Peers send messages of many submissions, for which a small buffer would cost time.
         peers=bound(peer_connections, CLOSING_CONNECTIONS, 0),
-        readiness=bound(READINESS_CONNECTIONS, CLOSING_FEW_CONNECTIONS, BUFFER_BYTES),
+        # The balancer keeps a connection that is idle between its checks.
+        readiness=msgspec.structs.replace(
+            bound(READINESS_CONNECTIONS, CLOSING_FEW_CONNECTIONS, BUFFER_BYTES), keeps_idle=True
+        ),
         metrics=bound(METRICS_CONNECTIONS, CLOSING_FEW_CONNECTIONS, BUFFER_BYTES),
     )
 
