--- a/features/intake.feature
+++ b/features/intake.feature
@@ -40,11 +40,40 @@
       | answering@1 closing@9 idle@1       | closing@9 |
       | answering@1 answering@2            | none   |
 
+  Scenario Outline: A crowd of new connections closes neither ordinary clients nor checks
+    Guards against half heads of any age that keep their places while clients that have just
+    connected lose theirs, and against a readiness check whose connection goes first.
+    When a connection is added in second 10 to "<connections>", where <kept> stay longest
+    Then connection "<closed>" is closed
+
+    Examples:
+      | connections                     | kept      | closed      |
+      | idle@9.5 reading@5              | new ones  | reading@5   |
+      | idle@9.5 idle@3 reading@1       | new ones  | idle@3      |
+      | idle@9.5 writing@8              | new ones  | writing@8   |
+      | idle@9.5 reading@9.25           | new ones  | idle@9.5    |
+      | closing@9.5 idle@3              | new ones  | closing@9.5 |
+      | idle@3 reading@9.75 reading@9.5 | idle ones | reading@9.5 |
+      | idle@3 idle@2 writing@1         | idle ones | idle@2      |
+      | idle@3 closing@9.5 reading@1    | idle ones | closing@9.5 |
+
   Scenario: Reports about clients are bounded
     Guards against a crowd that fills the log.
     When 8 clients reach a limit within one second, and 1 in the next, with 5 lines a second
     Then 6 lines are logged, and the last says that 3 were left out
 
+  Scenario Outline: Refusals of clients that misuse an instance are bounded in its log
+    Guards against a crowd that fills the log with one line for each request.
+    When 100 events "<event>" happen within one second
+    Then <count> of them are logged, among them the first
+
+    Examples:
+      | event                | count |
+      | call-unauthenticated | 5     |
+      | queue-unconfirmed    | 5     |
+      | queue-unknown        | 5     |
+      | run-started          | 100   |
+
   Scenario Outline: A limit that can't be is refused at the start
     Guards against a process that starts with a limit that every client meets, or none.
     When an instance on a machine of 160 MB and 1638 descriptors has the setting <name> = <value>
@@ -72,3 +101,33 @@
     Guards against a changed behaviour where the settings don't name the machine's limits.
     When an instance has settings without the machine's limits
     Then its listeners have no budget and close no stalled connections
+
+  Scenario Outline: A body whose bytes are needed for others is refused as one that may be retried
+    Guards against an answer that blames the client, and a limit that no report names.
+    Given a listener with a budget of 2000 bytes for bodies
+    When a body that is <framing> stands still after 1500 bytes, and 1200 others arrive
+    Then the former is refused with 503 and Retry-After, the latter accepted
+
+    Examples:
+      | framing       |
+      | chunked       |
+      | of known size |
+
+  Scenario Outline: What a listener bounds only where it is configured
+    Guards against limits of the platform's instances that a listener of another deployment meets.
+    Given a listener <configuration>
+    When a client <does>
+    Then it gets <answer>
+
+    Examples:
+      | configuration                      | does                          | answer                |
+      | without limits of its own          | finds no free connection      | 503 and not-ready     |
+      | that closes stalled connections    | finds no free connection      | 503 and intake-full   |
+      | without limits of its own          | sends 4000 fields             | 200                   |
+      | with 128 fields and 3 places more  | sends 4000 fields                | 200                 |
+      | with 128 fields a request          | sends 4000 fields             | 413                   |
+      | without limits of its own          | reads 20 MB after a pause     | all of it             |
+      | with 1.0 s for 64 KB of a response | reads 20 MB after a pause     | a part of it          |
+      | with 1.0 s for 64 KB of a response | reads 20 MB slowly            | all of it             |
+      | without limits of its own          | sends two bodies of 60,000 bytes | 200 twice          |
+      | with 16,384 unread bytes           | sends two bodies of 60,000 bytes | 200 once           |
--- a/src/lavenderhook/_internal/adapters/frontend.py
+++ b/src/lavenderhook/_internal/adapters/frontend.py
@@ -20,6 +20,7 @@
 from ...errors import (
     IntakeFullError,
     LavenderhookError,
+    NotReadyError,
     PayloadTooLargeError,
     ProtocolError,
     RequestTimeoutError,
@@ -31,10 +32,13 @@
 BACKLOG = 1024
 MAX_SINGLE_SEND_BYTES = 65536  # up to this size, headers and body are sent in one call
 READ_BLOCK_BYTES = 65536
+SEND_BLOCK_BYTES = 65536
 RETRY_AFTER_HEADERS = (("Retry-After", "1"),)
 # Connections above the limit serve only peers, operators and health checks.
 RESERVED_CONNECTIONS = 256
 RESERVED_PREFIXES = ("/peer/", "/operator/", "/healthz", "/readyz", "/metrics")
+# Of the connections. A short field takes some twelve times its bytes when parsed.
+CROWDED_SHARE = 1 / 4
 LINGER_SECONDS = 1.0
 LINGER_BYTES = 1024 * 1024
 HEAD_END = b"\r\n\r\n"
@@ -156,13 +160,22 @@
         Above it, callers' requests are refused, and connections are closed if `closes_stalled`.
     reserved_connections : int
         Further connections, which serve only peers, operators and health checks.
-    write_seconds : float
-        For which a response may wait for a client that does not read it.
+    header_fields : int or None
+        Of one request while the listener is crowded; otherwise, and if it is None, as many as
+        `header_bytes` allows.
+    write_seconds : float or None
+        In which a client has to take each block of `SEND_BLOCK_BYTES` of a response; None for no
+        limit.
+    unread_body_bytes : int or None
+        Of a body that its route does not read, up to which the connection is used further if they
+        arrive within `read_seconds`; None for no limit.
     receive_buffer_bytes : int
         Size that the kernel is asked for, as it holds what has not been read; 0 for its default.
     closes_stalled : bool
         Whether a new connection above the limit closes the one that has been idle, or made no
         progress, for the longest time.
+    keeps_idle : bool
+        Whether incomplete requests are closed before idle connections.
     """
 
     body_bytes: int
@@ -171,11 +184,13 @@
     read_seconds: float
     idle_seconds: float
     connections: int
-    header_fields: int = 128
+    header_fields: int | None = None
     reserved_connections: int = RESERVED_CONNECTIONS
-    write_seconds: float = 10.0
+    write_seconds: float | None = None
+    unread_body_bytes: int | None = None
     receive_buffer_bytes: int = 0
     closes_stalled: bool = False
+    keeps_idle: bool = False
 
 
 Route = Callable[[HttpRequest], Reply]
@@ -327,7 +342,11 @@
                 raise ProtocolError(f"header {name!r} is given twice")
             value = value.strip(" \t")
             fields[name] = f"{fields[name]}, {value}" if name in fields else value
-            if len(fields) > limits.header_fields:
+            if (
+                limits.header_fields is not None
+                and len(fields) > limits.header_fields
+                and self.server.is_crowded()
+            ):
                 raise PayloadTooLargeError(f"the head exceeds {limits.header_fields} fields")
 
     def _read_length(self) -> int | None:
@@ -351,7 +370,9 @@
             socket=self.socket if expects_continue else None,
             chunked_input="transfer-encoding" in self._fields,
         )
-        self.wsgi_input.discard_seconds = self.server.limits.read_seconds
+        limits = self.server.limits
+        bounds_rest = limits.unread_body_bytes is not None
+        self.wsgi_input.discard_seconds = limits.read_seconds if bounds_rest else None
         self.wsgi_input.on_late_rest = self._close_after_late_rest
         return {
             "REQUEST_METHOD": self.command,
@@ -377,8 +398,11 @@
         """Send a part of a response; a client that does not read it is closed in time."""
         self.enter(Phase.WRITING)
         self.socket.settimeout(self.server.limits.write_seconds)
+        blocks = memoryview(data)
         try:
-            super()._sendall(data)
+            # The time limit holds for each call.
+            for start in range(0, len(blocks), SEND_BLOCK_BYTES):
+                super()._sendall(blocks[start : start + SEND_BLOCK_BYTES])
         except TimeoutError as error:
             self.server.report_limit(Limit.RESPONSE_TIME, self)
             raise ConnectionResetError(errno.ECONNRESET, "the response was not read") from error
@@ -392,7 +416,8 @@
 
     def has_large_rest(self) -> bool:
         """Return whether too much of the body is unread for the connection to be used further."""
-        return self.wsgi_input.has_large_rest(self._buffered_body)
+        limit = self.server.limits.unread_body_bytes
+        return limit is not None and self.wsgi_input.has_large_rest(self._buffered_body, limit)
 
     def abandon_input(self) -> None:
         """Leave the rest of the request's body unread and close the connection afterwards."""
@@ -524,11 +549,11 @@
     def admit(self, handler: Handler) -> None:
         """Add a connection; close a stalled one for it if there are too many."""
         if self.limits.closes_stalled and len(self.handlers) >= self.limits.connections:
-            stalled = choose_connection_to_close(self.handlers)
+            stalled = self._choose_stalled()
             while stalled and stalled.phase is Phase.IDLE and not stalled.is_silent():
                 # A request has arrived that its greenlet has not begun to read.
                 stalled.enter(Phase.READING)
-                stalled = choose_connection_to_close(self.handlers)
+                stalled = self._choose_stalled()
             if stalled is not None:
                 # Its greenlet ends later, and must not be chosen again by then.
                 self.handlers.discard(stalled)
@@ -536,6 +561,14 @@
                 stalled.close_now()
         self.handlers.add(handler)
 
+    def is_crowded(self) -> bool:
+        """Return whether so many connections are open that their requests have to be small."""
+        return len(self.handlers) > self.limits.connections * CROWDED_SHARE
+
+    def _choose_stalled(self) -> Handler | None:
+        keeps_idle = self.limits.keeps_idle
+        return choose_connection_to_close(self.handlers, time.monotonic(), keeps_idle=keeps_idle)
+
     def report_limit(self, limit: Limit, handler: Handler) -> None:
         """Report that a limit has refused a request or closed a connection."""
         if self._report_limit is not None:
@@ -603,7 +636,8 @@
         try:
             if is_full and not is_reserved:
                 self.report_limit(Limit.CONNECTIONS, handler)
-                raise IntakeFullError("the instance has no free connections")
+                refusal = IntakeFullError if self.limits.closes_stalled else NotReadyError
+                raise refusal("the instance has no free connections")
             reply = self._route(incoming)
         except IntakeFullError as error:
             reply = reply_error(error, RETRY_AFTER_HEADERS)
--- a/src/lavenderhook/platform/intake.py
+++ b/src/lavenderhook/platform/intake.py
@@ -20,6 +20,7 @@
     read_seconds=3.0,
     idle_seconds=60.0,
     connections=3_000,
+    unread_body_bytes=16_384,
 )
 # Shares of the machine's memory; the rest is for the program and its state.
 BODY_SHARE = 1 / 8
@@ -96,7 +97,10 @@
         callers=bound(intake.connections or connections, CLOSING_CONNECTIONS, BUFFER_BYTES),
         # Peers send messages of many submissions, for which a small buffer would cost time.
         peers=bound(peer_connections, CLOSING_CONNECTIONS, 0),
-        readiness=bound(READINESS_CONNECTIONS, CLOSING_FEW_CONNECTIONS, BUFFER_BYTES),
+        # The balancer keeps a connection that is idle between its checks.
+        readiness=msgspec.structs.replace(
+            bound(READINESS_CONNECTIONS, CLOSING_FEW_CONNECTIONS, BUFFER_BYTES), keeps_idle=True
+        ),
         metrics=bound(METRICS_CONNECTIONS, CLOSING_FEW_CONNECTIONS, BUFFER_BYTES),
     )
 
