--- a/src/lavenderhook/platform/settings.py
+++ b/src/lavenderhook/platform/settings.py
@@ -108,7 +108,7 @@
     header_fields : int
         Of one request while more than a quarter of the connections are open.
     write_timeout_ms : float
-        For which a response may wait for a client that doesn't read it.
+        In which a client has to read each 64 KB of a response.
     """
 
     body_mb: float | None = None
