Play organisations, keys, limits and odd clients in the soak

Cause: the soak sent calls without keys and without limits, so that nothing played revocations, changed limits, unusable entries and odd clients beside its other faults.

Checks: no made-up key is accepted or starts anything; an instance in touch refuses a key that was revoked longer ago than the bound; no start brings an organisation above the highest limit that may be in force and its overage; no process ends by itself. Which instances are in touch is sampled from the state of the faults.

--- a/features/support/door_crowd.py
+++ b/features/support/door_crowd.py
@@ -47,15 +47,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Target:
-    """What a client asks for: an address, and the method and the path of its requests."""
+    """What a client asks for: an address, and method, path and further fields of its requests."""
 
     address: str
     method: str
     path: str
+    fields: tuple = ()
 
     def make_head(self, *fields):
         """Return the head of a request without its last line end."""
-        lines = (f"{self.method} {self.path} HTTP/1.1", f"Host: {self.address}", *fields)
+        lines = (
+            f"{self.method} {self.path} HTTP/1.1",
+            f"Host: {self.address}",
+            *self.fields,
+            *fields,
+        )
         return "\r\n".join(lines).encode() + b"\r\n"
 
 
--- a/features/support/partitioned_cluster.py
+++ b/features/support/partitioned_cluster.py
@@ -75,6 +75,10 @@
         self._cuts = [c for c in self._cuts if cut is not None and c is not cut]
         self._apply_cuts()
 
+    def is_cut_off(self, entry):
+        """Return whether an instance is inside a cut."""
+        return any(entry in cut.entries for cut in self._cuts)
+
     def _apply_cuts(self):
         for entry in self.entries:
             entry.cut_off({a for cut in self._cuts for a in self._list_unreachable(entry, cut)})
--- a/features/support/queue_processes.py
+++ b/features/support/queue_processes.py
@@ -188,17 +188,18 @@
         self.platform.stop()
         self.client.close()
 
-    def submit(self, index, submission, steps, prefix="/jobs/"):
+    def submit(self, index, submission, steps, prefix="/jobs/", key=None):
         """Send a submission to one instance; return the answer."""
         import msgspec
 
         self.platform.record_submission(submission, steps)
         body = msgspec.json.encode({"spec": "text", "steps": steps})
-        return self.call(index, "POST", prefix + submission, body)
+        return self.call(index, "POST", prefix + submission, body, key=key)
 
-    def call(self, index, method, path, body=b"", seconds=3.2):
-        """Call one instance as a caller."""
-        headers = HEADERS if self.key is None else (*HEADERS, ("X-Credential", self.key))
+    def call(self, index, method, path, body=b"", seconds=3.2, key=None):
+        """Call one instance as a caller, with this key or that of all calls."""
+        key = self.key if key is None else key
+        headers = HEADERS if key is None else (*HEADERS, ("X-Credential", key))
         return self.client.call(
             self.entries[index].frontend_address, method, path, body, headers, timeout=seconds
         )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,6 +3,7 @@
 import enum
 import socket
 import struct
+import time
 
 import gevent
 from gevent.server import StreamServer
@@ -36,6 +37,7 @@
         self._pairs = set()
         self.mode = Mode.PASS
         self.delay_seconds = 0.0
+        self.reset_at = 0.0  # monotonic time of the last reset
 
     @property
     def location(self):
@@ -53,6 +55,7 @@
 
     def reset(self):
         """Reset all open connections."""
+        self.reset_at = time.monotonic()
         for pair in list(self._pairs):
             for connection in pair:
                 try:
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,16 +14,19 @@
 from features.support.partitioned_cluster import PartitionedCluster
 from lavenderhook.errors import TransportError
 
+from .contact import CONFIGURATION_SECONDS, CONTACT_SECONDS, ContactRecorder
 from .faults import RandomFaultInjector
+from .organisations import LIMITED_MACHINE, OrganisationInjector
 from .partitions import PartitionInjector
 from .proxy import Mode, Proxy
 from .takeovers import ReplacementInjector, TakeoverInjector
 
-CONFIGURATION_SECONDS = 2.0  # within which a change is in force, or not denied
 QUERY_SECONDS = 1.0
 COMPLETION_TIMEOUT_SECONDS = 30.0  # for accepted submissions, after all faults have ended
 REPEAT_SECONDS = (0.1, 6.0)  # from an acceptance to each repetition of the request
 MAX_REPEATS = 2
+FINAL_PROBE_SECONDS = CONTACT_SECONDS + CONFIGURATION_SECONDS + 1.0
+HOT_FACTOR = 3  # more submissions of an organisation that is hot
 CRASHING_SUBMISSION = "ff00000000000000"
 CRASHING_MILLISECONDS = 400  # run time without the crash, which comes within 300 ms
 
@@ -82,9 +85,13 @@
         self._random_takeovers = random.Random(seed + 3)
         self._random_repeats = random.Random(seed + 4)
         self._random_replacements = random.Random(seed + 5)
+        self._random_organisations = random.Random(seed + 6)
         self._size = size
         self._directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.cluster = PartitionedCluster(self._directory, size.instances, size.workers, seed)
+        self.cluster.extra_bounds = LIMITED_MACHINE
+        self.contact = None
+        self._organisations = OrganisationInjector(self, self._random_organisations)
         self.violations = []
         self.accepted = set()
         self.cancelled = set()
@@ -102,6 +109,8 @@
         """Run the seed and return the violations."""
         self._start()
         injector = RandomFaultInjector(self, self._random)
+        self.contact = ContactRecorder(self)
+        watchers = [gevent.spawn(self.contact.run), gevent.spawn(self._organisations.probe)]
         try:
             callers = [gevent.spawn(self._run_caller, i) for i in range(self._size.callers)]
             callers.append(gevent.spawn(self._query_newest_queue))
@@ -109,13 +118,16 @@
                 gevent.spawn(PartitionInjector(self, self._random_cuts, injector).run),
                 gevent.spawn(TakeoverInjector(self, self._random_takeovers, injector).run),
                 gevent.spawn(ReplacementInjector(self, self._random_replacements, injector).run),
+                gevent.spawn(self._organisations.run, injector),
             ]
             interval_seconds = self._size.fault_interval_seconds
             injector.run(self._size.seconds, interval_seconds, lambda: gevent.killall(others))
             gevent.joinall(callers, timeout=15)
             gevent.joinall(self._repeats, timeout=15)
             self._check()
+            gevent.sleep(FINAL_PROBE_SECONDS)  # all instances are in touch, and calls go on
         finally:
+            gevent.killall(watchers)
             self.faults_ended.set()
             injector.join()  # none may start a process later
             self._stop()
@@ -149,7 +161,10 @@
     def can_terminate(self, entry):
         """Return whether this process and another one run, and faults are still injected."""
         running = [e for e in self.cluster.entries if e.process.poll() is None]
-        return entry in running and len(running) > 1 and not self.faults_ended.is_set()
+        may_end = entry in running and len(running) > 1 and not self.faults_ended.is_set()
+        if may_end:
+            self.contact.stopped.add(entry.process)
+        return may_end
 
     def restart(self, entry):
         """Restart a process that has ended."""
@@ -167,6 +182,7 @@
     def end_all_faults(self):
         """End all faults."""
         self.faults_ended.set()
+        self._organisations.finish()
         self.cluster.heal()
         store = self.cluster.platform.store
         store.mode, store.delay_seconds, store.lost_answer_share = "up", 0.0, 0.0
@@ -196,7 +212,9 @@
                     self._repeats.append(repeat)
             if number % 7 == 0 and name in self.accepted:
                 self._cancel(name, index)
-            gevent.sleep(self._size.submission_interval_seconds)
+            pause_seconds = self._size.submission_interval_seconds
+            is_hot = self._organisations.find(name).is_hot
+            gevent.sleep(pause_seconds / HOT_FACTOR if is_hot else pause_seconds)
 
     def _query_newest_queue(self):
         """Check that no instance denies the queue that the newest version has added."""
@@ -240,10 +258,13 @@
         gevent.sleep(self._random_repeats.uniform(*REPEAT_SECONDS))
         count = len(self.cluster.entries)
         other = (index + self._random_repeats.randrange(1, count)) % count
+        key = self._organisations.find(name).keys[0]
         try:
-            response = self.cluster.submit(other, name, self._make_steps(run_time))
+            response = self.cluster.submit(other, name, self._make_steps(run_time), key=key)
         except TransportError:
             return
+        if response.status == 401 and key not in self._organisations.find(name).keys:
+            return  # it was revoked meanwhile
         if response.status not in (200, 503, 504):
             self.violations.append(f"{name} was sent again and answered with {response.status}")
 
@@ -252,7 +273,10 @@
         for attempt in range(3):
             try:
                 response = self.cluster.submit(
-                    (index + attempt) % len(self.cluster.entries), name, steps
+                    (index + attempt) % len(self.cluster.entries),
+                    name,
+                    steps,
+                    key=self._organisations.find(name).keys[0],
                 )
             except TransportError:
                 self.refused.pop(name, None)
@@ -269,7 +293,8 @@
 
     def _cancel(self, name, index):
         try:
-            response = self.cluster.call(index, "DELETE", f"/jobs/{name}")
+            key = self._organisations.find(name).keys[0]
+            response = self.cluster.call(index, "DELETE", f"/jobs/{name}", key=key)
         except TransportError:
             self.cancelled.add(name)  # the cancellation may have been applied
             return
@@ -280,6 +305,7 @@
 
     def _check(self):
         self.violations += self.cluster.platform.violations
+        self.cluster.key = self._organisations.find("00").keys[0]
         self.cluster.wait_ready()
         deadline = time.monotonic() + COMPLETION_TIMEOUT_SECONDS
         expected = dict.fromkeys(sorted(self.accepted - self.cancelled), "completed")
--- a/soak/takeovers.py
+++ b/soak/takeovers.py
@@ -102,6 +102,7 @@
             [], self._random.sample(workers, self._random.randint(1, MAX_LOST_WORKERS))
         )
         for entry in cluster.entries:
+            self._soak.contact.stopped.add(entry.process)
             entry.process.kill()
             entry.process.wait()
         gevent.sleep(self._random.uniform(*REPLACEMENT_SECONDS))
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -500,6 +500,10 @@
         Submissions whose runs all fail.
     crash_budget : CrashBudget
         Submissions whose tasks crash their workers.
+    tenants : list or None
+        Organisations of the configuration, if it has them.
+    start_checks : list of callable
+        Called with a task and its step at each start; each returns a violation or None.
     on_crash : callable or None
         Called with the number of workers that tasks have crashed so far.
     violations : list of str
@@ -517,6 +521,8 @@
         self.failing_submissions = set()
         self.crash_budget = CrashBudget()
         self.on_crash = None
+        self.tenants = None
+        self.start_checks = []
         self.violations = []
 
     def start(self):
@@ -546,7 +552,10 @@
 
     def write_configuration(self, version, prefixes):
         """Write the operator's configuration."""
-        self.write_json("op", "config", {"version": version, "routes": self.make_routes(prefixes)})
+        content = {"version": version, "routes": self.make_routes(prefixes)}
+        if self.tenants is not None:
+            content["tenants"] = self.tenants
+        self.write_json("op", "config", content)
 
     def make_routes(self, prefixes):
         """Return the routes of a configuration with one queue for each path prefix."""
@@ -594,6 +603,7 @@
             self.violations.append(f"{task} was started without its ticket")
         if not self.crash_budget.record_start(task):
             self.violations.append(f"{task} was started beyond its budget of crashes")
+        self.violations += filter(None, [check(task, spec) for check in self.start_checks])
         return spec
 
     def record_event(self, worker, task, event):
