Give the organisations of the soak different weights

Cause: with equal, large weights no submission of the soak is beyond its organisation's rate. Change: weights of 4, 8 and 16.

--- a/soak/organisations.py
+++ b/soak/organisations.py
@@ -15,6 +15,7 @@
 CROWD_KINDS = [ClientKind.PIECES, ClientKind.CHUNKS, ClientKind.PIPELINED]
 CROWD_CLIENTS = 40
 LIMITED_MACHINE = "[limits]\nmemoryMb = 160\nfileDescriptors = 1638"  # the smallest of the platform
+WEIGHTS = {"north": 4, "south": 8, "west": 16}  # submissions per second
 UNKNOWN_KEY_PREFIX = "fe"  # of submissions that are sent with made-up keys only
 ODD_ENTRIES = ({"name": 5, "apiKeys": ["odd"]}, {"name": "odd", "apiKeys": "odd", "weight": "much"})
 
@@ -40,7 +41,7 @@
         self._platform = soak.cluster.platform
         processors = sum(worker.full_processors for worker in self._platform.workers)
         self._limits = [int(share * processors) for share in LIMIT_SHARES]
-        self._all = [Organisation(name, self._limits[-1]) for name in ("north", "south", "west")]
+        self._all = [Organisation(name, self._limits[-1]) for name in WEIGHTS]
         self._dropped = []
         self._revoked_at = {}  # times by key
         self._platform.tenants = self._describe()
@@ -82,7 +83,7 @@
             {
                 "name": entry.name,
                 "apiKeys": entry.keys,
-                "weight": 20,
+                "weight": WEIGHTS[entry.name],
                 "maxCount": {"cpu": entry.limits[-1], "memMb": 0, "gpu": 0},
             }
             for entry in self._all
