Let a partitioned instance send with a timeout

Cause: the socket of a partitioned test process didn't take the timeout with which gevent sends once a listener limits for how long a response waits. With limits on the machine, no such instance got ready, and each of its responses failed with a TypeError.

Change: the socket passes further arguments on.

--- a/features/support/partitioned_process.py
+++ b/features/support/partitioned_process.py
@@ -46,11 +46,11 @@
             super().connect(address)
             self._target = address
 
-        def send(self, data, flags=0):
+        def send(self, data, flags=0, **options):  # `sendall` passes a timeout if there is one
             if self._is_cut_off():
                 self._has_lost_bytes = True
                 return len(data)
-            return super().send(data, flags)
+            return super().send(data, flags, **options)
 
         def recv(self, *arguments):
             remaining = self.gettimeout()
