--- a/soak/organisations.py
+++ b/soak/organisations.py
@@ -8,7 +8,7 @@
 from features.support.door_crowd import ClientKind, Crowd, Target
 from lavenderhook.errors import TransportError
 
-LIMIT_SHARES = (0.2, 0.4, 0.8)  # of the processors of all workers
+LIMIT_SHARES = (0.1, 0.25, 0.8)  # of the processors of all workers
 OVERAGE = 0.1  # of a limit, for runs that no owner can know
 OVERLAP_SECONDS = 2.5  # for which a new key is listed before an old one is removed
 PROBE_SECONDS = 0.1
@@ -41,7 +41,7 @@
         self._platform = soak.cluster.platform
         processors = sum(worker.full_processors for worker in self._platform.workers)
         self._limits = [int(share * processors) for share in LIMIT_SHARES]
-        self._all = [Organisation(name, self._limits[-1]) for name in WEIGHTS]
+        self._all = [Organisation(name, self._limits[0]) for name in WEIGHTS]
         self._dropped = []
         self._revoked_at = {}  # times by key
         self._platform.tenants = self._describe()
