--- a/soak/organisations.py
+++ b/soak/organisations.py
@@ -91,7 +91,7 @@
 
     def _write(self, odd=()):
         self._platform.tenants = [*self._describe(), *odd]
-        self._soak.change_configuration()
+        self._soak.write_version()
         # An odd entry may be any of those in force, whose keys then remain.
         now = time.monotonic()
         revoked = {key: self._revoked_at.get(key, now) for key in self._dropped}
--- a/soak/run.py
+++ b/soak/run.py
@@ -100,7 +100,8 @@
         self.refused = {}
         self.crashing = set()  # accepted submissions whose tasks crash their workers
         self._version = 1
-        self._written_at = time.monotonic()  # of the version
+        self._newest_queue = ""  # path prefix that a version has added; later ones retain it
+        self._written_at = time.monotonic()  # of the version that has added it
         self.faults_ended = gevent.event.Event()
         self.store_proxies = []
         self.worker_proxies = []
@@ -173,12 +174,16 @@
 
     def change_configuration(self):
         """Write a new configuration version that retains the queue ``/jobs/``."""
-        self._version += 1
-        self.cluster.platform.write_configuration(
-            self._version, ["/jobs/", f"/more{self._version}/"]
-        )
+        self._newest_queue = f"/more{self._version + 1}/"
+        self.write_version()
         self._written_at = time.monotonic()
 
+    def write_version(self):
+        """Write a new configuration version with the queues of the one before."""
+        self._version += 1
+        prefixes = ["/jobs/", *filter(None, [self._newest_queue])]
+        self.cluster.platform.write_configuration(self._version, prefixes)
+
     def end_all_faults(self):
         """End all faults."""
         self.faults_ended.set()
@@ -221,20 +226,18 @@
         deadline = time.monotonic() + self._size.seconds
         while time.monotonic() < deadline:
             gevent.sleep(0.1)
-            version = self._version
-            if version == 1 or time.monotonic() < self._written_at + CONFIGURATION_SECONDS:
+            prefix = self._newest_queue
+            if not prefix or time.monotonic() < self._written_at + CONFIGURATION_SECONDS:
                 continue
             index = self._random_queries.randrange(len(self.cluster.entries))
             try:
-                response = self.cluster.call(
-                    index, "GET", f"/more{version}/", seconds=QUERY_SECONDS
-                )
+                response = self.cluster.call(index, "GET", prefix, seconds=QUERY_SECONDS)
             except TransportError:
                 continue
-            if response.status == 404 and version == self._version:
+            if response.status == 404 and prefix == self._newest_queue:
                 age = time.monotonic() - self._written_at
                 self.violations.append(
-                    f"{self.cluster.entries[index].name} denied the queue of version {version} "
+                    f"{self.cluster.entries[index].name} denied the queue {prefix} "
                     f"{age:.2f} s after it was written"
                 )
 
