--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections.abc import Callable
 
 import gevent
 import gevent.event
@@ -15,7 +16,7 @@
     StoreUnavailableError,
     UnknownNameError,
 )
-from ..adapters.frontend import HttpRequest, Listener, ListenerLimits, Reply
+from ..adapters.frontend import HttpRequest, Listener, Reply, Route
 from ..core.identifiers import WorkerId
 from ..ports.queueing import (
     MAX_READ_STALENESS_SECONDS,
@@ -26,6 +27,7 @@
     StoredRow,
     WorkerList,
 )
+from ..queueing.backlog import count_pending
 from ..queueing.model import (
     StepId,
     Submission,
@@ -41,14 +43,16 @@
     choose_part,
     decode_submission,
 )
-from ..queueing.retry_after import choose_retry_after
+from ..queueing.retry_after import choose_retry_after, choose_retry_after_backlog
 from . import peers
+from .admission import AdmissionControl, BacklogMeter
 from .advice import AdviceDispatcher
 from .configuration import ConfigurationFollower
 from .forwarding import ForwardingWriter
 from .owner import Owner
 from .ownership_manager import OwnershipManager
 from .ownership_proof import OwnershipProof
+from .slow_store import choose_gathering_instance, is_store_slow
 from .submission_writer import SubmissionWriter, WriteResult
 from .supervision import ReportError, run_until_stopped
 from .table_watcher import LogEvent, describe_failure
@@ -73,6 +77,8 @@
         How suitable this instance is as the owner; see `compute_owner_fitness`.
     configuration_bound_seconds : float
         Time after which a change of the configuration has to be in force everywhere.
+    make_listener : callable
+        Returns a listener for an address and a route.
     log_event : callable
         Logs an event, given by its name and fields.
     report_error : callable
@@ -93,7 +99,7 @@
         advisor: Advisor,
         parameters: OwnerParameters,
         configuration_bound_seconds: float,
-        limits: ListenerLimits,
+        make_listener: Callable[[str, Route], Listener],
         log_event: LogEvent,
         report_error: ReportError,
     ) -> None:
@@ -137,6 +143,10 @@
         self._advice_dispatcher = AdviceDispatcher(
             self._request_advice_at, self._ownership.list_instance_addresses, log_event
         )
+        self._admission = AdmissionControl(
+            self._is_stored, self._ownership.can_reach_store, log_event
+        )
+        self._backlog_meter = BacklogMeter()
         self._accepted_at: dict[SubmissionId, float] = {}  # in order of acceptance
         # With the revisions of their rows, as far as they are known.
         self._submissions_for_notice: list[tuple[Submission, int | None]] = []
@@ -144,8 +154,7 @@
         self._is_notice_due = gevent.event.Event()
         self._pending_counts: tuple[float, dict[str, int]] | None = None
         self._greenlets: list[gevent.Greenlet] = []
-        host, _, port = peer_address.rpartition(":")
-        self._listener = Listener((host, int(port)), limits, self._route_peer, report_error)
+        self._listener = make_listener(peer_address, self._route_peer)
 
     def start(self) -> None:
         """Start the listener for peers and the background loops."""
@@ -182,15 +191,14 @@
 
     def submit(self, submission: Submission, deadline: float) -> WriteResult:
         """Store a submission, directly or through a peer."""
-        result = self._forwarding.write(
-            lambda: self._writer.store_submission(submission, deadline),
-            lambda address, seconds: self._peers.submit(address, submission, seconds),
-            deadline,
-        )
+        self._admission.begin_write(submission.id)
+        result = self._write_submission(submission, deadline)
+        result = self._admission.end_write(submission.id, result)
         self._log_event(
             "submission-" + result.value,
             submission=submission.id,
             queue=submission.queue.name,
+            organisation=submission.organisation,
             configuration=self.configuration.get_version(),
             store_contact=self._ownership.view.store_available_since is not None,
         )
@@ -198,6 +206,51 @@
             self._record_accepted(submission)
         return result
 
+    def _write_submission(self, submission: Submission, deadline: float) -> WriteResult:
+        def write_locally() -> WriteResult:
+            return self._writer.store_submission(submission, deadline)
+
+        def write_remotely(address: str, seconds: float) -> WriteResult:
+            return self._peers.submit(address, submission, seconds)
+
+        if is_store_slow(self._store.measure_latency_seconds()):
+            gatherer = choose_gathering_instance(
+                choose_part(submission.id), self._ownership.list_instance_addresses()
+            )
+            if gatherer != self.address:
+                return self._forwarding.write_gathered(
+                    write_locally, write_remotely, deadline, gatherer
+                )
+        return self._forwarding.write(write_locally, write_remotely, deadline)
+
+    def refuse(self, submission: Submission, deadline: float) -> int | None:
+        """Return the seconds after which the caller should retry, or None if it isn't refused.
+
+        Nothing has been written or forwarded for a submission that is refused.
+        """
+        now = time.monotonic()
+        owner = self._ownership.owner
+        if owner is not None and owner.is_loaded and owner.state is not None:
+            self._admission.record_backlog(self._backlog_meter.measure(owner.state, now), now)
+        refusal = self._admission.find_refusal(submission, now)
+        if refusal is None:
+            return None
+        retry_after = choose_retry_after_backlog(refusal, random.random(), deadline - now)
+        self._log_event(
+            "submission-refused",
+            submission=submission.id,
+            queue=submission.queue.name,
+            reason=refusal.reason.value,
+            wait=round(refusal.wait_seconds, 1),
+            objective=round(refusal.objective_seconds, 1),
+            retry_after=retry_after,
+        )
+        return retry_after
+
+    def may_be_stored(self, submission: SubmissionId) -> bool:
+        """Return whether a submission is stored, or may be as far as can be known at once."""
+        return self._was_recently_accepted(submission) or self._admission.may_be_stored(submission)
+
     def cancel(self, submission: SubmissionId, deadline: float) -> WriteResult:
         """Cancel a submission, directly or through a peer."""
         result = self._forwarding.write(
@@ -248,7 +301,7 @@
             and self._ownership.owner.is_loaded
             and self._ownership.owner.state is not None
         ):
-            return self._ownership.owner.state.count_pending().get(queue, 0)
+            return count_pending(self._ownership.owner.state.submissions.values()).get(queue, 0)
         now = time.monotonic()
         if self._pending_counts is None or now - self._pending_counts[0] > PENDING_REFRESH_SECONDS:
             self._refresh_pending(now)
@@ -396,6 +449,7 @@
             report_error=self._report_error,
             work=work,
             is_isolated=self._ownership.is_isolated,
+            get_routes=lambda: self.configuration.routes,
             proof=proof,
         )
 
@@ -419,8 +473,10 @@
             address = self._ownership.find_owner_address()
             if address is None:
                 continue
+            sent_at = time.monotonic()
             try:
-                self._peers.send_write_notice(address, notice)
+                backlog = self._peers.send_write_notice(address, notice)
+                self._admission.record_backlog(backlog, sent_at)
             except LavenderhookError as error:
                 self._log_event("news-unsent", owner=address, **describe_failure(error))
 
@@ -433,6 +489,14 @@
         for cancelled in notice.cancelled:
             owner.refresh_outcome(cancelled)
 
+    def _reply_backlog(self) -> Reply:
+        """Return the answer to a write notice; an instance that isn't the owner knows none."""
+        owner = self._ownership.owner
+        if owner is None or not owner.is_loaded or owner.state is None:
+            return Reply()
+        backlog = self._backlog_meter.measure(owner.state, time.monotonic())
+        return peers.reply_message(backlog) if backlog.services else Reply()
+
     def _route_peer(self, incoming: HttpRequest) -> Reply:
         match incoming.path:
             case peers.PING_PATH:
@@ -450,7 +514,7 @@
                 return Reply()
             case peers.WRITE_NOTICE_PATH:
                 self._apply_write_notice(peers.read_message(incoming, peers.WriteNotice))
-                return Reply()
+                return self._reply_backlog()
             case peers.STATE_PATH:
                 state_request = peers.read_message(incoming, peers.StateRequest)
                 owner = self._ownership.owner
@@ -476,14 +540,16 @@
         owner = self._ownership.owner
         if owner is None or not owner.is_loaded or owner.state is None:
             return None
-        return owner.state.count_pending()
+        return count_pending(owner.state.submissions.values())
 
     def _submit_for_peer(self, incoming: HttpRequest) -> Reply:
         request = peers.read_message(incoming, peers.SubmitRequest)
         result = WriteResult.NOT_STORED
         if self._ownership.can_reach_store():
             deadline = time.monotonic() + request.seconds
+            self._admission.begin_write(request.submission.id)
             result = self._writer.store_submission(request.submission, deadline)
+            result = self._admission.end_write(request.submission.id, result)
         if result is WriteResult.STORED:
             self._record_accepted(request.submission)
         return peers.reply_message(peers.WriteResponse(result))
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -27,11 +27,16 @@
 )
 from ..queueing import effects
 from ..queueing.authority import is_proof_valid
+from ..queueing.commit_order import (
+    MAX_SUBMISSIONS_PER_TRANSACTION,
+    CommitPlanner,
+    list_unstored_positions,
+)
 from ..queueing.events import (
     AdviceArrived,
     Event,
-    FinishedRunPosition,
     HoldUnanswered,
+    OrganisationsChanged,
     OutcomeRead,
     PredecessorInactive,
     ProgressFound,
@@ -80,18 +85,19 @@
     parse_key,
     set_closing_revisions,
 )
+from ..queueing.routes import QueueRoutes
 from ..queueing.start_log import (
     START_LOG_TABLE,
     LoggedStart,
-    StartLogRow,
-    collect_starts,
 )
 from ..queueing.submissions import SubmissionProgress
 from ..queueing.takeover import Takeover
 from ..queueing.witnesses import WitnessedEnd, WitnessProof
 from ..queueing.workers import Worker
 from .clock import read_elapsed_clock
+from .former_starts import read_former_starts
 from .ownership_proof import OwnershipProof
+from .slow_store import choose_confirmation_limit, is_store_slow
 from .supervision import ReportError
 from .table_watcher import LogEvent, Rereading, describe_failure
 from .unconfirmed_progress import UnconfirmedProgress
@@ -115,12 +121,9 @@
 WORKERS_INTERVAL_SECONDS = 0.25
 # While a commit takes longer, no commit is made for started runs alone.
 QUICK_COMMIT_SECONDS = 0.1
-MAX_CONFIRMATIONS = 4  # in flight, so that a slow store confirms often enough
 # Stands in the roster for the workers of a row that can't be decoded: it is never reached, so that
 # the longest lease has to expire.
 UNKNOWN_WORKER = WorkerId("unknown")
-# The store takes 100 entries in a transaction: two for each submission and one for the owner.
-MAX_SUBMISSIONS_PER_TRANSACTION = 45
 
 # Written to prove the ownership; nobody reads it.
 CONFIRMATION = Write(CONFIRMATION_TABLE, CONFIRMATION_KEY, b"{}")
@@ -155,6 +158,8 @@
         proof, it extends no leases and starts nothing.
     proof : OwnershipProof
         Records the transactions that were accepted under the condition of the owner row.
+    get_routes : callable, optional
+        Returns the active configuration of the queues, or None before one has been read.
     authority_seconds, inherited_seconds : float
         For how long after the claim earlier owners may extend leases; see `Takeover`.
     """
@@ -175,6 +180,7 @@
         work: WorkTable,
         is_isolated: Callable[[], bool],
         proof: OwnershipProof,
+        get_routes: Callable[[], QueueRoutes | None] = lambda: None,
         authority_seconds: float = 0.0,
         inherited_seconds: float = 0.0,
     ) -> None:
@@ -201,6 +207,8 @@
         self._submissions_during_load: list[tuple[Submission, int | None]] = []
         self._work = work
         self._is_isolated = is_isolated
+        self._get_routes = get_routes
+        self._applied_routes: QueueRoutes | None = None
         self._proof = proof
         self._takeover = Takeover(
             self._started_at, parameters.lease_seconds, authority_seconds, inherited_seconds
@@ -209,6 +217,8 @@
         self._witnessed_end: WitnessedEnd | None = None  # known once the state is loaded
         self._has_proof = True
         self._confirmations = 0  # in flight
+        self._is_committing = False
+        self._commit_planner = CommitPlanner()
         self._former_starts: dict[SubmissionId, list[LoggedStart]] = {}
         self._commit_seconds = 0.0  # duration of the last commit
         self._ended_at: dict[SubmissionId, float] = {}  # Unix time in seconds
@@ -392,7 +402,7 @@
     def _load(self) -> Roster:
         self._work.catch_up(self._revision)
         row = self._read_roster()
-        self._former_starts = self._read_former_starts()
+        self._former_starts = read_former_starts(self._store, self._revision, self._log_event)
         changes = self._worker_list.read()
         self._update_listings(changes)
         self._workers_revision = changes.revision
@@ -436,25 +446,6 @@
             raise StoreUnavailableError("another instance has taken over")
         return result
 
-    def _read_former_starts(self) -> dict[SubmissionId, list[LoggedStart]]:
-        """Return what earlier owners have started lately.
-
-        Raises
-        ------
-        LavenderhookError
-            If the log can't be read; a malformed row is left out.
-        """
-        found = self._store.read(START_LOG_TABLE, "", "~")
-        if found.revision < self._revision:
-            raise StoreUnavailableError("the store returned a start log older than the takeover")
-        rows: list[StartLogRow] = []
-        for row in found.rows:
-            try:
-                rows.append(decode(row.value, StartLogRow))
-            except ProtocolError as error:
-                self._log_event("start-log-unreadable", key=row.key, **describe_failure(error))
-        return collect_starts(rows, time.time())
-
     def _restore_state(self, roster: Roster) -> None:
         self._witness_proof = WitnessProof(roster)
         self._witnessed_end = WitnessedEnd(roster)
@@ -628,13 +619,7 @@
         result = self._worker_client.stop(
             worker.listing.address, effect.worker, effect.task, effect.number, effect.token
         )
-        self._log_event(
-            "stop-answered",
-            task=str(effect.task),
-            run=effect.number,
-            worker=effect.worker,
-            answered=result,
-        )
+        self._log_event("stop-answered", **effect.describe(), answered=result)
         self.apply(
             StopAnswered(
                 now=_now(),
@@ -669,11 +654,18 @@
             self._scheduling_due.wait(TICK_INTERVAL_SECONDS)
             self._scheduling_due.clear()
             gevent.sleep(EVENT_BATCH_SECONDS)
+            self._apply_organisations()
             if self._may_act():
                 self.apply(Ticked(now=_now(), proven_at=self._compute_proven_at()))
             else:
                 gevent.sleep(TICK_INTERVAL_SECONDS)
 
+    def _apply_organisations(self) -> None:
+        routes = self._get_routes()
+        if routes is not None and routes is not self._applied_routes:
+            self._applied_routes = routes
+            self.apply(OrganisationsChanged(now=_now(), organisations=routes.organisations))
+
     def _may_act(self) -> bool:
         """Return whether the owner may extend leases and send starts."""
         has_proof = not self._is_isolated()
@@ -696,7 +688,12 @@
 
         Reads may be stale, so that they don't prove that this is still the owner.
         """
-        if self._confirmations < MAX_CONFIRMATIONS:
+        limit = choose_confirmation_limit(
+            self._store.measure_latency_seconds(),
+            self._proof.measure_store_age(),
+            is_committing=self._is_committing,
+        )
+        if self._confirmations < limit:
             self._confirmations += 1
             self._spawn(self._confirm_ownership)
 
@@ -847,29 +844,31 @@
             state = self.state
             if state is None:
                 continue
-            positions = {
-                worker.id: FinishedRunPosition(worker.newest.born, worker.processed_sequence)
-                for worker in state.list_workers()
-                if worker.processed_sequence > worker.stored_sequence
-            }
+            positions = list_unstored_positions(state.list_workers())
             stores_starts = (
                 state.scheduler.start_log.has_changes
                 and self._commit_seconds < QUICK_COMMIT_SECONDS
             )
             if not self._dirty_submissions and not positions and not stores_starts:
                 continue
-            submissions, self._dirty_submissions = list(self._dirty_submissions), {}
-            is_stored = True
+            is_slow = is_store_slow(self._store.measure_latency_seconds())
+            submissions, self._dirty_submissions = self._commit_planner.begin(
+                self._dirty_submissions, positions, state.submissions, is_store_slow=is_slow
+            )
+            self._is_committing = is_stored = True
             began_at = _now()
             for start in range(0, len(submissions) or 1, MAX_SUBMISSIONS_PER_TRANSACTION):
                 is_stored &= self._commit(
                     submissions[start : start + MAX_SUBMISSIONS_PER_TRANSACTION]
                 )
-            self._commit_seconds = _now() - began_at
-            if is_stored:
-                self.apply(ProgressStored(now=_now(), stored_positions=positions))
+            self._is_committing, self._commit_seconds = False, _now() - began_at
+            stored = self._commit_planner.end(
+                submissions, self._dirty_submissions, is_stored=is_stored
+            )
+            if stored is not None:
+                self.apply(ProgressStored(now=_now(), stored_positions=stored))
                 self._progress_stored.set()
-            else:
+            elif not is_stored:
                 gevent.sleep(STORE_RETRY_SECONDS)
 
     def _commit(self, submissions: list[SubmissionId]) -> bool:
--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 
 from ..core.identifiers import WorkerId
 from .effects import Effect, RequestAdvice
@@ -89,6 +89,7 @@
         eligible: Iterable[Worker],
         rank: tuple[float, ...],
         now: float,
+        compute_penalty: Callable[[Worker], int] = lambda worker: 0,
     ) -> list[Effect]:
         """Request advice for a step; without a gang, expired tickets come before new workers.
 
@@ -104,6 +105,8 @@
         rank : tuple of float
             Of the step.
         now : float
+        compute_penalty : callable
+            See `PlacementPolicy.compute_penalty`; the workers with the lowest are named first.
         """
         if step.is_advice_pending or now < step.next_advice_at:
             return []
@@ -111,16 +114,20 @@
         if terms is None:
             return []
         eligible = list(eligible)
+
+        def order(worker: Worker) -> tuple[int, int]:
+            return (compute_penalty(worker), -worker.get_free_processors())
+
         fits_now = True
         ends_at = estimate_end(step.spec, now)
         if step.spec.is_gang:
             fitting = [w for w in eligible if count_fitting(step.spec, w, ends_at) > 0]
             fits_now = choose_gang_workers(step.spec, fitting, ends_at) is not None
-            named = self._choose_for_gang(entry, step, eligible, fitting if fits_now else (), now)
+            gang_fitting = fitting if fits_now else ()
+            named = self._choose_for_gang(entry, step, eligible, gang_fitting, order, now)
         else:
             fitting = [w for w in eligible if is_available(step, w, ends_at)]
-            named = [w for w in fitting if w.id not in step.allowed]
-            named.sort(key=Worker.get_free_processors, reverse=True)
+            named = sorted((w for w in fitting if w.id not in step.allowed), key=order)
             expired = [w for w in fitting if has_expired_ticket(step, w, now)]
             max_workers = self._compute_call_size(entry, step)
             named = (expired[:max_workers] + named)[:max_workers]
@@ -144,6 +151,7 @@
         step: StepProgress,
         eligible: Sequence[Worker],
         fitting: Sequence[Worker],
+        order: Callable[[Worker], tuple[int, int]],
         now: float,
     ) -> list[Worker]:
         """Return the workers to name in a call for a gang; none is `fitting` if it doesn't fit now.
@@ -156,8 +164,7 @@
         spec, plan = step.spec, step.plan
         named: list[Worker] = []
         renewal_limit = now + TICKET_RENEWAL_LEAD_SECONDS
-        unasked = [w for w in eligible if w.id not in step.allowed]
-        unasked.sort(key=Worker.get_free_processors, reverse=True)
+        unasked = sorted((w for w in eligible if w.id not in step.allowed), key=order)
         if fitting:
             named += [w for w in fitting if w.id in step.allowed]
         elif plan is not None and plan.ready_at < renewal_limit:
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -13,6 +13,7 @@
 
 from ..core.identifiers import WorkerId
 from .advising import AdvicePlanner
+from .durations import DurationEstimates
 from .effects import (
     Effect,
     SendStart,
@@ -28,6 +29,7 @@
     AdviceArrived,
     Event,
     HoldUnanswered,
+    OrganisationsChanged,
     OutcomeRead,
     PredecessorInactive,
     ProgressFound,
@@ -44,7 +46,6 @@
     WorkersListed,
 )
 from .incarnations import ListingAge
-from .leases import CLOCK_DRIFT_FACTOR
 from .log_lines import (
     log_ignored_listing,
     log_listing_changes,
@@ -56,10 +57,12 @@
     log_worker,
 )
 from .losses import LossReason, LossRecorder
+from .losses_by_waiting import LeastLossByWaiting
 from .model import (
     CommandToken,
     FencingToken,
     FinishedRun,
+    OrganisationName,
     ReportedRun,
     RunNumber,
     RunOutcome,
@@ -72,13 +75,14 @@
     WorkerListing,
 )
 from .parameters import OwnerParameters
-from .placement import BestFit, PlacementPolicy, SpreadServices
-from .ranking import PriorityThenObjective, StepRanking
+from .placement import PlacementPolicy
+from .ranking import StepRanking
 from .records import FailureReason, Roster
 from .review import Decision, RunReviewer
 from .roster import RosterTracker
 from .scheduling import Scheduler
 from .start_log import LoggedStart
+from .stops import StopReason
 from .stragglers import RunAction, project_remaining
 from .submissions import StepProgress, SubmissionProgress
 from .takeover import Takeover
@@ -132,10 +136,11 @@
     ) -> None:
         self.fencing = fencing
         self.parameters = parameters
+        self.durations = DurationEstimates()
         self.scheduler = Scheduler(
             fencing,
-            ranking or PriorityThenObjective(),
-            policy or SpreadServices(BestFit()),
+            ranking or LeastLossByWaiting(self.durations),
+            policy,
             AdvicePlanner(),
         )
         self.first_run_number = compute_first_run_number(fencing)
@@ -145,10 +150,11 @@
         self.former_starts = former_starts or {}
         ended_before = owner_revision if self.takeover.had_ended else None
         self.roster = RosterTracker(roster or Roster(), ended_before)
+        self.scheduler.quotas.expect_runs(self.roster.unreached, self.former_starts)
         self.commands_to_retry: list[Run] = []
         self.submissions: dict[SubmissionId, SubmissionProgress] = {}
         self.outcomes: dict[SubmissionId, SubmissionState] = {}
-        self.reviewer = reviewer or RunReviewer(self._find_step)
+        self.reviewer = reviewer or RunReviewer(self._find_step, self.scheduler.speeds)
         self.losses = LossRecorder(self._find_step, self._give_up)
         self.unknown_submissions = UnknownSubmissions(
             self.workers, self.submissions, self._process_finished_run, self._remove_run
@@ -171,15 +177,6 @@
         entry = self.submissions.get(submission)
         return entry.state if entry is not None else None
 
-    def count_pending(self) -> dict[str, int]:
-        """Return, by queue, how many accepted submissions have not begun."""
-        counts: dict[str, int] = {}
-        for entry in self.submissions.values():
-            if entry.state is SubmissionState.QUEUED:
-                name = entry.submission.queue.name
-                counts[name] = counts.get(name, 0) + 1
-        return counts
-
     def get_command_token(self, worker_id: WorkerId) -> CommandToken:
         """Return the token of commands to the current incarnation of a worker."""
         worker = self.workers.get(worker_id)
@@ -200,6 +197,8 @@
         submission = event.submission
         if submission.id in self.submissions:
             self.submissions[submission.id].record_revision(event.revision)
+        elif self.outcomes.get(submission.id) is SubmissionState.CANCELLED:
+            self.scheduler.quotas.record_ended(submission)
         if submission.id in self.submissions or submission.id in self.outcomes:
             return []
         entry = SubmissionProgress(
@@ -230,7 +229,7 @@
         for step in entry.steps.values():
             for runs in list(step.runs.values()):
                 for run in list(runs):
-                    effects += self._stop(run, event.now)
+                    effects += self._stop(run, event.now, StopReason.SUBMISSION_ENDED)
         return effects
 
     def handle_workers(self, event: WorkersListed) -> list[Effect]:
@@ -242,6 +241,7 @@
             effects += self.losses.record_listing(listing, event.now)
             if worker is None:
                 worker = Worker(listing, self.takeover.leases_expire_at, self.latest_incarnation)
+                worker.organisation_use = self.scheduler.quotas.use
                 worker.update_listing(listing, event.now)
                 worker.is_open_in_roster = self.roster.is_open_in_roster(worker_id)
                 self.workers[worker_id] = worker
@@ -374,7 +374,7 @@
             self._schedule_retry(run, event.now)
             worker.blocked_until = event.now + COMMAND_RETRY_SECONDS
             if run.attempts >= MAX_START_ATTEMPTS and run.state is RunState.STARTING:
-                effects += self._stop(run, event.now)
+                effects += self._stop(run, event.now, StopReason.START_UNCONFIRMED)
         elif event.outcome is StartOutcome.OTHER_INCARNATION:
             effects += self.handle_hold_unanswered(
                 HoldUnanswered(
@@ -396,7 +396,7 @@
             effects += self._remove_run(run, event.now)
         else:
             # A later attempt was refused, but an earlier one may still be carried out.
-            effects += self._stop(run, event.now)
+            effects += self._stop(run, event.now, StopReason.START_UNCONFIRMED)
         return effects
 
     def handle_stop_answer(self, event: StopAnswered) -> list[Effect]:
@@ -450,7 +450,7 @@
         self.needs_scheduling = True
         effects = self.losses.adopt_histories(entry, event.now)
         for run in entry.list_needless_runs():
-            effects += self._stop(run, event.now)
+            effects += self._stop(run, event.now, StopReason.NEEDLESS)
         if entry.is_done or entry.has_used_up_attempts:
             failure = None if entry.is_done else FailureReason.ATTEMPTS_USED_UP
             effects += self._begin_finalizing(entry, failure)
@@ -526,7 +526,7 @@
             step.copies.append(index)
             return effects
         step.restarts[index] = step.restarts.get(index, 0) + 1
-        return effects + self._stop(run, now)
+        return effects + self._stop(run, now, StopReason.REVIEWED)
 
     # Runs.
 
@@ -548,7 +548,9 @@
             self.commands_to_retry.append(run)
             return []
         if run.state is RunState.STARTING and worker.is_over_capacity():
-            return self._stop(run, now)  # the worker has shrunk meanwhile
+            return self._stop(run, now, StopReason.OVER_CAPACITY)  # the worker has shrunk meanwhile
+        if run.state is RunState.STARTING and self.scheduler.quotas.is_exceeded(run.organisation):
+            return self._stop(run, now, StopReason.OVER_LIMIT)
         run.is_in_flight = True
         run.attempts += 1
         if run.state is RunState.STOPPING:
@@ -557,15 +559,12 @@
             return [SendStart(command=run.command)]
         return []
 
-    def _stop(self, run: Run, now: float) -> list[Effect]:
+    def _stop(self, run: Run, now: float, reason: StopReason) -> list[Effect]:
         if run.state is RunState.STOPPING:
             return []
         if run.state is RunState.PLANNED:
             return self._remove_run(run, now)
-        run.state = RunState.STOPPING
-        run.acknowledged_at = None
-        run.attempts = 1
-        run.is_in_flight = True
+        run.begin_stop(reason)
         return [self._make_stop(run)]
 
     def _make_stop(self, run: Run) -> SendStop:
@@ -574,6 +573,7 @@
             task=run.task,
             number=run.number,
             token=self.get_command_token(run.worker),
+            reason=run.stop_reason,
         )
 
     def _remove_run(self, run: Run, now: float) -> list[Effect]:
@@ -593,7 +593,7 @@
         effects: list[Effect] = []
         for runs in list(step.runs.values()):
             for other in runs:
-                effects += self._stop(other, now)
+                effects += self._stop(other, now, StopReason.GANG_BROKEN)
         return effects
 
     def _process_finished_run(
@@ -625,8 +625,9 @@
         if run is not None:
             if finished.outcome is RunOutcome.DONE and step is not None and not run.checkpoint:
                 step.durations.append(now - run.commanded_at)
-            if finished.outcome in (RunOutcome.DONE, RunOutcome.FAILED):
-                self.reviewer.slow_worker_policy.record_finished_run(worker, run, now)
+                queue = self.submissions[step.id.submission].submission.queue
+                self.durations.record_run(queue.name, step.spec, now - run.commanded_at)
+            self.reviewer.record_finished_run(worker, run, finished.outcome, now)
             effects += self._remove_run(run, now)
         return effects
 
@@ -658,7 +659,7 @@
             effects: list[Effect] = []
             for run in list(step.runs.get(finished.task.index, ())):
                 if run.number != finished.number or run.task != finished.task:
-                    effects += self._stop(run, now)  # a copy that is no longer needed
+                    effects += self._stop(run, now, StopReason.NEEDLESS)  # a copy
             if entry.is_done:
                 return effects + self._begin_finalizing(entry)
             return [*effects, StoreProgress(submission=entry.submission.id)]
@@ -711,8 +712,9 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
                 run.acknowledged_at = event.now
+        stop_seconds = self.parameters.stop_seconds
         for key, run in list(worker.runs.items()):
-            if key not in reported_keys and self._has_vanished(run, event.sent_at):
+            if key not in reported_keys and run.has_vanished(event.sent_at, stop_seconds):
                 effects.append(
                     log_run(
                         "run-vanished",
@@ -725,13 +727,6 @@
                 effects += self._remove_run(run, event.now)
         return effects
 
-    def _has_vanished(self, run: Run, sent_at: float) -> bool:
-        """Return whether a hold sent at `sent_at` would have reported the run if it existed."""
-        if run.is_in_flight or run.acknowledged_at is None:
-            return False
-        stop_delay = self.parameters.stop_seconds if run.state is RunState.STOPPING else 0.0
-        return run.acknowledged_at + stop_delay * CLOCK_DRIFT_FACTOR < sent_at
-
     def _adopt(self, worker: Worker, reported: ReportedRun, now: float) -> list[Effect]:
         """Add a run that an earlier owner started, and stop it if it isn't needed."""
         entry = self.submissions.get(reported.task.submission)
@@ -739,10 +734,12 @@
             worker.unmatched_runs[reported.task] = reported
             return []
         step = self._find_step(reported.task.step_id)
-        run = make_adopted_run(reported, step.spec if step is not None else None, worker, now)
+        organisation = OrganisationName("") if entry is None else entry.submission.organisation
+        spec = step.spec if step is not None else None
+        run = make_adopted_run(reported, spec, organisation, worker, now)
         worker.add_run(run)
         if step is None or entry is None:
-            return self._stop(run, now)
+            return self._stop(run, now, StopReason.SUBMISSION_ENDED)
         entry.state = SubmissionState.RUNNING
         step.record_checkpoint(reported.task.index, reported.checkpoint)
         others = step.runs.get(reported.task.index, [])
@@ -761,7 +758,7 @@
             )
         ]
         if not is_needed:
-            effects += self._stop(run, now)
+            effects += self._stop(run, now, StopReason.NEEDLESS)
         return effects
 
     def _adopt_unmatched(self, submission: SubmissionId, now: float) -> list[Effect]:
@@ -792,7 +789,7 @@
                 effects += self._remove_run(run, now)
         for run in unconfirmed:
             run.state = RunState.RUNNING  # a stop sent to the former incarnation has no effect
-            effects += self._stop(run, now)
+            effects += self._stop(run, now, StopReason.START_UNCONFIRMED)
         return effects
 
     def _record_loss(self, worker: Worker, reason: LossReason, now: float) -> list[Effect]:
@@ -845,5 +842,6 @@
     ProgressStored: OwnerState.handle_progress_stored,  # type: ignore[dict-item]
     SubmissionStored: OwnerState.handle_submission_stored,  # type: ignore[dict-item]
     PredecessorInactive: OwnerState.handle_predecessor_inactive,  # type: ignore[dict-item]
+    OrganisationsChanged: lambda s, event: s.scheduler.quotas.handle_change(event),  # type: ignore[arg-type]
     Ticked: OwnerState.handle_tick,  # type: ignore[dict-item]
 }
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -13,15 +13,22 @@
 from .log_lines import log_run
 from .model import FencingToken, RunNumber, RunState, StartCommand, TicketId
 from .placement import (
+    BestFit,
+    LearntSpeeds,
     PlacementPolicy,
-    choose_gang_workers,
+    SpreadServices,
+    choose_gang,
     choose_worker,
     estimate_end,
-    is_eligible,
+    list_workers_with_room,
 )
+from .quotas import Quotas
 from .ranking import StepRanking
 from .reservations import GangPlan, plan_gang, reserve
+from .shares import ShareRanking
+from .speeds import SpeedLearner
 from .start_log import StartLog
+from .starvation import StarvationGuard
 from .submissions import StepProgress, SubmissionProgress
 from .waiting_steps import WaitingSteps
 from .workers import Worker, compute_command_token, is_run_number_of, make_run
@@ -38,7 +45,8 @@
     ----------
     fencing : FencingToken
     ranking : StepRanking
-    policy : PlacementPolicy
+    policy : PlacementPolicy or None
+        None for the product's own.
     advice : AdvicePlanner
     """
 
@@ -46,18 +54,23 @@
         self,
         fencing: FencingToken,
         ranking: StepRanking,
-        policy: PlacementPolicy,
+        policy: PlacementPolicy | None,
         advice: AdvicePlanner,
     ) -> None:
         self.advice = advice
-        self.suspects = SuspectPlacer()
         self.start_log = StartLog()
         self._gang_workers = GangWorkers()
         self._avoided_workers = AvoidedWorkers()
-        self._waiting_steps = WaitingSteps(self._gang_workers)
+        self.quotas = Quotas()
+        self.suspects = SuspectPlacer(self.quotas)
+        self._starvation = StarvationGuard()
+        self._waiting_steps = WaitingSteps(self._gang_workers, self.quotas)
+        # In one placement pass, by the list that was searched.
+        self._workers_of_services: dict[tuple[int, str], list[Worker]] = {}
         self._fencing = fencing
-        self._ranking = ranking
-        self._policy = policy
+        self._ranking = ShareRanking(ranking, self.quotas)
+        self.speeds = SpeedLearner()
+        self._policy = policy or SpreadServices(LearntSpeeds(BestFit(), self.speeds))
 
     def schedule(
         self,
@@ -77,6 +90,10 @@
             have runs at unreached workers; 0 if none has.
         now : float
         """
+        self._workers_of_services.clear()
+        self.quotas.begin_pass(submissions, workers, blocked_through_revision, now)
+        self._ranking.begin_pass(submissions, workers)
+        effects: list[Effect] = []
         candidates: list[tuple[tuple[float, ...], SubmissionProgress, StepProgress]] = []
         for entry in submissions:
             if entry.is_finalizing or now < entry.blocked_until:
@@ -84,18 +101,31 @@
             if entry.is_blocked_through(blocked_through_revision):
                 continue
             for step in entry.steps.values():
-                if (step.waiting or step.copies) and entry.is_ready(step, now):
+                if not (step.waiting or step.copies) or not entry.is_ready(step, now):
+                    continue
+                try:
                     candidates.append((self._ranking.rank(entry, step, now), entry, step))
+                except Exception as error:
+                    effects.append(self._block(entry, step, workers, error, now))
+                    break
         candidates.sort(key=lambda candidate: candidate[0])
+        candidates = self._starvation.promote(candidates, now)
         schedulable_workers = [worker for worker in workers if worker.is_schedulable(now)]
         self.suspects.begin_pass(workers, now)
         left_to_reserve = MAX_RESERVED_SHARE * sum(
             worker.listing.capacity.processors for worker in schedulable_workers
         )
-        effects = self._send_planned_starts(now)
+        effects += self._send_planned_starts(now)
+        roomy_workers = list_workers_with_room(
+            schedulable_workers, [step.spec for _, _, step in candidates if not step.spec.is_gang]
+        )
         for rank, entry, step in candidates:
             try:
-                effects += self._place_step(entry, step, schedulable_workers, rank, now)
+                if not self.quotas.may_start(entry, step, now):
+                    continue
+                needs_all = step.spec.is_gang or step.crash_histories or step.avoided
+                placed_on = schedulable_workers if needs_all else roomy_workers
+                effects += self._place_step(entry, step, placed_on, rank, now)
                 if step.spec.is_gang and step.waiting:
                     is_next = left_to_reserve > 0
                     step.plan = (
@@ -107,12 +137,18 @@
                 effects.append(self._block(entry, step, workers, error, now))
         for worker in schedulable_workers:
             worker.clear_reservation()
+        self._workers_of_services.clear()
         self.suspects.end_pass()
         self._avoided_workers.end_pass()
+        effects += self.quotas.end_pass(now)
         return effects + self._waiting_steps.review(
             submissions, workers, blocked_through_revision, now
         )
 
+    def gives_way(self, entry: SubmissionProgress, step: StepProgress, now: float) -> bool:
+        """Return whether a new submission of another organisation would be placed before a step."""
+        return self._ranking.is_excess(entry, step, now) or self.quotas.is_held(entry, step)
+
     def _block(
         self,
         entry: SubmissionProgress,
@@ -182,7 +218,16 @@
     ) -> list[Worker]:
         """Return the workers that may run a step, with or without free capacity and a ticket."""
         service = entry.submission.queue.service
-        eligible = [worker for worker in workers if is_eligible(step, service, worker)]
+        eligible = self._workers_of_services.get((id(workers), service))
+        if eligible is None:
+            eligible = [worker for worker in workers if worker.listing.service == service]
+            self._workers_of_services[id(workers), service] = eligible
+        # As `is_eligible`, without a call for each of hundreds of workers.
+        label, refused = step.spec.placement.label, step.refused
+        if label:
+            eligible = [worker for worker in eligible if label in worker.listing.labels]
+        if refused:
+            eligible = [worker for worker in eligible if worker.id not in refused]
         return self._gang_workers.select(step, eligible, now) if step.spec.is_gang else eligible
 
     def _place_step(
@@ -193,6 +238,7 @@
         rank: tuple[float, ...],
         now: float,
     ) -> list[Effect]:
+        self._policy.begin_step(entry, step, now)
         eligible = self._find_eligible(entry, step, schedulable_workers, now)
         if entry.submission.queue.advice is None:
             usable = eligible
@@ -208,7 +254,9 @@
             effects = self._place_tasks(entry, step, usable, now)
             effects += self._place_copies(entry, step, usable, now)
         if (step.waiting or step.copies) and entry.submission.queue.advice is not None:
-            effects += self.advice.request_advice(entry, step, eligible, rank, now)
+            effects += self.advice.request_advice(
+                entry, step, eligible, rank, now, self._policy.compute_penalty
+            )
         return effects
 
     def _place_tasks(
@@ -221,6 +269,8 @@
         effects: list[Effect] = []
         ends_at = estimate_end(step.spec, now)
         for index in list(step.waiting):
+            if not self.quotas.may_start(entry, step, now):
+                break
             if step.is_suspect(index):
                 effects += self._place_suspect(entry, step, index, usable, now)
                 continue
@@ -281,6 +331,8 @@
         step.drop_needless_copies()
         ends_at = estimate_end(step.spec, now)
         for index in list(step.copies):
+            if not self.quotas.may_start(entry, step, now):
+                break
             candidates = [w for w in usable if not step.is_avoided(index, w.id)]
             worker = choose_worker(self._policy, step, candidates, ends_at)
             if worker is None:
@@ -302,9 +354,9 @@
             return self._place_suspect(entry, step, 0, usable, now)
         preferred = [w for w in usable if not step.is_avoided(0, w.id)]
         ends_at = estimate_end(step.spec, now)
-        chosen = choose_gang_workers(step.spec, preferred, ends_at)
+        chosen = choose_gang(self._policy, step.spec, preferred, ends_at)
         if chosen is None and len(preferred) < len(usable):
-            chosen = choose_gang_workers(step.spec, usable, ends_at)
+            chosen = choose_gang(self._policy, step.spec, usable, ends_at)
         if chosen is None:
             return []
         return self._start_on(entry, step, 0, chosen, now)
@@ -332,21 +384,28 @@
             checkpoint=step.get_checkpoint(index),
             ticket=ticket.id if ticket is not None else TicketId(""),
         )
-        run = make_run(command, step.spec, worker, now)
+        queue = entry.submission.queue.name
+        run = make_run(command, step.spec, entry.submission, worker, now)
+        self.quotas.record_start(step.id, entry.submission.organisation)
+        seconds = self.speeds.expect_seconds(queue, step.id, step.spec.estimate_seconds)
         worker.add_run(run)
         step.add_run(run)
         placed = LogDecision(
             decision="task-placed",
             fields={
                 "task": str(task),
-                "queue": entry.submission.queue.name,
+                "queue": queue,
                 "revision": entry.revision,
                 "run": number,
                 "worker": worker.id,
                 "report_age": round(now - worker.last_report_at, 3),
                 "free": worker.get_free_processors(),
                 "waited": round(now - step.due_at, 3),
+                "priority": entry.submission.queue.priority,
+                "objective_in": round(step.objective_at - now, 3),
                 "suspicion": step.get_suspicion(index).value,
+                "slowness": round(worker.speed.slowness, 2),
+                "expected": round(worker.speed.slowness * seconds, 3),
             },
         )
         if run.is_suspect:
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
 from ..core.identifiers import WorkerId
 from .crash_history import CrashHistory, SuspicionLevel
@@ -80,6 +81,8 @@
         Of the runs that ended done, in seconds.
     restarts : dict
         By task index, how often a run was stopped since it was slow.
+    following_seconds : float
+        Estimate for the longest path of the steps after this one.
     plan : GangPlan or None
         Where capacity is reserved for a waiting gang.
     refused : set
@@ -101,6 +104,7 @@
         "due_at",
         "durations",
         "failed",
+        "following_seconds",
         "id",
         "is_advice_pending",
         "last_run_number",
@@ -135,6 +139,7 @@
         self.next_advice_at = 0.0
         self.due_at = 0.0
         self.objective_at = 0.0
+        self.following_seconds = 0.0
         self.last_run_number = RunNumber(first_run_number - 1)
 
     @property
@@ -305,6 +310,27 @@
         return run.task == other.task
 
 
+def compute_following_seconds(steps: Sequence[StepSpec]) -> list[float]:
+    """Return, by step, the estimate for the longest path of the steps after it, in seconds."""
+    following = [0.0] * len(steps)
+    for index in reversed(range(len(steps))):
+        path_seconds = steps[index].estimate_seconds + following[index]
+        for earlier in steps[index].after:
+            if earlier < index:
+                following[earlier] = max(following[earlier], path_seconds)
+    return following
+
+
+def compute_objective_seconds(submission: Submission) -> float:
+    """Return the objective of a submission, counted from the time at which it is due."""
+    ends: list[float] = []  # of the chain through each step, from its estimates
+    for spec in submission.steps:
+        starts_after = max((ends[i] for i in spec.after if i < len(ends)), default=0.0)
+        ends.append(starts_after + spec.estimate_seconds)
+    terms = submission.queue
+    return terms.slack_factor * max(ends, default=0.0) + terms.latency_seconds
+
+
 class SubmissionProgress:
     """A submission that has no final state yet.
 
@@ -318,6 +344,8 @@
         Why it is to fail.
     blocked_until : float
         Until then, nothing is placed, after an unexpected error.
+    is_owed : bool or None
+        Whether it is within the rate of its organisation; None before that is decided.
     """
 
     def __init__(
@@ -334,8 +362,11 @@
         self.is_finalizing = False
         self.failure: FailureReason | None = None
         self.blocked_until = 0.0
+        self.is_owed: bool | None = None
         self.progress_revision = 0
         self.steps: dict[tuple[int, int], StepProgress] = {}
+        following_seconds = compute_following_seconds(submission.steps)
+        objective_seconds = compute_objective_seconds(submission)
         for occurrence in range(max(1, submission.repetitions)):
             due = arrived_at
             if submission.repetitions:
@@ -345,21 +376,10 @@
                 step_id = StepId(submission.id, occurrence, index)
                 step = StepProgress(step_id, spec, first_run_number)
                 step.due_at = due
-                step.objective_at = due + self._compute_objective()
+                step.objective_at = due + objective_seconds
+                step.following_seconds = following_seconds[index]
                 self.steps[(occurrence, index)] = step
 
-    def _compute_objective(self) -> float:
-        critical_path_seconds = 0.0
-        path_seconds: list[float] = []
-        for spec in self.submission.steps:
-            start_seconds = max(
-                (path_seconds[i] for i in spec.after if i < len(path_seconds)), default=0.0
-            )
-            path_seconds.append(start_seconds + spec.estimate_seconds)
-            critical_path_seconds = max(critical_path_seconds, path_seconds[-1])
-        terms = self.submission.queue
-        return terms.slack_factor * critical_path_seconds + terms.latency_seconds
-
     def record_revision(self, revision: int | None) -> None:
         """Record the revision of the stored row; None if a report doesn't tell it."""
         if revision is not None:
@@ -469,3 +489,9 @@
                 step.merge_crash_history(task, stored)
         if progress.done or progress.failed or progress.crashed:
             self.state = SubmissionState.RUNNING
+
+
+def count_queued(entries: Iterable[SubmissionProgress]) -> dict[str, int]:
+    """Return, by queue, how many submissions have not begun."""
+    names = (e.submission.queue.name for e in entries if e.state is SubmissionState.QUEUED)
+    return dict(collections.Counter(names))
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -9,22 +9,27 @@
 from ..core.identifiers import WorkerId
 from .finished_runs import FinishedRunTracker
 from .incarnations import NewestIncarnation
-from .leases import WorkerLease
+from .leases import CLOCK_DRIFT_FACTOR, WorkerLease
 from .model import (
     CommandToken,
     FencingToken,
+    OrganisationName,
     ReportedRun,
     Resources,
     RunNumber,
     RunState,
     StartCommand,
     StepSpec,
+    Submission,
     SubmissionId,
     TaskKey,
     WorkerIncarnation,
     WorkerListing,
     WorkerState,
 )
+from .organisation_use import OrganisationUse
+from .speeds import WorkerSpeed
+from .stops import StopReason
 
 # A hold waits up to a second and a long link adds tens of milliseconds.
 MAX_REPORT_AGE_SECONDS = 2.5
@@ -84,6 +89,12 @@
         It is suspect, and not known to have become older than the runs that crashed.
     has_unknown_resources : bool
         The submission has ended and its steps aren't loaded; nothing is placed on the worker.
+    queue : str
+        Name of the queue of its submission; empty if an earlier owner started it.
+    lasting_slowness : float
+        That of its worker; see `WorkerSpeed`.
+    shows_speed : bool
+        Its duration still has to be recorded for its worker's speed.
     """
 
     task: TaskKey
@@ -94,6 +105,7 @@
     state: RunState
     commanded_at: float
     incarnation: WorkerIncarnation = WorkerIncarnation()
+    organisation: OrganisationName = OrganisationName("")  # of its submission, if that is known
     estimate_seconds: float = 0.0
     estimated_end_at: float = 0.0  # infinite for a service
     acknowledged_at: float | None = None
@@ -107,6 +119,10 @@
     has_unknown_resources: bool = False
     is_suspect: bool = False
     is_on_trial: bool = False
+    queue: str = ""
+    lasting_slowness: float = 1.0
+    shows_speed: bool = False
+    stop_reason: StopReason | None = None
     rack: str = ""
     progress: float = 0.0
     # Samples of the progress, with the time on the worker's clock in seconds.
@@ -121,6 +137,14 @@
         self.estimated_end_at = now + self.estimate_seconds
         self.is_in_flight = True
 
+    def begin_stop(self, reason: StopReason) -> None:
+        """Begin the stop of the run; its end is reported like any other."""
+        self.state = RunState.STOPPING
+        self.stop_reason = reason
+        self.acknowledged_at = None
+        self.attempts = 1
+        self.is_in_flight = True
+
     def may_run_after(self, last_report_at: float) -> bool:
         """Return whether the next incarnation of its worker may have got the start, or get it.
 
@@ -140,6 +164,20 @@
             or (self.acknowledged_at or 0.0) > last_report_at
         )
 
+    def has_vanished(self, sent_at: float, stop_seconds: float) -> bool:
+        """Return whether a hold sent at `sent_at` would have reported the run if it existed.
+
+        Parameters
+        ----------
+        sent_at : float
+        stop_seconds : float
+            Longest time that a worker takes to stop a run.
+        """
+        if self.is_in_flight or self.acknowledged_at is None:
+            return False
+        stop_delay = stop_seconds if self.state is RunState.STOPPING else 0.0
+        return self.acknowledged_at + stop_delay * CLOCK_DRIFT_FACTOR < sent_at
+
     def record_progress(self, progress: float, clock: float) -> None:
         """Record the progress that a worker has reported at a time on its own clock."""
         if not self._samples or progress > self.progress:
@@ -204,6 +242,7 @@
     def __init__(
         self, listing: WorkerListing, lease_expires_by: float, incarnation: int = 0
     ) -> None:
+        self.id = listing.id
         self.listing = listing
         self.newest = NewestIncarnation(listing.born)
         self.rack = find_rack(listing)
@@ -228,18 +267,15 @@
         self.isolated_run: Run | None = None  # nothing is placed beside it; see `isolation`
         self.emptied_for: TaskKey | None = None  # nothing is placed until this suspect starts here
         self.finished_runs = FinishedRunTracker()
+        self.speed = WorkerSpeed()
         self.used_processors = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
+        self.organisation_use = OrganisationUse()  # that of all workers of an owner
         # Reserved for gangs in one placement pass; a task that ends by `reserved_until` may use it.
         self.reserved = Resources()
         self.reserved_until = 0.0
 
-    @property
-    def id(self) -> WorkerId:
-        """Id of the worker."""
-        return self.listing.id
-
     @property
     def processed_sequence(self) -> int:
         """Highest finished run that is applied to the state, as are all before it."""
@@ -302,6 +338,14 @@
         self.slow_submissions.clear()
         self.is_on_probation = False
 
+    def apply_lasting_slowness(self) -> None:
+        """Judge the runs by the learnt speed; a worker that is slow for good isn't broken."""
+        slowness = self.speed.lasting_slowness
+        for run in self.runs.values():
+            run.lasting_slowness = slowness
+        if slowness > 1.0:
+            self.end_probation()
+
     def record_shown_speed(self, now: float) -> None:
         """Record that it has runs that depend on its speed only."""
         self.speed_shown_at = now
@@ -321,6 +365,9 @@
             self.leaves_at = None
         elif listing != self.listing or self.leaves_at is None:
             self.leaves_at = now + listing.leaves_in_seconds
+        kind, former_kind = ((x.labels, x.capacity) for x in (listing, self.listing))
+        if listing.born != self.listing.born and kind != former_kind:
+            self.speed = WorkerSpeed()  # another machine under the same id
         self.listing = listing
         self.rack = find_rack(listing)
 
@@ -448,6 +495,15 @@
         self.reserved = Resources()
         self.reserved_until = 0.0
 
+    def get_unused_resources(self) -> Resources:
+        """Return the resources not used by known runs, without regard to reservations."""
+        capacity = self.listing.capacity
+        return Resources(
+            capacity.processors - self.used_processors,
+            capacity.memory_mb - self.used_memory_mb,
+            capacity.accelerators - self.used_accelerators,
+        )
+
     def get_free_processors(self) -> int:
         """Return the free processors in thousandths, without regard to reservations."""
         return self.listing.capacity.processors - self.used_processors
@@ -467,6 +523,7 @@
             self.isolated_run = next(others, None)
 
     def _update_usage(self, run: Run, sign: int) -> None:
+        self.organisation_use.change(run.organisation, run.resources, sign)
         if run.has_unknown_resources:
             self.runs_with_unknown_resources += sign
         if not run.is_filler:
@@ -476,7 +533,11 @@
 
 
 def make_adopted_run(
-    reported: ReportedRun, spec: StepSpec | None, worker: Worker, now: float
+    reported: ReportedRun,
+    spec: StepSpec | None,
+    organisation: OrganisationName,
+    worker: Worker,
+    now: float,
 ) -> Run:
     """Return a run that an earlier owner started; `spec` is None if its submission has ended."""
     known = spec or StepSpec()
@@ -488,6 +549,7 @@
         resources=known.resources,
         is_filler=known.is_filler,
         has_unknown_resources=spec is None,
+        organisation=organisation,
         state=RunState.RUNNING,
         commanded_at=now,
         estimate_seconds=known.expected_seconds,
@@ -498,8 +560,30 @@
     )
 
 
-def make_run(command: StartCommand, spec: StepSpec, worker: Worker, now: float) -> Run:
-    """Return the run that a start command begins."""
+def shows_speed(command: StartCommand, spec: StepSpec, worker: Worker) -> bool:
+    """Return whether the duration of a run tells the worker's speed, compared with other runs.
+
+    Not that of gang members, which wait for the slowest, nor of what resumes from a checkpoint or
+    may be far from its data.
+    """
+    return not (
+        spec.is_gang
+        or spec.is_service
+        or spec.is_filler
+        or command.checkpoint
+        or spec.placement.single_rack
+        or spec.placement.data_rack not in ("", worker.rack)
+    )
+
+
+def make_run(
+    command: StartCommand,
+    spec: StepSpec,
+    submission: Submission,
+    worker: Worker,
+    now: float,
+) -> Run:
+    """Return the run that a start command for a task of a submission begins."""
     estimate_seconds = spec.expected_seconds
     return Run(
         task=command.task,
@@ -508,6 +592,7 @@
         incarnation=worker.get_incarnation(),
         resources=spec.resources,
         is_filler=spec.is_filler,
+        organisation=submission.organisation,
         state=RunState.STARTING,
         commanded_at=now,
         estimate_seconds=estimate_seconds,
@@ -518,6 +603,9 @@
         attempts=1,
         # Members of a gang wait for the slowest; long-running tasks have no expected duration.
         counts_for_speed=not (spec.is_gang or spec.is_service or spec.is_filler),
+        queue=submission.queue.name,
+        lasting_slowness=worker.speed.lasting_slowness,
+        shows_speed=shows_speed(command, spec, worker),
         rack=worker.rack,
     )
 
--- a/src/lavenderhook/errors.py
+++ b/src/lavenderhook/errors.py
@@ -201,6 +201,12 @@
     exit_code = 7
 
 
+class IntakeFullError(NotReadyError):
+    """The instance has no room for a request; it has not been carried out."""
+
+    code = "intake-full"
+
+
 class StoreUnavailableError(LavenderhookError):
     """The platform's store is unavailable; nothing was changed."""
 
@@ -209,6 +215,12 @@
     exit_code = 7
 
 
+class StoreBusyError(StoreUnavailableError):
+    """The platform's store has too much to do at the moment; nothing was changed."""
+
+    code = "store-busy"
+
+
 class OutcomeUnknownError(LavenderhookError):
     """A write may or may not have taken effect."""
 
--- a/src/lavenderhook/platform/program.py
+++ b/src/lavenderhook/platform/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import gc
 import os
 import signal
@@ -11,16 +12,24 @@
 import gevent.event
 
 from .._internal.adapters.frontend import HttpRequest, Listener, ListenerLimits, Reply, Route
+from .._internal.adapters.intake import BodyBudget
 from .._internal.adapters.metrics import Metrics
 from .._internal.daemon.logs import DecisionLog, discard_default_sink
 from .._internal.instance.decision_metrics import DecisionMetrics
 from .._internal.instance.entry import EntryInstance
+from .._internal.instance.log_limits import LineLimiter
 from .._internal.instance.ownership import compute_owner_fitness
+from .._internal.queueing.authentication import (
+    AvailableRevocation,
+    RevocationPolicy,
+    StrictRevocation,
+)
 from .._internal.queueing.parameters import OwnerParameters
 from ..errors import LavenderhookError
 from .frontend import Frontend
+from .intake import ClientReports, compute_intake_limits
 from .lists import PlatformConfiguration, PlatformWorkers
-from .settings import DEFAULT_PATH, PATH_VARIABLE, load_settings
+from .settings import DEFAULT_PATH, PATH_VARIABLE, Bounds, load_settings
 from .store import PlatformStore
 from .workers import PlatformAdvisor, PlatformWorkerClient
 
@@ -34,15 +43,10 @@
 RETENTION_MARGIN_SECONDS = 30.0
 DRAIN_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0  # the settings file may change without a signal
+# Events that any client can cause; all are counted on the metrics address.
+LIMITED_EVENTS = ("call-unauthenticated", "queue-unconfirmed", "queue-unknown")
+LIMITED_LINES_PER_SECOND = 5
 METRICS_HEADERS = (("Content-Type", "text/plain; version=0.0.4"),)
-LISTENER_LIMITS = ListenerLimits(
-    body_bytes=262_144,
-    header_bytes=16_384,
-    line_bytes=8_192,
-    read_seconds=3.0,
-    idle_seconds=60.0,
-    connections=3_000,
-)
 
 
 class Program:
@@ -60,11 +64,16 @@
         self.log = DecisionLog(StandardOutputSettings(), settings.node_name)
         self.metrics = Metrics(lambda address: "", settings.zone)
         self._decision_metrics = DecisionMetrics(self.metrics)
+        self._line_limiter = LineLimiter(LIMITED_EVENTS, LIMITED_LINES_PER_SECOND)
         self._store = PlatformStore(settings.platform.address, self.metrics.observe)
         self._worker_client = PlatformWorkerClient(self.log_event)
         self._advisor = PlatformAdvisor(settings.advice, self.log_event)
         self._stopped = gevent.event.Event()
         bounds, limits = settings.bounds, settings.limits
+        self._reports = ClientReports(self.metrics.increment, self.log_event)
+        intake = compute_intake_limits(settings)
+        self._budget = BodyBudget(intake.body_bytes)
+        peer_budget = BodyBudget(intake.peer_body_bytes)
         self.instance = EntryInstance(
             settings.node_name,
             settings.zone,
@@ -81,15 +90,26 @@
                 retention_seconds=bounds.status_s + RETENTION_MARGIN_SECONDS,
             ),
             configuration_bound_seconds=bounds.config_apply_ms / 1000,
-            limits=LISTENER_LIMITS,
+            make_listener=functools.partial(
+                self._create_listener, "peers", limits=intake.peers, budget=peer_budget
+            ),
             log_event=self.log_event,
             report_error=self.log.log_failure,
         )
-        frontend = self._frontend = Frontend(self.instance, self.log_event)
+        frontend = self._frontend = Frontend(
+            self.instance, self.log_event, _choose_revocation(bounds)
+        )
+        listen = settings.listen
+        create = functools.partial(self._create_listener, budget=self._budget)
         self._listeners = [
-            self._create_listener(settings.listen.readiness, frontend.route_readiness),
-            self._create_listener(settings.listen.frontend, frontend.route),
-            self._create_listener(f"{settings.ip}:{settings.metrics_port}", self._serve_metrics),
+            create("readiness", listen.readiness, frontend.route_readiness, intake.readiness),
+            create("callers", listen.frontend, frontend.route, intake.callers),
+            create(
+                "metrics",
+                f"{settings.ip}:{settings.metrics_port}",
+                self._serve_metrics,
+                intake.metrics,
+            ),
         ]
         register_gauge = self.metrics.register_gauge
         register_gauge("is_owner", lambda: float(self.instance.is_owner()))
@@ -99,18 +119,37 @@
         register_gauge("configuration_version", configuration.get_version)
         register_gauge("configuration_age_seconds", configuration.measure_age)
         register_gauge("requests_active", lambda: float(frontend.active))
+        register_gauge("body_bytes_held", lambda: float(self._budget.held_bytes))
         register_gauge("log_lines_dropped", lambda: float(self.log.writer.dropped))
 
     def _serve_metrics(self, request: HttpRequest) -> Reply:
         return Reply(headers=METRICS_HEADERS, body=self.metrics.render())
 
-    def _create_listener(self, address: str, route: Route) -> Listener:
+    def _create_listener(
+        self, name: str, address: str, route: Route, limits: ListenerLimits, budget: BodyBudget
+    ) -> Listener:
         host, _, port = address.rpartition(":")
-        return Listener((host, int(port)), LISTENER_LIMITS, route, self.log.log_failure)
+        listener = Listener(
+            (host, int(port)),
+            limits,
+            route,
+            self.log.log_failure,
+            budget=budget,
+            report_limit=functools.partial(self._reports.report, name),
+        )
+        self.metrics.register_gauge(
+            "connections_open", lambda: float(len(listener.handlers)), listener=name
+        )
+        return listener
 
     def log_event(self, what: str, **fields: object) -> None:
         """Log a decision and update its metrics."""
         self._decision_metrics.record(what, fields)
+        omitted = self._line_limiter.admit(what, time.monotonic())
+        if omitted is None:
+            return
+        if omitted:
+            fields["omitted"] = omitted
         self.log.write_decision(what, fields)
 
     def _log_greenlet_failure(
@@ -152,6 +191,7 @@
         self.settings = settings
         self._store.address = settings.platform.address
         self._advisor.address = settings.advice
+        self._frontend.revocation = _choose_revocation(settings.bounds)
         self.log_event("settings-reloaded", store=settings.platform.address)
 
     def _begin_stop(self) -> None:
@@ -181,6 +221,12 @@
     file = "stdout"
 
 
+def _choose_revocation(bounds: Bounds) -> RevocationPolicy:
+    if not bounds.strict_revocation:
+        return AvailableRevocation()
+    return StrictRevocation(bounds.revoke_ms / 1000)
+
+
 def run() -> int:
     """Run the process; return its exit status."""
     discard_default_sink()
