Compute the longest delay before a write is forwarded in one place

Cause: forwarding.py wrote the bound of compute_hedge_delay again. Change: both call compute_max_hedge_delay; behaviour is the same. lint and types pass; slow_store and architecture.feature: 17 passed.

--- a/src/lavenderhook/_internal/instance/forwarding.py
+++ b/src/lavenderhook/_internal/instance/forwarding.py
@@ -8,7 +8,7 @@
 import gevent
 
 from ..ports.queueing import RowStore
-from .slow_store import MAX_HEDGE_DELAY_SECONDS, UNUSUAL_LATENCIES, compute_hedge_delay
+from .slow_store import compute_hedge_delay, compute_max_hedge_delay
 from .submission_writer import WriteResult
 
 MAX_PEERS_PER_WRITE = 2  # to which a write is forwarded at the same time
@@ -102,8 +102,7 @@
         # When the store has answered neither this instance nor a peer, callers retry sooner if they
         # are told so at once; a write in progress still takes effect if the store carries it out.
         while not local_write.ready() and time.monotonic() < deadline:
-            usual_seconds = UNUSUAL_LATENCIES * self._store.measure_latency_seconds()
-            limit_seconds = max(MAX_HEDGE_DELAY_SECONDS, usual_seconds)
+            limit_seconds = compute_max_hedge_delay(self._store.measure_latency_seconds())
             if self._store.measure_unanswered_seconds() > limit_seconds:
                 break
             local_write.join(OUTAGE_CHECK_INTERVAL_SECONDS)
--- a/src/lavenderhook/_internal/instance/slow_store.py
+++ b/src/lavenderhook/_internal/instance/slow_store.py
@@ -37,8 +37,12 @@
     peers, and the parts would have to carry out three times as many transactions.
     """
     delay = HEDGE_DELAY_PER_LATENCY * latency_seconds
-    max_delay = max(MAX_HEDGE_DELAY_SECONDS, UNUSUAL_LATENCIES * latency_seconds)
-    return min(max(delay, MIN_HEDGE_DELAY_SECONDS), max_delay)
+    return min(max(delay, MIN_HEDGE_DELAY_SECONDS), compute_max_hedge_delay(latency_seconds))
+
+
+def compute_max_hedge_delay(latency_seconds: float) -> float:
+    """Return for how many seconds at most a write waits for a response before it is forwarded."""
+    return max(MAX_HEDGE_DELAY_SECONDS, UNUSUAL_LATENCIES * latency_seconds)
 
 
 def compute_outage_seconds(latency_seconds: float) -> float:
