Report the size and the duration of placement passes

The logs could not tell whether passes take too long, what they try first, or how many calls for advice wait. One line a second now says that, and a histogram of the longest pass of each second is on the metrics address.

--- a/src/lavenderhook/_internal/instance/advice.py
+++ b/src/lavenderhook/_internal/instance/advice.py
@@ -34,6 +34,9 @@
 MAX_OPEN_CALLS = 12  # at an instance, whose connections serve other calls as well
 SHORT_CALL_SECONDS = 0.1  # expected duration up to which a call doesn't wait behind longer ones
 
+RequestAdvice = Callable[
+    [StepId, tuple[WorkerId, ...], float, tuple[float, ...]], "dict[WorkerId, TicketId] | None"
+]
 RequestAdviceAt = Callable[
     [str, StepId, tuple[WorkerId, ...], float], "dict[WorkerId, TicketId] | None"
 ]
--- a/src/lavenderhook/_internal/instance/decision_metrics.py
+++ b/src/lavenderhook/_internal/instance/decision_metrics.py
@@ -27,6 +27,7 @@
     "advice": _Histogram("advice_seconds", "seconds"),
     "owner-loaded": _Histogram("owner_load_seconds", "seconds"),
     "hold-unanswered": _Histogram("hold_unanswered_seconds", "seconds"),
+    "placement-passes": _Histogram("longest_placement_pass_seconds", "longest"),
 }
 # Gauges of an organisation whose limit holds work, by the field that they show.
 _ORGANISATION_GAUGES = {
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -55,11 +55,9 @@
 from ..queueing.model import (
     FencingToken,
     StartOutcome,
-    StepId,
     Submission,
     SubmissionId,
     SubmissionState,
-    TicketId,
     WorkerListing,
 )
 from ..queueing.owner_state import OwnerState
@@ -94,9 +92,11 @@
 from ..queueing.takeover import Takeover
 from ..queueing.witnesses import WitnessedEnd, WitnessProof
 from ..queueing.workers import Worker
+from .advice import RequestAdvice
 from .clock import read_elapsed_clock
 from .former_starts import read_former_starts
 from .ownership_proof import OwnershipProof
+from .placement_passes import PlacementPasses
 from .slow_store import choose_confirmation_limit, is_store_slow
 from .supervision import ReportError
 from .table_watcher import LogEvent, Rereading, describe_failure
@@ -128,10 +128,6 @@
 # Written to prove the ownership; nobody reads it.
 CONFIRMATION = Write(CONFIRMATION_TABLE, CONFIRMATION_KEY, b"{}")
 
-RequestAdvice = Callable[
-    [StepId, tuple[WorkerId, ...], float, tuple[float, ...]], dict[WorkerId, TicketId] | None
-]
-
 
 class Owner:
     """Places the tasks of all queues until it is fenced.
@@ -195,6 +191,7 @@
         self._step_down = step_down
         self._log_event = log_event
         self._report_error = report_error
+        self._passes = PlacementPasses(log_event)
         self._started_at = time.monotonic()
         self.state: OwnerState | None = None
         self._listings: dict[WorkerId, WorkerListing] = {}
@@ -655,8 +652,9 @@
             self._scheduling_due.clear()
             gevent.sleep(EVENT_BATCH_SECONDS)
             self._apply_organisations()
-            if self._may_act():
-                self.apply(Ticked(now=_now(), proven_at=self._compute_proven_at()))
+            if self._may_act() and self.state is not None:
+                with self._passes.measure(self.state.scheduler.get_pass_size):
+                    self.apply(Ticked(now=_now(), proven_at=self._compute_proven_at()))
             else:
                 gevent.sleep(TICK_INTERVAL_SECONDS)
 
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import traceback
 from collections.abc import Collection, Iterable, Sequence
 
@@ -12,6 +13,7 @@
 from .isolation import SuspectPlacer
 from .log_lines import log_run
 from .model import FencingToken, RunNumber, RunState, StartCommand, TicketId
+from .pass_size import PassSize
 from .placement import (
     BestFit,
     LearntSpeeds,
@@ -71,6 +73,11 @@
         self._ranking = ShareRanking(ranking, self.quotas)
         self.speeds = SpeedLearner()
         self._policy = policy or SpreadServices(LearntSpeeds(BestFit(), self.speeds))
+        self._pass_size = PassSize()
+
+    def get_pass_size(self) -> PassSize:
+        """Return how much the last placement pass has handled."""
+        return self._pass_size
 
     def schedule(
         self,
@@ -119,10 +126,12 @@
         roomy_workers = list_workers_with_room(
             schedulable_workers, [step.spec for _, _, step in candidates if not step.spec.is_gang]
         )
+        tried = 0
         for rank, entry, step in candidates:
             try:
                 if not self.quotas.may_start(entry, step, now):
                     continue
+                tried += 1
                 needs_all = step.spec.is_gang or step.crash_histories or step.avoided
                 placed_on = schedulable_workers if needs_all else roomy_workers
                 effects += self._place_step(entry, step, placed_on, rank, now)
@@ -141,6 +150,12 @@
         self.suspects.end_pass()
         self._avoided_workers.end_pass()
         effects += self.quotas.end_pass(now)
+        self._pass_size = PassSize(
+            ranked=len(candidates),
+            tried=tried,
+            advice_waiting=sum(step.is_advice_pending for _, _, step in candidates),
+            promoted=sum(rank[0] == -math.inf for rank, _, _ in candidates),
+        )
         return effects + self._waiting_steps.review(
             submissions, workers, blocked_through_revision, now
         )
