Let one occurrence at a time go first when its bound has passed, with a part of the workers

Cause: the bound on starvation promoted a whole submission. All its overdue occurrences went before every other step in each pass, took all workers with their short tasks, and no worker had room when the turn of an ordinary step came, so that its advice was never requested.

Change: one occurrence has a turn, and what has begun in turns uses a quarter of the workers at most, or one task or gang. The rest takes its place in the order of the ranks.

--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -923,8 +923,10 @@
     return msgspec.structs.replace(spec.resources, processors=0)
 
 
-def make_submission(name, steps, queue="q", organisation="", accepted_at=0.0, **terms):
-    """Return a submission; `terms` are those of its queue."""
+def make_submission(
+    name, steps, queue="q", organisation="", accepted_at=0.0, schedule=None, **terms
+):
+    """Return a submission; `terms` are those of its queue, and `schedule` its repetitions."""
     queue = QueueTerms(name=queue, service="desk", **{"most_attempts": 3, **terms})
     return Submission(
         id=name,
@@ -933,6 +935,7 @@
         steps=tuple(steps),
         accepted_at=accepted_at,
         organisation=organisation,
+        **(schedule or {}),
     )
 
 
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import math
+import dataclasses
 import traceback
 from collections.abc import Collection, Iterable, Sequence
 
@@ -12,7 +12,7 @@
 from .gang_workers import GangWorkers
 from .isolation import SuspectPlacer
 from .log_lines import log_run
-from .model import FencingToken, RunNumber, RunState, StartCommand, TicketId
+from .model import FencingToken, RunNumber, RunState, StartCommand, StepId, TicketId
 from .pass_size import PassSize
 from .placement import (
     BestFit,
@@ -30,7 +30,7 @@
 from .shares import ShareRanking
 from .speeds import SpeedLearner
 from .start_log import StartLog
-from .starvation import StarvationGuard
+from .starvation import Candidate, StarvationGuard
 from .submissions import StepProgress, SubmissionProgress
 from .waiting_steps import WaitingSteps
 from .workers import Worker, compute_command_token, is_run_number_of, make_run
@@ -40,6 +40,30 @@
 MAX_TRACE_ENTRIES = 4
 
 
+@dataclasses.dataclass(slots=True)
+class _Pass:
+    """One placement pass.
+
+    Attributes
+    ----------
+    schedulable : sequence of Worker
+    roomy : sequence of Worker
+        Of these, those that may have room for a task that isn't part of a gang.
+    left_to_reserve : float
+        Processors that gangs may still reserve.
+    tried : int
+        Steps for which workers were searched.
+    tried_gangs : set of StepId
+        Gangs that don't fit now.
+    """
+
+    schedulable: Sequence[Worker]
+    roomy: Sequence[Worker]
+    left_to_reserve: float
+    tried: int = 0
+    tried_gangs: set[StepId] = dataclasses.field(default_factory=set)
+
+
 class Scheduler:
     """Places the tasks of one owner.
 
@@ -100,50 +124,24 @@
         self._workers_of_services.clear()
         self.quotas.begin_pass(submissions, workers, blocked_through_revision, now)
         self._ranking.begin_pass(submissions, workers)
-        effects: list[Effect] = []
-        candidates: list[tuple[tuple[float, ...], SubmissionProgress, StepProgress]] = []
-        for entry in submissions:
-            if entry.is_finalizing or now < entry.blocked_until:
-                continue
-            if entry.is_blocked_through(blocked_through_revision):
-                continue
-            for step in entry.steps.values():
-                if not (step.waiting or step.copies) or not entry.is_ready(step, now):
-                    continue
-                try:
-                    candidates.append((self._ranking.rank(entry, step, now), entry, step))
-                except Exception as error:
-                    effects.append(self._block(entry, step, workers, error, now))
-                    break
-        candidates.sort(key=lambda candidate: candidate[0])
-        candidates = self._starvation.promote(candidates, now)
+        candidates, effects = self._rank_steps(submissions, workers, blocked_through_revision, now)
         schedulable_workers = [worker for worker in workers if worker.is_schedulable(now)]
         self.suspects.begin_pass(workers, now)
-        left_to_reserve = MAX_RESERVED_SHARE * sum(
-            worker.listing.capacity.processors for worker in schedulable_workers
-        )
         effects += self._send_planned_starts(now)
-        roomy_workers = list_workers_with_room(
-            schedulable_workers, [step.spec for _, _, step in candidates if not step.spec.is_gang]
+        placement_pass = _Pass(
+            schedulable_workers,
+            list_workers_with_room(
+                schedulable_workers,
+                [step.spec for _, _, step in candidates if not step.spec.is_gang],
+            ),
+            left_to_reserve=MAX_RESERVED_SHARE
+            * sum(worker.listing.capacity.processors for worker in schedulable_workers),
         )
-        tried = 0
-        for rank, entry, step in candidates:
-            try:
-                if not self.quotas.may_start(entry, step, now):
-                    continue
-                tried += 1
-                needs_all = step.spec.is_gang or step.crash_histories or step.avoided
-                placed_on = schedulable_workers if needs_all else roomy_workers
-                effects += self._place_step(entry, step, placed_on, rank, now)
-                if step.spec.is_gang and step.waiting:
-                    is_next = left_to_reserve > 0
-                    step.plan = (
-                        self._plan(entry, step, schedulable_workers, now) if is_next else None
-                    )
-                    if step.plan is not None:
-                        left_to_reserve -= reserve(step.plan, step.spec, schedulable_workers)
-            except Exception as error:
-                effects.append(self._block(entry, step, workers, error, now))
+        turn = self._starvation.choose_turn(candidates, schedulable_workers, now)
+        for candidate in turn:
+            effects += self._try_step(candidate, placement_pass, workers, now, is_turn=True)
+        for candidate in candidates:
+            effects += self._try_step(candidate, placement_pass, workers, now)
         for worker in schedulable_workers:
             worker.clear_reservation()
         self._workers_of_services.clear()
@@ -152,14 +150,82 @@
         effects += self.quotas.end_pass(now)
         self._pass_size = PassSize(
             ranked=len(candidates),
-            tried=tried,
+            tried=placement_pass.tried,
             advice_waiting=sum(step.is_advice_pending for _, _, step in candidates),
-            promoted=sum(rank[0] == -math.inf for rank, _, _ in candidates),
+            promoted=len(turn),
         )
         return effects + self._waiting_steps.review(
             submissions, workers, blocked_through_revision, now
         )
 
+    def _rank_steps(
+        self,
+        submissions: Collection[SubmissionProgress],
+        workers: Collection[Worker],
+        blocked_through_revision: float,
+        now: float,
+    ) -> tuple[list[Candidate], list[Effect]]:
+        """Return the ready steps with waiting tasks in the order of the ranking, and log lines."""
+        effects: list[Effect] = []
+        candidates: list[Candidate] = []
+        for entry in submissions:
+            if entry.is_finalizing or now < entry.blocked_until:
+                continue
+            if entry.is_blocked_through(blocked_through_revision):
+                continue
+            for step in entry.steps.values():
+                if not (step.waiting or step.copies) or not entry.is_ready(step, now):
+                    continue
+                try:
+                    candidates.append((self._ranking.rank(entry, step, now), entry, step))
+                except Exception as error:
+                    effects.append(self._block(entry, step, workers, error, now))
+                    break
+        candidates.sort(key=lambda candidate: candidate[0])
+        return candidates, effects
+
+    def _try_step(
+        self,
+        candidate: Candidate,
+        placement_pass: _Pass,
+        workers: Collection[Worker],
+        now: float,
+        *,
+        is_turn: bool = False,
+    ) -> list[Effect]:
+        """Place tasks of one step, and reserve capacity for a gang that doesn't fit.
+
+        In a turn, the step goes before those of better rank, with a part of its tasks.
+        """
+        rank, entry, step = candidate
+        max_starts = self._starvation.count_allowed(step) if is_turn else step.spec.count
+        is_over = step.id in placement_pass.tried_gangs or now < entry.blocked_until
+        if is_over or max_starts == 0:
+            return []
+        former_runs = step.list_all_runs() if is_turn else []
+        try:
+            if not self.quotas.may_start(entry, step, now):
+                return []
+            placement_pass.tried += 1
+            needs_all = step.spec.is_gang or step.crash_histories or step.avoided
+            placed_on = placement_pass.schedulable if needs_all else placement_pass.roomy
+            effects = self._place_step(entry, step, placed_on, rank, now, max_starts)
+            if step.spec.is_gang and step.waiting:
+                placement_pass.tried_gangs.add(step.id)
+                is_next = placement_pass.left_to_reserve > 0
+                step.plan = (
+                    self._plan(entry, step, placement_pass.schedulable, now) if is_next else None
+                )
+                if step.plan is not None:
+                    placement_pass.left_to_reserve -= reserve(
+                        step.plan, step.spec, placement_pass.schedulable
+                    )
+        except Exception as error:
+            return [self._block(entry, step, workers, error, now)]
+        if is_turn:
+            self._starvation.record_turn(step, former_runs)
+        return effects
+
     def gives_way(self, entry: SubmissionProgress, step: StepProgress, now: float) -> bool:
         """Return whether a new submission of another organisation would be placed before a step."""
         return self._ranking.is_excess(entry, step, now) or self.quotas.is_held(entry, step)
@@ -252,6 +318,7 @@
         schedulable_workers: Sequence[Worker],
         rank: tuple[float, ...],
         now: float,
+        max_starts: int,
     ) -> list[Effect]:
         self._policy.begin_step(entry, step, now)
         eligible = self._find_eligible(entry, step, schedulable_workers, now)
@@ -266,7 +333,7 @@
         if step.spec.is_gang:
             effects = self._place_gang(entry, step, usable, now)
         else:
-            effects = self._place_tasks(entry, step, usable, now)
+            effects = self._place_tasks(entry, step, usable, now, max_starts)
             effects += self._place_copies(entry, step, usable, now)
         if (step.waiting or step.copies) and entry.submission.queue.advice is not None:
             effects += self.advice.request_advice(
@@ -280,10 +347,11 @@
         step: StepProgress,
         usable: Sequence[Worker],
         now: float,
+        max_starts: int,
     ) -> list[Effect]:
         effects: list[Effect] = []
         ends_at = estimate_end(step.spec, now)
-        for index in list(step.waiting):
+        for index in step.waiting[:max_starts]:
             if not self.quotas.may_start(entry, step, now):
                 break
             if step.is_suspect(index):
--- a/src/lavenderhook/_internal/queueing/submissions.py
+++ b/src/lavenderhook/_internal/queueing/submissions.py
@@ -299,9 +299,15 @@
 
     def list_runs(self, key: int) -> list[Run]:
         """Return the runs of the task or gang that a crash history is kept for."""
-        if key == GANG_INDEX:
-            return [run for runs in self.runs.values() for run in runs]
-        return self.runs.get(key, [])
+        return self.list_all_runs() if key == GANG_INDEX else self.runs.get(key, [])
+
+    def list_all_runs(self) -> list[Run]:
+        """Return the runs of all tasks."""
+        return [run for runs in self.runs.values() for run in runs]
+
+    def has_run(self, run: Run) -> bool:
+        """Return whether a run of the step is still active."""
+        return any(other is run for other in self.runs.get(run.task.index, ()))
 
     def shares_history(self, run: Run, other: Run) -> bool:
         """Return whether a run of this step belongs to the same task or gang as another run."""
