Keep only the occurrences in memory that may run now

Cause: an object for each step of each occurrence was made when the submission was read, and each placement pass, each finished run and each commit walked over all of them. The stored progress named each done task, so that a schedule also outgrew its row.

Change: an occurrence is opened when it is due and at most 32 others without runs wait that are as useful (in time, late, of no use), and closed when its tasks are done. Done occurrences are kept and stored as ranges. StepProgress has its own module.

After: a pass ranks at most 96 steps, at most 128 are held in memory, and 150 done tasks of a schedule take at most 1,500 bytes. A takeover in between runs no task twice.

An owner of an older version ignores the ranges; during a change of versions it would run completed occurrences of a schedule again (docs/design.md).

--- a/features/overdue_schedules.feature
+++ b/features/overdue_schedules.feature
@@ -23,3 +23,39 @@
     Then "large" has not started
     And over 20 seconds, "large" uses 3 to 12 of 48 cores at most
     And no invariant was violated
+
+  Scenario: A placement pass doesn't grow with what is overdue
+    Guards against an owner that is busy for seconds at a time with occurrences that can't start yet,
+    so that it extends no leases, and that needs more memory than its machine has.
+    Given 4 workers and an owner
+    When a schedule "daily" of 20000 overdue occurrences of 1 tasks of 2000 millicores arrives
+    And 3 seconds pass in the simulation
+    Then a placement pass ranks at most 96 steps
+    And at most 128 steps of "daily" are held in memory
+    And "daily" has had at least 100 starts
+
+  Scenario: What is done of a schedule takes little room, and no later owner runs it again
+    Guards against progress that outgrows a row of the store, and against an owner that doesn't know
+    which occurrences an earlier one has completed.
+    Given 4 workers and an owner
+    When a schedule "daily" of 600 overdue occurrences of 1 tasks of 2000 millicores arrives
+    And 3 seconds pass in the simulation
+    Then the stored progress of "daily" names at least 150 tasks as done in at most 1500 bytes
+    When another owner takes over after the former one has ended
+    And 30 seconds pass in the simulation
+    Then "daily" is completed
+    And no task of "daily" has run twice
+    And no invariant was violated
+
+  Scenario: An occurrence that is due now doesn't wait behind overdue ones of its schedule
+    Guards against a backlog that fills what may wait of a schedule, so that new occurrences that are
+    still in time are never looked at.
+    Given 1 workers and an owner
+    When a schedule "minutely" of 2000 occurrences of 1 tasks of 16000 millicores, due every second for 1000 seconds, arrives
+    And 30 seconds pass in the simulation
+    Then an occurrence of "minutely" that was due in the last 10 seconds has started
+    And an occurrence of "minutely" that was due long ago has started
+
+  Scenario: Occurrences beyond the bound are opened and closed without a loss
+    Guards against occurrences that are skipped, run twice or are never closed.
+    Then for the seeds 1 to 200, a schedule of random length runs each occurrence once
--- a/features/steps/overdue_schedules.py
+++ b/features/steps/overdue_schedules.py
@@ -1,11 +1,14 @@
 """Steps on schedules with many overdue occurrences, and on large submissions beyond their bound."""
 
 import functools
+import random
 
 from behave import then, when
 
-from features.support.queue_simulation import make_step
+from features.support.queue_simulation import make_step, make_submission
 from lavenderhook._internal.queueing.model import AdviceTerms
+from lavenderhook._internal.queueing.records import encode
+from lavenderhook._internal.queueing.submissions import SubmissionProgress
 
 DAY_SECONDS = 86_400.0
 ADVICE = AdviceTerms(0.05, 0.001, 5.0)
@@ -72,3 +75,107 @@
         own = sum(run.resources.processors for run in runs if run.task.submission == name)
         used = max(used, own / 1000)
     assert least <= used <= most, used
+
+
+def find_entry(context, name):
+    """Return the state of a submission at the newest owner."""
+    return context.simulation.owners[-1].state.submissions[name]
+
+
+@then("a placement pass ranks at most {most:d} steps")
+def step_ranked(context, most):
+    ranked = context.simulation.owners[-1].state.scheduler.get_pass_size().ranked
+    assert 0 < ranked <= most, ranked
+
+
+@then('at most {most:d} steps of "{name}" are held in memory')
+def step_held(context, most, name):
+    held = sum(1 for _ in find_entry(context, name).steps.values())
+    assert 0 < held <= most, held
+
+
+@then(
+    'the stored progress of "{name}" names at least {least:d} tasks as done '
+    "in at most {most:d} bytes"
+)
+def step_progress(context, name, least, most):
+    progress = context.simulation.progress[name]
+    progress = progress[0] if isinstance(progress, tuple) else progress
+    done = sum(last - first + 1 for first, last in progress.completed)
+    done += sum(map(len, progress.done.values()))
+    size = len(encode(progress))
+    assert done >= least and size <= most, (done, size)
+
+
+@then('no task of "{name}" has run twice')
+def step_once(context, name):
+    starts, count = context.simulation.starts_by_submission[name], count_tasks(context, name)
+    assert starts == count, (starts, count)
+
+
+def count_tasks(context, name):
+    """Return how many tasks a submission has in all its occurrences."""
+    submission = context.simulation.submissions[name][0]
+    return submission.repetitions * sum(step.count for step in submission.steps)
+
+
+@when(
+    'a schedule "{name}" of {count:d} occurrences of {tasks:d} tasks of {processors:d} '
+    "millicores, due every second for {seconds:d} seconds, arrives"
+)
+def step_current_schedule(context, name, count, tasks, processors, seconds):
+    simulation = context.simulation
+    schedule = {
+        "repetitions": count,
+        "first_due": simulation.now - seconds,
+        "interval_seconds": 1.0,
+    }
+    steps = [make_step(tasks, processors, 1.5)]
+    simulation.submit(name, steps, schedule=schedule, slack_factor=3.0)
+
+
+def list_started_waits(context, name):
+    """Return, by start of a schedule, after how many seconds from its due time it was placed."""
+    lines = [line for _, line in context.simulation.decisions if line.decision == "task-placed"]
+    return [line.fields["waited"] for line in lines if line.fields["task"].startswith(name)]
+
+
+@then('an occurrence of "{name}" that was due in the last {seconds:d} seconds has started')
+def step_new_started(context, name, seconds):
+    assert min(list_started_waits(context, name)) <= seconds
+
+
+@then('an occurrence of "{name}" that was due long ago has started')
+def step_old_started(context, name):
+    assert max(list_started_waits(context, name)) > 900
+
+
+@then("for the seeds {first:d} to {last:d}, a schedule of random length runs each occurrence once")
+def step_random_tables(context, first, last):
+    for seed in range(first, last + 1):
+        check_random_schedule(random.Random(seed))
+
+
+def check_random_schedule(generator):
+    """Run the occurrences of a schedule in a random order, partly through another owner's state."""
+    count, interval = generator.randint(1, 300), generator.choice([0.0, 0.1, 1.0, 50.0])
+    schedule = {
+        "repetitions": count,
+        "first_due": -generator.uniform(0.0, 300.0),
+        "interval_seconds": interval,
+    }
+    submission = make_submission("s", [make_step(1), make_step(1, after=(0,))], schedule=schedule)
+    entry, now, begun = SubmissionProgress(submission, 1, 0.0, 1), 0.0, set()
+    while not entry.is_done:
+        now += generator.uniform(0.0, 20.0)
+        entry.steps.update(now)
+        for step in entry.steps.values():
+            if step.waiting and entry.is_ready(step, now) and generator.random() < 0.7:
+                assert step.id not in begun and step.due_at <= now, step.id
+                begun.add(step.id)
+                step.mark_done(0)
+        if generator.random() < 0.1:
+            progress, entry = entry.export_progress(), SubmissionProgress(submission, 1, 0.0, 1)
+            entry.import_progress(progress, now)
+        assert sum(1 for _ in entry.steps.values()) <= 400
+    assert len(begun) == 2 * count, (len(begun), count)
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -35,7 +35,7 @@
 )
 from lavenderhook._internal.queueing.records import Outcome, Progress
 from lavenderhook._internal.queueing.retry_after import choose_retry_after
-from lavenderhook._internal.queueing.submissions import Ticket
+from lavenderhook._internal.queueing.step_progress import Ticket
 
 MAX_SEEDS = 60  # random simulations per deliberate fault
 
--- a/features/steps/stragglers.py
+++ b/features/steps/stragglers.py
@@ -14,13 +14,13 @@
     TaskKey,
     WorkerState,
 )
+from lavenderhook._internal.queueing.step_progress import StepProgress
 from lavenderhook._internal.queueing.stragglers import (
     ProjectedEnd,
     RunAction,
     is_stalled,
     project_remaining,
 )
-from lavenderhook._internal.queueing.submissions import StepProgress
 from lavenderhook._internal.queueing.workers import Run
 
 
--- a/src/lavenderhook/_internal/queueing/admission.py
+++ b/src/lavenderhook/_internal/queueing/admission.py
@@ -7,8 +7,7 @@
 import msgspec
 
 from .backlog import Backlog
-from .model import Submission
-from .ranking import USELESS_AFTER_OBJECTIVES
+from .model import USELESS_AFTER_OBJECTIVES, Submission
 from .submissions import compute_objective_seconds
 
 BACKLOG_MAX_AGE_SECONDS = 1.0  # an older one shows room that is taken, or work that has ended
--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -14,7 +14,8 @@
     estimate_end,
     is_available,
 )
-from .submissions import TICKET_MARGIN_SECONDS, StepProgress, SubmissionProgress, Ticket
+from .step_progress import TICKET_MARGIN_SECONDS, StepProgress, Ticket
+from .submissions import SubmissionProgress
 from .workers import Worker
 
 MAX_WORKERS_PER_CALL = 100  # the advisory service accepts no more
--- a/src/lavenderhook/_internal/queueing/avoidance.py
+++ b/src/lavenderhook/_internal/queueing/avoidance.py
@@ -6,7 +6,7 @@
 
 from .model import TaskKey
 from .placement import PlacementPolicy, choose_worker
-from .submissions import StepProgress
+from .step_progress import StepProgress
 from .workers import Worker
 
 # Others may be full for a moment. Beside services and long tasks they may stay so, or hold as many
--- a/src/lavenderhook/_internal/queueing/backlog.py
+++ b/src/lavenderhook/_internal/queueing/backlog.py
@@ -10,9 +10,9 @@
 from ..core.identifiers import ServiceName
 from .durations import DurationEstimates
 from .losses_by_waiting import estimate_remaining
-from .model import Resources, StepSpec, SubmissionState
-from .ranking import USELESS_AFTER_OBJECTIVES
-from .submissions import StepProgress, SubmissionProgress
+from .model import USELESS_AFTER_OBJECTIVES, Resources, StepSpec, SubmissionState
+from .step_progress import StepProgress
+from .submissions import SubmissionProgress
 from .workers import Worker
 
 
--- a/src/lavenderhook/_internal/queueing/evacuation.py
+++ b/src/lavenderhook/_internal/queueing/evacuation.py
@@ -4,8 +4,8 @@
 
 import abc
 
+from .step_progress import StepProgress
 from .stragglers import project_remaining
-from .submissions import StepProgress
 from .workers import Run, Worker
 
 # Before the worker leaves: a run is stopped, reported, and started elsewhere in this time.
--- a/src/lavenderhook/_internal/queueing/exclusions.py
+++ b/src/lavenderhook/_internal/queueing/exclusions.py
@@ -5,7 +5,7 @@
 import enum
 
 from .placement import count_fitting, count_on_worker, is_eligible
-from .submissions import StepProgress
+from .step_progress import StepProgress
 from .workers import Worker
 
 
--- a/src/lavenderhook/_internal/queueing/gang_workers.py
+++ b/src/lavenderhook/_internal/queueing/gang_workers.py
@@ -9,7 +9,7 @@
 from .model import StepId
 from .placement import choose_gang_workers
 from .reservations import can_hold_gang
-from .submissions import GANG_PLAN_MAX_AGE_SECONDS, StepProgress
+from .step_progress import GANG_PLAN_MAX_AGE_SECONDS, StepProgress
 from .workers import Worker
 
 
--- a/src/lavenderhook/_internal/queueing/isolation.py
+++ b/src/lavenderhook/_internal/queueing/isolation.py
@@ -15,7 +15,8 @@
     count_fitting_if_empty,
 )
 from .quotas import Quotas
-from .submissions import StepProgress, SubmissionProgress
+from .step_progress import StepProgress
+from .submissions import SubmissionProgress
 from .workers import Run, Worker
 
 # Share of all workers that may hold isolated tasks at the same time, and never fewer than these.
--- a/src/lavenderhook/_internal/queueing/log_lines.py
+++ b/src/lavenderhook/_internal/queueing/log_lines.py
@@ -136,7 +136,6 @@
 
 def log_submission_ended(entry: SubmissionProgress, outcome: Outcome, now: float) -> LogDecision:
     """Return the log line of a submission whose final state is stored."""
-    objective_at = max(step.objective_at for step in entry.steps.values())
     return LogDecision(
         decision="submission-ended",
         fields={
@@ -146,6 +145,6 @@
             "seconds": round(now - entry.arrived_at, 3),
             "queue": entry.submission.queue.name,
             "organisation": entry.submission.organisation,
-            "objective": round(objective_at - entry.arrived_at, 3),
+            "objective": round(entry.steps.times.last_objective_at - entry.arrived_at, 3),
         },
     )
--- a/src/lavenderhook/_internal/queueing/losses.py
+++ b/src/lavenderhook/_internal/queueing/losses.py
@@ -20,7 +20,8 @@
 from .effects import Effect, LogDecision, StoreProgress
 from .log_lines import log_run
 from .model import FinishedRun, RunNumber, RunState, StepId, WorkerListing
-from .submissions import StepProgress, SubmissionProgress
+from .step_progress import StepProgress
+from .submissions import SubmissionProgress
 from .workers import Run, Worker
 
 JOINT_CRASH_WORKERS = 3  # silent since about the same time: no task is blamed at once
--- a/src/lavenderhook/_internal/queueing/losses_by_waiting.py
+++ b/src/lavenderhook/_internal/queueing/losses_by_waiting.py
@@ -7,9 +7,10 @@
 import msgspec
 
 from .durations import DurationEstimates, ExpectedDuration
-from .model import SubmissionId
-from .ranking import ESTIMATE_MARGIN, USELESS_AFTER_OBJECTIVES, StepRanking
-from .submissions import StepProgress, SubmissionProgress
+from .model import USELESS_AFTER_OBJECTIVES, SubmissionId
+from .ranking import ESTIMATE_MARGIN, StepRanking
+from .step_progress import StepProgress
+from .submissions import SubmissionProgress
 
 NO_DURATION = ExpectedDuration(0.0, 0.0)
 MIN_CORE_SECONDS = 0.01  # of fillers, which need no processors
--- a/src/lavenderhook/_internal/queueing/model.py
+++ b/src/lavenderhook/_internal/queueing/model.py
@@ -17,6 +17,10 @@
 TicketId = NewType("TicketId", str)
 OrganisationName = NewType("OrganisationName", str)
 
+# A result is of no use to the caller once this multiple of the time from when it was due to its
+# objective has passed.
+USELESS_AFTER_OBJECTIVES = 3.0
+
 
 class StepId(NamedTuple):
     """One occurrence of one step of a submission."""
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -82,9 +82,10 @@
 from .roster import RosterTracker
 from .scheduling import Scheduler
 from .start_log import LoggedStart
+from .step_progress import StepProgress
 from .stops import StopReason
 from .stragglers import RunAction, project_remaining
-from .submissions import StepProgress, SubmissionProgress
+from .submissions import SubmissionProgress
 from .takeover import Takeover
 from .unknown_submissions import UnknownSubmissions
 from .workers import (
@@ -227,9 +228,8 @@
         if event.outcome.state is SubmissionState.COMPLETED:
             return effects  # remaining runs of its gangs end by themselves
         for step in entry.steps.values():
-            for runs in list(step.runs.values()):
-                for run in list(runs):
-                    effects += self._stop(run, event.now, StopReason.SUBMISSION_ENDED)
+            for run in step.list_all_runs():
+                effects += self._stop(run, event.now, StopReason.SUBMISSION_ENDED)
         return effects
 
     def handle_workers(self, event: WorkersListed) -> list[Effect]:
@@ -591,9 +591,8 @@
         if not step.spec.is_gang or step.is_done:
             return []
         effects: list[Effect] = []
-        for runs in list(step.runs.values()):
-            for other in runs:
-                effects += self._stop(other, now, StopReason.GANG_BROKEN)
+        for other in step.list_all_runs():
+            effects += self._stop(other, now, StopReason.GANG_BROKEN)
         return effects
 
     def _process_finished_run(
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -6,10 +6,10 @@
 import math
 from collections.abc import Iterable, Sequence
 
-from .model import Resources, StepSpec
-from .ranking import USELESS_AFTER_OBJECTIVES
+from .model import USELESS_AFTER_OBJECTIVES, Resources, StepSpec
 from .speeds import SpeedLearner
-from .submissions import StepProgress, SubmissionProgress
+from .step_progress import StepProgress
+from .submissions import SubmissionProgress
 from .workers import Worker
 
 # Estimated durations are off by half; a task that uses capacity reserved for a gang has to end in
--- a/src/lavenderhook/_internal/queueing/quotas.py
+++ b/src/lavenderhook/_internal/queueing/quotas.py
@@ -13,7 +13,8 @@
 from .organisation_use import OrganisationUse
 from .organisations import Organisation, Organisations
 from .start_log import LoggedStart
-from .submissions import StepProgress, SubmissionProgress
+from .step_progress import StepProgress
+from .submissions import SubmissionProgress
 from .workers import Worker
 
 # A step that its limit has held for this long gets the next room of its organisation: small tasks
@@ -158,8 +159,8 @@
         """Return, by organisation, what submissions can have running at unreached workers."""
         possible: dict[OrganisationName, Resources] = {}
         for entry in blocked:
-            for step in entry.steps.values():
-                _charge(possible, entry.submission, step.spec, len(step.waiting))
+            for spec, count in entry.count_waiting():
+                _charge(possible, entry.submission, spec, count)
         for submission in self._ended.values():
             for spec in submission.steps:
                 _charge(possible, submission, spec, spec.count)
@@ -175,9 +176,9 @@
         logged: dict[OrganisationName, Resources] = {}
         entries = {entry.submission.id: entry for entry in blocked}
         for entry in entries.values():
-            for step in entry.steps.values():
-                if step.spec.expected_seconds >= LONG_TASK_SECONDS:
-                    _charge(logged, entry.submission, step.spec, len(step.waiting))
+            for spec, count in entry.count_waiting():
+                if spec.expected_seconds >= LONG_TASK_SECONDS:
+                    _charge(logged, entry.submission, spec, count)
         self._logged = [start for start in self._logged if start.worker in self._unreached]
         for start in self._logged:
             task = start.task
--- a/src/lavenderhook/_internal/queueing/ranking.py
+++ b/src/lavenderhook/_internal/queueing/ranking.py
@@ -4,11 +4,9 @@
 
 import abc
 
-from .submissions import StepProgress, SubmissionProgress
+from .step_progress import StepProgress
+from .submissions import SubmissionProgress
 
-# A result is of no use to the caller once this multiple of the time from `due_at` to `objective_at`
-# has passed.
-USELESS_AFTER_OBJECTIVES = 3.0
 # Estimated durations are off by half and more: a step that seems too late may not be, for a while.
 ESTIMATE_MARGIN = 1.3
 
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -76,6 +76,12 @@
     failed: dict[str, dict[int, list[int]]] = {}
     crashed: dict[str, dict[int, dict[int, StoredCrash]]] = {}
     unresolved: dict[str, dict[int, dict[int, dict[WorkerId, WorkerIncarnation]]]] = {}
+    completed: list[tuple[int, int]] = []
+
+    def list_steps(self) -> list[str]:
+        """Return the keys of all steps with tasks that are listed, in order."""
+        listed = (self.done, self.failed, self.crashed, self.unresolved)
+        return list(dict.fromkeys(key for steps in listed for key in steps))
 
 
 class FailureReason(enum.Enum):
--- a/src/lavenderhook/_internal/queueing/reservations.py
+++ b/src/lavenderhook/_internal/queueing/reservations.py
@@ -9,8 +9,8 @@
 from ..core.identifiers import WorkerId
 from .model import Resources, StepSpec
 from .placement import count_fitting_in
+from .step_progress import GangPlan
 from .stragglers import has_outlived_estimate
-from .submissions import GangPlan
 from .workers import Run, Worker
 
 # assumed for a run that has lasted longer than its estimate
--- a/src/lavenderhook/_internal/queueing/review.py
+++ b/src/lavenderhook/_internal/queueing/review.py
@@ -12,6 +12,7 @@
 from .log_lines import log_worker
 from .model import RunOutcome, RunState, StepId
 from .speeds import RunDuration, SpeedLearner
+from .step_progress import StepProgress
 from .stragglers import (
     MAX_PROBATION_SHARE,
     ComparedRuns,
@@ -24,7 +25,6 @@
     is_stalled,
     project_duration,
 )
-from .submissions import StepProgress
 from .workers import Run, Worker
 
 # Progress is reported in hundredths; by then, the projected duration is off by a tenth at most.
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -31,7 +31,8 @@
 from .speeds import SpeedLearner
 from .start_log import StartLog
 from .starvation import Candidate, StarvationGuard
-from .submissions import StepProgress, SubmissionProgress
+from .step_progress import StepProgress
+from .submissions import SubmissionProgress
 from .waiting_steps import WaitingSteps
 from .workers import Worker, compute_command_token, is_run_number_of, make_run
 
@@ -173,6 +174,7 @@
                 continue
             if entry.is_blocked_through(blocked_through_revision):
                 continue
+            entry.steps.update(now)
             for step in entry.steps.values():
                 if not (step.waiting or step.copies) or not entry.is_ready(step, now):
                     continue
--- a/src/lavenderhook/_internal/queueing/shares.py
+++ b/src/lavenderhook/_internal/queueing/shares.py
@@ -11,7 +11,8 @@
 from .organisations import Organisation
 from .quotas import Quotas, add
 from .ranking import StepRanking
-from .submissions import StepProgress, SubmissionProgress
+from .step_progress import StepProgress
+from .submissions import SubmissionProgress
 from .workers import Worker
 
 # An excess submission that has waited for so long is ranked like any other.
--- a/src/lavenderhook/_internal/queueing/starvation.py
+++ b/src/lavenderhook/_internal/queueing/starvation.py
@@ -7,7 +7,8 @@
 from typing import NamedTuple
 
 from .model import StepSpec, SubmissionId
-from .submissions import StepProgress, SubmissionProgress
+from .step_progress import StepProgress
+from .submissions import SubmissionProgress
 from .workers import Run, Worker
 
 MIN_BOUND_SECONDS = 30.0  # no step goes before urgent ones sooner
--- a/src/lavenderhook/_internal/queueing/stragglers.py
+++ b/src/lavenderhook/_internal/queueing/stragglers.py
@@ -15,7 +15,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from .submissions import StepProgress
+from .step_progress import StepProgress
 from .workers import Run, Worker
 
 # Estimates are off by half, so that about one task in a hundred takes so long on a healthy worker.
--- a/src/lavenderhook/_internal/queueing/waiting_steps.py
+++ b/src/lavenderhook/_internal/queueing/waiting_steps.py
@@ -14,7 +14,8 @@
 from .model import StepId
 from .placement import is_eligible
 from .quotas import Quotas
-from .submissions import StepProgress, SubmissionProgress
+from .step_progress import StepProgress
+from .submissions import SubmissionProgress
 from .workers import Worker
 
 REVIEW_INTERVAL_SECONDS = 1.0
