Search the workers once for equal steps, and bound what waits for advice by what can start

Cause: each due step was compared with all workers in each pass, though an equal one had just found no room, and each asked for advice as soon as any worker had room for one task.

Change: needs for which no worker has room aren't searched for again in the same pass. In the order of the ranks, steps ask for advice until those that wait for it could fill the workers of their service twice; gangs count apart.

After: at most 65 of the 1,500 wait for advice, and a pass on full workers tries at most 100.

--- a/features/overdue_schedules.feature
+++ b/features/overdue_schedules.feature
@@ -59,3 +59,16 @@
   Scenario: Occurrences beyond the bound are opened and closed without a loss
     Guards against occurrences that are skipped, run twice or are never closed.
     Then for the seeds 1 to 200, a schedule of random length runs each occurrence once
+
+  Scenario: Equal steps are compared with the workers once, and few of them ask for advice
+    Guards against a backlog that occupies the owner in each pass with what can't start, and against
+    calls for advice that wait behind thousands of others.
+    Given 4 workers and an owner
+    When 1500 submissions of 1 tasks of 2000 millicores arrive at once
+    And 0.02 seconds pass in the simulation
+    Then at most 65 steps wait for advice
+    When 2 seconds pass in the simulation
+    Then a placement pass tries 0 to 100 steps
+    And at least 110 of them have started
+    And at most 65 steps wait for advice
+    And no invariant was violated
--- a/features/steps/overdue_schedules.py
+++ b/features/steps/overdue_schedules.py
@@ -179,3 +179,29 @@
             entry.import_progress(progress, now)
         assert sum(1 for _ in entry.steps.values()) <= 400
     assert len(begun) == 2 * count, (len(begun), count)
+
+
+@when("{count:d} submissions of {tasks:d} tasks of {processors:d} millicores arrive at once")
+def step_backlog(context, count, tasks, processors):
+    context.simulation.run(1.0)
+    context.names = [f"equal{index}" for index in range(count)]
+    for name in context.names:
+        context.simulation.submit(name, [make_step(tasks, processors, 0.3)], advice=ADVICE)
+
+
+@then("a placement pass tries {least:d} to {most:d} steps")
+def step_tried(context, least, most):
+    size = context.simulation.owners[-1].state.scheduler.get_pass_size()
+    assert least <= size.tried <= most, size
+
+
+@then("at most {most:d} steps wait for advice")
+def step_advice(context, most):
+    size = context.simulation.owners[-1].state.scheduler.get_pass_size()
+    assert size.advice_waiting <= most, size
+
+
+@then("at least {least:d} of them have started")
+def step_some_started(context, least):
+    started = sum(context.simulation.starts_by_submission[name] > 0 for name in context.names)
+    assert started >= least, started
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -6,6 +6,7 @@
 import traceback
 from collections.abc import Collection, Iterable, Sequence
 
+from ..core.identifiers import ServiceName
 from .advising import AdvicePlanner
 from .avoidance import AvoidedWorkers
 from .effects import Effect, LogDecision, SendStart, StepDown, StepDownReason, StoreProgress
@@ -13,6 +14,7 @@
 from .isolation import SuspectPlacer
 from .log_lines import log_run
 from .model import FencingToken, RunNumber, RunState, StartCommand, StepId, TicketId
+from .pass_limits import AdviceLimit, ExhaustedNeeds
 from .pass_size import PassSize
 from .placement import (
     BestFit,
@@ -34,6 +36,7 @@
 from .step_progress import StepProgress
 from .submissions import SubmissionProgress
 from .waiting_steps import WaitingSteps
+from .worker_totals import WorkerTotals
 from .workers import Worker, compute_command_token, is_run_number_of, make_run
 
 MAX_RESERVED_SHARE = 0.5  # of the schedulable workers' processors, for all gangs at a time
@@ -52,6 +55,8 @@
         Of these, those that may have room for a task that isn't part of a gang.
     left_to_reserve : float
         Processors that gangs may still reserve.
+    advice_limit : AdviceLimit
+    exhausted : ExhaustedNeeds
     tried : int
         Steps for which workers were searched.
     tried_gangs : set of StepId
@@ -61,6 +66,8 @@
     schedulable: Sequence[Worker]
     roomy: Sequence[Worker]
     left_to_reserve: float
+    advice_limit: AdviceLimit
+    exhausted: ExhaustedNeeds = dataclasses.field(default_factory=ExhaustedNeeds)
     tried: int = 0
     tried_gangs: set[StepId] = dataclasses.field(default_factory=set)
 
@@ -137,6 +144,7 @@
             ),
             left_to_reserve=MAX_RESERVED_SHARE
             * sum(worker.listing.capacity.processors for worker in schedulable_workers),
+            advice_limit=AdviceLimit(_sum_by_service(schedulable_workers)),
         )
         turn = self._starvation.choose_turn(candidates, schedulable_workers, now)
         for candidate in turn:
@@ -201,8 +209,9 @@
         """
         rank, entry, step = candidate
         max_starts = self._starvation.count_allowed(step) if is_turn else step.spec.count
+        service = entry.submission.queue.service
         is_over = step.id in placement_pass.tried_gangs or now < entry.blocked_until
-        if is_over or max_starts == 0:
+        if is_over or max_starts == 0 or placement_pass.exhausted.includes(service, step):
             return []
         former_runs = step.list_all_runs() if is_turn else []
         try:
@@ -211,7 +220,11 @@
             placement_pass.tried += 1
             needs_all = step.spec.is_gang or step.crash_histories or step.avoided
             placed_on = placement_pass.schedulable if needs_all else placement_pass.roomy
-            effects = self._place_step(entry, step, placed_on, rank, now, max_starts)
+            effects = self._place_step(
+                entry, step, placed_on, rank, now, max_starts, placement_pass.advice_limit
+            )
+            if step.waiting:
+                placement_pass.exhausted.record(service, step, placement_pass.roomy, now)
             if step.spec.is_gang and step.waiting:
                 placement_pass.tried_gangs.add(step.id)
                 is_next = placement_pass.left_to_reserve > 0
@@ -321,6 +334,7 @@
         rank: tuple[float, ...],
         now: float,
         max_starts: int,
+        advice_limit: AdviceLimit,
     ) -> list[Effect]:
         self._policy.begin_step(entry, step, now)
         eligible = self._find_eligible(entry, step, schedulable_workers, now)
@@ -338,9 +352,13 @@
             effects = self._place_tasks(entry, step, usable, now, max_starts)
             effects += self._place_copies(entry, step, usable, now)
         if (step.waiting or step.copies) and entry.submission.queue.advice is not None:
-            effects += self.advice.request_advice(
-                entry, step, eligible, rank, now, self._policy.compute_penalty
-            )
+            service = entry.submission.queue.service
+            if advice_limit.allows(service, step):
+                effects += self.advice.request_advice(
+                    entry, step, eligible, rank, now, self._policy.compute_penalty
+                )
+            if step.is_advice_pending:
+                advice_limit.record(service, step)
         return effects
 
     def _place_tasks(
@@ -500,3 +518,10 @@
             return [placed]
         self.start_log.add(command, run.incarnation)
         return [placed, SendStart(command=command)]
+
+
+def _sum_by_service(workers: Iterable[Worker]) -> dict[ServiceName, WorkerTotals]:
+    by_service: dict[ServiceName, list[Worker]] = {}
+    for worker in workers:
+        by_service.setdefault(worker.listing.service, []).append(worker)
+    return {service: WorkerTotals(members) for service, members in by_service.items()}
--- a/src/lavenderhook/_internal/queueing/starvation.py
+++ b/src/lavenderhook/_internal/queueing/starvation.py
@@ -6,9 +6,10 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
-from .model import StepSpec, SubmissionId
+from .model import SubmissionId
 from .step_progress import StepProgress
 from .submissions import SubmissionProgress
+from .worker_totals import WorkerTotals
 from .workers import Run, Worker
 
 MIN_BOUND_SECONDS = 30.0  # no step goes before urgent ones sooner
@@ -52,7 +53,7 @@
         self._next_at = 0.0
         self._tried: set[_Occurrence] = set()  # those that had a turn, and wait
         self._runs: list[tuple[StepProgress, Run]] = []  # that began in a turn and are active
-        self._processors = self._memory_mb = 0  # of all workers
+        self._totals = WorkerTotals()
 
     def choose_turn(
         self, candidates: Sequence[Candidate], workers: Iterable[Worker], now: float
@@ -84,9 +85,7 @@
             self._tried.add(self._promoted)
         if self._promoted is None:
             return []
-        capacities = [worker.listing.capacity for worker in workers]
-        self._processors = sum(capacity.processors for capacity in capacities)
-        self._memory_mb = sum(capacity.memory_mb for capacity in capacities)
+        self._totals = WorkerTotals(workers)
         return [
             ((-math.inf, *rank), entry, step)
             for rank, entry, step in candidates
@@ -99,22 +98,14 @@
     def count_allowed(self, step: StepProgress) -> int:
         """Return how many waiting tasks of a step may start in its turn; of a gang, all or none."""
         unit = step.spec.count if step.spec.is_gang else 1
-        used = sum(self._measure_share(begun.spec) for begun, _ in self._runs)
+        used = sum(self._totals.measure_share(begun.spec) for begun, _ in self._runs)
         left = MAX_PROMOTED_SHARE - used
-        share = unit * self._measure_share(step.spec)
-        units = math.floor(left / share) if share > 0 else len(step.waiting)
+        share = unit * self._totals.measure_share(step.spec)
+        units = math.floor(left / share)
         if not self._runs:
             units = max(units, 1)
         return unit * max(0, units)
 
-    def _measure_share(self, spec: StepSpec) -> float:
-        """Return the part of all processors or of all memory, the larger one, that a task uses."""
-        processors = 0 if spec.is_filler else spec.resources.processors
-        return max(
-            processors / max(1, self._processors),
-            spec.resources.memory_mb / max(1, self._memory_mb),
-        )
-
     def record_turn(self, step: StepProgress, former: Collection[Run]) -> None:
         """Record the runs of a step that its turn has added to the former ones."""
         runs = step.list_all_runs()
