Leave as much time between placement passes as each has taken

Cause: each event made another placement pass due 4 ms after the last one, however long that had taken, so that a long pass left nothing to renewals and answers.

Change: the pause before a pass is as long as the pass before it, from 4 to 100 ms.

--- a/features/overdue_schedules.feature
+++ b/features/overdue_schedules.feature
@@ -72,3 +72,9 @@
     And at least 110 of them have started
     And at most 65 steps wait for advice
     And no invariant was violated
+
+  Scenario: Long placement passes leave time for leases and answers
+    Guards against an owner that does nothing but placement passes while events arrive, and against a
+    line for each pass.
+    Then passes of 2, 30 and 400 milliseconds are followed by pauses of 4, 30 and 100 milliseconds
+    And passes of 30 milliseconds over 3 seconds are reported in 2 to 4 lines
--- a/features/steps/overdue_schedules.py
+++ b/features/steps/overdue_schedules.py
@@ -6,7 +6,9 @@
 from behave import then, when
 
 from features.support.queue_simulation import make_step, make_submission
+from lavenderhook._internal.instance.placement_passes import PlacementPasses
 from lavenderhook._internal.queueing.model import AdviceTerms
+from lavenderhook._internal.queueing.pass_size import PassSize
 from lavenderhook._internal.queueing.records import encode
 from lavenderhook._internal.queueing.submissions import SubmissionProgress
 
@@ -205,3 +207,44 @@
 def step_some_started(context, least):
     started = sum(context.simulation.starts_by_submission[name] > 0 for name in context.names)
     assert started >= least, started
+
+
+class SteppedClock:
+    """Clock that is set by the test; in seconds."""
+
+    now = 0.0
+
+    def read(self):
+        """Return the time."""
+        return self.now
+
+
+def run_pass(passes, clock, seconds):
+    """Measure a pass of some seconds."""
+    with passes.measure(lambda: PassSize(ranked=5)):
+        clock.now += seconds
+
+
+@then(
+    "passes of {first:d}, {second:d} and {third:d} milliseconds are followed by pauses "
+    "of {one:d}, {two:d} and {three:d} milliseconds"
+)
+def step_pauses(context, first, second, third, one, two, three):
+    clock = SteppedClock()
+    passes = PlacementPasses(lambda event, **fields: None, clock.read)
+    for taken, pause in ((first, one), (second, two), (third, three)):
+        run_pass(passes, clock, taken / 1000)
+        assert abs(passes.compute_pause() - pause / 1000) < 1e-9, passes.compute_pause()
+
+
+@then(
+    "passes of {milliseconds:d} milliseconds over {seconds:d} seconds are reported "
+    "in {least:d} to {most:d} lines"
+)
+def step_reports(context, milliseconds, seconds, least, most):
+    clock, lines = SteppedClock(), []
+    passes = PlacementPasses(lambda event, **fields: lines.append(fields), clock.read)
+    while clock.now < seconds:
+        run_pass(passes, clock, milliseconds / 1000)
+    assert least <= len(lines) <= most, lines
+    assert all(line["ranked"] == 5 and line["longest"] >= 0.03 for line in lines), lines
--- a/src/lavenderhook/_internal/instance/owner.py
+++ b/src/lavenderhook/_internal/instance/owner.py
@@ -112,7 +112,6 @@
 FIRST_HOLD_RETRY_SECONDS = 0.1
 MAX_STORED_WAIT_SECONDS = 0.3  # the worker reports finished runs again until stored
 TICK_INTERVAL_SECONDS = 0.1
-EVENT_BATCH_SECONDS = 0.004  # events within it share a placement pass
 COMMIT_INTERVAL_SECONDS = 0.03  # finished runs within it share a transaction
 PRUNE_INTERVAL_SECONDS = 5.0  # between deletions of expired rows
 MAX_PRUNED_PER_TRANSACTION = 40  # submissions, with two rows each
@@ -650,7 +649,7 @@
         while not self._is_stopped:
             self._scheduling_due.wait(TICK_INTERVAL_SECONDS)
             self._scheduling_due.clear()
-            gevent.sleep(EVENT_BATCH_SECONDS)
+            gevent.sleep(self._passes.compute_pause())
             self._apply_organisations()
             if self._may_act() and self.state is not None:
                 with self._passes.measure(self.state.scheduler.get_pass_size):
--- a/src/lavenderhook/_internal/instance/placement_passes.py
+++ b/src/lavenderhook/_internal/instance/placement_passes.py
@@ -10,12 +10,15 @@
 from .table_watcher import LogEvent
 
 REPORT_INTERVAL_SECONDS = 1.0
+MIN_PAUSE_SECONDS = 0.004  # events within it share a placement pass
+MAX_PAUSE_SECONDS = 0.1
 
 
 class PlacementPasses:
-    """Measures placement passes, and reports those of each second in one line.
+    """Measures placement passes, reports those of each second, and leaves time between them.
 
-    A pass occupies the process: no lease is renewed and no call is answered meanwhile.
+    A pass occupies the process: no lease is renewed and no call is answered meanwhile. Handles a
+    backlog whose passes take long: each event would cause another one, and nothing else would run.
 
     Parameters
     ----------
@@ -31,8 +34,17 @@
         self._log_event = log_event
         self._read_clock = read_clock
         self._next_report_at = 0.0
+        self._last_seconds = 0.0
         self._begin_report()
 
+    def compute_pause(self) -> float:
+        """Return for how many seconds other work goes on before the next pass.
+
+        As long as the last pass has taken, so that passes take half of the time at most, unless
+        they are longer than the longest pause.
+        """
+        return max(MIN_PAUSE_SECONDS, min(self._last_seconds, MAX_PAUSE_SECONDS))
+
     def _begin_report(self) -> None:
         self._count = 0
         self._total_seconds = self._longest_seconds = 0.0
@@ -45,6 +57,7 @@
         yield
         ended_at = self._read_clock()
         seconds = ended_at - began_at
+        self._last_seconds = seconds
         self._count += 1
         self._total_seconds += seconds
         self._longest_seconds = max(self._longest_seconds, seconds)
