Keep room under an organisation's limit only for a step whose turn is known

Cause: a step held for 2 s claims the next room of its organisation. The claim kept that room from all others although the gang could not use it, and had no end while the limit held the gang.

Change: held_room.py says who may keep room, for how long, and what may use it meanwhile. A claim needs a turn, the time at which the estimated ends of the organisation's runs leave enough; tasks that last have none. Until the turn, work goes on that ends before it or fits beside it at the turn. While under half of the limit is in use, a submission without runs is held for 2 s at most. Claims, their moves and their ends are logged with the reason.

--- a/features/organisation_limits.feature
+++ b/features/organisation_limits.feature
@@ -25,6 +25,66 @@
     And "a" has used 12000 millicores at most
     And no invariant was violated
 
+  Scenario: A gang that waits beside a service holds no other work of its organisation
+    Guards against accepted work that never begins, since room is kept for a gang that may only start
+    once tasks have ended that last.
+    Given 4 workers and an owner
+    And organisation "a" may use 50000 millicores
+    When "a" submits "lasting", a service of 9 tasks of 2500 millicores
+    And 2 seconds pass in the simulation
+    And "a" submits "gang", a gang of 9 tasks of 4000 millicores
+    And 4 seconds pass in the simulation
+    And "a" submits 2 tasks of 1000 millicores a second for 6 seconds
+    And 10 seconds pass in the simulation
+    Then no task of the stream has waited for longer than 1 second
+    And "gang" remains queued
+    When "lasting" is cancelled
+    And 5 seconds pass in the simulation
+    Then "gang" has started
+    And no invariant was violated
+
+  Scenario Outline: Work that ends before a gang's turn goes on beside it
+    Guards against work that waits for as long as the gang, though the gang can't use the room yet.
+    The gang starts all the same once it can.
+    Given 4 workers and an owner
+    And organisation "a" may use 50000 millicores
+    When "a" submits "before", <before>
+    And 1 seconds pass in the simulation
+    And "a" submits "gang", a gang of 9 tasks of 4000 millicores
+    And 3 seconds pass in the simulation
+    And "a" submits 4 tasks of 1000 millicores a second for 30 seconds
+    And <takeover>
+    And 8 seconds pass in the simulation
+    Then no task of the stream has waited for longer than <most> seconds
+    And "gang" remains queued
+    When 22 seconds pass in the simulation
+    Then "gang" has started
+    And no invariant was violated
+
+    Examples:
+      | before                                                     | takeover                                             | most |
+      | a gang of 9 tasks of 2500 millicores and 20 seconds        | 1 seconds pass in the simulation                     | 2.5  |
+      | 9 parallel tasks of 2500 millicores and 20 seconds         | 1 seconds pass in the simulation                     | 2.5  |
+      | 9 parallel tasks of 2500 millicores and 20 seconds         | another owner takes over after the former one has ended | 2.5  |
+      | 9 parallel tasks of 2500 millicores and 20 seconds         | the limit of "a" changes to 50000 millicores         | 2.5  |
+
+  Scenario: Beside mostly unused room, no submission is held for long by a claim
+    Guards against a submission with nothing running beside room that a gang keeps until a turn that
+    is far away.
+    Given 4 workers and an owner
+    And organisation "a" may use 40000 millicores
+    When "a" submits "before", 1 parallel tasks of 5000 millicores and 40 seconds
+    And 1 seconds pass in the simulation
+    And "a" submits "gang", a gang of 10 tasks of 4000 millicores
+    And 4 seconds pass in the simulation
+    And "a" submits "long" of 1 tasks of 1000 millicores and 60 seconds
+    And 2 seconds pass in the simulation
+    Then "long" has not started
+    When 1 seconds pass in the simulation
+    Then "long" has started
+    And "gang" remains queued
+    And "organisation-claims" and "organisation-claim-moved" tell the turn of "gang"
+
   Scenario: A gang that its limit holds reserves nothing of other organisations
     Guards against workers that are kept free for a gang that may not start.
     Given 2 workers and an owner
--- a/features/steps/organisation_limits.py
+++ b/features/steps/organisation_limits.py
@@ -49,6 +49,58 @@
     context.simulation.submit(name, steps, organisation=organisation)
 
 
+@when(
+    '"{organisation}" submits "{name}", a service of {count:d} tasks of {processors:d} millicores'
+)
+def step_submit_service(context, organisation, name, count, processors):
+    steps = [make_step(count, processors, 0.0, is_service=True)]
+    context.simulation.submit(name, steps, organisation=organisation)
+
+
+@when(
+    '"{organisation}" submits "{name}", a gang of {count:d} tasks of {processors:d} millicores '
+    "and {seconds:d} seconds"
+)
+def step_submit_long_gang(context, organisation, name, count, processors, seconds):
+    steps = [make_step(count, processors, float(seconds), is_gang=True)]
+    context.simulation.submit(name, steps, organisation=organisation)
+
+
+@when(
+    '"{organisation}" submits "{name}", {count:d} parallel tasks of {processors:d} millicores '
+    "and {seconds:d} seconds"
+)
+def step_submit_parallel(context, organisation, name, count, processors, seconds):
+    step_submit(context, organisation, name, count, processors, seconds)
+
+
+@then("no task of the stream has waited for longer than {seconds:g} second")
+@then("no task of the stream has waited for longer than {seconds:g} seconds")
+def step_stream_waits(context, seconds):
+    simulation, waited = context.simulation, {}
+    for _, line in simulation.decisions:
+        if line.decision == "task-placed" and line.fields["run"]:
+            waited.setdefault(line.fields["task"].partition(".")[0], line.fields["waited"])
+    arrived = [n for n, (s, _) in simulation.submissions.items() if is_of_stream(simulation, n, s)]
+    found = {name: waited.get(name) for name in arrived}
+    late = {name: at for name, at in found.items() if at is None or at > seconds}
+    assert arrived and not late, late
+
+
+def is_of_stream(simulation, name, submission):
+    """Return whether a submission is one of a stream, and has been there for some seconds."""
+    return name.startswith("a-") and submission.accepted_at < simulation.now - 3.0
+
+
+@then('"{claimed}" and "{moved}" tell the turn of "{name}"')
+def step_claim_lines(context, claimed, moved, name):
+    lines = {}
+    for _, line in context.simulation.decisions:
+        if line.decision in (claimed, moved) and line.fields["step"] == f"{name}.0.0":
+            lines.setdefault(line.decision, []).append(line.fields["turn_in"])
+    assert 0 < lines[claimed][0] < 45 < lines[moved][-1], lines
+
+
 @when(
     '"{organisation}" submits {count:d} tasks of {processors:d} millicores a second '
     "for {seconds:d} seconds"
--- a/src/lavenderhook/_internal/queueing/quotas.py
+++ b/src/lavenderhook/_internal/queueing/quotas.py
@@ -10,18 +10,15 @@
 from .effects import Effect, LogDecision
 from .events import OrganisationsChanged
 from .model import OrganisationName, Resources, StepId, StepSpec, Submission, SubmissionId
+from .organisation_claims import OrganisationClaims, OrganisationPass
 from .organisation_use import OrganisationUse
 from .organisations import Organisation, Organisations
+from .resource_sums import add, is_within
 from .start_log import LoggedStart
 from .step_progress import StepProgress
 from .submissions import SubmissionProgress
-from .workers import Worker
+from .workers import Run, Worker
 
-# A step that its limit has held for this long gets the next room of its organisation: small tasks
-# would otherwise take any room at once that a gang or a large task needs together.
-CLAIM_AFTER_SECONDS = 2.0
-# A claim that has room and finds no workers is given up, so that others may use the room.
-MAX_CLAIM_SECONDS = 5.0
 # Most workers answer a new owner within it. Until then, all that can run unknown to it is counted,
 # as its predecessor may not have logged its last starts; then only what the log names.
 REACH_SECONDS = 1.0
@@ -30,16 +27,6 @@
 RELEASE_SECONDS = 1.0  # without work that the limit holds; a line on each change would be many
 
 
-@dataclasses.dataclass(slots=True)
-class _Claim:
-    """Room that is kept for one step of an organisation."""
-
-    step: StepId
-    needs: Resources
-    has_room_since: float
-    is_waiting: bool = True  # in this pass
-
-
 @dataclasses.dataclass(slots=True)
 class _LimitedTime:
     """Time in which the limit of an organisation holds work."""
@@ -76,8 +63,8 @@
         self._hidden: dict[OrganisationName, Resources] = {}
         self._hidden_of_all = Resources()
         self._held: dict[OrganisationName, dict[StepId, StepProgress]] = {}
-        self._held_since: dict[StepId, float] = {}
-        self._claims: dict[OrganisationName, _Claim] = {}
+        self._claims = OrganisationClaims(lambda step: compute_unit(step.spec))
+        self._workers: Collection[Worker] = ()
         self._limited: dict[OrganisationName, _LimitedTime] = {}
 
     def handle_change(self, event: OrganisationsChanged) -> list[Effect]:
@@ -143,7 +130,7 @@
             self._logged.clear()
         if self.organisations is None:
             return
-        known = list(workers)
+        self._workers = known = list(workers)
         if is_new:
             self._hidden_of_all = _sum_unused(
                 w for w in known if w.unmatched_runs or w.runs_with_unknown_resources
@@ -219,10 +206,10 @@
         is_known = organisation is not None or self._knows_all()
         if is_known and (organisation is None or not _is_limited(organisation)):
             return True
-        if organisation is not None and self._has_room(organisation, step):
+        if organisation is not None and self._has_room(organisation, entry, step, now):
             return True
         self._held.setdefault(name, {})[step.id] = step
-        self._held_since.setdefault(step.id, now)
+        self._claims.record_held(step, now)
         return False
 
     def _knows_all(self) -> bool:
@@ -234,28 +221,26 @@
             self.organisations is None or self.organisations.is_complete
         )
 
-    def _has_room(self, organisation: Organisation, step: StepProgress) -> bool:
-        name = organisation.name
-        total = add(add(self.use.get(name), self._hidden_of_all), compute_unit(step.spec))
-        total = add(total, self._hidden.get(name, Resources()))
-        claim = self._claims.get(name)
-        if claim is not None and claim.step == step.id:
-            claim.is_waiting = True
-        elif claim is not None:
-            total = add(total, claim.needs)
-        return is_within(total, organisation.limit)
+    def _has_room(
+        self, organisation: Organisation, entry: SubmissionProgress, step: StepProgress, now: float
+    ) -> bool:
+        used = add(self.use.get(organisation.name), self._get_hidden(organisation.name))
+        return is_within(
+            add(used, compute_unit(step.spec)), organisation.limit
+        ) and self._claims.allows(entry, step, used, organisation, now)
+
+    def _get_hidden(self, name: OrganisationName) -> Resources:
+        """Return what an organisation may have running without the owner's knowledge."""
+        return add(self._hidden_of_all, self._hidden.get(name, Resources()))
 
     def is_exceeded(self, name: OrganisationName) -> bool:
         """Return whether an organisation has more running than its limit, which was lowered."""
         organisation = self._by_name.get(name)
         return organisation is not None and not is_within(self.use.get(name), organisation.limit)
 
-    def record_start(self, step: StepId, organisation: OrganisationName) -> None:
+    def record_start(self, step: StepProgress, organisation: OrganisationName, now: float) -> None:
         """Record that a task of a step has started; others of its organisation come next."""
-        self._held_since.pop(step, None)
-        claim = self._claims.get(organisation)
-        if claim is not None and claim.step == step:
-            del self._claims[organisation]
+        self._claims.record_start(step, organisation, now)
 
     def is_held(self, entry: SubmissionProgress, step: StepProgress) -> bool:
         """Return whether the limit has held a step in the last pass."""
@@ -263,8 +248,7 @@
 
     def end_pass(self, now: float) -> list[Effect]:
         """Review the claims, and return the log lines of what the limits hold."""
-        self._review_claims(now)
-        effects: list[Effect] = []
+        effects = self._claims.end_pass(self._list_passes(), self._list_runs, now)
         for name, steps in self._held.items():
             limited = self._limited.setdefault(name, _LimitedTime(now, now, now))
             limited.seen_at = now
@@ -278,30 +262,24 @@
                 effects.append(self._make_line("organisation-released", name, 0, limited, now))
         return effects
 
-    def _review_claims(self, now: float) -> None:
-        """Give up claims that aren't used, and let the step that has been held longest claim."""
-        for name, claim in list(self._claims.items()):
-            organisation = self._by_name.get(name)
-            if organisation is None or not is_within(claim.needs, organisation.limit):
-                del self._claims[name]  # the limit is lower than when the step claimed
-            elif claim.step in self._held.get(name, ()):
-                claim.has_room_since = now
-            elif not claim.is_waiting or now - claim.has_room_since >= MAX_CLAIM_SECONDS:
-                self.record_start(claim.step, name)
-            claim.is_waiting = False
-        held = {id for steps in self._held.values() for id in steps}
-        held.update(claim.step for claim in self._claims.values())
-        self._held_since = {id: at for id, at in self._held_since.items() if id in held}
-        for name, steps in self._held.items():
-            organisation = self._by_name.get(name)
-            if name in self._claims or organisation is None:
-                continue
-            units = {id: compute_unit(step.spec) for id, step in steps.items()}
-            possible = [id for id, unit in units.items() if is_within(unit, organisation.limit)]
-            longest = min(possible, key=self._held_since.__getitem__, default=None)
-            if longest is None or now - self._held_since[longest] < CLAIM_AFTER_SECONDS:
-                continue
-            self._claims[name] = _Claim(longest, units[longest], now, is_waiting=False)
+    def _list_passes(self) -> dict[OrganisationName, OrganisationPass]:
+        """Return what the organisations with claims or held steps have in this pass."""
+        passes: dict[OrganisationName, OrganisationPass] = {}
+        for name in {*self._held, *self._claims.list_organisations()}:
+            hidden = self._get_hidden(name)
+            passes[name] = OrganisationPass(
+                self._by_name.get(name, Organisation(name=name)),
+                add(self.use.get(name), hidden),
+                self._held.get(name, {}),
+            )
+        return passes
+
+    def _list_runs(self) -> dict[OrganisationName, list[Run]]:
+        runs: dict[OrganisationName, list[Run]] = {}
+        for worker in self._workers:
+            for run in worker.runs.values():
+                runs.setdefault(run.organisation, []).append(run)
+        return runs
 
     def _make_line(
         self, decision: str, name: OrganisationName, held: int, limited: _LimitedTime, now: float
@@ -309,7 +287,7 @@
         organisation = self._by_name.get(name)
         used = self.use.get(name)
         limit = Resources() if organisation is None else organisation.limit
-        hidden = add(self._hidden_of_all, self._hidden.get(name, Resources()))
+        hidden = self._get_hidden(name)
         return LogDecision(
             decision=decision,
             fields={
@@ -353,24 +331,6 @@
     return add(Resources(), spec.resources, spec.count if spec.is_gang else 1)
 
 
-def add(one: Resources, other: Resources, count: int = 1) -> Resources:
-    """Return the sum of `one` and `count` times `other`."""
-    return Resources(
-        one.processors + count * other.processors,
-        one.memory_mb + count * other.memory_mb,
-        one.accelerators + count * other.accelerators,
-    )
-
-
-def is_within(used: Resources, limit: Resources) -> bool:
-    """Return whether each resource is within its limit; 0 is no limit."""
-    return (
-        (not limit.processors or used.processors <= limit.processors)
-        and (not limit.memory_mb or used.memory_mb <= limit.memory_mb)
-        and (not limit.accelerators or used.accelerators <= limit.accelerators)
-    )
-
-
 def _is_limited(organisation: Organisation) -> bool:
     return organisation.limit != Resources()
 
--- a/src/lavenderhook/_internal/queueing/reservations.py
+++ b/src/lavenderhook/_internal/queueing/reservations.py
@@ -7,15 +7,14 @@
 from collections.abc import Iterable, Sequence
 
 from ..core.identifiers import WorkerId
-from .model import Resources, StepSpec
+from .held_room import OVERDUE_RUN_REMAINING_SECONDS
+from .model import StepSpec
 from .placement import count_fitting_in
+from .resource_sums import add
 from .step_progress import GangPlan
 from .stragglers import has_outlived_estimate
 from .workers import Run, Worker
 
-# assumed for a run that has lasted longer than its estimate
-OVERDUE_RUN_REMAINING_SECONDS = 0.5
-
 
 def plan_gang(spec: StepSpec, workers: Sequence[Worker], now: float) -> GangPlan | None:
     """Return the plan by which a gang can begin first; None if the workers can't hold it.
@@ -43,10 +42,10 @@
     """
     total = 0
     for worker in workers:
-        unused = _add(worker.get_free_resources(), worker.reserved)
+        unused = add(worker.get_free_resources(), worker.reserved)
         for run in worker.runs.values():
             if _has_known_end(run) and not has_outlived_estimate(run, now):
-                unused = _add(unused, run.resources)
+                unused = add(unused, run.resources)
         total += count_fitting_in(spec, unused)
         if total >= spec.count:
             return True
@@ -78,7 +77,7 @@
         if not releases:
             return None
         ready_at, index, _, freed = heapq.heappop(releases)
-        free[index] = _add(free[index], freed)
+        free[index] = add(free[index], freed)
         fit = count_fitting_in(spec, free[index])
         total += fit - fits[index]
         fits[index] = fit
@@ -97,14 +96,6 @@
     return members
 
 
-def _add(one: Resources, other: Resources) -> Resources:
-    return Resources(
-        one.processors + other.processors,
-        one.memory_mb + other.memory_mb,
-        one.accelerators + other.accelerators,
-    )
-
-
 def reserve(plan: GangPlan, spec: StepSpec, workers: Iterable[Worker]) -> int:
     """Reserve the capacity of a plan in this placement pass; return the processors reserved."""
     reserved = 0
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -489,7 +489,7 @@
         )
         queue = entry.submission.queue.name
         run = make_run(command, step.spec, entry.submission, worker, now)
-        self.quotas.record_start(step.id, entry.submission.organisation)
+        self.quotas.record_start(step, entry.submission.organisation, now)
         seconds = self.speeds.expect_seconds(queue, step.id, step.spec.estimate_seconds)
         worker.add_run(run)
         step.add_run(run)
--- a/src/lavenderhook/_internal/queueing/shares.py
+++ b/src/lavenderhook/_internal/queueing/shares.py
@@ -9,8 +9,9 @@
 from .model import OrganisationName, Resources, Submission
 from .organisation_use import OrganisationUse
 from .organisations import Organisation
-from .quotas import Quotas, add
+from .quotas import Quotas
 from .ranking import StepRanking
+from .resource_sums import add
 from .step_progress import StepProgress
 from .submissions import SubmissionProgress
 from .workers import Worker
