Bound how long work waits for workers that a gang has reserved

What callers saw: a gang that needs each worker of a service waits for one run of 100 s, and submissions of one core and 80 s each don't start beside 126 of 128 free cores.

Cause: the first gang reserves all workers of its plan, and what would end after the gang's turn waits for as long as the gang.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -17,6 +17,15 @@
     context.simulation.submit(name, [make_step(count)], advice=AdviceTerms(0.04, 0.0006, 2.0))
 
 
+@when(
+    'a gang "{name}" of {count:d} tasks of {processors:d} millicores '
+    "and {seconds:d} seconds arrives"
+)
+def step_long_gang(context, name, count, processors, seconds):
+    steps = [make_step(count, processors, float(seconds), is_gang=True)]
+    context.simulation.submit(name, steps, slack_factor=2.0)
+
+
 @when('worker "{name}" is as fast as the others again')
 def step_sound_again(context, name):
     context.simulation.workers[name].duration_factor = 1
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -298,3 +298,27 @@
     And 6 seconds pass in the simulation
     Then "wide" is completed
     And no invariant was violated
+
+  Scenario Outline: Work that outlasts a gang's reservation isn't held for long beside unused workers
+    Guards against accepted work that waits for as long as a gang does, beside workers that are nearly
+    empty, since the gang has reserved all of them and one long run keeps it from starting.
+    Given 8 workers and an owner
+    When a submission "long" of 1 tasks of 2000 millicores and 100 seconds arrives
+    And 1 seconds pass in the simulation
+    And a gang "wide" of 8 tasks of 16000 millicores and 30 seconds arrives
+    And 2 seconds pass in the simulation
+    And <arrival>
+    And 3 seconds pass in the simulation
+    Then "ordinary" has started
+    And "wide" remains queued
+    When "long" is cancelled
+    And "ordinary" is cancelled
+    And 3 seconds pass in the simulation
+    Then "wide" has started
+    And no invariant was violated
+
+    Examples:
+      | arrival                                                                          |
+      | a submission "ordinary" of 1 tasks of 1000 millicores and 80 seconds arrives     |
+      | a service "ordinary" of 2 tasks of 1000 millicores arrives                       |
+      | a gang "ordinary" of 3 tasks of 4000 millicores and 80 seconds arrives |
--- a/src/lavenderhook/_internal/queueing/advising.py
+++ b/src/lavenderhook/_internal/queueing/advising.py
@@ -11,7 +11,6 @@
     choose_gang_workers,
     count_fitting,
     count_fitting_if_empty,
-    estimate_end,
     is_available,
 )
 from .step_progress import TICKET_MARGIN_SECONDS, StepProgress, Ticket
@@ -89,6 +88,7 @@
         step: StepProgress,
         eligible: Iterable[Worker],
         rank: tuple[float, ...],
+        ends_at: float,
         now: float,
         compute_penalty: Callable[[Worker], int] = lambda worker: 0,
     ) -> list[Effect]:
@@ -105,6 +105,8 @@
             Those that may run the step, with or without free capacity.
         rank : tuple of float
             Of the step.
+        ends_at : float
+            By which a task of the step counts as ended where capacity is reserved.
         now : float
         compute_penalty : callable
             See `PlacementPolicy.compute_penalty`; the workers with the lowest are named first.
@@ -120,7 +122,6 @@
             return (compute_penalty(worker), -worker.get_free_processors())
 
         fits_now = True
-        ends_at = estimate_end(step.spec, now)
         if step.spec.is_gang:
             fitting = [w for w in eligible if count_fitting(step.spec, w, ends_at) > 0]
             fits_now = choose_gang_workers(step.spec, fitting, ends_at) is not None
--- a/src/lavenderhook/_internal/queueing/held_room.py
+++ b/src/lavenderhook/_internal/queueing/held_room.py
@@ -72,7 +72,8 @@
     """Bounds how long a submission without any run waits for room that is kept for others.
 
     Handles a gang whose turn moves away again and again, since runs last longer than estimated: as
-    long as half of the room is unused, small work isn't held for longer than a bound.
+    long as half of the room is unused, small work isn't held for longer than a bound. Each task of
+    a service counts by itself, as its users miss it whether others run or not.
     """
 
     def __init__(self) -> None:
@@ -85,8 +86,9 @@
         Called once most of the room is unused.
         """
         since = self._held[step.id] = self._held_since.get(step.id, now)
-        is_over = now - since >= MAX_HELD_SECONDS
-        return is_over and not any(other.runs for other in entry.steps.values())
+        if now - since < MAX_HELD_SECONDS:
+            return False
+        return step.spec.is_service or not any(other.runs for other in entry.steps.values())
 
     def end_pass(self) -> None:
         """Forget the steps that were not held in this pass."""
--- a/src/lavenderhook/_internal/queueing/pass_limits.py
+++ b/src/lavenderhook/_internal/queueing/pass_limits.py
@@ -7,7 +7,7 @@
 
 from ..core.identifiers import ServiceName
 from .model import Resources, StepSpec
-from .placement import estimate_end
+from .reserved_workers import ENDS_BEFORE_ALL
 from .step_progress import StepProgress
 from .worker_totals import WorkerTotals
 from .workers import Worker
@@ -24,11 +24,10 @@
     label: str
     resources: Resources
     is_filler: bool
-    expected_seconds: float
 
 
 class ExhaustedNeeds:
-    """Needs for which no worker has room in one placement pass.
+    """Needs for which no worker has room in one placement pass, reserved or not.
 
     Handles thousands of equal steps that wait for the same room: what is free of a worker only
     shrinks in a pass, so that the workers are searched for one of them, and not for each.
@@ -41,16 +40,13 @@
         """Return whether a step has needs for which no worker has had room."""
         return _depends_on_needs_only(step) and _find_needs(service, step.spec) in self._needs
 
-    def record(
-        self, service: ServiceName, step: StepProgress, workers: Sequence[Worker], now: float
-    ) -> None:
+    def record(self, service: ServiceName, step: StepProgress, workers: Sequence[Worker]) -> None:
         """Record a step with waiting tasks after all workers that may have room were searched."""
         if not _depends_on_needs_only(step):
             return
-        spec, ends_at = step.spec, estimate_end(step.spec, now)
-        label = spec.placement.label
+        spec, label = step.spec, step.spec.placement.label
         has_room = any(
-            worker.has_capacity_for(spec.resources, spec.is_filler, ends_at)
+            worker.has_capacity_for(spec.resources, spec.is_filler, ENDS_BEFORE_ALL)
             for worker in workers
             if worker.listing.service == service and (not label or label in worker.listing.labels)
         )
@@ -66,9 +62,7 @@
 
 
 def _find_needs(service: ServiceName, spec: StepSpec) -> _Needs:
-    return _Needs(
-        service, spec.placement.label, spec.resources, spec.is_filler, spec.expected_seconds
-    )
+    return _Needs(service, spec.placement.label, spec.resources, spec.is_filler)
 
 
 class AdviceLimit:
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -29,6 +29,7 @@
 from .quotas import Quotas
 from .ranking import StepRanking
 from .reservations import GangPlan, plan_gang, reserve
+from .reserved_workers import ReservedWorkers
 from .shares import ShareRanking
 from .speeds import SpeedLearner
 from .start_log import StartLog
@@ -98,6 +99,7 @@
         self.quotas = Quotas()
         self.suspects = SuspectPlacer(self.quotas)
         self._starvation = StarvationGuard()
+        self._reserved_workers = ReservedWorkers()
         self._waiting_steps = WaitingSteps(self._gang_workers, self.quotas)
         # In one placement pass, by the list that was searched.
         self._workers_of_services: dict[tuple[int, str], list[Worker]] = {}
@@ -135,6 +137,7 @@
         candidates, effects = self._rank_steps(submissions, workers, blocked_through_revision, now)
         schedulable_workers = [worker for worker in workers if worker.is_schedulable(now)]
         self.suspects.begin_pass(workers, now)
+        self._reserved_workers.begin_pass(schedulable_workers)
         effects += self._send_planned_starts(now)
         placement_pass = _Pass(
             schedulable_workers,
@@ -155,6 +158,7 @@
             worker.clear_reservation()
         self._workers_of_services.clear()
         self.suspects.end_pass()
+        self._reserved_workers.end_pass()
         self._avoided_workers.end_pass()
         effects += self.quotas.end_pass(now)
         self._pass_size = PassSize(
@@ -224,7 +228,7 @@
                 entry, step, placed_on, rank, now, max_starts, placement_pass.advice_limit
             )
             if step.waiting:
-                placement_pass.exhausted.record(service, step, placement_pass.roomy, now)
+                placement_pass.exhausted.record(service, step, placement_pass.roomy)
             if step.spec.is_gang and step.waiting:
                 placement_pass.tried_gangs.add(step.id)
                 is_next = placement_pass.left_to_reserve > 0
@@ -346,16 +350,17 @@
                 for worker in eligible
                 if worker.id in step.allowed and step.allowed[worker.id].is_valid(worker, now)
             ]
+        ends_at = self._reserved_workers.compute_end(entry, step, eligible, now)
         if step.spec.is_gang:
-            effects = self._place_gang(entry, step, usable, now)
+            effects = self._place_gang(entry, step, usable, ends_at, now)
         else:
-            effects = self._place_tasks(entry, step, usable, now, max_starts)
+            effects = self._place_tasks(entry, step, usable, ends_at, now, max_starts)
             effects += self._place_copies(entry, step, usable, now)
         if (step.waiting or step.copies) and entry.submission.queue.advice is not None:
             service = entry.submission.queue.service
             if advice_limit.allows(service, step):
                 effects += self.advice.request_advice(
-                    entry, step, eligible, rank, now, self._policy.compute_penalty
+                    entry, step, eligible, rank, ends_at, now, self._policy.compute_penalty
                 )
             if step.is_advice_pending:
                 advice_limit.record(service, step)
@@ -366,11 +371,11 @@
         entry: SubmissionProgress,
         step: StepProgress,
         usable: Sequence[Worker],
+        ends_at: float,
         now: float,
         max_starts: int,
     ) -> list[Effect]:
         effects: list[Effect] = []
-        ends_at = estimate_end(step.spec, now)
         for index in step.waiting[:max_starts]:
             if not self.quotas.may_start(entry, step, now):
                 break
@@ -449,6 +454,7 @@
         entry: SubmissionProgress,
         step: StepProgress,
         usable: Sequence[Worker],
+        ends_at: float,
         now: float,
     ) -> list[Effect]:
         if len(step.waiting) < step.spec.count:
@@ -456,7 +462,6 @@
         if step.is_suspect(0):
             return self._place_suspect(entry, step, 0, usable, now)
         preferred = [w for w in usable if not step.is_avoided(0, w.id)]
-        ends_at = estimate_end(step.spec, now)
         chosen = choose_gang(self._policy, step.spec, preferred, ends_at)
         if chosen is None and len(preferred) < len(usable):
             chosen = choose_gang(self._policy, step.spec, usable, ends_at)
--- a/src/lavenderhook/_internal/queueing/workers.py
+++ b/src/lavenderhook/_internal/queueing/workers.py
@@ -473,14 +473,18 @@
     def reserve(self, resources: Resources, count: int, until: float) -> None:
         """Reserve capacity for tasks that are to start at `until`."""
         reserved = self.reserved
-        is_first = reserved == Resources()
-        self.reserved_until = until if is_first else min(self.reserved_until, until)
+        self.reserved_until = min(self.reserved_until, until) if self.has_reservation else until
         self.reserved = Resources(
             reserved.processors + count * resources.processors,
             reserved.memory_mb + count * resources.memory_mb,
             reserved.accelerators + count * resources.accelerators,
         )
 
+    @property
+    def has_reservation(self) -> bool:
+        """Whether capacity is reserved for gangs in this placement pass."""
+        return self.reserved != Resources()
+
     def is_shared(self) -> bool:
         """Return whether tasks may be placed here beside others."""
         is_isolated = self.isolated_run is not None and self.isolated_run.is_on_trial
