Count the runs of a step by worker and rack

What callers saw: with a service of 1,500 tasks each owner in turn hung in its placement pass and was replaced; no worker got a start, for any submission.

Cause: for each task and each worker all runs of the step were counted again.

Change: each step keeps the counts as runs are added and removed.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -1,9 +1,11 @@
 """Steps on tasks that wait although capacity is free."""
 
+import sys
+
 from behave import given, then, when
 
 from features.support.queue_random_runs import refresh_worker_lists
-from features.support.queue_simulation import make_step
+from features.support.queue_simulation import QueueSimulation, make_step
 from lavenderhook._internal.queueing.model import AdviceTerms, Placement, WorkerState
 
 
@@ -158,3 +160,36 @@
 def step_logged(context, lines, decision):
     found = [line for _, line in context.simulation.decisions if line.decision == decision]
     assert len(found) == lines, found
+
+
+def count_placement_calls(tasks, workers):
+    """Return how many functions are called in the placement pass for the tasks of a service."""
+    simulation = QueueSimulation(1, workers=workers)
+    scheduler, calls = simulation.start_new_owner().state.scheduler, 0
+    schedule = scheduler.schedule
+    simulation.run(1.0)
+
+    def count(frame, event, argument):
+        nonlocal calls
+        calls += event == "call"
+
+    def schedule_and_count(*arguments):
+        sys.setprofile(count)
+        try:
+            return schedule(*arguments)
+        finally:
+            sys.setprofile(None)
+
+    scheduler.schedule = schedule_and_count
+    simulation.submit("large", [make_step(tasks, 100, 0.0, is_service=True)])
+    simulation.run_until(lambda: simulation.starts == tasks)
+    return calls
+
+
+@then(
+    "placing {tasks:d} tasks of a service on {workers:d} workers takes at most {factor:d} times "
+    "as many calls as {fewer:d}"
+)
+def step_proportional(context, tasks, workers, factor, fewer):
+    calls, least = count_placement_calls(tasks, workers), count_placement_calls(fewer, workers)
+    assert calls <= factor * least, (calls, least)
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -322,3 +322,7 @@
       | a submission "ordinary" of 1 tasks of 1000 millicores and 80 seconds arrives     |
       | a service "ordinary" of 2 tasks of 1000 millicores arrives                       |
       | a gang "ordinary" of 3 tasks of 4000 millicores and 80 seconds arrives |
+
+  Scenario: A service of many tasks is placed in time proportional to their number
+    Guards against an owner that hangs in one placement pass, and is replaced by others that hang too.
+    Then placing 1500 tasks of a service on 24 workers takes at most 4 times as many calls as 500
--- a/src/lavenderhook/_internal/queueing/exclusions.py
+++ b/src/lavenderhook/_internal/queueing/exclusions.py
@@ -4,7 +4,7 @@
 
 import enum
 
-from .placement import count_fitting, count_on_worker, is_eligible
+from .placement import count_fitting, is_eligible
 from .step_progress import StepProgress
 from .workers import Worker
 
@@ -85,7 +85,7 @@
     if is_left_out or (not spec.is_gang and worker.is_full_on_probation()):
         return ExclusionReason.ON_PROBATION
     most = spec.placement.most_per_worker
-    if most and count_on_worker(step, worker) >= most:
+    if most and step.count_on_worker(worker) >= most:
         return ExclusionReason.FULL_OF_STEP
     # Without regard to reservations, which last for one placement pass.
     if spec.is_gang:
--- a/src/lavenderhook/_internal/queueing/placement.py
+++ b/src/lavenderhook/_internal/queueing/placement.py
@@ -30,16 +30,6 @@
     )
 
 
-def count_on_worker(step: StepProgress, worker: Worker) -> int:
-    """Return how many runs of a step a worker holds."""
-    return sum(run.worker == worker.id for runs in step.runs.values() for run in runs)
-
-
-def count_in_rack(step: StepProgress, worker: Worker) -> int:
-    """Return how many runs of a step the rack of a worker holds."""
-    return sum(run.rack == worker.rack for runs in step.runs.values() for run in runs)
-
-
 class PlacementPolicy(abc.ABC):
     """Ranks the workers that may run a task and have capacity for it."""
 
@@ -105,7 +95,7 @@
         rank = self._other.rank(step, worker)
         if not step.spec.is_service:
             return rank
-        return (count_on_worker(step, worker), count_in_rack(step, worker), *rank)
+        return (step.count_on_worker(worker), step.count_in_rack(worker), *rank)
 
     def begin_step(self, entry: SubmissionProgress, step: StepProgress, now: float) -> None:
         """Prepare the other policy."""
@@ -223,7 +213,7 @@
     if not worker.has_capacity_for(spec.resources, spec.is_filler, ends_at):
         return False
     most = spec.placement.most_per_worker
-    return not most or count_on_worker(step, worker) < most
+    return not most or step.count_on_worker(worker) < most
 
 
 def list_workers_with_room(workers: Iterable[Worker], specs: Sequence[StepSpec]) -> list[Worker]:
--- a/src/lavenderhook/_internal/queueing/step_progress.py
+++ b/src/lavenderhook/_internal/queueing/step_progress.py
@@ -82,6 +82,8 @@
     """
 
     __slots__ = (
+        "_by_rack",
+        "_by_worker",
         "allowed",
         "asked",
         "avoided",
@@ -115,6 +117,8 @@
         self.done: set[int] = set()
         self.failed: dict[int, set[int]] = {}  # run numbers
         self.runs: dict[int, list[Run]] = {}
+        self._by_worker: dict[str, int] = {}
+        self._by_rack: dict[str, int] = {}
         self.checkpoints: dict[int, str] = {}
         self.allowed: dict[WorkerId, Ticket] = {}
         self.asked: dict[WorkerId, int] = {}
@@ -166,6 +170,7 @@
         """Add a run of one of the tasks."""
         index = run.task.index
         self.runs.setdefault(index, []).append(run)
+        self._count_run(run, 1)
         if index in self.waiting:
             self.waiting.remove(index)
         self.last_run_number = RunNumber(max(self.last_run_number, run.number))
@@ -180,6 +185,8 @@
         history = self.find_crash_history(index)
         if history is not None:
             history.remove_inactive(run.number, run.worker)
+        if self.has_run(run):
+            self._count_run(run, -1)
         left = [other for other in self.runs.get(index, ()) if other is not run]
         if left:
             self.runs[index] = left
@@ -192,6 +199,20 @@
         elif index not in self.done and index not in self.waiting:
             self.waiting.append(index)
 
+    def _count_run(self, run: Run, change: int) -> None:
+        for counts, key in ((self._by_worker, str(run.worker)), (self._by_rack, run.rack)):
+            counts[key] = counts.get(key, 0) + change
+            if not counts[key]:
+                del counts[key]
+
+    def count_on_worker(self, worker: Worker) -> int:
+        """Return how many runs a worker holds."""
+        return self._by_worker.get(worker.id, 0)
+
+    def count_in_rack(self, worker: Worker) -> int:
+        """Return how many runs the rack of a worker holds."""
+        return self._by_rack.get(worker.rack, 0)
+
     def count_failure(self, index: int, number: RunNumber) -> int:
         """Count a failed run once, however often it is reported; return the failures so far."""
         key = self._get_key(index)
