--- a/features/overdue_schedules.feature
+++ b/features/overdue_schedules.feature
@@ -78,3 +78,15 @@
     line for each pass.
     Then passes of 2, 30 and 400 milliseconds are followed by pauses of 4, 30 and 100 milliseconds
     And passes of 30 milliseconds over 3 seconds are reported in 2 to 4 lines
+
+  Scenario: Processes serve other callers beside a schedule of thousands of overdue occurrences
+    Guards against an owner, and each one after it, that is occupied by one caller's schedule or grows
+    beyond the memory of its machine, and against a schedule that doesn't go on.
+    Given 3 entry instances and 4 queue workers
+    When a schedule "5c4ed00000000001" of 20000 days from 1970 on is sent to instance 0
+    Then submissions sent to each instance complete, and with them 20 tasks of "5c4ed00000000001"
+    And after 1.5 seconds no line "placement-passes" has more than 200 steps
+    When the instance that owns the queues is killed for good
+    Then submissions sent to each instance complete, and with them 20 tasks of "5c4ed00000000001"
+    And after 1.5 seconds no line "placement-passes" has more than 200 steps
+    And no process holds more than 150 MB
--- a/features/steps/overdue_schedules.py
+++ b/features/steps/overdue_schedules.py
@@ -1,10 +1,16 @@
 """Steps on schedules with many overdue occurrences, and on large submissions beyond their bound."""
 
 import functools
+import itertools
+import json
 import random
+import signal
+from pathlib import Path
 
+import gevent
 from behave import then, when
 
+from features.steps.platform_queues import make_steps as make_wire_steps
 from features.support.queue_simulation import make_step, make_submission
 from lavenderhook._internal.instance.placement_passes import PlacementPasses
 from lavenderhook._internal.queueing.model import AdviceTerms
@@ -248,3 +254,62 @@
         run_pass(passes, clock, milliseconds / 1000)
     assert least <= len(lines) <= most, lines
     assert all(line["ranked"] == 5 and line["longest"] >= 0.03 for line in lines), lines
+
+
+# With real processes.
+
+EPOCH_DAY_MS = 86_400_000
+COMPLETION_SECONDS = 14.0  # of submissions that each take a third of a second
+ORDINARY_IDS = itertools.count(1)
+
+
+@when('a schedule "{name}" of {count:d} days from 1970 on is sent to instance {index:d}')
+def step_send_schedule(context, name, count, index):
+    steps = make_wire_steps(1, 200)
+    context.cluster.platform.record_submission(name, steps)
+    times = {"repetitions": count, "intervalMs": EPOCH_DAY_MS}
+    body = json.dumps({"spec": "text", "steps": steps, **times}).encode()
+    answer = context.cluster.call(index, "POST", f"/jobs/{name}", body)
+    assert answer.status == 200, answer
+
+
+@when("the instance that owns the queues is killed for good")
+def step_kill_owner(context):
+    entry = context.cluster.entries[context.cluster.find_owner()]
+    entry.send(signal.SIGKILL)
+    entry.process.wait()
+
+
+def count_runs(context, name):
+    """Return how many tasks of a submission workers have started."""
+    return sum(task.startswith(name) for task in context.cluster.platform.starts)
+
+
+@then('submissions sent to each instance complete, and with them {least:d} tasks of "{schedule}"')
+def step_ordinary_complete(context, least, schedule):
+    cluster, begun = context.cluster, count_runs(context, schedule)
+    alive = [i for i, entry in enumerate(cluster.entries) if entry.process.poll() is None]
+    names = {index: f"{next(ORDINARY_IDS):016x}" for index in alive}
+    for index, name in names.items():
+        assert cluster.submit(index, name, make_wire_steps(2)).status == 200
+    for index, name in names.items():
+        state = cluster.wait_state(index, name, "completed", COMPLETION_SECONDS)
+        assert state == "completed", (name, state)
+    assert count_runs(context, schedule) >= begun + least, count_runs(context, schedule) - begun
+
+
+@then('after {seconds:g} seconds no line "{event}" has more than {most:d} steps')
+def step_pass_lines(context, seconds, event, most):
+    gevent.sleep(seconds)  # until the passes of one second are reported
+    logs = [entry.log.read_text(encoding="utf-8") for entry in context.cluster.entries]
+    lines = [json.loads(line) for log in logs for line in log.splitlines() if f'"{event}"' in line]
+    assert lines and all(line["ranked"] <= most for line in lines), lines
+
+
+@then("no process holds more than {most:d} MB")
+def step_memory(context, most):
+    alive = [e.process.pid for e in context.cluster.entries if e.process.poll() is None]
+    for pid in alive:
+        status = Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
+        held = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
+        assert int(held.split()[1]) <= most * 1024, held
