--- a/src/lavenderhook/_internal/queueing/starvation.py
+++ b/src/lavenderhook/_internal/queueing/starvation.py
@@ -108,8 +108,8 @@
 
     def record_turn(self, step: StepProgress, former: Collection[Run]) -> None:
         """Record the runs of a step that its turn has added to the former ones."""
-        runs = step.list_all_runs()
-        self._runs += [(step, run) for run in runs if not any(run is known for known in former)]
+        known = set(map(id, former))
+        self._runs += [(step, run) for run in step.list_all_runs() if id(run) not in known]
 
 
 def _get_occurrence(step: StepProgress) -> _Occurrence:
