Read a list of ends that is cut short as incomplete

Cause: a run that a report lists neither as running nor as ended counted as never started, and a new owner counted a worker as reached by such a list.

Change: a report says whether it lists all ends. If it doesn't, no run has vanished, and a new owner has not reached the worker yet.

After: each task is started once, in both examples.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -510,3 +510,22 @@
     lease) has given it the current token. Seed 95, left out above, produces this case.
     When the random simulations 95 to 95 without incarnation checks are run
     Then no simulation violated an invariant
+
+  Scenario Outline: Tasks whose ends a worker can't list yet aren't started again
+    Guards against a list of ends that is cut short and read as complete, also by an owner that has
+    just taken over: what the list leaves out would run a second time.
+    Given 2 workers and an owner
+    And workers list at most 20 ends at a time
+    When a submission "many" of 200 tasks of 1000 millicores and 1 seconds arrives
+    And 0.5 seconds pass in the simulation
+    And the store refuses all writes for 6 seconds
+    And <event>
+    And 80 seconds pass in the simulation
+    Then "many" is completed
+    And no task of "many" was started twice
+    And no invariant was violated
+
+    Examples:
+      | event                                                    |
+      | 1 seconds pass in the simulation                         |
+      | another owner takes over after the former one has ended |
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -649,3 +649,24 @@
         if list_unfinished(simulation)
     }
     assert not left, left
+
+
+@given("workers list at most {count:d} ends at a time")
+def step_listed(context, count):
+    for worker in context.simulation.workers.values():
+        worker.max_listed = count
+
+
+@when("the store refuses all writes for {seconds:g} seconds")
+def step_refuse_writes(context, seconds):
+    simulation = context.simulation
+    simulation.store_refuses = True
+    simulation.call_later(seconds, setattr, simulation, "store_refuses", False)
+    simulation.run(seconds - 1.0)
+
+
+@then('no task of "{name}" was started twice')
+def step_started_once(context, name):
+    simulation = context.simulation
+    count = sum(step.count for step in simulation.submissions[name][0].steps)
+    assert simulation.starts_by_submission[name] == count, simulation.starts_by_submission[name]
--- a/features/support/queue_simulation.py
+++ b/features/support/queue_simulation.py
@@ -101,6 +101,7 @@
         self.fails_all_runs = False
         self.stalls_tasks = False
         self.duration_factor = 1
+        self.max_listed = 500  # finished runs in a report
         self.state = WorkerState.READY
         self.leaves_at = None  # time at which a draining worker leaves
         self.lost_runs = []
@@ -276,7 +277,10 @@
             running=tuple(
                 run.describe(self.simulation.now, self.stalls_tasks) for run in self.runs.values()
             ),
-            finished=tuple(FinishedRun(*entry, "") for entry in self.finished_runs),
+            finished=tuple(
+                FinishedRun(*entry, "") for entry in self.finished_runs[: self.max_listed]
+            ),
+            lists_all_finished=len(self.finished_runs) < self.max_listed,
         )
 
     def expire_lease(self):
--- a/src/lavenderhook/_internal/queueing/model.py
+++ b/src/lavenderhook/_internal/queueing/model.py
@@ -250,12 +250,15 @@
     ----------
     clock : float
         The worker's own clock in seconds when it responded.
+    lists_all_finished : bool
+        Whether no finished run was left out, so that a run that isn't listed never began.
     """
 
     clock: float
     born: int
     running: tuple[ReportedRun, ...]
     finished: tuple[FinishedRun, ...]
+    lists_all_finished: bool = True
 
 
 class StartCommand(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lavenderhook/_internal/queueing/owner_state.py
+++ b/src/lavenderhook/_internal/queueing/owner_state.py
@@ -292,7 +292,7 @@
             effects += self._handle_restart(worker, born, event.now)
         has_reopened = worker.record_answer(event.now)
         worker.lease.record_report(event.report.clock, event.now, self.parameters.lease_seconds)
-        if not worker.is_reached:
+        if not worker.is_reached and event.report.lists_all_finished:
             worker.is_reached = True
             self.roster.unreached.discard(worker.id)
             self.needs_scheduling = True
@@ -712,7 +712,7 @@
                 run.state = RunState.RUNNING
                 run.acknowledged_at = event.now
         stop_seconds = self.parameters.stop_seconds
-        for key, run in list(worker.runs.items()):
+        for key, run in list(worker.runs.items()) if event.report.lists_all_finished else ():
             if key not in reported_keys and run.has_vanished(event.sent_at, stop_seconds):
                 effects.append(
                     log_run(
--- a/src/lavenderhook/platform/workers.py
+++ b/src/lavenderhook/platform/workers.py
@@ -40,6 +40,7 @@
 ADVICE_CONNECTIONS = 32  # the service queues at most this many calls of one machine
 EXPECTED_WORKER_HEADER = "X-Expected-Instance"  # holds the id of the worker that is called
 WRONG_RECIPIENT_STATUS = 421
+MAX_LISTED_FINISHED_RUNS = 500  # a worker lists the others once these are acknowledged
 
 # `late`: the lease has expired by the worker's clock; `old`: this run or a later one of the task
 # has finished or been stopped on the worker.
@@ -321,6 +322,7 @@
             born=response.born,
             running=tuple(map(_convert_running, response.running)),
             finished=tuple(map(_convert_finished, response.finished)),
+            lists_all_finished=len(response.finished) < MAX_LISTED_FINISHED_RUNS,
         )
 
 
