Confirm by a transaction that a submission does not exist

Cause: a missing row counted as proof if the read was as new as the newest revision that the process had seen; a process that has had no answer of the store since the submission was stored has none.

Change: before a cancellation or a question about a state is answered with 410, a transaction under the condition that there is no row shows that, as it does for owners (unconfirmed_submissions.py). It costs one write.

--- a/features/stale_reads.feature
+++ b/features/stale_reads.feature
@@ -42,6 +42,15 @@
     Then a GET of "/jobs/00000000000000e4" is refused with 503 and a Retry-After
     And every instance answers a GET of "/jobs/00000000000000e4" with 410 within 5.0 seconds
 
+  Scenario: A cancellation is not denied by a stale read
+    Guards against a 410 for accepted work, which then goes on although its caller was told that it does
+    not exist.
+    Given 3 entry instances and 2 queue workers
+    When the owner has reached every worker
+    And the store's reads are stale for 3.0 seconds and its history is dropped
+    Then submissions are accepted by each instance, and their cancellations by each other instance
+    And every instance answers a GET of "/jobs/00000000000000e4" with 410 within 5.0 seconds
+
   Scenario: A task that ended before its submission became known is not started again
     Guards against a second run of a task that is done: a former owner has started it from a notice;
     its end is acknowledged without being stored, since the store is unavailable for long.
--- a/features/steps/stale_reads.py
+++ b/features/steps/stale_reads.py
@@ -1,5 +1,6 @@
 """Steps with a store whose reads are stale after it has lost its history."""
 
+import itertools
 import time
 from unittest import mock
 
@@ -7,6 +8,7 @@
 import msgspec
 from behave import given, then, when
 
+from features.steps.platform_queues import make_steps
 from lavenderhook._internal.instance import table_watcher
 from lavenderhook._internal.instance.owner import Owner
 from lavenderhook._internal.instance.ownership_proof import OwnershipProof
@@ -149,6 +151,12 @@
     context.cluster.platform.store.serve_stale_reads(seconds)
 
 
+@when("the store's reads are stale for {seconds:f} seconds and its history is dropped")
+def step_drop_history(context, seconds):
+    context.cluster.platform.store.serve_stale_reads(seconds)
+    context.cluster.platform.store.truncate_history()
+
+
 @given("a store that loses its history while a worker leaves and another comes")
 def step_stale_list(context):
     shorten_staleness(context)
@@ -619,3 +627,14 @@
 def step_progress_kept(context):
     assert context.source.conflicts == 1, context.source.conflicts
     assert context.source.value == b"[", context.source.value
+
+
+@then("submissions are accepted by each instance, and their cancellations by each other instance")
+def step_cancel_at_others(context):
+    cluster, statuses = context.cluster, {}
+    instances = range(len(cluster.entries))
+    for number, (index, other) in enumerate(itertools.permutations(instances, 2), 1):
+        name = f"{number:016x}"
+        assert cluster.submit(index, name, make_steps(1, 20_000)).status == 200
+        statuses[(index, other)] = cluster.call(other, "DELETE", f"/jobs/{name}").status
+    assert set(statuses.values()) == {200}, statuses
--- a/src/lavenderhook/_internal/instance/entry.py
+++ b/src/lavenderhook/_internal/instance/entry.py
@@ -21,11 +21,14 @@
 from ..ports.queueing import (
     MAX_READ_STALENESS_SECONDS,
     Advisor,
+    Condition,
     QueueConfiguration,
     QueueWorkerClient,
+    RowConflict,
     RowStore,
     StoredRow,
     WorkerList,
+    Write,
 )
 from ..queueing.backlog import count_pending
 from ..queueing.model import (
@@ -37,6 +40,8 @@
 )
 from ..queueing.parameters import OwnerParameters
 from ..queueing.records import (
+    ABSENCE_KEY,
+    CONFIRMATION_TABLE,
     SUBMISSION_PREFIX,
     WORK_TABLE,
     OwnerRecord,
@@ -266,7 +271,10 @@
 
     def _cancel_locally(self, submission: SubmissionId, deadline: float) -> WriteResult:
         try:
-            if not self._is_stored(submission):
+            if (
+                not self._was_recently_accepted(submission)
+                and self._find_current_row(submission) is None
+            ):
                 return WriteResult.NO_SUCH
         except LavenderhookError as error:
             self._log_event("cancel-unchecked", submission=submission, **describe_failure(error))
@@ -357,7 +365,7 @@
             return outcome.state
         if self._was_recently_accepted(submission):
             return SubmissionState.QUEUED
-        row = self._find_row(submission)
+        row = self._find_current_row(submission)
         if row is None:
             raise UnknownNameError("submission", submission)
         self._log_event(
@@ -390,6 +398,19 @@
     def _is_stored(self, submission: SubmissionId) -> bool:
         return self._was_recently_accepted(submission) or self._find_row(submission) is not None
 
+    def _find_current_row(self, submission: SubmissionId) -> StoredRow | None:
+        """Return the row of a submission, or None once a transaction has shown that there is none.
+
+        A read may be stale without a sign of it, as far as this instance has seen.
+        """
+        row = self._find_row(submission)
+        if row is not None:
+            return row
+        key, part = SUBMISSION_PREFIX + submission, choose_part(submission)
+        write = Write(CONFIRMATION_TABLE, ABSENCE_KEY, b"{}", part=part)
+        result = self._store.transact([write], [Condition(WORK_TABLE, key, 0, part)])
+        return result.find(WORK_TABLE, key) if isinstance(result, RowConflict) else None
+
     def _find_row(self, submission: SubmissionId) -> StoredRow | None:
         key = SUBMISSION_PREFIX + submission
         newest = max(self._store.get_newest_revision(), self._ownership.view.owner_revision)
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -89,6 +89,7 @@
     table: str
     key: str
     revision: int
+    part: str = ""
 
 
 class Deletion(msgspec.Struct, frozen=True):
--- a/src/lavenderhook/_internal/queueing/records.py
+++ b/src/lavenderhook/_internal/queueing/records.py
@@ -24,6 +24,7 @@
 OWNER_KEY = "owner"
 HEARTBEAT_KEY = "owner-heartbeat"
 CONFIRMATION_KEY = "owner-confirmation"  # written by an owner to confirm that it still is one
+ABSENCE_KEY = "absence-confirmation"  # written, beside a row's part, to confirm that there is none
 CONFIRMATION_TABLE = "lavenderhook-confirmation"  # which no instance watches
 ROSTER_KEY = "roster"
 MEMBER_PREFIX = "member/"
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -187,7 +187,7 @@
             if w.expected is not None
         ]
         expected += [
-            {"table": c.table, "part": "", "key": c.key, "schemaVersion": c.revision}
+            {"table": c.table, "part": c.part, "key": c.key, "schemaVersion": c.revision}
             for c in conditions
         ]
         body = {
