Let at least one task begin in each turn of what has waited beyond its bound

Found in reading the change: tasks that last and have had a turn use up the part of the workers that turns share, for good, so that nothing else ever has a turn.

Change: one task or gang begins in each turn in any case, and a turn ends once no more may begin in it.

--- a/features/overdue_schedules.feature
+++ b/features/overdue_schedules.feature
@@ -24,6 +24,19 @@
     And over 20 seconds, "large" uses 3 to 12 of 48 cores at most
     And no invariant was violated
 
+  Scenario: Tasks that last and have had a turn don't keep others from theirs
+    Guards against a part of the workers that is used up for good, so that nothing else that has waited
+    beyond its bound ever starts.
+    Given 3 workers and an owner
+    When urgent work keeps the workers full for 70 seconds
+    And a service with priority 5 of 8 tasks of 3000 millicores arrives
+    And a submission "low" with priority 5 arrives
+    And 29 seconds pass in the simulation
+    Then "low" has not started
+    When 15 seconds pass in the simulation
+    Then "low" has started
+    And no invariant was violated
+
   Scenario: A placement pass doesn't grow with what is overdue
     Guards against an owner that is busy for seconds at a time with occurrences that can't start yet,
     so that it extends no leases, and that needs more memory than its machine has.
--- a/features/steps/overdue_schedules.py
+++ b/features/steps/overdue_schedules.py
@@ -72,6 +72,14 @@
     context.simulation.submit(name, steps, priority=priority)
 
 
+@when(
+    "a service with priority {priority:d} of {count:d} tasks of {processors:d} millicores arrives"
+)
+def step_service(context, priority, count, processors):
+    steps = [make_step(count, processors, 0.0, is_service=True)]
+    context.simulation.submit("lasting", steps, priority=priority)
+
+
 @then('over {seconds:d} seconds, "{name}" uses {least:d} to {most:d} of {all:d} cores at most')
 def step_share(context, seconds, name, least, most, all):
     simulation = context.simulation
--- a/src/lavenderhook/_internal/queueing/starvation.py
+++ b/src/lavenderhook/_internal/queueing/starvation.py
@@ -43,8 +43,9 @@
     urgent work.
 
     Handles a schedule with thousands of overdue occurrences as well, and a submission of thousands
-    of tasks: what has gone first uses a part of the workers at a time, or one task or gang if that
-    part holds none. The rest of it takes its place in the order of the ranks.
+    of tasks: what has gone first uses a part of the workers at a time, but at least one task or
+    gang begins in each turn. A turn ends once no more may begin in it; the rest takes its place in
+    the order of the ranks.
     """
 
     def __init__(self) -> None:
@@ -53,6 +54,7 @@
         self._next_at = 0.0
         self._tried: set[_Occurrence] = set()  # those that had a turn, and wait
         self._runs: list[tuple[StepProgress, Run]] = []  # that began in a turn and are active
+        self._has_begun = False  # in this turn
         self._totals = WorkerTotals()
 
     def choose_turn(
@@ -77,20 +79,28 @@
         if self._promoted is not None and (
             self._promoted not in starved or now > self._promoted_until
         ):
-            self._promoted = None
-            self._next_at = now + PROMOTION_INTERVAL_SECONDS
+            self._end_turn(now)
         if self._promoted is None and starved and now >= self._next_at:
             self._promoted = self._choose_next(starved)
             self._promoted_until = now + MAX_PROMOTION_SECONDS
+            self._has_begun = False
             self._tried.add(self._promoted)
         if self._promoted is None:
             return []
         self._totals = WorkerTotals(workers)
-        return [
+        turn = [
             ((-math.inf, *rank), entry, step)
             for rank, entry, step in candidates
             if _get_occurrence(step) == self._promoted
         ]
+        if not any(self.count_allowed(step) for _, _, step in turn):
+            self._end_turn(now)
+            return []
+        return turn
+
+    def _end_turn(self, now: float) -> None:
+        self._promoted = None
+        self._next_at = now + PROMOTION_INTERVAL_SECONDS
 
     def _choose_next(self, starved: dict[_Occurrence, float]) -> _Occurrence:
         return min(starved, key=lambda item: (item in self._tried, starved[item], item))
@@ -102,14 +112,16 @@
         left = MAX_PROMOTED_SHARE - used
         share = unit * self._totals.measure_share(step.spec)
         units = math.floor(left / share)
-        if not self._runs:
+        if not self._has_begun:
             units = max(units, 1)
         return unit * max(0, units)
 
     def record_turn(self, step: StepProgress, former: Collection[Run]) -> None:
         """Record the runs of a step that its turn has added to the former ones."""
         known = set(map(id, former))
-        self._runs += [(step, run) for run in step.list_all_runs() if id(run) not in known]
+        begun = [(step, run) for run in step.list_all_runs() if id(run) not in known]
+        self._has_begun |= bool(begun)
+        self._runs += begun
 
 
 def _get_occurrence(step: StepProgress) -> _Occurrence:
