Release the workers that a suspect keeps empty when it is tried twice in a pass

A suspect then claimed a second worker, and the first one was never released.

Evidence: in the scenario two workers are kept empty before, one after, and none once the task isn't tried.

Change: a claim of the same pass is replaced like one of the pass before, and steps that choose among all workers are tried once in a pass.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -257,3 +257,13 @@
     the other, start a task that crashes its worker, and are replaced.
     When the random simulation 2637 with crashing tasks and services is run
     Then no simulation exceeded the budget of a task
+
+  Scenario: A suspect that is tried twice in one placement pass keeps one worker empty
+    Guards against workers that are kept empty for good for a suspect that has had its turn, so that
+    gangs find no room beside them.
+    Given 3 workers and an owner
+    And a suspect after two crashes beside workers that are all in use
+    When it is tried twice in one placement pass
+    Then one worker is kept empty for it
+    When a placement pass doesn't try it
+    Then no worker is kept empty for it
--- a/features/steps/crashing_tasks.py
+++ b/features/steps/crashing_tasks.py
@@ -13,6 +13,7 @@
     run_random_simulation,
 )
 from features.support.queue_simulation import make_step
+from lavenderhook._internal.queueing.crash_history import RunFate, SuspectRun
 from lavenderhook._internal.queueing.model import RunState, SubmissionState
 from standins.crashes import CrashBehaviour
 
@@ -278,3 +279,42 @@
 def step_crashes(context, count):
     crashes = context.simulation.crashing_tasks.crashed_workers
     assert crashes <= count, crashes
+
+
+@given("a suspect after two crashes beside workers that are all in use")
+def step_suspect(context):
+    simulation = context.simulation
+    simulation.submit("busy", [make_step(9, 5000, 60.0)])
+    simulation.run(1.0)
+    simulation.submit("suspect", [make_step(1, 12_000, 1.0)])
+    simulation.run(0.05)
+    context.state = simulation.owners[-1].state
+    context.suspect = context.state.submissions["suspect"].steps[(0, 0)]
+    history = context.suspect.get_or_add_crash_history(0)
+    history.runs |= {number: SuspectRun(fate=RunFate.CRASHED) for number in (1, 2)}
+
+
+def play_pass(context, tries):
+    """Let the suspect be tried some times in one placement pass."""
+    placer, now = context.state.scheduler.suspects, context.simulation.now
+    workers, entry = context.state.list_workers(), context.state.submissions["suspect"]
+    placer.begin_pass(workers, now)
+    for _ in range(tries):
+        assert not placer.choose_workers(entry, context.suspect, 0, workers, now)
+    placer.end_pass()
+
+
+@when("it is tried twice in one placement pass")
+def step_try_twice(context):
+    play_pass(context, 2)
+
+
+@when("a placement pass doesn't try it")
+def step_not_tried(context):
+    play_pass(context, 0)
+
+
+@then("{count:w} worker is kept empty for it")
+def step_kept_empty(context, count):
+    kept = [worker.id for worker in context.state.list_workers() if worker.emptied_for]
+    assert len(kept) == {"no": 0, "one": 1}[count], kept
--- a/src/lavenderhook/_internal/queueing/isolation.py
+++ b/src/lavenderhook/_internal/queueing/isolation.py
@@ -112,7 +112,7 @@
         """Return the worker of a suspect, or those of a gang; none if it has to wait."""
         history = step.get_or_add_crash_history(index)
         task = step.make_task_key(index)
-        claimed = self._former_claims.pop(task, [])
+        claimed = self._former_claims.pop(task, []) + self._claims.pop(task, [])
         _set_claim(claimed, None)
         if not history.may_start(now):
             return []
--- a/src/lavenderhook/_internal/queueing/scheduling.py
+++ b/src/lavenderhook/_internal/queueing/scheduling.py
@@ -60,8 +60,9 @@
     exhausted : ExhaustedNeeds
     tried : int
         Steps for which workers were searched.
-    tried_gangs : set of StepId
-        Gangs that don't fit now.
+    settled : set of StepId
+        Steps that aren't tried again: gangs that don't fit now, and others that choose among all
+        workers and have had their turn.
     """
 
     schedulable: Sequence[Worker]
@@ -70,7 +71,7 @@
     advice_limit: AdviceLimit
     exhausted: ExhaustedNeeds = dataclasses.field(default_factory=ExhaustedNeeds)
     tried: int = 0
-    tried_gangs: set[StepId] = dataclasses.field(default_factory=set)
+    settled: set[StepId] = dataclasses.field(default_factory=set)
 
 
 class Scheduler:
@@ -214,7 +215,7 @@
         rank, entry, step = candidate
         max_starts = self._starvation.count_allowed(step) if is_turn else step.spec.count
         service = entry.submission.queue.service
-        is_over = step.id in placement_pass.tried_gangs or now < entry.blocked_until
+        is_over = step.id in placement_pass.settled or now < entry.blocked_until
         if is_over or max_starts == 0 or placement_pass.exhausted.includes(service, step):
             return []
         former_runs = step.list_all_runs() if is_turn else []
@@ -224,13 +225,15 @@
             placement_pass.tried += 1
             needs_all = step.spec.is_gang or step.crash_histories or step.avoided
             placed_on = placement_pass.schedulable if needs_all else placement_pass.roomy
+            if is_turn and needs_all:
+                placement_pass.settled.add(step.id)
             effects = self._place_step(
                 entry, step, placed_on, rank, now, max_starts, placement_pass.advice_limit
             )
             if step.waiting:
                 placement_pass.exhausted.record(service, step, placement_pass.roomy)
             if step.spec.is_gang and step.waiting:
-                placement_pass.tried_gangs.add(step.id)
+                placement_pass.settled.add(step.id)
                 is_next = placement_pass.left_to_reserve > 0
                 step.plan = (
                     self._plan(entry, step, placement_pass.schedulable, now) if is_next else None
