Log how much of a configuration has arrived, how long it took and what arrived beside it

The lines of late configurations don't tell transfers that share a link from one that is too long for its time limit, nor from slow decoding. No decision changes.

--- a/features/support/configuration_followers.py
+++ b/features/support/configuration_followers.py
@@ -48,12 +48,12 @@
         version = self.stale_version or newest
         return ConfigurationChange(newest, QueueRoutes(version, ()), b"%d" % version, version)
 
-    def read(self):
+    def read(self, transfer):
         """Return the version that the operator has written last."""
         self._check()
         return self._describe()
 
-    def wait_for_changes(self, after, wait_seconds):
+    def wait_for_changes(self, after, wait_seconds, transfer):
         """Return a newer version, or nothing after the wait."""
         self._check()
         if self.has_lost_history:
@@ -96,7 +96,7 @@
         """Return the version of a peer."""
         return self._find(address).get_status()
 
-    def request_configuration(self, address):
+    def request_configuration(self, address, transfer):
         """Return the content of a peer's configuration."""
         return self._find(address).get_content()
 
--- a/features/support/row_table.py
+++ b/features/support/row_table.py
@@ -44,11 +44,11 @@
             )
         return self._revision
 
-    def read(self, table, start="", end="", part="", timeout_seconds=0.0):
+    def read(self, table, start="", end="", part="", timeout_seconds=0.0, transfer=None):
         """Return the rows of a table."""
         return self.wait_for_changes(table, 0, 0.0)
 
-    def wait_for_changes(self, table, after, wait_seconds):
+    def wait_for_changes(self, table, after, wait_seconds, transfer=None):
         """Return the rows that have changed since a revision, in that order."""
         self._check_available()
         rows = [r for r in self._rows.values() if r.table == table and r.revision > after]
--- a/src/lavenderhook/_internal/adapters/transport.py
+++ b/src/lavenderhook/_internal/adapters/transport.py
@@ -19,6 +19,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPProtocolViolationError, HTTPResponse
 
 from ...errors import AddressError, LavenderhookError, TransportError, TruncatedAnswerError
+from ..ports.transfers import Transfer
 
 READ_BLOCK_BYTES = 65536
 # A retransmitted SYN takes 1 s, so a lost one counts as a failure.
@@ -198,9 +199,16 @@
         except OSError as error:
             raise TransportError(f"sending: {error}", sent=self.sent_bytes > 0) from error
 
-    def receive(self, deadline: float) -> ClientResponse:
+    def receive(self, deadline: float, transfer: Transfer | None = None) -> ClientResponse:
         """Read the response; may be called again after an `ExchangeTimeoutError`.
 
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time in seconds.
+        transfer : Transfer, optional
+            Records what arrives.
+
         Raises
         ------
         ExchangeTimeoutError
@@ -223,6 +231,8 @@
                 if not data:
                     raise self._build_closed_error(parser)
                 self.received_bytes += len(data)
+                if transfer is not None:
+                    transfer.record(len(data))
                 if self.received_bytes > MAX_RESPONSE_BYTES:
                     raise TransportError(
                         f"the response exceeds {MAX_RESPONSE_BYTES} bytes", sent=True
@@ -374,8 +384,9 @@
         body: bytes = b"",
         headers: Headers = (),
         timeout: float | None = None,
+        transfer: Transfer | None = None,
     ) -> ClientResponse:
-        """Send a request and return its response.
+        """Send a request and return its response; `transfer` records what arrives.
 
         Raises
         ------
@@ -386,7 +397,7 @@
         deadline = time.monotonic() + (self.timeout if timeout is None else timeout)
         data = self._build_request(address, method, path, body, headers)
         with self.reserve(address, deadline) as connection:
-            return self._exchange(connection, address, method, data, deadline)
+            return self._exchange(connection, address, method, data, deadline, transfer)
 
     @contextlib.contextmanager
     def reserve(self, address: str, deadline: float) -> Iterator[Connection]:
@@ -426,11 +437,17 @@
         return build_request(method, prefix + path, f"{host}:{port}", all_headers, body)
 
     def _exchange(
-        self, connection: Connection, address: str, method: str, data: bytes, deadline: float
+        self,
+        connection: Connection,
+        address: str,
+        method: str,
+        data: bytes,
+        deadline: float,
+        transfer: Transfer | None = None,
     ) -> ClientResponse:
         try:
             connection.send(method, data, deadline)
-            return connection.receive(deadline)
+            return connection.receive(deadline, transfer)
         except ExchangeTimeoutError as error:
             raise TransportError(str(error), sent=True) from error
         finally:
--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Iterator
 
 import gevent
 import gevent.event
@@ -19,6 +21,7 @@
 from .clock import read_elapsed_clock
 from .peers import ConfigurationStatus, PeerClient
 from .table_watcher import LogEvent, Rereading, describe_failure
+from .transfers import TrackedTransfer, TransferTracker
 
 WAIT_SECONDS = 0.8  # a change of the configuration ends the wait at once
 POLL_INTERVAL_SECONDS = 0.1  # between polls; limits the load of frequent changes
@@ -89,6 +92,7 @@
         # began: a peer is asked, and the configuration is read once more.
         self._has_asked_peer = False
         self._rereading = Rereading()
+        self._transfers = TransferTracker()
         self._is_watching = False  # a call that waits for a change is in progress
         self._newer_peers: dict[str, int] = {}  # versions by address
         self._unreadable: dict[str, int] = {}  # versions by address
@@ -146,29 +150,32 @@
                 revision = None
                 self._history_lost_at = read_elapsed_clock()
                 continue
-            except LavenderhookError as error:
-                self._log_unread(error)
+            except LavenderhookError:
                 gevent.sleep(STORE_RETRY_SECONDS)
                 continue
             gevent.sleep(POLL_INTERVAL_SECONDS)
 
     def _read(self) -> int:
         sent_at = read_elapsed_clock()
-        change = self._configuration.read()
-        self._apply_change(change, sent_at)
+        with self._transfers.begin() as tracked, self._log_unread(tracked):
+            change = self._configuration.read(tracked.transfer)
+        self._apply_change(change, sent_at, tracked)
         return change.revision
 
     def _wait_for_changes(self, revision: int) -> int:
         sent_at = read_elapsed_clock()
         self._is_watching = True
         try:
-            change = self._configuration.wait_for_changes(revision, WAIT_SECONDS)
+            with self._transfers.begin() as tracked, self._log_unread(tracked):
+                change = self._configuration.wait_for_changes(
+                    revision, WAIT_SECONDS, tracked.transfer
+                )
         finally:
             self._is_watching = False
         current_at = sent_at
         if change.has_waited and read_elapsed_clock() >= sent_at + WAIT_SECONDS:
             current_at += WAIT_SECONDS
-        self._apply_change(change, current_at)
+        self._apply_change(change, current_at, tracked)
         return change.revision
 
     def _read_beside_watch(self) -> None:
@@ -176,15 +183,28 @@
 
         Handles a response that is lost on a connection that has gone silent.
         """
-        try:
+        with contextlib.suppress(LavenderhookError):  # which has been logged
             self._read()
-        except LavenderhookError as error:
-            self._log_unread(error)
 
-    def _log_unread(self, error: LavenderhookError) -> None:
-        self._log_event("configuration-unread", **describe_failure(error), **self.describe())
+    @contextlib.contextmanager
+    def _log_unread(self, tracked: TrackedTransfer) -> Iterator[None]:
+        """Log the failure of a read, other than that of a lost history."""
+        try:
+            yield
+        except HistoryLostError:
+            raise
+        except LavenderhookError as error:
+            self._log_event(
+                "configuration-unread",
+                **describe_failure(error),
+                **tracked.describe(),
+                **self.describe(),
+            )
+            raise
 
-    def _apply_change(self, change: ConfigurationChange, current_at: float) -> None:
+    def _apply_change(
+        self, change: ConfigurationChange, current_at: float, tracked: TrackedTransfer
+    ) -> None:
         """Apply what was read, which was current at a moment or later."""
         if change.row_revision > self._row_revision:
             self._row_revision = change.row_revision
@@ -195,6 +215,8 @@
                 change.content,
                 revision=change.revision,
                 row_revision=change.row_revision,
+                decode_seconds=round(change.decode_seconds, 4),
+                **tracked.describe(),
             )
         is_stale = change.routes is not None and change.routes.version < self.get_version()
         if is_stale or self._is_newest_unreadable:
@@ -278,8 +300,15 @@
             return
         address = max(self._newer_peers, key=lambda peer: self._newer_peers[peer])
         version = self._newer_peers.pop(address)  # the next round finds it again if this fails
+        with self._transfers.begin() as tracked:
+            self._fetch_and_apply(address, version, tracked)
+
+    def _fetch_and_apply(self, address: str, version: int, tracked: TrackedTransfer) -> None:
+        started_at = time.monotonic()
         try:
-            routes, content = self._fetch(address, version)
+            content = self._fetch(address, tracked)
+            decoding_at = time.monotonic()
+            routes = self._decode_fetched(content, version)
         except LavenderhookError as error:
             if isinstance(error, ProtocolError):
                 self._unreadable[address] = version  # leaves the next round to other peers
@@ -287,22 +316,33 @@
                 "configuration-not-fetched",
                 peer=address,
                 newer=version,
+                seconds=round(time.monotonic() - started_at, 3),
                 **describe_failure(error),
+                **tracked.describe(),
                 **self.describe(),
             )
             return
-        self._apply(routes, content, peer=address)
+        self._apply(
+            routes,
+            content,
+            peer=address,
+            decode_seconds=round(time.monotonic() - decoding_at, 4),
+            **tracked.describe(),
+        )
 
-    def _fetch(self, address: str, version: int) -> tuple[QueueRoutes, bytes]:
-        content = self._peer_client.request_configuration(address)
+    def _fetch(self, address: str, tracked: TrackedTransfer) -> bytes:
+        content = self._peer_client.request_configuration(address, tracked.transfer)
         if len(content) > MAX_CONTENT_BYTES:
             raise ProtocolError(
                 f"the configuration has {len(content)} bytes, more than {MAX_CONTENT_BYTES}"
             )
+        return content
+
+    def _decode_fetched(self, content: bytes, version: int) -> QueueRoutes:
         routes = self._configuration.decode(content)
         if routes.version < version:
             raise ProtocolError(f"the peer has version {version} and sent {routes.version}")
-        return routes, content
+        return routes
 
     def _ask_peer(self, address: str) -> None:
         sent_at = read_elapsed_clock()
--- a/src/lavenderhook/_internal/instance/decision_metrics.py
+++ b/src/lavenderhook/_internal/instance/decision_metrics.py
@@ -27,6 +27,7 @@
     "advice": _Histogram("advice_seconds", "seconds"),
     "owner-loaded": _Histogram("owner_load_seconds", "seconds"),
     "hold-unanswered": _Histogram("hold_unanswered_seconds", "seconds"),
+    "configuration-applied": _Histogram("configuration_transfer_seconds", "transfer_seconds"),
     "placement-passes": _Histogram("longest_placement_pass_seconds", "longest"),
 }
 # Gauges of an organisation whose limit holds work, by the field that they show.
@@ -40,6 +41,7 @@
 # Fields that distinguish the outcomes of a decision; they have few values.
 _COUNTER_LABELS = ("outcome", "state", "reason", "error", "speed")
 SLOW_WORKERS_FIELD = "slow_workers"
+RECEIVED_BYTES_FIELD = "received_bytes"  # of a transfer that was used or has failed
 
 
 class DecisionMetrics:
@@ -64,6 +66,11 @@
         slow_workers = fields.get(SLOW_WORKERS_FIELD)
         if isinstance(slow_workers, int):
             self._slow_workers = float(slow_workers)
+        received_bytes = fields.get(RECEIVED_BYTES_FIELD)
+        if isinstance(received_bytes, int):
+            self._metrics.increment(
+                "transferred_bytes_total", float(received_bytes), decision=decision
+            )
         histogram = _HISTOGRAMS.get(decision)
         if histogram is None:
             return
--- a/src/lavenderhook/_internal/instance/peers.py
+++ b/src/lavenderhook/_internal/instance/peers.py
@@ -12,6 +12,7 @@
 from ..adapters.transport import HttpClient
 from ..core.identifiers import WorkerId
 from ..decoding import decode_msgpack
+from ..ports.transfers import Transfer
 from ..queueing.backlog import Backlog
 from ..queueing.model import (
     FencingToken,
@@ -216,10 +217,18 @@
             CONFIGURATION_STATUS_TIMEOUT_SECONDS,
         )
 
-    def request_configuration(self, address: str) -> bytes:
-        """Return the content of the configuration that the peer uses."""
+    def request_configuration(self, address: str, transfer: Transfer) -> bytes:
+        """Return the content of the configuration that the peer uses.
+
+        `transfer` records what arrives of it.
+        """
         response = self._call(
-            address, CONFIGURATION_PATH, None, ConfigurationContent, CONFIGURATION_TIMEOUT_SECONDS
+            address,
+            CONFIGURATION_PATH,
+            None,
+            ConfigurationContent,
+            CONFIGURATION_TIMEOUT_SECONDS,
+            transfer,
         )
         return response.content
 
@@ -279,16 +288,24 @@
         message: msgspec.Struct | None,
         message_type: type[Any] | None,
         seconds: float,
+        transfer: Transfer | None = None,
     ) -> Any:
-        body = self._exchange(address, path, message, seconds)
+        body = self._exchange(address, path, message, seconds, transfer)
         return None if message_type is None else decode_msgpack(body, message_type)
 
     def _exchange(
-        self, address: str, path: str, message: msgspec.Struct | None, seconds: float
+        self,
+        address: str,
+        path: str,
+        message: msgspec.Struct | None,
+        seconds: float,
+        transfer: Transfer | None = None,
     ) -> bytes:
         """Return the body of the response to a call."""
         body = b"" if message is None else msgspec.msgpack.encode(message)
-        response = self._client.call(address, "POST", path, body, timeout=seconds)
+        response = self._client.call(
+            address, "POST", path, body, timeout=seconds, transfer=transfer
+        )
         if response.status != 200:
             raise ProtocolError(f"peer {address} answered {path} with {response.status}")
         return response.body
--- a/src/lavenderhook/_internal/ports/queueing.py
+++ b/src/lavenderhook/_internal/ports/queueing.py
@@ -23,6 +23,7 @@
     WorkerReport,
 )
 from ..queueing.routes import QueueRoutes
+from .transfers import Transfer
 
 # The store counts as unavailable once calls have waited this long without any response. At 90 times
 # the usual latency, it still responds within 0.9 s.
@@ -144,15 +145,18 @@
         end: str = "",
         part: str = "",
         timeout_seconds: float = STORE_CALL_SECONDS,
+        transfer: Transfer | None = None,
     ) -> RowChanges:
         """Return all existing rows of a part with ``start <= key < end``, and the revision.
 
         The result is the full content of that range (all pages), not a list of changes. An empty
-        `end` means no upper limit.
+        `end` means no upper limit. `transfer` records what arrives.
         """
 
     @abc.abstractmethod
-    def wait_for_changes(self, table: str, after: int, wait_seconds: float) -> RowChanges:
+    def wait_for_changes(
+        self, table: str, after: int, wait_seconds: float, transfer: Transfer | None = None
+    ) -> RowChanges:
         """Return the changes in all parts after a revision; wait if there are none yet.
 
         Raises
@@ -282,6 +286,8 @@
         The newest row can't be decoded.
     has_waited : bool
         Nothing was written, so that the store answered at the end of the wait.
+    decode_seconds : float
+        How long the content took to decode.
     """
 
     revision: int
@@ -290,18 +296,21 @@
     row_revision: int = 0
     is_unreadable: bool = False
     has_waited: bool = False
+    decode_seconds: float = 0.0
 
 
 class QueueConfiguration(abc.ABC):
     """The operator's configuration of the queues."""
 
     @abc.abstractmethod
-    def read(self) -> ConfigurationChange:
-        """Return the whole configuration."""
+    def read(self, transfer: Transfer) -> ConfigurationChange:
+        """Return the whole configuration; `transfer` records what arrives of it."""
 
     @abc.abstractmethod
-    def wait_for_changes(self, after: int, wait_seconds: float) -> ConfigurationChange:
-        """Return the change after a revision.
+    def wait_for_changes(
+        self, after: int, wait_seconds: float, transfer: Transfer
+    ) -> ConfigurationChange:
+        """Return the change after a revision; `transfer` records what arrives of it.
 
         Raises
         ------
--- a/src/lavenderhook/platform/lists.py
+++ b/src/lavenderhook/platform/lists.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -19,6 +20,7 @@
     WorkerChanges,
     WorkerList,
 )
+from .._internal.ports.transfers import Transfer
 from .._internal.queueing.model import (
     AdviceTerms,
     QueueTerms,
@@ -110,19 +112,22 @@
         self._store = store
         self._log_event = log_event
 
-    def read(self) -> ConfigurationChange:
+    def read(self, transfer: Transfer) -> ConfigurationChange:
         """Return the whole configuration."""
         changes = self._store.read(
             OPERATOR_TABLE,
             CONFIGURATION_KEY,
             CONFIGURATION_KEY + "\0",
             timeout_seconds=CONFIGURATION_READ_SECONDS,
+            transfer=transfer,
         )
         return self._decode_newest(changes)
 
-    def wait_for_changes(self, after: int, wait_seconds: float) -> ConfigurationChange:
+    def wait_for_changes(
+        self, after: int, wait_seconds: float, transfer: Transfer
+    ) -> ConfigurationChange:
         """Return the change after a revision."""
-        changes = self._store.wait_for_changes(OPERATOR_TABLE, after, wait_seconds)
+        changes = self._store.wait_for_changes(OPERATOR_TABLE, after, wait_seconds, transfer)
         if not changes.rows:
             return ConfigurationChange(changes.revision, has_waited=True)
         return self._decode_newest(changes)
@@ -139,12 +144,19 @@
         return decode_configuration(content, self._log_event)
 
     def _decode_row(self, row: StoredRow, revision: int) -> ConfigurationChange:
+        started_at = time.monotonic()
         try:
             routes = self.decode(row.value)
         except ProtocolError as error:
             self._log_event("configuration-unreadable", revision=row.revision, message=str(error))
             return ConfigurationChange(revision, row_revision=row.revision, is_unreadable=True)
-        return ConfigurationChange(revision, routes, row.value, row.revision)
+        return ConfigurationChange(
+            revision,
+            routes,
+            row.value,
+            row.revision,
+            decode_seconds=time.monotonic() - started_at,
+        )
 
 
 class PlatformWorkers(WorkerList):
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -25,6 +25,7 @@
     StoredRow,
     Write,
 )
+from .._internal.ports.transfers import Transfer
 from ..errors import ProtocolError, StoreBusyError, StoreUnavailableError, TransportError
 
 TRANSACT_PATH = "/lavenderhook/rows-tx"
@@ -105,14 +106,21 @@
         return self._last_response_at > moment
 
     def _call(
-        self, method: str, target: str, body: bytes, headers: Headers, timeout: float, name: str
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: Headers,
+        timeout: float,
+        name: str,
+        transfer: Transfer | None = None,
     ) -> ClientResponse:
         started_at = time.monotonic()
         if not self._calls_in_flight:
             self._unanswered_since = started_at
         self._calls_in_flight += 1
         try:
-            response = self._exchange(method, target, body, headers, timeout)
+            response = self._exchange(method, target, body, headers, timeout, transfer)
             self._record_latency(time.monotonic() - started_at)
             return response
         finally:
@@ -127,11 +135,17 @@
         self._latency_recorded_at = time.monotonic()
 
     def _exchange(
-        self, method: str, target: str, body: bytes, headers: Headers, timeout: float
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: Headers,
+        timeout: float,
+        transfer: Transfer | None = None,
     ) -> ClientResponse:
         """Carry out one exchange, abandoned if a later one is answered after an outage."""
         started_at = time.monotonic()
-        exchange = gevent.spawn(self._call_client, method, target, body, headers, timeout)
+        exchange = gevent.spawn(self._call_client, method, target, body, headers, timeout, transfer)
         self._exchanges[exchange] = started_at
         try:
             exchange.join()
@@ -149,11 +163,17 @@
         )
 
     def _call_client(
-        self, method: str, target: str, body: bytes, headers: Headers, timeout: float
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: Headers,
+        timeout: float,
+        transfer: Transfer | None,
     ) -> ClientResponse | TransportError:
         # Returned and not raised, since gevent logs what a greenlet raises as unhandled.
         try:
-            return self._client.call(self.address, method, target, body, headers, timeout)
+            return self._client.call(self.address, method, target, body, headers, timeout, transfer)
         except TransportError as error:
             return error
 
@@ -219,6 +239,7 @@
         end: str = "",
         part: str = "",
         timeout_seconds: float = STORE_CALL_SECONDS,
+        transfer: Transfer | None = None,
     ) -> RowChanges:
         """Return all existing rows of a key range in key order (all pages)."""
         rows: list[StoredRow] = []
@@ -229,7 +250,7 @@
                 query["from"] = start
             if end:
                 query["to"] = end
-            page = self._get(READ_PATH, query, timeout_seconds)
+            page = self._get(READ_PATH, query, timeout_seconds, transfer)
             rows.extend(_decode_rows(page))
             if revision is None:
                 revision = page.schema_version
@@ -237,20 +258,24 @@
                 return RowChanges(tuple(rows), revision)
             start = page.rows[-1].key + "\0"
 
-    def wait_for_changes(self, table: str, after: int, wait_seconds: float) -> RowChanges:
+    def wait_for_changes(
+        self, table: str, after: int, wait_seconds: float, transfer: Transfer | None = None
+    ) -> RowChanges:
         """Return the changes after a revision."""
         query = {"table": table, "after": after, "waitMs": int(wait_seconds * 1000)}
-        page = self._get(FEED_PATH, query, wait_seconds + WATCH_TIMEOUT_MARGIN_SECONDS)
+        page = self._get(FEED_PATH, query, wait_seconds + WATCH_TIMEOUT_MARGIN_SECONDS, transfer)
         return RowChanges(_decode_rows(page), page.schema_version)
 
-    def _get(self, path: str, query: dict[str, Any], timeout: float) -> _Rows:
+    def _get(
+        self, path: str, query: dict[str, Any], timeout: float, transfer: Transfer | None
+    ) -> _Rows:
         target = f"{path}?{urlencode(query)}"
         try:
             if path == FEED_PATH:
                 # It waits for a change, so that a missing response is no sign of an outage.
-                response = self._exchange("GET", target, b"", (), timeout)
+                response = self._exchange("GET", target, b"", (), timeout, transfer)
             else:
-                response = self._call("GET", target, b"", (), timeout, "read")
+                response = self._call("GET", target, b"", (), timeout, "read", transfer)
         except TransportError as error:
             # A read has no effect whose outcome could be unknown.
             raise StoreUnavailableError(f"{path}: {error}") from error
