Show that large configurations in series are late on thin links

Instances whose links are limited to 5 Mbit/s follow 12 versions of 1,400 routes, 1.13 s apart. Fails: versions are in force 2.05 to 19.4 s after their write, where configApplyMs is 2 s. On 1 Mbit/s a single version never arrives, as each call for it ends before it is complete.

The limit is in the process of the instance: all its connections share it and take turns.

--- a/features/support/partitioned_cluster.py
+++ b/features/support/partitioned_cluster.py
@@ -10,16 +10,24 @@
 
 
 class PartitionedEntry(EntryProcess):
-    """An entry instance whose connections to some addresses go silent."""
+    """An entry instance whose connections to some addresses go silent.
+
+    Attributes
+    ----------
+    link_mbps : float
+        Bandwidth, from the next start on, for all that it receives on connections of its own; 0 for
+        no limit.
+    """
 
     def __init__(self, cluster, name):
         super().__init__(cluster, name)
+        self.link_mbps = 0.0
         self.partition = cluster.folder / f"{name}.partition"
         self.partition.touch()
 
     def make_command(self):
         """Return the command of the process."""
-        return [sys.executable, "-m", PROGRAM, str(self.partition)]
+        return [sys.executable, "-m", PROGRAM, str(self.partition), str(self.link_mbps)]
 
     def cut_off(self, addresses):
         """Let no packets reach these addresses, and those only, from now on."""
--- a/features/support/partitioned_process.py
+++ b/features/support/partitioned_process.py
@@ -1,16 +1,19 @@
 """Runs an entry instance whose packets to some addresses are lost without an error.
 
 The first argument is the path of a file that holds the addresses (``ip:port``), one a line; it is
-read again whenever it changes.
+read again whenever it changes. The second one is the bandwidth in Mbit/s, 0 for no limit, that
+everything the instance receives on connections of its own has to share.
 """
 
 import os
 import runpy
 import sys
+import time
 
 import gevent.socket
 
 CHECK_SECONDS = 0.01  # between checks whether a partition has ended
+MAX_SEGMENT_BYTES = 8192  # connections that receive at the same time take turns after each
 
 
 class Partition:
@@ -32,8 +35,27 @@
         return f"{address[0]}:{address[1]}" in self._addresses
 
 
-def make_socket_class(partition):
-    """Return a socket class whose connections go silent in a partition."""
+class ThinLink:
+    """Bandwidth that all connections share for what they receive.
+
+    Parameters
+    ----------
+    mbps : float
+    """
+
+    def __init__(self, mbps):
+        self._bytes_per_second = mbps * 1e6 / 8
+        self._free_at = 0.0
+
+    def carry(self, count):
+        """Wait until the link has carried a number of bytes."""
+        now = time.monotonic()
+        self._free_at = max(now, self._free_at) + count / self._bytes_per_second
+        gevent.sleep(self._free_at - now)
+
+
+def make_socket_class(partition, link=None):
+    """Return a socket class whose connections go silent in a partition and share a link."""
 
     class PartitionedSocket(gevent.socket.socket):
         _target = None
@@ -59,7 +81,12 @@
                     raise TimeoutError("timed out")
                 gevent.sleep(CHECK_SECONDS)
                 remaining -= CHECK_SECONDS
-            return super().recv(*arguments)
+            if link is None:
+                return super().recv(*arguments)
+            size, *flags = arguments
+            data = super().recv(min(size, MAX_SEGMENT_BYTES), *flags)
+            link.carry(len(data))
+            return data
 
         def _is_cut_off(self):
             return self._target is not None and partition.covers(self._target)
@@ -68,5 +95,8 @@
 
 
 if __name__ == "__main__":
-    gevent.socket.socket = make_socket_class(Partition(sys.argv[1]))
+    mbps = float(sys.argv[2])
+    gevent.socket.socket = make_socket_class(
+        Partition(sys.argv[1]), ThinLink(mbps) if mbps > 0 else None
+    )
     runpy.run_module("lavenderhook.platform", run_name="__main__", alter_sys=True)
--- a/standins/queues.py
+++ b/standins/queues.py
@@ -9,6 +9,7 @@
 
 import gevent
 import gevent.event
+import msgspec
 
 from .capacity import ProcessorLimit
 from .crashes import CrashBudget
@@ -195,10 +196,13 @@
     ----------
     mode : str
         ``up``, ``busy`` or ``silent``, as in `RowStoreStandIn`.
+    copies : collections.Counter
+        How often each revision of a row was sent, by (table, key, revision).
     """
 
     def __init__(self, store):
         self.mode = "up"
+        self.copies = collections.Counter()
         self.listener = Listener(self._respond)
         self._store = store
         self._delayed_prefix = None
@@ -223,7 +227,13 @@
         if self.mode == "silent":
             gevent.sleep(30)
             raise DropConnectionError
-        return self._store.respond(request)
+        response = self._store.respond(request)
+        if request.method == "GET" and response.body:
+            self.copies.update(
+                (row["table"], row["key"], row["schemaVersion"])
+                for row in msgspec.json.decode(response.body)["rows"]
+            )
+        return response
 
     def _is_write_to_delay(self, request):
         if self._delayed_prefix is None or request.path != "/lavenderhook/rows-tx":
