Wait for a configuration as long as it goes on arriving

Cause: the time limit of a call held for the whole response, so that a large one on a thin link was given up while it was arriving, and begun again. A connection that is silent and one that is receiving looked the same.

The time limit until the first bytes is as before, which covers connections that have gone silent.

--- a/src/lavenderhook/_internal/adapters/transport.py
+++ b/src/lavenderhook/_internal/adapters/transport.py
@@ -207,7 +207,7 @@
         deadline : float
             Monotonic time in seconds.
         transfer : Transfer, optional
-            Records what arrives.
+            Records what arrives. While bytes go on arriving, it extends the deadline.
 
         Raises
         ------
@@ -223,7 +223,8 @@
         assert parser is not None, "receive was called before send"
         try:
             while not parser.finished:
-                remaining = deadline - time.monotonic()
+                until = deadline if transfer is None else transfer.extend(deadline)
+                remaining = until - time.monotonic()
                 if remaining <= 0:
                     raise ExchangeTimeoutError("no complete response at the deadline")
                 self._socket.settimeout(remaining)
