Read the configuration beside the watch only while the watch is silent

Callers saw requests handled by a version replaced more than configApplyMs before (CONFIG).

Cause: after 1.2 s without a confirmation, a second copy of the row was read beside the watch that was receiving the first. Both share the link, and the next version comes before either is done.

Now the read begins only if nothing has arrived for 1.2 s.

--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -93,7 +93,7 @@
         self._has_asked_peer = False
         self._rereading = Rereading()
         self._transfers = TransferTracker()
-        self._is_watching = False  # a call that waits for a change is in progress
+        self._watch: TrackedTransfer | None = None  # the call that waits for a change
         self._newer_peers: dict[str, int] = {}  # versions by address
         self._unreadable: dict[str, int] = {}  # versions by address
 
@@ -164,14 +164,14 @@
 
     def _wait_for_changes(self, revision: int) -> int:
         sent_at = read_elapsed_clock()
-        self._is_watching = True
-        try:
-            with self._transfers.begin() as tracked, self._log_unread(tracked):
+        with self._transfers.begin() as tracked, self._log_unread(tracked):
+            self._watch = tracked
+            try:
                 change = self._configuration.wait_for_changes(
                     revision, WAIT_SECONDS, tracked.transfer
                 )
-        finally:
-            self._is_watching = False
+            finally:
+                self._watch = None
         current_at = sent_at
         if change.has_waited and read_elapsed_clock() >= sent_at + WAIT_SECONDS:
             current_at += WAIT_SECONDS
@@ -179,9 +179,10 @@
         return change.revision
 
     def _read_beside_watch(self) -> None:
-        """Read the configuration while the watch has no response.
+        """Read the configuration while the watch is silent.
 
-        Handles a response that is lost on a connection that has gone silent.
+        Handles a response that is lost on a connection that has gone silent. While a watch receives
+        a version, a second copy of it would only slow it down.
         """
         with contextlib.suppress(LavenderhookError):  # which has been logged
             self._read()
@@ -279,7 +280,7 @@
             if not (is_unconfirmed or self._newer_peers or self._is_first_question_due()):
                 interval = PEER_INTERVAL_SECONDS
                 continue
-            if is_unconfirmed and self._is_watching and (beside_watch is None or beside_watch.dead):
+            if self._is_watch_silent() and (beside_watch is None or beside_watch.dead):
                 beside_watch = gevent.spawn(self._read_beside_watch)
             self._ask_peers()
             # While the store is unavailable to all instances, no peer knows more.
@@ -288,6 +289,11 @@
                 min(2 * interval, MAX_PEER_INTERVAL_SECONDS) if is_outage else PEER_INTERVAL_SECONDS
             )
 
+    def _is_watch_silent(self) -> bool:
+        """Return whether nothing has arrived for longer than a watch that works would take."""
+        watch = self._watch
+        return watch is not None and watch.transfer.measure_silence() >= ASK_PEERS_AFTER_SECONDS
+
     def _is_first_question_due(self) -> bool:
         """Return whether no peer has answered since the start, and reads may still be stale."""
         return not self._has_asked_peer and self._rereading.is_pending()
