Read rows from the store as long as they go on arriving

The cause of the late configurations elsewhere: all reads of the store had a time limit for the whole response, so that the parts of a table that share a thin link end together and are read again; a response that was arriving counted as an outage after 1.1 s; and the next small call that was answered had it abandoned.

Every read now lasts as long as bytes arrive, as those of the configuration; what is arriving counts as an answer of the store, and isn't abandoned.

Proxies of the soak can limit bandwidth (ThinLink).

--- a/features/support/partitioned_process.py
+++ b/features/support/partitioned_process.py
@@ -8,12 +8,12 @@
 import os
 import runpy
 import sys
-import time
 
 import gevent.socket
 
+from features.support.thin_link import MAX_SEGMENT_BYTES, ThinLink
+
 CHECK_SECONDS = 0.01  # between checks whether a partition has ended
-MAX_SEGMENT_BYTES = 8192  # connections that receive at the same time take turns after each
 
 
 class Partition:
@@ -35,25 +35,6 @@
         return f"{address[0]}:{address[1]}" in self._addresses
 
 
-class ThinLink:
-    """Bandwidth that all connections share for what they receive.
-
-    Parameters
-    ----------
-    mbps : float
-    """
-
-    def __init__(self, mbps):
-        self._bytes_per_second = mbps * 1e6 / 8
-        self._free_at = 0.0
-
-    def carry(self, count):
-        """Wait until the link has carried a number of bytes."""
-        now = time.monotonic()
-        self._free_at = max(now, self._free_at) + count / self._bytes_per_second
-        gevent.sleep(self._free_at - now)
-
-
 def make_socket_class(partition, link=None):
     """Return a socket class whose connections go silent in a partition and share a link."""
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,4 +1,4 @@
-"""Loopback proxy that delays, blocks (one way or both) or resets connections."""
+"""Loopback proxy that delays, blocks (one way or both), resets or slows down connections."""
 
 import enum
 import socket
@@ -8,6 +8,8 @@
 import gevent
 from gevent.server import StreamServer
 
+from features.support.thin_link import MAX_SEGMENT_BYTES
+
 READ_BYTES = 65536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of 0 seconds: close() resets the connection
 
@@ -28,6 +30,11 @@
     ----------
     target : str
         ``ip:port``.
+
+    Attributes
+    ----------
+    link : ThinLink or None
+        Bandwidth that all responses share; None for no limit.
     """
 
     def __init__(self, target):
@@ -37,6 +44,7 @@
         self._pairs = set()
         self.mode = Mode.PASS
         self.delay_seconds = 0.0
+        self.link = None
         self.reset_at = 0.0  # monotonic time of the last reset
 
     @property
@@ -87,12 +95,17 @@
 
     def _copy(self, source, sink, is_response):
         try:
-            while data := source.recv(READ_BYTES):
+            while data := source.recv(self._choose_block_bytes(is_response)):
                 while self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and is_response):
                     gevent.sleep(0.05)
                 if self.mode is Mode.DELAY:
                     gevent.sleep(self.delay_seconds)
+                if self.link is not None and is_response:
+                    self.link.carry(len(data))
                 sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
             return  # closed or reset
+
+    def _choose_block_bytes(self, is_response):
+        return READ_BYTES if self.link is None or not is_response else MAX_SEGMENT_BYTES
--- a/src/lavenderhook/platform/store.py
+++ b/src/lavenderhook/platform/store.py
@@ -82,15 +82,21 @@
         self._newest_revision = 0
         self._latency_seconds = INITIAL_LATENCY_SECONDS
         self._latency_recorded_at = 0.0
-        self._exchanges: dict[gevent.Greenlet, float] = {}  # exchanges in progress and their start
+        self._exchanges: dict[gevent.Greenlet, Transfer] = {}  # in progress
 
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
 
     def measure_unanswered_seconds(self) -> float:
-        """Return for how long calls have waited without any response of the store, in seconds."""
-        return time.monotonic() - self._unanswered_since if self._calls_in_flight else 0.0
+        """Return for how long calls have waited without any response of the store, in seconds.
+
+        A response that is arriving counts, since a large one may take longer than an outage.
+        """
+        if not self._calls_in_flight:
+            return 0.0
+        receiving = [t.measure_silence() for t in self._exchanges.values() if t.is_receiving()]
+        return min([time.monotonic() - self._unanswered_since, *receiving])
 
     def measure_latency_seconds(self) -> float:
         """Return the smoothed duration of recent calls that were answered, in seconds."""
@@ -145,8 +151,10 @@
     ) -> ClientResponse:
         """Carry out one exchange, abandoned if a later one is answered after an outage."""
         started_at = time.monotonic()
+        if transfer is None:
+            transfer = Transfer()
         exchange = gevent.spawn(self._call_client, method, target, body, headers, timeout, transfer)
-        self._exchanges[exchange] = started_at
+        self._exchanges[exchange] = transfer
         try:
             exchange.join()
         finally:
@@ -169,7 +177,7 @@
         body: bytes,
         headers: Headers,
         timeout: float,
-        transfer: Transfer | None,
+        transfer: Transfer,
     ) -> ClientResponse | TransportError:
         # Returned and not raised, since gevent logs what a greenlet raises as unhandled.
         try:
@@ -181,7 +189,8 @@
         """Abandon the calls that were lost in an outage, as soon as a later one is answered.
 
         The store never answers what was sent to it during an outage; without this, callers would
-        wait for the time-out of these calls although the store is available again.
+        wait for the time-out of these calls although the store is available again. A call whose
+        response has been arriving since the later one was made is not lost.
         """
         now = time.monotonic()
         outage_seconds = compute_outage_seconds(self.measure_latency_seconds())
@@ -190,8 +199,8 @@
         )
         self._unanswered_since = self._last_response_at = now
         if was_unavailable:
-            for exchange, since in list(self._exchanges.items()):
-                if since < started_at:
+            for exchange, transfer in list(self._exchanges.items()):
+                if not transfer.has_been_active_since(started_at):
                     exchange.kill(block=False)
 
     def transact(
