Continue the watch of the configuration after the read beside it

A read that replaces a silent watch goes on receiving when the watch is given up; the next watch then received the same version a second time on the same link. It now waits for the read, and continues from its revision.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -160,6 +160,14 @@
     And the operator writes version 2
     Then all followers have version 2 within 2.0 seconds
 
+  Scenario: A version that is read beside a silent watch is not received twice
+    Guards against a watch that begins while the read in its place is receiving, and receives the same
+    version on the same link.
+    Given followers a, b, c that all reach each other
+    When the watch of a goes silent while version 2 is written, which takes 1.5 seconds to arrive
+    Then follower a has version 2 within 4.0 seconds
+    And the store has sent version 2 to a once
+
   Scenario: Random outages never let an instance deny a queue of the newest version
     Guards against any order of turned-away instances, cut links, lost watches, stale reads and changes
     in which an instance denies a queue more than 2 s after the change that added it, goes back to an
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -285,6 +285,27 @@
     gevent.sleep(WAIT_SECONDS + 0.3)
 
 
+@when(
+    "the watch of {name:w} goes silent while version {version:d} is written, "
+    "which takes {seconds:f} seconds to arrive"
+)
+def step_lose_one_watch(context, name, version, seconds):
+    network = context.network
+    source = network.sources[name]
+    network.links.clear()  # no peer sends the version
+    gevent.sleep(WAIT_SECONDS)
+    source.loses_watches, source.transfer_seconds = True, seconds
+    gevent.sleep(WAIT_SECONDS)
+    source.loses_watches = False  # that of the watch in progress
+    network.write(version)
+
+
+@then("the store has sent version {version:d} to {name:w} once")
+def step_one_copy(context, version, name):
+    gevent.sleep(WAIT_SECONDS)
+    assert context.network.sources[name].copies[version] == 1
+
+
 @when("{count:d} networks have random outages for {seconds:d} seconds")
 def step_random_outages(context, count, seconds):
     runs = [gevent.spawn(RandomCuts(seed, seconds).run, RECOVERY_SECONDS) for seed in range(count)]
--- a/features/support/configuration_followers.py
+++ b/features/support/configuration_followers.py
@@ -1,5 +1,6 @@
 """Followers of the configuration in one process, with links that can be cut."""
 
+import collections
 import random
 import time
 
@@ -32,6 +33,10 @@
         Version that reads return with the newest revision.
     loses_watches : bool
         No call that waits for changes is answered.
+    transfer_seconds : float
+        How long a version takes to arrive.
+    copies : collections.Counter
+        How often each version was sent.
     """
 
     def __init__(self, network):
@@ -40,20 +45,27 @@
         self.has_lost_history = False
         self.loses_watches = False
         self.stale_version = None
+        self.transfer_seconds = 0.0
+        self.copies = collections.Counter()
 
     def _check(self):
         if not self.is_reachable:
             raise StoreUnavailableError("turned away")
 
-    def _describe(self):
+    def _send(self, transfer):
         newest = self.network.version
         version = self.stale_version or newest
+        self.copies[version] += 1
+        until = time.monotonic() + self.transfer_seconds
+        while time.monotonic() < until:
+            transfer.record(1)
+            gevent.sleep(0.05)
         return ConfigurationChange(newest, QueueRoutes(version, ()), b"%d" % version, version)
 
     def read(self, transfer):
         """Return the version that the operator has written last."""
         self._check()
-        return self._describe()
+        return self._send(transfer)
 
     def wait_for_changes(self, after, wait_seconds, transfer):
         """Return a newer version, or nothing after the wait."""
@@ -69,7 +81,7 @@
         self._check()
         if self.network.version <= after:
             return ConfigurationChange(after, has_waited=True)
-        return self._describe()
+        return self._send(transfer)
 
     def decode(self, content):
         """Return the configuration with this content."""
--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -101,6 +101,7 @@
         self._rereading = Rereading()
         self._transfers = TransferTracker()
         self._watch: TrackedTransfer | None = None  # the call that waits for a change
+        self._beside_watch: gevent.Greenlet | None = None  # the last read beside it
         self._newer_peers: dict[str, int] = {}  # versions by address
         self._unreadable: dict[str, int] = {}  # versions by address
 
@@ -159,6 +160,10 @@
                 continue
             except LavenderhookError:
                 gevent.sleep(STORE_RETRY_SECONDS)
+                if self._beside_watch is not None:
+                    # A watch would receive the same version a second time.
+                    self._beside_watch.join()
+                    revision = max(self._beside_watch.value or 0, revision or 0) or None
                 continue
             gevent.sleep(POLL_INTERVAL_SECONDS)
 
@@ -185,14 +190,21 @@
         self._apply_change(change, current_at, tracked)
         return change.revision
 
-    def _read_beside_watch(self) -> None:
+    def _read_beside_watch(self) -> int | None:
         """Read the configuration while the watch is silent.
 
         Handles a response that is lost on a connection that has gone silent. While a watch receives
         a version, a second copy of it would only slow it down.
+
+        Returns
+        -------
+        int or None
+            Revision from which the next watch can continue; None if the read has failed.
         """
-        with contextlib.suppress(LavenderhookError):  # which has been logged
-            self._read()
+        try:
+            return self._read()
+        except LavenderhookError:  # which has been logged
+            return None
 
     @contextlib.contextmanager
     def _log_unread(self, tracked: TrackedTransfer) -> Iterator[None]:
@@ -283,7 +295,6 @@
 
     def _watch_peers(self) -> None:
         """Ask peers for their versions while the store does not confirm the active one."""
-        beside_watch: gevent.Greenlet | None = None
         interval = PEER_INTERVAL_SECONDS
         while not self._stopped.is_set():
             gevent.sleep(interval)
@@ -292,8 +303,8 @@
             if not (is_unconfirmed or self._newer_peers or self._is_first_question_due()):
                 interval = PEER_INTERVAL_SECONDS
                 continue
-            if self._is_watch_silent() and (beside_watch is None or beside_watch.dead):
-                beside_watch = gevent.spawn(self._read_beside_watch)
+            if self._is_watch_silent() and (self._beside_watch is None or self._beside_watch.dead):
+                self._beside_watch = gevent.spawn(self._read_beside_watch)
             self._ask_peers()
             # While the store is unavailable to all instances, no peer knows more.
             is_outage = self.measure_age() > self._bound_seconds and not self._newer_peers
