--- a/soak/run.py
+++ b/soak/run.py
@@ -20,6 +20,7 @@
 from .partitions import PartitionInjector
 from .proxy import Mode, Proxy
 from .takeovers import ReplacementInjector, TakeoverInjector
+from .thin_links import ThinLinkInjector
 
 QUERY_SECONDS = 1.0
 COMPLETION_TIMEOUT_SECONDS = 30.0  # for accepted submissions, after all faults have ended
@@ -86,6 +87,7 @@
         self._random_repeats = random.Random(seed + 4)
         self._random_replacements = random.Random(seed + 5)
         self._random_organisations = random.Random(seed + 6)
+        self._random_links = random.Random(seed + 7)
         self._size = size
         self._directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.cluster = PartitionedCluster(self._directory, size.instances, size.workers, seed)
@@ -100,6 +102,7 @@
         self.refused = {}
         self.crashing = set()  # accepted submissions whose tasks crash their workers
         self._version = 1
+        self.extra_queues = 0  # of each version
         self._newest_queue = ""  # path prefix that a version has added; later ones retain it
         self._written_at = time.monotonic()  # of the version that has added it
         self.faults_ended = gevent.event.Event()
@@ -120,6 +123,7 @@
                 gevent.spawn(TakeoverInjector(self, self._random_takeovers, injector).run),
                 gevent.spawn(ReplacementInjector(self, self._random_replacements, injector).run),
                 gevent.spawn(self._organisations.run, injector),
+                gevent.spawn(ThinLinkInjector(self, self._random_links).run, injector),
             ]
             interval_seconds = self._size.fault_interval_seconds
             injector.run(self._size.seconds, interval_seconds, lambda: gevent.killall(others))
@@ -182,6 +186,7 @@
         """Write a new configuration version with the queues of the one before."""
         self._version += 1
         prefixes = ["/jobs/", *filter(None, [self._newest_queue])]
+        prefixes += [f"/others{number}/" for number in range(self.extra_queues)]
         self.cluster.platform.write_configuration(self._version, prefixes)
 
     def end_all_faults(self):
--- a/src/lavenderhook/platform/lists.py
+++ b/src/lavenderhook/platform/lists.py
@@ -133,11 +133,11 @@
         return self._decode_newest(changes)
 
     def _decode_newest(self, changes: RowChanges) -> ConfigurationChange:
-        newest = ConfigurationChange(changes.revision)
-        for row in changes.rows:
-            if row.key == CONFIGURATION_KEY and not row.is_deleted:
-                newest = self._decode_row(row, changes.revision)
-        return newest
+        # After a pause, the change feed may return several versions.
+        rows = [r for r in changes.rows if r.key == CONFIGURATION_KEY and not r.is_deleted]
+        if not rows:
+            return ConfigurationChange(changes.revision)
+        return self._decode_row(max(rows, key=lambda row: row.revision), changes.revision)
 
     def decode(self, content: bytes) -> QueueRoutes:
         """Return the queues of a configuration that a peer has read."""
