Bound the fetch of a configuration from one peer, and forget a read from before a lost history

A peer that sends single bytes would have kept the others from being asked for 30 s, and a failed read after a lost history let the watch continue from the revision of an earlier read.

--- a/src/lavenderhook/_internal/instance/configuration.py
+++ b/src/lavenderhook/_internal/instance/configuration.py
@@ -38,6 +38,7 @@
 PEER_INTERVAL_SECONDS = 0.3
 MAX_PEER_INTERVAL_SECONDS = 1.2  # while no peer knows more than this instance
 MAX_PEERS_ASKED = 3
+MAX_FETCH_SECONDS = 5.0  # of a version from one peer, before others are asked
 MAX_LOGGED_PROBLEMS = 20  # of one version
 
 
@@ -155,15 +156,12 @@
                     self._rereading.complete()
             except HistoryLostError:
                 self._log_event("configuration-history-lost", after=revision, **self.describe())
-                revision = None
+                revision = self._beside_watch = None
                 self._history_lost_at = read_elapsed_clock()
                 continue
             except LavenderhookError:
                 gevent.sleep(STORE_RETRY_SECONDS)
-                if self._beside_watch is not None:
-                    # A watch would receive the same version a second time.
-                    self._beside_watch.join()
-                    revision = max(self._beside_watch.value or 0, revision or 0) or None
+                revision = self._join_read_beside_watch(revision)
                 continue
             gevent.sleep(POLL_INTERVAL_SECONDS)
 
@@ -206,6 +204,17 @@
         except LavenderhookError:  # which has been logged
             return None
 
+    def _join_read_beside_watch(self, revision: int | None) -> int | None:
+        """Wait for a read that replaces a silent watch; return where the next watch continues.
+
+        A watch that began while the read is receiving would receive the same version again.
+        """
+        beside_watch, self._beside_watch = self._beside_watch, None
+        if beside_watch is None or revision is None:
+            return revision
+        beside_watch.join()
+        return max(beside_watch.value or 0, revision)
+
     @contextlib.contextmanager
     def _log_unread(self, tracked: TrackedTransfer) -> Iterator[None]:
         """Log the failure of a read, other than that of a lost history."""
@@ -331,7 +340,7 @@
         # Any of them, so that not all instances ask the same one.
         address = random.choice([a for a, v in self._newer_peers.items() if v == version])
         del self._newer_peers[address]  # the next round finds it again if this fails
-        with self._transfers.begin() as tracked:
+        with self._transfers.begin(MAX_FETCH_SECONDS) as tracked:
             self._fetch_and_apply(address, version, tracked)
 
     def _fetch_and_apply(self, address: str, version: int, tracked: TrackedTransfer) -> None:
--- a/src/lavenderhook/_internal/instance/transfers.py
+++ b/src/lavenderhook/_internal/instance/transfers.py
@@ -5,20 +5,26 @@
 import contextlib
 from collections.abc import Iterator
 
-from ..ports.transfers import Transfer
+from ..ports.transfers import MAX_TRANSFER_SECONDS, Transfer
 
 
 class TrackedTransfer:
     """A transfer, and how many others were receiving at the same time.
 
+    Parameters
+    ----------
+    tracker : TransferTracker
+    max_seconds : float
+        Time limit of the transfer from the first bytes on.
+
     Attributes
     ----------
     beside : int
         The highest number of others at any moment.
     """
 
-    def __init__(self, tracker: TransferTracker) -> None:
-        self.transfer = Transfer(lambda: tracker.record_first_bytes())
+    def __init__(self, tracker: TransferTracker, max_seconds: float) -> None:
+        self.transfer = Transfer(tracker.record_first_bytes, max_seconds)
         self.beside = 0
 
     def describe(self) -> dict[str, object]:
@@ -37,9 +43,9 @@
         self._active: list[TrackedTransfer] = []
 
     @contextlib.contextmanager
-    def begin(self) -> Iterator[TrackedTransfer]:
+    def begin(self, max_seconds: float = MAX_TRANSFER_SECONDS) -> Iterator[TrackedTransfer]:
         """Yield a transfer that is in progress until the block ends."""
-        tracked = TrackedTransfer(self)
+        tracked = TrackedTransfer(self, max_seconds)
         self._active.append(tracked)
         try:
             yield tracked
