--- a/soak/run.py
+++ b/soak/run.py
@@ -111,11 +111,12 @@
 
     def run(self):
         """Run the seed and return the violations."""
-        self._start()
         injector = RandomFaultInjector(self, self._random)
-        self.contact = ContactRecorder(self)
-        watchers = [gevent.spawn(self.contact.run), gevent.spawn(self._organisations.probe)]
+        watchers = []
         try:
+            self._start()
+            self.contact = ContactRecorder(self)
+            watchers += [gevent.spawn(self.contact.run), gevent.spawn(self._organisations.probe)]
             callers = [gevent.spawn(self._run_caller, i) for i in range(self._size.callers)]
             callers.append(gevent.spawn(self._query_newest_queue))
             others = [
