--- a/features/steps/malformed_messages.py
+++ b/features/steps/malformed_messages.py
@@ -44,6 +44,7 @@
 from lavenderhook._internal.instance.supervision import run_until_stopped
 from lavenderhook._internal.instance.work_table import WorkTable
 from lavenderhook._internal.ports.platform import Row
+from lavenderhook._internal.ports.transfers import Transfer
 from lavenderhook._internal.queueing import placement, records, scheduling
 from lavenderhook._internal.queueing.authentication import AvailableRevocation
 from lavenderhook._internal.queueing.events import Ticked, WorkersListed
@@ -362,7 +363,7 @@
     "a worker's entry": read_worker_entry,
     "a configuration": lambda body: lists.PlatformConfiguration(
         StubStore("config", body), ignore_event
-    ).read(),
+    ).read(Transfer()),
     "a stored submission": records.decode_submission,
     "stored progress": lambda body: records.decode(body, records.Progress),
     "a row of the starts": lambda body: records.decode(body, StartLogRow),
