--- a/src/lavenderhook/_internal/ports/transfers.py
+++ b/src/lavenderhook/_internal/ports/transfers.py
@@ -7,9 +7,8 @@
 
 # A response that goes on arriving is waited for; a connection that has gone silent is not.
 MAX_SILENCE_SECONDS = 1.2
-MAX_TRANSFER_SECONDS = (
-    30.0  # bounds a response that arrives without end, or too slowly to be of use
-)
+# Bounds a response that arrives without end, or too slowly to be of use.
+MAX_TRANSFER_SECONDS = 30.0
 
 
 class Transfer:
